--- /dev/null
+++ b/src/main/java/org/tamarackline/core/config/Configuration.java
@@ -0,0 +1,34 @@
+package org.tamarackline.core.config;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * One accepted version of what operators have set.
+ *
+ * @param version raised by one with each accepted change, 0 before the first
+ * @param profiles profiles in force
+ * @param teams quotas by team
+ * @param services services and the profiles they picked
+ * @param vmsOutOfService identifiers of VMs that operators took out of service
+ */
+public record Configuration(
+        long version,
+        List<Profile> profiles,
+        List<TeamQuota> teams,
+        List<ServiceDefinition> services,
+        Set<String> vmsOutOfService) {
+
+    /** Creates a configuration that later changes of the arguments do not affect. */
+    public Configuration {
+        profiles = List.copyOf(profiles);
+        teams = List.copyOf(teams);
+        services = List.copyOf(services);
+        vmsOutOfService = Set.copyOf(vmsOutOfService);
+    }
+
+    /** Returns the configuration of a new installation. */
+    public static Configuration initial() {
+        return new Configuration(0, Profiles.BUILT_IN, List.of(), List.of(), Set.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/Row.java
@@ -0,0 +1,12 @@
+package org.tamarackline.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A row of the platform's table.
+ *
+ * @param key key of the row
+ * @param value JSON document of at most 64 KB
+ * @param version raised by one with each write, 1 for a new row
+ */
+public record Row(String key, JsonNode value, long version) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/VmDirectory.java
@@ -0,0 +1,14 @@
+package org.tamarackline.platform;
+
+import java.util.List;
+
+/** The platform's list of live and leaving VMs, which lags behind. */
+public interface VmDirectory {
+
+    /**
+     * Returns the VMs known to the platform.
+     *
+     * @throws PlatformUnavailableException if the platform did not answer in time
+     */
+    List<VmRecord> list() throws PlatformUnavailableException;
+}
