--- /dev/null
+++ b/src/main/java/org/tamarackline/peer/PeerConnection.java
@@ -0,0 +1,188 @@
+package org.tamarackline.peer;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.time.MonotonicClock;
+
+/** One authenticated connection to another node, shared by concurrent calls. */
+final class PeerConnection {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final NodeId node;
+    private final FrameChannel channel;
+    private final PeerCodec codec;
+    private final PeerLimits limits;
+    private final MonotonicClock clock;
+    private final AtomicLong lastId = new AtomicLong(Frame.Failure.CONNECTION);
+    private final Map<Long, CompletableFuture<Frame>> pending = new ConcurrentHashMap<>();
+    private final BlockingQueue<byte[]> outgoing;
+    private final Thread writer;
+    private volatile boolean retired;
+    private volatile boolean closed;
+
+    PeerConnection(NodeId node, FrameChannel channel, PeerCodec codec, PeerLimits limits, MonotonicClock clock) {
+        this.node = node;
+        this.channel = channel;
+        this.codec = codec;
+        this.limits = limits;
+        this.clock = clock;
+        outgoing = new ArrayBlockingQueue<>(limits.calls());
+        Thread.ofVirtual().name("peer-read").start(this::readAll);
+        writer = Thread.ofVirtual().name("peer-write").start(this::writeAll);
+    }
+
+    boolean isUsable() {
+        return !retired && !closed;
+    }
+
+    PeerMessage call(PeerMessage request, long deadlineNanos) throws PeerException {
+        long id = lastId.incrementAndGet();
+        byte[] bytes = encode(id, request);
+        CompletableFuture<Frame> answer = new CompletableFuture<>();
+        pending.put(id, answer);
+        try {
+            if (closed) {
+                throw failure(PeerException.Reason.UNREACHABLE, "connection to %s is closed".formatted(node), null);
+            }
+            if (pending.size() > limits.calls() || !outgoing.offer(bytes)) {
+                throw failure(
+                        PeerException.Reason.UNREACHABLE,
+                        "call to %s not sent: %d calls are in progress".formatted(node, limits.calls()),
+                        null);
+            }
+            Frame frame = answer.get(Math.max(0, deadlineNanos - clock.nowNanos()), TimeUnit.NANOSECONDS);
+            return unwrap(frame);
+        } catch (TimeoutException e) {
+            throw failure(PeerException.Reason.TIMEOUT, "node %s did not answer in time".formatted(node), e);
+        } catch (ExecutionException e) {
+            throw failure(PeerException.Reason.BROKEN, "connection to %s broke".formatted(node), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw failure(PeerException.Reason.TIMEOUT, "call to %s was interrupted".formatted(node), e);
+        } finally {
+            pending.remove(id);
+            closeIfDrained();
+        }
+    }
+
+    /** Takes no further calls; closes the connection once the calls in progress have ended. */
+    void retire() {
+        retired = true;
+        closeIfDrained();
+    }
+
+    void close(String why) {
+        closed = true;
+        channel.close();
+        writer.interrupt();
+        IOException cause = new IOException(why);
+        pending.values().forEach(answer -> answer.completeExceptionally(cause));
+    }
+
+    private void closeIfDrained() {
+        if (retired && pending.isEmpty() && !closed) {
+            close("replaced by a new connection");
+        }
+    }
+
+    private byte[] encode(long id, PeerMessage request) throws PeerException {
+        try {
+            return codec.encode(new Frame.Request(id, codec.toBody(request)));
+        } catch (MalformedFrameException e) {
+            throw failure(PeerException.Reason.INVALID_MESSAGE, e.getMessage(), e);
+        }
+    }
+
+    private PeerMessage unwrap(Frame frame) throws PeerException {
+        return switch (frame) {
+            case Frame.Answer answer -> decode(answer);
+            case Frame.Failure refused -> throw failure(reasonOf(refused), refused.detail(), null);
+            default ->
+                throw failure(
+                        PeerException.Reason.INVALID_MESSAGE,
+                        "node %s sent %s as an answer"
+                                .formatted(node, frame.getClass().getSimpleName()),
+                        null);
+        };
+    }
+
+    private PeerMessage decode(Frame.Answer answer) throws PeerException {
+        try {
+            return codec.fromBody(answer.body());
+        } catch (MalformedFrameException e) {
+            throw failure(PeerException.Reason.INVALID_MESSAGE, e.getMessage(), e);
+        }
+    }
+
+    private static PeerException.Reason reasonOf(Frame.Failure refused) {
+        return switch (refused.code()) {
+            case MALFORMED, UNKNOWN_REQUEST -> PeerException.Reason.INVALID_MESSAGE;
+            case HANDSHAKE -> PeerException.Reason.HANDSHAKE_REJECTED;
+            case OVERLOADED, INTERNAL -> PeerException.Reason.REFUSED;
+        };
+    }
+
+    private void readAll() {
+        try {
+            while (!closed) {
+                dispatch(channel.read(limits.idleTimeout()));
+            }
+        } catch (MalformedFrameException e) {
+            LOG.atWarning().log("connection to %s closed: %s", node, e.getMessage());
+            close(e.getMessage());
+        } catch (IOException e) {
+            close(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void dispatch(Frame frame) throws MalformedFrameException {
+        switch (frame) {
+            case Frame.Answer answer -> complete(answer.id(), frame);
+            case Frame.Failure failure
+            when failure.id() == Frame.Failure.CONNECTION -> {
+                pending.values().forEach(waiting -> waiting.complete(frame));
+                close(failure.detail());
+            }
+            case Frame.Failure failure -> complete(failure.id(), frame);
+            default ->
+                throw new MalformedFrameException(
+                        "unexpected frame " + frame.getClass().getSimpleName(), null);
+        }
+    }
+
+    /** Hands the frame to its caller; an answer whose caller gave up is dropped. */
+    private void complete(long id, Frame frame) {
+        CompletableFuture<Frame> answer = pending.get(id);
+        if (answer != null) {
+            answer.complete(frame);
+        }
+    }
+
+    private void writeAll() {
+        try {
+            while (!closed) {
+                channel.writeEncoded(outgoing.take());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            close(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static PeerException failure(PeerException.Reason reason, String message, Throwable cause) {
+        return new PeerException(reason, message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/peer/PeerServer.java
@@ -0,0 +1,235 @@
+package org.tamarackline.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.settings.Secret;
+
+/** Accepts connections of other nodes and answers their requests with the registered handlers. */
+public final class PeerServer {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final LocalNode self;
+    private final PeerCodec codec;
+    private final PeerTraffic traffic;
+    private final PeerLimits limits;
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final Handshake handshake;
+    private final Set<PeerHandler> handlers;
+    private final Semaphore connections;
+    private final Semaphore calls;
+    private final Set<FrameChannel> open = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket serverSocket;
+
+    /** Creates a server that does not listen yet. */
+    public PeerServer(
+            LocalNode self,
+            Secret key,
+            PeerCodec codec,
+            PeerTraffic traffic,
+            PeerLimits limits,
+            Set<PeerHandler> handlers) {
+        this.self = self;
+        this.codec = codec;
+        this.traffic = traffic;
+        this.limits = limits;
+        this.handlers = Set.copyOf(handlers);
+        handshake = new Handshake(self, key, limits.handshakeTimeout());
+        connections = new Semaphore(limits.connections());
+        calls = new Semaphore(limits.calls());
+    }
+
+    /**
+     * Binds the address of this node and starts to accept connections.
+     *
+     * @throws IOException if the address cannot be bound, in particular while another process holds it
+     */
+    public void start() throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(PeerAddresses.parse(self.node()));
+        serverSocket = socket;
+        Thread.ofVirtual().name("peer-accept").start(() -> acceptAll(socket));
+    }
+
+    /** Closes the server and its connections. */
+    public void stop() {
+        ServerSocket socket = serverSocket;
+        serverSocket = null;
+        if (socket != null) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                LOG.atWarning().withCause(e).log("peer server socket could not be closed");
+            }
+        }
+        open.forEach(FrameChannel::close);
+    }
+
+    /** Returns the address that the server is bound to. */
+    public InetSocketAddress boundAddress() {
+        return (InetSocketAddress) serverSocket.getLocalSocketAddress();
+    }
+
+    private void acceptAll(ServerSocket socket) {
+        while (!socket.isClosed()) {
+            try {
+                Socket accepted = socket.accept();
+                Thread.ofVirtual().name("peer-connection").start(() -> serve(accepted));
+            } catch (IOException e) {
+                if (!socket.isClosed()) {
+                    LOG.atWarning().withCause(e).log("peer connection could not be accepted");
+                    pauseAfterFailure();
+                }
+            }
+        }
+    }
+
+    /** Keeps a lasting failure, such as too many open files, from using a whole processor. */
+    private static void pauseAfterFailure() {
+        try {
+            Thread.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void serve(Socket socket) {
+        if (!connections.tryAcquire()) {
+            LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "peer connection refused: %d connections are open", limits.connections());
+            closeQuietly(socket);
+            return;
+        }
+        try (FrameChannel channel = new FrameChannel(socket, codec, traffic, clock)) {
+            open.add(channel);
+            if (serverSocket == null) {
+                return;
+            }
+            serveChannel(channel, socket);
+            open.remove(channel);
+        } catch (IOException e) {
+            LOG.atFine().withCause(e).log("peer connection could not be set up");
+        } finally {
+            connections.release();
+        }
+    }
+
+    private void serveChannel(FrameChannel channel, Socket socket) {
+        ReentrantLock writing = new ReentrantLock();
+        try {
+            NodeId sender = handshake.accept(channel);
+            while (true) {
+                Frame frame = channel.read(limits.idleTimeout());
+                if (!(frame instanceof Frame.Request request)) {
+                    throw new MalformedFrameException(
+                            "unexpected frame " + frame.getClass().getSimpleName(), null);
+                }
+                answerAside(channel, writing, sender, request);
+            }
+        } catch (MalformedFrameException e) {
+            LOG.atWarning().log("connection from %s closed: %s", socket.getRemoteSocketAddress(), e.getMessage());
+            tryWrite(
+                    channel,
+                    writing,
+                    new Frame.Failure(Frame.Failure.CONNECTION, Frame.FailureCode.MALFORMED, e.getMessage()));
+        } catch (HandshakeException e) {
+            LOG.atWarning().log("handshake of %s rejected: %s", socket.getRemoteSocketAddress(), e.getMessage());
+            tryWrite(
+                    channel,
+                    writing,
+                    new Frame.Failure(Frame.Failure.CONNECTION, Frame.FailureCode.HANDSHAKE, e.getMessage()));
+        } catch (SocketTimeoutException e) {
+            LOG.atFine().log("idle connection from %s closed", socket.getRemoteSocketAddress());
+        } catch (IOException e) {
+            LOG.atFine().withCause(e).log("connection from %s ended", socket.getRemoteSocketAddress());
+        }
+    }
+
+    private void answerAside(FrameChannel channel, ReentrantLock writing, NodeId sender, Frame.Request request) {
+        if (!calls.tryAcquire()) {
+            tryWrite(
+                    channel,
+                    writing,
+                    new Frame.Failure(
+                            request.id(),
+                            Frame.FailureCode.OVERLOADED,
+                            "%d calls are in progress; retry later".formatted(limits.calls())));
+            return;
+        }
+        Thread.ofVirtual().name("peer-call").start(() -> {
+            try {
+                tryWrite(channel, writing, answer(sender, request));
+            } finally {
+                calls.release();
+            }
+        });
+    }
+
+    private Frame answer(NodeId sender, Frame.Request request) {
+        try {
+            PeerMessage message = codec.fromBody(request.body());
+            Optional<PeerMessage> answer = handle(sender, message);
+            if (answer.isEmpty()) {
+                return new Frame.Failure(
+                        request.id(),
+                        Frame.FailureCode.UNKNOWN_REQUEST,
+                        "no handler for " + message.getClass().getSimpleName());
+            }
+            return new Frame.Answer(request.id(), codec.toBody(answer.get()));
+        } catch (MalformedFrameException e) {
+            LOG.atWarning().log("request of %s rejected: %s", sender, e.getMessage());
+            return new Frame.Failure(request.id(), Frame.FailureCode.UNKNOWN_REQUEST, e.getMessage());
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("request of %s failed", sender);
+            return new Frame.Failure(
+                    request.id(), Frame.FailureCode.INTERNAL, "the request failed; see the log of " + self.node());
+        }
+    }
+
+    private Optional<PeerMessage> handle(NodeId sender, PeerMessage message) {
+        for (PeerHandler handler : handlers) {
+            Optional<PeerMessage> answer = handler.handle(sender, message);
+            if (answer.isPresent()) {
+                return answer;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void tryWrite(FrameChannel channel, ReentrantLock writing, Frame frame) {
+        writing.lock();
+        try {
+            channel.write(frame);
+        } catch (MalformedFrameException e) {
+            LOG.atSevere().withCause(e).log("answer could not be written");
+            channel.close();
+        } catch (IOException e) {
+            LOG.atFine().withCause(e).log("answer could not be sent");
+            channel.close();
+        } finally {
+            writing.unlock();
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            LOG.atFine().withCause(e).log("refused connection could not be closed");
+        }
+    }
+}
