Add membership and ownership decisions

A takeover requires that every other member recorded the silent one in its own row, and outage evidence counts only in an unbroken chain.

--- /dev/null
+++ b/src/main/java/org/tamarackline/core/membership/NodeRow.java
@@ -0,0 +1,43 @@
+package org.tamarackline.core.membership;
+
+import java.util.List;
+
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+
+/**
+ * The row of a node in the platform's table.
+ *
+ * @param node identity of the node
+ * @param incarnation process that wrote the row
+ * @param counter heartbeat counter, raised by at least one with each heartbeat of an incarnation
+ * @param dataCentre data centre of the node
+ * @param httpAddress address for callers
+ * @param state state of the node
+ * @param silent members that the node sees silent
+ */
+public record NodeRow(
+        NodeId node,
+        Incarnation incarnation,
+        long counter,
+        DataCentre dataCentre,
+        String httpAddress,
+        NodeState state,
+        List<SilentPeer> silent) {
+
+    /** Creates a row that later changes of the arguments do not affect. */
+    public NodeRow {
+        silent = List.copyOf(silent);
+    }
+
+    /** Returns this row with another state. */
+    public NodeRow withState(NodeState other) {
+        return new NodeRow(node, incarnation, counter, dataCentre, httpAddress, other, silent);
+    }
+
+    /** Returns whether the row records {@code other} as silent at its present counter. */
+    public boolean sawSilent(NodeRow other) {
+        return silent.contains(new SilentPeer(other.node, other.incarnation, other.counter));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/membership/SilenceRecord.java
@@ -0,0 +1,87 @@
+package org.tamarackline.core.membership;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+
+/**
+ * Which members this node records as silent, and so gives no outage evidence. Not thread-safe.
+ *
+ * <p>A record binds this node from the attempt to write it until a later heartbeat without it has certainly taken effect.
+ */
+public final class SilenceRecord {
+
+    private final long evidenceRestNanos;
+    private final Duration threshold;
+    private final Map<NodeId, Long> lastEvidenceNanos = new HashMap<>();
+    private final TreeMap<Long, List<SilentPeer>> byCounter = new TreeMap<>();
+
+    /**
+     * Creates an empty record.
+     *
+     * @param threshold silence after which a member is recorded
+     * @param evidenceRest time that has to pass between the last evidence for a member and its record
+     */
+    public SilenceRecord(Duration threshold, Duration evidenceRest) {
+        this.threshold = threshold;
+        evidenceRestNanos = evidenceRest.toNanos();
+    }
+
+    /** Returns the members to record in the next heartbeat. */
+    public List<SilentPeer> due(NodeId self, MembershipView view, long nowNanos) {
+        return view.rows().stream()
+                .filter(row -> !row.node().equals(self))
+                .filter(row -> row.state() != NodeState.GONE)
+                .filter(row -> view.silentFor(row.node()).compareTo(threshold) >= 0)
+                .filter(row -> hasRested(row.node(), nowNanos))
+                .map(row -> new SilentPeer(row.node(), row.incarnation(), row.counter()))
+                .toList();
+    }
+
+    private boolean hasRested(NodeId node, long nowNanos) {
+        Long lastNanos = lastEvidenceNanos.get(node);
+        return lastNanos == null || nowNanos - lastNanos >= evidenceRestNanos;
+    }
+
+    /** Notes that a heartbeat with {@code counter} and these records is about to be sent. */
+    public void attempted(long counter, List<SilentPeer> silent) {
+        byCounter.put(counter, silent);
+    }
+
+    /** Notes that the heartbeat with {@code counter} took effect, so that earlier ones no longer can. */
+    public void written(long counter) {
+        byCounter.headMap(counter, false).clear();
+    }
+
+    /** Notes that the heartbeat with {@code counter} certainly did not and will not take effect. */
+    public void dropped(long counter) {
+        byCounter.remove(counter);
+    }
+
+    /** Returns whether a record about this incarnation may be in the row of this node. */
+    public boolean mayRecord(NodeId node, Incarnation incarnation) {
+        return byCounter.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(peer -> peer.node().equals(node) && peer.incarnation().equals(incarnation));
+    }
+
+    /** Notes that evidence is given to {@code node}. */
+    public void evidenceGiven(NodeId node, long nowNanos) {
+        lastEvidenceNanos.put(node, nowNanos);
+    }
+
+    /** Returns whether no evidence was given to anyone for as long as a record would require. */
+    public boolean hasRestedFromAll(long nowNanos) {
+        return lastEvidenceNanos.keySet().stream().allMatch(node -> hasRested(node, nowNanos));
+    }
+
+    /** Forgets the records after the row of this node was lost; the times of the evidence are kept. */
+    public void clearRecords() {
+        byCounter.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/ownership/OwnedShards.java
@@ -0,0 +1,64 @@
+package org.tamarackline.core.ownership;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.ShardId;
+
+/**
+ * The shards that this node owns, with their epochs. Thread-safe.
+ *
+ * <p>The highest epoch at which each shard was given up is remembered, so that an old reading of its row cannot bring the
+ * ownership back.
+ */
+public final class OwnedShards {
+
+    private final Map<ShardId, Epoch> owned = new TreeMap<>();
+    private final Map<ShardId, Epoch> givenUp = new HashMap<>();
+
+    /** Adds a shard; returns false if it is owned already or the epoch is not higher than the last one given up. */
+    public synchronized boolean add(ShardId shard, Epoch epoch) {
+        Epoch last = givenUp.get(shard);
+        if (owned.containsKey(shard) || (last != null && epoch.compareTo(last) <= 0)) {
+            return false;
+        }
+        owned.put(shard, epoch);
+        return true;
+    }
+
+    /** Gives the shard up; returns its epoch, empty if it was not owned. */
+    public synchronized Optional<Epoch> giveUp(ShardId shard) {
+        Epoch epoch = owned.remove(shard);
+        if (epoch != null) {
+            givenUp.put(shard, epoch);
+        }
+        return Optional.ofNullable(epoch);
+    }
+
+    /** Takes the shard back at the epoch at which it was given up, when the handover certainly did not take effect. */
+    public synchronized void takeBack(ShardId shard, Epoch epoch) {
+        givenUp.remove(shard, epoch);
+        owned.put(shard, epoch);
+    }
+
+    /** Gives all shards up and returns them. */
+    public synchronized List<ShardId> giveUpAll() {
+        List<ShardId> all = List.copyOf(owned.keySet());
+        all.forEach(this::giveUp);
+        return all;
+    }
+
+    /** Returns the epoch of an owned shard. */
+    public synchronized Optional<Epoch> epochOf(ShardId shard) {
+        return Optional.ofNullable(owned.get(shard));
+    }
+
+    /** Returns the owned shards in order. */
+    public synchronized List<ShardId> list() {
+        return List.copyOf(owned.keySet());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about which node owns which shard. */
+package org.tamarackline.core.ownership;
