--- /dev/null
+++ b/src/main/java/org/tamarackline/core/config/ConfigurationMistake.java
@@ -0,0 +1,130 @@
+package org.tamarackline.core.config;
+
+import org.tamarackline.core.model.ProfileName;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.TeamName;
+
+/** One reason why a configuration is not valid. */
+public sealed interface ConfigurationMistake {
+
+    /** Returns what is wrong and how to correct it. */
+    String message();
+
+    /**
+     * A field of a profile is out of its bounds.
+     *
+     * @param profile name of the profile
+     * @param field name of the field
+     * @param value value of the field
+     * @param min least allowed value
+     * @param max largest allowed value
+     */
+    record ProfileFieldOutOfBounds(ProfileName profile, String field, long value, long min, long max)
+            implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "profile \"%s\": %s is %d; set it to %d to %d".formatted(profile, field, value, min, max);
+        }
+    }
+
+    /**
+     * Two fields of a profile exclude each other.
+     *
+     * @param profile name of the profile
+     * @param detail what excludes what
+     */
+    record ProfileContradictory(ProfileName profile, String detail) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "profile \"%s\": %s".formatted(profile, detail);
+        }
+    }
+
+    /**
+     * Several profiles have the same name.
+     *
+     * @param profile name of the profiles
+     */
+    record DuplicateProfile(ProfileName profile) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "profile \"%s\" is defined more than once; keep one definition".formatted(profile);
+        }
+    }
+
+    /**
+     * Several services have the same name.
+     *
+     * @param service name of the services
+     */
+    record DuplicateService(ServiceName service) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "service \"%s\" is defined more than once; keep one definition".formatted(service);
+        }
+    }
+
+    /**
+     * Several quotas name the same team.
+     *
+     * @param team name of the team
+     */
+    record DuplicateTeam(TeamName team) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "team \"%s\" has more than one quota; keep one".formatted(team);
+        }
+    }
+
+    /**
+     * A service picked a profile that does not exist.
+     *
+     * @param service name of the service
+     * @param profile name of the missing profile
+     */
+    record UnknownProfile(ServiceName service, ProfileName profile) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "service \"%s\" picks profile \"%s\", which does not exist; add it or pick another"
+                    .formatted(service, profile);
+        }
+    }
+
+    /**
+     * A service cannot have this name, because the VM list uses it for workers.
+     *
+     * @param service name of the service
+     */
+    record ReservedServiceName(ServiceName service) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "service name \"%s\" is reserved for workers; use another".formatted(service);
+        }
+    }
+
+    /**
+     * A part of a quota is negative.
+     *
+     * @param team name of the team
+     * @param field name of the part
+     * @param value value of the part
+     */
+    record NegativeQuota(TeamName team, String field, long value) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "team \"%s\": %s is %d; set it to 0 or more".formatted(team, field, value);
+        }
+    }
+
+    /**
+     * An identifier of a VM out of service has characters that are not allowed.
+     *
+     * @param vm identifier
+     */
+    record InvalidVm(String vm) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "VM \"%s\" is not a valid identifier; use the one of the VM list".formatted(vm);
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/core/membership/MembershipView.java
+++ b/src/main/java/org/tamarackline/core/membership/MembershipView.java
@@ -34,8 +34,11 @@
         pollGapNanos = pollGap.toNanos();
     }
 
-    /** Takes in the result of a poll that was sent and answered at the given times. */
+    /** Takes in the result of a poll that was sent and answered at the given times; an older one than the last is ignored. */
     public void observe(List<NodeRow> polledRows, long sentNanos, long receivedNanos) {
+        if (polled && sentNanos < lastPollSentNanos) {
+            return;
+        }
         if (!polled || sentNanos - lastPollSentNanos > pollGapNanos) {
             windowStartNanos = receivedNanos;
         }
--- a/src/main/java/org/tamarackline/core/ownership/OwnedShards.java
+++ b/src/main/java/org/tamarackline/core/ownership/OwnedShards.java
@@ -22,8 +22,7 @@
 
     /** Adds a shard; returns false if it is owned already or the epoch is not higher than the last one given up. */
     public synchronized boolean add(ShardId shard, Epoch epoch) {
-        Epoch last = givenUp.get(shard);
-        if (owned.containsKey(shard) || (last != null && epoch.compareTo(last) <= 0)) {
+        if (owned.containsKey(shard) || wasGivenUp(shard, epoch)) {
             return false;
         }
         owned.put(shard, epoch);
@@ -39,6 +38,12 @@
         return Optional.ofNullable(epoch);
     }
 
+    /** Returns whether the shard was given up at this epoch or a later one. */
+    public synchronized boolean wasGivenUp(ShardId shard, Epoch epoch) {
+        Epoch last = givenUp.get(shard);
+        return last != null && epoch.compareTo(last) <= 0;
+    }
+
     /** Takes the shard back at the epoch at which it was given up, when the handover certainly did not take effect. */
     public synchronized void takeBack(ShardId shard, Epoch epoch) {
         givenUp.remove(shard, epoch);
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterDump.java
@@ -0,0 +1,68 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.membership.NodeRow;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.entry.StateDump;
+
+/** The cluster's part of the state dump. */
+final class ClusterDump implements StateDump {
+
+    private final MembershipState state;
+    private final ClusterParts parts;
+
+    ClusterDump(ClusterParts parts) {
+        this.parts = parts;
+        state = parts.state();
+    }
+
+    /**
+     * The snapshot.
+     *
+     * @param node identity of the node
+     * @param incarnation incarnation of the process
+     * @param standing standing at the moment of the dump
+     * @param platformAccess whether the platform answered a moment ago
+     * @param configuration configuration in force
+     * @param nodes node rows of the last poll
+     * @param owned shards that this node owns
+     */
+    record Snapshot(
+            NodeId node,
+            Incarnation incarnation,
+            Standing standing,
+            boolean platformAccess,
+            Optional<Configuration> configuration,
+            List<NodeRow> nodes,
+            List<ClusterMessages.OwnedShard> owned) {}
+
+    @Override
+    public String name() {
+        return "cluster";
+    }
+
+    @Override
+    public Object snapshot() {
+        List<ClusterMessages.OwnedShard> owned = state.owned().list().stream()
+                .flatMap(shard ->
+                        state
+                                .owned()
+                                .epochOf(shard)
+                                .map(epoch -> new ClusterMessages.OwnedShard(shard, epoch))
+                                .stream())
+                .toList();
+        return new Snapshot(
+                parts.self().node(),
+                parts.self().incarnation(),
+                state.standing(),
+                state.hasAccess(),
+                parts.configuration().inForce(),
+                state.allRows(),
+                owned);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterHandler.java
@@ -0,0 +1,122 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.peer.ClusterMessage;
+import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.settings.EntrySettings;
+
+/** Answers the messages of peers about membership, ownership and configuration. */
+final class ClusterHandler implements PeerHandler {
+
+    private final EntrySettings settings;
+    private final MembershipState state;
+    private final ClusterTable table;
+    private final ConfigurationTable configurationTable;
+    private final ConfigurationRunner configuration;
+    private final OwnershipLoop ownership;
+
+    ClusterHandler(ClusterParts parts, ConfigurationTable configurationTable, OwnershipLoop ownership) {
+        settings = parts.settings();
+        state = parts.state();
+        table = parts.table();
+        configuration = parts.configuration();
+        this.configurationTable = configurationTable;
+        this.ownership = ownership;
+    }
+
+    @Override
+    public Optional<PeerMessage> handle(NodeId sender, PeerMessage request) {
+        if (!(request instanceof ClusterMessage)) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(
+                switch (request) {
+                    case ClusterMessages.Ping ping -> pong(sender, ping);
+                    case ClusterMessages.RelayHeartbeat relay -> relay(sender, relay);
+                    case ClusterMessages.FetchConfiguration fetch ->
+                        new ClusterMessages.ConfigurationContent(configuration.inForce());
+                    case ClusterMessages.PushConfiguration push -> install(push);
+                    case ClusterMessages.FetchOwned fetch -> owned();
+                    case ClusterMessages.FetchMembers fetch -> new ClusterMessages.Members(state.allRows());
+                    case ClusterMessages.HandOverShard handover -> receive(handover);
+                    case ClusterMessages.HandOverDone done -> {
+                        ownership.requestScan();
+                        yield new PeerMessage.Ok();
+                    }
+                    default -> null;
+                });
+    }
+
+    private PeerMessage pong(NodeId sender, ClusterMessages.Ping ping) {
+        boolean sameRegion = ping.region().equals(settings.region());
+        return new ClusterMessages.Pong(
+                state.hasAccess(),
+                sameRegion && state.giveEvidence(sender, ping.incarnation()),
+                configuration.version(),
+                state.ownedVersion(),
+                state.isLeaving());
+    }
+
+    private PeerMessage relay(NodeId sender, ClusterMessages.RelayHeartbeat relay) {
+        if (relay.row().isPresent() && !relay.row().get().node().equals(sender)) {
+            return new PeerMessage.Refused("NOT_OWN_ROW", "only the heartbeat of the sender is relayed");
+        }
+        ClusterMessages.RelayOutcome outcome = write(relay);
+        try {
+            List<StoredNode> rows = table.nodes();
+            return new ClusterMessages.Relayed(
+                    outcome, Optional.of(rows), configurationTable.current().version());
+        } catch (PlatformUnavailableException e) {
+            return new ClusterMessages.Relayed(outcome, Optional.empty(), ConfigurationRunner.NO_VERSION);
+        }
+    }
+
+    private ClusterMessages.RelayOutcome write(ClusterMessages.RelayHeartbeat relay) {
+        if (relay.row().isEmpty()) {
+            return ClusterMessages.RelayOutcome.NOT_APPLIED;
+        }
+        try {
+            table.writeNode(relay.row().get(), relay.expectedVersion(), relay.token());
+            return ClusterMessages.RelayOutcome.APPLIED;
+        } catch (OutcomeUnknownException e) {
+            return ClusterMessages.RelayOutcome.UNKNOWN;
+        } catch (PlatformException e) {
+            return ClusterMessages.RelayOutcome.NOT_APPLIED;
+        }
+    }
+
+    private PeerMessage install(ClusterMessages.PushConfiguration push) {
+        configuration.install(push.configuration());
+        return new ClusterMessages.ConfigurationInForce(configuration.version());
+    }
+
+    private PeerMessage owned() {
+        long version = state.ownedVersion();
+        List<ClusterMessages.OwnedShard> shards =
+                state.owned().list().stream().flatMap(this::withEpoch).toList();
+        return new ClusterMessages.Owned(version, shards);
+    }
+
+    private Stream<ClusterMessages.OwnedShard> withEpoch(ShardId shard) {
+        return state.owned().epochOf(shard).stream().map(epoch -> new ClusterMessages.OwnedShard(shard, epoch));
+    }
+
+    private PeerMessage receive(ClusterMessages.HandOverShard handover) {
+        if (ownership.received(handover.next(), handover.state())) {
+            return new PeerMessage.Ok();
+        }
+        Standing standing = state.standing();
+        return new PeerMessage.Refused(
+                "HANDOVER_REFUSED", "this process is %s or not the named owner".formatted(standing));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterModule.java
@@ -0,0 +1,151 @@
+package org.tamarackline.entry.cluster;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provider;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import com.google.inject.multibindings.Multibinder;
+import com.google.inject.multibindings.ProvidesIntoSet;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.StateDump;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerClient;
+import org.tamarackline.peer.PeerCodec;
+import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerLimits;
+import org.tamarackline.peer.PeerMessageType;
+import org.tamarackline.peer.PeerServer;
+import org.tamarackline.peer.PeerTraffic;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Binds the cluster and the calls between nodes.
+ *
+ * <p>Needs bindings of {@link EntrySettings}, {@link MonotonicClock}, {@link TableStore} and {@link VmDirectory}. Other
+ * modules contribute {@link PeerHandler}, {@link OwnershipListener} and {@link PeerMessageType} with set binders.
+ */
+public final class ClusterModule extends AbstractModule {
+
+    @Override
+    protected void configure() {
+        Multibinder.newSetBinder(binder(), OwnershipListener.class);
+        Multibinder.newSetBinder(binder(), PeerHandler.class);
+        Multibinder.newSetBinder(binder(), PeerMessageType.class);
+        Multibinder.newSetBinder(binder(), StateDump.class);
+        bind(Cluster.class).to(MembershipRunner.class);
+        bind(PeerCaller.class).to(PeerClient.class);
+        bind(PeerTraffic.class).toInstance(new PeerTraffic());
+    }
+
+    @Provides
+    @Singleton
+    IncarnationSource incarnations() {
+        SecureRandom random = new SecureRandom();
+        return () -> new Incarnation(random.nextLong());
+    }
+
+    @Provides
+    @Singleton
+    LocalNode self(EntrySettings settings, IncarnationSource incarnations) {
+        return new LocalNode(settings.node(), incarnations.next());
+    }
+
+    @Provides
+    @Singleton
+    PeerCodec codec(Set<PeerMessageType> contributed) {
+        List<PeerMessageType> types = new ArrayList<>(ClusterMessages.TYPES);
+        types.addAll(contributed);
+        return new PeerCodec(types);
+    }
+
+    @Provides
+    @Singleton
+    PeerClient client(LocalNode self, EntrySettings settings, PeerCodec codec, PeerTraffic traffic) {
+        return new PeerClient(self, settings.peerKey(), codec, traffic, PeerLimits.defaults());
+    }
+
+    @Provides
+    @Singleton
+    PeerServer server(
+            LocalNode self, EntrySettings settings, PeerCodec codec, PeerTraffic traffic, Set<PeerHandler> handlers) {
+        return new PeerServer(self, settings.peerKey(), codec, traffic, PeerLimits.defaults(), handlers);
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationTable configurationTable(TableStore table) {
+        return new ConfigurationTable(table);
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationRunner configurationRunner(ConfigurationTable table, PeerCaller peers, EntrySettings settings) {
+        return new ConfigurationRunner(table, peers, settings.cluster().requestTimeout());
+    }
+
+    @Provides
+    @Singleton
+    MembershipState state(
+            EntrySettings settings, LocalNode self, MonotonicClock clock, IncarnationSource incarnations) {
+        return new MembershipState(settings, self, clock, incarnations);
+    }
+
+    @Provides
+    @Singleton
+    ClusterParts parts(
+            EntrySettings settings,
+            LocalNode self,
+            MonotonicClock clock,
+            TableStore table,
+            MembershipState state,
+            ConfigurationRunner configuration,
+            PeerCaller peers) {
+        return new ClusterParts(
+                settings,
+                self,
+                clock,
+                new ClusterTable(table, settings.region()),
+                state,
+                new PeerDirectory(),
+                configuration,
+                peers,
+                Fanout.concurrent());
+    }
+
+    @Provides
+    @Singleton
+    MembershipRunner runner(ClusterParts parts, VmDirectory vms, Provider<Set<OwnershipListener>> listeners) {
+        return new MembershipRunner(parts, vms, listeners::get);
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationWriter writer(ClusterParts parts, ConfigurationTable table, Cluster cluster) {
+        return new ConfigurationWriter(parts, table, cluster);
+    }
+
+    @Provides
+    @Singleton
+    ClusterService service(PeerServer server, PeerClient client, MembershipRunner runner) {
+        return new ClusterService(server, client, runner);
+    }
+
+    @ProvidesIntoSet
+    PeerHandler handler(ClusterParts parts, ConfigurationTable table, MembershipRunner runner) {
+        return new ClusterHandler(parts, table, runner.ownership());
+    }
+
+    @ProvidesIntoSet
+    StateDump dump(ClusterParts parts) {
+        return new ClusterDump(parts);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterParts.java
@@ -0,0 +1,30 @@
+package org.tamarackline.entry.cluster;
+
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * What the loops of a node share.
+ *
+ * @param settings settings of the node
+ * @param self identity of the node
+ * @param clock clock of the node
+ * @param table node and shard rows
+ * @param state membership in memory
+ * @param directory what peers said
+ * @param configuration configuration in force
+ * @param peers calls to other nodes
+ * @param fanout how several peers are called
+ */
+record ClusterParts(
+        EntrySettings settings,
+        LocalNode self,
+        MonotonicClock clock,
+        ClusterTable table,
+        MembershipState state,
+        PeerDirectory directory,
+        ConfigurationRunner configuration,
+        PeerCaller peers,
+        Fanout fanout) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
@@ -0,0 +1,129 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.NodeRow;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.ShardRow;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TransactionConflictException;
+
+/** Reads and writes the node and shard rows of one region. */
+final class ClusterTable {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int PAGE_ROWS = 500;
+
+    private final TableStore table;
+    private final String nodePrefix;
+    private final String shardPrefix;
+    private final ObjectMapper mapper = newMapper();
+
+    ClusterTable(TableStore table, Region region) {
+        this.table = table;
+        nodePrefix = "region/" + region + "/node/";
+        shardPrefix = "region/" + region + "/shard/";
+    }
+
+    static ObjectMapper newMapper() {
+        return new ObjectMapper()
+                .registerModule(new Jdk8Module())
+                .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+    }
+
+    List<StoredNode> nodes() throws PlatformUnavailableException {
+        List<StoredNode> nodes = new ArrayList<>();
+        for (Row row : scan(nodePrefix)) {
+            read(row, NodeRow.class).ifPresent(node -> nodes.add(new StoredNode(node, row.version())));
+        }
+        return nodes;
+    }
+
+    Optional<StoredNode> node(NodeId node) throws PlatformUnavailableException {
+        return table.get(nodePrefix + node)
+                .flatMap(row -> read(row, NodeRow.class).map(value -> new StoredNode(value, row.version())));
+    }
+
+    List<StoredShard> shards() throws PlatformUnavailableException {
+        List<StoredShard> shards = new ArrayList<>();
+        for (Row row : scan(shardPrefix)) {
+            read(row, ShardRow.class).ifPresent(shard -> shards.add(new StoredShard(shard, row.version())));
+        }
+        return shards;
+    }
+
+    void writeNode(NodeRow row, long expectedVersion, String token)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+        String key = nodePrefix + row.node();
+        table.transact(new TableTransaction(
+                token,
+                List.of(new TableTransaction.Check(key, expectedVersion)),
+                List.of(new TableTransaction.Write(key, mapper.valueToTree(row)))));
+    }
+
+    void deleteNode(NodeId node, long expectedVersion)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+        String key = nodePrefix + node;
+        table.transact(new TableTransaction(
+                newToken(),
+                List.of(new TableTransaction.Check(key, expectedVersion)),
+                List.of(new TableTransaction.Write(key, null))));
+    }
+
+    /** Writes shard rows in one transaction; each version is the one that the row must have, 0 for a new row. */
+    void writeShards(List<StoredShard> shards)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+        List<TableTransaction.Check> checks = new ArrayList<>();
+        List<TableTransaction.Write> writes = new ArrayList<>();
+        for (StoredShard shard : shards) {
+            String key = shardKey(shard.row().shard());
+            checks.add(new TableTransaction.Check(key, shard.version()));
+            writes.add(new TableTransaction.Write(key, mapper.valueToTree(shard.row())));
+        }
+        table.transact(new TableTransaction(newToken(), checks, writes));
+    }
+
+    static String newToken() {
+        return UUID.randomUUID().toString();
+    }
+
+    private String shardKey(ShardId shard) {
+        return shardPrefix + shard;
+    }
+
+    private List<Row> scan(String prefix) throws PlatformUnavailableException {
+        List<Row> all = new ArrayList<>();
+        String after = "";
+        while (true) {
+            List<Row> page = table.scan(prefix, after, PAGE_ROWS);
+            all.addAll(page);
+            if (page.size() < PAGE_ROWS) {
+                return all;
+            }
+            after = page.get(page.size() - 1).key();
+        }
+    }
+
+    private <T> Optional<T> read(Row row, Class<T> type) {
+        try {
+            return Optional.of(mapper.treeToValue(row.value(), type));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            LOG.atSevere().withCause(e).log("row %s cannot be read; correct or delete it", row.key());
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationChange.java
@@ -0,0 +1,47 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+
+import org.tamarackline.core.config.ConfigurationMistake;
+import org.tamarackline.core.model.NodeId;
+
+/** The outcome of an operator's change of the configuration. */
+public sealed interface ConfigurationChange {
+
+    /**
+     * The change is accepted and will be in force everywhere.
+     *
+     * @param version version of the new configuration
+     * @param inForce nodes that have it in force
+     * @param notAnswering nodes that did not confirm it in time; they fetch it or stop admitting work
+     */
+    record Accepted(long version, List<NodeId> inForce, List<NodeId> notAnswering) implements ConfigurationChange {}
+
+    /**
+     * The change was made to another version than the current one; read it and change it again.
+     *
+     * @param currentVersion current version
+     */
+    record Conflict(long currentVersion) implements ConfigurationChange {}
+
+    /**
+     * The changed configuration is not valid and was not stored.
+     *
+     * @param mistakes all mistakes
+     */
+    record Invalid(List<ConfigurationMistake> mistakes) implements ConfigurationChange {}
+
+    /**
+     * The change was certainly not made, because the platform does not answer.
+     *
+     * @param detail what failed
+     */
+    record NotAccepted(String detail) implements ConfigurationChange {}
+
+    /**
+     * The change may have been made; the current version tells.
+     *
+     * @param version version that the change has if it was made
+     */
+    record Unknown(long version) implements ConfigurationChange {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationTable.java
@@ -0,0 +1,183 @@
+package org.tamarackline.entry.cluster;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TransactionConflictException;
+
+/**
+ * Reads and writes the versions of the configuration in the table.
+ *
+ * <p>The row {@code config/current} names the version in force. The content of a version is compressed and split into
+ * immutable rows {@code config/content/<version>/<part>}, written in the transaction that makes the version current.
+ */
+final class ConfigurationTable {
+
+    /** Versions whose content is kept, for nodes that are reading one while it is replaced. */
+    static final int KEPT_VERSIONS = 20;
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String CURRENT_KEY = "config/current";
+    private static final String CONTENT_PREFIX = "config/content/";
+    private static final String HASH_ALGORITHM = "SHA-256";
+    /** 45,000 bytes are 60,000 characters of base 64, which leaves room in a row of 64 KB. */
+    private static final int PART_BYTES = 45_000;
+
+    private static final int MAX_PARTS = 150;
+    private static final int MAX_CONTENT_BYTES = 64 << 20;
+
+    private final TableStore table;
+    private final ObjectMapper mapper = ClusterTable.newMapper();
+
+    ConfigurationTable(TableStore table) {
+        this.table = table;
+    }
+
+    /**
+     * The current version.
+     *
+     * @param version version of the configuration, 0 before the first change
+     * @param hash hash of the compressed content
+     * @param rowVersion version of the row that names it
+     */
+    record Current(long version, String hash, long rowVersion) {}
+
+    /**
+     * Content of the row that names the current version.
+     *
+     * @param version version of the configuration
+     * @param hash hash of the compressed content
+     */
+    record CurrentValue(long version, String hash) {}
+
+    Current current() throws PlatformUnavailableException {
+        Optional<Row> row = table.get(CURRENT_KEY);
+        if (row.isEmpty()) {
+            return new Current(0, "", 0);
+        }
+        try {
+            CurrentValue value = mapper.treeToValue(row.get().value(), CurrentValue.class);
+            return new Current(value.version(), value.hash(), row.get().version());
+        } catch (JsonProcessingException e) {
+            throw new PlatformUnavailableException("row %s cannot be read; correct it".formatted(CURRENT_KEY), e);
+        }
+    }
+
+    /** Returns the content of the version, empty if it is not complete or does not match its hash. */
+    Optional<Configuration> content(Current current) throws PlatformUnavailableException {
+        if (current.version() == 0) {
+            return Optional.of(Configuration.initial());
+        }
+        List<Row> parts = table.scan(contentPrefix(current.version()), "", MAX_PARTS);
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        for (Row part : parts) {
+            joined.writeBytes(Base64.getDecoder().decode(part.value().asText()));
+        }
+        byte[] compressed = joined.toByteArray();
+        if (!hash(compressed).equals(current.hash())) {
+            LOG.atWarning().log("content of configuration version %d is not complete", current.version());
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(mapper.readValue(decompress(compressed), Configuration.class));
+        } catch (IOException e) {
+            LOG.atSevere().withCause(e).log("configuration version %d cannot be read", current.version());
+            return Optional.empty();
+        }
+    }
+
+    /** Makes {@code next} current if {@code current} still is. */
+    void replace(Current current, Configuration next, String token)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException,
+                    ConfigurationTooLargeException {
+        byte[] compressed = compress(next);
+        List<TableTransaction.Write> writes = new ArrayList<>();
+        for (int start = 0; start < compressed.length; start += PART_BYTES) {
+            byte[] part = Arrays.copyOfRange(compressed, start, Math.min(compressed.length, start + PART_BYTES));
+            String key = "%s%04d".formatted(contentPrefix(next.version()), writes.size());
+            writes.add(new TableTransaction.Write(
+                    key, TextNode.valueOf(Base64.getEncoder().encodeToString(part))));
+        }
+        if (writes.size() > MAX_PARTS) {
+            throw new ConfigurationTooLargeException(compressed.length, MAX_PARTS * PART_BYTES);
+        }
+        writes.add(new TableTransaction.Write(
+                CURRENT_KEY, mapper.valueToTree(new CurrentValue(next.version(), hash(compressed)))));
+        table.transact(new TableTransaction(
+                token, List.of(new TableTransaction.Check(CURRENT_KEY, current.rowVersion())), writes));
+    }
+
+    boolean tookEffect(String token) throws PlatformUnavailableException {
+        return table.tookEffect(token);
+    }
+
+    /** Deletes the content of the version that is {@link #KEPT_VERSIONS} older than {@code version}. */
+    void deleteOld(long version) {
+        long old = version - KEPT_VERSIONS;
+        if (old <= 0) {
+            return;
+        }
+        try {
+            List<TableTransaction.Write> deletions = table.scan(contentPrefix(old), "", MAX_PARTS).stream()
+                    .map(row -> new TableTransaction.Write(row.key(), null))
+                    .toList();
+            if (!deletions.isEmpty()) {
+                table.transact(new TableTransaction(ClusterTable.newToken(), List.of(), deletions));
+            }
+        } catch (PlatformException e) {
+            LOG.atInfo().withCause(e).log("content of configuration version %d was not deleted", old);
+        }
+    }
+
+    private static String contentPrefix(long version) {
+        return "%s%012d/".formatted(CONTENT_PREFIX, version);
+    }
+
+    private byte[] compress(Configuration configuration) {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+        try (GZIPOutputStream gzip = new GZIPOutputStream(compressed)) {
+            gzip.write(mapper.writeValueAsBytes(configuration));
+        } catch (IOException e) {
+            throw new UncheckedIOException("configuration cannot be written", e);
+        }
+        return compressed.toByteArray();
+    }
+
+    private static byte[] decompress(byte[] compressed) throws IOException {
+        try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(compressed))) {
+            return gzip.readNBytes(MAX_CONTENT_BYTES);
+        }
+    }
+
+    private static String hash(byte[] bytes) {
+        try {
+            return HexFormat.of()
+                    .formatHex(MessageDigest.getInstance(HASH_ALGORITHM).digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has " + HASH_ALGORITHM, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationWriter.java
@@ -0,0 +1,122 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.ConfigurationMistake;
+import org.tamarackline.core.config.Configurations;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.TransactionConflictException;
+
+/** Makes operators' changes of the configuration and pushes them to all nodes. */
+public final class ConfigurationWriter {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final ConfigurationTable table;
+    private final ConfigurationRunner runner;
+    private final Cluster cluster;
+    private final PeerCaller peers;
+    private final Fanout fanout;
+    private final Duration requestTimeout;
+
+    ConfigurationWriter(ClusterParts parts, ConfigurationTable table, Cluster cluster) {
+        this.table = table;
+        this.cluster = cluster;
+        runner = parts.configuration();
+        peers = parts.peers();
+        fanout = parts.fanout();
+        requestTimeout = parts.settings().cluster().requestTimeout();
+    }
+
+    /**
+     * Applies {@code change} to version {@code expectedVersion} and makes the result the next version.
+     *
+     * @param expectedVersion version that the operator has seen
+     * @param change returns the changed configuration; the version that it returns is ignored
+     */
+    public ConfigurationChange change(long expectedVersion, UnaryOperator<Configuration> change) {
+        try {
+            ConfigurationTable.Current current = table.current();
+            if (current.version() != expectedVersion) {
+                return new ConfigurationChange.Conflict(current.version());
+            }
+            return table.content(current)
+                    .map(base -> replace(current, change.apply(base)))
+                    .orElseGet(() -> new ConfigurationChange.NotAccepted(
+                            "the content of version %d cannot be read".formatted(expectedVersion)));
+        } catch (PlatformUnavailableException e) {
+            LOG.atInfo().withCause(e).log("configuration change not accepted");
+            return new ConfigurationChange.NotAccepted("the platform does not answer; retry later");
+        }
+    }
+
+    private ConfigurationChange replace(ConfigurationTable.Current current, Configuration changed) {
+        Configuration next = new Configuration(
+                current.version() + 1,
+                changed.profiles(),
+                changed.teams(),
+                changed.services(),
+                changed.vmsOutOfService());
+        List<ConfigurationMistake> mistakes = Configurations.mistakes(next);
+        if (!mistakes.isEmpty()) {
+            return new ConfigurationChange.Invalid(mistakes);
+        }
+        try {
+            table.replace(current, next, ClusterTable.newToken());
+        } catch (TransactionConflictException e) {
+            return conflict(current);
+        } catch (ConfigurationTooLargeException e) {
+            return new ConfigurationChange.NotAccepted(e.getMessage());
+        } catch (PlatformUnavailableException e) {
+            LOG.atInfo().withCause(e).log("configuration change not accepted");
+            return new ConfigurationChange.NotAccepted("the platform does not answer; retry later");
+        } catch (OutcomeUnknownException e) {
+            LOG.atWarning().withCause(e).log("outcome of configuration version %d is unknown", next.version());
+            return new ConfigurationChange.Unknown(next.version());
+        }
+        runner.install(next);
+        ConfigurationChange accepted = push(next);
+        table.deleteOld(next.version());
+        return accepted;
+    }
+
+    private ConfigurationChange conflict(ConfigurationTable.Current before) {
+        try {
+            return new ConfigurationChange.Conflict(table.current().version());
+        } catch (PlatformUnavailableException e) {
+            return new ConfigurationChange.Conflict(before.version() + 1);
+        }
+    }
+
+    private ConfigurationChange push(Configuration next) {
+        List<NodeId> targets = cluster.peers().stream().map(Member::node).toList();
+        List<Boolean> answers = fanout.map(targets, node -> pushTo(node, next));
+        List<NodeId> inForce = new ArrayList<>(List.of(cluster.self()));
+        List<NodeId> notAnswering = new ArrayList<>();
+        for (int index = 0; index < targets.size(); index++) {
+            (answers.get(index) ? inForce : notAnswering).add(targets.get(index));
+        }
+        return new ConfigurationChange.Accepted(next.version(), List.copyOf(inForce), List.copyOf(notAnswering));
+    }
+
+    private boolean pushTo(NodeId node, Configuration next) {
+        try {
+            PeerMessage answer = peers.call(node, new ClusterMessages.PushConfiguration(next), requestTimeout);
+            return answer instanceof ClusterMessages.ConfigurationInForce installed
+                    && installed.version() >= next.version();
+        } catch (PeerException e) {
+            LOG.atInfo().withCause(e).log("configuration version %d was not pushed to %s", next.version(), node);
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/PeerDirectory.java
@@ -0,0 +1,63 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+
+/** What peers said of themselves, and the last known owner of each shard. Thread-safe. */
+final class PeerDirectory {
+
+    private final Map<NodeId, ClusterMessages.Pong> pongs = new HashMap<>();
+    private final Map<NodeId, Long> ownedVersions = new HashMap<>();
+    private final Map<ShardId, Owner> owners = new TreeMap<>();
+
+    /** An owner with its epoch. */
+    private record Owner(NodeId node, Epoch epoch) {}
+
+    synchronized void answered(NodeId peer, ClusterMessages.Pong pong) {
+        pongs.put(peer, pong);
+    }
+
+    synchronized void silent(NodeId peer) {
+        pongs.remove(peer);
+    }
+
+    /** Returns whether the peer's last answer said that it is shutting down. */
+    synchronized boolean isLeaving(NodeId peer) {
+        ClusterMessages.Pong pong = pongs.get(peer);
+        return pong != null && pong.leaving();
+    }
+
+    /** Returns whether the peer's last answer said that it reaches the platform. */
+    synchronized boolean hasAccess(NodeId peer) {
+        ClusterMessages.Pong pong = pongs.get(peer);
+        return pong != null && pong.platformAccess();
+    }
+
+    /** Returns whether the list of the peer's shards is older than {@code version}. */
+    synchronized boolean needsOwned(NodeId peer, long version) {
+        return !Long.valueOf(version).equals(ownedVersions.get(peer));
+    }
+
+    synchronized void ownedListed(NodeId peer, ClusterMessages.Owned owned) {
+        ownedVersions.put(peer, owned.version());
+        owned.shards().forEach(shard -> ownerSeen(shard.shard(), peer, shard.epoch()));
+    }
+
+    /** Notes an owner, unless one with a higher epoch is known. */
+    synchronized void ownerSeen(ShardId shard, NodeId node, Epoch epoch) {
+        Owner known = owners.get(shard);
+        if (known == null || known.epoch().compareTo(epoch) < 0) {
+            owners.put(shard, new Owner(node, epoch));
+        }
+    }
+
+    synchronized Optional<NodeId> ownerOf(ShardId shard) {
+        return Optional.ofNullable(owners.get(shard)).map(Owner::node);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/PingLoop.java
@@ -0,0 +1,153 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.NodeRow;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.settings.EntrySettings;
+
+/** Pings the peers; during a loss of the platform it gathers outage evidence and has heartbeats relayed. */
+final class PingLoop {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** Peers that are asked to relay one heartbeat, because each may take a whole request timeout to fail. */
+    private static final int RELAY_ATTEMPTS = 2;
+
+    private final EntrySettings settings;
+    private final LocalNode self;
+    private final MembershipState state;
+    private final PeerDirectory directory;
+    private final ConfigurationRunner configuration;
+    private final PeerCaller peers;
+    private final MonotonicClock clock;
+    private final Fanout fanout;
+    private final Duration timeout;
+
+    PingLoop(ClusterParts parts) {
+        settings = parts.settings();
+        self = parts.self();
+        state = parts.state();
+        directory = parts.directory();
+        configuration = parts.configuration();
+        peers = parts.peers();
+        clock = parts.clock();
+        fanout = parts.fanout();
+        timeout = settings.cluster().requestTimeout();
+    }
+
+    /** Pings every known peer once. */
+    void tick() {
+        List<NodeId> targets = targets();
+        fanout.map(targets, this::ping);
+        if (state.needsRelay()) {
+            relay(targets);
+        }
+    }
+
+    /** Returns the known peers, or the seed peers of the settings while none is known. */
+    private List<NodeId> targets() {
+        List<NodeId> known =
+                new ArrayList<>(state.otherRows().stream().map(NodeRow::node).toList());
+        if (known.isEmpty()) {
+            known.addAll(new TreeSet<>(settings.seedPeers()));
+            known.remove(self.node());
+        }
+        return known;
+    }
+
+    private boolean ping(NodeId peer) {
+        long sentNanos = clock.nowNanos();
+        ClusterMessages.Ping ping =
+                new ClusterMessages.Ping(self.incarnation(), settings.region(), configuration.version());
+        Optional<PeerMessage> answer = call(peer, ping);
+        if (!(answer.orElse(null) instanceof ClusterMessages.Pong pong)) {
+            directory.silent(peer);
+            return false;
+        }
+        directory.answered(peer, pong);
+        if (pong.outageEvidence()) {
+            state.evidence(sentNanos);
+        }
+        configuration.catchUp(peer, pong.configVersion());
+        if (directory.needsOwned(peer, pong.ownedVersion())) {
+            fetchOwned(peer);
+        }
+        if (!state.isJoined() && state.allRows().isEmpty()) {
+            fetchMembers(peer);
+        }
+        return true;
+    }
+
+    private void fetchOwned(NodeId peer) {
+        if (call(peer, new ClusterMessages.FetchOwned()).orElse(null) instanceof ClusterMessages.Owned owned) {
+            directory.ownedListed(peer, owned);
+        }
+    }
+
+    private void fetchMembers(NodeId peer) {
+        if (call(peer, new ClusterMessages.FetchMembers()).orElse(null) instanceof ClusterMessages.Members members) {
+            state.heard(members.rows());
+        }
+    }
+
+    private void relay(List<NodeId> targets) {
+        List<NodeId> relays = targets.stream()
+                .filter(directory::hasAccess)
+                .limit(RELAY_ATTEMPTS)
+                .toList();
+        for (NodeId peer : relays) {
+            if (relayThrough(peer)) {
+                return;
+            }
+        }
+    }
+
+    private boolean relayThrough(NodeId peer) {
+        Optional<MembershipState.Heartbeat> heartbeat = state.nextHeartbeat();
+        long sentNanos = clock.nowNanos();
+        ClusterMessages.RelayHeartbeat request = new ClusterMessages.RelayHeartbeat(
+                heartbeat.map(MembershipState.Heartbeat::row),
+                heartbeat.map(MembershipState.Heartbeat::expectedVersion).orElse(0L),
+                ClusterTable.newToken());
+        Optional<PeerMessage> answer = call(peer, request);
+        if (!(answer.orElse(null) instanceof ClusterMessages.Relayed relayed)) {
+            state.ownRowUncertain();
+            return false;
+        }
+        heartbeat.ifPresent(sent -> settle(sent, relayed.outcome()));
+        relayed.rows().ifPresent(rows -> state.polled(rows, sentNanos, clock.nowNanos()));
+        boolean current = configuration.catchUp(peer, relayed.configVersion());
+        if (relayed.rows().isPresent() && current && configuration.version() >= 0) {
+            state.pollComplete(sentNanos);
+        }
+        return relayed.outcome() == ClusterMessages.RelayOutcome.APPLIED;
+    }
+
+    private void settle(MembershipState.Heartbeat heartbeat, ClusterMessages.RelayOutcome outcome) {
+        switch (outcome) {
+            case APPLIED -> state.heartbeatApplied(heartbeat);
+            case NOT_APPLIED -> state.heartbeatDropped(heartbeat);
+            case UNKNOWN -> state.ownRowUncertain();
+            default -> throw new IllegalArgumentException("unknown outcome " + outcome);
+        }
+    }
+
+    private Optional<PeerMessage> call(NodeId peer, PeerMessage request) {
+        try {
+            return Optional.of(peers.call(peer, request, timeout));
+        } catch (PeerException e) {
+            LOG.atFine().withCause(e).log("call to %s failed", peer);
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/PollLoop.java
@@ -0,0 +1,40 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.PlatformUnavailableException;
+
+/** Polls the node rows and the configuration version. */
+final class PollLoop {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final ClusterTable table;
+    private final MembershipState state;
+    private final ConfigurationRunner configuration;
+    private final MonotonicClock clock;
+
+    PollLoop(ClusterTable table, MembershipState state, ConfigurationRunner configuration, MonotonicClock clock) {
+        this.table = table;
+        this.state = state;
+        this.configuration = configuration;
+        this.clock = clock;
+    }
+
+    /** Polls once. The poll counts for the standing only if the current configuration is in force afterwards. */
+    void tick() {
+        long sentNanos = clock.nowNanos();
+        try {
+            List<StoredNode> nodes = table.nodes();
+            state.platformAnswered(sentNanos);
+            state.polled(nodes, sentNanos, clock.nowNanos());
+            if (configuration.poll()) {
+                state.pollComplete(sentNanos);
+            }
+        } catch (PlatformUnavailableException e) {
+            LOG.atFine().withCause(e).log("poll failed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/StoredNode.java
@@ -0,0 +1,11 @@
+package org.tamarackline.entry.cluster;
+
+import org.tamarackline.core.membership.NodeRow;
+
+/**
+ * A node row as it is in the table.
+ *
+ * @param row content of the row
+ * @param version version of the row in the table
+ */
+record StoredNode(NodeRow row, long version) {}
