--- a/src/main/java/org/tamarackline/entry/cluster/ConfigurationRunner.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationRunner.java
@@ -12,7 +12,7 @@
 import org.tamarackline.platform.PlatformUnavailableException;
 
 /** Keeps the highest configuration that this node has seen. Thread-safe. */
-public final class ConfigurationRunner {
+public class ConfigurationRunner {
 
     /** Stands for the version of a node that has no configuration yet. */
     static final long NO_VERSION = -1;
@@ -43,12 +43,17 @@
 
     /** Puts {@code candidate} in force unless the version in force is as high. */
     synchronized void install(Configuration candidate) {
-        if (candidate.version() > version()) {
+        if (supersedes(candidate.version())) {
             installed = Optional.of(candidate);
             LOG.atInfo().log("configuration version %d is in force", candidate.version());
         }
     }
 
+    /** Returns whether the candidate is newer than the version in force. */
+    boolean supersedes(long candidateVersion) {
+        return candidateVersion > version();
+    }
+
     /**
      * Reads the current version from the table and installs it if it is new.
      *
@@ -56,7 +61,7 @@
      */
     boolean poll() throws PlatformUnavailableException {
         ConfigurationTable.Current current = table.current();
-        if (current.version() <= version()) {
+        if (!supersedes(current.version())) {
             return true;
         }
         Optional<Configuration> content = table.content(current);
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/cluster/Mutation.java
@@ -0,0 +1,44 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+
+import org.tamarackline.settings.EntrySettings;
+
+/** A fault put into the cluster to show that a property notices it. */
+enum Mutation {
+    NONE,
+    TAKE_TIME_BELOW_HOLD_TIME,
+    CHECKS_IGNORED,
+    ANY_VERSION_INSTALLED,
+    NO_POLLS_AND_PUSHES;
+
+    EntrySettings.ClusterTimes times() {
+        return new EntrySettings.ClusterTimes(
+                Duration.ofSeconds(1),
+                Duration.ofMillis(500),
+                Duration.ofSeconds(3),
+                this == TAKE_TIME_BELOW_HOLD_TIME ? Duration.ofMillis(1500) : Duration.ofSeconds(5),
+                Duration.ofSeconds(40),
+                Duration.ofMillis(500),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(3),
+                false);
+    }
+
+    boolean ignoresChecks() {
+        return this == CHECKS_IGNORED;
+    }
+
+    boolean installsAnyVersion() {
+        return this == ANY_VERSION_INSTALLED;
+    }
+
+    boolean losesPushes() {
+        return this == NO_POLLS_AND_PUSHES;
+    }
+
+    long pollEveryMs() {
+        return this == NO_POLLS_AND_PUSHES ? 20_000 : 500;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -0,0 +1,316 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.Shard;
+import org.tamarackline.core.ownership.ShardLayout;
+import org.tamarackline.core.time.ManualClock;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.platform.PlatformException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.VmRecord;
+
+/** Several nodes on one simulated clock and table; checks the invariants after every step. */
+final class SimulatedCluster {
+
+    static final long STEP_MS = 250;
+
+    private static final Duration STEP = Duration.ofMillis(STEP_MS);
+    private static final long SPREAD_BOUND_MS = 4_000;
+    private static final String SHARD_PREFIX = "region/north/shard/";
+
+    private final ManualClock clock = new ManualClock();
+    private final FakePlatform table = new FakePlatform();
+    private final Mutation mutation;
+    private final Random random;
+    private final Map<NodeId, SimulatedNode> processes = new TreeMap<>();
+    private final Map<NodeId, DataCentre> placement = new TreeMap<>();
+    private final List<VmRecord> vms = new ArrayList<>();
+    private final List<Runnable> late = new ArrayList<>();
+    private final Map<ShardId, Long> highestEpoch = new HashMap<>();
+    private final Map<SimulatedNode, Long> highestVersion = new HashMap<>();
+    private final Map<Long, Long> acceptedAtMs = new TreeMap<>();
+    private final Set<String> violations = new HashSet<>();
+    private boolean platformDown;
+    private long incarnations;
+    private long offsets;
+
+    SimulatedCluster(int nodes, int dataCentres, Mutation mutation, long seed) {
+        this.mutation = mutation;
+        random = new Random(seed);
+        for (int number = 0; number < nodes; number++) {
+            NodeId id = new NodeId("10.0.0.%d:7400".formatted(number + 1));
+            placement.put(id, new DataCentre("dc" + number % dataCentres));
+        }
+        for (int number = 0; number < dataCentres; number++) {
+            vms.add(vm("runner" + number, "quotes", "dc" + number));
+            vms.add(vm("worker" + number, VmRecord.WORKER_ROLE, "dc" + number));
+        }
+        placement.keySet().forEach(this::start);
+    }
+
+    private static VmRecord vm(String id, String role, String dataCentre) {
+        return new VmRecord(
+                id,
+                role,
+                "10.1.0.1:80",
+                new DataCentre(dataCentre),
+                "r1",
+                VmRecord.State.LIVE,
+                8,
+                64,
+                new Resources(1, 1, 0));
+    }
+
+    MonotonicClock clock() {
+        return clock;
+    }
+
+    FakePlatform table() {
+        return table;
+    }
+
+    Mutation mutation() {
+        return mutation;
+    }
+
+    List<VmRecord> vms() {
+        return vms;
+    }
+
+    boolean platformDown() {
+        return platformDown;
+    }
+
+    void setPlatformDown(boolean down) {
+        platformDown = down;
+    }
+
+    Incarnation nextIncarnation() {
+        return new Incarnation(++incarnations);
+    }
+
+    long nextOffsetMs() {
+        return STEP_MS * (offsets++ % 4);
+    }
+
+    long nowMs() {
+        return clock.nowNanos() / 1_000_000;
+    }
+
+    SimulatedNode process(NodeId id) {
+        return processes.get(id);
+    }
+
+    /** Returns the running process of the node with this number, modulo the number of nodes. */
+    Optional<SimulatedNode> process(int number) {
+        return Optional.ofNullable(processes.get(id(number)));
+    }
+
+    private NodeId id(int number) {
+        return List.copyOf(placement.keySet()).get(number % placement.size());
+    }
+
+    List<SimulatedNode> running() {
+        return List.copyOf(processes.values());
+    }
+
+    void crash(int number) {
+        NodeId id = id(number);
+        SimulatedNode process = processes.get(id);
+        if (process != null && !process.ticking) {
+            processes.remove(id);
+        }
+    }
+
+    void restart(int number) {
+        if (!processes.containsKey(id(number))) {
+            start(id(number));
+        }
+    }
+
+    private void start(NodeId id) {
+        processes.put(id, new SimulatedNode(this, id, placement.get(id), mutation.times()));
+    }
+
+    /** Does something at a random later moment, such as the arrival of a delayed message. */
+    void later(Runnable arrival) {
+        late.add(arrival);
+    }
+
+    void applyLate(TableTransaction transaction) {
+        try {
+            table.transact(transaction);
+        } catch (PlatformException e) {
+            // The write arrived after another one and has no effect.
+        }
+    }
+
+    void deliverLate(NodeId sender, SimulatedNode target, PeerMessage request) {
+        if (processes.get(target.id) == target && !target.paused) {
+            target.handler.handle(sender, request);
+        }
+    }
+
+    void resume(SimulatedNode node) {
+        node.paused = false;
+        while (!node.lateMessages.isEmpty()) {
+            node.lateMessages.poll().run();
+        }
+    }
+
+    void run(int steps) {
+        for (int step = 0; step < steps; step++) {
+            step();
+        }
+    }
+
+    /** Advances the clock and runs what is due on every process that is not paused. */
+    void step() {
+        clock.advance(STEP);
+        check();
+        if (!late.isEmpty() && random.nextInt(8) == 0) {
+            late.remove(random.nextInt(late.size())).run();
+            check();
+        }
+        for (SimulatedNode node : running()) {
+            if (node.paused && !node.ticking && nowMs() >= node.pausedUntilMs) {
+                resume(node);
+            }
+            if (!node.paused && !node.ticking && processes.get(node.id) == node) {
+                node.tick();
+                check();
+            }
+        }
+    }
+
+    /** Ends all faults; delayed writes and messages that have not arrived are dropped. */
+    void heal() {
+        platformDown = false;
+        late.clear();
+        for (SimulatedNode node : running()) {
+            node.platformCut = false;
+            node.peersCut = false;
+            node.callsUntilPause = -1;
+            node.pausedUntilMs = nowMs();
+        }
+    }
+
+    void change(SimulatedNode node, long expectedVersion) {
+        if (node.paused) {
+            return;
+        }
+        long before = currentVersion();
+        node.writer.change(expectedVersion, UnaryOperator.identity());
+        for (long version = before + 1; version <= currentVersion(); version++) {
+            acceptedAtMs.putIfAbsent(version, nowMs());
+        }
+        check();
+    }
+
+    long currentVersion() {
+        try {
+            return table.get("config/current")
+                    .map(row -> row.value().get("version").asLong())
+                    .orElse(0L);
+        } catch (PlatformUnavailableException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns what was violated so far. */
+    Set<String> violations() {
+        return violations;
+    }
+
+    /** Returns the shards that have no node which may act on them. */
+    List<ShardId> unowned() {
+        return ShardLayout.of(vms, 3).shards().stream()
+                .map(Shard::id)
+                .filter(shard -> actors(shard).isEmpty())
+                .toList();
+    }
+
+    List<NodeId> actors(ShardId shard) {
+        return processes.values().stream()
+                .filter(node -> node.runner.ownedEpoch(shard).isPresent())
+                .filter(node -> node.runner.standing() != Standing.ISOLATED)
+                .map(node -> node.id)
+                .toList();
+    }
+
+    private void check() {
+        checkSingleOwner();
+        checkEpochs();
+        checkVersions();
+    }
+
+    private void checkSingleOwner() {
+        for (Shard shard : ShardLayout.of(vms, 3).shards()) {
+            if (actors(shard.id()).size() > 1) {
+                violations.add("two owners");
+            }
+        }
+    }
+
+    private void checkEpochs() {
+        try {
+            for (Row row : table.scan(SHARD_PREFIX, "", 500)) {
+                ShardId shard = new ShardId(row.key().substring(SHARD_PREFIX.length()));
+                long epoch = row.value().get("epoch").asLong();
+                long before = highestEpoch.merge(shard, epoch, Math::max);
+                if (epoch < before) {
+                    violations.add("epoch went back");
+                }
+            }
+        } catch (PlatformUnavailableException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void checkVersions() {
+        long nowMs = nowMs();
+        for (SimulatedNode node : processes.values()) {
+            long version = node.configuration.version();
+            if (version < highestVersion.merge(node, version, Math::max)) {
+                violations.add("version went back");
+            }
+            if (!node.reachesPlatform()) {
+                node.connectedSinceMs = nowMs;
+            }
+            if (version < oldestAllowed(nowMs, node.connectedSinceMs)) {
+                violations.add("version late");
+            }
+        }
+    }
+
+    private long oldestAllowed(long nowMs, long connectedSinceMs) {
+        long oldest = 0;
+        for (Map.Entry<Long, Long> accepted : acceptedAtMs.entrySet()) {
+            if (nowMs - Math.max(accepted.getValue(), connectedSinceMs) > SPREAD_BOUND_MS) {
+                oldest = accepted.getKey();
+            }
+        }
+        return oldest;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -0,0 +1,233 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.platform.VmRecord;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.Secret;
+
+/** One process of a simulated cluster, with the faults that concern it alone. */
+final class SimulatedNode {
+
+    final SimulatedCluster cluster;
+    final NodeId id;
+    final MembershipRunner runner;
+    final ConfigurationRunner configuration;
+    final ConfigurationWriter writer;
+    final ClusterHandler handler;
+    final MembershipState state;
+    final ArrayDeque<Runnable> lateMessages = new ArrayDeque<>();
+    final long offsetMs;
+    boolean platformCut;
+    boolean peersCut;
+    boolean paused;
+    boolean ticking;
+    long pausedUntilMs;
+    int callsUntilPause = -1;
+    int pauseInCallMs;
+    boolean loseNextWriteAnswer;
+    boolean delayNextWrite;
+    boolean delayNextMessage;
+    long connectedSinceMs;
+
+    SimulatedNode(SimulatedCluster cluster, NodeId id, DataCentre dataCentre, EntrySettings.ClusterTimes times) {
+        this.cluster = cluster;
+        this.id = id;
+        offsetMs = cluster.nextOffsetMs();
+        connectedSinceMs = cluster.nowMs();
+        EntrySettings settings = settings(id, dataCentre, times);
+        MonotonicClock clock = cluster.clock();
+        LocalNode self = new LocalNode(id, cluster.nextIncarnation());
+        IncarnationSource incarnations = cluster::nextIncarnation;
+        Table table = new Table();
+        ConfigurationTable configurationTable = new ConfigurationTable(table);
+        PeerCaller peers = new Peers();
+        configuration = cluster.mutation().installsAnyVersion()
+                ? new RevertingConfigurationRunner(configurationTable, peers, times.requestTimeout())
+                : new ConfigurationRunner(configurationTable, peers, times.requestTimeout());
+        state = new MembershipState(settings, self, clock, incarnations);
+        ClusterParts parts = new ClusterParts(
+                settings,
+                self,
+                clock,
+                new ClusterTable(table, settings.region()),
+                state,
+                new PeerDirectory(),
+                configuration,
+                peers,
+                Fanout.sequential());
+        runner = new MembershipRunner(parts, new Vms(), Set::of);
+        handler = new ClusterHandler(parts, configurationTable, runner.ownership());
+        writer = new ConfigurationWriter(parts, configurationTable, runner);
+    }
+
+    private static EntrySettings settings(NodeId id, DataCentre dataCentre, EntrySettings.ClusterTimes times) {
+        return new EntrySettings(
+                id,
+                new Region("north"),
+                dataCentre,
+                "10.0.0.1:80",
+                "10.0.0.1:81",
+                "http://10.0.0.9:82",
+                List.of(),
+                new Secret("k"),
+                new Secret("o"),
+                Map.of(),
+                times,
+                EntrySettings.RequestLimits.defaults(),
+                EntrySettings.JobLimits.defaults());
+    }
+
+    /** Runs the loops that are due at this moment. */
+    void tick() {
+        long ageMs = cluster.nowMs() + offsetMs;
+        ticking = true;
+        if (ageMs % 1000 == 0) {
+            runner.heartbeatTick();
+        }
+        if (ageMs % cluster.mutation().pollEveryMs() == 0) {
+            runner.pollTick();
+        }
+        if (ageMs % 1000 == 250) {
+            runner.pingTick();
+        }
+        runner.ownershipTick();
+        ticking = false;
+    }
+
+    boolean reachesPlatform() {
+        return !paused && !platformCut && !cluster.platformDown();
+    }
+
+    /** Pauses the whole process inside a call, after the call took effect and before its answer is seen. */
+    private void maybePauseInCall() {
+        if (callsUntilPause >= 0 && callsUntilPause-- == 0) {
+            paused = true;
+            pausedUntilMs = cluster.nowMs() + pauseInCallMs;
+            while (cluster.nowMs() < pausedUntilMs) {
+                cluster.step();
+            }
+            cluster.resume(this);
+        }
+    }
+
+    /** Reverses the rule that a lower version is never installed, to show that the property notices. */
+    private static final class RevertingConfigurationRunner extends ConfigurationRunner {
+
+        RevertingConfigurationRunner(ConfigurationTable table, PeerCaller peers, Duration requestTimeout) {
+            super(table, peers, requestTimeout);
+        }
+
+        @Override
+        boolean supersedes(long candidateVersion) {
+            return true;
+        }
+    }
+
+    private final class Vms implements VmDirectory {
+
+        @Override
+        public List<VmRecord> list() throws PlatformUnavailableException {
+            checkAccess();
+            return cluster.vms();
+        }
+    }
+
+    private void checkAccess() throws PlatformUnavailableException {
+        if (platformCut || cluster.platformDown()) {
+            throw new PlatformUnavailableException("the platform is out of reach", null);
+        }
+    }
+
+    private final class Table implements TableStore {
+
+        @Override
+        public Optional<Row> get(String key) throws PlatformUnavailableException {
+            checkAccess();
+            Optional<Row> row = cluster.table().get(key);
+            maybePauseInCall();
+            return row;
+        }
+
+        @Override
+        public List<Row> scan(String prefix, String after, int limit) throws PlatformUnavailableException {
+            checkAccess();
+            List<Row> rows = cluster.table().scan(prefix, after, limit);
+            maybePauseInCall();
+            return rows;
+        }
+
+        @Override
+        public void transact(TableTransaction transaction)
+                throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+            checkAccess();
+            TableTransaction sent = cluster.mutation().ignoresChecks()
+                    ? new TableTransaction(transaction.token(), List.of(), transaction.writes())
+                    : transaction;
+            if (delayNextWrite) {
+                delayNextWrite = false;
+                cluster.later(() -> cluster.applyLate(sent));
+                throw new OutcomeUnknownException(transaction.token(), null);
+            }
+            cluster.table().transact(sent);
+            maybePauseInCall();
+            if (loseNextWriteAnswer) {
+                loseNextWriteAnswer = false;
+                throw new OutcomeUnknownException(transaction.token(), null);
+            }
+        }
+
+        @Override
+        public boolean tookEffect(String token) throws PlatformUnavailableException {
+            checkAccess();
+            return cluster.table().tookEffect(token);
+        }
+    }
+
+    private final class Peers implements PeerCaller {
+
+        @Override
+        public PeerMessage call(NodeId node, PeerMessage request, Duration timeout) throws PeerException {
+            SimulatedNode target = cluster.process(node);
+            if (target == null || peersCut || target.peersCut) {
+                throw new PeerException(PeerException.Reason.UNREACHABLE, "cut off", null);
+            }
+            if (request instanceof ClusterMessages.PushConfiguration
+                    && cluster.mutation().losesPushes()) {
+                throw new PeerException(PeerException.Reason.TIMEOUT, "lost", null);
+            }
+            if (target.paused) {
+                target.lateMessages.add(() -> target.handler.handle(id, request));
+                throw new PeerException(PeerException.Reason.TIMEOUT, "paused", null);
+            }
+            if (delayNextMessage) {
+                delayNextMessage = false;
+                cluster.later(() -> cluster.deliverLate(id, target, request));
+                throw new PeerException(PeerException.Reason.TIMEOUT, "delayed", null);
+            }
+            PeerMessage answer = target.handler.handle(id, request).orElseThrow();
+            maybePauseInCall();
+            return answer;
+        }
+    }
+}
