--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/BoundedHttpClient.java
@@ -0,0 +1,155 @@
+package org.tamarackline.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.URI;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * An HTTP client whose calls end within a bound that covers connecting, sending and reading the whole answer.
+ *
+ * <p>A connection that failed is closed, and so are the idle ones: connections can go silent together while new ones
+ * work, and each would otherwise cost a timeout. Nothing is retried.
+ */
+final class BoundedHttpClient implements AutoCloseable {
+
+    private static final int MAX_CONNECTIONS = 32;
+    private static final TimeValue IDLE_CHECK_AFTER = TimeValue.ofSeconds(1);
+
+    /** Bound on an answer, in bytes: a full scan of 500 rows of 64 KB. */
+    private static final int MAX_ANSWER_BYTES = 33 * 1024 * 1024;
+
+    private final PoolingHttpClientConnectionManager connections;
+    private final CloseableHttpClient client;
+    private final ScheduledExecutorService aborts;
+
+    /** Creates a client; no connection is opened before the first call. */
+    BoundedHttpClient(Duration connectTimeout) {
+        connections = PoolingHttpClientConnectionManagerBuilder.create()
+                .setMaxConnTotal(MAX_CONNECTIONS)
+                .setMaxConnPerRoute(MAX_CONNECTIONS)
+                .setDefaultConnectionConfig(ConnectionConfig.custom()
+                        .setConnectTimeout(Timeout.of(connectTimeout))
+                        .setValidateAfterInactivity(IDLE_CHECK_AFTER)
+                        .build())
+                .build();
+        client = HttpClients.custom()
+                .setConnectionManager(connections)
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableCookieManagement()
+                .disableContentCompression()
+                .build();
+        aborts = Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().name("platform-call-timeout").daemon().factory());
+    }
+
+    /**
+     * Sends a request and reads the whole answer.
+     *
+     * @param body bytes to send, null for none
+     * @param timeout bound on the call
+     * @throws CallFailedException if the whole answer did not arrive in time
+     */
+    HttpAnswer send(String method, URI uri, byte[] body, Duration timeout) throws CallFailedException {
+        HttpUriRequestBase request = new HttpUriRequestBase(method, uri);
+        request.setConfig(RequestConfig.custom()
+                .setConnectionRequestTimeout(Timeout.of(timeout))
+                .setResponseTimeout(Timeout.of(timeout))
+                .build());
+        if (body != null) {
+            request.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_JSON));
+        }
+        ScheduledFuture<?> abort = aborts.schedule(request::abort, timeout.toNanos(), TimeUnit.NANOSECONDS);
+        try {
+            return client.execute(request, BoundedHttpClient::readAnswer);
+        } catch (IOException failure) {
+            connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
+            throw new CallFailedException(method, failure, !failedBeforeSending(failure));
+        } finally {
+            abort.cancel(false);
+        }
+    }
+
+    @Override
+    public void close() {
+        aborts.shutdownNow();
+        client.close(CloseMode.IMMEDIATE);
+    }
+
+    private static HttpAnswer readAnswer(ClassicHttpResponse response) throws IOException {
+        HttpEntity entity = response.getEntity();
+        if (entity == null) {
+            return new HttpAnswer(response.getCode(), new byte[0]);
+        }
+        try (InputStream content = entity.getContent()) {
+            byte[] bytes = content.readNBytes(MAX_ANSWER_BYTES + 1);
+            if (bytes.length > MAX_ANSWER_BYTES) {
+                throw new IOException("answer is longer than %d bytes".formatted(MAX_ANSWER_BYTES));
+            }
+            return new HttpAnswer(response.getCode(), bytes);
+        }
+    }
+
+    private static boolean failedBeforeSending(IOException failure) {
+        return failure instanceof ConnectException
+                || failure instanceof ConnectTimeoutException
+                || failure instanceof ConnectionRequestTimeoutException
+                || failure instanceof NoRouteToHostException
+                || failure instanceof UnknownHostException;
+    }
+
+    /**
+     * An answer that arrived whole.
+     *
+     * @param status HTTP status
+     * @param body content, empty if there was none
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record HttpAnswer(int status, byte[] body) {}
+
+    /** A call without a whole answer. */
+    static final class CallFailedException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        private final boolean possiblySent;
+
+        CallFailedException(String method, IOException cause, boolean possiblySent) {
+            super(
+                    "%s got no whole answer: %s"
+                            .formatted(method, cause.getClass().getSimpleName()),
+                    cause);
+            this.possiblySent = possiblySent;
+        }
+
+        /** Returns whether a part of the request may have reached the server. */
+        boolean possiblySent() {
+            return possiblySent;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/HttpPlatformClient.java
@@ -0,0 +1,268 @@
+package org.tamarackline.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.BoundedHttpClient.CallFailedException;
+import org.tamarackline.platform.BoundedHttpClient.HttpAnswer;
+
+/**
+ * Reaches the platform's table, object store and VM list over HTTP.
+ *
+ * <p>The request timeout covers a whole call, with the reading back of a token. A transaction is declared not applied only
+ * if no byte of it was sent or the platform said so; a token that cannot be found does not suffice, because the
+ * transaction may still be on its way. The object store is reached through {@link #objects}, because its read has the
+ * same signature as the table's.
+ */
+public final class HttpPlatformClient implements TableStore, VmDirectory, AutoCloseable {
+
+    private static final JsonMapper JSON = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private static final TypeReference<List<Row>> ROWS = new TypeReference<>() {};
+    private static final TypeReference<List<VmEntry>> VM_ENTRIES = new TypeReference<>() {};
+
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+
+    private static final int MAX_TOKEN_READS = 3;
+    private static final Duration TOKEN_READ_PAUSE = Duration.ofMillis(40);
+
+    /** Part of the request timeout that a transaction may use before its token is read back. */
+    private static final double TRANSACT_SHARE = 0.65;
+
+    private final String baseUrl;
+    private final Duration requestTimeout;
+    private final BoundedHttpClient http;
+    private final MonotonicClock clock = MonotonicClock.system();
+
+    /**
+     * Creates a client; no connection is opened before the first call.
+     *
+     * @param baseUrl base URL of the platform, such as {@code http://127.0.0.1:8080}
+     * @param requestTimeout bound on each call
+     */
+    public HttpPlatformClient(String baseUrl, Duration requestTimeout) {
+        this.baseUrl = baseUrl.endsWith("/") ? baseUrl.substring(0, baseUrl.length() - 1) : baseUrl;
+        this.requestTimeout = requestTimeout;
+        this.http = new BoundedHttpClient(requestTimeout);
+    }
+
+    @Override
+    public Optional<Row> get(String key) throws PlatformUnavailableException {
+        HttpAnswer answer = call("GET", "/table/rows/" + escape(key), null);
+        if (answer.status() == NOT_FOUND) {
+            return Optional.empty();
+        }
+        return Optional.of(parse(expectOk(answer), new TypeReference<Row>() {}));
+    }
+
+    @Override
+    public List<Row> scan(String prefix, String after, int limit) throws PlatformUnavailableException {
+        String path = "/table/scan?prefix=%s&after=%s&limit=%d".formatted(escape(prefix), escape(after), limit);
+        return parse(expectOk(call("GET", path, null)), ROWS);
+    }
+
+    @Override
+    public void transact(TableTransaction transaction)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+        long deadlineNanos = clock.nowNanos() + requestTimeout.toNanos();
+        byte[] body = write(transaction);
+        Duration sendTimeout = Duration.ofNanos((long) (requestTimeout.toNanos() * TRANSACT_SHARE));
+        HttpAnswer answer;
+        try {
+            answer = http.send("POST", uri("/table/transact"), body, sendTimeout);
+        } catch (CallFailedException failure) {
+            if (!failure.possiblySent()) {
+                throw new PlatformUnavailableException("the platform could not be reached; nothing was sent", failure);
+            }
+            settle(transaction.token(), deadlineNanos, failure);
+            return;
+        }
+        if (answer.status() != OK) {
+            handleRejection(transaction.token(), deadlineNanos, answer);
+        }
+    }
+
+    @Override
+    public boolean tookEffect(String token) throws PlatformUnavailableException {
+        return tookEffect(token, requestTimeout);
+    }
+
+    @Override
+    public List<VmRecord> list() throws PlatformUnavailableException {
+        List<VmEntry> entries = parse(expectOk(call("GET", "/vms", null)), VM_ENTRIES);
+        try {
+            return entries.stream().map(VmEntry::toRecord).toList();
+        } catch (IllegalArgumentException invalid) {
+            throw new PlatformUnavailableException("the list of VMs has an invalid entry", invalid);
+        }
+    }
+
+    /** Returns the object store of the same platform. */
+    public ObjectStore objects() {
+        return new HttpObjectStore();
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+
+    private void handleRejection(String token, long deadlineNanos, HttpAnswer answer)
+            throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
+        if (answer.status() == CONFLICT) {
+            TableAnswers.Conflict conflict = parseConflict(token, answer);
+            throw new TransactionConflictException(conflict.key(), conflict.version());
+        }
+        if (saysNotApplied(answer)) {
+            throw unexpected(answer);
+        }
+        settle(token, deadlineNanos, unexpected(answer));
+    }
+
+    /** Returns normally if the transaction with this token took effect. */
+    private void settle(String token, long deadlineNanos, Exception cause) throws OutcomeUnknownException {
+        for (int tries = 0; tries < MAX_TOKEN_READS; tries++) {
+            Duration left = Duration.ofNanos(deadlineNanos - clock.nowNanos());
+            if (!left.isPositive() || Thread.currentThread().isInterrupted()) {
+                break;
+            }
+            try {
+                if (tookEffect(token, left)) {
+                    return;
+                }
+            } catch (PlatformUnavailableException unavailable) {
+                cause.addSuppressed(unavailable);
+            }
+            pauseBeforeNextTokenRead(deadlineNanos);
+        }
+        throw new OutcomeUnknownException(token, cause);
+    }
+
+    private void pauseBeforeNextTokenRead(long deadlineNanos) {
+        long leftNanos = deadlineNanos - clock.nowNanos();
+        if (leftNanos <= TOKEN_READ_PAUSE.toNanos()) {
+            return;
+        }
+        try {
+            Thread.sleep(TOKEN_READ_PAUSE);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean tookEffect(String token, Duration timeout) throws PlatformUnavailableException {
+        HttpAnswer answer = call("GET", "/table/tokens/" + escape(token), null, timeout);
+        if (answer.status() == NOT_FOUND) {
+            return false;
+        }
+        expectOk(answer);
+        return true;
+    }
+
+    private HttpAnswer call(String method, String path, byte[] body) throws PlatformUnavailableException {
+        return call(method, path, body, requestTimeout);
+    }
+
+    private HttpAnswer call(String method, String path, byte[] body, Duration timeout)
+            throws PlatformUnavailableException {
+        try {
+            return http.send(method, uri(path), body, timeout);
+        } catch (CallFailedException failure) {
+            throw new PlatformUnavailableException("the platform did not answer a " + method, failure);
+        }
+    }
+
+    private URI uri(String path) {
+        return URI.create(baseUrl + path);
+    }
+
+    private static String escape(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    private static boolean saysNotApplied(HttpAnswer answer) {
+        try {
+            TableAnswers.Failure failure = JSON.readValue(answer.body(), TableAnswers.Failure.class);
+            return failure != null && Boolean.FALSE.equals(failure.applied());
+        } catch (IOException notOfThePlatform) {
+            return false;
+        }
+    }
+
+    private static HttpAnswer expectOk(HttpAnswer answer) throws PlatformUnavailableException {
+        if (answer.status() != OK && answer.status() != NO_CONTENT) {
+            throw unexpected(answer);
+        }
+        return answer;
+    }
+
+    private static PlatformUnavailableException unexpected(HttpAnswer answer) {
+        return new PlatformUnavailableException("the platform answered status %d".formatted(answer.status()), null);
+    }
+
+    private static <T> T parse(HttpAnswer answer, TypeReference<T> type) throws PlatformUnavailableException {
+        try {
+            return JSON.readValue(answer.body(), type);
+        } catch (IOException malformed) {
+            throw new PlatformUnavailableException("the platform's answer is not of the expected form", malformed);
+        }
+    }
+
+    private static TableAnswers.Conflict parseConflict(String token, HttpAnswer answer) throws OutcomeUnknownException {
+        try {
+            return JSON.readValue(answer.body(), TableAnswers.Conflict.class);
+        } catch (IOException malformed) {
+            throw new OutcomeUnknownException(token, malformed);
+        }
+    }
+
+    private static byte[] write(TableTransaction transaction) {
+        try {
+            return JSON.writeValueAsBytes(transaction);
+        } catch (IOException impossible) {
+            throw new IllegalArgumentException("transaction cannot be written as JSON", impossible);
+        }
+    }
+
+    private final class HttpObjectStore implements ObjectStore {
+
+        @Override
+        public Optional<byte[]> get(String key) throws PlatformUnavailableException {
+            HttpAnswer answer = call("GET", path(key), null);
+            if (answer.status() == NOT_FOUND) {
+                return Optional.empty();
+            }
+            return Optional.of(expectOk(answer).body());
+        }
+
+        @Override
+        public void put(String key, byte[] content) throws PlatformUnavailableException {
+            expectOk(call("PUT", path(key), content));
+        }
+
+        @Override
+        public void delete(String key) throws PlatformUnavailableException {
+            HttpAnswer answer = call("DELETE", path(key), null);
+            if (answer.status() != NOT_FOUND) {
+                expectOk(answer);
+            }
+        }
+
+        private String path(String key) {
+            return "/objects/" + escape(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/platform/StandinPlatform.java
@@ -0,0 +1,235 @@
+package org.tamarackline.standin.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableAnswers;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.platform.VmEntry;
+import org.tamarackline.standin.StandinExchange;
+import org.tamarackline.standin.StandinFailure;
+import org.tamarackline.standin.StandinServer;
+
+/**
+ * A platform in memory, served over HTTP: table, object store and list of VMs, with fault switches.
+ *
+ * <p>Besides the platform's protocol it serves {@code PUT /faults}, {@code PUT /standin/vms} and {@code GET
+ * /standin/counters}, which no fault affects.
+ */
+public final class StandinPlatform implements AutoCloseable {
+
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final MemoryTable table = new MemoryTable();
+    private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+    private final LaggingVmList vms;
+    private final AtomicReference<PlatformFaults> faults = new AtomicReference<>(PlatformFaults.NONE);
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder writes = new LongAdder();
+    private final LongAdder conflicts = new LongAdder();
+    private final LongAdder rowsWritten = new LongAdder();
+    private final LongAdder objectReads = new LongAdder();
+    private final LongAdder objectWrites = new LongAdder();
+    private final LongAdder vmLists = new LongAdder();
+    private final StandinServer server;
+
+    private StandinPlatform(InetSocketAddress address, List<VmEntry> initialVms) throws Exception {
+        vms = new LaggingVmList(MonotonicClock.system(), initialVms);
+        server = StandinServer.start(address, this::handle);
+    }
+
+    /**
+     * Starts a platform.
+     *
+     * @param address where to listen; port 0 lets the kernel choose
+     * @throws Exception if the address cannot be bound
+     */
+    public static StandinPlatform start(InetSocketAddress address, List<VmEntry> initialVms) throws Exception {
+        return new StandinPlatform(address, initialVms);
+    }
+
+    /** Returns the IP number and port that the platform listens on. */
+    public String address() {
+        return server.address();
+    }
+
+    /** Returns the base URL of the platform. */
+    public String url() {
+        return "http://" + address();
+    }
+
+    /** Replaces the fault switches. */
+    public void setFaults(PlatformFaults newFaults) {
+        faults.set(newFaults);
+    }
+
+    /** Replaces the list of VMs, which readers see after the lag. */
+    public void setVms(List<VmEntry> entries) {
+        vms.replace(entries);
+    }
+
+    /** Returns the calls carried out so far. */
+    public PlatformCounters counters() {
+        return new PlatformCounters(
+                reads.sum(),
+                writes.sum(),
+                conflicts.sum(),
+                rowsWritten.sum(),
+                objectReads.sum(),
+                objectWrites.sum(),
+                vmLists.sum());
+    }
+
+    /** Returns up to 500 rows whose key starts with {@code prefix}; a test's view, which no fault affects. */
+    public List<Row> rows(String prefix) {
+        return table.scan(prefix, "", MemoryTable.MAX_SCAN_ROWS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.close();
+    }
+
+    private void handle(StandinExchange exchange) throws Exception {
+        if (handleControl(exchange)) {
+            return;
+        }
+        PlatformFaults current = faults.get();
+        if (current.delayMs() > 0) {
+            Thread.sleep(current.delayMs());
+        }
+        if (current.silent()) {
+            return;
+        }
+        if (current.down()) {
+            exchange.answerJson(UNAVAILABLE, StandinFailure.notApplied("the platform is down"));
+            return;
+        }
+        handleProtocol(exchange);
+    }
+
+    private boolean handleControl(StandinExchange exchange) throws IOException {
+        if (exchange.is("PUT", "/faults")) {
+            setFaults(exchange.json(PlatformFaults.class));
+            exchange.answerEmpty(NO_CONTENT);
+        } else if (exchange.is("GET", "/faults")) {
+            exchange.answerJson(OK, faults.get());
+        } else if (exchange.is("PUT", "/standin/vms")) {
+            setVms(Arrays.asList(exchange.json(VmEntry[].class)));
+            exchange.answerEmpty(NO_CONTENT);
+        } else if (exchange.is("GET", "/standin/counters")) {
+            exchange.answerJson(OK, counters());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleProtocol(StandinExchange exchange) throws IOException {
+        Optional<String> rowKey = exchange.pathAfter("/table/rows/");
+        Optional<String> token = exchange.pathAfter("/table/tokens/");
+        Optional<String> objectKey = exchange.pathAfter("/objects/");
+        if (rowKey.isPresent() && exchange.method().equals("GET")) {
+            reads.increment();
+            answerIfPresent(exchange, table.get(rowKey.get()));
+        } else if (exchange.is("GET", "/table/scan")) {
+            reads.increment();
+            exchange.answerJson(OK, scan(exchange));
+        } else if (exchange.is("POST", "/table/transact")) {
+            transact(exchange);
+        } else if (token.isPresent() && exchange.method().equals("GET")) {
+            reads.increment();
+            answerIfPresent(exchange, table.outcome(token.get()).map(TableAnswers.Applied::new));
+        } else if (objectKey.isPresent()) {
+            handleObject(exchange, objectKey.get());
+        } else if (exchange.is("GET", "/vms")) {
+            vmLists.increment();
+            exchange.answerJson(OK, vms.read(Duration.ofMillis(faults.get().vmListLagMs())));
+        } else {
+            exchange.answerJson(NOT_FOUND, StandinFailure.notApplied("there is no such resource"));
+        }
+    }
+
+    private List<Row> scan(StandinExchange exchange) {
+        int limit = Integer.parseInt(exchange.query("limit", Integer.toString(MemoryTable.MAX_SCAN_ROWS)));
+        return table.scan(exchange.query("prefix", ""), exchange.query("after", ""), limit);
+    }
+
+    private void transact(StandinExchange exchange) throws IOException {
+        TableTransaction transaction = exchange.json(TableTransaction.class);
+        writes.increment();
+        try {
+            TableAnswers.Applied applied = new TableAnswers.Applied(table.apply(transaction));
+            rowsWritten.add(transaction.writes().size());
+            if (shouldLoseAnswer()) {
+                exchange.closeConnection();
+                return;
+            }
+            exchange.answerJson(OK, applied);
+        } catch (TransactionConflictException conflict) {
+            conflicts.increment();
+            exchange.answerJson(CONFLICT, new TableAnswers.Conflict(conflict.key(), conflict.currentVersion()));
+        }
+    }
+
+    private void handleObject(StandinExchange exchange, String key) throws IOException {
+        if (exchange.method().equals("GET")) {
+            objectReads.increment();
+            answerBytesIfPresent(exchange, objects.get(key));
+            return;
+        }
+        boolean isPut = exchange.method().equals("PUT");
+        if (!isPut && !exchange.method().equals("DELETE")) {
+            throw new IllegalArgumentException("method %s is not allowed on objects".formatted(exchange.method()));
+        }
+        objectWrites.increment();
+        if (isPut) {
+            objects.put(key, exchange.body());
+        } else {
+            objects.remove(key);
+        }
+        if (shouldLoseAnswer()) {
+            exchange.closeConnection();
+            return;
+        }
+        exchange.answerEmpty(NO_CONTENT);
+    }
+
+    private boolean shouldLoseAnswer() {
+        PlatformFaults before = faults.getAndUpdate(
+                current -> current.loseAnswers() > 0 ? current.withLoseAnswers(current.loseAnswers() - 1) : current);
+        return before.loseAnswers() > 0;
+    }
+
+    private static void answerIfPresent(StandinExchange exchange, Optional<?> content) throws IOException {
+        if (content.isPresent()) {
+            exchange.answerJson(OK, content.get());
+        } else {
+            exchange.answerJson(NOT_FOUND, StandinFailure.notApplied("absent"));
+        }
+    }
+
+    private static void answerBytesIfPresent(StandinExchange exchange, byte[] content) throws IOException {
+        if (content == null) {
+            exchange.answerJson(NOT_FOUND, StandinFailure.notApplied("absent"));
+            return;
+        }
+        exchange.setHeader("Content-Type", "application/octet-stream");
+        exchange.answer(OK, content);
+    }
+}
