--- a/src/main/java/org/tamarackline/standin/StandinServer.java
+++ b/src/main/java/org/tamarackline/standin/StandinServer.java
@@ -1,5 +1,6 @@
 package org.tamarackline.standin;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 
@@ -65,8 +66,12 @@
     }
 
     @Override
-    public void close() throws Exception {
-        server.stop();
+    public void close() throws IOException {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            throw new IOException("the server did not stop cleanly", failure);
+        }
     }
 
     private static final class Dispatcher extends Handler.Abstract {
--- a/src/main/java/org/tamarackline/standin/platform/StandinPlatform.java
+++ b/src/main/java/org/tamarackline/standin/platform/StandinPlatform.java
@@ -101,7 +101,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         server.close();
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/worker/RefusedException.java
@@ -0,0 +1,20 @@
+package org.tamarackline.standin.worker;
+
+import org.tamarackline.worker.WorkerProtocol.Refusal;
+
+/** A command that the worker does not carry out. */
+final class RefusedException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    RefusedException(Refusal refusal) {
+        super(refusal.detail());
+        this.refusal = refusal;
+    }
+
+    Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/worker/SimulatedTask.java
@@ -0,0 +1,153 @@
+package org.tamarackline.standin.worker;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.standin.worker.RunInterval.Outcome;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.worker.WorkerProtocol.TaskReportState;
+import org.tamarackline.worker.WorkerProtocol.UsageSample;
+
+/** One attempt of a task on this worker. Guarded by the lock of its {@link WorkerModel}. */
+final class SimulatedTask {
+
+    private static final int FULL_SPEED_PERCENT = 100;
+    private static final double NANOS_PER_MS = 1_000_000;
+
+    private final StartRequest start;
+    private final SimulatedCommand command;
+    private final long startNanos;
+    private final long startWorkMs;
+    private final Deque<Measurement> measurements = new ArrayDeque<>();
+
+    private double workDoneMs;
+    private int throttlePercent = FULL_SPEED_PERCENT;
+    private int speedPercent = FULL_SPEED_PERCENT;
+    private Outcome outcome = Outcome.RUNNING;
+    private Optional<Long> endNanos = Optional.empty();
+    private Optional<String> checkpointKey;
+    private Optional<String> resultKey = Optional.empty();
+    private boolean finalCheckpointWanted;
+
+    SimulatedTask(StartRequest start, SimulatedCommand command, long startNanos, long startWorkMs) {
+        this.start = start;
+        this.command = command;
+        this.startNanos = startNanos;
+        this.startWorkMs = startWorkMs;
+        this.workDoneMs = (double) startWorkMs;
+        this.checkpointKey = start.checkpointKey();
+    }
+
+    TaskId id() {
+        return start.taskId();
+    }
+
+    int attempt() {
+        return start.attempt();
+    }
+
+    SimulatedCommand command() {
+        return command;
+    }
+
+    Resources declared() {
+        return start.resources();
+    }
+
+    boolean isRunning() {
+        return outcome == Outcome.RUNNING;
+    }
+
+    int throttlePercent() {
+        return throttlePercent;
+    }
+
+    void throttle(int percent) {
+        throttlePercent = Math.clamp(percent, 1, FULL_SPEED_PERCENT);
+    }
+
+    /** Adds the work of {@code elapsedNanos} at the given speed. */
+    void work(long elapsedNanos, int percent) {
+        speedPercent = percent;
+        double addedMs = elapsedNanos / NANOS_PER_MS * percent / FULL_SPEED_PERCENT;
+        workDoneMs = Math.min((double) command.workMs(), workDoneMs + addedMs);
+    }
+
+    boolean isWorkDone() {
+        return workDoneMs >= command.workMs();
+    }
+
+    long workDoneMs() {
+        return (long) workDoneMs;
+    }
+
+    /** Ends the run; {@code checkpointWanted} leaves a checkpoint to be written afterwards. */
+    void end(Outcome ended, long atNanos, boolean checkpointWanted) {
+        outcome = ended;
+        endNanos = Optional.of(atNanos);
+        finalCheckpointWanted = checkpointWanted;
+    }
+
+    boolean isCheckpointAllowed() {
+        return start.checkpointAllowed();
+    }
+
+    boolean isFinalCheckpointWanted() {
+        return finalCheckpointWanted;
+    }
+
+    void checkpointStored(String key) {
+        checkpointKey = Optional.of(key);
+        if (!isRunning()) {
+            finalCheckpointWanted = false;
+        }
+    }
+
+    void resultStored(String key) {
+        resultKey = Optional.of(key);
+    }
+
+    void measure(long nowNanos) {
+        measurements.addLast(new Measurement(nowNanos, speedPercent));
+    }
+
+    /** Returns the newest measurement taken at {@code latestNanos} or before. */
+    Optional<UsageSample> sample(long nowNanos, long latestNanos) {
+        Measurement newest = null;
+        while (!measurements.isEmpty() && measurements.getFirst().takenNanos() - latestNanos <= 0) {
+            newest = measurements.removeFirst();
+        }
+        if (newest == null) {
+            return Optional.empty();
+        }
+        measurements.addFirst(newest);
+        long takenAgoMs = (long) ((nowNanos - newest.takenNanos()) / NANOS_PER_MS);
+        return Optional.of(new UsageSample(id(), attempt(), takenAgoMs, command.used(), newest.speedPercent()));
+    }
+
+    TaskReport report() {
+        Optional<Integer> exitCode = outcome == Outcome.DONE || outcome == Outcome.FAILED
+                ? Optional.of(command.exitCode())
+                : Optional.empty();
+        return new TaskReport(id(), attempt(), state(), checkpointKey, resultKey, exitCode, workDoneMs());
+    }
+
+    RunInterval interval() {
+        return new RunInterval(id(), attempt(), startNanos, endNanos, outcome, startWorkMs, workDoneMs());
+    }
+
+    private TaskReportState state() {
+        return switch (outcome) {
+            case RUNNING -> TaskReportState.RUNNING;
+            case DONE -> TaskReportState.DONE;
+            case FAILED -> TaskReportState.FAILED;
+            case STOPPED, LEASE_LAPSED -> TaskReportState.STOPPED;
+        };
+    }
+
+    private record Measurement(long takenNanos, int speedPercent) {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/worker/StandinWorker.java
@@ -0,0 +1,234 @@
+package org.tamarackline.standin.worker;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.HttpPlatformClient;
+import org.tamarackline.platform.ObjectStore;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.standin.StandinExchange;
+import org.tamarackline.standin.StandinFailure;
+import org.tamarackline.standin.StandinJson;
+import org.tamarackline.standin.StandinServer;
+import org.tamarackline.worker.WorkerProtocol.Refusal;
+import org.tamarackline.worker.WorkerProtocol.RefusalCode;
+import org.tamarackline.worker.WorkerProtocol.RenewRequest;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskCommand;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+
+/**
+ * A worker that simulates its tasks, served over HTTP, with fault switches.
+ *
+ * <p>Besides the worker control protocol it serves {@code PUT /standin/faults} and {@code GET /standin/history}, which no
+ * fault affects. A task counts as running until its result is stored.
+ */
+public final class StandinWorker implements AutoCloseable {
+
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration ADVANCE_INTERVAL = Duration.ofMillis(20);
+    private static final Duration UPLOAD_INTERVAL = Duration.ofMillis(50);
+
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNPROCESSABLE = 422;
+    private static final int UNAVAILABLE = 503;
+
+    private final WorkerModel model;
+    private final HttpPlatformClient platform;
+    private final ObjectStore store;
+    private final AtomicReference<WorkerFaults> faults = new AtomicReference<>(WorkerFaults.NONE);
+    private final List<Thread> loops;
+    private final StandinServer server;
+
+    private StandinWorker(WorkerOptions options) throws Exception {
+        model = new WorkerModel(
+                options.capacity(),
+                options.usageLag(),
+                MonotonicClock.system(),
+                () -> UUID.randomUUID().toString());
+        platform = new HttpPlatformClient(options.platformUrl(), STORE_TIMEOUT);
+        store = platform.objects();
+        server = StandinServer.start(options.address(), this::handle);
+        loops = List.of(
+                Thread.ofVirtual().unstarted(() -> repeat(model::advance, ADVANCE_INTERVAL)),
+                Thread.ofVirtual().unstarted(() -> repeat(this::uploadPending, UPLOAD_INTERVAL)));
+    }
+
+    /**
+     * Starts a worker.
+     *
+     * @throws Exception if the address cannot be bound
+     */
+    public static StandinWorker start(WorkerOptions options) throws Exception {
+        StandinWorker worker = new StandinWorker(options);
+        worker.loops.forEach(Thread::start);
+        return worker;
+    }
+
+    /** Returns the IP number and port that the worker listens on. */
+    public String address() {
+        return server.address();
+    }
+
+    /** Replaces the fault switches. */
+    public void setFaults(WorkerFaults newFaults) {
+        faults.set(newFaults);
+    }
+
+    /** Returns every run since the worker started. */
+    public List<RunInterval> history() {
+        return model.history();
+    }
+
+    @Override
+    public void close() throws IOException {
+        loops.forEach(Thread::interrupt);
+        server.close();
+        platform.close();
+    }
+
+    private static void repeat(Runnable step, Duration interval) {
+        while (!Thread.currentThread().isInterrupted()) {
+            step.run();
+            try {
+                Thread.sleep(interval);
+            } catch (InterruptedException closed) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private void handle(StandinExchange exchange) throws Exception {
+        if (handleControl(exchange)) {
+            return;
+        }
+        WorkerFaults current = faults.get();
+        if (current.delayMs() > 0) {
+            Thread.sleep(current.delayMs());
+        }
+        if (current.silent()) {
+            return;
+        }
+        if (current.refuse()) {
+            exchange.answerJson(UNAVAILABLE, StandinFailure.notApplied("the worker refuses every command"));
+            return;
+        }
+        handleCommand(exchange);
+    }
+
+    private boolean handleControl(StandinExchange exchange) throws IOException {
+        if (exchange.is("PUT", "/standin/faults")) {
+            setFaults(exchange.json(WorkerFaults.class));
+            exchange.answerEmpty(NO_CONTENT);
+        } else if (exchange.is("GET", "/standin/history")) {
+            exchange.answerJson(OK, history());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleCommand(StandinExchange exchange) throws IOException {
+        if (!exchange.method().equals("POST")) {
+            exchange.answerJson(NOT_FOUND, StandinFailure.notApplied("there is no such command"));
+            return;
+        }
+        try {
+            Object answer = carryOut(exchange);
+            if (shouldLoseAnswer()) {
+                exchange.closeConnection();
+                return;
+            }
+            exchange.answerJson(OK, answer);
+        } catch (RefusedException refused) {
+            Refusal refusal = refused.refusal();
+            exchange.answerJson(status(refusal.code()), refusal);
+        }
+    }
+
+    private Object carryOut(StandinExchange exchange) throws IOException, RefusedException {
+        return switch (exchange.rawPath()) {
+            case "/renew" -> model.renew(exchange.json(RenewRequest.class));
+            case "/tasks" -> start(exchange.json(StartRequest.class));
+            case "/checkpoint" -> checkpoint(exchange.json(TaskCommand.class));
+            case "/throttle" -> model.throttle(exchange.json(TaskCommand.class));
+            case "/stop" -> model.stop(exchange.json(TaskCommand.class));
+            case "/forget" -> model.forget(exchange.json(TaskCommand.class));
+            default -> throw new IllegalArgumentException("there is no command " + exchange.rawPath());
+        };
+    }
+
+    private TaskReport start(StartRequest request) throws IOException, RefusedException {
+        if (faults.get().failStarts()) {
+            return model.start(request, 0, Optional.of("the fault switch makes every start fail"));
+        }
+        if (request.checkpointKey().isEmpty()) {
+            return model.start(request, 0, Optional.empty());
+        }
+        Optional<byte[]> content;
+        try {
+            content = store.get(request.checkpointKey().get());
+        } catch (PlatformUnavailableException unavailable) {
+            return model.start(request, 0, Optional.of("the object store did not answer"));
+        }
+        if (content.isEmpty()) {
+            return model.start(request, 0, Optional.of("there is no checkpoint of this key"));
+        }
+        Upload.StoredWork checkpoint = StandinJson.mapper().readValue(content.get(), Upload.StoredWork.class);
+        return model.start(request, checkpoint.workDoneMs(), Optional.empty());
+    }
+
+    private TaskReport checkpoint(TaskCommand command) throws IOException, RefusedException {
+        Upload upload = model.checkpoint(command);
+        try {
+            write(upload);
+        } catch (PlatformUnavailableException unavailable) {
+            throw new RefusedException(new Refusal(
+                    RefusalCode.CHECKPOINT_FAILED,
+                    "the object store did not answer; the task goes on",
+                    command.epoch()));
+        }
+        return model.report(command.taskId(), command.attempt())
+                .orElseThrow(() -> new RefusedException(
+                        new Refusal(RefusalCode.UNKNOWN_TASK, "the task was forgotten meanwhile", command.epoch())));
+    }
+
+    private void write(Upload upload) throws IOException, PlatformUnavailableException {
+        store.put(upload.key(), StandinJson.mapper().writeValueAsBytes(upload.content()));
+        model.uploaded(upload);
+    }
+
+    private void uploadPending() {
+        for (Upload upload : model.pendingUploads()) {
+            try {
+                write(upload);
+            } catch (PlatformUnavailableException | IOException retriedLater) {
+                return;
+            }
+        }
+    }
+
+    private boolean shouldLoseAnswer() {
+        WorkerFaults before = faults.getAndUpdate(
+                current -> current.loseAnswers() > 0 ? current.withLoseAnswers(current.loseAnswers() - 1) : current);
+        return before.loseAnswers() > 0;
+    }
+
+    private static int status(RefusalCode code) {
+        return switch (code) {
+            case FENCED, NO_LEASE, ATTEMPT_FORBIDDEN, OVER_CAPACITY, UNKNOWN_TASK -> CONFLICT;
+            case START_FAILED -> UNPROCESSABLE;
+            case CHECKPOINT_FAILED -> UNAVAILABLE;
+            case INVALID -> BAD_REQUEST;
+        };
+    }
+}
--- a/src/test/java/org/tamarackline/platform/HttpPlatformClientTest.java
+++ b/src/test/java/org/tamarackline/platform/HttpPlatformClientTest.java
@@ -30,7 +30,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        platform = StandinPlatform.start(new InetSocketAddress("127.0.0.1", 0), List.of());
+        platform = StandinPlatform.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), List.of());
         client = new HttpPlatformClient(platform.url(), TIMEOUT);
     }
 
--- /dev/null
+++ b/src/test/java/org/tamarackline/standin/worker/WorkerModelTest.java
@@ -0,0 +1,177 @@
+package org.tamarackline.standin.worker;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.time.ManualClock;
+import org.tamarackline.standin.worker.RunInterval.Outcome;
+import org.tamarackline.worker.WorkerProtocol.RefusalCode;
+import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
+import org.tamarackline.worker.WorkerProtocol.RenewRequest;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskCommand;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.worker.WorkerProtocol.TaskReportState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/** Guards against a stand-in that is laxer than the protocol, which would hide a task that runs twice. */
+class WorkerModelTest {
+
+    private static final ShardId RACK = new ShardId("rack-1");
+    private static final Epoch OLD = new Epoch(3);
+    private static final Epoch NEW = new Epoch(4);
+    private static final TaskId TASK = TaskId.parse("job.0");
+    private static final long LEASE_MS = 20_000;
+    private static final Resources HALF = new Resources(2_000, 500, 0);
+
+    private final ManualClock clock = new ManualClock();
+    private final AtomicInteger nonces = new AtomicInteger();
+    private final WorkerModel model = new WorkerModel(
+            new Resources(4_000, 1_000, 0), Duration.ofSeconds(2), clock, () -> "n" + nonces.incrementAndGet());
+
+    @Test
+    void acceptsStartsOnlyUnderACurrentLeaseOfExactlyThatEpoch() throws Exception {
+        RenewAnswer first = model.renew(renewal(OLD, Optional.empty()));
+        assertThat(first.leaseCurrent()).isFalse();
+        assertRefused(RefusalCode.NO_LEASE, () -> model.start(start(OLD, TASK, 0, 100), 0, Optional.empty()));
+        holdLease(OLD);
+        assertRefused(RefusalCode.NO_LEASE, () -> model.start(start(NEW, TASK, 0, 100), 0, Optional.empty()));
+        assertRefused(RefusalCode.FENCED, () -> model.start(start(OLD, TASK, 0, 100), 0, Optional.empty()));
+    }
+
+    @Test
+    void countsTheLeaseFromTheIssueOfTheNonceSoADelayedRenewalExtendsNothing() throws Exception {
+        RenewAnswer first = model.renew(renewal(OLD, Optional.empty()));
+        RenewRequest delayed = renewal(OLD, Optional.of(first.nonce()));
+        clock.advance(Duration.ofMillis(LEASE_MS + 1));
+        assertThat(model.renew(delayed).leaseCurrent()).isFalse();
+    }
+
+    @Test
+    void ignoresANonceThatWasUsedOrIssuedToAnotherEpoch() throws Exception {
+        RenewAnswer first = model.renew(renewal(OLD, Optional.empty()));
+        assertThat(model.renew(renewal(NEW, Optional.of(first.nonce()))).leaseCurrent())
+                .isFalse();
+        RenewAnswer used = holdLease(NEW);
+        clock.advance(Duration.ofMillis(LEASE_MS - 1));
+        model.renew(renewal(NEW, Optional.of("n1")));
+        clock.advance(Duration.ofMillis(2));
+        assertThat(model.renew(renewal(NEW, Optional.of(used.nonce()))).leaseCurrent())
+                .isFalse();
+    }
+
+    @Test
+    void endsTasksAtTheEndOfTheLeaseAndKeepsTheirWork() throws Exception {
+        holdLease(OLD);
+        model.start(start(OLD, TASK, 0, 60_000), 1_000, Optional.empty());
+        clock.advance(Duration.ofMillis(LEASE_MS + 5_000));
+        RunInterval run = model.history().getFirst();
+        assertThat(run.outcome()).isEqualTo(Outcome.LEASE_LAPSED);
+        assertThat(run.endWorkMs()).isEqualTo(1_000 + LEASE_MS);
+        assertThat(model.pendingUploads())
+                .containsExactly(new Upload(TASK, 0, Upload.Kind.CHECKPOINT, 1_000 + LEASE_MS));
+    }
+
+    @Test
+    void acceptsAnAttemptOnceAndNoneThatAStopForbade() throws Exception {
+        holdLease(OLD);
+        model.start(start(OLD, TASK, 2, 1_000), 0, Optional.empty());
+        model.start(start(OLD, TASK, 2, 1_000), 0, Optional.empty());
+        assertThat(model.history()).hasSize(1);
+        assertRefused(
+                RefusalCode.ATTEMPT_FORBIDDEN, () -> model.start(start(OLD, TASK, 1, 1_000), 0, Optional.empty()));
+        assertThat(model.stop(command(OLD, TASK, 4)).state()).isEqualTo(TaskReportState.STOPPED);
+        assertRefused(
+                RefusalCode.ATTEMPT_FORBIDDEN, () -> model.start(start(OLD, TASK, 4, 1_000), 0, Optional.empty()));
+        model.forget(command(OLD, TASK, 2));
+        assertRefused(
+                RefusalCode.ATTEMPT_FORBIDDEN, () -> model.start(start(OLD, TASK, 2, 1_000), 0, Optional.empty()));
+        model.start(start(OLD, TASK, 5, 1_000), 0, Optional.empty());
+        assertThat(model.history()).extracting(RunInterval::attempt).containsExactly(2, 5);
+    }
+
+    @Test
+    void forbidsAnAttemptWhoseStartFailedBecauseItsRepeatMayArriveLate() throws Exception {
+        holdLease(OLD);
+        assertRefused(RefusalCode.START_FAILED, () -> model.start(start(OLD, TASK, 0, 1), 0, Optional.of("fault")));
+        assertRefused(RefusalCode.ATTEMPT_FORBIDDEN, () -> model.start(start(OLD, TASK, 0, 1), 0, Optional.empty()));
+    }
+
+    @Test
+    void refusesWhatDoesNotFitBesideRunningTasks() throws Exception {
+        holdLease(OLD);
+        model.start(start(OLD, TaskId.parse("job.1"), 0, 1_000), 0, Optional.empty());
+        model.start(start(OLD, TaskId.parse("job.2"), 0, 1_000), 0, Optional.empty());
+        assertRefused(RefusalCode.OVER_CAPACITY, () -> model.start(start(OLD, TASK, 0, 1_000), 0, Optional.empty()));
+        model.stop(command(OLD, TaskId.parse("job.1"), 0));
+        assertThat(model.start(start(OLD, TASK, 1, 1_000), 0, Optional.empty()).state())
+                .isEqualTo(TaskReportState.RUNNING);
+    }
+
+    @Test
+    void isDoneOnlyOnceTheResultIsStored() throws Exception {
+        holdLease(OLD);
+        model.start(start(OLD, TASK, 0, 1_000), 400, Optional.empty());
+        clock.advance(Duration.ofMillis(601));
+        Upload result = model.pendingUploads().getFirst();
+        assertThat(model.report(TASK, 0).map(TaskReport::state)).contains(TaskReportState.RUNNING);
+        model.uploaded(result);
+        TaskReport done = model.report(TASK, 0).orElseThrow();
+        assertThat(done.state()).isEqualTo(TaskReportState.DONE);
+        assertThat(done.resultKey()).contains(result.key());
+    }
+
+    @Test
+    void reportsMeasurementsOnlyAfterTheLag() throws Exception {
+        holdLease(OLD);
+        model.start(start(OLD, TASK, 0, 60_000), 0, Optional.empty());
+        clock.advance(Duration.ofMillis(600));
+        assertThat(model.renew(renewal(OLD, Optional.empty())).usage()).isEmpty();
+        clock.advance(Duration.ofMillis(2_100));
+        assertThat(model.renew(renewal(OLD, Optional.empty())).usage())
+                .singleElement()
+                .satisfies(sample -> assertThat(sample.takenAgoMs()).isGreaterThanOrEqualTo(2_000));
+    }
+
+    private RenewAnswer holdLease(Epoch epoch) throws RefusedException {
+        RenewAnswer first = model.renew(renewal(epoch, Optional.empty()));
+        RenewAnswer second = model.renew(renewal(epoch, Optional.of(first.nonce())));
+        assertThat(second.leaseCurrent()).isTrue();
+        return first;
+    }
+
+    private static RenewRequest renewal(Epoch epoch, Optional<String> nonce) {
+        return new RenewRequest(RACK, epoch, nonce, LEASE_MS);
+    }
+
+    private static StartRequest start(Epoch epoch, TaskId task, int attempt, long workMs) {
+        return new StartRequest(
+                RACK,
+                epoch,
+                task,
+                attempt,
+                JsonNodeFactory.instance.objectNode().put("workMs", workMs),
+                HALF,
+                Optional.empty(),
+                true);
+    }
+
+    private static TaskCommand command(Epoch epoch, TaskId task, int attempt) {
+        return new TaskCommand(RACK, epoch, task, attempt, 0);
+    }
+
+    private static void assertRefused(RefusalCode code, org.assertj.core.api.ThrowableAssert.ThrowingCallable call) {
+        assertThatExceptionOfType(RefusedException.class)
+                .isThrownBy(call)
+                .satisfies(refused -> assertThat(refused.refusal().code()).isEqualTo(code));
+    }
+}
