--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/StandinCommand.java
@@ -0,0 +1,59 @@
+package org.tamarackline.standin;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CountDownLatch;
+
+import ch.qos.logback.classic.Level;
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.dropwizard.logging.common.BootstrapLogging;
+import org.kohsuke.args4j.Option;
+import org.tamarackline.cli.Command;
+import org.tamarackline.cli.UsageException;
+
+/** A command that runs one stand-in until it is terminated. */
+public abstract class StandinCommand implements Command {
+
+    @Option(name = "--address", metaVar = "IP:PORT", usage = "where to listen; port 0 lets the kernel choose")
+    private String address = "127.0.0.1:0";
+
+    @Option(name = "--ready-file", metaVar = "FILE", usage = "file that gets the address once requests are accepted")
+    private Path readyFile;
+
+    /** Starts the stand-in and returns the address it listens on. */
+    protected abstract String start(InetSocketAddress listenAddress) throws Exception;
+
+    @Override
+    public final int run() throws Exception {
+        BootstrapLogging.bootstrap(Level.WARN);
+        String boundAddress = start(parse(address));
+        System.out.println("listening on " + boundAddress);
+        if (readyFile != null) {
+            writeWhole(readyFile, boundAddress);
+        }
+        CountDownLatch never = new CountDownLatch(1);
+        never.await();
+        return 0;
+    }
+
+    private static InetSocketAddress parse(String text) throws UsageException {
+        try {
+            HostAndPort hostAndPort = HostAndPort.fromString(text);
+            InetAddress host = InetAddresses.forString(hostAndPort.getHost());
+            return new InetSocketAddress(host, hostAndPort.getPort());
+        } catch (IllegalArgumentException | IllegalStateException invalid) {
+            throw new UsageException("--address must be an IP number and a port, such as 127.0.0.1:0");
+        }
+    }
+
+    /** Writes a file that readers see either whole or not at all. */
+    private static void writeWhole(Path file, String content) throws Exception {
+        Path partial = file.resolveSibling(file.getFileName() + ".part");
+        Files.writeString(partial, content);
+        Files.move(partial, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+}
--- a/src/main/java/org/tamarackline/standin/StandinExchange.java
+++ b/src/main/java/org/tamarackline/standin/StandinExchange.java
@@ -7,8 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
@@ -89,23 +87,6 @@
         }
     }
 
-    /**
-     * Returns {@code current} changed by the fields of the JSON object in the body.
-     *
-     * @throws IllegalArgumentException if the body is not of the expected form
-     */
-    public <T> T jsonOver(T current, Class<T> type) throws IOException {
-        ObjectMapper mapper = StandinJson.mapper();
-        byte[] content = body();
-        try {
-            JsonNode merged = mapper.readerForUpdating(mapper.<JsonNode>valueToTree(current))
-                    .readTree(content);
-            return mapper.treeToValue(merged, type);
-        } catch (IOException malformed) {
-            throw new IllegalArgumentException("body is not a valid " + type.getSimpleName(), malformed);
-        }
-    }
-
     /** Sets a header of the answer. */
     public void setHeader(String name, String value) {
         response.getHeaders().put(name, value);
--- a/src/test/java/org/tamarackline/standin/worker/WorkerModelTest.java
+++ b/src/test/java/org/tamarackline/standin/worker/WorkerModelTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.model.Epoch;
 import org.tamarackline.core.model.Resources;
@@ -169,7 +170,7 @@
         return new TaskCommand(RACK, epoch, task, attempt, 0);
     }
 
-    private static void assertRefused(RefusalCode code, org.assertj.core.api.ThrowableAssert.ThrowingCallable call) {
+    private static void assertRefused(RefusalCode code, ThrowingCallable call) {
         assertThatExceptionOfType(RefusedException.class)
                 .isThrownBy(call)
                 .satisfies(refused -> assertThat(refused.refusal().code()).isEqualTo(code));
