Add the load command

It sends an open-loop load through entry nodes and, in turns with it, straight to the upstream stand-ins, so that both meet the same machine. Latency counts from the moment at which a request was due.

--- /dev/null
+++ b/src/main/java/org/tamarackline/load/LoadCommand.java
@@ -0,0 +1,140 @@
+package org.tamarackline.load;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import ch.qos.logback.classic.Level;
+import io.dropwizard.logging.common.BootstrapLogging;
+import org.kohsuke.args4j.Option;
+import org.tamarackline.cli.Command;
+import org.tamarackline.cli.ExitCodes;
+import org.tamarackline.cli.UsageException;
+import org.tamarackline.standin.StandinJson;
+import org.tamarackline.standin.upstream.StandinUpstream;
+
+/**
+ * Sends an open-loop load to entry nodes and prints latency percentiles.
+ *
+ * <p>With {@code --direct} it sends the same load straight to the upstream stand-ins, in turns with the load through the
+ * entry nodes, so that both meet the same machine.
+ */
+public final class LoadCommand implements Command {
+
+    private static final int ENTRY_CONNECTIONS = 256;
+
+    /** Connections that a runner accepts. */
+    private static final int RUNNER_CONNECTIONS = 64;
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(15);
+
+    @Option(name = "--target", metaVar = "URL", usage = "base URL of an entry node; repeatable", required = true)
+    private List<String> targets = new ArrayList<>();
+
+    @Option(name = "--direct", metaVar = "URL", usage = "base URL of an upstream to compare with; repeatable")
+    private List<String> directTargets = new ArrayList<>();
+
+    @Option(name = "--service", metaVar = "NAME", usage = "service to call")
+    private String service = "quotes";
+
+    @Option(name = "--rate", metaVar = "N", usage = "requests a second")
+    private int ratePerSecond = 200;
+
+    @Option(name = "--duration-s", metaVar = "S", usage = "seconds of load in each of the two ways")
+    private int durationSeconds = 10;
+
+    @Option(name = "--warmup-s", metaVar = "S", usage = "seconds of load before the measurement")
+    private int warmupSeconds = 2;
+
+    @Option(name = "--rounds", metaVar = "N", usage = "turns into which the load is split with --direct")
+    private int rounds = 2;
+
+    @Option(name = "--body-bytes", metaVar = "N", usage = "length of each request's body")
+    private int bodyBytes = 200;
+
+    @Option(name = "--work-ms", metaVar = "MS", usage = "service time that is asked of the upstreams")
+    private int workMs = 5;
+
+    @Option(name = "--deadline-ms", metaVar = "MS", usage = "deadline of each request")
+    private int deadlineMs = 5_000;
+
+    @Option(name = "--token-file", metaVar = "FILE", usage = "file with the caller's token")
+    private Path tokenFile;
+
+    @Option(name = "--report", metaVar = "FILE", usage = "JSON file to write the report to")
+    private Path reportFile;
+
+    @Override
+    public int run() throws Exception {
+        BootstrapLogging.bootstrap(Level.WARN);
+        checkOptions();
+        Duration measured = Duration.ofSeconds(durationSeconds);
+        LoadPlan plan =
+                new LoadPlan(ratePerSecond, measured, "/services/" + service + "/load", headers(), bodyBytes, TIMEOUT);
+        LoadReport report = measure(plan, measured);
+        LoadTable.print(System.out, report);
+        if (reportFile != null) {
+            StandinJson.mapper().writerWithDefaultPrettyPrinter().writeValue(reportFile.toFile(), report);
+        }
+        return isSound(report.entry()) ? ExitCodes.DONE : ExitCodes.FAILED;
+    }
+
+    private void checkOptions() throws UsageException {
+        if (ratePerSecond < 1 || durationSeconds < 1 || rounds < 1 || warmupSeconds < 0 || bodyBytes < 0) {
+            throw new UsageException(
+                    "--rate, --duration-s and --rounds must be at least 1, --warmup-s and --body-bytes at least 0");
+        }
+    }
+
+    private LoadReport measure(LoadPlan plan, Duration measured) throws InterruptedException {
+        LoadRecorder entry = new LoadRecorder();
+        LoadRecorder direct = new LoadRecorder();
+        LoadPlan warmup = plan.withDuration(Duration.ofSeconds(warmupSeconds));
+        boolean withDirect = !directTargets.isEmpty();
+        int turns = withDirect ? rounds : 1;
+        LoadPlan turn = plan.withDuration(measured.dividedBy(turns));
+        try (LoadClient entryClient = new LoadClient(ENTRY_CONNECTIONS, TIMEOUT);
+                LoadClient directClient = new LoadClient(RUNNER_CONNECTIONS, TIMEOUT)) {
+            send(entryClient, new LoadRecorder(), warmup, targets);
+            if (withDirect) {
+                send(directClient, new LoadRecorder(), warmup, directTargets);
+            }
+            for (int i = 0; i < turns; i++) {
+                if (withDirect) {
+                    send(directClient, direct, turn, directTargets);
+                }
+                send(entryClient, entry, turn, targets);
+            }
+        }
+        Optional<LoadResult> directResult = withDirect ? Optional.of(direct.result()) : Optional.empty();
+        return LoadReport.of(plan, measured, targets.size(), entry.result(), directResult);
+    }
+
+    private static void send(LoadClient client, LoadRecorder recorder, LoadPlan plan, List<String> urls)
+            throws InterruptedException {
+        new LoadRunner(client, recorder, outcome -> {})
+                .run(plan, urls, UUID.randomUUID().toString());
+    }
+
+    private Map<String, String> headers() throws Exception {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put(StandinUpstream.WORK_HEADER, Integer.toString(workMs));
+        headers.put("Tamarackline-Deadline-Ms", Integer.toString(deadlineMs));
+        if (tokenFile != null) {
+            headers.put("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+        }
+        return headers;
+    }
+
+    private static boolean isSound(LoadResult result) {
+        return result.count(RequestOutcome.Kind.ANSWERED) > 0
+                && result.count(RequestOutcome.Kind.MISMATCHED) == 0
+                && result.count(RequestOutcome.Kind.BROKEN) == 0;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/load/LoadRunnerTest.java
@@ -0,0 +1,83 @@
+package org.tamarackline.load;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.standin.StandinExchange;
+import org.tamarackline.standin.StandinServer;
+import org.tamarackline.standin.upstream.StandinUpstream;
+import org.tamarackline.standin.upstream.UpstreamFaults;
+import org.tamarackline.standin.upstream.UpstreamOptions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against a load client that takes a wrong or cut answer for a good one, or hides slow answers. */
+class LoadRunnerTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final LoadPlan PLAN =
+            new LoadPlan(200, Duration.ofSeconds(1), "/services/s/load", Map.of(), 300, TIMEOUT);
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private final LoadRecorder recorder = new LoadRecorder();
+    private final LoadClient client = new LoadClient(64, TIMEOUT);
+    private StandinUpstream upstream;
+
+    @BeforeEach
+    void start() throws Exception {
+        upstream = StandinUpstream.start(new UpstreamOptions(ANY_PORT, 8, Duration.ZERO));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.close();
+        upstream.close();
+    }
+
+    @Test
+    void sendsEveryRequestOnceAndChecksTheAnswers() throws Exception {
+        LoadResult result = run(upstream.address());
+        assertThat(result.outcomes()).containsExactly(Map.entry(RequestOutcome.Kind.ANSWERED, 200L));
+        assertThat(result.latency().count()).isEqualTo(200);
+        assertThat(upstream.history().requests())
+                .hasSize(200)
+                .allSatisfy((id, count) -> assertThat(count).isEqualTo(1));
+    }
+
+    @Test
+    void countsCutAnswersAsBroken() throws Exception {
+        upstream.setFaults(new UpstreamFaults(0, 0, false, true, false));
+        assertThat(run(upstream.address()).outcomes()).containsExactly(Map.entry(RequestOutcome.Kind.BROKEN, 200L));
+    }
+
+    @Test
+    void countsAnswersToAnotherRequestAsMismatched() throws Exception {
+        try (StandinServer swapping = StandinServer.start(ANY_PORT, LoadRunnerTest::answerWithAnotherBody)) {
+            assertThat(run(swapping.address()).outcomes())
+                    .containsExactly(Map.entry(RequestOutcome.Kind.MISMATCHED, 200L));
+        }
+    }
+
+    @Test
+    void measuresFromTheTimeAtWhichARequestWasDue() throws Exception {
+        upstream.setFaults(new UpstreamFaults(300, 0, false, false, false));
+        assertThat(run(upstream.address()).latency().p50Ms()).isGreaterThanOrEqualTo(300);
+    }
+
+    private static void answerWithAnotherBody(StandinExchange exchange) throws Exception {
+        byte[] body = exchange.body();
+        body[0]++;
+        exchange.answer(200, body);
+    }
+
+    private LoadResult run(String address) throws Exception {
+        new LoadRunner(client, recorder, outcome -> {}).run(PLAN, List.of("http://" + address), "run");
+        return recorder.result();
+    }
+}
