Add the command line, settings, JSON logging and the entry application

The binary printed its name only. It now finds commands in a registry, reads TOML settings and lists all their mistakes at once, and starts a node with one port for callers and one for operators.

--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/CheckConfigCommand.java
@@ -0,0 +1,20 @@
+package org.tamarackline.cli;
+
+import java.nio.file.Path;
+
+import org.kohsuke.args4j.Argument;
+import org.tamarackline.settings.SettingsChecker;
+
+/** Checks a settings file without starting anything. */
+final class CheckConfigCommand implements Command {
+
+    @Argument(metaVar = "FILE", usage = "settings file of an entry node", required = true)
+    private Path file;
+
+    @Override
+    public int run() throws Exception {
+        SettingsChecker.read(SettingsFiles.readable(file));
+        System.out.println(file + ": no mistakes");
+        return ExitCodes.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/CommandLine.java
@@ -0,0 +1,100 @@
+package org.tamarackline.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.ParserProperties;
+import org.tamarackline.settings.SettingsException;
+
+/** Finds the command that the arguments name, sets its options, runs it and turns failures into exit codes. */
+final class CommandLine {
+
+    private static final String HELP = "--help";
+    private static final int HELP_WIDTH_CHARACTERS = 100;
+
+    private final PrintStream output;
+    private final PrintStream errors;
+
+    CommandLine(PrintStream output, PrintStream errors) {
+        this.output = output;
+        this.errors = errors;
+    }
+
+    /** Runs the command named by {@code arguments} and returns the exit code. */
+    int run(List<String> arguments) {
+        if (arguments.isEmpty()) {
+            printOverview(errors);
+            return ExitCodes.WRONG_USAGE;
+        }
+        String first = arguments.getFirst();
+        if (first.equals(HELP) || first.equals("-h")) {
+            printOverview(output);
+            return ExitCodes.DONE;
+        }
+        if (first.equals("--version")) {
+            output.println("tamarackline " + Versions.current());
+            return ExitCodes.DONE;
+        }
+        Optional<CommandRegistry.Entry> entry = CommandRegistry.find(arguments);
+        if (entry.isEmpty()) {
+            errors.printf("There is no command \"%s\"; \"tamarackline --help\" lists the commands.%n", first);
+            return ExitCodes.WRONG_USAGE;
+        }
+        int nameLength = CommandRegistry.wordCount(entry.get());
+        return runCommand(entry.get(), arguments.subList(nameLength, arguments.size()));
+    }
+
+    private int runCommand(CommandRegistry.Entry entry, List<String> arguments) {
+        Command command = entry.factory().get();
+        CmdLineParser parser =
+                new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(HELP_WIDTH_CHARACTERS));
+        if (arguments.contains(HELP) || arguments.contains("-h")) {
+            printCommandHelp(entry, parser);
+            return ExitCodes.DONE;
+        }
+        try {
+            parser.parseArgument(arguments);
+            return command.run();
+        } catch (CmdLineException | UsageException e) {
+            errors.println(e.getMessage());
+            errors.printf("\"tamarackline %s --help\" shows the options.%n", entry.name());
+            return ExitCodes.WRONG_USAGE;
+        } catch (SettingsException e) {
+            errors.println(e.getMessage());
+            return ExitCodes.WRONG_USAGE;
+        } catch (Exception e) {
+            String reason = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+            errors.println("tamarackline %s: %s".formatted(entry.name(), reason));
+            return ExitCodes.FAILED;
+        }
+    }
+
+    private void printOverview(PrintStream stream) {
+        stream.println("Usage: tamarackline COMMAND [OPTIONS]");
+        stream.println();
+        stream.println("Commands:");
+        for (CommandRegistry.Entry entry : CommandRegistry.entries()) {
+            stream.printf("  %-24s %s%n", entry.name(), entry.summary());
+        }
+        stream.println();
+        stream.println("\"tamarackline COMMAND --help\" shows the options of a command, --version the version.");
+        printExitCodes(stream);
+    }
+
+    private void printCommandHelp(CommandRegistry.Entry entry, CmdLineParser parser) {
+        String options = parser.printExample(org.kohsuke.args4j.OptionHandlerFilter.REQUIRED);
+        output.printf("Usage: tamarackline %s%s [OPTIONS]%n%n", entry.name(), options);
+        output.println(entry.summary() + ".");
+        output.println();
+        parser.printUsage(output);
+        output.println();
+        printExitCodes(output);
+    }
+
+    private static void printExitCodes(PrintStream stream) {
+        stream.println("Exit codes: 0 done, 1 failed or refused, 2 wrong usage or settings.");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -0,0 +1,50 @@
+package org.tamarackline.cli;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** The commands of the binary, in the order of the help text. */
+final class CommandRegistry {
+
+    /**
+     * A command and what {@code --help} says about it.
+     *
+     * @param name words after {@code tamarackline}
+     * @param summary what the command does
+     * @param factory creates the command with the defaults of its options
+     */
+    record Entry(String name, String summary, Supplier<Command> factory) {}
+
+    private static final List<Entry> ENTRIES = List.of(
+            new Entry("entry", "Runs an entry node", EntryCommand::new),
+            new Entry("check-config", "Checks a settings file and lists all its mistakes", CheckConfigCommand::new));
+
+    private CommandRegistry() {}
+
+    static List<Entry> entries() {
+        return ENTRIES;
+    }
+
+    /** Returns the command whose name is the longest run of words that {@code words} starts with. */
+    static Optional<Entry> find(List<String> words) {
+        Optional<Entry> found = Optional.empty();
+        for (Entry entry : ENTRIES) {
+            List<String> name = List.of(entry.name().split(" ", -1));
+            boolean longer = found.isEmpty() || name.size() > wordCount(found.get());
+            if (longer && startsWith(words, name)) {
+                found = Optional.of(entry);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the number of words in the name of {@code entry}. */
+    static int wordCount(Entry entry) {
+        return entry.name().split(" ", -1).length;
+    }
+
+    private static boolean startsWith(List<String> words, List<String> start) {
+        return words.size() >= start.size() && words.subList(0, start.size()).equals(start);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/EntryCommand.java
@@ -0,0 +1,35 @@
+package org.tamarackline.cli;
+
+import java.nio.file.Path;
+import java.util.Map;
+
+import org.kohsuke.args4j.Option;
+import org.tamarackline.entry.EntryModules;
+import org.tamarackline.entry.EntryNode;
+import org.tamarackline.logging.JsonLogging;
+import org.tamarackline.logging.LogField;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.SettingsChecker;
+
+/** Runs an entry node until SIGTERM or SIGINT, then drains it. */
+final class EntryCommand implements Command {
+
+    @Option(name = "--config", metaVar = "FILE", usage = "settings file of the node", required = true)
+    private Path file;
+
+    @Override
+    public int run() throws Exception {
+        EntrySettings settings = SettingsChecker.read(SettingsFiles.readable(file));
+        JsonLogging.install(System.err, Map.of(LogField.NODE, settings.node().value()));
+        EntryNode node = EntryNode.start(settings, EntryModules.standard());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndExit(node), "drain"));
+        node.awaitStopped();
+        return ExitCodes.DONE;
+    }
+
+    /** Runs as a shutdown hook. Halts with its own exit code, because the virtual machine would report the signal. */
+    private static void drainAndExit(EntryNode node) {
+        int exitCode = node.drain() ? ExitCodes.DONE : ExitCodes.FAILED;
+        Runtime.getRuntime().halt(exitCode);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/SettingsFiles.java
@@ -0,0 +1,22 @@
+package org.tamarackline.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Static helpers for settings files named on the command line. */
+final class SettingsFiles {
+
+    private SettingsFiles() {}
+
+    /**
+     * Returns {@code file} if it can be read.
+     *
+     * @throws UsageException if it cannot
+     */
+    static Path readable(Path file) throws UsageException {
+        if (!Files.isRegularFile(file) || !Files.isReadable(file)) {
+            throw new UsageException("File \"%s\" cannot be read; name a settings file.".formatted(file));
+        }
+        return file;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the {@code tamarackline} binary. */
+package org.tamarackline.cli;
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/AdmissionFilter.java
@@ -0,0 +1,29 @@
+package org.tamarackline.entry;
+
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.container.ContainerRequestFilter;
+import jakarta.ws.rs.container.PreMatching;
+import jakarta.ws.rs.core.Response;
+
+/** Refuses callers' requests once the node has closed admission on its way to shutdown. */
+@PreMatching
+final class AdmissionFilter implements ContainerRequestFilter {
+
+    private final Readiness readiness;
+
+    AdmissionFilter(Readiness readiness) {
+        this.readiness = readiness;
+    }
+
+    @Override
+    public void filter(ContainerRequestContext request) {
+        if (readiness.admits()
+                || HealthResource.isHealthPath(request.getUriInfo().getPath())) {
+            return;
+        }
+        String detail = "the node is shutting down; send the request to another node";
+        Response refusal = new ErrorAnswer(ErrorCode.DRAINING, detail, Executed.NO).toResponse();
+        refusal.getHeaders().putSingle("Connection", "close");
+        request.abortWith(refusal);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/BodyLimitFilter.java
@@ -0,0 +1,73 @@
+package org.tamarackline.entry;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.container.ContainerRequestFilter;
+import jakarta.ws.rs.container.PreMatching;
+import jakarta.ws.rs.core.HttpHeaders;
+
+/** Refuses bodies above a limit, by their declared length or while they are read. */
+@PreMatching
+final class BodyLimitFilter implements ContainerRequestFilter {
+
+    private final long limitBytes;
+
+    BodyLimitFilter(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    @Override
+    public void filter(ContainerRequestContext request) {
+        if (declaredLengthBytes(request) > limitBytes) {
+            String detail = "the body has more than %d bytes; send less at once".formatted(limitBytes);
+            request.abortWith(new ErrorAnswer(ErrorCode.BODY_TOO_LARGE, detail, Executed.NO).toResponse());
+            return;
+        }
+        request.setEntityStream(new LimitedStream(request.getEntityStream(), limitBytes));
+    }
+
+    private static long declaredLengthBytes(ContainerRequestContext request) {
+        String declared = request.getHeaderString(HttpHeaders.CONTENT_LENGTH);
+        try {
+            return declared == null ? 0 : Long.parseLong(declared);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** Fails once more than the limit was read. */
+    private static final class LimitedStream extends FilterInputStream {
+
+        private final long limitBytes;
+        private long readBytes;
+
+        LimitedStream(InputStream source, long limitBytes) {
+            super(source);
+            this.limitBytes = limitBytes;
+        }
+
+        @Override
+        public int read() throws IOException {
+            int value = super.read();
+            count(value < 0 ? 0 : 1);
+            return value;
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            int count = super.read(buffer, offset, length);
+            count(Math.max(count, 0));
+            return count;
+        }
+
+        private void count(int bytes) throws BodyTooLargeException {
+            readBytes += bytes;
+            if (readBytes > limitBytes) {
+                throw new BodyTooLargeException(limitBytes);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/BodyTooLargeException.java
@@ -0,0 +1,14 @@
+package org.tamarackline.entry;
+
+import java.io.IOException;
+
+/** A request body that is larger than allowed. */
+public final class BodyTooLargeException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    /** Creates the exception for a body above {@code limitBytes}. */
+    public BodyTooLargeException(long limitBytes) {
+        super("the body has more than %d bytes".formatted(limitBytes));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/EntryModules.java
@@ -0,0 +1,17 @@
+package org.tamarackline.entry;
+
+import java.util.List;
+
+import com.google.inject.Module;
+import org.tamarackline.entry.operator.OperatorModule;
+
+/** The Guice modules of an entry node, in the order in which their managed objects start. */
+public final class EntryModules {
+
+    private EntryModules() {}
+
+    /** Returns the modules of a node. */
+    public static List<Module> standard() {
+        return List.of(new OperatorModule());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/EntryServerFactory.java
@@ -0,0 +1,106 @@
+package org.tamarackline.entry;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheckRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.dropwizard.core.server.DefaultServerFactory;
+import io.dropwizard.core.setup.AdminEnvironment;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jersey.DropwizardResourceConfig;
+import io.dropwizard.jersey.jackson.JacksonFeature;
+import io.dropwizard.jersey.setup.JerseyServletContainer;
+import io.dropwizard.jetty.ConnectorFactory;
+import io.dropwizard.jetty.GzipHandlerFactory;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.jetty.MutableServletContextHandler;
+import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
+import org.eclipse.jetty.ee10.servlet.ServletHolder;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Server;
+import org.tamarackline.settings.Addresses;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Builds one Jetty server with two connectors: callers' resources answer on one, operators' resources on the other.
+ *
+ * <p>The operators' connector serves Jersey resources in place of Dropwizard's own admin servlet, because the tasks of
+ * that servlet ask for no credential.
+ */
+final class EntryServerFactory extends DefaultServerFactory {
+
+    private static final Duration STOP_MARGIN = Duration.ofSeconds(1);
+
+    private final DropwizardResourceConfig operatorResources;
+    private final ObjectMapper operatorMapper;
+
+    EntryServerFactory(
+            EntrySettings settings, DropwizardResourceConfig operatorResources, ObjectMapper operatorMapper) {
+        this.operatorResources = operatorResources;
+        this.operatorMapper = operatorMapper;
+        setApplicationConnectors(List.of(connector(settings.callerAddress())));
+        setAdminConnectors(List.of(connector(settings.operatorAddress())));
+        setRegisterDefaultExceptionMappers(false);
+        setMaxThreads(HttpLimits.MAX_THREADS);
+        setAdminMaxThreads(HttpLimits.MAX_THREADS);
+        setEnableVirtualThreads(true);
+        setEnableAdminVirtualThreads(true);
+        setEnableThreadNameFilter(false);
+        Duration stopTime = settings.requests().requestLimit().plus(STOP_MARGIN);
+        setShutdownGracePeriod(io.dropwizard.util.Duration.milliseconds(stopTime.toMillis()));
+        disableGzip();
+        disableRequestLog();
+    }
+
+    @Override
+    public Server build(Environment environment) {
+        Server server = super.build(environment);
+        // The drain sequence stops the server; Jetty's own hook would stop it before the load balancer has reacted.
+        server.setStopAtShutdown(false);
+        server.setErrorHandler(new JsonErrorHandler());
+        environment.getApplicationContext().setErrorHandler(new JsonErrorHandler());
+        return server;
+    }
+
+    @Override
+    protected Handler createAdminServlet(
+            Server server,
+            MutableServletContextHandler handler,
+            MetricRegistry metrics,
+            HealthCheckRegistry healthChecks,
+            AdminEnvironment admin) {
+        operatorResources.register(new JacksonFeature(operatorMapper));
+        MutableServletContextHandler operators = new MutableServletContextHandler();
+        operators.setServer(server);
+        operators.setContextPath("/");
+        operators.setErrorHandler(new JsonErrorHandler());
+        operators.addServlet(new ServletHolder("operators", new JerseyServletContainer(operatorResources)), "/*");
+        return operators;
+    }
+
+    private static ConnectorFactory connector(String address) {
+        HttpConnectorFactory connector = new HttpConnectorFactory();
+        connector.setBindHost(Addresses.host(address));
+        connector.setPort(Addresses.port(address));
+        connector.setMaxRequestHeaderSize(HttpLimits.HEADER_SIZE);
+        connector.setIdleTimeout(HttpLimits.IDLE_TIMEOUT);
+        connector.setAcceptQueueSize(HttpLimits.ACCEPT_QUEUE_LENGTH);
+        connector.setUseServerHeader(false);
+        return connector;
+    }
+
+    /** Bodies pass through unchanged: callers get the bytes of the upstream. */
+    private void disableGzip() {
+        GzipHandlerFactory gzip = new GzipHandlerFactory();
+        gzip.setEnabled(false);
+        setGzipFilterFactory(gzip);
+    }
+
+    private void disableRequestLog() {
+        LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
+        requestLog.setAppenders(List.of());
+        setRequestLogFactory(requestLog);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/HealthResource.java
@@ -0,0 +1,69 @@
+package org.tamarackline.entry;
+
+import java.util.Set;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+
+/** Liveness and readiness, on both ports and without a credential, because load balancers carry none. */
+@Singleton
+@Path("/")
+@Produces(MediaType.APPLICATION_JSON)
+public final class HealthResource {
+
+    private static final String LIVE_PATH = "live";
+    private static final String READY_PATH = "ready";
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final Readiness readiness;
+
+    /** Creates the resource. */
+    @Inject
+    public HealthResource(Readiness readiness) {
+        this.readiness = readiness;
+    }
+
+    /**
+     * Answer to a readiness check.
+     *
+     * @param ready whether requests should be sent to this node
+     * @param reasons why not
+     */
+    public record ReadyAnswer(boolean ready, Set<Readiness.Reason> reasons) {}
+
+    /**
+     * Answer to a liveness check.
+     *
+     * @param live always true
+     */
+    public record LiveAnswer(boolean live) {}
+
+    /** Returns whether {@code path} needs neither a credential nor admission. */
+    public static boolean isHealthPath(String path) {
+        return path.equals(LIVE_PATH) || path.equals(READY_PATH);
+    }
+
+    /** Answers 200 as long as the process handles requests. */
+    @GET
+    @Path(LIVE_PATH)
+    public LiveAnswer live() {
+        return new LiveAnswer(true);
+    }
+
+    /** Answers 200 if the node is ready, else 503 with the reasons. */
+    @GET
+    @Path(READY_PATH)
+    public Response ready() {
+        Set<Readiness.Reason> reasons = readiness.reasons();
+        int status = reasons.isEmpty() ? OK : UNAVAILABLE;
+        return Response.status(status)
+                .entity(new ReadyAnswer(reasons.isEmpty(), reasons))
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/OutcomeCounter.java
@@ -0,0 +1,31 @@
+package org.tamarackline.entry;
+
+import com.google.inject.Inject;
+import io.micrometer.core.instrument.MeterRegistry;
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.container.ContainerResponseContext;
+import jakarta.ws.rs.container.ContainerResponseFilter;
+
+/** Counts callers' requests by status class and by what the answer promises about having run. */
+final class OutcomeCounter implements ContainerResponseFilter {
+
+    private static final int STATUS_CLASS = 100;
+
+    private final MeterRegistry meters;
+
+    @Inject
+    OutcomeCounter(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    @Override
+    public void filter(ContainerRequestContext request, ContainerResponseContext response) {
+        if (HealthResource.isHealthPath(request.getUriInfo().getPath())) {
+            return;
+        }
+        String statusClass = response.getStatus() / STATUS_CLASS + "xx";
+        String executed = response.getHeaderString(Executed.HEADER);
+        meters.counter("caller_requests_total", "status", statusClass, "executed", executed == null ? "" : executed)
+                .increment();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/ServerStop.java
@@ -0,0 +1,34 @@
+package org.tamarackline.entry;
+
+import java.time.Duration;
+
+import com.google.common.flogger.FluentLogger;
+import org.eclipse.jetty.server.Server;
+
+/** Ends the requests in flight, then closes the ports and stops the managed objects of all modules. */
+final class ServerStop implements DrainStep {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Server server;
+
+    ServerStop(Server server) {
+        this.server = server;
+    }
+
+    @Override
+    public String name() {
+        return "end of requests in flight";
+    }
+
+    @Override
+    public boolean drain(Duration bound) {
+        try {
+            server.stop();
+            return true;
+        } catch (Exception e) {
+            LOGGER.atWarning().withCause(e).log("the server did not stop in order");
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/UncaughtExceptionMapper.java
@@ -0,0 +1,73 @@
+package org.tamarackline.entry;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
+import jakarta.ws.rs.WebApplicationException;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.ext.ExceptionMapper;
+
+/** Turns every exception that a resource did not handle into a typed answer without a stack trace. */
+final class UncaughtExceptionMapper implements ExceptionMapper<Throwable> {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    @Override
+    public Response toResponse(Throwable failure) {
+        if (failure instanceof WebApplicationException webFailure) {
+            return ofWebFailure(webFailure);
+        }
+        Optional<BodyTooLargeException> tooLarge = findTooLarge(failure);
+        if (tooLarge.isPresent()) {
+            String detail = tooLarge.get().getMessage() + "; send less at once";
+            return new ErrorAnswer(ErrorCode.BODY_TOO_LARGE, detail, Executed.NO).toResponse();
+        }
+        if (failure instanceof JsonProcessingException malformed) {
+            return new ErrorAnswer(ErrorCode.BAD_REQUEST, describe(malformed), Executed.NO).toResponse();
+        }
+        LOGGER.atSevere().withCause(failure).log("request failed with an error that nothing handled");
+        String detail = "the node failed while it handled the request; its log has the cause";
+        return new ErrorAnswer(ErrorCode.INTERNAL, detail, Executed.UNKNOWN).toResponse();
+    }
+
+    private static Response ofWebFailure(WebApplicationException failure) {
+        Response response = failure.getResponse();
+        if (response.hasEntity()) {
+            return response;
+        }
+        if (findTooLarge(failure).isPresent()) {
+            String detail = "the body is larger than allowed; send less at once";
+            return new ErrorAnswer(ErrorCode.BODY_TOO_LARGE, detail, Executed.NO).toResponse();
+        }
+        ErrorCode code = ErrorCode.ofStatus(response.getStatus());
+        Executed executed = code == ErrorCode.INTERNAL ? Executed.UNKNOWN : Executed.NO;
+        return new ErrorAnswer(code, "the request cannot be handled: " + phrase(response), executed).toResponse();
+    }
+
+    private static String phrase(Response response) {
+        return response.getStatusInfo().getReasonPhrase();
+    }
+
+    /** Names the place of the fault only, because the original message quotes the body and names classes. */
+    private static String describe(JsonProcessingException malformed) {
+        String place = malformed.getLocation() == null
+                ? ""
+                : " at line %d, column %d"
+                        .formatted(
+                                malformed.getLocation().getLineNr(),
+                                malformed.getLocation().getColumnNr());
+        return "the body is not the expected JSON" + place;
+    }
+
+    private static Optional<BodyTooLargeException> findTooLarge(Throwable failure) {
+        Throwable current = failure;
+        while (current != null) {
+            if (current instanceof BodyTooLargeException tooLarge) {
+                return Optional.of(tooLarge);
+            }
+            current = current.getCause();
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface of operators. */
+package org.tamarackline.entry.operator;
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/package-info.java
@@ -0,0 +1,2 @@
+/** One entry node: its application, its modules, readiness and shutdown. */
+package org.tamarackline.entry;
--- /dev/null
+++ b/src/main/java/org/tamarackline/logging/LogContexts.java
@@ -0,0 +1,41 @@
+package org.tamarackline.logging;
+
+import org.slf4j.MDC;
+
+/** Static helpers that attach fields to the log lines of the running thread. */
+public final class LogContexts {
+
+    private LogContexts() {}
+
+    /**
+     * Work that returns a value.
+     *
+     * @param <T> type of the value
+     * @param <E> type of the failure
+     */
+    @FunctionalInterface
+    public interface Work<T, E extends Exception> {
+
+        /** Does the work. */
+        T call() throws E;
+    }
+
+    /** Runs {@code work}; each line that this thread logs meanwhile carries {@code field}. */
+    public static <T, E extends Exception> T with(LogField field, Object value, Work<T, E> work) throws E {
+        String previous = MDC.get(field.key());
+        MDC.put(field.key(), String.valueOf(value));
+        try {
+            return work.call();
+        } finally {
+            restore(field, previous);
+        }
+    }
+
+    private static void restore(LogField field, String previous) {
+        if (previous == null) {
+            MDC.remove(field.key());
+        } else {
+            MDC.put(field.key(), previous);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Log output as one JSON object a line. */
+package org.tamarackline.logging;
--- /dev/null
+++ b/src/main/java/org/tamarackline/settings/SettingsChecker.java
@@ -0,0 +1,357 @@
+package org.tamarackline.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Identifiers;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.settings.EntrySettings.ClusterTimes;
+import org.tamarackline.settings.EntrySettings.JobLimits;
+import org.tamarackline.settings.EntrySettings.RequestLimits;
+
+/** Reads the settings of an entry node from TOML and finds all mistakes in one run. */
+public final class SettingsChecker {
+
+    /** Shortest credential, in characters. */
+    public static final int MIN_SECRET_LENGTH = 16;
+
+    /** Longest credential, in characters. */
+    public static final int MAX_SECRET_LENGTH = 1_024;
+
+    private static final String ADDRESS_RULE =
+            "must be an IPv4 number and a port from 1 to 65535, such as \"10.0.0.5:7400\"";
+    private static final String IDENTIFIER_RULE =
+            "must be 1 to %d letters, digits, spaces or ._:-, starting with a letter or digit"
+                    .formatted(Identifiers.MAX_LENGTH);
+    private static final String SECRET_RULE = "must have %d to %d printable ASCII characters without spaces"
+            .formatted(MIN_SECRET_LENGTH, MAX_SECRET_LENGTH);
+    private static final String PLACEHOLDER = "0";
+    private static final int RENEWALS_PER_LEASE = 3;
+    private static final char FIRST_PRINTABLE = '!';
+    private static final char LAST_PRINTABLE = '~';
+
+    private final Path directory;
+    private final SettingsText text;
+    private final List<SettingsMistake> mistakes = new ArrayList<>();
+
+    private SettingsChecker(Path directory, SettingsText text) {
+        this.directory = directory;
+        this.text = text;
+    }
+
+    /**
+     * Reads the file at {@code file}. Names of credential files in it are relative to its directory.
+     *
+     * @throws IOException if the file cannot be read
+     * @throws SettingsException if it has mistakes
+     */
+    public static EntrySettings read(Path file) throws IOException, SettingsException {
+        Path directory = file.toAbsolutePath().getParent();
+        return check(file.toString(), Files.readString(file), directory);
+    }
+
+    /**
+     * Checks the text of a settings file.
+     *
+     * @param source name of the file in messages
+     * @param directory directory to which names of credential files are relative
+     * @throws SettingsException if the text has mistakes
+     */
+    public static EntrySettings check(String source, String toml, Path directory) throws SettingsException {
+        JsonNode tree = parse(source, toml);
+        SettingsChecker checker = new SettingsChecker(directory, new SettingsText(toml));
+        EntrySettings settings = checker.readRoot(tree);
+        if (!checker.mistakes.isEmpty()) {
+            throw new SettingsException(source, checker.mistakes);
+        }
+        return settings;
+    }
+
+    private static JsonNode parse(String source, String toml) throws SettingsException {
+        try {
+            return new TomlMapper().readTree(toml);
+        } catch (JacksonException e) {
+            JsonLocation location = e.getLocation();
+            OptionalInt line = location == null ? OptionalInt.empty() : OptionalInt.of(location.getLineNr());
+            // The original message may quote the line, which may hold a credential.
+            throw new SettingsException(
+                    source,
+                    List.of(new SettingsMistake(
+                            "", "", "the file is not valid TOML here; write each setting as key = value", line)));
+        }
+    }
+
+    private EntrySettings readRoot(JsonNode tree) {
+        SettingsSection root = new SettingsSection("", tree, text, mistakes);
+        NodeId node = new NodeId(orPlaceholder(root.required("node", Addresses::isIpAndPort, ADDRESS_RULE)));
+        Region region = new Region(orPlaceholder(root.required("region", Identifiers::isValid, IDENTIFIER_RULE)));
+        DataCentre dataCentre =
+                new DataCentre(orPlaceholder(root.required("data_centre", Identifiers::isValid, IDENTIFIER_RULE)));
+        String callerAddress = root.required("caller_address", Addresses::isIpAndPort, ADDRESS_RULE);
+        String operatorAddress = root.required("operator_address", Addresses::isIpAndPort, ADDRESS_RULE);
+        String platformUrl = root.required(
+                "platform_url", Addresses::isHttpUrl, "must be an HTTP URL such as \"http://10.0.0.2:9000\"");
+        List<String> seedPeers = root.list("seed_peers", Addresses::isIpAndPort, ADDRESS_RULE);
+        Secret peerKey = requiredSecret(root, "peer_key");
+        Secret operatorToken = requiredSecret(root, "operator_token");
+        Map<CallerName, Secret> callerTokens = readCallerTokens(root);
+        ClusterTimes cluster = readCluster(root.section("cluster"));
+        RequestLimits requests = readRequests(root.section("requests"));
+        JobLimits jobs = readJobs(root.section("jobs"));
+        root.reportUnknownKeys();
+        checkAddressesDiffer(root, node, callerAddress, operatorAddress);
+        checkSeedPeers(root, node, seedPeers);
+        return new EntrySettings(
+                node,
+                region,
+                dataCentre,
+                callerAddress,
+                operatorAddress,
+                platformUrl,
+                seedPeers.stream().map(NodeId::new).toList(),
+                peerKey,
+                operatorToken,
+                callerTokens,
+                cluster,
+                requests,
+                jobs);
+    }
+
+    private ClusterTimes readCluster(SettingsSection section) {
+        ClusterTimes defaults = ClusterTimes.defaults();
+        ClusterTimes times = new ClusterTimes(
+                section.duration("heartbeat_interval_ms", defaults.heartbeatInterval(), ms(50), minutes(1)),
+                section.duration("poll_interval_ms", defaults.pollInterval(), ms(50), minutes(1)),
+                section.duration("hold_time_ms", defaults.holdTime(), ms(100), minutes(10)),
+                section.duration("take_time_ms", defaults.takeTime(), ms(100), minutes(20)),
+                section.duration("outage_grace_ms", defaults.outageGrace(), ms(1_000), Duration.ofDays(1)),
+                section.duration("drift_margin_ms", defaults.driftMargin(), ms(1), minutes(1)),
+                section.duration("request_timeout_ms", defaults.requestTimeout(), ms(10), minutes(1)),
+                section.duration("rebalance_interval_ms", defaults.rebalanceInterval(), ms(100), minutes(60)),
+                section.duration("drain_delay_ms", defaults.drainDelay(), ms(0), minutes(5)),
+                section.flag("single_node", defaults.singleNode()));
+        section.reportUnknownKeys();
+        checkTakeTime(section, times);
+        checkHoldTime(section, times);
+        checkOutageGrace(section, times);
+        return times;
+    }
+
+    private static void checkTakeTime(SettingsSection section, ClusterTimes times) {
+        Duration holder = times.holdTime().plus(times.driftMargin()).plus(times.requestTimeout());
+        boolean sound = section.sound("take_time_ms", "hold_time_ms", "drift_margin_ms", "request_timeout_ms");
+        if (sound && times.takeTime().compareTo(holder) <= 0) {
+            section.report(
+                    "take_time_ms",
+                    text(times.takeTime()),
+                    ("must be greater than hold_time_ms + drift_margin_ms + request_timeout_ms = %d ms,"
+                                    + " so that the earlier owner has stopped")
+                            .formatted(holder.toMillis()));
+        }
+    }
+
+    private static void checkHoldTime(SettingsSection section, ClusterTimes times) {
+        Duration longerInterval = times.heartbeatInterval().compareTo(times.pollInterval()) > 0
+                ? times.heartbeatInterval()
+                : times.pollInterval();
+        Duration confirmation = longerInterval.plus(times.requestTimeout());
+        boolean sound =
+                section.sound("hold_time_ms", "heartbeat_interval_ms", "poll_interval_ms", "request_timeout_ms");
+        if (sound && times.holdTime().compareTo(confirmation) <= 0) {
+            section.report(
+                    "hold_time_ms",
+                    text(times.holdTime()),
+                    ("must be greater than request_timeout_ms plus the longer of heartbeat_interval_ms and"
+                                    + " poll_interval_ms = %d ms, so that one slow answer does not isolate the node")
+                            .formatted(confirmation.toMillis()));
+        }
+    }
+
+    private static void checkOutageGrace(SettingsSection section, ClusterTimes times) {
+        boolean sound = section.sound("outage_grace_ms", "hold_time_ms");
+        if (sound && times.outageGrace().compareTo(times.holdTime()) < 0) {
+            section.report(
+                    "outage_grace_ms",
+                    text(times.outageGrace()),
+                    "must be at least hold_time_ms = %d ms"
+                            .formatted(times.holdTime().toMillis()));
+        }
+    }
+
+    private static RequestLimits readRequests(SettingsSection section) {
+        RequestLimits defaults = RequestLimits.defaults();
+        RequestLimits limits = new RequestLimits(
+                section.duration("request_limit_ms", defaults.requestLimit(), ms(100), minutes(10)),
+                section.integer("queue_length", defaults.queueLength(), 1, 100_000),
+                section.integer("runner_groups", defaults.runnerGroups(), 1, 100),
+                section.integer("retry_percent", defaults.retryPercent(), 0, 100),
+                section.duration("connect_timeout_ms", defaults.connectTimeout(), ms(10), minutes(1)));
+        section.reportUnknownKeys();
+        boolean sound = section.sound("request_limit_ms", "connect_timeout_ms");
+        if (sound && limits.connectTimeout().compareTo(limits.requestLimit()) >= 0) {
+            section.report(
+                    "connect_timeout_ms",
+                    text(limits.connectTimeout()),
+                    "must be less than request_limit_ms = %d ms"
+                            .formatted(limits.requestLimit().toMillis()));
+        }
+        return limits;
+    }
+
+    private static JobLimits readJobs(SettingsSection section) {
+        JobLimits defaults = JobLimits.defaults();
+        JobLimits limits = new JobLimits(
+                section.duration("commit_interval_ms", defaults.commitInterval(), ms(10), ms(10_000)),
+                section.duration("worker_renewal_interval_ms", defaults.workerRenewalInterval(), ms(50), minutes(5)),
+                section.duration("task_lease_ms", defaults.taskLease(), ms(200), minutes(60)),
+                section.integer("poison_threshold", defaults.poisonThreshold(), 1, 100),
+                section.integer("worker_failure_threshold", defaults.workerFailureThreshold(), 1, 100),
+                section.integer("tasks_per_job", defaults.tasksPerJob(), 1, 100_000));
+        section.reportUnknownKeys();
+        Duration renewals = limits.workerRenewalInterval().multipliedBy(RENEWALS_PER_LEASE);
+        boolean sound = section.sound("task_lease_ms", "worker_renewal_interval_ms");
+        if (sound && limits.taskLease().compareTo(renewals) <= 0) {
+            section.report(
+                    "task_lease_ms",
+                    text(limits.taskLease()),
+                    ("must be greater than %d x worker_renewal_interval_ms = %d ms,"
+                                    + " so that lost renewals do not stop tasks")
+                            .formatted(RENEWALS_PER_LEASE, renewals.toMillis()));
+        }
+        return limits;
+    }
+
+    private Secret requiredSecret(SettingsSection section, String key) {
+        String fileKey = key + "_file";
+        Optional<String> inline = section.secret(key);
+        Optional<String> fileName = section.fileName(fileKey);
+        if (inline.isPresent() && fileName.isPresent()) {
+            section.reportSecret(key, "must not be given together with %s; keep one of them".formatted(fileKey));
+            return new Secret(PLACEHOLDER);
+        }
+        if (fileName.isPresent()) {
+            return secretFromFile(section, fileKey, fileName.get());
+        }
+        if (inline.isPresent()) {
+            return checkedSecret(section, key, inline.get());
+        }
+        if (section.sound(key, fileKey)) {
+            section.report(key, "", "is missing; give %s or %s".formatted(key, fileKey));
+        }
+        return new Secret(PLACEHOLDER);
+    }
+
+    private Map<CallerName, Secret> readCallerTokens(SettingsSection root) {
+        Map<CallerName, Secret> tokens = new LinkedHashMap<>();
+        SettingsSection inline = root.section("caller_tokens");
+        inline.secretsByKey().forEach((name, value) -> {
+            if (checkCallerName(inline, name)) {
+                tokens.put(new CallerName(name), checkedSecret(inline, name, value));
+            }
+        });
+        SettingsSection files = root.section("caller_token_files");
+        for (String name : files.keys()) {
+            Optional<String> fileName = files.fileName(name);
+            if (fileName.isEmpty() || !checkCallerName(files, name)) {
+                continue;
+            }
+            Secret secret = secretFromFile(files, name, fileName.get());
+            if (tokens.put(new CallerName(name), secret) != null) {
+                files.report(name, "", "is in caller_tokens too; keep one of them");
+            }
+        }
+        checkTokensDiffer(root, tokens);
+        return tokens;
+    }
+
+    private static void checkTokensDiffer(SettingsSection root, Map<CallerName, Secret> tokens) {
+        Set<String> seen = new HashSet<>();
+        tokens.forEach((caller, token) -> {
+            boolean usable = !token.reveal().equals(PLACEHOLDER);
+            if (usable && !seen.add(token.reveal())) {
+                root.reportSecret("caller_tokens", "caller \"%s\" has the token of another caller".formatted(caller));
+            }
+        });
+    }
+
+    private static boolean checkCallerName(SettingsSection section, String name) {
+        if (Identifiers.isValid(name)) {
+            return true;
+        }
+        section.report(name, "", "is not a valid caller name; it " + IDENTIFIER_RULE);
+        return false;
+    }
+
+    private Secret secretFromFile(SettingsSection section, String key, String fileName) {
+        try {
+            String content = Files.readString(directory.resolve(fileName)).strip();
+            return checkedSecret(section, key, content);
+        } catch (IOException | InvalidPathException e) {
+            section.report(key, "\"" + fileName + "\"", "must be a file that this process can read");
+            return new Secret(PLACEHOLDER);
+        }
+    }
+
+    private static Secret checkedSecret(SettingsSection section, String key, String value) {
+        boolean lengthAllowed = value.length() >= MIN_SECRET_LENGTH && value.length() <= MAX_SECRET_LENGTH;
+        boolean printable = value.chars().allMatch(c -> c >= FIRST_PRINTABLE && c <= LAST_PRINTABLE);
+        if (!lengthAllowed || !printable) {
+            section.reportSecret(key, SECRET_RULE);
+            return new Secret(PLACEHOLDER);
+        }
+        return new Secret(value);
+    }
+
+    private static void checkAddressesDiffer(
+            SettingsSection root, NodeId node, String callerAddress, String operatorAddress) {
+        if (!root.sound("node", "caller_address", "operator_address")) {
+            return;
+        }
+        if (callerAddress.equals(node.value())) {
+            root.report("caller_address", callerAddress, "must differ from node, which is the peer address");
+        }
+        if (operatorAddress.equals(node.value()) || operatorAddress.equals(callerAddress)) {
+            root.report("operator_address", operatorAddress, "must differ from node and caller_address");
+        }
+    }
+
+    private static void checkSeedPeers(SettingsSection root, NodeId node, List<String> seedPeers) {
+        if (root.sound("node", "seed_peers") && seedPeers.contains(node.value())) {
+            root.report("seed_peers", node.value(), "must name other nodes only");
+        }
+    }
+
+    private static String orPlaceholder(String value) {
+        return value.isEmpty() ? PLACEHOLDER : value;
+    }
+
+    private static String text(Duration duration) {
+        return Long.toString(duration.toMillis());
+    }
+
+    private static Duration ms(long millis) {
+        return Duration.ofMillis(millis);
+    }
+
+    private static Duration minutes(long minutes) {
+        return Duration.ofMinutes(minutes);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/settings/SettingsSection.java
@@ -0,0 +1,187 @@
+package org.tamarackline.settings;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+
+/** One table of a settings file. Every read notes the mistakes that it meets and goes on with a usable value. */
+final class SettingsSection {
+
+    private static final String MASK = "***";
+
+    private final String table;
+    private final JsonNode content;
+    private final SettingsText text;
+    private final List<SettingsMistake> mistakes;
+    private final Set<String> knownKeys = new LinkedHashSet<>();
+    private final Set<String> mistakenKeys = new LinkedHashSet<>();
+
+    SettingsSection(String table, JsonNode content, SettingsText text, List<SettingsMistake> mistakes) {
+        this.table = table;
+        this.content = content;
+        this.text = text;
+        this.mistakes = mistakes;
+    }
+
+    /** Returns the table {@code name}, which is empty if the file does not have it. */
+    SettingsSection section(String name) {
+        JsonNode child = value(name);
+        if (!child.isMissingNode() && !child.isObject()) {
+            report(name, child.toString(), "must be a table, written as [%s]".formatted(name));
+            child = MissingNode.getInstance();
+        }
+        return new SettingsSection(name, child, text, mistakes);
+    }
+
+    /** Reads a text that must be present. */
+    String required(String key, Predicate<String> allowed, String allowedText) {
+        JsonNode node = value(key);
+        if (node.isMissingNode()) {
+            report(key, "", "is missing; " + allowedText);
+            return "";
+        }
+        return accepted(key, node, allowed, allowedText).orElse("");
+    }
+
+    /** Reads a list of texts, which is empty if the key is absent. */
+    List<String> list(String key, Predicate<String> allowed, String allowedText) {
+        JsonNode node = value(key);
+        List<String> values = new ArrayList<>();
+        if (!node.isMissingNode() && !node.isArray()) {
+            report(key, node.toString(), "must be a list, written as [\"...\", \"...\"]");
+            return values;
+        }
+        for (JsonNode element : node) {
+            accepted(key, element, allowed, allowedText).ifPresent(values::add);
+        }
+        return values;
+    }
+
+    /** Reads a duration, which is written as a whole number of milliseconds. */
+    Duration duration(String key, Duration defaultValue, Duration least, Duration most) {
+        long valueMs = number(key, defaultValue.toMillis(), least.toMillis(), most.toMillis(), " ms");
+        return Duration.ofMillis(valueMs);
+    }
+
+    /** Reads a whole number. */
+    int integer(String key, int defaultValue, int least, int most) {
+        return Math.toIntExact(number(key, defaultValue, least, most, ""));
+    }
+
+    /** Reads true or false. */
+    boolean flag(String key, boolean defaultValue) {
+        JsonNode node = value(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!node.isBoolean()) {
+            report(key, node.toString(), "must be true or false");
+            return defaultValue;
+        }
+        return node.booleanValue();
+    }
+
+    /** Reads a credential that may be absent; its value never appears in a mistake. */
+    Optional<String> secret(String key) {
+        JsonNode node = value(key);
+        if (node.isMissingNode()) {
+            return Optional.empty();
+        }
+        if (!node.isTextual()) {
+            report(key, MASK, "must be a text in quotation marks");
+            return Optional.empty();
+        }
+        return Optional.of(node.textValue());
+    }
+
+    /** Reads a file name that may be absent. */
+    Optional<String> fileName(String key) {
+        JsonNode node = value(key);
+        if (node.isMissingNode()) {
+            return Optional.empty();
+        }
+        return accepted(key, node, name -> !name.isBlank(), "must be the name of a file");
+    }
+
+    /** Returns the keys of this table in the order of the file. */
+    List<String> keys() {
+        List<String> keys = new ArrayList<>();
+        content.fieldNames().forEachRemaining(keys::add);
+        return keys;
+    }
+
+    /** Notes a mistake in the value of {@code key}. */
+    void report(String key, String found, String allowed) {
+        mistakenKeys.add(key);
+        mistakes.add(new SettingsMistake(qualified(key), found, allowed, text.lineOf(table, key)));
+    }
+
+    /** Notes a mistake in a credential. */
+    void reportSecret(String key, String allowed) {
+        report(key, MASK, allowed);
+    }
+
+    /** Returns whether no mistake was found in these keys, so that rules over several keys may use their values. */
+    boolean sound(String... keys) {
+        return List.of(keys).stream().noneMatch(mistakenKeys::contains);
+    }
+
+    /** Notes every key that nothing has asked for. */
+    void reportUnknownKeys() {
+        for (String key : keys()) {
+            if (!knownKeys.contains(key)) {
+                report(key, "", "is not a known key; known keys here: " + String.join(", ", knownKeys));
+            }
+        }
+    }
+
+    /** Returns the texts by key of a table whose keys are chosen by the operator. */
+    Map<String, String> secretsByKey() {
+        Map<String, String> values = new LinkedHashMap<>();
+        for (String key : keys()) {
+            secret(key).ifPresent(value -> values.put(key, value));
+        }
+        return values;
+    }
+
+    private JsonNode value(String key) {
+        knownKeys.add(key);
+        return content.path(key);
+    }
+
+    private Optional<String> accepted(String key, JsonNode node, Predicate<String> allowed, String allowedText) {
+        if (!node.isTextual() || !allowed.test(node.textValue())) {
+            report(key, node.toString(), allowedText);
+            return Optional.empty();
+        }
+        return Optional.of(node.textValue());
+    }
+
+    private long number(String key, long defaultValue, long least, long most, String unit) {
+        JsonNode node = value(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!node.isIntegralNumber()
+                || !node.canConvertToLong()
+                || node.longValue() < least
+                || node.longValue() > most) {
+            report(key, node.toString(), "must be a whole number from %d to %d%s".formatted(least, most, unit));
+            return defaultValue;
+        }
+        return node.longValue();
+    }
+
+    private String qualified(String key) {
+        return table.isEmpty() ? key : table + "." + key;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files of the processes: reading, checking and the checked values. */
+package org.tamarackline.settings;
