--- a/src/main/java/org/tamarackline/entry/DrainSequence.java
+++ b/src/main/java/org/tamarackline/entry/DrainSequence.java
@@ -38,7 +38,7 @@
     /** Runs all steps, also after one has failed, and returns whether all were finished. */
     boolean run() throws InterruptedException {
         readiness.startDraining();
-        LOGGER.atInfo().log("draining: not ready, serving for another %d ms", drainDelay.toMillis());
+        LOGGER.atInfo().log("draining: not ready, still serving until the load balancer has noticed");
         pause.await(drainDelay);
         readiness.closeAdmission();
         boolean finished = true;
--- a/src/main/java/org/tamarackline/entry/EntryNode.java
+++ b/src/main/java/org/tamarackline/entry/EntryNode.java
@@ -51,8 +51,7 @@
         application.run(configuration, environment);
         Server server = servers.build(environment);
         startServer(server, settings);
-        LOGGER.atInfo().log(
-                "node started: callers at %s, operators at %s", settings.callerAddress(), settings.operatorAddress());
+        LOGGER.atInfo().log("node started");
         return new EntryNode(server, injector, settings);
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/ConfigurationEditor.java
@@ -0,0 +1,55 @@
+package org.tamarackline.entry.operator;
+
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.entry.cluster.Cluster;
+
+/** Checks an operator's edit against the configuration in force and then has it accepted by all nodes. */
+@Singleton
+final class ConfigurationEditor {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Cluster cluster;
+    private final ConfigurationChanges changes;
+
+    @Inject
+    ConfigurationEditor(Cluster cluster, ConfigurationChanges changes) {
+        this.cluster = cluster;
+        this.changes = changes;
+    }
+
+    /** An edit that may be refused. */
+    @FunctionalInterface
+    interface Edit {
+
+        /** Returns the edited configuration. */
+        Configuration apply(Configuration base) throws OperatorException;
+    }
+
+    /** Returns the configuration in force at this node. */
+    Configuration current() throws OperatorException {
+        return cluster.configuration()
+                .orElseThrow(() -> new OperatorException(
+                        OperatorErrorCode.NO_CONFIGURATION,
+                        "this node has no configuration yet; repeat the request or ask another node"));
+    }
+
+    /** Applies {@code edit} to the configuration of {@code expectedVersion}. */
+    ConfigurationChanges.Accepted edit(Optional<Long> expectedVersion, Edit edit) throws OperatorException {
+        long expected = expectedVersion.orElseThrow(() -> new OperatorException(
+                OperatorErrorCode.INVALID, "name the version that the change is based on, as version=N"));
+        Configuration base = current();
+        if (base.version() != expected) {
+            throw OperatorException.conflict(expected, base.version());
+        }
+        Configuration edited = edit.apply(base);
+        ConfigurationChanges.Accepted accepted = changes.change(expected, unused -> edited);
+        LOGGER.atInfo().log("configuration version %d accepted from an operator", accepted.version());
+        return accepted;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/ConfigurationEdits.java
@@ -0,0 +1,127 @@
+package org.tamarackline.entry.operator;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.Profile;
+import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.config.TeamQuota;
+import org.tamarackline.core.model.ProfileName;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.TeamName;
+
+/** Static helpers that return an edited configuration or refuse the edit. */
+final class ConfigurationEdits {
+
+    private ConfigurationEdits() {}
+
+    static Configuration putProfile(Configuration base, Profile profile) throws OperatorException {
+        ProfileRules.check(profile);
+        List<Profile> profiles = replaced(base.profiles(), old -> old.name().equals(profile.name()), profile);
+        return new Configuration(base.version(), profiles, base.teams(), base.services(), base.vmsOutOfService());
+    }
+
+    static Configuration retireProfile(Configuration base, ProfileName name) throws OperatorException {
+        List<String> users = base.services().stream()
+                .filter(service -> service.profile().equals(name))
+                .map(service -> service.name().value())
+                .toList();
+        refuseIfUsed("profile", name.value(), users);
+        List<Profile> profiles = without(base.profiles(), old -> old.name().equals(name), "profile", name.value());
+        return new Configuration(base.version(), profiles, base.teams(), base.services(), base.vmsOutOfService());
+    }
+
+    static Configuration putTeam(Configuration base, TeamQuota quota) throws OperatorException {
+        if (quota.guaranteed() == null || hasNegativePart(quota)) {
+            throw new OperatorException(
+                    OperatorErrorCode.INVALID,
+                    "guaranteed needs processorMillis, memoryMb and accelerators of 0 or more");
+        }
+        List<TeamQuota> teams = replaced(base.teams(), old -> old.team().equals(quota.team()), quota);
+        return new Configuration(base.version(), base.profiles(), teams, base.services(), base.vmsOutOfService());
+    }
+
+    static Configuration retireTeam(Configuration base, TeamName name) throws OperatorException {
+        List<String> users = base.services().stream()
+                .filter(service -> service.team().equals(name))
+                .map(service -> service.name().value())
+                .toList();
+        refuseIfUsed("team", name.value(), users);
+        List<TeamQuota> teams = without(base.teams(), old -> old.team().equals(name), "team", name.value());
+        return new Configuration(base.version(), base.profiles(), teams, base.services(), base.vmsOutOfService());
+    }
+
+    static Configuration putService(Configuration base, ServiceDefinition service) throws OperatorException {
+        boolean profileKnown =
+                base.profiles().stream().anyMatch(profile -> profile.name().equals(service.profile()));
+        if (!profileKnown) {
+            throw new OperatorException(
+                    OperatorErrorCode.INVALID,
+                    "profile \"%s\" does not exist; put it first".formatted(service.profile()));
+        }
+        boolean teamKnown = base.teams().stream().anyMatch(quota -> quota.team().equals(service.team()));
+        if (!teamKnown) {
+            throw new OperatorException(
+                    OperatorErrorCode.INVALID, "team \"%s\" does not exist; put it first".formatted(service.team()));
+        }
+        List<ServiceDefinition> services =
+                replaced(base.services(), old -> old.name().equals(service.name()), service);
+        return new Configuration(base.version(), base.profiles(), base.teams(), services, base.vmsOutOfService());
+    }
+
+    static Configuration retireService(Configuration base, ServiceName name) throws OperatorException {
+        List<ServiceDefinition> services =
+                without(base.services(), old -> old.name().equals(name), "service", name.value());
+        return new Configuration(base.version(), base.profiles(), base.teams(), services, base.vmsOutOfService());
+    }
+
+    static Configuration setVmInService(Configuration base, String vm, boolean inService) {
+        Set<String> outOfService = new HashSet<>(base.vmsOutOfService());
+        if (inService) {
+            outOfService.remove(vm);
+        } else {
+            outOfService.add(vm);
+        }
+        return new Configuration(base.version(), base.profiles(), base.teams(), base.services(), outOfService);
+    }
+
+    private static boolean hasNegativePart(TeamQuota quota) {
+        return quota.guaranteed().processorMillis() < 0
+                || quota.guaranteed().memoryMb() < 0
+                || quota.guaranteed().accelerators() < 0;
+    }
+
+    /** Returns {@code items} with {@code item} in the place of the one that matches, or at the end. */
+    private static <T> List<T> replaced(List<T> items, Predicate<T> matches, T item) {
+        List<T> result = new ArrayList<>(items);
+        Optional<T> old = items.stream().filter(matches).findFirst();
+        if (old.isPresent()) {
+            result.set(items.indexOf(old.get()), item);
+        } else {
+            result.add(item);
+        }
+        return result;
+    }
+
+    private static <T> List<T> without(List<T> items, Predicate<T> matches, String kind, String name)
+            throws OperatorException {
+        List<T> result = items.stream().filter(matches.negate()).toList();
+        if (result.size() == items.size()) {
+            throw new OperatorException(OperatorErrorCode.NOT_FOUND, "there is no %s \"%s\"".formatted(kind, name));
+        }
+        return result;
+    }
+
+    private static void refuseIfUsed(String kind, String name, List<String> services) throws OperatorException {
+        if (!services.isEmpty()) {
+            String detail = "%s \"%s\" is used by the services %s; change them first"
+                    .formatted(kind, name, String.join(", ", services));
+            throw new OperatorException(OperatorErrorCode.IN_USE, detail);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/NodeResource.java
@@ -0,0 +1,46 @@
+package org.tamarackline.entry.operator;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import org.tamarackline.core.model.NodeId;
+
+/** Entry nodes. */
+@Singleton
+@Path("/nodes")
+@Produces(MediaType.APPLICATION_JSON)
+public final class NodeResource {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final StopConfirmations confirmations;
+
+    /** Creates the resource. */
+    @Inject
+    NodeResource(StopConfirmations confirmations) {
+        this.confirmations = confirmations;
+    }
+
+    /**
+     * Answer to a confirmation.
+     *
+     * @param node node that has stopped
+     * @param confirmed always true
+     */
+    public record Confirmation(NodeId node, boolean confirmed) {}
+
+    /** Records that the process of a node has ended. */
+    @POST
+    @Path("{id}/confirm-stopped")
+    public Confirmation confirmStopped(@PathParam("id") String id) throws OperatorException {
+        NodeId node = Names.parse(NodeId::new, id);
+        confirmations.confirmStopped(node);
+        LOGGER.atInfo().log("an operator confirmed that node %s has stopped", node);
+        return new Confirmation(node, true);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/TeamResource.java
@@ -0,0 +1,78 @@
+package org.tamarackline.entry.operator;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import jakarta.ws.rs.core.MediaType;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.TeamQuota;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TeamName;
+
+/** Teams and what they may count on under contention. */
+@Singleton
+@Path("/teams")
+@Produces(MediaType.APPLICATION_JSON)
+public final class TeamResource {
+
+    private final ConfigurationEditor editor;
+
+    /** Creates the resource. */
+    @Inject
+    TeamResource(ConfigurationEditor editor) {
+        this.editor = editor;
+    }
+
+    /**
+     * Teams in force.
+     *
+     * @param version version of the configuration, to be named by a change
+     * @param teams quotas by team
+     */
+    public record Teams(long version, List<TeamQuota> teams) {}
+
+    /**
+     * The quota of the team that the path names.
+     *
+     * @param guaranteed resources that the team gets before others borrow them
+     */
+    public record TeamBody(Resources guaranteed) {}
+
+    /** Returns the teams in force. */
+    @GET
+    public Teams list() throws OperatorException {
+        Configuration configuration = editor.current();
+        return new Teams(configuration.version(), configuration.teams());
+    }
+
+    /** Adds a team or replaces its quota. */
+    @PUT
+    @Path("{name}")
+    @Consumes(MediaType.APPLICATION_JSON)
+    public ConfigurationChanges.Accepted put(
+            @PathParam("name") String name, @QueryParam("version") Optional<Long> version, TeamBody body)
+            throws OperatorException {
+        Resources guaranteed = Bodies.required(body).guaranteed();
+        TeamQuota quota = new TeamQuota(Names.parse(TeamName::new, name), guaranteed);
+        return editor.edit(version, base -> ConfigurationEdits.putTeam(base, quota));
+    }
+
+    /** Retires a team that no service belongs to. */
+    @DELETE
+    @Path("{name}")
+    public ConfigurationChanges.Accepted retire(
+            @PathParam("name") String name, @QueryParam("version") Optional<Long> version) throws OperatorException {
+        TeamName team = Names.parse(TeamName::new, name);
+        return editor.edit(version, base -> ConfigurationEdits.retireTeam(base, team));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/VmResource.java
@@ -0,0 +1,153 @@
+package org.tamarackline.entry.operator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.model.Identifiers;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.platform.VmRecord;
+
+/** VMs: lists them and takes them in and out of service. */
+@Singleton
+@Path("/vms")
+@Produces(MediaType.APPLICATION_JSON)
+public final class VmResource {
+
+    private final ConfigurationEditor editor;
+    private final VmDirectory directory;
+
+    /** Creates the resource. */
+    @Inject
+    VmResource(ConfigurationEditor editor, VmDirectory directory) {
+        this.editor = editor;
+        this.directory = directory;
+    }
+
+    /**
+     * VMs of the platform's list, and those that operators took out of service.
+     *
+     * @param version version of the configuration, to be named by a change
+     * @param vms VMs in the order of their identifiers
+     */
+    public record Vms(long version, List<Vm> vms) {}
+
+    /**
+     * One VM.
+     *
+     * @param id identifier of the VM
+     * @param role {@code worker}, or the name of the service whose runner it is; empty if the platform does not list it
+     * @param dataCentre data centre; empty if the platform does not list it
+     * @param rack rack; empty if the platform does not list it
+     * @param state state in the platform's list; empty if it does not list the VM
+     * @param inService false if operators took the VM out of service
+     */
+    public record Vm(String id, String role, String dataCentre, String rack, String state, boolean inService) {}
+
+    /**
+     * One VM with the version of the configuration.
+     *
+     * @param version version of the configuration, to be named by a change
+     * @param vm the VM
+     */
+    public record VersionedVm(long version, Vm vm) {}
+
+    /**
+     * What to change.
+     *
+     * @param inService whether the VM takes work
+     * @param version version of the configuration that the change is based on
+     */
+    public record VmBody(Optional<Boolean> inService, Optional<Long> version) {}
+
+    /** Returns the VMs. */
+    @GET
+    public Vms list() throws OperatorException {
+        Configuration configuration = editor.current();
+        return new Vms(configuration.version(), vms(configuration));
+    }
+
+    /** Returns one VM. */
+    @GET
+    @Path("{id}")
+    public VersionedVm get(@PathParam("id") String id) throws OperatorException {
+        Configuration configuration = editor.current();
+        return vms(configuration).stream()
+                .filter(vm -> vm.id().equals(id))
+                .findFirst()
+                .map(vm -> new VersionedVm(configuration.version(), vm))
+                .orElseThrow(() -> unknown(id));
+    }
+
+    /** Takes a VM in or out of service. */
+    @PUT
+    @Path("{id}")
+    @Consumes(MediaType.APPLICATION_JSON)
+    public ConfigurationChanges.Accepted put(@PathParam("id") String id, VmBody body) throws OperatorException {
+        VmBody change = Bodies.required(body);
+        boolean inService = change.inService()
+                .orElseThrow(() -> new OperatorException(OperatorErrorCode.INVALID, "inService must be true or false"));
+        if (!inService) {
+            refuseUnknown(id);
+        }
+        return editor.edit(change.version(), base -> ConfigurationEdits.setVmInService(base, id, inService));
+    }
+
+    /** A misspelt identifier would be accepted and change nothing, so the VM must be in the platform's list. */
+    private void refuseUnknown(String id) throws OperatorException {
+        boolean known = Identifiers.isValid(id)
+                && records().stream().anyMatch(vm -> vm.id().equals(id));
+        if (!known) {
+            throw unknown(id);
+        }
+    }
+
+    private List<Vm> vms(Configuration configuration) throws OperatorException {
+        Set<String> outOfService = configuration.vmsOutOfService();
+        List<VmRecord> records = records();
+        List<Vm> vms = new ArrayList<>();
+        for (VmRecord vm : records) {
+            boolean inService = !outOfService.contains(vm.id());
+            vms.add(new Vm(
+                    vm.id(),
+                    vm.role(),
+                    vm.dataCentre().value(),
+                    vm.rack(),
+                    vm.state().name(),
+                    inService));
+        }
+        Set<String> listed = Set.copyOf(records.stream().map(VmRecord::id).toList());
+        outOfService.stream()
+                .filter(id -> !listed.contains(id))
+                .forEach(id -> vms.add(new Vm(id, "", "", "", "", false)));
+        vms.sort(Comparator.comparing(Vm::id));
+        return vms;
+    }
+
+    private List<VmRecord> records() throws OperatorException {
+        try {
+            return directory.list();
+        } catch (PlatformUnavailableException e) {
+            throw new OperatorException(
+                    OperatorErrorCode.PLATFORM_UNAVAILABLE, "the platform's list of VMs is out of reach; repeat later");
+        }
+    }
+
+    private static OperatorException unknown(String id) {
+        return new OperatorException(
+                OperatorErrorCode.NOT_FOUND, "there is no VM \"%s\" in the platform's list".formatted(id));
+    }
+}
--- a/src/main/sh/preamble.sh
+++ b/src/main/sh/preamble.sh
@@ -31,5 +31,6 @@
   exit 2
 fi
 
-exec "$java_home/bin/java" ${TAMARACKLINE_JAVA_FLAGS:--Xmx96m -XX:+UseSerialGC -XX:MaxMetaspaceSize=96m -XX:ReservedCodeCacheSize=48m -Xss512k -XX:TieredStopAtLevel=1} -jar "$0" "$@"
+# Guice's generated classes would need an access to memory that recent Java versions warn about.
+exec "$java_home/bin/java" ${TAMARACKLINE_JAVA_FLAGS:--Xmx96m -XX:+UseSerialGC -XX:MaxMetaspaceSize=96m -XX:ReservedCodeCacheSize=48m -Xss512k -XX:TieredStopAtLevel=1} -Dguice_bytecode_gen_option=DISABLED -jar "$0" "$@"
 exit 1
