--- /dev/null
+++ b/src/main/java/org/tamarackline/core/routing/RetryBudget.java
@@ -0,0 +1,36 @@
+package org.tamarackline.core.routing;
+
+/**
+ * Limits repeated requests to a share of all requests, so that retries cannot multiply the load of an upstream that fails.
+ *
+ * <p>Not thread-safe: guarded by its owner's lock.
+ */
+public final class RetryBudget {
+
+    /** Retries that may be saved up, so that a burst of failures after a quiet time is bounded. */
+    private static final int MAX_SAVED_RETRIES = 20;
+
+    private static final int COST_OF_RETRY = 100;
+
+    private final int percent;
+    private int balance;
+
+    /** Creates a budget of {@code percent} retries per hundred requests. */
+    public RetryBudget(int percent) {
+        this.percent = percent;
+    }
+
+    /** Counts a request that is not a retry. */
+    public void recordRequest() {
+        balance = Math.min(balance + percent, MAX_SAVED_RETRIES * COST_OF_RETRY);
+    }
+
+    /** Takes one retry from the budget. Returns false, and takes nothing, if the budget is used up. */
+    public boolean tryRetry() {
+        if (balance < COST_OF_RETRY) {
+            return false;
+        }
+        balance -= COST_OF_RETRY;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/routing/SlotRequest.java
@@ -0,0 +1,30 @@
+package org.tamarackline.core.routing;
+
+import java.util.Set;
+
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+
+/**
+ * A wish for one slot.
+ *
+ * @param service service to be called
+ * @param holder node that will send the request
+ * @param nearest data centre whose runners are tried first
+ * @param connectionShare connections to one runner that each node may use
+ * @param excluded runners that must not be chosen
+ */
+public record SlotRequest(
+        ServiceName service,
+        NodeId holder,
+        DataCentre nearest,
+        ConnectionShare connectionShare,
+        Set<RunnerId> excluded) {
+
+    /** Creates a request that later changes of the arguments do not affect. */
+    public SlotRequest {
+        excluded = Set.copyOf(excluded);
+    }
+}
