--- a/src/main/java/org/tamarackline/core/routing/SlotHandover.java
+++ b/src/main/java/org/tamarackline/core/routing/SlotHandover.java
@@ -8,9 +8,10 @@
 /**
  * The uses of a runner group's slots that are still open when the group changes its owner.
  *
+ * @param occupiedMs time for which all slots still count as occupied after an earlier takeover, in milliseconds
  * @param uses open uses
  */
-public record SlotHandover(List<OpenUse> uses) {
+public record SlotHandover(long occupiedMs, List<OpenUse> uses) {
 
     /** Creates a handover that later changes of the argument do not affect. */
     public SlotHandover {
--- a/src/main/java/org/tamarackline/core/routing/SlotLedger.java
+++ b/src/main/java/org/tamarackline/core/routing/SlotLedger.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import org.tamarackline.core.model.NodeId;
@@ -29,7 +28,6 @@
 public final class SlotLedger {
 
     private final long longestUseNanos;
-    private final LongSupplier grantIds;
     private final Map<ShardId, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Use> uses = new HashMap<>();
     private final PriorityQueue<Use> byEnd = new PriorityQueue<>(Comparator.comparing(Use::end));
@@ -39,11 +37,9 @@
      * Creates an empty ledger.
      *
      * @param longestUse time after its grant at which a use has surely ended
-     * @param grantIds source of identifiers that no other node uses at the same time
      */
-    public SlotLedger(Duration longestUse, LongSupplier grantIds) {
+    public SlotLedger(Duration longestUse) {
         this.longestUseNanos = longestUse.toNanos();
-        this.grantIds = grantIds;
     }
 
     /** Starts counting a group that had no earlier owner. */
@@ -58,7 +54,10 @@
 
     /** Starts counting a group that its earlier owner handed over. */
     public void gainByHandover(ShardId shard, SlotHandover handover, long nowNanos) {
-        Group group = gain(shard, new MonotonicTime(nowNanos));
+        Group group = gain(
+                shard,
+                new MonotonicTime(
+                        nowNanos + Duration.ofMillis(handover.occupiedMs()).toNanos()));
         for (SlotHandover.OpenUse open : handover.uses()) {
             MonotonicTime end = new MonotonicTime(
                     nowNanos + Duration.ofMillis(open.remainingMs()).toNanos());
@@ -71,20 +70,17 @@
         expire(nowNanos);
         Group group = groups.get(shard);
         if (group == null) {
-            return new SlotHandover(List.of());
+            return new SlotHandover(0, List.of());
         }
         group.leaving = true;
         List<SlotHandover.OpenUse> open = new ArrayList<>();
-        if (group.occupiedUntil.isAfter(nowNanos)) {
-            addUnknownUses(group, nowNanos, open);
-        }
         for (Use use : uses.values()) {
             if (use.shard.equals(shard)) {
                 open.add(new SlotHandover.OpenUse(
                         use.grantId, use.slots.runnerId, use.holder, use.end.remainingMs(nowNanos)));
             }
         }
-        return new SlotHandover(open);
+        return new SlotHandover(group.occupiedUntil.remainingMs(nowNanos), open);
     }
 
     /** Forgets a group that this node no longer owns. Returns whether it was counted here. */
@@ -112,12 +108,16 @@
     }
 
     /**
-     * Grants a slot of the least loaded runner, with those of the nearest data centre first.
+     * Grants a slot of the least loaded runner, with those of the nearest data centre first. Grants nothing under an
+     * identifier that is in use.
      *
      * @param usable rejects runners that are ejected for failures
      */
     public Optional<SlotLease> acquire(SlotRequest request, Predicate<RunnerId> usable, long nowNanos) {
         expire(nowNanos);
+        if (uses.containsKey(request.grantId())) {
+            return Optional.empty();
+        }
         Candidate best = null;
         for (Map.Entry<ShardId, Group> entry : groups.entrySet()) {
             Group group = entry.getValue();
@@ -134,14 +134,10 @@
     }
 
     private SlotLease grant(Candidate candidate, SlotRequest request, long nowNanos) {
-        long grantId = grantIds.getAsLong();
-        while (uses.containsKey(grantId)) {
-            grantId = grantIds.getAsLong();
-        }
         candidate.slots.lastGrant = ++grantSequence;
         MonotonicTime end = new MonotonicTime(nowNanos + longestUseNanos);
-        add(new Use(grantId, candidate.shard, candidate.slots, request.holder(), end));
-        return new SlotLease(grantId, candidate.shard, candidate.slots.runner.orElseThrow());
+        add(new Use(request.grantId(), candidate.shard, candidate.slots, request.holder(), end));
+        return new SlotLease(request.grantId(), candidate.shard, candidate.slots.runner.orElseThrow());
     }
 
     /** Ends a use. Returns whether it was open here; a second return of the same use changes nothing. */
@@ -208,17 +204,6 @@
         byEnd.add(use);
     }
 
-    private void addUnknownUses(Group group, long nowNanos, List<SlotHandover.OpenUse> open) {
-        long remainingMs = group.occupiedUntil.remainingMs(nowNanos);
-        NodeId unknownHolder = new NodeId("unknown");
-        for (RunnerSlots slots : group.runners.values()) {
-            int count = slots.runner.map(Runner::slots).orElse(0);
-            for (int i = 0; i < count; i++) {
-                open.add(new SlotHandover.OpenUse(grantIds.getAsLong(), slots.runnerId, unknownHolder, remainingMs));
-            }
-        }
-    }
-
     private static Candidate better(Candidate best, Candidate next, SlotRequest request) {
         return best == null || next.compareTo(best, request) < 0 ? next : best;
     }
--- a/src/main/java/org/tamarackline/core/routing/SlotRequest.java
+++ b/src/main/java/org/tamarackline/core/routing/SlotRequest.java
@@ -10,6 +10,7 @@
 /**
  * A wish for one slot.
  *
+ * @param grantId identifier that the holder chose at random, so that it can return the slot even if the answer is lost
  * @param service service to be called
  * @param holder node that will send the request
  * @param nearest data centre whose runners are tried first
@@ -17,6 +18,7 @@
  * @param excluded runners that must not be chosen
  */
 public record SlotRequest(
+        long grantId,
         ServiceName service,
         NodeId holder,
         DataCentre nearest,
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/ErrorCode.java
@@ -0,0 +1,44 @@
+package org.tamarackline.entry.proxy;
+
+/** The closed set of errors of a quick request, each with its HTTP status. */
+public enum ErrorCode {
+    /** The bearer token is missing or belongs to no caller. */
+    UNAUTHENTICATED(401),
+    /** A header or the path is not valid. */
+    BAD_REQUEST(400),
+    /** The service is not in the configuration. */
+    UNKNOWN_SERVICE(404),
+    /** This node has no configuration or lost its standing. */
+    NOT_READY(503),
+    /** No runner of the service can take work. */
+    NO_RUNNER(503),
+    /** The queue is full, or the request would not have been answered by its deadline. */
+    OVERLOADED(503),
+    /** The platform could not record the idempotency key. */
+    PLATFORM_UNAVAILABLE(503),
+    /** No connection to a runner could be opened. */
+    UPSTREAM_UNREACHABLE(502),
+    /** The runner broke the connection or sent something that is not HTTP. */
+    UPSTREAM_FAILED(502),
+    /** The deadline passed. */
+    DEADLINE_EXCEEDED(504),
+    /** An earlier request with this key is running, or its outcome is unknown. */
+    IN_PROGRESS_OR_UNKNOWN(409),
+    /** An earlier request with this key ran, but its answer was too large to be recorded. */
+    ANSWER_NOT_RECORDED(409),
+    /** The key was used for another request. */
+    KEY_REUSED(422),
+    /** A fault of the node itself. */
+    INTERNAL(500);
+
+    private final int status;
+
+    ErrorCode(int status) {
+        this.status = status;
+    }
+
+    /** Returns the HTTP status. */
+    public int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyModule.java
@@ -0,0 +1,30 @@
+package org.tamarackline.entry.proxy;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.multibindings.Multibinder;
+import io.dropwizard.lifecycle.Managed;
+import org.tamarackline.entry.CallerApi;
+import org.tamarackline.entry.StateDump;
+import org.tamarackline.entry.cluster.OwnershipListener;
+import org.tamarackline.peer.PeerHandler;
+
+/**
+ * Binds the routing of quick requests.
+ *
+ * <p>It needs bindings of the settings, the clock, {@code Cluster}, {@code PeerCaller}, {@code VmDirectory} and {@code
+ * TableStore}.
+ */
+public final class ProxyModule extends AbstractModule {
+
+    @Override
+    protected void configure() {
+        bind(RunnerGroups.class).to(HashedRunnerGroups.class);
+        Multibinder.newSetBinder(binder(), Object.class, CallerApi.class)
+                .addBinding()
+                .to(ProxyResource.class);
+        Multibinder.newSetBinder(binder(), PeerHandler.class).addBinding().to(RoutingPeerHandler.class);
+        Multibinder.newSetBinder(binder(), OwnershipListener.class).addBinding().to(GroupOwnership.class);
+        Multibinder.newSetBinder(binder(), StateDump.class).addBinding().to(RoutingDump.class);
+        Multibinder.newSetBinder(binder(), Managed.class).addBinding().to(RunnerRefresh.class);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
@@ -0,0 +1,182 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HEAD;
+import jakarta.ws.rs.OPTIONS;
+import jakarta.ws.rs.PATCH;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.StreamingOutput;
+
+/**
+ * Serves {@code ANY /services/{service}/{path}}: passes each request on to a runner of the service.
+ *
+ * <p>Each request blocks its thread, so the server should run requests on virtual threads.
+ */
+@Singleton
+@Path("/services/{service}{path: (/.*)?}")
+public final class ProxyResource {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final QuickRequests requests;
+    private final RequestRouter router;
+    private final RequestsInFlight inFlight;
+
+    /** Creates the resource. */
+    @Inject
+    public ProxyResource(QuickRequests requests, RequestRouter router, RequestsInFlight inFlight) {
+        this.requests = requests;
+        this.router = router;
+        this.inFlight = inFlight;
+    }
+
+    /** Passes on a GET request. */
+    @GET
+    public Response get(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on a HEAD request. */
+    @HEAD
+    public Response head(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on an OPTIONS request. */
+    @OPTIONS
+    public Response options(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on a POST request. */
+    @POST
+    public Response post(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on a PUT request. */
+    @PUT
+    public Response put(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on a PATCH request. */
+    @PATCH
+    public Response patch(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    /** Passes on a DELETE request. */
+    @DELETE
+    public Response delete(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
+    }
+
+    private Response handle(String service, HttpServletRequest servletRequest, InputStream body) {
+        inFlight.begin();
+        boolean streaming = false;
+        try {
+            IncomingRequest incoming = new IncomingRequest(
+                    service,
+                    servletRequest.getMethod(),
+                    targetOf(servletRequest),
+                    headersOf(servletRequest),
+                    new RequestBody(body, bodyLength(servletRequest)));
+            RoutedAnswer answer = router.route(requests.check(incoming));
+            Response response = success(answer, new CallerConnection(servletRequest));
+            streaming = true;
+            return response;
+        } catch (RequestException e) {
+            return error(e);
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("request failed inside the node");
+            return error(new RequestException(
+                    ErrorCode.INTERNAL, Executed.UNKNOWN, "the node failed; its log names the reason"));
+        } finally {
+            if (!streaming) {
+                inFlight.end();
+            }
+        }
+    }
+
+    private Response success(RoutedAnswer answer, CallerConnection connection) {
+        Response.ResponseBuilder builder = Response.status(answer.status());
+        for (HeaderField field : Headers.forCaller(answer.headers())) {
+            builder.header(field.name(), field.value());
+        }
+        builder.header(Executed.HEADER, answer.executed().text());
+        builder.entity((StreamingOutput) output -> {
+            try {
+                answer.writeTo(output);
+            } catch (IOException e) {
+                // Ending the response in order would make the caller take the part for the whole.
+                connection.abort();
+                throw e;
+            } finally {
+                inFlight.end();
+            }
+        });
+        return builder.build();
+    }
+
+    private static Response error(RequestException e) {
+        return Response.status(e.code().status())
+                .type(MediaType.APPLICATION_JSON_TYPE)
+                .header(Executed.HEADER, e.executed().text())
+                .entity(new ErrorBody(e.code(), e.getMessage(), e.executed()))
+                .build();
+    }
+
+    /** Returns the raw path after the service's name, and the raw query. */
+    private static String targetOf(HttpServletRequest request) {
+        String uri = request.getRequestURI();
+        int serviceStart = uri.indexOf("/services/") + "/services/".length();
+        int pathStart = uri.indexOf('/', serviceStart);
+        String path = pathStart < 0 ? "/" : uri.substring(pathStart);
+        return request.getQueryString() == null ? path : path + "?" + request.getQueryString();
+    }
+
+    private static List<HeaderField> headersOf(HttpServletRequest request) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (String name : Collections.list(request.getHeaderNames())) {
+            for (String value : Collections.list(request.getHeaders(name))) {
+                fields.add(new HeaderField(name, value));
+            }
+        }
+        return fields;
+    }
+
+    private static long bodyLength(HttpServletRequest request) {
+        if (request.getContentLengthLong() >= 0) {
+            return request.getContentLengthLong();
+        }
+        boolean chunked =
+                Optional.ofNullable(request.getHeader("Transfer-Encoding")).isPresent();
+        return chunked ? RequestBody.UNKNOWN_LENGTH : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
@@ -0,0 +1,139 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.Profile;
+import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.Identifiers;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.settings.EntrySettings;
+
+/** Checks callers' requests: credential, service, deadline and idempotency key. */
+@Singleton
+public final class QuickRequests {
+
+    private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+    private final EntrySettings settings;
+    private final CallerAuthentication authentication;
+    private final Cluster cluster;
+    private final MonotonicClock clock;
+
+    /** Creates the checks. */
+    @Inject
+    public QuickRequests(
+            EntrySettings settings, CallerAuthentication authentication, Cluster cluster, MonotonicClock clock) {
+        this.settings = settings;
+        this.authentication = authentication;
+        this.cluster = cluster;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the request with its deadline and rules.
+     *
+     * @throws RequestException if it is not valid or this node admits nothing
+     */
+    public QuickRequest check(IncomingRequest incoming) throws RequestException {
+        long arrivedNanos = clock.nowNanos();
+        CallerName caller =
+                authentication.authenticate(incoming.header("Authorization").orElse(null));
+        Configuration configuration = requireConfiguration();
+        ServiceDefinition service = findService(configuration, incoming.service());
+        Optional<Profile> profile = findProfile(configuration, service);
+        Duration timeAllowed = timeAllowed(incoming, profile);
+        boolean idempotent = IDEMPOTENT_METHODS.contains(incoming.method())
+                || profile.map(Profile::idempotent).orElse(false);
+        Optional<String> key = idempotent ? Optional.empty() : idempotencyKey(incoming);
+        readSmallBody(incoming.body());
+        return new QuickRequest(
+                service.name(),
+                caller,
+                new UpstreamRequest(
+                        incoming.method(), incoming.target(), Headers.forUpstream(incoming.headers()), incoming.body()),
+                arrivedNanos + timeAllowed.toNanos(),
+                idempotent,
+                key);
+    }
+
+    private Configuration requireConfiguration() throws RequestException {
+        if (cluster.standing() == Standing.ISOLATED) {
+            throw RequestException.notRun(
+                    ErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
+        }
+        return cluster.configuration()
+                .orElseThrow(() ->
+                        RequestException.notRun(ErrorCode.NOT_READY, "this node has not learnt the configuration yet"));
+    }
+
+    private static ServiceDefinition findService(Configuration configuration, String name) throws RequestException {
+        for (ServiceDefinition service : configuration.services()) {
+            if (service.name().value().equals(name)) {
+                return service;
+            }
+        }
+        throw RequestException.notRun(ErrorCode.UNKNOWN_SERVICE, "no service has this name; operators add services");
+    }
+
+    private static Optional<Profile> findProfile(Configuration configuration, ServiceDefinition service) {
+        return configuration.profiles().stream()
+                .filter(profile -> profile.name().equals(service.profile()))
+                .findFirst();
+    }
+
+    private Duration timeAllowed(IncomingRequest incoming, Optional<Profile> profile) throws RequestException {
+        Duration limit = settings.requests().requestLimit();
+        long boundMs = profile.map(Profile::latencyBoundMs).orElse(0L);
+        if (boundMs > 0) {
+            limit = min(limit, Duration.ofMillis(boundMs));
+        }
+        Optional<String> header = incoming.header(Headers.DEADLINE_MS);
+        return header.isEmpty() ? limit : min(limit, parseDeadline(header.get()));
+    }
+
+    private static Duration parseDeadline(String text) throws RequestException {
+        try {
+            long ms = Long.parseLong(text.strip());
+            if (ms > 0) {
+                return Duration.ofMillis(ms);
+            }
+        } catch (NumberFormatException e) {
+            // Reported below, together with numbers out of range.
+        }
+        throw RequestException.notRun(
+                ErrorCode.BAD_REQUEST,
+                "%s must be a number of milliseconds, at least 1".formatted(Headers.DEADLINE_MS));
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
+    private static Optional<String> idempotencyKey(IncomingRequest incoming) throws RequestException {
+        Optional<String> key = incoming.header(Headers.IDEMPOTENCY_KEY);
+        if (key.isPresent() && !Identifiers.isValid(key.get())) {
+            throw RequestException.notRun(
+                    ErrorCode.BAD_REQUEST,
+                    "%s must have 1 to %d letters, digits, spaces or ._:-, starting with a letter or digit"
+                            .formatted(Headers.IDEMPOTENCY_KEY, Identifiers.MAX_LENGTH));
+        }
+        return key;
+    }
+
+    private static void readSmallBody(RequestBody body) throws RequestException {
+        try {
+            body.keepIfSmall();
+        } catch (IOException e) {
+            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -0,0 +1,169 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+
+/**
+ * Sends a quick request to a runner, and again to another one where that is safe.
+ *
+ * <p>A second send is safe if no byte of the first was handed to a connection, or if the request is idempotent; in both
+ * cases the body must be available once more. Thread-safe; {@link #route} blocks its thread.
+ */
+@Singleton
+public final class RequestRouter {
+
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final Cluster cluster;
+    private final SlotBroker broker;
+    private final RunnerDirectory directory;
+    private final UpstreamClient client;
+    private final MonotonicClock clock;
+
+    /** Creates the router. */
+    @Inject
+    public RequestRouter(
+            Cluster cluster,
+            SlotBroker broker,
+            RunnerDirectory directory,
+            UpstreamClient client,
+            MonotonicClock clock) {
+        this.cluster = cluster;
+        this.broker = broker;
+        this.directory = directory;
+        this.client = client;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns the answer of a runner once its head has arrived.
+     *
+     * @throws RequestException if there is none; it tells whether the request may have run
+     */
+    public RoutedAnswer route(QuickRequest request) throws RequestException {
+        broker.recordRequest(request.service());
+        return new Routing(request).run();
+    }
+
+    /** The attempts of one request. */
+    private final class Routing {
+        private final QuickRequest request;
+        private final Set<RunnerId> failed = new HashSet<>();
+        private Executed executed = Executed.NO;
+
+        Routing(QuickRequest request) {
+            this.request = request;
+        }
+
+        RoutedAnswer run() throws RequestException {
+            int attempt = 1;
+            while (true) {
+                HeldSlot slot = acquire();
+                try {
+                    RoutedAnswer answer = send(slot);
+                    if (attempt == MAX_ATTEMPTS || !mayReplace(answer, slot)) {
+                        return answer;
+                    }
+                    executed = Executed.UNKNOWN;
+                    answer.discard();
+                } catch (UpstreamException e) {
+                    recordFailure(slot, e);
+                    if (attempt == MAX_ATTEMPTS || !mayRetry(e)) {
+                        throw failure(e);
+                    }
+                }
+                attempt++;
+            }
+        }
+
+        private HeldSlot acquire() throws RequestException {
+            try {
+                return broker.acquire(request.service(), request.deadlineNanos(), failed);
+            } catch (RequestException e) {
+                throw new RequestException(e.code(), executed, e.getMessage());
+            }
+        }
+
+        private RoutedAnswer send(HeldSlot slot) throws UpstreamException {
+            QuickRequest timed = withRemainingTime();
+            return new UpstreamAttempt(
+                            client, broker, clock, timed, slot, () -> cluster.standing() != Standing.ISOLATED)
+                    .send();
+        }
+
+        private QuickRequest withRemainingTime() {
+            long remainingMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - clock.nowNanos());
+            UpstreamRequest message = request.message();
+            List<HeaderField> headers = new ArrayList<>(message.headers());
+            headers.add(new HeaderField(Headers.DEADLINE_MS, Long.toString(Math.max(1, remainingMs))));
+            return new QuickRequest(
+                    request.service(),
+                    request.caller(),
+                    new UpstreamRequest(message.method(), message.target(), headers, message.body()),
+                    request.deadlineNanos(),
+                    request.idempotent(),
+                    request.idempotencyKey());
+        }
+
+        private void recordFailure(HeldSlot slot, UpstreamException e) {
+            failed.add(slot.runner().id());
+            if (e.executed() != Executed.NO) {
+                executed = Executed.UNKNOWN;
+            }
+        }
+
+        private boolean mayRetry(UpstreamException e) {
+            boolean useful =
+                    e.reason() == UpstreamException.Reason.UNREACHABLE || e.reason() == UpstreamException.Reason.BROKEN;
+            if (!useful || !request.message().body().canBeSent() || !hasOtherRunner()) {
+                return false;
+            }
+            return executed == Executed.NO || (request.idempotent() && broker.tryRetry(request.service()));
+        }
+
+        /** An answer that says that this runner cannot serve is replaced if the request may run twice. */
+        private boolean mayReplace(RoutedAnswer answer, HeldSlot slot) {
+            boolean unavailable = answer.status() >= 502 && answer.status() <= 504;
+            if (!unavailable
+                    || !request.idempotent()
+                    || !request.message().body().canBeSent()) {
+                return false;
+            }
+            failed.add(slot.runner().id());
+            return hasOtherRunner() && broker.tryRetry(request.service());
+        }
+
+        private boolean hasOtherRunner() {
+            return directory.acceptingRunnersOf(request.service()).stream()
+                    .anyMatch(runner -> !failed.contains(runner.id()));
+        }
+
+        private RequestException failure(UpstreamException e) {
+            return switch (e.reason()) {
+                case UNREACHABLE ->
+                    new RequestException(
+                            ErrorCode.UPSTREAM_UNREACHABLE, executed, "no connection to a runner could be opened");
+                case NOT_ADMITTED ->
+                    new RequestException(
+                            ErrorCode.NOT_READY, executed, "this node lost contact with the platform and its peers");
+                case TIMEOUT ->
+                    new RequestException(
+                            ErrorCode.DEADLINE_EXCEEDED, executed, "the runner did not answer before the deadline");
+                case BROKEN ->
+                    new RequestException(ErrorCode.UPSTREAM_FAILED, executed, "the runner broke off the request");
+                case CALLER_GONE ->
+                    new RequestException(ErrorCode.BAD_REQUEST, executed, "the body of the request could not be read");
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestsInFlight.java
@@ -0,0 +1,73 @@
+package org.tamarackline.entry.proxy;
+
+import java.time.Duration;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+
+/** Counts the quick requests that this node has accepted and not finished; a planned stop waits until there are none. */
+@Singleton
+public final class RequestsInFlight {
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition zero = lock.newCondition();
+    private int count;
+
+    /** Creates the counter. */
+    @Inject
+    public RequestsInFlight() {}
+
+    /** Returns the number of requests in flight. */
+    public int count() {
+        lock.lock();
+        try {
+            return count;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Waits until no request is in flight.
+     *
+     * @return false if {@code timeout} passed first
+     */
+    public boolean awaitZero(Duration timeout) throws InterruptedException {
+        long remainingNanos = timeout.toNanos();
+        lock.lockInterruptibly();
+        try {
+            while (count > 0) {
+                if (remainingNanos <= 0) {
+                    return false;
+                }
+                remainingNanos = zero.awaitNanos(remainingNanos);
+            }
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void begin() {
+        lock.lock();
+        try {
+            count++;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void end() {
+        lock.lock();
+        try {
+            count--;
+            if (count == 0) {
+                zero.signalAll();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RoutingDump.java
@@ -0,0 +1,38 @@
+package org.tamarackline.entry.proxy;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.entry.StateDump;
+
+/** The routing's part of the state dump: runners, slots in use and waiting requests. */
+@Singleton
+public final class RoutingDump implements StateDump {
+
+    private final SlotBroker broker;
+    private final RequestsInFlight inFlight;
+
+    /** Creates the dump. */
+    @Inject
+    public RoutingDump(SlotBroker broker, RequestsInFlight inFlight) {
+        this.broker = broker;
+        this.inFlight = inFlight;
+    }
+
+    /**
+     * The content of the dump.
+     *
+     * @param requestsInFlight accepted requests that have not ended
+     * @param slots slots of the owned runners
+     */
+    public record Content(int requestsInFlight, SlotBroker.Snapshot slots) {}
+
+    @Override
+    public String name() {
+        return "routing";
+    }
+
+    @Override
+    public Object snapshot() {
+        return new Content(inFlight.count(), broker.snapshot());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RoutingPeerHandler.java
@@ -0,0 +1,51 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.Optional;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.routing.SlotLease;
+import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerMessage;
+
+/** Answers other nodes that borrow and return slots. */
+@Singleton
+public final class RoutingPeerHandler implements PeerHandler {
+
+    /** Time after which a refused node may ask again, in milliseconds. */
+    private static final long RETRY_AFTER_MS = 20;
+
+    private final SlotBroker broker;
+
+    /** Creates the handler. */
+    @Inject
+    public RoutingPeerHandler(SlotBroker broker) {
+        this.broker = broker;
+    }
+
+    @Override
+    public Optional<PeerMessage> handle(NodeId sender, PeerMessage request) {
+        return switch (request) {
+            case SlotMessages.BorrowSlot borrow -> Optional.of(lend(sender, borrow));
+            case SlotMessages.ReturnSlot report -> {
+                broker.apply(report);
+                yield Optional.of(new PeerMessage.Ok());
+            }
+            case SlotMessages.CancelBorrow cancel -> {
+                broker.cancelGrant(cancel.grantId());
+                yield Optional.of(new PeerMessage.Ok());
+            }
+            case PeerMessage other -> Optional.empty();
+        };
+    }
+
+    private PeerMessage lend(NodeId borrower, SlotMessages.BorrowSlot request) {
+        Optional<SlotLease> lease = broker.lend(borrower, request);
+        if (lease.isEmpty()) {
+            return new SlotMessages.NoSlot(RETRY_AFTER_MS);
+        }
+        return new SlotMessages.SlotGrant(
+                lease.get().grantId(), lease.get().shard(), lease.get().runner());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
@@ -0,0 +1,138 @@
+package org.tamarackline.entry.proxy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.google.common.flogger.FluentLogger;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.platform.VmRecord;
+
+/**
+ * The runners by group, from the last VM list that the platform returned.
+ *
+ * <p>The list is kept during an outage of the platform. Thread-safe; reads take no lock.
+ */
+@Singleton
+public final class RunnerDirectory {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Time for which a runner that said that it is leaving gets no work although the VM list still calls it live. */
+    private static final Duration LEAVING_REMEMBERED = Duration.ofSeconds(30);
+
+    private final VmDirectory vms;
+    private final RunnerGroups groups;
+    private final Cluster cluster;
+    private final MonotonicClock clock;
+    private final Map<RunnerId, Long> leavingSinceNanos = new ConcurrentHashMap<>();
+    private volatile List<VmRecord> lastList = List.of();
+    private volatile Snapshot snapshot = new Snapshot(Map.of(), Map.of());
+
+    /** Creates an empty directory. */
+    @Inject
+    public RunnerDirectory(VmDirectory vms, RunnerGroups groups, Cluster cluster, MonotonicClock clock) {
+        this.vms = vms;
+        this.groups = groups;
+        this.cluster = cluster;
+        this.clock = clock;
+    }
+
+    private record Snapshot(
+            Map<ShardId, List<Runner>> runnersByShard, Map<ServiceName, List<ShardId>> shardsByService) {}
+
+    /** Reads the VM list again; keeps the last one if the platform does not answer. */
+    public void refresh() {
+        try {
+            lastList = List.copyOf(vms.list());
+        } catch (PlatformUnavailableException e) {
+            LOG.atFine().withCause(e).log("VM list not refreshed, the last one is kept");
+        }
+        rebuild();
+    }
+
+    /** Applies the configuration and the remembered announcements to the last list. */
+    public void rebuild() {
+        long nowNanos = clock.nowNanos();
+        leavingSinceNanos.values().removeIf(since -> nowNanos - since > LEAVING_REMEMBERED.toNanos());
+        Set<String> outOfService =
+                cluster.configuration().map(Configuration::vmsOutOfService).orElse(Set.of());
+        Map<ShardId, List<Runner>> runnersByShard = new LinkedHashMap<>();
+        Map<ServiceName, List<ShardId>> shardsByService = new HashMap<>();
+        groups.groupsOf(lastList).forEach((shard, records) -> {
+            List<Runner> runners = new ArrayList<>();
+            records.forEach(vm -> toRunner(vm, outOfService).ifPresent(runners::add));
+            if (!runners.isEmpty()) {
+                runnersByShard.put(shard, List.copyOf(runners));
+                shardsByService
+                        .computeIfAbsent(runners.get(0).service(), service -> new ArrayList<>())
+                        .add(shard);
+            }
+        });
+        snapshot = new Snapshot(runnersByShard, shardsByService);
+    }
+
+    /** Remembers that the runner takes no new work. Returns whether that is news. */
+    public boolean markLeaving(RunnerId runner) {
+        return leavingSinceNanos.put(runner, clock.nowNanos()) == null;
+    }
+
+    /** Returns the runners of a group. */
+    public List<Runner> runnersOf(ShardId shard) {
+        return snapshot.runnersByShard().getOrDefault(shard, List.of());
+    }
+
+    /** Returns the groups of a service. */
+    public List<ShardId> shardsOf(ServiceName service) {
+        return snapshot.shardsByService().getOrDefault(service, List.of());
+    }
+
+    /** Returns all runners. */
+    public List<Runner> all() {
+        return snapshot.runnersByShard().values().stream().flatMap(List::stream).toList();
+    }
+
+    /** Returns the runners of a service that may get work, whoever owns them. */
+    public List<Runner> acceptingRunnersOf(ServiceName service) {
+        return shardsOf(service).stream()
+                .flatMap(shard -> runnersOf(shard).stream())
+                .filter(Runner::accepting)
+                .toList();
+    }
+
+    private Optional<Runner> toRunner(VmRecord vm, Set<String> outOfService) {
+        try {
+            RunnerId id = new RunnerId(vm.id());
+            boolean accepting = vm.state() == VmRecord.State.LIVE
+                    && !outOfService.contains(vm.id())
+                    && !leavingSinceNanos.containsKey(id);
+            return Optional.of(new Runner(
+                    id,
+                    new ServiceName(vm.role()),
+                    vm.dataCentre(),
+                    vm.address(),
+                    vm.slots(),
+                    vm.connections(),
+                    accepting));
+        } catch (IllegalArgumentException e) {
+            LOG.atWarning().withCause(e).log("VM record ignored");
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
@@ -0,0 +1,486 @@
+package org.tamarackline.entry.proxy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.ReentrantLock;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.AdmissionQueue;
+import org.tamarackline.core.routing.ConnectionShare;
+import org.tamarackline.core.routing.OutlierDetector;
+import org.tamarackline.core.routing.RetryBudget;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.routing.ServiceTime;
+import org.tamarackline.core.routing.SlotHandover;
+import org.tamarackline.core.routing.SlotLease;
+import org.tamarackline.core.routing.SlotLedger;
+import org.tamarackline.core.routing.SlotRequest;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Finds a slot for each request: an own one, a borrowed one, or the next one that becomes free.
+ *
+ * <p>Thread-safe. One lock guards the ledger, the queues and the detector; it is never held during I/O or a wait.
+ */
+@Singleton
+public final class SlotBroker {
+
+    /** Time between two attempts to borrow while a request waits, which also grants slots that became free by time. */
+    private static final Duration WAIT_STEP = Duration.ofMillis(25);
+
+    private final Cluster cluster;
+    private final RunnerDirectory directory;
+    private final MonotonicClock clock;
+    private final EntrySettings settings;
+    private final SlotLending lending;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final SlotLedger ledger;
+    private final OutlierDetector outliers = new OutlierDetector(OutlierDetector.Limits.defaults());
+    private final Map<ServiceName, ServiceState> services = new HashMap<>();
+    private int waiting;
+
+    /** Creates a broker that owns no runners. */
+    @Inject
+    public SlotBroker(
+            Cluster cluster,
+            RunnerDirectory directory,
+            MonotonicClock clock,
+            EntrySettings settings,
+            SlotLending lending) {
+        this.cluster = cluster;
+        this.directory = directory;
+        this.clock = clock;
+        this.settings = settings;
+        this.lending = lending;
+        this.ledger = new SlotLedger(
+                settings.requests().requestLimit().plus(settings.cluster().driftMargin()));
+    }
+
+    private final class ServiceState {
+        private final AdmissionQueue<SlotWaiter> queue =
+                new AdmissionQueue<>(settings.requests().queueLength());
+        private final ServiceTime serviceTime = new ServiceTime();
+        private final RetryBudget retries = new RetryBudget(settings.requests().retryPercent());
+    }
+
+    /**
+     * Returns a slot, after a wait if none is free.
+     *
+     * @param excluded runners that failed this request before
+     * @throws RequestException if the request is shed or its deadline passes; it was not run
+     */
+    public HeldSlot acquire(ServiceName service, long deadlineNanos, Set<RunnerId> excluded) throws RequestException {
+        requireStanding();
+        Optional<HeldSlot> free = tryOwn(service, excluded);
+        if (free.isEmpty()) {
+            free = borrow(service, deadlineNanos, excluded);
+        }
+        if (free.isPresent()) {
+            return free.get();
+        }
+        if (directory.acceptingRunnersOf(service).isEmpty()) {
+            throw RequestException.notRun(
+                    ErrorCode.NO_RUNNER, "service \"%s\" has no runner that takes work".formatted(service));
+        }
+        return await(service, deadlineNanos, excluded);
+    }
+
+    private HeldSlot await(ServiceName service, long deadlineNanos, Set<RunnerId> excluded) throws RequestException {
+        SlotWaiter waiter = new SlotWaiter(excluded);
+        AdmissionQueue.Entry<SlotWaiter> entry = enqueue(service, waiter, deadlineNanos);
+        boolean keep = false;
+        try {
+            while (deadlineNanos - clock.nowNanos() > 0) {
+                Optional<HeldSlot> slot = waiter.await(waitStepNanos(deadlineNanos));
+                if (slot.isEmpty()) {
+                    requireStanding();
+                    grantWaiting(service);
+                    slot = waiter.poll().or(() -> borrow(service, deadlineNanos, excluded));
+                }
+                if (slot.isPresent()) {
+                    keep = waiter.poll().equals(slot);
+                    return slot.get();
+                }
+            }
+            throw RequestException.notRun(ErrorCode.OVERLOADED, "no slot became free before the deadline");
+        } finally {
+            leaveQueue(service, entry, !keep);
+        }
+    }
+
+    private long waitStepNanos(long deadlineNanos) {
+        long stepNanos = WAIT_STEP.toNanos() + ThreadLocalRandom.current().nextLong(WAIT_STEP.toNanos());
+        return Math.min(stepNanos, deadlineNanos - clock.nowNanos());
+    }
+
+    private AdmissionQueue.Entry<SlotWaiter> enqueue(ServiceName service, SlotWaiter waiter, long deadlineNanos)
+            throws RequestException {
+        lock.lock();
+        try {
+            ServiceState state = stateOf(service);
+            long nowNanos = clock.nowNanos();
+            if (waiting >= settings.requests().queueLength()) {
+                throw RequestException.notRun(ErrorCode.OVERLOADED, "too many requests wait for a slot");
+            }
+            AdmissionQueue.Offer<SlotWaiter> offer = state.queue.offer(
+                    waiter, deadlineNanos, nowNanos, slotsServing(service), state.serviceTime.meanNanos());
+            return switch (offer) {
+                case AdmissionQueue.Offer.Queued<SlotWaiter> queued -> {
+                    waiting++;
+                    grantWaitingLocked(service);
+                    yield queued.entry();
+                }
+                case AdmissionQueue.Offer.Full<SlotWaiter> full ->
+                    throw RequestException.notRun(ErrorCode.OVERLOADED, "too many requests wait for a slot");
+                case AdmissionQueue.Offer.TooLate<SlotWaiter> late ->
+                    throw RequestException.notRun(
+                            ErrorCode.OVERLOADED,
+                            "the expected wait of %d ms is too long for the deadline"
+                                    .formatted(Duration.ofNanos(late.expectedWaitNanos())
+                                            .toMillis()));
+            };
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A slot that was granted while the waiter gave up is released again. */
+    private void leaveQueue(ServiceName service, AdmissionQueue.Entry<SlotWaiter> entry, boolean releaseGranted) {
+        Optional<HeldSlot> unused;
+        lock.lock();
+        try {
+            if (stateOf(service).queue.remove(entry)) {
+                waiting--;
+            }
+            unused = releaseGranted ? entry.item().poll() : Optional.empty();
+        } finally {
+            lock.unlock();
+        }
+        unused.ifPresent(slot -> finish(slot, true, RunnerHealth.NOT_JUDGED));
+    }
+
+    private Optional<HeldSlot> tryOwn(ServiceName service, Set<RunnerId> excluded) {
+        lock.lock();
+        try {
+            if (stateOf(service).queue.size() > 0) {
+                return Optional.empty();
+            }
+            return acquireLocked(newGrantId(), service, cluster.self(), excluded)
+                    .map(this::own);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private HeldSlot own(SlotLease lease) {
+        return new HeldSlot(
+                lease,
+                Optional.empty(),
+                clock.nowNanos() + settings.requests().requestLimit().toNanos());
+    }
+
+    private Optional<SlotLease> acquireLocked(
+            long grantId, ServiceName service, NodeId holder, Set<RunnerId> excluded) {
+        long nowNanos = clock.nowNanos();
+        SlotRequest request =
+                new SlotRequest(grantId, service, holder, settings.dataCentre(), connectionShare(), excluded);
+        Optional<SlotLease> lease = ledger.acquire(request, runner -> outliers.isUsable(runner, nowNanos), nowNanos);
+        lease.ifPresent(granted -> outliers.recordGrant(granted.runner().id(), nowNanos));
+        return lease;
+    }
+
+    private Optional<HeldSlot> borrow(ServiceName service, long deadlineNanos, Set<RunnerId> excluded) {
+        return lending.borrow(
+                directory.shardsOf(service), service, Duration.ofNanos(deadlineNanos - clock.nowNanos()), excluded);
+    }
+
+    /** Lends a slot to another node, unless own requests wait or this node may not rely on its ownership. */
+    public Optional<SlotLease> lend(NodeId borrower, SlotMessages.BorrowSlot request) {
+        if (cluster.standing() == Standing.ISOLATED) {
+            return Optional.empty();
+        }
+        lock.lock();
+        try {
+            if (stateOf(request.service()).queue.size() > 0) {
+                return Optional.empty();
+            }
+            return acquireLocked(request.grantId(), request.service(), borrower, request.excluded());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Reports how a request went and, if it has ended, returns its slot.
+     *
+     * @param ended false if the runner may still be working on the request
+     */
+    public void finish(HeldSlot slot, boolean ended, RunnerHealth health) {
+        SlotLease lease = slot.lease();
+        SlotMessages.ReturnSlot report = new SlotMessages.ReturnSlot(
+                lease.grantId(), lease.shard(), lease.runner().id(), ended, health);
+        if (apply(report)) {
+            return;
+        }
+        if (health == RunnerHealth.LEAVING) {
+            directory.markLeaving(report.runner());
+        }
+        lending.report(report, slot.lender());
+    }
+
+    /** Ends a use whose grant did not reach the borrower. */
+    public void cancelGrant(long grantId) {
+        lock.lock();
+        try {
+            ledger.release(grantId);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Applies a report to an own runner. Returns false if this node does not own its group any more. */
+    public boolean apply(SlotMessages.ReturnSlot report) {
+        if (report.health() == RunnerHealth.LEAVING && directory.markLeaving(report.runner())) {
+            directory.rebuild();
+            updateRunners(report.shard());
+        }
+        lock.lock();
+        try {
+            if (!ledger.owns(report.shard())) {
+                return false;
+            }
+            recordHealth(report);
+            if (report.released()) {
+                ledger.release(report.grantId());
+            }
+            serviceOf(report).ifPresent(this::grantWaitingLocked);
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private Optional<ServiceName> serviceOf(SlotMessages.ReturnSlot report) {
+        return directory.runnersOf(report.shard()).stream().findFirst().map(Runner::service);
+    }
+
+    private void recordHealth(SlotMessages.ReturnSlot report) {
+        if (report.health() == RunnerHealth.ANSWERED) {
+            outliers.recordSuccess(report.runner());
+        } else if (report.health() == RunnerHealth.FAILED) {
+            long nowNanos = clock.nowNanos();
+            int ownRunners = ledger.loads(serviceOf(report), nowNanos).size();
+            outliers.recordFailure(report.runner(), nowNanos, ownRunners);
+        } else {
+            outliers.recordUnused(report.runner());
+        }
+    }
+
+    /** Records the time that an answered request took on its runner. */
+    public void recordServiceTime(ServiceName service, long nanos) {
+        lock.lock();
+        try {
+            stateOf(service).serviceTime.record(nanos);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the measured mean time of the service's requests, 0 if unknown. */
+    public long meanServiceTimeNanos(ServiceName service) {
+        lock.lock();
+        try {
+            return stateOf(service).serviceTime.meanNanos();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Counts a request for the retry budget of its service. */
+    public void recordRequest(ServiceName service) {
+        lock.lock();
+        try {
+            stateOf(service).retries.recordRequest();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes a retry from the budget of the service. */
+    public boolean tryRetry(ServiceName service) {
+        lock.lock();
+        try {
+            return stateOf(service).retries.tryRetry();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Starts counting the slots of a group that this node gained. */
+    public void gained(ShardId shard, GroupOrigin origin) {
+        lock.lock();
+        try {
+            long nowNanos = clock.nowNanos();
+            switch (origin) {
+                case GroupOrigin.Fresh fresh -> ledger.gainFresh(shard, nowNanos);
+                case GroupOrigin.AfterFailure failure -> ledger.gainAfterFailure(shard, nowNanos);
+                case GroupOrigin.HandedOver handed -> ledger.gainByHandover(shard, handed.state(), nowNanos);
+            }
+        } finally {
+            lock.unlock();
+        }
+        updateRunners(shard);
+    }
+
+    /** How the slots of a gained group stand. */
+    public sealed interface GroupOrigin {
+        /** No one used them before. */
+        record Fresh() implements GroupOrigin {}
+
+        /** The earlier owner failed; what it granted may still be in use. */
+        record AfterFailure() implements GroupOrigin {}
+
+        /**
+         * The earlier owner named its open uses.
+         *
+         * @param state open uses
+         */
+        record HandedOver(SlotHandover state) implements GroupOrigin {}
+    }
+
+    /** Stops granting slots of the group and returns its open uses. */
+    public SlotHandover prepareHandover(ShardId shard) {
+        lock.lock();
+        try {
+            return ledger.prepareHandover(shard, clock.nowNanos());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Forgets a group that this node lost. */
+    public void lost(ShardId shard) {
+        lock.lock();
+        try {
+            ledger.lose(shard);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Applies the directory's runners to all owned groups and grants slots that became free by time. */
+    public void updateRunners() {
+        cluster.ownedShards().forEach(this::updateRunners);
+        List<RunnerId> known = directory.all().stream().map(Runner::id).toList();
+        lock.lock();
+        try {
+            outliers.retain(known);
+            ledger.expire(clock.nowNanos());
+            new ArrayList<>(services.keySet()).forEach(this::grantWaitingLocked);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void updateRunners(ShardId shard) {
+        List<Runner> runners = directory.runnersOf(shard);
+        lock.lock();
+        try {
+            ledger.setRunners(shard, runners);
+            runners.stream().findFirst().ifPresent(runner -> grantWaitingLocked(runner.service()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void grantWaiting(ServiceName service) {
+        lock.lock();
+        try {
+            grantWaitingLocked(service);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void grantWaitingLocked(ServiceName service) {
+        ServiceState state = stateOf(service);
+        Optional<AdmissionQueue.Entry<SlotWaiter>> first = state.queue.first();
+        while (first.isPresent()) {
+            SlotWaiter waiter = first.get().item();
+            Optional<SlotLease> lease = acquireLocked(newGrantId(), service, cluster.self(), waiter.excluded());
+            if (lease.isEmpty()) {
+                return;
+            }
+            state.queue.remove(first.get());
+            waiting--;
+            waiter.grant(own(lease.get()));
+            first = state.queue.first();
+        }
+    }
+
+    private int slotsServing(ServiceName service) {
+        int own = ledger.capacityOf(service);
+        return own > 0
+                ? own
+                : directory.acceptingRunnersOf(service).stream()
+                        .mapToInt(Runner::slots)
+                        .sum();
+    }
+
+    private ServiceState stateOf(ServiceName service) {
+        return services.computeIfAbsent(service, name -> new ServiceState());
+    }
+
+    private ConnectionShare connectionShare() {
+        return new ConnectionShare(cluster.peers().size() + 1);
+    }
+
+    private void requireStanding() throws RequestException {
+        if (cluster.standing() == Standing.ISOLATED) {
+            throw RequestException.notRun(
+                    ErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
+        }
+    }
+
+    private static long newGrantId() {
+        return ThreadLocalRandom.current().nextLong();
+    }
+
+    /**
+     * A snapshot for operators.
+     *
+     * @param runners load of the owned runners
+     * @param openUses slots in use, those lent to other nodes included
+     * @param waiting requests that wait for a slot
+     * @param ejected runners that are ejected for failures
+     */
+    public record Snapshot(List<SlotLedger.RunnerLoad> runners, int openUses, int waiting, int ejected) {}
+
+    /** Returns a snapshot for operators. */
+    public Snapshot snapshot() {
+        lock.lock();
+        try {
+            return new Snapshot(
+                    ledger.loads(Optional.empty(), clock.nowNanos()),
+                    ledger.openUses(),
+                    waiting,
+                    outliers.ejectedCount());
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotMessages.java
@@ -0,0 +1,67 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.Set;
+
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.peer.RoutingMessage;
+
+/** The messages with which a node borrows slots of runners that another node owns. */
+public final class SlotMessages {
+
+    private SlotMessages() {}
+
+    /**
+     * Asks the owner for a slot for one request.
+     *
+     * @param grantId identifier of the use, chosen at random by the borrower
+     * @param service service to be called
+     * @param remainingMs time until the deadline of the request, in milliseconds
+     * @param excluded runners that failed this request before
+     */
+    @JsonTypeName("borrow-slot")
+    public record BorrowSlot(long grantId, ServiceName service, long remainingMs, Set<RunnerId> excluded)
+            implements RoutingMessage {}
+
+    /**
+     * Lends a slot until the deadline of the request.
+     *
+     * @param grantId identifier from the request
+     * @param shard runner group
+     * @param runner runner to send to
+     */
+    @JsonTypeName("slot-grant")
+    public record SlotGrant(long grantId, ShardId shard, Runner runner) implements RoutingMessage {}
+
+    /**
+     * Says that no slot is free.
+     *
+     * @param retryAfterMs time after which asking again may succeed, in milliseconds
+     */
+    @JsonTypeName("no-slot")
+    public record NoSlot(long retryAfterMs) implements RoutingMessage {}
+
+    /**
+     * Reports on a borrowed slot.
+     *
+     * @param grantId identifier of the use
+     * @param shard runner group
+     * @param runner runner that the slot belongs to
+     * @param released whether the use has ended; false if the runner may still be working on the request
+     * @param health what the request showed about the runner
+     */
+    @JsonTypeName("return-slot")
+    public record ReturnSlot(long grantId, ShardId shard, RunnerId runner, boolean released, RunnerHealth health)
+            implements RoutingMessage {}
+
+    /**
+     * Ends a use whose grant may not have reached the borrower.
+     *
+     * @param grantId identifier of the use
+     */
+    @JsonTypeName("cancel-borrow")
+    public record CancelBorrow(long grantId) implements RoutingMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAnswer.java
@@ -0,0 +1,29 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.List;
+
+/**
+ * An answer whose body is still to be read.
+ *
+ * <p>Closing it before the end of the body closes the connection; after the end the connection is kept for reuse.
+ */
+public interface UpstreamAnswer extends Closeable {
+
+    /** Returns the HTTP status. */
+    int status();
+
+    /** Returns the headers as received. */
+    List<HeaderField> headers();
+
+    /** Closes the connection at {@code deadlineNanos} if the body has not been read by then. */
+    void cutOffAt(long deadlineNanos);
+
+    /** Returns whether the connection was closed because the time was over. */
+    boolean isCutOff();
+
+    /** Returns the body; reading fails with an {@link IOException} if the runner dies before its end. */
+    InputStream body() throws IOException;
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -0,0 +1,308 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/**
+ * One send of a request with one slot, from the grant of the slot to its return.
+ *
+ * <p>When the deadline passes before the answer, the caller is told at once, but the answer is still awaited until the
+ * request limit: the runner goes on working, and only its answer tells that its slot is free. A body that is streamed from
+ * the caller is sent by the caller's thread and cut off at the deadline, because that stream ends with the caller's request.
+ */
+final class UpstreamAttempt {
+
+    /** Rest of an answer that is read after the caller has gone, so that slot and connection become free, in bytes. */
+    private static final long MAX_DRAINED_BYTES = 1 << 20;
+
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    /** Waits shorter than this many mean service times say nothing about the health of the runner. */
+    private static final int SILENT_AFTER_SERVICE_TIMES = 4;
+
+    private static final long SILENT_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private enum State {
+        UNSENT,
+        SENT,
+        /** The caller was answered before the send, which must not happen any more. */
+        GIVEN_UP_UNSENT,
+        /** The caller was answered, the runner may still be working. */
+        GIVEN_UP_SENT
+    }
+
+    private final UpstreamClient client;
+    private final SlotBroker broker;
+    private final MonotonicClock clock;
+    private final QuickRequest request;
+    private final HeldSlot slot;
+    private final UpstreamClient.SendCheck admission;
+    private final AtomicReference<State> state = new AtomicReference<>(State.UNSENT);
+    private final long startNanos;
+
+    UpstreamAttempt(
+            UpstreamClient client,
+            SlotBroker broker,
+            MonotonicClock clock,
+            QuickRequest request,
+            HeldSlot slot,
+            UpstreamClient.SendCheck admission) {
+        this.client = client;
+        this.broker = broker;
+        this.clock = clock;
+        this.request = request;
+        this.slot = slot;
+        this.admission = admission;
+        this.startNanos = clock.nowNanos();
+    }
+
+    /** Sends the request and waits for the head of the answer. The slot is returned if this fails. */
+    RoutedAnswer send() throws UpstreamException {
+        if (!request.message().body().isInMemory()) {
+            return new StreamedAnswer(sendUntil(request.deadlineNanos()));
+        }
+        CompletableFuture<UpstreamAnswer> head = new CompletableFuture<>();
+        Thread.ofVirtual().start(() -> sendInBackground(head));
+        return new StreamedAnswer(awaitHead(head));
+    }
+
+    private void sendInBackground(CompletableFuture<UpstreamAnswer> head) {
+        try {
+            UpstreamAnswer answer = sendUntil(slot.latestEndNanos());
+            if (!head.complete(answer)) {
+                endUnwanted(answer);
+            }
+        } catch (UpstreamException | RuntimeException e) {
+            head.completeExceptionally(e);
+        }
+    }
+
+    private UpstreamAnswer awaitHead(CompletableFuture<UpstreamAnswer> head) throws UpstreamException {
+        try {
+            UpstreamAnswer answer = head.get(request.deadlineNanos() - clock.nowNanos(), TimeUnit.NANOSECONDS);
+            answer.cutOffAt(request.deadlineNanos());
+            return answer;
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof UpstreamException failure) {
+                throw failure;
+            }
+            throw new IllegalStateException(e.getCause());
+        } catch (TimeoutException e) {
+            return giveUp(head);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return giveUp(head);
+        }
+    }
+
+    /** Ends the wait. Both {@code head} and {@code state} decide races with the answer and with the send. */
+    private UpstreamAnswer giveUp(CompletableFuture<UpstreamAnswer> head) throws UpstreamException {
+        boolean unsent = state.compareAndSet(State.UNSENT, State.GIVEN_UP_UNSENT);
+        if (!unsent) {
+            state.compareAndSet(State.SENT, State.GIVEN_UP_SENT);
+        }
+        UpstreamException timeout = new UpstreamException(
+                UpstreamException.Reason.TIMEOUT,
+                unsent ? Executed.NO : Executed.UNKNOWN,
+                "no answer before the deadline",
+                null);
+        if (!head.completeExceptionally(timeout) && !head.isCompletedExceptionally()) {
+            return head.join();
+        }
+        if (!unsent) {
+            broker.finish(slot, false, healthAfterSilence());
+        }
+        throw timeout;
+    }
+
+    private UpstreamAnswer sendUntil(long endNanos) throws UpstreamException {
+        try {
+            return client.send(slot.runner(), request.message(), endNanos, this::maySend);
+        } catch (UpstreamException e) {
+            boolean ended = e.executed() == Executed.NO || e.reason() == UpstreamException.Reason.BROKEN;
+            broker.finish(slot, ended, wasGivenUp() ? RunnerHealth.NOT_JUDGED : healthAfter(e));
+            throw e;
+        } catch (RuntimeException e) {
+            broker.finish(slot, state.get() == State.UNSENT, RunnerHealth.NOT_JUDGED);
+            throw e;
+        }
+    }
+
+    /** After it was given up, the attempt has been judged by its silence. */
+    private boolean wasGivenUp() {
+        return state.get() == State.GIVEN_UP_SENT || state.get() == State.GIVEN_UP_UNSENT;
+    }
+
+    private boolean maySend() {
+        return admission.maySend() && state.compareAndSet(State.UNSENT, State.SENT);
+    }
+
+    private RunnerHealth healthAfter(UpstreamException failure) {
+        return switch (failure.reason()) {
+            case UNREACHABLE, BROKEN -> RunnerHealth.FAILED;
+            case TIMEOUT -> failure.executed() == Executed.NO ? RunnerHealth.NOT_JUDGED : healthAfterSilence();
+            case NOT_ADMITTED, CALLER_GONE -> RunnerHealth.NOT_JUDGED;
+        };
+    }
+
+    private RunnerHealth healthAfterSilence() {
+        long waitedNanos = clock.nowNanos() - startNanos;
+        long usualNanos = broker.meanServiceTimeNanos(request.service());
+        boolean isLong = waitedNanos >= SILENT_AFTER_NANOS && waitedNanos >= SILENT_AFTER_SERVICE_TIMES * usualNanos;
+        return isLong ? RunnerHealth.FAILED : RunnerHealth.NOT_JUDGED;
+    }
+
+    /** Reads an answer that came after the deadline to its end, within the request limit. */
+    private void endUnwanted(UpstreamAnswer answer) {
+        boolean ended = drain(answer, Long.MAX_VALUE);
+        broker.finish(slot, ended, RunnerHealth.NOT_JUDGED);
+    }
+
+    private static boolean drain(UpstreamAnswer answer, long limitBytes) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try (answer) {
+            InputStream body = answer.body();
+            long total = 0;
+            int count = body.read(buffer);
+            while (count >= 0 && total < limitBytes) {
+                total += count;
+                count = body.read(buffer);
+            }
+            return count < 0;
+        } catch (IOException e) {
+            return !answer.isCutOff();
+        }
+    }
+
+    private final class StreamedAnswer implements RoutedAnswer {
+        private final UpstreamAnswer answer;
+        private boolean finished;
+
+        StreamedAnswer(UpstreamAnswer answer) {
+            this.answer = answer;
+        }
+
+        @Override
+        public int status() {
+            return answer.status();
+        }
+
+        @Override
+        public List<HeaderField> headers() {
+            return answer.headers();
+        }
+
+        @Override
+        public Executed executed() {
+            return health() == RunnerHealth.LEAVING ? Executed.UNKNOWN : Executed.YES;
+        }
+
+        @Override
+        public void writeTo(OutputStream output) throws IOException {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            InputStream body = openBody();
+            int count = read(body, buffer);
+            while (count >= 0) {
+                write(output, buffer, count);
+                if (body.available() == 0) {
+                    flush(output);
+                }
+                count = read(body, buffer);
+            }
+            broker.recordServiceTime(request.service(), clock.nowNanos() - startNanos);
+            finish(true, health());
+            answer.close();
+        }
+
+        private InputStream openBody() throws IOException {
+            try {
+                return answer.body();
+            } catch (IOException e) {
+                throw upstreamFailed(e);
+            }
+        }
+
+        private int read(InputStream body, byte[] buffer) throws IOException {
+            try {
+                return body.read(buffer);
+            } catch (IOException e) {
+                throw upstreamFailed(e);
+            }
+        }
+
+        private void write(OutputStream output, byte[] buffer, int count) throws IOException {
+            try {
+                output.write(buffer, 0, count);
+            } catch (IOException e) {
+                discard();
+                throw e;
+            }
+        }
+
+        private void flush(OutputStream output) throws IOException {
+            try {
+                output.flush();
+            } catch (IOException e) {
+                discard();
+                throw e;
+            }
+        }
+
+        private IOException upstreamFailed(IOException cause) {
+            boolean cutOff = answer.isCutOff();
+            finish(!cutOff, cutOff ? RunnerHealth.NOT_JUDGED : RunnerHealth.FAILED);
+            closeQuietly();
+            return cause;
+        }
+
+        /** The rest of the answer is read in the background, so that the caller's thread ends at once. */
+        @Override
+        public void discard() {
+            if (markFinished()) {
+                RunnerHealth health = health();
+                Thread.ofVirtual().start(() -> broker.finish(slot, drain(answer, MAX_DRAINED_BYTES), health));
+            }
+        }
+
+        private void finish(boolean ended, RunnerHealth health) {
+            if (markFinished()) {
+                broker.finish(slot, ended, health);
+            }
+        }
+
+        private synchronized boolean markFinished() {
+            boolean first = !finished;
+            finished = true;
+            return first;
+        }
+
+        private RunnerHealth health() {
+            if (status() == 503 && isLeaving()) {
+                return RunnerHealth.LEAVING;
+            }
+            return status() >= 500 ? RunnerHealth.FAILED : RunnerHealth.ANSWERED;
+        }
+
+        private boolean isLeaving() {
+            return headers().stream().anyMatch(field -> field.name().equalsIgnoreCase(Headers.LEAVING));
+        }
+
+        private void closeQuietly() {
+            try {
+                answer.close();
+            } catch (IOException e) {
+                // The connection is broken already.
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -0,0 +1,306 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.Closeable;
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.apache.hc.client5.http.HttpRoute;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.protocol.HttpClientContext;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.HttpClientConnection;
+import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.InputStreamEntity;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Sends requests to runners, each within its deadline.
+ *
+ * <p>The library's retries, redirects and decompression are off: only the router decides about a second send, and bodies
+ * pass unchanged. A connection on which a wait ran out is closed, because it may have gone silent for good. Thread-safe;
+ * {@link #send} blocks and is meant for virtual threads.
+ */
+@Singleton
+public final class UpstreamClient implements Closeable {
+
+    /** Idle time after which a connection is checked before use, because the runner may have closed it. */
+    private static final TimeValue VALIDATE_AFTER = TimeValue.ofSeconds(1);
+
+    private static final TimeValue CLOSE_IDLE_AFTER = TimeValue.ofSeconds(20);
+    private static final int MAX_CONNECTIONS = 1024;
+    private static final int DEFAULT_CONNECTIONS_PER_RUNNER = 64;
+
+    private final MonotonicClock clock;
+    private final Duration connectTimeout;
+    private final PoolingHttpClientConnectionManager connections;
+    private final CloseableHttpClient client;
+    private final ScheduledThreadPoolExecutor deadlines;
+
+    /** Creates the client. */
+    @Inject
+    public UpstreamClient(EntrySettings settings, MonotonicClock clock) {
+        this.clock = clock;
+        this.connectTimeout = settings.requests().connectTimeout();
+        this.connections = PoolingHttpClientConnectionManagerBuilder.create()
+                .setDefaultSocketConfig(SocketConfig.custom()
+                        .setTcpNoDelay(true)
+                        .setSoTimeout(Timeout.of(settings.requests().requestLimit()))
+                        .build())
+                .setDefaultConnectionConfig(ConnectionConfig.custom()
+                        .setConnectTimeout(Timeout.of(connectTimeout))
+                        .setValidateAfterInactivity(VALIDATE_AFTER)
+                        .build())
+                .setMaxConnTotal(MAX_CONNECTIONS)
+                .setMaxConnPerRoute(DEFAULT_CONNECTIONS_PER_RUNNER)
+                .build();
+        this.client = HttpClients.custom()
+                .setConnectionManager(connections)
+                .setRequestExecutor(new CheckingExecutor())
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableContentCompression()
+                .disableCookieManagement()
+                .disableAuthCaching()
+                .disableConnectionState()
+                .disableDefaultUserAgent()
+                .evictIdleConnections(CLOSE_IDLE_AFTER)
+                .build();
+        this.deadlines = new ScheduledThreadPoolExecutor(
+                1, Thread.ofPlatform().name("upstream-deadlines").daemon().factory());
+        deadlines.setRemoveOnCancelPolicy(true);
+    }
+
+    /** Decides immediately before the send, when a connection is open, whether the request may still be sent. */
+    @FunctionalInterface
+    public interface SendCheck {
+        /** Returns whether the send may go on; after true the request counts as possibly executed. */
+        boolean maySend();
+    }
+
+    /**
+     * Sends a request and returns the answer once its head has arrived.
+     *
+     * @param deadlineNanos time by which the whole answer must have been read; then the connection is closed
+     * @throws UpstreamException if there is no answer; it tells whether a byte may have been sent
+     */
+    public UpstreamAnswer send(Runner runner, UpstreamRequest request, long deadlineNanos, SendCheck check)
+            throws UpstreamException {
+        Duration remaining = Duration.ofNanos(deadlineNanos - clock.nowNanos());
+        if (!remaining.isPositive()) {
+            throw new UpstreamException(
+                    UpstreamException.Reason.TIMEOUT, Executed.NO, "the deadline passed before the send", null);
+        }
+        Exchange exchange = new Exchange(request, check);
+        return exchange.run(hostOf(runner), remaining);
+    }
+
+    /** Sets how many connections this node may hold to the runner. */
+    public void limitConnections(Runner runner, int limit) {
+        connections.setMaxPerRoute(new HttpRoute(hostOf(runner)), limit);
+    }
+
+    @Override
+    public void close() throws IOException {
+        deadlines.shutdownNow();
+        client.close();
+    }
+
+    private static HttpHost hostOf(Runner runner) {
+        int colon = runner.address().lastIndexOf(':');
+        return new HttpHost(
+                "http",
+                runner.address().substring(0, colon),
+                Integer.parseInt(runner.address().substring(colon + 1)));
+    }
+
+    /** Marks the request as sent before the first byte is written. */
+    private static final class CheckingExecutor extends HttpRequestExecutor {
+        @Override
+        public ClassicHttpResponse execute(
+                ClassicHttpRequest request,
+                HttpClientConnection connection,
+                HttpResponseInformationCallback callback,
+                HttpContext context)
+                throws IOException, HttpException {
+            Exchange exchange = (Exchange) context.getAttribute(Exchange.ATTRIBUTE);
+            if (!exchange.check.maySend()) {
+                throw new NotAdmittedException();
+            }
+            exchange.sent = true;
+            return super.execute(request, connection, callback, context);
+        }
+    }
+
+    private static final class NotAdmittedException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** Marks a failure of the caller's side, to tell it from a failure of the runner. */
+    private static final class CallerGoneException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        CallerGoneException(IOException cause) {
+            super(cause);
+        }
+    }
+
+    private static final class CallerBody extends FilterInputStream {
+        CallerBody(InputStream in) {
+            super(in);
+        }
+
+        @Override
+        public int read() throws IOException {
+            try {
+                return super.read();
+            } catch (IOException e) {
+                throw new CallerGoneException(e);
+            }
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            try {
+                return super.read(buffer, offset, length);
+            } catch (IOException e) {
+                throw new CallerGoneException(e);
+            }
+        }
+
+        /** The container owns the caller's stream. */
+        @Override
+        public void close() {}
+    }
+
+    private final class Exchange implements UpstreamAnswer {
+        static final String ATTRIBUTE = "tamarackline.exchange";
+
+        private final HttpUriRequestBase message;
+        private final SendCheck check;
+        private volatile boolean sent;
+        private volatile boolean timedOut;
+        private ScheduledFuture<?> timer;
+        private ClassicHttpResponse response;
+
+        Exchange(UpstreamRequest request, SendCheck check) {
+            this.check = check;
+            this.message = new HttpUriRequestBase(request.method(), URI.create("/"));
+            message.setPath(request.target());
+            request.headers().forEach(field -> message.addHeader(field.name(), field.value()));
+            RequestBody body = request.body();
+            if (!body.isEmpty()) {
+                // The content type is passed on as a header of the caller's request.
+                message.setEntity(new InputStreamEntity(new CallerBody(body.open()), body.length(), null));
+            }
+        }
+
+        UpstreamAnswer run(HttpHost host, Duration remaining) throws UpstreamException {
+            Timeout bound = Timeout.of(remaining);
+            message.setConfig(RequestConfig.custom()
+                    .setConnectionRequestTimeout(bound)
+                    .setResponseTimeout(bound)
+                    .build());
+            HttpClientContext context = HttpClientContext.create();
+            context.setAttribute(ATTRIBUTE, this);
+            timer = deadlines.schedule(this::expire, remaining.toNanos(), TimeUnit.NANOSECONDS);
+            try {
+                response = client.executeOpen(host, message, context);
+                return this;
+            } catch (IOException | RuntimeException e) {
+                timer.cancel(false);
+                throw failure(e);
+            }
+        }
+
+        private void expire() {
+            timedOut = true;
+            message.cancel();
+        }
+
+        private UpstreamException failure(Exception cause) {
+            Executed executed = sent ? Executed.UNKNOWN : Executed.NO;
+            return new UpstreamException(reasonOf(cause), executed, cause.toString(), cause);
+        }
+
+        private UpstreamException.Reason reasonOf(Exception cause) {
+            if (cause instanceof NotAdmittedException) {
+                return UpstreamException.Reason.NOT_ADMITTED;
+            }
+            if (cause instanceof CallerGoneException) {
+                return UpstreamException.Reason.CALLER_GONE;
+            }
+            if (timedOut || (sent && cause instanceof SocketTimeoutException)) {
+                return UpstreamException.Reason.TIMEOUT;
+            }
+            return sent ? UpstreamException.Reason.BROKEN : UpstreamException.Reason.UNREACHABLE;
+        }
+
+        @Override
+        public int status() {
+            return response.getCode();
+        }
+
+        @Override
+        public List<HeaderField> headers() {
+            List<HeaderField> fields = new ArrayList<>();
+            for (Header header : response.getHeaders()) {
+                fields.add(new HeaderField(header.getName(), header.getValue()));
+            }
+            return fields;
+        }
+
+        @Override
+        public InputStream body() throws IOException {
+            HttpEntity entity = response.getEntity();
+            return entity == null ? InputStream.nullInputStream() : entity.getContent();
+        }
+
+        @Override
+        public void cutOffAt(long deadlineNanos) {
+            timer.cancel(false);
+            timer = deadlines.schedule(this::expire, deadlineNanos - clock.nowNanos(), TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public boolean isCutOff() {
+            return timedOut;
+        }
+
+        /** Cancelling first keeps the library from reading the rest of a body that nobody wants. */
+        @Override
+        public void close() throws IOException {
+            timer.cancel(false);
+            message.cancel();
+            response.close();
+        }
+    }
+}
