--- a/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
@@ -124,6 +124,16 @@
         }
     }
 
+    /** Returns whether a segment of the path is {@code .} or {@code ..}, which a runner could resolve differently. */
+    private static boolean hasDotSegment(String uri) {
+        for (String segment : uri.split("/", -1)) {
+            if (segment.equals(".") || segment.equals("..")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private Response success(RoutedAnswer answer, CallerConnection connection) {
         Response.ResponseBuilder builder = Response.status(answer.status());
         for (HeaderField field : Headers.forCaller(answer.headers())) {
@@ -136,7 +146,6 @@
             } catch (IOException e) {
                 // Ending the response in order would make the caller take the part for the whole.
                 connection.abort();
-                throw e;
             } finally {
                 inFlight.end();
             }
@@ -153,8 +162,11 @@
     }
 
     /** Returns the raw path after the service's name, and the raw query. */
-    private static String targetOf(HttpServletRequest request) {
+    private static String targetOf(HttpServletRequest request) throws RequestException {
         String uri = request.getRequestURI();
+        if (hasDotSegment(uri)) {
+            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the path must not contain the segments . or ..");
+        }
         int serviceStart = uri.indexOf("/services/") + "/services/".length();
         int pathStart = uri.indexOf('/', serviceStart);
         String path = pathStart < 0 ? "/" : uri.substring(pathStart);
--- a/src/main/java/org/tamarackline/entry/proxy/QuickRequest.java
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequest.java
@@ -11,7 +11,7 @@
  * @param service service to be called
  * @param caller authenticated caller
  * @param message request as it is sent to a runner, but for the time left
- * @param deadlineNanos time by which the whole answer is needed
+ * @param deadlineNanos time by which the answer has to begin
  * @param idempotent whether it may be sent again after a failure
  * @param idempotencyKey key under which a non-idempotent request runs at most once
  */
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -15,7 +15,8 @@
 /**
  * One send of a request with one slot, from the grant of the slot to its return.
  *
- * <p>When the deadline passes before the answer, the caller is told at once, but the answer is still awaited until the
+ * <p>The head of the answer must arrive by the deadline; its body may take until the request limit, because a part of an
+ * answer is worth nothing. When the deadline passes before the head, the caller is told at once, but the answer is still awaited until the
  * request limit: the runner goes on working, and only its answer tells that its slot is free. A body that is streamed from
  * the caller is sent by the caller's thread and cut off at the deadline, because that stream ends with the caller's request.
  */
@@ -68,7 +69,9 @@
     /** Sends the request and waits for the head of the answer. The slot is returned if this fails. */
     RoutedAnswer send() throws UpstreamException {
         if (!request.message().body().isInMemory()) {
-            return new StreamedAnswer(sendUntil(request.deadlineNanos()));
+            UpstreamAnswer answer = sendUntil(request.deadlineNanos());
+            answer.cutOffAt(slot.latestEndNanos());
+            return new StreamedAnswer(answer);
         }
         CompletableFuture<UpstreamAnswer> head = new CompletableFuture<>();
         Thread.ofVirtual().start(() -> sendInBackground(head));
@@ -88,9 +91,7 @@
 
     private UpstreamAnswer awaitHead(CompletableFuture<UpstreamAnswer> head) throws UpstreamException {
         try {
-            UpstreamAnswer answer = head.get(request.deadlineNanos() - clock.nowNanos(), TimeUnit.NANOSECONDS);
-            answer.cutOffAt(request.deadlineNanos());
-            return answer;
+            return head.get(request.deadlineNanos() - clock.nowNanos(), TimeUnit.NANOSECONDS);
         } catch (ExecutionException e) {
             if (e.getCause() instanceof UpstreamException failure) {
                 throw failure;
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -21,6 +21,7 @@
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.protocol.HttpClientContext;
@@ -30,6 +31,8 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
@@ -57,6 +60,8 @@
 
     private static final TimeValue CLOSE_IDLE_AFTER = TimeValue.ofSeconds(20);
     private static final int MAX_CONNECTIONS = 1024;
+    private static final int MAX_HEADER_LINE_BYTES = 16 * 1024;
+    private static final int MAX_HEADERS = 200;
     private static final int DEFAULT_CONNECTIONS_PER_RUNNER = 64;
 
     private final MonotonicClock clock;
@@ -71,6 +76,7 @@
         this.clock = clock;
         this.connectTimeout = settings.requests().connectTimeout();
         this.connections = PoolingHttpClientConnectionManagerBuilder.create()
+                .setConnectionFactory(strictConnections())
                 .setDefaultSocketConfig(SocketConfig.custom()
                         .setTcpNoDelay(true)
                         .setSoTimeout(Timeout.of(settings.requests().requestLimit()))
@@ -99,6 +105,18 @@
         deadlines.setRemoveOnCancelPolicy(true);
     }
 
+    /** Rejects an answer that does not start with a status line, instead of skipping lines until one comes. */
+    private static ManagedHttpClientConnectionFactory strictConnections() {
+        Http1Config limits = Http1Config.custom()
+                .setMaxLineLength(MAX_HEADER_LINE_BYTES)
+                .setMaxHeaderCount(MAX_HEADERS)
+                .build();
+        return ManagedHttpClientConnectionFactory.builder()
+                .http1Config(limits)
+                .responseParserFactory(new DefaultHttpResponseParserFactory(limits))
+                .build();
+    }
+
     /** Decides immediately before the send, when a connection is open, whether the request may still be sent. */
     @FunctionalInterface
     public interface SendCheck {
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -0,0 +1,195 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.dropwizard.jersey.jackson.JacksonFeature;
+import io.dropwizard.logging.common.BootstrapLogging;
+import org.eclipse.jetty.ee10.servlet.ServletContextHandler;
+import org.eclipse.jetty.ee10.servlet.ServletHolder;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.glassfish.jersey.server.ResourceConfig;
+import org.glassfish.jersey.servlet.ServletContainer;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.Profiles;
+import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.OwnershipListener;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.platform.VmRecord;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.Secret;
+
+/** One node's quick-request path behind a real HTTP server, with everything around it faked. */
+final class ProxyFixture implements Closeable {
+
+    static final ServiceName QUOTES = new ServiceName("quotes");
+    static final ShardId GROUP = new ShardId("group:quotes:a:0");
+    static final NodeId SELF = new NodeId("127.0.0.1:7400");
+    static final DataCentre HERE = new DataCentre("a");
+    private static final String TOKEN = "token-of-lianhua";
+
+    static {
+        BootstrapLogging.bootstrap();
+    }
+
+    final List<VmRecord> vms = new ArrayList<>();
+    final FakeCluster cluster = new FakeCluster(SELF);
+    final RequestsInFlight inFlight = new RequestsInFlight();
+    final RunnerDirectory directory;
+    final SlotBroker broker;
+    final UpstreamClient upstreams;
+    final GroupOwnership ownership;
+    private final Server server;
+    private final HttpClient caller = HttpClient.newHttpClient();
+
+    ProxyFixture(EntrySettings.RequestLimits limits, PeerCaller peers) throws Exception {
+        EntrySettings settings = settings(limits);
+        MonotonicClock clock = MonotonicClock.system();
+        cluster.configuration = java.util.Optional.of(new Configuration(
+                1,
+                Profiles.BUILT_IN,
+                List.of(),
+                List.of(new ServiceDefinition(QUOTES, Profiles.QUICK_ANSWER.name(), new TeamName("lianhua"))),
+                Set.of()));
+        directory = new RunnerDirectory(() -> List.copyOf(vms), new HashedRunnerGroups(settings), cluster, clock);
+        broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
+        upstreams = new UpstreamClient(settings, clock);
+        ownership = new GroupOwnership(broker);
+        RequestRouter router = new RequestRouter(cluster, broker, directory, upstreams, clock);
+        QuickRequests requests = new QuickRequests(settings, new CallerAuthentication(settings), cluster, clock);
+        server = serve(new ProxyResource(requests, router, inFlight));
+    }
+
+    static EntrySettings.RequestLimits limits() {
+        return new EntrySettings.RequestLimits(Duration.ofSeconds(3), 16, 1, 10, Duration.ofMillis(500));
+    }
+
+    static ProxyFixture withRunners(ScriptedUpstream... runners) throws Exception {
+        ProxyFixture fixture = new ProxyFixture(limits(), (node, request, timeout) -> {
+            throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
+        });
+        for (ScriptedUpstream runner : runners) {
+            fixture.addRunner("r" + fixture.vms.size(), runner.address(), 2);
+        }
+        fixture.own();
+        return fixture;
+    }
+
+    void addRunner(String id, String address, int slots) {
+        vms.add(new VmRecord(
+                id, QUOTES.value(), address, HERE, "rack", VmRecord.State.LIVE, slots, 64, new Resources(1, 1, 0)));
+    }
+
+    void own() {
+        cluster.owners.put(GROUP, SELF);
+        directory.refresh();
+        ownership.gained(GROUP, new Epoch(1), OwnershipListener.Origin.FIRST, java.util.Optional.empty());
+    }
+
+    static EntrySettings settings(EntrySettings.RequestLimits limits) {
+        return new EntrySettings(
+                SELF,
+                new Region("tw"),
+                HERE,
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                "http://127.0.0.1:1",
+                List.of(),
+                new Secret("peer-key"),
+                new Secret("operator"),
+                Map.of(new CallerName("lianhua"), new Secret(TOKEN)),
+                EntrySettings.ClusterTimes.defaults(),
+                limits,
+                EntrySettings.JobLimits.defaults());
+    }
+
+    private static Server serve(ProxyResource resource) throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool();
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        Server jetty = new Server(threads);
+        ServerConnector connector = new ServerConnector(jetty);
+        connector.setHost("127.0.0.1");
+        jetty.addConnector(connector);
+        ResourceConfig jersey =
+                new ResourceConfig().register(resource).register(new JacksonFeature(new ObjectMapper()));
+        ServletContextHandler context = new ServletContextHandler();
+        context.addServlet(new ServletHolder(new ServletContainer(jersey)), "/*");
+        jetty.setHandler(context);
+        jetty.start();
+        return jetty;
+    }
+
+    int port() {
+        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    }
+
+    Socket connect() throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), port());
+    }
+
+    HttpRequest.Builder request(String path) {
+        return requestOf("quotes", path);
+    }
+
+    HttpRequest.Builder requestOf(String service, String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + "/services/" + service + path))
+                .header("Authorization", "Bearer " + TOKEN);
+    }
+
+    HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return caller.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    String authorizationLine() {
+        return "Authorization: Bearer " + TOKEN + "\r\n";
+    }
+
+    /** Waits until the condition holds; 10 s are far more than any step of these tests takes. */
+    static void await(Callable<Boolean> condition) throws Exception {
+        long endNanos = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!condition.call()) {
+            if (System.nanoTime() - endNanos > 0) {
+                throw new AssertionError("condition did not hold within 10 s");
+            }
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IOException(e);
+        }
+        upstreams.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -0,0 +1,283 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Guards the quick-request path over real sockets: whole answers, typed errors, at most one send, returned slots. */
+class ProxyResourceTest {
+
+    private static final String EXECUTED = "Tamarackline-Executed";
+
+    @Test
+    void passesRequestAndAnswerOnWithoutHopByHopHeaders() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> ScriptedUpstream.reply(
+                        connection,
+                        201,
+                        request.body(),
+                        "X-Kept: 1",
+                        "Connection: X-Private",
+                        "X-Private: 1",
+                        "Keep-Alive: timeout=5"));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            HttpResponse<String> answer = node.send(node.request("/a%20b/c?x=1&y=%7C")
+                    .header("X-From-Caller", "yes")
+                    .header("TE", "trailers")
+                    .POST(HttpRequest.BodyPublishers.ofString("tassel")));
+
+            assertThat(answer.statusCode()).isEqualTo(201);
+            assertThat(answer.body()).isEqualTo("tassel");
+            assertThat(answer.headers().firstValue(EXECUTED)).contains("yes");
+            assertThat(answer.headers().map()).containsKey("x-kept").doesNotContainKeys("x-private", "keep-alive");
+            ScriptedUpstream.Received received = runner.received.get(0);
+            assertThat(received.requestLine()).isEqualTo("POST /a%20b/c?x=1&y=%7C HTTP/1.1");
+            assertThat(received.headers())
+                    .containsEntry("x-from-caller", "yes")
+                    .doesNotContainKeys("te", "authorization");
+            assertThat(Long.parseLong(received.headers().get("tamarackline-deadline-ms")))
+                    .isBetween(1L, 1000L);
+        }
+    }
+
+    @Test
+    void streamsLargeBodiesBothWays() throws Exception {
+        String large = "x".repeat(3_000_000);
+        try (ScriptedUpstream runner = new ScriptedUpstream(
+                        (request, connection) -> ScriptedUpstream.reply(connection, 200, request.body()));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            HttpResponse<String> answer = node.send(node.request("/").POST(HttpRequest.BodyPublishers.ofString(large)));
+            assertThat(answer.body()).isEqualTo(large);
+        }
+    }
+
+    @Test
+    void givesEachCallerItsOwnAnswerWhenTheyArriveLateAndOutOfOrder() throws Exception {
+        CountDownLatch fastAnswered = new CountDownLatch(1);
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    if (request.path().contains("slow")) {
+                        fastAnswered.await();
+                    }
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            CompletableFuture<String> slow = CompletableFuture.supplyAsync(() -> getBody(node, "/slow"));
+            ProxyFixture.await(() -> runner.received.size() == 1);
+            for (int i = 0; i < 50; i++) {
+                assertThat(getBody(node, "/fast" + i)).isEqualTo("/fast" + i);
+            }
+            fastAnswered.countDown();
+            assertThat(slow.join()).isEqualTo("/slow");
+            assertThat(runner.connections.get()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void breaksTheConnectionWhenTheRunnerDiesInMidBody() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(
+                            connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+                    connection.close();
+                });
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            assertThatThrownBy(() -> node.send(node.request("/"))).isInstanceOf(IOException.class);
+            ProxyFixture.await(() -> node.inFlight.count() == 0);
+            ProxyFixture.await(() -> node.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    @Test
+    void returnsTheSlotWhenTheCallerGoesAway() throws Exception {
+        CountDownLatch callerGone = new CountDownLatch(1);
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    callerGone.await();
+                    ScriptedUpstream.reply(connection, 200, "x".repeat(400_000));
+                });
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            try (Socket caller = node.connect()) {
+                ScriptedUpstream.write(
+                        caller, "GET /services/quotes/ HTTP/1.1\r\nHost: x\r\n" + node.authorizationLine() + "\r\n");
+                ProxyFixture.await(() -> runner.received.size() == 1);
+                caller.setSoLinger(true, 0);
+            }
+            callerGone.countDown();
+            ProxyFixture.await(() -> node.inFlight.count() == 0);
+            ProxyFixture.await(() -> node.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    @Test
+    void answersAtTheDeadlineAndDoesNotReuseTheSilentConnection() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> Thread.sleep(Duration.ofDays(1)));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            HttpResponse<String> silent = node.send(node.request("/").header("Tamarackline-Deadline-Ms", "100"));
+            assertThat(silent.statusCode()).isEqualTo(504);
+            assertThat(silent.headers().firstValue(EXECUTED)).contains("unknown");
+            assertThat(silent.body()).contains("\"code\":\"DEADLINE_EXCEEDED\"", "\"executed\":\"unknown\"");
+
+            runner.script = ScriptedUpstream.echo();
+            assertThat(getBody(node, "/again")).isEqualTo("/again");
+            assertThat(runner.connections.get()).isEqualTo(2);
+            assertThat(node.broker.snapshot().openUses()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void countsTheSlotOfALateAnswerUntilItArrives() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    late.await();
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            for (int i = 0; i < 2; i++) {
+                node.send(node.request("/").header("Tamarackline-Deadline-Ms", "50"));
+            }
+            HttpResponse<String> refused = node.send(node.request("/").header("Tamarackline-Deadline-Ms", "50"));
+            assertThat(refused.statusCode()).isEqualTo(503);
+            assertThat(refused.headers().firstValue(EXECUTED)).contains("no");
+            assertThat(runner.mostAtOnce.get()).isEqualTo(2);
+
+            late.countDown();
+            ProxyFixture.await(() -> node.broker.snapshot().openUses() == 0);
+            assertThat(getBody(node, "/after")).isEqualTo("/after");
+        }
+    }
+
+    @Test
+    void neverExceedsTheSlotsOfARunnerUnderLoad() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    Thread.sleep(1);
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            List<CompletableFuture<String>> answers = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                int id = i;
+                answers.add(CompletableFuture.supplyAsync(
+                        () -> getBody(node, "/" + id),
+                        task -> Thread.ofVirtual().start(task)));
+            }
+            for (int i = 0; i < answers.size(); i++) {
+                assertThat(answers.get(i).join()).isEqualTo("/" + i);
+            }
+            assertThat(runner.mostAtOnce.get()).isLessThanOrEqualTo(2);
+        }
+    }
+
+    @Test
+    void sendsANonIdempotentRequestOnlyOnce() throws Exception {
+        ScriptedUpstream.Script dies = (request, connection) -> connection.close();
+        try (ScriptedUpstream one = new ScriptedUpstream(dies);
+                ScriptedUpstream other = new ScriptedUpstream(dies);
+                ProxyFixture node = ProxyFixture.withRunners(one, other)) {
+            HttpResponse<String> answer =
+                    node.send(node.request("/dose").POST(HttpRequest.BodyPublishers.ofString("1 l")));
+            assertThat(answer.statusCode()).isEqualTo(502);
+            assertThat(answer.headers().firstValue(EXECUTED)).contains("unknown");
+            assertThat(one.received.size() + other.received.size()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void triesAnotherRunnerWhenNoByteWasSent() throws Exception {
+        try (ScriptedUpstream gone = new ScriptedUpstream(ScriptedUpstream.echo());
+                ScriptedUpstream alive = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(gone, alive)) {
+            gone.shutDown();
+            for (int i = 0; i < 4; i++) {
+                HttpResponse<String> answer =
+                        node.send(node.request("/dose").POST(HttpRequest.BodyPublishers.ofString("1 l")));
+                assertThat(answer.statusCode()).isEqualTo(200);
+            }
+            assertThat(alive.received)
+                    .hasSize(4)
+                    .allSatisfy(received -> assertThat(received.body()).isEqualTo("1 l"));
+        }
+    }
+
+    @Test
+    void givesNoNewWorkToARunnerThatSaysItIsLeaving() throws Exception {
+        ScriptedUpstream.Script leaving =
+                (request, connection) -> ScriptedUpstream.reply(connection, 503, "", "Tamarackline-Leaving: true");
+        try (ScriptedUpstream one = new ScriptedUpstream(leaving);
+                ScriptedUpstream other = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(one, other)) {
+            for (int i = 0; i < 6; i++) {
+                node.send(node.request("/dose").POST(HttpRequest.BodyPublishers.noBody()));
+            }
+            assertThat(one.received).hasSize(1);
+            assertThat(other.received).hasSize(5);
+        }
+    }
+
+    @Test
+    void refusesInvalidRequestsWithoutSendingThem() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            for (String deadline : List.of("0", "-5", "soon", "99999999999999999999")) {
+                assertRefused(node, node.request("/").header("Tamarackline-Deadline-Ms", deadline), 400);
+            }
+            assertRefused(node, node.request("/").setHeader("Authorization", "Bearer wrong"), 401);
+            assertRefused(node, node.request("/").setHeader("Authorization", "Basic x"), 401);
+            assertRefused(node, node.requestOf("unknown", "/"), 404);
+            assertRefused(node, node.request("/../unknown/"), 400);
+            assertRefused(
+                    node,
+                    node.request("/").POST(HttpRequest.BodyPublishers.noBody()).header("Idempotency-Key", "/"),
+                    400);
+            node.cluster.standing = org.tamarackline.core.membership.Standing.ISOLATED;
+            assertRefused(node, node.request("/"), 503);
+            assertThat(runner.received).isEmpty();
+            assertThat(node.inFlight.count()).isZero();
+        }
+    }
+
+    @Test
+    void survivesMalformedAndOversizedHeads() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            List<String> heads = List.of(
+                    "GET /services/quotes/ HTTP/1.1\r\nHost: x\r\nbroken line\r\n\r\n",
+                    "GET /services/quotes/ HTTP/1.1\r\nHost: x\r\nX: " + "y".repeat(100_000) + "\r\n\r\n",
+                    "POST /services/quotes/ HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n");
+            for (String head : heads) {
+                try (Socket caller = node.connect()) {
+                    ScriptedUpstream.write(caller, head);
+                    byte[] start = caller.getInputStream().readNBytes(10);
+                    assertThat(new String(start, StandardCharsets.ISO_8859_1)).startsWith("HTTP/1.1 4");
+                }
+            }
+            runner.script = (request, connection) -> ScriptedUpstream.write(connection, "this is not HTTP\r\n\r\n");
+            HttpResponse<String> answer = node.send(node.request("/").POST(HttpRequest.BodyPublishers.noBody()));
+            assertThat(answer.statusCode()).isEqualTo(502);
+            assertThat(answer.headers().firstValue(EXECUTED)).contains("unknown");
+        }
+    }
+
+    private static void assertRefused(ProxyFixture node, HttpRequest.Builder request, int status) throws Exception {
+        HttpResponse<String> answer = node.send(request);
+        assertThat(answer.statusCode()).isEqualTo(status);
+        assertThat(answer.headers().firstValue(EXECUTED)).contains("no");
+        assertThat(answer.body()).contains("\"code\"", "\"executed\":\"no\"").doesNotContain("Exception");
+    }
+
+    private static String getBody(ProxyFixture node, String path) {
+        try {
+            return node.send(node.request(path)).body();
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
