Add the task life cycle and the scheduler of one rack

A rack's owner turns worker lists, command outcomes and commit results into row changes and commands. Nothing is sent before its row is committed, and a task leaves a silent worker only after the lease that the owner extended has lapsed.

--- /dev/null
+++ b/src/main/java/org/tamarackline/core/placement/RoomPlan.java
@@ -0,0 +1,22 @@
+package org.tamarackline.core.placement;
+
+import java.util.List;
+
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+
+/**
+ * How room is made on one worker.
+ *
+ * @param worker worker on which room is made
+ * @param throttled tasks to slow down
+ * @param evicted tasks to checkpoint and stop
+ */
+public record RoomPlan(WorkerId worker, List<TaskId> throttled, List<TaskId> evicted) {
+
+    /** Creates a plan that later changes of the arguments do not affect. */
+    public RoomPlan {
+        throttled = List.copyOf(throttled);
+        evicted = List.copyOf(evicted);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/placement/Shares.java
@@ -0,0 +1,36 @@
+package org.tamarackline.core.placement;
+
+import org.tamarackline.core.model.Resources;
+
+/** Static helpers for shares of capacity. */
+public final class Shares {
+
+    private Shares() {}
+
+    /** Returns the largest share that {@code used} has in any part of {@code total}, 1 for the whole. */
+    public static double dominant(Resources used, Resources total) {
+        double processors = share(used.processorMillis(), total.processorMillis());
+        double memory = share(used.memoryMb(), total.memoryMb());
+        double accelerators = share(used.accelerators(), total.accelerators());
+        return Math.max(processors, Math.max(memory, accelerators));
+    }
+
+    /** Returns the part of {@code amount} that {@code here} has in {@code everywhere}, in each part. */
+    public static Resources part(Resources amount, Resources here, Resources everywhere) {
+        return new Resources(
+                part(amount.processorMillis(), here.processorMillis(), everywhere.processorMillis()),
+                part(amount.memoryMb(), here.memoryMb(), everywhere.memoryMb()),
+                (int) part(amount.accelerators(), here.accelerators(), everywhere.accelerators()));
+    }
+
+    private static long part(long amount, long here, long everywhere) {
+        return everywhere <= 0 ? amount : amount * here / everywhere;
+    }
+
+    private static double share(long used, long total) {
+        if (used <= 0) {
+            return 0;
+        }
+        return total <= 0 ? Double.POSITIVE_INFINITY : (double) used / total;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/CommandSteps.java
@@ -0,0 +1,302 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.worker.WorkerProtocol.RefusalCode;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.worker.WorkerProtocol.TaskReportState;
+
+/** Sends the commands that committed rows ask for, and decides what their outcomes mean. */
+final class CommandSteps {
+
+    private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long OVER_CAPACITY_PAUSE_NANOS = Duration.ofSeconds(3).toNanos();
+    private static final int MAX_START_TRIES = 3;
+    private static final int MAX_CHECKPOINT_TRIES = 3;
+
+    private final RackState state;
+    private final Proposals proposals;
+    private final ListReader listReader;
+    private final ProfileBook profiles;
+    private final MonotonicClock clock;
+
+    CommandSteps(Proposals proposals, ListReader listReader, ProfileBook profiles, MonotonicClock clock) {
+        this.state = proposals.state();
+        this.proposals = proposals;
+        this.profiles = profiles;
+        this.listReader = listReader;
+        this.clock = clock;
+    }
+
+    /** Returns the commands to send now and marks them as in flight. */
+    List<WorkerCommand> due(RackMode mode) {
+        List<WorkerCommand> due = new ArrayList<>();
+        for (TaskEntry entry : state.live()) {
+            taskCommand(entry, mode).ifPresent(due::add);
+        }
+        for (WorkerEntry worker : state.workers()) {
+            worker.leftovers().forEach(left -> leftoverCommand(worker, left).ifPresent(due::add));
+        }
+        return due;
+    }
+
+    private Optional<WorkerCommand> taskCommand(TaskEntry entry, RackMode mode) {
+        boolean onWorker = entry.row.state().isOnWorker();
+        boolean waiting = entry.commandInFlight || clock.nowNanos() < entry.retryAtNanos;
+        if (!onWorker || waiting || entry.inFlight || entry.cancelRequested) {
+            return Optional.empty();
+        }
+        WorkerEntry worker = entry.row.worker().flatMap(state::worker).orElseThrow();
+        Optional<WorkerCommand> command = commandFor(entry, worker, mode);
+        command.ifPresent(sent -> entry.commandInFlight = true);
+        return command;
+    }
+
+    private Optional<WorkerCommand> commandFor(TaskEntry entry, WorkerEntry worker, RackMode mode) {
+        boolean active = mode == RackMode.ACTIVE;
+        return switch (entry.step) {
+            case START -> active && entry.proposal.isEmpty() ? startCommand(entry, worker) : Optional.empty();
+            case CHECKPOINT ->
+                active
+                        ? Optional.of(new WorkerCommand.Checkpoint(worker.id, entry.task(), entry.row.attempt()))
+                        : Optional.empty();
+            case STOP -> Optional.of(new WorkerCommand.Stop(worker.id, entry.task(), entry.row.attempt()));
+            case NONE -> throttleCommand(entry, worker);
+        };
+    }
+
+    private Optional<WorkerCommand> startCommand(TaskEntry entry, WorkerEntry worker) {
+        if (worker.acceptsStarts()) {
+            entry.startMayArrive = true;
+            entry.adopted = false;
+            return Optional.of(new WorkerCommand.Start(
+                    worker.id, entry.row, profiles.of(entry).checkpointAllowed()));
+        }
+        if (worker.silent && !entry.startMayArrive) {
+            giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<WorkerCommand> throttleCommand(TaskEntry entry, WorkerEntry worker) {
+        if (entry.row.state() != TaskState.RUNNING || entry.throttlePercent == entry.wantedThrottlePercent) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new WorkerCommand.Throttle(worker.id, entry.task(), entry.row.attempt(), entry.wantedThrottlePercent));
+    }
+
+    private Optional<WorkerCommand> leftoverCommand(WorkerEntry worker, Leftover leftover) {
+        boolean reachable = worker.answeredOnce && !worker.silent;
+        if (!reachable || leftover.inFlight || clock.nowNanos() < leftover.retryAtNanos) {
+            return Optional.empty();
+        }
+        leftover.inFlight = true;
+        return Optional.of(
+                leftover.stopNeeded
+                        ? new WorkerCommand.Stop(worker.id, leftover.task, leftover.attempt)
+                        : new WorkerCommand.Forget(worker.id, leftover.task, leftover.attempt));
+    }
+
+    /** Takes in the outcome of a command. */
+    void answered(WorkerCommand command, CommandOutcome outcome, long sequence) {
+        Optional<TaskEntry> entry = state.task(command.task())
+                .filter(known -> known.row.isOn(command.worker()) && known.row.attempt() == command.attempt());
+        entry.ifPresent(known -> known.commandInFlight = false);
+        switch (command) {
+            case WorkerCommand.Start start -> entry.ifPresent(known -> startAnswered(known, outcome, sequence));
+            case WorkerCommand.Checkpoint checkpoint ->
+                entry.ifPresent(known -> checkpointAnswered(known, outcome, sequence));
+            case WorkerCommand.Throttle throttle ->
+                entry.ifPresent(known -> throttleAnswered(known, throttle, outcome));
+            case WorkerCommand.Stop stop -> {
+                entry.filter(known -> known.step == TaskEntry.Step.STOP)
+                        .ifPresent(known -> stopAnswered(known, outcome, sequence));
+                leftoverOf(command).ifPresent(left -> leftoverStopAnswered(left, command, outcome));
+            }
+            case WorkerCommand.Forget forget ->
+                leftoverOf(command).ifPresent(left -> forgetAnswered(left, command, outcome));
+        }
+    }
+
+    private Optional<Leftover> leftoverOf(WorkerCommand command) {
+        return state.worker(command.worker())
+                .flatMap(worker -> worker.leftover(command.task()))
+                .filter(left -> left.attempt == command.attempt() && left.inFlight);
+    }
+
+    private void startAnswered(TaskEntry entry, CommandOutcome outcome, long sequence) {
+        if (entry.row.state() != TaskState.ASSIGNED || entry.step != TaskEntry.Step.START) {
+            return;
+        }
+        switch (outcome) {
+            case CommandOutcome.Accepted accepted -> {
+                worker(entry).health.succeeded();
+                entry.confirmedSequence = sequence;
+                entry.expect(TaskEntry.Step.NONE);
+                proposals.propose(entry, new TaskEvent.Started(), TaskEntry.Aftermath.NOTHING);
+            }
+            case CommandOutcome.Refused refused -> startRefused(entry, refused.code());
+            case CommandOutcome.NotSent notSent -> {
+                entry.startMayArrive = entry.startUnsettled;
+                retryStart(entry);
+            }
+            case CommandOutcome.Unknown unknown -> {
+                entry.startUnsettled = true;
+                retryStart(entry);
+            }
+        }
+    }
+
+    private void startRefused(TaskEntry entry, RefusalCode code) {
+        entry.startMayArrive = entry.startUnsettled;
+        switch (code) {
+            case START_FAILED, INVALID -> {
+                listReader.recordFailure(worker(entry), entry);
+                giveUp(entry, new TaskEvent.WorkerFailed(worker(entry).id));
+            }
+            case OVER_CAPACITY -> {
+                worker(entry).coolUntilNanos = clock.nowNanos() + OVER_CAPACITY_PAUSE_NANOS;
+                giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+            }
+            case ATTEMPT_FORBIDDEN -> {
+                entry.startMayArrive = false;
+                giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+            }
+            case NO_LEASE -> {
+                worker(entry).leaseCurrent = false;
+                retryStart(entry);
+            }
+            case FENCED, CHECKPOINT_FAILED, UNKNOWN_TASK -> retryStart(entry);
+            default -> throw new IllegalStateException("refusal " + code + " is not handled");
+        }
+    }
+
+    private void retryStart(TaskEntry entry) {
+        entry.tries++;
+        entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+        if (entry.tries >= MAX_START_TRIES) {
+            giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+        }
+    }
+
+    /** Gives the assignment up. If a start may still arrive, the worker first has to confirm a stop that forbids it. */
+    private void giveUp(TaskEntry entry, TaskEvent verdict) {
+        if (entry.startMayArrive) {
+            entry.verdict = Optional.of(verdict);
+            entry.expect(TaskEntry.Step.STOP);
+            return;
+        }
+        entry.expect(TaskEntry.Step.NONE);
+        proposals.propose(entry, verdict, TaskEntry.Aftermath.NOTHING);
+    }
+
+    private void checkpointAnswered(TaskEntry entry, CommandOutcome outcome, long sequence) {
+        if (entry.step != TaskEntry.Step.CHECKPOINT) {
+            return;
+        }
+        switch (outcome) {
+            case CommandOutcome.Accepted accepted -> checkpointed(entry, accepted.report(), sequence);
+            case CommandOutcome.Refused refused -> checkpointRefused(entry, refused.code());
+            case CommandOutcome.NotSent notSent -> retryCheckpoint(entry);
+            case CommandOutcome.Unknown unknown -> retryCheckpoint(entry);
+        }
+    }
+
+    private void checkpointed(TaskEntry entry, Optional<TaskReport> report, long sequence) {
+        boolean running =
+                report.map(known -> known.state() == TaskReportState.RUNNING).orElse(false);
+        if (!running) {
+            report.ifPresentOrElse(known -> listReader.observe(entry, known, sequence), () -> retryCheckpoint(entry));
+            return;
+        }
+        entry.savedWorkMs = report.get().workDoneMs();
+        entry.lastCheckpointKey = report.get().checkpointKey();
+        entry.expect(TaskEntry.Step.STOP);
+    }
+
+    private void checkpointRefused(TaskEntry entry, RefusalCode code) {
+        if (code == RefusalCode.CHECKPOINT_FAILED || code == RefusalCode.INVALID) {
+            abandonEviction(entry);
+        } else {
+            retryCheckpoint(entry);
+        }
+    }
+
+    private void retryCheckpoint(TaskEntry entry) {
+        entry.tries++;
+        entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+        if (entry.tries >= MAX_CHECKPOINT_TRIES) {
+            abandonEviction(entry);
+        }
+    }
+
+    private void abandonEviction(TaskEntry entry) {
+        entry.expect(TaskEntry.Step.NONE);
+        proposals.propose(entry, new TaskEvent.EvictionAbandoned(), TaskEntry.Aftermath.NOTHING);
+    }
+
+    private void stopAnswered(TaskEntry entry, CommandOutcome outcome, long sequence) {
+        Optional<TaskReport> report = reportOf(outcome);
+        if (report.isPresent() && report.get().state() != TaskReportState.RUNNING) {
+            listReader.observe(entry, report.get(), sequence);
+        } else if (isUnknownTask(outcome)) {
+            entry.expect(TaskEntry.Step.NONE);
+            TaskEvent event = entry.verdict.orElseGet(() -> new TaskEvent.Ended(entry.lastCheckpointKey));
+            proposals.propose(entry, event, TaskEntry.Aftermath.NOTHING);
+        } else {
+            entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+        }
+    }
+
+    private static void throttleAnswered(TaskEntry entry, WorkerCommand.Throttle command, CommandOutcome outcome) {
+        if (outcome instanceof CommandOutcome.Accepted) {
+            entry.throttlePercent = command.percent();
+        } else {
+            entry.retryAtNanos = Long.MAX_VALUE;
+        }
+    }
+
+    private void leftoverStopAnswered(Leftover leftover, WorkerCommand command, CommandOutcome outcome) {
+        leftover.inFlight = false;
+        boolean stopped = reportOf(outcome)
+                .map(report -> report.state() != TaskReportState.RUNNING)
+                .orElse(false);
+        if (stopped) {
+            leftover.stopped();
+        } else if (isUnknownTask(outcome)) {
+            remove(leftover, command);
+        } else {
+            leftover.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+        }
+    }
+
+    private void forgetAnswered(Leftover leftover, WorkerCommand command, CommandOutcome outcome) {
+        leftover.inFlight = false;
+        if (outcome instanceof CommandOutcome.Accepted || isUnknownTask(outcome)) {
+            remove(leftover, command);
+        } else {
+            leftover.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+        }
+    }
+
+    private void remove(Leftover leftover, WorkerCommand command) {
+        state.worker(command.worker()).ifPresent(worker -> worker.remove(leftover));
+    }
+
+    private static Optional<TaskReport> reportOf(CommandOutcome outcome) {
+        return outcome instanceof CommandOutcome.Accepted accepted ? accepted.report() : Optional.empty();
+    }
+
+    private static boolean isUnknownTask(CommandOutcome outcome) {
+        return outcome instanceof CommandOutcome.Refused refused && refused.code() == RefusalCode.UNKNOWN_TASK;
+    }
+
+    private WorkerEntry worker(TaskEntry entry) {
+        return entry.row.worker().flatMap(state::worker).orElseThrow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/ListReader.java
@@ -0,0 +1,155 @@
+package org.tamarackline.core.task;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.worker.WorkerProtocol;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.worker.WorkerProtocol.TaskReportState;
+
+/** Compares the task list of a worker with the rows, and decides what each difference means. */
+final class ListReader {
+
+    private final RackState state;
+    private final Proposals proposals;
+    private final MonotonicClock clock;
+
+    ListReader(Proposals proposals, MonotonicClock clock) {
+        this.state = proposals.state();
+        this.proposals = proposals;
+        this.clock = clock;
+    }
+
+    /** Takes in the list that came with the answer to {@code renewal}. */
+    void read(WorkerEntry worker, Renewal renewal, WorkerProtocol.RenewAnswer answer) {
+        Map<TaskId, TaskReport> reports = new HashMap<>();
+        answer.tasks().forEach(report -> reports.put(report.taskId(), report));
+        for (TaskEntry entry : state.tasksOn(worker.id)) {
+            TaskReport report = reports.get(entry.task());
+            if (!entry.row.isOn(worker.id)) {
+                continue;
+            }
+            if (report != null && report.attempt() == entry.row.attempt()) {
+                observe(entry, report, renewal.sequence());
+            } else {
+                missing(entry, renewal);
+            }
+        }
+        settleMissingLeftovers(worker, reports);
+        answer.tasks().forEach(report -> collectStray(worker, report));
+        answer.usage().forEach(sample -> measure(worker, sample));
+    }
+
+    /** Takes in what the worker of the committed row says about its attempt. */
+    void observe(TaskEntry entry, TaskReport report, long sequence) {
+        entry.workDoneMs = report.workDoneMs();
+        entry.confirmedSequence = Math.min(entry.confirmedSequence, sequence);
+        WorkerEntry worker = entry.row.worker().flatMap(state::worker).orElseThrow();
+        switch (report.state()) {
+            case RUNNING -> running(entry, worker);
+            case DONE -> propose(entry, new TaskEvent.Finished(outcome(report)));
+            case FAILED -> failed(entry, report, worker);
+            case STOPPED -> stopped(entry, report);
+            default -> throw new IllegalStateException("report state " + report.state() + " is not handled");
+        }
+    }
+
+    private void running(TaskEntry entry, WorkerEntry worker) {
+        if (entry.row.state() == TaskState.ASSIGNED && entry.step != TaskEntry.Step.STOP) {
+            entry.expect(TaskEntry.Step.NONE);
+            worker.health.succeeded();
+            proposals.propose(entry, new TaskEvent.Started(), TaskEntry.Aftermath.NOTHING);
+        }
+        boolean evictionUnknown = entry.row.state() == TaskState.EVICTING && entry.step == TaskEntry.Step.NONE;
+        if (evictionUnknown && entry.isIdle()) {
+            // An earlier owner recorded the eviction; whether it got further is unknown, and repeating it is harmless.
+            entry.expect(TaskEntry.Step.CHECKPOINT);
+        }
+    }
+
+    private void failed(TaskEntry entry, TaskReport report, WorkerEntry worker) {
+        if (report.exitCode().isPresent()) {
+            propose(entry, new TaskEvent.Exited(outcome(report)));
+            return;
+        }
+        recordFailure(worker, entry);
+        propose(entry, new TaskEvent.WorkerFailed(worker.id));
+    }
+
+    private void stopped(TaskEntry entry, TaskReport report) {
+        Optional<String> newest = report.checkpointKey().or(() -> entry.lastCheckpointKey);
+        if (report.checkpointKey().isPresent() && !report.checkpointKey().equals(entry.row.checkpointKey())) {
+            entry.savedWorkMs = report.workDoneMs();
+        }
+        propose(entry, entry.verdict.orElseGet(() -> new TaskEvent.Ended(newest)));
+    }
+
+    private void propose(TaskEntry entry, TaskEvent event) {
+        entry.expect(TaskEntry.Step.NONE);
+        proposals.propose(entry, event, TaskEntry.Aftermath.FORGET);
+    }
+
+    private static TaskRow.Outcome outcome(TaskReport report) {
+        return new TaskRow.Outcome(report.resultKey(), report.exitCode(), report.workDoneMs());
+    }
+
+    void recordFailure(WorkerEntry worker, TaskEntry entry) {
+        boolean runsElsewhere = state.live().stream()
+                .filter(other -> other.task().job().equals(entry.task().job()))
+                .anyMatch(other -> other.row.state() == TaskState.RUNNING && !other.row.isOn(worker.id));
+        worker.health.failed(entry.task().job(), runsElsewhere, clock.nowNanos());
+    }
+
+    private void missing(TaskEntry entry, Renewal renewal) {
+        if (entry.row.state() == TaskState.ASSIGNED && entry.adopted) {
+            // The worker has seen this epoch, so a start of an earlier one can no longer be accepted.
+            entry.startMayArrive = false;
+            return;
+        }
+        if (entry.confirmedSequence < renewal.sequence()) {
+            entry.expect(TaskEntry.Step.NONE);
+            proposals.propose(entry, new TaskEvent.Ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+        }
+    }
+
+    private static void settleMissingLeftovers(WorkerEntry worker, Map<TaskId, TaskReport> reports) {
+        List<Leftover> settled = worker.leftovers().stream()
+                .filter(leftover -> leftover.settledWhenMissing && !reports.containsKey(leftover.task))
+                .toList();
+        settled.forEach(worker::remove);
+    }
+
+    /** Stops or forgets an attempt that no row places on this worker. */
+    private void collectStray(WorkerEntry worker, TaskReport report) {
+        Optional<TaskEntry> entry = state.task(report.taskId());
+        boolean newerThanKnown =
+                entry.map(known -> known.row.attempt() < report.attempt()).orElse(false);
+        boolean expected = entry.map(known -> known.row.isOn(worker.id) && known.row.attempt() == report.attempt())
+                .orElse(false);
+        if (expected || newerThanKnown) {
+            return;
+        }
+        Optional<Leftover> known = worker.leftover(report.taskId()).filter(left -> left.attempt >= report.attempt());
+        if (known.isPresent()) {
+            return;
+        }
+        Resources size =
+                state.row(report.taskId()).map(row -> row.spec().resources()).orElse(Resources.NONE);
+        boolean running = report.state() == TaskReportState.RUNNING;
+        worker.add(
+                running
+                        ? Leftover.toStop(report.taskId(), report.attempt(), size)
+                        : Leftover.toForget(report.taskId(), report.attempt()));
+    }
+
+    private void measure(WorkerEntry worker, WorkerProtocol.UsageSample sample) {
+        state.task(sample.taskId())
+                .filter(entry -> entry.row.isOn(worker.id) && entry.row.attempt() == sample.attempt())
+                .ifPresent(entry -> entry.measured(sample.used()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/RackLoad.java
@@ -0,0 +1,15 @@
+package org.tamarackline.core.task;
+
+import org.tamarackline.core.model.Resources;
+
+/**
+ * What a rack has to offer, as told to other nodes.
+ *
+ * @param capacity sum over the workers in use
+ * @param free sum of what is not taken up
+ * @param largestFree largest free amount of one worker, part by part of the same worker
+ * @param largestWorker largest capacity of one worker in each part
+ * @param waiting tasks that wait for a worker
+ */
+public record RackLoad(
+        Resources capacity, Resources free, Resources largestFree, Resources largestWorker, int waiting) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -0,0 +1,402 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.core.placement.PlacementPolicy;
+import org.tamarackline.core.placement.RoomMaker;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.worker.WorkerProtocol;
+
+/**
+ * Schedules the tasks of one rack. Turns events into row changes to commit and commands to send after the commit.
+ *
+ * <p>Nothing here is thread-safe: the runner of the rack calls it from one thread at a time. One batch of row changes may be
+ * in flight at a time.
+ */
+public final class RackScheduler {
+
+    private static final long LEASE_RETRY_NANOS = Duration.ofMillis(100).toNanos();
+
+    private final RackRules rules;
+    private final MonotonicClock clock;
+    private final long gainedAtNanos;
+    private final RackState state = new RackState();
+    private final Map<TaskId, TaskEntry> proposed = new LinkedHashMap<>();
+    private final ProfileBook profiles = new ProfileBook();
+    private final Proposals proposals;
+    private final ListReader listReader;
+    private final CommandSteps commandSteps;
+    private final PlacementRound placement;
+    private final List<WorkRecord> work = new ArrayList<>();
+    private long sequence;
+
+    /** Creates the scheduler of a rack that was gained at this moment. */
+    public RackScheduler(RackRules rules, MonotonicClock clock, PlacementPolicy policy, RoomMaker roomMaker) {
+        this.rules = rules;
+        this.clock = clock;
+        this.gainedAtNanos = clock.nowNanos();
+        this.proposals = new Proposals(state, proposed);
+        this.listReader = new ListReader(proposals, clock);
+        this.commandSteps = new CommandSteps(proposals, listReader, profiles, clock);
+        this.placement = new PlacementRound(proposals, profiles, clock, policy, roomMaker);
+    }
+
+    /** Takes over rows that were read after the rack was gained, or that were added since. Known rows are left alone. */
+    public void load(List<VersionedRow> rows) {
+        rows.stream().filter(stored -> !state.knows(stored.row().task())).forEach(this::loadOne);
+    }
+
+    private void loadOne(VersionedRow stored) {
+        TaskRow row = stored.row();
+        if (row.state().isFinal()) {
+            state.end(row);
+            keepStopOfCancelled(row);
+            return;
+        }
+        TaskEntry entry = new TaskEntry(stored, clock.nowNanos());
+        row.worker().filter(worker -> row.state().isOnWorker()).ifPresent(this::workerEntry);
+        if (row.state() == TaskState.ASSIGNED) {
+            entry.adopted = true;
+            entry.startMayArrive = true;
+            entry.expect(TaskEntry.Step.START);
+        }
+        state.add(entry);
+    }
+
+    private void keepStopOfCancelled(TaskRow row) {
+        if (row.state() != TaskState.CANCELLED || row.worker().isEmpty()) {
+            return;
+        }
+        Leftover leftover =
+                Leftover.toStop(row.task(), row.attempt(), row.spec().resources());
+        leftover.settledWhenMissing = true;
+        workerEntry(row.worker().get()).add(leftover);
+    }
+
+    private WorkerEntry workerEntry(WorkerId id) {
+        return state.worker(id).orElseGet(() -> {
+            WorkerEntry worker = new WorkerEntry(id, new WorkerHealth(rules.workerFailureThreshold()));
+            // Until the VM list names the worker it gets no new tasks.
+            worker.listed = false;
+            state.add(worker);
+            return worker;
+        });
+    }
+
+    /**
+     * Replaces the workers of the rack.
+     *
+     * @param listed workers in the VM list
+     * @param closed workers that are leaving or out of service
+     */
+    public void setWorkers(Set<WorkerId> listed, Set<WorkerId> closed) {
+        state.workers().forEach(worker -> worker.listed = listed.contains(worker.id));
+        listed.forEach(id -> workerEntry(id).listed = true);
+        state.workers().forEach(worker -> worker.closed = closed.contains(worker.id));
+        List<WorkerEntry> gone = state.workers().stream()
+                .filter(worker -> !worker.listed && worker.silent)
+                .filter(worker -> state.tasksOn(worker.id).isEmpty() && !worker.isRenewalBlocked())
+                .toList();
+        gone.forEach(state::remove);
+    }
+
+    /** Applies the configuration in force. Parked tasks that it concerns are tried again. */
+    public void configure(Configuration configuration) {
+        if (profiles.install(configuration)) {
+            placement.configurationChanged();
+        }
+    }
+
+    /** Tells the capacity of all racks together, of which the guarantees of teams are a part. */
+    public void setClusterCapacity(Resources capacity) {
+        placement.setClusterCapacity(capacity);
+    }
+
+    /** Marks all tasks of the job as cancelled and returns how many were not final. */
+    public int cancel(JobId job) {
+        List<TaskEntry> concerned = state.live().stream()
+                .filter(entry -> entry.task().job().equals(job))
+                .toList();
+        concerned.forEach(entry -> entry.cancelRequested = true);
+        return concerned.size();
+    }
+
+    /** Returns the renewals to send now; the outcome of each has to be reported back. */
+    public List<Renewal> dueRenewals() {
+        long now = clock.nowNanos();
+        List<Renewal> due = new ArrayList<>();
+        for (WorkerEntry worker : state.workers()) {
+            boolean gone =
+                    !worker.listed && worker.silent && state.tasksOn(worker.id).isEmpty();
+            if (gone || worker.renewalInFlight || now < worker.nextRenewalNanos) {
+                continue;
+            }
+            worker.renewalInFlight = true;
+            worker.nextRenewalNanos = now + rules.renewalInterval().toNanos();
+            due.add(new Renewal(worker.id, worker.useNonce(now), ++sequence));
+        }
+        return due;
+    }
+
+    /** Takes in the answer to a renewal. */
+    public void renewed(Renewal renewal, WorkerProtocol.RenewAnswer answer) {
+        state.worker(renewal.worker()).ifPresent(worker -> {
+            worker.renewalInFlight = false;
+            worker.answered(answer);
+            if (!worker.leaseCurrent) {
+                // The first answer only brings a nonce; the lease follows with the next renewal.
+                worker.nextRenewalNanos = clock.nowNanos() + LEASE_RETRY_NANOS;
+            }
+            listReader.read(worker, renewal, answer);
+        });
+    }
+
+    /** Takes note that a renewal was refused or got no answer. */
+    public void renewalFailed(Renewal renewal) {
+        state.worker(renewal.worker()).ifPresent(worker -> {
+            worker.renewalInFlight = false;
+            worker.silent = true;
+        });
+    }
+
+    /** Makes the decisions that are due: cancellations, restarts after a lapsed lease, and in active mode placement. */
+    public void tick(RackMode mode) {
+        proposeCancellations();
+        if (mode == RackMode.HOLDING) {
+            return;
+        }
+        giveUpLapsed();
+        parkPoisoned();
+        placement.run();
+    }
+
+    private void proposeCancellations() {
+        state.live().stream()
+                .filter(entry -> entry.cancelRequested && !entry.inFlight)
+                .filter(entry -> entry.proposal
+                        .map(proposal -> proposal.change().to().state() != TaskState.CANCELLED)
+                        .orElse(true))
+                .forEach(entry -> proposals.propose(entry, new TaskEvent.Cancelled(), TaskEntry.Aftermath.STOP));
+    }
+
+    private void giveUpLapsed() {
+        long now = clock.nowNanos();
+        long silenceNanos = rules.silence().toNanos();
+        for (WorkerEntry worker : state.workers()) {
+            if (worker.hasLapsed(gainedAtNanos, silenceNanos, now)) {
+                giveUpTasksOf(worker);
+            }
+        }
+    }
+
+    private void giveUpTasksOf(WorkerEntry worker) {
+        worker.leaseCurrent = false;
+        worker.leftovers().stream().filter(left -> left.stopNeeded).forEach(Leftover::lapse);
+        for (TaskEntry entry : state.tasksOn(worker.id)) {
+            if (entry.inFlight || !entry.row.isOn(worker.id)) {
+                continue;
+            }
+            // Added before the commit: a start of this attempt may be under way and must never find a current lease.
+            worker.add(Leftover.lapsed(entry.task(), entry.row.attempt()));
+            if (!entry.cancelRequested) {
+                proposals.propose(entry, new TaskEvent.Ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+            }
+        }
+    }
+
+    private void parkPoisoned() {
+        state.live().stream()
+                .filter(entry -> entry.row.state() == TaskState.PENDING && entry.isIdle())
+                .filter(entry -> entry.row.failedOn().size() >= rules.poisonThreshold())
+                .forEach(entry ->
+                        proposals.propose(entry, new TaskEvent.Parked(ParkReason.POISON), TaskEntry.Aftermath.NOTHING));
+    }
+
+    /** Parks a task that waits and that no rack can run. */
+    public void park(TaskId task, ParkReason reason) {
+        state.task(task)
+                .filter(TaskEntry::isIdle)
+                .ifPresent(
+                        entry -> proposals.propose(entry, new TaskEvent.Parked(reason), TaskEntry.Aftermath.NOTHING));
+    }
+
+    /**
+     * Returns up to {@code max} row changes to commit in one transaction and marks them as in flight. Cancellations take at
+     * most half of a batch while other changes wait.
+     */
+    public List<RowChange> nextBatch(int max) {
+        List<TaskEntry> cancellations = new ArrayList<>();
+        List<TaskEntry> others = new ArrayList<>();
+        proposed.values().forEach(entry -> (entry.cancelRequested ? cancellations : others).add(entry));
+        int forOthers = Math.min(others.size(), Math.max(max / 2, max - cancellations.size()));
+        List<TaskEntry> chosen = new ArrayList<>(others.subList(0, forOthers));
+        int forCancellations = Math.min(cancellations.size(), max - forOthers);
+        chosen.addAll(cancellations.subList(0, forCancellations));
+        return chosen.stream().map(this::takeIntoFlight).toList();
+    }
+
+    private RowChange takeIntoFlight(TaskEntry entry) {
+        entry.inFlight = true;
+        proposed.remove(entry.task());
+        return entry.proposal.orElseThrow().change();
+    }
+
+    /** Takes note that the changes of a batch took effect. */
+    public void committed(List<RowChange> changes) {
+        changes.forEach(change ->
+                state.task(change.task()).filter(entry -> entry.inFlight).ifPresent(entry -> committed(entry, change)));
+    }
+
+    private void committed(TaskEntry entry, RowChange change) {
+        TaskEntry.Aftermath aftermath = entry.proposal.orElseThrow().aftermath();
+        entry.inFlight = false;
+        entry.proposal = Optional.empty();
+        entry.row = change.to();
+        entry.version++;
+        WorkRecord.of(change, entry).ifPresent(work::add);
+        change.from()
+                .worker()
+                .filter(worker -> change.from().state().isOnWorker())
+                .flatMap(state::worker)
+                .ifPresent(worker -> leave(worker, entry, change, aftermath));
+        enter(entry, change);
+    }
+
+    private void leave(WorkerEntry worker, TaskEntry entry, RowChange change, TaskEntry.Aftermath aftermath) {
+        if (change.to().state().isOnWorker()) {
+            return;
+        }
+        int attempt = change.from().attempt();
+        switch (aftermath) {
+            case FORGET -> worker.add(Leftover.toForget(entry.task(), attempt));
+            case STOP -> worker.add(Leftover.toStop(entry.task(), attempt, entry.size()));
+            case NOTHING -> {}
+            default -> throw new IllegalStateException("aftermath " + aftermath + " is not handled");
+        }
+    }
+
+    private void enter(TaskEntry entry, RowChange change) {
+        long now = clock.nowNanos();
+        switch (entry.row.state()) {
+            case ASSIGNED -> {
+                entry.adopted = false;
+                entry.startMayArrive = false;
+                entry.startUnsettled = false;
+                entry.startedFromMs = entry.savedWorkMs;
+                entry.workDoneMs = entry.savedWorkMs;
+                entry.throttlePercent = TaskEntry.UNTHROTTLED_PERCENT;
+                entry.confirmedSequence = Long.MAX_VALUE;
+                entry.expect(TaskEntry.Step.START);
+            }
+            case EVICTING -> entry.expect(TaskEntry.Step.CHECKPOINT);
+            case RUNNING -> {
+                entry.expect(TaskEntry.Step.NONE);
+                if (change.from().state() == TaskState.EVICTING) {
+                    entry.evictedAtNanos = Optional.of(now);
+                }
+            }
+            case PENDING -> {
+                if (change.from().state() == TaskState.EVICTING) {
+                    entry.evictedAtNanos = Optional.of(now);
+                }
+                entry.verdict = Optional.empty();
+                entry.waitingSinceNanos = now;
+                entry.expect(TaskEntry.Step.NONE);
+            }
+            case PARKED -> entry.expect(TaskEntry.Step.NONE);
+            case DONE, FAILED, CANCELLED -> state.end(entry.row);
+            default -> throw new IllegalStateException("state " + entry.row.state() + " is not handled");
+        }
+    }
+
+    /** Takes note that a batch certainly did not take effect. Assignments are decided anew, the rest is kept. */
+    public void notCommitted(List<RowChange> changes) {
+        changes.forEach(change -> state.task(change.task())
+                .filter(entry -> entry.inFlight)
+                .ifPresent(entry -> {
+                    entry.inFlight = false;
+                    if (change.to().state() == TaskState.ASSIGNED) {
+                        entry.proposal = Optional.empty();
+                    } else {
+                        proposed.put(entry.task(), entry);
+                    }
+                }));
+    }
+
+    /** Replaces what is known of a row by what the table holds, after a conflict on that row. */
+    public void reload(TaskId task, Optional<VersionedRow> stored) {
+        boolean cancelRequested =
+                state.task(task).map(entry -> entry.cancelRequested).orElse(false);
+        proposed.remove(task);
+        state.remove(task);
+        stored.ifPresent(this::loadOne);
+        state.task(task).ifPresent(entry -> entry.cancelRequested = cancelRequested);
+    }
+
+    /** Returns the commands to send now; the outcome of each has to be reported back. */
+    public List<WorkerCommand> dueCommands(RackMode mode) {
+        return commandSteps.due(mode);
+    }
+
+    /** Takes in the outcome of a command. */
+    public void answered(WorkerCommand command, CommandOutcome outcome) {
+        sequence++;
+        commandSteps.answered(command, outcome, sequence);
+    }
+
+    /** Returns waiting tasks that found no worker for {@code patienceNanos}, oldest first. */
+    public List<VersionedRow> stranded(long patienceNanos) {
+        long now = clock.nowNanos();
+        return state.live().stream()
+                .filter(entry -> entry.row.state() == TaskState.PENDING && entry.isIdle())
+                .filter(entry -> now - entry.waitingSinceNanos >= patienceNanos)
+                .map(entry -> new VersionedRow(entry.row, entry.version))
+                .toList();
+    }
+
+    /** Forgets tasks that were moved to another rack. */
+    public void movedAway(List<TaskId> tasks) {
+        tasks.forEach(task -> {
+            proposed.remove(task);
+            state.remove(task);
+        });
+    }
+
+    /** Returns the rows of the job's tasks; those that ended come without their command. */
+    public List<TaskRow> rowsOf(JobId job) {
+        return state.rowsOf(job);
+    }
+
+    /** Returns the row of the task if it is known here. */
+    public Optional<TaskRow> row(TaskId task) {
+        return state.row(task);
+    }
+
+    /** Returns what the rack has to offer. */
+    public RackLoad load() {
+        return placement.load();
+    }
+
+    /** Returns the work recorded since the last call. */
+    public List<WorkRecord> takeWork() {
+        List<WorkRecord> taken = List.copyOf(work);
+        work.clear();
+        return taken;
+    }
+
+    /** Returns the capacity of the worker that is taken up, for tests and dumps. */
+    public Resources occupied(WorkerId worker) {
+        return state.worker(worker).map(state::occupied).orElse(Resources.NONE);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/RackState.java
@@ -0,0 +1,94 @@
+package org.tamarackline.core.task;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+
+/** The workers and tasks of one rack. */
+final class RackState {
+
+    private final Map<TaskId, TaskEntry> live = new LinkedHashMap<>();
+    private final Map<TaskId, TaskRow> ended = new HashMap<>();
+    private final Map<WorkerId, WorkerEntry> workers = new LinkedHashMap<>();
+
+    Collection<TaskEntry> live() {
+        return live.values();
+    }
+
+    Collection<WorkerEntry> workers() {
+        return workers.values();
+    }
+
+    Optional<TaskEntry> task(TaskId task) {
+        return Optional.ofNullable(live.get(task));
+    }
+
+    Optional<WorkerEntry> worker(WorkerId worker) {
+        return Optional.ofNullable(workers.get(worker));
+    }
+
+    boolean knows(TaskId task) {
+        return live.containsKey(task) || ended.containsKey(task);
+    }
+
+    void add(TaskEntry entry) {
+        live.put(entry.task(), entry);
+    }
+
+    void add(WorkerEntry worker) {
+        workers.put(worker.id, worker);
+    }
+
+    void remove(WorkerEntry worker) {
+        workers.remove(worker.id);
+    }
+
+    void remove(TaskId task) {
+        live.remove(task);
+        ended.remove(task);
+    }
+
+    /** Keeps the row of an ended task for queries; its command is not needed any more. */
+    void end(TaskRow row) {
+        live.remove(row.task());
+        ended.put(row.task(), row.withoutCommand());
+    }
+
+    List<TaskRow> rowsOf(JobId job) {
+        return Stream.concat(live.values().stream().map(entry -> entry.row), ended.values().stream())
+                .filter(row -> row.task().job().equals(job))
+                .toList();
+    }
+
+    Optional<TaskRow> row(TaskId task) {
+        return task(task).map(entry -> entry.row).or(() -> Optional.ofNullable(ended.get(task)));
+    }
+
+    List<TaskEntry> tasksOn(WorkerId worker) {
+        return live.values().stream()
+                .filter(entry -> isOrWillBeOn(entry, worker))
+                .toList();
+    }
+
+    /** Returns the capacity of the worker taken up by attempts that are not known to have ended. */
+    Resources occupied(WorkerEntry worker) {
+        Resources byTasks = tasksOn(worker.id).stream().map(TaskEntry::size).reduce(Resources.NONE, Resources::plus);
+        return worker.leftovers().stream().map(left -> left.occupied).reduce(byTasks, Resources::plus);
+    }
+
+    private static boolean isOrWillBeOn(TaskEntry entry, WorkerId worker) {
+        boolean proposed = entry.proposal
+                .map(proposal -> proposal.change().to().isOn(worker))
+                .orElse(false);
+        return proposed || entry.row.isOn(worker);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/TaskEntry.java
@@ -0,0 +1,109 @@
+package org.tamarackline.core.task;
+
+import java.util.Optional;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+
+/** What the owner of a rack knows of one task beyond its row. */
+final class TaskEntry {
+
+    static final int UNTHROTTLED_PERCENT = 100;
+
+    /** Samples before the measured size is trusted. */
+    private static final int TRUSTED_SAMPLES = 3;
+
+    /** The command that the worker still has to carry out for the committed row. */
+    enum Step {
+        NONE,
+        START,
+        CHECKPOINT,
+        STOP
+    }
+
+    TaskRow row;
+    long version;
+    Optional<Proposal> proposal = Optional.empty();
+    boolean inFlight;
+    boolean cancelRequested;
+
+    Step step = Step.NONE;
+    boolean commandInFlight;
+    int tries;
+    long retryAtNanos;
+    /** Whether a start of this attempt was sent and may still be accepted. */
+    boolean startMayArrive;
+    /** Whether an earlier start of this attempt got no answer. */
+    boolean startUnsettled;
+    /** Whether an earlier owner made the assignment. */
+    boolean adopted;
+    /** Event to propose once the worker has confirmed the stop of an attempt that was given up. */
+    Optional<TaskEvent> verdict = Optional.empty();
+    /** Renewals sent before this point cannot prove that the attempt is missing. */
+    long confirmedSequence;
+
+    long waitingSinceNanos;
+    Optional<Long> evictedAtNanos = Optional.empty();
+    long startedFromMs;
+    long workDoneMs;
+    long savedWorkMs;
+    Optional<String> lastCheckpointKey = Optional.empty();
+    int throttlePercent = UNTHROTTLED_PERCENT;
+    int wantedThrottlePercent = UNTHROTTLED_PERCENT;
+
+    private Resources measured = Resources.NONE;
+    private int samples;
+
+    TaskEntry(VersionedRow stored, long nowNanos) {
+        this.row = stored.row();
+        this.version = stored.version();
+        this.waitingSinceNanos = nowNanos;
+    }
+
+    /**
+     * A row change that waits to be committed.
+     *
+     * @param change change
+     * @param aftermath what the worker has to be told after the commit
+     */
+    record Proposal(RowChange change, Aftermath aftermath) {}
+
+    /** What the worker of an ended attempt has to be told after the commit. */
+    enum Aftermath {
+        NOTHING,
+        FORGET,
+        STOP
+    }
+
+    TaskId task() {
+        return row.task();
+    }
+
+    boolean isIdle() {
+        return proposal.isEmpty() && !inFlight && !cancelRequested;
+    }
+
+    /** Returns the larger of the declared size and the measured one. */
+    Resources size() {
+        Resources declared = row.spec().resources();
+        return samples < TRUSTED_SAMPLES ? declared : declared.max(measured);
+    }
+
+    void measured(Resources used) {
+        measured = samples == 0 ? used : average(measured, used);
+        samples++;
+    }
+
+    private static Resources average(Resources older, Resources newer) {
+        return new Resources(
+                (older.processorMillis() + newer.processorMillis()) / 2,
+                (older.memoryMb() + newer.memoryMb()) / 2,
+                Math.max(older.accelerators(), newer.accelerators()));
+    }
+
+    void expect(Step next) {
+        step = next;
+        tries = 0;
+        retryAtNanos = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/WorkerEntry.java
@@ -0,0 +1,105 @@
+package org.tamarackline.core.task;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.worker.WorkerProtocol;
+
+/** What the owner of a rack knows of one worker: its lease, its capacity and what it still has to be told. */
+final class WorkerEntry {
+
+    /**
+     * Renewals that name the same nonce. The second one repeats a lost first one; more would put off the moment at which a
+     * silent worker's tasks are known to have ended.
+     */
+    private static final int MAX_NONCE_USES = 2;
+
+    final WorkerId id;
+    final WorkerHealth health;
+    private final Map<TaskId, Leftover> leftovers = new HashMap<>();
+
+    boolean listed = true;
+    /** Whether the worker gets no new tasks because it is leaving or out of service. */
+    boolean closed;
+
+    Resources capacity = Resources.NONE;
+    boolean answeredOnce;
+    boolean leaseCurrent;
+    boolean silent;
+    boolean renewalInFlight;
+    long nextRenewalNanos;
+    long coolUntilNanos;
+    Optional<Long> overCapacitySinceNanos = Optional.empty();
+
+    private Optional<String> nonce = Optional.empty();
+    private int nonceUses;
+    private Optional<Long> leaseRenewalSentNanos = Optional.empty();
+
+    WorkerEntry(WorkerId id, WorkerHealth health) {
+        this.id = id;
+        this.health = health;
+    }
+
+    /** Returns the nonce to name in a renewal sent now; empty if the renewal must not extend a lease. */
+    Optional<String> useNonce(long nowNanos) {
+        if (isRenewalBlocked() || nonce.isEmpty() || nonceUses >= MAX_NONCE_USES) {
+            return Optional.empty();
+        }
+        nonceUses++;
+        leaseRenewalSentNanos = Optional.of(nowNanos);
+        return nonce;
+    }
+
+    void answered(WorkerProtocol.RenewAnswer answer) {
+        answeredOnce = true;
+        silent = false;
+        nonce = Optional.of(answer.nonce());
+        nonceUses = 0;
+        capacity = answer.capacity();
+        leaseCurrent = answer.leaseCurrent();
+    }
+
+    /** Returns whether every lease that this owner extended has lapsed, {@code silenceNanos} after the last renewal. */
+    boolean hasLapsed(long gainedAtNanos, long silenceNanos, long nowNanos) {
+        long lastContact =
+                leaseRenewalSentNanos.map(sent -> Math.max(sent, gainedAtNanos)).orElse(gainedAtNanos);
+        return silent && nowNanos - lastContact >= silenceNanos;
+    }
+
+    /** Returns whether a start command may be sent now. */
+    boolean acceptsStarts() {
+        return answeredOnce && leaseCurrent && !silent && !isRenewalBlocked();
+    }
+
+    /** Returns whether the lease must stay lapsed until stops are confirmed. */
+    boolean isRenewalBlocked() {
+        return leftovers.values().stream().anyMatch(leftover -> leftover.blocksRenewal);
+    }
+
+    Collection<Leftover> leftovers() {
+        return leftovers.values();
+    }
+
+    Optional<Leftover> leftover(TaskId task) {
+        return Optional.ofNullable(leftovers.get(task));
+    }
+
+    /** Adds a leftover unless one for the same or a higher attempt exists. */
+    void add(Leftover added) {
+        Leftover known = leftovers.get(added.task);
+        boolean covered = known != null
+                && (known.attempt > added.attempt || (known.attempt == added.attempt && known.stopNeeded));
+        if (!covered) {
+            leftovers.put(added.task, added);
+        }
+    }
+
+    void remove(Leftover settled) {
+        leftovers.remove(settled.task, settled);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/worker/package-info.java
@@ -0,0 +1,2 @@
+/** The control protocol of workers and its client. */
+package org.tamarackline.worker;
