--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -365,6 +365,16 @@
                 .toList();
     }
 
+    /** Keeps waiting tasks from being assigned while they are moved to another rack. */
+    public void holdForMove(List<TaskId> tasks) {
+        tasks.stream().flatMap(task -> state.task(task).stream()).forEach(entry -> entry.inFlight = true);
+    }
+
+    /** Undoes {@link #holdForMove} after a move that did not happen. */
+    public void releaseFromMove(List<TaskId> tasks) {
+        tasks.stream().flatMap(task -> state.task(task).stream()).forEach(entry -> entry.inFlight = false);
+    }
+
     /** Forgets tasks that were moved to another rack. */
     public void movedAway(List<TaskId> tasks) {
         tasks.forEach(task -> {
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobPeerHandler.java
@@ -0,0 +1,54 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.Optional;
+
+import com.google.inject.Inject;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.peer.JobMessage;
+import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerMessage;
+
+/** Answers the messages about jobs of other nodes, and of this node to itself. */
+final class JobPeerHandler implements PeerHandler {
+
+    private final JobsEngine engine;
+    private final RackLoads loads;
+
+    @Inject
+    JobPeerHandler(JobsEngine engine, RackLoads loads) {
+        this.engine = engine;
+        this.loads = loads;
+    }
+
+    @Override
+    public Optional<PeerMessage> handle(NodeId sender, PeerMessage request) {
+        return request instanceof JobMessage message ? answer(message) : Optional.empty();
+    }
+
+    private Optional<PeerMessage> answer(JobMessage message) {
+        return switch (message) {
+            case JobMessages.SubmitJob submit -> Optional.of(submit(submit));
+            case JobMessages.JobStatus status -> Optional.of(engine.status(status.job()));
+            case JobMessages.TaskQuery query -> Optional.of(engine.task(query.task()));
+            case JobMessages.CancelJob cancel -> {
+                engine.cancel(cancel.job());
+                yield Optional.of(new PeerMessage.Ok());
+            }
+            case JobMessages.AskLoads ask -> Optional.of(new JobMessages.Loads(loads.own()));
+            case JobMessages.RowsMoved moved -> {
+                engine.rowsMoved(moved.shard());
+                yield Optional.of(new PeerMessage.Ok());
+            }
+            default -> Optional.empty();
+        };
+    }
+
+    private PeerMessage submit(JobMessages.SubmitJob submit) {
+        try {
+            engine.submit(submit.shard(), submit.job());
+            return new PeerMessage.Ok();
+        } catch (JobRefusedException e) {
+            return new JobMessages.SubmitRefused(e.code(), e.getMessage(), e.executed());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobResource.java
@@ -0,0 +1,172 @@
+package org.tamarackline.entry.jobs;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.Identifiers;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.Secret;
+
+/** Jobs over HTTP. A caller sees its own jobs only; every failure is answered with a typed error. */
+@Path("/jobs")
+@Produces(MediaType.APPLICATION_JSON)
+public final class JobResource {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final String EXECUTED = "Tamarackline-Executed";
+    private static final String BEARER = "Bearer ";
+
+    private final JobService jobs;
+    private final SubmissionParser parser;
+    private final Map<CallerName, Secret> tokens;
+
+    @Inject
+    JobResource(JobService jobs, EntrySettings settings) {
+        this.jobs = jobs;
+        this.parser = new SubmissionParser(settings.jobs().tasksPerJob());
+        this.tokens = settings.callerTokens();
+    }
+
+    /**
+     * Body of an error answer.
+     *
+     * @param code stable code
+     * @param detail what was wrong and how to correct it
+     * @param executed {@code no} if the request had no effect, {@code unknown} if it may have had one
+     */
+    public record ErrorBody(JobErrorCode code, String detail, String executed) {}
+
+    @FunctionalInterface
+    private interface Action {
+        Response run(CallerName caller) throws JobRefusedException, IOException;
+    }
+
+    /** Records a job. */
+    @POST
+    public Response submit(
+            @HeaderParam(HttpHeaders.AUTHORIZATION) String authorization,
+            @HeaderParam(IDEMPOTENCY_KEY) String key,
+            InputStream body) {
+        return answer(authorization, caller -> {
+            Submission submission = parser.parse(read(body), Optional.ofNullable(key));
+            return Response.status(Response.Status.CREATED)
+                    .entity(jobs.submit(caller, submission))
+                    .build();
+        });
+    }
+
+    /** Returns a job. */
+    @GET
+    @Path("/{id}")
+    public Response watch(@HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @PathParam("id") String id) {
+        return answer(
+                authorization,
+                caller -> Response.ok(jobs.watch(caller, jobId(id))).build());
+    }
+
+    /** Cancels a job; its tasks are stopped after the answer. */
+    @DELETE
+    @Path("/{id}")
+    public Response cancel(@HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @PathParam("id") String id) {
+        return answer(
+                authorization,
+                caller -> Response.accepted(jobs.cancel(caller, jobId(id))).build());
+    }
+
+    /** Returns the result of one task. */
+    @GET
+    @Path("/{id}/result/{index}")
+    public Response result(
+            @HeaderParam(HttpHeaders.AUTHORIZATION) String authorization,
+            @PathParam("id") String id,
+            @PathParam("index") String index) {
+        return answer(authorization, caller -> {
+            byte[] content = jobs.result(caller, jobId(id), indexOf(index));
+            return Response.ok(content, MediaType.APPLICATION_OCTET_STREAM).build();
+        });
+    }
+
+    private Response answer(String authorization, Action action) {
+        try {
+            return action.run(callerOf(authorization));
+        } catch (JobRefusedException e) {
+            return error(e);
+        } catch (IOException e) {
+            return error(new JobRefusedException(JobErrorCode.INVALID_REQUEST, "the body could not be read"));
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("a request about a job failed");
+            return error(new JobRefusedException(
+                    JobErrorCode.OUTCOME_UNKNOWN,
+                    "the node could not finish the request",
+                    JobRefusedException.Executed.UNKNOWN));
+        }
+    }
+
+    private CallerName callerOf(String authorization) throws JobRefusedException {
+        if (authorization != null && authorization.startsWith(BEARER)) {
+            String token = authorization.substring(BEARER.length());
+            Optional<CallerName> caller = tokens.entrySet().stream()
+                    .filter(entry -> entry.getValue().matches(token))
+                    .map(Map.Entry::getKey)
+                    .findFirst();
+            if (caller.isPresent()) {
+                return caller.get();
+            }
+        }
+        throw new JobRefusedException(
+                JobErrorCode.UNAUTHORIZED, "send the caller's token in the header Authorization: Bearer");
+    }
+
+    private static byte[] read(InputStream body) throws JobRefusedException, IOException {
+        byte[] bytes = body.readNBytes(SubmissionParser.MAX_BODY_BYTES + 1);
+        if (bytes.length > SubmissionParser.MAX_BODY_BYTES) {
+            throw new JobRefusedException(
+                    JobErrorCode.BODY_TOO_LARGE,
+                    "the body is longer than %d bytes".formatted(SubmissionParser.MAX_BODY_BYTES));
+        }
+        return bytes;
+    }
+
+    private static JobId jobId(String text) throws JobRefusedException {
+        if (!Identifiers.isValid(text)) {
+            throw new JobRefusedException(JobErrorCode.NOT_FOUND, "there is no such job");
+        }
+        return new JobId(text);
+    }
+
+    private static int indexOf(String text) throws JobRefusedException {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new JobRefusedException(JobErrorCode.NOT_FOUND, "the index of a task is a whole number from 0");
+        }
+    }
+
+    private static Response error(JobRefusedException refusal) {
+        String executed = refusal.executed().name().toLowerCase(Locale.ROOT);
+        return Response.status(refusal.code().status())
+                .type(MediaType.APPLICATION_JSON_TYPE)
+                .header(EXECUTED, executed)
+                .entity(new ErrorBody(refusal.code(), refusal.getMessage(), executed))
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobService.java
@@ -0,0 +1,335 @@
+package org.tamarackline.entry.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import com.google.inject.Inject;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.ParkReason;
+import org.tamarackline.core.task.TaskSpec;
+import org.tamarackline.core.task.TaskState;
+import org.tamarackline.entry.jobs.JobMessages.JobStatusAnswer;
+import org.tamarackline.entry.jobs.JobMessages.TaskAnswer;
+import org.tamarackline.entry.jobs.JobRefusedException.Executed;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.ObjectStore;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TableTransaction.Check;
+import org.tamarackline.platform.TableTransaction.Write;
+import org.tamarackline.platform.TransactionConflictException;
+
+/** Accepts, watches and cancels jobs on behalf of callers. Calls wait for the platform and for the owners of racks. */
+final class JobService {
+
+    /** Bound on writing a job of the largest size: 51 transactions. */
+    private static final Duration SUBMIT_TIMEOUT = Duration.ofSeconds(20);
+
+    private static final int MAX_CANCEL_TRIES = 5;
+    private static final int JOB_ID_DIGITS = 32;
+
+    private final JobsContext context;
+    private final ObjectStore objects;
+    private final RackLoads loads;
+    private final OwnerCalls owners;
+
+    @Inject
+    JobService(JobsContext context, ObjectStore objects, RackLoads loads, OwnerCalls owners) {
+        this.context = context;
+        this.objects = objects;
+        this.loads = loads;
+        this.owners = owners;
+    }
+
+    /**
+     * Records a job and returns it once its rows are written.
+     *
+     * @throws JobRefusedException if it was not recorded, or its outcome is unknown
+     */
+    JobView submit(CallerName caller, Submission submission) throws JobRefusedException {
+        requireConfirmed();
+        checkConfigured(submission);
+        JobRecord job = recordOf(caller, submission);
+        Optional<JobRecord> earlier = submission.idempotencyKey().isPresent() ? readJob(job.id()) : Optional.empty();
+        if (earlier.isPresent()) {
+            return repeated(job, earlier.get());
+        }
+        ShardId shard = chooseRack(submission);
+        send(shard, job);
+        return JobView.of(job, Map.of(TaskState.PENDING, job.tasks()), Map.of());
+    }
+
+    private void requireConfirmed() throws JobRefusedException {
+        Standing standing = context.cluster().standing();
+        if (standing == Standing.ISOLATED) {
+            throw new JobRefusedException(
+                    JobErrorCode.NODE_ISOLATED, "this node lost contact; send the request to another one");
+        }
+        if (standing == Standing.OUTAGE) {
+            throw platformDown();
+        }
+    }
+
+    private static JobRefusedException platformDown() {
+        return new JobRefusedException(
+                JobErrorCode.PLATFORM_UNAVAILABLE, "the platform is out of reach; try again later");
+    }
+
+    private void checkConfigured(Submission submission) throws JobRefusedException {
+        Configuration configuration = context.cluster().configuration().orElseGet(Configuration::initial);
+        boolean profileKnown = configuration.profiles().stream()
+                .anyMatch(profile -> profile.name().equals(submission.profile()));
+        if (!profileKnown) {
+            throw new JobRefusedException(
+                    JobErrorCode.UNKNOWN_PROFILE,
+                    "profile \"%s\" does not exist"
+                            .formatted(submission.profile().value()));
+        }
+        boolean teamKnown = configuration.teams().isEmpty()
+                || configuration.teams().stream().anyMatch(quota -> quota.team().equals(submission.team()));
+        if (!teamKnown) {
+            throw new JobRefusedException(
+                    JobErrorCode.UNKNOWN_TEAM,
+                    "team \"%s\" is not configured".formatted(submission.team().value()));
+        }
+    }
+
+    private static JobRecord recordOf(CallerName caller, Submission submission) {
+        TaskSpec spec = new TaskSpec(
+                caller, submission.team(), submission.profile(), submission.resources(), submission.command());
+        String digest = sha256(spec.toString() + submission.tasks());
+        JobId id = submission
+                .idempotencyKey()
+                .map(key -> new JobId("j" + sha256(caller.value() + "\n" + key).substring(0, JOB_ID_DIGITS)))
+                .orElseGet(() -> new JobId("j" + UUID.randomUUID().toString().replace("-", "")));
+        return new JobRecord(id, spec, submission.tasks(), digest, List.of(), false, false);
+    }
+
+    private static String sha256(String text) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    private JobView repeated(JobRecord job, JobRecord earlier) throws JobRefusedException {
+        if (!earlier.digest().equals(job.digest())) {
+            throw new JobRefusedException(
+                    JobErrorCode.KEY_REUSED, "the idempotency key was used with another submission; use a new key");
+        }
+        if (!earlier.complete()) {
+            send(earlier.shards().getFirst(), job);
+        }
+        return view(earlier.completed());
+    }
+
+    private ShardId chooseRack(Submission submission) throws JobRefusedException {
+        if (loads.all().isEmpty()) {
+            loads.refresh();
+        }
+        return loads.best(submission.resources(), Optional.empty())
+                .orElseThrow(() -> new JobRefusedException(
+                        JobErrorCode.NO_RACK, "no rack of workers is in operation; try again later"));
+    }
+
+    private void send(ShardId shard, JobRecord job) throws JobRefusedException {
+        NodeId owner = context.cluster()
+                .ownerOf(shard)
+                .orElseThrow(() -> new JobRefusedException(
+                        JobErrorCode.OWNER_UNAVAILABLE,
+                        "%s has no owner at the moment; submit again".formatted(shard)));
+        PeerMessage answer;
+        try {
+            answer = owners.call(owner, new JobMessages.SubmitJob(shard, job), SUBMIT_TIMEOUT);
+        } catch (PeerException e) {
+            settle(job, e);
+            return;
+        }
+        if (answer instanceof JobMessages.SubmitRefused refused) {
+            throw new JobRefusedException(refused.code(), refused.detail(), refused.executed());
+        }
+        if (answer instanceof PeerMessage.Refused refused) {
+            throw new JobRefusedException(JobErrorCode.OWNER_UNAVAILABLE, refused.detail());
+        }
+    }
+
+    /** After a call without an answer, the job row tells whether the job was recorded; its absence proves nothing. */
+    private void settle(JobRecord job, PeerException failure) throws JobRefusedException {
+        boolean notSent = failure.reason() == PeerException.Reason.UNREACHABLE
+                || failure.reason() == PeerException.Reason.REFUSED
+                || failure.reason() == PeerException.Reason.HANDSHAKE_REJECTED;
+        if (notSent) {
+            throw new JobRefusedException(
+                    JobErrorCode.OWNER_UNAVAILABLE, "the owner of the rack could not be reached; submit again");
+        }
+        boolean recorded = readJob(job.id()).map(JobRecord::complete).orElse(false);
+        if (!recorded) {
+            throw new JobRefusedException(
+                    JobErrorCode.OUTCOME_UNKNOWN,
+                    "job %s may have been recorded; ask for it later".formatted(job.id()),
+                    Executed.UNKNOWN);
+        }
+    }
+
+    private Optional<JobRecord> readJob(JobId id) throws JobRefusedException {
+        try {
+            return context.table().get(JobRows.jobKey(id)).map(JobRows::job);
+        } catch (PlatformUnavailableException e) {
+            throw platformDown();
+        }
+    }
+
+    /**
+     * Returns a job of the caller.
+     *
+     * @throws JobRefusedException if the caller has no such job, or it could not be read
+     */
+    JobView watch(CallerName caller, JobId id) throws JobRefusedException {
+        return view(ownJob(caller, id));
+    }
+
+    private JobRecord ownJob(CallerName caller, JobId id) throws JobRefusedException {
+        return readJob(id).filter(job -> job.spec().caller().equals(caller)).orElseThrow(() -> notFound(id));
+    }
+
+    private static JobRefusedException notFound(JobId id) {
+        return new JobRefusedException(JobErrorCode.NOT_FOUND, "there is no job %s".formatted(id));
+    }
+
+    private JobView view(JobRecord job) {
+        Map<TaskState, Integer> counts = new HashMap<>();
+        Map<ParkReason, Integer> parked = new HashMap<>();
+        for (NodeId owner : owners.ownersOf(job.shards())) {
+            owners.ask(owner, new JobMessages.JobStatus(job.id()), JobStatusAnswer.class)
+                    .ifPresent(answer -> {
+                        answer.counts().forEach((state, count) -> counts.merge(state, count, Integer::sum));
+                        answer.parked().forEach((reason, count) -> parked.merge(reason, count, Integer::sum));
+                    });
+        }
+        return JobView.of(job, counts, parked);
+    }
+
+    /**
+     * Cancels a job of the caller. The cancellation is recorded in the job's row first, so that it survives the owners.
+     *
+     * @throws JobRefusedException if it was not recorded, or its outcome is unknown
+     */
+    JobView cancel(CallerName caller, JobId id) throws JobRefusedException {
+        requireConfirmed();
+        JobRecord cancelled = recordCancellation(caller, id);
+        for (NodeId owner : owners.ownersOf(cancelled.shards())) {
+            boolean told = owners.ask(owner, new JobMessages.CancelJob(id), PeerMessage.Ok.class)
+                    .isPresent();
+            if (!told) {
+                throw new JobRefusedException(
+                        JobErrorCode.OWNER_UNAVAILABLE,
+                        "the cancellation is recorded, but an owner of tasks could not be told; cancel again",
+                        Executed.UNKNOWN);
+            }
+        }
+        return view(cancelled);
+    }
+
+    private JobRecord recordCancellation(CallerName caller, JobId id) throws JobRefusedException {
+        for (int attempt = 0; attempt < MAX_CANCEL_TRIES; attempt++) {
+            Row row = readJobRow(id).orElseThrow(() -> notFound(id));
+            JobRecord job = JobRows.job(row);
+            if (!job.spec().caller().equals(caller)) {
+                throw notFound(id);
+            }
+            if (job.cancelled() || recorded(row, job.cancelledByCaller())) {
+                return job.cancelledByCaller();
+            }
+        }
+        throw new JobRefusedException(
+                JobErrorCode.OUTCOME_UNKNOWN, "the cancellation could not be settled; cancel again", Executed.UNKNOWN);
+    }
+
+    private Optional<Row> readJobRow(JobId id) throws JobRefusedException {
+        try {
+            return context.table().get(JobRows.jobKey(id));
+        } catch (PlatformUnavailableException e) {
+            throw platformDown();
+        }
+    }
+
+    /** Returns whether the row was written; false if it has to be read again. */
+    private boolean recorded(Row row, JobRecord cancelled) throws JobRefusedException {
+        TableTransaction transaction = new TableTransaction(
+                UUID.randomUUID().toString(),
+                List.of(new Check(row.key(), row.version())),
+                List.of(new Write(row.key(), JobRows.toJson(cancelled))));
+        try {
+            context.table().transact(transaction);
+            return true;
+        } catch (TransactionConflictException | OutcomeUnknownException e) {
+            return false;
+        } catch (PlatformUnavailableException e) {
+            throw platformDown();
+        }
+    }
+
+    /**
+     * Returns the result of one task of a job of the caller.
+     *
+     * @throws JobRefusedException if there is none, or it could not be read
+     */
+    byte[] result(CallerName caller, JobId id, int index) throws JobRefusedException {
+        JobRecord job = ownJob(caller, id);
+        if (index < 0 || index >= job.tasks()) {
+            throw new JobRefusedException(
+                    JobErrorCode.NOT_FOUND, "job %s has tasks 0 to %d".formatted(id, job.tasks() - 1));
+        }
+        TaskAnswer answer = findTask(job, new TaskId(id, index));
+        if (!answer.state().map(TaskState::isFinal).orElse(false)) {
+            throw new JobRefusedException(
+                    JobErrorCode.NOT_FINISHED, "task %d has not ended; ask again later".formatted(index));
+        }
+        String key = answer.outcome()
+                .flatMap(outcome -> outcome.resultKey())
+                .orElseThrow(() -> new JobRefusedException(
+                        JobErrorCode.NO_RESULT, "task %d ended without a result".formatted(index)));
+        return readResult(key);
+    }
+
+    private TaskAnswer findTask(JobRecord job, TaskId task) throws JobRefusedException {
+        for (NodeId owner : owners.ownersOf(job.shards())) {
+            Optional<TaskAnswer> answer = owners.ask(owner, new JobMessages.TaskQuery(task), TaskAnswer.class)
+                    .filter(found -> found.state().isPresent());
+            if (answer.isPresent()) {
+                return answer.get();
+            }
+        }
+        throw new JobRefusedException(
+                JobErrorCode.OWNER_UNAVAILABLE, "the owner of the task could not be asked; ask again later");
+    }
+
+    private byte[] readResult(String key) throws JobRefusedException {
+        try {
+            return objects.get(key)
+                    .orElseThrow(() -> new JobRefusedException(
+                            JobErrorCode.NO_RESULT, "the result is no longer in the object store"));
+        } catch (PlatformUnavailableException e) {
+            throw platformDown();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobThreads.java
@@ -0,0 +1,11 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.concurrent.Executor;
+
+/**
+ * Where the work of this package runs.
+ *
+ * @param loop runs one action at a time, in order; all state of the runners is used there only
+ * @param calls runs calls that wait for the platform, workers or peers
+ */
+record JobThreads(Executor loop, Executor calls) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobView.java
@@ -0,0 +1,76 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.Map;
+
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.ProfileName;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.task.ParkReason;
+import org.tamarackline.core.task.TaskState;
+
+/**
+ * A job as its caller sees it.
+ *
+ * @param id job
+ * @param team team
+ * @param profile profile
+ * @param tasks number of tasks
+ * @param state state of the whole
+ * @param counts tasks by state
+ * @param parked parked tasks by reason
+ * @param unknown tasks whose owner could not be asked
+ */
+public record JobView(
+        JobId id,
+        TeamName team,
+        ProfileName profile,
+        int tasks,
+        State state,
+        Map<TaskState, Integer> counts,
+        Map<ParkReason, Integer> parked,
+        int unknown) {
+
+    /** State of a job. */
+    public enum State {
+        /** Not all tasks are in a final state. */
+        ACTIVE,
+        /** All tasks finished. */
+        DONE,
+        /** All tasks ended and at least one failed. */
+        FAILED,
+        /** The caller cancelled it. */
+        CANCELLED
+    }
+
+    /** Creates a view that later changes of the arguments do not affect. */
+    public JobView {
+        counts = Map.copyOf(counts);
+        parked = Map.copyOf(parked);
+    }
+
+    static JobView of(JobRecord job, Map<TaskState, Integer> counts, Map<ParkReason, Integer> parked) {
+        int seen = counts.values().stream().mapToInt(Integer::intValue).sum();
+        int unknown = Math.max(0, job.tasks() - seen);
+        return new JobView(
+                job.id(),
+                job.spec().team(),
+                job.spec().profile(),
+                job.tasks(),
+                stateOf(job, counts),
+                counts,
+                parked,
+                unknown);
+    }
+
+    private static State stateOf(JobRecord job, Map<TaskState, Integer> counts) {
+        int done = counts.getOrDefault(TaskState.DONE, 0);
+        int failed = counts.getOrDefault(TaskState.FAILED, 0);
+        if (done == job.tasks()) {
+            return State.DONE;
+        }
+        if (job.cancelled()) {
+            return State.CANCELLED;
+        }
+        return done + failed == job.tasks() ? State.FAILED : State.ACTIVE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobWriter.java
@@ -0,0 +1,196 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.TaskRow;
+import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.entry.jobs.JobRefusedException.Executed;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TableTransaction.Check;
+import org.tamarackline.platform.TableTransaction.Write;
+import org.tamarackline.platform.TransactionConflictException;
+
+/**
+ * Writes the rows of a new job under the ownership of a rack.
+ *
+ * <p>The first transaction writes the job row and the first tasks, the last one marks the job as complete. A repetition goes
+ * on where the rows end.
+ */
+final class JobWriter {
+
+    private static final int TASKS_PER_TRANSACTION = JobRows.MAX_TRANSACTION_ROWS - 1;
+    private static final int MAX_TRIES = 3;
+    private static final long FIRST_VERSION = 1;
+
+    private final TableStore table;
+    private final JobRows rows;
+
+    JobWriter(TableStore table, JobRows rows) {
+        this.table = table;
+        this.rows = rows;
+    }
+
+    /**
+     * Writes all missing rows and returns the tasks written.
+     *
+     * @param shardRowVersion version of the shard row under the ownership of this node
+     * @throws JobRefusedException if the job cannot be recorded, or not all of it
+     */
+    List<VersionedRow> write(JobRecord submitted, ShardId shard, long shardRowVersion) throws JobRefusedException {
+        try {
+            Optional<Row> existing = table.get(JobRows.jobKey(submitted.id()));
+            if (existing.isPresent()) {
+                return resume(submitted, shard, shardRowVersion, existing.get());
+            }
+            JobRecord record = submitted.acceptedBy(shard);
+            return new Run(record, shard, shardRowVersion).write(0, 0);
+        } catch (PlatformUnavailableException e) {
+            throw new JobRefusedException(
+                    JobErrorCode.PLATFORM_UNAVAILABLE, "the platform is out of reach; submit again later");
+        }
+    }
+
+    private List<VersionedRow> resume(JobRecord submitted, ShardId shard, long shardRowVersion, Row existing)
+            throws JobRefusedException, PlatformUnavailableException {
+        JobRecord record = JobRows.job(existing);
+        if (!record.digest().equals(submitted.digest())) {
+            throw new JobRefusedException(
+                    JobErrorCode.KEY_REUSED, "the idempotency key was used with another submission; use a new key");
+        }
+        if (record.complete() || record.cancelled()) {
+            return List.of();
+        }
+        if (!record.shards().getFirst().equals(shard)) {
+            throw new JobRefusedException(
+                    JobErrorCode.OWNER_UNAVAILABLE, "the job is being written by another node; submit again later");
+        }
+        int written = writtenTasks(record);
+        return new Run(record, shard, shardRowVersion).write(written, existing.version());
+    }
+
+    /** Counts the tasks written so far; their rows exist in order, though some may have been moved to other racks. */
+    private int writtenTasks(JobRecord record) throws PlatformUnavailableException {
+        int next = 0;
+        while (next < record.tasks() && exists(record, next)) {
+            next += TASKS_PER_TRANSACTION;
+        }
+        return Math.min(next, record.tasks());
+    }
+
+    private boolean exists(JobRecord record, int index) throws PlatformUnavailableException {
+        for (ShardId shard : record.shards()) {
+            if (table.get(rows.taskKey(shard, new TaskId(record.id(), index))).isPresent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One run over the missing rows of a job. */
+    private final class Run {
+
+        private final JobRecord record;
+        private final ShardId shard;
+        private final long shardRowVersion;
+        private final List<VersionedRow> written = new ArrayList<>();
+
+        Run(JobRecord record, ShardId shard, long shardRowVersion) {
+            this.record = record;
+            this.shard = shard;
+            this.shardRowVersion = shardRowVersion;
+        }
+
+        List<VersionedRow> write(int firstTask, long jobVersion) throws JobRefusedException {
+            int next = firstTask;
+            long version = jobVersion;
+            do {
+                int end = Math.min(record.tasks(), next + TASKS_PER_TRANSACTION);
+                boolean last = end == record.tasks();
+                boolean writesJob = version == 0 || last;
+                apply(transaction(next, end, version, last));
+                version += writesJob ? 1 : 0;
+                next = end;
+            } while (next < record.tasks());
+            return written;
+        }
+
+        private TableTransaction transaction(int from, int to, long jobVersion, boolean last) {
+            String jobKey = JobRows.jobKey(record.id());
+            List<Check> checks = new ArrayList<>();
+            List<Write> writes = new ArrayList<>();
+            checks.add(new Check(rows.shardKey(shard), shardRowVersion));
+            checks.add(new Check(jobKey, jobVersion));
+            if (jobVersion == 0 || last) {
+                writes.add(new Write(jobKey, JobRows.toJson(last ? record.completed() : record)));
+            }
+            for (int index = from; index < to; index++) {
+                TaskRow task = TaskRow.submitted(new TaskId(record.id(), index), record.spec());
+                String key = rows.taskKey(shard, task.task());
+                checks.add(new Check(key, 0));
+                writes.add(new Write(key, JobRows.toJson(task)));
+                written.add(new VersionedRow(task, FIRST_VERSION));
+            }
+            return new TableTransaction(UUID.randomUUID().toString(), checks, writes);
+        }
+
+        private void apply(TableTransaction transaction) throws JobRefusedException {
+            boolean mayHaveTakenEffect = false;
+            for (int attempt = 0; attempt < MAX_TRIES; attempt++) {
+                try {
+                    table.transact(transaction);
+                    return;
+                } catch (TransactionConflictException e) {
+                    if (mayHaveTakenEffect && tookEffect(transaction)) {
+                        return;
+                    }
+                    throw conflict(e);
+                } catch (OutcomeUnknownException e) {
+                    mayHaveTakenEffect = true;
+                } catch (PlatformUnavailableException e) {
+                    if (!mayHaveTakenEffect) {
+                        throw unavailable();
+                    }
+                }
+            }
+            throw new JobRefusedException(
+                    JobErrorCode.OUTCOME_UNKNOWN,
+                    "the job may have been recorded; ask for it or submit it again with the same Idempotency-Key",
+                    Executed.UNKNOWN);
+        }
+
+        private boolean tookEffect(TableTransaction transaction) throws JobRefusedException {
+            try {
+                return table.tookEffect(transaction.token());
+            } catch (PlatformUnavailableException e) {
+                throw new JobRefusedException(
+                        JobErrorCode.OUTCOME_UNKNOWN, "the job may have been recorded", Executed.UNKNOWN);
+            }
+        }
+
+        private JobRefusedException conflict(TransactionConflictException conflict) {
+            return new JobRefusedException(
+                    JobErrorCode.OWNER_UNAVAILABLE,
+                    "row %s changed meanwhile; submit again".formatted(conflict.key()),
+                    partly());
+        }
+
+        private JobRefusedException unavailable() {
+            return new JobRefusedException(
+                    JobErrorCode.PLATFORM_UNAVAILABLE, "the platform is out of reach; submit again later", partly());
+        }
+
+        /** Rows of an earlier transaction may be running already. */
+        private Executed partly() {
+            return written.size() > TASKS_PER_TRANSACTION ? Executed.UNKNOWN : Executed.NO;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsDump.java
@@ -0,0 +1,25 @@
+package org.tamarackline.entry.jobs;
+
+import com.google.inject.Inject;
+import org.tamarackline.entry.StateDump;
+
+/** The racks of this node in the state dump. */
+final class JobsDump implements StateDump {
+
+    private final JobsEngine engine;
+
+    @Inject
+    JobsDump(JobsEngine engine) {
+        this.engine = engine;
+    }
+
+    @Override
+    public String name() {
+        return "racks";
+    }
+
+    @Override
+    public Object snapshot() {
+        return engine.dump();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
@@ -0,0 +1,242 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.core.ownership.Shard;
+import org.tamarackline.core.ownership.ShardLayout;
+import org.tamarackline.core.task.ParkReason;
+import org.tamarackline.core.task.TaskRow;
+import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.entry.cluster.OwnershipListener;
+import org.tamarackline.entry.jobs.JobMessages.JobStatusAnswer;
+import org.tamarackline.entry.jobs.JobMessages.ShardLoad;
+import org.tamarackline.entry.jobs.JobMessages.TaskAnswer;
+import org.tamarackline.platform.VmRecord;
+
+/** Runs the racks that this node owns. Its public methods may be called from any thread; state changes on the loop only. */
+final class JobsEngine implements OwnershipListener {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final long LOOP_TIMEOUT_MS = 5_000;
+
+    private final JobsContext context;
+    private final RackLoads loads;
+    private final GroupCommitter committer;
+    private final JobWriter writer;
+    private final RackMover mover;
+    private final Map<ShardId, RackRunner> racks = new LinkedHashMap<>();
+    private ShardLayout layout = ShardLayout.empty();
+
+    JobsEngine(JobsContext context, RackLoads loads) {
+        this.context = context;
+        this.loads = loads;
+        this.committer = new GroupCommitter(context);
+        this.writer = new JobWriter(context.table(), context.rows());
+        this.mover = new RackMover(context, loads, this::rowsMoved);
+    }
+
+    @Override
+    public boolean accepts(ShardId shard) {
+        return Shard.isRack(shard);
+    }
+
+    @Override
+    public void gained(ShardId shard, Epoch epoch, Origin origin, Optional<JsonNode> handedOver) {
+        context.threads().loop().execute(() -> {
+            stopRack(shard);
+            RackRunner rack = new RackRunner(shard, epoch, context);
+            racks.put(shard, rack);
+            tellWorkers(rack);
+            rack.step();
+        });
+    }
+
+    @Override
+    public JsonNode prepareHandover(ShardId shard) {
+        onLoop(() -> {
+            Optional.ofNullable(racks.get(shard)).ifPresent(RackRunner::pauseForHandover);
+            return true;
+        });
+        // The next owner reads everything from the rows and the workers.
+        return NullNode.getInstance();
+    }
+
+    @Override
+    public void lost(ShardId shard) {
+        context.threads().loop().execute(() -> stopRack(shard));
+    }
+
+    private void stopRack(ShardId shard) {
+        Optional.ofNullable(racks.remove(shard)).ifPresent(RackRunner::stop);
+    }
+
+    /** Takes in the VM list; called on the loop. */
+    void setVms(List<VmRecord> vms) {
+        layout = ShardLayout.of(vms, context.settings().requests().runnerGroups());
+        racks.values().forEach(this::tellWorkers);
+    }
+
+    private void tellWorkers(RackRunner rack) {
+        Set<String> outOfService = context.cluster()
+                .configuration()
+                .map(configuration -> configuration.vmsOutOfService())
+                .orElse(Set.of());
+        Map<WorkerId, String> addresses = new HashMap<>();
+        Set<WorkerId> closed = new HashSet<>();
+        for (VmRecord vm : layout.vmsOf(rack.shard())) {
+            WorkerId worker = new WorkerId(vm.id());
+            addresses.put(worker, vm.address());
+            if (vm.state() == VmRecord.State.LEAVING || outOfService.contains(vm.id())) {
+                closed.add(worker);
+            }
+        }
+        rack.setWorkers(addresses, closed);
+    }
+
+    /** Does what is due on every rack and starts the next transaction; called on the loop. */
+    void step() {
+        for (RackRunner rack : racks.values()) {
+            runSafely(rack);
+        }
+        loads.setOwn(ownLoads());
+        mover.moveStranded(List.copyOf(racks.values()));
+        committer.commit(List.copyOf(racks.values()));
+    }
+
+    /** Keeps a fault in one rack from stopping the others. */
+    private void runSafely(RackRunner rack) {
+        try {
+            tellWorkers(rack);
+            rack.scheduler().setClusterCapacity(loads.capacity());
+            rack.step();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("step of %s failed", rack.shard());
+        }
+    }
+
+    private List<ShardLoad> ownLoads() {
+        return racks.values().stream()
+                .filter(RackRunner::isReady)
+                .map(rack -> new ShardLoad(rack.shard(), rack.scheduler().load()))
+                .toList();
+    }
+
+    /** Writes the rows of a job and schedules its tasks; waits for the platform. */
+    void submit(ShardId shard, JobRecord job) throws JobRefusedException {
+        long shardRowVersion = onLoop(() -> Optional.ofNullable(racks.get(shard))
+                        .filter(RackRunner::isReady)
+                        .flatMap(RackRunner::shardRowVersion))
+                .orElseThrow(() -> new JobRefusedException(
+                        JobErrorCode.OWNER_UNAVAILABLE,
+                        "this node does not run %s at the moment; submit again".formatted(shard)));
+        List<VersionedRow> written = writer.write(job, shard, shardRowVersion);
+        context.threads()
+                .loop()
+                .execute(() -> Optional.ofNullable(racks.get(shard)).ifPresent(rack -> rack.admitted(written)));
+    }
+
+    /** Makes the rack read its rows again. */
+    void rowsMoved(ShardId shard) {
+        context.threads()
+                .loop()
+                .execute(() -> Optional.ofNullable(racks.get(shard)).ifPresent(RackRunner::readAgain));
+    }
+
+    /** Cancels the tasks of the job in the racks of this node and returns how many were not final. */
+    int cancel(JobId job) {
+        return onLoop(() -> racks.values().stream()
+                .mapToInt(rack -> rack.scheduler().cancel(job))
+                .sum());
+    }
+
+    /** Returns the states of the job's tasks in the racks of this node. */
+    JobStatusAnswer status(JobId job) {
+        return onLoop(() -> {
+            List<RackRunner> ready =
+                    racks.values().stream().filter(RackRunner::isReady).toList();
+            List<TaskRow> rows = ready.stream()
+                    .flatMap(rack -> rack.scheduler().rowsOf(job).stream())
+                    .toList();
+            return new JobStatusAnswer(ready.stream().map(RackRunner::shard).toList(), counts(rows), parked(rows));
+        });
+    }
+
+    private static Map<TaskState, Integer> counts(List<TaskRow> rows) {
+        Map<TaskState, Integer> counts = new HashMap<>();
+        rows.forEach(row -> counts.merge(row.state(), 1, Integer::sum));
+        return counts;
+    }
+
+    private static Map<ParkReason, Integer> parked(List<TaskRow> rows) {
+        Map<ParkReason, Integer> parked = new HashMap<>();
+        rows.forEach(row -> row.parkReason().ifPresent(reason -> parked.merge(reason, 1, Integer::sum)));
+        return parked;
+    }
+
+    /** Returns how the task stands, empty parts if no rack of this node holds it. */
+    TaskAnswer task(TaskId task) {
+        Optional<TaskRow> row = onLoop(() -> racks.values().stream()
+                .flatMap(rack -> rack.scheduler().row(task).stream())
+                .findFirst());
+        return new TaskAnswer(row.map(TaskRow::state), row.flatMap(TaskRow::outcome));
+    }
+
+    /** Returns a snapshot for the state dump. */
+    List<RackDump> dump() {
+        return onLoop(() -> {
+            List<RackDump> dumps = new ArrayList<>();
+            racks.values()
+                    .forEach(rack -> dumps.add(new RackDump(
+                            rack.shard(),
+                            rack.epoch(),
+                            rack.isReady(),
+                            rack.scheduler().load())));
+            return dumps;
+        });
+    }
+
+    private <T> T onLoop(Supplier<T> action) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        context.threads().loop().execute(() -> {
+            try {
+                result.complete(action.get());
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return await(result);
+    }
+
+    private static <T> T await(CompletableFuture<T> result) {
+        try {
+            return result.get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for the loop", e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the loop did not answer within %d ms".formatted(LOOP_TIMEOUT_MS), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
@@ -0,0 +1,95 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import com.google.inject.multibindings.Multibinder;
+import io.dropwizard.lifecycle.Managed;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.CallerApi;
+import org.tamarackline.entry.StateDump;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.entry.cluster.OwnershipListener;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerMessageType;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.worker.HttpWorkerGateway;
+import org.tamarackline.worker.WorkerGateway;
+
+/**
+ * Binds jobs and racks.
+ *
+ * <p>Needs bindings of {@link Cluster}, {@link TableStore}, {@code ObjectStore}, {@code VmDirectory}, {@link PeerCaller},
+ * {@link EntrySettings} and {@link MonotonicClock}.
+ */
+public final class JobsModule extends AbstractModule {
+
+    @Override
+    protected void configure() {
+        bind(JobService.class).in(Singleton.class);
+        bind(JobPeerHandler.class).in(Singleton.class);
+        bind(OwnerCalls.class).in(Singleton.class);
+        bind(JobsRunner.class).in(Singleton.class);
+        bind(JobResource.class).in(Singleton.class);
+        Multibinder.newSetBinder(binder(), Object.class, CallerApi.class)
+                .addBinding()
+                .to(JobResource.class);
+        Multibinder.newSetBinder(binder(), PeerHandler.class).addBinding().to(JobPeerHandler.class);
+        Multibinder.newSetBinder(binder(), OwnershipListener.class).addBinding().to(JobsEngine.class);
+        Multibinder.newSetBinder(binder(), StateDump.class).addBinding().to(JobsDump.class);
+        Multibinder.newSetBinder(binder(), Managed.class).addBinding().to(JobsRunner.class);
+        Multibinder<PeerMessageType> types = Multibinder.newSetBinder(binder(), PeerMessageType.class);
+        JobMessages.TYPES.forEach(type -> types.addBinding().toInstance(type));
+    }
+
+    @Provides
+    @Singleton
+    @JobsLoop
+    ScheduledExecutorService loop() {
+        return Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().name("jobs-loop").daemon().factory());
+    }
+
+    @Provides
+    @Singleton
+    WorkerGateway workerGateway(EntrySettings settings) {
+        return new HttpWorkerGateway(settings.cluster().requestTimeout());
+    }
+
+    @Provides
+    @Singleton
+    JobThreads threads(@JobsLoop ScheduledExecutorService loop) {
+        return new JobThreads(
+                loop, action -> Thread.ofVirtual().name("jobs-call").start(action));
+    }
+
+    @Provides
+    @Singleton
+    JobsContext context(
+            Cluster cluster,
+            TableStore table,
+            WorkerGateway gateway,
+            PeerCaller peers,
+            EntrySettings settings,
+            MonotonicClock clock,
+            JobThreads threads) {
+        return new JobsContext(cluster, table, gateway, peers, settings, clock, threads);
+    }
+
+    @Provides
+    @Singleton
+    RackLoads loads(JobsContext context) {
+        return new RackLoads(context);
+    }
+
+    @Provides
+    @Singleton
+    JobsEngine engine(JobsContext context, RackLoads loads) {
+        return new JobsEngine(context, loads);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsRunner.java
@@ -0,0 +1,80 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import io.dropwizard.lifecycle.Managed;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.platform.VmRecord;
+
+/** The timers of this package: the steps of the racks, the VM list and the loads of other nodes. */
+public final class JobsRunner implements Managed {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final Duration VM_POLL_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration LOAD_POLL_INTERVAL = Duration.ofSeconds(3);
+
+    private final JobsContext context;
+    private final JobsEngine engine;
+    private final RackLoads loads;
+    private final VmDirectory vms;
+    private final ScheduledExecutorService loop;
+    private final List<ScheduledFuture<?>> timers = new ArrayList<>();
+
+    @Inject
+    JobsRunner(
+            JobsContext context,
+            JobsEngine engine,
+            RackLoads loads,
+            VmDirectory vms,
+            @JobsLoop ScheduledExecutorService loop) {
+        this.context = context;
+        this.engine = engine;
+        this.loads = loads;
+        this.vms = vms;
+        this.loop = loop;
+    }
+
+    @Override
+    public void start() {
+        repeat(context.settings().jobs().commitInterval(), engine::step);
+        repeat(VM_POLL_INTERVAL, () -> context.threads().calls().execute(this::pollVms));
+        repeat(LOAD_POLL_INTERVAL, () -> context.threads().calls().execute(loads::refresh));
+    }
+
+    @Override
+    public void stop() {
+        timers.forEach(timer -> timer.cancel(false));
+        loop.shutdown();
+    }
+
+    private void repeat(Duration interval, Runnable action) {
+        timers.add(loop.scheduleWithFixedDelay(() -> runSafely(action), 0, interval.toNanos(), TimeUnit.NANOSECONDS));
+    }
+
+    /** A timer whose action throws would never run again. */
+    private static void runSafely(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("a timer of the jobs failed");
+        }
+    }
+
+    private void pollVms() {
+        try {
+            List<VmRecord> listed = vms.list();
+            context.threads().loop().execute(() -> engine.setVms(listed));
+        } catch (PlatformUnavailableException e) {
+            LOG.atFine().withCause(e).log("the VM list could not be read");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/RackLoads.java
@@ -0,0 +1,124 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.placement.Shares;
+import org.tamarackline.core.task.RackLoad;
+import org.tamarackline.entry.cluster.Member;
+import org.tamarackline.entry.jobs.JobMessages.AskLoads;
+import org.tamarackline.entry.jobs.JobMessages.Loads;
+import org.tamarackline.entry.jobs.JobMessages.ShardLoad;
+import org.tamarackline.peer.PeerException;
+
+/** What the racks of the region have to offer, as the nodes last told. Thread-safe. */
+final class RackLoads {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final JobsContext context;
+    private final Map<NodeId, List<ShardLoad>> byNode = new ConcurrentHashMap<>();
+
+    RackLoads(JobsContext context) {
+        this.context = context;
+    }
+
+    /** Replaces what the racks of this node offer. */
+    void setOwn(List<ShardLoad> own) {
+        byNode.put(context.cluster().self(), own);
+    }
+
+    List<ShardLoad> own() {
+        return byNode.getOrDefault(context.cluster().self(), List.of());
+    }
+
+    /** Asks every node of the region; waits for the answers. */
+    void refresh() {
+        Duration timeout = context.settings().cluster().requestTimeout();
+        List<Member> peers = context.cluster().peers().stream()
+                .filter(peer -> peer.region().equals(context.settings().region()))
+                .toList();
+        for (Member peer : peers) {
+            try {
+                if (context.peers().call(peer.node(), new AskLoads(), timeout) instanceof Loads loads) {
+                    byNode.put(peer.node(), loads.racks());
+                }
+            } catch (PeerException e) {
+                LOG.atFine().withCause(e).log("node %s did not tell its loads", peer.node());
+                byNode.remove(peer.node());
+            }
+        }
+    }
+
+    /** Returns the loads by rack; of two nodes that both name a rack, the recorded owner's is taken. */
+    Map<ShardId, RackLoad> all() {
+        Map<ShardId, RackLoad> loads = new HashMap<>();
+        byNode.forEach((node, racks) -> racks.stream()
+                .filter(rack -> context.cluster()
+                        .ownerOf(rack.shard())
+                        .map(node::equals)
+                        .orElse(true))
+                .forEach(rack -> loads.put(rack.shard(), rack.load())));
+        return loads;
+    }
+
+    /** Returns the capacity of all racks together. */
+    Resources capacity() {
+        return all().values().stream().map(RackLoad::capacity).reduce(Resources.NONE, Resources::plus);
+    }
+
+    /**
+     * Returns the rack that should take tasks of the given size, other than {@code except}.
+     *
+     * <p>A rack with a free worker that is large enough is preferred, then one whose workers are large enough, then any; the
+     * emptiest first.
+     */
+    Optional<ShardId> best(Resources size, Optional<ShardId> except) {
+        return all().entrySet().stream()
+                .filter(rack -> !except.equals(Optional.of(rack.getKey())))
+                .min(Comparator.<Map.Entry<ShardId, RackLoad>>comparingInt(rack -> rank(size, rack.getValue()))
+                        .thenComparingDouble(rack -> fill(rack.getValue()))
+                        .thenComparing(Map.Entry::getKey))
+                .map(Map.Entry::getKey);
+    }
+
+    /** Returns a rack other than {@code except} that could start a task of the given size now. */
+    Optional<ShardId> withRoom(Resources size, ShardId except) {
+        return best(size, Optional.of(except))
+                .filter(shard -> size.fitsIn(all().get(shard).largestFree()));
+    }
+
+    /** Returns a rack other than {@code except} that has a worker large enough for the given size. */
+    Optional<ShardId> largeEnough(Resources size, ShardId except) {
+        return best(size, Optional.of(except))
+                .filter(shard -> size.fitsIn(all().get(shard).largestWorker()));
+    }
+
+    /** Returns whether every node of the region has told its loads, so that what no rack offers does not exist. */
+    boolean coversAllPeers() {
+        return context.cluster().peers().stream()
+                .filter(peer -> peer.region().equals(context.settings().region()))
+                .allMatch(peer -> byNode.containsKey(peer.node()));
+    }
+
+    private static int rank(Resources size, RackLoad load) {
+        if (size.fitsIn(load.largestFree())) {
+            return 0;
+        }
+        return size.fitsIn(load.largestWorker()) ? 1 : 2;
+    }
+
+    private static double fill(RackLoad load) {
+        return Shares.dominant(load.capacity().minus(load.free()), load.capacity())
+                + load.waiting() / (1.0 + load.capacity().processorMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -0,0 +1,297 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.core.placement.RoomMaker;
+import org.tamarackline.core.placement.SpreadPolicy;
+import org.tamarackline.core.task.CommandOutcome;
+import org.tamarackline.core.task.RackMode;
+import org.tamarackline.core.task.RackRules;
+import org.tamarackline.core.task.RackScheduler;
+import org.tamarackline.core.task.Renewal;
+import org.tamarackline.core.task.RowChange;
+import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.core.task.WorkerCommand;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.settings.EntrySettings.JobLimits;
+import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
+
+/**
+ * Runs one rack that this node owns: reads its rows, renews its workers and sends their commands.
+ *
+ * <p>All methods are called on the loop. Calls that wait run elsewhere and come back to the loop with their outcome.
+ */
+final class RackRunner {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final int SCAN_LIMIT = 500;
+    private static final long RECOVERY_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Time after which a rack whose handover did not happen is run again. */
+    private static final long HANDOVER_PAUSE_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** Time between two scans for rows that another rack's owner moved here while its notice was lost. */
+    private static final long RESCAN_NANOS = Duration.ofSeconds(60).toNanos();
+
+    private final ShardId shard;
+    private final Epoch epoch;
+    private final JobsContext context;
+    private final JobRows rows;
+    private final RackScheduler scheduler;
+    private final WorkerCommands commands;
+    private final Map<WorkerId, String> addresses = new HashMap<>();
+
+    private Optional<Long> shardRowVersion = Optional.empty();
+    private boolean reading;
+    private long nextReadNanos;
+    private boolean stopped;
+    private long pausedUntilNanos;
+
+    RackRunner(ShardId shard, Epoch epoch, JobsContext context) {
+        this.shard = shard;
+        this.epoch = epoch;
+        this.context = context;
+        this.rows = context.rows();
+        this.commands = new WorkerCommands(shard, epoch, context);
+        this.scheduler = new RackScheduler(rules(context), context.clock(), new SpreadPolicy(), new RoomMaker());
+        this.pausedUntilNanos = context.clock().nowNanos();
+        this.nextReadNanos = pausedUntilNanos;
+    }
+
+    private static RackRules rules(JobsContext context) {
+        JobLimits limits = context.settings().jobs();
+        return new RackRules(
+                limits.workerRenewalInterval(),
+                limits.taskLease(),
+                context.settings().cluster().driftMargin(),
+                limits.poisonThreshold(),
+                limits.workerFailureThreshold());
+    }
+
+    ShardId shard() {
+        return shard;
+    }
+
+    Epoch epoch() {
+        return epoch;
+    }
+
+    RackScheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Returns the version of the shard row under this ownership, empty before the rows were read. */
+    Optional<Long> shardRowVersion() {
+        return shardRowVersion;
+    }
+
+    /** Returns whether the rack takes submissions and decisions. */
+    boolean isReady() {
+        return shardRowVersion.isPresent() && !stopped && context.clock().nowNanos() >= pausedUntilNanos;
+    }
+
+    /** Ends all activity; outcomes that come later are ignored. */
+    void stop() {
+        stopped = true;
+    }
+
+    /** Suspends decisions while the rack is handed over. */
+    void pauseForHandover() {
+        pausedUntilNanos = context.clock().nowNanos() + HANDOVER_PAUSE_NANOS;
+    }
+
+    /** Replaces the workers of the rack; addresses of workers that left the list are kept for their last tasks. */
+    void setWorkers(Map<WorkerId, String> listed, Set<WorkerId> closed) {
+        addresses.putAll(listed);
+        scheduler.setWorkers(listed.keySet(), closed);
+    }
+
+    /** Does what is due: reading rows, renewals, decisions, commands. */
+    void step() {
+        if (stopped) {
+            return;
+        }
+        readRowsIfDue();
+        if (!isReady() || !isOwner()) {
+            return;
+        }
+        Standing standing = context.cluster().standing();
+        if (standing == Standing.ISOLATED) {
+            return;
+        }
+        context.cluster().configuration().ifPresent(scheduler::configure);
+        scheduler.dueRenewals().forEach(this::renew);
+        scheduler.tick(mode(standing));
+        sendCommands();
+    }
+
+    /** Sends the commands that are due; called after a step and after each commit. */
+    void sendCommands() {
+        Standing standing = context.cluster().standing();
+        if (isReady() && standing != Standing.ISOLATED) {
+            scheduler.dueCommands(mode(standing)).forEach(this::send);
+        }
+    }
+
+    private static RackMode mode(Standing standing) {
+        return standing == Standing.CONFIRMED ? RackMode.ACTIVE : RackMode.HOLDING;
+    }
+
+    private boolean isOwner() {
+        return context.cluster().ownedEpoch(shard).equals(Optional.of(epoch));
+    }
+
+    private void renew(Renewal renewal) {
+        String address = addresses.get(renewal.worker());
+        context.threads().calls().execute(() -> {
+            Optional<RenewAnswer> answer = commands.renew(address, renewal);
+            onLoop(() -> answer.ifPresentOrElse(
+                    known -> scheduler.renewed(renewal, known), () -> scheduler.renewalFailed(renewal)));
+        });
+    }
+
+    private void send(WorkerCommand command) {
+        String address = addresses.get(command.worker());
+        context.threads().calls().execute(() -> {
+            CommandOutcome outcome = commands.send(address, command);
+            onLoop(() -> scheduler.answered(command, outcome));
+        });
+    }
+
+    private void onLoop(Runnable action) {
+        context.threads().loop().execute(() -> {
+            if (!stopped) {
+                action.run();
+            }
+        });
+    }
+
+    /** Makes the next step read the rows again, because some were added or the shard row changed. */
+    void readAgain() {
+        nextReadNanos = context.clock().nowNanos();
+    }
+
+    private void readRowsIfDue() {
+        long now = context.clock().nowNanos();
+        if (reading || now < nextReadNanos || context.cluster().standing() != Standing.CONFIRMED) {
+            return;
+        }
+        reading = true;
+        nextReadNanos = now + RESCAN_NANOS;
+        Set<JobId> known = new HashSet<>();
+        context.threads().calls().execute(() -> {
+            try {
+                RackRows found = readRows(known);
+                onLoop(() -> rowsRead(found));
+            } catch (PlatformUnavailableException e) {
+                LOG.atWarning().withCause(e).log("rows of %s could not be read; trying again", shard);
+                onLoop(this::rowsNotRead);
+            }
+        });
+    }
+
+    /**
+     * The rows of a rack.
+     *
+     * @param shardRowVersion version of the shard row, empty if the row names another epoch
+     * @param tasks rows of its tasks
+     * @param cancelled jobs that were cancelled
+     */
+    private record RackRows(Optional<Long> shardRowVersion, List<VersionedRow> tasks, Set<JobId> cancelled) {}
+
+    private RackRows readRows(Set<JobId> checked) throws PlatformUnavailableException {
+        Optional<Long> version = context.table().get(rows.shardKey(shard)).flatMap(this::versionIfOwned);
+        List<VersionedRow> tasks = new ArrayList<>();
+        String prefix = rows.taskPrefix(shard);
+        String after = "";
+        List<Row> page;
+        do {
+            page = context.table().scan(prefix, after, SCAN_LIMIT);
+            page.forEach(row -> tasks.add(JobRows.task(row)));
+            after = page.isEmpty() ? after : page.getLast().key();
+        } while (page.size() == SCAN_LIMIT);
+        return new RackRows(version, tasks, cancelledJobs(tasks, checked));
+    }
+
+    private Optional<Long> versionIfOwned(Row row) {
+        boolean owned = row.value().path("epoch").asLong(-1) == epoch.value();
+        return owned ? Optional.of(row.version()) : Optional.empty();
+    }
+
+    private Set<JobId> cancelledJobs(List<VersionedRow> tasks, Set<JobId> checked) throws PlatformUnavailableException {
+        Set<JobId> cancelled = new HashSet<>();
+        for (VersionedRow task : tasks) {
+            JobId job = task.row().task().job();
+            if (task.row().state().isFinal() || !checked.add(job)) {
+                continue;
+            }
+            Optional<Row> row = context.table().get(JobRows.jobKey(job));
+            if (row.isPresent() && JobRows.job(row.get()).cancelled()) {
+                cancelled.add(job);
+            }
+        }
+        return cancelled;
+    }
+
+    private void rowsRead(RackRows found) {
+        reading = false;
+        if (found.shardRowVersion().isEmpty()) {
+            nextReadNanos = context.clock().nowNanos() + RECOVERY_RETRY_NANOS;
+            return;
+        }
+        boolean first = shardRowVersion.isEmpty();
+        shardRowVersion = found.shardRowVersion();
+        scheduler.load(found.tasks());
+        found.cancelled().forEach(scheduler::cancel);
+        if (first) {
+            LOG.atInfo().log(
+                    "running %s under epoch %d with %d task rows",
+                    shard, epoch.value(), found.tasks().size());
+        }
+    }
+
+    private void rowsNotRead() {
+        reading = false;
+        nextReadNanos = context.clock().nowNanos() + RECOVERY_RETRY_NANOS;
+    }
+
+    /** Takes in rows that were written under this ownership. */
+    void admitted(List<VersionedRow> added) {
+        scheduler.load(added);
+    }
+
+    /** Returns the row changes for the next transaction. */
+    List<RowChange> nextBatch(int max) {
+        boolean mayCommit = isReady() && isOwner() && context.cluster().standing() == Standing.CONFIRMED;
+        return mayCommit ? scheduler.nextBatch(max) : List.of();
+    }
+
+    /** Reads one task row again after a conflict on it. */
+    void reload(TaskId task) {
+        context.threads().calls().execute(() -> {
+            try {
+                Optional<VersionedRow> stored =
+                        context.table().get(rows.taskKey(shard, task)).map(JobRows::task);
+                onLoop(() -> scheduler.reload(task, stored));
+            } catch (PlatformUnavailableException e) {
+                LOG.atWarning().withCause(e).log("row of task %s could not be read", task);
+            }
+        });
+    }
+}
