--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -0,0 +1,65 @@
+package org.tamarackline.cli;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** The commands of the binary, in the order of the help text. */
+final class CommandRegistry {
+
+    /**
+     * A command and what {@code --help} says about it.
+     *
+     * @param name words after {@code tamarackline}
+     * @param summary what the command does
+     * @param factory creates the command with the defaults of its options
+     */
+    record Entry(String name, String summary, Supplier<Command> factory) {}
+
+    private static final List<Entry> ENTRIES = List.of(
+            new Entry("entry", "Runs an entry node", EntryCommand::new),
+            new Entry("check-config", "Checks a settings file and lists all its mistakes", CheckConfigCommand::new),
+            new Entry("profile list", "Lists the profiles in force", () -> new ListCommand("/profiles")),
+            new Entry("profile put", "Adds or edits a profile", ProfilePutCommand::new),
+            new Entry("profile retire", "Retires a profile that no service uses", () -> new RetireCommand("/profiles")),
+            new Entry("team list", "Lists the teams and their quotas", () -> new ListCommand("/teams")),
+            new Entry("team put", "Adds a team or replaces its quota", TeamPutCommand::new),
+            new Entry("team retire", "Retires a team that has no service", () -> new RetireCommand("/teams")),
+            new Entry("service list", "Lists the services and their profiles", () -> new ListCommand("/services")),
+            new Entry("service put", "Adds a service or replaces its definition", ServicePutCommand::new),
+            new Entry("service retire", "Retires a service", () -> new RetireCommand("/services")),
+            new Entry("vm list", "Lists the VMs", () -> new ListCommand("/vms")),
+            new Entry("vm out", "Takes a VM out of service", () -> new VmServiceCommand(false)),
+            new Entry("vm in", "Takes a VM back into service", () -> new VmServiceCommand(true)),
+            new Entry("node confirm-stopped", "Confirms that a node's process has ended", ConfirmStoppedCommand::new),
+            new Entry("usage", "Prints the usage record", UsageCommand::new),
+            new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")));
+
+    private CommandRegistry() {}
+
+    static List<Entry> entries() {
+        return ENTRIES;
+    }
+
+    /** Returns the command whose name is the longest run of words that {@code words} starts with. */
+    static Optional<Entry> find(List<String> words) {
+        Optional<Entry> found = Optional.empty();
+        for (Entry entry : ENTRIES) {
+            List<String> name = List.of(entry.name().split(" ", -1));
+            boolean longer = found.isEmpty() || name.size() > wordCount(found.get());
+            if (longer && startsWith(words, name)) {
+                found = Optional.of(entry);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the number of words in the name of {@code entry}. */
+    static int wordCount(Entry entry) {
+        return entry.name().split(" ", -1).length;
+    }
+
+    private static boolean startsWith(List<String> words, List<String> start) {
+        return words.size() >= start.size() && words.subList(0, start.size()).equals(start);
+    }
+}
