--- a/src/test/java/org/tamarackline/entry/cluster/Action.java
+++ b/src/test/java/org/tamarackline/entry/cluster/Action.java
@@ -26,7 +26,9 @@
         CUT_PEERS,
         HEAL_NODE,
         LOSE_ANSWER,
+        LOSE_SHARD_ANSWER,
         DELAY_WRITE,
+        DELAY_SHARD_WRITE,
         DELAY_MESSAGE,
         CHANGE,
         STALE_CHANGE,
@@ -70,8 +72,10 @@
                 process.platformCut = false;
                 process.peersCut = false;
             }
-            case LOSE_ANSWER -> process.loseNextWriteAnswer = true;
-            case DELAY_WRITE -> process.delayNextWrite = true;
+            case LOSE_ANSWER -> process.loseAnswerOf = "/";
+            case LOSE_SHARD_ANSWER -> process.loseAnswerOf = "/shard/";
+            case DELAY_WRITE -> process.delayWriteOf = "/";
+            case DELAY_SHARD_WRITE -> process.delayWriteOf = "/shard/";
             case DELAY_MESSAGE -> process.delayNextMessage = true;
             case CHANGE -> cluster.change(process, cluster.currentVersion());
             case STALE_CHANGE -> cluster.change(process, Math.max(0, cluster.currentVersion() - amount % 3));
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -305,7 +305,7 @@
     }
 
     private long oldestAllowed(long nowMs, long connectedSinceMs) {
-        long oldest = 0;
+        long oldest = ConfigurationRunner.NO_VERSION;
         for (Map.Entry<Long, Long> accepted : acceptedAtMs.entrySet()) {
             if (nowMs - Math.max(accepted.getValue(), connectedSinceMs) > SPREAD_BOUND_MS) {
                 oldest = accepted.getKey();
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -29,6 +29,8 @@
 /** One process of a simulated cluster, with the faults that concern it alone. */
 final class SimulatedNode {
 
+    private static final String NO_KEY = "\n";
+
     final SimulatedCluster cluster;
     final NodeId id;
     final MembershipRunner runner;
@@ -45,8 +47,8 @@
     long pausedUntilMs;
     int callsUntilPause = -1;
     int pauseInCallMs;
-    boolean loseNextWriteAnswer;
-    boolean delayNextWrite;
+    String loseAnswerOf = NO_KEY;
+    String delayWriteOf = NO_KEY;
     boolean delayNextMessage;
     long connectedSinceMs;
 
@@ -184,19 +186,23 @@
             TableTransaction sent = cluster.mutation().ignoresChecks()
                     ? new TableTransaction(transaction.token(), List.of(), transaction.writes())
                     : transaction;
-            if (delayNextWrite) {
-                delayNextWrite = false;
+            if (writes(transaction, delayWriteOf)) {
+                delayWriteOf = NO_KEY;
                 cluster.later(() -> cluster.applyLate(sent));
                 throw new OutcomeUnknownException(transaction.token(), null);
             }
             cluster.table().transact(sent);
             maybePauseInCall();
-            if (loseNextWriteAnswer) {
-                loseNextWriteAnswer = false;
+            if (writes(transaction, loseAnswerOf)) {
+                loseAnswerOf = NO_KEY;
                 throw new OutcomeUnknownException(transaction.token(), null);
             }
         }
 
+        private static boolean writes(TableTransaction transaction, String keyPart) {
+            return transaction.writes().stream().anyMatch(write -> write.key().contains(keyPart));
+        }
+
         @Override
         public boolean tookEffect(String token) throws PlatformUnavailableException {
             checkAccess();
