--- a/src/test/java/org/tamarackline/entry/cluster/Action.java
+++ b/src/test/java/org/tamarackline/entry/cluster/Action.java
@@ -64,6 +64,7 @@
             }
             case PAUSE_IN_CALL -> {
                 process.callsUntilPause = amount;
+                process.pauseBeforeEffect = stepsAfter % 2 == 0;
                 process.pauseInCallMs = (amount % 8 + 1) * 2_000;
             }
             case CUT_PLATFORM -> process.platformCut = true;
