Join the subsystems and keep the core free of outer packages

Cause: core.task and core.ownership imported message records from the worker and platform packages, which the architecture test forbids. Change: WorkerProtocol moved to core.task, VmRecord to core.model. Result: the whole check passes; before, it failed in ArchitectureTest.

--- a/src/main/java/org/tamarackline/platform/VmRecord.java
+++ b/src/main/java/org/tamarackline/core/model/VmRecord.java
@@ -1,7 +1,4 @@
-package org.tamarackline.platform;
-
-import org.tamarackline.core.model.DataCentre;
-import org.tamarackline.core.model.Resources;
+package org.tamarackline.core.model;
 
 /**
  * One VM in the platform's list.
--- a/src/main/java/org/tamarackline/core/ownership/ShardLayout.java
+++ b/src/main/java/org/tamarackline/core/ownership/ShardLayout.java
@@ -13,7 +13,7 @@
 import org.tamarackline.core.model.Identifiers;
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
-import org.tamarackline.platform.VmRecord;
+import org.tamarackline.core.model.VmRecord;
 
 /**
  * The shards that follow from the platform's VM list: one for each rack of workers, and {@code runnerGroups} for each
--- a/src/main/java/org/tamarackline/core/task/CommandOutcome.java
+++ b/src/main/java/org/tamarackline/core/task/CommandOutcome.java
@@ -2,8 +2,6 @@
 
 import java.util.Optional;
 
-import org.tamarackline.worker.WorkerProtocol;
-
 /** What became of a command. */
 public sealed interface CommandOutcome {
 
--- a/src/main/java/org/tamarackline/core/task/CommandSteps.java
+++ b/src/main/java/org/tamarackline/core/task/CommandSteps.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.tamarackline.core.task.WorkerProtocol.RefusalCode;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.worker.WorkerProtocol.RefusalCode;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
-import org.tamarackline.worker.WorkerProtocol.TaskReportState;
 
 /** Sends the commands that committed rows ask for, and decides what their outcomes mean. */
 final class CommandSteps {
--- a/src/main/java/org/tamarackline/core/task/ListReader.java
+++ b/src/main/java/org/tamarackline/core/task/ListReader.java
@@ -7,10 +7,9 @@
 
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.worker.WorkerProtocol;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
-import org.tamarackline.worker.WorkerProtocol.TaskReportState;
 
 /** Compares the task list of a worker with the rows, and decides what each difference means. */
 final class ListReader {
--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -16,7 +16,6 @@
 import org.tamarackline.core.placement.PlacementPolicy;
 import org.tamarackline.core.placement.RoomMaker;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.worker.WorkerProtocol;
 
 /**
  * Schedules the tasks of one rack. Turns events into row changes to commit and commands to send after the commit.
--- a/src/main/java/org/tamarackline/core/task/WorkerEntry.java
+++ b/src/main/java/org/tamarackline/core/task/WorkerEntry.java
@@ -8,7 +8,6 @@
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
 import org.tamarackline.core.model.WorkerId;
-import org.tamarackline.worker.WorkerProtocol;
 
 /** What the owner of a rack knows of one worker: its lease, its capacity and what it still has to be told. */
 final class WorkerEntry {
--- a/src/main/java/org/tamarackline/worker/WorkerProtocol.java
+++ b/src/main/java/org/tamarackline/core/task/WorkerProtocol.java
@@ -1,4 +1,4 @@
-package org.tamarackline.worker;
+package org.tamarackline.core.task;
 
 import java.util.List;
 import java.util.Optional;
--- a/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
@@ -24,6 +24,7 @@
 import org.tamarackline.core.model.Incarnation;
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.ownership.ShardAssignment;
 import org.tamarackline.core.ownership.ShardLayout;
@@ -38,7 +39,6 @@
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.TransactionConflictException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.platform.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 
 /**
--- a/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
@@ -21,6 +21,7 @@
 import org.tamarackline.core.model.JobId;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.model.WorkerId;
 import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.ownership.ShardLayout;
@@ -32,7 +33,6 @@
 import org.tamarackline.entry.jobs.JobMessages.JobStatusAnswer;
 import org.tamarackline.entry.jobs.JobMessages.ShardLoad;
 import org.tamarackline.entry.jobs.JobMessages.TaskAnswer;
-import org.tamarackline.platform.VmRecord;
 
 /** Runs the racks that this node owns. Its public methods may be called from any thread; state changes on the loop only. */
 final class JobsEngine implements OwnershipListener {
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -26,10 +26,10 @@
 import org.tamarackline.core.task.RowChange;
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.core.task.WorkerCommand;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.Row;
 import org.tamarackline.settings.EntrySettings.JobLimits;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
 
 /**
  * Runs one rack that this node owns: reads its rows, renews its workers and sends their commands.
--- a/src/main/java/org/tamarackline/entry/jobs/WorkerCommands.java
+++ b/src/main/java/org/tamarackline/entry/jobs/WorkerCommands.java
@@ -10,13 +10,13 @@
 import org.tamarackline.core.task.Renewal;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.WorkerCommand;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.worker.WorkerException;
 import org.tamarackline.worker.WorkerGateway;
 import org.tamarackline.worker.WorkerOutcomeUnknownException;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
 import org.tamarackline.worker.WorkerRefusedException;
 import org.tamarackline.worker.WorkerUnreachableException;
 
--- a/src/main/java/org/tamarackline/entry/operator/VmResource.java
+++ b/src/main/java/org/tamarackline/entry/operator/VmResource.java
@@ -17,9 +17,9 @@
 import jakarta.ws.rs.core.MediaType;
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.model.Identifiers;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.platform.VmRecord;
 
 /** VMs: lists them and takes them in and out of service. */
 @Singleton
--- a/src/main/java/org/tamarackline/entry/proxy/HashedRunnerGroups.java
+++ b/src/main/java/org/tamarackline/entry/proxy/HashedRunnerGroups.java
@@ -7,7 +7,7 @@
 
 import jakarta.inject.Inject;
 import org.tamarackline.core.model.ShardId;
-import org.tamarackline.platform.VmRecord;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 
 /** Assigns each runner to one of the groups of its service and data centre by the hash of its identifier. */
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
@@ -17,12 +17,12 @@
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.routing.Runner;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.platform.VmRecord;
 
 /**
  * The runners by group, from the last VM list that the platform returned.
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerGroups.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerGroups.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 import org.tamarackline.core.model.ShardId;
-import org.tamarackline.platform.VmRecord;
+import org.tamarackline.core.model.VmRecord;
 
 /** Divides the runners of the VM list into runner groups, the same way on every node. */
 @FunctionalInterface
--- a/src/main/java/org/tamarackline/platform/HttpPlatformClient.java
+++ b/src/main/java/org/tamarackline/platform/HttpPlatformClient.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.platform.BoundedHttpClient.CallFailedException;
 import org.tamarackline.platform.BoundedHttpClient.HttpAnswer;
--- a/src/main/java/org/tamarackline/platform/VmDirectory.java
+++ b/src/main/java/org/tamarackline/platform/VmDirectory.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.tamarackline.core.model.VmRecord;
+
 /** The platform's list of live and leaving VMs, which lags behind. */
 public interface VmDirectory {
 
--- a/src/main/java/org/tamarackline/platform/VmEntry.java
+++ b/src/main/java/org/tamarackline/platform/VmEntry.java
@@ -2,6 +2,7 @@
 
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.VmRecord;
 
 /**
  * One VM as the platform's list writes it in JSON.
--- a/src/main/java/org/tamarackline/standin/worker/RefusedException.java
+++ b/src/main/java/org/tamarackline/standin/worker/RefusedException.java
@@ -1,6 +1,6 @@
 package org.tamarackline.standin.worker;
 
-import org.tamarackline.worker.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
 
 /** A command that the worker does not carry out. */
 final class RefusedException extends Exception {
--- a/src/main/java/org/tamarackline/standin/worker/SimulatedTask.java
+++ b/src/main/java/org/tamarackline/standin/worker/SimulatedTask.java
@@ -6,11 +6,11 @@
 
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
+import org.tamarackline.core.task.WorkerProtocol.UsageSample;
 import org.tamarackline.standin.worker.RunInterval.Outcome;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
-import org.tamarackline.worker.WorkerProtocol.TaskReportState;
-import org.tamarackline.worker.WorkerProtocol.UsageSample;
 
 /** One attempt of a task on this worker. Guarded by the lock of its {@link WorkerModel}. */
 final class SimulatedTask {
--- a/src/main/java/org/tamarackline/standin/worker/StandinWorker.java
+++ b/src/main/java/org/tamarackline/standin/worker/StandinWorker.java
@@ -7,6 +7,12 @@
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.RefusalCode;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.platform.HttpPlatformClient;
 import org.tamarackline.platform.ObjectStore;
@@ -15,12 +21,6 @@
 import org.tamarackline.standin.StandinFailure;
 import org.tamarackline.standin.StandinJson;
 import org.tamarackline.standin.StandinServer;
-import org.tamarackline.worker.WorkerProtocol.Refusal;
-import org.tamarackline.worker.WorkerProtocol.RefusalCode;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
 
 /**
  * A worker that simulates its tasks, served over HTTP, with fault switches.
--- a/src/main/java/org/tamarackline/standin/worker/WorkerModel.java
+++ b/src/main/java/org/tamarackline/standin/worker/WorkerModel.java
@@ -14,17 +14,17 @@
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.RefusalCode;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
+import org.tamarackline.core.task.WorkerProtocol.UsageSample;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.standin.worker.RunInterval.Outcome;
-import org.tamarackline.worker.WorkerProtocol.Refusal;
-import org.tamarackline.worker.WorkerProtocol.RefusalCode;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
-import org.tamarackline.worker.WorkerProtocol.TaskReportState;
-import org.tamarackline.worker.WorkerProtocol.UsageSample;
 
 /**
  * The rules of a worker: lease, epochs, attempts, capacity and the progress of simulated tasks.
--- a/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
+++ b/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
@@ -32,12 +32,12 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
-import org.tamarackline.worker.WorkerProtocol.Refusal;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 
 /**
  * Reaches workers over HTTP.
--- a/src/main/java/org/tamarackline/worker/WorkerGateway.java
+++ b/src/main/java/org/tamarackline/worker/WorkerGateway.java
@@ -1,10 +1,10 @@
 package org.tamarackline.worker;
 
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 
 /** Sends commands to workers. Every call returns or fails within a bound; none is retried. */
 public interface WorkerGateway {
--- a/src/main/java/org/tamarackline/worker/WorkerRefusedException.java
+++ b/src/main/java/org/tamarackline/worker/WorkerRefusedException.java
@@ -1,7 +1,8 @@
 package org.tamarackline.worker;
 
 import org.tamarackline.core.model.Epoch;
-import org.tamarackline.worker.WorkerProtocol.RefusalCode;
+import org.tamarackline.core.task.WorkerProtocol;
+import org.tamarackline.core.task.WorkerProtocol.RefusalCode;
 
 /** The worker answered that it did not carry the command out. */
 public final class WorkerRefusedException extends WorkerException {
--- a/src/test/java/org/tamarackline/platform/FakePlatform.java
+++ b/src/test/java/org/tamarackline/platform/FakePlatform.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.standin.platform.MemoryTable;
 
 /**
--- a/src/test/java/org/tamarackline/platform/HttpPlatformClientTest.java
+++ b/src/test/java/org/tamarackline/platform/HttpPlatformClientTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.standin.platform.PlatformFaults;
 import org.tamarackline.standin.platform.StandinPlatform;
 
