--- /dev/null
+++ b/src/main/java/org/tamarackline/load/ChildProcess.java
@@ -0,0 +1,101 @@
+package org.tamarackline.load;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process started from the binary, held by its handle so that exactly this process is ended. */
+public final class ChildProcess {
+
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+    private static final int SHOWN_LOG_LINES = 15;
+
+    private final String name;
+    private final Process process;
+    private final Path logFile;
+
+    private ChildProcess(String name, Process process, Path logFile) {
+        this.name = name;
+        this.process = process;
+        this.logFile = logFile;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param name name of the process in messages
+     * @param logFile file that gets its output
+     */
+    static ChildProcess start(String name, Path binary, List<String> arguments, Path logFile) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(binary.toString());
+        command.addAll(arguments);
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")))
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+                .start();
+        return new ChildProcess(name, process, logFile);
+    }
+
+    /** Returns the name of the process in messages. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the process id. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /** Returns whether the process runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Asks the process to end in order. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /** Ends the process at once. */
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Waits for the end of the process; returns whether it came within {@code bound}. */
+    public boolean awaitEnd(Duration bound) throws InterruptedException {
+        return process.waitFor(bound.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the exit code of a process that has ended. */
+    public int exitCode() {
+        return process.exitValue();
+    }
+
+    /**
+     * Returns the content of a file that the process writes once it accepts requests.
+     *
+     * @throws IOException if the process ended or {@code bound} passed before
+     */
+    String awaitReadyFile(Path readyFile, Duration bound) throws IOException, InterruptedException {
+        Waits.until(name + " is ready", bound, POLL_INTERVAL, () -> Files.exists(readyFile) || !isAlive());
+        if (!Files.exists(readyFile)) {
+            throw ended();
+        }
+        return Files.readString(readyFile);
+    }
+
+    /** Returns the exception for a process that ended too early, with the end of its log. */
+    IOException ended() throws IOException {
+        List<String> lines = Files.readAllLines(logFile);
+        List<String> last = lines.subList(Math.max(0, lines.size() - SHOWN_LOG_LINES), lines.size());
+        return new IOException("%s ended early; the end of its log is:%n%s"
+                .formatted(name, String.join(System.lineSeparator(), last)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/EntryAddresses.java
@@ -0,0 +1,53 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Addresses of a local entry node.
+ *
+ * @param peer IP number and port for other nodes
+ * @param caller IP number and port for callers
+ * @param operator IP number and port for operators
+ */
+public record EntryAddresses(String peer, String caller, String operator) {
+
+    private static final int PORTS = 3;
+
+    /** Returns free addresses for so many nodes. All ports are held until the last one is chosen, so that they differ. */
+    static List<EntryAddresses> reserve(int nodes) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            List<EntryAddresses> addresses = new ArrayList<>();
+            for (int node = 0; node < nodes; node++) {
+                List<String> free = new ArrayList<>();
+                for (int port = 0; port < PORTS; port++) {
+                    ServerSocket socket = new ServerSocket();
+                    sockets.add(socket);
+                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                    free.add("127.0.0.1:" + socket.getLocalPort());
+                }
+                addresses.add(new EntryAddresses(free.get(0), free.get(1), free.get(2)));
+            }
+            return addresses;
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Returns the base URL for callers. */
+    public String callerUrl() {
+        return "http://" + caller;
+    }
+
+    /** Returns the base URL for operators. */
+    public String operatorUrl() {
+        return "http://" + operator;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/HistoryCheck.java
@@ -0,0 +1,135 @@
+package org.tamarackline.load;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.standin.upstream.UpstreamHistory;
+import org.tamarackline.standin.worker.RunInterval;
+import org.tamarackline.standin.worker.RunInterval.Outcome;
+
+/** Static helpers that compare what callers were told with what the stand-ins did. */
+public final class HistoryCheck {
+
+    private static final String NOT_EXECUTED = "no";
+
+    private HistoryCheck() {}
+
+    /**
+     * What became of requests.
+     *
+     * @param answered requests whose caller got the whole answer
+     * @param lost answered requests that no runner received
+     * @param deniedButRun requests whose caller was told that they were not run, although a runner received them
+     * @param runTwice requests that runners received more than once
+     * @param overloads requests that a runner received while all its slots were in use
+     */
+    public record Requests(long answered, long lost, long deniedButRun, long runTwice, long overloads) {
+
+        /** Returns whether every caller was told the truth and nothing ran twice or overloaded a runner. */
+        public boolean isSound() {
+            return lost == 0 && deniedButRun == 0 && runTwice == 0 && overloads == 0;
+        }
+    }
+
+    /**
+     * What became of tasks.
+     *
+     * @param finished tasks that finished
+     * @param lost accepted tasks that did not finish
+     * @param runTwice tasks that finished twice, ran in two places at once, or of which an attempt ran twice
+     * @param evicted runs that a command stopped
+     * @param resumed runs that started with the work of an earlier one
+     * @param repeatedWorkMs work that was done again because an earlier run's work was not kept, in milliseconds
+     */
+    public record Tasks(long finished, long lost, long runTwice, long evicted, long resumed, long repeatedWorkMs) {
+
+        /** Returns whether every task finished and none ran twice. */
+        public boolean isSound() {
+            return lost == 0 && runTwice == 0;
+        }
+    }
+
+    /** Compares the outcomes of requests with the histories of all runners. */
+    public static Requests requests(Collection<RequestOutcome> outcomes, List<UpstreamHistory> histories) {
+        Map<String, Integer> received = new HashMap<>();
+        histories.forEach(
+                history -> history.requests().forEach((id, count) -> received.merge(id, count, Integer::sum)));
+        long answered = 0;
+        long lost = 0;
+        long deniedButRun = 0;
+        for (RequestOutcome outcome : outcomes) {
+            boolean ran = received.containsKey(outcome.requestId());
+            boolean isAnswered = outcome.kind() == RequestOutcome.Kind.ANSWERED;
+            boolean isDenied = outcome.executed().equals(Optional.of(NOT_EXECUTED));
+            answered += isAnswered ? 1 : 0;
+            lost += isAnswered && !ran ? 1 : 0;
+            deniedButRun += isDenied && ran ? 1 : 0;
+        }
+        long runTwice = received.values().stream().filter(count -> count > 1).count();
+        long overloads =
+                histories.stream().mapToLong(UpstreamHistory::overloads).sum();
+        return new Requests(answered, lost, deniedButRun, runTwice, overloads);
+    }
+
+    /** Compares accepted tasks with the runs of all workers. */
+    public static Tasks tasks(Set<TaskId> accepted, List<RunInterval> runs) {
+        Map<TaskId, List<RunInterval>> byTask = runs.stream().collect(Collectors.groupingBy(RunInterval::taskId));
+        long finished = byTask.values().stream()
+                .filter(of -> count(of, Outcome.DONE) > 0)
+                .count();
+        long lost = accepted.stream()
+                .filter(task -> count(byTask.getOrDefault(task, List.of()), Outcome.DONE) == 0)
+                .count();
+        long runTwice =
+                byTask.values().stream().filter(HistoryCheck::isRunTwice).count();
+        long resumed = runs.stream().filter(run -> run.startWorkMs() > 0).count();
+        long repeatedWorkMs =
+                byTask.values().stream().mapToLong(HistoryCheck::repeatedWorkMs).sum();
+        return new Tasks(finished, lost, runTwice, count(runs, Outcome.STOPPED), resumed, repeatedWorkMs);
+    }
+
+    private static long count(List<RunInterval> runs, Outcome outcome) {
+        return runs.stream().filter(run -> run.outcome() == outcome).count();
+    }
+
+    private static boolean isRunTwice(List<RunInterval> runsOfTask) {
+        Set<Integer> attempts = new HashSet<>();
+        boolean isAttemptRepeated = !runsOfTask.stream().allMatch(run -> attempts.add(run.attempt()));
+        return isAttemptRepeated || count(runsOfTask, Outcome.DONE) > 1 || overlap(runsOfTask);
+    }
+
+    private static boolean overlap(List<RunInterval> runsOfTask) {
+        List<RunInterval> ordered = inOrder(runsOfTask);
+        for (int i = 1; i < ordered.size(); i++) {
+            Optional<Long> earlierEnd = ordered.get(i - 1).endNanos();
+            if (earlierEnd.isEmpty() || ordered.get(i).startNanos() - earlierEnd.get() < 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static long repeatedWorkMs(List<RunInterval> runsOfTask) {
+        List<RunInterval> ordered = inOrder(runsOfTask);
+        long repeatedMs = 0;
+        for (int i = 1; i < ordered.size(); i++) {
+            repeatedMs +=
+                    Math.max(0, ordered.get(i - 1).endWorkMs() - ordered.get(i).startWorkMs());
+        }
+        return repeatedMs;
+    }
+
+    private static List<RunInterval> inOrder(List<RunInterval> runsOfTask) {
+        return runsOfTask.stream()
+                .sorted(Comparator.comparingLong(RunInterval::startNanos))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/JsonHttp.java
@@ -0,0 +1,97 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.tamarackline.standin.StandinJson;
+
+/** Sends JSON requests to local processes. */
+public final class JsonHttp implements AutoCloseable {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int FIRST_FAILURE_STATUS = 300;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+
+    /**
+     * An answer.
+     *
+     * @param status HTTP status
+     * @param body content, missing if it is not JSON
+     */
+    public record Answer(int status, JsonNode body) {
+
+        /** Returns whether the request was carried out. */
+        public boolean isSuccess() {
+            return status < FIRST_FAILURE_STATUS;
+        }
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param token bearer token
+     * @param body written as JSON; none if empty
+     * @throws IOException if no answer came
+     */
+    public Answer send(String method, String url, Optional<String> token, Optional<?> body)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url)).timeout(TIMEOUT);
+        token.ifPresent(value -> request.header("Authorization", "Bearer " + value));
+        if (body.isPresent()) {
+            byte[] content = StandinJson.mapper().writeValueAsBytes(body.get());
+            request.header("Content-Type", "application/json");
+            request.method(method, HttpRequest.BodyPublishers.ofByteArray(content));
+        } else {
+            request.method(method, HttpRequest.BodyPublishers.noBody());
+        }
+        HttpResponse<byte[]> response = client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+        return new Answer(response.statusCode(), parse(response.body()));
+    }
+
+    /**
+     * Reads a JSON document without a credential.
+     *
+     * @throws IOException if it could not be read
+     */
+    public <T> T read(String url, Class<T> type) throws IOException, InterruptedException {
+        Answer answer = send("GET", url, Optional.empty(), Optional.empty());
+        if (!answer.isSuccess()) {
+            throw new IOException("GET %s was answered with status %d".formatted(url, answer.status()));
+        }
+        return StandinJson.mapper().treeToValue(answer.body(), type);
+    }
+
+    /**
+     * Writes a JSON document without a credential.
+     *
+     * @throws IOException if it was not accepted
+     */
+    public void write(String url, Object body) throws IOException, InterruptedException {
+        Answer answer = send("PUT", url, Optional.empty(), Optional.of(body));
+        if (!answer.isSuccess()) {
+            throw new IOException("PUT %s was answered with status %d".formatted(url, answer.status()));
+        }
+    }
+
+    @Override
+    public void close() {
+        client.shutdownNow();
+    }
+
+    private static JsonNode parse(byte[] content) {
+        try {
+            return StandinJson.mapper().readTree(content);
+        } catch (IOException notJson) {
+            return MissingNode.getInstance();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -0,0 +1,267 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.tamarackline.platform.VmEntry;
+import org.tamarackline.platform.VmRecord;
+import org.tamarackline.standin.upstream.UpstreamHistory;
+import org.tamarackline.standin.upstream.UpstreamOptions;
+import org.tamarackline.standin.worker.RunInterval;
+
+/**
+ * Platform, workers, runners and entry nodes as separate processes on this machine.
+ *
+ * <p>{@link #close} ends every process that was started, also after a start that failed half-way.
+ */
+public final class LocalCluster implements AutoCloseable {
+
+    private static final Duration START_BOUND = Duration.ofSeconds(40);
+    private static final Duration STOP_BOUND = Duration.ofSeconds(10);
+    private static final long WORKER_MEMORY_MB = 8_000;
+    private static final int RUNNER_CONNECTIONS = 64;
+    private static final int OK = 200;
+
+    private final LocalClusterPlan plan;
+    private final LocalCredentials credentials = LocalCredentials.random();
+    private final JsonHttp http = new JsonHttp();
+    private final List<ChildProcess> started = new ArrayList<>();
+    private final List<Standin> workers = new ArrayList<>();
+    private final List<Standin> runners = new ArrayList<>();
+    private final List<EntryAddresses> addresses;
+    private final List<ChildProcess> entryNodes = new ArrayList<>();
+    private Standin platform;
+
+    private LocalCluster(LocalClusterPlan plan) throws IOException {
+        this.plan = plan;
+        this.addresses = EntryAddresses.reserve(plan.entryNodes());
+    }
+
+    /**
+     * A stand-in process.
+     *
+     * @param process the process
+     * @param address IP number and port that it listens on
+     */
+    public record Standin(ChildProcess process, String address) {
+
+        /** Returns the base URL. */
+        public String url() {
+            return "http://" + address;
+        }
+    }
+
+    /** Prepares a cluster; nothing is started yet, so that the caller can arrange for it to be closed. */
+    public static LocalCluster prepare(LocalClusterPlan plan) throws IOException {
+        return new LocalCluster(plan);
+    }
+
+    /**
+     * Starts all processes and returns once every entry node is ready.
+     *
+     * @throws IOException if a process ended or was not ready in time
+     */
+    public void start() throws IOException, InterruptedException {
+        platform = startStandins("platform", "standin-platform", 1, List.of()).getFirst();
+        List<String> workerOptions = List.of(
+                "--platform",
+                platform.url(),
+                "--processors",
+                Integer.toString(plan.workerProcessors()),
+                "--memory-mb",
+                Long.toString(WORKER_MEMORY_MB));
+        workers.addAll(startStandins("worker", "standin-worker", plan.workers(), workerOptions));
+        runners.addAll(startStandins("runner", "standin-upstream", plan.runners(), List.of()));
+        http.write(platform.url() + "/standin/vms", vmList());
+        for (int node = 0; node < plan.entryNodes(); node++) {
+            entryNodes.add(launchEntry(node));
+        }
+        for (int node = 0; node < plan.entryNodes(); node++) {
+            awaitReady(node);
+        }
+    }
+
+    /** Starts an entry node again that has ended, under its addresses. */
+    public void restartEntry(int node) throws IOException {
+        entryNodes.set(node, launchEntry(node));
+    }
+
+    /** Returns once an entry node is ready. */
+    public void awaitReady(int node) throws IOException, InterruptedException {
+        ChildProcess process = entryNodes.get(node);
+        Waits.until(process.name() + " is ready", START_BOUND, () -> !process.isAlive() || isReady(node));
+        if (!process.isAlive()) {
+            throw process.ended();
+        }
+    }
+
+    /** Returns whether an entry node says that it is ready. */
+    public boolean isReady(int node) throws InterruptedException {
+        try {
+            String url = addresses.get(node).callerUrl() + "/ready";
+            return http.send("GET", url, Optional.empty(), Optional.empty()).status() == OK;
+        } catch (IOException notUp) {
+            return false;
+        }
+    }
+
+    /** Returns the process of an entry node. */
+    public ChildProcess entryNode(int node) {
+        return entryNodes.get(node);
+    }
+
+    /** Returns the addresses of the entry nodes. */
+    public List<EntryAddresses> entryAddresses() {
+        return addresses;
+    }
+
+    /** Returns the platform. */
+    public Standin platform() {
+        return platform;
+    }
+
+    /** Returns the workers. */
+    public List<Standin> workers() {
+        return List.copyOf(workers);
+    }
+
+    /** Returns the runners. */
+    public List<Standin> runners() {
+        return List.copyOf(runners);
+    }
+
+    /** Returns the credentials of this cluster. */
+    public LocalCredentials credentials() {
+        return credentials;
+    }
+
+    /** Returns the client for requests to the processes. */
+    public JsonHttp http() {
+        return http;
+    }
+
+    /** Returns the runs of all workers. */
+    public List<RunInterval> workerRuns() throws IOException, InterruptedException {
+        List<RunInterval> runs = new ArrayList<>();
+        for (Standin worker : workers) {
+            runs.addAll(Arrays.asList(http.read(worker.url() + "/standin/history", RunInterval[].class)));
+        }
+        return runs;
+    }
+
+    /** Returns the histories of all runners. */
+    public List<UpstreamHistory> runnerHistories() throws IOException, InterruptedException {
+        List<UpstreamHistory> histories = new ArrayList<>();
+        for (Standin runner : runners) {
+            histories.add(http.read(runner.url() + "/standin/history", UpstreamHistory.class));
+        }
+        return histories;
+    }
+
+    @Override
+    public void close() {
+        entryNodes.forEach(ChildProcess::terminate);
+        for (ChildProcess entryNode : entryNodes) {
+            awaitEndOrKill(entryNode);
+        }
+        killAll();
+        http.close();
+    }
+
+    /** Ends every process at once; for use when the tool itself is being ended. */
+    public void killAll() {
+        List<ChildProcess> all;
+        synchronized (started) {
+            all = List.copyOf(started);
+        }
+        all.forEach(ChildProcess::kill);
+        all.forEach(LocalCluster::awaitEndOrKill);
+    }
+
+    private List<Standin> startStandins(String name, String command, int count, List<String> options)
+            throws IOException, InterruptedException {
+        List<ChildProcess> processes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            List<String> arguments = new ArrayList<>(
+                    List.of(command, "--ready-file", readyFile(name, i).toString()));
+            arguments.addAll(options);
+            processes.add(launch(name + "-" + i, arguments));
+        }
+        List<Standin> standins = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String address = processes.get(i).awaitReadyFile(readyFile(name, i), START_BOUND);
+            standins.add(new Standin(processes.get(i), address));
+        }
+        return standins;
+    }
+
+    private ChildProcess launchEntry(int node) throws IOException {
+        Path file = plan.directory().resolve("entry-" + node + ".toml");
+        Files.writeString(
+                file,
+                EntrySettingsText.write(addresses.get(node), addresses, platform.url(), credentials, plan.settings()));
+        return launch("entry-" + node, List.of("entry", "--config", file.toString()));
+    }
+
+    private ChildProcess launch(String name, List<String> arguments) throws IOException {
+        Path log = plan.directory().resolve(name + ".log");
+        synchronized (started) {
+            ChildProcess process = ChildProcess.start(name, plan.binary(), arguments, log);
+            started.add(process);
+            return process;
+        }
+    }
+
+    private Path readyFile(String name, int number) {
+        return plan.directory().resolve("%s-%d.address".formatted(name, number));
+    }
+
+    private List<VmEntry> vmList() {
+        List<VmEntry> vms = new ArrayList<>();
+        for (int i = 0; i < workers.size(); i++) {
+            vms.add(vm("worker-" + i, VmRecord.WORKER_ROLE, workers.get(i), 0, plan.workerProcessors()));
+        }
+        for (int i = 0; i < runners.size(); i++) {
+            vms.add(vm("runner-" + i, plan.service(), runners.get(i), UpstreamOptions.DEFAULT_SLOTS, 1));
+        }
+        return vms;
+    }
+
+    private static VmEntry vm(String id, String role, Standin standin, int slots, int processors) {
+        return new VmEntry(
+                id,
+                role,
+                standin.address(),
+                EntrySettingsText.DATA_CENTRE,
+                "rack-1",
+                VmRecord.State.LIVE,
+                slots,
+                slots == 0 ? 0 : RUNNER_CONNECTIONS,
+                processors,
+                WORKER_MEMORY_MB,
+                0);
+    }
+
+    private static void awaitEndOrKill(ChildProcess process) {
+        try {
+            if (!process.awaitEnd(STOP_BOUND)) {
+                process.kill();
+            }
+        } catch (InterruptedException interrupted) {
+            process.kill();
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns the sections of settings that shorten the shutdown of a local node. */
+    public static Map<String, Map<String, Object>> quickShutdown() {
+        return Map.of("cluster", Map.of("drain_delay_ms", 200));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/load/HistoryCheckTest.java
@@ -0,0 +1,78 @@
+package org.tamarackline.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.standin.upstream.UpstreamHistory;
+import org.tamarackline.standin.worker.RunInterval;
+import org.tamarackline.standin.worker.RunInterval.Outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against a check that passes although something was lost, denied wrongly or run twice. */
+class HistoryCheckTest {
+
+    private static final TaskId TASK = TaskId.parse("job.0");
+
+    @Test
+    void findsRequestsWhoseCallerWasToldSomethingFalse() {
+        List<RequestOutcome> outcomes = List.of(
+                outcome("whole", RequestOutcome.Kind.ANSWERED, Optional.of("yes")),
+                outcome("never received", RequestOutcome.Kind.ANSWERED, Optional.of("yes")),
+                outcome("denied", RequestOutcome.Kind.REFUSED, Optional.of("no")),
+                outcome("rightly denied", RequestOutcome.Kind.REFUSED, Optional.of("no")),
+                outcome("unknown", RequestOutcome.Kind.BROKEN, Optional.empty()));
+        List<UpstreamHistory> histories =
+                List.of(history(Map.of("whole", 1, "denied", 1)), history(Map.of("whole", 1, "unknown", 1)));
+        HistoryCheck.Requests found = HistoryCheck.requests(outcomes, histories);
+        assertThat(found).isEqualTo(new HistoryCheck.Requests(2, 1, 1, 1, 0));
+        assertThat(found.isSound()).isFalse();
+    }
+
+    @Test
+    void acceptsATaskThatWasEvictedAndResumedOnce() {
+        HistoryCheck.Tasks found = HistoryCheck.tasks(
+                Set.of(TASK), List.of(run(0, 0, 10, Outcome.STOPPED, 0, 40), run(1, 20, 30, Outcome.DONE, 40, 100)));
+        assertThat(found).isEqualTo(new HistoryCheck.Tasks(1, 0, 0, 1, 1, 0));
+        assertThat(found.isSound()).isTrue();
+    }
+
+    @Test
+    void findsTasksThatOverlapRepeatAnAttemptOrFinishTwice() {
+        RunInterval first = run(0, 0, 10, Outcome.STOPPED, 0, 1);
+        assertThat(runTwice(first, run(1, 9, 20, Outcome.DONE, 0, 1))).isOne();
+        assertThat(runTwice(first, run(0, 11, 20, Outcome.DONE, 0, 1))).isOne();
+        assertThat(runTwice(run(0, 0, 10, Outcome.DONE, 0, 1), run(1, 11, 20, Outcome.DONE, 0, 1)))
+                .isOne();
+        assertThat(runTwice(first, run(1, 10, 20, Outcome.DONE, 0, 1))).isZero();
+    }
+
+    @Test
+    void findsAcceptedTasksThatDidNotFinish() {
+        assertThat(HistoryCheck.tasks(Set.of(TASK), List.of()).lost()).isOne();
+        assertThat(HistoryCheck.tasks(Set.of(TASK), List.of(run(0, 0, 5, Outcome.FAILED, 0, 1)))
+                        .lost())
+                .isOne();
+    }
+
+    private static long runTwice(RunInterval... runs) {
+        return HistoryCheck.tasks(Set.of(), List.of(runs)).runTwice();
+    }
+
+    private static RunInterval run(
+            int attempt, long startNanos, long endNanos, Outcome outcome, long startWorkMs, long endWorkMs) {
+        return new RunInterval(TASK, attempt, startNanos, Optional.of(endNanos), outcome, startWorkMs, endWorkMs);
+    }
+
+    private static RequestOutcome outcome(String id, RequestOutcome.Kind kind, Optional<String> executed) {
+        return new RequestOutcome(id, kind, 200, executed);
+    }
+
+    private static UpstreamHistory history(Map<String, Integer> requests) {
+        return new UpstreamHistory(requests, requests.size(), requests.size(), 1, 0);
+    }
+}
