--- /dev/null
+++ b/src/main/java/org/tamarackline/load/DemoCommand.java
@@ -0,0 +1,81 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+import ch.qos.logback.classic.Level;
+import io.dropwizard.logging.common.BootstrapLogging;
+import org.kohsuke.args4j.Option;
+import org.tamarackline.cli.Command;
+import org.tamarackline.cli.ExitCodes;
+
+/** Shows the system at work with local stand-ins: requests, batch tasks, evictions and their resumption. */
+public final class DemoCommand implements Command {
+
+    private static final int RUNNERS = 6;
+    private static final int ENTRY_NODES = 3;
+
+    @Option(name = "--binary", metaVar = "FILE", usage = "binary to start the processes from; default is this one")
+    private Path binary;
+
+    @Option(name = "--keep-logs", usage = "keep the directory with settings and logs")
+    private boolean keepLogs;
+
+    @Override
+    public int run() throws Exception {
+        BootstrapLogging.bootstrap(Level.WARN);
+        long startNanos = System.nanoTime();
+        Path executable = binary == null ? Binaries.current() : binary.toAbsolutePath();
+        Path directory = Files.createTempDirectory("tamarackline-demo");
+        try {
+            DemoResult result = demonstrate(executable, directory);
+            DemoTable.print(System.out, result, Duration.ofNanos(System.nanoTime() - startNanos));
+            return result.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
+        } finally {
+            cleanUp(directory);
+        }
+    }
+
+    private static DemoResult demonstrate(Path executable, Path directory) throws IOException, InterruptedException {
+        PrintStream out = System.out;
+        LocalClusterPlan plan = new LocalClusterPlan(
+                executable,
+                directory,
+                DemoScenario.SERVICE,
+                DemoScenario.WORKERS,
+                DemoScenario.WORKER_PROCESSORS,
+                RUNNERS,
+                ENTRY_NODES,
+                LocalCluster.quickShutdown());
+        try (LocalCluster cluster = LocalCluster.prepare(plan)) {
+            Thread killOnExit = new Thread(cluster::killAll, "kill-children");
+            Runtime.getRuntime().addShutdownHook(killOnExit);
+            out.printf(
+                    "starting a platform, %d workers, %d runners and %d entry nodes%n",
+                    plan.workers(), plan.runners(), plan.entryNodes());
+            cluster.start();
+            out.println("all entry nodes are ready");
+            return new DemoScenario(cluster, out).run();
+        }
+    }
+
+    private void cleanUp(Path directory) throws IOException {
+        if (keepLogs) {
+            System.out.println("settings and logs are in " + directory);
+            return;
+        }
+        List<Path> files;
+        try (Stream<Path> tree = Files.walk(directory)) {
+            files = tree.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path file : files) {
+            Files.deleteIfExists(file);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/DemoResult.java
@@ -0,0 +1,27 @@
+package org.tamarackline.load;
+
+/**
+ * What the demonstration showed.
+ *
+ * @param load measurements of the quick requests
+ * @param requests what became of the requests
+ * @param tasks what became of the tasks
+ * @param expectedRequests requests that were sent
+ * @param expectedTasks tasks that were accepted
+ */
+record DemoResult(
+        LoadResult load,
+        HistoryCheck.Requests requests,
+        HistoryCheck.Tasks tasks,
+        long expectedRequests,
+        long expectedTasks) {
+
+    /** Returns whether nothing was lost and nothing ran twice. */
+    boolean isSound() {
+        return requests.isSound()
+                && tasks.isSound()
+                && load.count(RequestOutcome.Kind.ANSWERED) == expectedRequests
+                && tasks.finished() == expectedTasks
+                && tasks.evicted() == tasks.resumed();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/DemoScenario.java
@@ -0,0 +1,136 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.standin.upstream.StandinUpstream;
+
+/**
+ * What the demonstration does with a local cluster: batch tasks fill the workers, quick requests run beside them, and an
+ * urgent task needs room, so that the system evicts two batch tasks and resumes them.
+ */
+final class DemoScenario {
+
+    static final String SERVICE = "quotes";
+    static final int WORKERS = 4;
+    static final int WORKER_PROCESSORS = 5;
+    static final int BATCH_TASKS = 20;
+    static final int EVICTED_TASKS = 2;
+
+    private static final String TEAM = "workshop";
+    private static final int REQUESTS = 1_000;
+    private static final int REQUESTS_PER_SECOND = 200;
+    private static final int BODY_BYTES = 200;
+    private static final int SERVICE_MS = 5;
+    private static final int DEADLINE_MS = 5_000;
+    private static final long BATCH_WORK_MS = 9_000;
+    private static final long URGENT_WORK_MS = 2_000;
+    private static final long TASK_MEMORY_MB = 100;
+    private static final long PROCESSOR_MILLIS = 1_000;
+    private static final int CONNECTIONS = 64;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration STEP_BOUND = Duration.ofSeconds(25);
+
+    private final LocalCluster cluster;
+    private final PrintStream out;
+    private final List<String> targets;
+    private final LocalJobs jobs;
+
+    DemoScenario(LocalCluster cluster, PrintStream out) {
+        this.cluster = cluster;
+        this.out = out;
+        this.targets =
+                cluster.entryAddresses().stream().map(EntryAddresses::callerUrl).toList();
+        this.jobs = new LocalJobs(cluster, 0);
+    }
+
+    DemoResult run() throws IOException, InterruptedException {
+        configure();
+        awaitRouting();
+        JobId batch = submit("overnight plan", BATCH_TASKS, BATCH_WORK_MS, PROCESSOR_MILLIS);
+        Waits.until("all batch tasks run", STEP_BOUND, () -> jobs.count(batch, "RUNNING") == BATCH_TASKS);
+        out.printf("%d batch tasks fill the workers; now an urgent task and %d requests%n", BATCH_TASKS, REQUESTS);
+        JobId urgent = submit("quick answer", 1, URGENT_WORK_MS, EVICTED_TASKS * PROCESSOR_MILLIS);
+        LoadRecorder recorder = new LoadRecorder();
+        Queue<RequestOutcome> outcomes = sendRequests(recorder);
+        Waits.until("the urgent task is done", STEP_BOUND, () -> jobs.isDone(urgent));
+        Waits.until("all batch tasks are done", STEP_BOUND, () -> jobs.isDone(batch));
+        Set<TaskId> accepted = new HashSet<>(tasksOf(batch, BATCH_TASKS));
+        accepted.addAll(tasksOf(urgent, 1));
+        return new DemoResult(
+                recorder.result(),
+                HistoryCheck.requests(outcomes, cluster.runnerHistories()),
+                HistoryCheck.tasks(accepted, cluster.workerRuns()),
+                REQUESTS,
+                accepted.size());
+    }
+
+    private void configure() throws IOException, InterruptedException {
+        LocalOperator operator = new LocalOperator(cluster, 0);
+        operator.putTeam(TEAM, new Resources(WORKERS * WORKER_PROCESSORS * PROCESSOR_MILLIS, TASK_MEMORY_MB, 0));
+        operator.putService(SERVICE, "quick answer", TEAM);
+    }
+
+    /** Waits until each entry node has the service in force and finds a runner for it. */
+    private void awaitRouting() throws IOException, InterruptedException {
+        try (LoadClient client = new LoadClient(CONNECTIONS, REQUEST_TIMEOUT)) {
+            for (String target : targets) {
+                Waits.until(
+                        "requests are answered",
+                        STEP_BOUND,
+                        () -> client.send(target, plan(), "probe").kind() == RequestOutcome.Kind.ANSWERED);
+            }
+        }
+    }
+
+    private JobId submit(String profile, int tasks, long workMs, long processorMillis)
+            throws IOException, InterruptedException {
+        Resources size = new Resources(processorMillis, TASK_MEMORY_MB, 0);
+        LocalJobs.JobRequest request = new LocalJobs.JobRequest(TEAM, profile, tasks, workMs, size);
+        return jobs.submit(request)
+                .orElseThrow(() -> new IOException("the job for profile \"%s\" was refused".formatted(profile)));
+    }
+
+    private Queue<RequestOutcome> sendRequests(LoadRecorder recorder) throws InterruptedException {
+        Queue<RequestOutcome> outcomes = new ConcurrentLinkedQueue<>();
+        try (LoadClient client = new LoadClient(CONNECTIONS, REQUEST_TIMEOUT)) {
+            new LoadRunner(client, recorder, outcomes::add).run(plan(), targets, "demo");
+        }
+        return outcomes;
+    }
+
+    private LoadPlan plan() {
+        Map<String, String> headers = Map.of(
+                StandinUpstream.WORK_HEADER,
+                Integer.toString(SERVICE_MS),
+                "Tamarackline-Deadline-Ms",
+                Integer.toString(DEADLINE_MS),
+                "Authorization",
+                "Bearer " + cluster.credentials().callerToken());
+        return new LoadPlan(
+                REQUESTS_PER_SECOND,
+                Duration.ofSeconds(REQUESTS / REQUESTS_PER_SECOND),
+                "/services/" + SERVICE + "/load",
+                headers,
+                BODY_BYTES,
+                REQUEST_TIMEOUT);
+    }
+
+    private static Set<TaskId> tasksOf(JobId job, int tasks) {
+        Set<TaskId> ids = new HashSet<>();
+        for (int index = 0; index < tasks; index++) {
+            ids.add(new TaskId(job, index));
+        }
+        return ids;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/DemoTable.java
@@ -0,0 +1,37 @@
+package org.tamarackline.load;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Locale;
+
+/** Static helpers that print the result of the demonstration. */
+final class DemoTable {
+
+    private DemoTable() {}
+
+    static void print(PrintStream out, DemoResult result, Duration took) {
+        out.println();
+        LoadTable.printHead(out);
+        LoadTable.printLatency(out, "quick requests", result.load().latency());
+        LoadTable.printOutcomes(out, "quick requests", result.load());
+        out.println();
+        HistoryCheck.Requests requests = result.requests();
+        HistoryCheck.Tasks tasks = result.tasks();
+        out.printf("%-44s %9s %9s%n", "compared with the stand-ins' histories", "requests", "tasks");
+        row(out, "accepted", result.expectedRequests(), result.expectedTasks());
+        row(out, "answered or finished", requests.answered(), tasks.finished());
+        row(out, "lost", requests.lost(), tasks.lost());
+        row(out, "run twice", requests.runTwice(), tasks.runTwice());
+        row(out, "run although the caller was told otherwise", requests.deniedButRun(), 0);
+        out.printf(
+                "evicted to make room: %d, resumed: %d, work done again: %d ms%n",
+                tasks.evicted(), tasks.resumed(), tasks.repeatedWorkMs());
+        out.printf("requests beyond a runner's slots: %d%n", requests.overloads());
+        String verdict = result.isSound() ? "nothing was lost and nothing ran twice" : "FAILED: see the table above";
+        out.printf(Locale.ROOT, "%s (%.1f s)%n", verdict, took.toMillis() / 1000.0);
+    }
+
+    private static void row(PrintStream out, String name, long requests, long tasks) {
+        out.printf("%-44s %9d %9d%n", name, requests, tasks);
+    }
+}
--- a/src/main/java/org/tamarackline/load/LocalCluster.java
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -38,6 +38,7 @@
     private final List<EntryAddresses> addresses;
     private final List<ChildProcess> entryNodes = new ArrayList<>();
     private Standin platform;
+    private boolean closed;
 
     private LocalCluster(LocalClusterPlan plan) throws IOException {
         this.plan = plan;
@@ -179,6 +180,7 @@
     public void killAll() {
         List<ChildProcess> all;
         synchronized (started) {
+            closed = true;
             all = List.copyOf(started);
         }
         all.forEach(ChildProcess::kill);
@@ -213,6 +215,9 @@
     private ChildProcess launch(String name, List<String> arguments) throws IOException {
         Path log = plan.directory().resolve(name + ".log");
         synchronized (started) {
+            if (closed) {
+                throw new IOException("the cluster is being closed; %s is not started".formatted(name));
+            }
             ChildProcess process = ChildProcess.start(name, plan.binary(), arguments, log);
             started.add(process);
             return process;
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/LocalJobs.java
@@ -0,0 +1,68 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+
+/** Submits and watches jobs of a local cluster through the callers' port of an entry node. */
+public final class LocalJobs {
+
+    private final JsonHttp http;
+    private final String callerUrl;
+    private final Optional<String> token;
+
+    /** Creates a caller of the cluster that uses the given node. */
+    public LocalJobs(LocalCluster cluster, int node) {
+        http = cluster.http();
+        callerUrl = cluster.entryAddresses().get(node).callerUrl();
+        token = Optional.of(cluster.credentials().callerToken());
+    }
+
+    /**
+     * A job to submit.
+     *
+     * @param team team
+     * @param profile profile
+     * @param tasks number of tasks
+     * @param workMs work of each task in milliseconds
+     * @param resources declared size of each task
+     */
+    public record JobRequest(String team, String profile, int tasks, long workMs, Resources resources) {}
+
+    /**
+     * Submits a job.
+     *
+     * @return the job if it was accepted
+     */
+    public Optional<JobId> submit(JobRequest job) throws IOException, InterruptedException {
+        Map<String, Object> body = Map.of(
+                "team", job.team(),
+                "profile", job.profile(),
+                "tasks", job.tasks(),
+                "command", Map.of("workMs", job.workMs()),
+                "resources", job.resources());
+        JsonHttp.Answer answer = http.send("POST", callerUrl + "/jobs", token, Optional.of(body));
+        return answer.isSuccess()
+                ? Optional.of(new JobId(answer.body().path("id").asText()))
+                : Optional.empty();
+    }
+
+    /** Returns the number of tasks of the job that are in the given state. */
+    public int count(JobId job, String state) throws IOException, InterruptedException {
+        return view(job).path("counts").path(state).asInt(0);
+    }
+
+    /** Returns whether every task of the job has finished. */
+    public boolean isDone(JobId job) throws IOException, InterruptedException {
+        return view(job).path("state").asText("").equals("DONE");
+    }
+
+    private JsonNode view(JobId job) throws IOException, InterruptedException {
+        return http.send("GET", callerUrl + "/jobs/" + job.value(), token, Optional.empty())
+                .body();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/load/LocalOperator.java
@@ -0,0 +1,57 @@
+package org.tamarackline.load;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+import org.tamarackline.core.model.Resources;
+
+/** Configures a local cluster through the operators' port of an entry node. */
+public final class LocalOperator {
+
+    private static final Duration BOUND = Duration.ofSeconds(20);
+
+    private final JsonHttp http;
+    private final String operatorUrl;
+    private final Optional<String> token;
+
+    /** Creates an operator of the cluster who uses the given node. */
+    public LocalOperator(LocalCluster cluster, int node) {
+        http = cluster.http();
+        operatorUrl = cluster.entryAddresses().get(node).operatorUrl();
+        token = Optional.of(cluster.credentials().operatorToken());
+    }
+
+    /** Adds a team. */
+    public void putTeam(String team, Resources guaranteed) throws IOException, InterruptedException {
+        put("/teams/" + segment(team), Map.of("guaranteed", guaranteed));
+    }
+
+    /** Adds a service. */
+    public void putService(String service, String profile, String team) throws IOException, InterruptedException {
+        put("/services/" + segment(service), Map.of("profile", profile, "team", team));
+    }
+
+    /** Repeats the change until it is accepted, because another change or a starting node may refuse it at first. */
+    private void put(String path, Object body) throws IOException, InterruptedException {
+        Waits.until("PUT " + path + " is accepted", BOUND, () -> {
+            long version = version();
+            String url = "%s%s?version=%d".formatted(operatorUrl, path, version);
+            return http.send("PUT", url, token, Optional.of(body)).isSuccess();
+        });
+    }
+
+    private long version() throws IOException, InterruptedException {
+        return http.send("GET", operatorUrl + "/profiles", token, Optional.empty())
+                .body()
+                .path("version")
+                .asLong(-1);
+    }
+
+    private static String segment(String name) {
+        return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
