--- /dev/null
+++ b/src/test/java/org/tamarackline/process/BinaryTest.java
@@ -0,0 +1,134 @@
+package org.tamarackline.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards the packaged binary: its commands, its exit codes and its shutdown on SIGTERM. */
+class BinaryTest {
+
+    private static final Path BINARY = Path.of("target", "tamarackline");
+    private static final Duration START_BOUND = Duration.ofSeconds(60);
+    private static final long EXIT_BOUND_SECONDS = 60;
+    private static final int DRAIN_DELAY_MS = 1_000;
+    private static final HttpClient HTTP = HttpClient.newHttpClient();
+
+    @TempDir
+    private Path directory;
+
+    @Test
+    void versionAndSettingsCheck() throws Exception {
+        assertThat(run("--version")).isEqualTo(new Finished(0, "tamarackline 0.1.0\n"));
+        assertThat(run("check-config", "examples/entry.toml").exitCode()).isZero();
+        assertThat(run("check-config", "README.md").exitCode()).isEqualTo(2);
+        assertThat(run("no-such-command").exitCode()).isEqualTo(2);
+    }
+
+    @Test
+    void sigtermLowersReadinessThenExitsWithZero() throws Exception {
+        List<Integer> ports = freePorts(3);
+        Path log = directory.resolve("log");
+        Process node = new ProcessBuilder(
+                        BINARY.toString(), "entry", "--config", settings(ports).toString())
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile())
+                .start();
+        try {
+            awaitAnswer(ports.get(1), "/live", "live");
+            long termSentNanos = System.nanoTime();
+            node.destroy();
+            awaitAnswer(ports.get(1), "/ready", "DRAINING");
+            assertThat(node.waitFor(EXIT_BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+            assertThat(node.exitValue()).as(Files.readString(log)).isZero();
+            assertThat(Duration.ofNanos(System.nanoTime() - termSentNanos).toMillis())
+                    .isGreaterThanOrEqualTo(DRAIN_DELAY_MS);
+        } finally {
+            node.destroyForcibly();
+        }
+        List<String> lines = Files.readAllLines(log);
+        assertThat(lines).allMatch(line -> line.startsWith("{") && line.endsWith("}"));
+        assertThat(lines.getLast()).contains("node stopped");
+    }
+
+    private Path settings(List<Integer> ports) throws IOException {
+        String text = """
+                node = "127.0.0.1:%d"
+                region = "taiwan"
+                data_centre = "taipei"
+                caller_address = "127.0.0.1:%d"
+                operator_address = "127.0.0.1:%d"
+                platform_url = "http://127.0.0.1:1"
+                peer_key = "0123456789abcdef"
+                operator_token = "fedcba9876543210"
+                [cluster]
+                single_node = true
+                drain_delay_ms = %d
+                """.formatted(ports.get(0), ports.get(1), ports.get(2), DRAIN_DELAY_MS);
+        return Files.writeString(directory.resolve("entry.toml"), text);
+    }
+
+    private static void awaitAnswer(int port, String path, String part) throws InterruptedException {
+        long endNanos = System.nanoTime() + START_BOUND.toNanos();
+        String last = "";
+        while (System.nanoTime() < endNanos) {
+            last = answer(port, path);
+            if (last.contains(part)) {
+                return;
+            }
+            Thread.onSpinWait();
+        }
+        throw new AssertionError("%s never answered \"%s\", the last answer was \"%s\"".formatted(path, part, last));
+    }
+
+    private static String answer(int port, String path) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:%d%s".formatted(port, path)))
+                .timeout(Duration.ofSeconds(5))
+                .build();
+        try {
+            return HTTP.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        }
+        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private static Finished run(String... arguments) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(BINARY.toString()));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(process.waitFor(EXIT_BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+        return new Finished(process.exitValue(), output);
+    }
+
+    private record Finished(int exitCode, String output) {}
+}
