--- a/src/main/java/org/tamarackline/cli/CommandRegistry.java
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -4,6 +4,11 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.tamarackline.load.LoadCommand;
+import org.tamarackline.standin.platform.StandinPlatformCommand;
+import org.tamarackline.standin.upstream.StandinUpstreamCommand;
+import org.tamarackline.standin.worker.StandinWorkerCommand;
+
 /** The commands of the binary, in the order of the help text. */
 final class CommandRegistry {
 
@@ -33,7 +38,11 @@
             new Entry("vm in", "Takes a VM back into service", () -> new VmServiceCommand(true)),
             new Entry("node confirm-stopped", "Confirms that a node's process has ended", ConfirmStoppedCommand::new),
             new Entry("usage", "Prints the usage record", UsageCommand::new),
-            new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")));
+            new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")),
+            new Entry("load", "Sends open-loop load to nodes and reports latencies", LoadCommand::new),
+            new Entry("standin-platform", "Runs a stand-in of the platform", StandinPlatformCommand::new),
+            new Entry("standin-worker", "Runs a stand-in of a worker", StandinWorkerCommand::new),
+            new Entry("standin-upstream", "Runs a stand-in of an upstream", StandinUpstreamCommand::new));
 
     private CommandRegistry() {}
 
