--- a/src/main/java/org/tamarackline/cli/CommandRegistry.java
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.tamarackline.load.DemoCommand;
 import org.tamarackline.load.LoadCommand;
 import org.tamarackline.standin.platform.StandinPlatformCommand;
 import org.tamarackline.standin.upstream.StandinUpstreamCommand;
@@ -40,6 +41,7 @@
             new Entry("usage", "Prints the usage record", UsageCommand::new),
             new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")),
             new Entry("load", "Sends open-loop load to nodes and reports latencies", LoadCommand::new),
+            new Entry("demo", "Shows a local installation at work, with stand-ins", DemoCommand::new),
             new Entry("standin-platform", "Runs a stand-in of the platform", StandinPlatformCommand::new),
             new Entry("standin-worker", "Runs a stand-in of a worker", StandinWorkerCommand::new),
             new Entry("standin-upstream", "Runs a stand-in of an upstream", StandinUpstreamCommand::new));
