--- /dev/null
+++ b/src/test/java/org/tamarackline/process/ClusterFixture.java
@@ -0,0 +1,212 @@
+package org.tamarackline.process;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.load.ChildProcess;
+import org.tamarackline.load.EntryAddresses;
+import org.tamarackline.load.HistoryCheck;
+import org.tamarackline.load.LoadClient;
+import org.tamarackline.load.LoadPlan;
+import org.tamarackline.load.LoadRecorder;
+import org.tamarackline.load.LoadRunner;
+import org.tamarackline.load.LocalCluster;
+import org.tamarackline.load.LocalClusterPlan;
+import org.tamarackline.load.LocalJobs;
+import org.tamarackline.load.LocalOperator;
+import org.tamarackline.load.RequestOutcome;
+import org.tamarackline.load.Waits;
+import org.tamarackline.platform.Row;
+
+/** A local cluster of three entry nodes with a caller that sends requests and submits jobs while faults happen. */
+final class ClusterFixture implements AutoCloseable {
+
+    static final int ENTRY_NODES = 3;
+    static final Duration BOUND = Duration.ofSeconds(90);
+
+    private static final String SERVICE = "quotes";
+    private static final String TEAM = "workshop";
+    private static final int WORKERS = 2;
+    private static final int PROCESSORS = 4;
+    private static final int RUNNERS = 3;
+    private static final long PROCESSOR_MILLIS = 1_000;
+    private static final long TASK_MEMORY_MB = 100;
+    private static final int CONNECTIONS = 64;
+    private static final int REQUESTS_PER_SECOND = 40;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(15);
+    private static final long SIGNAL_BOUND_SECONDS = 10;
+
+    private final LocalCluster cluster;
+    private final LoadClient client = new LoadClient(CONNECTIONS, REQUEST_TIMEOUT);
+    private final Queue<RequestOutcome> outcomes = new ConcurrentLinkedQueue<>();
+    private final Set<TaskId> acceptedTasks = new HashSet<>();
+
+    private ClusterFixture(LocalCluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /** Starts the cluster and returns once every node answers requests. */
+    static ClusterFixture start(Path directory) throws IOException, InterruptedException {
+        LocalClusterPlan plan = new LocalClusterPlan(
+                Path.of("target", "tamarackline").toAbsolutePath(),
+                directory,
+                SERVICE,
+                WORKERS,
+                PROCESSORS,
+                RUNNERS,
+                ENTRY_NODES,
+                Map.of(
+                        "cluster", Map.of("drain_delay_ms", 200),
+                        "jobs", Map.of("worker_renewal_interval_ms", 1_000, "task_lease_ms", 6_000)));
+        ClusterFixture fixture = new ClusterFixture(LocalCluster.prepare(plan));
+        try {
+            fixture.cluster.start();
+            fixture.configure();
+            return fixture;
+        } catch (IOException | InterruptedException failure) {
+            fixture.close();
+            throw failure;
+        }
+    }
+
+    LocalCluster cluster() {
+        return cluster;
+    }
+
+    /** Returns the node that owns the rack of the workers. */
+    int rackOwner() throws IOException, InterruptedException {
+        String url = cluster.platform().url() + "/table/scan?prefix=region/region-1/shard/";
+        for (Row row : cluster.http().read(url, Row[].class)) {
+            List<EntryAddresses> addresses = cluster.entryAddresses();
+            for (int node = 0; node < addresses.size(); node++) {
+                boolean isOwner = row.value()
+                        .path("owner")
+                        .asText()
+                        .equals(addresses.get(node).peer());
+                if (row.key().contains("rack-1") && isOwner) {
+                    return node;
+                }
+            }
+        }
+        throw new IOException("no entry node owns the rack");
+    }
+
+    /** Starts to send requests to all nodes over {@code duration}. */
+    Thread sendRequests(Duration duration) {
+        LoadRunner runner = new LoadRunner(client, new LoadRecorder(), outcomes::add);
+        List<String> targets =
+                cluster.entryAddresses().stream().map(EntryAddresses::callerUrl).toList();
+        return Thread.ofVirtual().start(() -> {
+            try {
+                runner.run(plan().withDuration(duration), targets, "run-" + System.nanoTime());
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** Sends one request and returns what the caller was told. */
+    RequestOutcome request(int node, String requestId) {
+        RequestOutcome outcome = client.send(cluster.entryAddresses().get(node).callerUrl(), plan(), requestId);
+        outcomes.add(outcome);
+        return outcome;
+    }
+
+    /** Submits a batch job through a node. */
+    Optional<JobId> submit(int node, int tasks, Duration work) throws IOException, InterruptedException {
+        Resources size = new Resources(PROCESSOR_MILLIS, TASK_MEMORY_MB, 0);
+        LocalJobs.JobRequest request = new LocalJobs.JobRequest(TEAM, "overnight plan", tasks, work.toMillis(), size);
+        Optional<JobId> job = new LocalJobs(cluster, node).submit(request);
+        job.ifPresent(id -> IntStream.range(0, tasks).forEach(index -> acceptedTasks.add(new TaskId(id, index))));
+        return job;
+    }
+
+    void awaitRunning(int node, JobId job, int tasks) throws IOException, InterruptedException {
+        LocalJobs jobs = new LocalJobs(cluster, node);
+        Waits.until("%d tasks run".formatted(tasks), BOUND, () -> jobs.count(job, "RUNNING") >= tasks);
+    }
+
+    void awaitDone(int node, JobId job) throws IOException, InterruptedException {
+        LocalJobs jobs = new LocalJobs(cluster, node);
+        Waits.until("the job is done", BOUND, () -> jobs.isDone(job));
+    }
+
+    /** Compares what callers of requests were told with the runners' histories. */
+    HistoryCheck.Requests checkRequests() throws IOException, InterruptedException {
+        return HistoryCheck.requests(outcomes, cluster.runnerHistories());
+    }
+
+    /** Compares accepted tasks with the workers' histories. */
+    HistoryCheck.Tasks checkTasks() throws IOException, InterruptedException {
+        return HistoryCheck.tasks(acceptedTasks, cluster.workerRuns());
+    }
+
+    Queue<RequestOutcome> outcomes() {
+        return outcomes;
+    }
+
+    /** Freezes a process. */
+    static void freeze(ChildProcess process) throws IOException, InterruptedException {
+        signal("-STOP", process);
+    }
+
+    /** Lets a frozen process go on. */
+    static void thaw(ChildProcess process) throws IOException, InterruptedException {
+        signal("-CONT", process);
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        cluster.close();
+    }
+
+    private void configure() throws IOException, InterruptedException {
+        LocalOperator operator = new LocalOperator(cluster, 0);
+        operator.putTeam(TEAM, new Resources(WORKERS * PROCESSORS * PROCESSOR_MILLIS, TASK_MEMORY_MB, 0));
+        operator.putService(SERVICE, "quick answer", TEAM);
+        for (int node = 0; node < ENTRY_NODES; node++) {
+            String target = cluster.entryAddresses().get(node).callerUrl();
+            Waits.until(
+                    "node %d answers requests".formatted(node),
+                    BOUND,
+                    () -> client.send(target, plan(), "probe-" + System.nanoTime())
+                                    .kind()
+                            == RequestOutcome.Kind.ANSWERED);
+        }
+    }
+
+    private LoadPlan plan() {
+        Map<String, String> headers = Map.of(
+                "X-Work-Ms", "10",
+                "Tamarackline-Deadline-Ms", "2000",
+                "Authorization", "Bearer " + cluster.credentials().callerToken());
+        return new LoadPlan(
+                REQUESTS_PER_SECOND,
+                Duration.ofSeconds(1),
+                "/services/" + SERVICE + "/load",
+                headers,
+                1_000,
+                REQUEST_TIMEOUT);
+    }
+
+    private static void signal(String signal, ChildProcess process) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+        if (!kill.waitFor(SIGNAL_BOUND_SECONDS, TimeUnit.SECONDS) || kill.exitValue() != 0) {
+            throw new IOException("signal %s could not be sent to %s".formatted(signal, process.name()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/process/OutageTest.java
@@ -0,0 +1,79 @@
+package org.tamarackline.process;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.load.HistoryCheck;
+import org.tamarackline.load.LocalCluster;
+import org.tamarackline.load.RequestOutcome;
+import org.tamarackline.load.Waits;
+import org.tamarackline.standin.platform.PlatformFaults;
+import org.tamarackline.standin.upstream.UpstreamFaults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against stopped work, false answers and repeats while the platform or a runner does not answer. */
+class OutageTest {
+
+    private static final int TASKS = 6;
+    private static final Duration TASK_WORK = Duration.ofSeconds(15);
+
+    /** Longer than hold time, take time and the task lease of 6 s. */
+    private static final Duration OUTAGE = Duration.ofSeconds(10);
+
+    private static final Duration LOAD = Duration.ofSeconds(8);
+    private static final PlatformFaults DOWN = new PlatformFaults(true, 0, 0, false, 0);
+    private static final UpstreamFaults SILENT = new UpstreamFaults(0, 0, true, false, false);
+
+    @TempDir
+    private Path directory;
+
+    @Test
+    void platformDownLongerThanEveryLease() throws Exception {
+        try (ClusterFixture fixture = ClusterFixture.start(directory)) {
+            JobId job = fixture.submit(0, TASKS, TASK_WORK).orElseThrow();
+            fixture.awaitRunning(0, job, TASKS);
+            String faults = fixture.cluster().platform().url() + "/faults";
+            fixture.cluster().http().write(faults, DOWN);
+            long outageEndNanos = System.nanoTime() + OUTAGE.toNanos();
+            Thread load = fixture.sendRequests(LOAD);
+            load.join();
+            Waits.until("the outage has lasted", ClusterFixture.BOUND, () -> System.nanoTime() - outageEndNanos > 0);
+            assertThat(fixture.request(1, "in the outage").kind()).isEqualTo(RequestOutcome.Kind.ANSWERED);
+            assertThat(fixture.submit(1, 1, TASK_WORK)).isEmpty();
+            fixture.cluster().http().write(faults, PlatformFaults.NONE);
+            fixture.awaitDone(0, job);
+            assertThat(fixture.outcomes()).extracting(RequestOutcome::kind).containsOnly(RequestOutcome.Kind.ANSWERED);
+            HistoryCheck.Tasks tasks = fixture.checkTasks();
+            assertThat(tasks).isEqualTo(new HistoryCheck.Tasks(TASKS, 0, 0, 0, 0, 0));
+            assertThat(fixture.checkRequests().isSound()).isTrue();
+        }
+    }
+
+    @Test
+    void silentRunner() throws Exception {
+        try (ClusterFixture fixture = ClusterFixture.start(directory)) {
+            LocalCluster.Standin runner = fixture.cluster().runners().getFirst();
+            Thread load = fixture.sendRequests(LOAD);
+            String faults = runner.url() + "/standin/faults";
+            fixture.cluster().http().write(faults, SILENT);
+            Waits.until(
+                    "a request met the silent runner",
+                    ClusterFixture.BOUND,
+                    () -> fixture.outcomes().stream()
+                            .anyMatch(outcome -> outcome.executed().equals(Optional.of("unknown"))));
+            fixture.cluster().http().write(faults, UpstreamFaults.NONE);
+            load.join();
+            HistoryCheck.Requests requests = fixture.checkRequests();
+            assertThat(requests.isSound()).as(requests.toString()).isTrue();
+            assertThat(requests.answered()).isPositive();
+            assertThat(fixture.outcomes())
+                    .extracting(RequestOutcome::kind)
+                    .doesNotContain(RequestOutcome.Kind.MISMATCHED);
+        }
+    }
+}
