--- /dev/null
+++ b/src/main/java/org/tamarackline/core/idempotency/IdempotencyRules.java
@@ -0,0 +1,45 @@
+package org.tamarackline.core.idempotency;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** Static helpers that decide about requests with an idempotency key. */
+public final class IdempotencyRules {
+
+    /** Time for which a record is kept. */
+    public static final Duration LIFETIME = Duration.ofHours(24);
+
+    private IdempotencyRules() {}
+
+    /**
+     * Decides about a request.
+     *
+     * @param found record under the key
+     * @param version version of its row, ignored if there is none
+     * @param digest digest of the request
+     * @param nowEpochMs wall-clock time in milliseconds
+     */
+    public static IdempotencyDecision decide(
+            Optional<IdempotencyRecord> found, long version, String digest, long nowEpochMs) {
+        if (found.isEmpty()) {
+            return new IdempotencyDecision.Claim(0);
+        }
+        IdempotencyRecord earlier = found.get();
+        if (isExpired(earlier, nowEpochMs)) {
+            return new IdempotencyDecision.Claim(version);
+        }
+        if (!earlier.digest().equals(digest)) {
+            return new IdempotencyDecision.KeyReused();
+        }
+        return switch (earlier.state()) {
+            case STARTED -> new IdempotencyDecision.InProgressOrUnknown();
+            case ANSWERED -> new IdempotencyDecision.Replay(earlier.answer());
+            case ANSWER_TOO_LARGE -> new IdempotencyDecision.AnswerNotRecorded();
+        };
+    }
+
+    /** Returns whether a record is older than its lifetime. */
+    public static boolean isExpired(IdempotencyRecord found, long nowEpochMs) {
+        return nowEpochMs - found.createdEpochMs() > LIFETIME.toMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/idempotency/RecordedAnswer.java
@@ -0,0 +1,26 @@
+package org.tamarackline.core.idempotency;
+
+import java.util.List;
+
+/**
+ * The head of a recorded answer; its body is stored in rows of its own, because a row holds at most 64 KB.
+ *
+ * @param status HTTP status
+ * @param headers end-to-end headers
+ * @param bodyParts number of rows that hold the body
+ */
+public record RecordedAnswer(int status, List<RecordedHeader> headers, int bodyParts) {
+
+    /** Creates an answer that later changes of the arguments do not affect. */
+    public RecordedAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * One header line.
+     *
+     * @param name name of the header
+     * @param value value of the header
+     */
+    public record RecordedHeader(String name, String value) {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/GroupCommitter.java
@@ -0,0 +1,235 @@
+package org.tamarackline.entry.proxy;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.locks.ReentrantLock;
+
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.PlatformException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TransactionConflictException;
+
+/**
+ * Writes small independent changes to the table, several in one transaction when they queue up.
+ *
+ * <p>A change that conflicts fails alone; the others of its group are tried again without it. Thread-safe. The thread that
+ * writes is virtual and lives only while there is something to write.
+ */
+final class GroupCommitter {
+
+    /** Rows in one transaction; the platform allows 200. */
+    private static final int MAX_ROWS = 150;
+
+    /** Changes with large values count more, to bound the size of a transaction to about 2 MB. */
+    private static final int MAX_LARGE_CHANGES = 30;
+
+    /** Sustained rate of transactions, this node's part of the table's write budget for idempotency records. */
+    private static final Duration SUSTAINED_INTERVAL = Duration.ofMillis(200);
+
+    /** Transactions that may follow each other at once after a quiet time. */
+    private static final int BURST = 10;
+
+    /** Changes that may wait; bounds the memory held during an outage. */
+    private static final int MAX_WAITING = 512;
+
+    private final TableStore table;
+    private final MonotonicClock clock;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Deque<Change> waiting = new ArrayDeque<>();
+    private boolean writing;
+    private long paidUntilNanos;
+
+    GroupCommitter(TableStore table, MonotonicClock clock) {
+        this.table = table;
+        this.clock = clock;
+        this.paidUntilNanos = clock.nowNanos() - burstNanos();
+    }
+
+    /** How a change ended. */
+    sealed interface Outcome {
+        /** It took effect. */
+        record Committed() implements Outcome {}
+
+        /** A row had another version; nothing took effect. */
+        record Conflict() implements Outcome {}
+
+        /**
+         * It certainly took no effect.
+         *
+         * @param reason why, for the caller's error message
+         */
+        record NotWritten(String reason) implements Outcome {}
+
+        /** It may have taken effect. */
+        record Unknown() implements Outcome {}
+    }
+
+    private record Change(
+            List<TableTransaction.Check> checks,
+            List<TableTransaction.Write> writes,
+            CompletableFuture<Outcome> outcome) {
+
+        boolean checksKey(String key) {
+            return checks.stream().anyMatch(check -> check.key().equals(key));
+        }
+
+        boolean isLarge() {
+            return writes.size() > 1;
+        }
+
+        int rows() {
+            return Math.max(checks.size(), writes.size());
+        }
+    }
+
+    /** Queues a change and returns its coming outcome. */
+    @CanIgnoreReturnValue
+    CompletableFuture<Outcome> commit(List<TableTransaction.Check> checks, List<TableTransaction.Write> writes) {
+        Change change = new Change(List.copyOf(checks), List.copyOf(writes), new CompletableFuture<>());
+        lock.lock();
+        try {
+            if (waiting.size() >= MAX_WAITING) {
+                change.outcome.complete(new Outcome.NotWritten("too many changes wait for the platform"));
+                return change.outcome;
+            }
+            waiting.add(change);
+            if (!writing) {
+                writing = true;
+                Thread.ofVirtual().name("idempotency-commit").start(this::writeAll);
+            }
+        } finally {
+            lock.unlock();
+        }
+        return change.outcome;
+    }
+
+    private void writeAll() {
+        List<Change> group = nextGroup();
+        while (!group.isEmpty()) {
+            write(group);
+            group = nextGroup();
+        }
+    }
+
+    private List<Change> nextGroup() {
+        pace();
+        lock.lock();
+        try {
+            List<Change> group = takeIndependent();
+            writing = !group.isEmpty();
+            return group;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Two changes of one row cannot share a transaction; the later one stays for the next group. */
+    private List<Change> takeIndependent() {
+        List<Change> group = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        int rows = 0;
+        int large = 0;
+        Iterator<Change> candidates = waiting.iterator();
+        while (candidates.hasNext() && rows < MAX_ROWS && large < MAX_LARGE_CHANGES) {
+            Change change = candidates.next();
+            boolean independent = change.checks.stream().noneMatch(check -> keys.contains(check.key()));
+            change.checks.forEach(check -> keys.add(check.key()));
+            if (independent) {
+                candidates.remove();
+                group.add(change);
+                rows += change.rows();
+                large += change.isLarge() ? 1 : 0;
+            }
+        }
+        return group;
+    }
+
+    private void pace() {
+        if (isIdle()) {
+            return;
+        }
+        long nowNanos = clock.nowNanos();
+        long earliestNanos = nowNanos - burstNanos();
+        if (paidUntilNanos - earliestNanos < 0) {
+            paidUntilNanos = earliestNanos;
+        }
+        paidUntilNanos += SUSTAINED_INTERVAL.toNanos();
+        if (paidUntilNanos - nowNanos > 0) {
+            LockSupport.parkNanos(paidUntilNanos - nowNanos);
+        }
+    }
+
+    private boolean isIdle() {
+        lock.lock();
+        try {
+            return waiting.isEmpty();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static long burstNanos() {
+        return BURST * SUSTAINED_INTERVAL.toNanos();
+    }
+
+    private void write(List<Change> group) {
+        List<Change> remaining = new ArrayList<>(group);
+        while (!remaining.isEmpty()) {
+            try {
+                table.transact(transactionOf(remaining));
+                completeAll(remaining, new Outcome.Committed());
+            } catch (TransactionConflictException e) {
+                failConflicting(remaining, e.key());
+            } catch (PlatformUnavailableException e) {
+                completeAll(remaining, new Outcome.NotWritten(e.getMessage()));
+            } catch (PlatformException | RuntimeException e) {
+                completeAll(remaining, new Outcome.Unknown());
+            }
+        }
+    }
+
+    private static TableTransaction transactionOf(List<Change> group) {
+        List<TableTransaction.Check> checks = new ArrayList<>();
+        List<TableTransaction.Write> writes = new ArrayList<>();
+        for (Change change : group) {
+            checks.addAll(change.checks);
+            writes.addAll(change.writes);
+        }
+        return new TableTransaction(UUID.randomUUID().toString(), checks, writes);
+    }
+
+    private static void failConflicting(List<Change> remaining, String key) {
+        List<Change> conflicting =
+                remaining.stream().filter(change -> change.checksKey(key)).toList();
+        remaining.removeAll(conflicting);
+        conflicting.forEach(change -> change.outcome.complete(new Outcome.Conflict()));
+        if (conflicting.isEmpty()) {
+            // The platform named a row that was not checked; none of the changes can be trusted to go through.
+            completeAll(remaining, new Outcome.Conflict());
+        }
+    }
+
+    private static void completeAll(List<Change> remaining, Outcome outcome) {
+        remaining.forEach(change -> change.outcome.complete(outcome));
+        remaining.clear();
+    }
+
+    /** Returns the outcome, or that it is unknown after {@code timeout}. */
+    static Outcome await(CompletableFuture<Outcome> outcome, Duration timeout) {
+        return outcome.completeOnTimeout(new Outcome.Unknown(), timeout.toNanos(), TimeUnit.NANOSECONDS)
+                .join();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
@@ -0,0 +1,303 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.common.flogger.FluentLogger;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.idempotency.IdempotencyDecision;
+import org.tamarackline.core.idempotency.IdempotencyKey;
+import org.tamarackline.core.idempotency.IdempotencyRecord;
+import org.tamarackline.core.idempotency.IdempotencyRules;
+import org.tamarackline.core.idempotency.RecordedAnswer;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Keeps the records of requests with an idempotency key in the platform's table.
+ *
+ * <p>Thread-safe; {@link #claim} blocks until the platform has answered or its time is over.
+ */
+@Singleton
+public final class IdempotencyStore {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Bytes of a body in one row; 4/3 of it in base64 stays below the platform's 64 KB. */
+    private static final int BODY_PART_BYTES = 45_000;
+
+    /** Attempts to record an answer, so that a short fault of the platform does not leave the key unknown. */
+    private static final int RECORD_ATTEMPTS = 5;
+
+    private static final Duration RECORD_RETRY_DELAY = Duration.ofSeconds(1);
+
+    private final TableStore table;
+    private final Cluster cluster;
+    private final Duration requestTimeout;
+    private final GroupCommitter committer;
+    private final Clock wallClock = Clock.systemUTC();
+    private final ObjectMapper json = new ObjectMapper();
+
+    /** Creates the store. */
+    @Inject
+    public IdempotencyStore(TableStore table, Cluster cluster, EntrySettings settings, MonotonicClock clock) {
+        this.table = table;
+        this.cluster = cluster;
+        this.requestTimeout = settings.cluster().requestTimeout();
+        this.committer = new GroupCommitter(table, clock);
+    }
+
+    /** What a request with a key may do. */
+    public sealed interface Permission {
+
+        /** Returns the answer to repeat, empty if the request may be sent. */
+        default Optional<RoutedAnswer> replay() {
+            return Optional.empty();
+        }
+
+        /**
+         * This request may be sent, once.
+         *
+         * @param claim to be recorded or withdrawn
+         */
+        record Send(Claim claim) implements Permission {}
+
+        /**
+         * An earlier request with the key was answered.
+         *
+         * @param answer its answer
+         */
+        record Replay(RoutedAnswer answer) implements Permission {
+            @Override
+            public Optional<RoutedAnswer> replay() {
+                return Optional.of(answer);
+            }
+        }
+    }
+
+    /**
+     * The right to send one request.
+     *
+     * @param key key of the request
+     * @param started record in the table
+     * @param version version of its row
+     */
+    public record Claim(IdempotencyKey key, IdempotencyRecord started, long version) {}
+
+    /**
+     * Claims the key or finds what is recorded under it.
+     *
+     * @throws RequestException if the request must not be sent
+     */
+    public Permission claim(IdempotencyKey key, String digest) throws RequestException {
+        if (cluster.standing() != Standing.CONFIRMED) {
+            throw unavailable("the platform is out of reach, so the key cannot be recorded");
+        }
+        // A key is new in most requests, so the row is inserted without a read before.
+        Optional<Permission> claimed = tryClaim(key, digest, 0);
+        return claimed.isPresent() ? claimed.get() : decide(key, digest);
+    }
+
+    private Permission decide(IdempotencyKey key, String digest) throws RequestException {
+        Optional<Row> row = read(key.rowKey());
+        Optional<IdempotencyRecord> found = row.isEmpty() ? Optional.empty() : Optional.of(parse(row.get()));
+        long version = row.map(Row::version).orElse(0L);
+        return switch (IdempotencyRules.decide(found, version, digest, wallClock.millis())) {
+            case IdempotencyDecision.Claim claim ->
+                tryClaim(key, digest, claim.version()).orElseThrow(IdempotencyStore::inProgress);
+            case IdempotencyDecision.Replay replay -> new Permission.Replay(readAnswer(key, replay.answer()));
+            case IdempotencyDecision.InProgressOrUnknown unknown -> throw inProgress();
+            case IdempotencyDecision.AnswerNotRecorded tooLarge ->
+                throw new RequestException(
+                        ErrorCode.ANSWER_NOT_RECORDED,
+                        Executed.YES,
+                        "a request with this key ran, but its answer was too large to be recorded");
+            case IdempotencyDecision.KeyReused reused ->
+                throw RequestException.notRun(
+                        ErrorCode.KEY_REUSED, "this key was used for another request; choose a new key");
+        };
+    }
+
+    /** Returns empty if the row has another version. */
+    private Optional<Permission> tryClaim(IdempotencyKey key, String digest, long version) throws RequestException {
+        String token = UUID.randomUUID().toString();
+        IdempotencyRecord started = IdempotencyRecord.started(cluster.self(), token, digest, wallClock.millis());
+        CompletableFuture<GroupCommitter.Outcome> outcome = committer.commit(
+                List.of(new TableTransaction.Check(key.rowKey(), version)),
+                List.of(new TableTransaction.Write(key.rowKey(), json.valueToTree(started))));
+        Claim claim = new Claim(key, started, version + 1);
+        return switch (GroupCommitter.await(outcome.copy(), requestTimeout.multipliedBy(2))) {
+            case GroupCommitter.Outcome.Committed committed -> Optional.of(new Permission.Send(claim));
+            case GroupCommitter.Outcome.Conflict conflict -> Optional.empty();
+            case GroupCommitter.Outcome.NotWritten notWritten -> throw unavailable(notWritten.reason());
+            case GroupCommitter.Outcome.Unknown unknown -> {
+                Thread.ofVirtual().start(() -> withdrawUnsettled(claim, outcome));
+                throw unavailable("the platform did not say whether the key was recorded");
+            }
+        };
+    }
+
+    /**
+     * Removes the record of a claim whose insert had an unknown outcome, if it exists. The token must be read first: another
+     * request may have inserted its record with the same version.
+     */
+    private void withdrawUnsettled(Claim claim, CompletableFuture<GroupCommitter.Outcome> outcome) {
+        outcome.join();
+        try {
+            Optional<Row> row = table.get(claim.key().rowKey());
+            if (row.isPresent()
+                    && parse(row.get()).token().equals(claim.started().token())) {
+                withdraw(claim);
+            }
+        } catch (PlatformUnavailableException | RequestException e) {
+            LOG.atFine().withCause(e).log("unsettled key left in place; it expires");
+        }
+    }
+
+    /**
+     * Removes the record of a request that was not sent and never will be, so that a repeat can run.
+     *
+     * <p>This is tried once only: after a first removal, a new request may insert its record with the same version, which a
+     * second removal would delete.
+     */
+    public void withdraw(Claim claim) {
+        committer.commit(
+                List.of(new TableTransaction.Check(claim.key().rowKey(), claim.version())),
+                List.of(new TableTransaction.Write(claim.key().rowKey(), null)));
+    }
+
+    /**
+     * Records an answer in the background. Until that is done, a repeat is told that the outcome is unknown.
+     *
+     * @param body whole body, empty if it is too large to be recorded
+     */
+    public void record(Claim claim, int status, List<HeaderField> headers, Optional<byte[]> body) {
+        List<TableTransaction.Write> writes = new ArrayList<>();
+        writes.add(new TableTransaction.Write(
+                claim.key().rowKey(), json.valueToTree(recordOf(claim, status, headers, body))));
+        for (int part = 0; body.isPresent() && part < partsOf(body.get()); part++) {
+            writes.add(new TableTransaction.Write(claim.key().bodyRowKey(part), textOf(body.get(), part)));
+        }
+        Thread.ofVirtual().name("idempotency-record").start(() -> writeRecord(claim, writes));
+    }
+
+    private static IdempotencyRecord recordOf(
+            Claim claim, int status, List<HeaderField> headers, Optional<byte[]> body) {
+        if (body.isEmpty()) {
+            return claim.started().answerTooLarge();
+        }
+        List<RecordedAnswer.RecordedHeader> recorded = headers.stream()
+                .map(field -> new RecordedAnswer.RecordedHeader(field.name(), field.value()))
+                .toList();
+        return claim.started().answered(new RecordedAnswer(status, recorded, partsOf(body.get())));
+    }
+
+    private void writeRecord(Claim claim, List<TableTransaction.Write> writes) {
+        List<TableTransaction.Check> checks =
+                List.of(new TableTransaction.Check(claim.key().rowKey(), claim.version()));
+        for (int attempt = 1; attempt <= RECORD_ATTEMPTS; attempt++) {
+            GroupCommitter.Outcome outcome = committer.commit(checks, writes).join();
+            // A conflict means that an earlier attempt of unknown outcome took effect: nobody else changes this row.
+            if (outcome instanceof GroupCommitter.Outcome.Committed
+                    || outcome instanceof GroupCommitter.Outcome.Conflict) {
+                return;
+            }
+            pause(RECORD_RETRY_DELAY.multipliedBy(attempt));
+        }
+        LOG.atWarning().log(
+                "an answer could not be recorded; repeats with its key are told that the outcome is unknown");
+    }
+
+    private static void pause(Duration time) {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static int partsOf(byte[] body) {
+        return (body.length + BODY_PART_BYTES - 1) / BODY_PART_BYTES;
+    }
+
+    private static JsonNode textOf(byte[] body, int part) {
+        int start = part * BODY_PART_BYTES;
+        byte[] bytes = Arrays.copyOfRange(body, start, Math.min(body.length, start + BODY_PART_BYTES));
+        return TextNode.valueOf(Base64.getEncoder().encodeToString(bytes));
+    }
+
+    private RoutedAnswer readAnswer(IdempotencyKey key, RecordedAnswer recorded) throws RequestException {
+        byte[] body = new byte[0];
+        for (int part = 0; part < recorded.bodyParts(); part++) {
+            Row row = read(key.bodyRowKey(part)).orElseThrow(IdempotencyStore::inProgress);
+            byte[] next = decode(row);
+            byte[] joined = Arrays.copyOf(body, body.length + next.length);
+            System.arraycopy(next, 0, joined, body.length, next.length);
+            body = joined;
+        }
+        return new ReplayedAnswer(recorded, body);
+    }
+
+    private static byte[] decode(Row row) throws RequestException {
+        try {
+            return row.value().binaryValue();
+        } catch (IOException e) {
+            throw unreadable(row);
+        }
+    }
+
+    private Optional<Row> read(String rowKey) throws RequestException {
+        try {
+            return table.get(rowKey);
+        } catch (PlatformUnavailableException e) {
+            throw new RequestException(
+                    ErrorCode.PLATFORM_UNAVAILABLE,
+                    Executed.UNKNOWN,
+                    "a request with this key was seen before, but its record cannot be read now");
+        }
+    }
+
+    private IdempotencyRecord parse(Row row) throws RequestException {
+        try {
+            return json.treeToValue(row.value(), IdempotencyRecord.class);
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw unreadable(row);
+        }
+    }
+
+    private static RequestException unreadable(Row row) {
+        LOG.atSevere().log("row \"%s\" of the table cannot be read", row.key());
+        return new RequestException(
+                ErrorCode.IN_PROGRESS_OR_UNKNOWN, Executed.UNKNOWN, "the record of this key cannot be read");
+    }
+
+    private static RequestException inProgress() {
+        return new RequestException(
+                ErrorCode.IN_PROGRESS_OR_UNKNOWN,
+                Executed.UNKNOWN,
+                "a request with this key is running, or its outcome is unknown");
+    }
+
+    private static RequestException unavailable(String detail) {
+        return RequestException.notRun(ErrorCode.PLATFORM_UNAVAILABLE, detail);
+    }
+}
--- a/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
@@ -1,7 +1,6 @@
 package org.tamarackline.entry.proxy;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -50,54 +49,47 @@
 
     /** Passes on a GET request. */
     @GET
-    public Response get(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response get(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on a HEAD request. */
     @HEAD
-    public Response head(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response head(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on an OPTIONS request. */
     @OPTIONS
-    public Response options(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response options(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on a POST request. */
     @POST
-    public Response post(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response post(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on a PUT request. */
     @PUT
-    public Response put(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response put(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on a PATCH request. */
     @PATCH
-    public Response patch(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response patch(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
     /** Passes on a DELETE request. */
     @DELETE
-    public Response delete(
-            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
-        return handle(service, servletRequest, body);
+    public Response delete(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
+        return handle(service, servletRequest);
     }
 
-    private Response handle(String service, HttpServletRequest servletRequest, InputStream body) {
+    private Response handle(String service, HttpServletRequest servletRequest) {
         inFlight.begin();
         boolean streaming = false;
         try {
@@ -106,14 +98,14 @@
                     servletRequest.getMethod(),
                     targetOf(servletRequest),
                     headersOf(servletRequest),
-                    new RequestBody(body, bodyLength(servletRequest)));
+                    new RequestBody(servletRequest.getInputStream(), bodyLength(servletRequest)));
             RoutedAnswer answer = router.route(requests.check(incoming));
             Response response = success(answer, new CallerConnection(servletRequest));
             streaming = true;
             return response;
         } catch (RequestException e) {
             return error(e);
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             LOG.atSevere().withCause(e).log("request failed inside the node");
             return error(new RequestException(
                     ErrorCode.INTERNAL, Executed.UNKNOWN, "the node failed; its log names the reason"));
--- a/src/main/java/org/tamarackline/entry/proxy/QuickRequest.java
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.tamarackline.core.idempotency.IdempotencyKey;
 import org.tamarackline.core.model.CallerName;
 import org.tamarackline.core.model.ServiceName;
 
@@ -21,4 +22,4 @@
         UpstreamRequest message,
         long deadlineNanos,
         boolean idempotent,
-        Optional<String> idempotencyKey) {}
+        Optional<IdempotencyKey> idempotencyKey) {}
--- a/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
@@ -10,6 +10,7 @@
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.config.Profile;
 import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.idempotency.IdempotencyKey;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.CallerName;
 import org.tamarackline.core.model.Identifiers;
@@ -54,7 +55,7 @@
         boolean idempotent = IDEMPOTENT_METHODS.contains(incoming.method())
                 || profile.map(Profile::idempotent).orElse(false);
         Optional<String> key = idempotent ? Optional.empty() : idempotencyKey(incoming);
-        readSmallBody(incoming.body());
+        readSmallBody(incoming.body(), key.isPresent());
         return new QuickRequest(
                 service.name(),
                 caller,
@@ -62,7 +63,7 @@
                         incoming.method(), incoming.target(), Headers.forUpstream(incoming.headers()), incoming.body()),
                 arrivedNanos + timeAllowed.toNanos(),
                 idempotent,
-                key);
+                key.map(value -> new IdempotencyKey(service.name(), caller, value)));
     }
 
     private Configuration requireConfiguration() throws RequestException {
@@ -129,9 +130,14 @@
         return key;
     }
 
-    private static void readSmallBody(RequestBody body) throws RequestException {
+    /** The start of a body with a key is needed for its digest, whatever the length. */
+    private static void readSmallBody(RequestBody body, boolean withKey) throws RequestException {
         try {
-            body.keepIfSmall();
+            if (withKey) {
+                body.keepPrefix();
+            } else {
+                body.keepIfSmall();
+            }
         } catch (IOException e) {
             throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
         }
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RecordingAnswer.java
@@ -0,0 +1,110 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * An answer that is recorded under its idempotency key.
+ *
+ * <p>A body that can be recorded is read to its end before the caller gets the first byte, so that a caller that has gone
+ * finds the answer when it repeats the request.
+ */
+final class RecordingAnswer implements RoutedAnswer {
+
+    /** Largest body that is recorded, in bytes. */
+    static final int MAX_BODY_BYTES = 64 * 1024;
+
+    /** Larger headers are not recorded, because they would not fit into the row, in characters. */
+    private static final int MAX_HEADER_CHARS = 16 * 1024;
+
+    private final RoutedAnswer answer;
+    private final IdempotencyStore store;
+    private final IdempotencyStore.Claim claim;
+
+    RecordingAnswer(RoutedAnswer answer, IdempotencyStore store, IdempotencyStore.Claim claim) {
+        this.answer = answer;
+        this.store = store;
+        this.claim = claim;
+    }
+
+    @Override
+    public int status() {
+        return answer.status();
+    }
+
+    @Override
+    public List<HeaderField> headers() {
+        return answer.headers();
+    }
+
+    @Override
+    public Executed executed() {
+        return answer.executed();
+    }
+
+    @Override
+    public void writeTo(OutputStream output) throws IOException {
+        HeldBack heldBack = new HeldBack(output);
+        answer.writeTo(heldBack);
+        boolean recordable = !heldBack.passedOn && headerChars() <= MAX_HEADER_CHARS;
+        Optional<byte[]> body = recordable ? Optional.of(heldBack.kept.toByteArray()) : Optional.empty();
+        store.record(claim, status(), Headers.forCaller(headers()), body);
+        heldBack.passOn();
+    }
+
+    @Override
+    public void discard() {
+        answer.discard();
+    }
+
+    private int headerChars() {
+        return headers().stream()
+                .mapToInt(field -> field.name().length() + field.value().length())
+                .sum();
+    }
+
+    /** Keeps the body back until it is too large to be recorded. */
+    private static final class HeldBack extends OutputStream {
+        private final OutputStream output;
+        private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+        private boolean passedOn;
+
+        HeldBack(OutputStream output) {
+            this.output = output;
+        }
+
+        @Override
+        public void write(int b) throws IOException {
+            write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            if (!passedOn && kept.size() + length > MAX_BODY_BYTES) {
+                passOn();
+            }
+            if (passedOn) {
+                output.write(bytes, offset, length);
+            } else {
+                kept.write(bytes, offset, length);
+            }
+        }
+
+        @Override
+        public void flush() throws IOException {
+            if (passedOn) {
+                output.flush();
+            }
+        }
+
+        void passOn() throws IOException {
+            if (!passedOn) {
+                passedOn = true;
+                kept.writeTo(output);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/ReplayedAnswer.java
@@ -0,0 +1,47 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.tamarackline.core.idempotency.RecordedAnswer;
+
+/** An answer that was recorded for an earlier request with the same key. */
+final class ReplayedAnswer implements RoutedAnswer {
+
+    private final RecordedAnswer recorded;
+    private final byte[] body;
+
+    ReplayedAnswer(RecordedAnswer recorded, byte[] body) {
+        this.recorded = recorded;
+        this.body = body;
+    }
+
+    @Override
+    public int status() {
+        return recorded.status();
+    }
+
+    @Override
+    public List<HeaderField> headers() {
+        List<HeaderField> fields = new ArrayList<>();
+        recorded.headers().forEach(header -> fields.add(new HeaderField(header.name(), header.value())));
+        fields.add(new HeaderField(Headers.REPLAYED, "true"));
+        return fields;
+    }
+
+    @Override
+    public Executed executed() {
+        return Executed.YES;
+    }
+
+    @Override
+    public void writeTo(OutputStream output) throws IOException {
+        output.write(body);
+    }
+
+    /** There is no slot to end the use of. */
+    @Override
+    public void discard() {}
+}
--- a/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -1,13 +1,18 @@
 package org.tamarackline.entry.proxy;
 
+import java.io.IOException;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import org.tamarackline.core.idempotency.RequestDigests;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.time.MonotonicClock;
@@ -22,12 +27,15 @@
 @Singleton
 public final class RequestRouter {
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     private static final int MAX_ATTEMPTS = 3;
 
     private final Cluster cluster;
     private final SlotBroker broker;
     private final RunnerDirectory directory;
     private final UpstreamClient client;
+    private final IdempotencyStore idempotency;
     private final MonotonicClock clock;
 
     /** Creates the router. */
@@ -37,11 +45,13 @@
             SlotBroker broker,
             RunnerDirectory directory,
             UpstreamClient client,
+            IdempotencyStore idempotency,
             MonotonicClock clock) {
         this.cluster = cluster;
         this.broker = broker;
         this.directory = directory;
         this.client = client;
+        this.idempotency = idempotency;
         this.clock = clock;
     }
 
@@ -60,19 +70,35 @@
         private final QuickRequest request;
         private final Set<RunnerId> failed = new HashSet<>();
         private Executed executed = Executed.NO;
+        private Optional<IdempotencyStore.Claim> claim = Optional.empty();
 
         Routing(QuickRequest request) {
             this.request = request;
         }
 
         RoutedAnswer run() throws RequestException {
+            try {
+                return attemptAll();
+            } catch (RequestException e) {
+                if (e.executed() == Executed.NO) {
+                    claim.ifPresent(idempotency::withdraw);
+                }
+                throw e;
+            }
+        }
+
+        private RoutedAnswer attemptAll() throws RequestException {
             int attempt = 1;
             while (true) {
                 HeldSlot slot = acquire();
+                Optional<RoutedAnswer> replayed = claimKey(slot);
+                if (replayed.isPresent()) {
+                    return replayed.get();
+                }
                 try {
                     RoutedAnswer answer = send(slot);
                     if (attempt == MAX_ATTEMPTS || !mayReplace(answer, slot)) {
-                        return answer;
+                        return recording(answer);
                     }
                     executed = Executed.UNKNOWN;
                     answer.discard();
@@ -86,6 +112,58 @@
             }
         }
 
+        /**
+         * Claims the key before the first send, with the slot in hand so that a request that is shed costs no write. Returns
+         * the answer of an earlier request with the key.
+         */
+        private Optional<RoutedAnswer> claimKey(HeldSlot slot) throws RequestException {
+            if (request.idempotencyKey().isEmpty() || claim.isPresent()) {
+                return Optional.empty();
+            }
+            boolean mayUseSlot = false;
+            try {
+                IdempotencyStore.Permission permission =
+                        idempotency.claim(request.idempotencyKey().get(), digest());
+                if (permission instanceof IdempotencyStore.Permission.Send send) {
+                    claim = Optional.of(send.claim());
+                    mayUseSlot = true;
+                }
+                return permission.replay();
+            } finally {
+                if (!mayUseSlot) {
+                    broker.finish(slot, true, RunnerHealth.NOT_JUDGED);
+                }
+            }
+        }
+
+        private String digest() throws RequestException {
+            UpstreamRequest message = request.message();
+            try {
+                byte[] start = message.body().keepPrefix();
+                return RequestDigests.digest(
+                        message.method(),
+                        message.target(),
+                        start,
+                        message.body().length());
+            } catch (IOException e) {
+                throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
+            }
+        }
+
+        private RoutedAnswer recording(RoutedAnswer answer) {
+            return claim.<RoutedAnswer>map(held -> new RecordingAnswer(answer, idempotency, held))
+                    .orElse(answer);
+        }
+
+        /** A late answer is read for the end of its slot's use, and for the record that a repeat will find. */
+        private void readLate(RoutedAnswer answer) {
+            try {
+                recording(answer).writeTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                LOG.atFine().withCause(e).log("late answer broken off");
+            }
+        }
+
         private HeldSlot acquire() throws RequestException {
             try {
                 return broker.acquire(request.service(), request.deadlineNanos(), failed);
@@ -97,7 +175,13 @@
         private RoutedAnswer send(HeldSlot slot) throws UpstreamException {
             QuickRequest timed = withRemainingTime();
             return new UpstreamAttempt(
-                            client, broker, clock, timed, slot, () -> cluster.standing() != Standing.ISOLATED)
+                            client,
+                            broker,
+                            clock,
+                            timed,
+                            slot,
+                            () -> cluster.standing() != Standing.ISOLATED,
+                            this::readLate)
                     .send();
         }
 
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 import org.tamarackline.core.time.MonotonicClock;
 
@@ -47,22 +48,30 @@
     private final QuickRequest request;
     private final HeldSlot slot;
     private final UpstreamClient.SendCheck admission;
+    private final Consumer<RoutedAnswer> lateAnswers;
     private final AtomicReference<State> state = new AtomicReference<>(State.UNSENT);
     private final long startNanos;
 
+    /**
+     * Creates an attempt.
+     *
+     * @param lateAnswers reads an answer that came after the deadline to its end
+     */
     UpstreamAttempt(
             UpstreamClient client,
             SlotBroker broker,
             MonotonicClock clock,
             QuickRequest request,
             HeldSlot slot,
-            UpstreamClient.SendCheck admission) {
+            UpstreamClient.SendCheck admission,
+            Consumer<RoutedAnswer> lateAnswers) {
         this.client = client;
         this.broker = broker;
         this.clock = clock;
         this.request = request;
         this.slot = slot;
         this.admission = admission;
+        this.lateAnswers = lateAnswers;
         this.startNanos = clock.nowNanos();
     }
 
@@ -82,7 +91,7 @@
         try {
             UpstreamAnswer answer = sendUntil(slot.latestEndNanos());
             if (!head.complete(answer)) {
-                endUnwanted(answer);
+                lateAnswers.accept(new StreamedAnswer(answer));
             }
         } catch (UpstreamException | RuntimeException e) {
             head.completeExceptionally(e);
@@ -162,12 +171,6 @@
         return isLong ? RunnerHealth.FAILED : RunnerHealth.NOT_JUDGED;
     }
 
-    /** Reads an answer that came after the deadline to its end, within the request limit. */
-    private void endUnwanted(UpstreamAnswer answer) {
-        boolean ended = drain(answer, Long.MAX_VALUE);
-        broker.finish(slot, ended, RunnerHealth.NOT_JUDGED);
-    }
-
     private static boolean drain(UpstreamAnswer answer, long limitBytes) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try (answer) {
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -83,7 +83,8 @@
         broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
         upstreams = new UpstreamClient(settings, clock);
         ownership = new GroupOwnership(broker);
-        RequestRouter router = new RequestRouter(cluster, broker, directory, upstreams, clock);
+        RequestRouter router = new RequestRouter(
+                cluster, broker, directory, upstreams, new IdempotencyStore(table, cluster, settings, clock), clock);
         QuickRequests requests = new QuickRequests(settings, new CallerAuthentication(settings), cluster, clock);
         server = serve(new ProxyResource(requests, router, inFlight));
     }
