--- a/src/main/java/org/tamarackline/entry/proxy/CallerAuthentication.java
+++ b/src/main/java/org/tamarackline/entry/proxy/CallerAuthentication.java
@@ -31,7 +31,7 @@
     public CallerName authenticate(String authorization) throws RequestException {
         if (authorization == null || !authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
             throw RequestException.notRun(
-                    ErrorCode.UNAUTHENTICATED, "send the header \"Authorization: Bearer <caller token>\"");
+                    RequestErrorCode.UNAUTHENTICATED, "send the header \"Authorization: Bearer <caller token>\"");
         }
         String token = authorization.substring(SCHEME.length()).strip();
         CallerName found = null;
@@ -42,7 +42,7 @@
             }
         }
         if (found == null) {
-            throw RequestException.notRun(ErrorCode.UNAUTHENTICATED, "the bearer token belongs to no caller");
+            throw RequestException.notRun(RequestErrorCode.UNAUTHENTICATED, "the bearer token belongs to no caller");
         }
         return found;
     }
--- a/src/main/java/org/tamarackline/entry/proxy/ErrorBody.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ErrorBody.java
@@ -1,5 +1,7 @@
 package org.tamarackline.entry.proxy;
 
+import org.tamarackline.entry.Executed;
+
 /**
  * The body of an error answer.
  *
@@ -7,4 +9,4 @@
  * @param detail what was wrong and how to correct it
  * @param executed whether the request ran
  */
-public record ErrorBody(ErrorCode code, String detail, Executed executed) {}
+public record ErrorBody(RequestErrorCode code, String detail, Executed executed) {}
--- a/src/main/java/org/tamarackline/entry/proxy/GroupOwnership.java
+++ b/src/main/java/org/tamarackline/entry/proxy/GroupOwnership.java
@@ -10,6 +10,7 @@
 import jakarta.inject.Singleton;
 import org.tamarackline.core.model.Epoch;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.routing.SlotHandover;
 import org.tamarackline.entry.cluster.OwnershipListener;
 
@@ -17,9 +18,6 @@
 @Singleton
 public final class GroupOwnership implements OwnershipListener {
 
-    /** Start of the identifier of a runner group. */
-    public static final String SHARD_PREFIX = "group:";
-
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private final SlotBroker broker;
@@ -33,7 +31,7 @@
 
     @Override
     public boolean accepts(ShardId shard) {
-        return shard.value().startsWith(SHARD_PREFIX);
+        return Shard.isGroup(shard);
     }
 
     @Override
--- a/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
+++ b/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
@@ -25,6 +25,7 @@
 import org.tamarackline.core.idempotency.RecordedAnswer;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.Executed;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.Row;
@@ -128,12 +129,12 @@
             case IdempotencyDecision.InProgressOrUnknown unknown -> throw inProgress();
             case IdempotencyDecision.AnswerNotRecorded tooLarge ->
                 throw new RequestException(
-                        ErrorCode.ANSWER_NOT_RECORDED,
+                        RequestErrorCode.ANSWER_NOT_RECORDED,
                         Executed.YES,
                         "a request with this key ran, but its answer was too large to be recorded");
             case IdempotencyDecision.KeyReused reused ->
                 throw RequestException.notRun(
-                        ErrorCode.KEY_REUSED, "this key was used for another request; choose a new key");
+                        RequestErrorCode.KEY_REUSED, "this key was used for another request; choose a new key");
         };
     }
 
@@ -270,7 +271,7 @@
             return table.get(rowKey);
         } catch (PlatformUnavailableException e) {
             throw new RequestException(
-                    ErrorCode.PLATFORM_UNAVAILABLE,
+                    RequestErrorCode.PLATFORM_UNAVAILABLE,
                     Executed.UNKNOWN,
                     "a request with this key was seen before, but its record cannot be read now");
         }
@@ -287,17 +288,17 @@
     private static RequestException unreadable(Row row) {
         LOG.atSevere().log("row \"%s\" of the table cannot be read", row.key());
         return new RequestException(
-                ErrorCode.IN_PROGRESS_OR_UNKNOWN, Executed.UNKNOWN, "the record of this key cannot be read");
+                RequestErrorCode.IN_PROGRESS_OR_UNKNOWN, Executed.UNKNOWN, "the record of this key cannot be read");
     }
 
     private static RequestException inProgress() {
         return new RequestException(
-                ErrorCode.IN_PROGRESS_OR_UNKNOWN,
+                RequestErrorCode.IN_PROGRESS_OR_UNKNOWN,
                 Executed.UNKNOWN,
                 "a request with this key is running, or its outcome is unknown");
     }
 
     private static RequestException unavailable(String detail) {
-        return RequestException.notRun(ErrorCode.PLATFORM_UNAVAILABLE, detail);
+        return RequestException.notRun(RequestErrorCode.PLATFORM_UNAVAILABLE, detail);
     }
 }
--- a/src/main/java/org/tamarackline/entry/proxy/ProxyModule.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyModule.java
@@ -7,6 +7,7 @@
 import org.tamarackline.entry.StateDump;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerHandler;
+import org.tamarackline.peer.PeerMessageType;
 
 /**
  * Binds the routing of quick requests.
@@ -18,13 +19,14 @@
 
     @Override
     protected void configure() {
-        bind(RunnerGroups.class).to(HashedRunnerGroups.class);
         Multibinder.newSetBinder(binder(), Object.class, CallerApi.class)
                 .addBinding()
                 .to(ProxyResource.class);
         Multibinder.newSetBinder(binder(), PeerHandler.class).addBinding().to(RoutingPeerHandler.class);
         Multibinder.newSetBinder(binder(), OwnershipListener.class).addBinding().to(GroupOwnership.class);
         Multibinder.newSetBinder(binder(), StateDump.class).addBinding().to(RoutingDump.class);
+        Multibinder<PeerMessageType> types = Multibinder.newSetBinder(binder(), PeerMessageType.class);
+        SlotMessages.TYPES.forEach(type -> types.addBinding().toInstance(type));
         Multibinder.newSetBinder(binder(), Managed.class).addBinding().to(RunnerRefresh.class);
     }
 }
--- a/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ProxyResource.java
@@ -1,6 +1,7 @@
 package org.tamarackline.entry.proxy;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -23,6 +24,7 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.StreamingOutput;
+import org.tamarackline.entry.Executed;
 
 /**
  * Serves {@code ANY /services/{service}/{path}}: passes each request on to a runner of the service.
@@ -50,46 +52,50 @@
     /** Passes on a GET request. */
     @GET
     public Response get(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+        return handle(service, servletRequest, bodyOf(servletRequest));
     }
 
     /** Passes on a HEAD request. */
     @HEAD
     public Response head(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+        return handle(service, servletRequest, bodyOf(servletRequest));
     }
 
     /** Passes on an OPTIONS request. */
     @OPTIONS
     public Response options(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+        return handle(service, servletRequest, bodyOf(servletRequest));
     }
 
     /** Passes on a POST request. */
     @POST
-    public Response post(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+    public Response post(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
     }
 
     /** Passes on a PUT request. */
     @PUT
-    public Response put(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+    public Response put(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
     }
 
     /** Passes on a PATCH request. */
     @PATCH
-    public Response patch(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+    public Response patch(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
     }
 
     /** Passes on a DELETE request. */
     @DELETE
-    public Response delete(@PathParam("service") String service, @Context HttpServletRequest servletRequest) {
-        return handle(service, servletRequest);
+    public Response delete(
+            @PathParam("service") String service, @Context HttpServletRequest servletRequest, InputStream body) {
+        return handle(service, servletRequest, body);
     }
 
-    private Response handle(String service, HttpServletRequest servletRequest) {
+    private Response handle(String service, HttpServletRequest servletRequest, InputStream body) {
         inFlight.begin();
         boolean streaming = false;
         try {
@@ -98,17 +104,17 @@
                     servletRequest.getMethod(),
                     targetOf(servletRequest),
                     headersOf(servletRequest),
-                    new RequestBody(servletRequest.getInputStream(), bodyLength(servletRequest)));
+                    new RequestBody(body, bodyLength(servletRequest)));
             RoutedAnswer answer = router.route(requests.check(incoming));
             Response response = success(answer, new CallerConnection(servletRequest));
             streaming = true;
             return response;
         } catch (RequestException e) {
             return error(e);
-        } catch (IOException | RuntimeException e) {
+        } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("request failed inside the node");
             return error(new RequestException(
-                    ErrorCode.INTERNAL, Executed.UNKNOWN, "the node failed; its log names the reason"));
+                    RequestErrorCode.INTERNAL, Executed.UNKNOWN, "the node failed; its log names the reason"));
         } finally {
             if (!streaming) {
                 inFlight.end();
@@ -157,7 +163,8 @@
     private static String targetOf(HttpServletRequest request) throws RequestException {
         String uri = request.getRequestURI();
         if (hasDotSegment(uri)) {
-            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the path must not contain the segments . or ..");
+            throw RequestException.notRun(
+                    RequestErrorCode.BAD_REQUEST, "the path must not contain the segments . or ..");
         }
         int serviceStart = uri.indexOf("/services/") + "/services/".length();
         int pathStart = uri.indexOf('/', serviceStart);
@@ -175,6 +182,15 @@
         return fields;
     }
 
+    /** Jersey gives no entity to the methods that usually have none; a body that is there all the same is passed on. */
+    private static InputStream bodyOf(HttpServletRequest request) {
+        try {
+            return request.getInputStream();
+        } catch (IOException e) {
+            return InputStream.nullInputStream();
+        }
+    }
+
     private static long bodyLength(HttpServletRequest request) {
         if (request.getContentLengthLong() >= 0) {
             return request.getContentLengthLong();
--- a/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
@@ -69,11 +69,11 @@
     private Configuration requireConfiguration() throws RequestException {
         if (cluster.standing() == Standing.ISOLATED) {
             throw RequestException.notRun(
-                    ErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
+                    RequestErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
         }
         return cluster.configuration()
-                .orElseThrow(() ->
-                        RequestException.notRun(ErrorCode.NOT_READY, "this node has not learnt the configuration yet"));
+                .orElseThrow(() -> RequestException.notRun(
+                        RequestErrorCode.NOT_READY, "this node has not learnt the configuration yet"));
     }
 
     private static ServiceDefinition findService(Configuration configuration, String name) throws RequestException {
@@ -82,7 +82,8 @@
                 return service;
             }
         }
-        throw RequestException.notRun(ErrorCode.UNKNOWN_SERVICE, "no service has this name; operators add services");
+        throw RequestException.notRun(
+                RequestErrorCode.UNKNOWN_SERVICE, "no service has this name; operators add services");
     }
 
     private static Optional<Profile> findProfile(Configuration configuration, ServiceDefinition service) {
@@ -111,7 +112,7 @@
             // Reported below, together with numbers out of range.
         }
         throw RequestException.notRun(
-                ErrorCode.BAD_REQUEST,
+                RequestErrorCode.BAD_REQUEST,
                 "%s must be a number of milliseconds, at least 1".formatted(Headers.DEADLINE_MS));
     }
 
@@ -123,7 +124,7 @@
         Optional<String> key = incoming.header(Headers.IDEMPOTENCY_KEY);
         if (key.isPresent() && !Identifiers.isValid(key.get())) {
             throw RequestException.notRun(
-                    ErrorCode.BAD_REQUEST,
+                    RequestErrorCode.BAD_REQUEST,
                     "%s must have 1 to %d letters, digits, spaces or ._:-, starting with a letter or digit"
                             .formatted(Headers.IDEMPOTENCY_KEY, Identifiers.MAX_LENGTH));
         }
@@ -139,7 +140,7 @@
                 body.keepIfSmall();
             }
         } catch (IOException e) {
-            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
+            throw RequestException.notRun(RequestErrorCode.BAD_REQUEST, "the body of the request could not be read");
         }
     }
 }
--- a/src/main/java/org/tamarackline/entry/proxy/RecordingAnswer.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RecordingAnswer.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.tamarackline.entry.Executed;
+
 /**
  * An answer that is recorded under its idempotency key.
  *
--- a/src/main/java/org/tamarackline/entry/proxy/ReplayedAnswer.java
+++ b/src/main/java/org/tamarackline/entry/proxy/ReplayedAnswer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 
 import org.tamarackline.core.idempotency.RecordedAnswer;
+import org.tamarackline.entry.Executed;
 
 /** An answer that was recorded for an earlier request with the same key. */
 final class ReplayedAnswer implements RoutedAnswer {
--- a/src/main/java/org/tamarackline/entry/proxy/ErrorCode.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestErrorCode.java
@@ -1,7 +1,7 @@
 package org.tamarackline.entry.proxy;
 
 /** The closed set of errors of a quick request, each with its HTTP status. */
-public enum ErrorCode {
+public enum RequestErrorCode {
     /** The bearer token is missing or belongs to no caller. */
     UNAUTHENTICATED(401),
     /** A header or the path is not valid. */
@@ -33,7 +33,7 @@
 
     private final int status;
 
-    ErrorCode(int status) {
+    RequestErrorCode(int status) {
         this.status = status;
     }
 
--- a/src/main/java/org/tamarackline/entry/proxy/RequestException.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestException.java
@@ -1,27 +1,29 @@
 package org.tamarackline.entry.proxy;
 
+import org.tamarackline.entry.Executed;
+
 /** A quick request that ends with an error of the system. */
 public final class RequestException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
-    private final ErrorCode code;
+    private final RequestErrorCode code;
     private final Executed executed;
 
     /** Creates the exception; the message goes to the caller. */
-    public RequestException(ErrorCode code, Executed executed, String message) {
+    public RequestException(RequestErrorCode code, Executed executed, String message) {
         super(message, null, false, false);
         this.code = code;
         this.executed = executed;
     }
 
     /** Returns an exception for a request that was not run. */
-    public static RequestException notRun(ErrorCode code, String message) {
+    public static RequestException notRun(RequestErrorCode code, String message) {
         return new RequestException(code, Executed.NO, message);
     }
 
     /** Returns the kind of error. */
-    public ErrorCode code() {
+    public RequestErrorCode code() {
         return code;
     }
 
--- a/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -16,6 +16,7 @@
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.Executed;
 import org.tamarackline.entry.cluster.Cluster;
 
 /**
@@ -146,7 +147,8 @@
                         start,
                         message.body().length());
             } catch (IOException e) {
-                throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
+                throw RequestException.notRun(
+                        RequestErrorCode.BAD_REQUEST, "the body of the request could not be read");
             }
         }
 
@@ -236,17 +238,25 @@
             return switch (e.reason()) {
                 case UNREACHABLE ->
                     new RequestException(
-                            ErrorCode.UPSTREAM_UNREACHABLE, executed, "no connection to a runner could be opened");
+                            RequestErrorCode.UPSTREAM_UNREACHABLE,
+                            executed,
+                            "no connection to a runner could be opened");
                 case NOT_ADMITTED ->
                     new RequestException(
-                            ErrorCode.NOT_READY, executed, "this node lost contact with the platform and its peers");
+                            RequestErrorCode.NOT_READY,
+                            executed,
+                            "this node lost contact with the platform and its peers");
                 case TIMEOUT ->
                     new RequestException(
-                            ErrorCode.DEADLINE_EXCEEDED, executed, "the runner did not answer before the deadline");
+                            RequestErrorCode.DEADLINE_EXCEEDED,
+                            executed,
+                            "the runner did not answer before the deadline");
                 case BROKEN ->
-                    new RequestException(ErrorCode.UPSTREAM_FAILED, executed, "the runner broke off the request");
+                    new RequestException(
+                            RequestErrorCode.UPSTREAM_FAILED, executed, "the runner broke off the request");
                 case CALLER_GONE ->
-                    new RequestException(ErrorCode.BAD_REQUEST, executed, "the body of the request could not be read");
+                    new RequestException(
+                            RequestErrorCode.BAD_REQUEST, executed, "the body of the request could not be read");
             };
         }
     }
--- a/src/main/java/org/tamarackline/entry/proxy/RoutedAnswer.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RoutedAnswer.java
@@ -4,6 +4,8 @@
 import java.io.OutputStream;
 import java.util.List;
 
+import org.tamarackline.entry.Executed;
+
 /** The answer to a quick request, which is written to the caller once. */
 public interface RoutedAnswer {
 
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
@@ -17,12 +17,15 @@
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.Shard;
+import org.tamarackline.core.ownership.ShardLayout;
 import org.tamarackline.core.routing.Runner;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.platform.VmRecord;
+import org.tamarackline.settings.EntrySettings;
 
 /**
  * The runners by group, from the last VM list that the platform returned.
@@ -38,7 +41,7 @@
     private static final Duration LEAVING_REMEMBERED = Duration.ofSeconds(30);
 
     private final VmDirectory vms;
-    private final RunnerGroups groups;
+    private final int runnerGroups;
     private final Cluster cluster;
     private final MonotonicClock clock;
     private final Map<RunnerId, Long> leavingSinceNanos = new ConcurrentHashMap<>();
@@ -47,9 +50,9 @@
 
     /** Creates an empty directory. */
     @Inject
-    public RunnerDirectory(VmDirectory vms, RunnerGroups groups, Cluster cluster, MonotonicClock clock) {
+    public RunnerDirectory(VmDirectory vms, EntrySettings settings, Cluster cluster, MonotonicClock clock) {
         this.vms = vms;
-        this.groups = groups;
+        this.runnerGroups = settings.requests().runnerGroups();
         this.cluster = cluster;
         this.clock = clock;
     }
@@ -75,16 +78,20 @@
                 cluster.configuration().map(Configuration::vmsOutOfService).orElse(Set.of());
         Map<ShardId, List<Runner>> runnersByShard = new LinkedHashMap<>();
         Map<ServiceName, List<ShardId>> shardsByService = new HashMap<>();
-        groups.groupsOf(lastList).forEach((shard, records) -> {
+        ShardLayout layout = ShardLayout.of(lastList, runnerGroups);
+        for (Shard shard : layout.shards()) {
             List<Runner> runners = new ArrayList<>();
-            records.forEach(vm -> toRunner(vm, outOfService).ifPresent(runners::add));
+            if (shard.kind() == Shard.Kind.GROUP) {
+                layout.vmsOf(shard.id())
+                        .forEach(vm -> toRunner(vm, outOfService).ifPresent(runners::add));
+            }
             if (!runners.isEmpty()) {
-                runnersByShard.put(shard, List.copyOf(runners));
+                runnersByShard.put(shard.id(), List.copyOf(runners));
                 shardsByService
                         .computeIfAbsent(runners.get(0).service(), service -> new ArrayList<>())
-                        .add(shard);
+                        .add(shard.id());
             }
-        });
+        }
         snapshot = new Snapshot(runnersByShard, shardsByService);
     }
 
--- a/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
@@ -94,7 +94,7 @@
         }
         if (directory.acceptingRunnersOf(service).isEmpty()) {
             throw RequestException.notRun(
-                    ErrorCode.NO_RUNNER, "service \"%s\" has no runner that takes work".formatted(service));
+                    RequestErrorCode.NO_RUNNER, "service \"%s\" has no runner that takes work".formatted(service));
         }
         return await(service, deadlineNanos, excluded);
     }
@@ -116,7 +116,7 @@
                     return slot.get();
                 }
             }
-            throw RequestException.notRun(ErrorCode.OVERLOADED, "no slot became free before the deadline");
+            throw RequestException.notRun(RequestErrorCode.OVERLOADED, "no slot became free before the deadline");
         } finally {
             leaveQueue(service, entry, !keep);
         }
@@ -134,7 +134,7 @@
             ServiceState state = stateOf(service);
             long nowNanos = clock.nowNanos();
             if (waiting >= settings.requests().queueLength()) {
-                throw RequestException.notRun(ErrorCode.OVERLOADED, "too many requests wait for a slot");
+                throw RequestException.notRun(RequestErrorCode.OVERLOADED, "too many requests wait for a slot");
             }
             AdmissionQueue.Offer<SlotWaiter> offer = state.queue.offer(
                     waiter, deadlineNanos, nowNanos, slotsServing(service), state.serviceTime.meanNanos());
@@ -145,10 +145,10 @@
                     yield queued.entry();
                 }
                 case AdmissionQueue.Offer.Full<SlotWaiter> full ->
-                    throw RequestException.notRun(ErrorCode.OVERLOADED, "too many requests wait for a slot");
+                    throw RequestException.notRun(RequestErrorCode.OVERLOADED, "too many requests wait for a slot");
                 case AdmissionQueue.Offer.TooLate<SlotWaiter> late ->
                     throw RequestException.notRun(
-                            ErrorCode.OVERLOADED,
+                            RequestErrorCode.OVERLOADED,
                             "the expected wait of %d ms is too long for the deadline"
                                     .formatted(Duration.ofNanos(late.expectedWaitNanos())
                                             .toMillis()));
@@ -452,7 +452,7 @@
     private void requireStanding() throws RequestException {
         if (cluster.standing() == Standing.ISOLATED) {
             throw RequestException.notRun(
-                    ErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
+                    RequestErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
         }
     }
 
--- a/src/main/java/org/tamarackline/entry/proxy/SlotMessages.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotMessages.java
@@ -1,17 +1,26 @@
 package org.tamarackline.entry.proxy;
 
+import java.util.List;
 import java.util.Set;
 
-import com.fasterxml.jackson.annotation.JsonTypeName;
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.routing.Runner;
+import org.tamarackline.peer.PeerMessageType;
 import org.tamarackline.peer.RoutingMessage;
 
 /** The messages with which a node borrows slots of runners that another node owns. */
 public final class SlotMessages {
 
+    /** The messages with their names on the wire. */
+    static final List<PeerMessageType> TYPES = List.of(
+            new PeerMessageType("borrowSlot", BorrowSlot.class),
+            new PeerMessageType("slotGrant", SlotGrant.class),
+            new PeerMessageType("noSlot", NoSlot.class),
+            new PeerMessageType("returnSlot", ReturnSlot.class),
+            new PeerMessageType("cancelBorrow", CancelBorrow.class));
+
     private SlotMessages() {}
 
     /**
@@ -22,7 +31,6 @@
      * @param remainingMs time until the deadline of the request, in milliseconds
      * @param excluded runners that failed this request before
      */
-    @JsonTypeName("borrow-slot")
     public record BorrowSlot(long grantId, ServiceName service, long remainingMs, Set<RunnerId> excluded)
             implements RoutingMessage {}
 
@@ -33,7 +41,6 @@
      * @param shard runner group
      * @param runner runner to send to
      */
-    @JsonTypeName("slot-grant")
     public record SlotGrant(long grantId, ShardId shard, Runner runner) implements RoutingMessage {}
 
     /**
@@ -41,7 +48,6 @@
      *
      * @param retryAfterMs time after which asking again may succeed, in milliseconds
      */
-    @JsonTypeName("no-slot")
     public record NoSlot(long retryAfterMs) implements RoutingMessage {}
 
     /**
@@ -53,7 +59,6 @@
      * @param released whether the use has ended; false if the runner may still be working on the request
      * @param health what the request showed about the runner
      */
-    @JsonTypeName("return-slot")
     public record ReturnSlot(long grantId, ShardId shard, RunnerId runner, boolean released, RunnerHealth health)
             implements RoutingMessage {}
 
@@ -62,6 +67,5 @@
      *
      * @param grantId identifier of the use
      */
-    @JsonTypeName("cancel-borrow")
     public record CancelBorrow(long grantId) implements RoutingMessage {}
 }
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.Executed;
 
 /**
  * One send of a request with one slot, from the grant of the slot to its return.
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -43,6 +43,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.tamarackline.core.routing.Runner;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.Executed;
 import org.tamarackline.settings.EntrySettings;
 
 /**
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamException.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamException.java
@@ -1,5 +1,7 @@
 package org.tamarackline.entry.proxy;
 
+import org.tamarackline.entry.Executed;
+
 /** A request that got no answer from a runner. */
 public final class UpstreamException extends Exception {
 
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -19,13 +19,13 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.dropwizard.jersey.jackson.JacksonFeature;
-import io.dropwizard.logging.common.BootstrapLogging;
 import org.eclipse.jetty.ee10.servlet.ServletContextHandler;
 import org.eclipse.jetty.ee10.servlet.ServletHolder;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.glassfish.jersey.server.ResourceConfig;
+import org.glassfish.jersey.server.ServerProperties;
 import org.glassfish.jersey.servlet.ServletContainer;
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.config.Profiles;
@@ -43,6 +43,7 @@
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
+import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.platform.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
@@ -56,12 +57,9 @@
     static final DataCentre HERE = new DataCentre("a");
     private static final String TOKEN = "token-of-lianhua";
 
-    static {
-        BootstrapLogging.bootstrap();
-    }
-
     final List<VmRecord> vms = new ArrayList<>();
     final FakeCluster cluster = new FakeCluster(SELF);
+    final FakePlatform platform;
     final RequestsInFlight inFlight = new RequestsInFlight();
     final RunnerDirectory directory;
     final SlotBroker broker;
@@ -70,7 +68,8 @@
     private final Server server;
     private final HttpClient caller = HttpClient.newHttpClient();
 
-    ProxyFixture(EntrySettings.RequestLimits limits, PeerCaller peers) throws Exception {
+    ProxyFixture(EntrySettings.RequestLimits limits, PeerCaller peers, FakePlatform platform) throws Exception {
+        this.platform = platform;
         EntrySettings settings = settings(limits);
         MonotonicClock clock = MonotonicClock.system();
         cluster.configuration = java.util.Optional.of(new Configuration(
@@ -79,12 +78,12 @@
                 List.of(),
                 List.of(new ServiceDefinition(QUOTES, Profiles.QUICK_ANSWER.name(), new TeamName("lianhua"))),
                 Set.of()));
-        directory = new RunnerDirectory(() -> List.copyOf(vms), new HashedRunnerGroups(settings), cluster, clock);
+        directory = new RunnerDirectory(() -> List.copyOf(vms), settings, cluster, clock);
         broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
         upstreams = new UpstreamClient(settings, clock);
         ownership = new GroupOwnership(broker);
         RequestRouter router = new RequestRouter(
-                cluster, broker, directory, upstreams, new IdempotencyStore(table, cluster, settings, clock), clock);
+                cluster, broker, directory, upstreams, new IdempotencyStore(platform, cluster, settings, clock), clock);
         QuickRequests requests = new QuickRequests(settings, new CallerAuthentication(settings), cluster, clock);
         server = serve(new ProxyResource(requests, router, inFlight));
     }
@@ -94,9 +93,12 @@
     }
 
     static ProxyFixture withRunners(ScriptedUpstream... runners) throws Exception {
-        ProxyFixture fixture = new ProxyFixture(limits(), (node, request, timeout) -> {
-            throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
-        });
+        ProxyFixture fixture = new ProxyFixture(
+                limits(),
+                (node, request, timeout) -> {
+                    throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
+                },
+                new FakePlatform());
         for (ScriptedUpstream runner : runners) {
             fixture.addRunner("r" + fixture.vms.size(), runner.address(), 2);
         }
@@ -139,8 +141,10 @@
         ServerConnector connector = new ServerConnector(jetty);
         connector.setHost("127.0.0.1");
         jetty.addConnector(connector);
-        ResourceConfig jersey =
-                new ResourceConfig().register(resource).register(new JacksonFeature(new ObjectMapper()));
+        ResourceConfig jersey = new ResourceConfig()
+                .register(resource)
+                .register(new JacksonFeature(new ObjectMapper()))
+                .property(ServerProperties.WADL_FEATURE_DISABLE, true);
         ServletContextHandler context = new ServletContextHandler();
         context.addServlet(new ServletHolder(new ServletContainer(jersey)), "/*");
         jetty.setHandler(context);
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -222,6 +222,43 @@
         }
     }
 
+    @Test
+    void runsARequestWithAKeyOnce() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(
+                        (request, connection) -> ScriptedUpstream.reply(connection, 200, "order 7", "X-Order: 7"));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            assertThat(node.send(order(node, "1 tassel")).body()).isEqualTo("order 7");
+            ProxyFixture.await(() -> node.send(order(node, "1 tassel")).statusCode() == 200);
+            HttpResponse<String> repeat = node.send(order(node, "1 tassel"));
+
+            assertThat(repeat.body()).isEqualTo("order 7");
+            assertThat(repeat.headers().firstValue("X-Order")).contains("7");
+            assertThat(repeat.headers().firstValue("Tamarackline-Replayed")).contains("true");
+            assertThat(node.send(order(node, "2 tassels")).statusCode()).isEqualTo(422);
+            assertThat(runner.received).hasSize(1);
+        }
+    }
+
+    @Test
+    void refusesARequestWithAKeyWhileThePlatformIsDown() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            node.platform.setDown(true);
+            assertRefused(node, order(node, "1 tassel"), 503);
+            node.platform.setDown(false);
+            node.platform.applyNextButLeaveUnknown();
+            assertRefused(node, order(node, "1 tassel"), 503);
+            assertThat(runner.received).isEmpty();
+            assertThat(node.broker.snapshot().openUses()).isZero();
+        }
+    }
+
+    private static HttpRequest.Builder order(ProxyFixture node, String body) {
+        return node.request("/order")
+                .header("Idempotency-Key", "key-1")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
     @Test
     void refusesInvalidRequestsWithoutSendingThem() throws Exception {
         try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
