--- /dev/null
+++ b/src/test/java/org/tamarackline/core/routing/SlotLedgerPropertyTest.java
@@ -0,0 +1,199 @@
+package org.tamarackline.core.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.time.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against more uses of a runner at once than it has slots, whatever becomes of returns and owners.
+ *
+ * <p>The test plays the runners: a use goes on until the test ends it, at the latest when the request limit has passed.
+ */
+class SlotLedgerPropertyTest {
+
+    private static final Duration REQUEST_LIMIT = Duration.ofSeconds(10);
+    private static final Duration MARGIN = Duration.ofMillis(500);
+    private static final ServiceName SERVICE = new ServiceName("quotes");
+    private static final DataCentre HERE = new DataCentre("a");
+    private static final ShardId SHARD = new ShardId("group:quotes:a:0");
+    private static final int CONNECTIONS = 9;
+    private static final ConnectionShare SHARE = new ConnectionShare(4);
+    private static final List<NodeId> NODES = List.of(new NodeId("n1"), new NodeId("n2"), new NodeId("n3"));
+
+    @Property(seed = "20261204", tries = 500)
+    void neverExceedsTheSlots(@ForAll long seed) {
+        World world = new World(new Random(seed));
+        for (int step = 0; step < 300; step++) {
+            world.act();
+        }
+        world.checkThatSlotsComeBack();
+    }
+
+    private record Use(SlotLease lease, NodeId holder, long startNanos) {}
+
+    private static final class World {
+        private final Random random;
+        private final ManualClock clock = new ManualClock();
+        private final Map<RunnerId, Runner> runners = new HashMap<>();
+        private final List<Use> running = new ArrayList<>();
+        private final List<Long> undelivered = new ArrayList<>();
+        private SlotLedger owner = newLedger();
+        private long nextGrantId;
+
+        World(Random random) {
+            this.random = random;
+            for (int i = 0; i < 3; i++) {
+                Runner runner = runner("r" + i, 1 + i, true);
+                runners.put(runner.id(), runner);
+            }
+            owner.gainFresh(SHARD, clock.nowNanos());
+            owner.setRunners(SHARD, runners.values());
+        }
+
+        private static SlotLedger newLedger() {
+            return new SlotLedger(REQUEST_LIMIT.plus(MARGIN));
+        }
+
+        void act() {
+            switch (random.nextInt(16)) {
+                case 0, 1, 2, 3, 4, 5 -> acquire();
+                case 6, 7, 8 -> endUse();
+                case 9 -> deliverOldReturn();
+                case 10 -> advance(Duration.ofMillis(random.nextInt(2_000)));
+                case 11 -> advance(Duration.ofMillis(random.nextInt(20)));
+                case 12 -> changeRunners();
+                case 13 -> takeOver();
+                case 14 -> handOver();
+                default -> failHandover();
+            }
+        }
+
+        private void acquire() {
+            NodeId holder = NODES.get(random.nextInt(NODES.size()));
+            long grantId = random.nextInt(10) == 0 && !running.isEmpty()
+                    ? running.get(0).lease().grantId()
+                    : nextGrantId++;
+            SlotRequest request = new SlotRequest(grantId, SERVICE, holder, HERE, SHARE, Set.of());
+            Optional<SlotLease> lease = owner.acquire(request, runner -> true, clock.nowNanos());
+            lease.ifPresent(granted -> start(granted, holder));
+        }
+
+        private void start(SlotLease lease, NodeId holder) {
+            Runner runner = runners.get(lease.runner().id());
+            assertThat(runner).as("a listed runner").isNotNull();
+            assertThat(runner.accepting()).isTrue();
+            running.add(new Use(lease, holder, clock.nowNanos()));
+            assertThat(usesOf(runner)).isLessThanOrEqualTo(runner.slots());
+            long ofHolder = running.stream()
+                    .filter(use -> use.lease().runner().id().equals(runner.id()))
+                    .filter(use -> use.holder().equals(holder))
+                    .count();
+            assertThat(ofHolder).isLessThanOrEqualTo(SHARE.of(runner));
+        }
+
+        private long usesOf(Runner runner) {
+            return running.stream()
+                    .filter(use -> use.lease().runner().id().equals(runner.id()))
+                    .count();
+        }
+
+        /** The return reaches the owner, arrives late, or never. */
+        private void endUse() {
+            if (running.isEmpty()) {
+                return;
+            }
+            Use ended = running.remove(random.nextInt(running.size()));
+            switch (random.nextInt(4)) {
+                case 0 -> undelivered.add(ended.lease().grantId());
+                case 1 -> clock.advance(Duration.ZERO);
+                default -> owner.release(ended.lease().grantId());
+            }
+        }
+
+        private void deliverOldReturn() {
+            undelivered.forEach(owner::release);
+            undelivered.forEach(owner::release);
+            undelivered.clear();
+        }
+
+        private void advance(Duration step) {
+            clock.advance(step);
+            running.removeIf(use -> clock.nowNanos() - use.startNanos() >= REQUEST_LIMIT.toNanos());
+        }
+
+        private void changeRunners() {
+            int number = random.nextInt(3);
+            Runner changed = runner("r" + number, 1 + number, random.nextBoolean());
+            if (random.nextInt(3) == 0) {
+                runners.remove(changed.id());
+            } else {
+                runners.put(changed.id(), changed);
+            }
+            owner.setRunners(SHARD, runners.values());
+        }
+
+        private void takeOver() {
+            owner = newLedger();
+            owner.gainAfterFailure(SHARD, clock.nowNanos());
+            owner.setRunners(SHARD, runners.values());
+        }
+
+        private void handOver() {
+            SlotHandover state = owner.prepareHandover(SHARD, clock.nowNanos());
+            assertThat(owner.acquire(
+                            new SlotRequest(nextGrantId++, SERVICE, NODES.get(0), HERE, SHARE, Set.of()),
+                            runner -> true,
+                            clock.nowNanos()))
+                    .isEmpty();
+            advance(Duration.ofMillis(random.nextInt(500)));
+            SlotLedger next = newLedger();
+            if (random.nextBoolean()) {
+                next.gainByHandover(SHARD, state, clock.nowNanos());
+                next.setRunners(SHARD, runners.values());
+            } else {
+                next.gainByHandover(SHARD, state, clock.nowNanos());
+                next.setRunners(SHARD, List.of());
+                next.setRunners(SHARD, runners.values());
+            }
+            owner = next;
+        }
+
+        private void failHandover() {
+            owner.prepareHandover(SHARD, clock.nowNanos());
+            owner.gainFresh(SHARD, clock.nowNanos());
+        }
+
+        /** All lost returns are made up for by time, so no slot is lost for good. */
+        void checkThatSlotsComeBack() {
+            advance(REQUEST_LIMIT.plus(MARGIN).plusMillis(1));
+            assertThat(owner.expire(clock.nowNanos()) || owner.openUses() == 0).isTrue();
+            assertThat(owner.openUses()).isZero();
+            owner.setRunners(SHARD, List.of(runner("r9", 2, true)));
+            for (int i = 0; i < 2; i++) {
+                SlotRequest request = new SlotRequest(nextGrantId++, SERVICE, NODES.get(i), HERE, SHARE, Set.of());
+                assertThat(owner.acquire(request, runner -> true, clock.nowNanos()))
+                        .isPresent();
+            }
+        }
+
+        private static Runner runner(String id, int slots, boolean accepting) {
+            return new Runner(new RunnerId(id), SERVICE, HERE, "127.0.0.1:1", slots, CONNECTIONS, accepting);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/core/routing/SlotLedgerTest.java
@@ -0,0 +1,129 @@
+package org.tamarackline.core.routing;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.time.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards the choice of the runner, and the times at which slots become free again. */
+class SlotLedgerTest {
+
+    private static final Duration LONGEST_USE = Duration.ofMillis(10_500);
+    private static final ServiceName SERVICE = new ServiceName("quotes");
+    private static final NodeId SELF = new NodeId("n1");
+    private static final DataCentre NEAR = new DataCentre("a");
+    private static final DataCentre FAR = new DataCentre("b");
+    private static final ShardId SHARD = new ShardId("group:quotes:a:0");
+
+    private final ManualClock clock = new ManualClock();
+    private final SlotLedger ledger = new SlotLedger(LONGEST_USE);
+    private long nextGrantId;
+
+    @Test
+    void spreadsOverTheLeastLoadedAndPrefersTheNearDataCentre() {
+        own(runner("far", FAR, 4), runner("one", NEAR, 2), runner("two", NEAR, 4));
+        assertThat(List.of(grant(), grant(), grant(), grant(), grant(), grant()))
+                .containsExactly("one", "two", "two", "one", "two", "two");
+        assertThat(grant()).isEqualTo("far");
+    }
+
+    @Test
+    void grantsNothingForOtherServicesOrExcludedRunners() {
+        own(runner("one", NEAR, 2));
+        assertThat(acquire(new ServiceName("other"), Set.of())).isEmpty();
+        assertThat(acquire(SERVICE, Set.of(new RunnerId("one")))).isEmpty();
+        assertThat(acquire(SERVICE, Set.of())).isPresent();
+    }
+
+    @Test
+    void divisionOfConnectionsLimitsEachNode() {
+        own(runner("one", NEAR, 8));
+        ConnectionShare share = new ConnectionShare(20);
+        for (int i = 0; i < 3; i++) {
+            assertThat(ledger.acquire(request(SELF, share), id -> true, clock.nowNanos()))
+                    .isPresent();
+        }
+        assertThat(ledger.acquire(request(SELF, share), id -> true, clock.nowNanos()))
+                .isEmpty();
+        assertThat(ledger.acquire(request(new NodeId("n2"), share), id -> true, clock.nowNanos()))
+                .isPresent();
+    }
+
+    @Test
+    void countsAllSlotsAsOccupiedAfterATakeoverUntilTheRequestLimit() {
+        ledger.gainAfterFailure(SHARD, clock.nowNanos());
+        ledger.setRunners(SHARD, List.of(runner("one", NEAR, 1)));
+        clock.advance(LONGEST_USE.minusNanos(1));
+        assertThat(acquire(SERVICE, Set.of())).isEmpty();
+        clock.advance(Duration.ofNanos(1));
+        assertThat(acquire(SERVICE, Set.of())).isPresent();
+    }
+
+    @Test
+    void handsOverOpenUsesAndTheTimeOfAnEarlierTakeover() {
+        own(runner("one", NEAR, 2));
+        SlotLease open = acquire(SERVICE, Set.of()).orElseThrow();
+        clock.advance(Duration.ofSeconds(4));
+        SlotHandover state = ledger.prepareHandover(SHARD, clock.nowNanos());
+        assertThat(state.uses())
+                .containsExactly(
+                        new SlotHandover.OpenUse(open.grantId(), open.runner().id(), SELF, 6_500));
+
+        SlotLedger next = new SlotLedger(LONGEST_USE);
+        next.gainByHandover(SHARD, state, clock.nowNanos());
+        next.setRunners(SHARD, List.of(runner("one", NEAR, 1)));
+        assertThat(next.acquire(request(SELF, new ConnectionShare(1)), id -> true, clock.nowNanos()))
+                .isEmpty();
+        assertThat(next.release(open.grantId())).isTrue();
+        assertThat(next.acquire(request(SELF, new ConnectionShare(1)), id -> true, clock.nowNanos()))
+                .isPresent();
+
+        SlotLedger taken = new SlotLedger(LONGEST_USE);
+        taken.gainAfterFailure(SHARD, clock.nowNanos());
+        assertThat(taken.prepareHandover(SHARD, clock.nowNanos()).occupiedMs()).isEqualTo(10_500);
+    }
+
+    @Test
+    void aLostReturnCostsTheSlotUntilTheRequestLimitOnly() {
+        own(runner("one", NEAR, 1));
+        SlotLease lost = acquire(SERVICE, Set.of()).orElseThrow();
+        clock.advance(LONGEST_USE.minusNanos(1));
+        assertThat(acquire(SERVICE, Set.of())).isEmpty();
+        clock.advance(Duration.ofNanos(1));
+        assertThat(acquire(SERVICE, Set.of())).isPresent();
+        assertThat(ledger.release(lost.grantId())).isFalse();
+        assertThat(ledger.openUses()).isEqualTo(1);
+    }
+
+    private void own(Runner... runners) {
+        ledger.gainFresh(SHARD, clock.nowNanos());
+        ledger.setRunners(SHARD, List.of(runners));
+    }
+
+    private String grant() {
+        return acquire(SERVICE, Set.of()).orElseThrow().runner().id().value();
+    }
+
+    private Optional<SlotLease> acquire(ServiceName service, Set<RunnerId> excluded) {
+        SlotRequest request = new SlotRequest(nextGrantId++, service, SELF, NEAR, new ConnectionShare(1), excluded);
+        return ledger.acquire(request, id -> true, clock.nowNanos());
+    }
+
+    private SlotRequest request(NodeId holder, ConnectionShare share) {
+        return new SlotRequest(nextGrantId++, SERVICE, holder, NEAR, share, Set.of());
+    }
+
+    private static Runner runner(String id, DataCentre dataCentre, int slots) {
+        return new Runner(new RunnerId(id), SERVICE, dataCentre, "127.0.0.1:1", slots, 64, true);
+    }
+}
