--- a/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
+++ b/src/main/java/org/tamarackline/entry/proxy/QuickRequests.java
@@ -10,6 +10,7 @@
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.config.Profile;
 import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.idempotency.IdempotencyKey;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.CallerName;
 import org.tamarackline.core.model.Identifiers;
@@ -54,7 +55,7 @@
         boolean idempotent = IDEMPOTENT_METHODS.contains(incoming.method())
                 || profile.map(Profile::idempotent).orElse(false);
         Optional<String> key = idempotent ? Optional.empty() : idempotencyKey(incoming);
-        readSmallBody(incoming.body());
+        readSmallBody(incoming.body(), key.isPresent());
         return new QuickRequest(
                 service.name(),
                 caller,
@@ -62,17 +63,17 @@
                         incoming.method(), incoming.target(), Headers.forUpstream(incoming.headers()), incoming.body()),
                 arrivedNanos + timeAllowed.toNanos(),
                 idempotent,
-                key);
+                key.map(value -> new IdempotencyKey(service.name(), caller, value)));
     }
 
     private Configuration requireConfiguration() throws RequestException {
         if (cluster.standing() == Standing.ISOLATED) {
             throw RequestException.notRun(
-                    ErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
+                    RequestErrorCode.NOT_READY, "this node lost contact with the platform and its peers");
         }
         return cluster.configuration()
-                .orElseThrow(() ->
-                        RequestException.notRun(ErrorCode.NOT_READY, "this node has not learnt the configuration yet"));
+                .orElseThrow(() -> RequestException.notRun(
+                        RequestErrorCode.NOT_READY, "this node has not learnt the configuration yet"));
     }
 
     private static ServiceDefinition findService(Configuration configuration, String name) throws RequestException {
@@ -81,7 +82,8 @@
                 return service;
             }
         }
-        throw RequestException.notRun(ErrorCode.UNKNOWN_SERVICE, "no service has this name; operators add services");
+        throw RequestException.notRun(
+                RequestErrorCode.UNKNOWN_SERVICE, "no service has this name; operators add services");
     }
 
     private static Optional<Profile> findProfile(Configuration configuration, ServiceDefinition service) {
@@ -110,7 +112,7 @@
             // Reported below, together with numbers out of range.
         }
         throw RequestException.notRun(
-                ErrorCode.BAD_REQUEST,
+                RequestErrorCode.BAD_REQUEST,
                 "%s must be a number of milliseconds, at least 1".formatted(Headers.DEADLINE_MS));
     }
 
@@ -122,18 +124,23 @@
         Optional<String> key = incoming.header(Headers.IDEMPOTENCY_KEY);
         if (key.isPresent() && !Identifiers.isValid(key.get())) {
             throw RequestException.notRun(
-                    ErrorCode.BAD_REQUEST,
+                    RequestErrorCode.BAD_REQUEST,
                     "%s must have 1 to %d letters, digits, spaces or ._:-, starting with a letter or digit"
                             .formatted(Headers.IDEMPOTENCY_KEY, Identifiers.MAX_LENGTH));
         }
         return key;
     }
 
-    private static void readSmallBody(RequestBody body) throws RequestException {
+    /** The start of a body with a key is needed for its digest, whatever the length. */
+    private static void readSmallBody(RequestBody body, boolean withKey) throws RequestException {
         try {
-            body.keepIfSmall();
+            if (withKey) {
+                body.keepPrefix();
+            } else {
+                body.keepIfSmall();
+            }
         } catch (IOException e) {
-            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body of the request could not be read");
+            throw RequestException.notRun(RequestErrorCode.BAD_REQUEST, "the body of the request could not be read");
         }
     }
 }
