--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
@@ -0,0 +1,118 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.OwnershipListener.Origin;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.EntrySettings.ClusterTimes;
+import org.tamarackline.settings.EntrySettings.JobLimits;
+import org.tamarackline.settings.EntrySettings.RequestLimits;
+import org.tamarackline.settings.Secret;
+import org.tamarackline.worker.WorkerGateway;
+
+/** The jobs part of one node, whose calls and loop run only when the test says so. */
+final class FakeNode {
+
+    final FakeCluster cluster;
+    final JobsContext context;
+    final JobsEngine engine;
+    final JobService service;
+    final Queue<Runnable> loop = new ArrayDeque<>();
+    final Queue<Runnable> calls = new ArrayDeque<>();
+    private boolean direct;
+
+    FakeNode(String id, FakePlatform platform, WorkerGateway workers, MonotonicClock clock) {
+        cluster = new FakeCluster(new NodeId(id));
+        JobThreads threads = new JobThreads(this::onLoop, calls::add);
+        context = new JobsContext(
+                cluster,
+                platform,
+                workers,
+                (node, request, timeout) -> {
+                    throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
+                },
+                settings(id),
+                clock,
+                threads);
+        RackLoads loads = new RackLoads(context);
+        engine = new JobsEngine(context, loads);
+        OwnerCalls owners = new OwnerCalls(context, new JobPeerHandler(engine, loads));
+        service = new JobService(context, platform.objects(), loads, owners);
+    }
+
+    static EntrySettings settings(String id) {
+        return new EntrySettings(
+                new NodeId(id),
+                new Region("r1"),
+                new DataCentre("a"),
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                "http://127.0.0.1:0",
+                List.of(),
+                new Secret("peer"),
+                new Secret("operator"),
+                Map.of(new CallerName("lianhua"), new Secret("token")),
+                ClusterTimes.defaults(),
+                RequestLimits.defaults(),
+                new JobLimits(Duration.ofMillis(250), Duration.ofSeconds(3), Duration.ofSeconds(20), 3, 5, 10_000));
+    }
+
+    private void onLoop(Runnable action) {
+        if (direct) {
+            action.run();
+        } else {
+            loop.add(action);
+        }
+    }
+
+    /** Runs an action whose use of the loop happens at once, as if the loop were idle. */
+    void directly(Runnable action) {
+        drainLoop();
+        direct = true;
+        try {
+            action.run();
+        } finally {
+            direct = false;
+        }
+    }
+
+    void gain(ShardId shard, long epoch) {
+        cluster.own(shard, new Epoch(epoch));
+        engine.gained(shard, new Epoch(epoch), Origin.TAKEOVER, Optional.empty());
+    }
+
+    void step() {
+        loop.add(engine::step);
+        drainLoop();
+    }
+
+    void drainLoop() {
+        while (!loop.isEmpty()) {
+            loop.remove().run();
+        }
+    }
+
+    /** Runs everything that is due, with calls that return at once. */
+    void settle() {
+        while (!loop.isEmpty() || !calls.isEmpty()) {
+            drainLoop();
+            if (!calls.isEmpty()) {
+                calls.remove().run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
@@ -0,0 +1,127 @@
+package org.tamarackline.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.worker.WorkerException;
+import org.tamarackline.worker.WorkerGateway;
+import org.tamarackline.worker.WorkerOutcomeUnknownException;
+import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
+import org.tamarackline.worker.WorkerProtocol.RenewRequest;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskCommand;
+import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.worker.WorkerRefusedException;
+import org.tamarackline.worker.WorkerUnreachableException;
+
+/** Workers in memory with faults on the way to them. The address of a worker is its identifier. */
+final class FakeWorkers implements WorkerGateway {
+
+    private final Map<String, FakeWorker> workers = new HashMap<>();
+    private final Map<String, Long> checkpoints = new HashMap<>();
+    final List<FakeWorker.Run> history = new ArrayList<>();
+    final Set<String> silent = new HashSet<>();
+    final Set<String> unreachable = new HashSet<>();
+    private final List<StartRequest> delayedStarts = new ArrayList<>();
+    private final List<String> delayedTo = new ArrayList<>();
+    boolean delayNextStart;
+    boolean loseNextAnswer;
+
+    FakeWorker add(String id, Resources capacity, MonotonicClock clock, FakeWorker.Defect defect) {
+        FakeWorker worker = new FakeWorker(id, capacity, clock, checkpoints, history, defect);
+        workers.put(id, worker);
+        return worker;
+    }
+
+    FakeWorker get(String id) {
+        return workers.get(id);
+    }
+
+    List<FakeWorker> all() {
+        return List.copyOf(workers.values());
+    }
+
+    /** Delivers the starts that were held up on the way, to workers that may have moved on. */
+    void deliverDelayedStarts() {
+        for (int i = 0; i < delayedStarts.size(); i++) {
+            if (silent.contains(delayedTo.get(i))) {
+                continue;
+            }
+            try {
+                workers.get(delayedTo.get(i)).start(delayedStarts.get(i));
+            } catch (WorkerRefusedException e) {
+                // Nobody waits for the answer any more.
+            }
+        }
+        delayedStarts.clear();
+        delayedTo.clear();
+    }
+
+    @FunctionalInterface
+    private interface Call<T> {
+        T on(FakeWorker worker) throws WorkerRefusedException;
+    }
+
+    private <T> T call(String address, Call<T> call) throws WorkerException {
+        if (unreachable.contains(address)) {
+            throw new WorkerUnreachableException("worker is unreachable", null);
+        }
+        if (silent.contains(address)) {
+            throw new WorkerOutcomeUnknownException("worker is silent", null);
+        }
+        T answer = call.on(workers.get(address));
+        if (loseNextAnswer) {
+            loseNextAnswer = false;
+            throw new WorkerOutcomeUnknownException("answer was lost", null);
+        }
+        return answer;
+    }
+
+    @Override
+    public RenewAnswer renew(String address, RenewRequest request) throws WorkerException {
+        return call(address, worker -> worker.renew(request));
+    }
+
+    @Override
+    public void start(String address, StartRequest request) throws WorkerException {
+        if (delayNextStart) {
+            delayNextStart = false;
+            delayedStarts.add(request);
+            delayedTo.add(address);
+            throw new WorkerOutcomeUnknownException("start is on its way", null);
+        }
+        call(address, worker -> {
+            worker.start(request);
+            return true;
+        });
+    }
+
+    @Override
+    public TaskReport checkpoint(String address, TaskCommand command) throws WorkerException {
+        return call(address, worker -> worker.checkpoint(command));
+    }
+
+    @Override
+    public TaskReport throttle(String address, TaskCommand command) throws WorkerException {
+        return call(address, worker -> worker.throttle(command));
+    }
+
+    @Override
+    public TaskReport stop(String address, TaskCommand command) throws WorkerException {
+        return call(address, worker -> worker.stop(command));
+    }
+
+    @Override
+    public void forget(String address, TaskCommand command) throws WorkerException {
+        call(address, worker -> {
+            worker.forget(command);
+            return true;
+        });
+    }
+}
