--- a/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
+++ b/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
@@ -138,12 +138,22 @@
             return answer.body();
         }
         if (answer.status() >= FIRST_ERROR) {
-            throw new WorkerRefusedException(parse(answer.body(), Refusal.class));
+            throw refusal(address, answer);
         }
         throw new WorkerOutcomeUnknownException(
                 "worker %s answered with status %d".formatted(address, answer.status()), null);
     }
 
+    /** An error without the fields of a refusal does not come from the protocol and proves nothing. */
+    private static WorkerException refusal(String address, Answer answer) throws WorkerOutcomeUnknownException {
+        Refusal refusal = parse(answer.body(), Refusal.class);
+        if (refusal.code() == null || refusal.highestEpoch() == null) {
+            return new WorkerOutcomeUnknownException(
+                    "worker %s answered with status %d and no refusal".formatted(address, answer.status()), null);
+        }
+        return new WorkerRefusedException(refusal);
+    }
+
     private Answer execute(String address, HttpPost request) throws WorkerException {
         ScheduledFuture<?> abort = aborts.schedule(request::abort, timeout.toNanos(), TimeUnit.NANOSECONDS);
         try {
--- /dev/null
+++ b/src/test/java/org/tamarackline/worker/HttpWorkerGatewayTest.java
@@ -0,0 +1,124 @@
+package org.tamarackline.worker;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.standin.worker.StandinWorker;
+import org.tamarackline.standin.worker.WorkerFaults;
+import org.tamarackline.standin.worker.WorkerOptions;
+import org.tamarackline.worker.WorkerProtocol.RefusalCode;
+import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
+import org.tamarackline.worker.WorkerProtocol.RenewRequest;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskCommand;
+import org.tamarackline.worker.WorkerProtocol.TaskReportState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class HttpWorkerGatewayTest {
+
+    private static final ShardId RACK = new ShardId("rack:a:1");
+    private static final TaskId TASK = TaskId.parse("job.0");
+    private static final long LEASE_MS = 20_000;
+
+    private final HttpWorkerGateway gateway = new HttpWorkerGateway(Duration.ofMillis(500));
+    private StandinWorker worker;
+
+    @BeforeEach
+    void startWorker() throws Exception {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        worker = StandinWorker.start(
+                new WorkerOptions(anyPort, "http://127.0.0.1:1", new Resources(4_000, 8_000, 0), Duration.ZERO));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        gateway.close();
+        worker.close();
+    }
+
+    private RenewAnswer renew(long epoch, Optional<String> nonce) throws WorkerException {
+        return gateway.renew(worker.address(), new RenewRequest(RACK, new Epoch(epoch), nonce, LEASE_MS));
+    }
+
+    private void start(long epoch) throws WorkerException {
+        gateway.start(
+                worker.address(),
+                new StartRequest(
+                        RACK,
+                        new Epoch(epoch),
+                        TASK,
+                        1,
+                        JsonNodeFactory.instance.objectNode().put("workMs", 60_000),
+                        new Resources(1_000, 1_000, 0),
+                        Optional.empty(),
+                        true));
+    }
+
+    private static TaskCommand command(long epoch) {
+        return new TaskCommand(RACK, new Epoch(epoch), TASK, 1, 100);
+    }
+
+    /** Guards against messages that a worker reads or writes in another form than this client. */
+    @Test
+    void runsAndStopsATaskUnderALease() throws Exception {
+        RenewAnswer first = renew(3, Optional.empty());
+        assertThat(first.leaseCurrent()).isFalse();
+        assertThat(renew(3, Optional.of(first.nonce())).leaseCurrent()).isTrue();
+        start(3);
+        assertThat(renew(3, Optional.empty()).tasks())
+                .singleElement()
+                .satisfies(report -> assertThat(report.state()).isEqualTo(TaskReportState.RUNNING));
+        assertThat(gateway.stop(worker.address(), command(3)).state()).isEqualTo(TaskReportState.STOPPED);
+        gateway.forget(worker.address(), command(3));
+        assertThat(renew(3, Optional.empty()).tasks()).isEmpty();
+    }
+
+    /** Guards against a refusal that is taken for a command of unknown outcome, or the reverse. */
+    @Test
+    void tellsRefusalsApart() throws Exception {
+        renew(3, Optional.empty());
+        assertRefused(RefusalCode.NO_LEASE, () -> start(3));
+        assertRefused(RefusalCode.FENCED, () -> renew(2, Optional.empty()));
+        assertRefused(RefusalCode.UNKNOWN_TASK, () -> gateway.checkpoint(worker.address(), command(3)));
+    }
+
+    private static void assertRefused(RefusalCode code, org.assertj.core.api.ThrowableAssert.ThrowingCallable call) {
+        assertThatThrownBy(call)
+                .isInstanceOfSatisfying(
+                        WorkerRefusedException.class,
+                        refused -> assertThat(refused.code()).isEqualTo(code));
+    }
+
+    /** Guards against a start that is repeated elsewhere although the silent worker may have carried it out. */
+    @Test
+    void reportsSilenceAndErrorsOutsideTheProtocolAsUnknown() throws Exception {
+        worker.setFaults(new WorkerFaults(false, true, 0, false, 0));
+        assertThatThrownBy(() -> start(3)).isInstanceOf(WorkerOutcomeUnknownException.class);
+        worker.setFaults(new WorkerFaults(false, false, 0, true, 0));
+        assertThatThrownBy(() -> start(3)).isInstanceOf(WorkerOutcomeUnknownException.class);
+    }
+
+    /** Guards against waiting for a lease to lapse when nothing was ever sent. */
+    @Test
+    void reportsAClosedPortAsUnreachable() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        assertThatThrownBy(() -> gateway.stop("127.0.0.1:" + port, command(3)))
+                .isInstanceOf(WorkerUnreachableException.class);
+    }
+}
