--- a/src/main/java/org/tamarackline/core/config/ConfigurationMistake.java
+++ b/src/main/java/org/tamarackline/core/config/ConfigurationMistake.java
@@ -27,6 +27,18 @@
         }
     }
 
+    /**
+     * A profile names no class.
+     *
+     * @param profile name of the profile
+     */
+    record MissingClass(ProfileName profile) implements ConfigurationMistake {
+        @Override
+        public String message() {
+            return "profile \"%s\" has no class; set LATENCY_CRITICAL, BATCH or CONTINUOUS".formatted(profile);
+        }
+    }
+
     /**
      * Two fields of a profile exclude each other.
      *
--- a/src/main/java/org/tamarackline/core/config/Configurations.java
+++ b/src/main/java/org/tamarackline/core/config/Configurations.java
@@ -52,6 +52,9 @@
         checkBounds(name, "tailWeight", profile.tailWeight(), 0, MAX_WEIGHT, mistakes);
         checkBounds(name, "throughputWeight", profile.throughputWeight(), 0, MAX_WEIGHT, mistakes);
         checkBounds(name, "evictionWeight", profile.evictionWeight(), 0, MAX_WEIGHT, mistakes);
+        if (profile.serviceClass() == null) {
+            mistakes.add(new ConfigurationMistake.MissingClass(name));
+        }
         if (profile.serviceClass() == ServiceClass.CONTINUOUS && profile.finishWithinMs() > 0) {
             mistakes.add(new ConfigurationMistake.ProfileContradictory(
                     name, "a continuous task never finishes; set finishWithinMs to 0 or the class to BATCH"));
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
@@ -27,11 +27,14 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int PAGE_ROWS = 500;
+    /** Shared, because a mapper inspects every type anew. */
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .registerModule(new Jdk8Module())
+            .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
     private final TableStore table;
     private final String nodePrefix;
     private final String shardPrefix;
-    private final ObjectMapper mapper = newMapper();
 
     ClusterTable(TableStore table, Region region) {
         this.table = table;
@@ -39,10 +42,9 @@
         shardPrefix = "region/" + region + "/shard/";
     }
 
-    static ObjectMapper newMapper() {
-        return new ObjectMapper()
-                .registerModule(new Jdk8Module())
-                .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+    /** Returns the mapper for the rows of this package. */
+    static ObjectMapper mapper() {
+        return MAPPER;
     }
 
     List<StoredNode> nodes() throws PlatformUnavailableException {
@@ -72,7 +74,7 @@
         table.transact(new TableTransaction(
                 token,
                 List.of(new TableTransaction.Check(key, expectedVersion)),
-                List.of(new TableTransaction.Write(key, mapper.valueToTree(row)))));
+                List.of(new TableTransaction.Write(key, MAPPER.valueToTree(row)))));
     }
 
     void deleteNode(NodeId node, long expectedVersion)
@@ -92,7 +94,7 @@
         for (StoredShard shard : shards) {
             String key = shardKey(shard.row().shard());
             checks.add(new TableTransaction.Check(key, shard.version()));
-            writes.add(new TableTransaction.Write(key, mapper.valueToTree(shard.row())));
+            writes.add(new TableTransaction.Write(key, MAPPER.valueToTree(shard.row())));
         }
         table.transact(new TableTransaction(newToken(), checks, writes));
     }
@@ -120,7 +122,7 @@
 
     private <T> Optional<T> read(Row row, Class<T> type) {
         try {
-            return Optional.of(mapper.treeToValue(row.value(), type));
+            return Optional.of(MAPPER.treeToValue(row.value(), type));
         } catch (JsonProcessingException | IllegalArgumentException e) {
             LOG.atSevere().withCause(e).log("row %s cannot be read; correct or delete it", row.key());
             return Optional.empty();
--- a/src/main/java/org/tamarackline/entry/cluster/ConfigurationTable.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationTable.java
@@ -50,7 +50,7 @@
     private static final int MAX_CONTENT_BYTES = 64 << 20;
 
     private final TableStore table;
-    private final ObjectMapper mapper = ClusterTable.newMapper();
+    private final ObjectMapper mapper = ClusterTable.mapper();
 
     ConfigurationTable(TableStore table) {
         this.table = table;
--- /dev/null
+++ b/src/test/java/org/tamarackline/peer/PeerConnectionTest.java
@@ -0,0 +1,229 @@
+package org.tamarackline.peer;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.settings.Secret;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Guards against mixed-up answers, unbounded waits and servers that a bad peer can stop. */
+class PeerConnectionTest {
+
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(200);
+    private static final Secret KEY = new Secret("shared");
+
+    /** A request whose answer may be held back. */
+    record Echo(int number, boolean held) implements ClusterMessage {}
+
+    private final PeerCodec codec = new PeerCodec(List.of(new PeerMessageType("echo", Echo.class)));
+    private final CountDownLatch release = new CountDownLatch(1);
+    private final AtomicInteger handled = new AtomicInteger();
+    private final List<PeerClient> clients = new ArrayList<>();
+    private NodeId serverId;
+    private PeerServer server;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        serverId = new NodeId("127.0.0.1:" + freePort());
+        server = new PeerServer(
+                new LocalNode(serverId, new Incarnation(1)),
+                KEY,
+                codec,
+                new PeerTraffic(),
+                new PeerLimits(4, 8, LONG, LONG),
+                Set.of(this::answer));
+        server.start();
+    }
+
+    @AfterEach
+    void stop() {
+        release.countDown();
+        clients.forEach(PeerClient::stop);
+        server.stop();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private Optional<PeerMessage> answer(NodeId sender, PeerMessage request) {
+        handled.incrementAndGet();
+        if (request instanceof Echo echo && echo.held()) {
+            try {
+                release.await(LONG.toSeconds(), TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return request instanceof Echo ? Optional.of(request) : Optional.empty();
+    }
+
+    private PeerClient client(Secret key) {
+        PeerClient client = new PeerClient(
+                new LocalNode(new NodeId("127.0.0.1:1"), new Incarnation(2)),
+                key,
+                codec,
+                new PeerTraffic(),
+                new PeerLimits(4, 64, LONG, LONG));
+        clients.add(client);
+        return client;
+    }
+
+    @Test
+    void concurrentCallsGetTheirOwnAnswers() throws Exception {
+        PeerClient client = client(KEY);
+        List<CompletableFuture<PeerMessage>> answers = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            Echo echo = new Echo(number, number % 2 == 0);
+            answers.add(CompletableFuture.supplyAsync(() -> call(client, echo), Thread::startVirtualThread));
+        }
+        assertThat(answers.get(1).get(20, TimeUnit.SECONDS)).isEqualTo(new Echo(1, false));
+        release.countDown();
+        for (int number = 0; number < 8; number++) {
+            assertThat(answers.get(number).get(20, TimeUnit.SECONDS)).isEqualTo(new Echo(number, number % 2 == 0));
+        }
+    }
+
+    private PeerMessage call(PeerClient client, PeerMessage request) {
+        try {
+            return client.call(serverId, request, LONG);
+        } catch (PeerException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void timeoutReplacesTheConnectionAndDropsTheLateAnswer() throws Exception {
+        PeerClient client = client(KEY);
+        assertReason(() -> client.call(serverId, new Echo(1, true), SHORT), PeerException.Reason.TIMEOUT);
+        release.countDown();
+        assertThat(client.call(serverId, new Echo(2, false), LONG)).isEqualTo(new Echo(2, false));
+    }
+
+    @Test
+    void wrongKeyIsRejectedByTheClientBeforeAnyRequest() {
+        PeerClient client = client(new Secret("other"));
+        assertReason(() -> client.call(serverId, new Echo(1, false), LONG), PeerException.Reason.HANDSHAKE_REJECTED);
+        assertThat(handled).hasValue(0);
+    }
+
+    @Test
+    void proofOfAnotherKeyIsRejectedByTheServer() throws Exception {
+        try (Socket socket = connect()) {
+            FrameChannel channel = new FrameChannel(socket, codec, new PeerTraffic(), System::nanoTime);
+            NodeId sender = new NodeId("127.0.0.1:1");
+            channel.write(new Frame.Hello(Handshake.PROTOCOL_VERSION, sender, new Incarnation(3), "00".repeat(32)));
+            Frame.Challenge challenge = (Frame.Challenge) channel.read(LONG);
+            // The server's own proof must not be accepted when it is sent back.
+            channel.write(new Frame.Proof(challenge.proof()));
+            assertThat(channel.read(LONG))
+                    .isInstanceOfSatisfying(
+                            Frame.Failure.class,
+                            failure -> assertThat(failure.code()).isEqualTo(Frame.FailureCode.HANDSHAKE));
+        }
+    }
+
+    @Test
+    void malformedFramesEndTheirConnectionOnly() throws Exception {
+        PeerClient client = client(KEY);
+        call(client, new Echo(1, false));
+        for (byte[] garbage : List.of(
+                ByteBuffer.allocate(4).putInt(PeerCodec.MAX_FRAME_BYTES + 1).array(),
+                ByteBuffer.allocate(4).putInt(-1).array(),
+                new byte[] {0, 0, 0, 3, (byte) 0xc1, 1, 2})) {
+            try (Socket socket = connect()) {
+                socket.getOutputStream().write(garbage);
+                DataInputStream input = new DataInputStream(socket.getInputStream());
+                byte[] answer = new byte[input.readInt()];
+                input.readFully(answer);
+                assertThat(codec.decode(answer)).isInstanceOf(Frame.Failure.class);
+                assertThat(input.read()).isEqualTo(-1);
+            }
+        }
+        assertThat(call(client, new Echo(2, false))).isEqualTo(new Echo(2, false));
+    }
+
+    @Test
+    void unknownRequestIsRefusedAndTheConnectionGoesOn() throws Exception {
+        PeerClient client = client(KEY);
+        assertReason(() -> client.call(serverId, new PeerMessage.Ok(), LONG), PeerException.Reason.INVALID_MESSAGE);
+        assertThat(call(client, new Echo(2, false))).isEqualTo(new Echo(2, false));
+    }
+
+    @Test
+    void callsBeyondTheLimitAreRefused() throws Exception {
+        PeerClient client = client(KEY);
+        List<CompletableFuture<PeerMessage>> held = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            Echo echo = new Echo(number, true);
+            held.add(CompletableFuture.supplyAsync(() -> call(client, echo), Thread::startVirtualThread));
+        }
+        while (handled.get() < 8) {
+            Thread.onSpinWait();
+        }
+        assertReason(() -> client.call(serverId, new Echo(9, false), LONG), PeerException.Reason.REFUSED);
+        release.countDown();
+        for (CompletableFuture<PeerMessage> answer : held) {
+            assertThat(answer.get(20, TimeUnit.SECONDS)).isInstanceOf(Echo.class);
+        }
+    }
+
+    @Test
+    void brokenAndMissingServersAreReported() throws Exception {
+        PeerClient client = client(KEY);
+        call(client, new Echo(1, false));
+        CompletableFuture<PeerException.Reason> broken =
+                CompletableFuture.supplyAsync(() -> reasonOf(client, new Echo(2, true)), Thread::startVirtualThread);
+        while (handled.get() < 2) {
+            Thread.onSpinWait();
+        }
+        server.stop();
+        assertThat(broken.get(20, TimeUnit.SECONDS)).isEqualTo(PeerException.Reason.BROKEN);
+        assertThat(reasonOf(client, new Echo(3, false))).isEqualTo(PeerException.Reason.UNREACHABLE);
+    }
+
+    private PeerException.Reason reasonOf(PeerClient client, PeerMessage request) {
+        try {
+            throw new IllegalStateException("answered: " + client.call(serverId, request, LONG));
+        } catch (PeerException e) {
+            return e.reason();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), server.boundAddress().getPort());
+        socket.setSoTimeout((int) LONG.toMillis());
+        return socket;
+    }
+
+    private static void assertReason(
+            org.assertj.core.api.ThrowableAssert.ThrowingCallable call, PeerException.Reason reason) {
+        assertThatThrownBy(call)
+                .isInstanceOfSatisfying(
+                        PeerException.class, e -> assertThat(e.reason()).isEqualTo(reason));
+    }
+}
