--- a/src/main/java/org/tamarackline/peer/Handshake.java
+++ b/src/main/java/org/tamarackline/peer/Handshake.java
@@ -39,11 +39,12 @@
         this.timeout = timeout;
     }
 
-    /** Runs the client's side against the node {@code expected}. */
-    void connect(FrameChannel channel, NodeId expected) throws IOException {
+    /** Runs the client's side against the node {@code expected}; waits at most {@code limit} for each answer. */
+    void connect(FrameChannel channel, NodeId expected, Duration limit) throws IOException {
+        Duration bound = limit.compareTo(timeout) < 0 ? limit : timeout;
         Frame.Hello hello = new Frame.Hello(PROTOCOL_VERSION, self.node(), self.incarnation(), nonce());
         channel.write(hello);
-        Frame answer = channel.read(timeout);
+        Frame answer = channel.read(bound);
         if (!(answer instanceof Frame.Challenge challenge)) {
             throw rejected("the peer answered the greeting with " + describe(answer));
         }
@@ -54,7 +55,7 @@
         checkNonce(challenge.nonce());
         checkProof(proof(SERVER_LABEL, hello, challenge), challenge.proof());
         channel.write(new Frame.Proof(proof(CLIENT_LABEL, hello, challenge)));
-        Frame last = channel.read(timeout);
+        Frame last = channel.read(bound);
         if (!(last instanceof Frame.Welcome)) {
             throw rejected("the peer answered the proof with " + describe(last));
         }
--- a/src/main/java/org/tamarackline/peer/PeerClient.java
+++ b/src/main/java/org/tamarackline/peer/PeerClient.java
@@ -115,7 +115,7 @@
             int leftMs = (int) TimeUnit.NANOSECONDS.toMillis(deadlineNanos - clock.nowNanos());
             socket.connect(PeerAddresses.parse(node), Math.max(1, leftMs));
             channel = new FrameChannel(socket, codec, traffic, clock);
-            handshake.connect(channel, node);
+            handshake.connect(channel, node, Duration.ofNanos(deadlineNanos - clock.nowNanos()));
             return new PeerConnection(node, channel, codec, limits, clock);
         } catch (HandshakeException e) {
             closeBoth(socket, channel);
--- a/src/main/java/org/tamarackline/peer/PeerConnection.java
+++ b/src/main/java/org/tamarackline/peer/PeerConnection.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -27,8 +25,7 @@
     private final MonotonicClock clock;
     private final AtomicLong lastId = new AtomicLong(Frame.Failure.CONNECTION);
     private final Map<Long, CompletableFuture<Frame>> pending = new ConcurrentHashMap<>();
-    private final BlockingQueue<byte[]> outgoing;
-    private final Thread writer;
+    private final FrameWriter writer;
     private volatile boolean retired;
     private volatile boolean closed;
 
@@ -38,9 +35,8 @@
         this.codec = codec;
         this.limits = limits;
         this.clock = clock;
-        outgoing = new ArrayBlockingQueue<>(limits.calls());
+        writer = new FrameWriter(channel, limits.calls(), failure -> close(String.valueOf(failure.getMessage())));
         Thread.ofVirtual().name("peer-read").start(this::readAll);
-        writer = Thread.ofVirtual().name("peer-write").start(this::writeAll);
     }
 
     boolean isUsable() {
@@ -56,7 +52,7 @@
             if (closed) {
                 throw failure(PeerException.Reason.UNREACHABLE, "connection to %s is closed".formatted(node), null);
             }
-            if (pending.size() > limits.calls() || !outgoing.offer(bytes)) {
+            if (pending.size() > limits.calls() || !writer.offer(bytes)) {
                 throw failure(
                         PeerException.Reason.UNREACHABLE,
                         "call to %s not sent: %d calls are in progress".formatted(node, limits.calls()),
@@ -86,7 +82,7 @@
     void close(String why) {
         closed = true;
         channel.close();
-        writer.interrupt();
+        writer.close();
         IOException cause = new IOException(why);
         pending.values().forEach(answer -> answer.completeExceptionally(cause));
     }
@@ -170,18 +166,6 @@
         }
     }
 
-    private void writeAll() {
-        try {
-            while (!closed) {
-                channel.writeEncoded(outgoing.take());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (IOException e) {
-            close(String.valueOf(e.getMessage()));
-        }
-    }
-
     private static PeerException failure(PeerException.Reason reason, String message, Throwable cause) {
         return new PeerException(reason, message, cause);
     }
--- a/src/main/java/org/tamarackline/peer/PeerServer.java
+++ b/src/main/java/org/tamarackline/peer/PeerServer.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.ReentrantLock;
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.model.NodeId;
@@ -129,50 +128,45 @@
     }
 
     private void serveChannel(FrameChannel channel, Socket socket) {
-        ReentrantLock writing = new ReentrantLock();
+        Object remote = socket.getRemoteSocketAddress();
+        FrameWriter writer = null;
         try {
             NodeId sender = handshake.accept(channel);
+            writer = new FrameWriter(channel, limits.calls(), failure -> channel.close());
             while (true) {
                 Frame frame = channel.read(limits.idleTimeout());
                 if (!(frame instanceof Frame.Request request)) {
                     throw new MalformedFrameException(
                             "unexpected frame " + frame.getClass().getSimpleName(), null);
                 }
-                answerAside(channel, writing, sender, request);
+                answerAside(channel, writer, sender, request);
             }
         } catch (MalformedFrameException e) {
-            LOG.atWarning().log("connection from %s closed: %s", socket.getRemoteSocketAddress(), e.getMessage());
-            tryWrite(
-                    channel,
-                    writing,
-                    new Frame.Failure(Frame.Failure.CONNECTION, Frame.FailureCode.MALFORMED, e.getMessage()));
+            LOG.atWarning().log("connection from %s closed: %s", remote, e.getMessage());
+            reject(channel, writer, Frame.FailureCode.MALFORMED, e.getMessage());
         } catch (HandshakeException e) {
-            LOG.atWarning().log("handshake of %s rejected: %s", socket.getRemoteSocketAddress(), e.getMessage());
-            tryWrite(
-                    channel,
-                    writing,
-                    new Frame.Failure(Frame.Failure.CONNECTION, Frame.FailureCode.HANDSHAKE, e.getMessage()));
+            LOG.atWarning().log("handshake of %s rejected: %s", remote, e.getMessage());
+            reject(channel, writer, Frame.FailureCode.HANDSHAKE, e.getMessage());
         } catch (SocketTimeoutException e) {
-            LOG.atFine().log("idle connection from %s closed", socket.getRemoteSocketAddress());
+            LOG.atFine().log("idle connection from %s closed", remote);
         } catch (IOException e) {
-            LOG.atFine().withCause(e).log("connection from %s ended", socket.getRemoteSocketAddress());
+            LOG.atFine().withCause(e).log("connection from %s ended", remote);
+        } finally {
+            if (writer != null) {
+                writer.close();
+            }
         }
     }
 
-    private void answerAside(FrameChannel channel, ReentrantLock writing, NodeId sender, Frame.Request request) {
+    private void answerAside(FrameChannel channel, FrameWriter writer, NodeId sender, Frame.Request request) {
         if (!calls.tryAcquire()) {
-            tryWrite(
-                    channel,
-                    writing,
-                    new Frame.Failure(
-                            request.id(),
-                            Frame.FailureCode.OVERLOADED,
-                            "%d calls are in progress; retry later".formatted(limits.calls())));
+            String detail = "%d calls are in progress; retry later".formatted(limits.calls());
+            send(channel, writer, new Frame.Failure(request.id(), Frame.FailureCode.OVERLOADED, detail));
             return;
         }
         Thread.ofVirtual().name("peer-call").start(() -> {
             try {
-                tryWrite(channel, writing, answer(sender, request));
+                send(channel, writer, answer(sender, request));
             } finally {
                 calls.release();
             }
@@ -210,18 +204,27 @@
         return Optional.empty();
     }
 
-    private void tryWrite(FrameChannel channel, ReentrantLock writing, Frame frame) {
-        writing.lock();
+    private void send(FrameChannel channel, FrameWriter writer, Frame frame) {
         try {
-            channel.write(frame);
+            if (!writer.offer(codec.encode(frame))) {
+                LOG.atWarning().log("connection closed: the peer does not read its answers");
+                channel.close();
+            }
         } catch (MalformedFrameException e) {
             LOG.atSevere().withCause(e).log("answer could not be written");
             channel.close();
+        }
+    }
+
+    /** Tells the peer why its connection ends; skipped once answers are queued, which may be in the middle of a frame. */
+    private static void reject(FrameChannel channel, FrameWriter writer, Frame.FailureCode code, String detail) {
+        if (writer != null) {
+            return;
+        }
+        try {
+            channel.write(new Frame.Failure(Frame.Failure.CONNECTION, code, detail));
         } catch (IOException e) {
-            LOG.atFine().withCause(e).log("answer could not be sent");
-            channel.close();
-        } finally {
-            writing.unlock();
+            LOG.atFine().withCause(e).log("rejection could not be sent");
         }
     }
 
