Harden claims and cut the cost of a tick

Rows that cannot be read stop takeovers and claims instead of hiding a member; nodes that start together wait two heartbeats before they claim shards; the shards of the region are computed after a change only.

--- a/src/main/java/org/tamarackline/entry/cluster/ClusterHandler.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterHandler.java
@@ -73,7 +73,7 @@
         }
         ClusterMessages.RelayOutcome outcome = write(relay);
         try {
-            List<StoredNode> rows = table.nodes();
+            NodeScan rows = table.nodes();
             return new ClusterMessages.Relayed(
                     outcome, Optional.of(rows), configurationTable.current().version());
         } catch (PlatformUnavailableException e) {
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterMessages.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterMessages.java
@@ -73,8 +73,7 @@
      * @param rows node rows, read after the write; empty if they could not be read
      * @param configVersion current version of the configuration in the table
      */
-    record Relayed(RelayOutcome outcome, Optional<List<StoredNode>> rows, long configVersion)
-            implements ClusterMessage {}
+    record Relayed(RelayOutcome outcome, Optional<NodeScan> rows, long configVersion) implements ClusterMessage {}
 
     /** What became of a relayed write. */
     enum RelayOutcome {
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -47,12 +48,13 @@
         return MAPPER;
     }
 
-    List<StoredNode> nodes() throws PlatformUnavailableException {
+    NodeScan nodes() throws PlatformUnavailableException {
+        List<Row> rows = scan(nodePrefix);
         List<StoredNode> nodes = new ArrayList<>();
-        for (Row row : scan(nodePrefix)) {
+        for (Row row : rows) {
             read(row, NodeRow.class).ifPresent(node -> nodes.add(new StoredNode(node, row.version())));
         }
-        return nodes;
+        return new NodeScan(nodes, nodes.size() == rows.size());
     }
 
     Optional<StoredNode> node(NodeId node) throws PlatformUnavailableException {
@@ -124,7 +126,8 @@
         try {
             return Optional.of(MAPPER.treeToValue(row.value(), type));
         } catch (JsonProcessingException | IllegalArgumentException e) {
-            LOG.atSevere().withCause(e).log("row %s cannot be read; correct or delete it", row.key());
+            LOG.atSevere().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
+                    "row %s cannot be read; correct or delete it", row.key());
             return Optional.empty();
         }
     }
--- a/src/main/java/org/tamarackline/entry/cluster/HeartbeatLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/HeartbeatLoop.java
@@ -5,8 +5,8 @@
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.membership.NodeRow;
 import org.tamarackline.core.membership.NodeState;
-import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.LocalNode;
 import org.tamarackline.platform.OutcomeUnknownException;
 import org.tamarackline.platform.PlatformException;
 import org.tamarackline.platform.PlatformUnavailableException;
@@ -20,9 +20,9 @@
     private final ClusterTable table;
     private final MembershipState state;
     private final MonotonicClock clock;
-    private final NodeId self;
+    private final LocalNode self;
 
-    HeartbeatLoop(ClusterTable table, MembershipState state, MonotonicClock clock, NodeId self) {
+    HeartbeatLoop(ClusterTable table, MembershipState state, MonotonicClock clock, LocalNode self) {
         this.table = table;
         this.state = state;
         this.clock = clock;
@@ -41,7 +41,7 @@
                 send(heartbeat.get());
             }
         } catch (PlatformException e) {
-            LOG.atFine().withCause(e).log("heartbeat of %s failed", self);
+            LOG.atFine().withCause(e).log("heartbeat of %s failed", self.node());
         }
     }
 
@@ -65,7 +65,7 @@
 
     private void readOwnRow() throws PlatformUnavailableException {
         long sentNanos = clock.nowNanos();
-        Optional<StoredNode> own = table.node(self);
+        Optional<StoredNode> own = table.node(self.node());
         state.platformAnswered(sentNanos);
         state.ownRowRead(own, sentNanos);
     }
@@ -73,13 +73,13 @@
     /** Marks the own row as gone at the end of an orderly shutdown. */
     void markGone() {
         try {
-            Optional<StoredNode> own = table.node(self);
-            if (own.isPresent()) {
+            Optional<StoredNode> own = table.node(self.node());
+            if (own.isPresent() && own.get().row().incarnation().equals(self.incarnation())) {
                 NodeRow row = own.get().row().withState(NodeState.GONE);
                 table.writeNode(row, own.get().version(), ClusterTable.newToken());
             }
         } catch (PlatformException e) {
-            LOG.atInfo().withCause(e).log("row of %s stays as it is; the other nodes take over in time", self);
+            LOG.atInfo().withCause(e).log("row of %s stays as it is; the other nodes take over in time", self.node());
         }
     }
 }
--- a/src/main/java/org/tamarackline/entry/cluster/MembershipRunner.java
+++ b/src/main/java/org/tamarackline/entry/cluster/MembershipRunner.java
@@ -54,8 +54,7 @@
         settings = parts.settings();
         Listeners listeners = new Listeners(ownershipListeners);
         parts.state().onLoss(listeners::lost);
-        heartbeats = new HeartbeatLoop(
-                parts.table(), parts.state(), parts.clock(), parts.self().node());
+        heartbeats = new HeartbeatLoop(parts.table(), parts.state(), parts.clock(), parts.self());
         polls = new PollLoop(parts.table(), parts.state(), parts.configuration(), parts.clock());
         pings = new PingLoop(parts);
         ownership = new OwnershipLoop(parts, vms, listeners);
--- a/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
+++ b/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
@@ -48,6 +48,7 @@
     private Optional<Long> ownVersion = Optional.empty();
     private long ownVersionKnownNanos;
     private long lastCounter;
+    private boolean complete;
     private boolean leaving;
     private boolean stopped;
     private boolean accessed;
@@ -172,7 +173,9 @@
     }
 
     /** Takes in the node rows of a poll. */
-    synchronized void polled(List<StoredNode> stored, long sentNanos, long receivedNanos) {
+    synchronized void polled(NodeScan scan, long sentNanos, long receivedNanos) {
+        List<StoredNode> stored = scan.nodes();
+        complete = scan.complete();
         view.observe(stored.stream().map(StoredNode::row).toList(), sentNanos, receivedNanos);
         rowVersions.clear();
         stored.forEach(node -> rowVersions.put(node.row().node(), node.version()));
@@ -251,6 +254,11 @@
         return decision.apply(view);
     }
 
+    /** Returns whether all node rows of the last poll could be read. */
+    synchronized boolean viewIsComplete() {
+        return complete;
+    }
+
     /** Returns the version of the node's row at the last poll. */
     synchronized long versionOf(NodeId node) {
         return rowVersions.getOrDefault(node, 0L);
--- a/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
@@ -19,7 +19,6 @@
 import org.tamarackline.core.membership.NodeState;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.membership.TakeoverRule;
-import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Epoch;
 import org.tamarackline.core.model.Incarnation;
 import org.tamarackline.core.model.NodeId;
@@ -27,7 +26,6 @@
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.ownership.ShardAssignment;
-import org.tamarackline.core.ownership.ShardLayout;
 import org.tamarackline.core.ownership.ShardRow;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.peer.LocalNode;
@@ -67,11 +65,11 @@
     private final VmDirectory vms;
     private final Listeners listeners;
     private final TakeoverRule rule;
+    private final RegionShards shards;
     private final AtomicBoolean scanRequested = new AtomicBoolean(true);
     private final Map<ShardId, Received> received = new HashMap<>();
     private final Map<ShardId, Long> orphanSinceNanos = new HashMap<>();
     private Map<ShardId, StoredShard> rows = new TreeMap<>();
-    private List<VmRecord> vmList = List.of();
     private Set<NodeId> candidatesAtScan = Set.of();
     private long scanDueNanos;
     private long vmsDueNanos;
@@ -92,6 +90,7 @@
         this.listeners = listeners;
         rule = new TakeoverRule(
                 settings.cluster().takeTime(), settings.cluster().outageGrace());
+        shards = new RegionShards(settings.requests().runnerGroups());
         long nowNanos = clock.nowNanos();
         scanDueNanos = nowNanos;
         vmsDueNanos = nowNanos;
@@ -146,8 +145,9 @@
         }
         Duration next = VM_RETRY_INTERVAL;
         try {
-            vmList = vms.list();
-            next = vmList.isEmpty() ? VM_RETRY_INTERVAL : VM_INTERVAL;
+            List<VmRecord> list = List.copyOf(vms.list());
+            shards.setVms(list);
+            next = list.isEmpty() ? VM_RETRY_INTERVAL : VM_INTERVAL;
         } catch (PlatformUnavailableException e) {
             LOG.atFine().withCause(e).log("VM list could not be read");
         }
@@ -160,7 +160,7 @@
                 .filter(row -> !row.node().equals(self.node()))
                 .filter(row -> rule.judge(row, view) instanceof TakeoverRule.Verdict.Allowed)
                 .toList());
-        if (settings.cluster().singleNode()) {
+        if (settings.cluster().singleNode() || !state.viewIsComplete()) {
             return;
         }
         for (NodeRow row : allowed) {
@@ -199,6 +199,7 @@
             directory.ownerSeen(row.shard(), row.owner(), row.epoch());
         }
         rows = read;
+        shards.addRows(read.values());
         scanDueNanos = clock.nowNanos() + SCAN_INTERVAL.toNanos();
         candidatesAtScan = candidateNodes();
         List<Shard> reclaims = new ArrayList<>();
@@ -280,30 +281,16 @@
                 .toList());
     }
 
-    /** Returns the shards of the region: those of the VM list and those that have a row. */
-    private Map<ShardId, Shard> shards() {
-        Set<DataCentre> dataCentres =
-                state.allRows().stream().map(NodeRow::dataCentre).collect(Collectors.toSet());
-        Map<ShardId, Shard> shards = new TreeMap<>();
-        ShardLayout.of(vmList, settings.requests().runnerGroups(), dataCentres)
-                .shards()
-                .forEach(shard -> shards.put(shard.id(), shard));
-        rows.values()
-                .forEach(stored -> shards.put(
-                        stored.row().shard(),
-                        Shard.of(stored.row().shard(), stored.row().dataCentre())));
-        return shards;
-    }
-
     private Map<ShardId, NodeId> preferredOwners() {
-        return ShardAssignment.assign(shards().values(), candidates());
+        return ShardAssignment.assign(shards.all(), candidates());
     }
 
     private void claimOrphans() throws PlatformException {
-        Map<ShardId, Shard> shards = shards();
-        Map<NodeId, NodeRow> nodes = byNode(state.allRows());
+        List<NodeRow> nodeRows = state.allRows();
+        shards.setDataCentres(nodeRows.stream().map(NodeRow::dataCentre).collect(Collectors.toSet()));
+        Map<NodeId, NodeRow> nodes = byNode(nodeRows);
         List<Shard> suspects =
-                shards.values().stream().filter(shard -> isOrphan(shard, nodes)).toList();
+                shards.all().stream().filter(shard -> isOrphan(shard, nodes)).toList();
         orphanSinceNanos.keySet().retainAll(suspects.stream().map(Shard::id).toList());
         if (suspects.isEmpty()) {
             return;
@@ -313,8 +300,12 @@
             return;
         }
         // A row of the last poll may be older than the shard rows: an owner that joined in between is not in it.
+        NodeScan scan = table.nodes();
+        if (!scan.complete()) {
+            return;
+        }
         Map<NodeId, NodeRow> current =
-                byNode(table.nodes().stream().map(StoredNode::row).toList());
+                byNode(scan.nodes().stream().map(StoredNode::row).toList());
         List<Shard> orphans =
                 due.stream().filter(shard -> isOrphan(shard, current)).toList();
         for (int start = 0; start < orphans.size(); start += CLAIMS_PER_TRANSACTION) {
@@ -341,6 +332,11 @@
 
     /** Returns the orphans that this node should claim: as preferred owner at once, otherwise after a delay. */
     private List<Shard> dueClaims(List<Shard> orphans) {
+        // Nodes that start together see each other first, so that none of them claims everything.
+        Duration settling = settings.cluster().heartbeatInterval().multipliedBy(2);
+        if (!settings.cluster().singleNode() && !state.decide(view -> view.observedFor(settling))) {
+            return List.of();
+        }
         long nowNanos = clock.nowNanos();
         long delayNanos = settings.cluster().takeTime().toNanos();
         Map<ShardId, NodeId> preferred = preferredOwners();
@@ -422,7 +418,7 @@
                 .filter(candidate -> !candidate.node().equals(self.node()))
                 .filter(candidate -> !failed.contains(candidate.node()))
                 .toList();
-        NodeId target = ShardAssignment.assign(shards().values(), others).get(shard);
+        NodeId target = ShardAssignment.assign(shards.all(), others).get(shard);
         if (target != null && !handOver(shard, target)) {
             failed.add(target);
         }
--- a/src/main/java/org/tamarackline/entry/cluster/PollLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/PollLoop.java
@@ -1,7 +1,5 @@
 package org.tamarackline.entry.cluster;
 
-import java.util.List;
-
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.platform.PlatformUnavailableException;
@@ -27,7 +25,7 @@
     void tick() {
         long sentNanos = clock.nowNanos();
         try {
-            List<StoredNode> nodes = table.nodes();
+            NodeScan nodes = table.nodes();
             state.platformAnswered(sentNanos);
             state.polled(nodes, sentNanos, clock.nowNanos());
             if (configuration.poll()) {
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/RegionShards.java
@@ -0,0 +1,64 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.core.ownership.Shard;
+import org.tamarackline.core.ownership.ShardLayout;
+
+/**
+ * The shards of the region: those of the VM list and those that have a row. Computed again only after a change, because
+ * the VM list has 1,000 entries at the target size and the shards are needed several times a second.
+ */
+final class RegionShards {
+
+    private final int runnerGroups;
+    private List<VmRecord> vms = List.of();
+    private Set<DataCentre> dataCentres = Set.of();
+    private Map<ShardId, Shard> shards = new TreeMap<>();
+
+    RegionShards(int runnerGroups) {
+        this.runnerGroups = runnerGroups;
+    }
+
+    /** Takes a new VM list. */
+    void setVms(List<VmRecord> next) {
+        if (!next.equals(vms)) {
+            vms = next;
+            compute();
+        }
+    }
+
+    /** Takes the data centres of the region, which are those of its node rows. */
+    void setDataCentres(Set<DataCentre> next) {
+        if (!next.equals(dataCentres)) {
+            dataCentres = next;
+            compute();
+        }
+    }
+
+    /** Adds the shards that have a row. */
+    void addRows(Collection<StoredShard> rows) {
+        for (StoredShard stored : rows) {
+            shards.computeIfAbsent(
+                    stored.row().shard(), id -> Shard.of(id, stored.row().dataCentre()));
+        }
+    }
+
+    /** Returns the shards in order. */
+    Collection<Shard> all() {
+        return shards.values();
+    }
+
+    private void compute() {
+        Map<ShardId, Shard> next = new TreeMap<>(shards);
+        ShardLayout.of(vms, runnerGroups, dataCentres).shards().forEach(shard -> next.put(shard.id(), shard));
+        shards = next;
+    }
+}
--- a/src/main/java/org/tamarackline/peer/FrameWriter.java
+++ b/src/main/java/org/tamarackline/peer/FrameWriter.java
@@ -1,6 +1,7 @@
 package org.tamarackline.peer;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.function.Consumer;
@@ -8,6 +9,9 @@
 /** Writes queued frames of one connection on a thread of its own, so that a peer that does not read blocks no caller. */
 final class FrameWriter {
 
+    /** Ends the queue; no encoded frame is empty. */
+    private static final byte[] END = {};
+
     private final FrameChannel channel;
     private final Consumer<IOException> onFailure;
     private final BlockingQueue<byte[]> queue;
@@ -32,6 +36,18 @@
         return queue.offer(frame);
     }
 
+    /** Ends the writer after the frames queued so far, or after {@code limit}. */
+    void finish(Duration limit) {
+        try {
+            if (queue.offer(END)) {
+                thread.join(limit);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
     void close() {
         closed = true;
         thread.interrupt();
@@ -39,8 +55,10 @@
 
     private void writeAll() {
         try {
-            while (!closed) {
-                channel.writeEncoded(queue.take());
+            byte[] frame = queue.take();
+            while (!closed && frame.length > 0) {
+                channel.writeEncoded(frame);
+                frame = queue.take();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/org/tamarackline/peer/PeerServer.java
+++ b/src/main/java/org/tamarackline/peer/PeerServer.java
@@ -216,13 +216,16 @@
         }
     }
 
-    /** Tells the peer why its connection ends; skipped once answers are queued, which may be in the middle of a frame. */
-    private static void reject(FrameChannel channel, FrameWriter writer, Frame.FailureCode code, String detail) {
+    /** Tells the peer why its connection ends. */
+    private void reject(FrameChannel channel, FrameWriter writer, Frame.FailureCode code, String detail) {
+        Frame failure = new Frame.Failure(Frame.Failure.CONNECTION, code, detail);
         if (writer != null) {
+            send(channel, writer, failure);
+            writer.finish(limits.handshakeTimeout());
             return;
         }
         try {
-            channel.write(new Frame.Failure(Frame.Failure.CONNECTION, code, detail));
+            channel.write(failure);
         } catch (IOException e) {
             LOG.atFine().withCause(e).log("rejection could not be sent");
         }
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -84,8 +84,10 @@
                 new Resources(1, 1, 0));
     }
 
-    MonotonicClock clock() {
-        return clock;
+    /** Returns a clock that runs up to 0.4 % fast or slow. */
+    MonotonicClock driftingClock() {
+        double rate = 1 + 0.002 * (offsets % 5 - 2);
+        return () -> (long) (clock.nowNanos() * rate);
     }
 
     FakePlatform table() {
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -59,7 +59,7 @@
         offsetMs = cluster.nextOffsetMs();
         connectedSinceMs = cluster.nowMs();
         EntrySettings settings = settings(id, dataCentre, times);
-        MonotonicClock clock = cluster.clock();
+        MonotonicClock clock = cluster.driftingClock();
         LocalNode self = new LocalNode(id, cluster.nextIncarnation());
         IncarnationSource incarnations = cluster::nextIncarnation;
         Table table = new Table();
