--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/cluster/ClusterServiceTest.java
@@ -0,0 +1,188 @@
+package org.tamarackline.entry.cluster;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.inject.AbstractModule;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.multibindings.Multibinder;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.settings.Secret;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against nodes that work in the simulation but not over TCP, on threads and from the Guice module. */
+class ClusterServiceTest {
+
+    private static final Duration BOUND = Duration.ofSeconds(60);
+
+    private final FakePlatform platform = new FakePlatform();
+    private final List<Injector> nodes = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        nodes.forEach(node -> node.getInstance(ClusterService.class).stop());
+    }
+
+    /** Records what it is told; depends on the cluster, as the listeners of the other parts do. */
+    @Singleton
+    static final class RecordingListener implements OwnershipListener {
+
+        private final Cluster cluster;
+        private final Map<ShardId, String> gained = new ConcurrentHashMap<>();
+
+        @Inject
+        RecordingListener(Cluster cluster) {
+            this.cluster = cluster;
+        }
+
+        @Override
+        public boolean accepts(ShardId shard) {
+            return true;
+        }
+
+        @Override
+        public void gained(ShardId shard, Epoch epoch, Origin origin, Optional<JsonNode> handedOver) {
+            gained.put(shard, origin + handedOver.map(JsonNode::asText).orElse(""));
+        }
+
+        @Override
+        public JsonNode prepareHandover(ShardId shard) {
+            return TextNode.valueOf(" from " + cluster.self());
+        }
+
+        @Override
+        public void lost(ShardId shard) {
+            gained.remove(shard);
+        }
+    }
+
+    private Injector start() throws IOException {
+        NodeId id = new NodeId("127.0.0.1:" + freePort());
+        EntrySettings settings = new EntrySettings(
+                id,
+                new Region("north"),
+                new DataCentre("dc0"),
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                "http://127.0.0.1:3",
+                List.of(),
+                new Secret("key"),
+                new Secret("operator"),
+                Map.of(),
+                EntrySettings.ClusterTimes.defaults(),
+                EntrySettings.RequestLimits.defaults(),
+                EntrySettings.JobLimits.defaults());
+        Injector node = Guice.createInjector(new ClusterModule(), new AbstractModule() {
+            @Override
+            protected void configure() {
+                bind(EntrySettings.class).toInstance(settings);
+                bind(MonotonicClock.class).toInstance(MonotonicClock.system());
+                bind(TableStore.class).toInstance(platform);
+                bind(VmDirectory.class).toInstance(platform);
+                Multibinder.newSetBinder(binder(), OwnershipListener.class)
+                        .addBinding()
+                        .to(RecordingListener.class);
+            }
+        });
+        node.getInstance(ClusterService.class).start();
+        nodes.add(node);
+        return node;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Cluster cluster(Injector node) {
+        return node.getInstance(Cluster.class);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + BOUND.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("time").isLessThan(deadlineNanos);
+            Thread.sleep(20);
+        }
+    }
+
+    @Test
+    void nodesJoinShareShardsSpreadConfigurationAndHandOver() throws Exception {
+        platform.setVms(List.of(new VmRecord(
+                "runner1",
+                "quotes",
+                "127.0.0.1:4",
+                new DataCentre("dc0"),
+                "r1",
+                VmRecord.State.LIVE,
+                8,
+                64,
+                Resources.NONE)));
+        List<Injector> three = List.of(start(), start(), start());
+        await(() -> three.stream()
+                .allMatch(node -> cluster(node).standing() == Standing.CONFIRMED
+                        && cluster(node).peers().size() == 2
+                        && cluster(node).ownedShards().size() == 1));
+
+        ConfigurationChange change = three.get(0)
+                .getInstance(ConfigurationWriter.class)
+                .change(
+                        0,
+                        base -> new Configuration(
+                                0, base.profiles(), base.teams(), base.services(), Set.of("runner1")));
+        assertThat(change).isInstanceOfSatisfying(ConfigurationChange.Accepted.class, accepted -> {
+            assertThat(accepted.version()).isEqualTo(1);
+            assertThat(accepted.inForce()).hasSize(3);
+            assertThat(accepted.notAnswering()).isEmpty();
+        });
+        assertThat(cluster(three.get(2)).configuration().orElseThrow().vmsOutOfService())
+                .containsExactly("runner1");
+
+        Injector leaving = three.get(0);
+        ShardId shard = cluster(leaving).ownedShards().get(0);
+        leaving.getInstance(ClusterService.class).leave();
+        assertThat(leaving.getInstance(ClusterService.class).handOverAll()).isEmpty();
+        await(() -> three.stream()
+                .skip(1)
+                .anyMatch(node -> ("HANDOVER from " + cluster(leaving).self())
+                        .equals(node.getInstance(RecordingListener.class).gained.get(shard))));
+        assertThat(cluster(leaving).ownedEpoch(shard)).isEmpty();
+        await(() -> three.stream()
+                .skip(1)
+                .allMatch(node -> cluster(node)
+                        .ownerOf(shard)
+                        .filter(owner -> !owner.equals(cluster(leaving).self()))
+                        .isPresent()));
+    }
+}
