--- a/src/main/java/org/tamarackline/load/DemoScenario.java
+++ b/src/main/java/org/tamarackline/load/DemoScenario.java
@@ -25,7 +25,6 @@
     static final int WORKERS = 4;
     static final int WORKER_PROCESSORS = 5;
     static final int BATCH_TASKS = 20;
-    static final int EVICTED_TASKS = 2;
 
     private static final String TEAM = "workshop";
     private static final int REQUESTS = 1_000;
@@ -36,7 +35,14 @@
     private static final long BATCH_WORK_MS = 9_000;
     private static final long URGENT_WORK_MS = 2_000;
     private static final long TASK_MEMORY_MB = 100;
-    private static final long PROCESSOR_MILLIS = 1_000;
+
+    /** Five tasks take up 90 % of a worker; placement keeps the rest free for urgent work. */
+    private static final long BATCH_PROCESSOR_MILLIS = 900;
+
+    /** More than is free beside four tasks of a worker, and at most what is free beside three. */
+    private static final long URGENT_PROCESSOR_MILLIS = 2_000;
+
+    private static final long MILLIS_PER_PROCESSOR = 1_000;
     private static final int CONNECTIONS = 64;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration STEP_BOUND = Duration.ofSeconds(25);
@@ -57,10 +63,10 @@
     DemoResult run() throws IOException, InterruptedException {
         configure();
         awaitRouting();
-        JobId batch = submit("overnight plan", BATCH_TASKS, BATCH_WORK_MS, PROCESSOR_MILLIS);
+        JobId batch = submit("overnight plan", BATCH_TASKS, BATCH_WORK_MS, BATCH_PROCESSOR_MILLIS);
         Waits.until("all batch tasks run", STEP_BOUND, () -> jobs.count(batch, "RUNNING") == BATCH_TASKS);
         out.printf("%d batch tasks fill the workers; now an urgent task and %d requests%n", BATCH_TASKS, REQUESTS);
-        JobId urgent = submit("quick answer", 1, URGENT_WORK_MS, EVICTED_TASKS * PROCESSOR_MILLIS);
+        JobId urgent = submit("quick answer", 1, URGENT_WORK_MS, URGENT_PROCESSOR_MILLIS);
         LoadRecorder recorder = new LoadRecorder();
         Queue<RequestOutcome> outcomes = sendRequests(recorder);
         Waits.until("the urgent task is done", STEP_BOUND, () -> jobs.isDone(urgent));
@@ -77,7 +83,7 @@
 
     private void configure() throws IOException, InterruptedException {
         LocalOperator operator = new LocalOperator(cluster, 0);
-        operator.putTeam(TEAM, new Resources(WORKERS * WORKER_PROCESSORS * PROCESSOR_MILLIS, TASK_MEMORY_MB, 0));
+        operator.putTeam(TEAM, new Resources(WORKERS * WORKER_PROCESSORS * MILLIS_PER_PROCESSOR, TASK_MEMORY_MB, 0));
         operator.putService(SERVICE, "quick answer", TEAM);
     }
 
