--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/ClusterMembership.java
@@ -0,0 +1,52 @@
+package org.tamarackline.entry;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import io.dropwizard.lifecycle.Managed;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.entry.cluster.ClusterService;
+
+/** Joins the cluster when the node starts, hands the shards over when it drains and leaves when it stops. */
+@Singleton
+final class ClusterMembership implements Managed, DrainStep {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ClusterService service;
+
+    @Inject
+    ClusterMembership(ClusterService service) {
+        this.service = service;
+    }
+
+    @Override
+    public void start() throws IOException {
+        service.start();
+    }
+
+    @Override
+    public void stop() {
+        service.stop();
+    }
+
+    @Override
+    public String name() {
+        return "handover of the shards";
+    }
+
+    /** Without the platform no handover is possible; the shards then wait for the platform and the next owner. */
+    @Override
+    public boolean drain(Duration bound) {
+        service.leave();
+        List<ShardId> kept = service.handOverAll();
+        if (!kept.isEmpty()) {
+            LOGGER.atWarning().log("%d shards were not handed over; other nodes take them over", kept.size());
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/ClusterStopConfirmations.java
@@ -0,0 +1,44 @@
+package org.tamarackline.entry.operator;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.entry.cluster.MembershipRunner;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.TransactionConflictException;
+
+/** Marks a stopped node as gone in the platform's table. */
+@Singleton
+public final class ClusterStopConfirmations implements StopConfirmations {
+
+    private final MembershipRunner membership;
+
+    @Inject
+    ClusterStopConfirmations(MembershipRunner membership) {
+        this.membership = membership;
+    }
+
+    @Override
+    public void confirmStopped(NodeId node) throws OperatorException {
+        if (node.equals(membership.self())) {
+            throw new OperatorException(
+                    OperatorErrorCode.INVALID, "this node runs; confirm only nodes whose process has ended");
+        }
+        try {
+            if (!membership.confirmStopped(node)) {
+                throw new OperatorException(
+                        OperatorErrorCode.NOT_FOUND, "there is no node \"%s\" in this region".formatted(node));
+            }
+        } catch (TransactionConflictException e) {
+            throw new OperatorException(
+                    OperatorErrorCode.NODE_LIVE, "node \"%s\" has just renewed its row, so it runs".formatted(node));
+        } catch (PlatformUnavailableException e) {
+            throw new OperatorException(
+                    OperatorErrorCode.PLATFORM_UNAVAILABLE, "the platform is out of reach; repeat later");
+        } catch (OutcomeUnknownException e) {
+            throw new OperatorException(
+                    OperatorErrorCode.OUTCOME_UNKNOWN, "the platform's answer was lost; repeat the confirmation");
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/entry/operator/OperatorErrorCode.java
+++ b/src/main/java/org/tamarackline/entry/operator/OperatorErrorCode.java
@@ -8,6 +8,8 @@
     IN_USE(409),
     /** The request has values that are not allowed. */
     INVALID(422),
+    /** The node that was said to have stopped still runs. */
+    NODE_LIVE(409),
     /** There is nothing of this name. */
     NOT_FOUND(404),
     /** This node has learnt no configuration yet. */
