--- a/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
+++ b/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
@@ -32,12 +32,12 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
-import org.tamarackline.worker.WorkerProtocol.Refusal;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 
 /**
  * Reaches workers over HTTP.
@@ -138,12 +138,22 @@
             return answer.body();
         }
         if (answer.status() >= FIRST_ERROR) {
-            throw new WorkerRefusedException(parse(answer.body(), Refusal.class));
+            throw refusal(address, answer);
         }
         throw new WorkerOutcomeUnknownException(
                 "worker %s answered with status %d".formatted(address, answer.status()), null);
     }
 
+    /** An error without the fields of a refusal does not come from the protocol and proves nothing. */
+    private static WorkerException refusal(String address, Answer answer) throws WorkerOutcomeUnknownException {
+        Refusal refusal = parse(answer.body(), Refusal.class);
+        if (refusal.code() == null || refusal.highestEpoch() == null) {
+            return new WorkerOutcomeUnknownException(
+                    "worker %s answered with status %d and no refusal".formatted(address, answer.status()), null);
+        }
+        return new WorkerRefusedException(refusal);
+    }
+
     private Answer execute(String address, HttpPost request) throws WorkerException {
         ScheduledFuture<?> abort = aborts.schedule(request::abort, timeout.toNanos(), TimeUnit.NANOSECONDS);
         try {
