--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.ownership.ShardLayout;
 import org.tamarackline.core.time.ManualClock;
@@ -28,7 +29,6 @@
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.Row;
 import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.VmRecord;
 
 /** Several nodes on one simulated clock and table; checks the invariants after every step. */
 final class SimulatedCluster {
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -10,6 +10,7 @@
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.peer.LocalNode;
 import org.tamarackline.peer.PeerCaller;
@@ -22,7 +23,6 @@
 import org.tamarackline.platform.TableTransaction;
 import org.tamarackline.platform.TransactionConflictException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.platform.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
 
