--- a/src/main/java/org/tamarackline/entry/ClusterMembership.java
+++ b/src/main/java/org/tamarackline/entry/ClusterMembership.java
@@ -45,7 +45,7 @@
         service.leave();
         List<ShardId> kept = service.handOverAll();
         if (!kept.isEmpty()) {
-            LOGGER.atWarning().log("%d shards were not handed over; other nodes take them over", kept.size());
+            LOGGER.atWarning().log("shards not handed over: %d; other nodes take them over", kept.size());
         }
         return true;
     }
--- a/src/main/sh/preamble.sh
+++ b/src/main/sh/preamble.sh
@@ -31,6 +31,11 @@
   exit 2
 fi
 
-# Guice's generated classes would need an access to memory that recent Java versions warn about.
-exec "$java_home/bin/java" ${TAMARACKLINE_JAVA_FLAGS:--Xmx96m -XX:+UseSerialGC -XX:MaxMetaspaceSize=96m -XX:ReservedCodeCacheSize=48m -Xss512k -XX:TieredStopAtLevel=1} -Dguice_bytecode_gen_option=DISABLED -jar "$0" "$@"
+# Java 23 and later warn about the direct memory access of two libraries unless it is allowed.
+memory_access=""
+if [ "$best_version" -ge 23 ]; then
+  memory_access="--sun-misc-unsafe-memory-access=allow"
+fi
+
+exec "$java_home/bin/java" ${TAMARACKLINE_JAVA_FLAGS:--Xmx96m -XX:+UseSerialGC -XX:MaxMetaspaceSize=96m -XX:ReservedCodeCacheSize=48m -Xss512k -XX:TieredStopAtLevel=1} $memory_access -jar "$0" "$@"
 exit 1
