--- a/src/main/java/org/tamarackline/entry/proxy/GroupCommitter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/GroupCommitter.java
@@ -37,7 +37,7 @@
     private static final int MAX_LARGE_CHANGES = 30;
 
     /** Sustained rate of transactions, this node's part of the table's write budget for idempotency records. */
-    private static final Duration SUSTAINED_INTERVAL = Duration.ofMillis(200);
+    static final Duration SUSTAINED_INTERVAL = Duration.ofMillis(200);
 
     /** Transactions that may follow each other at once after a quiet time. */
     private static final int BURST = 10;
@@ -47,14 +47,21 @@
 
     private final TableStore table;
     private final MonotonicClock clock;
+    private final long sustainedIntervalNanos;
     private final ReentrantLock lock = new ReentrantLock();
     private final Deque<Change> waiting = new ArrayDeque<>();
     private boolean writing;
     private long paidUntilNanos;
 
-    GroupCommitter(TableStore table, MonotonicClock clock) {
+    /**
+     * Creates a committer with nothing to write.
+     *
+     * @param sustainedInterval time between two transactions under load
+     */
+    GroupCommitter(TableStore table, MonotonicClock clock, Duration sustainedInterval) {
         this.table = table;
         this.clock = clock;
+        this.sustainedIntervalNanos = sustainedInterval.toNanos();
         this.paidUntilNanos = clock.nowNanos() - burstNanos();
     }
 
@@ -166,7 +173,7 @@
         if (paidUntilNanos - earliestNanos < 0) {
             paidUntilNanos = earliestNanos;
         }
-        paidUntilNanos += SUSTAINED_INTERVAL.toNanos();
+        paidUntilNanos += sustainedIntervalNanos;
         if (paidUntilNanos - nowNanos > 0) {
             LockSupport.parkNanos(paidUntilNanos - nowNanos);
         }
@@ -181,8 +188,8 @@
         }
     }
 
-    private static long burstNanos() {
-        return BURST * SUSTAINED_INTERVAL.toNanos();
+    private long burstNanos() {
+        return BURST * sustainedIntervalNanos;
     }
 
     private void write(List<Change> group) {
--- a/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
+++ b/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
@@ -61,10 +61,14 @@
     /** Creates the store. */
     @Inject
     public IdempotencyStore(TableStore table, Cluster cluster, EntrySettings settings, MonotonicClock clock) {
+        this(table, cluster, settings, new GroupCommitter(table, clock, GroupCommitter.SUSTAINED_INTERVAL));
+    }
+
+    IdempotencyStore(TableStore table, Cluster cluster, EntrySettings settings, GroupCommitter committer) {
         this.table = table;
         this.cluster = cluster;
         this.requestTimeout = settings.cluster().requestTimeout();
-        this.committer = new GroupCommitter(table, clock);
+        this.committer = committer;
     }
 
     /** What a request with a key may do. */
--- a/src/test/java/org/tamarackline/core/routing/SlotLedgerPropertyTest.java
+++ b/src/test/java/org/tamarackline/core/routing/SlotLedgerPropertyTest.java
@@ -45,7 +45,8 @@
         world.checkThatSlotsComeBack();
     }
 
-    private record Use(SlotLease lease, NodeId holder, long startNanos) {}
+    /** A stuck use goes on until the request limit. */
+    private record Use(SlotLease lease, NodeId holder, long startNanos, boolean stuck) {}
 
     private static final class World {
         private final Random random;
@@ -98,7 +99,7 @@
             Runner runner = runners.get(lease.runner().id());
             assertThat(runner).as("a listed runner").isNotNull();
             assertThat(runner.accepting()).isTrue();
-            running.add(new Use(lease, holder, clock.nowNanos()));
+            running.add(new Use(lease, holder, clock.nowNanos(), random.nextInt(4) == 0));
             assertThat(usesOf(runner)).isLessThanOrEqualTo(runner.slots());
             long ofHolder = running.stream()
                     .filter(use -> use.lease().runner().id().equals(runner.id()))
@@ -115,14 +116,17 @@
 
         /** The return reaches the owner, arrives late, or never. */
         private void endUse() {
-            if (running.isEmpty()) {
+            List<Use> endable = running.stream().filter(use -> !use.stuck()).toList();
+            if (endable.isEmpty()) {
                 return;
             }
-            Use ended = running.remove(random.nextInt(running.size()));
-            switch (random.nextInt(4)) {
-                case 0 -> undelivered.add(ended.lease().grantId());
-                case 1 -> clock.advance(Duration.ZERO);
-                default -> owner.release(ended.lease().grantId());
+            Use ended = endable.get(random.nextInt(endable.size()));
+            running.remove(ended);
+            int fate = random.nextInt(4);
+            if (fate == 0) {
+                undelivered.add(ended.lease().grantId());
+            } else if (fate != 1) {
+                owner.release(ended.lease().grantId());
             }
         }
 
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/proxy/IdempotencyStorePropertyTest.java
@@ -0,0 +1,137 @@
+package org.tamarackline.entry.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.tamarackline.core.idempotency.IdempotencyKey;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.Executed;
+import org.tamarackline.platform.FakePlatform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against a second send under one key: several nodes, lost answers, outages, and a kill after each step. */
+class IdempotencyStorePropertyTest {
+
+    private static final int NODES = 3;
+    private static final int KEYS = 3;
+
+    @Property(seed = "20261204", tries = 300)
+    void sendsAtMostOncePerKey(@ForAll long seed) {
+        World world = new World(new Random(seed));
+        for (int step = 0; step < 40; step++) {
+            world.act();
+        }
+    }
+
+    private static final class World {
+        private final Random random;
+        private final FakePlatform platform = new FakePlatform();
+        private final List<IdempotencyStore> nodes = new ArrayList<>();
+        private final Map<IdempotencyKey, Integer> sends = new HashMap<>();
+
+        World(Random random) {
+            this.random = random;
+            IntStream.range(0, NODES).forEach(number -> nodes.add(node(number)));
+        }
+
+        private IdempotencyStore node(int number) {
+            FakeCluster cluster = new FakeCluster(new NodeId("n" + number));
+            GroupCommitter committer = new GroupCommitter(platform, MonotonicClock.system(), Duration.ZERO);
+            return new IdempotencyStore(platform, cluster, ProxyFixture.settings(ProxyFixture.limits()), committer);
+        }
+
+        void act() {
+            switch (random.nextInt(12)) {
+                case 0 -> platform.setDown(true);
+                case 1, 2 -> platform.setDown(false);
+                case 3 -> platform.loseNextAnswer();
+                case 4 -> platform.applyNextButLeaveUnknown();
+                case 5 -> platform.dropNextAndLeaveUnknown();
+                case 6 -> killNode();
+                case 7 -> requestAtAllNodes();
+                default -> request(random.nextInt(NODES), randomKey(), random.nextInt());
+            }
+        }
+
+        /** A killed process forgets everything; its successor knows only the table. */
+        private void killNode() {
+            int number = random.nextInt(NODES);
+            nodes.set(number, node(number));
+        }
+
+        private IdempotencyKey randomKey() {
+            return new IdempotencyKey(ProxyFixture.QUOTES, new CallerName("lianhua"), "k" + random.nextInt(KEYS));
+        }
+
+        private void requestAtAllNodes() {
+            IdempotencyKey key = randomKey();
+            int fate = random.nextInt();
+            List<CompletableFuture<Void>> running = IntStream.range(0, NODES)
+                    .mapToObj(number -> CompletableFuture.runAsync(() -> request(number, key, fate)))
+                    .toList();
+            running.forEach(CompletableFuture::join);
+        }
+
+        /** Plays the router; {@code fate} decides where the process is killed or the send fails. */
+        private void request(int number, IdempotencyKey key, int fate) {
+            IdempotencyStore node = nodes.get(number);
+            try {
+                IdempotencyStore.Permission permission = node.claim(key, "digest");
+                if (permission instanceof IdempotencyStore.Permission.Send send) {
+                    sendOrDie(node, send.claim(), Math.floorMod(fate, 5));
+                } else {
+                    assertThat(sendsOf(key))
+                            .as("sends behind a replayed answer")
+                            .isEqualTo(1);
+                }
+            } catch (RequestException e) {
+                if (e.executed() == Executed.YES) {
+                    assertThat(sendsOf(key)).isEqualTo(1);
+                }
+            }
+        }
+
+        private void sendOrDie(IdempotencyStore node, IdempotencyStore.Claim claim, int fate) {
+            if (fate == 0) {
+                return;
+            }
+            if (fate == 1) {
+                node.withdraw(claim);
+                return;
+            }
+            countSend(claim.key());
+            if (fate == 3) {
+                node.record(claim, 200, List.of(), Optional.of("done".getBytes(StandardCharsets.UTF_8)));
+            } else if (fate == 4) {
+                node.record(claim, 200, List.of(), Optional.empty());
+            }
+        }
+
+        private void countSend(IdempotencyKey key) {
+            synchronized (sends) {
+                assertThat(sends.merge(key, 1, Integer::sum))
+                        .as("sends of %s", key)
+                        .isEqualTo(1);
+            }
+        }
+
+        private int sendsOf(IdempotencyKey key) {
+            synchronized (sends) {
+                return sends.getOrDefault(key, 0);
+            }
+        }
+    }
+}
