Test racks under sequences of faults; park only what is known not to fit

A task was parked as fitting nowhere while all workers of the rack were silent. Now a rack has to have heard every listed worker before its sizes count.

--- a/src/main/java/org/tamarackline/core/task/PlacementRound.java
+++ b/src/main/java/org/tamarackline/core/task/PlacementRound.java
@@ -45,9 +45,7 @@
     private final RoomMaker roomMaker;
     private final ProfileBook profiles;
     private final Map<TaskId, Reservation> reservations = new HashMap<>();
-    private boolean parkedDue = true;
     private Resources clusterCapacity = Resources.NONE;
-    private Resources largestSeen = Resources.NONE;
 
     PlacementRound(
             Proposals proposals,
@@ -66,11 +64,6 @@
     /** Room that is being made for an urgent task. */
     private record Reservation(WorkerId worker, Resources size, long untilNanos) {}
 
-    /** Tries parked tasks again in the next round. */
-    void configurationChanged() {
-        parkedDue = true;
-    }
-
     /** Tells the capacity that the guarantees of the teams are a part of. */
     void setClusterCapacity(Resources capacity) {
         clusterCapacity = capacity;
@@ -96,12 +89,6 @@
 
     private void unparkAfterChange() {
         Resources largest = load().largestWorker();
-        boolean grown = !largest.fitsIn(largestSeen);
-        largestSeen = largestSeen.max(largest);
-        if (!parkedDue && !grown) {
-            return;
-        }
-        parkedDue = false;
         state.live().stream()
                 .filter(entry -> entry.row.state() == TaskState.PARKED && entry.isIdle())
                 .filter(entry -> mayRunAgain(entry, largest))
@@ -232,20 +219,25 @@
         Resources free = Resources.NONE;
         Resources largestFree = Resources.NONE;
         Resources largestWorker = Resources.NONE;
+        boolean complete = state.areWorkersKnown();
         for (WorkerEntry worker : state.workers()) {
-            if (!worker.listed || worker.closed || worker.silent || worker.health.isQuarantined()) {
+            if (!worker.listed || worker.closed) {
+                continue;
+            }
+            complete = complete && worker.answeredOnce;
+            largestWorker = largestWorker.max(worker.capacity);
+            if (worker.silent || worker.health.isQuarantined()) {
                 continue;
             }
             Resources freeHere = worker.capacity.minus(state.occupied(worker));
             capacity = capacity.plus(worker.capacity);
             free = free.plus(freeHere.max(Resources.NONE));
             largestFree = larger(largestFree, freeHere);
-            largestWorker = largestWorker.max(worker.capacity);
         }
         int waiting = (int) state.live().stream()
                 .filter(entry -> entry.row.state() == TaskState.PENDING)
                 .count();
-        return new RackLoad(capacity, free, largestFree, largestWorker, waiting);
+        return new RackLoad(capacity, free, largestFree, largestWorker, waiting, complete);
     }
 
     private static Resources larger(Resources first, Resources second) {
--- a/src/main/java/org/tamarackline/core/task/ProfileBook.java
+++ b/src/main/java/org/tamarackline/core/task/ProfileBook.java
@@ -19,23 +19,24 @@
     private static final Profile RETIRED =
             new Profile(new ProfileName("retired"), ServiceClass.BATCH, 0, 0, 1, false, false, 0, 0, 0, 0, 0);
 
-    private Configuration configuration = Configuration.initial();
+    private Configuration configuration;
     private Map<ProfileName, Profile> profiles = Map.of();
     private Set<TeamName> teams = Set.of();
 
     ProfileBook() {
-        install(configuration);
+        install(Configuration.initial());
     }
 
-    /** Installs a configuration and returns whether it differs from the one before. */
-    boolean install(Configuration next) {
-        boolean changed = next.version() != configuration.version();
+    /** Installs a configuration. */
+    void install(Configuration next) {
+        if (next.equals(configuration)) {
+            return;
+        }
         configuration = next;
         Map<ProfileName, Profile> byName = new HashMap<>();
         next.profiles().forEach(profile -> byName.put(profile.name(), profile));
         profiles = byName;
         teams = next.teams().stream().map(TeamQuota::team).collect(Collectors.toUnmodifiableSet());
-        return changed;
     }
 
     Configuration configuration() {
--- a/src/main/java/org/tamarackline/core/task/RackLoad.java
+++ b/src/main/java/org/tamarackline/core/task/RackLoad.java
@@ -10,6 +10,12 @@
  * @param largestFree largest free amount of one worker, part by part of the same worker
  * @param largestWorker largest capacity of one worker in each part
  * @param waiting tasks that wait for a worker
+ * @param complete whether every worker has told its capacity, so that a larger worker does not exist
  */
 public record RackLoad(
-        Resources capacity, Resources free, Resources largestFree, Resources largestWorker, int waiting) {}
+        Resources capacity,
+        Resources free,
+        Resources largestFree,
+        Resources largestWorker,
+        int waiting,
+        boolean complete) {}
--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -101,6 +101,7 @@
      * @param closed workers that are leaving or out of service
      */
     public void setWorkers(Set<WorkerId> listed, Set<WorkerId> closed) {
+        state.setWorkersKnown();
         state.workers().forEach(worker -> worker.listed = listed.contains(worker.id));
         listed.forEach(id -> workerEntry(id).listed = true);
         state.workers().forEach(worker -> worker.closed = closed.contains(worker.id));
@@ -113,9 +114,7 @@
 
     /** Applies the configuration in force. Parked tasks that it concerns are tried again. */
     public void configure(Configuration configuration) {
-        if (profiles.install(configuration)) {
-            placement.configurationChanged();
-        }
+        profiles.install(configuration);
     }
 
     /** Tells the capacity of all racks together, of which the guarantees of teams are a part. */
@@ -231,6 +230,21 @@
                         entry -> proposals.propose(entry, new TaskEvent.Parked(reason), TaskEntry.Aftermath.NOTHING));
     }
 
+    /** Returns the parked tasks that were too large for every rack. */
+    public List<TaskRow> tooLarge() {
+        return state.live().stream()
+                .map(entry -> entry.row)
+                .filter(row -> row.parkReason().equals(Optional.of(ParkReason.FITS_NOWHERE)))
+                .toList();
+    }
+
+    /** Lets a parked task wait again, because another rack can run it now. */
+    public void unpark(TaskId task) {
+        state.task(task)
+                .filter(TaskEntry::isIdle)
+                .ifPresent(entry -> proposals.propose(entry, new TaskEvent.Unparked(), TaskEntry.Aftermath.NOTHING));
+    }
+
     /**
      * Returns up to {@code max} row changes to commit in one transaction and marks them as in flight. Cancellations take at
      * most half of a batch while other changes wait.
--- a/src/main/java/org/tamarackline/core/task/RackState.java
+++ b/src/main/java/org/tamarackline/core/task/RackState.java
@@ -19,6 +19,16 @@
     private final Map<TaskId, TaskEntry> live = new LinkedHashMap<>();
     private final Map<TaskId, TaskRow> ended = new HashMap<>();
     private final Map<WorkerId, WorkerEntry> workers = new LinkedHashMap<>();
+    private boolean workersKnown;
+
+    /** Returns whether the VM list was read since the rack was gained. */
+    boolean areWorkersKnown() {
+        return workersKnown;
+    }
+
+    void setWorkersKnown() {
+        workersKnown = true;
+    }
 
     Collection<TaskEntry> live() {
         return live.values();
--- a/src/main/java/org/tamarackline/entry/jobs/RackLoads.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackLoads.java
@@ -103,11 +103,13 @@
                 .filter(shard -> size.fitsIn(all().get(shard).largestWorker()));
     }
 
-    /** Returns whether every node of the region has told its loads, so that what no rack offers does not exist. */
-    boolean coversAllPeers() {
-        return context.cluster().peers().stream()
-                .filter(peer -> peer.region().equals(context.settings().region()))
-                .allMatch(peer -> byNode.containsKey(peer.node()));
+    /** Returns whether every node and worker of the region was heard, so that what no rack offers does not exist. */
+    boolean areComplete() {
+        boolean workersHeard = all().values().stream().allMatch(RackLoad::complete);
+        return workersHeard
+                && context.cluster().peers().stream()
+                        .filter(peer -> peer.region().equals(context.settings().region()))
+                        .allMatch(peer -> byNode.containsKey(peer.node()));
     }
 
     private static int rank(Resources size, RackLoad load) {
--- a/src/main/java/org/tamarackline/entry/jobs/RackMover.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackMover.java
@@ -90,6 +90,7 @@
             context.threads().calls().execute(() -> repeat(earlier));
             return;
         }
+        racks.forEach(this::unparkWhatFitsElsewhere);
         for (RackRunner rack : racks) {
             Optional<Move> move = rack.isReady() ? nextMove(rack) : Optional.empty();
             if (move.isPresent()) {
@@ -99,6 +100,13 @@
         }
     }
 
+    private void unparkWhatFitsElsewhere(RackRunner rack) {
+        rack.scheduler().tooLarge().stream()
+                .filter(row ->
+                        loads.largeEnough(row.spec().resources(), rack.shard()).isPresent())
+                .forEach(row -> rack.scheduler().unpark(row.task()));
+    }
+
     private Optional<Move> nextMove(RackRunner rack) {
         Map<ShardId, Map<JobId, List<VersionedRow>>> byTarget = new HashMap<>();
         for (VersionedRow stored : rack.scheduler().stranded(PATIENCE_NANOS)) {
@@ -124,7 +132,7 @@
             return loads.withRoom(size, rack.shard());
         }
         Optional<ShardId> other = loads.largeEnough(size, rack.shard());
-        if (other.isEmpty() && loads.coversAllPeers()) {
+        if (other.isEmpty() && loads.areComplete()) {
             rack.scheduler().park(stored.row().task(), ParkReason.FITS_NOWHERE);
         }
         return other;
@@ -234,7 +242,7 @@
             Duration timeout = context.settings().cluster().requestTimeout();
             context.peers().call(owner.get(), new RowsMoved(target), timeout);
         } catch (PeerException e) {
-            LOG.atWarning().withCause(e).log("owner of %s was not told of moved rows", target);
+            LOG.atWarning().log("owner of %s was not told of moved rows: %s", target, e.getMessage());
         }
     }
 }
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.membership.Standing;
@@ -200,7 +201,8 @@
                 RackRows found = readRows(known);
                 onLoop(() -> rowsRead(found));
             } catch (PlatformUnavailableException e) {
-                LOG.atWarning().withCause(e).log("rows of %s could not be read; trying again", shard);
+                LOG.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                        "rows of %s could not be read: %s", shard, e.getMessage());
                 onLoop(this::rowsNotRead);
             }
         });
@@ -290,7 +292,8 @@
                         context.table().get(rows.taskKey(shard, task)).map(JobRows::task);
                 onLoop(() -> scheduler.reload(task, stored));
             } catch (PlatformUnavailableException e) {
-                LOG.atWarning().withCause(e).log("row of task %s could not be read", task);
+                LOG.atWarning().log("row of task %s could not be read: %s", task, e.getMessage());
+                onLoop(this::readAgain);
             }
         });
     }
--- a/src/test/java/org/tamarackline/entry/jobs/FakeCluster.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeCluster.java
@@ -29,6 +29,10 @@
         owned.put(shard, epoch);
     }
 
+    void disown(ShardId shard) {
+        owned.remove(shard);
+    }
+
     @Override
     public NodeId self() {
         return self;
--- a/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
@@ -33,9 +33,14 @@
     final JobService service;
     final Queue<Runnable> loop = new ArrayDeque<>();
     final Queue<Runnable> calls = new ArrayDeque<>();
+    Epoch epoch = new Epoch(0);
     private boolean direct;
 
     FakeNode(String id, FakePlatform platform, WorkerGateway workers, MonotonicClock clock) {
+        this(id, platform, workers, clock, ClusterTimes.defaults().driftMargin());
+    }
+
+    FakeNode(String id, FakePlatform platform, WorkerGateway workers, MonotonicClock clock, Duration driftMargin) {
         cluster = new FakeCluster(new NodeId(id));
         JobThreads threads = new JobThreads(this::onLoop, calls::add);
         context = new JobsContext(
@@ -45,7 +50,7 @@
                 (node, request, timeout) -> {
                     throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
                 },
-                settings(id),
+                settings(id, driftMargin),
                 clock,
                 threads);
         RackLoads loads = new RackLoads(context);
@@ -55,6 +60,25 @@
     }
 
     static EntrySettings settings(String id) {
+        return settings(id, ClusterTimes.defaults().driftMargin());
+    }
+
+    private static ClusterTimes times(Duration driftMargin) {
+        ClusterTimes usual = ClusterTimes.defaults();
+        return new ClusterTimes(
+                usual.heartbeatInterval(),
+                usual.pollInterval(),
+                usual.holdTime(),
+                usual.takeTime(),
+                usual.outageGrace(),
+                driftMargin,
+                usual.requestTimeout(),
+                usual.rebalanceInterval(),
+                usual.drainDelay(),
+                usual.singleNode());
+    }
+
+    private static EntrySettings settings(String id, Duration driftMargin) {
         return new EntrySettings(
                 new NodeId(id),
                 new Region("r1"),
@@ -66,7 +90,7 @@
                 new Secret("peer"),
                 new Secret("operator"),
                 Map.of(new CallerName("lianhua"), new Secret("token")),
-                ClusterTimes.defaults(),
+                times(driftMargin),
                 RequestLimits.defaults(),
                 new JobLimits(Duration.ofMillis(250), Duration.ofSeconds(3), Duration.ofSeconds(20), 3, 5, 10_000));
     }
@@ -90,9 +114,11 @@
         }
     }
 
-    void gain(ShardId shard, long epoch) {
-        cluster.own(shard, new Epoch(epoch));
-        engine.gained(shard, new Epoch(epoch), Origin.TAKEOVER, Optional.empty());
+    void gain(ShardId shard, long number) {
+
+        epoch = new Epoch(number);
+        cluster.own(shard, epoch);
+        engine.gained(shard, epoch, Origin.TAKEOVER, Optional.empty());
     }
 
     void step() {
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
@@ -81,7 +81,6 @@
     Resources capacity;
     boolean failStarts;
     boolean objectStoreDown;
-    boolean overCommitted;
 
     FakeWorker(
             String id,
@@ -152,15 +151,17 @@
         return startsAllowed && clock.nowNanos() < leaseEndNanos;
     }
 
-    void start(StartRequest request) throws WorkerRefusedException {
+    /** Starts an attempt and returns true, or returns false for the repetition of an accepted start. */
+    boolean start(StartRequest request) throws WorkerRefusedException {
         advance();
         fence(request.epoch());
         Task known = tasks.get(request.taskId());
         if (known != null && known.attempt == request.attempt() && known.state == TaskReportState.RUNNING) {
-            return;
+            return false;
         }
         if (defect != Defect.LEASE_NEVER_LAPSES
-                && (!leaseIsCurrent() || request.epoch().value() != leaseEpoch)) {
+                && (!leaseIsCurrent()
+                        || (defect != Defect.NO_FENCING && request.epoch().value() != leaseEpoch))) {
             throw refused(RefusalCode.NO_LEASE);
         }
         boolean accepted = known != null && known.attempt >= request.attempt();
@@ -172,12 +173,23 @@
             throw refused(RefusalCode.START_FAILED);
         }
         if (!used().plus(request.resources()).fitsIn(capacity)) {
-            overCommitted = true;
             throw refused(RefusalCode.OVER_CAPACITY);
         }
         long from = request.checkpointKey().map(checkpoints::get).orElse(0L);
         tasks.put(request.taskId(), new Task(request, from, clock.nowNanos()));
         history.add(new Run(id, request.taskId(), request.attempt(), from));
+        return true;
+    }
+
+    FakeWorker restarted() {
+        return new FakeWorker(id, capacity, clock, checkpoints, history, defect);
+    }
+
+    /** Returns the work in the checkpoint that a stop of the attempt would report, empty if it does not run here. */
+    Optional<Long> savedWork(TaskId taskId, int attempt) {
+        return Optional.ofNullable(tasks.get(taskId))
+                .filter(task -> task.attempt == attempt && task.state == TaskReportState.RUNNING)
+                .map(task -> task.checkpointKey.map(checkpoints::get).orElse(0L));
     }
 
     Resources used() {
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.time.MonotonicClock;
@@ -30,7 +31,15 @@
     final Set<String> unreachable = new HashSet<>();
     private final List<StartRequest> delayedStarts = new ArrayList<>();
     private final List<String> delayedTo = new ArrayList<>();
+    private final List<RenewRequest> delayedRenewals = new ArrayList<>();
+    private final List<String> delayedRenewalsTo = new ArrayList<>();
+    /** Told after each start that a worker accepted. */
+    BiConsumer<FakeWorker, StartRequest> onStarted = (worker, request) -> {};
+    /** Told before each stop. */
+    BiConsumer<FakeWorker, TaskCommand> onStop = (worker, command) -> {};
+
     boolean delayNextStart;
+    boolean delayNextRenewal;
     boolean loseNextAnswer;
 
     FakeWorker add(String id, Resources capacity, MonotonicClock clock, FakeWorker.Defect defect) {
@@ -47,22 +56,45 @@
         return List.copyOf(workers.values());
     }
 
-    /** Delivers the starts that were held up on the way, to workers that may have moved on. */
-    void deliverDelayedStarts() {
+    /** Delivers the messages that were held up on the way, to workers that may have moved on. */
+    void deliverDelayed() {
+        for (int i = 0; i < delayedRenewals.size(); i++) {
+            RenewRequest request = delayedRenewals.get(i);
+            deliver(delayedRenewalsTo.get(i), worker -> worker.renew(request));
+        }
+        delayedRenewals.clear();
+        delayedRenewalsTo.clear();
         for (int i = 0; i < delayedStarts.size(); i++) {
-            if (silent.contains(delayedTo.get(i))) {
-                continue;
-            }
-            try {
-                workers.get(delayedTo.get(i)).start(delayedStarts.get(i));
-            } catch (WorkerRefusedException e) {
-                // Nobody waits for the answer any more.
-            }
+            StartRequest request = delayedStarts.get(i);
+            deliver(delayedTo.get(i), worker -> start(worker, request));
         }
         delayedStarts.clear();
         delayedTo.clear();
     }
 
+    private <T> void deliver(String address, Call<T> call) {
+        if (silent.contains(address)) {
+            return;
+        }
+        try {
+            call.on(workers.get(address));
+        } catch (WorkerRefusedException e) {
+            // Nobody waits for the answer any more.
+        }
+    }
+
+    private boolean start(FakeWorker worker, StartRequest request) throws WorkerRefusedException {
+        if (worker.start(request)) {
+            onStarted.accept(worker, request);
+        }
+        return true;
+    }
+
+    /** Replaces a worker by one that remembers nothing, as after a restart of its VM. */
+    void restart(String address) {
+        workers.compute(address, (id, worker) -> worker.restarted());
+    }
+
     @FunctionalInterface
     private interface Call<T> {
         T on(FakeWorker worker) throws WorkerRefusedException;
@@ -85,6 +117,12 @@
 
     @Override
     public RenewAnswer renew(String address, RenewRequest request) throws WorkerException {
+        if (delayNextRenewal) {
+            delayNextRenewal = false;
+            delayedRenewals.add(request);
+            delayedRenewalsTo.add(address);
+            throw new WorkerOutcomeUnknownException("renewal is on its way", null);
+        }
         return call(address, worker -> worker.renew(request));
     }
 
@@ -96,10 +134,7 @@
             delayedTo.add(address);
             throw new WorkerOutcomeUnknownException("start is on its way", null);
         }
-        call(address, worker -> {
-            worker.start(request);
-            return true;
-        });
+        call(address, worker -> start(worker, request));
     }
 
     @Override
@@ -114,7 +149,10 @@
 
     @Override
     public TaskReport stop(String address, TaskCommand command) throws WorkerException {
-        return call(address, worker -> worker.stop(command));
+        return call(address, worker -> {
+            onStop.accept(worker, command);
+            return worker.stop(command);
+        });
     }
 
     @Override
--- a/src/test/java/org/tamarackline/entry/jobs/JobMessagesTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobMessagesTest.java
@@ -41,7 +41,7 @@
                 new Resources(1_000, 2_000, 1),
                 JsonNodeFactory.instance.objectNode().put("workMs", 5));
         JobRecord job = new JobRecord(JOB, spec, 3, "digest", List.of(RACK), false, true);
-        RackLoad load = new RackLoad(Resources.NONE, Resources.NONE, Resources.NONE, Resources.NONE, 4);
+        RackLoad load = new RackLoad(Resources.NONE, Resources.NONE, Resources.NONE, Resources.NONE, 4, true);
         return Stream.of(
                 new JobMessages.SubmitJob(RACK, job),
                 new JobMessages.SubmitRefused(JobErrorCode.NO_RACK, "no rack", JobRefusedException.Executed.UNKNOWN),
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
@@ -0,0 +1,371 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.tamarackline.core.config.Profiles;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.ProfileName;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.task.ParkReason;
+import org.tamarackline.core.task.TaskRow;
+import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.time.ManualClock;
+import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.platform.PlatformException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.VmRecord;
+import org.tamarackline.worker.WorkerProtocol.StartRequest;
+import org.tamarackline.worker.WorkerProtocol.TaskCommand;
+
+/** One rack with successive owners and faults, and the checks of what must always hold. */
+final class RackSimulation {
+
+    /** What happens in one step of a sequence. */
+    enum Action {
+        SUBMIT_BATCH,
+        SUBMIT_URGENT,
+        RUN_SHORT,
+        RUN_LONG,
+        RUN_ONE_CALL,
+        PAUSE_OWNER,
+        CRASH_OWNER,
+        ISOLATE_AND_REPLACE_OWNER,
+        HAND_OVER,
+        RESUME_OLD_OWNERS,
+        SEND_LATE_COMMANDS,
+        SILENCE_WORKER,
+        REVIVE_WORKERS,
+        RESTART_WORKER,
+        LOSE_WORKER_ANSWER,
+        DELAY_START,
+        DELAY_RENEWAL,
+        DELIVER_DELAYED,
+        PLATFORM_DOWN,
+        PLATFORM_UP,
+        COMMIT_APPLIED_UNKNOWN,
+        COMMIT_DROPPED_UNKNOWN,
+        OBJECT_STORE_DOWN,
+        OBJECT_STORE_UP,
+        CANCEL_JOB
+    }
+
+    /**
+     * One step of a sequence.
+     *
+     * @param action what happens
+     * @param choice which worker or job is meant
+     */
+    record Step(Action action, int choice) {}
+
+    private static final ShardId RACK = new ShardId("rack:a:1");
+    private static final CallerName CALLER = new CallerName("lianhua");
+    private static final Resources WORKER_SIZE = new Resources(4_000, 8_000, 0);
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration TAKE_TIME = Duration.ofSeconds(5);
+    private static final Duration HEALING_TIME = Duration.ofMinutes(25);
+    private static final Duration HEALING_STEP = Duration.ofSeconds(10);
+
+    private final ManualClock clock = new ManualClock();
+    private final FakePlatform platform = new FakePlatform();
+    private final FakeWorkers workers = new FakeWorkers();
+    private final JobRows rows = new JobRows(new Region("r1"));
+    private final Duration driftMargin;
+    private final List<FakeNode> oldOwners = new ArrayList<>();
+    private final List<JobId> jobs = new ArrayList<>();
+    private final Map<JobId, Integer> accepted = new HashMap<>();
+    private final Set<JobId> cancelled = new HashSet<>();
+    private final Map<TaskId, Long> stoppedWith = new HashMap<>();
+    private final Map<TaskId, String> stoppedOn = new HashMap<>();
+    private final Map<String, String> workerOfAttempt = new HashMap<>();
+    final List<String> violations = new ArrayList<>();
+    private FakeNode owner;
+    private long epoch;
+
+    RackSimulation(FakeWorker.Defect defect, Duration driftMargin) {
+        this.driftMargin = driftMargin;
+        for (int i = 0; i < 3; i++) {
+            workers.add("w" + i, WORKER_SIZE, clock, defect);
+        }
+        workers.onStarted = this::checkStart;
+        workers.onStop = this::noteStop;
+        replaceOwner();
+        run(Duration.ofSeconds(1));
+    }
+
+    void apply(Step step) {
+        String worker = "w" + step.choice() % 3;
+        switch (step.action()) {
+            case SUBMIT_BATCH ->
+                submit(Profiles.OVERNIGHT_PLAN.name(), 1 + step.choice() % 3, 25_000 + step.choice() * 20L);
+            case SUBMIT_URGENT -> submit(Profiles.QUICK_ANSWER.name(), 1, 4_000);
+            case RUN_SHORT -> run(TICK.multipliedBy(1 + step.choice() % 8));
+            case RUN_LONG -> run(Duration.ofSeconds(5 + step.choice() % 25));
+            case RUN_ONE_CALL -> runOneCall();
+            case PAUSE_OWNER -> clock.advance(Duration.ofSeconds(1 + step.choice() % 40));
+            case CRASH_OWNER -> crashOwner();
+            case ISOLATE_AND_REPLACE_OWNER -> isolateOwner();
+            case HAND_OVER -> handOver();
+            case RESUME_OLD_OWNERS -> oldOwners.forEach(RackSimulation::resume);
+            case SEND_LATE_COMMANDS -> sendLateCommands();
+            case SILENCE_WORKER -> workers.silent.add(worker);
+            case REVIVE_WORKERS -> workers.silent.clear();
+            case RESTART_WORKER -> restartWorker(worker);
+            case LOSE_WORKER_ANSWER -> workers.loseNextAnswer = true;
+            case DELAY_START -> workers.delayNextStart = true;
+            case DELAY_RENEWAL -> workers.delayNextRenewal = true;
+            case DELIVER_DELAYED -> workers.deliverDelayed();
+            case PLATFORM_DOWN -> setPlatformDown(true);
+            case PLATFORM_UP -> setPlatformDown(false);
+            case COMMIT_APPLIED_UNKNOWN -> platform.applyNextButLeaveUnknown();
+            case COMMIT_DROPPED_UNKNOWN -> platform.dropNextAndLeaveUnknown();
+            case OBJECT_STORE_DOWN -> workers.all().forEach(each -> each.objectStoreDown = true);
+            case OBJECT_STORE_UP -> workers.all().forEach(each -> each.objectStoreDown = false);
+            case CANCEL_JOB -> cancel(step.choice());
+            default -> throw new IllegalStateException("action " + step.action() + " is not handled");
+        }
+    }
+
+    private void setPlatformDown(boolean down) {
+        platform.setDown(down);
+        owner.cluster.standing = down ? Standing.OUTAGE : Standing.CONFIRMED;
+    }
+
+    /** Ends the owner between two steps; its answers never come back. */
+    private void crashOwner() {
+        owner.calls.clear();
+        owner.loop.clear();
+        clock.advance(TAKE_TIME);
+        replaceOwner();
+    }
+
+    /** The owner lives on with its old state, but its standing keeps it from acting on it. */
+    private void isolateOwner() {
+        owner.cluster.standing = Standing.ISOLATED;
+        oldOwners.add(owner);
+        clock.advance(TAKE_TIME);
+        replaceOwner();
+    }
+
+    private void handOver() {
+        FakeNode leaving = owner;
+        leaving.directly(() -> leaving.engine.prepareHandover(RACK));
+        replaceOwner();
+        leaving.cluster.disown(RACK);
+        oldOwners.add(leaving);
+    }
+
+    private static void resume(FakeNode node) {
+        node.step();
+        node.settle();
+    }
+
+    /** Old owners send what they had checked before they were paused between the check and the send. */
+    private void sendLateCommands() {
+        for (FakeNode old : oldOwners) {
+            old.cluster.standing = Standing.CONFIRMED;
+            old.cluster.own(RACK, old.epoch);
+            List.copyOf(old.calls).forEach(Runnable::run);
+            old.calls.clear();
+            old.loop.clear();
+            old.cluster.standing = Standing.ISOLATED;
+        }
+    }
+
+    private void replaceOwner() {
+        platform.setDown(false);
+        epoch++;
+        ObjectNode row = JsonNodeFactory.instance.objectNode().put("epoch", epoch);
+        String key = rows.shardKey(RACK);
+        try {
+            long version = platform.get(key).map(Row::version).orElse(0L);
+            TableTransaction change = new TableTransaction(
+                    UUID.randomUUID().toString(),
+                    List.of(new TableTransaction.Check(key, version)),
+                    List.of(new TableTransaction.Write(key, row)));
+            settle(change);
+        } catch (PlatformException e) {
+            throw new IllegalStateException("the owner could not be replaced", e);
+        }
+        owner = new FakeNode("10.0.0." + epoch + ":1", platform, workers, clock, driftMargin);
+        owner.gain(RACK, epoch);
+        owner.directly(() -> owner.engine.setVms(List.of(vm("w0"), vm("w1"), vm("w2"))));
+    }
+
+    /** The faults are meant for the owner's commits: a lost answer here is settled like there. */
+    private void settle(TableTransaction change) throws PlatformException {
+        while (!platform.tookEffect(change.token())) {
+            try {
+                platform.transact(change);
+            } catch (org.tamarackline.platform.OutcomeUnknownException e) {
+                // Read the token back and try again.
+            }
+        }
+    }
+
+    private static VmRecord vm(String id) {
+        return new VmRecord(id, "worker", id, new DataCentre("a"), "1", VmRecord.State.LIVE, 0, 0, WORKER_SIZE);
+    }
+
+    /** The worker loses its checkpoints' keys and the attempts that it accepted; its tasks end. */
+    private void restartWorker(String worker) {
+        workers.restart(worker);
+        workerOfAttempt.values().removeIf(worker::equals);
+        List<TaskId> lost = stoppedOn.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(worker))
+                .map(Map.Entry::getKey)
+                .toList();
+        lost.forEach(stoppedWith::remove);
+    }
+
+    void run(Duration time) {
+        for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(TICK)) {
+            clock.advance(TICK);
+            owner.step();
+            owner.settle();
+        }
+    }
+
+    private void runOneCall() {
+        owner.step();
+        if (!owner.calls.isEmpty()) {
+            owner.calls.remove().run();
+        }
+    }
+
+    private void submit(ProfileName profile, int tasks, long workMs) {
+        ObjectNode command = JsonNodeFactory.instance.objectNode().put("workMs", workMs);
+        Submission submission = new Submission(
+                new TeamName("dyeing"), profile, tasks, command, new Resources(3_000, 2_000, 0), Optional.empty());
+        owner.directly(() -> {
+            try {
+                JobView job = owner.service.submit(CALLER, submission);
+                jobs.add(job.id());
+                accepted.put(job.id(), tasks);
+            } catch (JobRefusedException e) {
+                // Not accepted, so nothing is promised.
+            }
+        });
+    }
+
+    private void cancel(int choice) {
+        if (jobs.isEmpty()) {
+            return;
+        }
+        JobId job = jobs.get(choice % jobs.size());
+        cancelled.add(job);
+        owner.directly(() -> {
+            try {
+                owner.service.cancel(CALLER, job);
+            } catch (JobRefusedException e) {
+                // May or may not be recorded; both outcomes are allowed.
+            }
+        });
+    }
+
+    private void checkStart(FakeWorker worker, StartRequest request) {
+        TaskId task = request.taskId();
+        for (FakeWorker other : workers.all()) {
+            if (other != worker && other.running().contains(task)) {
+                violations.add("%s runs on %s and %s".formatted(task, worker.id, other.id));
+            }
+        }
+        if (!worker.used().fitsIn(worker.capacity)) {
+            violations.add("%s is over its capacity".formatted(worker.id));
+        }
+        if (workerOfAttempt.put(task + "#" + request.attempt(), worker.id) != null) {
+            violations.add("attempt %d of %s started twice".formatted(request.attempt(), task));
+        }
+        Long expected = stoppedWith.remove(task);
+        long from = workers.history.getLast().fromMs();
+        if (expected != null && from < expected) {
+            violations.add("%s resumed from %d ms and not from %d ms".formatted(task, from, expected));
+        }
+        taskRow(task)
+                .filter(row -> row.state() == TaskState.DONE)
+                .ifPresent(row -> violations.add("%s was started after it was done".formatted(task)));
+    }
+
+    private void noteStop(FakeWorker worker, TaskCommand command) {
+        worker.savedWork(command.taskId(), command.attempt()).ifPresent(saved -> {
+            stoppedWith.put(command.taskId(), saved);
+            stoppedOn.put(command.taskId(), worker.id);
+        });
+    }
+
+    private Optional<TaskRow> taskRow(TaskId task) {
+        try {
+            return platform.get(rows.taskKey(RACK, task))
+                    .map(row -> JobRows.task(row).row());
+        } catch (PlatformUnavailableException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Ends all faults, lets everything finish and checks that nothing was lost. */
+    void heal() {
+        setPlatformDown(false);
+        workers.silent.clear();
+        workers.delayNextStart = false;
+        workers.delayNextRenewal = false;
+        workers.loseNextAnswer = false;
+        workers.all().forEach(each -> each.objectStoreDown = false);
+        workers.deliverDelayed();
+        oldOwners.forEach(RackSimulation::resume);
+        for (Duration passed = Duration.ZERO;
+                passed.compareTo(HEALING_TIME) < 0 && !allEnded();
+                passed = passed.plus(HEALING_STEP)) {
+            run(HEALING_STEP);
+        }
+        run(HEALING_STEP);
+        accepted.forEach((job, tasks) -> {
+            for (int index = 0; index < tasks; index++) {
+                checkEnded(new TaskId(job, index));
+            }
+        });
+        for (FakeWorker worker : workers.all()) {
+            if (!worker.running().isEmpty()) {
+                violations.add("%s still runs %s".formatted(worker.id, worker.running()));
+            }
+        }
+    }
+
+    private boolean allEnded() {
+        return accepted.entrySet().stream()
+                .allMatch(job -> IntStream.range(0, job.getValue())
+                        .mapToObj(index -> taskRow(new TaskId(job.getKey(), index)))
+                        .allMatch(
+                                row -> row.map(known -> known.state().isFinal()).orElse(false)));
+    }
+
+    private void checkEnded(TaskId task) {
+        Optional<TaskRow> row = taskRow(task);
+        TaskState state = row.map(TaskRow::state).orElse(TaskState.PENDING);
+        boolean parkedForGood = row.flatMap(TaskRow::parkReason).equals(Optional.of(ParkReason.POISON));
+        boolean allowed = state == TaskState.DONE
+                || parkedForGood
+                || (state == TaskState.CANCELLED && cancelled.contains(task.job()));
+        if (!allowed) {
+            violations.add("%s ended as %s".formatted(task, row));
+        }
+    }
+}
