--- a/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
@@ -24,18 +24,18 @@
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TaskId;
 import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.task.ParkReason;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.time.ManualClock;
 import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.platform.PlatformException;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.Row;
 import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.VmRecord;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
 
 /** One rack with successive owners and faults, and the checks of what must always hold. */
 final class RackSimulation {
