--- a/src/main/java/org/tamarackline/core/idempotency/RequestDigests.java
+++ b/src/main/java/org/tamarackline/core/idempotency/RequestDigests.java
@@ -1,11 +1,13 @@
 package org.tamarackline.core.idempotency;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+
 /** Static helpers for digests of requests. */
 public final class RequestDigests {
 
@@ -22,14 +24,14 @@
         MessageDigest sha256 = sha256();
         addText(sha256, method);
         addText(sha256, target);
-        sha256.update(ByteBuffer.allocate(Long.BYTES).putLong(bodyLength).flip());
+        sha256.update(Longs.toByteArray(bodyLength));
         return HexFormat.of().formatHex(sha256.digest(bodyPrefix));
     }
 
     /** The length in front keeps two texts from being taken for two others with the same concatenation. */
     private static void addText(MessageDigest digest, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
+        digest.update(Ints.toByteArray(bytes.length));
         digest.update(bytes);
     }
 
