Call nothing of the cluster under the slot lock

The membership state calls the ownership listener under its lock, while the broker asked it for the peers under the slot lock: two threads could wait for each other for good.

--- a/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
@@ -34,7 +34,8 @@
 /**
  * Finds a slot for each request: an own one, a borrowed one, or the next one that becomes free.
  *
- * <p>Thread-safe. One lock guards the ledger, the queues and the detector; it is never held during I/O or a wait.
+ * <p>Thread-safe. One lock guards the ledger, the queues and the detector; it is never held during I/O or a wait, nor
+ * during a call to {@link Cluster}, which calls the ownership listener under a lock of its own.
  */
 @Singleton
 public final class SlotBroker {
@@ -43,6 +44,7 @@
     private static final Duration WAIT_STEP = Duration.ofMillis(25);
 
     private final Cluster cluster;
+    private final NodeId self;
     private final RunnerDirectory directory;
     private final MonotonicClock clock;
     private final EntrySettings settings;
@@ -51,6 +53,7 @@
     private final SlotLedger ledger;
     private final OutlierDetector outliers = new OutlierDetector(OutlierDetector.Limits.defaults());
     private final Map<ServiceName, ServiceState> services = new HashMap<>();
+    private volatile ConnectionShare connectionShare = new ConnectionShare(1);
     private int waiting;
 
     /** Creates a broker that owns no runners. */
@@ -62,6 +65,7 @@
             EntrySettings settings,
             SlotLending lending) {
         this.cluster = cluster;
+        this.self = cluster.self();
         this.directory = directory;
         this.clock = clock;
         this.settings = settings;
@@ -179,8 +183,7 @@
             if (stateOf(service).queue.size() > 0) {
                 return Optional.empty();
             }
-            return acquireLocked(newGrantId(), service, cluster.self(), excluded)
-                    .map(this::own);
+            return acquireLocked(newGrantId(), service, self, excluded).map(this::own);
         } finally {
             lock.unlock();
         }
@@ -197,7 +200,7 @@
             long grantId, ServiceName service, NodeId holder, Set<RunnerId> excluded) {
         long nowNanos = clock.nowNanos();
         SlotRequest request =
-                new SlotRequest(grantId, service, holder, settings.dataCentre(), connectionShare(), excluded);
+                new SlotRequest(grantId, service, holder, settings.dataCentre(), connectionShare, excluded);
         Optional<SlotLease> lease = ledger.acquire(request, runner -> outliers.isUsable(runner, nowNanos), nowNanos);
         lease.ifPresent(granted -> outliers.recordGrant(granted.runner().id(), nowNanos));
         return lease;
@@ -384,6 +387,7 @@
 
     /** Applies the directory's runners to all owned groups and grants slots that became free by time. */
     public void updateRunners() {
+        connectionShare = new ConnectionShare(cluster.peers().size() + 1);
         cluster.ownedShards().forEach(this::updateRunners);
         List<RunnerId> known = directory.all().stream().map(Runner::id).toList();
         lock.lock();
@@ -421,7 +425,7 @@
         Optional<AdmissionQueue.Entry<SlotWaiter>> first = state.queue.first();
         while (first.isPresent()) {
             SlotWaiter waiter = first.get().item();
-            Optional<SlotLease> lease = acquireLocked(newGrantId(), service, cluster.self(), waiter.excluded());
+            Optional<SlotLease> lease = acquireLocked(newGrantId(), service, self, waiter.excluded());
             if (lease.isEmpty()) {
                 return;
             }
@@ -445,10 +449,6 @@
         return services.computeIfAbsent(service, name -> new ServiceState());
     }
 
-    private ConnectionShare connectionShare() {
-        return new ConnectionShare(cluster.peers().size() + 1);
-    }
-
     private void requireStanding() throws RequestException {
         if (cluster.standing() == Standing.ISOLATED) {
             throw RequestException.notRun(
