--- a/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
@@ -17,6 +17,7 @@
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.ownership.Shard;
 import org.tamarackline.core.ownership.ShardLayout;
 import org.tamarackline.core.routing.Runner;
@@ -24,7 +25,6 @@
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 
 /**
--- a/src/main/java/org/tamarackline/load/LocalCluster.java
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.tamarackline.platform.VmEntry;
 import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.platform.VmEntry;
 import org.tamarackline.standin.upstream.UpstreamHistory;
 import org.tamarackline.standin.upstream.UpstreamOptions;
 import org.tamarackline.standin.worker.RunInterval;
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
@@ -10,15 +10,15 @@
 import org.tamarackline.core.model.Epoch;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.WorkerProtocol.Refusal;
+import org.tamarackline.core.task.WorkerProtocol.RefusalCode;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.worker.WorkerProtocol.Refusal;
-import org.tamarackline.worker.WorkerProtocol.RefusalCode;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
-import org.tamarackline.worker.WorkerProtocol.TaskReportState;
 import org.tamarackline.worker.WorkerRefusedException;
 
 /** A worker in memory that keeps the rules of the control protocol, and a history of what it ran. */
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
@@ -9,15 +9,15 @@
 import java.util.function.BiConsumer;
 
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.worker.WorkerException;
 import org.tamarackline.worker.WorkerGateway;
 import org.tamarackline.worker.WorkerOutcomeUnknownException;
-import org.tamarackline.worker.WorkerProtocol.RenewAnswer;
-import org.tamarackline.worker.WorkerProtocol.RenewRequest;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
-import org.tamarackline.worker.WorkerProtocol.TaskReport;
 import org.tamarackline.worker.WorkerRefusedException;
 import org.tamarackline.worker.WorkerUnreachableException;
 
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -16,11 +16,11 @@
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.task.TaskState;
 import org.tamarackline.core.time.ManualClock;
 import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.VmRecord;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/tamarackline/entry/jobs/RackSequencesTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSequencesTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -12,6 +13,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.tamarackline.core.task.TaskState;
 import org.tamarackline.entry.jobs.RackSimulation.Action;
 import org.tamarackline.entry.jobs.RackSimulation.Step;
 
@@ -23,12 +25,26 @@
     private static final int MAX_STEPS = 60;
     private static final int MAX_CHOICE = 1_000;
     private static final long SEED = 20_261_204;
-    private static final int SEQUENCES_WITH_A_DEFECT = 100;
+    private static final int MAX_SEQUENCES_WITH_A_DEFECT = 2_000;
+    private static final int SEQUENCES_TO_COUNT = 200;
+    private static final List<Action> WEIGHTED_ACTIONS = weightedActions();
+
+    /** Time has to pass between the faults, or most sequences would end before any task runs. */
+    private static List<Action> weightedActions() {
+        List<Action> actions = new ArrayList<>(List.of(Action.values()));
+        for (int i = 0; i < 4; i++) {
+            actions.add(Action.SUBMIT_BATCH);
+            actions.add(Action.SUBMIT_URGENT);
+            actions.add(Action.RUN_SHORT);
+            actions.add(Action.RUN_LONG);
+        }
+        return List.copyOf(actions);
+    }
 
     @Provide
     Arbitrary<List<Step>> sequences() {
         Arbitrary<Step> step = Combinators.combine(
-                        Arbitraries.of(Action.class), Arbitraries.integers().between(0, MAX_CHOICE))
+                        Arbitraries.of(WEIGHTED_ACTIONS), Arbitraries.integers().between(0, MAX_CHOICE))
                 .as(Step::new);
         return step.list().ofMinSize(10).ofMaxSize(MAX_STEPS);
     }
@@ -53,43 +69,62 @@
     @Example
     void noticesARestartWithoutWaiting() {
         Duration noWait = Duration.ofSeconds(-19);
-        assertThat(violationsWith(FakeWorker.Defect.NONE, noWait)).anyMatch(found -> found.contains("runs on"));
+        assertThat(findsViolation("runs on", FakeWorker.Defect.NONE, noWait)).isTrue();
     }
 
     /** Shows that the checks notice a worker whose lease does not lapse. */
     @Example
     void noticesALeaseThatNeverLapses() {
-        assertThat(violationsWith(FakeWorker.Defect.LEASE_NEVER_LAPSES, DRIFT_MARGIN))
-                .anyMatch(found -> found.contains("runs on"));
+        assertThat(findsViolation("runs on", FakeWorker.Defect.LEASE_NEVER_LAPSES, DRIFT_MARGIN))
+                .isTrue();
     }
 
     /** Shows that the checks notice a worker that accepts an attempt again. */
     @Example
     void noticesAnAttemptThatIsAcceptedTwice() {
-        assertThat(violationsWith(FakeWorker.Defect.ACCEPTS_OLD_ATTEMPTS, DRIFT_MARGIN))
-                .isNotEmpty();
+        assertThat(findsViolation("started twice", FakeWorker.Defect.ACCEPTS_OLD_ATTEMPTS, DRIFT_MARGIN))
+                .isTrue();
     }
 
     /** Shows that the checks notice a worker that obeys an owner of the past. */
     @Example
     void noticesMissingFencing() {
-        assertThat(violationsWith(FakeWorker.Defect.NO_FENCING, DRIFT_MARGIN)).isNotEmpty();
+        assertThat(findsViolation("", FakeWorker.Defect.NO_FENCING, DRIFT_MARGIN))
+                .isTrue();
     }
 
-    private static List<String> violationsWith(FakeWorker.Defect defect, Duration driftMargin) {
+    private static boolean findsViolation(String part, FakeWorker.Defect defect, Duration driftMargin) {
+        Random random = new Random(SEED);
+        return IntStream.range(0, MAX_SEQUENCES_WITH_A_DEFECT)
+                .mapToObj(i -> violations(randomSteps(random), defect, driftMargin))
+                .anyMatch(found -> found.stream().anyMatch(violation -> violation.contains(part)));
+    }
+
+    /** Guards against sequences that pass because hardly anything happens in them. */
+    @Example
+    void sequencesReachEvictionsRestartsAndCancellations() {
         Random random = new Random(SEED);
-        List<String> found = new ArrayList<>();
-        for (int i = 0; i < SEQUENCES_WITH_A_DEFECT; i++) {
-            found.addAll(violations(randomSteps(random), defect, driftMargin));
+        int fromCheckpoint = 0;
+        int laterAttempts = 0;
+        int cancelledTasks = 0;
+        for (int i = 0; i < SEQUENCES_TO_COUNT; i++) {
+            RackSimulation simulation = new RackSimulation(FakeWorker.Defect.NONE, DRIFT_MARGIN);
+            randomSteps(random).forEach(simulation::apply);
+            simulation.heal();
+            fromCheckpoint += simulation.runs(run -> run.fromMs() > 0);
+            laterAttempts += simulation.runs(run -> run.attempt() > 1);
+            cancelledTasks += simulation.tasksIn(TaskState.CANCELLED);
         }
-        return found;
+        assertThat(fromCheckpoint).isGreaterThan(SEQUENCES_TO_COUNT);
+        assertThat(laterAttempts).isGreaterThan(SEQUENCES_TO_COUNT);
+        assertThat(cancelledTasks).isGreaterThan(SEQUENCES_TO_COUNT / 2);
     }
 
     private static List<Step> randomSteps(Random random) {
-        Action[] actions = Action.values();
         List<Step> steps = new ArrayList<>();
         for (int i = 0; i < MAX_STEPS; i++) {
-            steps.add(new Step(actions[random.nextInt(actions.length)], random.nextInt(MAX_CHOICE)));
+            steps.add(new Step(
+                    WEIGHTED_ACTIONS.get(random.nextInt(WEIGHTED_ACTIONS.size())), random.nextInt(MAX_CHOICE)));
         }
         return steps;
     }
--- a/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -24,18 +25,18 @@
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TaskId;
 import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.task.ParkReason;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.task.WorkerProtocol.StartRequest;
+import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.time.ManualClock;
 import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.platform.PlatformException;
 import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.platform.Row;
 import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.VmRecord;
-import org.tamarackline.worker.WorkerProtocol.StartRequest;
-import org.tamarackline.worker.WorkerProtocol.TaskCommand;
 
 /** One rack with successive owners and faults, and the checks of what must always hold. */
 final class RackSimulation {
@@ -321,6 +322,20 @@
         }
     }
 
+    /** Returns how many runs on workers match. */
+    int runs(Predicate<FakeWorker.Run> matching) {
+        return (int) workers.history.stream().filter(matching).count();
+    }
+
+    /** Returns how many accepted tasks are in the state. */
+    int tasksIn(TaskState state) {
+        return (int) accepted.entrySet().stream()
+                .flatMap(job ->
+                        IntStream.range(0, job.getValue()).mapToObj(index -> taskRow(new TaskId(job.getKey(), index))))
+                .filter(row -> row.map(known -> known.state() == state).orElse(false))
+                .count();
+    }
+
     /** Ends all faults, lets everything finish and checks that nothing was lost. */
     void heal() {
         setPlatformDown(false);
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -39,12 +39,12 @@
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
 
