--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -10,6 +10,7 @@
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.Region;
+import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.peer.LocalNode;
 import org.tamarackline.peer.PeerCaller;
@@ -22,13 +23,14 @@
 import org.tamarackline.platform.TableTransaction;
 import org.tamarackline.platform.TransactionConflictException;
 import org.tamarackline.platform.VmDirectory;
-import org.tamarackline.platform.VmRecord;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
 
 /** One process of a simulated cluster, with the faults that concern it alone. */
 final class SimulatedNode {
 
+    private static final String NO_KEY = "\n";
+
     final SimulatedCluster cluster;
     final NodeId id;
     final MembershipRunner runner;
@@ -44,9 +46,10 @@
     boolean ticking;
     long pausedUntilMs;
     int callsUntilPause = -1;
+    boolean pauseBeforeEffect;
     int pauseInCallMs;
-    boolean loseNextWriteAnswer;
-    boolean delayNextWrite;
+    String loseAnswerOf = NO_KEY;
+    String delayWriteOf = NO_KEY;
     boolean delayNextMessage;
     long connectedSinceMs;
 
@@ -119,9 +122,9 @@
         return !paused && !platformCut && !cluster.platformDown();
     }
 
-    /** Pauses the whole process inside a call, after the call took effect and before its answer is seen. */
-    private void maybePauseInCall() {
-        if (callsUntilPause >= 0 && callsUntilPause-- == 0) {
+    /** Pauses the whole process inside a call, before it takes effect or before its answer is seen. */
+    private void maybePause(boolean beforeEffect) {
+        if (pauseBeforeEffect == beforeEffect && callsUntilPause >= 0 && callsUntilPause-- == 0) {
             paused = true;
             pausedUntilMs = cluster.nowMs() + pauseInCallMs;
             while (cluster.nowMs() < pausedUntilMs) {
@@ -165,7 +168,7 @@
         public Optional<Row> get(String key) throws PlatformUnavailableException {
             checkAccess();
             Optional<Row> row = cluster.table().get(key);
-            maybePauseInCall();
+            maybePause(false);
             return row;
         }
 
@@ -173,7 +176,7 @@
         public List<Row> scan(String prefix, String after, int limit) throws PlatformUnavailableException {
             checkAccess();
             List<Row> rows = cluster.table().scan(prefix, after, limit);
-            maybePauseInCall();
+            maybePause(false);
             return rows;
         }
 
@@ -181,22 +184,28 @@
         public void transact(TableTransaction transaction)
                 throws TransactionConflictException, PlatformUnavailableException, OutcomeUnknownException {
             checkAccess();
+            maybePause(true);
+            checkAccess();
             TableTransaction sent = cluster.mutation().ignoresChecks()
                     ? new TableTransaction(transaction.token(), List.of(), transaction.writes())
                     : transaction;
-            if (delayNextWrite) {
-                delayNextWrite = false;
+            if (writes(transaction, delayWriteOf)) {
+                delayWriteOf = NO_KEY;
                 cluster.later(() -> cluster.applyLate(sent));
                 throw new OutcomeUnknownException(transaction.token(), null);
             }
             cluster.table().transact(sent);
-            maybePauseInCall();
-            if (loseNextWriteAnswer) {
-                loseNextWriteAnswer = false;
+            maybePause(false);
+            if (writes(transaction, loseAnswerOf)) {
+                loseAnswerOf = NO_KEY;
                 throw new OutcomeUnknownException(transaction.token(), null);
             }
         }
 
+        private static boolean writes(TableTransaction transaction, String keyPart) {
+            return transaction.writes().stream().anyMatch(write -> write.key().contains(keyPart));
+        }
+
         @Override
         public boolean tookEffect(String token) throws PlatformUnavailableException {
             checkAccess();
@@ -208,6 +217,7 @@
 
         @Override
         public PeerMessage call(NodeId node, PeerMessage request, Duration timeout) throws PeerException {
+            maybePause(true);
             SimulatedNode target = cluster.process(node);
             if (target == null || peersCut || target.peersCut) {
                 throw new PeerException(PeerException.Reason.UNREACHABLE, "cut off", null);
@@ -226,7 +236,7 @@
                 throw new PeerException(PeerException.Reason.TIMEOUT, "delayed", null);
             }
             PeerMessage answer = target.handler.handle(id, request).orElseThrow();
-            maybePauseInCall();
+            maybePause(false);
             return answer;
         }
     }
