--- a/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -321,6 +322,20 @@
         }
     }
 
+    /** Returns how many runs on workers match. */
+    int runs(Predicate<FakeWorker.Run> matching) {
+        return (int) workers.history.stream().filter(matching).count();
+    }
+
+    /** Returns how many accepted tasks are in the state. */
+    int tasksIn(TaskState state) {
+        return (int) accepted.entrySet().stream()
+                .flatMap(job ->
+                        IntStream.range(0, job.getValue()).mapToObj(index -> taskRow(new TaskId(job.getKey(), index))))
+                .filter(row -> row.map(known -> known.state() == state).orElse(false))
+                .count();
+    }
+
     /** Ends all faults, lets everything finish and checks that nothing was lost. */
     void heal() {
         setPlatformDown(false);
