--- a/src/main/java/org/tamarackline/entry/operator/ConfigurationEdits.java
+++ b/src/main/java/org/tamarackline/entry/operator/ConfigurationEdits.java
@@ -15,13 +15,16 @@
 import org.tamarackline.core.model.ServiceName;
 import org.tamarackline.core.model.TeamName;
 
-/** Static helpers that return an edited configuration or refuse the edit. */
+/** Static helpers that return an edited configuration, or refuse an edit that is no change of one valid entry. */
 final class ConfigurationEdits {
 
     private ConfigurationEdits() {}
 
     static Configuration putProfile(Configuration base, Profile profile) throws OperatorException {
-        ProfileRules.check(profile);
+        if (profile.serviceClass() == null) {
+            throw new OperatorException(
+                    OperatorErrorCode.INVALID, "serviceClass must be LATENCY_CRITICAL, BATCH or CONTINUOUS");
+        }
         List<Profile> profiles = replaced(base.profiles(), old -> old.name().equals(profile.name()), profile);
         return new Configuration(base.version(), profiles, base.teams(), base.services(), base.vmsOutOfService());
     }
@@ -37,10 +40,9 @@
     }
 
     static Configuration putTeam(Configuration base, TeamQuota quota) throws OperatorException {
-        if (quota.guaranteed() == null || hasNegativePart(quota)) {
+        if (quota.guaranteed() == null) {
             throw new OperatorException(
-                    OperatorErrorCode.INVALID,
-                    "guaranteed needs processorMillis, memoryMb and accelerators of 0 or more");
+                    OperatorErrorCode.INVALID, "guaranteed needs processorMillis, memoryMb and accelerators");
         }
         List<TeamQuota> teams = replaced(base.teams(), old -> old.team().equals(quota.team()), quota);
         return new Configuration(base.version(), base.profiles(), teams, base.services(), base.vmsOutOfService());
@@ -57,13 +59,6 @@
     }
 
     static Configuration putService(Configuration base, ServiceDefinition service) throws OperatorException {
-        boolean profileKnown =
-                base.profiles().stream().anyMatch(profile -> profile.name().equals(service.profile()));
-        if (!profileKnown) {
-            throw new OperatorException(
-                    OperatorErrorCode.INVALID,
-                    "profile \"%s\" does not exist; put it first".formatted(service.profile()));
-        }
         boolean teamKnown = base.teams().stream().anyMatch(quota -> quota.team().equals(service.team()));
         if (!teamKnown) {
             throw new OperatorException(
@@ -90,12 +85,6 @@
         return new Configuration(base.version(), base.profiles(), base.teams(), base.services(), outOfService);
     }
 
-    private static boolean hasNegativePart(TeamQuota quota) {
-        return quota.guaranteed().processorMillis() < 0
-                || quota.guaranteed().memoryMb() < 0
-                || quota.guaranteed().accelerators() < 0;
-    }
-
     /** Returns {@code items} with {@code item} in the place of the one that matches, or at the end. */
     private static <T> List<T> replaced(List<T> items, Predicate<T> matches, T item) {
         List<T> result = new ArrayList<>(items);
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/operator/ConfigurationEditsTest.java
@@ -0,0 +1,81 @@
+package org.tamarackline.entry.operator;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.Profiles;
+import org.tamarackline.core.config.ServiceDefinition;
+import org.tamarackline.core.config.TeamQuota;
+import org.tamarackline.core.model.ProfileName;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.TeamName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/** Guards against edits that leave a service without its profile or team, or change other entries. */
+class ConfigurationEditsTest {
+
+    private static final TeamName TEAM = new TeamName("dyeing");
+    private static final ServiceName SERVICE = new ServiceName("quotes");
+    private static final ProfileName QUICK = Profiles.QUICK_ANSWER.name();
+
+    @Test
+    void profilesAndTeamsInUseAreNotRetired() throws OperatorException {
+        Configuration base = withService();
+        assertRefused(OperatorErrorCode.IN_USE, () -> ConfigurationEdits.retireProfile(base, QUICK));
+        assertRefused(OperatorErrorCode.IN_USE, () -> ConfigurationEdits.retireTeam(base, TEAM));
+
+        Configuration without = ConfigurationEdits.retireService(base, SERVICE);
+        Configuration retired = ConfigurationEdits.retireTeam(ConfigurationEdits.retireProfile(without, QUICK), TEAM);
+        assertThat(retired.profiles()).hasSize(2).doesNotContain(Profiles.QUICK_ANSWER);
+        assertThat(retired.teams()).isEmpty();
+    }
+
+    @Test
+    void servicesNeedATeamThatExists() {
+        ServiceDefinition service = new ServiceDefinition(SERVICE, QUICK, TEAM);
+        assertRefused(
+                OperatorErrorCode.INVALID, () -> ConfigurationEdits.putService(Configuration.initial(), service));
+    }
+
+    @Test
+    void whatDoesNotExistIsNotRetired() {
+        Configuration base = Configuration.initial();
+        assertRefused(
+                OperatorErrorCode.NOT_FOUND, () -> ConfigurationEdits.retireProfile(base, new ProfileName("absent")));
+        assertRefused(OperatorErrorCode.NOT_FOUND, () -> ConfigurationEdits.retireTeam(base, TEAM));
+        assertRefused(OperatorErrorCode.NOT_FOUND, () -> ConfigurationEdits.retireService(base, SERVICE));
+    }
+
+    @Test
+    void puttingAnExistingEntryReplacesItInPlace() throws OperatorException {
+        TeamQuota larger = new TeamQuota(TEAM, new Resources(9_000, 9_000, 1));
+        Configuration edited = ConfigurationEdits.putTeam(withService(), larger);
+        assertThat(edited.teams()).containsExactly(larger);
+        assertThat(edited.services()).hasSize(1);
+    }
+
+    @Test
+    void vmsGoOutOfServiceAndBack() {
+        Configuration out = ConfigurationEdits.setVmInService(Configuration.initial(), "w1", false);
+        assertThat(out.vmsOutOfService()).containsExactly("w1");
+        assertThat(ConfigurationEdits.setVmInService(out, "w1", true).vmsOutOfService())
+                .isEmpty();
+    }
+
+    private static Configuration withService() throws OperatorException {
+        TeamQuota quota = new TeamQuota(TEAM, new Resources(1_000, 1_000, 0));
+        Configuration withTeam = ConfigurationEdits.putTeam(Configuration.initial(), quota);
+        return ConfigurationEdits.putService(withTeam, new ServiceDefinition(SERVICE, QUICK, TEAM));
+    }
+
+    private interface Edit {
+        Configuration apply() throws OperatorException;
+    }
+
+    private static void assertRefused(OperatorErrorCode code, Edit edit) {
+        OperatorException refused = catchThrowableOfType(OperatorException.class, edit::apply);
+        assertThat(refused.code()).isEqualTo(code);
+    }
+}
--- a/src/test/java/org/tamarackline/entry/operator/FakeConfigurationChanges.java
+++ b/src/test/java/org/tamarackline/entry/operator/FakeConfigurationChanges.java
@@ -5,6 +5,8 @@
 import java.util.function.UnaryOperator;
 
 import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.ConfigurationMistake;
+import org.tamarackline.core.config.Configurations;
 import org.tamarackline.entry.FakeCluster;
 
 /** Accepts changes in memory, by compare-and-set on the version. */
@@ -24,6 +26,10 @@
             throw OperatorException.conflict(expectedVersion, base.version());
         }
         Configuration edited = change.apply(base);
+        List<ConfigurationMistake> mistakes = Configurations.mistakes(edited);
+        if (!mistakes.isEmpty()) {
+            throw new OperatorException(OperatorErrorCode.INVALID, mistakes.toString());
+        }
         Configuration accepted = new Configuration(
                 expectedVersion + 1, edited.profiles(), edited.teams(), edited.services(), edited.vmsOutOfService());
         cluster.setConfiguration(Optional.of(accepted));
