--- a/src/main/java/org/tamarackline/entry/PlatformModule.java
+++ b/src/main/java/org/tamarackline/entry/PlatformModule.java
@@ -21,8 +21,7 @@
     @Provides
     @Singleton
     HttpPlatformClient client(EntrySettings settings) {
-        return new HttpPlatformClient(
-                settings.platformUrl(), settings.cluster().requestTimeout());
+        return new HttpPlatformClient(settings.platformUrl(), settings.cluster().requestTimeout());
     }
 
     @Provides
--- a/src/main/java/org/tamarackline/load/DemoScenario.java
+++ b/src/main/java/org/tamarackline/load/DemoScenario.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.tamarackline.core.model.JobId;
@@ -94,7 +95,9 @@
                 Waits.until(
                         "requests are answered",
                         STEP_BOUND,
-                        () -> client.send(target, plan(), "probe").kind() == RequestOutcome.Kind.ANSWERED);
+                        () -> client.send(target, plan(), "probe-" + UUID.randomUUID())
+                                        .kind()
+                                == RequestOutcome.Kind.ANSWERED);
             }
         }
     }
--- a/src/main/java/org/tamarackline/load/LoadClient.java
+++ b/src/main/java/org/tamarackline/load/LoadClient.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
@@ -22,6 +23,7 @@
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.tamarackline.standin.StandinJson;
 import org.tamarackline.standin.upstream.StandinUpstream;
 
 /** Sends single requests to upstream stand-ins, directly or through entry nodes, and checks the answers. */
@@ -75,7 +77,7 @@
         try {
             return client.execute(request, response -> check(response, requestId, expected));
         } catch (IOException failure) {
-            return new RequestOutcome(requestId, RequestOutcome.Kind.BROKEN, 0, Optional.empty());
+            return new RequestOutcome(requestId, RequestOutcome.Kind.BROKEN, 0, Optional.empty(), Optional.empty());
         }
     }
 
@@ -89,8 +91,9 @@
         byte[] content = response.getEntity() == null ? new byte[0] : EntityUtils.toByteArray(response.getEntity());
         Optional<String> executed =
                 Optional.ofNullable(response.getFirstHeader(EXECUTED_HEADER)).map(Header::getValue);
-        return new RequestOutcome(
-                requestId, kind(response, requestId, expected, content), response.getCode(), executed);
+        RequestOutcome.Kind kind = kind(response, requestId, expected, content);
+        Optional<String> code = kind == RequestOutcome.Kind.REFUSED ? errorCode(content) : Optional.empty();
+        return new RequestOutcome(requestId, kind, response.getCode(), code, executed);
     }
 
     private static RequestOutcome.Kind kind(
@@ -105,6 +108,15 @@
                 : RequestOutcome.Kind.MISMATCHED;
     }
 
+    private static Optional<String> errorCode(byte[] content) {
+        try {
+            return Optional.ofNullable(StandinJson.mapper().readTree(content).get("code"))
+                    .map(JsonNode::asText);
+        } catch (IOException notJson) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns a body that no other request has, so that a swapped or truncated answer is noticed. */
     private static byte[] body(String requestId, int length) {
         byte[] id = (requestId + "|").getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/org/tamarackline/load/LoadRecorder.java
+++ b/src/main/java/org/tamarackline/load/LoadRecorder.java
@@ -19,6 +19,7 @@
     private final ConcurrentHistogram sendDelay = new ConcurrentHistogram(MAX_MICROS, SIGNIFICANT_DIGITS);
     private final Map<RequestOutcome.Kind, LongAdder> outcomes = new ConcurrentHashMap<>();
     private final Map<Integer, LongAdder> statuses = new ConcurrentHashMap<>();
+    private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
     private final LongAdder requests = new LongAdder();
 
     void recordSend(long lateNanos) {
@@ -32,6 +33,9 @@
             statuses.computeIfAbsent(outcome.status(), status -> new LongAdder())
                     .increment();
         }
+        outcome.code()
+                .ifPresent(code ->
+                        refusals.computeIfAbsent(code, key -> new LongAdder()).increment());
         if (outcome.kind() == RequestOutcome.Kind.ANSWERED) {
             latency.recordValue(micros(latencyNanos));
         }
@@ -43,10 +47,13 @@
         outcomes.forEach((kind, count) -> outcomeCounts.put(kind, count.sum()));
         Map<Integer, Long> statusCounts = new TreeMap<>();
         statuses.forEach((status, count) -> statusCounts.put(status, count.sum()));
+        Map<String, Long> refusalCounts = new TreeMap<>();
+        refusals.forEach((code, count) -> refusalCounts.put(code, count.sum()));
         return new LoadResult(
                 requests.sum(),
                 outcomeCounts,
                 statusCounts,
+                refusalCounts,
                 LatencySummary.ofMicros(latency),
                 LatencySummary.ofMicros(sendDelay));
     }
--- a/src/main/java/org/tamarackline/load/LoadRunner.java
+++ b/src/main/java/org/tamarackline/load/LoadRunner.java
@@ -51,7 +51,10 @@
                     }
                 });
             } else {
-                report(new RequestOutcome(requestId, RequestOutcome.Kind.NOT_SENT, 0, Optional.empty()), 0);
+                report(
+                        new RequestOutcome(
+                                requestId, RequestOutcome.Kind.NOT_SENT, 0, Optional.empty(), Optional.empty()),
+                        0);
             }
         }
         open.acquire(MAX_OPEN_REQUESTS);
--- a/src/main/java/org/tamarackline/load/LoadTable.java
+++ b/src/main/java/org/tamarackline/load/LoadTable.java
@@ -47,7 +47,7 @@
     static void printOutcomes(PrintStream out, String name, LoadResult result) {
         out.printf(
                 Locale.ROOT,
-                "%s: %d requests, %d answered, %d mismatched, %d refused, %d broken, %d not sent, statuses %s%n",
+                "%s: %d requests, %d answered, %d mismatched, %d refused, %d broken, %d not sent%n  statuses %s, refusals %s%n",
                 name,
                 result.requests(),
                 result.count(RequestOutcome.Kind.ANSWERED),
@@ -55,7 +55,8 @@
                 result.count(RequestOutcome.Kind.REFUSED),
                 result.count(RequestOutcome.Kind.BROKEN),
                 result.count(RequestOutcome.Kind.NOT_SENT),
-                result.statuses());
+                result.statuses(),
+                result.refusals());
     }
 
     private static void printComparison(PrintStream out, LoadReport.Comparison comparison) {
--- a/src/main/java/org/tamarackline/load/RequestOutcome.java
+++ b/src/main/java/org/tamarackline/load/RequestOutcome.java
@@ -8,9 +8,11 @@
  * @param requestId identifies the request
  * @param kind how the request ended
  * @param status HTTP status, 0 without an answer
+ * @param code stable code of the error answer, empty if there is none
  * @param executed value of the header {@code Tamarackline-Executed}
  */
-public record RequestOutcome(String requestId, Kind kind, int status, Optional<String> executed) {
+public record RequestOutcome(
+        String requestId, Kind kind, int status, Optional<String> code, Optional<String> executed) {
 
     /** How a request ended. */
     public enum Kind {
