--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSequencesTest.java
@@ -0,0 +1,131 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.tamarackline.core.task.TaskState;
+import org.tamarackline.entry.jobs.RackSimulation.Action;
+import org.tamarackline.entry.jobs.RackSimulation.Step;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RackSequencesTest {
+
+    private static final Duration DRIFT_MARGIN = Duration.ofMillis(500);
+    private static final int MAX_STEPS = 60;
+    private static final int MAX_CHOICE = 1_000;
+    private static final long SEED = 20_261_204;
+    private static final int MAX_SEQUENCES_WITH_A_DEFECT = 2_000;
+    private static final int SEQUENCES_TO_COUNT = 200;
+    private static final List<Action> WEIGHTED_ACTIONS = weightedActions();
+
+    /** Time has to pass between the faults, or most sequences would end before any task runs. */
+    private static List<Action> weightedActions() {
+        List<Action> actions = new ArrayList<>(List.of(Action.values()));
+        for (int i = 0; i < 4; i++) {
+            actions.add(Action.SUBMIT_BATCH);
+            actions.add(Action.SUBMIT_URGENT);
+            actions.add(Action.RUN_SHORT);
+            actions.add(Action.RUN_LONG);
+        }
+        return List.copyOf(actions);
+    }
+
+    @Provide
+    Arbitrary<List<Step>> sequences() {
+        Arbitrary<Step> step = Combinators.combine(
+                        Arbitraries.of(WEIGHTED_ACTIONS), Arbitraries.integers().between(0, MAX_CHOICE))
+                .as(Step::new);
+        return step.list().ofMinSize(10).ofMaxSize(MAX_STEPS);
+    }
+
+    /**
+     * Guards against a task on two workers, a worker above its capacity, an eviction that resumes twice or loses its
+     * checkpoint, a finished task that runs again, and a task that is lost.
+     */
+    @Property(seed = "20261204", tries = 500)
+    void keepsItsPromisesUnderFaults(@ForAll("sequences") List<Step> steps) {
+        assertThat(violations(steps, FakeWorker.Defect.NONE, DRIFT_MARGIN)).isEmpty();
+    }
+
+    private static List<String> violations(List<Step> steps, FakeWorker.Defect defect, Duration driftMargin) {
+        RackSimulation simulation = new RackSimulation(defect, driftMargin);
+        steps.forEach(simulation::apply);
+        simulation.heal();
+        return simulation.violations;
+    }
+
+    /** Shows that the checks notice a restart that does not wait for the lease to lapse. */
+    @Example
+    void noticesARestartWithoutWaiting() {
+        Duration noWait = Duration.ofSeconds(-19);
+        assertThat(findsViolation("runs on", FakeWorker.Defect.NONE, noWait)).isTrue();
+    }
+
+    /** Shows that the checks notice a worker whose lease does not lapse. */
+    @Example
+    void noticesALeaseThatNeverLapses() {
+        assertThat(findsViolation("runs on", FakeWorker.Defect.LEASE_NEVER_LAPSES, DRIFT_MARGIN))
+                .isTrue();
+    }
+
+    /** Shows that the checks notice a worker that accepts an attempt again. */
+    @Example
+    void noticesAnAttemptThatIsAcceptedTwice() {
+        assertThat(findsViolation("started twice", FakeWorker.Defect.ACCEPTS_OLD_ATTEMPTS, DRIFT_MARGIN))
+                .isTrue();
+    }
+
+    /** Shows that the checks notice a worker that obeys an owner of the past. */
+    @Example
+    void noticesMissingFencing() {
+        assertThat(findsViolation("", FakeWorker.Defect.NO_FENCING, DRIFT_MARGIN))
+                .isTrue();
+    }
+
+    private static boolean findsViolation(String part, FakeWorker.Defect defect, Duration driftMargin) {
+        Random random = new Random(SEED);
+        return IntStream.range(0, MAX_SEQUENCES_WITH_A_DEFECT)
+                .mapToObj(i -> violations(randomSteps(random), defect, driftMargin))
+                .anyMatch(found -> found.stream().anyMatch(violation -> violation.contains(part)));
+    }
+
+    /** Guards against sequences that pass because hardly anything happens in them. */
+    @Example
+    void sequencesReachEvictionsRestartsAndCancellations() {
+        Random random = new Random(SEED);
+        int fromCheckpoint = 0;
+        int laterAttempts = 0;
+        int cancelledTasks = 0;
+        for (int i = 0; i < SEQUENCES_TO_COUNT; i++) {
+            RackSimulation simulation = new RackSimulation(FakeWorker.Defect.NONE, DRIFT_MARGIN);
+            randomSteps(random).forEach(simulation::apply);
+            simulation.heal();
+            fromCheckpoint += simulation.runs(run -> run.fromMs() > 0);
+            laterAttempts += simulation.runs(run -> run.attempt() > 1);
+            cancelledTasks += simulation.tasksIn(TaskState.CANCELLED);
+        }
+        assertThat(fromCheckpoint).isGreaterThan(SEQUENCES_TO_COUNT);
+        assertThat(laterAttempts).isGreaterThan(SEQUENCES_TO_COUNT);
+        assertThat(cancelledTasks).isGreaterThan(SEQUENCES_TO_COUNT / 2);
+    }
+
+    private static List<Step> randomSteps(Random random) {
+        List<Step> steps = new ArrayList<>();
+        for (int i = 0; i < MAX_STEPS; i++) {
+            steps.add(new Step(
+                    WEIGHTED_ACTIONS.get(random.nextInt(WEIGHTED_ACTIONS.size())), random.nextInt(MAX_CHOICE)));
+        }
+        return steps;
+    }
+}
