--- a/src/test/java/org/tamarackline/entry/operator/ConfigurationEditsTest.java
+++ b/src/test/java/org/tamarackline/entry/operator/ConfigurationEditsTest.java
@@ -35,8 +35,7 @@
     @Test
     void servicesNeedATeamThatExists() {
         ServiceDefinition service = new ServiceDefinition(SERVICE, QUICK, TEAM);
-        assertRefused(
-                OperatorErrorCode.INVALID, () -> ConfigurationEdits.putService(Configuration.initial(), service));
+        assertRefused(OperatorErrorCode.INVALID, () -> ConfigurationEdits.putService(Configuration.initial(), service));
     }
 
     @Test
