--- a/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
@@ -10,6 +10,7 @@
 import io.dropwizard.lifecycle.Managed;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import org.tamarackline.core.routing.ConnectionShare;
 
 /** Reads the VM list at a fixed interval while the node runs, and closes the connections to upstreams at its end. */
 @Singleton
@@ -44,6 +45,8 @@
         try {
             directory.refresh();
             broker.updateRunners();
+            ConnectionShare share = broker.connectionShare();
+            directory.all().forEach(runner -> client.limitConnections(runner, share.of(runner)));
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("refresh of the runners failed");
         }
--- a/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
@@ -400,6 +400,11 @@
         }
     }
 
+    /** Returns how many connections to each runner this node may hold. */
+    public ConnectionShare connectionShare() {
+        return connectionShare;
+    }
+
     private void updateRunners(ShardId shard) {
         List<Runner> runners = directory.runnersOf(shard);
         lock.lock();
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAnswer.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAnswer.java
@@ -18,6 +18,9 @@
     /** Returns the headers as received. */
     List<HeaderField> headers();
 
+    /** Returns the declared length of the body in bytes, negative if it is not declared. */
+    long bodyLength();
+
     /** Closes the connection at {@code deadlineNanos} if the body has not been read by then. */
     void cutOffAt(long deadlineNanos);
 
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -213,12 +213,16 @@
 
         @Override
         public void writeTo(OutputStream output) throws IOException {
-            byte[] buffer = new byte[BUFFER_BYTES];
+            long length = answer.bodyLength();
+            byte[] buffer = new byte[bufferBytes(length)];
             InputStream body = openBody();
+            long total = 0;
             int count = read(body, buffer);
             while (count >= 0) {
                 write(output, buffer, count);
-                if (body.available() == 0) {
+                total += count;
+                // The last part is flushed when the response ends, together with its head if that was not sent yet.
+                if (total != length && body.available() == 0) {
                     flush(output);
                 }
                 count = read(body, buffer);
@@ -228,6 +232,10 @@
             answer.close();
         }
 
+        private static int bufferBytes(long length) {
+            return length < 0 ? BUFFER_BYTES : Math.clamp(length, 1, BUFFER_BYTES);
+        }
+
         private InputStream openBody() throws IOException {
             try {
                 return answer.body();
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -297,6 +297,12 @@
             return fields;
         }
 
+        @Override
+        public long bodyLength() {
+            HttpEntity entity = response.getEntity();
+            return entity == null ? 0 : entity.getContentLength();
+        }
+
         @Override
         public InputStream body() throws IOException {
             HttpEntity entity = response.getEntity();
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -58,7 +58,8 @@
     private static final String TOKEN = "token-of-lianhua";
 
     final List<VmRecord> vms = new ArrayList<>();
-    final FakeCluster cluster = new FakeCluster(SELF);
+    final FakeCluster cluster;
+    final RoutingPeerHandler peerHandler;
     final FakePlatform platform;
     final RequestsInFlight inFlight = new RequestsInFlight();
     final RunnerDirectory directory;
@@ -68,9 +69,10 @@
     private final Server server;
     private final HttpClient caller = HttpClient.newHttpClient();
 
-    ProxyFixture(EntrySettings.RequestLimits limits, PeerCaller peers, FakePlatform platform) throws Exception {
+    ProxyFixture(NodeId self, PeerCaller peers, FakePlatform platform) throws Exception {
         this.platform = platform;
-        EntrySettings settings = settings(limits);
+        cluster = new FakeCluster(self);
+        EntrySettings settings = settings(limits());
         MonotonicClock clock = MonotonicClock.system();
         cluster.configuration = java.util.Optional.of(new Configuration(
                 1,
@@ -82,6 +84,7 @@
         broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
         upstreams = new UpstreamClient(settings, clock);
         ownership = new GroupOwnership(broker);
+        peerHandler = new RoutingPeerHandler(broker);
         RequestRouter router = new RequestRouter(
                 cluster, broker, directory, upstreams, new IdempotencyStore(platform, cluster, settings, clock), clock);
         QuickRequests requests = new QuickRequests(settings, new CallerAuthentication(settings), cluster, clock);
@@ -94,7 +97,7 @@
 
     static ProxyFixture withRunners(ScriptedUpstream... runners) throws Exception {
         ProxyFixture fixture = new ProxyFixture(
-                limits(),
+                SELF,
                 (node, request, timeout) -> {
                     throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
                 },
@@ -112,7 +115,7 @@
     }
 
     void own() {
-        cluster.owners.put(GROUP, SELF);
+        cluster.owners.put(GROUP, cluster.self());
         directory.refresh();
         ownership.gained(GROUP, new Epoch(1), OwnershipListener.Origin.FIRST, java.util.Optional.empty());
     }
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
@@ -0,0 +1,169 @@
+package org.tamarackline.entry.proxy;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.Region;
+import org.tamarackline.entry.cluster.Member;
+import org.tamarackline.entry.cluster.OwnershipListener;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.platform.FakePlatform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards slots that one node lends to another: never more uses than slots, and every slot comes back. */
+class SlotBorrowingTest {
+
+    private static final NodeId OWNER = new NodeId("127.0.0.1:7401");
+    private static final NodeId BORROWER = new NodeId("127.0.0.1:7402");
+
+    @Test
+    void borrowsFromTheOwnerAndReturnsTheSlot() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                Pair pair = new Pair(runner)) {
+            HttpResponse<String> answer = pair.borrower.send(pair.borrower.request("/borrowed"));
+            assertThat(answer.body()).isEqualTo("/borrowed");
+            ProxyFixture.await(() -> pair.owner.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    @Test
+    void bothNodesTogetherNeverExceedTheSlots() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    Thread.sleep(1);
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                Pair pair = new Pair(runner)) {
+            List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                statuses.add(status(pair.owner));
+                statuses.add(status(pair.borrower));
+            }
+            assertThat(statuses.stream().map(CompletableFuture::join))
+                    .contains(200)
+                    .containsAnyOf(200, 503);
+            assertThat(runner.mostAtOnce.get()).isLessThanOrEqualTo(2);
+            ProxyFixture.await(() -> pair.owner.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    @Test
+    void cancelsAGrantWhoseAnswerWasLost() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                Pair pair = new Pair(runner)) {
+            pair.answersToLose.set(1);
+            HttpResponse<String> refused =
+                    pair.borrower.send(pair.borrower.request("/").header("Tamarackline-Deadline-Ms", "100"));
+            assertThat(refused.statusCode()).isEqualTo(503);
+            assertThat(refused.headers().firstValue("Tamarackline-Executed")).contains("no");
+            ProxyFixture.await(() -> pair.owner.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    @Test
+    void anIsolatedOwnerLendsNothing() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                Pair pair = new Pair(runner)) {
+            pair.owner.cluster.standing = Standing.ISOLATED;
+            HttpResponse<String> refused =
+                    pair.borrower.send(pair.borrower.request("/").header("Tamarackline-Deadline-Ms", "100"));
+            assertThat(refused.statusCode()).isEqualTo(503);
+            assertThat(runner.received).isEmpty();
+        }
+    }
+
+    @Test
+    void theNextOwnerCountsOpenUsesAndGetsTheirReturn() throws Exception {
+        CountDownLatch handedOver = new CountDownLatch(1);
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    handedOver.await();
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                Pair pair = new Pair(runner)) {
+            CompletableFuture<Integer> open = status(pair.owner);
+            ProxyFixture.await(() -> runner.received.size() == 1);
+            JsonNode state = pair.owner.ownership.prepareHandover(ProxyFixture.GROUP);
+            pair.borrower.ownership.gained(
+                    ProxyFixture.GROUP, new Epoch(2), OwnershipListener.Origin.HANDOVER, Optional.of(state));
+            pair.owner.ownership.lost(ProxyFixture.GROUP);
+            pair.setOwner(BORROWER);
+            assertThat(pair.borrower.broker.snapshot().openUses()).isEqualTo(1);
+
+            handedOver.countDown();
+            assertThat(open.join()).isEqualTo(200);
+            ProxyFixture.await(() -> pair.borrower.broker.snapshot().openUses() == 0);
+        }
+    }
+
+    private static CompletableFuture<Integer> status(ProxyFixture node) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return node.send(node.request("/")).statusCode();
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                },
+                task -> Thread.ofVirtual().start(task));
+    }
+
+    /** Two nodes that call each other directly; the first owns the only runner group. */
+    private static final class Pair implements AutoCloseable {
+        private final Map<NodeId, RoutingPeerHandler> handlers = new ConcurrentHashMap<>();
+        private final AtomicInteger answersToLose = new AtomicInteger();
+        private final ProxyFixture owner;
+        private final ProxyFixture borrower;
+
+        Pair(ScriptedUpstream runner) throws Exception {
+            FakePlatform platform = new FakePlatform();
+            owner = node(OWNER, BORROWER, platform, runner);
+            borrower = node(BORROWER, OWNER, platform, runner);
+            owner.own();
+            borrower.directory.refresh();
+            setOwner(OWNER);
+        }
+
+        private ProxyFixture node(NodeId self, NodeId other, FakePlatform platform, ScriptedUpstream runner)
+                throws Exception {
+            ProxyFixture node =
+                    new ProxyFixture(self, (target, request, timeout) -> call(self, target, request), platform);
+            node.addRunner("r0", runner.address(), 2);
+            node.cluster.peers.add(new Member(other, new Region("tw"), ProxyFixture.HERE, false));
+            handlers.put(self, node.peerHandler);
+            return node;
+        }
+
+        private PeerMessage call(NodeId sender, NodeId target, PeerMessage request) throws PeerException {
+            PeerMessage answer = handlers.get(target).handle(sender, request).orElseThrow();
+            if (request instanceof SlotMessages.BorrowSlot && answersToLose.getAndDecrement() > 0) {
+                throw new PeerException(PeerException.Reason.TIMEOUT, "answer lost by the test", null);
+            }
+            return answer;
+        }
+
+        void setOwner(NodeId node) {
+            owner.cluster.owners.put(ProxyFixture.GROUP, node);
+            borrower.cluster.owners.put(ProxyFixture.GROUP, node);
+        }
+
+        @Override
+        public void close() throws IOException {
+            owner.close();
+            borrower.close();
+        }
+    }
+}
