Reserve freed slots for peers that were refused

A node without runners of its own got nothing while the owners were busy, because each freed slot went to a request that waited at its owner. The refused peer's claim now competes by deadline; a slot is reserved and the peer is told to borrow again, so that the time of a grant still counts from a message of the borrower.

--- a/src/main/java/org/tamarackline/entry/proxy/RoutingPeerHandler.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RoutingPeerHandler.java
@@ -36,6 +36,10 @@
                 broker.cancelGrant(cancel.grantId());
                 yield Optional.of(new PeerMessage.Ok());
             }
+            case SlotMessages.SlotFree free -> {
+                broker.slotFreeAt(sender, free.service());
+                yield Optional.of(new PeerMessage.Ok());
+            }
             case PeerMessage other -> Optional.empty();
         };
     }
--- a/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotBroker.java
@@ -53,6 +53,7 @@
     private final SlotLedger ledger;
     private final OutlierDetector outliers = new OutlierDetector(OutlierDetector.Limits.defaults());
     private final Map<ServiceName, ServiceState> services = new HashMap<>();
+    private final PeerClaims peerClaims = new PeerClaims();
     private volatile ConnectionShare connectionShare = new ConnectionShare(1);
     private int waiting;
 
@@ -216,12 +217,98 @@
         if (cluster.standing() == Standing.ISOLATED) {
             return Optional.empty();
         }
+        PeerClaims.Key key = new PeerClaims.Key(borrower, request.service());
         lock.lock();
         try {
-            if (stateOf(request.service()).queue.size() > 0) {
-                return Optional.empty();
+            Optional<SlotLease> reserved = peerClaims.takeReserved(key);
+            reserved.ifPresent(lease -> ledger.release(lease.grantId()));
+            Optional<SlotLease> lease = Optional.empty();
+            if (reserved.isPresent() || stateOf(request.service()).queue.size() == 0) {
+                lease = acquireLocked(request.grantId(), request.service(), borrower, request.excluded());
+            }
+            if (lease.isEmpty()) {
+                long nowNanos = clock.nowNanos();
+                long remainingNanos = Duration.ofMillis(request.remainingMs()).toNanos();
+                peerClaims.add(key, nowNanos + remainingNanos, nowNanos);
+            }
+            return lease;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Reserves a free slot for a peer whose request comes first, and tells it. Returns false if there is none. */
+    private boolean reserveForPeerLocked(ServiceName service) {
+        Optional<Long> ownDeadlineNanos = stateOf(service).queue.first().map(AdmissionQueue.Entry::deadlineNanos);
+        Optional<PeerClaims.Key> first = peerClaims.firstBefore(service, ownDeadlineNanos, clock.nowNanos());
+        if (first.isEmpty()) {
+            return false;
+        }
+        PeerClaims.Key key = first.get();
+        Optional<SlotLease> lease = acquireLocked(newGrantId(), service, key.peer(), Set.of());
+        if (lease.isEmpty()) {
+            peerClaims.drop(key);
+            return true;
+        }
+        peerClaims.reserve(key, lease.get());
+        Thread.ofVirtual().start(() -> offer(key, lease.get()));
+        return true;
+    }
+
+    /** The peer borrows while it is being told; a reservation that is left then was not wanted. */
+    private void offer(PeerClaims.Key key, SlotLease lease) {
+        lending.tellFree(key.peer(), key.service());
+        lock.lock();
+        try {
+            if (peerClaims.endReservation(key, lease)) {
+                ledger.release(lease.grantId());
+                outliers.recordUnused(lease.runner().id());
+                grantWaitingLocked(key.service());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Borrows from an owner that has a free slot, as long as requests wait here. */
+    public void slotFreeAt(NodeId owner, ServiceName service) {
+        Optional<AdmissionQueue.Entry<SlotWaiter>> first = firstWaiting(service);
+        while (first.isPresent()) {
+            Duration remaining = Duration.ofNanos(first.get().deadlineNanos() - clock.nowNanos());
+            Optional<HeldSlot> slot = lending.borrowFrom(
+                    owner, service, remaining, first.get().item().excluded());
+            if (slot.isEmpty()) {
+                return;
+            }
+            if (!grantToFirst(service, slot.get())) {
+                finish(slot.get(), true, RunnerHealth.NOT_JUDGED);
             }
-            return acquireLocked(request.grantId(), request.service(), borrower, request.excluded());
+            first = firstWaiting(service);
+        }
+    }
+
+    private Optional<AdmissionQueue.Entry<SlotWaiter>> firstWaiting(ServiceName service) {
+        lock.lock();
+        try {
+            return stateOf(service).queue.first();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean grantToFirst(ServiceName service, HeldSlot slot) {
+        lock.lock();
+        try {
+            AdmissionQueue<SlotWaiter> queue = stateOf(service).queue;
+            Optional<AdmissionQueue.Entry<SlotWaiter>> first = queue.first();
+            if (first.isEmpty()
+                    || first.get().item().excluded().contains(slot.runner().id())) {
+                return false;
+            }
+            queue.remove(first.get());
+            waiting--;
+            first.get().item().grant(slot);
+            return true;
         } finally {
             lock.unlock();
         }
@@ -426,19 +513,28 @@
     }
 
     private void grantWaitingLocked(ServiceName service) {
-        ServiceState state = stateOf(service);
-        Optional<AdmissionQueue.Entry<SlotWaiter>> first = state.queue.first();
-        while (first.isPresent()) {
-            SlotWaiter waiter = first.get().item();
-            Optional<SlotLease> lease = acquireLocked(newGrantId(), service, self, waiter.excluded());
-            if (lease.isEmpty()) {
-                return;
-            }
-            state.queue.remove(first.get());
-            waiting--;
-            waiter.grant(own(lease.get()));
-            first = state.queue.first();
+        boolean more = true;
+        while (more) {
+            more = reserveForPeerLocked(service) || grantFirstLocked(service);
+        }
+    }
+
+    /** Returns false if nothing waits or no slot is free. */
+    private boolean grantFirstLocked(ServiceName service) {
+        AdmissionQueue<SlotWaiter> queue = stateOf(service).queue;
+        Optional<AdmissionQueue.Entry<SlotWaiter>> first = queue.first();
+        if (first.isEmpty()) {
+            return false;
+        }
+        SlotWaiter waiter = first.get().item();
+        Optional<SlotLease> lease = acquireLocked(newGrantId(), service, self, waiter.excluded());
+        if (lease.isEmpty()) {
+            return false;
         }
+        queue.remove(first.get());
+        waiting--;
+        waiter.grant(own(lease.get()));
+        return true;
     }
 
     private int slotsServing(ServiceName service) {
--- a/src/main/java/org/tamarackline/entry/proxy/SlotLending.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotLending.java
@@ -82,6 +82,22 @@
         return Optional.empty();
     }
 
+    /** Asks one owner for a slot. */
+    Optional<HeldSlot> borrowFrom(NodeId owner, ServiceName service, Duration remaining, Set<RunnerId> excluded) {
+        long grantId = ThreadLocalRandom.current().nextLong();
+        return ask(owner, new SlotMessages.BorrowSlot(grantId, service, remaining.toMillis(), excluded));
+    }
+
+    /** Tells a peer that a slot is reserved for it, and returns once it has borrowed it or does not want it. */
+    void tellFree(NodeId peer, ServiceName service) {
+        try {
+            peers.call(
+                    peer, new SlotMessages.SlotFree(service), settings.cluster().requestTimeout());
+        } catch (PeerException e) {
+            LOG.atFine().withCause(e).log("free slot not offered to %s", peer);
+        }
+    }
+
     private List<NodeId> ownersToAsk(List<ShardId> shards, ServiceName service) {
         Set<NodeId> owners = new LinkedHashSet<>();
         shards.forEach(shard -> cluster.ownerOf(shard).ifPresent(owners::add));
--- a/src/main/java/org/tamarackline/entry/proxy/SlotMessages.java
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotMessages.java
@@ -19,6 +19,7 @@
             new PeerMessageType("slotGrant", SlotGrant.class),
             new PeerMessageType("noSlot", NoSlot.class),
             new PeerMessageType("returnSlot", ReturnSlot.class),
+            new PeerMessageType("slotFree", SlotFree.class),
             new PeerMessageType("cancelBorrow", CancelBorrow.class));
 
     private SlotMessages() {}
@@ -68,4 +69,12 @@
      * @param grantId identifier of the use
      */
     public record CancelBorrow(long grantId) implements RoutingMessage {}
+
+    /**
+     * Tells a node that was refused that a slot is reserved for it. It grants nothing: the node borrows as usual, so that the
+     * time of a grant always counts from a message of the borrower.
+     *
+     * @param service service of the runner
+     */
+    public record SlotFree(ServiceName service) implements RoutingMessage {}
 }
--- a/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
@@ -61,6 +61,37 @@
         }
     }
 
+    @Test
+    void aBorrowerGetsItsShareWhileTheOwnerIsBusy() throws Exception {
+        CountDownLatch borrowed = new CountDownLatch(1);
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> {
+                    Thread.sleep(5);
+                    ScriptedUpstream.echo().answer(request, connection);
+                });
+                Pair pair = new Pair(runner)) {
+            List<Thread> load = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                load.add(Thread.ofVirtual().start(() -> {
+                    while (borrowed.getCount() > 0) {
+                        status(pair.owner).join();
+                    }
+                }));
+            }
+            ProxyFixture.await(() -> pair.owner.broker.snapshot().waiting() > 0);
+            List<Integer> statuses = new ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+                statuses.add(status(pair.borrower).join());
+            }
+            borrowed.countDown();
+            for (Thread thread : load) {
+                thread.join();
+            }
+            assertThat(statuses).containsOnly(200);
+            assertThat(runner.mostAtOnce.get()).isLessThanOrEqualTo(2);
+            ProxyFixture.await(() -> pair.owner.broker.snapshot().openUses() == 0);
+        }
+    }
+
     @Test
     void cancelsAGrantWhoseAnswerWasLost() throws Exception {
         try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
