Replace late attempts of idempotent requests within the retry budget

A connection that went silent cost a request its whole deadline. Idle connections are closed after a silence, at most once a second, and a new configuration reaches the runners within 500 ms instead of 2 s.

--- a/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -71,6 +71,8 @@
         private final QuickRequest request;
         private final Set<RunnerId> failed = new HashSet<>();
         private Executed executed = Executed.NO;
+        private boolean attemptsLeft;
+        private boolean replacingLate;
         private Optional<IdempotencyStore.Claim> claim = Optional.empty();
 
         Routing(QuickRequest request) {
@@ -91,6 +93,7 @@
         private RoutedAnswer attemptAll() throws RequestException {
             int attempt = 1;
             while (true) {
+                attemptsLeft = attempt < MAX_ATTEMPTS;
                 HeldSlot slot = acquire();
                 Optional<RoutedAnswer> replayed = claimKey(slot);
                 if (replayed.isPresent()) {
@@ -105,9 +108,10 @@
                     answer.discard();
                 } catch (UpstreamException e) {
                     recordFailure(slot, e);
-                    if (attempt == MAX_ATTEMPTS || !mayRetry(e)) {
+                    if (attempt == MAX_ATTEMPTS || !(replacingLate || mayRetry(e))) {
                         throw failure(e);
                     }
+                    replacingLate = false;
                 }
                 attempt++;
             }
@@ -184,7 +188,7 @@
                             slot,
                             () -> cluster.standing() != Standing.ISOLATED,
                             this::readLate)
-                    .send();
+                    .send(this::mayReplaceLate);
         }
 
         private QuickRequest withRemainingTime() {
@@ -217,6 +221,17 @@
             return executed == Executed.NO || (request.idempotent() && broker.tryRetry(request.service()));
         }
 
+        /** A late answer is not awaited any longer if the request may run twice and another runner can answer in time. */
+        private boolean mayReplaceLate() {
+            replacingLate = attemptsLeft
+                    && request.idempotent()
+                    && request.message().body().canBeSent()
+                    && request.deadlineNanos() - clock.nowNanos() > 0
+                    && directory.acceptingRunnersOf(request.service()).size() > failed.size() + 1
+                    && broker.tryRetry(request.service());
+            return replacingLate;
+        }
+
         /** An answer that says that this runner cannot serve is replaced if the request may run twice. */
         private boolean mayReplace(RoutedAnswer answer, HeldSlot slot) {
             boolean unavailable = answer.status() >= 502 && answer.status() <= 504;
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
@@ -10,7 +10,9 @@
 import io.dropwizard.lifecycle.Managed;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.routing.ConnectionShare;
+import org.tamarackline.entry.cluster.Cluster;
 
 /** Reads the VM list at a fixed interval while the node runs, and closes the connections to upstreams at its end. */
 @Singleton
@@ -18,18 +20,25 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    private static final Duration INTERVAL = Duration.ofSeconds(2);
+    private static final Duration TICK = Duration.ofMillis(500);
 
+    /** The VM list is read every 2 s; a new configuration is applied at the next tick. */
+    private static final int TICKS_PER_REFRESH = 4;
+
+    private final Cluster cluster;
     private final RunnerDirectory directory;
     private final SlotBroker broker;
     private final UpstreamClient client;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("runner-refresh").daemon().factory());
     private volatile ScheduledFuture<?> schedule;
+    private int ticks;
+    private long configurationVersion;
 
     /** Creates the refresh, which {@link #start} begins. */
     @Inject
-    public RunnerRefresh(RunnerDirectory directory, SlotBroker broker, UpstreamClient client) {
+    public RunnerRefresh(Cluster cluster, RunnerDirectory directory, SlotBroker broker, UpstreamClient client) {
+        this.cluster = cluster;
         this.directory = directory;
         this.broker = broker;
         this.client = client;
@@ -37,21 +46,32 @@
 
     @Override
     public void start() {
-        schedule = timer.scheduleWithFixedDelay(this::refresh, 0, INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        schedule = timer.scheduleWithFixedDelay(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Reads the list and applies it once. A failure must not end the schedule. */
-    void refresh() {
+    /** A failure must not end the schedule. */
+    private void tick() {
         try {
-            directory.refresh();
-            broker.updateRunners();
-            ConnectionShare share = broker.connectionShare();
-            directory.all().forEach(runner -> client.limitConnections(runner, share.of(runner)));
+            long version = cluster.configuration().map(Configuration::version).orElse(0L);
+            if (ticks++ % TICKS_PER_REFRESH == 0) {
+                directory.refresh();
+                apply();
+            } else if (version != configurationVersion) {
+                directory.rebuild();
+                apply();
+            }
+            configurationVersion = version;
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("refresh of the runners failed");
         }
     }
 
+    private void apply() {
+        broker.updateRunners();
+        ConnectionShare share = broker.connectionShare();
+        directory.all().forEach(runner -> client.limitConnections(runner, share.of(runner)));
+    }
+
     @Override
     public void stop() throws Exception {
         if (schedule != null) {
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -4,11 +4,13 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.time.MonotonicClock;
@@ -29,7 +31,7 @@
 
     private static final int BUFFER_BYTES = 16 * 1024;
 
-    /** Waits shorter than this many mean service times say nothing about the health of the runner. */
+    /** An answer is unusually late after this many mean service times, and after the time below. */
     private static final int SILENT_AFTER_SERVICE_TIMES = 4;
 
     private static final long SILENT_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
@@ -76,8 +78,12 @@
         this.startNanos = clock.nowNanos();
     }
 
-    /** Sends the request and waits for the head of the answer. The slot is returned if this fails. */
-    RoutedAnswer send() throws UpstreamException {
+    /**
+     * Sends the request and waits for the head of the answer. The slot is returned if this fails.
+     *
+     * @param replacement asked once, when the answer is unusually late, whether another attempt takes its place
+     */
+    RoutedAnswer send(BooleanSupplier replacement) throws UpstreamException {
         if (!request.message().body().isInMemory()) {
             UpstreamAnswer answer = sendUntil(request.deadlineNanos());
             answer.cutOffAt(slot.latestEndNanos());
@@ -85,7 +91,7 @@
         }
         CompletableFuture<UpstreamAnswer> head = new CompletableFuture<>();
         Thread.ofVirtual().start(() -> sendInBackground(head));
-        return new StreamedAnswer(awaitHead(head));
+        return new StreamedAnswer(awaitHead(head, replacement));
     }
 
     private void sendInBackground(CompletableFuture<UpstreamAnswer> head) {
@@ -99,19 +105,32 @@
         }
     }
 
-    private UpstreamAnswer awaitHead(CompletableFuture<UpstreamAnswer> head) throws UpstreamException {
+    private UpstreamAnswer awaitHead(CompletableFuture<UpstreamAnswer> head, BooleanSupplier replacement)
+            throws UpstreamException {
+        Optional<UpstreamAnswer> answer = awaitUntil(head, startNanos + usualWaitNanos());
+        if (answer.isEmpty() && !replacement.getAsBoolean()) {
+            answer = awaitUntil(head, request.deadlineNanos());
+        }
+        return answer.isPresent() ? answer.get() : giveUp(head);
+    }
+
+    /** Returns empty if the time is over or the thread was interrupted. */
+    private Optional<UpstreamAnswer> awaitUntil(CompletableFuture<UpstreamAnswer> head, long endNanos)
+            throws UpstreamException {
+        long nowNanos = clock.nowNanos();
+        long remainingNanos = Math.min(endNanos - nowNanos, request.deadlineNanos() - nowNanos);
         try {
-            return head.get(request.deadlineNanos() - clock.nowNanos(), TimeUnit.NANOSECONDS);
+            return Optional.of(head.get(Math.max(0, remainingNanos), TimeUnit.NANOSECONDS));
         } catch (ExecutionException e) {
             if (e.getCause() instanceof UpstreamException failure) {
                 throw failure;
             }
             throw new IllegalStateException(e.getCause());
         } catch (TimeoutException e) {
-            return giveUp(head);
+            return Optional.empty();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return giveUp(head);
+            return Optional.empty();
         }
     }
 
@@ -166,10 +185,16 @@
     }
 
     private RunnerHealth healthAfterSilence() {
-        long waitedNanos = clock.nowNanos() - startNanos;
-        long usualNanos = broker.meanServiceTimeNanos(request.service());
-        boolean isLong = waitedNanos >= SILENT_AFTER_NANOS && waitedNanos >= SILENT_AFTER_SERVICE_TIMES * usualNanos;
-        return isLong ? RunnerHealth.FAILED : RunnerHealth.NOT_JUDGED;
+        if (clock.nowNanos() - startNanos < usualWaitNanos()) {
+            return RunnerHealth.NOT_JUDGED;
+        }
+        client.closeIdleAfterSilence();
+        return RunnerHealth.FAILED;
+    }
+
+    private long usualWaitNanos() {
+        long usualNanos = SILENT_AFTER_SERVICE_TIMES * broker.meanServiceTimeNanos(request.service());
+        return Math.max(SILENT_AFTER_NANOS, usualNanos);
     }
 
     private static boolean drain(UpstreamAnswer answer, long limitBytes) {
@@ -208,7 +233,7 @@
 
         @Override
         public Executed executed() {
-            return health() == RunnerHealth.LEAVING ? Executed.UNKNOWN : Executed.YES;
+            return status() == 503 && isLeaving() ? Executed.UNKNOWN : Executed.YES;
         }
 
         @Override
@@ -299,7 +324,7 @@
         }
 
         private RunnerHealth health() {
-            if (status() == 503 && isLeaving()) {
+            if (isLeaving()) {
                 return RunnerHealth.LEAVING;
             }
             return status() >= 500 ? RunnerHealth.FAILED : RunnerHealth.ANSWERED;
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
@@ -60,6 +61,7 @@
     private static final TimeValue VALIDATE_AFTER = TimeValue.ofSeconds(1);
 
     private static final TimeValue CLOSE_IDLE_AFTER = TimeValue.ofSeconds(20);
+    private static final Duration IDLE_CLOSE_INTERVAL = Duration.ofSeconds(1);
     private static final int MAX_CONNECTIONS = 1024;
     private static final int MAX_HEADER_LINE_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 200;
@@ -70,11 +72,13 @@
     private final PoolingHttpClientConnectionManager connections;
     private final CloseableHttpClient client;
     private final ScheduledThreadPoolExecutor deadlines;
+    private final AtomicLong idleClosedNanos;
 
     /** Creates the client. */
     @Inject
     public UpstreamClient(EntrySettings settings, MonotonicClock clock) {
         this.clock = clock;
+        this.idleClosedNanos = new AtomicLong(clock.nowNanos() - IDLE_CLOSE_INTERVAL.toNanos());
         this.connectTimeout = settings.requests().connectTimeout();
         this.connections = PoolingHttpClientConnectionManagerBuilder.create()
                 .setConnectionFactory(strictConnections())
@@ -147,6 +151,20 @@
         connections.setMaxPerRoute(new HttpRoute(hostOf(runner)), limit);
     }
 
+    /**
+     * Closes idle connections after a runner stayed silent: connections of the same age may have gone silent together, and
+     * each would cost a request its deadline. At most once a second, so that slow runners do not cause a storm of new
+     * connections.
+     */
+    void closeIdleAfterSilence() {
+        long nowNanos = clock.nowNanos();
+        long lastNanos = idleClosedNanos.get();
+        if (nowNanos - lastNanos >= IDLE_CLOSE_INTERVAL.toNanos()
+                && idleClosedNanos.compareAndSet(lastNanos, nowNanos)) {
+            connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         deadlines.shutdownNow();
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -207,6 +207,28 @@
         }
     }
 
+    @Test
+    void replacesALateAttemptOfAnIdempotentRequestWithinTheBudget() throws Exception {
+        try (ScriptedUpstream silent = new ScriptedUpstream(ScriptedUpstream.echo());
+                ScriptedUpstream alive = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withRunners(silent, alive)) {
+            for (int i = 0; i < 20; i++) {
+                getBody(node, "/fill-budget");
+            }
+            silent.script = (request, connection) -> Thread.sleep(Duration.ofDays(1));
+            assertThat(List.of(getBody(node, "/1"), getBody(node, "/2"))).containsExactly("/1", "/2");
+            HttpResponse<String> dose = node.send(node.request("/dose").POST(HttpRequest.BodyPublishers.noBody()));
+            assertThat(silent.received.stream()
+                                    .filter(r -> r.path().equals("/dose"))
+                                    .count()
+                            + alive.received.stream()
+                                    .filter(r -> r.path().equals("/dose"))
+                                    .count())
+                    .isEqualTo(1);
+            assertThat(dose.statusCode()).isIn(200, 504);
+        }
+    }
+
     @Test
     void givesNoNewWorkToARunnerThatSaysItIsLeaving() throws Exception {
         ScriptedUpstream.Script leaving =
