Add the usage record by team and service

The work of a task is kept in its row, which changes once for each attempt that ends, so neither a repeated report nor a change of owner counts it twice. Quick requests are counted in memory and written every 30 s under the incarnation of the process.

--- a/src/main/java/org/tamarackline/core/task/CommandSteps.java
+++ b/src/main/java/org/tamarackline/core/task/CommandSteps.java
@@ -77,7 +77,7 @@
                     worker.id, entry.row, profiles.of(entry).checkpointAllowed()));
         }
         if (worker.silent && !entry.startMayArrive) {
-            giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+            giveUp(entry, entry.ended(Optional.empty()));
         }
         return Optional.empty();
     }
@@ -157,15 +157,15 @@
         switch (code) {
             case START_FAILED, INVALID -> {
                 listReader.recordFailure(worker(entry), entry);
-                giveUp(entry, new TaskEvent.WorkerFailed(worker(entry).id));
+                giveUp(entry, entry.failedOn(worker(entry).id));
             }
             case OVER_CAPACITY -> {
                 worker(entry).coolUntilNanos = clock.nowNanos() + OVER_CAPACITY_PAUSE_NANOS;
-                giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+                giveUp(entry, entry.ended(Optional.empty()));
             }
             case ATTEMPT_FORBIDDEN -> {
                 entry.startMayArrive = false;
-                giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+                giveUp(entry, entry.ended(Optional.empty()));
             }
             case NO_LEASE -> {
                 worker(entry).leaseCurrent = false;
@@ -180,7 +180,7 @@
         entry.tries++;
         entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
         if (entry.tries >= MAX_START_TRIES) {
-            giveUp(entry, new TaskEvent.Ended(Optional.empty()));
+            giveUp(entry, entry.ended(Optional.empty()));
         }
     }
 
@@ -246,7 +246,7 @@
             listReader.observe(entry, report.get(), sequence);
         } else if (isUnknownTask(outcome)) {
             entry.expect(TaskEntry.Step.NONE);
-            TaskEvent event = entry.verdict.orElseGet(() -> new TaskEvent.Ended(entry.lastCheckpointKey));
+            TaskEvent event = entry.verdict.orElseGet(() -> entry.ended(entry.lastCheckpointKey));
             proposals.propose(entry, event, TaskEntry.Aftermath.NOTHING);
         } else {
             entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
--- a/src/main/java/org/tamarackline/core/task/ListReader.java
+++ b/src/main/java/org/tamarackline/core/task/ListReader.java
@@ -77,7 +77,7 @@
             return;
         }
         recordFailure(worker, entry);
-        propose(entry, new TaskEvent.WorkerFailed(worker.id));
+        propose(entry, entry.failedOn(worker.id));
     }
 
     private void stopped(TaskEntry entry, TaskReport report) {
@@ -85,7 +85,7 @@
         if (report.checkpointKey().isPresent() && !report.checkpointKey().equals(entry.row.checkpointKey())) {
             entry.savedWorkMs = report.workDoneMs();
         }
-        propose(entry, entry.verdict.orElseGet(() -> new TaskEvent.Ended(newest)));
+        propose(entry, entry.verdict.orElseGet(() -> entry.ended(newest)));
     }
 
     private void propose(TaskEntry entry, TaskEvent event) {
@@ -112,7 +112,7 @@
         }
         if (entry.confirmedSequence < renewal.sequence()) {
             entry.expect(TaskEntry.Step.NONE);
-            proposals.propose(entry, new TaskEvent.Ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+            proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
         }
     }
 
--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.model.JobId;
@@ -37,7 +38,6 @@
     private final ListReader listReader;
     private final CommandSteps commandSteps;
     private final PlacementRound placement;
-    private final List<WorkRecord> work = new ArrayList<>();
     private long sequence;
 
     /** Creates the scheduler of a rack that was gained at this moment. */
@@ -185,7 +185,8 @@
                 .filter(entry -> entry.proposal
                         .map(proposal -> proposal.change().to().state() != TaskState.CANCELLED)
                         .orElse(true))
-                .forEach(entry -> proposals.propose(entry, new TaskEvent.Cancelled(), TaskEntry.Aftermath.STOP));
+                .forEach(entry ->
+                        proposals.propose(entry, new TaskEvent.Cancelled(entry.workDoneMs), TaskEntry.Aftermath.STOP));
     }
 
     private void giveUpLapsed() {
@@ -208,7 +209,7 @@
             // Added before the commit: a start of this attempt may be under way and must never find a current lease.
             worker.add(Leftover.lapsed(entry.task(), entry.row.attempt()));
             if (!entry.cancelRequested) {
-                proposals.propose(entry, new TaskEvent.Ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+                proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
             }
         }
     }
@@ -277,7 +278,6 @@
         entry.proposal = Optional.empty();
         entry.row = change.to();
         entry.version++;
-        WorkRecord.of(change, entry).ifPresent(work::add);
         change.from()
                 .worker()
                 .filter(worker -> change.from().state().isOnWorker())
@@ -306,7 +306,6 @@
                 entry.adopted = false;
                 entry.startMayArrive = false;
                 entry.startUnsettled = false;
-                entry.startedFromMs = entry.savedWorkMs;
                 entry.workDoneMs = entry.savedWorkMs;
                 entry.throttlePercent = TaskEntry.UNTHROTTLED_PERCENT;
                 entry.confirmedSequence = Long.MAX_VALUE;
@@ -411,11 +410,9 @@
         return placement.load();
     }
 
-    /** Returns the work recorded since the last call. */
-    public List<WorkRecord> takeWork() {
-        List<WorkRecord> taken = List.copyOf(work);
-        work.clear();
-        return taken;
+    /** Returns the rows of all tasks; those that ended come without their command. */
+    public Stream<TaskRow> rows() {
+        return state.rows();
     }
 
     /** Returns the capacity of the worker that is taken up, for tests and dumps. */
--- a/src/main/java/org/tamarackline/core/task/RackState.java
+++ b/src/main/java/org/tamarackline/core/task/RackState.java
@@ -74,9 +74,11 @@
     }
 
     List<TaskRow> rowsOf(JobId job) {
-        return Stream.concat(live.values().stream().map(entry -> entry.row), ended.values().stream())
-                .filter(row -> row.task().job().equals(job))
-                .toList();
+        return rows().filter(row -> row.task().job().equals(job)).toList();
+    }
+
+    Stream<TaskRow> rows() {
+        return Stream.concat(live.values().stream().map(entry -> entry.row), ended.values().stream());
     }
 
     Optional<TaskRow> row(TaskId task) {
--- a/src/main/java/org/tamarackline/core/task/TaskEntry.java
+++ b/src/main/java/org/tamarackline/core/task/TaskEntry.java
@@ -4,6 +4,7 @@
 
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
 
 /** What the owner of a rack knows of one task beyond its row. */
 final class TaskEntry {
@@ -44,7 +45,6 @@
 
     long waitingSinceNanos;
     Optional<Long> evictedAtNanos = Optional.empty();
-    long startedFromMs;
     long workDoneMs;
     long savedWorkMs;
     Optional<String> lastCheckpointKey = Optional.empty();
@@ -57,6 +57,8 @@
     TaskEntry(VersionedRow stored, long nowNanos) {
         this.row = stored.row();
         this.version = stored.version();
+        this.savedWorkMs = row.work().savedMs();
+        this.workDoneMs = savedWorkMs;
         this.waitingSinceNanos = nowNanos;
     }
 
@@ -101,6 +103,20 @@
                 Math.max(older.accelerators(), newer.accelerators()));
     }
 
+    /** Returns the event of an attempt that ended without finishing. */
+    TaskEvent ended(Optional<String> checkpointKey) {
+        return new TaskEvent.Ended(checkpointKey, work());
+    }
+
+    TaskEvent failedOn(WorkerId worker) {
+        return new TaskEvent.WorkerFailed(worker, work());
+    }
+
+    private TaskRow.Work work() {
+        long lostMs = Math.max(0, workDoneMs - savedWorkMs);
+        return new TaskRow.Work(savedWorkMs, row.work().repeatedMs() + lostMs);
+    }
+
     void expect(Step next) {
         step = next;
         tries = 0;
--- a/src/main/java/org/tamarackline/core/task/TaskEvent.java
+++ b/src/main/java/org/tamarackline/core/task/TaskEvent.java
@@ -35,15 +35,17 @@
      * The worker failed to run the attempt.
      *
      * @param worker worker that failed
+     * @param work work of all attempts so far
      */
-    record WorkerFailed(WorkerId worker) implements TaskEvent {}
+    record WorkerFailed(WorkerId worker, TaskRow.Work work) implements TaskEvent {}
 
     /**
      * The attempt is known to have ended without finishing, or never to start.
      *
      * @param checkpointKey newest checkpoint, empty to keep the recorded one
+     * @param work work of all attempts so far
      */
-    record Ended(Optional<String> checkpointKey) implements TaskEvent {}
+    record Ended(Optional<String> checkpointKey, TaskRow.Work work) implements TaskEvent {}
 
     /** The task has to make room. */
     record EvictionBegun() implements TaskEvent {}
@@ -51,8 +53,12 @@
     /** The task could not be checkpointed and goes on. */
     record EvictionAbandoned() implements TaskEvent {}
 
-    /** The caller cancelled the job. */
-    record Cancelled() implements TaskEvent {}
+    /**
+     * The caller cancelled the job.
+     *
+     * @param workDoneMs work done so far, in milliseconds
+     */
+    record Cancelled(long workDoneMs) implements TaskEvent {}
 
     /**
      * The task cannot run for now.
--- a/src/main/java/org/tamarackline/core/task/TaskRow.java
+++ b/src/main/java/org/tamarackline/core/task/TaskRow.java
@@ -19,6 +19,7 @@
  * @param checkpointKey object to resume from
  * @param outcome how the last attempt ended, once the state is final
  * @param parkReason why the task is parked
+ * @param work work of earlier attempts
  */
 public record TaskRow(
         TaskId task,
@@ -29,7 +30,8 @@
         List<WorkerId> failedOn,
         Optional<String> checkpointKey,
         Optional<Outcome> outcome,
-        Optional<ParkReason> parkReason) {
+        Optional<ParkReason> parkReason,
+        Work work) {
 
     /** Creates a row that later changes of the arguments do not affect. */
     public TaskRow {
@@ -45,6 +47,18 @@
      */
     public record Outcome(Optional<String> resultKey, Optional<Integer> exitCode, long workDoneMs) {}
 
+    /**
+     * Work of earlier attempts.
+     *
+     * @param savedMs work in the checkpoint, in milliseconds
+     * @param repeatedMs work that was in no checkpoint and had to be done again, in milliseconds
+     */
+    public record Work(long savedMs, long repeatedMs) {
+
+        /** No work yet. */
+        public static final Work NONE = new Work(0, 0);
+    }
+
     /** Returns the row of a task that was just submitted. */
     public static TaskRow submitted(TaskId task, TaskSpec spec) {
         return new TaskRow(
@@ -56,7 +70,8 @@
                 List.of(),
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                Work.NONE);
     }
 
     /** Returns whether the row places the given attempt on {@code candidate}. */
@@ -67,7 +82,7 @@
     TaskRow withoutCommand() {
         TaskSpec shortened =
                 new TaskSpec(spec.caller(), spec.team(), spec.profile(), spec.resources(), NullNode.getInstance());
-        return new TaskRow(task, shortened, state, attempt, worker, failedOn, checkpointKey, outcome, parkReason);
+        return new TaskRow(task, shortened, state, attempt, worker, failedOn, checkpointKey, outcome, parkReason, work);
     }
 
     TaskRow assignedTo(WorkerId chosen) {
@@ -80,14 +95,15 @@
                 failedOn,
                 checkpointKey,
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                work);
     }
 
     TaskRow in(TaskState next) {
-        return new TaskRow(task, spec, next, attempt, worker, failedOn, checkpointKey, outcome, parkReason);
+        return new TaskRow(task, spec, next, attempt, worker, failedOn, checkpointKey, outcome, parkReason, work);
     }
 
-    TaskRow nextAttempt(Optional<String> newCheckpointKey, List<WorkerId> newFailedOn) {
+    TaskRow nextAttempt(Optional<String> newCheckpointKey, List<WorkerId> newFailedOn, Work newWork) {
         return new TaskRow(
                 task,
                 spec,
@@ -97,12 +113,13 @@
                 newFailedOn,
                 newCheckpointKey.or(() -> checkpointKey),
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                newWork);
     }
 
     TaskRow ended(TaskState end, Outcome how) {
         return new TaskRow(
-                task, spec, end, attempt, worker, failedOn, checkpointKey, Optional.of(how), Optional.empty());
+                task, spec, end, attempt, worker, failedOn, checkpointKey, Optional.of(how), Optional.empty(), work);
     }
 
     TaskRow parked(ParkReason reason) {
@@ -115,7 +132,8 @@
                 failedOn,
                 checkpointKey,
                 Optional.empty(),
-                Optional.of(reason));
+                Optional.of(reason),
+                work);
     }
 
     TaskRow unparked() {
@@ -128,6 +146,7 @@
                 List.of(),
                 checkpointKey,
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                work);
     }
 }
--- a/src/main/java/org/tamarackline/core/task/Transitions.java
+++ b/src/main/java/org/tamarackline/core/task/Transitions.java
@@ -26,16 +26,24 @@
             case TaskEvent.Finished end -> when(state.isOnWorker(), row.ended(TaskState.DONE, end.outcome()));
             case TaskEvent.Exited end -> when(state.isOnWorker(), row.ended(TaskState.FAILED, end.outcome()));
             case TaskEvent.WorkerFailed failure ->
-                when(state.isOnWorker(), row.nextAttempt(Optional.empty(), failedOn(row, failure.worker())));
-            case TaskEvent.Ended end -> when(state.isOnWorker(), row.nextAttempt(end.checkpointKey(), row.failedOn()));
+                when(
+                        state.isOnWorker(),
+                        row.nextAttempt(Optional.empty(), failedOn(row, failure.worker()), failure.work()));
+            case TaskEvent.Ended end ->
+                when(state.isOnWorker(), row.nextAttempt(end.checkpointKey(), row.failedOn(), end.work()));
             case TaskEvent.EvictionBegun begun -> when(state == TaskState.RUNNING, row.in(TaskState.EVICTING));
             case TaskEvent.EvictionAbandoned given -> when(state == TaskState.EVICTING, row.in(TaskState.RUNNING));
-            case TaskEvent.Cancelled cancelled -> when(!state.isFinal(), row.in(TaskState.CANCELLED));
+            case TaskEvent.Cancelled cancelled ->
+                when(!state.isFinal(), row.ended(TaskState.CANCELLED, workOnly(cancelled.workDoneMs())));
             case TaskEvent.Parked parked -> when(state == TaskState.PENDING, row.parked(parked.reason()));
             case TaskEvent.Unparked unparked -> when(state == TaskState.PARKED, row.unparked());
         };
     }
 
+    private static TaskRow.Outcome workOnly(long workDoneMs) {
+        return new TaskRow.Outcome(Optional.empty(), Optional.empty(), workDoneMs);
+    }
+
     private static Optional<TaskRow> when(boolean allowed, TaskRow next) {
         return allowed ? Optional.of(next) : Optional.empty();
     }
--- a/src/main/java/org/tamarackline/entry/jobs/JobMessages.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobMessages.java
@@ -11,6 +11,7 @@
 import org.tamarackline.core.task.RackLoad;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.usage.UsageSource;
 import org.tamarackline.peer.JobMessage;
 import org.tamarackline.peer.PeerMessageType;
 
@@ -28,6 +29,8 @@
             new PeerMessageType("cancelJob", CancelJob.class),
             new PeerMessageType("askLoads", AskLoads.class),
             new PeerMessageType("loads", Loads.class),
+            new PeerMessageType("askUsage", AskUsage.class),
+            new PeerMessageType("usage", Usage.class),
             new PeerMessageType("rowsMoved", RowsMoved.class));
 
     private JobMessages() {}
@@ -121,6 +124,22 @@
      */
     public record ShardLoad(ShardId shard, RackLoad load) {}
 
+    /** Asks for the work of the tasks in the racks of a node. */
+    public record AskUsage() implements JobMessage {}
+
+    /**
+     * The work of the tasks in the racks of a node.
+     *
+     * @param lines amounts by key
+     */
+    public record Usage(List<UsageSource.Line> lines) implements JobMessage {
+
+        /** Creates an answer that later changes of the argument do not affect. */
+        public Usage {
+            lines = List.copyOf(lines);
+        }
+    }
+
     /**
      * Tells the owner of a rack that rows of a job were moved to the rack.
      *
--- a/src/main/java/org/tamarackline/entry/jobs/JobPeerHandler.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobPeerHandler.java
@@ -35,6 +35,7 @@
                 yield Optional.of(new PeerMessage.Ok());
             }
             case JobMessages.AskLoads ask -> Optional.of(new JobMessages.Loads(loads.own()));
+            case JobMessages.AskUsage ask -> Optional.of(new JobMessages.Usage(engine.usage()));
             case JobMessages.RowsMoved moved -> {
                 engine.rowsMoved(moved.shard());
                 yield Optional.of(new PeerMessage.Ok());
--- a/src/main/java/org/tamarackline/entry/jobs/JobRows.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobRows.java
@@ -11,6 +11,7 @@
 import org.tamarackline.core.model.TaskId;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.core.usage.UsageSource;
 import org.tamarackline.platform.Row;
 
 /** Keys and contents of the rows of jobs and tasks. */
@@ -62,6 +63,10 @@
         return read(row, JobRecord.class);
     }
 
+    static UsageSource.Line usage(Row row) {
+        return read(row, UsageSource.Line.class);
+    }
+
     private static <T> T read(Row row, Class<T> type) {
         try {
             return JSON.treeToValue(row.value(), type);
--- a/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,10 @@
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.TaskState;
 import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.core.usage.UsageKey;
+import org.tamarackline.core.usage.UsageLedger;
+import org.tamarackline.core.usage.UsageSource;
+import org.tamarackline.core.usage.UsageTotals;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.entry.jobs.JobMessages.JobStatusAnswer;
 import org.tamarackline.entry.jobs.JobMessages.ShardLoad;
@@ -203,6 +208,19 @@
         return new TaskAnswer(row.map(TaskRow::state), row.flatMap(TaskRow::outcome));
     }
 
+    /** Returns the work of the tasks in the racks of this node. */
+    List<UsageSource.Line> usage() {
+        return onLoop(() -> {
+            Map<UsageKey, UsageTotals> totals = new TreeMap<>();
+            racks.values().stream()
+                    .flatMap(rack -> rack.scheduler().rows())
+                    .forEach(row -> totals.merge(UsageLedger.keyOf(row), UsageLedger.ofTask(row), UsageTotals::plus));
+            return totals.entrySet().stream()
+                    .map(entry -> new UsageSource.Line(entry.getKey(), entry.getValue()))
+                    .toList();
+        });
+    }
+
     /** Returns a snapshot for the state dump. */
     List<RackDump> dump() {
         return onLoop(() -> {
--- a/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
@@ -1,5 +1,6 @@
 package org.tamarackline.entry.jobs;
 
+import java.security.SecureRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 
@@ -8,7 +9,11 @@
 import com.google.inject.Singleton;
 import com.google.inject.multibindings.Multibinder;
 import io.dropwizard.lifecycle.Managed;
+import org.tamarackline.core.model.Incarnation;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.core.usage.RequestUsage;
+import org.tamarackline.core.usage.UsageLedger;
+import org.tamarackline.core.usage.UsageSource;
 import org.tamarackline.entry.CallerApi;
 import org.tamarackline.entry.StateDump;
 import org.tamarackline.entry.cluster.Cluster;
@@ -36,6 +41,7 @@
         bind(OwnerCalls.class).in(Singleton.class);
         bind(JobsRunner.class).in(Singleton.class);
         bind(JobResource.class).in(Singleton.class);
+        bind(UsageSource.class).to(UsageReports.class).in(Singleton.class);
         Multibinder.newSetBinder(binder(), Object.class, CallerApi.class)
                 .addBinding()
                 .to(JobResource.class);
@@ -81,6 +87,23 @@
         return new JobsContext(cluster, table, gateway, peers, settings, clock, threads);
     }
 
+    @Provides
+    @Singleton
+    UsageLedger usageLedger() {
+        return new UsageLedger();
+    }
+
+    @Provides
+    RequestUsage requestUsage(UsageLedger ledger) {
+        return ledger::recordRequest;
+    }
+
+    @Provides
+    @Singleton
+    UsageTable usageTable(TableStore table, UsageLedger ledger) {
+        return new UsageTable(table, ledger, new Incarnation(new SecureRandom().nextLong()));
+    }
+
     @Provides
     @Singleton
     RackLoads loads(JobsContext context) {
--- a/src/main/java/org/tamarackline/entry/jobs/JobsRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsRunner.java
@@ -20,12 +20,14 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private static final Duration VM_POLL_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration USAGE_INTERVAL = Duration.ofSeconds(30);
     private static final Duration LOAD_POLL_INTERVAL = Duration.ofSeconds(3);
 
     private final JobsContext context;
     private final JobsEngine engine;
     private final RackLoads loads;
     private final VmDirectory vms;
+    private final UsageTable usage;
     private final ScheduledExecutorService loop;
     private final List<ScheduledFuture<?>> timers = new ArrayList<>();
 
@@ -35,11 +37,13 @@
             JobsEngine engine,
             RackLoads loads,
             VmDirectory vms,
+            UsageTable usage,
             @JobsLoop ScheduledExecutorService loop) {
         this.context = context;
         this.engine = engine;
         this.loads = loads;
         this.vms = vms;
+        this.usage = usage;
         this.loop = loop;
     }
 
@@ -47,6 +51,7 @@
     public void start() {
         repeat(context.settings().jobs().commitInterval(), engine::step);
         repeat(VM_POLL_INTERVAL, () -> context.threads().calls().execute(this::pollVms));
+        repeat(USAGE_INTERVAL, () -> context.threads().calls().execute(usage::flush));
         repeat(LOAD_POLL_INTERVAL, () -> context.threads().calls().execute(loads::refresh));
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/jobs/UsageTable.java
@@ -0,0 +1,111 @@
+package org.tamarackline.entry.jobs;
+
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.usage.UsageKey;
+import org.tamarackline.core.usage.UsageLedger;
+import org.tamarackline.core.usage.UsageSource;
+import org.tamarackline.core.usage.UsageTotals;
+import org.tamarackline.platform.OutcomeUnknownException;
+import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.platform.Row;
+import org.tamarackline.platform.TableStore;
+import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.platform.TableTransaction.Write;
+import org.tamarackline.platform.TransactionConflictException;
+
+/**
+ * The rows that keep the usage of quick requests.
+ *
+ * <p>Each process writes the totals of one day under its own incarnation, so that no two processes write the same row and a
+ * repeated write changes nothing.
+ */
+final class UsageTable {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final String PREFIX = "usage/";
+    private static final int SCAN_LIMIT = 500;
+
+    private final TableStore table;
+    private final UsageLedger ledger;
+    private final Incarnation incarnation;
+    private Map<UsageKey, UsageTotals> written = new HashMap<>();
+    private Map<UsageKey, UsageTotals> atMidnight = Map.of();
+    private LocalDate day;
+
+    UsageTable(TableStore table, UsageLedger ledger, Incarnation incarnation) {
+        this.table = table;
+        this.ledger = ledger;
+        this.incarnation = incarnation;
+        this.day = today();
+    }
+
+    private static LocalDate today() {
+        return LocalDate.now(ZoneOffset.UTC);
+    }
+
+    /** Writes the totals that changed since the last time; called every 30 s. */
+    synchronized void flush() {
+        Map<UsageKey, UsageTotals> totals = ledger.requests();
+        Map<UsageKey, UsageTotals> changed = new HashMap<>();
+        List<Write> writes = new ArrayList<>();
+        totals.forEach((key, total) -> {
+            if (!total.equals(written.get(key)) && writes.size() < JobRows.MAX_TRANSACTION_ROWS) {
+                UsageTotals ofDay = total.minus(atMidnight.getOrDefault(key, UsageTotals.NONE));
+                writes.add(new Write(rowKey(key), JobRows.toJson(new UsageSource.Line(key, ofDay))));
+                changed.put(key, total);
+            }
+        });
+        if (!writes.isEmpty() && apply(writes)) {
+            written.putAll(changed);
+        }
+        startNewDay(totals);
+    }
+
+    /** Counts up to the first write after midnight belong to the day before. */
+    private void startNewDay(Map<UsageKey, UsageTotals> totals) {
+        if (!today().equals(day) && written.equals(totals)) {
+            day = today();
+            atMidnight = totals;
+        }
+    }
+
+    private String rowKey(UsageKey key) {
+        return "%s%s/%s/%s/%016x".formatted(PREFIX, key.team().value(), key.name(), day, incarnation.value());
+    }
+
+    private boolean apply(List<Write> writes) {
+        try {
+            table.transact(new TableTransaction(UUID.randomUUID().toString(), List.of(), writes));
+            return true;
+        } catch (TransactionConflictException | PlatformUnavailableException | OutcomeUnknownException e) {
+            LOG.atFine().withCause(e).log("usage was not written; trying again");
+            return false;
+        }
+    }
+
+    /** Returns the usage of requests that all processes have written. */
+    Map<UsageKey, UsageTotals> read() throws PlatformUnavailableException {
+        Map<UsageKey, UsageTotals> totals = new HashMap<>();
+        String after = "";
+        List<Row> page;
+        do {
+            page = table.scan(PREFIX, after, SCAN_LIMIT);
+            for (Row row : page) {
+                UsageSource.Line line = JobRows.usage(row);
+                totals.merge(line.key(), line.totals(), UsageTotals::plus);
+            }
+            after = page.isEmpty() ? after : page.getLast().key();
+        } while (page.size() == SCAN_LIMIT);
+        return totals;
+    }
+}
--- a/src/test/java/org/tamarackline/entry/jobs/JobMessagesTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobMessagesTest.java
@@ -24,6 +24,9 @@
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.TaskSpec;
 import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.usage.UsageKey;
+import org.tamarackline.core.usage.UsageSource;
+import org.tamarackline.core.usage.UsageTotals;
 import org.tamarackline.peer.PeerMessage;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -55,6 +58,10 @@
                 new JobMessages.CancelJob(JOB),
                 new JobMessages.AskLoads(),
                 new JobMessages.Loads(List.of(new JobMessages.ShardLoad(RACK, load))),
+                new JobMessages.AskUsage(),
+                new JobMessages.Usage(List.of(new UsageSource.Line(
+                        new UsageKey(new TeamName("dyeing"), UsageKey.Kind.TASKS, "overnight plan"),
+                        new UsageTotals(1, 0, 5, 2, 0)))),
                 new JobMessages.RowsMoved(RACK));
     }
 
