Run nothing of a job before its submission is complete

A submission whose later transactions failed left rows that a rescan of the rack would have started. A rack now leaves out the tasks of jobs that are not marked complete; a repetition with the same key completes them.

--- a/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsEngine.java
@@ -157,6 +157,11 @@
                         JobErrorCode.OWNER_UNAVAILABLE,
                         "this node does not run %s at the moment; submit again".formatted(shard)));
         List<VersionedRow> written = writer.write(job, shard, shardRowVersion);
+        if (written.size() < job.tasks()) {
+            // An earlier submission wrote the other rows.
+            rowsMoved(shard);
+            return;
+        }
         context.threads()
                 .loop()
                 .execute(() -> Optional.ofNullable(racks.get(shard)).ifPresent(rack -> rack.admitted(written)));
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.membership.Standing;
@@ -195,7 +195,7 @@
         }
         reading = true;
         nextReadNanos = now + RESCAN_NANOS;
-        Set<JobId> known = new HashSet<>();
+        Set<JobId> known = scheduler.rows().map(row -> row.task().job()).collect(Collectors.toSet());
         context.threads().calls().execute(() -> {
             try {
                 RackRows found = readRows(known);
@@ -217,7 +217,7 @@
      */
     private record RackRows(Optional<Long> shardRowVersion, List<VersionedRow> tasks, Set<JobId> cancelled) {}
 
-    private RackRows readRows(Set<JobId> checked) throws PlatformUnavailableException {
+    private RackRows readRows(Set<JobId> known) throws PlatformUnavailableException {
         Optional<Long> version = context.table().get(rows.shardKey(shard)).flatMap(this::versionIfOwned);
         List<VersionedRow> tasks = new ArrayList<>();
         String prefix = rows.taskPrefix(shard);
@@ -228,7 +228,18 @@
             page.forEach(row -> tasks.add(JobRows.task(row)));
             after = page.isEmpty() ? after : page.getLast().key();
         } while (page.size() == SCAN_LIMIT);
-        return new RackRows(version, tasks, cancelledJobs(tasks, checked));
+        Map<JobId, JobRecord> found = newJobs(tasks, known);
+        // A job whose submission broke off is not run at all; a repetition of the submission completes it.
+        tasks.removeIf(task -> isIncomplete(found.get(task.row().task().job())));
+        Set<JobId> cancelled = found.values().stream()
+                .filter(JobRecord::cancelled)
+                .map(JobRecord::id)
+                .collect(Collectors.toSet());
+        return new RackRows(version, tasks, cancelled);
+    }
+
+    private static boolean isIncomplete(JobRecord job) {
+        return job != null && !job.complete() && !job.cancelled();
     }
 
     private Optional<Long> versionIfOwned(Row row) {
@@ -236,19 +247,18 @@
         return owned ? Optional.of(row.version()) : Optional.empty();
     }
 
-    private Set<JobId> cancelledJobs(List<VersionedRow> tasks, Set<JobId> checked) throws PlatformUnavailableException {
-        Set<JobId> cancelled = new HashSet<>();
+    /** Reads the rows of jobs that were not known before and have tasks to run. */
+    private Map<JobId, JobRecord> newJobs(List<VersionedRow> tasks, Set<JobId> known)
+            throws PlatformUnavailableException {
+        Map<JobId, JobRecord> jobs = new HashMap<>();
         for (VersionedRow task : tasks) {
             JobId job = task.row().task().job();
-            if (task.row().state().isFinal() || !checked.add(job)) {
+            if (task.row().state().isFinal() || known.contains(job) || jobs.containsKey(job)) {
                 continue;
             }
-            Optional<Row> row = context.table().get(JobRows.jobKey(job));
-            if (row.isPresent() && JobRows.job(row.get()).cancelled()) {
-                cancelled.add(job);
-            }
+            context.table().get(JobRows.jobKey(job)).map(JobRows::job).ifPresent(record -> jobs.put(job, record));
         }
-        return cancelled;
+        return jobs;
     }
 
     private void rowsRead(RackRows found) {
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorker.java
@@ -80,6 +80,7 @@
 
     Resources capacity;
     boolean failStarts;
+    int failedStarts;
     boolean objectStoreDown;
 
     FakeWorker(
@@ -170,6 +171,7 @@
             throw refused(RefusalCode.ATTEMPT_FORBIDDEN);
         }
         if (failStarts) {
+            failedStarts++;
             throw refused(RefusalCode.START_FAILED);
         }
         if (!used().plus(request.resources()).fitsIn(capacity)) {
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -1,127 +1,189 @@
 package org.tamarackline.entry.jobs;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-import java.util.UUID;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.config.Profiles;
-import org.tamarackline.core.model.CallerName;
-import org.tamarackline.core.model.DataCentre;
+import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.ProfileName;
 import org.tamarackline.core.model.Resources;
-import org.tamarackline.core.model.ShardId;
-import org.tamarackline.core.model.TeamName;
-import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.core.task.ParkReason;
 import org.tamarackline.core.task.TaskState;
-import org.tamarackline.core.time.ManualClock;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.TableTransaction;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class JobsEngineTest {
 
-    private static final ShardId RACK = new ShardId("rack:a:1");
-    private static final CallerName CALLER = new CallerName("lianhua");
     private static final Resources WORKER_SIZE = new Resources(16_000, 60_000, 0);
+    private static final Resources SMALL = new Resources(1_000, 1_000, 0);
+    private static final ProfileName BATCH = Profiles.OVERNIGHT_PLAN.name();
+    private static final ProfileName URGENT = Profiles.QUICK_ANSWER.name();
+    private static final Duration URGENT_BOUND = Duration.ofMillis(8_500);
 
-    private final ManualClock clock = new ManualClock();
-    private final FakePlatform platform = new FakePlatform();
-    private final FakeWorkers workers = new FakeWorkers();
-    private FakeNode node;
-
-    @BeforeEach
-    void setUp() throws Exception {
-        workers.add("w1", WORKER_SIZE, clock, FakeWorker.Defect.NONE);
-        writeShardRow(1, 0);
-        node = newNode("10.0.0.1:1", 1);
-        run(Duration.ofSeconds(1));
+    private final JobsFixture fixture = new JobsFixture();
+
+    private void settleWorkers() {
+        fixture.run(Duration.ofSeconds(2));
     }
 
-    private FakeNode newNode(String id, long epoch) {
-        FakeNode created = new FakeNode(id, platform, workers, clock);
-        created.gain(RACK, epoch);
-        created.directly(() -> created.engine.setVms(List.of(vm("w1"))));
-        return created;
+    /** Guards against a break anywhere between submission and the recorded end of the tasks. */
+    @Test
+    void runsAJobToItsEnd() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 10, 2_000, SMALL));
+        fixture.run(Duration.ofSeconds(12));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(10);
     }
 
-    static VmRecord vm(String id) {
-        return new VmRecord(id, "worker", id, new DataCentre("a"), "1", VmRecord.State.LIVE, 0, 0, WORKER_SIZE);
+    /** Guards against urgent work that waits for batch work to end, and evicted work that does not come back. */
+    @Test
+    void evictsBatchWorkForUrgentWorkAndResumesItFromItsCheckpoint() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView batch = fixture.submit(JobsFixture.submission(BATCH, 1, 30_000, new Resources(16_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(5));
+        assertThat(fixture.watch(batch).counts()).containsEntry(TaskState.RUNNING, 1);
+        JobView urgent = fixture.submit(JobsFixture.submission(URGENT, 1, 3_000, new Resources(8_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(3));
+        assertThat(fixture.watch(urgent).counts()).containsEntry(TaskState.RUNNING, 1);
+        fixture.run(Duration.ofSeconds(45));
+        assertThat(fixture.watch(urgent).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.watch(batch).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(3);
+        assertThat(fixture.workers.history.get(2).fromMs()).isPositive();
     }
 
-    private void writeShardRow(long epoch, long version) throws Exception {
-        ObjectNode row = JsonNodeFactory.instance.objectNode().put("epoch", epoch);
-        String key =
-                node == null ? "region/r1/shard/rack:a:1" : node.context.rows().shardKey(RACK);
-        platform.transact(new TableTransaction(
-                UUID.randomUUID().toString(),
-                List.of(new TableTransaction.Check(key, version)),
-                List.of(new TableTransaction.Write(key, row))));
+    /** Guards against an eviction that stops a task whose checkpoint could not be written. */
+    @Test
+    void doesNotStopATaskWhoseCheckpointCannotBeWritten() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE).objectStoreDown = true;
+        settleWorkers();
+        JobView batch = fixture.submit(JobsFixture.submission(BATCH, 1, 20_000, new Resources(16_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(3));
+        fixture.submit(JobsFixture.submission(URGENT, 1, 1_000, new Resources(8_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(30));
+        assertThat(fixture.watch(batch).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(2);
     }
 
-    private void run(Duration time) {
-        for (long passed = 0; passed < time.toMillis(); passed += 50) {
-            clock.advance(Duration.ofMillis(50));
-            if (passed % 250 == 0) {
-                node.step();
-            }
-            node.settle();
+    /** Guards against a burst of cancellations that delays urgent work beyond its bound. */
+    @Test
+    void startsUrgentWorkWhileTenThousandTasksAreCancelled() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView large = fixture.submit(JobsFixture.submission(BATCH, 10_000, 600_000, SMALL));
+        fixture.run(Duration.ofSeconds(3));
+        fixture.cancel(large);
+        JobView urgent = fixture.submit(JobsFixture.submission(URGENT, 1, 60_000, SMALL));
+        fixture.run(URGENT_BOUND);
+        assertThat(fixture.watch(urgent).counts()).containsEntry(TaskState.RUNNING, 1);
+        fixture.run(Duration.ofSeconds(20));
+        assertThat(fixture.watch(large).counts()).containsOnly(java.util.Map.entry(TaskState.CANCELLED, 10_000));
+        assertThat(fixture.workers.get("w1").running()).hasSize(1);
+    }
+
+    /** Guards against tasks that wait in a full rack while another one is idle. */
+    @Test
+    void movesWaitingTasksToARackWithRoom() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        fixture.addWorker("w2", "2", WORKER_SIZE);
+        settleWorkers();
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 8, 60_000, new Resources(4_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(20));
+        assertThat(fixture.workers.get("w1").running()).isNotEmpty();
+        assertThat(fixture.workers.get("w2").running()).isNotEmpty();
+        fixture.run(Duration.ofMinutes(4));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(8);
+    }
+
+    /** Guards against a task that is retried for ever, and one that stays parked when it could run. */
+    @Test
+    void parksWhatFitsNowhereUntilALargerWorkerAppears() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, new Resources(32_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(10));
+        assertThat(fixture.watch(job).parked()).containsEntry(ParkReason.FITS_NOWHERE, 1);
+        fixture.addWorker("w2", "2", new Resources(64_000, 60_000, 0));
+        fixture.run(Duration.ofSeconds(20));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+    }
+
+    /** Guards against a worker that fails everything and takes all tasks with it. */
+    @Test
+    void keepsTasksAwayFromAWorkerThatFailsEverything() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE).failStarts = true;
+        fixture.addWorker("w2", "1", WORKER_SIZE);
+        settleWorkers();
+        for (int i = 0; i < 20; i++) {
+            fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, SMALL));
+            fixture.run(Duration.ofSeconds(1));
         }
+        fixture.run(Duration.ofSeconds(10));
+        assertThat(fixture.workers.history).hasSize(20);
+        assertThat(fixture.workers.get("w1").failedStarts).isLessThan(10);
     }
 
-    private JobView submit(ProfileName profile, int tasks, long workMs, Resources size) {
-        ObjectNode command = JsonNodeFactory.instance.objectNode().put("workMs", workMs);
-        Submission submission = new Submission(new TeamName("dyeing"), profile, tasks, command, size, Optional.empty());
-        JobView[] view = new JobView[1];
-        node.directly(() -> {
-            try {
-                view[0] = node.service.submit(CALLER, submission);
-            } catch (JobRefusedException e) {
-                throw new AssertionError(e);
-            }
-        });
-        return view[0];
+    /** Guards against a job that fails on every worker and is tried for ever. */
+    @Test
+    void parksATaskThatFailedOnThreeWorkers() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            fixture.addWorker("w" + i, "1", WORKER_SIZE).failStarts = true;
+        }
+        settleWorkers();
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, SMALL));
+        fixture.run(Duration.ofSeconds(10));
+        assertThat(fixture.watch(job).parked()).containsEntry(ParkReason.POISON, 1);
     }
 
-    private JobView watch(JobView job) {
-        JobView[] view = new JobView[1];
-        node.directly(() -> {
-            try {
-                view[0] = node.service.watch(CALLER, job.id());
-            } catch (JobRefusedException e) {
-                throw new AssertionError(e);
-            }
-        });
-        return view[0];
+    /** Guards against work that stops or starts while the platform is down. */
+    @Test
+    void goesOnWithoutStartingAnythingDuringAnOutage() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView running = fixture.submit(JobsFixture.submission(BATCH, 1, 60_000, SMALL));
+        fixture.run(Duration.ofSeconds(2));
+        JobView waiting = fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, SMALL));
+        fixture.platform.setDown(true);
+        fixture.node.cluster.standing = Standing.OUTAGE;
+        fixture.run(Duration.ofMinutes(2));
+        assertThat(fixture.workers.history).hasSize(1);
+        assertThat(fixture.workers.get("w1").running()).isEmpty();
+        fixture.platform.setDown(false);
+        fixture.node.cluster.standing = Standing.CONFIRMED;
+        fixture.run(Duration.ofSeconds(10));
+        assertThat(fixture.watch(running).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.watch(waiting).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(2);
     }
 
-    /** Guards against a break anywhere between submission and the recorded end of the tasks. */
+    /** Guards against an isolated owner that keeps leases alive after another one took over. */
     @Test
-    void runsAJobToItsEnd() {
-        JobView job = submit(Profiles.OVERNIGHT_PLAN.name(), 10, 2_000, new Resources(1_000, 1_000, 0));
-        run(Duration.ofSeconds(12));
-        assertThat(watch(job).state()).isEqualTo(JobView.State.DONE);
-        assertThat(workers.history).hasSize(10);
+    void letsTheLeasesLapseWhenIsolated() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        fixture.submit(JobsFixture.submission(BATCH, 1, 600_000, SMALL));
+        fixture.run(Duration.ofSeconds(10));
+        fixture.node.cluster.standing = Standing.ISOLATED;
+        fixture.run(Duration.ofSeconds(21));
+        assertThat(fixture.workers.get("w1").running()).isEmpty();
     }
 
-    /** Guards against urgent work that waits for batch work to end, and evicted work that does not come back. */
+    /** Guards against usage that counts an evicted task's work twice. */
     @Test
-    void evictsBatchWorkForUrgentWorkAndResumesItFromItsCheckpoint() {
-        JobView batch = submit(Profiles.OVERNIGHT_PLAN.name(), 1, 30_000, new Resources(16_000, 1_000, 0));
-        run(Duration.ofSeconds(5));
-        assertThat(watch(batch).counts()).containsEntry(TaskState.RUNNING, 1);
-        JobView urgent = submit(Profiles.QUICK_ANSWER.name(), 1, 3_000, new Resources(8_000, 1_000, 0));
-        run(Duration.ofSeconds(3));
-        assertThat(watch(urgent).counts()).containsEntry(TaskState.RUNNING, 1);
-        run(Duration.ofSeconds(45));
-        assertThat(watch(urgent).state()).isEqualTo(JobView.State.DONE);
-        assertThat(watch(batch).state()).isEqualTo(JobView.State.DONE);
-        assertThat(workers.history).hasSize(3);
-        assertThat(workers.history.get(2).fromMs()).isPositive();
+    void countsTheWorkOfAnEvictedTaskOnce() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        fixture.submit(JobsFixture.submission(BATCH, 1, 30_000, new Resources(16_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(5));
+        fixture.submit(JobsFixture.submission(URGENT, 1, 3_000, new Resources(8_000, 1_000, 0)));
+        fixture.run(Duration.ofSeconds(60));
+        long useful = fixture.call(() -> fixture.node.engine.usage()).stream()
+                .mapToLong(line -> line.totals().usefulMs())
+                .sum();
+        assertThat(useful).isEqualTo(33_000);
     }
 }
