--- /dev/null
+++ b/src/test/java/org/tamarackline/core/placement/PlacementTest.java
@@ -0,0 +1,133 @@
+package org.tamarackline.core.placement;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.config.Profile;
+import org.tamarackline.core.config.Profiles;
+import org.tamarackline.core.config.TeamQuota;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.WorkerId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PlacementTest {
+
+    private static final Resources SIZE = new Resources(10_000, 10_000, 0);
+    private static final TeamName TEAM = new TeamName("dyeing");
+    private static final TeamName OTHER_TEAM = new TeamName("knotting");
+
+    private static WorkerView worker(String id, RunningTask... running) {
+        Resources occupied = Arrays.stream(running).map(RunningTask::size).reduce(Resources.NONE, Resources::plus);
+        return new WorkerView(new WorkerId(id), SIZE, occupied, List.of(running));
+    }
+
+    private static RunningTask running(String id, Profile profile, long processorMillis, long unsavedMs) {
+        return new RunningTask(TaskId.parse(id), new Resources(processorMillis, 100, 0), profile, unsavedMs, true);
+    }
+
+    private static Demand demand(Profile profile, long processorMillis, WorkerId... avoid) {
+        return new Demand(TaskId.parse("new.0"), new Resources(processorMillis, 100, 0), profile, Set.of(avoid));
+    }
+
+    /** Guards against tasks that pile up on one worker, or go to one that has to be avoided. */
+    @Test
+    void spreadsOverTheWorkers() {
+        WorkerView busy = worker("w1", running("a.0", Profiles.OVERNIGHT_PLAN, 2_000, 0));
+        WorkerView idle = worker("w2");
+        SpreadPolicy policy = new SpreadPolicy();
+        assertThat(policy.choose(demand(Profiles.OVERNIGHT_PLAN, 1_000), List.of(busy, idle)))
+                .contains(idle.id());
+        assertThat(policy.choose(demand(Profiles.OVERNIGHT_PLAN, 1_000, idle.id()), List.of(busy, idle)))
+                .contains(busy.id());
+        assertThat(policy.choose(demand(Profiles.OVERNIGHT_PLAN, 11_000), List.of(busy, idle)))
+                .isEmpty();
+    }
+
+    /** Guards against batch work that fills a worker to the brim, so that urgent work always has to evict. */
+    @Test
+    void keepsRoomForUrgentWork() {
+        WorkerView nearlyFull = worker("w1", running("a.0", Profiles.OVERNIGHT_PLAN, 8_500, 0));
+        SpreadPolicy policy = new SpreadPolicy();
+        assertThat(policy.choose(demand(Profiles.OVERNIGHT_PLAN, 1_000), List.of(nearlyFull)))
+                .isEmpty();
+        assertThat(policy.choose(demand(Profiles.QUICK_ANSWER, 1_000), List.of(nearlyFull)))
+                .contains(nearlyFull.id());
+        assertThat(policy.choose(demand(Profiles.OVERNIGHT_PLAN, 10_000), List.of(worker("w2"))))
+                .contains(new WorkerId("w2"));
+    }
+
+    /** Guards against an eviction that loses more work than another one would. */
+    @Test
+    void evictsWhatHasTheLeastWorkAtRisk() {
+        WorkerView first = worker("w1", running("a.0", Profiles.OVERNIGHT_PLAN, 10_000, 9_000));
+        WorkerView second = worker(
+                "w2",
+                running("b.0", Profiles.OVERNIGHT_PLAN, 5_000, 4_000),
+                running("b.1", Profiles.OVERNIGHT_PLAN, 5_000, 1_000));
+        assertThat(new RoomMaker().makeRoom(demand(Profiles.QUICK_ANSWER, 5_000), List.of(first, second)))
+                .hasValueSatisfying(plan -> assertThat(plan.evicted()).containsExactly(TaskId.parse("b.1")));
+    }
+
+    /** Guards against the eviction of tasks that may not be checkpointed, or that are as important. */
+    @Test
+    void evictsOnlyWhatMayBeEvicted() {
+        WorkerView urgent = worker("w1", running("a.0", Profiles.QUICK_ANSWER, 10_000, 0));
+        RunningTask evictedBefore =
+                new RunningTask(TaskId.parse("b.0"), new Resources(10_000, 100, 0), Profiles.OVERNIGHT_PLAN, 0, false);
+        WorkerView recent = worker("w2", evictedBefore);
+        WorkerView higher = worker("w3", running("c.0", Profiles.STANDING_WATCHER, 10_000, 0));
+        RoomMaker roomMaker = new RoomMaker();
+        assertThat(roomMaker.makeRoom(demand(Profiles.QUICK_ANSWER, 5_000), List.of(urgent, recent)))
+                .isEmpty();
+        assertThat(roomMaker.makeRoom(demand(Profiles.OVERNIGHT_PLAN, 5_000), List.of(higher)))
+                .isEmpty();
+    }
+
+    /** Guards against urgent work that stops all overnight plans. */
+    @Test
+    void leavesAPartOfThePlansRunning() {
+        WorkerView worker = worker(
+                "w1",
+                running("a.0", Profiles.OVERNIGHT_PLAN, 2_500, 0),
+                running("a.1", Profiles.OVERNIGHT_PLAN, 2_500, 0),
+                running("a.2", Profiles.OVERNIGHT_PLAN, 2_500, 0),
+                running("a.3", Profiles.OVERNIGHT_PLAN, 2_500, 0));
+        RoomMaker roomMaker = new RoomMaker();
+        assertThat(roomMaker.makeRoom(demand(Profiles.QUICK_ANSWER, 7_500), List.of(worker)))
+                .isPresent();
+        assertThat(roomMaker.makeRoom(demand(Profiles.QUICK_ANSWER, 10_000), List.of(worker)))
+                .isEmpty();
+    }
+
+    /** Guards against evictions where slowing tasks down suffices, and against doing nothing where it does not. */
+    @Test
+    void throttlesBeforeItEvictsWhenAWorkerShrinks() {
+        RunningTask task = running("a.0", Profiles.OVERNIGHT_PLAN, 6_000, 0);
+        WorkerView shrunk =
+                new WorkerView(new WorkerId("w1"), new Resources(5_000, 10_000, 0), task.size(), List.of(task));
+        RoomMaker roomMaker = new RoomMaker();
+        assertThat(roomMaker.shrink(shrunk, false))
+                .hasValueSatisfying(plan -> assertThat(plan.throttled()).containsExactly(task.task()));
+        assertThat(roomMaker.shrink(shrunk, true))
+                .hasValueSatisfying(plan -> assertThat(plan.evicted()).containsExactly(task.task()));
+        assertThat(roomMaker.shrink(worker("w2", task), false)).isEmpty();
+    }
+
+    /** Guards against a team that borrows what another one is guaranteed. */
+    @Test
+    void countsGuaranteesAndDominantShares() {
+        QuotaLedger ledger = new QuotaLedger(SIZE, List.of(new TeamQuota(TEAM, new Resources(4_000, 4_000, 0))));
+        ledger.add(TEAM, new Resources(3_000, 1_000, 0));
+        ledger.add(OTHER_TEAM, new Resources(1_000, 5_000, 0));
+        assertThat(ledger.isGuaranteed(TEAM, new Resources(1_000, 1_000, 0))).isTrue();
+        assertThat(ledger.isGuaranteed(TEAM, new Resources(2_000, 1_000, 0))).isFalse();
+        assertThat(ledger.isGuaranteed(OTHER_TEAM, new Resources(1, 1, 0))).isFalse();
+        assertThat(ledger.share(TEAM)).isEqualTo(0.3);
+        assertThat(ledger.share(OTHER_TEAM)).isEqualTo(0.5);
+    }
+}
