Move no more tasks than the other rack has room for

The mover also looked up the target and the load of the rack once per waiting task, which is quadratic for a large job. A task whose only workers all failed it returns to one of them after 30 s instead of waiting for ever.

--- a/src/main/java/org/tamarackline/core/task/PlacementRound.java
+++ b/src/main/java/org/tamarackline/core/task/PlacementRound.java
@@ -33,6 +33,9 @@
     /** Assignments of one round; more would only wait for the next transactions. */
     private static final int MAX_ASSIGNMENTS = 200;
 
+    /** Time after which a task returns to a worker on which it failed, if there is no other. */
+    private static final long SAME_WORKER_PAUSE_NANOS = Duration.ofSeconds(30).toNanos();
+
     private static final long EVICTION_PAUSE_NANOS = Duration.ofSeconds(60).toNanos();
     private static final long RESERVATION_NANOS = Duration.ofSeconds(8).toNanos();
     private static final long THROTTLE_PATIENCE_NANOS = Duration.ofSeconds(5).toNanos();
@@ -375,7 +378,12 @@
         }
 
         private Demand demandOf(TaskEntry entry) {
-            Set<WorkerId> avoid = new HashSet<>(entry.row.failedOn());
+            Set<WorkerId> avoid = new HashSet<>();
+            boolean noOther = entry.row.failedOn().containsAll(views.keySet());
+            boolean waitedLong = now - entry.waitingSinceNanos >= SAME_WORKER_PAUSE_NANOS;
+            if (!noOther || !waitedLong) {
+                avoid.addAll(entry.row.failedOn());
+            }
             for (WorkerEntry worker : state.workers()) {
                 boolean leftoverHere = worker.leftover(entry.task()).isPresent();
                 boolean riskyProbe = worker.health.isQuarantined() && profiles.isUrgent(entry);
--- a/src/main/java/org/tamarackline/entry/jobs/RackLoads.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackLoads.java
@@ -103,6 +103,13 @@
                 .filter(shard -> size.fitsIn(all().get(shard).largestWorker()));
     }
 
+    /** Returns how many tasks of the given size the rack may have room for. */
+    int roomFor(Resources size, ShardId shard) {
+        RackLoad load = all().get(shard);
+        double share = load == null ? 1 : Shares.dominant(size, load.free());
+        return (int) (1 / share);
+    }
+
     /** Returns whether every node and worker of the region was heard, so that what no rack offers does not exist. */
     boolean areComplete() {
         boolean workersHeard = all().values().stream().allMatch(RackLoad::complete);
--- a/src/main/java/org/tamarackline/entry/jobs/RackMover.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackMover.java
@@ -39,7 +39,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private static final long PATIENCE_NANOS = Duration.ofSeconds(4).toNanos();
-    private static final long INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+    /** Loads of other nodes are as old as this; a shorter interval would fill the same room twice. */
+    private static final long INTERVAL_NANOS = Duration.ofSeconds(3).toNanos();
     /** Each task takes two rows of the transaction, its old one and its new one, besides the row of the job. */
     private static final int TASKS_PER_MOVE = 99;
 
@@ -108,34 +109,35 @@
     }
 
     private Optional<Move> nextMove(RackRunner rack) {
+        Resources largestHere = rack.scheduler().load().largestWorker();
+        Map<Resources, Optional<ShardId>> targets = new HashMap<>();
         Map<ShardId, Map<JobId, List<VersionedRow>>> byTarget = new HashMap<>();
         for (VersionedRow stored : rack.scheduler().stranded(PATIENCE_NANOS)) {
-            Optional<ShardId> target = targetOf(rack, stored);
+            Resources size = stored.row().spec().resources();
+            boolean fitsHere = size.fitsIn(largestHere);
+            Optional<ShardId> target = targets.computeIfAbsent(size, key -> targetOf(rack, key, fitsHere));
             target.ifPresent(shard -> byTarget.computeIfAbsent(shard, key -> new HashMap<>())
                     .computeIfAbsent(stored.row().task().job(), key -> new ArrayList<>())
                     .add(stored));
+            if (target.isEmpty() && !fitsHere && loads.areComplete()) {
+                rack.scheduler().park(stored.row().task(), ParkReason.FITS_NOWHERE);
+            }
         }
         return byTarget.entrySet().stream()
                 .flatMap(target -> target.getValue().entrySet().stream()
-                        .map(job -> new Move(rack, target.getKey(), job.getKey(), first(job.getValue()))))
+                        .map(job -> move(rack, target.getKey(), job.getKey(), job.getValue())))
                 .findFirst();
     }
 
-    private static List<VersionedRow> first(List<VersionedRow> tasks) {
-        return tasks.subList(0, Math.min(tasks.size(), TASKS_PER_MOVE));
+    private Optional<ShardId> targetOf(RackRunner rack, Resources size, boolean fitsHere) {
+        return fitsHere ? loads.withRoom(size, rack.shard()) : loads.largeEnough(size, rack.shard());
     }
 
-    private Optional<ShardId> targetOf(RackRunner rack, VersionedRow stored) {
-        Resources size = stored.row().spec().resources();
-        boolean fitsHere = size.fitsIn(rack.scheduler().load().largestWorker());
-        if (fitsHere) {
-            return loads.withRoom(size, rack.shard());
-        }
-        Optional<ShardId> other = loads.largeEnough(size, rack.shard());
-        if (other.isEmpty() && loads.areComplete()) {
-            rack.scheduler().park(stored.row().task(), ParkReason.FITS_NOWHERE);
-        }
-        return other;
+    /** Moves no more tasks than the other rack has room for, or they would soon move on from there. */
+    private Move move(RackRunner rack, ShardId target, JobId job, List<VersionedRow> tasks) {
+        Resources size = tasks.getFirst().row().spec().resources();
+        int count = Math.min(TASKS_PER_MOVE, Math.max(1, loads.roomFor(size, target)));
+        return new Move(rack, target, job, tasks.subList(0, Math.min(tasks.size(), count)));
     }
 
     private void start(Move move) {
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -139,6 +139,20 @@
         assertThat(fixture.watch(job).parked()).containsEntry(ParkReason.POISON, 1);
     }
 
+    /** Guards against a task that waits for ever because the only worker failed once. */
+    @Test
+    void returnsToTheOnlyWorkerAfterAFailure() throws Exception {
+        FakeWorker worker = fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        worker.failStarts = true;
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, SMALL));
+        fixture.run(Duration.ofSeconds(5));
+        worker.failStarts = false;
+        fixture.run(Duration.ofSeconds(40));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(worker.failedStarts).isEqualTo(1);
+    }
+
     /** Guards against work that stops or starts while the platform is down. */
     @Test
     void goesOnWithoutStartingAnythingDuringAnOutage() throws Exception {
