--- /dev/null
+++ b/src/test/java/org/tamarackline/spec/ModelChecker.java
@@ -0,0 +1,114 @@
+package org.tamarackline.spec;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Runs TLC on a specification under {@code spec/}, each time in a process of its own because TLC keeps static state. */
+final class ModelChecker {
+
+    private static final Path SPEC_DIRECTORY = Path.of("spec");
+    private static final long TIMEOUT_SECONDS = 170;
+    private static final String WORKERS = "4";
+    private static final Pattern STATES = Pattern.compile("(\\d+) states generated, (\\d+) distinct states found");
+
+    private final Path workDirectory;
+
+    ModelChecker(Path workDirectory) {
+        this.workDirectory = workDirectory;
+    }
+
+    /** How a run ended. */
+    enum Verdict {
+        /** Every reachable state satisfies the properties. */
+        HOLDS,
+        /** A reachable state or step violates a property. */
+        VIOLATED,
+        /** TLC failed or ran out of time. */
+        FAILED
+    }
+
+    /**
+     * The outcome of a run.
+     *
+     * @param verdict how it ended
+     * @param output what TLC printed
+     */
+    record Outcome(Verdict verdict, String output) {}
+
+    /** Checks the specification with some constants replaced. */
+    Outcome check(String specification, Map<String, String> replacedConstants)
+            throws IOException, InterruptedException {
+        Path config = writeConfig(specification, replacedConstants);
+        Path log = workDirectory.resolve("tlc.log");
+        Process process = new ProcessBuilder(command(specification, config))
+                .directory(SPEC_DIRECTORY.toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile())
+                .start();
+        boolean ended = process.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (!ended) {
+            process.destroyForcibly().waitFor();
+        }
+        String output = Files.readString(log);
+        Verdict verdict = ended ? verdict(process.exitValue()) : Verdict.FAILED;
+        System.out.printf("TLC %s %s: %s, %s%n", specification, replacedConstants, verdict, states(output));
+        return new Outcome(verdict, output);
+    }
+
+    private List<String> command(String specification, Path config) {
+        return List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseParallelGC",
+                "-Xmx1500m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "tlc2.TLC",
+                "-workers",
+                WORKERS,
+                "-deadlock",
+                "-metadir",
+                workDirectory.resolve("states").toString(),
+                "-config",
+                config.toString(),
+                specification + ".tla");
+    }
+
+    private Path writeConfig(String specification, Map<String, String> replacedConstants) throws IOException {
+        String text = Files.readString(SPEC_DIRECTORY.resolve(specification + ".cfg"));
+        for (Map.Entry<String, String> constant : replacedConstants.entrySet()) {
+            String replaced = text.replaceFirst(
+                    "(?m)^(\\s*" + constant.getKey() + " = ).*$", "$1" + Matcher.quoteReplacement(constant.getValue()));
+            if (replaced.equals(text)) {
+                throw new IllegalArgumentException(
+                        "%s.cfg has no constant %s with another value".formatted(specification, constant.getKey()));
+            }
+            text = replaced;
+        }
+        Path config = workDirectory.resolve(specification + ".cfg").toAbsolutePath();
+        return Files.writeString(config, text);
+    }
+
+    /** TLC exits with 12 for a violated invariant and with 13 for a violated action property. */
+    private static Verdict verdict(int exitCode) {
+        return switch (exitCode) {
+            case 0 -> Verdict.HOLDS;
+            case 12, 13 -> Verdict.VIOLATED;
+            default -> Verdict.FAILED;
+        };
+    }
+
+    private static String states(String output) {
+        Matcher matcher = STATES.matcher(output);
+        String last = "no state count";
+        while (matcher.find()) {
+            last = matcher.group();
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/spec/SpecificationTest.java
@@ -0,0 +1,65 @@
+package org.tamarackline.spec;
+
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+/** Model-checks the protocols, and shows that the checker notices each mechanism that is taken out. */
+class SpecificationTest {
+
+    /** With a hold time of one tick some variants give no counterexample, because evidence lapses at once. */
+    private static final Map<String, String> LONGER_TIMES =
+            Map.of("HoldTime", "2", "TakeTime", "3", "OutageGrace", "4");
+
+    @TempDir
+    private Path directory;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Ownership", "TaskLease", "Configuration"})
+    void holds(String specification) throws Exception {
+        ModelChecker.Outcome outcome = new ModelChecker(directory).check(specification, Map.of());
+        assertThat(outcome.verdict()).as(outcome.output()).isEqualTo(ModelChecker.Verdict.HOLDS);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "TaskLease, Fencing",
+        "TaskLease, WaitForLease",
+        "TaskLease, ConditionalWrites",
+        "TaskLease, StopBeforeRenewal",
+        "Configuration, CheckVersion",
+        "Configuration, ReadBack",
+        "Configuration, NeverLower",
+        "Ownership, WaitForRecords",
+        "Ownership, CheckCounter",
+        "Ownership, RejectIsolatedPeers",
+    })
+    void isViolatedWithout(String specification, String mechanism) throws Exception {
+        ModelChecker.Outcome outcome = new ModelChecker(directory).check(specification, Map.of(mechanism, "FALSE"));
+        assertThat(outcome.verdict()).as(outcome.output()).isEqualTo(ModelChecker.Verdict.VIOLATED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"KeepPromises", "RestBeforeRecord"})
+    void ownershipIsViolatedWithLongerTimesWithout(String mechanism) throws Exception {
+        Map<String, String> constants = new HashMap<>(LONGER_TIMES);
+        constants.put(mechanism, "FALSE");
+        ModelChecker.Outcome outcome = new ModelChecker(directory).check("Ownership", constants);
+        assertThat(outcome.verdict()).as(outcome.output()).isEqualTo(ModelChecker.Verdict.VIOLATED);
+    }
+
+    @Test
+    void rejectsAConstantThatDoesNotExist() {
+        assertThat(catchThrowable(() -> new ModelChecker(directory).check("TaskLease", Map.of("Missing", "FALSE"))))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+}
