Cut off late exchanges by one shared timer

A timer task for each request woke the timer's thread twice a request. Answers without a body are covered by a test: their slots and counts come back.

--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamClient.java
@@ -9,11 +9,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.google.common.flogger.FluentLogger;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import org.apache.hc.client5.http.HttpRoute;
@@ -57,10 +61,15 @@
 @Singleton
 public final class UpstreamClient implements Closeable {
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     /** Idle time after which a connection is checked before use, because the runner may have closed it. */
     private static final TimeValue VALIDATE_AFTER = TimeValue.ofSeconds(1);
 
     private static final TimeValue CLOSE_IDLE_AFTER = TimeValue.ofSeconds(20);
+    /** One timer for all exchanges: a task for each would wake the timer's thread twice a request. */
+    private static final Duration EXPIRY_TICK = Duration.ofMillis(20);
+
     private static final Duration IDLE_CLOSE_INTERVAL = Duration.ofSeconds(1);
     private static final int MAX_CONNECTIONS = 1024;
     private static final int MAX_HEADER_LINE_BYTES = 16 * 1024;
@@ -71,7 +80,9 @@
     private final Duration connectTimeout;
     private final PoolingHttpClientConnectionManager connections;
     private final CloseableHttpClient client;
-    private final ScheduledThreadPoolExecutor deadlines;
+    private final Set<Exchange> open = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService timer;
+    private final ScheduledFuture<?> expiry;
     private final AtomicLong idleClosedNanos;
 
     /** Creates the client. */
@@ -105,9 +116,10 @@
                 .disableDefaultUserAgent()
                 .evictIdleConnections(CLOSE_IDLE_AFTER)
                 .build();
-        this.deadlines = new ScheduledThreadPoolExecutor(
-                1, Thread.ofPlatform().name("upstream-deadlines").daemon().factory());
-        deadlines.setRemoveOnCancelPolicy(true);
+        this.timer = Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().name("upstream-deadlines").daemon().factory());
+        this.expiry = timer.scheduleWithFixedDelay(
+                this::expireLate, EXPIRY_TICK.toMillis(), EXPIRY_TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Rejects an answer that does not start with a status line, instead of skipping lines until one comes. */
@@ -167,10 +179,29 @@
 
     @Override
     public void close() throws IOException {
-        deadlines.shutdownNow();
+        expiry.cancel(false);
+        timer.shutdownNow();
         client.close();
     }
 
+    private void expireLate() {
+        long nowNanos = clock.nowNanos();
+        for (Exchange exchange : open) {
+            if (exchange.endNanos - nowNanos <= 0) {
+                expireSafely(exchange);
+            }
+        }
+    }
+
+    /** A failure must not end the timer. */
+    private static void expireSafely(Exchange exchange) {
+        try {
+            exchange.expire();
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("a late exchange could not be cut off");
+        }
+    }
+
     private static HttpHost hostOf(Runner runner) {
         int colon = runner.address().lastIndexOf(':');
         return new HttpHost(
@@ -245,7 +276,7 @@
         private final SendCheck check;
         private volatile boolean sent;
         private volatile boolean timedOut;
-        private ScheduledFuture<?> timer;
+        private volatile long endNanos;
         private ClassicHttpResponse response;
 
         Exchange(UpstreamRequest request, SendCheck check) {
@@ -268,17 +299,19 @@
                     .build());
             HttpClientContext context = HttpClientContext.create();
             context.setAttribute(ATTRIBUTE, this);
-            timer = deadlines.schedule(this::expire, remaining.toNanos(), TimeUnit.NANOSECONDS);
+            endNanos = clock.nowNanos() + remaining.toNanos();
+            open.add(this);
             try {
                 response = client.executeOpen(host, message, context);
                 return this;
             } catch (IOException | RuntimeException e) {
-                timer.cancel(false);
+                open.remove(this);
                 throw failure(e);
             }
         }
 
         private void expire() {
+            open.remove(this);
             timedOut = true;
             message.cancel();
         }
@@ -329,8 +362,7 @@
 
         @Override
         public void cutOffAt(long deadlineNanos) {
-            timer.cancel(false);
-            timer = deadlines.schedule(this::expire, deadlineNanos - clock.nowNanos(), TimeUnit.NANOSECONDS);
+            endNanos = deadlineNanos;
         }
 
         @Override
@@ -341,7 +373,7 @@
         /** Cancelling first keeps the library from reading the rest of a body that nobody wants. */
         @Override
         public void close() throws IOException {
-            timer.cancel(false);
+            open.remove(this);
             message.cancel();
             response.close();
         }
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -51,6 +51,25 @@
         }
     }
 
+    @Test
+    void endsRequestsWhoseAnswerHasNoBody() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream((request, connection) -> ScriptedUpstream.write(
+                        connection,
+                        "HTTP/1.1 " + request.path().substring(1) + " X\r\n"
+                                + (request.requestLine().startsWith("HEAD") ? "Content-Length: 77\r\n\r\n" : "\r\n")));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            for (int i = 0; i < 5; i++) {
+                HttpResponse<String> head =
+                        node.send(node.request("/200").method("HEAD", HttpRequest.BodyPublishers.noBody()));
+                assertThat(head.headers().firstValue("Content-Length")).contains("77");
+                assertThat(node.send(node.request("/204")).statusCode()).isEqualTo(204);
+                assertThat(node.send(node.request("/304")).statusCode()).isEqualTo(304);
+            }
+            ProxyFixture.await(() -> node.inFlight.count() == 0);
+            ProxyFixture.await(() -> node.broker.snapshot().openUses() == 0);
+        }
+    }
+
     @Test
     void streamsLargeBodiesBothWays() throws Exception {
         String large = "x".repeat(3_000_000);
