Move waiting tasks only to room that they may use

A rack told its whole free capacity, with the room kept for urgent tasks, so batch tasks moved back and forth between two full racks. Rows of tasks that come new to a rack are checked against the cancellation of their job.

--- a/src/main/java/org/tamarackline/core/placement/Shares.java
+++ b/src/main/java/org/tamarackline/core/placement/Shares.java
@@ -5,8 +5,20 @@
 /** Static helpers for shares of capacity. */
 public final class Shares {
 
+    /** Part of the processors and memory of a worker that only latency-critical tasks may fill, in percent. */
+    static final int HEADROOM_PERCENT = 10;
+
     private Shares() {}
 
+    /** Returns the part of a worker's capacity that tasks may fill that are not latency-critical. */
+    public static Resources withoutHeadroom(Resources capacity) {
+        int usablePercent = 100 - HEADROOM_PERCENT;
+        return new Resources(
+                capacity.processorMillis() * usablePercent / 100,
+                capacity.memoryMb() * usablePercent / 100,
+                capacity.accelerators());
+    }
+
     /** Returns the largest share that {@code used} has in any part of {@code total}, 1 for the whole. */
     public static double dominant(Resources used, Resources total) {
         double processors = share(used.processorMillis(), total.processorMillis());
--- a/src/main/java/org/tamarackline/core/placement/SpreadPolicy.java
+++ b/src/main/java/org/tamarackline/core/placement/SpreadPolicy.java
@@ -11,9 +11,6 @@
 /** Spreads tasks over the workers and keeps room for surges of latency-critical work. */
 public final class SpreadPolicy implements PlacementPolicy {
 
-    /** Part of the processors and memory that only latency-critical tasks may fill, in percent. */
-    static final int HEADROOM_PERCENT = 10;
-
     @Override
     public Optional<WorkerId> choose(Demand demand, List<WorkerView> workers) {
         return workers.stream()
@@ -34,15 +31,7 @@
         // A task that needs nearly a whole worker would otherwise never run.
         boolean emptyWorker = worker.running().isEmpty();
         Resources after = worker.occupied().plus(demand.size());
-        return emptyWorker || after.fitsIn(withoutHeadroom(worker.capacity()));
-    }
-
-    private static Resources withoutHeadroom(Resources capacity) {
-        int usablePercent = 100 - HEADROOM_PERCENT;
-        return new Resources(
-                capacity.processorMillis() * usablePercent / 100,
-                capacity.memoryMb() * usablePercent / 100,
-                capacity.accelerators());
+        return emptyWorker || after.fitsIn(Shares.withoutHeadroom(worker.capacity()));
     }
 
     private static double fillAfter(Demand demand, WorkerView worker) {
--- a/src/main/java/org/tamarackline/core/task/PlacementRound.java
+++ b/src/main/java/org/tamarackline/core/task/PlacementRound.java
@@ -232,7 +232,7 @@
             if (worker.silent || worker.health.isQuarantined()) {
                 continue;
             }
-            Resources freeHere = worker.capacity.minus(state.occupied(worker));
+            Resources freeHere = freeForOrdinaryTasks(worker);
             capacity = capacity.plus(worker.capacity);
             free = free.plus(freeHere.max(Resources.NONE));
             largestFree = larger(largestFree, freeHere);
@@ -243,6 +243,13 @@
         return new RackLoad(capacity, free, largestFree, largestWorker, waiting, complete);
     }
 
+    /** A task that needs nearly a whole worker may use the room kept for urgent work if the worker is empty. */
+    private Resources freeForOrdinaryTasks(WorkerEntry worker) {
+        Resources occupied = state.occupied(worker);
+        boolean empty = occupied.equals(Resources.NONE);
+        return empty ? worker.capacity : Shares.withoutHeadroom(worker.capacity).minus(occupied);
+    }
+
     private static Resources larger(Resources first, Resources second) {
         return first.processorMillis() >= second.processorMillis() ? first : second;
     }
--- a/src/main/java/org/tamarackline/entry/jobs/RackMover.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackMover.java
@@ -182,6 +182,9 @@
             return Optional.empty();
         }
         JobRecord job = JobRows.job(jobRow.get());
+        if (job.cancelled()) {
+            return Optional.empty();
+        }
         List<Check> checks = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         checks.add(new Check(rows.shardKey(move.from().shard()), shardRowVersion));
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -25,6 +25,7 @@
 import org.tamarackline.core.task.RackScheduler;
 import org.tamarackline.core.task.Renewal;
 import org.tamarackline.core.task.RowChange;
+import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.core.task.WorkerCommand;
 import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
@@ -195,7 +196,7 @@
         }
         reading = true;
         nextReadNanos = now + RESCAN_NANOS;
-        Set<JobId> known = scheduler.rows().map(row -> row.task().job()).collect(Collectors.toSet());
+        Set<TaskId> known = scheduler.rows().map(TaskRow::task).collect(Collectors.toSet());
         context.threads().calls().execute(() -> {
             try {
                 RackRows found = readRows(known);
@@ -217,7 +218,7 @@
      */
     private record RackRows(Optional<Long> shardRowVersion, List<VersionedRow> tasks, Set<JobId> cancelled) {}
 
-    private RackRows readRows(Set<JobId> known) throws PlatformUnavailableException {
+    private RackRows readRows(Set<TaskId> known) throws PlatformUnavailableException {
         Optional<Long> version = context.table().get(rows.shardKey(shard)).flatMap(this::versionIfOwned);
         List<VersionedRow> tasks = new ArrayList<>();
         String prefix = rows.taskPrefix(shard);
@@ -247,13 +248,17 @@
         return owned ? Optional.of(row.version()) : Optional.empty();
     }
 
-    /** Reads the rows of jobs that were not known before and have tasks to run. */
-    private Map<JobId, JobRecord> newJobs(List<VersionedRow> tasks, Set<JobId> known)
+    /**
+     * Reads the rows of jobs with tasks that were not known before. A cancellation may have come between the move of a task
+     * to this rack and this scan.
+     */
+    private Map<JobId, JobRecord> newJobs(List<VersionedRow> tasks, Set<TaskId> known)
             throws PlatformUnavailableException {
         Map<JobId, JobRecord> jobs = new HashMap<>();
         for (VersionedRow task : tasks) {
             JobId job = task.row().task().job();
-            if (task.row().state().isFinal() || known.contains(job) || jobs.containsKey(job)) {
+            boolean seen = known.contains(task.row().task()) || jobs.containsKey(job);
+            if (seen || task.row().state().isFinal()) {
                 continue;
             }
             context.table().get(JobRows.jobKey(job)).map(JobRows::job).ifPresent(record -> jobs.put(job, record));
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -1,6 +1,7 @@
 package org.tamarackline.entry.jobs;
 
 import java.time.Duration;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.config.Profiles;
@@ -80,7 +81,7 @@
         fixture.run(URGENT_BOUND);
         assertThat(fixture.watch(urgent).counts()).containsEntry(TaskState.RUNNING, 1);
         fixture.run(Duration.ofSeconds(20));
-        assertThat(fixture.watch(large).counts()).containsOnly(java.util.Map.entry(TaskState.CANCELLED, 10_000));
+        assertThat(fixture.watch(large).counts()).containsOnly(Map.entry(TaskState.CANCELLED, 10_000));
         assertThat(fixture.workers.get("w1").running()).hasSize(1);
     }
 
