--- /dev/null
+++ b/src/test/java/org/tamarackline/benchmark/RackDecisionBenchmark.java
@@ -0,0 +1,162 @@
+package org.tamarackline.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.tamarackline.core.config.Configuration;
+import org.tamarackline.core.config.Profiles;
+import org.tamarackline.core.model.CallerName;
+import org.tamarackline.core.model.JobId;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.core.placement.RoomMaker;
+import org.tamarackline.core.placement.SpreadPolicy;
+import org.tamarackline.core.task.RackMode;
+import org.tamarackline.core.task.RackRules;
+import org.tamarackline.core.task.RackScheduler;
+import org.tamarackline.core.task.Renewal;
+import org.tamarackline.core.task.RowChange;
+import org.tamarackline.core.task.TaskRow;
+import org.tamarackline.core.task.TaskSpec;
+import org.tamarackline.core.task.TaskState;
+import org.tamarackline.core.task.VersionedRow;
+import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
+import org.tamarackline.core.task.WorkerProtocol.TaskReport;
+import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
+
+/**
+ * Measures the time to place one task, with the workers and running tasks of a whole fleet in memory.
+ *
+ * <p>A decision concerns one rack, so the time should not grow with the fleet beyond what cache misses cost.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode({Mode.SampleTime, Mode.Throughput})
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 2)
+@Measurement(iterations = 5, time = 2)
+public class RackDecisionBenchmark {
+
+    private static final int WORKERS_PER_RACK = 8;
+    private static final int TASKS_PER_WORKER = 27;
+    private static final Resources WORKER_SIZE = new Resources(16_000, 60_000, 2);
+    private static final Resources TASK_SIZE = new Resources(400, 1_500, 0);
+    private static final RackRules RULES =
+            new RackRules(Duration.ofSeconds(3), Duration.ofSeconds(20), Duration.ofMillis(500), 3, 5);
+
+    /** Workers of the fleet. */
+    @Param({"30", "100", "300", "1000"})
+    int workers;
+
+    private List<RackScheduler> racks;
+    private long placed;
+
+    /** Fills every rack with running tasks. */
+    @Setup
+    public void fill() {
+        racks = new ArrayList<>();
+        int rackCount = Math.ceilDiv(workers, WORKERS_PER_RACK);
+        for (int rack = 0; rack < rackCount; rack++) {
+            racks.add(filledRack(rack));
+        }
+    }
+
+    private static RackScheduler filledRack(int rack) {
+        RackScheduler scheduler = new RackScheduler(RULES, () -> 0L, new SpreadPolicy(), new RoomMaker());
+        scheduler.configure(Configuration.initial());
+        Set<WorkerId> listed = new TreeSet<>();
+        for (int worker = 0; worker < WORKERS_PER_RACK; worker++) {
+            listed.add(new WorkerId("w" + rack + "-" + worker));
+        }
+        scheduler.setWorkers(listed, Set.of());
+        List<VersionedRow> rows = new ArrayList<>();
+        for (WorkerId worker : listed) {
+            for (int task = 0; task < TASKS_PER_WORKER; task++) {
+                rows.add(new VersionedRow(running(worker, task), 1));
+            }
+        }
+        scheduler.load(rows);
+        renew(scheduler, rows);
+        renew(scheduler, rows);
+        return scheduler;
+    }
+
+    private static void renew(RackScheduler scheduler, List<VersionedRow> rows) {
+        for (Renewal renewal : scheduler.dueRenewals()) {
+            List<TaskReport> reports = rows.stream()
+                    .map(VersionedRow::row)
+                    .filter(row -> row.isOn(renewal.worker()))
+                    .map(row -> new TaskReport(
+                            row.task(),
+                            row.attempt(),
+                            TaskReportState.RUNNING,
+                            Optional.empty(),
+                            Optional.empty(),
+                            Optional.empty(),
+                            0))
+                    .toList();
+            scheduler.renewed(renewal, new RenewAnswer("n", true, WORKER_SIZE, reports, List.of()));
+        }
+    }
+
+    private static TaskRow running(WorkerId worker, int index) {
+        TaskRow pending = submitted(new TaskId(new JobId("job-" + worker.value()), index));
+        return new TaskRow(
+                pending.task(),
+                pending.spec(),
+                TaskState.RUNNING,
+                1,
+                Optional.of(worker),
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                TaskRow.Work.NONE);
+    }
+
+    private static TaskRow submitted(TaskId task) {
+        TaskSpec spec = new TaskSpec(
+                new CallerName("nile leaf"),
+                new TeamName("dosing"),
+                Profiles.OVERNIGHT_PLAN.name(),
+                TASK_SIZE,
+                JsonNodeFactory.instance.objectNode().put("workMs", 60_000));
+        return TaskRow.submitted(task, spec);
+    }
+
+    /** Submits a task, decides on its worker and takes the decision back, so that the fleet stays as it was. */
+    @Benchmark
+    public List<RowChange> placeOneTask() {
+        RackScheduler scheduler = racks.get((int) (placed % racks.size()));
+        TaskId task = new TaskId(new JobId("new"), (int) (placed % Integer.MAX_VALUE));
+        placed++;
+        scheduler.load(List.of(new VersionedRow(submitted(task), 1)));
+        scheduler.tick(RackMode.ACTIVE);
+        List<RowChange> changes = scheduler.nextBatch(1);
+        if (changes.isEmpty()) {
+            throw new IllegalStateException("the task was not placed; the rack has no current lease or no room");
+        }
+        scheduler.notCommitted(changes);
+        scheduler.movedAway(List.of(task));
+        return changes;
+    }
+}
