--- a/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
+++ b/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
@@ -64,8 +64,18 @@
         accessAge = times.heartbeatInterval().multipliedBy(3).dividedBy(2);
         standing = new StandingRecord(times.holdTime(), times.outageGrace(), times.singleNode());
         view = new MembershipView(times.pollInterval().multipliedBy(3));
-        Duration silentAfter = times.takeTime().minus(times.heartbeatInterval()).minus(times.pollInterval());
-        silence = new SilenceRecord(silentAfter, times.holdTime().plus(times.driftMargin()));
+        silence = new SilenceRecord(silentAfter(times), times.holdTime().plus(times.driftMargin()));
+    }
+
+    /**
+     * Returns the silence after which a member is recorded: early enough for the record to be seen by {@code takeTime}, and
+     * late enough for evidence from an earlier incarnation of this node to have ended.
+     */
+    private static Duration silentAfter(EntrySettings.ClusterTimes times) {
+        Duration early = times.takeTime().minus(times.heartbeatInterval()).minus(times.pollInterval());
+        Duration evidenceEnd = times.holdTime().plus(times.driftMargin());
+        Duration late = early.compareTo(evidenceEnd) > 0 ? early : evidenceEnd;
+        return late.compareTo(times.takeTime()) < 0 ? late : times.takeTime();
     }
 
     /** Sets who is told of each shard that is lost with the membership. */
--- a/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
@@ -15,6 +15,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.MembershipView;
 import org.tamarackline.core.membership.NodeRow;
 import org.tamarackline.core.membership.NodeState;
 import org.tamarackline.core.membership.Standing;
@@ -126,6 +127,7 @@
             takeOverSilent();
             if (scanIsDue()) {
                 scan();
+                deleteOneOldRow();
             }
             if (!state.isLeaving()) {
                 claimOrphans();
@@ -178,6 +180,35 @@
         scanRequested.set(true);
     }
 
+    /** Deletes the row of a node that has been gone for long and owns nothing, as each replaced VM leaves one behind. */
+    private void deleteOneOldRow() throws PlatformException {
+        Duration kept = settings.cluster().outageGrace().plus(settings.cluster().takeTime());
+        Set<NodeId> owners =
+                rows.values().stream().map(stored -> stored.row().owner()).collect(Collectors.toSet());
+        Optional<NodeRow> old = state.decide(view -> view.rows().stream()
+                .filter(row -> row.state() == NodeState.GONE)
+                .filter(row -> view.unchangedFor(row.node()).compareTo(kept) >= 0)
+                .filter(row -> !owners.contains(row.node()))
+                .filter(row -> hasOtherRow(view, row))
+                .findFirst());
+        if (old.isEmpty()) {
+            return;
+        }
+        try {
+            table.deleteNode(old.get().node(), state.versionOf(old.get().node()));
+        } catch (TransactionConflictException e) {
+            LOG.atFine().withCause(e).log(
+                    "row of %s has changed and is kept", old.get().node());
+        }
+    }
+
+    /** The node rows tell which data centres make up the region, so that one row of each is kept. */
+    private static boolean hasOtherRow(MembershipView view, NodeRow row) {
+        return view.rows().stream()
+                .anyMatch(other -> other.dataCentre().equals(row.dataCentre())
+                        && !other.node().equals(row.node()));
+    }
+
     private boolean scanIsDue() {
         boolean requested = scanRequested.getAndSet(false);
         return requested
--- /dev/null
+++ b/src/test/java/org/tamarackline/entry/cluster/ClusterScenarioTest.java
@@ -0,0 +1,127 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.membership.Standing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against slow takeovers, and against nodes that stop although the design lets them go on. */
+class ClusterScenarioTest {
+
+    private static final int STEPS_A_SECOND = (int) (1_000 / SimulatedCluster.STEP_MS);
+
+    private final SimulatedCluster cluster = new SimulatedCluster(3, 1, Mutation.NONE, 1);
+
+    @BeforeEach
+    void settle() {
+        runSeconds(20);
+        assertThat(cluster.unowned()).isEmpty();
+        assertThat(standings()).containsOnly(Standing.CONFIRMED);
+    }
+
+    private void runSeconds(int seconds) {
+        cluster.run(seconds * STEPS_A_SECOND);
+    }
+
+    private List<Standing> standings() {
+        return cluster.running().stream().map(node -> node.runner.standing()).toList();
+    }
+
+    private SimulatedNode node(int number) {
+        return cluster.process(number).orElseThrow();
+    }
+
+    @Test
+    void shardsOfADeadNodeAreTakenOverWithinEightSeconds() {
+        cluster.crash(0);
+        assertThat(cluster.unowned()).isNotEmpty();
+        runSeconds(8);
+        assertThat(cluster.unowned()).isEmpty();
+    }
+
+    @Test
+    void nodeWithoutItsOwnPathToThePlatformIsRelayed() {
+        node(0).platformCut = true;
+        runSeconds(30);
+        assertThat(standings()).containsOnly(Standing.CONFIRMED);
+        assertThat(cluster.unowned()).isEmpty();
+    }
+
+    @Test
+    void nodeThatIsCutOffFromEverythingIsIsolatedAndRejoins() {
+        node(0).platformCut = true;
+        node(0).peersCut = true;
+        runSeconds(4);
+        assertThat(node(0).runner.standing()).isEqualTo(Standing.ISOLATED);
+        runSeconds(10);
+        assertThat(cluster.unowned()).isEmpty();
+        cluster.heal();
+        runSeconds(10);
+        assertThat(standings()).containsOnly(Standing.CONFIRMED);
+    }
+
+    @Test
+    void allNodesGoOnInAnOutageAndNobodyTakesOver() {
+        List<Integer> ownedBefore = ownedCounts();
+        cluster.setPlatformDown(true);
+        runSeconds(30);
+        assertThat(standings()).containsOnly(Standing.OUTAGE);
+        cluster.setPlatformDown(false);
+        runSeconds(10);
+        assertThat(standings()).containsOnly(Standing.CONFIRMED);
+        assertThat(ownedCounts()).isEqualTo(ownedBefore);
+    }
+
+    private List<Integer> ownedCounts() {
+        return cluster.running().stream()
+                .map(node -> node.runner.ownedShards().size())
+                .toList();
+    }
+
+    @Test
+    void nodeThatStartsInAnOutageLearnsFromItsPeersAndOwnsNothing() {
+        cluster.change(node(1), 0);
+        cluster.setPlatformDown(true);
+        cluster.crash(0);
+        runSeconds(5);
+        cluster.restart(0);
+        runSeconds(5);
+        assertThat(node(0).runner.standing()).isEqualTo(Standing.OUTAGE);
+        assertThat(node(0).configuration.version()).isEqualTo(1);
+        assertThat(node(0).runner.peers()).hasSize(2);
+        assertThat(node(0).runner.ownedShards()).isEmpty();
+    }
+
+    @Test
+    void outageEndsWithTheGrace() {
+        cluster.setPlatformDown(true);
+        runSeconds(42);
+        assertThat(standings()).containsOnly(Standing.ISOLATED);
+    }
+
+    @Test
+    void twoNodesThatFailTogetherAreTakenOverAfterTheGraceOrAnOperatorsWord() throws Exception {
+        SimulatedNode first = node(0);
+        SimulatedNode second = node(1);
+        cluster.crash(0);
+        cluster.crash(1);
+        runSeconds(20);
+        assertThat(cluster.unowned()).isNotEmpty();
+        assertThat(node(2).runner.confirmStopped(first.id)).isTrue();
+        assertThat(node(2).runner.confirmStopped(second.id)).isTrue();
+        runSeconds(8);
+        assertThat(cluster.unowned()).isEmpty();
+    }
+
+    @Test
+    void rowOfANodeThatIsGoneIsDeletedInTheEnd() throws Exception {
+        cluster.crash(0);
+        runSeconds(20);
+        assertThat(cluster.table().scan("region/north/node/", "", 500)).hasSize(3);
+        runSeconds(60);
+        assertThat(cluster.table().scan("region/north/node/", "", 500)).hasSize(2);
+    }
+}
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -135,6 +135,10 @@
         return List.copyOf(placement.keySet()).get(number % placement.size());
     }
 
+    List<NodeId> nodeIds() {
+        return List.copyOf(placement.keySet());
+    }
+
     List<SimulatedNode> running() {
         return List.copyOf(processes.values());
     }
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -58,7 +58,7 @@
         this.id = id;
         offsetMs = cluster.nextOffsetMs();
         connectedSinceMs = cluster.nowMs();
-        EntrySettings settings = settings(id, dataCentre, times);
+        EntrySettings settings = settings(id, dataCentre, cluster.nodeIds(), times);
         MonotonicClock clock = cluster.driftingClock();
         LocalNode self = new LocalNode(id, cluster.nextIncarnation());
         IncarnationSource incarnations = cluster::nextIncarnation;
@@ -84,7 +84,8 @@
         writer = new ConfigurationWriter(parts, configurationTable, runner);
     }
 
-    private static EntrySettings settings(NodeId id, DataCentre dataCentre, EntrySettings.ClusterTimes times) {
+    private static EntrySettings settings(
+            NodeId id, DataCentre dataCentre, List<NodeId> seedPeers, EntrySettings.ClusterTimes times) {
         return new EntrySettings(
                 id,
                 new Region("north"),
@@ -92,7 +93,7 @@
                 "10.0.0.1:80",
                 "10.0.0.1:81",
                 "http://10.0.0.9:82",
-                List.of(),
+                seedPeers,
                 new Secret("k"),
                 new Secret("o"),
                 Map.of(),
