--- a/src/main/java/org/tamarackline/entry/operator/OperatorModule.java
+++ b/src/main/java/org/tamarackline/entry/operator/OperatorModule.java
@@ -15,6 +15,7 @@
         resources.addBinding().to(ProfileResource.class);
         resources.addBinding().to(ServiceResource.class);
         resources.addBinding().to(TeamResource.class);
+        resources.addBinding().to(UsageResource.class);
         resources.addBinding().to(VmResource.class);
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/operator/UsageResource.java
@@ -0,0 +1,106 @@
+package org.tamarackline.entry.operator;
+
+import java.util.List;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import org.tamarackline.core.usage.UsageKey;
+import org.tamarackline.core.usage.UsageSource;
+import org.tamarackline.core.usage.UsageTotals;
+
+/** The usage record of the installation, as JSON or as comma-separated values for spreadsheets. */
+@Singleton
+@Path("/usage")
+public final class UsageResource {
+
+    private static final String CSV = "text/csv";
+    private static final String CSV_HEADER =
+            "team,kind,name,served,failed,useful_ms,repeated_ms,thrown_away_ms,complete\r\n";
+
+    private final UsageSource source;
+
+    /** Creates the resource. */
+    @Inject
+    UsageResource(UsageSource source) {
+        this.source = source;
+    }
+
+    /**
+     * Usage of the installation.
+     *
+     * @param complete whether all nodes and the platform could be asked; if not, the amounts are too low
+     * @param lines amounts by team, kind and name
+     */
+    public record Usage(boolean complete, List<Line> lines) {}
+
+    /**
+     * Usage of one service, or of the tasks of one profile.
+     *
+     * @param team team
+     * @param kind kind of work
+     * @param name service of requests, or profile of tasks
+     * @param served requests answered or tasks finished
+     * @param failed requests or tasks that failed or were cancelled
+     * @param usefulMs work that served somebody, in milliseconds
+     * @param repeatedMs work done once more, in milliseconds
+     * @param thrownAwayMs work without any use, in milliseconds
+     */
+    public record Line(
+            String team,
+            UsageKey.Kind kind,
+            String name,
+            long served,
+            long failed,
+            long usefulMs,
+            long repeatedMs,
+            long thrownAwayMs) {
+
+        private static Line of(UsageSource.Line line) {
+            UsageTotals totals = line.totals();
+            return new Line(
+                    line.key().team().value(),
+                    line.key().kind(),
+                    line.key().name(),
+                    totals.served(),
+                    totals.failed(),
+                    totals.usefulMs(),
+                    totals.repeatedMs(),
+                    totals.thrownAwayMs());
+        }
+    }
+
+    /** Returns the usage as JSON. */
+    @GET
+    @Produces(MediaType.APPLICATION_JSON)
+    public Usage json() {
+        UsageSource.Report report = source.usage();
+        return new Usage(
+                report.complete(), report.lines().stream().map(Line::of).toList());
+    }
+
+    /** Returns the usage as comma-separated values; names have no commas or quotation marks. */
+    @GET
+    @Produces(CSV)
+    public String csv() {
+        Usage usage = json();
+        StringBuilder text = new StringBuilder(CSV_HEADER);
+        for (Line line : usage.lines()) {
+            text.append("%s,%s,%s,%d,%d,%d,%d,%d,%b\r\n"
+                    .formatted(
+                            line.team(),
+                            line.kind(),
+                            line.name(),
+                            line.served(),
+                            line.failed(),
+                            line.usefulMs(),
+                            line.repeatedMs(),
+                            line.thrownAwayMs(),
+                            usage.complete()));
+        }
+        return text.toString();
+    }
+}
--- a/src/test/java/org/tamarackline/entry/EntryNodeTest.java
+++ b/src/test/java/org/tamarackline/entry/EntryNodeTest.java
@@ -19,6 +19,10 @@
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.usage.UsageKey;
+import org.tamarackline.core.usage.UsageSource;
+import org.tamarackline.core.usage.UsageTotals;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.entry.operator.ConfigurationChanges;
 import org.tamarackline.entry.operator.FakeConfigurationChanges;
@@ -61,6 +65,7 @@
             bind(ConfigurationChanges.class).toInstance(new FakeConfigurationChanges(CLUSTER));
             bind(StopConfirmations.class).toInstance(stopped -> {});
             bind(VmDirectory.class).toInstance(List::of);
+            bind(UsageSource.class).toInstance(EntryNodeTest::usage);
             Multibinder.newSetBinder(binder(), Object.class, CallerApi.class)
                     .addBinding()
                     .toInstance(new TestResource());
@@ -174,6 +179,17 @@
                 .isEqualTo(404);
     }
 
+    @Test
+    void usageIsJsonOrCommaSeparatedValues() throws Exception {
+        HttpResponse<String> json = send(authorised("/usage").header("Accept", "application/json"));
+        assertThat(json.body()).contains("\"complete\":true").contains("\"usefulMs\":40");
+        HttpResponse<String> csv = send(authorised("/usage").header("Accept", "text/csv"));
+        assertThat(csv.body().lines())
+                .containsExactly(
+                        "team,kind,name,served,failed,useful_ms,repeated_ms,thrown_away_ms,complete",
+                        "dyeing,REQUESTS,quotes,4,1,40,5,7,true");
+    }
+
     @Test
     void theDumpHasNoSecrets() throws Exception {
         String dump = send(authorised("/state")).body();
@@ -189,6 +205,11 @@
                 .contains("node_standing{standing=\"CONFIRMED\"} 1.0");
     }
 
+    private static UsageSource.Report usage() {
+        UsageKey key = new UsageKey(new TeamName("dyeing"), UsageKey.Kind.REQUESTS, "quotes");
+        return new UsageSource.Report(List.of(new UsageSource.Line(key, new UsageTotals(4, 1, 40, 5, 7))), true);
+    }
+
     private static int statusOrClosed(HttpRequest.Builder request) throws InterruptedException {
         try {
             return send(request).statusCode();
