Remove the demo's settings and logs when a signal ends it

The hook on SIGTERM ended the processes but left the directory, whose settings hold the credentials of the run. A process test of the demo and one of lost answers are added.

--- a/src/main/java/org/tamarackline/load/DemoCommand.java
+++ b/src/main/java/org/tamarackline/load/DemoCommand.java
@@ -33,6 +33,9 @@
         long startNanos = System.nanoTime();
         Path executable = binary == null ? Binaries.current() : binary.toAbsolutePath();
         Path directory = Files.createTempDirectory("tamarackline-demo");
+        if (keepLogs) {
+            System.out.println("settings and logs are kept in " + directory);
+        }
         try {
             DemoResult result = demonstrate(executable, directory);
             DemoTable.print(System.out, result, Duration.ofNanos(System.nanoTime() - startNanos));
@@ -42,7 +45,7 @@
         }
     }
 
-    private static DemoResult demonstrate(Path executable, Path directory) throws IOException, InterruptedException {
+    private DemoResult demonstrate(Path executable, Path directory) throws IOException, InterruptedException {
         PrintStream out = System.out;
         LocalClusterPlan plan = new LocalClusterPlan(
                 executable,
@@ -54,8 +57,8 @@
                 ENTRY_NODES,
                 LocalCluster.quickShutdown());
         try (LocalCluster cluster = LocalCluster.prepare(plan)) {
-            Thread killOnExit = new Thread(cluster::killAll, "kill-children");
-            Runtime.getRuntime().addShutdownHook(killOnExit);
+            Thread endOnSignal = new Thread(() -> endNow(cluster, directory), "end-on-signal");
+            Runtime.getRuntime().addShutdownHook(endOnSignal);
             out.printf(
                     "starting a platform, %d workers, %d runners and %d entry nodes%n",
                     plan.workers(), plan.runners(), plan.entryNodes());
@@ -65,9 +68,18 @@
         }
     }
 
+    /** Runs as a shutdown hook, so that a signal leaves neither processes nor credentials behind. */
+    private void endNow(LocalCluster cluster, Path directory) {
+        cluster.killAll();
+        try {
+            cleanUp(directory);
+        } catch (IOException failure) {
+            System.err.println("the directory %s could not be deleted".formatted(directory));
+        }
+    }
+
     private void cleanUp(Path directory) throws IOException {
-        if (keepLogs) {
-            System.out.println("settings and logs are in " + directory);
+        if (keepLogs || !Files.exists(directory)) {
             return;
         }
         List<Path> files;
--- /dev/null
+++ b/src/test/java/org/tamarackline/process/DemoTest.java
@@ -0,0 +1,65 @@
+package org.tamarackline.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.tamarackline.load.Waits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against a demonstration that fails, or that leaves processes behind. */
+class DemoTest {
+
+    private static final Duration BOUND = Duration.ofSeconds(120);
+
+    /** The demonstration starts a platform, 4 workers, 6 runners and 3 entry nodes. */
+    private static final int CHILDREN = 14;
+
+    @TempDir
+    private Path directory;
+
+    @Test
+    void showsEvictionsWithoutLossOrRepeat() throws Exception {
+        Path output = directory.resolve("output");
+        Process demo = start(output);
+        try {
+            assertThat(demo.waitFor(BOUND.toSeconds(), TimeUnit.SECONDS)).isTrue();
+            String text = Files.readString(output);
+            assertThat(demo.exitValue()).as(text).isZero();
+            assertThat(text).contains("evicted to make room: 2, resumed: 2");
+        } finally {
+            demo.destroy();
+        }
+    }
+
+    @Test
+    void sigtermEndsEveryProcess() throws Exception {
+        Process demo = start(directory.resolve("output"));
+        try {
+            Waits.until("all processes run", BOUND, () -> children(demo).size() == CHILDREN);
+        } finally {
+            List<ProcessHandle> children = children(demo);
+            demo.destroy();
+            assertThat(demo.waitFor(BOUND.toSeconds(), TimeUnit.SECONDS)).isTrue();
+            Waits.until(
+                    "all processes have ended", BOUND, () -> children.stream().noneMatch(ProcessHandle::isAlive));
+        }
+    }
+
+    private static Process start(Path output) throws IOException {
+        return new ProcessBuilder(Path.of("target", "tamarackline").toString(), "demo")
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+    }
+
+    private static List<ProcessHandle> children(Process demo) {
+        return demo.children().toList();
+    }
+}
--- a/src/test/java/org/tamarackline/process/OutageTest.java
+++ b/src/test/java/org/tamarackline/process/OutageTest.java
@@ -13,6 +13,7 @@
 import org.tamarackline.load.Waits;
 import org.tamarackline.standin.platform.PlatformFaults;
 import org.tamarackline.standin.upstream.UpstreamFaults;
+import org.tamarackline.standin.worker.WorkerFaults;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,6 +27,10 @@
     private static final Duration OUTAGE = Duration.ofSeconds(10);
 
     private static final Duration LOAD = Duration.ofSeconds(8);
+    private static final int MANY_TASKS = 30;
+    private static final Duration SHORT_WORK = Duration.ofSeconds(1);
+    private static final PlatformFaults LOSING_WRITES = new PlatformFaults(false, 0, 40, false, 0);
+    private static final WorkerFaults LOSING_COMMANDS = new WorkerFaults(false, false, 0, false, 10);
     private static final PlatformFaults DOWN = new PlatformFaults(true, 0, 0, false, 0);
     private static final UpstreamFaults SILENT = new UpstreamFaults(0, 0, true, false, false);
 
@@ -54,6 +59,22 @@
         }
     }
 
+    @Test
+    void lostAnswersOfPlatformAndWorkers() throws Exception {
+        try (ClusterFixture fixture = ClusterFixture.start(directory)) {
+            LocalCluster cluster = fixture.cluster();
+            JobId job = fixture.submit(0, MANY_TASKS, SHORT_WORK).orElseThrow();
+            fixture.awaitRunning(0, job, 1);
+            cluster.http().write(cluster.platform().url() + "/faults", LOSING_WRITES);
+            for (LocalCluster.Standin worker : cluster.workers()) {
+                cluster.http().write(worker.url() + "/standin/faults", LOSING_COMMANDS);
+            }
+            fixture.awaitDone(0, job);
+            HistoryCheck.Tasks tasks = fixture.checkTasks();
+            assertThat(tasks.isSound()).as(tasks.toString()).isTrue();
+        }
+    }
+
     @Test
     void silentRunner() throws Exception {
         try (ClusterFixture fixture = ClusterFixture.start(directory)) {
