--- a/src/test/java/org/tamarackline/process/DemoTest.java
+++ b/src/test/java/org/tamarackline/process/DemoTest.java
@@ -16,7 +16,7 @@
 /** Guards against a demonstration that fails, or that leaves processes behind. */
 class DemoTest {
 
-    private static final Duration BOUND = Duration.ofSeconds(120);
+    private static final Duration BOUND = Duration.ofMinutes(2);
 
     /** The demonstration starts a platform, 4 workers, 6 runners and 3 entry nodes. */
     private static final int CHILDREN = 14;
