Keep a task running whose start answers are lost

Cause: after three starts without an answer the owner gave the assignment up and stopped the attempt, although it was running; the task then ran again from the start. The process test of lost answers showed it as finished work that ran twice. Change: a start without an answer is repeated until the worker's list tells whether the attempt is there. Only a list without it gives the start up. Conclusion: a lost answer no longer costs work.

--- a/src/main/java/org/tamarackline/core/task/CommandSteps.java
+++ b/src/main/java/org/tamarackline/core/task/CommandSteps.java
@@ -15,7 +15,7 @@
 
     private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
     private static final long OVER_CAPACITY_PAUSE_NANOS = Duration.ofSeconds(3).toNanos();
-    private static final int MAX_START_TRIES = 3;
+    static final int MAX_START_TRIES = 3;
     private static final int MAX_CHECKPOINT_TRIES = 3;
 
     private final RackState state;
@@ -145,13 +145,21 @@
                 entry.startMayArrive = entry.startUnsettled;
                 retryStart(entry);
             }
-            case CommandOutcome.Unknown unknown -> {
-                entry.startUnsettled = true;
-                retryStart(entry);
-            }
+            case CommandOutcome.Unknown unknown -> retryUnsettledStart(entry);
         }
     }
 
+    /**
+     * Repeats a start without an answer, which is harmless because the worker accepts an attempt once.
+     *
+     * <p>Giving up here would stop an attempt that runs; only the worker's list can tell that it does not.
+     */
+    private void retryUnsettledStart(TaskEntry entry) {
+        entry.startUnsettled = true;
+        entry.tries++;
+        entry.retryAtNanos = clock.nowNanos() + RETRY_NANOS;
+    }
+
     private void startRefused(TaskEntry entry, RefusalCode code) {
         entry.startMayArrive = entry.startUnsettled;
         switch (code) {
--- a/src/main/java/org/tamarackline/core/task/ListReader.java
+++ b/src/main/java/org/tamarackline/core/task/ListReader.java
@@ -110,12 +110,24 @@
             entry.startMayArrive = false;
             return;
         }
+        if (entry.step == TaskEntry.Step.START && entry.startUnsettled) {
+            giveUpUnansweredStart(entry);
+            return;
+        }
         if (entry.confirmedSequence < renewal.sequence()) {
             entry.expect(TaskEntry.Step.NONE);
             proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
         }
     }
 
+    /** The worker answers renewals but no starts: the stop forbids those that may still arrive. */
+    private static void giveUpUnansweredStart(TaskEntry entry) {
+        if (entry.tries >= CommandSteps.MAX_START_TRIES) {
+            entry.verdict = Optional.of(entry.ended(Optional.empty()));
+            entry.expect(TaskEntry.Step.STOP);
+        }
+    }
+
     private static void settleMissingLeftovers(WorkerEntry worker, Map<TaskId, TaskReport> reports) {
         List<Leftover> settled = worker.leftovers().stream()
                 .filter(leftover -> leftover.settledWhenMissing && !reports.containsKey(leftover.task))
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
@@ -41,6 +41,10 @@
     boolean delayNextStart;
     boolean delayNextRenewal;
     boolean loseNextAnswer;
+    /** Number of answers to starts that get lost from now on. */
+    int lostStartAnswers;
+    /** Whether starts get lost on the way. */
+    boolean dropStarts;
 
     FakeWorker add(String id, Resources capacity, MonotonicClock clock, FakeWorker.Defect defect) {
         FakeWorker worker = new FakeWorker(id, capacity, clock, checkpoints, history, defect);
@@ -134,7 +138,14 @@
             delayedTo.add(address);
             throw new WorkerOutcomeUnknownException("start is on its way", null);
         }
+        if (dropStarts) {
+            throw new WorkerOutcomeUnknownException("start was lost", null);
+        }
         call(address, worker -> start(worker, request));
+        if (lostStartAnswers > 0) {
+            lostStartAnswers--;
+            throw new WorkerOutcomeUnknownException("answer to the start was lost", null);
+        }
     }
 
     @Override
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -38,6 +38,33 @@
         assertThat(fixture.workers.history).hasSize(10);
     }
 
+    /** Guards against a start that is given up, and its task stopped, because its answers get lost. */
+    @Test
+    void keepsATaskRunningWhoseStartAnswersAreLost() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        fixture.workers.lostStartAnswers = 20;
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 20_000, SMALL));
+        fixture.run(Duration.ofSeconds(60));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(1);
+    }
+
+    /** Guards against a start that is repeated for ever on a worker that never runs it. */
+    @Test
+    void givesUpAStartThatNeverArrives() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        fixture.workers.dropStarts = true;
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 1_000, SMALL));
+        fixture.run(Duration.ofSeconds(10));
+        fixture.workers.dropStarts = false;
+        fixture.run(Duration.ofSeconds(20));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(1);
+        assertThat(fixture.workers.history.getFirst().attempt()).isGreaterThan(1);
+    }
+
     /** Guards against urgent work that waits for batch work to end, and evicted work that does not come back. */
     @Test
     void evictsBatchWorkForUrgentWorkAndResumesItFromItsCheckpoint() throws Exception {
