Count quick requests in the usage record

Cause: nothing reported quick requests, so the usage record showed tasks only. Change: each attempt that may have run is reported with its duration, as served, repeated or failed.

--- a/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -16,6 +16,7 @@
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.RunnerId;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.core.usage.RequestOutcome;
 import org.tamarackline.entry.Executed;
 import org.tamarackline.entry.cluster.Cluster;
 
@@ -37,6 +38,7 @@
     private final RunnerDirectory directory;
     private final UpstreamClient client;
     private final IdempotencyStore idempotency;
+    private final RequestMeter meter;
     private final MonotonicClock clock;
 
     /** Creates the router. */
@@ -47,12 +49,14 @@
             RunnerDirectory directory,
             UpstreamClient client,
             IdempotencyStore idempotency,
+            RequestMeter meter,
             MonotonicClock clock) {
         this.cluster = cluster;
         this.broker = broker;
         this.directory = directory;
         this.client = client;
         this.idempotency = idempotency;
+        this.meter = meter;
         this.clock = clock;
     }
 
@@ -99,8 +103,10 @@
                 if (replayed.isPresent()) {
                     return replayed.get();
                 }
+                long startNanos = clock.nowNanos();
                 try {
-                    RoutedAnswer answer = send(slot);
+                    RoutedAnswer answer = new MeteredAnswer(
+                            send(slot), outcome -> meter.record(request.service(), startNanos, outcome));
                     if (attempt == MAX_ATTEMPTS || !mayReplace(answer, slot)) {
                         return recording(answer);
                     }
@@ -108,7 +114,9 @@
                     answer.discard();
                 } catch (UpstreamException e) {
                     recordFailure(slot, e);
-                    if (attempt == MAX_ATTEMPTS || !(replacingLate || mayRetry(e))) {
+                    boolean again = attempt < MAX_ATTEMPTS && (replacingLate || mayRetry(e));
+                    recordUsage(e, startNanos, again);
+                    if (!again) {
                         throw failure(e);
                     }
                     replacingLate = false;
@@ -212,6 +220,12 @@
             }
         }
 
+        private void recordUsage(UpstreamException e, long startNanos, boolean again) {
+            if (e.executed() != Executed.NO) {
+                meter.record(request.service(), startNanos, again ? RequestOutcome.REPEATED : RequestOutcome.FAILED);
+            }
+        }
+
         private boolean mayRetry(UpstreamException e) {
             boolean useful =
                     e.reason() == UpstreamException.Reason.UNREACHABLE || e.reason() == UpstreamException.Reason.BROKEN;
--- a/src/main/java/org/tamarackline/logging/JsonLogging.java
+++ b/src/main/java/org/tamarackline/logging/JsonLogging.java
@@ -58,6 +58,8 @@
         context.getLogger("io.dropwizard").setLevel(Level.WARN);
         context.getLogger("org.hibernate.validator").setLevel(Level.WARN);
         context.getLogger("org.glassfish.jersey").setLevel(Level.WARN);
+        // Reports each caller that goes away as an error with a stack trace.
+        context.getLogger("org.glassfish.jersey.server.ServerRuntime$Responder").setLevel(Level.OFF);
     }
 
     private static OutputStreamAppender<ILoggingEvent> appender(
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.locks.LockSupport;
 
@@ -41,6 +42,7 @@
 import org.tamarackline.core.model.TeamName;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.core.usage.RequestOutcome;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
@@ -86,11 +88,20 @@
         ownership = new GroupOwnership(broker);
         peerHandler = new RoutingPeerHandler(broker);
         RequestRouter router = new RequestRouter(
-                cluster, broker, directory, upstreams, new IdempotencyStore(platform, cluster, settings, clock), clock);
+                cluster,
+                broker,
+                directory,
+                upstreams,
+                new IdempotencyStore(platform, cluster, settings, clock),
+                new RequestMeter(cluster, (service, team, durationMs, outcome) -> usage.add(outcome), clock),
+                clock);
         QuickRequests requests = new QuickRequests(settings, new CallerAuthentication(settings), cluster, clock);
         server = serve(new ProxyResource(requests, router, inFlight));
     }
 
+    /** Outcomes that the usage record was told of. */
+    final List<RequestOutcome> usage = new CopyOnWriteArrayList<>();
+
     static EntrySettings.RequestLimits limits() {
         return new EntrySettings.RequestLimits(Duration.ofSeconds(3), 16, 1, 10, Duration.ofMillis(500));
     }
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
+import org.tamarackline.core.usage.RequestOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -39,6 +40,7 @@
 
             assertThat(answer.statusCode()).isEqualTo(201);
             assertThat(answer.body()).isEqualTo("tassel");
+            ProxyFixture.await(() -> node.usage.equals(List.of(RequestOutcome.SERVED)));
             assertThat(answer.headers().firstValue(EXECUTED)).contains("yes");
             assertThat(answer.headers().map()).containsKey("x-kept").doesNotContainKeys("x-private", "keep-alive");
             ScriptedUpstream.Received received = runner.received.get(0);
@@ -113,6 +115,8 @@
             assertThatThrownBy(() -> node.send(node.request("/"))).isInstanceOf(IOException.class);
             ProxyFixture.await(() -> node.inFlight.count() == 0);
             ProxyFixture.await(() -> node.broker.snapshot().openUses() == 0);
+            // The JDK client may send a GET again after a broken connection.
+            assertThat(node.usage).isNotEmpty().containsOnly(RequestOutcome.FAILED);
         }
     }
 
