--- a/src/main/java/org/tamarackline/cli/CommandRegistry.java
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -6,6 +6,7 @@
 
 import org.tamarackline.load.DemoCommand;
 import org.tamarackline.load.LoadCommand;
+import org.tamarackline.load.LocalClusterCommand;
 import org.tamarackline.standin.platform.StandinPlatformCommand;
 import org.tamarackline.standin.upstream.StandinUpstreamCommand;
 import org.tamarackline.standin.worker.StandinWorkerCommand;
@@ -42,6 +43,7 @@
             new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")),
             new Entry("load", "Sends open-loop load to nodes and reports latencies", LoadCommand::new),
             new Entry("demo", "Shows a local installation at work, with stand-ins", DemoCommand::new),
+            new Entry("local-cluster", "Runs a local installation and reports what it uses", LocalClusterCommand::new),
             new Entry("standin-platform", "Runs a stand-in of the platform", StandinPlatformCommand::new),
             new Entry("standin-worker", "Runs a stand-in of a worker", StandinWorkerCommand::new),
             new Entry("standin-upstream", "Runs a stand-in of an upstream", StandinUpstreamCommand::new));
--- a/src/main/java/org/tamarackline/load/JsonHttp.java
+++ b/src/main/java/org/tamarackline/load/JsonHttp.java
@@ -1,6 +1,7 @@
 package org.tamarackline.load;
 
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -70,6 +71,22 @@
         return StandinJson.mapper().treeToValue(answer.body(), type);
     }
 
+    /**
+     * Reads a text.
+     *
+     * @param token bearer token
+     * @throws IOException if it could not be read
+     */
+    public String text(String url, Optional<String> token) throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url)).timeout(TIMEOUT);
+        token.ifPresent(value -> request.header("Authorization", "Bearer " + value));
+        HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        if (response.statusCode() != HttpURLConnection.HTTP_OK) {
+            throw new IOException("GET %s was answered with status %d".formatted(url, response.statusCode()));
+        }
+        return response.body();
+    }
+
     /**
      * Writes a JSON document without a credential.
      *
--- a/src/main/java/org/tamarackline/load/LocalCluster.java
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -27,6 +27,7 @@
     private static final Duration STOP_BOUND = Duration.ofSeconds(10);
     private static final long WORKER_MEMORY_MB = 8_000;
     private static final int RUNNER_CONNECTIONS = 64;
+    private static final int WORKERS_PER_RACK = 8;
     private static final int OK = 200;
 
     private final LocalClusterPlan plan;
@@ -231,21 +232,25 @@
     private List<VmEntry> vmList() {
         List<VmEntry> vms = new ArrayList<>();
         for (int i = 0; i < workers.size(); i++) {
-            vms.add(vm("worker-" + i, VmRecord.WORKER_ROLE, workers.get(i), 0, plan.workerProcessors()));
+            vms.add(vm("worker-" + i, VmRecord.WORKER_ROLE, rackOf(i), workers.get(i), 0, plan.workerProcessors()));
         }
         for (int i = 0; i < runners.size(); i++) {
-            vms.add(vm("runner-" + i, plan.service(), runners.get(i), UpstreamOptions.DEFAULT_SLOTS, 1));
+            vms.add(vm("runner-" + i, plan.service(), rackOf(i), runners.get(i), UpstreamOptions.DEFAULT_SLOTS, 1));
         }
         return vms;
     }
 
-    private static VmEntry vm(String id, String role, Standin standin, int slots, int processors) {
+    private static String rackOf(int number) {
+        return "rack-" + (1 + number / WORKERS_PER_RACK);
+    }
+
+    private static VmEntry vm(String id, String role, String rack, Standin standin, int slots, int processors) {
         return new VmEntry(
                 id,
                 role,
                 standin.address(),
                 EntrySettingsText.DATA_CENTRE,
-                "rack-1",
+                rack,
                 VmRecord.State.LIVE,
                 slots,
                 slots == 0 ? 0 : RUNNER_CONNECTIONS,
--- a/src/main/java/org/tamarackline/load/LocalClusterPlan.java
+++ b/src/main/java/org/tamarackline/load/LocalClusterPlan.java
@@ -9,7 +9,7 @@
  * @param binary the binary to start them from
  * @param directory directory for settings and logs
  * @param service name of the service whose runners are started
- * @param workers number of workers, all in one rack
+ * @param workers number of workers, 8 to a rack
  * @param workerProcessors processors of each worker
  * @param runners number of runners
  * @param entryNodes number of entry nodes
