--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -0,0 +1,625 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * All jobs and runners of one leader.
+ *
+ * <p>A task is started only while no run of it can exist: an earlier run must have ended in a listing, been stopped before
+ * it arrived, belonged to a dead incarnation of a runner, or outlived its lease. Not safe for use by several threads.
+ */
+public final class Fleet {
+
+    /** Run numbers that each epoch may use for a task, so that the runs of a new leader follow those of the earlier one. */
+    private static final long RUNS_PER_EPOCH = 10_000;
+
+    private final long firstRun;
+    private final FleetObserver observer;
+    private final ReadyTasks ready = new ReadyTasks();
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, JobState> finished = new LinkedHashMap<>();
+    private final Set<Job> repeating = new LinkedHashSet<>();
+    private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
+    private final Set<String> unheardRunners = new HashSet<>();
+    private final Set<Job> changed = new LinkedHashSet<>();
+    private final Set<Run> stopping = new LinkedHashSet<>();
+    private final List<Order> strayStops = new ArrayList<>();
+
+    /**
+     * Creates a fleet without jobs and runners.
+     *
+     * @param epoch fencing token of the leader, from 1
+     */
+    public Fleet(long epoch, FleetObserver observer) {
+        this.firstRun = (epoch - 1) * RUNS_PER_EPOCH;
+        this.observer = observer;
+    }
+
+    // ---- Jobs
+
+    /**
+     * Adds a job that was accepted. Does nothing if the job is known.
+     *
+     * @param progress what is stored about the job
+     * @param inherited whether an earlier leader may have started tasks of the job
+     */
+    public void addJob(JobDefinition definition, JobProgress progress, boolean inherited, long nowEpochMs) {
+        if (jobs.containsKey(definition.id()) || finished.containsKey(definition.id())) {
+            return;
+        }
+        Job job = new Job(definition, inherited);
+        jobs.put(job.id(), job);
+        progress.applyTo(job);
+        if (definition.repeats() > 0) {
+            repeating.add(job);
+        }
+        openDueOccurrences(job, nowEpochMs);
+        for (int occurrence = 0; occurrence < job.openedOccurrences(); occurrence++) {
+            refreshOccurrence(job, occurrence);
+        }
+        if (job.allDone()) {
+            finish(job, JobState.COMPLETED);
+        }
+    }
+
+    /** Takes note of the stored last state of a job. */
+    public void addFinished(String id, JobState state) {
+        finished.put(id, state);
+    }
+
+    /** Forgets a job that was removed from the store. */
+    public void forget(String id) {
+        finished.remove(id);
+    }
+
+    /** Cancels a job; its runs are stopped. Does nothing if the job is unknown or has reached its last state. */
+    public void cancel(String id) {
+        Job job = jobs.get(id);
+        if (job != null && job.terminal == null) {
+            finish(job, JobState.CANCELLED);
+        }
+    }
+
+    /** Returns the state that callers are told; empty if the job is unknown. */
+    public Optional<JobState> state(String id) {
+        JobState last = finished.get(id);
+        if (last != null) {
+            return Optional.of(last);
+        }
+        Job job = jobs.get(id);
+        if (job == null) {
+            return Optional.empty();
+        }
+        if (job.terminal == JobState.CANCELLED) {
+            return Optional.of(JobState.CANCELLED);
+        }
+        return Optional.of(job.started ? JobState.RUNNING : JobState.QUEUED);
+    }
+
+    /** Returns the number of accepted jobs of a queue of which no task has started. */
+    public int pending(String queue) {
+        int pending = 0;
+        for (Job job : jobs.values()) {
+            if (job.terminal == null
+                    && !job.started
+                    && job.definition().queue().name().equals(queue)) {
+                pending++;
+            }
+        }
+        return pending;
+    }
+
+    /** Returns the number of jobs that have not reached their last state. */
+    public int openJobs() {
+        return jobs.size();
+    }
+
+    /** Returns the number of tasks that wait for room. */
+    public int readyTasks() {
+        return ready.size();
+    }
+
+    /** Returns the jobs of which something must be stored, and regards them as taken. */
+    public List<Job> takeChanged() {
+        List<Job> taken = List.copyOf(changed);
+        changed.clear();
+        return taken;
+    }
+
+    /** Returns whether something about a job must be stored. */
+    public boolean hasChanges() {
+        return !changed.isEmpty();
+    }
+
+    /** Returns whether a job has reached its last state and that is not stored yet. */
+    public boolean hasFinishedChanges() {
+        for (Job job : changed) {
+            if (job.terminal != null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Puts jobs back whose progress could not be stored. */
+    public void returnChanged(Collection<Job> notStored) {
+        changed.addAll(notStored);
+    }
+
+    /** Takes note that the last state of a job is stored. */
+    public void stored(Job job) {
+        if (job.terminal != null) {
+            finished.put(job.id(), job.terminal);
+            jobs.remove(job.id());
+            repeating.remove(job);
+        }
+    }
+
+    private void finish(Job job, JobState state) {
+        job.terminal = state;
+        changed.add(job);
+        for (int occurrence = 0; occurrence < job.openedOccurrences(); occurrence++) {
+            for (Task[] step : job.occurrence(occurrence)) {
+                for (Task task : step) {
+                    ready.remove(task);
+                    stopAll(task, null);
+                }
+            }
+        }
+        observer.jobFinished(job);
+    }
+
+    private void openDueOccurrences(Job job, long nowEpochMs) {
+        while (job.terminal == null
+                && job.openedOccurrences() < job.definition().occurrences()
+                && job.definition().dueEpochMs(job.openedOccurrences()) <= nowEpochMs) {
+            job.openOccurrence();
+            if (job.definition().repeats() > 0) {
+                changed.add(job);
+            }
+            refreshOccurrence(job, job.openedOccurrences() - 1);
+        }
+    }
+
+    private void refreshOccurrence(Job job, int occurrence) {
+        for (Task[] step : job.occurrence(occurrence)) {
+            for (Task task : step) {
+                refresh(task);
+            }
+        }
+    }
+
+    /** Moves a task into or out of the waiting tasks. */
+    private void refresh(Task task) {
+        if (mayStart(task)) {
+            ready.add(task);
+        } else {
+            ready.remove(task);
+        }
+    }
+
+    private static boolean mayStart(Task task) {
+        Job job = task.job();
+        if (task.done || job.terminal != null || !task.runs.isEmpty()) {
+            return false;
+        }
+        for (int step : task.step().after()) {
+            if (!job.stepDone(task.key().occurrence(), step)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // ---- Runners
+
+    /**
+     * Names a runner that an earlier leader may have used. Tasks that it may run are not started elsewhere before the
+     * runner has answered or its lease has expired. Returns the runner.
+     */
+    public FleetRunner expectAnswer(RunnerReport report) {
+        unheardRunners.add(report.id());
+        return runners.computeIfAbsent(report.id(), id -> new FleetRunner(report));
+    }
+
+    /** Takes note of what the directory says about a runner. Returns the runner. */
+    public FleetRunner runnerReported(RunnerReport report) {
+        FleetRunner runner = runners.computeIfAbsent(report.id(), id -> new FleetRunner(report));
+        runner.update(report);
+        return runner;
+    }
+
+    /** Takes note that the directory no longer lists a runner. */
+    public void runnerUnlisted(String id) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.listed = false;
+        }
+    }
+
+    /** Takes note that nothing which earlier orders started on a runner can still run. */
+    public void runnerLost(String id, long nowNanos) {
+        unheardRunners.remove(id);
+        FleetRunner runner = runners.get(id);
+        if (runner == null) {
+            return;
+        }
+        runner.contacted = false;
+        for (Run run : runner.snapshotOfRuns()) {
+            drop(run, nowNanos);
+        }
+        if (!runner.listed) {
+            runners.remove(id);
+        }
+    }
+
+    /** Returns all runners. */
+    public Collection<FleetRunner> runners() {
+        return Collections.unmodifiableCollection(runners.values());
+    }
+
+    /** Returns the number of runners that may run tasks of an earlier leader and have not answered. */
+    public int unheardRunners() {
+        return unheardRunners.size();
+    }
+
+    /**
+     * Takes note of a listing of a runner.
+     *
+     * @param sentNanos when the listing was asked for; it contains all that was settled before
+     */
+    public void applyListing(FleetRunner runner, RunnerListing listing, long sentNanos, long nowNanos) {
+        if (runner.bornEpochMs != listing.bornEpochMs()) {
+            if (runner.bornEpochMs != 0) {
+                dropEarlierIncarnation(runner, nowNanos);
+            }
+            runner.bornEpochMs = listing.bornEpochMs();
+            runner.processedEnds = 0;
+        }
+        runner.contacted = true;
+        for (RunnerListing.EndedRow row : listing.ended()) {
+            if (row.number() > runner.processedEnds) {
+                runner.processedEnds = row.number();
+                applyEnd(runner, row, nowNanos);
+            }
+        }
+        Set<FleetRunner.RunKey> listed = new HashSet<>();
+        for (RunnerListing.RunningRow row : listing.running()) {
+            listed.add(new FleetRunner.RunKey(row.task(), row.run()));
+            applyRunning(runner, row, nowNanos);
+        }
+        for (Run run : runner.snapshotOfRuns()) {
+            boolean missing = !listed.contains(new FleetRunner.RunKey(run.task().key(), run.number()));
+            if (missing && settledBefore(run, sentNanos)) {
+                drop(run, nowNanos);
+            }
+        }
+        runner.strayStops.keySet().retainAll(listed);
+        unheardRunners.remove(runner.id());
+    }
+
+    /** Returns whether a listing asked for at {@code sentNanos} must contain the run if it exists. */
+    private static boolean settledBefore(Run run, long sentNanos) {
+        if (run.startSettled && sentNanos - run.startSettledNanos > 0) {
+            return true;
+        }
+        return run.stopSettled && sentNanos - run.stopSettledNanos > 0;
+    }
+
+    /** Ends the runs that were confirmed; an order without an answer may still reach the new incarnation. */
+    private void dropEarlierIncarnation(FleetRunner runner, long nowNanos) {
+        runner.strayStops.clear();
+        for (Run run : runner.snapshotOfRuns()) {
+            if (run.startSettled) {
+                drop(run, nowNanos);
+            }
+        }
+    }
+
+    private void applyRunning(FleetRunner runner, RunnerListing.RunningRow row, long nowNanos) {
+        Run run = runner.find(row.task(), row.run());
+        if (run == null) {
+            run = adopt(runner, row, nowNanos);
+        }
+        if (run == null) {
+            stopStray(runner, row, nowNanos);
+            return;
+        }
+        if (run.phase == Run.Phase.ORDERED) {
+            run.phase = Run.Phase.RUNNING;
+            settleStart(run, nowNanos);
+        }
+        if (row.percent() != run.percent) {
+            run.percent = row.percent();
+            run.progressNanos = nowNanos;
+        }
+        run.usage = row.usage();
+        noteCheckpoint(run.task(), run.number(), row.checkpoint());
+    }
+
+    /** Regards a run that an earlier leader started as the current run of its task; null if it must not go on. */
+    private Run adopt(FleetRunner runner, RunnerListing.RunningRow row, long nowNanos) {
+        Task task = findTask(row.task());
+        if (task == null || task.done || task.job().terminal != null) {
+            return null;
+        }
+        if (!task.runs.isEmpty() && !task.step().speculative()) {
+            return null;
+        }
+        Run run = new Run(task, row.run(), runner, "", nowNanos);
+        run.phase = Run.Phase.RUNNING;
+        settleStart(run, nowNanos);
+        task.lastRun = Math.max(task.lastRun, row.run());
+        runner.add(run);
+        refresh(task);
+        observer.runAdopted(run);
+        return run;
+    }
+
+    private void stopStray(FleetRunner runner, RunnerListing.RunningRow row, long nowNanos) {
+        FleetRunner.RunKey key = new FleetRunner.RunKey(row.task(), row.run());
+        Long lastNanos = runner.strayStops.get(key);
+        if (lastNanos == null || nowNanos - lastNanos > FleetTimes.STOP_REPEAT_NANOS) {
+            runner.strayStops.put(key, nowNanos);
+            strayStops.add(new Order.Stop(runner, row.task(), row.run()));
+        }
+    }
+
+    private void applyEnd(FleetRunner runner, RunnerListing.EndedRow row, long nowNanos) {
+        Task task = findTask(row.task());
+        Run run = runner.find(row.task(), row.run());
+        if (run != null) {
+            runner.remove(run);
+            stopping.remove(run);
+        }
+        if (task == null || task.done || task.job().terminal != null) {
+            return;
+        }
+        task.job().started = true;
+        task.lastRun = Math.max(task.lastRun, row.run());
+        noteCheckpoint(task, row.run(), row.checkpoint());
+        changed.add(task.job());
+        observer.runEnded(runner, row, run);
+        switch (row.reason()) {
+            case DONE -> applyDone(task, run, runner, nowNanos);
+            case FAILED -> applyFailure(task, row.run(), runner, nowNanos);
+            default -> refresh(task);
+        }
+    }
+
+    private void applyDone(Task task, Run run, FleetRunner runner, long nowNanos) {
+        runner.health.succeeded();
+        if (run != null && run.checkpoint().isEmpty() && run.pacePercent == 100) {
+            noteDuration(run, nowNanos);
+        }
+        if (task.step().longRunning()) {
+            refresh(task);
+            return;
+        }
+        Job job = task.job();
+        for (Task member : job.gangOf(task)) {
+            if (!member.done) {
+                member.done = true;
+                job.openTasks--;
+                ready.remove(member);
+                stopAll(member, null);
+            }
+        }
+        if (job.allDone()) {
+            finish(job, JobState.COMPLETED);
+        } else if (job.stepDone(task.key().occurrence(), task.key().step())) {
+            refreshOccurrence(job, task.key().occurrence());
+        }
+    }
+
+    private static void noteDuration(Run run, long nowNanos) {
+        long estimateMs = run.task().step().estimateMs();
+        if (estimateMs > 0 && !run.task().step().filler()) {
+            run.runner().health.took((nowNanos - run.orderedNanos()) / (estimateMs * 1e6));
+        }
+    }
+
+    private void applyFailure(Task task, long number, FleetRunner runner, long nowNanos) {
+        if (task.step().longRunning()) {
+            refresh(task);
+            return;
+        }
+        if (number > task.lastFailedRun) {
+            task.lastFailedRun = number;
+            task.failures++;
+            if (task.avoidedRunners.isEmpty()) {
+                runner.health.failed(task.job().id(), nowNanos);
+            }
+            task.avoidedRunners.add(runner.id());
+        }
+        int attempts = 0;
+        for (Task member : task.job().gangOf(task)) {
+            attempts += member.failures;
+        }
+        if (attempts >= task.job().definition().queue().maxAttempts()) {
+            finish(task.job(), JobState.FAILED);
+        } else {
+            refresh(task);
+        }
+    }
+
+    private void noteCheckpoint(Task task, long run, String checkpoint) {
+        if (task.step().checkpointed() && !checkpoint.isEmpty() && run >= task.lastRun) {
+            task.checkpoint = checkpoint;
+        }
+    }
+
+    private Task findTask(TaskKey key) {
+        Job job = jobs.get(key.job());
+        return job == null ? null : job.find(key);
+    }
+
+    // ---- Orders
+
+    /**
+     * Returns the orders that are due: repeated stops, and starts of waiting tasks that have room.
+     *
+     * @param nowEpochMs time of day, which scheduled occurrences are measured by
+     */
+    public List<Order> decide(long nowNanos, long nowEpochMs) {
+        List<Order> orders = new ArrayList<>(strayStops);
+        strayStops.clear();
+        for (Job job : List.copyOf(repeating)) {
+            openDueOccurrences(job, nowEpochMs);
+        }
+        for (Run run : stopping) {
+            if (stopDue(run, nowNanos)) {
+                run.stopOrderedNanos = nowNanos;
+                orders.add(new Order.Stop(run.runner(), run.task().key(), run.number()));
+            }
+        }
+        startReady(orders, nowNanos);
+        return orders;
+    }
+
+    private static boolean stopDue(Run run, long nowNanos) {
+        return run.stopOrderedNanos == 0 || nowNanos - run.stopOrderedNanos > FleetTimes.STOP_REPEAT_NANOS;
+    }
+
+    private void startReady(List<Order> orders, long nowNanos) {
+        ReadyTasks.Scan scan = ready.scan();
+        while (scan.hasNext()) {
+            Task task = scan.next();
+            if (task.job().inherited() && !unheardRunners.isEmpty()) {
+                continue;
+            }
+            List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
+            if (started.isEmpty()) {
+                scan.skipStep(task);
+            }
+            for (Run run : started) {
+                orders.add(new Order.Start(run));
+                ready.remove(run.task());
+            }
+        }
+    }
+
+    private List<Run> startOne(Task task, long nowNanos) {
+        FleetRunner runner =
+                Placement.choose(task, runners.values(), task.step().preferredRack(), nowNanos);
+        return runner == null ? List.of() : List.of(addRun(task, runner, nextRun(task), task.checkpoint, nowNanos));
+    }
+
+    /** Starts all members of a gang with one run number, or none. */
+    private List<Run> startGang(Task first, long nowNanos) {
+        Task[] members = first.job().gangOf(first);
+        long number = 0;
+        String checkpoint = "";
+        for (Task member : members) {
+            if (!member.runs.isEmpty() || member.done) {
+                return List.of();
+            }
+            number = Math.max(number, nextRun(member));
+            checkpoint = checkpoint.compareTo(member.checkpoint) >= 0 ? checkpoint : member.checkpoint;
+        }
+        List<Run> started = new ArrayList<>();
+        String rack = first.step().preferredRack();
+        for (Task member : members) {
+            FleetRunner runner = Placement.choose(member, runners.values(), rack, nowNanos);
+            if (runner == null) {
+                for (Run run : started) {
+                    run.runner().remove(run);
+                }
+                return List.of();
+            }
+            if (first.step().sameRack() && rack.isEmpty()) {
+                rack = runner.report().rack();
+            }
+            started.add(addRun(member, runner, number, checkpoint, nowNanos));
+        }
+        return started;
+    }
+
+    private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
+        task.lastRun = number;
+        Run run = new Run(task, number, runner, checkpoint, nowNanos);
+        runner.add(run);
+        return run;
+    }
+
+    private long nextRun(Task task) {
+        return Math.max(task.lastRun, firstRun) + 1;
+    }
+
+    /** Takes note of the answer to an ordered start. */
+    public void startAnswered(Run run, StartResult result, long nowNanos) {
+        if (run.runner().find(run.task().key(), run.number()) != run) {
+            return;
+        }
+        switch (result) {
+            case STARTED -> {
+                if (run.phase == Run.Phase.ORDERED) {
+                    run.phase = Run.Phase.RUNNING;
+                }
+                settleStart(run, nowNanos);
+            }
+            case NO_ROOM, REFUSED -> {
+                run.runner().health.refused(nowNanos);
+                drop(run, nowNanos);
+            }
+            case RUNNER_REPLACED -> runnerLost(run.runner().id(), nowNanos);
+            default -> stop(run);
+        }
+    }
+
+    /** Takes note that a runner confirmed a stop, so that the run can no longer start there. */
+    public void stopAnswered(FleetRunner runner, TaskKey task, long number, long nowNanos) {
+        Run run = runner.find(task, number);
+        if (run != null && !run.stopSettled) {
+            run.stopSettled = true;
+            run.stopSettledNanos = nowNanos;
+        }
+    }
+
+    /** Ends a run that does not progress, and keeps its task away from the runner. */
+    public void giveUp(Run run, long nowNanos) {
+        run.runner().health.stalled(nowNanos);
+        run.task().avoidedRunners.add(run.runner().id());
+        observer.runGivenUp(run, "no progress");
+        stop(run);
+    }
+
+    private static void settleStart(Run run, long nowNanos) {
+        if (!run.startSettled) {
+            run.startSettled = true;
+            run.startSettledNanos = nowNanos;
+            run.task().job().started = true;
+        }
+    }
+
+    private void stopAll(Task task, Run except) {
+        for (Run run : task.runs) {
+            if (run != except) {
+                stop(run);
+            }
+        }
+    }
+
+    private void stop(Run run) {
+        run.phase = Run.Phase.STOPPING;
+        stopping.add(run);
+    }
+
+    /** Removes a run that is known not to exist any more; its task waits again. */
+    private void drop(Run run, long nowNanos) {
+        run.runner().remove(run);
+        stopping.remove(run);
+        run.task().lastEndNanos = nowNanos;
+        refresh(run.task());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -0,0 +1,148 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.tamarackline.core.model.Resources;
+
+/** A runner and what the leader has placed on it. */
+public final class FleetRunner {
+
+    /**
+     * Identifies a run on a runner.
+     *
+     * @param task task that runs
+     * @param run number of the run
+     */
+    record RunKey(TaskKey task, long run) {}
+
+    private final String id;
+    private RunnerReport report;
+
+    /** Whether the directory lists the runner; one that is not listed gets no new tasks. */
+    boolean listed;
+    /** Whether the runner has told this leader what it runs. */
+    boolean contacted;
+    /** Incarnation that {@link #runs} belong to, 0 before the first listing. */
+    long bornEpochMs;
+    /** Highest number in the list of ends that is taken into account. */
+    long processedEnds;
+
+    final RunnerHealth health = new RunnerHealth();
+    final Map<RunKey, Run> runs = new HashMap<>();
+    /** When a stop was last ordered for a run that the leader does not know. */
+    final Map<RunKey, Long> strayStops = new HashMap<>();
+
+    private Resources reserved = Resources.NONE;
+    private long fillerMillis;
+    private long paceChangedNanos;
+
+    FleetRunner(RunnerReport report) {
+        this.id = report.id();
+        this.report = report;
+    }
+
+    /** Returns the identifier of the runner. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns what the directory last said about the runner. */
+    public RunnerReport report() {
+        return report;
+    }
+
+    /** Returns the start of the incarnation that last answered, in milliseconds since 1970, 0 for none. */
+    public long bornEpochMs() {
+        return bornEpochMs;
+    }
+
+    /** Returns whether the directory lists the runner. */
+    public boolean listed() {
+        return listed;
+    }
+
+    /** Returns whether the runner has told this leader what it runs. */
+    public boolean contacted() {
+        return contacted;
+    }
+
+    /** Returns whether the leader knows of a run on the runner. */
+    public boolean busy() {
+        return !runs.isEmpty();
+    }
+
+    /** Returns the highest number in the runner's list of ends that is taken into account. */
+    public long processedEnds() {
+        return processedEnds;
+    }
+
+    void update(RunnerReport next) {
+        this.report = next;
+        this.listed = true;
+    }
+
+    void add(Run run) {
+        runs.put(new RunKey(run.task().key(), run.number()), run);
+        run.task().runs.add(run);
+        reserved = reserved.plus(run.task().step().reservation());
+        if (run.task().step().filler()) {
+            fillerMillis += run.task().step().demand().processorMillis();
+        }
+    }
+
+    void remove(Run run) {
+        if (runs.remove(new RunKey(run.task().key(), run.number())) == null) {
+            return;
+        }
+        run.task().runs.remove(run);
+        reserved = reserved.minus(run.task().step().reservation());
+        if (run.task().step().filler()) {
+            fillerMillis -= run.task().step().demand().processorMillis();
+        }
+    }
+
+    Run find(TaskKey task, long number) {
+        return runs.get(new RunKey(task, number));
+    }
+
+    Resources free() {
+        return report.capacity().minus(reserved);
+    }
+
+    long reservedMillis() {
+        return reserved.processorMillis();
+    }
+
+    /** Returns what filling tasks asked for, in thousandths of a processor. */
+    long fillerMillis() {
+        return fillerMillis;
+    }
+
+    int runsOfStep(TaskKey task) {
+        int count = 0;
+        for (RunKey key : runs.keySet()) {
+            TaskKey other = key.task();
+            if (other.step() == task.step()
+                    && other.occurrence() == task.occurrence()
+                    && other.job().equals(task.job())) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    List<Run> snapshotOfRuns() {
+        return new ArrayList<>(runs.values());
+    }
+
+    long paceChangedNanos() {
+        return paceChangedNanos;
+    }
+
+    void paceChanged(long nowNanos) {
+        paceChangedNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -0,0 +1,108 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A job that has not reached its last state, and its tasks. */
+public final class Job {
+
+    private final JobDefinition definition;
+    private final boolean inherited;
+    private final List<Task[][]> occurrences = new ArrayList<>();
+
+    boolean started;
+    JobState terminal;
+    int openTasks;
+
+    /**
+     * Creates a job without tasks.
+     *
+     * @param inherited whether an earlier leader may have started tasks of the job
+     */
+    Job(JobDefinition definition, boolean inherited) {
+        this.definition = definition;
+        this.inherited = inherited;
+    }
+
+    /** Returns the job as it was accepted. */
+    public JobDefinition definition() {
+        return definition;
+    }
+
+    /** Returns the identifier of the job. */
+    public String id() {
+        return definition.id();
+    }
+
+    /** Returns the last state of the job, null while it is open. */
+    public JobState terminalState() {
+        return terminal;
+    }
+
+    /** Returns what a restart of the leader must not forget. */
+    public JobProgress progress() {
+        return JobProgress.of(this);
+    }
+
+    boolean inherited() {
+        return inherited;
+    }
+
+    /** Returns the number of occurrences that have tasks. */
+    int openedOccurrences() {
+        return occurrences.size();
+    }
+
+    /** Creates the tasks of the next occurrence. */
+    void openOccurrence() {
+        int occurrence = occurrences.size();
+        Task[][] steps = new Task[definition.steps().size()][];
+        for (int step = 0; step < steps.length; step++) {
+            StepDefinition stepDefinition = definition.steps().get(step);
+            steps[step] = new Task[stepDefinition.count()];
+            for (int index = 0; index < steps[step].length; index++) {
+                steps[step][index] =
+                        new Task(this, new TaskKey(definition.id(), occurrence, step, index), stepDefinition);
+            }
+            openTasks += steps[step].length;
+        }
+        occurrences.add(steps);
+    }
+
+    Task[][] occurrence(int occurrence) {
+        return occurrences.get(occurrence);
+    }
+
+    /** Returns the task with this key, null if the job has none. */
+    Task find(TaskKey key) {
+        if (key.occurrence() < 0 || key.occurrence() >= occurrences.size()) {
+            return null;
+        }
+        Task[][] steps = occurrences.get(key.occurrence());
+        if (key.step() < 0 || key.step() >= steps.length) {
+            return null;
+        }
+        Task[] tasks = steps[key.step()];
+        return key.index() < 0 || key.index() >= tasks.length ? null : tasks[key.index()];
+    }
+
+    boolean stepDone(int occurrence, int step) {
+        for (Task task : occurrences.get(occurrence)[step]) {
+            if (!task.done) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the members of the gang of {@code task}, or the task alone. */
+    Task[] gangOf(Task task) {
+        TaskKey key = task.key();
+        return task.step().gang() ? occurrences.get(key.occurrence())[key.step()] : new Task[] {task};
+    }
+
+    /** Returns whether all tasks of all occurrences are done. */
+    boolean allDone() {
+        return openTasks == 0 && occurrences.size() == definition.occurrences();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -0,0 +1,84 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What must be stored about an open job before its runners may forget the ends of its runs.
+ *
+ * <p>Where tasks run is not part of it: the runners tell a new leader.
+ *
+ * @param occurrences number of occurrences that are open
+ * @param tasks tasks that differ from a new one
+ */
+public record JobProgress(int occurrences, List<TaskProgress> tasks) {
+
+    /** The progress of a job of which nothing has happened yet. */
+    public static final JobProgress NONE = new JobProgress(0, List.of());
+
+    /** Creates a progress that later changes of the arguments do not affect. */
+    public JobProgress {
+        tasks = List.copyOf(tasks);
+    }
+
+    /**
+     * Progress of one task.
+     *
+     * @param occurrence repetition of the job
+     * @param step position of the step
+     * @param index position of the task in the step
+     * @param done whether the task is done
+     * @param failures number of failed runs
+     * @param lastFailedRun highest number of a failed run
+     * @param checkpoint where the task resumes, empty for its beginning
+     */
+    public record TaskProgress(
+            int occurrence, int step, int index, boolean done, int failures, long lastFailedRun, String checkpoint) {}
+
+    static JobProgress of(Job job) {
+        List<TaskProgress> tasks = new ArrayList<>();
+        for (int occurrence = 0; occurrence < job.openedOccurrences(); occurrence++) {
+            for (Task[] step : job.occurrence(occurrence)) {
+                for (Task task : step) {
+                    addChanged(task, tasks);
+                }
+            }
+        }
+        return new JobProgress(job.openedOccurrences(), tasks);
+    }
+
+    private static void addChanged(Task task, List<TaskProgress> tasks) {
+        String checkpoint = task.done || !task.runs.isEmpty() ? "" : task.checkpoint;
+        if (task.done || task.failures > 0 || !checkpoint.isEmpty()) {
+            TaskKey key = task.key();
+            tasks.add(new TaskProgress(
+                    key.occurrence(),
+                    key.step(),
+                    key.index(),
+                    task.done,
+                    task.failures,
+                    task.lastFailedRun,
+                    checkpoint));
+        }
+    }
+
+    void applyTo(Job job) {
+        while (job.openedOccurrences() < occurrences) {
+            job.openOccurrence();
+        }
+        for (TaskProgress progress : tasks) {
+            Task task = job.find(new TaskKey(job.id(), progress.occurrence(), progress.step(), progress.index()));
+            if (task == null) {
+                continue;
+            }
+            if (progress.done() && !task.done) {
+                task.done = true;
+                job.openTasks--;
+            }
+            task.failures = progress.failures();
+            task.lastFailedRun = progress.lastFailedRun();
+            task.checkpoint = progress.checkpoint();
+            job.started = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/QueueDefinition.java
@@ -0,0 +1,25 @@
+package org.tamarackline.core.fleet;
+
+/**
+ * A queue that callers submit jobs to.
+ *
+ * @param name name of the queue
+ * @param host host name that callers address
+ * @param pathPrefix start of the paths that belong to the queue
+ * @param service service whose runners run the tasks
+ * @param priority 0 is the most urgent
+ * @param maxAttempts number of failed runs after which a task has failed
+ * @param stretch latency objective as a multiple of the longest chain of work
+ * @param targetLatencyMs time added to the latency objective, in milliseconds
+ * @param advised whether starts need a ticket of the service that decides where a step may run
+ */
+public record QueueDefinition(
+        String name,
+        String host,
+        String pathPrefix,
+        String service,
+        int priority,
+        int maxAttempts,
+        double stretch,
+        long targetLatencyMs,
+        boolean advised) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -0,0 +1,101 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** The tasks that wait for room, the most urgent first. */
+final class ReadyTasks {
+
+    private static final Comparator<Task> ORDER = Comparator.<Task>comparingInt(
+                    task -> task.job().definition().queue().priority())
+            .thenComparingLong(ReadyTasks::objectiveEpochMs)
+            .thenComparing(task -> task.key().job())
+            .thenComparingInt(task -> task.key().occurrence())
+            .thenComparingInt(task -> task.key().step())
+            .thenComparingInt(task -> task.key().index());
+
+    private final TreeSet<Task> tasks = new TreeSet<>(ORDER);
+
+    void add(Task task) {
+        if (!task.ready) {
+            task.ready = true;
+            tasks.add(task);
+        }
+    }
+
+    void remove(Task task) {
+        if (task.ready) {
+            task.ready = false;
+            tasks.remove(task);
+        }
+    }
+
+    int size() {
+        return tasks.size();
+    }
+
+    /** Returns a walk over the tasks that wait now. */
+    Scan scan() {
+        return new Scan(new ArrayList<>(tasks));
+    }
+
+    /** Returns when the job should have ended, in milliseconds since 1970. */
+    private static long objectiveEpochMs(Task task) {
+        JobDefinition definition = task.job().definition();
+        QueueDefinition queue = definition.queue();
+        return definition.dueEpochMs(task.key().occurrence())
+                + queue.targetLatencyMs()
+                + (long) (queue.stretch() * definition.longestChainMs());
+    }
+
+    /** A walk over waiting tasks that passes over the rest of a step once one of its tasks finds no room. */
+    static final class Scan {
+
+        /**
+         * Identifies a step of an occurrence.
+         *
+         * @param job identifier of the job
+         * @param occurrence repetition of the job
+         * @param step position of the step
+         */
+        private record StepKey(String job, int occurrence, int step) {}
+
+        private final Iterator<Task> iterator;
+        private final Set<StepKey> skipped = new HashSet<>();
+        private Task next;
+
+        private Scan(List<Task> tasks) {
+            this.iterator = tasks.iterator();
+        }
+
+        boolean hasNext() {
+            while (next == null && iterator.hasNext()) {
+                Task candidate = iterator.next();
+                if (candidate.ready && !skipped.contains(stepKey(candidate))) {
+                    next = candidate;
+                }
+            }
+            return next != null;
+        }
+
+        Task next() {
+            Task task = next;
+            next = null;
+            return task;
+        }
+
+        void skipStep(Task task) {
+            skipped.add(stepKey(task));
+        }
+
+        private static StepKey stepKey(Task task) {
+            TaskKey key = task.key();
+            return new StepKey(key.job(), key.occurrence(), key.step());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -0,0 +1,72 @@
+package org.tamarackline.core.fleet;
+
+/** One start of a task on a runner, from the order until its end is certain. */
+public final class Run {
+
+    /** Progress of a run as far as the leader knows. */
+    enum Phase {
+        /** The start was ordered; whether it took effect is not known. */
+        ORDERED,
+        /** The runner has the run. */
+        RUNNING,
+        /** The run must end; a stop is repeated until the runner no longer lists it. */
+        STOPPING
+    }
+
+    private final Task task;
+    private final long number;
+    private final FleetRunner runner;
+    private final String checkpoint;
+    private final long orderedNanos;
+
+    Phase phase = Phase.ORDERED;
+    /** Whether the start was answered, so that a listing asked for later must contain the run. */
+    boolean startSettled;
+
+    long startSettledNanos;
+    /** When a stop was last ordered; 0 for never. */
+    long stopOrderedNanos;
+
+    boolean stopSettled;
+    long stopSettledNanos;
+    double percent;
+    long progressNanos;
+    /** Share of its speed that the run was last told to work at, 0 to 100. */
+    int pacePercent = 100;
+
+    double usage = -1;
+
+    Run(Task task, long number, FleetRunner runner, String checkpoint, long orderedNanos) {
+        this.task = task;
+        this.number = number;
+        this.runner = runner;
+        this.checkpoint = checkpoint;
+        this.orderedNanos = orderedNanos;
+        this.progressNanos = orderedNanos;
+    }
+
+    /** Returns the task that the run belongs to. */
+    public Task task() {
+        return task;
+    }
+
+    /** Returns the number of the run; the runs of a task have rising numbers. */
+    public long number() {
+        return number;
+    }
+
+    /** Returns the runner that the run was ordered on. */
+    public FleetRunner runner() {
+        return runner;
+    }
+
+    /** Returns the checkpoint that the run resumes from, empty for none. */
+    public String checkpoint() {
+        return checkpoint;
+    }
+
+    /** Returns when the start was ordered, on the leader's monotonic clock. */
+    public long orderedNanos() {
+        return orderedNanos;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -0,0 +1,58 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A task of a job and its runs. */
+public final class Task {
+
+    private final Job job;
+    private final TaskKey key;
+    private final StepDefinition step;
+
+    boolean done;
+    int failures;
+    /** Highest run number whose failure is counted, so that an end that is listed again counts once. */
+    long lastFailedRun;
+
+    long lastRun;
+    String checkpoint = "";
+    final List<Run> runs = new ArrayList<>(1);
+    /** Runners on which the task failed or stalled. */
+    final Set<String> avoidedRunners = new HashSet<>();
+
+    boolean ready;
+    long lastEndNanos;
+
+    Task(Job job, TaskKey key, StepDefinition step) {
+        this.job = job;
+        this.key = key;
+        this.step = step;
+    }
+
+    /** Returns the job of the task. */
+    public Job job() {
+        return job;
+    }
+
+    /** Returns the identifier of the task. */
+    public TaskKey key() {
+        return key;
+    }
+
+    /** Returns the step that the task belongs to. */
+    public StepDefinition step() {
+        return step;
+    }
+
+    Run findRun(long number) {
+        for (Run run : runs) {
+            if (run.number() == number) {
+                return run;
+            }
+        }
+        return null;
+    }
+}
--- a/src/main/java/org/tamarackline/entry/PlatformModule.java
+++ b/src/main/java/org/tamarackline/entry/PlatformModule.java
@@ -3,11 +3,11 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
-import org.tamarackline.platform.HttpPlatformClient;
-import org.tamarackline.platform.ObjectStore;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.HttpPlatformClient;
+import org.tamarackline.store.ObjectStore;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.VmDirectory;
 
 /** Binds the platform's services to the HTTP client. */
 public final class PlatformModule extends AbstractModule {
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterHandler.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterHandler.java
@@ -10,10 +10,10 @@
 import org.tamarackline.peer.ClusterMessage;
 import org.tamarackline.peer.PeerHandler;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
 
 /** Answers the messages of peers about membership, ownership and configuration. */
 final class ClusterHandler implements PeerHandler {
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterModule.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterModule.java
@@ -23,9 +23,9 @@
 import org.tamarackline.peer.PeerMessageType;
 import org.tamarackline.peer.PeerServer;
 import org.tamarackline.peer.PeerTraffic;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.VmDirectory;
 
 /**
  * Binds the cluster and the calls between nodes.
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterTable.java
@@ -16,12 +16,12 @@
 import org.tamarackline.core.model.Region;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.ownership.ShardRow;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
 
 /** Reads and writes the node and shard rows of one region. */
 final class ClusterTable {
--- a/src/main/java/org/tamarackline/entry/cluster/ConfigurationRunner.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationRunner.java
@@ -9,7 +9,7 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.store.PlatformUnavailableException;
 
 /** Keeps the highest configuration that this node has seen. Thread-safe. */
 public class ConfigurationRunner {
--- a/src/main/java/org/tamarackline/entry/cluster/ConfigurationTable.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationTable.java
@@ -20,13 +20,13 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.config.Configuration;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * Reads and writes the versions of the configuration in the table.
--- a/src/main/java/org/tamarackline/entry/cluster/ConfigurationWriter.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ConfigurationWriter.java
@@ -13,9 +13,9 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
 
 /** Makes operators' changes of the configuration and pushes them to all nodes. */
 public final class ConfigurationWriter {
--- a/src/main/java/org/tamarackline/entry/cluster/HeartbeatLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/HeartbeatLoop.java
@@ -7,10 +7,10 @@
 import org.tamarackline.core.membership.NodeState;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.peer.LocalNode;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
 
 /** Writes the heartbeats of this node. */
 final class HeartbeatLoop {
--- a/src/main/java/org/tamarackline/entry/cluster/MembershipRunner.java
+++ b/src/main/java/org/tamarackline/entry/cluster/MembershipRunner.java
@@ -20,11 +20,11 @@
 import org.tamarackline.core.model.Epoch;
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.ShardId;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TransactionConflictException;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
+import org.tamarackline.store.VmDirectory;
 
 /**
  * Keeps this node a member and runs its share of the shards.
--- a/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/OwnershipLoop.java
@@ -33,12 +33,12 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TransactionConflictException;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
+import org.tamarackline.store.VmDirectory;
 
 /**
  * Takes over, claims and hands over shards. All methods but {@link #requestScan} and {@link #received} run on one thread
--- a/src/main/java/org/tamarackline/entry/cluster/PollLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/PollLoop.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.store.PlatformUnavailableException;
 
 /** Polls the node rows and the configuration version. */
 final class PollLoop {
--- a/src/main/java/org/tamarackline/entry/jobs/GroupCommitter.java
+++ b/src/main/java/org/tamarackline/entry/jobs/GroupCommitter.java
@@ -9,12 +9,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.task.RowChange;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TableTransaction.Check;
-import org.tamarackline.platform.TableTransaction.Write;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TableTransaction.Check;
+import org.tamarackline.store.TableTransaction.Write;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * Commits the row changes of all racks of this node, one transaction at a time.
--- a/src/main/java/org/tamarackline/entry/jobs/JobRows.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobRows.java
@@ -12,7 +12,7 @@
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.core.usage.UsageSource;
-import org.tamarackline.platform.Row;
+import org.tamarackline.store.Row;
 
 /** Keys and contents of the rows of jobs and tasks. */
 final class JobRows {
--- a/src/main/java/org/tamarackline/entry/jobs/JobService.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobService.java
@@ -27,14 +27,14 @@
 import org.tamarackline.entry.jobs.JobRefusedException.Executed;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.ObjectStore;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TableTransaction.Check;
-import org.tamarackline.platform.TableTransaction.Write;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.ObjectStore;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TableTransaction.Check;
+import org.tamarackline.store.TableTransaction.Write;
+import org.tamarackline.store.TransactionConflictException;
 
 /** Accepts, watches and cancels jobs on behalf of callers. Calls wait for the platform and for the owners of racks. */
 final class JobService {
--- a/src/main/java/org/tamarackline/entry/jobs/JobWriter.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobWriter.java
@@ -10,14 +10,14 @@
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.entry.jobs.JobRefusedException.Executed;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TableTransaction.Check;
-import org.tamarackline.platform.TableTransaction.Write;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TableTransaction.Check;
+import org.tamarackline.store.TableTransaction.Write;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * Writes the rows of a new job under the ownership of a rack.
--- a/src/main/java/org/tamarackline/entry/jobs/JobsContext.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsContext.java
@@ -3,8 +3,8 @@
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.peer.PeerCaller;
-import org.tamarackline.platform.TableStore;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.TableStore;
 import org.tamarackline.worker.WorkerGateway;
 
 /**
--- a/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
@@ -21,8 +21,8 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerHandler;
 import org.tamarackline.peer.PeerMessageType;
-import org.tamarackline.platform.TableStore;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.TableStore;
 import org.tamarackline.worker.HttpWorkerGateway;
 import org.tamarackline.worker.WorkerGateway;
 
--- a/src/main/java/org/tamarackline/entry/jobs/JobsRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsRunner.java
@@ -11,8 +11,8 @@
 import com.google.inject.Inject;
 import io.dropwizard.lifecycle.Managed;
 import org.tamarackline.core.model.VmRecord;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.VmDirectory;
 
 /** The timers of this package: the steps of the racks, the VM list and the loads of other nodes. */
 public final class JobsRunner implements Managed {
--- a/src/main/java/org/tamarackline/entry/jobs/RackMover.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackMover.java
@@ -20,13 +20,13 @@
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.entry.jobs.JobMessages.RowsMoved;
 import org.tamarackline.peer.PeerException;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TableTransaction.Check;
-import org.tamarackline.platform.TableTransaction.Write;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TableTransaction.Check;
+import org.tamarackline.store.TableTransaction.Write;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * Moves waiting tasks that do not fit their rack to another one, and parks those that fit nowhere.
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -29,9 +29,9 @@
 import org.tamarackline.core.task.VersionedRow;
 import org.tamarackline.core.task.WorkerCommand;
 import org.tamarackline.core.task.WorkerProtocol.RenewAnswer;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
 import org.tamarackline.settings.EntrySettings.JobLimits;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
 
 /**
  * Runs one rack that this node owns: reads its rows, renews its workers and sends their commands.
--- a/src/main/java/org/tamarackline/entry/jobs/UsageReports.java
+++ b/src/main/java/org/tamarackline/entry/jobs/UsageReports.java
@@ -10,7 +10,7 @@
 import org.tamarackline.core.usage.UsageSource;
 import org.tamarackline.core.usage.UsageTotals;
 import org.tamarackline.entry.cluster.Member;
-import org.tamarackline.platform.PlatformUnavailableException;
+import org.tamarackline.store.PlatformUnavailableException;
 
 /** Adds up the usage of the whole installation: requests from the table, tasks from the owners of the racks. */
 final class UsageReports implements UsageSource {
--- a/src/main/java/org/tamarackline/entry/jobs/UsageTable.java
+++ b/src/main/java/org/tamarackline/entry/jobs/UsageTable.java
@@ -14,13 +14,13 @@
 import org.tamarackline.core.usage.UsageLedger;
 import org.tamarackline.core.usage.UsageSource;
 import org.tamarackline.core.usage.UsageTotals;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TableTransaction.Write;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TableTransaction.Write;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * The rows that keep the usage of quick requests.
--- a/src/main/java/org/tamarackline/entry/operator/ClusterStopConfirmations.java
+++ b/src/main/java/org/tamarackline/entry/operator/ClusterStopConfirmations.java
@@ -4,9 +4,9 @@
 import com.google.inject.Singleton;
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.entry.cluster.MembershipRunner;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
 
 /** Marks a stopped node as gone in the platform's table. */
 @Singleton
--- a/src/main/java/org/tamarackline/entry/operator/VmResource.java
+++ b/src/main/java/org/tamarackline/entry/operator/VmResource.java
@@ -18,8 +18,8 @@
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.model.Identifiers;
 import org.tamarackline.core.model.VmRecord;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.VmDirectory;
 
 /** VMs: lists them and takes them in and out of service. */
 @Singleton
--- a/src/main/java/org/tamarackline/entry/proxy/GroupCommitter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/GroupCommitter.java
@@ -16,11 +16,11 @@
 
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
 
 /**
  * Writes small independent changes to the table, several in one transaction when they queue up.
--- a/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
+++ b/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
@@ -27,11 +27,11 @@
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.Executed;
 import org.tamarackline.entry.cluster.Cluster;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
 
 /**
  * Keeps the records of requests with an idempotency key in the platform's table.
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerDirectory.java
@@ -23,9 +23,9 @@
 import org.tamarackline.core.routing.Runner;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.Cluster;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.VmDirectory;
 
 /**
  * The runners by group, from the last VM list that the platform returned.
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/Authority.java
@@ -0,0 +1,67 @@
+package org.tamarackline.fleet;
+
+import java.time.InstantSource;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/**
+ * Tells whether a leader may still give orders.
+ *
+ * <p>The store must have confirmed the leader within {@link FleetLimits#AUTHORITY}. The steady clock does not count a
+ * suspension of the machine; a jump of the time of day against it therefore ends the authority until the store confirms
+ * it again.
+ */
+final class Authority {
+
+    private final MonotonicClock clock;
+    private final InstantSource timeOfDay;
+    private long confirmedNanos;
+    private boolean confirmed;
+    private long offsetMs;
+
+    Authority(MonotonicClock clock, InstantSource timeOfDay) {
+        this.clock = clock;
+        this.timeOfDay = timeOfDay;
+        this.offsetMs = currentOffsetMs();
+    }
+
+    /**
+     * Takes note that the store confirmed the leader.
+     *
+     * @param sentNanos when the confirmed request was sent
+     */
+    void confirm(long sentNanos) {
+        if (suspendedSinceLastLook()) {
+            return;
+        }
+        if (!confirmed || sentNanos - confirmedNanos > 0) {
+            confirmedNanos = sentNanos;
+            confirmed = true;
+        }
+    }
+
+    boolean held() {
+        if (suspendedSinceLastLook()) {
+            confirmed = false;
+        }
+        return confirmed && clock.nowNanos() - confirmedNanos < FleetLimits.AUTHORITY.toNanos();
+    }
+
+    /** Returns the time since the last confirmation in milliseconds. */
+    long ageMs() {
+        return (clock.nowNanos() - confirmedNanos) / 1_000_000;
+    }
+
+    private boolean suspendedSinceLastLook() {
+        long now = currentOffsetMs();
+        boolean jumped = Math.abs(now - offsetMs) > FleetLimits.SUSPENSION_THRESHOLD.toMillis();
+        if (jumped) {
+            offsetMs = now;
+        }
+        return jumped;
+    }
+
+    private long currentOffsetMs() {
+        return timeOfDay.millis() - clock.nowNanos() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -0,0 +1,309 @@
+package org.tamarackline.fleet;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.tamarackline.core.fleet.Job;
+import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.RunnerReport;
+
+/** Stores what a leader learns, several changes in one transaction, one transaction at a time. */
+final class Committer {
+
+    /** What a committer needs of its leader. */
+    interface Host {
+
+        /** Returns whether transactions may be sent. */
+        boolean leading();
+
+        /** The store has another leader's record. */
+        void superseded(String reason);
+
+        /** The store confirmed the leader by a request sent at this time. */
+        void confirmed(long sentNanos);
+
+        /** Returns the sessions whose ends are confirmed once they are stored. */
+        Iterable<RunnerSession> sessions();
+
+        /** A runner is on the roster now and may get orders. */
+        void enlisted(RunnerReport runner);
+
+        /** Something was stored. */
+        void changed();
+    }
+
+    private final LeaderContext context;
+    private final RecordStore store;
+    private final InstantSource timeOfDay;
+    private final Host host;
+    private final long epoch;
+    private final long leaderVersion;
+
+    private long sequenceVersion;
+    private long sequenceNumber;
+    private boolean inFlight;
+    private boolean flushPlanned;
+    private boolean storeFailing;
+    private final Set<String> storedProgress = new HashSet<>();
+    private final Map<String, RunnerReport> toEnlist = new HashMap<>();
+    private final Set<String> toDismiss = new LinkedHashSet<>();
+    private final Set<String> toForget = new LinkedHashSet<>();
+
+    Committer(
+            LeaderContext context,
+            RecordStore store,
+            InstantSource timeOfDay,
+            Host host,
+            long epoch,
+            long leaderVersion,
+            long sequenceVersion) {
+        this.context = context;
+        this.store = store;
+        this.timeOfDay = timeOfDay;
+        this.host = host;
+        this.epoch = epoch;
+        this.leaderVersion = leaderVersion;
+        this.sequenceVersion = sequenceVersion;
+    }
+
+    /** Takes note that the store has progress of a job. */
+    void progressIsStored(String job) {
+        storedProgress.add(job);
+    }
+
+    /** Puts a runner on the roster. */
+    void enlist(RunnerReport runner) {
+        toDismiss.remove(runner.id());
+        toEnlist.put(runner.id(), runner);
+        planFlush(false);
+    }
+
+    /** Takes a runner off the roster, on which nothing can run any more. */
+    void dismiss(String runner) {
+        toEnlist.remove(runner);
+        toDismiss.add(runner);
+    }
+
+    /** Removes a job that ended long ago. */
+    void forget(String job) {
+        toForget.add(job);
+    }
+
+    /** Makes sure that changes are stored soon. */
+    void changed() {
+        if (context.fleet().hasFinishedChanges()) {
+            planFlush(true);
+        } else if (context.fleet().hasChanges()) {
+            planFlush(false);
+        }
+    }
+
+    private void planFlush(boolean now) {
+        if (inFlight || !host.leading()) {
+            return;
+        }
+        if (now && !storeFailing) {
+            flush();
+        } else if (!flushPlanned) {
+            flushPlanned = true;
+            context.loop().schedule(storeFailing ? FleetLimits.STORE_RETRY : FleetLimits.COMMIT_LINGER, () -> {
+                flushPlanned = false;
+                flush();
+            });
+        }
+    }
+
+    private void flush() {
+        if (inFlight || !host.leading()) {
+            return;
+        }
+        Batch batch = new Batch();
+        batch.fill();
+        if (batch.empty()) {
+            return;
+        }
+        inFlight = true;
+        long sentNanos = context.loop().nowNanos();
+        store.transact(batch.transaction(), result -> {
+            inFlight = false;
+            if (host.leading()) {
+                onResult(batch, result, sentNanos);
+            }
+        });
+    }
+
+    private void onResult(Batch batch, RecordStore.TransactionResult result, long sentNanos) {
+        switch (result) {
+            case RecordStore.TransactionResult.Applied applied -> {
+                noteStore(false, "");
+                sequenceVersion = applied.version();
+                host.confirmed(sentNanos);
+                batch.applied();
+            }
+            case RecordStore.TransactionResult.Conflict conflict -> onConflict(batch, conflict, sentNanos);
+            case RecordStore.TransactionResult.NotDone notDone -> {
+                noteStore(true, notDone.cause());
+                batch.putBack();
+            }
+            case RecordStore.TransactionResult.Unknown unknown -> {
+                noteStore(true, unknown.cause());
+                batch.putBack();
+            }
+        }
+        host.changed();
+        changed();
+        if (!toEnlist.isEmpty()) {
+            planFlush(false);
+        }
+    }
+
+    private void onConflict(Batch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
+        for (RecordStore.Entry entry : conflict.current()) {
+            if (entry.key().equals(LeaderRecord.KEY) && entry.version() != leaderVersion) {
+                host.superseded("a transaction met the record of another leader");
+                return;
+            }
+            if (entry.key().equals(CommitSequence.KEY)) {
+                sequenceVersion = entry.version();
+            }
+        }
+        // An earlier transaction took effect although its answer was lost; what it wrote is written again.
+        host.confirmed(sentNanos);
+        batch.putBack();
+    }
+
+    private void noteStore(boolean failing, String cause) {
+        if (failing != storeFailing) {
+            storeFailing = failing;
+            context.log().storeState(failing ? "commits-failing" : "commits-back", cause);
+        }
+    }
+
+    /** What one transaction stores. */
+    private final class Batch {
+
+        private final List<RecordStore.Write> writes = new ArrayList<>();
+        private final List<Job> jobs = new ArrayList<>();
+        private final Map<Job, JobState> states = new HashMap<>();
+        private final Map<RunnerSession, Long> ends = new HashMap<>();
+        private final List<RunnerReport> enlisted = new ArrayList<>();
+        private final List<String> dismissed = new ArrayList<>();
+        private final List<String> forgotten = new ArrayList<>();
+
+        boolean empty() {
+            return writes.isEmpty();
+        }
+
+        void fill() {
+            for (RunnerSession session : host.sessions()) {
+                ends.put(session, session.processedEnds());
+            }
+            List<Job> all = context.fleet().takeChanged();
+            List<Job> left = new ArrayList<>();
+            for (Job job : all) {
+                if (writes.size() + 3 > FleetLimits.MAX_COMMIT_WRITES) {
+                    left.add(job);
+                } else {
+                    add(job);
+                }
+            }
+            if (!left.isEmpty()) {
+                ends.clear();
+                context.fleet().returnChanged(left);
+            }
+            addRoster();
+            addForgotten();
+        }
+
+        private void add(Job job) {
+            jobs.add(job);
+            states.put(job, job.terminalState());
+            if (job.terminalState() == null) {
+                JobProgress progress = job.progress();
+                storedProgress.add(job.id());
+                write(RecordStore.Table.PROGRESS, job.id(), RecordCodec.progress(progress));
+                return;
+            }
+            write(RecordStore.Table.JOBS, job.id(), RecordCodec.finishedJob(job.terminalState(), timeOfDay.millis()));
+            if (storedProgress.contains(job.id())) {
+                write(RecordStore.Table.PROGRESS, job.id(), null);
+            }
+            if (job.terminalState() == JobState.CANCELLED) {
+                write(RecordStore.Table.JOBS, JobRecord.cancelKey(job.id()), null);
+            }
+        }
+
+        private void addRoster() {
+            for (RunnerReport runner : List.copyOf(toEnlist.values())) {
+                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                    toEnlist.remove(runner.id());
+                    enlisted.add(runner);
+                    write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
+                }
+            }
+            for (String runner : List.copyOf(toDismiss)) {
+                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                    toDismiss.remove(runner);
+                    dismissed.add(runner);
+                    write(RecordStore.Table.ROSTER, runner, null);
+                }
+            }
+        }
+
+        private void addForgotten() {
+            for (String job : List.copyOf(toForget)) {
+                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                    toForget.remove(job);
+                    forgotten.add(job);
+                    write(RecordStore.Table.JOBS, job, null);
+                }
+            }
+        }
+
+        private void write(RecordStore.Table table, String key, byte[] value) {
+            writes.add(new RecordStore.Write(table, key, value));
+        }
+
+        RecordStore.Transaction transaction() {
+            sequenceNumber++;
+            List<RecordStore.Write> all = new ArrayList<>(writes);
+            all.add(new RecordStore.Write(
+                    RecordStore.Table.PROGRESS,
+                    CommitSequence.KEY,
+                    RecordCodec.sequence(new CommitSequence(epoch, sequenceNumber))));
+            return new RecordStore.Transaction(
+                    List.of(
+                            new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, leaderVersion),
+                            new RecordStore.Condition(RecordStore.Table.PROGRESS, CommitSequence.KEY, sequenceVersion)),
+                    all);
+        }
+
+        void applied() {
+            for (Job job : jobs) {
+                if (states.get(job) != null) {
+                    storedProgress.remove(job.id());
+                    context.fleet().stored(job);
+                }
+            }
+            forgotten.forEach(context.fleet()::forget);
+            enlisted.forEach(host::enlisted);
+            ends.forEach(RunnerSession::endsStored);
+        }
+
+        void putBack() {
+            context.fleet().returnChanged(jobs);
+            for (RunnerReport runner : enlisted) {
+                toEnlist.putIfAbsent(runner.id(), runner);
+            }
+            toDismiss.addAll(dismissed);
+            toForget.addAll(forgotten);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -0,0 +1,85 @@
+package org.tamarackline.fleet;
+
+import org.tamarackline.core.fleet.FleetConfiguration;
+
+/** Keeps the newest configuration of the store; never goes back to an older one. */
+final class ConfigurationFollower {
+
+    private final EventLoop loop;
+    private final RecordStore store;
+    private final ConfigurationSource source;
+    private final DecisionLog log;
+    private volatile FleetConfiguration current = FleetConfiguration.NONE;
+    private boolean failing;
+
+    ConfigurationFollower(EventLoop loop, RecordStore store, ConfigurationSource source, DecisionLog log) {
+        this.loop = loop;
+        this.store = store;
+        this.source = source;
+        this.log = log;
+    }
+
+    void start() {
+        readAll();
+    }
+
+    /** Returns the newest configuration; callable from any thread. */
+    FleetConfiguration current() {
+        return current;
+    }
+
+    private void readAll() {
+        store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {
+            if (result instanceof RecordStore.ReadResult.Page page) {
+                note(page);
+                follow(page.version());
+            } else {
+                noteFailure(result.toString());
+                loop.schedule(FleetLimits.STORE_RETRY, this::readAll);
+            }
+        });
+    }
+
+    private void follow(long version) {
+        store.follow(RecordStore.Table.CONFIGURATION, version, FleetLimits.CONFIGURATION_FOLLOW_WAIT, result -> {
+            switch (result) {
+                case RecordStore.ReadResult.Page page -> {
+                    note(page);
+                    follow(page.version());
+                }
+                case RecordStore.ReadResult.HistoryLost lost -> readAll();
+                case RecordStore.ReadResult.Failed failed -> {
+                    noteFailure(failed.cause());
+                    loop.schedule(FleetLimits.STORE_RETRY, this::readAll);
+                }
+            }
+        });
+    }
+
+    private void note(RecordStore.ReadResult.Page page) {
+        if (failing) {
+            failing = false;
+            log.storeState("store-regained", "configuration read");
+        }
+        for (RecordStore.Entry entry : page.entries()) {
+            if (entry.removed()) {
+                continue;
+            }
+            source.decode(entry).ifPresent(this::install);
+        }
+    }
+
+    private void install(FleetConfiguration next) {
+        if (next.version() > current.version()) {
+            current = next;
+            log.configuration(next.version(), next.size());
+        }
+    }
+
+    private void noteFailure(String cause) {
+        if (!failing) {
+            failing = true;
+            log.storeState("store-lost", cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -0,0 +1,199 @@
+package org.tamarackline.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.InstantSource;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.tamarackline.core.fleet.FleetObserver;
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.Job;
+import org.tamarackline.core.fleet.Run;
+import org.tamarackline.core.fleet.RunnerListing;
+import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.logging.LineSink;
+
+/** Writes one JSON line for each decision that touches a job or changes what the node believes. */
+public final class DecisionLog implements FleetObserver {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final LineSink sink;
+    private final InstantSource timeOfDay;
+    private final String node;
+
+    /**
+     * Creates a log.
+     *
+     * @param node name of the node, part of each line
+     */
+    public DecisionLog(LineSink sink, InstantSource timeOfDay, String node) {
+        this.sink = sink;
+        this.timeOfDay = timeOfDay;
+        this.node = node;
+    }
+
+    private interface Fields {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private void line(String event, Fields fields) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeNumberField("timeMs", timeOfDay.millis());
+            json.writeStringField("node", node);
+            json.writeStringField("event", event);
+            fields.write(json);
+            json.writeEndObject();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("writing into memory failed", failure);
+        }
+        sink.write(bytes.toByteArray());
+    }
+
+    /** The process starts, stops, or reads its settings again. */
+    public void process(String event, String detail) {
+        line(event, json -> json.writeStringField("detail", detail));
+    }
+
+    /** A submission was answered. */
+    public void submitted(String job, String queue, long configurationVersion, String answer, String reason) {
+        line("submit", json -> {
+            json.writeStringField("job", job);
+            json.writeStringField("queue", queue);
+            json.writeNumberField("configurationVersion", configurationVersion);
+            json.writeStringField("answer", answer);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    /** A cancellation was answered. */
+    public void cancelled(String job, String answer, String reason) {
+        line("cancel", json -> {
+            json.writeStringField("job", job);
+            json.writeStringField("answer", answer);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    /** A question for a state was refused or answered with "unknown". */
+    public void stateNotAnswered(String job, String answer, String reason) {
+        line("state", json -> {
+            json.writeStringField("job", job);
+            json.writeStringField("answer", answer);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    void startAnswered(Run run, long epoch, RunnerCalls.StartAnswer answer, long sentNanos) {
+        line("start", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeNumberField("epoch", epoch);
+            json.writeBooleanField("resumed", !run.checkpoint().isEmpty());
+            json.writeNumberField("waitedMs", (System.nanoTime() - sentNanos) / 1_000_000);
+            json.writeStringField("outcome", answer.result().name());
+            json.writeStringField("reason", answer.reason());
+        });
+    }
+
+    void stopOrdered(String runner, TaskKey task, long run, long epoch) {
+        line("stop", json -> {
+            writeRun(json, task, run, runner);
+            json.writeNumberField("epoch", epoch);
+        });
+    }
+
+    @Override
+    public void runEnded(FleetRunner runner, RunnerListing.EndedRow row, Run run) {
+        line("end", json -> {
+            writeRun(json, row.task(), row.run(), runner.id());
+            json.writeNumberField("number", row.number());
+            json.writeStringField("reason", row.reason().name());
+            if (run != null) {
+                json.writeNumberField("tookMs", (System.nanoTime() - run.orderedNanos()) / 1_000_000);
+            }
+        });
+    }
+
+    @Override
+    public void runAdopted(Run run) {
+        line(
+                "adopt",
+                json -> writeRun(
+                        json, run.task().key(), run.number(), run.runner().id()));
+    }
+
+    @Override
+    public void runGivenUp(Run run, String reason) {
+        line("give-up", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    @Override
+    public void jobFinished(Job job) {
+        line("job-end", json -> {
+            json.writeStringField("job", job.id());
+            json.writeStringField("state", job.terminalState().name());
+            json.writeNumberField("ageMs", timeOfDay.millis() - job.definition().acceptedEpochMs());
+        });
+    }
+
+    private static void writeRun(JsonGenerator json, TaskKey task, long run, String runner) throws IOException {
+        json.writeStringField("job", task.job());
+        json.writeStringField("task", task.toString());
+        json.writeNumberField("run", run);
+        json.writeStringField("runner", runner);
+    }
+
+    void runnerSilent(String runner, String reason) {
+        line("runner-silent", json -> {
+            json.writeStringField("runner", runner);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    void runnerBack(String runner, int missedHolds) {
+        line("runner-back", json -> {
+            json.writeStringField("runner", runner);
+            json.writeNumberField("missedHolds", missedHolds);
+        });
+    }
+
+    void runnerLost(String runner, String reason) {
+        line("runner-lost", json -> {
+            json.writeStringField("runner", runner);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    void leadership(String event, long epoch, String leader, String reason) {
+        line(event, json -> {
+            json.writeNumberField("epoch", epoch);
+            json.writeStringField("leader", leader);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    void storeState(String event, String cause) {
+        line(event, json -> json.writeStringField("cause", cause));
+    }
+
+    void configuration(long version, int queues) {
+        line("configuration", json -> {
+            json.writeNumberField("configurationVersion", version);
+            json.writeNumberField("queues", queues);
+        });
+    }
+
+    void skippedRecord(String key, String reason) {
+        line("record-skipped", json -> {
+            json.writeStringField("key", key);
+            json.writeStringField("reason", reason);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/FleetLimits.java
@@ -0,0 +1,66 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+
+/** Times and sizes of a node that no setting changes. */
+final class FleetLimits {
+
+    /**
+     * How long a leader goes on giving orders after the store last confirmed it. It bridges outages of the store; a
+     * successor waits for it and the lease before it regards a silent runner as empty.
+     */
+    static final Duration AUTHORITY = Duration.ofSeconds(8);
+
+    /** Lease that runners get with each order. It must outlast the change to a new leader. */
+    static final Duration RUNNER_LEASE = Duration.ofSeconds(5);
+
+    /** A runner's clock may be slower than ours by this part. */
+    static final double CLOCK_DRIFT = 0.02;
+
+    /** Added to the computed end of a lease, for the time that a runner takes to end what runs. */
+    static final Duration LEASE_MARGIN = Duration.ofMillis(250);
+
+    /** Time of day and steady clock may part by this much before the process is taken to have been suspended. */
+    static final Duration SUSPENSION_THRESHOLD = Duration.ofMillis(400);
+
+    /** How long a runner may wait for an end before it answers a hold. */
+    static final int HOLD_WAIT_MS = 1_000;
+
+    /** Longest pause between holds of a runner without runs. */
+    static final Duration IDLE_HOLD_PAUSE = Duration.ofSeconds(4);
+
+    /** Pause before a hold that did not succeed is repeated. */
+    static final Duration HOLD_RETRY = Duration.ofMillis(300);
+
+    /** Longest time that a hold is put off so that it confirms the ends of the one before. */
+    static final Duration CONFIRM_WAIT = Duration.ofMillis(300);
+
+    /** How long changes are collected for one transaction, unless a job has ended. */
+    static final Duration COMMIT_LINGER = Duration.ofMillis(60);
+
+    /** Pause after a transaction or a read that the store refused. */
+    static final Duration STORE_RETRY = Duration.ofMillis(250);
+
+    /** How often the leader reads the directory of runners. */
+    static final Duration DIRECTORY_INTERVAL = Duration.ofMillis(900);
+
+    /** How often the leader looks for orders that time makes due. */
+    static final Duration TICK = Duration.ofMillis(150);
+
+    /** How long one read waits for a change of the jobs. */
+    static final Duration JOBS_FOLLOW_WAIT = Duration.ofSeconds(1);
+
+    /** Pause between reads of changes, so that one read returns several. */
+    static final Duration FOLLOW_PAUSE = Duration.ofMillis(15);
+
+    /** How long one read waits for a change of the configuration. */
+    static final Duration CONFIGURATION_FOLLOW_WAIT = Duration.ofSeconds(1);
+
+    /** How long a job that has ended can be asked for. */
+    static final Duration FINISHED_JOB_KEPT = Duration.ofMinutes(3);
+
+    /** Records that one transaction writes at most, which leaves room for the conditions. */
+    static final int MAX_COMMIT_WRITES = 95;
+
+    private FleetLimits() {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -0,0 +1,183 @@
+package org.tamarackline.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.tamarackline.core.fleet.FleetConfiguration;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpExchange;
+
+/** A node of a fleet: accepts jobs, and leads when the store says so. */
+public final class FleetNode {
+
+    private final EventLoop loop;
+    private final NodeSettings settings;
+    private final DecisionLog log;
+    private final NodeMetrics metrics;
+    private final ConfigurationFollower configuration;
+    private final Election election;
+    private final JobService jobs;
+    private final PeerHandler peerHandler;
+    private volatile boolean draining;
+
+    /** Creates a node that does nothing yet. */
+    public FleetNode(
+            NodeServices services,
+            ConfigurationSource configurationSource,
+            AsyncHttpClient peerHttp,
+            NodeMetrics metrics,
+            NodeSettings settings) {
+        this.loop = services.loop();
+        this.settings = settings;
+        this.log = services.log();
+        this.metrics = metrics;
+        PeerCalls peers = new HttpPeerCalls(peerHttp, loop);
+        this.configuration = new ConfigurationFollower(loop, services.store(), configurationSource, log);
+        this.election = new Election(services, peers, settings);
+        this.jobs = new JobService(loop, services.store(), election, peers);
+        this.peerHandler = new PeerHandler(loop, election, metrics::text, this::dump);
+    }
+
+    /** Starts to read the configuration and to look for the leader. */
+    public void start() {
+        loop.execute(() -> {
+            configuration.start();
+            election.start();
+        });
+    }
+
+    /** Returns whether callers should connect to this node. */
+    public boolean ready() {
+        return !draining && configuration.current().version() > 0;
+    }
+
+    /** Returns the configuration in force on this node. */
+    public FleetConfiguration configuration() {
+        return configuration.current();
+    }
+
+    /** Returns the answers to other nodes. */
+    public Consumer<HttpExchange> peerHandler() {
+        return peerHandler;
+    }
+
+    /** Stores a job; {@code done} gets the answer on the event loop. */
+    public void submit(JobDefinition job, Consumer<SubmitAnswer> done) {
+        jobs.submit(job, answer -> {
+            SubmitAnswer result = resultOf(answer);
+            metrics.submitted(result);
+            log.submitted(
+                    job.id(), job.queue().name(), configuration.current().version(), result.name(), detailOf(answer));
+            done.accept(result);
+        });
+    }
+
+    /** Cancels a job; {@code done} gets the answer on the event loop. */
+    public void cancel(String job, Consumer<SubmitAnswer> done) {
+        jobs.cancel(job, answer -> {
+            SubmitAnswer result = resultOf(answer);
+            log.cancelled(job, result.name(), detailOf(answer));
+            done.accept(result);
+        });
+    }
+
+    /** Tells the state of a job; {@code done} gets the answer on the event loop. */
+    public void state(String job, Consumer<StateResult> done) {
+        jobs.state(job, answer -> {
+            if (answer.failure() != null) {
+                log.stateNotAnswered(job, "UNAVAILABLE", answer.failure());
+                done.accept(new StateResult(Optional.empty(), false));
+                return;
+            }
+            if (answer.state() == null) {
+                log.stateNotAnswered(job, "NO_SUCH_JOB", "neither the leader nor the store has it");
+            }
+            done.accept(new StateResult(Optional.ofNullable(answer.state()), true));
+        });
+    }
+
+    /** Tells how many jobs of a queue wait; empty if that is not known now. */
+    public void pending(String queue, Consumer<Optional<Integer>> done) {
+        jobs.pending(queue, done);
+    }
+
+    /** Stops taking connections and gives up the lead; {@code done} runs once a successor may lead. */
+    public void drain(Runnable done) {
+        draining = true;
+        loop.execute(() -> election.resign(done));
+    }
+
+    private static SubmitAnswer resultOf(JobService.Answer answer) {
+        return switch (answer) {
+            case JobService.Answer.Done done -> SubmitAnswer.ACCEPTED;
+            case JobService.Answer.NotDone notDone -> SubmitAnswer.UNAVAILABLE;
+            case JobService.Answer.Undetermined undetermined -> SubmitAnswer.UNDETERMINED;
+            case JobService.Answer.Invalid invalid -> SubmitAnswer.TOO_LARGE;
+            case JobService.Answer.NoSuchJob none -> SubmitAnswer.NO_SUCH_JOB;
+        };
+    }
+
+    private static String detailOf(JobService.Answer answer) {
+        return switch (answer) {
+            case JobService.Answer.Done done -> done.detail();
+            case JobService.Answer.NotDone notDone -> notDone.cause();
+            case JobService.Answer.Undetermined undetermined -> undetermined.cause();
+            case JobService.Answer.Invalid invalid -> invalid.cause();
+            case JobService.Answer.NoSuchJob none -> "the store does not have it";
+        };
+    }
+
+    /** Returns the state of the node as JSON. */
+    private byte[] dump() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = new JsonFactory().createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeStringField("node", settings.node());
+            json.writeBooleanField("draining", draining);
+            json.writeNumberField(
+                    "configurationVersion", configuration.current().version());
+            json.writeStringField("leaderAddress", election.leaderAddress().orElse(""));
+            if (election.leader().isPresent()) {
+                Leader leader = election.leader().get();
+                json.writeNumberField("epoch", leader.record().epoch());
+                json.writeNumberField("openJobs", leader.fleet().openJobs());
+                json.writeNumberField("waitingTasks", leader.fleet().readyTasks());
+                json.writeNumberField("unheardRunners", leader.fleet().unheardRunners());
+                json.writeNumberField("storeAgeMs", leader.storeAgeMs());
+            }
+            json.writeEndObject();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("writing into memory failed", failure);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Answer to a submission or cancellation. */
+    public enum SubmitAnswer {
+        /** It is stored. */
+        ACCEPTED,
+        /** It is not stored and never will be; a later attempt may succeed. */
+        UNAVAILABLE,
+        /** It may be stored. */
+        UNDETERMINED,
+        /** The job is too large to be stored. */
+        TOO_LARGE,
+        /** There is no such job. */
+        NO_SUCH_JOB
+    }
+
+    /**
+     * Answer to a question for a state.
+     *
+     * @param state state of the job, empty if there is no such job or nothing is known
+     * @param known whether an empty state means that there is no such job
+     */
+    public record StateResult(Optional<JobState> state, boolean known) {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -0,0 +1,74 @@
+package org.tamarackline.fleet;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpReply;
+
+/** Questions to another node over HTTP. */
+final class HttpPeerCalls implements PeerCalls {
+
+    private static final Duration PING_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(600);
+
+    private final AsyncHttpClient http;
+    private final EventLoop loop;
+
+    HttpPeerCalls(AsyncHttpClient http, EventLoop loop) {
+        this.http = http;
+        this.loop = loop;
+    }
+
+    @Override
+    public void ping(String address, String self, Consumer<Optional<PingAnswer>> done) {
+        ask(
+                address,
+                PeerPaths.PING + encoded(self),
+                PING_TIMEOUT,
+                text -> done.accept(text.map(HttpPeerCalls::pingAnswer)));
+    }
+
+    private static PingAnswer pingAnswer(String text) {
+        String[] parts = text.split(" ", -1);
+        return new PingAnswer(Long.parseLong(parts[0]), Long.parseLong(parts[1]), Integer.parseInt(parts[2]));
+    }
+
+    @Override
+    public void state(String address, String job, Consumer<StateAnswer> done) {
+        ask(
+                address,
+                PeerPaths.JOBS + encoded(job),
+                QUESTION_TIMEOUT,
+                text -> done.accept(
+                        text.map(state -> new StateAnswer(true, state.isEmpty() ? null : JobState.valueOf(state)))
+                                .orElse(StateAnswer.UNREACHABLE)));
+    }
+
+    @Override
+    public void pending(String address, String queue, Consumer<Optional<Integer>> done) {
+        ask(
+                address,
+                PeerPaths.QUEUES + encoded(queue),
+                QUESTION_TIMEOUT,
+                text -> done.accept(text.filter(count -> !count.isEmpty()).map(Integer::valueOf)));
+    }
+
+    private void ask(String address, String target, Duration timeout, Consumer<Optional<String>> done) {
+        http.call("GET", address, target, Map.of(), null, timeout, reply -> {
+            Optional<String> text = reply instanceof HttpReply.Answer answer && answer.status() == 200
+                    ? Optional.of(AsyncHttpClient.text(answer.body()))
+                    : Optional.empty();
+            loop.execute(() -> done.accept(text));
+        });
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/JobService.java
@@ -0,0 +1,202 @@
+package org.tamarackline.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobState;
+
+/** Accepts jobs, cancels them and tells their state, on any node. */
+final class JobService {
+
+    /** Largest stored job in bytes, which the store's bound on a record allows in its text form. */
+    private static final int MAX_JOB_BYTES = 45_000;
+
+    private final EventLoop loop;
+    private final RecordStore store;
+    private final Election election;
+    private final PeerCalls peers;
+
+    JobService(EventLoop loop, RecordStore store, Election election, PeerCalls peers) {
+        this.loop = loop;
+        this.store = store;
+        this.election = election;
+        this.peers = peers;
+    }
+
+    /** Stores a job unless it is stored already. */
+    void submit(JobDefinition job, Consumer<Answer> done) {
+        byte[] value = RecordCodec.openJob(job);
+        if (value.length > MAX_JOB_BYTES) {
+            done.accept(new Answer.Invalid(
+                    "the job takes %d bytes, more than %d; split it".formatted(value.length, MAX_JOB_BYTES)));
+            return;
+        }
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, job.id(), 0)),
+                List.of(new RecordStore.Write(RecordStore.Table.JOBS, job.id(), value)));
+        loop.execute(() -> store.transact(transaction, result -> done.accept(answerOf(result))));
+    }
+
+    private static Answer answerOf(RecordStore.TransactionResult result) {
+        return switch (result) {
+            case RecordStore.TransactionResult.Applied applied -> new Answer.Done("stored");
+            case RecordStore.TransactionResult.Conflict conflict -> new Answer.Done("stored before");
+            case RecordStore.TransactionResult.NotDone notDone -> new Answer.NotDone(notDone.cause());
+            case RecordStore.TransactionResult.Unknown unknown -> new Answer.Undetermined(unknown.cause());
+        };
+    }
+
+    /** Stores that a job is cancelled. */
+    void cancel(String id, Consumer<Answer> done) {
+        loop.execute(() -> readJob(id, stored -> {
+            if (stored.failure() != null) {
+                done.accept(new Answer.NotDone(stored.failure()));
+            } else if (!stored.exists()) {
+                done.accept(new Answer.NoSuchJob());
+            } else if (stored.state() != null && stored.state().terminal()) {
+                done.accept(new Answer.Done("the job has ended"));
+            } else {
+                storeCancellation(id, stored.version(), done);
+            }
+        }));
+    }
+
+    private void storeCancellation(String id, long jobVersion, Consumer<Answer> done) {
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, id, jobVersion)),
+                List.of(new RecordStore.Write(RecordStore.Table.JOBS, JobRecord.cancelKey(id), new byte[] {1})));
+        store.transact(transaction, result -> done.accept(answerOf(result)));
+    }
+
+    /** Tells the state of a job: from the leader, else from what is stored. */
+    void state(String id, Consumer<StateAnswer> done) {
+        loop.execute(() -> {
+            Optional<Leader> leader = election.leader();
+            Optional<String> address = election.leaderAddress();
+            if (leader.isPresent()) {
+                leader.get()
+                        .state(id)
+                        .ifPresentOrElse(
+                                state -> done.accept(new StateAnswer(state, null)), () -> storedState(id, done));
+            } else if (address.isPresent()) {
+                peers.state(address.get(), id, answer -> {
+                    if (answer.reached() && answer.state() != null) {
+                        done.accept(new StateAnswer(answer.state(), null));
+                    } else {
+                        storedState(id, done);
+                    }
+                });
+            } else {
+                storedState(id, done);
+            }
+        });
+    }
+
+    private void storedState(String id, Consumer<StateAnswer> done) {
+        readJob(id, stored -> done.accept(new StateAnswer(stored.state(), stored.failure())));
+    }
+
+    /** Tells how many jobs of a queue wait; empty if no leader answered. */
+    void pending(String queue, Consumer<Optional<Integer>> done) {
+        loop.execute(() -> {
+            Optional<Leader> leader = election.leader();
+            Optional<String> address = election.leaderAddress();
+            if (leader.isPresent()) {
+                done.accept(leader.get().pending(queue));
+            } else if (address.isPresent()) {
+                peers.pending(address.get(), queue, done);
+            } else {
+                done.accept(Optional.empty());
+            }
+        });
+    }
+
+    /** Reads the records of one job: the job itself and its cancellation, whose key follows it. */
+    private void readJob(String id, Consumer<StoredJob> done) {
+        store.read(RecordStore.Table.JOBS, id, JobRecord.cancelKey(id) + "\u0000", result -> {
+            if (result instanceof RecordStore.ReadResult.Page page) {
+                done.accept(storedJob(id, page));
+            } else {
+                done.accept(new StoredJob(false, 0, null, result.toString()));
+            }
+        });
+    }
+
+    private static StoredJob storedJob(String id, RecordStore.ReadResult.Page page) {
+        boolean cancelled = false;
+        StoredJob job = new StoredJob(false, 0, null, null);
+        for (RecordStore.Entry entry : page.entries()) {
+            if (entry.key().equals(JobRecord.cancelKey(id))) {
+                cancelled = true;
+            } else if (entry.key().equals(id)) {
+                job = decoded(id, entry);
+            }
+        }
+        boolean open = job.exists() && (job.state() == null || !job.state().terminal());
+        return cancelled && open ? new StoredJob(true, job.version(), JobState.CANCELLED, null) : job;
+    }
+
+    private static StoredJob decoded(String id, RecordStore.Entry entry) {
+        try {
+            return switch (RecordCodec.readJob(id, entry.value())) {
+                case JobRecord.Open open -> new StoredJob(true, entry.version(), JobState.QUEUED, null);
+                case JobRecord.Finished finished -> new StoredJob(true, entry.version(), finished.state(), null);
+            };
+        } catch (CorruptRecordException corrupt) {
+            return new StoredJob(true, entry.version(), null, corrupt.getMessage());
+        }
+    }
+
+    /**
+     * What the store has of a job.
+     *
+     * @param state state as far as it is stored, null if there is no job
+     * @param failure why it is not known, null if it is
+     */
+    private record StoredJob(boolean exists, long version, JobState state, String failure) {}
+
+    /**
+     * Answer to a question for a state.
+     *
+     * @param state state of the job, null if there is none or it is not known
+     * @param failure why it is not known, null if it is
+     */
+    record StateAnswer(JobState state, String failure) {}
+
+    /** Answer to a submission or cancellation. */
+    sealed interface Answer {
+
+        /**
+         * It is stored.
+         *
+         * @param detail what was found
+         */
+        record Done(String detail) implements Answer {}
+
+        /**
+         * It is certainly not stored and never will be.
+         *
+         * @param cause what the store said
+         */
+        record NotDone(String cause) implements Answer {}
+
+        /**
+         * It may be stored, or may be later.
+         *
+         * @param cause what went wrong
+         */
+        record Undetermined(String cause) implements Answer {}
+
+        /**
+         * The job cannot be stored.
+         *
+         * @param cause how to change it
+         */
+        record Invalid(String cause) implements Answer {}
+
+        /** There is no such job. */
+        record NoSuchJob() implements Answer {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -0,0 +1,480 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.Fleet;
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.Order;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.Supervisor;
+
+/**
+ * The node that decides, from its takeover to its end.
+ *
+ * <p>It first reads what the store has, then asks every runner that earlier leaders may have used, and takes over what
+ * runs. Jobs that were accepted before its takeover wait until each of these runners has answered or outlived its lease.
+ */
+final class Leader implements RunnerSession.Host, Committer.Host {
+
+    private final EventLoop loop;
+    private final RecordStore store;
+    private final RunnerDirectory directory;
+    private final InstantSource timeOfDay;
+    private final DecisionLog log;
+    private final Consumer<String> onDeposed;
+    private final LeaderRecord record;
+    private final long leaderVersion;
+    private final long takeoverNanos;
+
+    private final Authority authority;
+    private final Fleet fleet;
+    private final LeaderContext context;
+    private final Supervisor supervisor = new Supervisor();
+    private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
+    private final Map<String, JobProgress> progress = new HashMap<>();
+    private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
+    private Committer committer;
+
+    private boolean ended;
+    private boolean resigning;
+    private boolean loaded;
+    private boolean pumpPlanned;
+    private long jobsVersion = -1;
+    private long sequenceVersion;
+    /** Runners that the directory lists and the roster does not have yet. */
+    private final Set<String> notEnlisted = new HashSet<>();
+
+    private long storeAnsweredNanos;
+
+    private record FinishedJob(String id, long endedEpochMs) {}
+
+    /**
+     * Creates a leader whose record is stored.
+     *
+     * @param leaderVersion version of the record
+     * @param onDeposed is told why the leader has ended, unless it was asked to
+     */
+    Leader(NodeServices services, LeaderRecord record, long leaderVersion, Consumer<String> onDeposed) {
+        this.loop = services.loop();
+        this.store = services.store();
+        this.directory = services.directory();
+        this.timeOfDay = services.timeOfDay();
+        this.log = services.log();
+        this.record = record;
+        this.leaderVersion = leaderVersion;
+        this.onDeposed = onDeposed;
+        this.takeoverNanos = loop.nowNanos();
+        this.storeAnsweredNanos = takeoverNanos;
+        this.authority = new Authority(loop, timeOfDay);
+        this.fleet = new Fleet(record.epoch(), log);
+        this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
+    }
+
+    LeaderRecord record() {
+        return record;
+    }
+
+    long leaderVersion() {
+        return leaderVersion;
+    }
+
+    /** Returns the time since the store last answered, in milliseconds. */
+    long storeAgeMs() {
+        return (loop.nowNanos() - storeAnsweredNanos) / 1_000_000;
+    }
+
+    /** Returns the state of a job; empty if this leader does not know it, or not yet. */
+    Optional<JobState> state(String job) {
+        return loaded ? fleet.state(job) : Optional.empty();
+    }
+
+    /** Returns the number of jobs of a queue that wait; empty while the jobs are not read. */
+    Optional<Integer> pending(String queue) {
+        return loaded ? Optional.of(fleet.pending(queue)) : Optional.empty();
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    boolean loaded() {
+        return loaded;
+    }
+
+    /** Starts to read the store. */
+    void start(long confirmedNanos) {
+        authority.confirm(confirmedNanos);
+        readAll(RecordStore.Table.ROSTER, "", this::expectRunner, version -> readDirectory());
+    }
+
+    /** Ends all orders of this leader. */
+    void end() {
+        ended = true;
+        sessions.values().forEach(RunnerSession::close);
+    }
+
+    /** Stops giving orders, so that a successor can take over; questions are still answered. */
+    void resign() {
+        resigning = true;
+        sessions.values().forEach(RunnerSession::close);
+    }
+
+    // ---- Reading the store
+
+    private interface EntryReader {
+        void read(RecordStore.Entry entry) throws CorruptRecordException;
+    }
+
+    /** Reads a whole table, page by page; {@code done} gets the version of its first page. */
+    private void readAll(RecordStore.Table table, String from, EntryReader reader, Consumer<Long> done) {
+        readFrom(table, from, -1, reader, done);
+    }
+
+    private void readFrom(
+            RecordStore.Table table, String from, long firstVersion, EntryReader reader, Consumer<Long> done) {
+        if (ended) {
+            return;
+        }
+        store.read(table, from, null, result -> {
+            if (ended) {
+                return;
+            }
+            if (!(result instanceof RecordStore.ReadResult.Page page)) {
+                log.storeState("takeover-read-failing", result.toString());
+                loop.schedule(FleetLimits.STORE_RETRY, () -> readFrom(table, from, firstVersion, reader, done));
+                return;
+            }
+            storeAnsweredNanos = loop.nowNanos();
+            page.entries().forEach(entry -> readEntry(entry, reader));
+            long version = firstVersion < 0 ? page.version() : firstVersion;
+            if (page.truncated() && !page.entries().isEmpty()) {
+                String next = page.entries().getLast().key() + "\u0000";
+                readFrom(table, next, version, reader, done);
+            } else {
+                done.accept(version);
+            }
+        });
+    }
+
+    private void readEntry(RecordStore.Entry entry, EntryReader reader) {
+        try {
+            reader.read(entry);
+        } catch (CorruptRecordException corrupt) {
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+        }
+    }
+
+    private void expectRunner(RecordStore.Entry entry) throws CorruptRecordException {
+        RunnerReport report = RecordCodec.readRunner(entry.key(), entry.value());
+        FleetRunner runner = fleet.expectAnswer(report);
+        long wait = FleetLimits.AUTHORITY.toNanos()
+                + (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
+                + FleetLimits.LEASE_MARGIN.toNanos();
+        sessions.put(report.id(), new RunnerSession(context, this, record.epoch(), runner, takeoverNanos + wait));
+    }
+
+    private void readDirectory() {
+        directory.list(reports -> {
+            reports.ifPresent(this::noteDirectory);
+            readAll(RecordStore.Table.PROGRESS, "", this::readProgress, version -> readJobs());
+        });
+    }
+
+    private void readProgress(RecordStore.Entry entry) throws CorruptRecordException {
+        if (entry.key().equals(CommitSequence.KEY)) {
+            sequenceVersion = entry.version();
+            return;
+        }
+        progress.put(entry.key(), RecordCodec.readProgress(entry.key(), entry.value()));
+    }
+
+    private void readJobs() {
+        Set<String> cancelled = new HashSet<>();
+        readAll(RecordStore.Table.JOBS, "", entry -> readJob(entry, true, cancelled), version -> {
+            cancelled.forEach(fleet::cancel);
+            finishLoading(version);
+        });
+    }
+
+    private void finishLoading(long version) {
+        jobsVersion = version;
+        committer = new Committer(context, store, timeOfDay, this, record.epoch(), leaderVersion, sequenceVersion);
+        progress.keySet().forEach(committer::progressIsStored);
+        progress.clear();
+        loaded = true;
+        log.leadership("leader-ready", record.epoch(), record.node(), summary());
+        for (RunnerSession session : sessions.values()) {
+            if (!notEnlisted.contains(session.runner().id())) {
+                session.planHold(Duration.ZERO);
+            }
+        }
+        enlistListed();
+        followJobs();
+        loop.schedule(FleetLimits.DIRECTORY_INTERVAL, this::pollDirectory);
+        tick();
+    }
+
+    private String summary() {
+        return "openJobs=%d runners=%d tookMs=%d"
+                .formatted(fleet.openJobs(), sessions.size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
+    }
+
+    private void readJob(RecordStore.Entry entry, boolean inherited, Set<String> cancelled)
+            throws CorruptRecordException {
+        if (entry.key().equals(LeaderRecord.KEY)) {
+            if (entry.version() > leaderVersion) {
+                superseded("the store has a later leader's record");
+            }
+            return;
+        }
+        if (entry.key().endsWith(JobRecord.CANCEL_SUFFIX)) {
+            if (!entry.removed()) {
+                String id = entry.key().substring(0, entry.key().length() - JobRecord.CANCEL_SUFFIX.length());
+                cancelled.add(id);
+            }
+            return;
+        }
+        if (entry.removed()) {
+            return;
+        }
+        switch (RecordCodec.readJob(entry.key(), entry.value())) {
+            case JobRecord.Open open -> {
+                JobProgress known = progress.getOrDefault(entry.key(), JobProgress.NONE);
+                fleet.addJob(open.definition(), known, inherited, timeOfDay.millis());
+            }
+            case JobRecord.Finished finished -> {
+                if (fleet.state(finished.id()).filter(JobState::terminal).isEmpty()) {
+                    fleet.addFinished(finished.id(), finished.state());
+                }
+                finishedJobs.add(new FinishedJob(finished.id(), finished.endedEpochMs()));
+            }
+        }
+    }
+
+    // ---- Following the store
+
+    private void followJobs() {
+        if (ended || resigning) {
+            return;
+        }
+        long sentNanos = loop.nowNanos();
+        store.follow(RecordStore.Table.JOBS, jobsVersion, FleetLimits.JOBS_FOLLOW_WAIT, result -> {
+            if (ended || resigning) {
+                return;
+            }
+            switch (result) {
+                case RecordStore.ReadResult.Page page -> {
+                    noteJobs(page.entries());
+                    if (ended) {
+                        return;
+                    }
+                    jobsVersion = page.version();
+                    confirmed(sentNanos);
+                    loop.schedule(FleetLimits.FOLLOW_PAUSE, this::followJobs);
+                }
+                case RecordStore.ReadResult.HistoryLost lost -> rereadJobs();
+                case RecordStore.ReadResult.Failed failed -> {
+                    log.storeState("jobs-feed-failing", failed.cause());
+                    loop.schedule(FleetLimits.STORE_RETRY, this::followJobs);
+                }
+            }
+        });
+    }
+
+    private void noteJobs(Collection<RecordStore.Entry> entries) {
+        Set<String> cancelled = new HashSet<>();
+        for (RecordStore.Entry entry : entries) {
+            readEntry(entry, each -> readJob(each, false, cancelled));
+        }
+        if (!ended) {
+            cancelled.forEach(fleet::cancel);
+            changed();
+        }
+    }
+
+    private void rereadJobs() {
+        log.storeState("jobs-history-lost", "the table is read again");
+        List<RecordStore.Entry> all = new ArrayList<>();
+        readAll(RecordStore.Table.JOBS, "", all::add, version -> {
+            noteJobs(all);
+            jobsVersion = version;
+            followJobs();
+        });
+    }
+
+    private void pollDirectory() {
+        if (ended || resigning) {
+            return;
+        }
+        directory.list(reports -> {
+            if (ended || resigning) {
+                return;
+            }
+            reports.ifPresent(list -> {
+                storeAnsweredNanos = loop.nowNanos();
+                noteDirectory(list);
+                enlistListed();
+            });
+            loop.schedule(FleetLimits.DIRECTORY_INTERVAL, this::pollDirectory);
+        });
+    }
+
+    private void noteDirectory(List<RunnerReport> reports) {
+        Set<String> listed = new HashSet<>();
+        for (RunnerReport report : reports) {
+            listed.add(report.id());
+            FleetRunner runner = fleet.runnerReported(report);
+            RunnerSession session = sessions.get(report.id());
+            if (session == null || session.runner() != runner) {
+                sessions.put(report.id(), new RunnerSession(context, this, record.epoch(), runner, loop.nowNanos()));
+                notEnlisted.add(report.id());
+            }
+        }
+        for (FleetRunner runner : fleet.runners()) {
+            if (runner.listed() && !listed.contains(runner.id())) {
+                log.runnerLost(runner.id(), "the directory no longer lists it");
+                fleet.runnerUnlisted(runner.id());
+            }
+        }
+        changed();
+    }
+
+    private void enlistListed() {
+        for (String id : notEnlisted) {
+            RunnerSession session = sessions.get(id);
+            if (session != null) {
+                committer.enlist(session.runner().report());
+            }
+        }
+        notEnlisted.clear();
+    }
+
+    // ---- Orders
+
+    private void tick() {
+        if (ended || resigning) {
+            return;
+        }
+        dropSilentRunners();
+        forgetOldJobs();
+        if (mayOrder()) {
+            for (Order order : supervisor.review(fleet, loop.nowNanos())) {
+                carryOut(order);
+            }
+        }
+        pump();
+        loop.schedule(FleetLimits.TICK, this::tick);
+    }
+
+    private void dropSilentRunners() {
+        for (RunnerSession session : List.copyOf(sessions.values())) {
+            FleetRunner runner = session.runner();
+            if (session.silent() && !session.lost() && session.leaseExpired()) {
+                log.runnerLost(runner.id(), "it is silent and its lease has expired");
+                fleet.runnerLost(runner.id(), loop.nowNanos());
+                session.markLost();
+            }
+            boolean gone = !runner.listed() && !runner.busy() && (session.lost() || session.idle());
+            if (gone && session.leaseExpired()) {
+                session.close();
+                sessions.remove(runner.id());
+                fleet.runnerLost(runner.id(), loop.nowNanos());
+                committer.dismiss(runner.id());
+            }
+        }
+    }
+
+    private void forgetOldJobs() {
+        long keptSinceMs = timeOfDay.millis() - FleetLimits.FINISHED_JOB_KEPT.toMillis();
+        while (!finishedJobs.isEmpty() && finishedJobs.getFirst().endedEpochMs() < keptSinceMs) {
+            committer.forget(finishedJobs.removeFirst().id());
+        }
+    }
+
+    private void pump() {
+        pumpPlanned = false;
+        if (ended || resigning || !loaded) {
+            return;
+        }
+        if (mayOrder()) {
+            for (Order order : fleet.decide(loop.nowNanos(), timeOfDay.millis())) {
+                carryOut(order);
+            }
+        }
+        committer.changed();
+    }
+
+    private void carryOut(Order order) {
+        RunnerSession session = sessions.get(order.runner().id());
+        if (session != null) {
+            session.carryOut(order);
+        }
+    }
+
+    // ---- What sessions and committer ask for
+
+    @Override
+    public boolean mayOrder() {
+        return !ended && !resigning && authority.held();
+    }
+
+    @Override
+    public void fenced(String runner) {
+        superseded("runner " + runner + " has orders of a higher epoch");
+    }
+
+    @Override
+    public void changed() {
+        if (!pumpPlanned && loaded) {
+            pumpPlanned = true;
+            loop.execute(this::pump);
+        }
+    }
+
+    @Override
+    public boolean leading() {
+        return !ended && !resigning;
+    }
+
+    @Override
+    public void superseded(String reason) {
+        if (!ended) {
+            end();
+            onDeposed.accept(reason);
+        }
+    }
+
+    @Override
+    public void confirmed(long sentNanos) {
+        storeAnsweredNanos = loop.nowNanos();
+        authority.confirm(sentNanos);
+    }
+
+    @Override
+    public Iterable<RunnerSession> sessions() {
+        return sessions.values();
+    }
+
+    @Override
+    public void enlisted(RunnerReport runner) {
+        RunnerSession session = sessions.get(runner.id());
+        if (session != null) {
+            session.planHold(Duration.ZERO);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -0,0 +1,18 @@
+package org.tamarackline.fleet;
+
+/**
+ * Who leads, as stored.
+ *
+ * <p>The record lies in the table of jobs, so that a leader that follows this table learns of its successor before it
+ * learns of jobs accepted later.
+ *
+ * @param epoch fencing token of the leader, from 1
+ * @param node name of the leader's node
+ * @param address where other nodes reach the leader
+ * @param resigned whether the leader has given up its role
+ */
+record LeaderRecord(long epoch, String node, String address, boolean resigned) {
+
+    /** Key of the record, which sorts before all identifiers of jobs. */
+    static final String KEY = "!leader";
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/NodeMetrics.java
@@ -0,0 +1,48 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** Counters and latencies of a node. */
+public final class NodeMetrics {
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<FleetNode.SubmitAnswer, Counter> submissions = new EnumMap<>(FleetNode.SubmitAnswer.class);
+    private final Timer requests = Timer.builder("tamarackline.request.duration")
+            .description("time from a whole request to its answer")
+            .serviceLevelObjectives(
+                    Duration.ofMillis(10), Duration.ofMillis(60), Duration.ofMillis(250), Duration.ofSeconds(1))
+            .register(registry);
+
+    /** Creates the metrics, all zero. */
+    public NodeMetrics() {
+        for (FleetNode.SubmitAnswer answer : FleetNode.SubmitAnswer.values()) {
+            submissions.put(
+                    answer,
+                    Counter.builder("tamarackline.submissions")
+                            .description("submissions by their answer")
+                            .tag("answer", answer.name())
+                            .register(registry));
+        }
+    }
+
+    void submitted(FleetNode.SubmitAnswer answer) {
+        submissions.get(answer).increment();
+    }
+
+    /** Takes note of an answered request. */
+    public void answered(Duration duration) {
+        requests.record(duration);
+    }
+
+    /** Returns all metrics in the text format of Prometheus. */
+    String text() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -0,0 +1,40 @@
+package org.tamarackline.fleet;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.JobState;
+
+/** Questions to another node. Answers arrive on the event loop. */
+public interface PeerCalls {
+
+    /** Asks a leader whether it is well; the answer is empty if none arrived in time. */
+    void ping(String address, String self, Consumer<Optional<PingAnswer>> done);
+
+    /** Asks a leader for the state of a job; {@link StateAnswer#UNREACHABLE} if no answer arrived in time. */
+    void state(String address, String job, Consumer<StateAnswer> done);
+
+    /** Asks a leader how many jobs of a queue wait; empty if no answer arrived in time. */
+    void pending(String address, String queue, Consumer<Optional<Integer>> done);
+
+    /**
+     * Answer of a leader that is asked whether it is well.
+     *
+     * @param epoch epoch that the node leads, 0 if it does not
+     * @param storeAgeMs time since the store last answered it, in milliseconds
+     * @param rank position of the asking node among those that may succeed the leader, from 0
+     */
+    record PingAnswer(long epoch, long storeAgeMs, int rank) {}
+
+    /**
+     * Answer to a question for a state.
+     *
+     * @param reached whether the leader answered
+     * @param state state of the job, null if the leader does not know it
+     */
+    record StateAnswer(boolean reached, JobState state) {
+
+        /** No answer. */
+        public static final StateAnswer UNREACHABLE = new StateAnswer(false, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -0,0 +1,272 @@
+package org.tamarackline.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.model.Resources;
+
+/** Writes and reads the records of the store as MessagePack. */
+final class RecordCodec {
+
+    private static final int OPEN_JOB = 1;
+    private static final int FINISHED_JOB = 2;
+
+    private RecordCodec() {}
+
+    private interface Body {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    private interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    private static byte[] pack(Body body) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            body.write(packer);
+            return packer.toByteArray();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("packing into memory failed", failure);
+        }
+    }
+
+    private static <T> T unpack(String key, byte[] bytes, Reader<T> reader) throws CorruptRecordException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(unpacker);
+        } catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException failure) {
+            throw new CorruptRecordException(key, failure);
+        }
+    }
+
+    static byte[] leader(LeaderRecord leader) {
+        return pack(packer -> {
+            packer.packLong(leader.epoch());
+            packer.packString(leader.node());
+            packer.packString(leader.address());
+            packer.packBoolean(leader.resigned());
+        });
+    }
+
+    static byte[] sequence(CommitSequence sequence) {
+        return pack(packer -> {
+            packer.packLong(sequence.epoch());
+            packer.packLong(sequence.number());
+        });
+    }
+
+    static CommitSequence readSequence(byte[] bytes) throws CorruptRecordException {
+        return unpack(CommitSequence.KEY, bytes, in -> new CommitSequence(in.unpackLong(), in.unpackLong()));
+    }
+
+    static LeaderRecord readLeader(byte[] bytes) throws CorruptRecordException {
+        return unpack(
+                LeaderRecord.KEY,
+                bytes,
+                in -> new LeaderRecord(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean()));
+    }
+
+    static byte[] openJob(JobDefinition job) {
+        return pack(packer -> {
+            packer.packInt(OPEN_JOB);
+            packer.packLong(job.acceptedEpochMs());
+            packer.packInt(job.repeats());
+            packer.packLong(job.firstDueEpochMs());
+            packer.packLong(job.intervalMs());
+            packer.packString(job.spec());
+            packQueue(packer, job.queue());
+            packer.packArrayHeader(job.steps().size());
+            for (StepDefinition step : job.steps()) {
+                packStep(packer, step);
+            }
+        });
+    }
+
+    static byte[] finishedJob(JobState state, long endedEpochMs) {
+        return pack(packer -> {
+            packer.packInt(FINISHED_JOB);
+            packer.packString(state.name());
+            packer.packLong(endedEpochMs);
+        });
+    }
+
+    static JobRecord readJob(String id, byte[] bytes) throws CorruptRecordException {
+        return unpack(id, bytes, in -> {
+            if (in.unpackInt() == FINISHED_JOB) {
+                return new JobRecord.Finished(id, JobState.valueOf(in.unpackString()), in.unpackLong());
+            }
+            long acceptedEpochMs = in.unpackLong();
+            int repeats = in.unpackInt();
+            long firstDueEpochMs = in.unpackLong();
+            long intervalMs = in.unpackLong();
+            String spec = in.unpackString();
+            QueueDefinition queue = unpackQueue(in);
+            int count = in.unpackArrayHeader();
+            List<StepDefinition> steps = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                steps.add(unpackStep(in));
+            }
+            return new JobRecord.Open(
+                    new JobDefinition(id, queue, spec, steps, repeats, firstDueEpochMs, intervalMs, acceptedEpochMs));
+        });
+    }
+
+    private static void packQueue(MessageBufferPacker packer, QueueDefinition queue) throws IOException {
+        packer.packString(queue.name());
+        packer.packString(queue.host());
+        packer.packString(queue.pathPrefix());
+        packer.packString(queue.service());
+        packer.packInt(queue.priority());
+        packer.packInt(queue.maxAttempts());
+        packer.packDouble(queue.stretch());
+        packer.packLong(queue.targetLatencyMs());
+        packer.packBoolean(queue.advised());
+    }
+
+    private static QueueDefinition unpackQueue(MessageUnpacker in) throws IOException {
+        return new QueueDefinition(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackInt(),
+                in.unpackDouble(),
+                in.unpackLong(),
+                in.unpackBoolean());
+    }
+
+    private static void packStep(MessageBufferPacker packer, StepDefinition step) throws IOException {
+        packer.packInt(step.count());
+        packer.packLong(step.demand().processorMillis());
+        packer.packLong(step.demand().memoryMb());
+        packer.packInt(step.demand().accelerators());
+        packer.packLong(step.estimateMs());
+        packer.packArrayHeader(step.after().size());
+        for (int earlier : step.after()) {
+            packer.packInt(earlier);
+        }
+        packer.packBoolean(step.checkpointed());
+        packer.packBoolean(step.gang());
+        packer.packBoolean(step.sameRack());
+        packer.packString(step.requiredLabel());
+        packer.packString(step.preferredRack());
+        packer.packInt(step.maxPerRunner());
+        packer.packBoolean(step.speculative());
+        packer.packBoolean(step.longRunning());
+        packer.packString(step.image());
+        packer.packLong(step.latencyTargetMs());
+        packer.packBoolean(step.filler());
+        packer.packInt(step.mayMiss());
+    }
+
+    private static StepDefinition unpackStep(MessageUnpacker in) throws IOException {
+        int count = in.unpackInt();
+        Resources demand = new Resources(in.unpackLong(), in.unpackLong(), in.unpackInt());
+        long estimateMs = in.unpackLong();
+        int earlier = in.unpackArrayHeader();
+        List<Integer> after = new ArrayList<>(earlier);
+        for (int i = 0; i < earlier; i++) {
+            after.add(in.unpackInt());
+        }
+        return new StepDefinition(
+                count,
+                demand,
+                estimateMs,
+                after,
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackString(),
+                in.unpackLong(),
+                in.unpackBoolean(),
+                in.unpackInt());
+    }
+
+    static byte[] progress(JobProgress progress) {
+        return pack(packer -> {
+            packer.packInt(progress.occurrences());
+            packer.packArrayHeader(progress.tasks().size());
+            for (JobProgress.TaskProgress task : progress.tasks()) {
+                packer.packInt(task.occurrence());
+                packer.packInt(task.step());
+                packer.packInt(task.index());
+                packer.packBoolean(task.done());
+                packer.packInt(task.failures());
+                packer.packLong(task.lastFailedRun());
+                packer.packString(task.checkpoint());
+            }
+        });
+    }
+
+    static JobProgress readProgress(String id, byte[] bytes) throws CorruptRecordException {
+        return unpack(id, bytes, in -> {
+            int occurrences = in.unpackInt();
+            int count = in.unpackArrayHeader();
+            List<JobProgress.TaskProgress> tasks = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                tasks.add(new JobProgress.TaskProgress(
+                        in.unpackInt(),
+                        in.unpackInt(),
+                        in.unpackInt(),
+                        in.unpackBoolean(),
+                        in.unpackInt(),
+                        in.unpackLong(),
+                        in.unpackString()));
+            }
+            return new JobProgress(occurrences, tasks);
+        });
+    }
+
+    static byte[] runner(RunnerReport runner) {
+        return pack(packer -> {
+            packer.packLong(runner.bornEpochMs());
+            packer.packString(runner.service());
+            packer.packString(runner.address());
+            packer.packString(runner.dataCentre());
+            packer.packString(runner.rack());
+            packer.packLong(runner.capacity().processorMillis());
+            packer.packLong(runner.capacity().memoryMb());
+            packer.packInt(runner.capacity().accelerators());
+            packer.packArrayHeader(runner.labels().size());
+            for (String label : runner.labels()) {
+                packer.packString(label);
+            }
+        });
+    }
+
+    static RunnerReport readRunner(String id, byte[] bytes) throws CorruptRecordException {
+        return unpack(id, bytes, in -> {
+            long bornEpochMs = in.unpackLong();
+            String service = in.unpackString();
+            String address = in.unpackString();
+            String dataCentre = in.unpackString();
+            String rack = in.unpackString();
+            Resources capacity = new Resources(in.unpackLong(), in.unpackLong(), in.unpackInt());
+            int count = in.unpackArrayHeader();
+            Set<String> labels = new HashSet<>();
+            for (int i = 0; i < count; i++) {
+                labels.add(in.unpackString());
+            }
+            return new RunnerReport(id, bornEpochMs, service, address, dataCentre, rack, false, capacity, labels);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunnerCalls.java
@@ -0,0 +1,83 @@
+package org.tamarackline.fleet;
+
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.RunnerListing;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StartResult;
+import org.tamarackline.core.fleet.TaskKey;
+
+/** Orders to runners. Answers arrive on the event loop. */
+public interface RunnerCalls {
+
+    /**
+     * Orders a start.
+     *
+     * @param leaseUntilMs end of the runner's lease on its own clock, in milliseconds
+     */
+    void start(RunnerReport runner, StartCommand command, long leaseUntilMs, Consumer<StartAnswer> done);
+
+    /** Orders a stop. The answer is true if the runner carried it out, or has no such run. */
+    void stop(RunnerReport runner, TaskKey task, long run, long epoch, Consumer<OrderAnswer> done);
+
+    /** Orders a speed. */
+    void pace(RunnerReport runner, TaskKey task, long run, int percent, long epoch, Consumer<OrderAnswer> done);
+
+    /**
+     * Extends the lease of everything on a runner, confirms ends, and asks what runs and what has ended.
+     *
+     * @param confirmedEnds number up to which the runner may forget ends
+     * @param leaseUntilMs end of the lease on the runner's clock in milliseconds, 0 to leave it as it is
+     * @param waitMs how long the runner may wait for a further end
+     */
+    void hold(
+            RunnerReport runner,
+            long epoch,
+            long confirmedEnds,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<HoldAnswer> done);
+
+    /**
+     * What a start says.
+     *
+     * @param task task to run
+     * @param run number of the run
+     * @param spec text of the job
+     * @param checkpoint checkpoint to resume from, empty for none
+     * @param epoch fencing token
+     */
+    record StartCommand(TaskKey task, long run, String spec, String checkpoint, long epoch) {}
+
+    /**
+     * Answer to a start.
+     *
+     * @param result what became of it
+     * @param outcome whether the runner accepts orders of this epoch
+     * @param reason what the runner said, for the log
+     */
+    record StartAnswer(StartResult result, OrderAnswer outcome, String reason) {}
+
+    /** Answer to an order. */
+    enum OrderAnswer {
+        /** The runner carried it out. */
+        DONE,
+        /** The runner has seen a higher epoch. */
+        FENCED,
+        /** The address belongs to another incarnation. */
+        RUNNER_REPLACED,
+        /** The runner refused it. */
+        REFUSED,
+        /** No answer arrived. */
+        UNKNOWN
+    }
+
+    /**
+     * Answer to a hold.
+     *
+     * @param outcome whether there is a listing
+     * @param listing what the runner runs, null unless the outcome is {@link OrderAnswer#DONE}
+     * @param reason what went wrong, for the log
+     */
+    record HoldAnswer(OrderAnswer outcome, RunnerListing listing, String reason) {}
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -0,0 +1,270 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.Order;
+import org.tamarackline.core.fleet.Run;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StartResult;
+
+/** A leader's exchange with one runner: its lease, its listings, and the orders to it. */
+final class RunnerSession {
+
+    /** What a session needs of its leader. */
+    interface Host {
+
+        /** Returns whether orders may be given. */
+        boolean mayOrder();
+
+        /** A runner has seen a higher epoch. */
+        void fenced(String runner);
+
+        /** Something changed that may make orders or a transaction due. */
+        void changed();
+    }
+
+    private final LeaderContext context;
+    private final Host host;
+    private final long epoch;
+    private final FleetRunner runner;
+
+    private boolean closed;
+    private boolean holding;
+    private boolean holdPlanned;
+    private int failedHolds;
+    private boolean clockKnown;
+    private long clockMs;
+    private long clockNanos;
+    private long leaseEndNanos;
+    private long confirmedEnds;
+    private long reportedEnds;
+    private boolean lost;
+
+    /**
+     * Creates a session that has not contacted its runner.
+     *
+     * @param leaseEndNanos when all that earlier leaders ordered has ended
+     */
+    RunnerSession(LeaderContext context, Host host, long epoch, FleetRunner runner, long leaseEndNanos) {
+        this.context = context;
+        this.host = host;
+        this.epoch = epoch;
+        this.runner = runner;
+        this.leaseEndNanos = leaseEndNanos;
+    }
+
+    FleetRunner runner() {
+        return runner;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Returns whether the leader needs nothing more of the runner. */
+    boolean idle() {
+        return !runner.busy() && confirmedEnds >= reportedEnds;
+    }
+
+    /** Returns whether nothing that was ordered can still run or start on the runner. */
+    boolean leaseExpired() {
+        return context.loop().nowNanos() - leaseEndNanos > 0;
+    }
+
+    boolean silent() {
+        return failedHolds > 0 || !clockKnown;
+    }
+
+    /** Returns whether the session took its runner for lost since it last answered. */
+    boolean lost() {
+        return lost;
+    }
+
+    void markLost() {
+        lost = true;
+    }
+
+    long processedEnds() {
+        return runner.processedEnds();
+    }
+
+    /** Takes note that the ends up to a number are stored; confirms them to the runner. */
+    void endsStored(long number) {
+        if (number > confirmedEnds) {
+            confirmedEnds = number;
+            planHold(Duration.ZERO);
+        }
+    }
+
+    /** Asks for a listing after a delay unless one is under way or planned. */
+    void planHold(Duration delay) {
+        if (closed || holding || (holdPlanned && !delay.isZero())) {
+            return;
+        }
+        if (delay.isZero()) {
+            hold();
+            return;
+        }
+        holdPlanned = true;
+        context.loop().schedule(delay, () -> {
+            holdPlanned = false;
+            if (!holding) {
+                hold();
+            }
+        });
+    }
+
+    private void hold() {
+        if (closed) {
+            return;
+        }
+        if (!host.mayOrder()) {
+            planHold(FleetLimits.HOLD_RETRY);
+            return;
+        }
+        holding = true;
+        long sentNanos = context.loop().nowNanos();
+        boolean wait = runner.contacted() && runner.busy() && confirmedEnds >= reportedEnds;
+        long until = clockKnown && runner.busy() ? leaseUntilMs() : 0;
+        context.runnerCalls()
+                .hold(
+                        runner.report(),
+                        epoch,
+                        confirmedEnds,
+                        until,
+                        wait ? FleetLimits.HOLD_WAIT_MS : 0,
+                        answer -> onHold(answer, sentNanos));
+    }
+
+    private void onHold(RunnerCalls.HoldAnswer answer, long sentNanos) {
+        holding = false;
+        if (closed) {
+            return;
+        }
+        switch (answer.outcome()) {
+            case DONE -> onListing(answer, sentNanos);
+            case FENCED -> host.fenced(runner.id());
+            case RUNNER_REPLACED -> {
+                context.log().runnerLost(runner.id(), "another incarnation answers at its address");
+                context.fleet().runnerLost(runner.id(), context.loop().nowNanos());
+                markLost();
+                leaseEndNanos = context.loop().nowNanos();
+                failedHolds++;
+                host.changed();
+                planHold(FleetLimits.IDLE_HOLD_PAUSE);
+            }
+            default -> {
+                if (failedHolds == 0) {
+                    context.log().runnerSilent(runner.id(), answer.reason());
+                }
+                failedHolds++;
+                planHold(FleetLimits.HOLD_RETRY);
+            }
+        }
+    }
+
+    private void onListing(RunnerCalls.HoldAnswer answer, long sentNanos) {
+        long nowNanos = context.loop().nowNanos();
+        if (failedHolds > 0 || lost) {
+            context.log().runnerBack(runner.id(), failedHolds);
+        }
+        failedHolds = 0;
+        lost = false;
+        if (answer.listing().bornEpochMs() != runner.bornEpochMs()) {
+            confirmedEnds = 0;
+        }
+        noteClock(answer.listing().clockMs(), nowNanos);
+        context.fleet().applyListing(runner, answer.listing(), sentNanos, nowNanos);
+        reportedEnds = runner.processedEnds();
+        host.changed();
+        if (confirmedEnds < reportedEnds) {
+            planHold(FleetLimits.CONFIRM_WAIT);
+        } else {
+            planHold(runner.busy() ? Duration.ZERO : FleetLimits.IDLE_HOLD_PAUSE);
+        }
+    }
+
+    /** Makes sure that the lease of a run that was just started is renewed in time. */
+    private void keepHolding() {
+        if (!holding) {
+            planHold(Duration.ZERO);
+        }
+    }
+
+    private void noteClock(long runnerClockMs, long nowNanos) {
+        clockKnown = true;
+        clockMs = runnerClockMs;
+        clockNanos = nowNanos;
+    }
+
+    /** Returns the end of a lease that starts now, on the runner's clock, and takes note of when it ends at the latest. */
+    private long leaseUntilMs() {
+        long nowNanos = context.loop().nowNanos();
+        double elapsedMs = (nowNanos - clockNanos) / 1e6;
+        long earliestClockMs = clockMs + (long) (elapsedMs * (1 - FleetLimits.CLOCK_DRIFT));
+        long longestNanos = (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
+                + FleetLimits.LEASE_MARGIN.toNanos();
+        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestNanos);
+        return earliestClockMs + FleetLimits.RUNNER_LEASE.toMillis();
+    }
+
+    void carryOut(Order order) {
+        switch (order) {
+            case Order.Start start -> start(start.run());
+            case Order.Stop stop -> stop(stop);
+            case Order.Pace pace -> pace(pace);
+        }
+    }
+
+    private void start(Run run) {
+        RunnerReport report = runner.report();
+        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
+                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
+        long sentNanos = context.loop().nowNanos();
+        context.runnerCalls().start(report, command, leaseUntilMs(), answer -> {
+            if (closed) {
+                return;
+            }
+            context.log().startAnswered(run, epoch, answer, sentNanos);
+            if (answer.outcome() == RunnerCalls.OrderAnswer.FENCED) {
+                host.fenced(runner.id());
+                return;
+            }
+            context.fleet().startAnswered(run, answer.result(), context.loop().nowNanos());
+            if (answer.result() == StartResult.STARTED) {
+                keepHolding();
+            }
+            if (answer.result() == StartResult.RUNNER_REPLACED) {
+                markLost();
+            }
+            host.changed();
+        });
+    }
+
+    private void stop(Order.Stop stop) {
+        context.log().stopOrdered(runner.id(), stop.task(), stop.run(), epoch);
+        context.runnerCalls().stop(runner.report(), stop.task(), stop.run(), epoch, answer -> {
+            if (closed) {
+                return;
+            }
+            if (answer == RunnerCalls.OrderAnswer.FENCED) {
+                host.fenced(runner.id());
+            } else if (answer == RunnerCalls.OrderAnswer.DONE) {
+                context.fleet()
+                        .stopAnswered(
+                                runner, stop.task(), stop.run(), context.loop().nowNanos());
+                keepHolding();
+            }
+        });
+    }
+
+    private void pace(Order.Pace pace) {
+        Run run = pace.run();
+        context.runnerCalls().pace(runner.report(), run.task().key(), run.number(), pace.percent(), epoch, answer -> {
+            if (!closed && answer == RunnerCalls.OrderAnswer.FENCED) {
+                host.fenced(runner.id());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/http/AsyncHttpClient.java
@@ -0,0 +1,129 @@
+package org.tamarackline.http;
+
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.google.common.flogger.FluentLogger;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/**
+ * An HTTP client on few threads.
+ *
+ * <p>Every call ends within its timeout; a connection that failed is closed and not used again. Nothing is retried.
+ */
+public final class AsyncHttpClient implements AutoCloseable {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_THREADS = 6;
+    private static final int MIN_THREADS = 2;
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(900);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+    private final HttpClient client;
+
+    /**
+     * Creates and starts a client.
+     *
+     * @param connectionsPerAddress most connections to one address
+     * @throws HttpStartException if the client cannot start
+     */
+    public AsyncHttpClient(int connectionsPerAddress) throws HttpStartException {
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        threads.setName("http-client");
+        threads.setDaemon(true);
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(threads);
+        connector.setScheduler(new ScheduledExecutorScheduler("http-client-timer", true));
+        client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setMaxConnectionsPerDestination(connectionsPerAddress);
+        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+        client.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        try {
+            client.start();
+        } catch (Exception failure) {
+            throw new HttpStartException("cannot start the client: %s".formatted(failure.getMessage()), failure);
+        }
+        client.getContentDecoderFactories().clear();
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address host and port
+     * @param target path and query
+     * @param body content as JSON, null for none
+     * @param timeout bound on the whole call
+     * @param done receives the result, on a thread of the client
+     */
+    public void call(
+            String method,
+            String address,
+            String target,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout,
+            Consumer<HttpReply> done) {
+        int colon = address.lastIndexOf(':');
+        Request request = client.newRequest(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .method(method)
+                .path(target)
+                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .headers(fields -> headers.forEach(fields::put));
+        if (body != null) {
+            request.body(new BytesRequestContent("application/json", body));
+        }
+        request.send(new Completion(done));
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            LOGGER.atWarning().withCause(failure).log("closing the client failed; its sockets end with the process");
+        }
+    }
+
+    /** Returns the text of a body. */
+    public static String text(byte[] body) {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    private static final class Completion extends BufferingResponseListener {
+
+        private final Consumer<HttpReply> done;
+
+        Completion(Consumer<HttpReply> done) {
+            super(MAX_ANSWER_BYTES);
+            this.done = done;
+        }
+
+        @Override
+        public void onComplete(Result result) {
+            if (result.isSucceeded()) {
+                byte[] body = getContent();
+                done.accept(new HttpReply.Answer(result.getResponse().getStatus(), body == null ? new byte[0] : body));
+                return;
+            }
+            Throwable failure = result.getFailure();
+            String cause = failure.getClass().getSimpleName() + ": " + failure.getMessage();
+            done.accept(new HttpReply.NoAnswer(failure instanceof ConnectException, cause));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -0,0 +1,196 @@
+package org.tamarackline.http;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import com.google.common.flogger.FluentLogger;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/** Listens on several addresses and hands whole requests to a function an address. */
+public final class HttpListener {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_THREADS = 8;
+    private static final int MIN_THREADS = 4;
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+    private final Server server;
+    private final int maxBodyBytes;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile boolean closing;
+
+    /**
+     * Creates a listener without addresses.
+     *
+     * @param maxBodyBytes largest request body; a longer one is answered with 413
+     */
+    public HttpListener(int maxBodyBytes) {
+        this.maxBodyBytes = maxBodyBytes;
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        threads.setName("http");
+        threads.setDaemon(true);
+        server = new Server(threads, new ScheduledExecutorScheduler("http-timer", true), null);
+        server.setStopTimeout(0);
+        server.setHandler(new Dispatcher());
+    }
+
+    /**
+     * Adds an address.
+     *
+     * @param idleMs time after which an idle connection is closed
+     */
+    public void add(InetSocketAddress address, long idleMs, Consumer<HttpExchange> handler) {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        ServerConnector connector =
+                new ServerConnector(server, null, null, null, 0, 1, new HttpConnectionFactory(configuration));
+        connector.setHost(address.getHostString());
+        connector.setPort(address.getPort());
+        connector.setIdleTimeout(idleMs);
+        connector.setAcceptQueueSize(512);
+        connector.setReuseAddress(true);
+        connector.addBean(new Target(handler));
+        server.addConnector(connector);
+    }
+
+    /**
+     * Opens all addresses.
+     *
+     * @throws HttpStartException if an address cannot be opened
+     */
+    public void start() throws HttpStartException {
+        try {
+            server.start();
+        } catch (Exception failure) {
+            throw new HttpStartException("cannot listen: %s".formatted(failure.getMessage()), failure);
+        }
+    }
+
+    /** Asks the client of each further answer to close its connection. */
+    public void closeConnectionsAfterAnswers() {
+        closing = true;
+    }
+
+    /** Returns the number of requests that wait for their answer. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    /** Closes all addresses and connections. */
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            LOGGER.atWarning().withCause(failure).log("closing the listener failed; its sockets end with the process");
+        }
+    }
+
+    private record Target(Consumer<HttpExchange> handler) {}
+
+    private final class Dispatcher extends Handler.Abstract.NonBlocking {
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            inFlight.incrementAndGet();
+            Target target = ((ServerConnector) request.getConnectionMetaData().getConnector()).getBean(Target.class);
+            Content.Source.asByteArrayAsync(request, maxBodyBytes, new Promise.Invocable.NonBlocking<>() {
+                @Override
+                public void succeeded(byte[] body) {
+                    target.handler().accept(new JettyExchange(request, response, callback, body));
+                }
+
+                @Override
+                public void failed(Throwable failure) {
+                    new JettyExchange(request, response, callback, new byte[0]).respond(413, Map.of(), new byte[0]);
+                }
+            });
+            return true;
+        }
+    }
+
+    private final class JettyExchange implements HttpExchange {
+
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+        private final byte[] body;
+        private final AtomicBoolean answered = new AtomicBoolean();
+
+        JettyExchange(Request request, Response response, Callback callback, byte[] body) {
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+            this.body = body;
+        }
+
+        @Override
+        public String method() {
+            return request.getMethod();
+        }
+
+        @Override
+        public String host() {
+            String host = request.getHeaders().get(HttpHeader.HOST);
+            if (host == null) {
+                return "";
+            }
+            int colon = host.indexOf(':');
+            return colon < 0 ? host : host.substring(0, colon);
+        }
+
+        @Override
+        public String path() {
+            return request.getHttpURI().getPath();
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public String header(String name) {
+            return request.getHeaders().get(name);
+        }
+
+        @Override
+        public void respond(int status, Map<String, String> headers, byte[] content) {
+            if (!answered.compareAndSet(false, true)) {
+                LOGGER.atWarning().log(
+                        "request %s %s was answered twice; the second answer is dropped", method(), path());
+                return;
+            }
+            inFlight.decrementAndGet();
+            response.setStatus(status);
+            HttpFields.Mutable fields = response.getHeaders();
+            headers.forEach(fields::put);
+            if (content.length > 0) {
+                fields.put(HttpHeader.CONTENT_TYPE, "application/json");
+            }
+            if (closing) {
+                fields.put(HttpHeader.CONNECTION, "close");
+            }
+            fields.put(HttpHeader.CONTENT_LENGTH, content.length);
+            response.write(true, ByteBuffer.wrap(content), callback);
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/load/LocalCluster.java
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -11,10 +11,10 @@
 import java.util.Optional;
 
 import org.tamarackline.core.model.VmRecord;
-import org.tamarackline.platform.VmEntry;
 import org.tamarackline.standin.upstream.UpstreamHistory;
 import org.tamarackline.standin.upstream.UpstreamOptions;
 import org.tamarackline.standin.worker.RunInterval;
+import org.tamarackline.store.VmEntry;
 
 /**
  * Platform, workers, runners and entry nodes as separate processes on this machine.
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/CallerInterface.java
@@ -0,0 +1,135 @@
+package org.tamarackline.platform;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+
+import org.tamarackline.core.fleet.FleetConfiguration;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.fleet.FleetNode;
+import org.tamarackline.fleet.NodeMetrics;
+import org.tamarackline.http.HttpExchange;
+
+/** What callers of the platform send: jobs, cancellations and questions for their state. */
+final class CallerInterface implements Consumer<HttpExchange> {
+
+    private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
+
+    /** When a caller whose request was not carried out should come back, in seconds. */
+    private static final Map<String, String> COME_BACK = Map.of("Retry-After", "1");
+
+    private static final byte[] EMPTY = new byte[0];
+
+    private final FleetNode node;
+    private final NodeMetrics metrics;
+    private final InstantSource timeOfDay;
+
+    CallerInterface(FleetNode node, NodeMetrics metrics, InstantSource timeOfDay) {
+        this.node = node;
+        this.metrics = metrics;
+        this.timeOfDay = timeOfDay;
+    }
+
+    @Override
+    public void accept(HttpExchange exchange) {
+        long startNanos = System.nanoTime();
+        Responder responder = (status, headers, body) -> {
+            exchange.respond(status, headers, body);
+            metrics.answered(Duration.ofNanos(System.nanoTime() - startNanos));
+        };
+        FleetConfiguration configuration = node.configuration();
+        if (configuration.version() == 0) {
+            refuse(responder, "no configuration yet");
+            return;
+        }
+        Optional<QueueDefinition> queue = configuration.match(exchange.host(), exchange.path());
+        if (queue.isEmpty()) {
+            reject(responder, 404, "no queue has this host and path");
+            return;
+        }
+        String id = exchange.path().substring(queue.get().pathPrefix().length());
+        if (id.isEmpty() && exchange.method().equals("GET")) {
+            answerPending(queue.get(), responder);
+        } else if (!JOB_ID.matcher(id).matches()) {
+            reject(responder, 404, "the path must end with an identifier of 16 hexadecimal digits");
+        } else {
+            answerJob(exchange, queue.get(), id, responder);
+        }
+    }
+
+    private interface Responder {
+        void respond(int status, Map<String, String> headers, byte[] body);
+    }
+
+    private void answerJob(HttpExchange exchange, QueueDefinition queue, String id, Responder responder) {
+        switch (exchange.method()) {
+            case "POST" -> submit(exchange, queue, id, responder);
+            case "GET" -> answerState(id, responder);
+            case "DELETE" -> node.cancel(id, answer -> respond(answer, responder));
+            default -> responder.respond(405, Map.of("Allow", "GET, POST, DELETE"), EMPTY);
+        }
+    }
+
+    private void submit(HttpExchange exchange, QueueDefinition queue, String id, Responder responder) {
+        JobDefinition job;
+        try {
+            job = JobDocuments.decode(id, queue, exchange.body(), timeOfDay.millis());
+        } catch (InvalidJobException invalid) {
+            reject(responder, 400, invalid.getMessage());
+            return;
+        }
+        node.submit(job, answer -> respond(answer, responder));
+    }
+
+    private static void respond(FleetNode.SubmitAnswer answer, Responder responder) {
+        switch (answer) {
+            case ACCEPTED -> responder.respond(200, Map.of(), EMPTY);
+            case UNAVAILABLE -> refuse(responder, "the store did not take the request; it has not run");
+            // Not a refusal: the request may be stored, and the caller asks again with the same identifier.
+            case UNDETERMINED -> reject(responder, 504, "the store did not answer; send the request again");
+            case TOO_LARGE -> reject(responder, 413, "the job is too large; split it into several");
+            case NO_SUCH_JOB -> responder.respond(410, Map.of(), EMPTY);
+            default -> throw new IllegalStateException("answer %s is not handled".formatted(answer));
+        }
+    }
+
+    private void answerState(String id, Responder responder) {
+        node.state(id, result -> {
+            if (result.state().isPresent()) {
+                responder.respond(200, Map.of(), stateBody(result.state().get()));
+            } else if (result.known()) {
+                responder.respond(410, Map.of(), EMPTY);
+            } else {
+                refuse(responder, "the state cannot be read now");
+            }
+        });
+    }
+
+    private static byte[] stateBody(JobState state) {
+        return Json.object(json -> json.writeStringField("state", state.name().toLowerCase(Locale.ROOT)));
+    }
+
+    private void answerPending(QueueDefinition queue, Responder responder) {
+        node.pending(queue.name(), pending -> {
+            if (pending.isEmpty()) {
+                refuse(responder, "the number of waiting jobs is not known now");
+            } else {
+                responder.respond(200, Map.of(), Json.object(json -> json.writeNumberField("pending", pending.get())));
+            }
+        });
+    }
+
+    private static void refuse(Responder responder, String reason) {
+        responder.respond(503, COME_BACK, Json.object(json -> json.writeStringField("error", reason)));
+    }
+
+    private static void reject(Responder responder, int status, String reason) {
+        responder.respond(status, Map.of(), Json.object(json -> json.writeStringField("error", reason)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/ConfigurationDocuments.java
@@ -0,0 +1,53 @@
+package org.tamarackline.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.fleet.FleetConfiguration;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.fleet.ConfigurationSource;
+import org.tamarackline.fleet.RecordStore;
+
+/** Decodes the operators' configuration. */
+final class ConfigurationDocuments implements ConfigurationSource {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String CONFIGURATION_KEY = "config";
+    private static final int LEAST_URGENT = 9;
+    private static final double DEFAULT_STRETCH = 2;
+
+    @Override
+    public Optional<FleetConfiguration> decode(RecordStore.Entry entry) {
+        if (!entry.key().equals(CONFIGURATION_KEY)) {
+            LOGGER.atInfo().log("the operators' record %s is of a kind that is not supported yet", entry.key());
+            return Optional.empty();
+        }
+        Optional<JsonNode> root = Json.parse(entry.value());
+        if (root.isEmpty()) {
+            LOGGER.atWarning().log("the configuration cannot be read; the earlier one stays in force");
+            return Optional.empty();
+        }
+        List<QueueDefinition> queues = new ArrayList<>();
+        for (JsonNode route : root.get().path("routes")) {
+            queues.add(queue(route));
+        }
+        return Optional.of(new FleetConfiguration(root.get().path("version").asLong(), queues));
+    }
+
+    /** The platform calls a queue a route, and what is handed to it a request of that route. */
+    private static QueueDefinition queue(JsonNode route) {
+        return new QueueDefinition(
+                route.path("name").asText(""),
+                route.path("host").asText(""),
+                route.path("prefix").asText(""),
+                route.path("service").asText(""),
+                route.path("priority").asInt(LEAST_URGENT),
+                Math.max(1, route.path("maxAttempts").asInt(1)),
+                route.path("stretch").asDouble(DEFAULT_STRETCH),
+                route.path("targetLatencyMs").asLong(0),
+                !route.path("advice").isMissingNode());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/Json.java
@@ -0,0 +1,48 @@
+package org.tamarackline.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Reads and writes bodies. */
+final class Json {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonFactory FACTORY = MAPPER.getFactory();
+
+    private Json() {}
+
+    /** Writes the fields of an object. */
+    interface Fields {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    /** Returns the document; empty if the bytes are not a JSON object. */
+    static Optional<JsonNode> parse(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            return node != null && node.isObject() ? Optional.of(node) : Optional.empty();
+        } catch (IOException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns an object with these fields. */
+    static byte[] object(Fields fields) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (JsonGenerator json = FACTORY.createGenerator(bytes)) {
+            json.writeStartObject();
+            fields.write(json);
+            json.writeEndObject();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("writing into memory failed", failure);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -0,0 +1,158 @@
+package org.tamarackline.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.fleet.DecisionLog;
+import org.tamarackline.fleet.FleetNode;
+import org.tamarackline.fleet.NodeMetrics;
+import org.tamarackline.fleet.NodeServices;
+import org.tamarackline.fleet.SingleThreadLoop;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpExchange;
+import org.tamarackline.http.HttpListener;
+import org.tamarackline.http.HttpStartException;
+import org.tamarackline.logging.LineSink;
+
+/** A node of a fleet as a process of the platform. */
+public final class PlatformNode {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final int MAX_BODY_BYTES = 262_144;
+    private static final long CALLER_IDLE_MS = 15_000;
+    private static final long PEER_IDLE_MS = 30_000;
+    private static final int STORE_CONNECTIONS = 48;
+    private static final int RUNNER_CONNECTIONS = 8;
+
+    /** Time that the balancer needs to notice that a node is no longer ready: two questions, one a second. */
+    private static final Duration BALANCER_DELAY = Duration.ofMillis(2_600);
+
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(1_500);
+    private static final Duration SETTINGS_CHECK = Duration.ofSeconds(2);
+
+    private final Path settingsFile;
+    private final SingleThreadLoop loop;
+    private final LineSink sink;
+    private final DecisionLog log;
+    private final StoreClient store;
+    private final FleetNode node;
+    private final HttpListener listener;
+    private PlatformSettings settings;
+    private FileTime settingsTime;
+
+    private PlatformNode(Path settingsFile, PlatformSettings settings, LineSink sink, InstantSource timeOfDay)
+            throws HttpStartException {
+        this.settingsFile = settingsFile;
+        this.settings = settings;
+        this.sink = sink;
+        this.log = new DecisionLog(sink, timeOfDay, settings.node().node());
+        this.loop = new SingleThreadLoop("node");
+        AsyncHttpClient storeHttp = new AsyncHttpClient(STORE_CONNECTIONS);
+        AsyncHttpClient runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS);
+        this.store = new StoreClient(storeHttp, loop, settings.storeAddress());
+        NodeMetrics metrics = new NodeMetrics();
+        NodeServices services =
+                new NodeServices(loop, store, new RunnerClient(runnerHttp, loop), store, timeOfDay, log);
+        this.node = new FleetNode(services, new ConfigurationDocuments(), storeHttp, metrics, settings.node());
+        this.listener = new HttpListener(MAX_BODY_BYTES);
+        listener.add(settings.callerAddress(), CALLER_IDLE_MS, new CallerInterface(node, metrics, timeOfDay));
+        listener.add(settings.readinessAddress(), CALLER_IDLE_MS, this::answerReadiness);
+        listener.add(settings.peerAddress(), PEER_IDLE_MS, node.peerHandler());
+    }
+
+    /** Returns the settings file that the platform names in the environment. */
+    public static Path settingsFile() throws SettingsException {
+        String path = System.getenv(SettingsReader.PATH_VARIABLE);
+        if (path == null) {
+            throw new SettingsException("environment variable %s is not set; it must name the settings file"
+                    .formatted(SettingsReader.PATH_VARIABLE));
+        }
+        return Path.of(path);
+    }
+
+    /**
+     * Reads the settings and starts the node.
+     *
+     * @param sink where log lines go
+     * @throws SettingsException if the settings file has a mistake
+     * @throws HttpStartException if an address cannot be opened
+     */
+    public static PlatformNode start(Path settingsFile, LineSink sink, InstantSource timeOfDay)
+            throws SettingsException, HttpStartException {
+        PlatformNode started = new PlatformNode(settingsFile, SettingsReader.read(settingsFile), sink, timeOfDay);
+        started.log.process("node-start", started.settings.toString());
+        started.listener.start();
+        started.node.start();
+        started.settingsTime = started.modified();
+        started.loop.schedule(SETTINGS_CHECK, started::checkSettings);
+        return started;
+    }
+
+    private void answerReadiness(HttpExchange exchange) {
+        exchange.respond(node.ready() ? 200 : 503, Map.of(), new byte[0]);
+    }
+
+    /** Reads the settings file again; keeps the settings in force if it has a mistake. */
+    public void reload() {
+        loop.execute(this::readSettings);
+    }
+
+    private void readSettings() {
+        settingsTime = modified();
+        try {
+            PlatformSettings next = SettingsReader.read(settingsFile);
+            log.process("settings-read", next.equals(settings) ? "unchanged" : next.toString());
+            settings = next;
+            store.moveTo(next.storeAddress());
+        } catch (SettingsException mistake) {
+            log.process("settings-rejected", mistake.getMessage());
+        }
+    }
+
+    private void checkSettings() {
+        if (!modified().equals(settingsTime)) {
+            readSettings();
+        }
+        loop.schedule(SETTINGS_CHECK, this::checkSettings);
+    }
+
+    private FileTime modified() {
+        try {
+            return Files.getLastModifiedTime(settingsFile);
+        } catch (IOException failure) {
+            LOGGER.atWarning().withCause(failure).log(
+                    "the settings file cannot be looked at; its last content stays in force");
+            return settingsTime == null ? FileTime.fromMillis(0) : settingsTime;
+        }
+    }
+
+    /** Answers what is under way, hands the lead over and stops, within the time that the settings give. */
+    public void drain() {
+        long startNanos = System.nanoTime();
+        log.process("node-drain", "inFlight=" + listener.inFlight());
+        CountDownLatch handedOver = new CountDownLatch(1);
+        listener.closeConnectionsAfterAnswers();
+        node.drain(handedOver::countDown);
+        try {
+            boolean resigned = handedOver.await(BALANCER_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            long servedMs = (System.nanoTime() - startNanos) / 1_000_000;
+            Thread.sleep(Math.max(0, BALANCER_DELAY.toMillis() - servedMs));
+            for (long waitedMs = 0; listener.inFlight() > 0 && waitedMs < LAST_ANSWERS.toMillis(); waitedMs += 20) {
+                Thread.sleep(20);
+            }
+            log.process("node-stop", "resigned=%s inFlight=%d".formatted(resigned, listener.inFlight()));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        sink.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -0,0 +1,166 @@
+package org.tamarackline.platform;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.RunnerListing;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StartResult;
+import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.fleet.EventLoop;
+import org.tamarackline.fleet.RunnerCalls;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpReply;
+
+/** The platform's calls to runners. */
+final class RunnerClient implements RunnerCalls {
+
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(900);
+    /** Added to the time that a runner may wait before it answers a hold. */
+    private static final Duration HOLD_TIMEOUT = Duration.ofMillis(900);
+
+    private static final int MISDIRECTED = 421;
+    private static final int CONFLICT = 409;
+
+    private final AsyncHttpClient http;
+    private final EventLoop loop;
+
+    RunnerClient(AsyncHttpClient http, EventLoop loop) {
+        this.http = http;
+        this.loop = loop;
+    }
+
+    @Override
+    public void start(RunnerReport runner, StartCommand command, long leaseUntilMs, Consumer<StartAnswer> done) {
+        byte[] body = Json.object(json -> {
+            json.writeStringField("task", TaskNames.format(command.task()));
+            json.writeNumberField("run", command.run());
+            json.writeStringField("spec", command.spec());
+            // The lease is the runner's, not the run's: it applies to all that runs there.
+            json.writeNumberField("untilMs", leaseUntilMs);
+            json.writeNumberField("fence", command.epoch());
+            if (!command.checkpoint().isEmpty()) {
+                json.writeStringField("checkpoint", command.checkpoint());
+            }
+        });
+        post(runner, "/-/run-start", body, ORDER_TIMEOUT, reply -> done.accept(startAnswer(reply)));
+    }
+
+    private static StartAnswer startAnswer(HttpReply reply) {
+        OrderAnswer outcome = orderAnswer(reply);
+        String reason = reasonOf(reply);
+        return switch (outcome) {
+            case DONE -> new StartAnswer(StartResult.STARTED, outcome, reason);
+            case FENCED -> new StartAnswer(StartResult.REFUSED, outcome, reason);
+            case RUNNER_REPLACED -> new StartAnswer(StartResult.RUNNER_REPLACED, outcome, reason);
+            case REFUSED ->
+                new StartAnswer(reason.equals("room") ? StartResult.NO_ROOM : StartResult.REFUSED, outcome, reason);
+            case UNKNOWN ->
+                neverSent(reply)
+                        ? new StartAnswer(StartResult.REFUSED, outcome, reason)
+                        : new StartAnswer(StartResult.UNKNOWN, outcome, reason);
+        };
+    }
+
+    private static boolean neverSent(HttpReply reply) {
+        return reply instanceof HttpReply.NoAnswer none && none.neverSent();
+    }
+
+    @Override
+    public void stop(RunnerReport runner, TaskKey task, long run, long epoch, Consumer<OrderAnswer> done) {
+        byte[] body = Json.object(json -> {
+            json.writeStringField("task", TaskNames.format(task));
+            json.writeNumberField("run", run);
+            json.writeNumberField("fence", epoch);
+        });
+        post(runner, "/-/run-stop", body, ORDER_TIMEOUT, reply -> done.accept(orderAnswer(reply)));
+    }
+
+    @Override
+    public void pace(RunnerReport runner, TaskKey task, long run, int percent, long epoch, Consumer<OrderAnswer> done) {
+        byte[] body = Json.object(json -> {
+            json.writeStringField("task", TaskNames.format(task));
+            json.writeNumberField("run", run);
+            json.writeNumberField("percent", percent);
+            json.writeNumberField("fence", epoch);
+        });
+        post(runner, "/-/pace", body, ORDER_TIMEOUT, reply -> done.accept(orderAnswer(reply)));
+    }
+
+    @Override
+    public void hold(
+            RunnerReport runner,
+            long epoch,
+            long confirmedEnds,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<HoldAnswer> done) {
+        byte[] body = Json.object(json -> {
+            if (leaseUntilMs > 0) {
+                json.writeNumberField("untilMs", leaseUntilMs);
+            }
+            json.writeNumberField("fence", epoch);
+            // Not the last end that was seen, but the last that the runner may forget.
+            json.writeNumberField("lastSeen", confirmedEnds);
+            if (waitMs > 0) {
+                json.writeNumberField("waitMs", waitMs);
+            }
+        });
+        post(runner, "/-/hold", body, HOLD_TIMEOUT.plusMillis(waitMs), reply -> done.accept(holdAnswer(reply)));
+    }
+
+    private static HoldAnswer holdAnswer(HttpReply reply) {
+        OrderAnswer outcome = orderAnswer(reply);
+        if (outcome != OrderAnswer.DONE) {
+            return new HoldAnswer(outcome, null, reasonOf(reply));
+        }
+        Optional<RunnerListing> listing = RunnerDocuments.listing(((HttpReply.Answer) reply).body());
+        return listing.map(rows -> new HoldAnswer(OrderAnswer.DONE, rows, ""))
+                .orElseGet(() -> new HoldAnswer(OrderAnswer.REFUSED, null, "the listing cannot be read"));
+    }
+
+    private void post(RunnerReport runner, String path, byte[] body, Duration timeout, Consumer<HttpReply> done) {
+        http.call(
+                "POST",
+                runner.address(),
+                path,
+                // An instance is one incarnation of a runner.
+                Map.of("Expect-Instance", runner.id()),
+                body,
+                timeout,
+                reply -> loop.execute(() -> done.accept(reply)));
+    }
+
+    private static OrderAnswer orderAnswer(HttpReply reply) {
+        if (!(reply instanceof HttpReply.Answer answer)) {
+            return OrderAnswer.UNKNOWN;
+        }
+        if (answer.status() == 200) {
+            return OrderAnswer.DONE;
+        }
+        if (answer.status() == MISDIRECTED) {
+            return OrderAnswer.RUNNER_REPLACED;
+        }
+        return answer.status() == CONFLICT && reasonOf(reply).equals("fence")
+                ? OrderAnswer.FENCED
+                : OrderAnswer.REFUSED;
+    }
+
+    /** Returns the reason in a refusal, or what went wrong. */
+    private static String reasonOf(HttpReply reply) {
+        return switch (reply) {
+            case HttpReply.NoAnswer none -> none.cause();
+            case HttpReply.Answer answer -> {
+                if (answer.status() == 200) {
+                    yield "";
+                }
+                String status = Integer.toString(answer.status());
+                yield Json.parse(answer.body())
+                        .map(root -> root.path("reason").asText(status))
+                        .orElse(status);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/RunnerDocuments.java
@@ -0,0 +1,108 @@
+package org.tamarackline.platform;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.tamarackline.core.fleet.EndReason;
+import org.tamarackline.core.fleet.RunnerListing;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.core.model.Resources;
+
+/** Decodes what runners say of themselves. */
+final class RunnerDocuments {
+
+    /** Racks are the labels of this form, such as r1-3; the other labels are kinds. */
+    private static final Pattern RACK = Pattern.compile("r\\d+-\\d+");
+
+    private RunnerDocuments() {}
+
+    /** Returns the runner of a directory entry; empty if the entry names no runner to use. */
+    static Optional<RunnerReport> report(String id, byte[] value) {
+        return Json.parse(value).flatMap(root -> report(id, root));
+    }
+
+    private static Optional<RunnerReport> report(String id, JsonNode root) {
+        JsonNode capacity = root.path("capacity");
+        String state = root.path("state").asText();
+        boolean known = state.equals("ready") || state.equals("draining");
+        boolean whole = root.path("service").isTextual()
+                && validAddress(root.path("address"))
+                && capacity.path("cpu").isNumber()
+                && capacity.path("memMb").isNumber();
+        if (!known || !whole) {
+            return Optional.empty();
+        }
+        Set<String> labels = new HashSet<>();
+        String rack = "";
+        for (JsonNode label : root.path("labels")) {
+            labels.add(label.asText());
+            if (RACK.matcher(label.asText()).matches()) {
+                rack = label.asText();
+            }
+        }
+        return Optional.of(new RunnerReport(
+                id,
+                root.path("born").asLong(0),
+                root.path("service").textValue(),
+                root.path("address").textValue(),
+                root.path("zone").asText(""),
+                rack,
+                state.equals("draining"),
+                new Resources(
+                        capacity.path("cpu").asLong(),
+                        capacity.path("memMb").asLong(),
+                        capacity.path("gpu").asInt(0)),
+                labels));
+    }
+
+    private static boolean validAddress(JsonNode address) {
+        return address.isTextual() && address.textValue().matches("[0-9.]+:\\d{1,5}");
+    }
+
+    /** Returns a runner's listing; empty if the answer has another form. */
+    static Optional<RunnerListing> listing(byte[] body) {
+        Optional<JsonNode> root = Json.parse(body);
+        if (root.isEmpty() || !root.get().path("clockMs").isNumber()) {
+            return Optional.empty();
+        }
+        List<RunnerListing.RunningRow> running = new ArrayList<>();
+        for (JsonNode row : root.get().path("running")) {
+            Optional<TaskKey> task = TaskNames.parse(row.path(0).asText());
+            task.ifPresent(key -> running.add(new RunnerListing.RunningRow(
+                    key,
+                    row.path(1).asLong(),
+                    row.path(2).asText(""),
+                    row.path(3).asDouble(),
+                    row.path(4).asDouble(-1))));
+        }
+        List<RunnerListing.EndedRow> ended = new ArrayList<>();
+        for (JsonNode row : root.get().path("ended")) {
+            Optional<TaskKey> task = TaskNames.parse(row.path(1).asText());
+            task.ifPresent(key -> ended.add(new RunnerListing.EndedRow(
+                    row.path(0).asLong(),
+                    key,
+                    row.path(2).asLong(),
+                    reason(row.path(3).asText()),
+                    row.path(4).asText(""))));
+        }
+        return Optional.of(new RunnerListing(
+                root.get().path("born").asLong(0), root.get().path("clockMs").asLong(), running, ended));
+    }
+
+    private static EndReason reason(String how) {
+        return switch (how) {
+            case "done" -> EndReason.DONE;
+            case "failed" -> EndReason.FAILED;
+            case "lapsed" -> EndReason.LEASE_EXPIRED;
+            case "broken" -> EndReason.GANG_BROKEN;
+            case "alone" -> EndReason.GANG_INCOMPLETE;
+            default -> EndReason.STOPPED;
+        };
+    }
+}
