--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/SettingsReader.java
@@ -0,0 +1,101 @@
+package org.tamarackline.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import org.tamarackline.fleet.NodeSettings;
+
+/** Reads the platform's settings file. */
+final class SettingsReader {
+
+    /** Environment variable with the path of the settings file. */
+    static final String PATH_VARIABLE = "TAMARACKLINE_BOOT";
+
+    /** Part of the time before the kill that is kept for ending the process. */
+    private static final Duration EXIT_RESERVE = Duration.ofMillis(1_200);
+
+    private SettingsReader() {}
+
+    static PlatformSettings read(Path file) throws SettingsException {
+        JsonNode root;
+        try {
+            root = new ObjectMapper(new TomlFactory()).readTree(Files.readAllBytes(file));
+        } catch (IOException failure) {
+            throw new SettingsException(
+                    "settings file %s cannot be read: %s".formatted(file, failure.getMessage()), failure);
+        }
+        return decode(root);
+    }
+
+    static PlatformSettings decode(JsonNode root) throws SettingsException {
+        InetSocketAddress callers = address(root, "/bindAddrs/frontend");
+        String ip = text(root, "/ip");
+        int peerPort = number(root, "/internalPorts/0");
+        Duration shutdown = Duration.ofMillis((long) (decimal(root, "/bounds/graceS") * 1_000));
+        NodeSettings node = new NodeSettings(
+                text(root, "/nodeName"), text(root, "/zone"), ip + ":" + peerPort, shutdown.minus(EXIT_RESERVE));
+        return new PlatformSettings(
+                node,
+                callers,
+                address(root, "/bindAddrs/readiness"),
+                new InetSocketAddress(ip, peerPort),
+                text(root, "/platform/address"),
+                root.at("/advice").asText(""),
+                shutdown);
+    }
+
+    private static JsonNode present(JsonNode root, String pointer) throws SettingsException {
+        JsonNode value = root.at(pointer);
+        if (value.isMissingNode() || value.isNull()) {
+            throw new SettingsException(
+                    "setting %s is missing; the platform writes it into the settings file".formatted(name(pointer)));
+        }
+        return value;
+    }
+
+    private static String text(JsonNode root, String pointer) throws SettingsException {
+        JsonNode value = present(root, pointer);
+        if (!value.isTextual() || value.textValue().isEmpty()) {
+            throw new SettingsException("setting %s must be a text, not %s".formatted(name(pointer), value));
+        }
+        return value.textValue();
+    }
+
+    private static int number(JsonNode root, String pointer) throws SettingsException {
+        JsonNode value = present(root, pointer);
+        if (!value.isIntegralNumber()) {
+            throw new SettingsException("setting %s must be a whole number, not %s".formatted(name(pointer), value));
+        }
+        return value.intValue();
+    }
+
+    private static double decimal(JsonNode root, String pointer) throws SettingsException {
+        JsonNode value = present(root, pointer);
+        if (!value.isNumber()) {
+            throw new SettingsException("setting %s must be a number, not %s".formatted(name(pointer), value));
+        }
+        return value.doubleValue();
+    }
+
+    private static InetSocketAddress address(JsonNode root, String pointer) throws SettingsException {
+        String value = text(root, pointer);
+        int colon = value.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(value.substring(0, colon), Integer.parseInt(value.substring(colon + 1)));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException failure) {
+            throw new SettingsException(
+                    "setting %s must be an address such as 10.0.0.1:80, not %s".formatted(name(pointer), value),
+                    failure);
+        }
+    }
+
+    private static String name(String pointer) {
+        return pointer.substring(1).replace('/', '.');
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/platform/TaskNames.java
@@ -0,0 +1,31 @@
+package org.tamarackline.platform;
+
+import java.util.Optional;
+
+import org.tamarackline.core.fleet.TaskKey;
+
+/** Task identifiers in the platform's form: job, occurrence, step and index, joined by dots. */
+final class TaskNames {
+
+    private static final int PARTS = 4;
+
+    private TaskNames() {}
+
+    static String format(TaskKey task) {
+        return task.toString();
+    }
+
+    /** Returns the task; empty if the text has another form. */
+    static Optional<TaskKey> parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != PARTS) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new TaskKey(
+                    parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3])));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/platform/package-info.java
+++ b/src/main/java/org/tamarackline/platform/package-info.java
@@ -1,2 +1,7 @@
-/** The platform's services as interfaces, and a client that reaches them over HTTP. */
+/**
+ * The platform's names, formats and calls, translated into the project's types.
+ *
+ * <p>Nothing outside this package knows how the platform spells its settings, fields, paths or headers. Nothing in this
+ * package decides.
+ */
 package org.tamarackline.platform;
--- a/src/main/java/org/tamarackline/standin/platform/LaggingVmList.java
+++ b/src/main/java/org/tamarackline/standin/platform/LaggingVmList.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.VmEntry;
+import org.tamarackline.store.VmEntry;
 
 /** A list of VMs of which readers see an earlier state. Safe for use by several threads. */
 final class LaggingVmList {
--- a/src/main/java/org/tamarackline/standin/platform/MemoryTable.java
+++ b/src/main/java/org/tamarackline/standin/platform/MemoryTable.java
@@ -8,9 +8,9 @@
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
 
 /** A transactional table in memory with the limits of the platform's table. Safe for use by several threads. */
 public final class MemoryTable {
--- a/src/main/java/org/tamarackline/standin/platform/StandinPlatform.java
+++ b/src/main/java/org/tamarackline/standin/platform/StandinPlatform.java
@@ -12,14 +12,14 @@
 import java.util.concurrent.atomic.LongAdder;
 
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableAnswers;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
-import org.tamarackline.platform.VmEntry;
 import org.tamarackline.standin.StandinExchange;
 import org.tamarackline.standin.StandinFailure;
 import org.tamarackline.standin.StandinServer;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableAnswers;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
+import org.tamarackline.store.VmEntry;
 
 /**
  * A platform in memory, served over HTTP: table, object store and list of VMs, with fault switches.
--- a/src/main/java/org/tamarackline/standin/platform/StandinPlatformCommand.java
+++ b/src/main/java/org/tamarackline/standin/platform/StandinPlatformCommand.java
@@ -5,9 +5,9 @@
 import java.util.List;
 
 import org.kohsuke.args4j.Option;
-import org.tamarackline.platform.VmEntry;
 import org.tamarackline.standin.StandinCommand;
 import org.tamarackline.standin.StandinJson;
+import org.tamarackline.store.VmEntry;
 
 /** Runs the platform stand-in. */
 public final class StandinPlatformCommand extends StandinCommand {
--- a/src/main/java/org/tamarackline/standin/worker/StandinWorker.java
+++ b/src/main/java/org/tamarackline/standin/worker/StandinWorker.java
@@ -14,13 +14,13 @@
 import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.task.WorkerProtocol.TaskReport;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.HttpPlatformClient;
-import org.tamarackline.platform.ObjectStore;
-import org.tamarackline.platform.PlatformUnavailableException;
 import org.tamarackline.standin.StandinExchange;
 import org.tamarackline.standin.StandinFailure;
 import org.tamarackline.standin.StandinJson;
 import org.tamarackline.standin.StandinServer;
+import org.tamarackline.store.HttpPlatformClient;
+import org.tamarackline.store.ObjectStore;
+import org.tamarackline.store.PlatformUnavailableException;
 
 /**
  * A worker that simulates its tasks, served over HTTP, with fault switches.
--- a/src/main/java/org/tamarackline/platform/HttpPlatformClient.java
+++ b/src/main/java/org/tamarackline/store/HttpPlatformClient.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 import java.io.IOException;
 import java.net.URI;
@@ -13,8 +13,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.BoundedHttpClient.CallFailedException;
-import org.tamarackline.platform.BoundedHttpClient.HttpAnswer;
+import org.tamarackline.store.BoundedHttpClient.CallFailedException;
+import org.tamarackline.store.BoundedHttpClient.HttpAnswer;
 
 /**
  * Reaches the platform's table, object store and VM list over HTTP.
--- a/src/main/java/org/tamarackline/platform/OutcomeUnknownException.java
+++ b/src/main/java/org/tamarackline/store/OutcomeUnknownException.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 /** A write whose answer was lost and which could not be settled by reading back its token; it may have taken effect. */
 public final class OutcomeUnknownException extends PlatformException {
--- a/src/main/java/org/tamarackline/platform/PlatformException.java
+++ b/src/main/java/org/tamarackline/store/PlatformException.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 /** A call to the platform that did not succeed. */
 public abstract sealed class PlatformException extends Exception
--- a/src/main/java/org/tamarackline/platform/PlatformUnavailableException.java
+++ b/src/main/java/org/tamarackline/store/PlatformUnavailableException.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 /** The platform could not be reached or refused the call; nothing took effect. */
 public final class PlatformUnavailableException extends PlatformException {
--- a/src/main/java/org/tamarackline/platform/Row.java
+++ b/src/main/java/org/tamarackline/store/Row.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
--- a/src/main/java/org/tamarackline/platform/TableStore.java
+++ b/src/main/java/org/tamarackline/store/TableStore.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 import java.util.List;
 import java.util.Optional;
--- a/src/main/java/org/tamarackline/platform/TransactionConflictException.java
+++ b/src/main/java/org/tamarackline/store/TransactionConflictException.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 /** A transaction was rejected because a checked row has another version; nothing took effect. */
 public final class TransactionConflictException extends PlatformException {
--- a/src/main/java/org/tamarackline/platform/VmEntry.java
+++ b/src/main/java/org/tamarackline/store/VmEntry.java
@@ -1,4 +1,4 @@
-package org.tamarackline.platform;
+package org.tamarackline.store;
 
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Resources;
--- a/src/test/java/org/tamarackline/entry/EntryNodeTest.java
+++ b/src/test/java/org/tamarackline/entry/EntryNodeTest.java
@@ -29,7 +29,7 @@
 import org.tamarackline.entry.operator.MonitoringModule;
 import org.tamarackline.entry.operator.OperatorModule;
 import org.tamarackline.entry.operator.StopConfirmations;
-import org.tamarackline.platform.VmDirectory;
+import org.tamarackline.store.VmDirectory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/tamarackline/entry/cluster/ClusterServiceTest.java
+++ b/src/test/java/org/tamarackline/entry/cluster/ClusterServiceTest.java
@@ -32,11 +32,11 @@
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
+import org.tamarackline.store.FakePlatform;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.VmDirectory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -24,11 +24,11 @@
 import org.tamarackline.core.time.ManualClock;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.store.FakePlatform;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableTransaction;
 
 /** Several nodes on one simulated clock and table; checks the invariants after every step. */
 final class SimulatedCluster {
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -16,15 +16,15 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.OutcomeUnknownException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.TableTransaction;
-import org.tamarackline.platform.TransactionConflictException;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.TableTransaction;
+import org.tamarackline.store.TransactionConflictException;
+import org.tamarackline.store.VmDirectory;
 
 /** One process of a simulated cluster, with the faults that concern it alone. */
 final class SimulatedNode {
--- a/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
@@ -16,12 +16,12 @@
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.cluster.OwnershipListener.Origin;
 import org.tamarackline.peer.PeerException;
-import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.EntrySettings.ClusterTimes;
 import org.tamarackline.settings.EntrySettings.JobLimits;
 import org.tamarackline.settings.EntrySettings.RequestLimits;
 import org.tamarackline.settings.Secret;
+import org.tamarackline.store.FakePlatform;
 import org.tamarackline.worker.WorkerGateway;
 
 /** The jobs part of one node, whose calls and loop run only when the test says so. */
--- a/src/test/java/org/tamarackline/entry/jobs/JobsFixture.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsFixture.java
@@ -16,8 +16,8 @@
 import org.tamarackline.core.model.TeamName;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.ManualClock;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.store.FakePlatform;
+import org.tamarackline.store.TableTransaction;
 
 /** One node that owns racks of workers in memory. */
 final class JobsFixture {
--- a/src/test/java/org/tamarackline/entry/jobs/JobsModuleTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsModuleTest.java
@@ -18,11 +18,11 @@
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerHandler;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.ObjectStore;
-import org.tamarackline.platform.TableStore;
-import org.tamarackline.platform.VmDirectory;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.FakePlatform;
+import org.tamarackline.store.ObjectStore;
+import org.tamarackline.store.TableStore;
+import org.tamarackline.store.VmDirectory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackSimulation.java
@@ -32,11 +32,11 @@
 import org.tamarackline.core.task.WorkerProtocol.StartRequest;
 import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.time.ManualClock;
-import org.tamarackline.platform.FakePlatform;
-import org.tamarackline.platform.PlatformException;
-import org.tamarackline.platform.PlatformUnavailableException;
-import org.tamarackline.platform.Row;
-import org.tamarackline.platform.TableTransaction;
+import org.tamarackline.store.FakePlatform;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.Row;
+import org.tamarackline.store.TableTransaction;
 
 /** One rack with successive owners and faults, and the checks of what must always hold. */
 final class RackSimulation {
@@ -217,7 +217,7 @@
         while (!platform.tookEffect(change.token())) {
             try {
                 platform.transact(change);
-            } catch (org.tamarackline.platform.OutcomeUnknownException e) {
+            } catch (org.tamarackline.store.OutcomeUnknownException e) {
                 // Read the token back and try again.
             }
         }
--- a/src/test/java/org/tamarackline/entry/proxy/IdempotencyStorePropertyTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/IdempotencyStorePropertyTest.java
@@ -18,7 +18,7 @@
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.Executed;
-import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.store.FakePlatform;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -46,9 +46,9 @@
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
-import org.tamarackline.platform.FakePlatform;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
+import org.tamarackline.store.FakePlatform;
 
 /** One node's quick-request path behind a real HTTP server, with everything around it faked. */
 final class ProxyFixture implements Closeable {
--- a/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
@@ -21,7 +21,7 @@
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.platform.FakePlatform;
+import org.tamarackline.store.FakePlatform;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- /dev/null
+++ b/src/test/java/org/tamarackline/http/HttpListenerTest.java
@@ -0,0 +1,81 @@
+package org.tamarackline.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HttpListenerTest {
+
+    private static final int TIMEOUT_MS = 5_000;
+
+    private final HttpListener listener = new HttpListener(1_000);
+    private InetSocketAddress address;
+
+    @AfterEach
+    void stop() {
+        listener.stop();
+    }
+
+    private void start(Consumer<HttpExchange> handler) throws Exception {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+        listener.add(address, TIMEOUT_MS, handler);
+        listener.start();
+    }
+
+    /** Guards against a body that is only read once the client has gone. */
+    @Test
+    void answersABodyThatArrivesAfterItsHeader() throws Exception {
+        start(exchange -> new Thread(() -> exchange.respond(200, Map.of(), exchange.body())).start());
+        assertThat(send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n", "hello"))
+                .startsWith("HTTP/1.1 200")
+                .endsWith("hello");
+    }
+
+    @Test
+    void answersABodyThatArrivesWithItsHeader() throws Exception {
+        start(exchange -> new Thread(() -> exchange.respond(200, Map.of(), exchange.body())).start());
+        assertThat(send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", ""))
+                .startsWith("HTTP/1.1 200")
+                .endsWith("hello");
+    }
+
+    @Test
+    void refusesABodyOverTheLimit() throws Exception {
+        start(exchange -> exchange.respond(200, Map.of(), new byte[0]));
+        assertThat(send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n", "x".repeat(2_000)))
+                .startsWith("HTTP/1.1 413");
+    }
+
+    private String send(String first, String second) throws IOException, InterruptedException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(TIMEOUT_MS);
+            OutputStream output = socket.getOutputStream();
+            output.write(first.getBytes(StandardCharsets.US_ASCII));
+            output.flush();
+            Thread.sleep(100);
+            output.write(second.getBytes(StandardCharsets.US_ASCII));
+            output.flush();
+            byte[] answer = new byte[4_096];
+            int read = socket.getInputStream().read(answer);
+            int total = read;
+            Thread.sleep(100);
+            while (socket.getInputStream().available() > 0) {
+                total += socket.getInputStream().read(answer, total, answer.length - total);
+            }
+            return new String(answer, 0, total, StandardCharsets.US_ASCII);
+        }
+    }
+}
--- a/src/test/java/org/tamarackline/process/ClusterFixture.java
+++ b/src/test/java/org/tamarackline/process/ClusterFixture.java
@@ -29,7 +29,7 @@
 import org.tamarackline.load.LocalOperator;
 import org.tamarackline.load.RequestOutcome;
 import org.tamarackline.load.Waits;
-import org.tamarackline.platform.Row;
+import org.tamarackline.store.Row;
 
 /** A local cluster of three entry nodes with a caller that sends requests and submits jobs while faults happen. */
 final class ClusterFixture implements AutoCloseable {
--- a/src/test/java/org/tamarackline/standin/worker/StandinWorkerTest.java
+++ b/src/test/java/org/tamarackline/standin/worker/StandinWorkerTest.java
@@ -24,10 +24,10 @@
 import org.tamarackline.core.task.WorkerProtocol.StartRequest;
 import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.task.WorkerProtocol.TaskReport;
-import org.tamarackline.platform.HttpPlatformClient;
 import org.tamarackline.standin.StandinJson;
 import org.tamarackline.standin.platform.PlatformFaults;
 import org.tamarackline.standin.platform.StandinPlatform;
+import org.tamarackline.store.HttpPlatformClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
