Pace filling tasks by a learnt model of interference; test the fleet's decisions

Cause: the first control reacted several times to one report and slowed all filling tasks to 5 %, then sped them up too late; filling tasks were placed without regard to the serving ones beside them.

Change: weights of images and baselines of runners are learnt from each report; the tasks nearest to their end work at full speed as far as the model allows, the others wait; new ones are placed where the model has room. Runners with both kinds answer holds every 500 ms.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -25,6 +25,10 @@
 
     private final long firstRun;
     private final FleetObserver observer;
+    private final InterferenceModel interference = new InterferenceModel();
+    private final PaceControl paceControl = new PaceControl(interference);
+    private final Placement placement = new Placement(interference);
+    private final List<Order> paceOrders = new ArrayList<>();
     private final ReadyTasks ready = new ReadyTasks();
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, JobState> finished = new LinkedHashMap<>();
@@ -306,6 +310,16 @@
         }
         runner.strayStops.keySet().retainAll(listed);
         unheardRunners.remove(runner.id());
+        giveUpStandingRuns(runner, nowNanos);
+        paceOrders.addAll(paceControl.review(runner, nowNanos));
+    }
+
+    private void giveUpStandingRuns(FleetRunner runner, long nowNanos) {
+        for (Run run : runner.snapshotOfRuns()) {
+            if (Supervisor.standsStill(run, nowNanos)) {
+                giveUp(run, nowNanos);
+            }
+        }
     }
 
     /** Returns whether a listing asked for at {@code sentNanos} must contain the run if it exists. */
@@ -474,6 +488,8 @@
     public List<Order> decide(long nowNanos, long nowEpochMs) {
         List<Order> orders = new ArrayList<>(strayStops);
         strayStops.clear();
+        orders.addAll(paceOrders);
+        paceOrders.clear();
         for (Job job : List.copyOf(repeating)) {
             openDueOccurrences(job, nowEpochMs);
         }
@@ -511,7 +527,7 @@
 
     private List<Run> startOne(Task task, long nowNanos) {
         FleetRunner runner =
-                Placement.choose(task, runners.values(), task.step().preferredRack(), nowNanos);
+                placement.choose(task, runners.values(), task.step().preferredRack(), nowNanos);
         return runner == null ? List.of() : List.of(addRun(task, runner, nextRun(task), task.checkpoint, nowNanos));
     }
 
@@ -530,7 +546,7 @@
         List<Run> started = new ArrayList<>();
         String rack = first.step().preferredRack();
         for (Task member : members) {
-            FleetRunner runner = Placement.choose(member, runners.values(), rack, nowNanos);
+            FleetRunner runner = placement.choose(member, runners.values(), rack, nowNanos);
             if (runner == null) {
                 for (Run run : started) {
                     run.runner().remove(run);
@@ -587,7 +603,7 @@
     }
 
     /** Ends a run that does not progress, and keeps its task away from the runner. */
-    public void giveUp(Run run, long nowNanos) {
+    private void giveUp(Run run, long nowNanos) {
         run.runner().health.stalled(nowNanos);
         run.task().avoidedRunners.add(run.runner().id());
         observer.runGivenUp(run, "no progress");
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -30,6 +30,13 @@
     /** Highest number in the list of ends that is taken into account. */
     long processedEnds;
 
+    /** Logarithm of the worst latency relative to its target without filling tasks. */
+    double baseline = Math.log(0.5);
+    /** Whether a serving task was over its target in the last report. */
+    boolean overTarget;
+
+    long overTargetNanos;
+
     final RunnerHealth health = new RunnerHealth();
     final Map<RunKey, Run> runs = new HashMap<>();
     /** When a stop was last ordered for a run that the leader does not know. */
@@ -37,7 +44,6 @@
 
     private Resources reserved = Resources.NONE;
     private long fillerMillis;
-    private long paceChangedNanos;
 
     FleetRunner(RunnerReport report) {
         this.id = report.id();
@@ -74,6 +80,15 @@
         return !runs.isEmpty();
     }
 
+    /** Returns whether filling tasks work beside serving ones, so that their reports are needed often. */
+    public boolean shared() {
+        boolean serves = false;
+        for (Run run : runs.values()) {
+            serves |= run.task().step().serving();
+        }
+        return serves && fillerMillis > 0;
+    }
+
     /** Returns the highest number in the runner's list of ends that is taken into account. */
     public long processedEnds() {
         return processedEnds;
@@ -137,12 +152,4 @@
     List<Run> snapshotOfRuns() {
         return new ArrayList<>(runs.values());
     }
-
-    long paceChangedNanos() {
-        return paceChangedNanos;
-    }
-
-    void paceChanged(long nowNanos) {
-        paceChangedNanos = nowNanos;
-    }
 }
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -8,24 +8,28 @@
 final class Placement {
 
     /** Part of the reserved processor time that tasks are expected to use. */
-    private static final double RESERVATION_IN_USE = 0.6;
+    private static final double RESERVATION_IN_USE = 0.5;
     /** Cost of a rack other than the one that holds the data, in units of a whole runner's load. */
     private static final double REMOTE_COST = 0.6;
     /** Weight of a runner's slowness against its load. */
     private static final double SLOWNESS_COST = 0.5;
     /** Weight of the processor time that filling tasks asked for, when other tasks are placed. */
     private static final double FILLER_WEIGHT = 0.3;
-    /** Cost of a serving task's presence when a filling task is placed. */
-    private static final double DISTURBANCE_COST = 0.15;
+    /** Cost of another task of the same long-running step on the runner. */
+    private static final double SHARED_FATE_COST = 0.15;
 
-    private Placement() {}
+    private final InterferenceModel interference;
+
+    Placement(InterferenceModel interference) {
+        this.interference = interference;
+    }
 
     /**
      * Returns the best runner that may run the task now, or null.
      *
      * @param rack rack that the task should be on, empty for any
      */
-    static FleetRunner choose(Task task, Collection<FleetRunner> runners, String rack, long nowNanos) {
+    FleetRunner choose(Task task, Collection<FleetRunner> runners, String rack, long nowNanos) {
         FleetRunner best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetRunner runner : runners) {
@@ -42,7 +46,7 @@
     }
 
     /** Returns whether the runner may start the task now. */
-    static boolean permits(Task task, FleetRunner runner, long nowNanos) {
+    private boolean permits(Task task, FleetRunner runner, long nowNanos) {
         StepDefinition step = task.step();
         RunnerReport report = runner.report();
         if (!runner.listed || !runner.contacted || report.draining()) {
@@ -75,7 +79,12 @@
     }
 
     /** Returns whether the time that other tasks are expected to leave over is enough for one more filling task. */
-    private static boolean leavesTimeFor(StepDefinition step, FleetRunner runner) {
+    private boolean leavesTimeFor(StepDefinition step, FleetRunner runner) {
+        if (servingRuns(runner) > 0
+                && runner.fillerMillis() > 0
+                && interference.pressureOn(runner) + interference.pressure(step) > interference.allowance(runner)) {
+            return false;
+        }
         double used = RESERVATION_IN_USE * runner.reservedMillis() + runner.fillerMillis();
         return used + step.demand().processorMillis()
                 <= runner.report().capacity().processorMillis();
@@ -90,7 +99,7 @@
         return false;
     }
 
-    private static double cost(Task task, FleetRunner runner, String rack) {
+    private double cost(Task task, FleetRunner runner, String rack) {
         StepDefinition step = task.step();
         Resources capacity = runner.report().capacity();
         double size = Math.max(1, capacity.processorMillis());
@@ -98,10 +107,12 @@
         double filled = runner.fillerMillis() / size;
         double cost = step.filler() ? load + filled : load + FILLER_WEIGHT * filled;
         if (step.filler()) {
-            cost += DISTURBANCE_COST * servingRuns(runner);
+            cost += servingRuns(runner) == 0
+                    ? 0
+                    : (interference.pressureOn(runner) + interference.pressure(step)) / interference.allowance(runner);
         }
         if (step.longRunning() && step.maxPerRunner() == 0) {
-            cost += DISTURBANCE_COST * runner.runsOfStep(task.key());
+            cost += SHARED_FATE_COST * runner.runsOfStep(task.key());
         }
         if (!rack.isEmpty() && !runner.report().rack().equals(rack)) {
             cost += REMOTE_COST;
--- a/src/main/java/org/tamarackline/fleet/FleetLimits.java
+++ b/src/main/java/org/tamarackline/fleet/FleetLimits.java
@@ -26,6 +26,9 @@
     /** How long a runner may wait for an end before it answers a hold. */
     static final int HOLD_WAIT_MS = 1_000;
 
+    /** The same for a runner whose serving tasks are watched; its figures cover the last half second. */
+    static final int SHARED_HOLD_WAIT_MS = 500;
+
     /** Longest pause between holds of a runner without runs. */
     static final Duration IDLE_HOLD_PAUSE = Duration.ofSeconds(4);
 
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -21,7 +21,6 @@
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.Order;
 import org.tamarackline.core.fleet.RunnerReport;
-import org.tamarackline.core.fleet.Supervisor;
 
 /**
  * The node that decides, from its takeover to its end.
@@ -44,7 +43,6 @@
     private final Authority authority;
     private final Fleet fleet;
     private final LeaderContext context;
-    private final Supervisor supervisor = new Supervisor();
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     private final Map<String, JobProgress> progress = new HashMap<>();
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
@@ -372,11 +370,6 @@
         }
         dropSilentRunners();
         forgetOldJobs();
-        if (mayOrder()) {
-            for (Order order : supervisor.review(fleet, loop.nowNanos())) {
-                carryOut(order);
-            }
-        }
         pump();
         loop.schedule(FleetLimits.TICK, this::tick);
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -72,8 +72,9 @@
         return context.loop().nowNanos() - leaseEndNanos > 0;
     }
 
+    /** Returns whether the runner did not answer the last hold. */
     boolean silent() {
-        return failedHolds > 0 || !clockKnown;
+        return failedHolds > 0;
     }
 
     /** Returns whether the session took its runner for lost since it last answered. */
@@ -133,10 +134,14 @@
                         epoch,
                         confirmedEnds,
                         until,
-                        wait ? FleetLimits.HOLD_WAIT_MS : 0,
+                        wait ? waitMs() : 0,
                         answer -> onHold(answer, sentNanos));
     }
 
+    private int waitMs() {
+        return runner.shared() ? FleetLimits.SHARED_HOLD_WAIT_MS : FleetLimits.HOLD_WAIT_MS;
+    }
+
     private void onHold(RunnerCalls.HoldAnswer answer, long sentNanos) {
         holding = false;
         if (closed) {
--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -0,0 +1,124 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.tamarackline.core.model.Resources;
+
+/** Definitions for the tests of a fleet, and a fleet with a clock that the test moves. */
+final class FleetFixture {
+
+    static final String SERVICE = "dispatch";
+    static final Resources SMALL = new Resources(1_000, 1_000, 0);
+
+    private final Fleet fleet;
+    private long nowNanos = 1;
+
+    FleetFixture(long epoch) {
+        fleet = new Fleet(epoch, new SilentObserver());
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    long nowNanos() {
+        return nowNanos;
+    }
+
+    void advanceMs(long ms) {
+        nowNanos += ms * 1_000_000;
+    }
+
+    FleetRunner addRunner(String id, long processorMillis) {
+        FleetRunner runner = fleet.runnerReported(report(id, processorMillis));
+        list(runner, List.of(), List.of());
+        return runner;
+    }
+
+    void list(FleetRunner runner, List<RunnerListing.RunningRow> running, List<RunnerListing.EndedRow> ended) {
+        list(runner, 1, running, ended);
+    }
+
+    void list(
+            FleetRunner runner, long born, List<RunnerListing.RunningRow> running, List<RunnerListing.EndedRow> ended) {
+        advanceMs(1);
+        long sentNanos = nowNanos;
+        advanceMs(1);
+        fleet.applyListing(runner, new RunnerListing(born, nowNanos / 1_000_000, running, ended), sentNanos, nowNanos);
+    }
+
+    /** Decides, and returns the runs that were started. */
+    List<Run> decideStarts() {
+        List<Run> started = new ArrayList<>();
+        for (Order order : fleet.decide(nowNanos, nowNanos / 1_000_000)) {
+            if (order instanceof Order.Start start) {
+                started.add(start.run());
+            }
+        }
+        return started;
+    }
+
+    /** Decides, and returns the stops that were ordered. */
+    List<Order.Stop> decideStops() {
+        List<Order.Stop> stops = new ArrayList<>();
+        for (Order order : fleet.decide(nowNanos, nowNanos / 1_000_000)) {
+            if (order instanceof Order.Stop stop) {
+                stops.add(stop);
+            }
+        }
+        return stops;
+    }
+
+    void answer(Run run, StartResult result) {
+        advanceMs(1);
+        fleet.startAnswered(run, result, nowNanos);
+    }
+
+    static RunnerListing.RunningRow row(Run run, double percent) {
+        return new RunnerListing.RunningRow(run.task().key(), run.number(), "", percent, -1);
+    }
+
+    static RunnerListing.EndedRow ended(long number, Run run, EndReason reason) {
+        return new RunnerListing.EndedRow(number, run.task().key(), run.number(), reason, "");
+    }
+
+    static RunnerReport report(String id, long processorMillis) {
+        return new RunnerReport(
+                id,
+                1,
+                SERVICE,
+                "10.0.0.1:80",
+                "dc",
+                "r1-1",
+                false,
+                new Resources(processorMillis, 64_000, 0),
+                Set.of("a", "r1-1"));
+    }
+
+    static JobDefinition job(String id, StepDefinition... steps) {
+        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", SERVICE, 0, 2, 2, 1_000, false);
+        return new JobDefinition(id, queue, "spec", List.of(steps), 0, 0, 0, 0);
+    }
+
+    static StepDefinition step(int count, Integer... after) {
+        return new StepDefinition(
+                count, SMALL, 1_000, List.of(after), false, false, false, "", "", 0, false, false, "", 0, false, 0);
+    }
+
+    private static final class SilentObserver implements FleetObserver {
+
+        @Override
+        public void jobFinished(Job job) {}
+
+        @Override
+        public void runAdopted(Run run) {}
+
+        @Override
+        public void runGivenUp(Run run, String reason) {}
+
+        @Override
+        public void runEnded(FleetRunner runner, RunnerListing.EndedRow row, Run run) {}
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -0,0 +1,163 @@
+package org.tamarackline.core.fleet;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FleetTest {
+
+    private final FleetFixture fixture = new FleetFixture(1);
+    private final Fleet fleet = fixture.fleet();
+
+    private void add(JobDefinition job) {
+        fleet.addJob(job, JobProgress.NONE, false, 0);
+    }
+
+    /** Guards against a start before all tasks of an earlier step are done. */
+    @Test
+    void laterStepWaitsForAllTasksOfTheEarlierOne() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(2), FleetFixture.step(1, 0)));
+        List<Run> first = fixture.decideStarts();
+        assertThat(first).hasSize(2);
+        first.forEach(run -> fixture.answer(run, StartResult.STARTED));
+        fixture.list(
+                runner,
+                List.of(FleetFixture.row(first.get(1), 10)),
+                List.of(FleetFixture.ended(1, first.get(0), EndReason.DONE)));
+        assertThat(fixture.decideStarts()).isEmpty();
+        fixture.list(runner, List.of(), List.of(FleetFixture.ended(2, first.get(1), EndReason.DONE)));
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().key().step())
+                .containsExactly(1);
+    }
+
+    /** Guards against a second run of a task whose start got no answer and is carried out late. */
+    @Test
+    void startWithoutAnswerIsStoppedBeforeTheTaskStartsElsewhere() {
+        FleetRunner first = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.addRunner("b", 16_000);
+        fixture.answer(run, StartResult.UNKNOWN);
+        fixture.list(first, List.of(), List.of());
+        assertThat(fixture.decideStarts()).as("before the stop is confirmed").isEmpty();
+        fleet.stopAnswered(first, run.task().key(), run.number(), fixture.nowNanos());
+        assertThat(fixture.decideStarts()).as("before a listing after the stop").isEmpty();
+        fixture.list(first, List.of(), List.of());
+        assertThat(fixture.decideStarts()).hasSize(1).extracting(Run::number).containsExactly(run.number() + 1);
+    }
+
+    /** Guards against counting a failure twice when an end is listed again after a change of leader. */
+    @Test
+    void failureThatIsListedAgainCountsOnce() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.answer(run, StartResult.STARTED);
+        RunnerListing.EndedRow end = FleetFixture.ended(1, run, EndReason.FAILED);
+        fixture.list(runner, List.of(), List.of(end));
+        JobProgress stored = fleet.takeChanged().getFirst().progress();
+
+        FleetFixture next = new FleetFixture(2);
+        next.fleet().addJob(FleetFixture.job("j", FleetFixture.step(1)), stored, true, 0);
+        FleetRunner again = next.addRunner("a", 16_000);
+        next.list(again, List.of(), List.of(end));
+        assertThat(next.fleet().state("j")).contains(JobState.RUNNING);
+        assertThat(next.fleet().takeChanged()).noneMatch(job -> job.terminalState() != null);
+    }
+
+    /** Guards against an inherited task that starts although a silent runner may still run it. */
+    @Test
+    void inheritedTasksWaitForEveryRunnerOfTheRoster() {
+        fixture.addRunner("a", 16_000);
+        fleet.expectAnswer(FleetFixture.report("silent", 16_000));
+        fleet.addJob(FleetFixture.job("old", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        add(FleetFixture.job("new", FleetFixture.step(1)));
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactly("new");
+        fleet.runnerLost("silent", fixture.nowNanos());
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactly("old");
+    }
+
+    /** Guards against stopping work that an earlier leader started. */
+    @Test
+    void adoptsWhatRuns() {
+        FleetRunner runner = fleet.runnerReported(FleetFixture.report("a", 16_000));
+        fleet.addJob(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        TaskKey task = new TaskKey("j", 0, 0, 0);
+        fixture.list(runner, List.of(new RunnerListing.RunningRow(task, 7, "", 50, -1)), List.of());
+        assertThat(fixture.decideStarts()).isEmpty();
+        assertThat(fixture.decideStops()).isEmpty();
+        assertThat(fleet.state("j")).contains(JobState.RUNNING);
+    }
+
+    @Test
+    void cancelledJobIsStopped() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(2)));
+        List<Run> runs = fixture.decideStarts();
+        runs.forEach(run -> fixture.answer(run, StartResult.STARTED));
+        fleet.cancel("j");
+        assertThat(fixture.decideStops()).hasSize(2);
+        assertThat(fleet.state("j")).contains(JobState.CANCELLED);
+        fleet.takeChanged().forEach(fleet::stored);
+        fixture.list(runner, List.of(FleetFixture.row(runs.get(0), 5)), List.of());
+        fixture.advanceMs(1_000);
+        assertThat(fixture.decideStops()).as("repeated while it is listed").hasSize(1);
+    }
+
+    @Test
+    void neverExceedsTheCapacity() {
+        fixture.addRunner("a", 3_500);
+        add(FleetFixture.job("j", FleetFixture.step(10)));
+        assertThat(fixture.decideStarts()).hasSize(3);
+    }
+
+    @Test
+    void failsAfterItsAttempts() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        fixture.addRunner("b", 16_000);
+        fixture.addRunner("c", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            Run run = fixture.decideStarts().getFirst();
+            fixture.answer(run, StartResult.STARTED);
+            fixture.list(run.runner(), List.of(), List.of(FleetFixture.ended(attempt, run, EndReason.FAILED)));
+        }
+        assertThat(fixture.decideStarts()).isEmpty();
+        fleet.takeChanged().forEach(fleet::stored);
+        assertThat(fleet.state("j")).contains(JobState.FAILED);
+        assertThat(runner.busy()).isFalse();
+    }
+
+    /** Guards against a job that is shown as completed before that is stored. */
+    @Test
+    void completedOnlyOnceStored() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.answer(run, StartResult.STARTED);
+        fixture.list(runner, List.of(), List.of(FleetFixture.ended(1, run, EndReason.DONE)));
+        assertThat(fleet.state("j")).contains(JobState.RUNNING);
+        fleet.takeChanged().forEach(fleet::stored);
+        assertThat(fleet.state("j")).isEqualTo(Optional.of(JobState.COMPLETED));
+    }
+
+    /** Guards against runs that are regarded as alive after their runner started anew under the same name. */
+    @Test
+    void restartedRunnerRunsNothing() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.answer(run, StartResult.STARTED);
+        fixture.list(runner, 2, List.of(), List.of());
+        assertThat(fixture.decideStarts()).hasSize(1);
+    }
+}
