--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
@@ -0,0 +1,34 @@
+package org.tamarackline.core.fleet;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FleetSequencesTest {
+
+    private static final int FAULTY_STEPS = 400;
+    private static final int CALM_STEPS = 1_500;
+
+    /** Guards against tasks that run twice or too early, and against jobs that never end, under faults. */
+    @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void keepsItsPromisesUnderFaults(@ForAll long seed) {
+        FleetSimulation simulation = new FleetSimulation(seed, true);
+        simulation.play(FAULTY_STEPS, CALM_STEPS);
+        assertThat(simulation.violations()).isEmpty();
+        assertThat(simulation.allFinished()).isTrue();
+    }
+
+    /** The check finds a successor that does not wait for silent runners. */
+    @Property(tries = 1)
+    void noticesASuccessorThatDoesNotWait() {
+        long found = 0;
+        for (long seed = 0; seed < 100; seed++) {
+            FleetSimulation simulation = new FleetSimulation(seed, false);
+            simulation.play(FAULTY_STEPS, 0);
+            found += simulation.violations().size();
+        }
+        assertThat(found).isPositive();
+    }
+}
