Count failed runs by their numbers

Ruled out: lost progress; the ends were listed, since nothing had confirmed them.

Change: the numbers of all failed runs of a task are kept and stored. The new test lists failures in reverse.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -448,9 +448,7 @@
             refresh(task);
             return;
         }
-        if (number > task.lastFailedRun) {
-            task.lastFailedRun = number;
-            task.failures++;
+        if (task.failedRuns.add(number)) {
             if (task.avoidedRunners.isEmpty()) {
                 runner.health.failed(task.job().id(), nowNanos);
             }
@@ -458,7 +456,7 @@
         }
         int attempts = 0;
         for (Task member : task.job().gangOf(task)) {
-            attempts += member.failures;
+            attempts += member.failedRuns.size();
         }
         if (attempts >= task.job().definition().queue().maxAttempts()) {
             finish(task.job(), JobState.FAILED);
--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -28,12 +28,17 @@
      * @param step position of the step
      * @param index position of the task in the step
      * @param done whether the task is done
-     * @param failures number of failed runs
-     * @param lastFailedRun highest number of a failed run
+     * @param failedRuns numbers of the runs that failed, in rising order
      * @param checkpoint where the task resumes, empty for its beginning
      */
     public record TaskProgress(
-            int occurrence, int step, int index, boolean done, int failures, long lastFailedRun, String checkpoint) {}
+            int occurrence, int step, int index, boolean done, List<Long> failedRuns, String checkpoint) {
+
+        /** Creates a progress that later changes of the arguments do not affect. */
+        public TaskProgress {
+            failedRuns = List.copyOf(failedRuns);
+        }
+    }
 
     static JobProgress of(Job job) {
         List<TaskProgress> tasks = new ArrayList<>();
@@ -49,16 +54,10 @@
 
     private static void addChanged(Task task, List<TaskProgress> tasks) {
         String checkpoint = task.done || !task.runs.isEmpty() ? "" : task.checkpoint;
-        if (task.done || task.failures > 0 || !checkpoint.isEmpty()) {
+        if (task.done || !task.failedRuns.isEmpty() || !checkpoint.isEmpty()) {
             TaskKey key = task.key();
             tasks.add(new TaskProgress(
-                    key.occurrence(),
-                    key.step(),
-                    key.index(),
-                    task.done,
-                    task.failures,
-                    task.lastFailedRun,
-                    checkpoint));
+                    key.occurrence(), key.step(), key.index(), task.done, List.copyOf(task.failedRuns), checkpoint));
         }
     }
 
@@ -75,8 +74,7 @@
                 task.done = true;
                 job.openTasks--;
             }
-            task.failures = progress.failures();
-            task.lastFailedRun = progress.lastFailedRun();
+            task.failedRuns.addAll(progress.failedRuns());
             task.checkpoint = progress.checkpoint();
             job.started = true;
         }
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** A task of a job and its runs. */
 public final class Task {
@@ -13,9 +15,8 @@
     private final StepDefinition step;
 
     boolean done;
-    int failures;
-    /** Highest run number whose failure is counted, so that an end that is listed again counts once. */
-    long lastFailedRun;
+    /** Runs that failed, by number: ends are listed again after a change of leader, and in any order. */
+    final SortedSet<Long> failedRuns = new TreeSet<>();
 
     long lastRun;
     String checkpoint = "";
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -210,8 +210,10 @@
                 packer.packInt(task.step());
                 packer.packInt(task.index());
                 packer.packBoolean(task.done());
-                packer.packInt(task.failures());
-                packer.packLong(task.lastFailedRun());
+                packer.packArrayHeader(task.failedRuns().size());
+                for (long run : task.failedRuns()) {
+                    packer.packLong(run);
+                }
                 packer.packString(task.checkpoint());
             }
         });
@@ -223,19 +225,25 @@
             int count = in.unpackArrayHeader();
             List<JobProgress.TaskProgress> tasks = new ArrayList<>(count);
             for (int i = 0; i < count; i++) {
-                tasks.add(new JobProgress.TaskProgress(
-                        in.unpackInt(),
-                        in.unpackInt(),
-                        in.unpackInt(),
-                        in.unpackBoolean(),
-                        in.unpackInt(),
-                        in.unpackLong(),
-                        in.unpackString()));
+                tasks.add(unpackTask(in));
             }
             return new JobProgress(occurrences, tasks);
         });
     }
 
+    private static JobProgress.TaskProgress unpackTask(MessageUnpacker in) throws IOException {
+        int occurrence = in.unpackInt();
+        int step = in.unpackInt();
+        int index = in.unpackInt();
+        boolean done = in.unpackBoolean();
+        int count = in.unpackArrayHeader();
+        List<Long> failedRuns = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            failedRuns.add(in.unpackLong());
+        }
+        return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, in.unpackString());
+    }
+
     static byte[] runner(RunnerReport runner) {
         return pack(packer -> {
             packer.packLong(runner.bornEpochMs());
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -70,6 +70,24 @@
         assertThat(next.fleet().takeChanged()).noneMatch(job -> job.terminalState() != null);
     }
 
+    /** Guards against a start beyond the attempts because a successor hears of the failures in another order. */
+    @Test
+    void failuresCountInWhateverOrderTheyAreListed() {
+        fleet.addJob(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        TaskKey task = new TaskKey("j", 0, 0, 0);
+        fixture.list(
+                fleet.runnerReported(FleetFixture.report("b", 16_000)),
+                List.of(),
+                List.of(new RunnerListing.EndedRow(1, task, 2, EndReason.FAILED, "")));
+        fixture.list(
+                fleet.runnerReported(FleetFixture.report("a", 16_000)),
+                List.of(),
+                List.of(new RunnerListing.EndedRow(1, task, 1, EndReason.FAILED, "")));
+        fixture.addRunner("c", 16_000);
+        assertThat(fixture.decideStarts()).isEmpty();
+        assertThat(fleet.takeChanged()).extracting(Job::terminalState).containsExactly(JobState.FAILED);
+    }
+
     /** Guards against an inherited task that starts although a silent runner may still run it. */
     @Test
     void inheritedTasksWaitForEveryRunnerOfTheRoster() {
