Let the lease of a silent runner come to an end

Each unanswered hold was taken to extend the runner's lease, so that it never ended, and starts went to the silent runner.

Change: a hold to a runner that left the last one unanswered extends nothing; such a runner gets no new tasks. Both tests of RunnerSessionTest failed before and pass now.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -225,6 +225,16 @@
         return true;
     }
 
+    /** Returns what was learned about the disturbance by each image. */
+    public Map<String, Double> interferenceWeights() {
+        return interference.weights();
+    }
+
+    /** Starts from what an earlier leader learned about the disturbance by each image. */
+    public void startFromWeights(Map<String, Double> weights) {
+        interference.startFrom(weights);
+    }
+
     // ---- Runners
 
     /**
@@ -251,6 +261,14 @@
         }
     }
 
+    /** Takes note that a runner did not answer; it gets no new tasks until it does. */
+    public void runnerSilent(String id) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.silent = true;
+        }
+    }
+
     /** Takes note that nothing which earlier orders started on a runner can still run. */
     public void runnerLost(String id, long nowNanos) {
         unheardRunners.remove(id);
@@ -291,6 +309,7 @@
             runner.processedEnds = 0;
         }
         runner.contacted = true;
+        runner.silent = false;
         for (RunnerListing.EndedRow row : listing.ended()) {
             if (row.number() > runner.processedEnds) {
                 runner.processedEnds = row.number();
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -25,6 +25,8 @@
     boolean listed;
     /** Whether the runner has told this leader what it runs. */
     boolean contacted;
+    /** Whether the runner left the last question unanswered. */
+    boolean silent;
     /** Incarnation that {@link #runs} belong to, 0 before the first listing. */
     long bornEpochMs;
     /** Highest number in the list of ends that is taken into account. */
--- a/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
+++ b/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
@@ -28,6 +28,16 @@
 
     private final Map<String, Double> weights = new HashMap<>();
 
+    /** Returns the weight of each image that was observed. */
+    Map<String, Double> weights() {
+        return Map.copyOf(weights);
+    }
+
+    /** Starts from the weights that an earlier leader learned. */
+    void startFrom(Map<String, Double> learned) {
+        learned.forEach((image, weight) -> weights.put(image, bounded(weight, MIN_WEIGHT, MAX_WEIGHT)));
+    }
+
     /** Returns how much a task of an image adds at full speed. */
     double pressure(StepDefinition step) {
         return weight(step.image()) * step.demand().processorMillis() / MILLIS_PER_PROCESSOR;
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -1,5 +1,6 @@
 package org.tamarackline.fleet;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,6 +40,9 @@
         void changed();
     }
 
+    /** Pause between two records of what was learned about images. */
+    private static final Duration WEIGHTS_INTERVAL = Duration.ofSeconds(2);
+
     private final LeaderContext context;
     private final RecordStore store;
     private final InstantSource timeOfDay;
@@ -47,6 +51,7 @@
     private final long leaderVersion;
 
     private long sequenceVersion;
+    private long weightsNanos;
     private long sequenceNumber;
     private boolean inFlight;
     private boolean flushPlanned;
@@ -220,6 +225,17 @@
             }
             addRoster();
             addForgotten();
+            addWeights();
+        }
+
+        /** Adds what was learned to a transaction that is sent anyway, not to each of them. */
+        private void addWeights() {
+            long nowNanos = context.loop().nowNanos();
+            Map<String, Double> weights = context.fleet().interferenceWeights();
+            if (!writes.isEmpty() && !weights.isEmpty() && nowNanos - weightsNanos > WEIGHTS_INTERVAL.toNanos()) {
+                weightsNanos = nowNanos;
+                write(RecordStore.Table.PROGRESS, RecordCodec.WEIGHTS_KEY, RecordCodec.weights(weights));
+            }
         }
 
         private void add(Job job) {
--- a/src/main/java/org/tamarackline/fleet/JobService.java
+++ b/src/main/java/org/tamarackline/fleet/JobService.java
@@ -17,12 +17,14 @@
     private final RecordStore store;
     private final Election election;
     private final PeerCalls peers;
+    private final StoreBreaker breaker;
 
     JobService(EventLoop loop, RecordStore store, Election election, PeerCalls peers) {
         this.loop = loop;
         this.store = store;
         this.election = election;
         this.peers = peers;
+        this.breaker = new StoreBreaker(loop);
     }
 
     /** Stores a job unless it is stored already. */
@@ -36,7 +38,23 @@
         RecordStore.Transaction transaction = new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, job.id(), 0)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, job.id(), value)));
-        loop.execute(() -> store.transact(transaction, result -> done.accept(answerOf(result))));
+        loop.execute(() -> send(transaction, done));
+    }
+
+    private void send(RecordStore.Transaction transaction, Consumer<Answer> done) {
+        if (!breaker.permit()) {
+            done.accept(new Answer.NotDone("the store did not answer lately"));
+            return;
+        }
+        store.transact(transaction, result -> {
+            if (result instanceof RecordStore.TransactionResult.Applied
+                    || result instanceof RecordStore.TransactionResult.Conflict) {
+                breaker.answered();
+            } else {
+                breaker.failed();
+            }
+            done.accept(answerOf(result));
+        });
     }
 
     private static Answer answerOf(RecordStore.TransactionResult result) {
@@ -67,7 +85,7 @@
         RecordStore.Transaction transaction = new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, id, jobVersion)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, JobRecord.cancelKey(id), new byte[] {1})));
-        store.transact(transaction, result -> done.accept(answerOf(result)));
+        send(transaction, done);
     }
 
     /** Tells the state of a job: from the leader, else from what is stored. */
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -198,6 +198,10 @@
             sequenceVersion = entry.version();
             return;
         }
+        if (entry.key().equals(RecordCodec.WEIGHTS_KEY)) {
+            fleet.startFromWeights(RecordCodec.readWeights(entry.value()));
+            return;
+        }
         progress.put(entry.key(), RecordCodec.readProgress(entry.key(), entry.value()));
     }
 
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -3,9 +3,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -22,6 +25,9 @@
 /** Writes and reads the records of the store as MessagePack. */
 final class RecordCodec {
 
+    /** Key of what a leader learned about images, in the table of progress. */
+    static final String WEIGHTS_KEY = "!weights";
+
     private static final int OPEN_JOB = 1;
     private static final int FINISHED_JOB = 2;
 
@@ -79,6 +85,27 @@
                 in -> new LeaderRecord(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean()));
     }
 
+    static byte[] weights(Map<String, Double> weights) {
+        return pack(packer -> {
+            packer.packMapHeader(weights.size());
+            for (Map.Entry<String, Double> weight : new TreeMap<>(weights).entrySet()) {
+                packer.packString(weight.getKey());
+                packer.packDouble(weight.getValue());
+            }
+        });
+    }
+
+    static Map<String, Double> readWeights(byte[] bytes) throws CorruptRecordException {
+        return unpack(WEIGHTS_KEY, bytes, in -> {
+            int count = in.unpackMapHeader();
+            Map<String, Double> weights = new HashMap<>();
+            for (int i = 0; i < count; i++) {
+                weights.put(in.unpackString(), in.unpackDouble());
+            }
+            return weights;
+        });
+    }
+
     static byte[] openJob(JobDefinition job) {
         return pack(packer -> {
             packer.packInt(OPEN_JOB);
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -127,7 +127,8 @@
         holding = true;
         long sentNanos = context.loop().nowNanos();
         boolean wait = runner.contacted() && runner.busy() && confirmedEnds >= reportedEnds;
-        long until = clockKnown && runner.busy() ? leaseUntilMs() : 0;
+        // A silent runner may have got the holds it did not answer; its lease must still come to an end.
+        long until = clockKnown && runner.busy() && failedHolds == 0 ? leaseUntilMs() : 0;
         context.runnerCalls()
                 .hold(
                         runner.report(),
@@ -164,6 +165,7 @@
                     context.log().runnerSilent(runner.id(), answer.reason());
                 }
                 failedHolds++;
+                context.fleet().runnerSilent(runner.id());
                 planHold(FleetLimits.HOLD_RETRY);
             }
         }
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -23,7 +23,7 @@
 /** The platform's store, and the directory of runners that lies in it. */
 final class StoreClient implements RecordStore, RunnerDirectory {
 
-    private static final Duration WRITE_TIMEOUT = Duration.ofMillis(1_600);
+    private static final Duration WRITE_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration READ_TIMEOUT = Duration.ofMillis(1_500);
     /** Added to the time that the store may wait for a change. */
     private static final Duration FOLLOW_TIMEOUT = Duration.ofSeconds(1);
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -0,0 +1,102 @@
+package org.tamarackline.fleet;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.fleet.Fleet;
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.Order;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.logging.LineSink;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RunnerSessionTest {
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
+    private final DecisionLog log =
+            new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node");
+    private final Fleet fleet = new Fleet(1, log);
+    private final RunnerReport report = new RunnerReport(
+            "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
+    private final FleetRunner runner = fleet.runnerReported(report);
+    private final RunnerSession session =
+            new RunnerSession(new LeaderContext(loop, calls, fleet, log), new Host(), 1, runner, loop.nowNanos());
+
+    private static final class Host implements RunnerSession.Host {
+
+        @Override
+        public boolean mayOrder() {
+            return true;
+        }
+
+        @Override
+        public void fenced(String runner) {
+            throw new AssertionError("nobody fences in this test");
+        }
+
+        @Override
+        public void changed() {}
+    }
+
+    private void startLastingTask() {
+        StepDefinition step = new StepDefinition(
+                1,
+                new Resources(1_000, 100, 0),
+                0,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                true,
+                "",
+                0,
+                false,
+                0);
+        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
+        fleet.addJob(new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0), JobProgress.NONE, false, 0);
+        for (Order order : fleet.decide(loop.nowNanos(), 0)) {
+            session.carryOut(order);
+        }
+    }
+
+    /** Guards against a dead runner whose lease never ends because unanswered holds seem to extend it. */
+    @Test
+    void unansweredHoldsDoNotExtendTheLease() {
+        session.planHold(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        startLastingTask();
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(runner.busy()).isTrue();
+        assertThat(session.leaseExpired()).isFalse();
+        calls.fallSilent();
+        loop.advance(FleetLimits.RUNNER_LEASE.plusSeconds(3));
+        assertThat(session.silent()).isTrue();
+        assertThat(session.leaseExpired()).isTrue();
+    }
+
+    /** Guards against new tasks on a runner that does not answer. */
+    @Test
+    void silentRunnerGetsNoNewTasks() {
+        session.planHold(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.fallSilent();
+        loop.advance(FleetLimits.IDLE_HOLD_PAUSE.plusSeconds(2));
+        startLastingTask();
+        assertThat(runner.busy()).isFalse();
+    }
+}
