Serve jobs that can still be on time first; open jobs of a node whose clock is ahead

While testing this a second fault showed: a job that the accepting node's clock dated after the leader's was never opened.

Change: of one priority, tasks go by whether their job can still meet its objective, is late, or is too late to earn anything; jobs that run once are due as soon as they are known. Chains are computed once a job.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -186,7 +186,7 @@
     private void openDueOccurrences(Job job, long nowEpochMs) {
         while (job.terminal == null
                 && job.openedOccurrences() < job.definition().occurrences()
-                && job.definition().dueEpochMs(job.openedOccurrences()) <= nowEpochMs) {
+                && job.definition().isDue(job.openedOccurrences(), nowEpochMs)) {
             job.openOccurrence();
             if (job.definition().repeats() > 0) {
                 changed.add(job);
@@ -516,7 +516,7 @@
                 orders.add(new Order.Stop(run.runner(), run.task().key(), run.number()));
             }
         }
-        startReady(orders, nowNanos);
+        startReady(orders, nowNanos, nowEpochMs);
         return orders;
     }
 
@@ -524,8 +524,8 @@
         return run.stopOrderedNanos == 0 || nowNanos - run.stopOrderedNanos > FleetTimes.STOP_REPEAT_NANOS;
     }
 
-    private void startReady(List<Order> orders, long nowNanos) {
-        ReadyTasks.Scan scan = ready.scan();
+    private void startReady(List<Order> orders, long nowNanos, long nowEpochMs) {
+        ReadyTasks.Scan scan = ready.scan(nowEpochMs);
         while (scan.hasNext()) {
             Task task = scan.next();
             if (task.job().inherited() && !unheardRunners.isEmpty()) {
--- a/src/main/java/org/tamarackline/core/fleet/Job.java
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.LongStream;
 
 /** A job that has not reached its last state, and its tasks. */
 public final class Job {
 
     private final JobDefinition definition;
     private final boolean inherited;
+    private final long[] chainsMs;
+    private final long objectiveMs;
     private final List<Task[][]> occurrences = new ArrayList<>();
 
     boolean started;
@@ -22,6 +25,10 @@
     Job(JobDefinition definition, boolean inherited) {
         this.definition = definition;
         this.inherited = inherited;
+        this.chainsMs = definition.chainsMs();
+        long longestMs = LongStream.of(chainsMs).max().orElse(0);
+        QueueDefinition queue = definition.queue();
+        this.objectiveMs = queue.targetLatencyMs() + (long) (queue.stretch() * longestMs);
     }
 
     /** Returns the job as it was accepted. */
@@ -44,6 +51,16 @@
         return JobProgress.of(this);
     }
 
+    /** Returns the estimated duration of the longest chain that begins with a step, in milliseconds. */
+    long chainFromMs(int step) {
+        return chainsMs[step];
+    }
+
+    /** Returns the time within which an occurrence should end after it is due, in milliseconds. */
+    long objectiveMs() {
+        return objectiveMs;
+    }
+
     boolean inherited() {
         return inherited;
     }
--- a/src/main/java/org/tamarackline/core/fleet/JobDefinition.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobDefinition.java
@@ -39,19 +39,20 @@
         return repeats == 0 ? acceptedEpochMs : firstDueEpochMs + occurrence * intervalMs;
     }
 
-    /** Returns the estimated duration of the longest chain of steps in milliseconds. */
-    public long longestChainMs() {
-        long[] chain = new long[steps.size()];
-        long longest = 0;
-        for (int i = 0; i < chain.length; i++) {
-            StepDefinition step = steps.get(i);
-            long before = 0;
-            for (int earlier : step.after()) {
-                before = Math.max(before, chain[earlier]);
+    /** Returns whether an occurrence may start. The clock of the node that accepted the job may be ahead of the leader's. */
+    boolean isDue(int occurrence, long nowEpochMs) {
+        return repeats == 0 || dueEpochMs(occurrence) <= nowEpochMs;
+    }
+
+    /** Returns for each step the estimated duration of the longest chain that begins with it, in milliseconds. */
+    long[] chainsMs() {
+        long[] chains = new long[steps.size()];
+        for (int step = chains.length - 1; step >= 0; step--) {
+            chains[step] += steps.get(step).estimateMs();
+            for (int earlier : steps.get(step).after()) {
+                chains[earlier] = Math.max(chains[earlier], chains[step]);
             }
-            chain[i] = before + step.estimateMs();
-            longest = Math.max(longest, chain[i]);
         }
-        return longest;
+        return chains;
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Lateness.java
@@ -0,0 +1,25 @@
+package org.tamarackline.core.fleet;
+
+/** Whether a job can still be on time, in the order in which tasks are served. */
+enum Lateness {
+    /** The estimates say that the job can meet its objective. */
+    ON_TIME,
+    /** The job will miss its objective and is still of use. */
+    LATE,
+    /** The job is so late that nobody waits for it. */
+    EXPIRED;
+
+    /** Multiple of the objective after which a job is of no use any more. */
+    private static final int USEFUL_MULTIPLE = 3;
+
+    static Lateness of(Task task, long nowEpochMs) {
+        Job job = task.job();
+        long ageAtEndMs = nowEpochMs
+                - job.definition().dueEpochMs(task.key().occurrence())
+                + job.chainFromMs(task.key().step());
+        if (ageAtEndMs <= job.objectiveMs()) {
+            return ON_TIME;
+        }
+        return ageAtEndMs <= USEFUL_MULTIPLE * job.objectiveMs() ? LATE : EXPIRED;
+    }
+}
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -39,18 +39,21 @@
         return tasks.size();
     }
 
-    /** Returns a walk over the tasks that wait now. */
-    Scan scan() {
-        return new Scan(new ArrayList<>(tasks));
+    /**
+     * Returns a walk over the tasks that wait now. Of one priority, those whose job can still meet its objective come
+     * first, and those that earn nothing any more last.
+     */
+    Scan scan(long nowEpochMs) {
+        List<Task> waiting = new ArrayList<>(tasks);
+        waiting.sort(Comparator.<Task>comparingInt(
+                        task -> task.job().definition().queue().priority())
+                .thenComparing(task -> Lateness.of(task, nowEpochMs)));
+        return new Scan(waiting);
     }
 
-    /** Returns when the job should have ended, in milliseconds since 1970. */
     private static long objectiveEpochMs(Task task) {
-        JobDefinition definition = task.job().definition();
-        QueueDefinition queue = definition.queue();
-        return definition.dueEpochMs(task.key().occurrence())
-                + queue.targetLatencyMs()
-                + (long) (queue.stretch() * definition.longestChainMs());
+        Job job = task.job();
+        return job.definition().dueEpochMs(task.key().occurrence()) + job.objectiveMs();
     }
 
     /** A walk over waiting tasks that passes over the rest of a step once one of its tasks finds no room. */
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -131,6 +131,35 @@
         assertThat(fixture.decideStops()).as("repeated while it is listed").hasSize(1);
     }
 
+    /** Guards against overload in which every job is late because the oldest is always served first. */
+    @Test
+    void servesJobsThatCanStillBeOnTimeFirst() {
+        add(FleetFixture.job("late", FleetFixture.step(1)));
+        fixture.advanceMs(4_000);
+        JobDefinition fresh = FleetFixture.job("fresh", FleetFixture.step(1));
+        add(new JobDefinition("fresh", fresh.queue(), "", fresh.steps(), 0, 0, 0, 4_000));
+        fixture.addRunner("a", 1_500);
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactly("fresh");
+    }
+
+    /** Guards against time that explodes with the number of ways through the steps of a job. */
+    @Test
+    void chainsOfManyCrossingStepsAreQuick() {
+        StepDefinition[] steps = new StepDefinition[100];
+        for (int step = 0; step < steps.length; step++) {
+            Integer[] after = new Integer[step];
+            for (int earlier = 0; earlier < step; earlier++) {
+                after[earlier] = earlier;
+            }
+            steps[step] = FleetFixture.step(1, after);
+        }
+        add(FleetFixture.job("j", steps));
+        fixture.addRunner("a", 16_000);
+        assertThat(fixture.decideStarts()).hasSize(1);
+    }
+
     @Test
     void neverExceedsTheCapacity() {
         fixture.addRunner("a", 3_500);
