Submit the first job of a process test until it is accepted

The fixture waits until quick requests are answered; a rack refuses jobs, and says that they did not run, until its owner knows a worker. The submissions that the tests check for refusal are unchanged.

--- a/src/test/java/org/tamarackline/process/ClusterFixture.java
+++ b/src/test/java/org/tamarackline/process/ClusterFixture.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 
 import org.tamarackline.core.model.JobId;
@@ -134,6 +135,16 @@
         return job;
     }
 
+    /** Submits a batch job until it is accepted: a rack refuses jobs before its owner knows a worker. */
+    JobId awaitAccepted(int node, int tasks, Duration work) throws IOException, InterruptedException {
+        AtomicReference<JobId> accepted = new AtomicReference<>();
+        Waits.until("node %d accepts a job".formatted(node), BOUND, () -> {
+            submit(node, tasks, work).ifPresent(accepted::set);
+            return accepted.get() != null;
+        });
+        return accepted.get();
+    }
+
     void awaitRunning(int node, JobId job, int tasks) throws IOException, InterruptedException {
         LocalJobs jobs = new LocalJobs(cluster, node);
         Waits.until("%d tasks run".formatted(tasks), BOUND, () -> jobs.count(job, "RUNNING") >= tasks);
--- a/src/test/java/org/tamarackline/process/KillAndFreezeTest.java
+++ b/src/test/java/org/tamarackline/process/KillAndFreezeTest.java
@@ -32,7 +32,7 @@
         try (ClusterFixture fixture = ClusterFixture.start(directory)) {
             int owner = fixture.rackOwner();
             int other = (owner + 1) % ClusterFixture.ENTRY_NODES;
-            JobId job = fixture.submit(other, TASKS, TASK_WORK).orElseThrow();
+            JobId job = fixture.awaitAccepted(other, TASKS, TASK_WORK);
             Thread load = fixture.sendRequests(LOAD);
             fixture.awaitRunning(other, job, RUNNING_AT_FAULT);
             fixture.cluster().entryNode(owner).kill();
@@ -48,7 +48,7 @@
         try (ClusterFixture fixture = ClusterFixture.start(directory)) {
             int owner = fixture.rackOwner();
             int other = (owner + 1) % ClusterFixture.ENTRY_NODES;
-            JobId job = fixture.submit(other, TASKS, TASK_WORK).orElseThrow();
+            JobId job = fixture.awaitAccepted(other, TASKS, TASK_WORK);
             Thread load = fixture.sendRequests(LOAD);
             fixture.awaitRunning(other, job, RUNNING_AT_FAULT);
             ChildProcess frozen = fixture.cluster().entryNode(owner);
--- a/src/test/java/org/tamarackline/process/OutageTest.java
+++ b/src/test/java/org/tamarackline/process/OutageTest.java
@@ -40,7 +40,7 @@
     @Test
     void platformDownLongerThanEveryLease() throws Exception {
         try (ClusterFixture fixture = ClusterFixture.start(directory)) {
-            JobId job = fixture.submit(0, TASKS, TASK_WORK).orElseThrow();
+            JobId job = fixture.awaitAccepted(0, TASKS, TASK_WORK);
             fixture.awaitRunning(0, job, TASKS);
             String faults = fixture.cluster().platform().url() + "/faults";
             fixture.cluster().http().write(faults, DOWN);
@@ -63,7 +63,7 @@
     void lostAnswersOfPlatformAndWorkers() throws Exception {
         try (ClusterFixture fixture = ClusterFixture.start(directory)) {
             LocalCluster cluster = fixture.cluster();
-            JobId job = fixture.submit(0, MANY_TASKS, SHORT_WORK).orElseThrow();
+            JobId job = fixture.awaitAccepted(0, MANY_TASKS, SHORT_WORK);
             fixture.awaitRunning(0, job, 1);
             cluster.http().write(cluster.platform().url() + "/faults", LOSING_WRITES);
             for (LocalCluster.Standin worker : cluster.workers()) {
