--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -392,6 +392,7 @@
         Run run = new Run(task, row.run(), runner, "", nowNanos);
         run.phase = Run.Phase.RUNNING;
         settleStart(run, nowNanos);
+        run.pacePercent = Run.UNKNOWN_PACE;
         task.lastRun = Math.max(task.lastRun, row.run());
         runner.add(run);
         refresh(task);
@@ -610,6 +611,11 @@
         }
     }
 
+    /** Takes note that an ordered speed was not confirmed; it is ordered again after the next listing. */
+    public void paceNotConfirmed(Run run) {
+        run.pacePercent = Run.UNKNOWN_PACE;
+    }
+
     /** Takes note that a runner confirmed a stop, so that the run can no longer start there. */
     public void stopAnswered(FleetRunner runner, TaskKey task, long number, long nowNanos) {
         Run run = runner.find(task, number);
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -13,6 +13,9 @@
         STOPPING
     }
 
+    /** The speed of a run that another leader started, or whose last order of a speed got no answer. */
+    static final int UNKNOWN_PACE = -1;
+
     private final Task task;
     private final long number;
     private final FleetRunner runner;
@@ -31,7 +34,7 @@
     long stopSettledNanos;
     double percent;
     long progressNanos;
-    /** Share of its speed that the run was last told to work at, 0 to 100. */
+    /** Share of its speed that the run was last told to work at, 0 to 100, or {@link #UNKNOWN_PACE}. */
     int pacePercent = 100;
 
     double usage = -1;
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -269,8 +269,13 @@
     private void pace(Order.Pace pace) {
         Run run = pace.run();
         context.runnerCalls().pace(runner.report(), run.task().key(), run.number(), pace.percent(), epoch, answer -> {
-            if (!closed && answer == RunnerCalls.OrderAnswer.FENCED) {
+            if (closed) {
+                return;
+            }
+            if (answer == RunnerCalls.OrderAnswer.FENCED) {
                 host.fenced(runner.id());
+            } else if (answer != RunnerCalls.OrderAnswer.DONE) {
+                context.fleet().paceNotConfirmed(run);
             }
         });
     }
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -107,6 +107,11 @@
                 count, SMALL, 1_000, List.of(after), false, false, false, "", "", 0, false, false, "", 0, false, 0);
     }
 
+    static StepDefinition filler() {
+        return new StepDefinition(
+                1, SMALL, 1_000, List.of(), false, false, false, "", "", 0, false, false, "image", 0, true, 0);
+    }
+
     private static final class SilentObserver implements FleetObserver {
 
         @Override
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -116,6 +116,19 @@
         assertThat(fleet.state("j")).contains(JobState.RUNNING);
     }
 
+    /** Guards against a filling task that a successor believes at full speed although it was told to wait. */
+    @Test
+    void setsTheSpeedOfAdoptedFillers() {
+        FleetRunner runner = fleet.runnerReported(FleetFixture.report("a", 16_000));
+        fleet.addJob(FleetFixture.job("j", FleetFixture.filler()), JobProgress.NONE, true, 0);
+        TaskKey task = new TaskKey("j", 0, 0, 0);
+        fixture.list(runner, List.of(new RunnerListing.RunningRow(task, 7, "", 50, 0)), List.of());
+        assertThat(fleet.decide(fixture.nowNanos(), 0))
+                .filteredOn(Order.Pace.class::isInstance)
+                .extracting(order -> ((Order.Pace) order).percent())
+                .containsExactly(100);
+    }
+
     @Test
     void cancelledJobIsStopped() {
         FleetRunner runner = fixture.addRunner("a", 16_000);
