--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -3,13 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -29,13 +27,9 @@
     private final PaceControl paceControl = new PaceControl(interference);
     private final Placement placement = new Placement(interference);
     private final List<Order> paceOrders = new ArrayList<>();
-    private final ReadyTasks ready = new ReadyTasks();
-    private final Map<String, Job> jobs = new HashMap<>();
-    private final Map<String, JobState> finished = new LinkedHashMap<>();
-    private final Set<Job> repeating = new LinkedHashSet<>();
+    private final JobBook jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final Set<String> unheardRunners = new HashSet<>();
-    private final Set<Job> changed = new LinkedHashSet<>();
     private final Set<Run> stopping = new LinkedHashSet<>();
     private final List<Order> strayStops = new ArrayList<>();
 
@@ -47,182 +41,12 @@
     public Fleet(long epoch, FleetObserver observer) {
         this.firstRun = (epoch - 1) * RUNS_PER_EPOCH;
         this.observer = observer;
+        this.jobs = new JobBook(observer, this::stopAll);
     }
 
-    // ---- Jobs
-
-    /**
-     * Adds a job that was accepted. Does nothing if the job is known.
-     *
-     * @param progress what is stored about the job
-     * @param inherited whether an earlier leader may have started tasks of the job
-     */
-    public void addJob(JobDefinition definition, JobProgress progress, boolean inherited, long nowEpochMs) {
-        if (jobs.containsKey(definition.id()) || finished.containsKey(definition.id())) {
-            return;
-        }
-        Job job = new Job(definition, inherited);
-        jobs.put(job.id(), job);
-        progress.applyTo(job);
-        if (definition.repeats() > 0) {
-            repeating.add(job);
-        }
-        openDueOccurrences(job, nowEpochMs);
-        for (int occurrence = 0; occurrence < job.openedOccurrences(); occurrence++) {
-            refreshOccurrence(job, occurrence);
-        }
-        if (job.allDone()) {
-            finish(job, JobState.COMPLETED);
-        }
-    }
-
-    /** Takes note of the stored last state of a job. */
-    public void addFinished(String id, JobState state) {
-        finished.put(id, state);
-    }
-
-    /** Forgets a job that was removed from the store. */
-    public void forget(String id) {
-        finished.remove(id);
-    }
-
-    /** Cancels a job; its runs are stopped. Does nothing if the job is unknown or has reached its last state. */
-    public void cancel(String id) {
-        Job job = jobs.get(id);
-        if (job != null && job.terminal == null) {
-            finish(job, JobState.CANCELLED);
-        }
-    }
-
-    /** Returns the state that callers are told; empty if the job is unknown. */
-    public Optional<JobState> state(String id) {
-        JobState last = finished.get(id);
-        if (last != null) {
-            return Optional.of(last);
-        }
-        Job job = jobs.get(id);
-        if (job == null) {
-            return Optional.empty();
-        }
-        if (job.terminal == JobState.CANCELLED) {
-            return Optional.of(JobState.CANCELLED);
-        }
-        return Optional.of(job.started ? JobState.RUNNING : JobState.QUEUED);
-    }
-
-    /** Returns the number of accepted jobs of a queue of which no task has started. */
-    public int pending(String queue) {
-        int pending = 0;
-        for (Job job : jobs.values()) {
-            if (job.terminal == null
-                    && !job.started
-                    && job.definition().queue().name().equals(queue)) {
-                pending++;
-            }
-        }
-        return pending;
-    }
-
-    /** Returns the number of jobs that have not reached their last state. */
-    public int openJobs() {
-        return jobs.size();
-    }
-
-    /** Returns the number of tasks that wait for room. */
-    public int readyTasks() {
-        return ready.size();
-    }
-
-    /** Returns the jobs of which something must be stored, and regards them as taken. */
-    public List<Job> takeChanged() {
-        List<Job> taken = List.copyOf(changed);
-        changed.clear();
-        return taken;
-    }
-
-    /** Returns whether something about a job must be stored. */
-    public boolean hasChanges() {
-        return !changed.isEmpty();
-    }
-
-    /** Returns whether a job has reached its last state and that is not stored yet. */
-    public boolean hasFinishedChanges() {
-        for (Job job : changed) {
-            if (job.terminal != null) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Puts jobs back whose progress could not be stored. */
-    public void returnChanged(Collection<Job> notStored) {
-        changed.addAll(notStored);
-    }
-
-    /** Takes note that the last state of a job is stored. */
-    public void stored(Job job) {
-        if (job.terminal != null) {
-            finished.put(job.id(), job.terminal);
-            jobs.remove(job.id());
-            repeating.remove(job);
-        }
-    }
-
-    private void finish(Job job, JobState state) {
-        job.terminal = state;
-        changed.add(job);
-        for (int occurrence = 0; occurrence < job.openedOccurrences(); occurrence++) {
-            for (Task[] step : job.occurrence(occurrence)) {
-                for (Task task : step) {
-                    ready.remove(task);
-                    stopAll(task, null);
-                }
-            }
-        }
-        observer.jobFinished(job);
-    }
-
-    private void openDueOccurrences(Job job, long nowEpochMs) {
-        while (job.terminal == null
-                && job.openedOccurrences() < job.definition().occurrences()
-                && job.definition().isDue(job.openedOccurrences(), nowEpochMs)) {
-            job.openOccurrence();
-            if (job.definition().repeats() > 0) {
-                changed.add(job);
-            }
-            refreshOccurrence(job, job.openedOccurrences() - 1);
-        }
-    }
-
-    private void refreshOccurrence(Job job, int occurrence) {
-        for (Task[] step : job.occurrence(occurrence)) {
-            for (Task task : step) {
-                refresh(task);
-            }
-        }
-    }
-
-    /** Moves a task into or out of the waiting tasks. */
-    private void refresh(Task task) {
-        if (mayStart(task)) {
-            ready.add(task);
-        } else {
-            ready.remove(task);
-        }
-    }
-
-    private static boolean mayStart(Task task) {
-        Job job = task.job();
-        if (task.done || job.terminal != null || !task.runs.isEmpty()) {
-            return false;
-        }
-        for (int step : task.step().after()) {
-            if (!job.stepDone(task.key().occurrence(), step)) {
-                return false;
-            }
-        }
-        return true;
+    /** Returns the jobs. */
+    public JobBook jobs() {
+        return jobs;
     }
 
     /** Returns what was learned about the disturbance by each image. */
@@ -382,7 +206,7 @@
 
     /** Regards a run that an earlier leader started as the current run of its task; null if it must not go on. */
     private Run adopt(FleetRunner runner, RunnerListing.RunningRow row, long nowNanos) {
-        Task task = findTask(row.task());
+        Task task = jobs.findTask(row.task());
         if (task == null || task.done || task.job().terminal != null) {
             return null;
         }
@@ -395,7 +219,7 @@
         run.pacePercent = Run.UNKNOWN_PACE;
         task.lastRun = Math.max(task.lastRun, row.run());
         runner.add(run);
-        refresh(task);
+        jobs.refresh(task);
         observer.runAdopted(run);
         return run;
     }
@@ -410,7 +234,7 @@
     }
 
     private void applyEnd(FleetRunner runner, RunnerListing.EndedRow row, long nowNanos) {
-        Task task = findTask(row.task());
+        Task task = jobs.findTask(row.task());
         Run run = runner.find(row.task(), row.run());
         if (run != null) {
             runner.remove(run);
@@ -422,12 +246,12 @@
         task.job().started = true;
         task.lastRun = Math.max(task.lastRun, row.run());
         noteCheckpoint(task, row.run(), row.checkpoint());
-        changed.add(task.job());
+        jobs.noteChange(task.job());
         observer.runEnded(runner, row, run);
         switch (row.reason()) {
             case DONE -> applyDone(task, run, runner, nowNanos);
             case FAILED -> applyFailure(task, row.run(), runner, nowNanos);
-            default -> refresh(task);
+            default -> jobs.refresh(task);
         }
     }
 
@@ -437,7 +261,7 @@
             noteDuration(run, nowNanos);
         }
         if (task.step().longRunning()) {
-            refresh(task);
+            jobs.refresh(task);
             return;
         }
         Job job = task.job();
@@ -445,14 +269,14 @@
             if (!member.done) {
                 member.done = true;
                 job.openTasks--;
-                ready.remove(member);
-                stopAll(member, null);
+                jobs.ready().remove(member);
+                stopAll(member);
             }
         }
         if (job.allDone()) {
-            finish(job, JobState.COMPLETED);
+            jobs.finish(job, JobState.COMPLETED);
         } else if (job.stepDone(task.key().occurrence(), task.key().step())) {
-            refreshOccurrence(job, task.key().occurrence());
+            jobs.refreshOccurrence(job, task.key().occurrence());
         }
     }
 
@@ -465,7 +289,7 @@
 
     private void applyFailure(Task task, long number, FleetRunner runner, long nowNanos) {
         if (task.step().longRunning()) {
-            refresh(task);
+            jobs.refresh(task);
             return;
         }
         if (task.failedRuns.add(number)) {
@@ -479,9 +303,9 @@
             attempts += member.failedRuns.size();
         }
         if (attempts >= task.job().definition().queue().maxAttempts()) {
-            finish(task.job(), JobState.FAILED);
+            jobs.finish(task.job(), JobState.FAILED);
         } else {
-            refresh(task);
+            jobs.refresh(task);
         }
     }
 
@@ -491,11 +315,6 @@
         }
     }
 
-    private Task findTask(TaskKey key) {
-        Job job = jobs.get(key.job());
-        return job == null ? null : job.find(key);
-    }
-
     // ---- Orders
 
     /**
@@ -508,9 +327,7 @@
         strayStops.clear();
         orders.addAll(paceOrders);
         paceOrders.clear();
-        for (Job job : List.copyOf(repeating)) {
-            openDueOccurrences(job, nowEpochMs);
-        }
+        jobs.openDue(nowEpochMs);
         for (Run run : stopping) {
             if (stopDue(run, nowNanos)) {
                 run.stopOrderedNanos = nowNanos;
@@ -526,7 +343,7 @@
     }
 
     private void startReady(List<Order> orders, long nowNanos, long nowEpochMs) {
-        ReadyTasks.Scan scan = ready.scan(nowEpochMs);
+        ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
         while (scan.hasNext()) {
             Task task = scan.next();
             if (task.job().inherited() && !unheardRunners.isEmpty()) {
@@ -538,7 +355,7 @@
             }
             for (Run run : started) {
                 orders.add(new Order.Start(run));
-                ready.remove(run.task());
+                jobs.ready().remove(run.task());
             }
         }
     }
@@ -641,12 +458,8 @@
         }
     }
 
-    private void stopAll(Task task, Run except) {
-        for (Run run : task.runs) {
-            if (run != except) {
-                stop(run);
-            }
-        }
+    private void stopAll(Task task) {
+        task.runs.forEach(this::stop);
     }
 
     private void stop(Run run) {
@@ -659,6 +472,6 @@
         run.runner().remove(run);
         stopping.remove(run);
         run.task().lastEndNanos = nowNanos;
-        refresh(run.task());
+        jobs.refresh(run.task());
     }
 }
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -103,9 +103,9 @@
 
     /** Makes sure that changes are stored soon. */
     void changed() {
-        if (context.fleet().hasFinishedChanges()) {
+        if (context.fleet().jobs().hasFinishedChanges()) {
             planFlush(true);
-        } else if (context.fleet().hasChanges()) {
+        } else if (context.fleet().jobs().hasChanges()) {
             planFlush(false);
         }
     }
@@ -210,7 +210,7 @@
             for (RunnerSession session : host.sessions()) {
                 ends.put(session, session.processedEnds());
             }
-            List<Job> all = context.fleet().takeChanged();
+            List<Job> all = context.fleet().jobs().takeChanged();
             List<Job> left = new ArrayList<>();
             for (Job job : all) {
                 if (writes.size() + 3 > FleetLimits.MAX_COMMIT_WRITES) {
@@ -221,7 +221,7 @@
             }
             if (!left.isEmpty()) {
                 ends.clear();
-                context.fleet().returnChanged(left);
+                context.fleet().jobs().returnChanged(left);
             }
             addRoster();
             addForgotten();
@@ -305,16 +305,16 @@
             for (Job job : jobs) {
                 if (states.get(job) != null) {
                     storedProgress.remove(job.id());
-                    context.fleet().stored(job);
+                    context.fleet().jobs().stored(job);
                 }
             }
-            forgotten.forEach(context.fleet()::forget);
+            forgotten.forEach(context.fleet().jobs()::forget);
             enlisted.forEach(host::enlisted);
             ends.forEach(RunnerSession::endsStored);
         }
 
         void putBack() {
-            context.fleet().returnChanged(jobs);
+            context.fleet().jobs().returnChanged(jobs);
             for (RunnerReport runner : enlisted) {
                 toEnlist.putIfAbsent(runner.id(), runner);
             }
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -147,8 +147,8 @@
             if (election.leader().isPresent()) {
                 Leader leader = election.leader().get();
                 json.writeNumberField("epoch", leader.record().epoch());
-                json.writeNumberField("openJobs", leader.fleet().openJobs());
-                json.writeNumberField("waitingTasks", leader.fleet().readyTasks());
+                json.writeNumberField("openJobs", leader.fleet().jobs().openJobs());
+                json.writeNumberField("waitingTasks", leader.fleet().jobs().waitingTasks());
                 json.writeNumberField("unheardRunners", leader.fleet().unheardRunners());
                 json.writeNumberField("storeAgeMs", leader.storeAgeMs());
             }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -40,6 +40,7 @@
     private final long leaderVersion;
     private final long takeoverNanos;
 
+    private final TableReader tables;
     private final Authority authority;
     private final Fleet fleet;
     private final LeaderContext context;
@@ -79,6 +80,7 @@
         this.takeoverNanos = loop.nowNanos();
         this.storeAnsweredNanos = takeoverNanos;
         this.authority = new Authority(loop, timeOfDay);
+        this.tables = new TableReader(loop, store, log, () -> ended, this::noteStoreAnswer);
         this.fleet = new Fleet(record.epoch(), log);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
     }
@@ -98,12 +100,12 @@
 
     /** Returns the state of a job; empty if this leader does not know it, or not yet. */
     Optional<JobState> state(String job) {
-        return loaded ? fleet.state(job) : Optional.empty();
+        return loaded ? fleet.jobs().state(job) : Optional.empty();
     }
 
     /** Returns the number of jobs of a queue that wait; empty while the jobs are not read. */
     Optional<Integer> pending(String queue) {
-        return loaded ? Optional.of(fleet.pending(queue)) : Optional.empty();
+        return loaded ? Optional.of(fleet.jobs().pending(queue)) : Optional.empty();
     }
 
     Fleet fleet() {
@@ -117,7 +119,11 @@
     /** Starts to read the store. */
     void start(long confirmedNanos) {
         authority.confirm(confirmedNanos);
-        readAll(RecordStore.Table.ROSTER, "", this::expectRunner, version -> readDirectory());
+        tables.readAll(RecordStore.Table.ROSTER, this::expectRunner, version -> readDirectory());
+    }
+
+    private void noteStoreAnswer() {
+        storeAnsweredNanos = loop.nowNanos();
     }
 
     /** Ends all orders of this leader. */
@@ -134,49 +140,6 @@
 
     // ---- Reading the store
 
-    private interface EntryReader {
-        void read(RecordStore.Entry entry) throws CorruptRecordException;
-    }
-
-    /** Reads a whole table, page by page; {@code done} gets the version of its first page. */
-    private void readAll(RecordStore.Table table, String from, EntryReader reader, Consumer<Long> done) {
-        readFrom(table, from, -1, reader, done);
-    }
-
-    private void readFrom(
-            RecordStore.Table table, String from, long firstVersion, EntryReader reader, Consumer<Long> done) {
-        if (ended) {
-            return;
-        }
-        store.read(table, from, null, result -> {
-            if (ended) {
-                return;
-            }
-            if (!(result instanceof RecordStore.ReadResult.Page page)) {
-                log.storeState("takeover-read-failing", result.toString());
-                loop.schedule(FleetLimits.STORE_RETRY, () -> readFrom(table, from, firstVersion, reader, done));
-                return;
-            }
-            storeAnsweredNanos = loop.nowNanos();
-            page.entries().forEach(entry -> readEntry(entry, reader));
-            long version = firstVersion < 0 ? page.version() : firstVersion;
-            if (page.truncated() && !page.entries().isEmpty()) {
-                String next = page.entries().getLast().key() + "\u0000";
-                readFrom(table, next, version, reader, done);
-            } else {
-                done.accept(version);
-            }
-        });
-    }
-
-    private void readEntry(RecordStore.Entry entry, EntryReader reader) {
-        try {
-            reader.read(entry);
-        } catch (CorruptRecordException corrupt) {
-            log.skippedRecord(entry.key(), corrupt.getMessage());
-        }
-    }
-
     private void expectRunner(RecordStore.Entry entry) throws CorruptRecordException {
         RunnerReport report = RecordCodec.readRunner(entry.key(), entry.value());
         FleetRunner runner = fleet.expectAnswer(report);
@@ -189,7 +152,7 @@
     private void readDirectory() {
         directory.list(reports -> {
             reports.ifPresent(this::noteDirectory);
-            readAll(RecordStore.Table.PROGRESS, "", this::readProgress, version -> readJobs());
+            tables.readAll(RecordStore.Table.PROGRESS, this::readProgress, version -> readJobs());
         });
     }
 
@@ -207,8 +170,8 @@
 
     private void readJobs() {
         Set<String> cancelled = new HashSet<>();
-        readAll(RecordStore.Table.JOBS, "", entry -> readJob(entry, true, cancelled), version -> {
-            cancelled.forEach(fleet::cancel);
+        tables.readAll(RecordStore.Table.JOBS, entry -> readJob(entry, true, cancelled), version -> {
+            cancelled.forEach(fleet.jobs()::cancel);
             finishLoading(version);
         });
     }
@@ -233,7 +196,7 @@
 
     private String summary() {
         return "openJobs=%d runners=%d tookMs=%d"
-                .formatted(fleet.openJobs(), sessions.size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
+                .formatted(fleet.jobs().openJobs(), sessions.size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
     }
 
     private void readJob(RecordStore.Entry entry, boolean inherited, Set<String> cancelled)
@@ -257,11 +220,11 @@
         switch (RecordCodec.readJob(entry.key(), entry.value())) {
             case JobRecord.Open open -> {
                 JobProgress known = progress.getOrDefault(entry.key(), JobProgress.NONE);
-                fleet.addJob(open.definition(), known, inherited, timeOfDay.millis());
+                fleet.jobs().add(open.definition(), known, inherited, timeOfDay.millis());
             }
             case JobRecord.Finished finished -> {
-                if (fleet.state(finished.id()).filter(JobState::terminal).isEmpty()) {
-                    fleet.addFinished(finished.id(), finished.state());
+                if (fleet.jobs().state(finished.id()).filter(JobState::terminal).isEmpty()) {
+                    fleet.jobs().addFinished(finished.id(), finished.state());
                 }
                 finishedJobs.add(new FinishedJob(finished.id(), finished.endedEpochMs()));
             }
@@ -301,10 +264,10 @@
     private void noteJobs(Collection<RecordStore.Entry> entries) {
         Set<String> cancelled = new HashSet<>();
         for (RecordStore.Entry entry : entries) {
-            readEntry(entry, each -> readJob(each, false, cancelled));
+            tables.readEntry(entry, each -> readJob(each, false, cancelled));
         }
         if (!ended) {
-            cancelled.forEach(fleet::cancel);
+            cancelled.forEach(fleet.jobs()::cancel);
             changed();
         }
     }
@@ -312,7 +275,7 @@
     private void rereadJobs() {
         log.storeState("jobs-history-lost", "the table is read again");
         List<RecordStore.Entry> all = new ArrayList<>();
-        readAll(RecordStore.Table.JOBS, "", all::add, version -> {
+        tables.readAll(RecordStore.Table.JOBS, all::add, version -> {
             noteJobs(all);
             jobsVersion = version;
             followJobs();
@@ -328,7 +291,7 @@
                 return;
             }
             reports.ifPresent(list -> {
-                storeAnsweredNanos = loop.nowNanos();
+                noteStoreAnswer();
                 noteDirectory(list);
                 enlistListed();
             });
@@ -458,7 +421,7 @@
 
     @Override
     public void confirmed(long sentNanos) {
-        storeAnsweredNanos = loop.nowNanos();
+        noteStoreAnswer();
         authority.confirm(sentNanos);
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/TableReader.java
@@ -0,0 +1,74 @@
+package org.tamarackline.fleet;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** Reads whole tables, page by page, and tries again until the store answers. */
+final class TableReader {
+
+    /** Takes one record. */
+    interface EntryReader {
+        void read(RecordStore.Entry entry) throws CorruptRecordException;
+    }
+
+    private final EventLoop loop;
+    private final RecordStore store;
+    private final DecisionLog log;
+    private final BooleanSupplier ended;
+    private final Runnable onAnswer;
+
+    /**
+     * Creates a reader.
+     *
+     * @param ended says whether to stop reading
+     * @param onAnswer runs at each answer of the store
+     */
+    TableReader(EventLoop loop, RecordStore store, DecisionLog log, BooleanSupplier ended, Runnable onAnswer) {
+        this.loop = loop;
+        this.store = store;
+        this.log = log;
+        this.ended = ended;
+        this.onAnswer = onAnswer;
+    }
+
+    /** Reads a table; {@code done} gets the version of its first page, from which on changes are to be followed. */
+    void readAll(RecordStore.Table table, EntryReader reader, Consumer<Long> done) {
+        readFrom(table, "", -1, reader, done);
+    }
+
+    private void readFrom(
+            RecordStore.Table table, String from, long firstVersion, EntryReader reader, Consumer<Long> done) {
+        if (ended.getAsBoolean()) {
+            return;
+        }
+        store.read(table, from, null, result -> {
+            if (ended.getAsBoolean()) {
+                return;
+            }
+            if (!(result instanceof RecordStore.ReadResult.Page page)) {
+                log.storeState("takeover-read-failing", result.toString());
+                loop.schedule(FleetLimits.STORE_RETRY, () -> readFrom(table, from, firstVersion, reader, done));
+                return;
+            }
+            onAnswer.run();
+            page.entries().forEach(entry -> readEntry(entry, reader));
+            long version = firstVersion < 0 ? page.version() : firstVersion;
+            if (page.truncated() && !page.entries().isEmpty()) {
+                // The smallest key after the last one of the page.
+                String next = page.entries().getLast().key() + "\u0000";
+                readFrom(table, next, version, reader, done);
+            } else {
+                done.accept(version);
+            }
+        });
+    }
+
+    /** Hands a record to a reader; a record that cannot be read is passed over with a log line. */
+    void readEntry(RecordStore.Entry entry, EntryReader reader) {
+        try {
+            reader.read(entry);
+        } catch (CorruptRecordException corrupt) {
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+        }
+    }
+}
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -133,7 +133,7 @@
         }
         jobs.forEach((id, job) -> {
             if (!storedStates.containsKey(id)) {
-                fleet.addJob(job, stored.getOrDefault(id, JobProgress.NONE), epoch > 1, nowMs);
+                fleet.jobs().add(job, stored.getOrDefault(id, JobProgress.NONE), epoch > 1, nowMs);
             }
         });
     }
@@ -242,7 +242,7 @@
     private void store() {
         Map<String, Long> processed = new HashMap<>();
         fleet.runners().forEach(runner -> processed.put(runner.id(), runner.processedEnds()));
-        for (Job job : fleet.takeChanged()) {
+        for (Job job : fleet.jobs().takeChanged()) {
             stored.put(job.id(), job.progress());
             job.progress().tasks().stream()
                     .filter(JobProgress.TaskProgress::done)
@@ -251,7 +251,7 @@
             if (job.terminalState() != null) {
                 storedStates.put(job.id(), job.terminalState());
             }
-            fleet.stored(job);
+            fleet.jobs().stored(job);
         }
         sessions.forEach((id, session) -> session.confirmed = processed.getOrDefault(id, 0L));
     }
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -13,7 +13,7 @@
     private final Fleet fleet = fixture.fleet();
 
     private void add(JobDefinition job) {
-        fleet.addJob(job, JobProgress.NONE, false, 0);
+        fleet.jobs().add(job, JobProgress.NONE, false, 0);
     }
 
     /** Guards against a start before all tasks of an earlier step are done. */
@@ -60,20 +60,20 @@
         fixture.answer(run, StartResult.STARTED);
         RunnerListing.EndedRow end = FleetFixture.ended(1, run, EndReason.FAILED);
         fixture.list(runner, List.of(), List.of(end));
-        JobProgress stored = fleet.takeChanged().getFirst().progress();
+        JobProgress stored = fleet.jobs().takeChanged().getFirst().progress();
 
         FleetFixture next = new FleetFixture(2);
-        next.fleet().addJob(FleetFixture.job("j", FleetFixture.step(1)), stored, true, 0);
+        next.fleet().jobs().add(FleetFixture.job("j", FleetFixture.step(1)), stored, true, 0);
         FleetRunner again = next.addRunner("a", 16_000);
         next.list(again, List.of(), List.of(end));
-        assertThat(next.fleet().state("j")).contains(JobState.RUNNING);
-        assertThat(next.fleet().takeChanged()).noneMatch(job -> job.terminalState() != null);
+        assertThat(next.fleet().jobs().state("j")).contains(JobState.RUNNING);
+        assertThat(next.fleet().jobs().takeChanged()).noneMatch(job -> job.terminalState() != null);
     }
 
     /** Guards against a start beyond the attempts because a successor hears of the failures in another order. */
     @Test
     void failuresCountInWhateverOrderTheyAreListed() {
-        fleet.addJob(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
         TaskKey task = new TaskKey("j", 0, 0, 0);
         fixture.list(
                 fleet.runnerReported(FleetFixture.report("b", 16_000)),
@@ -85,7 +85,7 @@
                 List.of(new RunnerListing.EndedRow(1, task, 1, EndReason.FAILED, "")));
         fixture.addRunner("c", 16_000);
         assertThat(fixture.decideStarts()).isEmpty();
-        assertThat(fleet.takeChanged()).extracting(Job::terminalState).containsExactly(JobState.FAILED);
+        assertThat(fleet.jobs().takeChanged()).extracting(Job::terminalState).containsExactly(JobState.FAILED);
     }
 
     /** Guards against an inherited task that starts although a silent runner may still run it. */
@@ -93,7 +93,7 @@
     void inheritedTasksWaitForEveryRunnerOfTheRoster() {
         fixture.addRunner("a", 16_000);
         fleet.expectAnswer(FleetFixture.report("silent", 16_000));
-        fleet.addJob(FleetFixture.job("old", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        fleet.jobs().add(FleetFixture.job("old", FleetFixture.step(1)), JobProgress.NONE, true, 0);
         add(FleetFixture.job("new", FleetFixture.step(1)));
         assertThat(fixture.decideStarts())
                 .extracting(run -> run.task().job().id())
@@ -108,19 +108,19 @@
     @Test
     void adoptsWhatRuns() {
         FleetRunner runner = fleet.runnerReported(FleetFixture.report("a", 16_000));
-        fleet.addJob(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, true, 0);
         TaskKey task = new TaskKey("j", 0, 0, 0);
         fixture.list(runner, List.of(new RunnerListing.RunningRow(task, 7, "", 50, -1)), List.of());
         assertThat(fixture.decideStarts()).isEmpty();
         assertThat(fixture.decideStops()).isEmpty();
-        assertThat(fleet.state("j")).contains(JobState.RUNNING);
+        assertThat(fleet.jobs().state("j")).contains(JobState.RUNNING);
     }
 
     /** Guards against a filling task that a successor believes at full speed although it was told to wait. */
     @Test
     void setsTheSpeedOfAdoptedFillers() {
         FleetRunner runner = fleet.runnerReported(FleetFixture.report("a", 16_000));
-        fleet.addJob(FleetFixture.job("j", FleetFixture.filler()), JobProgress.NONE, true, 0);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.filler()), JobProgress.NONE, true, 0);
         TaskKey task = new TaskKey("j", 0, 0, 0);
         fixture.list(runner, List.of(new RunnerListing.RunningRow(task, 7, "", 50, 0)), List.of());
         assertThat(fleet.decide(fixture.nowNanos(), 0))
@@ -135,10 +135,10 @@
         add(FleetFixture.job("j", FleetFixture.step(2)));
         List<Run> runs = fixture.decideStarts();
         runs.forEach(run -> fixture.answer(run, StartResult.STARTED));
-        fleet.cancel("j");
+        fleet.jobs().cancel("j");
         assertThat(fixture.decideStops()).hasSize(2);
-        assertThat(fleet.state("j")).contains(JobState.CANCELLED);
-        fleet.takeChanged().forEach(fleet::stored);
+        assertThat(fleet.jobs().state("j")).contains(JobState.CANCELLED);
+        fleet.jobs().takeChanged().forEach(fleet.jobs()::stored);
         fixture.list(runner, List.of(FleetFixture.row(runs.get(0), 5)), List.of());
         fixture.advanceMs(1_000);
         assertThat(fixture.decideStops()).as("repeated while it is listed").hasSize(1);
@@ -192,8 +192,8 @@
             fixture.list(run.runner(), List.of(), List.of(FleetFixture.ended(attempt, run, EndReason.FAILED)));
         }
         assertThat(fixture.decideStarts()).isEmpty();
-        fleet.takeChanged().forEach(fleet::stored);
-        assertThat(fleet.state("j")).contains(JobState.FAILED);
+        fleet.jobs().takeChanged().forEach(fleet.jobs()::stored);
+        assertThat(fleet.jobs().state("j")).contains(JobState.FAILED);
         assertThat(runner.busy()).isFalse();
     }
 
@@ -205,9 +205,9 @@
         Run run = fixture.decideStarts().getFirst();
         fixture.answer(run, StartResult.STARTED);
         fixture.list(runner, List.of(), List.of(FleetFixture.ended(1, run, EndReason.DONE)));
-        assertThat(fleet.state("j")).contains(JobState.RUNNING);
-        fleet.takeChanged().forEach(fleet::stored);
-        assertThat(fleet.state("j")).isEqualTo(Optional.of(JobState.COMPLETED));
+        assertThat(fleet.jobs().state("j")).contains(JobState.RUNNING);
+        fleet.jobs().takeChanged().forEach(fleet.jobs()::stored);
+        assertThat(fleet.jobs().state("j")).isEqualTo(Optional.of(JobState.COMPLETED));
     }
 
     /** Guards against runs that are regarded as alive after their runner started anew under the same name. */
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -68,7 +68,7 @@
                 false,
                 0);
         QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        fleet.addJob(new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0), JobProgress.NONE, false, 0);
+        fleet.jobs().add(new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0), JobProgress.NONE, false, 0);
         for (Order order : fleet.decide(loop.nowNanos(), 0)) {
             session.carryOut(order);
         }
