Let a task try a runner again that it failed on if there is no other; drop unused parts

Cause: found while reading: a task kept away from every runner of a small deployment would wait for ever. The new test fails on the code before, which never clears the runners that a task is kept away from. Unused: the time of a task's last end, and a check for a run on the same runner, which a waiting task cannot have.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -94,7 +94,7 @@
     }
 
     /** Takes note that nothing which earlier orders started on a runner can still run. */
-    public void runnerLost(String id, long nowNanos) {
+    public void runnerLost(String id) {
         unheardRunners.remove(id);
         FleetRunner runner = runners.get(id);
         if (runner == null) {
@@ -102,7 +102,7 @@
         }
         runner.contacted = false;
         for (Run run : runner.snapshotOfRuns()) {
-            drop(run, nowNanos);
+            drop(run);
         }
         if (!runner.listed) {
             runners.remove(id);
@@ -127,7 +127,7 @@
     public void applyListing(FleetRunner runner, RunnerListing listing, long sentNanos, long nowNanos) {
         if (runner.bornEpochMs != listing.bornEpochMs()) {
             if (runner.bornEpochMs != 0) {
-                dropEarlierIncarnation(runner, nowNanos);
+                dropEarlierIncarnation(runner);
             }
             runner.bornEpochMs = listing.bornEpochMs();
             runner.processedEnds = 0;
@@ -148,7 +148,7 @@
         for (Run run : runner.snapshotOfRuns()) {
             boolean missing = !listed.contains(new FleetRunner.RunKey(run.task().key(), run.number()));
             if (missing && settledBefore(run, sentNanos)) {
-                drop(run, nowNanos);
+                drop(run);
             }
         }
         runner.strayStops.keySet().retainAll(listed);
@@ -174,11 +174,11 @@
     }
 
     /** Ends the runs that were confirmed; an order without an answer may still reach the new incarnation. */
-    private void dropEarlierIncarnation(FleetRunner runner, long nowNanos) {
+    private void dropEarlierIncarnation(FleetRunner runner) {
         runner.strayStops.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startSettled) {
-                drop(run, nowNanos);
+                drop(run);
             }
         }
     }
@@ -296,7 +296,7 @@
             if (task.avoidedRunners.isEmpty()) {
                 runner.health.failed(task.job().id(), nowNanos);
             }
-            task.avoidedRunners.add(runner.id());
+            keepAway(task, runner);
         }
         int attempts = 0;
         for (Task member : task.job().gangOf(task)) {
@@ -421,9 +421,9 @@
             }
             case NO_ROOM, REFUSED -> {
                 run.runner().health.refused(nowNanos);
-                drop(run, nowNanos);
+                drop(run);
             }
-            case RUNNER_REPLACED -> runnerLost(run.runner().id(), nowNanos);
+            case RUNNER_REPLACED -> runnerLost(run.runner().id());
             default -> stop(run);
         }
     }
@@ -445,7 +445,7 @@
     /** Ends a run that does not progress, and keeps its task away from the runner. */
     private void giveUp(Run run, long nowNanos) {
         run.runner().health.stalled(nowNanos);
-        run.task().avoidedRunners.add(run.runner().id());
+        keepAway(run.task(), run.runner());
         observer.runGivenUp(run, "no progress");
         stop(run);
     }
@@ -467,11 +467,18 @@
         stopping.add(run);
     }
 
+    /** Keeps a task away from a runner, unless no runner were left. */
+    private void keepAway(Task task, FleetRunner runner) {
+        task.avoidedRunners.add(runner.id());
+        if (task.avoidedRunners.size() >= runners.size()) {
+            task.avoidedRunners.clear();
+        }
+    }
+
     /** Removes a run that is known not to exist any more; its task waits again. */
-    private void drop(Run run, long nowNanos) {
+    private void drop(Run run) {
         run.runner().remove(run);
         stopping.remove(run);
-        run.task().lastEndNanos = nowNanos;
         jobs.refresh(run.task());
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -76,11 +76,6 @@
         if (!step.reservation().fitsIn(runner.free())) {
             return false;
         }
-        for (Run run : task.runs) {
-            if (run.runner() == runner) {
-                return false;
-            }
-        }
         return step.maxPerRunner() == 0 || runner.runsOfStep(task.key()) < step.maxPerRunner();
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -25,7 +25,6 @@
     final Set<String> avoidedRunners = new HashSet<>();
 
     boolean ready;
-    long lastEndNanos;
 
     Task(Job job, TaskKey key, StepDefinition step) {
         this.job = job;
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -346,14 +346,14 @@
             FleetRunner runner = session.runner();
             if (session.silent() && !session.lost() && session.leaseExpired()) {
                 log.runnerLost(runner.id(), "it is silent and its lease has expired");
-                fleet.runnerLost(runner.id(), loop.nowNanos());
+                fleet.runnerLost(runner.id());
                 session.markLost();
             }
             boolean gone = !runner.listed() && !runner.busy() && (session.lost() || session.idle());
             if (gone && session.leaseExpired()) {
                 session.close();
                 sessions.remove(runner.id());
-                fleet.runnerLost(runner.id(), loop.nowNanos());
+                fleet.runnerLost(runner.id());
                 committer.dismiss(runner.id());
             }
         }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -153,7 +153,7 @@
             case FENCED -> host.fenced(runner.id());
             case RUNNER_REPLACED -> {
                 context.log().runnerLost(runner.id(), "another incarnation answers at its address");
-                context.fleet().runnerLost(runner.id(), context.loop().nowNanos());
+                context.fleet().runnerLost(runner.id());
                 markLost();
                 leaseEndNanos = context.loop().nowNanos();
                 failedHolds++;
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -155,7 +155,7 @@
         if (silent(runner)) {
             if (nowMs > session.leaseEndMs && !session.lost) {
                 session.lost = true;
-                fleet.runnerLost(runner.id(), nowNanos());
+                fleet.runnerLost(runner.id());
             }
             return;
         }
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -98,7 +98,7 @@
         assertThat(fixture.decideStarts())
                 .extracting(run -> run.task().job().id())
                 .containsExactly("new");
-        fleet.runnerLost("silent", fixture.nowNanos());
+        fleet.runnerLost("silent");
         assertThat(fixture.decideStarts())
                 .extracting(run -> run.task().job().id())
                 .containsExactly("old");
@@ -180,6 +180,17 @@
         assertThat(fixture.decideStarts()).hasSize(3);
     }
 
+    /** Guards against a task that waits for ever because it failed on every runner there is. */
+    @Test
+    void triesAgainWhereItFailedIfThereIsNoOtherRunner() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.answer(run, StartResult.STARTED);
+        fixture.list(runner, List.of(), List.of(FleetFixture.ended(1, run, EndReason.FAILED)));
+        assertThat(fixture.decideStarts()).hasSize(1);
+    }
+
     @Test
     void failsAfterItsAttempts() {
         FleetRunner runner = fixture.addRunner("a", 16_000);
