--- a/src/main/java/org/tamarackline/cli/CommandRegistry.java
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -26,6 +26,7 @@
     private static final List<Entry> ENTRIES = List.of(
             new Entry("entry", "Runs an entry node", EntryCommand::new),
             new Entry("serve", "Runs a node on the users' platform", ServeCommand::new),
+            new Entry("rehearse", "Runs a node beside stand-ins once, to archive its classes", RehearseCommand::new),
             new Entry("check-config", "Checks a settings file and lists all its mistakes", CheckConfigCommand::new),
             new Entry("profile list", "Lists the profiles in force", () -> new ListCommand("/profiles")),
             new Entry("profile put", "Adds or edits a profile", ProfilePutCommand::new),
--- a/src/main/java/org/tamarackline/http/HttpExchange.java
+++ b/src/main/java/org/tamarackline/http/HttpExchange.java
@@ -14,6 +14,9 @@
     /** Returns the path without the query. */
     String path();
 
+    /** Returns the parameters of the query; of several with one name the last. */
+    Map<String, String> query();
+
     /** Returns the content, empty if there is none. */
     byte[] body();
 
--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -162,6 +163,13 @@
             return request.getHttpURI().getPath();
         }
 
+        @Override
+        public Map<String, String> query() {
+            Map<String, String> parameters = new HashMap<>();
+            Request.extractQueryParameters(request).forEach(field -> parameters.put(field.getName(), field.getValue()));
+            return parameters;
+        }
+
         @Override
         public byte[] body() {
             return body;
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -43,6 +43,8 @@
     private final SingleThreadLoop loop;
     private final LineSink sink;
     private final DecisionLog log;
+    private final AsyncHttpClient storeHttp;
+    private final AsyncHttpClient runnerHttp;
     private final StoreClient store;
     private final FleetNode node;
     private final HttpListener listener;
@@ -56,8 +58,8 @@
         this.sink = sink;
         this.log = new DecisionLog(sink, timeOfDay, settings.node().node());
         this.loop = new SingleThreadLoop("node");
-        AsyncHttpClient storeHttp = new AsyncHttpClient(STORE_CONNECTIONS);
-        AsyncHttpClient runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS);
+        this.storeHttp = new AsyncHttpClient(STORE_CONNECTIONS);
+        this.runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS);
         this.store = new StoreClient(storeHttp, loop, settings.storeAddress());
         NodeMetrics metrics = new NodeMetrics();
         NodeServices services =
@@ -135,6 +137,14 @@
         }
     }
 
+    /** Ends all connections and threads at once, as the loss of the machine would. */
+    public void kill() {
+        loop.close();
+        listener.stop();
+        storeHttp.close();
+        runnerHttp.close();
+    }
+
     /** Answers what is under way, hands the lead over and stops, within the time that the settings give. */
     public void drain() {
         long startNanos = System.nanoTime();
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinCaller.java
@@ -0,0 +1,66 @@
+package org.tamarackline.standin.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpReply;
+
+/** A caller of the queue that {@link StandinFleet} configures. */
+public final class StandinCaller {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration POLL = Duration.ofMillis(20);
+
+    private final AsyncHttpClient http;
+
+    /** Creates a caller. */
+    public StandinCaller(AsyncHttpClient http) {
+        this.http = http;
+    }
+
+    /** Sends a request to a node and returns the status, 0 if there was no answer. */
+    public int send(InetSocketAddress node, String method, String job, String body) {
+        return ask(node, method, job, body) instanceof HttpReply.Answer answer ? answer.status() : 0;
+    }
+
+    /** Returns the body of the answer about a job, empty if there was none. */
+    public String state(InetSocketAddress node, String job) {
+        return ask(node, "GET", job, null) instanceof HttpReply.Answer answer
+                ? AsyncHttpClient.text(answer.body())
+                : "";
+    }
+
+    /**
+     * Waits until a job is in a state.
+     *
+     * @return whether it was within the bound
+     */
+    public boolean awaitState(InetSocketAddress node, String job, String state, Duration bound)
+            throws InterruptedException {
+        long endNanos = System.nanoTime() + bound.toNanos();
+        while (System.nanoTime() - endNanos < 0) {
+            if (state(node, job).contains("\"" + state + "\"")) {
+                return true;
+            }
+            Thread.sleep(POLL.toMillis());
+        }
+        return false;
+    }
+
+    private HttpReply ask(InetSocketAddress node, String method, String job, String body) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        http.call(
+                method,
+                StandinFleet.text(node),
+                StandinFleet.PREFIX + job,
+                Map.of("Host", StandinFleet.HOST),
+                body == null ? null : body.getBytes(StandardCharsets.UTF_8),
+                TIMEOUT,
+                reply::complete);
+        return reply.join();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -0,0 +1,189 @@
+package org.tamarackline.standin.fleet;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.tamarackline.http.HttpExchange;
+import org.tamarackline.http.HttpListener;
+import org.tamarackline.http.HttpStartException;
+
+/** A store and runners on loopback addresses, for tests and for the rehearsal of a node's start. */
+public final class StandinFleet implements AutoCloseable {
+
+    private static final int MAX_BODY_BYTES = 2 * 1024 * 1024;
+    private static final long IDLE_MS = 60_000;
+
+    /** Host of the queue that the stand-in's configuration has. */
+    public static final String HOST = "queue.example";
+    /** Prefix of the paths of that queue. */
+    public static final String PREFIX = "/work/";
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final StandinRows rows = new StandinRows();
+    private final List<StandinRunner> runners = new ArrayList<>();
+    private final HttpListener listener = new HttpListener(MAX_BODY_BYTES);
+    private final ExecutorService waiting = Executors.newVirtualThreadPerTaskExecutor();
+    private final String storeAddress;
+    private volatile boolean storeDown;
+
+    /**
+     * Starts a store with a configuration, and runners that are registered there.
+     *
+     * @param runnerCount number of runners
+     * @param taskMs duration of each task in milliseconds
+     */
+    public StandinFleet(int runnerCount, long taskMs) throws IOException, HttpStartException {
+        InetSocketAddress store = freeAddress();
+        storeAddress = text(store);
+        listener.add(store, IDLE_MS, exchange -> waiting.execute(() -> answerStore(exchange)));
+        for (int i = 0; i < runnerCount; i++) {
+            StandinRunner runner = new StandinRunner("runner-" + i, taskMs);
+            runners.add(runner);
+            InetSocketAddress address = freeAddress();
+            listener.add(address, IDLE_MS, exchange -> waiting.execute(() -> answerRunner(runner, exchange)));
+            rows.write("servers", runner.id(), encoded(registration(runner, text(address))));
+        }
+        rows.write("op", "config", encoded(configuration()));
+        listener.start();
+    }
+
+    private static String encoded(JsonNode document) {
+        return Base64.getEncoder().encodeToString(document.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private ObjectNode registration(StandinRunner runner, String address) {
+        ObjectNode entry = mapper.createObjectNode();
+        entry.put("service", "dispatch")
+                .put("address", address)
+                .put("zone", "a")
+                .put("state", "ready");
+        entry.put("born", runner.bornEpochMs());
+        entry.putObject("capacity").put("cpu", 16_000).put("memMb", 64_000).put("gpu", 0);
+        entry.putArray("labels").add("a").add("r1-1");
+        return entry;
+    }
+
+    private ObjectNode configuration() {
+        ObjectNode configuration = mapper.createObjectNode().put("version", 3);
+        ObjectNode route = configuration.putArray("routes").addObject();
+        route.put("name", "queue").put("host", HOST).put("prefix", PREFIX).put("service", "dispatch");
+        route.put("priority", 0).put("maxAttempts", 3).put("stretch", 2.0).put("targetLatencyMs", 1_000);
+        return configuration;
+    }
+
+    /** Returns the address of the store. */
+    public String storeAddress() {
+        return storeAddress;
+    }
+
+    /** Makes the store answer nothing but refusals, or ends that. */
+    public void setStoreDown(boolean down) {
+        storeDown = down;
+    }
+
+    /** Returns how often each task was started on any runner. */
+    public Map<String, Integer> starts() {
+        Map<String, Integer> starts = new HashMap<>();
+        for (StandinRunner runner : runners) {
+            runner.history().forEach(task -> starts.merge(task, 1, Integer::sum));
+        }
+        return starts;
+    }
+
+    /** Returns an address of this machine that nobody listens on. */
+    public static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+    }
+
+    /** Returns an address as host and port. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private void answerStore(HttpExchange exchange) {
+        try {
+            if (storeDown) {
+                respond(exchange, 503, mapper.createObjectNode());
+                return;
+            }
+            Map<String, String> query = exchange.query();
+            switch (exchange.path()) {
+                case "/-/rows-tx" -> transact(exchange);
+                case "/-/rows-get" ->
+                    respond(
+                            exchange,
+                            200,
+                            rows.read(
+                                    query.get("table"),
+                                    query.getOrDefault("part", ""),
+                                    query.getOrDefault("from", ""),
+                                    query.getOrDefault("target", "")));
+                case "/-/rows-feed" ->
+                    respond(
+                            exchange,
+                            200,
+                            rows.follow(
+                                    query.get("table"),
+                                    Long.parseLong(query.get("after")),
+                                    Long.parseLong(query.get("waitMs"))));
+                default -> respond(exchange, 404, mapper.createObjectNode());
+            }
+        } catch (IOException | InterruptedException failure) {
+            respond(exchange, 400, mapper.createObjectNode().put("error", failure.toString()));
+        }
+    }
+
+    private void transact(HttpExchange exchange) throws IOException {
+        ArrayNode conflict = rows.transact(mapper.readTree(exchange.body()));
+        ObjectNode answer = mapper.createObjectNode().put("ver", rows.version());
+        if (conflict != null) {
+            answer.set("rows", conflict);
+        }
+        respond(exchange, conflict == null ? 200 : 412, answer);
+    }
+
+    private void answerRunner(StandinRunner runner, HttpExchange exchange) {
+        try {
+            if (!runner.id().equals(exchange.header("Expect-Instance"))) {
+                respond(exchange, 421, mapper.createObjectNode());
+                return;
+            }
+            JsonNode order = mapper.readTree(exchange.body());
+            ObjectNode answer = switch (exchange.path()) {
+                case "/-/run-start" -> runner.start(order);
+                case "/-/run-stop" -> runner.stop(order);
+                case "/-/hold" -> runner.hold(order);
+                default -> mapper.createObjectNode().put("reason", "no such call");
+            };
+            respond(exchange, answer.has("reason") ? 409 : 200, answer);
+        } catch (IOException | InterruptedException failure) {
+            respond(exchange, 400, mapper.createObjectNode().put("error", failure.toString()));
+        }
+    }
+
+    private static void respond(HttpExchange exchange, int status, JsonNode body) {
+        exchange.respond(status, Map.of(), body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void close() {
+        listener.stop();
+        waiting.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinRows.java
@@ -0,0 +1,145 @@
+package org.tamarackline.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** The rows of the store, with a version a transaction and the whole history. */
+final class StandinRows {
+
+    private static final int PAGE_ROWS = 500;
+
+    private record Row(String table, String part, String key, String value, long version) {}
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Map<String, Row> rows = new TreeMap<>();
+    private final List<Row> history = new ArrayList<>();
+    private long version;
+
+    private static String id(String table, String part, String key) {
+        return table + "\u0001" + part + "\u0001" + key;
+    }
+
+    /** Applies a transaction; returns the current rows if a condition does not hold, else null. */
+    synchronized ArrayNode transact(JsonNode transaction) {
+        ArrayNode current = mapper.createArrayNode();
+        boolean holds = true;
+        for (JsonNode condition : transaction.path("expectedRev")) {
+            Row row = rows.get(idOf(condition));
+            holds &= condition.path("ver").asLong() == (row == null ? 0 : row.version());
+            if (row != null) {
+                current.add(document(row));
+            }
+        }
+        if (!holds) {
+            return current;
+        }
+        version++;
+        for (JsonNode write : transaction.path("writes")) {
+            put(write, write.path("value").asText());
+        }
+        for (JsonNode removal : transaction.path("remove")) {
+            put(removal, null);
+        }
+        notifyAll();
+        return null;
+    }
+
+    private static String idOf(JsonNode row) {
+        return id(
+                row.path("table").asText(),
+                row.path("part").asText(),
+                row.path("key").asText());
+    }
+
+    private void put(JsonNode write, String value) {
+        Row row = new Row(
+                write.path("table").asText(),
+                write.path("part").asText(),
+                write.path("key").asText(),
+                value,
+                version);
+        history.add(row);
+        if (value == null) {
+            rows.remove(idOf(write));
+        } else {
+            rows.put(idOf(write), row);
+        }
+    }
+
+    /** Writes a row as the operators or the runners do. */
+    synchronized void write(String table, String key, String value) {
+        version++;
+        Row row = new Row(table, "", key, value, version);
+        rows.put(id(table, "", key), row);
+        history.add(row);
+        notifyAll();
+    }
+
+    synchronized ObjectNode read(String table, String part, String from, String to) {
+        ObjectNode answer = mapper.createObjectNode();
+        ArrayNode found = answer.putArray("rows");
+        boolean truncated = false;
+        for (Row row : rows.values()) {
+            boolean inRange =
+                    row.key().compareTo(from) >= 0 && (to.isEmpty() || row.key().compareTo(to) < 0);
+            if (row.table().equals(table) && row.part().equals(part) && inRange) {
+                truncated = found.size() == PAGE_ROWS;
+                if (truncated) {
+                    break;
+                }
+                found.add(document(row));
+            }
+        }
+        answer.put("truncated", truncated);
+        return answer.put("ver", version);
+    }
+
+    /** Returns the changes of a table after a version; waits for one. */
+    synchronized ObjectNode follow(String table, long after, long waitMs) throws InterruptedException {
+        long endNanos = System.nanoTime() + waitMs * 1_000_000;
+        while (true) {
+            ObjectNode answer = changes(table, after);
+            long leftMs = (endNanos - System.nanoTime()) / 1_000_000;
+            if (!answer.path("rows").isEmpty() || leftMs <= 0) {
+                return answer;
+            }
+            wait(leftMs);
+        }
+    }
+
+    private ObjectNode changes(String table, long after) {
+        ObjectNode answer = mapper.createObjectNode();
+        ArrayNode found = answer.putArray("rows");
+        for (Row row : history) {
+            if (row.version() > after && row.table().equals(table)) {
+                found.add(document(row));
+            }
+        }
+        return answer.put("ver", version);
+    }
+
+    private ObjectNode document(Row row) {
+        ObjectNode document = mapper.createObjectNode();
+        document.put("table", row.table());
+        document.put("part", row.part());
+        document.put("key", row.key());
+        document.put("ver", row.version());
+        if (row.value() == null) {
+            document.put("deleted", true);
+        } else {
+            document.put("value", row.value());
+        }
+        return document;
+    }
+
+    synchronized long version() {
+        return version;
+    }
+}
