Learn interference for each pair of images and follow the load of serving steps

One weight an image blamed every image, swung with the load, and paused tasks that harmed nobody.

Ruled out: more runners without serving tasks (serving tasks reserve 80 to 97 % of all processors on this site); a weight that depends on the load (the additive model fits better at every load).

Change: a Kalman filter for each serving step follows its headroom and trend, another estimates each pair of images; paces and placement keep every serving task above its target by pair; serving tasks of one image are kept together; a checkpointed filling task that is slowed down moves to a runner that has room. A reading equal to the target counts as over it.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -49,13 +49,13 @@
         return jobs;
     }
 
-    /** Returns what was learned about the disturbance by each image. */
-    public Map<String, Double> interferenceWeights() {
+    /** Returns what was learned about the disturbance of serving images by filling ones. */
+    public Map<ImagePair, PairWeight> interferenceWeights() {
         return interference.weights();
     }
 
-    /** Starts from what an earlier leader learned about the disturbance by each image. */
-    public void startFromWeights(Map<String, Double> weights) {
+    /** Starts from what an earlier leader learned about the disturbance of serving images by filling ones. */
+    public void startFromWeights(Map<ImagePair, PairWeight> weights) {
         interference.startFrom(weights);
     }
 
@@ -335,6 +335,7 @@
             }
         }
         startReady(orders, nowNanos, nowEpochMs);
+        moveSlowedRuns(nowNanos);
         return orders;
     }
 
@@ -360,6 +361,30 @@
         }
     }
 
+    /** Stops some filling runs that are slowed down where others would not be; their tasks resume from a checkpoint. */
+    private void moveSlowedRuns(long nowNanos) {
+        int moved = 0;
+        for (FleetRunner runner : runners.values()) {
+            for (Run run : runner.snapshotOfRuns()) {
+                if (moved < FleetTimes.MOVES_PER_ROUND
+                        && movable(run, nowNanos)
+                        && placement.betterElsewhere(run, runners.values(), nowNanos)) {
+                    observer.runGivenUp(run, "slowed down for serving tasks while another runner has room");
+                    stop(run);
+                    moved++;
+                }
+            }
+        }
+    }
+
+    private static boolean movable(Run run, long nowNanos) {
+        return run.task().step().filler()
+                && run.task().step().checkpointed()
+                && run.phase == Run.Phase.RUNNING
+                && run.slowedNanos != 0
+                && nowNanos - run.slowedNanos > FleetTimes.SLOWED_BEFORE_MOVE_NANOS;
+    }
+
     private List<Run> startOne(Task task, long nowNanos) {
         FleetRunner runner =
                 placement.choose(task, runners.values(), task.step().preferredRack(), nowNanos);
--- a/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
@@ -9,7 +9,7 @@
     /** A run of an earlier leader goes on under this one. */
     void runAdopted(Run run);
 
-    /** A run is stopped because it does not progress. */
+    /** A run is stopped because it does not progress or would progress faster elsewhere. */
     void runGivenUp(Run run, String reason);
 
     /**
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -32,8 +32,6 @@
     /** Highest number in the list of ends that is taken into account. */
     long processedEnds;
 
-    /** Logarithm of the worst latency relative to its target without filling tasks. */
-    double baseline = Math.log(0.5);
     /** Whether a serving task was over its target in the last report. */
     boolean overTarget;
 
--- a/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
@@ -6,5 +6,11 @@
     /** Pause before a stop is ordered again whose effect is not listed, in nanoseconds. */
     static final long STOP_REPEAT_NANOS = 700_000_000L;
 
+    /** Time that a filling task is slowed down before it is moved, in nanoseconds; the cause may pass. */
+    static final long SLOWED_BEFORE_MOVE_NANOS = 700_000_000L;
+
+    /** Most filling tasks that one round moves, so that the next round sees their effect. */
+    static final int MOVES_PER_ROUND = 3;
+
     private FleetTimes() {}
 }
--- a/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
+++ b/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
@@ -4,106 +4,164 @@
 import java.util.Map;
 
 /**
- * Learns how much filling tasks of each image raise the tail latency of the serving tasks beside them.
+ * Learns how much filling tasks raise the tail latency of the serving tasks beside them.
  *
- * <p>The logarithm of the worst latency relative to its target is modelled as a baseline of the runner plus, for each image,
- * a weight times the processors that its tasks use. Both follow the runners' reports by normalized least mean squares.
+ * <p>The headroom of a serving task is its latency target divided by its tail latency: 1 at the target, more within it.
+ * Latency grows as 1 / (1 - load), so headroom falls in proportion to load, and what several filling tasks take from it
+ * adds up. How much an image takes depends on the serving image beside it. It is learned for each pair of images by a Kalman
+ * filter without covariances.
  */
 final class InterferenceModel {
 
-    /** Weight of an image of which nothing is known, per processor. */
-    private static final double UNKNOWN_WEIGHT = 0.18;
+    /** Headroom assumed of a serving task without readings. */
+    private static final double UNKNOWN_HEADROOM = 2;
 
-    private static final double MIN_WEIGHT = 0.02;
-    private static final double MAX_WEIGHT = 1.2;
-    private static final double WEIGHT_STEP = 0.3;
-    private static final double BASELINE_STEP = 0.06;
-    private static final double MIN_BASELINE = -1.3;
-    private static final double MAX_BASELINE = 0;
+    /** Lowest headroom that readings tell apart; below it a runner is saturated. */
+    private static final double SATURATED_HEADROOM = 0.4;
 
-    /** Logarithm of the part of the latency target that serving tasks should stay below. */
-    private static final double GOAL = Math.log(0.8);
+    /** Variance of a headroom that is read: a fixed part, and one in proportion to its square. */
+    private static final double READING_VARIANCE = 0.01;
 
-    private static final double MILLIS_PER_PROCESSOR = 1_000;
+    private static final double RELATIVE_READING_VARIANCE = 0.006;
 
-    private final Map<String, Double> weights = new HashMap<>();
+    /** Relative error of what the model says that filling tasks take, beside the uncertainty of its weights. */
+    private static final double MODEL_ERROR = 0.2;
 
-    /** Returns the weight of each image that was observed. */
-    Map<String, Double> weights() {
-        return Map.copyOf(weights);
-    }
+    /** Variance of a whole number that stands for a range of one. */
+    private static final double ROUNDING_VARIANCE = 1.0 / 12;
+
+    /** Square of the number of deviations from which a reading counts less. */
+    private static final double OUTLIER_SQUARE = 9;
+
+    private final Map<ImagePair, PairWeight> weights = new HashMap<>();
 
-    /** Starts from the weights that an earlier leader learned. */
-    void startFrom(Map<String, Double> learned) {
-        learned.forEach((image, weight) -> weights.put(image, bounded(weight, MIN_WEIGHT, MAX_WEIGHT)));
+    /** Returns what was learned about pairs of images. */
+    Map<ImagePair, PairWeight> weights() {
+        return Map.copyOf(weights);
     }
 
-    /** Returns how much a task of an image adds at full speed. */
-    double pressure(StepDefinition step) {
-        return weight(step.image()) * step.demand().processorMillis() / MILLIS_PER_PROCESSOR;
+    /** Starts from what an earlier leader learned. */
+    void startFrom(Map<ImagePair, PairWeight> learned) {
+        learned.forEach((pair, weight) -> weights.put(pair, weight.bounded()));
     }
 
-    /** Returns how much the filling tasks of a runner may add; not positive if there is no room for any. */
-    double allowance(FleetRunner runner) {
-        return GOAL - runner.baseline;
+    /** Returns the headroom that a filling task at full speed takes from a serving one on a runner. */
+    double pressure(StepDefinition filling, StepDefinition serving, FleetRunner runner) {
+        return weight(serving, filling).headroom() * filling.demand().processorMillis() / capacityMillis(runner);
     }
 
-    /** Returns how much the filling tasks on a runner add at full speed. */
-    double pressureOn(FleetRunner runner) {
+    /** Returns the headroom that all filling tasks of a runner at full speed take from a serving one. */
+    double pressureOn(StepDefinition serving, FleetRunner runner) {
         double sum = 0;
         for (Run run : runner.runs.values()) {
             if (run.task().step().filler()) {
-                sum += pressure(run.task().step());
+                sum += pressure(run.task().step(), serving, runner);
             }
         }
         return sum;
     }
 
+    /**
+     * Returns the headroom that a serving run is expected to have without filling tasks beside it.
+     *
+     * @param aheadS how far ahead, in seconds
+     */
+    double headroom(Run serving, double aheadS) {
+        StepHeadroom step = serving.task().job().headroom(serving.task().key().step());
+        if (serving.clearHeadroom <= 0) {
+            return step.known() ? step.expected(aheadS) : UNKNOWN_HEADROOM;
+        }
+        double own = serving.clearHeadroom + Math.sqrt(serving.clearVariance);
+        return step.known() ? Math.min(step.expected(aheadS), own) : own;
+    }
+
     /** Takes note of a runner's report. */
-    void learn(FleetRunner runner) {
-        double worst = worstLatency(runner);
-        if (worst <= 0) {
+    void learn(FleetRunner runner, long nowNanos) {
+        for (Run run : runner.runs.values()) {
+            if (run.task().step().serving() && run.phase == Run.Phase.RUNNING && run.usage > 0) {
+                learn(run, runner, nowNanos);
+            }
+        }
+    }
+
+    private void learn(Run serving, FleetRunner runner, long nowNanos) {
+        StepDefinition step = serving.task().step();
+        double reading = step.latencyTargetMs() / serving.usage;
+        Map<ImagePair, Double> shares = sharesBeside(step, runner);
+        double taken = 0;
+        double variance = readingVariance(reading, step.latencyTargetMs());
+        for (Map.Entry<ImagePair, Double> used : shares.entrySet()) {
+            PairWeight weight = weight(used.getKey());
+            taken += weight.headroom() * used.getValue();
+            variance += weight.variance() * used.getValue() * used.getValue();
+        }
+        serving.clearHeadroom = reading + taken;
+        serving.clearVariance = variance + MODEL_ERROR * MODEL_ERROR * taken * taken;
+        StepHeadroom headroom =
+                serving.task().job().headroom(serving.task().key().step());
+        if (!headroom.known()) {
+            headroom.start(serving.clearHeadroom, nowNanos);
             return;
         }
-        double expected = runner.baseline;
-        double square = 0;
-        for (Run run : runner.runs.values()) {
-            double used = processorsUsed(run);
-            expected += weight(run.task().step().image()) * used;
-            square += used * used;
+        headroom.advance(nowNanos);
+        if (reading < SATURATED_HEADROOM && headroom.level() - taken < SATURATED_HEADROOM) {
+            return;
         }
-        double error = Math.log(worst) - expected;
-        runner.baseline = bounded(runner.baseline + BASELINE_STEP * error, MIN_BASELINE, MAX_BASELINE);
+        double missing = headroom.level() - taken - Math.max(reading, SATURATED_HEADROOM);
+        double spread = serving.clearVariance + headroom.levelVariance();
+        spread *= Math.max(1, missing * missing / (OUTLIER_SQUARE * spread));
+        headroom.observe(-missing, spread);
+        correct(shares, missing, spread);
+    }
+
+    /** Returns which part of the runner's processor time the filling images beside a serving step used. */
+    private static Map<ImagePair, Double> sharesBeside(StepDefinition serving, FleetRunner runner) {
+        Map<ImagePair, Double> shares = new HashMap<>();
         for (Run run : runner.runs.values()) {
-            double used = processorsUsed(run);
-            if (used > 0) {
-                double next = weight(run.task().step().image()) + WEIGHT_STEP * error * used / (1 + square);
-                weights.put(run.task().step().image(), bounded(next, MIN_WEIGHT, MAX_WEIGHT));
+            double share = usedShare(run, runner);
+            if (share > 0) {
+                shares.merge(pairOf(serving, run.task().step()), share, Double::sum);
             }
         }
+        return shares;
     }
 
-    /** Returns the worst latency of the serving tasks relative to its target, 0 if none is known. */
-    static double worstLatency(FleetRunner runner) {
-        double worst = 0;
-        for (Run run : runner.runs.values()) {
-            StepDefinition step = run.task().step();
-            if (step.serving() && run.phase == Run.Phase.RUNNING && run.usage > 0) {
-                worst = Math.max(worst, run.usage / step.latencyTargetMs());
-            }
+    /**
+     * Attributes headroom that was missing to the pairs that took part, the less certain ones first.
+     *
+     * @param spread variance of {@code missing} as far as the estimates and the reading explain it
+     */
+    private void correct(Map<ImagePair, Double> shares, double missing, double spread) {
+        for (Map.Entry<ImagePair, Double> used : shares.entrySet()) {
+            weights.put(used.getKey(), weight(used.getKey()).observed(missing, used.getValue(), spread));
         }
-        return worst;
     }
 
-    private double weight(String image) {
-        return weights.getOrDefault(image, UNKNOWN_WEIGHT);
+    /** Returns how uncertain a headroom is whose latency was reported in whole milliseconds. */
+    private static double readingVariance(double reading, long targetMs) {
+        double square = reading * reading;
+        double rounding = ROUNDING_VARIANCE * square * square / ((double) targetMs * targetMs);
+        return READING_VARIANCE + RELATIVE_READING_VARIANCE * square + rounding;
+    }
+
+    private PairWeight weight(StepDefinition serving, StepDefinition filling) {
+        return weight(pairOf(serving, filling));
+    }
+
+    private PairWeight weight(ImagePair pair) {
+        return weights.getOrDefault(pair, PairWeight.UNKNOWN);
+    }
+
+    private static ImagePair pairOf(StepDefinition serving, StepDefinition filling) {
+        return new ImagePair(serving.image(), filling.image());
     }
 
-    private static double processorsUsed(Run run) {
-        return run.task().step().filler() ? Math.max(0, run.usage) / MILLIS_PER_PROCESSOR : 0;
+    /** Returns the part of the runner's processor time that a filling run used, 0 for other runs. */
+    private static double usedShare(Run run, FleetRunner runner) {
+        return run.task().step().filler() ? Math.max(0, run.usage) / capacityMillis(runner) : 0;
     }
 
-    private static double bounded(double value, double least, double most) {
-        return Math.max(least, Math.min(most, value));
+    private static double capacityMillis(FleetRunner runner) {
+        return Math.max(1, runner.report().capacity().processorMillis());
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/Job.java
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -12,6 +12,7 @@
     private final long[] chainsMs;
     private final long objectiveMs;
     private final List<Task[][]> occurrences = new ArrayList<>();
+    private final StepHeadroom[] headrooms;
 
     boolean started;
     JobState terminal;
@@ -28,6 +29,7 @@
         this.definition = definition;
         this.inherited = inherited;
         this.chainsMs = definition.chainsMs();
+        this.headrooms = new StepHeadroom[definition.steps().size()];
         long longestMs = LongStream.of(chainsMs).max().orElse(0);
         QueueDefinition queue = definition.queue();
         this.objectiveMs = queue.targetLatencyMs() + (long) (queue.stretch() * longestMs);
@@ -120,6 +122,14 @@
         return task.step().gang() ? occurrences.get(key.occurrence())[key.step()] : new Task[] {task};
     }
 
+    /** Returns the headroom of the serving tasks of a step. */
+    StepHeadroom headroom(int step) {
+        if (headrooms[step] == null) {
+            headrooms[step] = new StepHeadroom();
+        }
+        return headrooms[step];
+    }
+
     /** Returns whether all tasks of all occurrences are done. */
     boolean allDone() {
         return openTasks == 0 && occurrences.size() == definition.occurrences();
--- a/src/main/java/org/tamarackline/core/fleet/PaceControl.java
+++ b/src/main/java/org/tamarackline/core/fleet/PaceControl.java
@@ -18,8 +18,15 @@
     private static final int MIN_CHANGE_PERCENT = 15;
     /** Slowest speed above a stop, in percent. */
     private static final int MIN_PERCENT = 20;
-    /** Part of the allowance that is used while a target is missed. */
-    private static final double CAUTION = 0.5;
+    /** Speed below which a filling task had better run elsewhere, in percent. */
+    private static final int WORTHWHILE_PERCENT = 40;
+    /** Headroom that serving tasks keep; 1 is the target, and the load changes while a reading is on its way. */
+    static final double KEPT_HEADROOM = 1.35;
+    /** Headroom that the serving tasks of a runner keep while a target is missed there. */
+    private static final double CAUTIOUS_HEADROOM = 1.8;
+
+    /** Time between the load that a reading tells of and the effect of an order, in seconds. */
+    private static final double READING_DELAY_S = 0.7;
 
     private static final int FULL_PERCENT = 100;
 
@@ -29,39 +36,66 @@
         this.model = model;
     }
 
+    /** What a serving run may still lose of its headroom. */
+    private static final class Allowance {
+        private final StepDefinition serving;
+        private double left;
+
+        Allowance(StepDefinition serving, double left) {
+            this.serving = serving;
+            this.left = left;
+        }
+    }
+
     /** Returns the speeds to set after a report of the runner. */
     List<Order> review(FleetRunner runner, long nowNanos) {
-        model.learn(runner);
-        double worst = InterferenceModel.worstLatency(runner);
-        if (worst <= 1) {
-            runner.overTarget = false;
-        } else if (!runner.overTarget) {
-            runner.overTarget = true;
-            runner.overTargetNanos = nowNanos;
-        }
+        model.learn(runner, nowNanos);
+        noteTargets(runner, nowNanos);
         boolean harmed = runner.overTarget && nowNanos - runner.overTargetNanos > HARM_NANOS;
-        boolean serves = runner.serves();
-        double allowance = model.allowance(runner) * (runner.overTarget ? CAUTION : 1);
+        List<Allowance> allowances = allowances(runner);
         List<Order> orders = new ArrayList<>();
         for (Run run : fillers(runner)) {
-            int percent = FULL_PERCENT;
-            if (harmed) {
-                percent = 0;
-            } else if (serves) {
-                double pressure = model.pressure(run.task().step());
-                percent = share(allowance, pressure);
-                allowance -= pressure * percent / FULL_PERCENT;
+            int percent = harmed ? 0 : share(run.task().step(), allowances, runner);
+            for (Allowance allowance : allowances) {
+                allowance.left -= model.pressure(run.task().step(), allowance.serving, runner) * percent / FULL_PERCENT;
             }
             order(run, percent, orders, nowNanos);
         }
         return orders;
     }
 
-    private static int share(double allowance, double pressure) {
-        if (allowance >= pressure) {
-            return FULL_PERCENT;
+    /** Notes since when a serving task of the runner is over its target. Readings are whole milliseconds. */
+    private static void noteTargets(FleetRunner runner, long nowNanos) {
+        boolean over = false;
+        for (Run run : runner.runs.values()) {
+            StepDefinition step = run.task().step();
+            over |= step.serving() && run.phase == Run.Phase.RUNNING && run.usage >= step.latencyTargetMs();
         }
-        int percent = (int) (FULL_PERCENT * Math.max(0, allowance) / pressure);
+        if (over && !runner.overTarget) {
+            runner.overTargetNanos = nowNanos;
+        }
+        runner.overTarget = over;
+    }
+
+    private List<Allowance> allowances(FleetRunner runner) {
+        double kept = runner.overTarget ? CAUTIOUS_HEADROOM : KEPT_HEADROOM;
+        List<Allowance> allowances = new ArrayList<>();
+        for (Run run : runner.runs.values()) {
+            if (run.task().step().serving()) {
+                allowances.add(new Allowance(run.task().step(), model.headroom(run, READING_DELAY_S) - kept));
+            }
+        }
+        return allowances;
+    }
+
+    /** Returns the speed that the serving task with the least room allows, in percent. */
+    private int share(StepDefinition filling, List<Allowance> allowances, FleetRunner runner) {
+        double share = 1;
+        for (Allowance allowance : allowances) {
+            double pressure = model.pressure(filling, allowance.serving, runner);
+            share = Math.min(share, Math.max(0, allowance.left) / pressure);
+        }
+        int percent = (int) (FULL_PERCENT * share);
         return percent < MIN_PERCENT ? 0 : percent;
     }
 
@@ -70,11 +104,20 @@
         boolean worthIt = Math.abs(percent - run.pacePercent) >= MIN_CHANGE_PERCENT;
         if (percent != run.pacePercent && (limit || worthIt)) {
             run.pacePercent = percent;
+            noteSlowed(run, percent, nowNanos);
             run.progressNanos = nowNanos;
             orders.add(new Order.Pace(run, percent));
         }
     }
 
+    private static void noteSlowed(Run run, int percent, long nowNanos) {
+        if (percent >= WORTHWHILE_PERCENT) {
+            run.slowedNanos = 0;
+        } else if (run.slowedNanos == 0) {
+            run.slowedNanos = nowNanos;
+        }
+    }
+
     private static List<Run> fillers(FleetRunner runner) {
         List<Run> fillers = new ArrayList<>();
         for (Run run : runner.runs.values()) {
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -11,11 +11,24 @@
     /** Cost of taking room on a runner without serving tasks from filling tasks that disturb. */
     private static final double QUIET_RUNNER_COST = 0.8;
 
-    /** Pressure of a filling task from which it is kept away from serving ones where possible. */
-    private static final double DISTURBING_PRESSURE = 0.45;
-
+    /** Room for pressure that a serving task is taken to have at least, so that costs stay finite. */
     private static final double MIN_ALLOWANCE = 0.05;
 
+    /** Part of the room for pressure that filling tasks may take at full speed; beyond 1 they are slowed down. */
+    private static final double MAX_USED_ALLOWANCE = 1.25;
+
+    /** Part of the room for pressure on another runner up to which a slowed task is moved there. */
+    private static final double MOVE_ALLOWANCE = 0.8;
+
+    /** Part of the room for pressure from which a filling task is sent to a runner without serving ones. */
+    private static final double DISTURBING_PRESSURE = 0.5;
+
+    /** How far ahead the load of serving tasks is expected when a filling task is placed beside them, in seconds. */
+    private static final double OUTLOOK_S = 2;
+
+    /** Cost of a serving task of another image on the runner: different images are harmed by different filling ones. */
+    private static final double OTHER_IMAGE_COST = 1.5;
+
     /** Part of a service's processor time below which its reservations leave most of it free; the platform's rule says half. */
     private static final double MOSTLY_FREE = 0.6;
 
@@ -56,6 +69,20 @@
         return best;
     }
 
+    /** Returns whether a filling run that is slowed down would work at speed on another runner. */
+    boolean betterElsewhere(Run run, Collection<FleetRunner> runners, long nowNanos) {
+        StepDefinition step = run.task().step();
+        for (FleetRunner runner : runners) {
+            if (runner != run.runner()
+                    && permits(run.task(), runner, nowNanos)
+                    && leavesTimeFor(step, runner)
+                    && usedAllowance(step, runner) < MOVE_ALLOWANCE) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns whether most of the service's capacity is not reserved. A job of which nothing runs then starts its first
      * filling task whatever the model expects; the pace decides how fast it works.
@@ -103,9 +130,7 @@
             return true;
         }
         boolean serves = runner.serves();
-        if (serves
-                && runner.fillerMillis() > 0
-                && interference.pressureOn(runner) + interference.pressure(step) > interference.allowance(runner)) {
+        if (serves && usedAllowance(step, runner) > MAX_USED_ALLOWANCE) {
             return false;
         }
         double others = serves ? SERVING_USE * runner.reservedMillis() : runner.reservedMillis();
@@ -140,19 +165,53 @@
         return cost + load + FILLER_WEIGHT * filled + (runner.serves() ? 0 : QUIET_RUNNER_COST);
     }
 
-    /** Keeps serving tasks together, so that some runners are left for filling tasks that would harm them. */
+    /**
+     * Keeps serving tasks together, so that some runners are left for filling tasks that would harm them, and serving tasks
+     * of one image most of all, so that each filling image finds runners where it harms none.
+     */
     private static double servingCost(Task task, FleetRunner runner, double load) {
         double together = runner.serves() ? 0 : QUIET_RUNNER_COST;
-        return together + (1 - load) + SHARED_FATE_COST * runner.runsOfStep(task.key());
+        double shared = SHARED_FATE_COST * runner.runsOfStep(task.key());
+        return together + (1 - load) + shared + OTHER_IMAGE_COST * shareOfOtherImages(task.step(), runner);
+    }
+
+    private static double shareOfOtherImages(StepDefinition step, FleetRunner runner) {
+        int serving = 0;
+        int others = 0;
+        for (Run run : runner.runs.values()) {
+            StepDefinition other = run.task().step();
+            if (other.serving()) {
+                serving++;
+                others += other.image().equals(step.image()) ? 0 : 1;
+            }
+        }
+        return serving == 0 ? 0 : (double) others / serving;
     }
 
     /** Sends filling tasks that disturb to runners without serving tasks, and the others beside serving tasks. */
     private double fillerCost(StepDefinition step, FleetRunner runner, double used) {
-        double pressure = interference.pressure(step);
         if (!runner.serves()) {
-            return used + (pressure < DISTURBING_PRESSURE ? QUIET_RUNNER_COST : 0);
+            return used + QUIET_RUNNER_COST * DISTURBING_PRESSURE;
+        }
+        return used / 2 + usedAllowance(step, runner);
+    }
+
+    /**
+     * Returns which part of the room for pressure would be used, with all filling tasks at full speed, for the serving task
+     * that has the least room left.
+     */
+    private double usedAllowance(StepDefinition step, FleetRunner runner) {
+        double worst = 0;
+        for (Run run : runner.runs.values()) {
+            StepDefinition serving = run.task().step();
+            if (serving.serving()) {
+                double pressure =
+                        interference.pressureOn(serving, runner) + interference.pressure(step, serving, runner);
+                double room =
+                        Math.max(MIN_ALLOWANCE, interference.headroom(run, OUTLOOK_S) - PaceControl.KEPT_HEADROOM);
+                worst = Math.max(worst, pressure / room);
+            }
         }
-        double allowance = Math.max(MIN_ALLOWANCE, interference.allowance(runner));
-        return QUIET_RUNNER_COST / 2 + (interference.pressureOn(runner) + pressure) / allowance;
+        return worst;
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -37,7 +37,15 @@
     /** Share of its speed that the run was last told to work at, 0 to 100, or {@link #UNKNOWN_PACE}. */
     int pacePercent = 100;
 
+    /** Since when the run works below the speed at which it is worth its place; 0 while it does not. */
+    long slowedNanos;
+
+    /** What the runner last reported: tail latency in milliseconds of a serving run, else processor time in thousandths. */
     double usage = -1;
+    /** Headroom at the last reading, had nothing filled beside the run; 0 before the first reading. */
+    double clearHeadroom;
+    /** How uncertain {@link #clearHeadroom} is, as a variance. */
+    double clearVariance;
 
     Run(Task task, long number, FleetRunner runner, String checkpoint, long orderedNanos) {
         this.task = task;
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -10,9 +10,11 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.Job;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.PairWeight;
 import org.tamarackline.core.fleet.RunnerReport;
 
 /** Stores what a leader learns, several changes in one transaction, one transaction at a time. */
@@ -231,7 +233,7 @@
         /** Adds what was learned to a transaction that is sent anyway, not to each of them. */
         private void addWeights() {
             long nowNanos = context.loop().nowNanos();
-            Map<String, Double> weights = context.fleet().interferenceWeights();
+            Map<ImagePair, PairWeight> weights = context.fleet().interferenceWeights();
             if (!writes.isEmpty() && !weights.isEmpty() && nowNanos - weightsNanos > WEIGHTS_INTERVAL.toNanos()) {
                 weightsNanos = nowNanos;
                 write(RecordStore.Table.PROGRESS, RecordCodec.WEIGHTS_KEY, RecordCodec.weights(weights));
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -8,15 +8,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.PairWeight;
 import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerReport;
 import org.tamarackline.core.fleet.StepDefinition;
@@ -25,8 +26,8 @@
 /** Writes and reads the records of the store as MessagePack. */
 final class RecordCodec {
 
-    /** Key of what a leader learned about images, in the table of progress. */
-    static final String WEIGHTS_KEY = "!weights";
+    /** Key of what a leader learned about pairs of images, in the table of progress. */
+    static final String WEIGHTS_KEY = "!pairs";
 
     private static final int OPEN_JOB = 1;
     private static final int FINISHED_JOB = 2;
@@ -85,22 +86,25 @@
                 in -> new LeaderRecord(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean()));
     }
 
-    static byte[] weights(Map<String, Double> weights) {
+    static byte[] weights(Map<ImagePair, PairWeight> weights) {
         return pack(packer -> {
-            packer.packMapHeader(weights.size());
-            for (Map.Entry<String, Double> weight : new TreeMap<>(weights).entrySet()) {
-                packer.packString(weight.getKey());
-                packer.packDouble(weight.getValue());
+            packer.packArrayHeader(weights.size());
+            for (Map.Entry<ImagePair, PairWeight> weight : weights.entrySet()) {
+                packer.packString(weight.getKey().serving());
+                packer.packString(weight.getKey().filling());
+                packer.packDouble(weight.getValue().headroom());
+                packer.packDouble(weight.getValue().variance());
             }
         });
     }
 
-    static Map<String, Double> readWeights(byte[] bytes) throws CorruptRecordException {
+    static Map<ImagePair, PairWeight> readWeights(byte[] bytes) throws CorruptRecordException {
         return unpack(WEIGHTS_KEY, bytes, in -> {
-            int count = in.unpackMapHeader();
-            Map<String, Double> weights = new HashMap<>();
+            int count = in.unpackArrayHeader();
+            Map<ImagePair, PairWeight> weights = new HashMap<>();
             for (int i = 0; i < count; i++) {
-                weights.put(in.unpackString(), in.unpackDouble());
+                ImagePair pair = new ImagePair(in.unpackString(), in.unpackString());
+                weights.put(pair, new PairWeight(in.unpackDouble(), in.unpackDouble()));
             }
             return weights;
         });
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -240,4 +240,50 @@
         fixture.list(runner, 2, List.of(), List.of());
         assertThat(fixture.decideStarts()).hasSize(1);
     }
+
+    /** Guards against a mixture of serving images on every runner, so that each filling image harms some task anywhere. */
+    @Test
+    void keepsServingTasksOfOneImageTogether() {
+        fixture.addRunner("a", 8_000);
+        fixture.addRunner("b", 8_000);
+        add(FleetFixture.job("web", FleetFixture.serving("web", 3, 1_000)));
+        add(FleetFixture.job("api", FleetFixture.serving("api", 3, 1_000)));
+        List<Run> runs = fixture.decideStarts();
+        assertThat(runs).hasSize(6);
+        assertThat(runs)
+                .extracting(run -> run.task().step().image() + run.runner().id())
+                .containsOnly("apia", "webb");
+    }
+
+    /** Guards against a filling task that stands still beside a serving one while another runner has time for it. */
+    @Test
+    void movesASlowedFillerToARunnerWithoutServingTasks() {
+        FleetRunner busy = fixture.addRunner("a", 8_000);
+        add(FleetFixture.job("web", FleetFixture.serving("web", 1, 2_000)));
+        add(FleetFixture.job("x", FleetFixture.filler("x")));
+        List<Run> runs = fixture.decideStarts();
+        runs.forEach(run -> fixture.answer(run, StartResult.STARTED));
+        for (int i = 0; i < 6; i++) {
+            fixture.advanceMs(500);
+            fixture.list(
+                    busy,
+                    List.of(FleetFixture.row(runs.getFirst(), 50, 150), FleetFixture.row(runs.getLast(), 10, 0)),
+                    List.of());
+        }
+        assertThat(fixture.decideStops()).as("without another runner").isEmpty();
+        fixture.addRunner("b", 8_000);
+        fixture.decideStarts();
+        assertThat(fixture.decideStops())
+                .extracting(Order.Stop::run)
+                .containsExactly(runs.getLast().number());
+        fixture.list(
+                busy,
+                List.of(FleetFixture.row(runs.getFirst(), 50, 150)),
+                List.of(new RunnerListing.EndedRow(
+                        1, runs.getLast().task().key(), runs.getLast().number(), EndReason.STOPPED, "saved")));
+        assertThat(fixture.decideStarts()).singleElement().satisfies(run -> {
+            assertThat(run.runner().id()).isEqualTo("b");
+            assertThat(run.checkpoint()).isEqualTo("saved");
+        });
+    }
 }
