Look for a stored result before a task of a silent worker runs again

Cause: OutageTest#lostAnswersOfPlatformAndWorkers ran 6 of 30 tasks twice. The answers of a worker get lost until its lease has lapsed; the owner then started its tasks anew, although the worker had finished them and had stored their results.

Change: once a lease has lapsed, the owner asks the object store for the attempt's result and records the task as done if it is there; without an answer it asks again. The key of a result has one place, ResultLookup. The new test of the engine covers it without processes.

--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -28,6 +28,9 @@
 
     private static final long LEASE_RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
+    /** Pause before the object store is asked again whether an attempt has finished. */
+    private static final long LOOKUP_RETRY_NANOS = Duration.ofMillis(500).toNanos();
+
     private final RackRules rules;
     private final MonotonicClock clock;
     private final long gainedAtNanos;
@@ -208,8 +211,49 @@
             }
             // Added before the commit: a start of this attempt may be under way and must never find a current lease.
             worker.add(Leftover.lapsed(entry.task(), entry.row.attempt()));
-            if (!entry.cancelRequested) {
+            if (!entry.cancelRequested && entry.proposal.isEmpty() && entry.lookup == TaskEntry.Lookup.NONE) {
+                entry.lookup = TaskEntry.Lookup.DUE;
+            }
+        }
+    }
+
+    /** Returns the lookups to make now; the answer to each has to be reported back. */
+    public List<ResultLookup> dueLookups() {
+        List<ResultLookup> due = new ArrayList<>();
+        long now = clock.nowNanos();
+        for (TaskEntry entry : state.live()) {
+            if (entry.lookup == TaskEntry.Lookup.DUE && now >= entry.retryAtNanos) {
+                entry.lookup = TaskEntry.Lookup.IN_FLIGHT;
+                due.add(new ResultLookup(entry.task(), entry.row.attempt()));
+            }
+        }
+        return due;
+    }
+
+    /** Takes in the answer to a lookup. */
+    public void lookedUp(ResultLookup lookup, ResultLookup.Answer answer) {
+        state.task(lookup.task())
+                .filter(entry -> entry.lookup == TaskEntry.Lookup.IN_FLIGHT)
+                .ifPresent(entry -> lookedUp(entry, lookup, answer));
+    }
+
+    private void lookedUp(TaskEntry entry, ResultLookup lookup, ResultLookup.Answer answer) {
+        entry.lookup = TaskEntry.Lookup.NONE;
+        boolean current = entry.row.state().isOnWorker() && entry.row.attempt() == lookup.attempt();
+        if (!current || !entry.isIdle()) {
+            return;
+        }
+        switch (answer) {
+            case ResultLookup.Answer.Found found -> {
+                TaskRow.Outcome outcome =
+                        new TaskRow.Outcome(Optional.of(lookup.key()), Optional.of(0), found.workDoneMs());
+                proposals.propose(entry, new TaskEvent.Finished(outcome), TaskEntry.Aftermath.NOTHING);
+            }
+            case ResultLookup.Answer.Absent absent ->
                 proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+            case ResultLookup.Answer.Unknown unknown -> {
+                entry.lookup = TaskEntry.Lookup.DUE;
+                entry.retryAtNanos = clock.nowNanos() + LOOKUP_RETRY_NANOS;
             }
         }
     }
--- a/src/main/java/org/tamarackline/core/task/TaskEntry.java
+++ b/src/main/java/org/tamarackline/core/task/TaskEntry.java
@@ -22,6 +22,13 @@
         STOP
     }
 
+    /** Progress of the question whether the attempt on a silent worker has finished. */
+    enum Lookup {
+        NONE,
+        DUE,
+        IN_FLIGHT
+    }
+
     TaskRow row;
     long version;
     Optional<Proposal> proposal = Optional.empty();
@@ -29,6 +36,7 @@
     boolean cancelRequested;
 
     Step step = Step.NONE;
+    Lookup lookup = Lookup.NONE;
     boolean commandInFlight;
     int tries;
     long retryAtNanos;
--- a/src/main/java/org/tamarackline/entry/jobs/JobService.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobService.java
@@ -27,7 +27,6 @@
 import org.tamarackline.entry.jobs.JobRefusedException.Executed;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.peer.PeerMessage;
-import org.tamarackline.store.ObjectStore;
 import org.tamarackline.store.OutcomeUnknownException;
 import org.tamarackline.store.PlatformUnavailableException;
 import org.tamarackline.store.Row;
@@ -46,14 +45,12 @@
     private static final int JOB_ID_DIGITS = 32;
 
     private final JobsContext context;
-    private final ObjectStore objects;
     private final RackLoads loads;
     private final OwnerCalls owners;
 
     @Inject
-    JobService(JobsContext context, ObjectStore objects, RackLoads loads, OwnerCalls owners) {
+    JobService(JobsContext context, RackLoads loads, OwnerCalls owners) {
         this.context = context;
-        this.objects = objects;
         this.loads = loads;
         this.owners = owners;
     }
@@ -325,7 +322,8 @@
 
     private byte[] readResult(String key) throws JobRefusedException {
         try {
-            return objects.get(key)
+            return context.objects()
+                    .get(key)
                     .orElseThrow(() -> new JobRefusedException(
                             JobErrorCode.NO_RESULT, "the result is no longer in the object store"));
         } catch (PlatformUnavailableException e) {
--- a/src/main/java/org/tamarackline/entry/jobs/JobsContext.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsContext.java
@@ -4,6 +4,7 @@
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.ObjectStore;
 import org.tamarackline.store.TableStore;
 import org.tamarackline.worker.WorkerGateway;
 
@@ -11,7 +12,7 @@
  * What the runners of all racks share.
  *
  * @param cluster membership and ownership
- * @param table platform's table
+ * @param stores platform's table and object store
  * @param gateway workers
  * @param peers other nodes
  * @param settings settings of the node
@@ -20,13 +21,21 @@
  */
 record JobsContext(
         Cluster cluster,
-        TableStore table,
+        JobStores stores,
         WorkerGateway gateway,
         PeerCaller peers,
         EntrySettings settings,
         MonotonicClock clock,
         JobThreads threads) {
 
+    TableStore table() {
+        return stores.table();
+    }
+
+    ObjectStore objects() {
+        return stores.objects();
+    }
+
     JobRows rows() {
         return new JobRows(settings.region());
     }
--- a/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
+++ b/src/main/java/org/tamarackline/entry/jobs/JobsModule.java
@@ -22,6 +22,7 @@
 import org.tamarackline.peer.PeerHandler;
 import org.tamarackline.peer.PeerMessageType;
 import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.ObjectStore;
 import org.tamarackline.store.TableStore;
 import org.tamarackline.worker.HttpWorkerGateway;
 import org.tamarackline.worker.WorkerGateway;
@@ -74,17 +75,23 @@
                 loop, action -> Thread.ofVirtual().name("jobs-call").start(action));
     }
 
+    @Provides
+    @Singleton
+    JobStores stores(TableStore table, ObjectStore objects) {
+        return new JobStores(table, objects);
+    }
+
     @Provides
     @Singleton
     JobsContext context(
             Cluster cluster,
-            TableStore table,
+            JobStores stores,
             WorkerGateway gateway,
             PeerCaller peers,
             EntrySettings settings,
             MonotonicClock clock,
             JobThreads threads) {
-        return new JobsContext(cluster, table, gateway, peers, settings, clock, threads);
+        return new JobsContext(cluster, stores, gateway, peers, settings, clock, threads);
     }
 
     @Provides
--- a/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
+++ b/src/main/java/org/tamarackline/entry/jobs/RackRunner.java
@@ -1,5 +1,6 @@
 package org.tamarackline.entry.jobs;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.Epoch;
@@ -24,6 +26,7 @@
 import org.tamarackline.core.task.RackRules;
 import org.tamarackline.core.task.RackScheduler;
 import org.tamarackline.core.task.Renewal;
+import org.tamarackline.core.task.ResultLookup;
 import org.tamarackline.core.task.RowChange;
 import org.tamarackline.core.task.TaskRow;
 import org.tamarackline.core.task.VersionedRow;
@@ -42,6 +45,8 @@
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     private static final int SCAN_LIMIT = 500;
     private static final long RECOVERY_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -140,6 +145,7 @@
         context.cluster().configuration().ifPresent(scheduler::configure);
         scheduler.dueRenewals().forEach(this::renew);
         scheduler.tick(mode(standing));
+        scheduler.dueLookups().forEach(this::lookUp);
         sendCommands();
     }
 
@@ -176,6 +182,29 @@
         });
     }
 
+    private void lookUp(ResultLookup lookup) {
+        context.threads().calls().execute(() -> {
+            ResultLookup.Answer answer = storedResult(lookup);
+            onLoop(() -> scheduler.lookedUp(lookup, answer));
+        });
+    }
+
+    private ResultLookup.Answer storedResult(ResultLookup lookup) {
+        try {
+            Optional<byte[]> content = context.objects().get(lookup.key());
+            if (content.isEmpty()) {
+                return new ResultLookup.Answer.Absent();
+            }
+            long workDoneMs = JSON.readTree(content.get()).path("workDoneMs").asLong();
+            LOG.atInfo().log("task %s finished although its worker fell silent", lookup.task());
+            return new ResultLookup.Answer.Found(workDoneMs);
+        } catch (PlatformUnavailableException | IOException e) {
+            LOG.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "the result of task %s could not be looked up; trying again: %s", lookup.task(), e.getMessage());
+            return new ResultLookup.Answer.Unknown();
+        }
+    }
+
     private void onLoop(Runnable action) {
         context.threads().loop().execute(() -> {
             if (!stopped) {
--- a/src/main/java/org/tamarackline/standin/worker/Upload.java
+++ b/src/main/java/org/tamarackline/standin/worker/Upload.java
@@ -1,6 +1,7 @@
 package org.tamarackline.standin.worker;
 
 import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.task.ResultLookup;
 
 /**
  * An object that the worker is to write to the platform's object store.
@@ -15,20 +16,17 @@
     /** What an object holds. */
     enum Kind {
         /** The work done so far. */
-        CHECKPOINT("checkpoint"),
+        CHECKPOINT,
         /** The result of a finished task. */
-        RESULT("result");
-
-        private final String prefix;
-
-        Kind(String prefix) {
-            this.prefix = prefix;
-        }
+        RESULT
     }
 
     /** Returns the key of the object; it names the attempt, so that an earlier attempt cannot overwrite it. */
     String key() {
-        return "%s/%s/%d/%d".formatted(kind.prefix, taskId.job(), taskId.index(), attempt);
+        return switch (kind) {
+            case CHECKPOINT -> "checkpoint/%s/%d/%d".formatted(taskId.job(), taskId.index(), attempt);
+            case RESULT -> new ResultLookup(taskId, attempt).key();
+        };
     }
 
     /** Returns the content of the object. */
--- a/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
@@ -45,7 +45,7 @@
         JobThreads threads = new JobThreads(this::onLoop, calls::add);
         context = new JobsContext(
                 cluster,
-                platform,
+                new JobStores(platform, platform.objects()),
                 workers,
                 (node, request, timeout) -> {
                     throw new PeerException(PeerException.Reason.UNREACHABLE, "no peers in this test", null);
@@ -56,7 +56,7 @@
         RackLoads loads = new RackLoads(context);
         engine = new JobsEngine(context, loads);
         OwnerCalls owners = new OwnerCalls(context, new JobPeerHandler(engine, loads));
-        service = new JobService(context, platform.objects(), loads, owners);
+        service = new JobService(context, loads, owners);
     }
 
     static EntrySettings settings(String id) {
--- a/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsEngineTest.java
@@ -1,5 +1,6 @@
 package org.tamarackline.entry.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 
@@ -8,7 +9,9 @@
 import org.tamarackline.core.membership.Standing;
 import org.tamarackline.core.model.ProfileName;
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
 import org.tamarackline.core.task.ParkReason;
+import org.tamarackline.core.task.ResultLookup;
 import org.tamarackline.core.task.TaskState;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -50,6 +53,23 @@
         assertThat(fixture.workers.history).hasSize(1);
     }
 
+    /** Guards against a second run of a task that finished, because its worker's answers get lost until its lease lapses. */
+    @Test
+    void doesNotRepeatATaskWhoseResultIsStored() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        settleWorkers();
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 60_000, SMALL));
+        fixture.run(Duration.ofSeconds(3));
+        assertThat(fixture.watch(job).counts()).containsEntry(TaskState.RUNNING, 1);
+        fixture.addWorker("w2", "1", WORKER_SIZE);
+        fixture.workers.silent.add("w1");
+        String key = new ResultLookup(new TaskId(job.id(), 0), 1).key();
+        fixture.platform.objects().put(key, "{\"workDoneMs\":60000}".getBytes(StandardCharsets.UTF_8));
+        fixture.run(Duration.ofSeconds(40));
+        assertThat(fixture.watch(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(1);
+    }
+
     /** Guards against a start that is repeated for ever on a worker that never runs it. */
     @Test
     void givesUpAStartThatNeverArrives() throws Exception {
--- a/src/test/java/org/tamarackline/process/OutageTest.java
+++ b/src/test/java/org/tamarackline/process/OutageTest.java
@@ -48,7 +48,8 @@
             Thread load = fixture.sendRequests(LOAD);
             load.join();
             Waits.until("the outage has lasted", ClusterFixture.BOUND, () -> System.nanoTime() - outageEndNanos > 0);
-            assertThat(fixture.request(1, "in the outage").kind()).isEqualTo(RequestOutcome.Kind.ANSWERED);
+            RequestOutcome inTheOutage = fixture.request(1, "in the outage");
+            assertThat(inTheOutage.kind()).as(inTheOutage.toString()).isEqualTo(RequestOutcome.Kind.ANSWERED);
             assertThat(fixture.submit(1, 1, TASK_WORK)).isEmpty();
             fixture.cluster().http().write(faults, PlatformFaults.NONE);
             fixture.awaitDone(0, job);
