Keep a margin in proportion to the pressure of filling tasks

Cause: at the peak of their load serving tasks have a headroom of 1.5 to 1.9; a fixed margin of 0.35 left so little of it that filling tasks which take a few hundredths were paused one after the other.

Change: the margin is a factor of 1.3 on what filling tasks take, and a fixed 0.1. Unknown pairs therefore keep a wide one.

--- a/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
+++ b/src/main/java/org/tamarackline/core/fleet/InterferenceModel.java
@@ -30,6 +30,9 @@
     /** Variance of a whole number that stands for a range of one. */
     private static final double ROUNDING_VARIANCE = 1.0 / 12;
 
+    /** Factor by which the headroom that a filling task takes may exceed the estimate. */
+    private static final double PRESSURE_MARGIN = 1.3;
+
     /** Square of the number of deviations from which a reading counts less. */
     private static final double OUTLIER_SQUARE = 9;
 
@@ -45,9 +48,13 @@
         learned.forEach((pair, weight) -> weights.put(pair, weight.bounded()));
     }
 
-    /** Returns the headroom that a filling task at full speed takes from a serving one on a runner. */
+    /**
+     * Returns the headroom that a filling task at full speed may take from a serving one on a runner, with a margin for the
+     * error of the estimate.
+     */
     double pressure(StepDefinition filling, StepDefinition serving, FleetRunner runner) {
-        return weight(serving, filling).headroom() * filling.demand().processorMillis() / capacityMillis(runner);
+        double share = filling.demand().processorMillis() / capacityMillis(runner);
+        return PRESSURE_MARGIN * weight(serving, filling).headroom() * share;
     }
 
     /** Returns the headroom that all filling tasks of a runner at full speed take from a serving one. */
--- a/src/main/java/org/tamarackline/core/fleet/PaceControl.java
+++ b/src/main/java/org/tamarackline/core/fleet/PaceControl.java
@@ -21,9 +21,9 @@
     /** Speed below which a filling task had better run elsewhere, in percent. */
     private static final int WORTHWHILE_PERCENT = 40;
     /** Headroom that serving tasks keep; 1 is the target, and the load changes while a reading is on its way. */
-    static final double KEPT_HEADROOM = 1.35;
+    static final double KEPT_HEADROOM = 1.1;
     /** Headroom that the serving tasks of a runner keep while a target is missed there. */
-    private static final double CAUTIOUS_HEADROOM = 1.8;
+    private static final double CAUTIOUS_HEADROOM = 1.4;
 
     /** Time between the load that a reading tells of and the effect of an order, in seconds. */
     private static final double READING_DELAY_S = 0.7;
