Decide in bounded rounds and bound the starts without an answer

Every answer of a runner led to a round of decisions that sorted all waiting tasks and tried each step on every runner, for filling tasks over all pairs of images; with a backlog this took the node's whole processor share. A sampled profile of a calm node shows the loop with two thirds of the time, a quarter of that for rounds.

Change: rounds follow each other after 25 ms at the earliest; a round looks at each runner's room for filling tasks once, and passes over filling tasks whose needs found no room before; moves are reviewed every 200 ms; at most 24 starts wait for an answer, the most urgent first, and have 1.5 s for it.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -30,6 +30,7 @@
     private final JobBook jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final Set<String> unheardRunners = new HashSet<>();
+    private long movesReviewedNanos;
     private final Set<Run> stopping = new LinkedHashSet<>();
     private final List<Order> strayStops = new ArrayList<>();
 
@@ -321,8 +322,9 @@
      * Returns the orders that are due: repeated stops, and starts of waiting tasks that have room.
      *
      * @param nowEpochMs time of day, which scheduled occurrences are measured by
+     * @param maxStarts most tasks to start; a gang may exceed it
      */
-    public List<Order> decide(long nowNanos, long nowEpochMs) {
+    public List<Order> decide(long nowNanos, long nowEpochMs, int maxStarts) {
         List<Order> orders = new ArrayList<>(strayStops);
         strayStops.clear();
         orders.addAll(paceOrders);
@@ -334,8 +336,11 @@
                 orders.add(new Order.Stop(run.runner(), run.task().key(), run.number()));
             }
         }
-        startReady(orders, nowNanos, nowEpochMs);
-        moveSlowedRuns(nowNanos);
+        startReady(orders, nowNanos, nowEpochMs, maxStarts);
+        if (nowNanos - movesReviewedNanos > FleetTimes.MOVE_REVIEW_NANOS) {
+            movesReviewedNanos = nowNanos;
+            moveSlowedRuns(nowNanos);
+        }
         return orders;
     }
 
@@ -343,9 +348,14 @@
         return run.stopOrderedNanos == 0 || nowNanos - run.stopOrderedNanos > FleetTimes.STOP_REPEAT_NANOS;
     }
 
-    private void startReady(List<Order> orders, long nowNanos, long nowEpochMs) {
+    private void startReady(List<Order> orders, long nowNanos, long nowEpochMs, int maxStarts) {
+        if (maxStarts <= 0) {
+            return;
+        }
+        placement.startRound();
         ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
-        while (scan.hasNext()) {
+        int startedTasks = 0;
+        while (startedTasks < maxStarts && scan.hasNext()) {
             Task task = scan.next();
             if (task.job().inherited() && !unheardRunners.isEmpty()) {
                 continue;
@@ -354,6 +364,7 @@
             if (started.isEmpty()) {
                 scan.skipStep(task);
             }
+            startedTasks += started.size();
             for (Run run : started) {
                 orders.add(new Order.Start(run));
                 jobs.ready().remove(run.task());
@@ -363,9 +374,10 @@
 
     /** Stops some filling runs that are slowed down where others would not be; their tasks resume from a checkpoint. */
     private void moveSlowedRuns(long nowNanos) {
+        placement.startRound();
         int moved = 0;
         for (FleetRunner runner : runners.values()) {
-            for (Run run : runner.snapshotOfRuns()) {
+            for (Run run : runner.runs.values()) {
                 if (moved < FleetTimes.MOVES_PER_ROUND
                         && movable(run, nowNanos)
                         && placement.betterElsewhere(run, runners.values(), nowNanos)) {
@@ -425,6 +437,7 @@
         task.lastRun = number;
         Run run = new Run(task, number, runner, checkpoint, nowNanos);
         runner.add(run);
+        placement.changed(runner);
         return run;
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
@@ -9,6 +9,9 @@
     /** Time that a filling task is slowed down before it is moved, in nanoseconds; the cause may pass. */
     static final long SLOWED_BEFORE_MOVE_NANOS = 700_000_000L;
 
+    /** Least time between two looks for tasks to move, in nanoseconds. */
+    static final long MOVE_REVIEW_NANOS = 200_000_000L;
+
     /** Most filling tasks that one round moves, so that the next round sees their effect. */
     static final int MOVES_PER_ROUND = 3;
 
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -1,6 +1,9 @@
 package org.tamarackline.core.fleet;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Chooses runners for tasks. */
 final class Placement {
@@ -42,11 +45,32 @@
     private static final double SHARED_FATE_COST = 0.15;
 
     private final InterferenceModel interference;
+    /** Rooms for pressure on the runners that the current round has looked at. */
+    private final Map<FleetRunner, List<Room>> rooms = new HashMap<>();
+
+    /**
+     * Room for the pressure of filling tasks beside a serving task.
+     *
+     * @param serving step of the serving task
+     * @param pressure headroom that the filling tasks of the runner take
+     * @param allowance headroom that filling tasks may take
+     */
+    private record Room(StepDefinition serving, double pressure, double allowance) {}
 
     Placement(InterferenceModel interference) {
         this.interference = interference;
     }
 
+    /** Forgets what the last round found out about the runners. */
+    void startRound() {
+        rooms.clear();
+    }
+
+    /** Takes note that a run was added to a runner or is about to leave it. */
+    void changed(FleetRunner runner) {
+        rooms.remove(runner);
+    }
+
     /**
      * Returns the best runner that may run the task now, or null.
      *
@@ -202,16 +226,28 @@
      */
     private double usedAllowance(StepDefinition step, FleetRunner runner) {
         double worst = 0;
+        for (Room room : rooms.computeIfAbsent(runner, this::roomsOn)) {
+            double pressure = room.pressure() + interference.pressure(step, room.serving(), runner);
+            worst = Math.max(worst, pressure / room.allowance());
+        }
+        return worst;
+    }
+
+    /** Returns the room of the serving task with the least of it for each serving image on a runner. */
+    private List<Room> roomsOn(FleetRunner runner) {
+        Map<String, Room> least = new HashMap<>();
         for (Run run : runner.runs.values()) {
             StepDefinition serving = run.task().step();
             if (serving.serving()) {
-                double pressure =
-                        interference.pressureOn(serving, runner) + interference.pressure(step, serving, runner);
-                double room =
-                        Math.max(MIN_ALLOWANCE, interference.headroom(run, OUTLOOK_S) - PaceControl.KEPT_HEADROOM);
-                worst = Math.max(worst, pressure / room);
+                double headroom = interference.headroom(run, OUTLOOK_S) - PaceControl.KEPT_HEADROOM;
+                double allowance = Math.max(MIN_ALLOWANCE, headroom);
+                Room known = least.get(serving.image());
+                if (known == null || allowance < known.allowance()) {
+                    double pressure = known == null ? interference.pressureOn(serving, runner) : known.pressure();
+                    least.put(serving.image(), new Room(serving, pressure, allowance));
+                }
             }
         }
-        return worst;
+        return List.copyOf(least.values());
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.tamarackline.core.model.Resources;
+
 /** The tasks that wait for room, the most urgent first. */
 final class ReadyTasks {
 
@@ -69,7 +71,17 @@
         private record StepKey(String job, int occurrence, int step) {}
 
         private final Iterator<Task> iterator;
+        /**
+         * What filling tasks with the same needs have in common.
+         *
+         * @param service service that runs the tasks
+         * @param image what the tasks run
+         * @param demand what each task needs
+         */
+        private record FillerKey(String service, String image, Resources demand) {}
+
         private final Set<StepKey> skipped = new HashSet<>();
+        private final Set<FillerKey> skippedFillers = new HashSet<>();
         private Task next;
 
         private Scan(List<Task> tasks) {
@@ -79,7 +91,7 @@
         boolean hasNext() {
             while (next == null && iterator.hasNext()) {
                 Task candidate = iterator.next();
-                if (candidate.ready && !skipped.contains(stepKey(candidate))) {
+                if (candidate.ready && !isSkipped(candidate)) {
                     next = candidate;
                 }
             }
@@ -92,8 +104,33 @@
             return task;
         }
 
+        /** Passes over the rest of a step of which a task found no room, and over filling tasks with the same needs. */
         void skipStep(Task task) {
             skipped.add(stepKey(task));
+            if (hasOnlyCommonNeeds(task)) {
+                skippedFillers.add(fillerKey(task));
+            }
+        }
+
+        private boolean isSkipped(Task task) {
+            return skipped.contains(stepKey(task))
+                    || (hasOnlyCommonNeeds(task) && skippedFillers.contains(fillerKey(task)));
+        }
+
+        /** Returns whether the task finds room exactly where any other filling task with the same needs would. */
+        private static boolean hasOnlyCommonNeeds(Task task) {
+            StepDefinition step = task.step();
+            return step.filler()
+                    && step.requiredLabel().isEmpty()
+                    && step.preferredRack().isEmpty()
+                    && step.maxPerRunner() == 0
+                    && task.avoidedRunners.isEmpty()
+                    && task.job().activeRuns > 0;
+        }
+
+        private static FillerKey fillerKey(Task task) {
+            String service = task.job().definition().queue().service();
+            return new FillerKey(service, task.step().image(), task.step().demand());
         }
 
         private static StepKey stepKey(Task task) {
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -99,6 +99,14 @@
         });
     }
 
+    void paceOrdered(Run run, int percent, long epoch) {
+        line("pace", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeNumberField("epoch", epoch);
+            json.writeNumberField("percent", percent);
+        });
+    }
+
     void stopOrdered(String runner, TaskKey task, long run, long epoch) {
         line("stop", json -> {
             writeRun(json, task, run, runner);
--- a/src/main/java/org/tamarackline/fleet/FleetLimits.java
+++ b/src/main/java/org/tamarackline/fleet/FleetLimits.java
@@ -44,6 +44,15 @@
     /** Pause after a transaction or a read that the store refused. */
     static final Duration STORE_RETRY = Duration.ofMillis(250);
 
+    /**
+     * Starts that may be without an answer at a time. A node that is short of processor time thereby sends fewer starts
+     * instead of running into their timeouts, and the most urgent ones first.
+     */
+    static final int MAX_UNANSWERED_STARTS = 24;
+
+    /** Least time between two rounds of decisions, so that one round serves several changes. */
+    static final Duration MIN_DECISION_INTERVAL = Duration.ofMillis(25);
+
     /** How often the leader reads the directory of runners. */
     static final Duration DIRECTORY_INTERVAL = Duration.ofMillis(900);
 
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -53,6 +53,8 @@
     private boolean resigning;
     private boolean loaded;
     private boolean pumpPlanned;
+    private long pumpedNanos;
+    private int unansweredStarts;
     private long jobsVersion = -1;
     private long sequenceVersion;
     /** Runners that the directory lists and the roster does not have yet. */
@@ -371,8 +373,10 @@
         if (ended || resigning || !loaded) {
             return;
         }
+        pumpedNanos = loop.nowNanos();
         if (mayOrder()) {
-            for (Order order : fleet.decide(loop.nowNanos(), timeOfDay.millis())) {
+            int maxStarts = FleetLimits.MAX_UNANSWERED_STARTS - unansweredStarts;
+            for (Order order : fleet.decide(loop.nowNanos(), timeOfDay.millis(), maxStarts)) {
                 carryOut(order);
             }
         }
@@ -393,6 +397,16 @@
         return !ended && !resigning && authority.held();
     }
 
+    @Override
+    public void startSent() {
+        unansweredStarts++;
+    }
+
+    @Override
+    public void startAnswered() {
+        unansweredStarts--;
+    }
+
     @Override
     public void fenced(String runner) {
         superseded("runner " + runner + " has orders of a higher epoch");
@@ -402,7 +416,8 @@
     public void changed() {
         if (!pumpPlanned && loaded) {
             pumpPlanned = true;
-            loop.execute(this::pump);
+            long sinceLastNanos = loop.nowNanos() - pumpedNanos;
+            loop.schedule(FleetLimits.MIN_DECISION_INTERVAL.minusNanos(Math.max(0, sinceLastNanos)), this::pump);
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -17,6 +17,12 @@
         /** Returns whether orders may be given. */
         boolean mayOrder();
 
+        /** A start was sent whose answer is awaited. */
+        void startSent();
+
+        /** A start was answered, or will not be. */
+        void startAnswered();
+
         /** A runner has seen a higher epoch. */
         void fenced(String runner);
 
@@ -229,7 +235,9 @@
         RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
                 run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
         long sentNanos = context.loop().nowNanos();
+        host.startSent();
         context.runnerCalls().start(report, command, leaseUntilMs(), answer -> {
+            host.startAnswered();
             if (closed) {
                 return;
             }
@@ -268,6 +276,7 @@
 
     private void pace(Order.Pace pace) {
         Run run = pace.run();
+        context.log().paceOrdered(run, pace.percent(), epoch);
         context.runnerCalls().pace(runner.report(), run.task().key(), run.number(), pace.percent(), epoch, answer -> {
             if (closed) {
                 return;
--- a/src/main/java/org/tamarackline/platform/RunnerClient.java
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -17,7 +17,7 @@
 /** The platform's calls to runners. */
 final class RunnerClient implements RunnerCalls {
 
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(900);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(1_500);
     /** Added to the time that a runner may wait before it answers a hold. */
     private static final Duration HOLD_TIMEOUT = Duration.ofMillis(900);
 
