Add a command that traces a job through the logs of all nodes

The way from a job's identifier to its cause took several searches over the logs of all nodes. The command prints the job's own lines, and of the same time the changes of leader, the outages of the store and what was noticed about its runners.

--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/JobTrace.java
@@ -0,0 +1,80 @@
+package org.tamarackline.fleet;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Collects from the log lines of all nodes what explains the fate of one job: its own lines, and while it lasted the changes
+ * of leader, the outages of the store, and what was noticed about its runners.
+ */
+public final class JobTrace {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Time before and after the job's own lines in which other lines count, in milliseconds. */
+    private static final long MARGIN_MS = 1_000;
+
+    private static final String JOB = "job";
+    private static final String RUNNER = "runner";
+
+    private final String job;
+    private final List<Line> own = new ArrayList<>();
+    private final List<Line> others = new ArrayList<>();
+
+    private record Line(long timeMs, String text, String runner) {}
+
+    /** Creates a trace without lines. */
+    public JobTrace(String job) {
+        this.job = job;
+    }
+
+    /** Takes a line of a log; text before the JSON object is passed over, and so are lines without one. */
+    public void add(String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return;
+        }
+        JsonNode json;
+        try {
+            json = MAPPER.readTree(text.substring(start));
+        } catch (IOException notJson) {
+            return;
+        }
+        Line line = new Line(
+                json.path("timeMs").asLong(),
+                text.substring(start),
+                json.path(RUNNER).asText(""));
+        if (json.path(JOB).asText("").equals(job)) {
+            own.add(line);
+        } else if (json.path(JOB).isMissingNode() && json.path("event").isTextual()) {
+            others.add(line);
+        }
+    }
+
+    /** Returns the lines in order of time; empty if no line names the job. */
+    public List<String> lines() {
+        if (own.isEmpty()) {
+            return List.of();
+        }
+        long firstMs = own.stream().mapToLong(Line::timeMs).min().orElseThrow() - MARGIN_MS;
+        long lastMs = own.stream().mapToLong(Line::timeMs).max().orElseThrow() + MARGIN_MS;
+        Set<String> runners = new HashSet<>();
+        own.forEach(line -> runners.add(line.runner()));
+        List<Line> chosen = new ArrayList<>(own);
+        for (Line line : others) {
+            boolean concerned = line.runner().isEmpty() || runners.contains(line.runner());
+            if (concerned && line.timeMs() >= firstMs && line.timeMs() <= lastMs) {
+                chosen.add(line);
+            }
+        }
+        chosen.sort(Comparator.comparingLong(Line::timeMs));
+        return chosen.stream().map(Line::text).toList();
+    }
+}
