--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -21,16 +21,16 @@
     /** Run numbers that each epoch may use for a task, so that the runs of a new leader follow those of the earlier one. */
     private static final long RUNS_PER_EPOCH = 10_000;
 
-    private final long firstRun;
     private final FleetObserver observer;
     private final InterferenceModel interference = new InterferenceModel();
     private final PaceControl paceControl = new PaceControl(interference);
     private final Placement placement = new Placement(interference);
+    private final SlowedRuns slowedRuns = new SlowedRuns(placement);
+    private final Starter starter;
     private final List<Order> paceOrders = new ArrayList<>();
     private final JobBook jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final Set<String> unheardRunners = new HashSet<>();
-    private long movesReviewedNanos;
     private final Set<Run> stopping = new LinkedHashSet<>();
     private final List<Order> strayStops = new ArrayList<>();
 
@@ -40,9 +40,9 @@
      * @param epoch fencing token of the leader, from 1
      */
     public Fleet(long epoch, FleetObserver observer) {
-        this.firstRun = (epoch - 1) * RUNS_PER_EPOCH;
         this.observer = observer;
         this.jobs = new JobBook(observer, this::stopAll);
+        this.starter = new Starter(jobs, placement, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
     }
 
     /** Returns the jobs. */
@@ -336,10 +336,12 @@
                 orders.add(new Order.Stop(run.runner(), run.task().key(), run.number()));
             }
         }
-        startReady(orders, nowNanos, nowEpochMs, maxStarts);
-        if (nowNanos - movesReviewedNanos > FleetTimes.MOVE_REVIEW_NANOS) {
-            movesReviewedNanos = nowNanos;
-            moveSlowedRuns(nowNanos);
+        for (Run run : starter.start(unheardRunners.isEmpty(), maxStarts, nowNanos, nowEpochMs)) {
+            orders.add(new Order.Start(run));
+        }
+        for (Run run : slowedRuns.due(runners.values(), nowNanos)) {
+            observer.runGivenUp(run, "slowed down for serving tasks while another runner has room");
+            stop(run);
         }
         return orders;
     }
@@ -348,103 +350,6 @@
         return run.stopOrderedNanos == 0 || nowNanos - run.stopOrderedNanos > FleetTimes.STOP_REPEAT_NANOS;
     }
 
-    private void startReady(List<Order> orders, long nowNanos, long nowEpochMs, int maxStarts) {
-        if (maxStarts <= 0) {
-            return;
-        }
-        placement.startRound();
-        ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
-        int startedTasks = 0;
-        while (startedTasks < maxStarts && scan.hasNext()) {
-            Task task = scan.next();
-            if (task.job().inherited() && !unheardRunners.isEmpty()) {
-                continue;
-            }
-            List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
-            if (started.isEmpty()) {
-                scan.skipStep(task);
-            }
-            startedTasks += started.size();
-            for (Run run : started) {
-                orders.add(new Order.Start(run));
-                jobs.ready().remove(run.task());
-            }
-        }
-    }
-
-    /** Stops some filling runs that are slowed down where others would not be; their tasks resume from a checkpoint. */
-    private void moveSlowedRuns(long nowNanos) {
-        placement.startRound();
-        int moved = 0;
-        for (FleetRunner runner : runners.values()) {
-            for (Run run : runner.runs.values()) {
-                if (moved < FleetTimes.MOVES_PER_ROUND
-                        && movable(run, nowNanos)
-                        && placement.betterElsewhere(run, runners.values(), nowNanos)) {
-                    observer.runGivenUp(run, "slowed down for serving tasks while another runner has room");
-                    stop(run);
-                    moved++;
-                }
-            }
-        }
-    }
-
-    private static boolean movable(Run run, long nowNanos) {
-        return run.task().step().filler()
-                && run.task().step().checkpointed()
-                && run.phase == Run.Phase.RUNNING
-                && run.slowedNanos != 0
-                && nowNanos - run.slowedNanos > FleetTimes.SLOWED_BEFORE_MOVE_NANOS;
-    }
-
-    private List<Run> startOne(Task task, long nowNanos) {
-        FleetRunner runner =
-                placement.choose(task, runners.values(), task.step().preferredRack(), nowNanos);
-        return runner == null ? List.of() : List.of(addRun(task, runner, nextRun(task), task.checkpoint, nowNanos));
-    }
-
-    /** Starts all members of a gang with one run number, or none. */
-    private List<Run> startGang(Task first, long nowNanos) {
-        Task[] members = first.job().gangOf(first);
-        long number = 0;
-        String checkpoint = "";
-        for (Task member : members) {
-            if (!member.runs.isEmpty() || member.done) {
-                return List.of();
-            }
-            number = Math.max(number, nextRun(member));
-            checkpoint = checkpoint.compareTo(member.checkpoint) >= 0 ? checkpoint : member.checkpoint;
-        }
-        List<Run> started = new ArrayList<>();
-        String rack = first.step().preferredRack();
-        for (Task member : members) {
-            FleetRunner runner = placement.choose(member, runners.values(), rack, nowNanos);
-            if (runner == null) {
-                for (Run run : started) {
-                    run.runner().remove(run);
-                }
-                return List.of();
-            }
-            if (first.step().sameRack() && rack.isEmpty()) {
-                rack = runner.report().rack();
-            }
-            started.add(addRun(member, runner, number, checkpoint, nowNanos));
-        }
-        return started;
-    }
-
-    private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
-        task.lastRun = number;
-        Run run = new Run(task, number, runner, checkpoint, nowNanos);
-        runner.add(run);
-        placement.changed(runner);
-        return run;
-    }
-
-    private long nextRun(Task task) {
-        return Math.max(task.lastRun, firstRun) + 1;
-    }
-
     /** Takes note of the answer to an ordered start. */
     public void startAnswered(Run run, StartResult result, long nowNanos) {
         if (run.runner().find(run.task().key(), run.number()) != run) {
@@ -462,7 +367,14 @@
                 drop(run);
             }
             case RUNNER_REPLACED -> runnerLost(run.runner().id());
-            default -> stop(run);
+            default -> startUnanswered(run);
+        }
+    }
+
+    /** Stops a run whose start got no answer, unless a listing has shown in the meantime that it works. */
+    private void startUnanswered(Run run) {
+        if (run.phase == Run.Phase.ORDERED) {
+            stop(run);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Starter.java
@@ -0,0 +1,105 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** Starts waiting tasks where there is room, the most urgent first. */
+final class Starter {
+
+    private final JobBook jobs;
+    private final Placement placement;
+    private final Collection<FleetRunner> runners;
+    private final long firstRun;
+
+    /**
+     * Creates a starter.
+     *
+     * @param runners all runners, as they are at each call
+     * @param firstRun highest number of a run that earlier leaders may have used
+     */
+    Starter(JobBook jobs, Placement placement, Collection<FleetRunner> runners, long firstRun) {
+        this.jobs = jobs;
+        this.placement = placement;
+        this.runners = runners;
+        this.firstRun = firstRun;
+    }
+
+    /**
+     * Returns the runs to order; their tasks no longer wait.
+     *
+     * @param inheritedMayStart whether nothing of earlier leaders can still run unseen
+     * @param maxStarts most tasks to start; a gang may exceed it
+     */
+    List<Run> start(boolean inheritedMayStart, int maxStarts, long nowNanos, long nowEpochMs) {
+        List<Run> allStarted = new ArrayList<>();
+        if (maxStarts <= 0) {
+            return allStarted;
+        }
+        placement.startRound();
+        ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
+        while (allStarted.size() < maxStarts && scan.hasNext()) {
+            Task task = scan.next();
+            if (task.job().inherited() && !inheritedMayStart) {
+                continue;
+            }
+            List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
+            if (started.isEmpty()) {
+                scan.skipStep(task);
+            }
+            started.forEach(run -> jobs.ready().remove(run.task()));
+            allStarted.addAll(started);
+        }
+        return allStarted;
+    }
+
+    private List<Run> startOne(Task task, long nowNanos) {
+        FleetRunner runner = placement.choose(task, runners, task.step().preferredRack(), nowNanos);
+        return runner == null ? List.of() : List.of(addRun(task, runner, nextRun(task), task.checkpoint, nowNanos));
+    }
+
+    /** Starts all members of a gang with one run number, or none. */
+    private List<Run> startGang(Task first, long nowNanos) {
+        Task[] members = first.job().gangOf(first);
+        long number = 0;
+        String checkpoint = "";
+        for (Task member : members) {
+            if (!member.runs.isEmpty() || member.done) {
+                return List.of();
+            }
+            number = Math.max(number, nextRun(member));
+            checkpoint = checkpoint.compareTo(member.checkpoint) >= 0 ? checkpoint : member.checkpoint;
+        }
+        List<Run> started = new ArrayList<>();
+        String rack = first.step().preferredRack();
+        for (Task member : members) {
+            FleetRunner runner = placement.choose(member, runners, rack, nowNanos);
+            if (runner == null) {
+                started.forEach(this::removeRun);
+                return List.of();
+            }
+            if (first.step().sameRack() && rack.isEmpty()) {
+                rack = runner.report().rack();
+            }
+            started.add(addRun(member, runner, number, checkpoint, nowNanos));
+        }
+        return started;
+    }
+
+    private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
+        task.lastRun = number;
+        Run run = new Run(task, number, runner, checkpoint, nowNanos);
+        runner.add(run);
+        placement.changed(runner);
+        return run;
+    }
+
+    private void removeRun(Run run) {
+        run.runner().remove(run);
+        placement.changed(run.runner());
+    }
+
+    private long nextRun(Task task) {
+        return Math.max(task.lastRun, firstRun) + 1;
+    }
+}
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -302,4 +302,17 @@
                 .extracting(order -> ((Order.Start) order).run().task().job().id())
                 .containsExactly("urgent", "urgent", "plan");
     }
+
+    /** Guards against stopping a task that works, because only the answer to its start was lost or late. */
+    @Test
+    void keepsARunThatIsListedBeforeItsStartGotNoAnswer() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.step(1)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.list(runner, List.of(FleetFixture.row(run, 5)), List.of());
+        fixture.answer(run, StartResult.UNKNOWN);
+        assertThat(fixture.decideStops()).isEmpty();
+        fixture.list(runner, List.of(), List.of(FleetFixture.ended(1, run, EndReason.DONE)));
+        assertThat(fleet.jobs().takeChanged()).extracting(Job::terminalState).containsExactly(JobState.COMPLETED);
+    }
 }
