Move lasting and checkpointed tasks off a runner that is about to leave

Cause: tasks on a draining runner ran on until it left; a lasting one was then away until the lease of the silent runner had expired, over five seconds.

Change: the review that moves slowed filling tasks also stops lasting tasks, and checkpointed ones below 60 %, on a draining runner if another runner has room for them. The test fails without it.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -25,7 +25,7 @@
     private final InterferenceModel interference = new InterferenceModel();
     private final PaceControl paceControl = new PaceControl(interference);
     private final Placement placement = new Placement(interference);
-    private final SlowedRuns slowedRuns = new SlowedRuns(placement);
+    private final Relocation relocation = new Relocation(placement);
     private final Starter starter;
     private final List<Order> paceOrders = new ArrayList<>();
     private final JobBook jobs;
@@ -339,8 +339,8 @@
         for (Run run : starter.start(unheardRunners.isEmpty(), maxStarts, nowNanos, nowEpochMs)) {
             orders.add(new Order.Start(run));
         }
-        for (Run run : slowedRuns.due(runners.values(), nowNanos)) {
-            observer.runGivenUp(run, "slowed down for serving tasks while another runner has room");
+        for (Run run : relocation.due(runners.values(), nowNanos)) {
+            observer.runGivenUp(run, Relocation.reason(run));
             stop(run);
         }
         return orders;
--- a/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
@@ -12,7 +12,7 @@
     /** Least time between two looks for tasks to move, in nanoseconds. */
     static final long MOVE_REVIEW_NANOS = 200_000_000L;
 
-    /** Most filling tasks that one round moves, so that the next round sees their effect. */
+    /** Most tasks that one round moves, so that the next round sees their effect. */
     static final int MOVES_PER_ROUND = 3;
 
     private FleetTimes() {}
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -93,14 +93,14 @@
         return best;
     }
 
-    /** Returns whether a filling run that is slowed down would work at speed on another runner. */
+    /** Returns whether another runner has room for a run, where a filling one would work at speed. */
     boolean betterElsewhere(Run run, Collection<FleetRunner> runners, long nowNanos) {
         StepDefinition step = run.task().step();
         for (FleetRunner runner : runners) {
             if (runner != run.runner()
                     && permits(run.task(), runner, nowNanos)
                     && leavesTimeFor(step, runner)
-                    && usedAllowance(step, runner) < MOVE_ALLOWANCE) {
+                    && (!step.filler() || usedAllowance(step, runner) < MOVE_ALLOWANCE)) {
                 return true;
             }
         }
--- a/src/main/java/org/tamarackline/core/fleet/SlowedRuns.java
+++ b/src/main/java/org/tamarackline/core/fleet/Relocation.java
@@ -4,13 +4,19 @@
 import java.util.Collection;
 import java.util.List;
 
-/** Finds filling runs that are slowed down where another runner would let them work; they resume from a checkpoint. */
-final class SlowedRuns {
+/**
+ * Finds runs that had better go on elsewhere: those that would end with a runner that is about to leave, and filling ones that
+ * are slowed down. Only runs that lose nothing are moved: lasting ones and those that resume from a checkpoint.
+ */
+final class Relocation {
+
+    /** Progress from which a run on a runner that is about to leave is left to end there, in percent. */
+    private static final double NEARLY_DONE_PERCENT = 60;
 
     private final Placement placement;
     private long reviewedNanos;
 
-    SlowedRuns(Placement placement) {
+    Relocation(Placement placement) {
         this.placement = placement;
     }
 
@@ -35,10 +41,23 @@
     }
 
     private static boolean movable(Run run, long nowNanos) {
-        return run.task().step().filler()
-                && run.task().step().checkpointed()
-                && run.phase == Run.Phase.RUNNING
+        StepDefinition step = run.task().step();
+        if (run.phase != Run.Phase.RUNNING || step.gang()) {
+            return false;
+        }
+        if (run.runner().report().draining()) {
+            return step.longRunning() || (step.checkpointed() && run.percent < NEARLY_DONE_PERCENT);
+        }
+        return step.filler()
+                && step.checkpointed()
                 && run.slowedNanos != 0
                 && nowNanos - run.slowedNanos > FleetTimes.SLOWED_BEFORE_MOVE_NANOS;
     }
+
+    /** Returns why a run is moved, for the log. */
+    static String reason(Run run) {
+        return run.runner().report().draining()
+                ? "its runner is about to leave and another one has room"
+                : "slowed down for serving tasks while another runner has room";
+    }
 }
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -315,4 +315,36 @@
         fixture.list(runner, List.of(), List.of(FleetFixture.ended(1, run, EndReason.DONE)));
         assertThat(fleet.jobs().takeChanged()).extracting(Job::terminalState).containsExactly(JobState.COMPLETED);
     }
+
+    /** Guards against a lasting task that is away for a whole lease because it ended with a runner that had announced it. */
+    @Test
+    void movesALastingTaskOffARunnerThatIsAboutToLeave() {
+        FleetRunner leaving = fixture.addRunner("a", 8_000);
+        add(FleetFixture.job("web", FleetFixture.serving("web", 1, 2_000)));
+        Run run = fixture.decideStarts().getFirst();
+        fixture.answer(run, StartResult.STARTED);
+        fixture.list(leaving, List.of(FleetFixture.row(run, 100)), List.of());
+        RunnerReport report = leaving.report();
+        fleet.runnerReported(new RunnerReport(
+                report.id(),
+                report.bornEpochMs(),
+                report.service(),
+                report.address(),
+                report.dataCentre(),
+                report.rack(),
+                true,
+                report.capacity(),
+                report.labels()));
+        fixture.advanceMs(500);
+        fixture.decideStarts();
+        assertThat(fixture.decideStops()).as("without another runner").isEmpty();
+        fixture.addRunner("b", 8_000);
+        fixture.advanceMs(500);
+        fixture.decideStarts();
+        assertThat(fixture.decideStops()).hasSize(1);
+        fixture.list(leaving, List.of(), List.of(FleetFixture.ended(1, run, EndReason.STOPPED)));
+        assertThat(fixture.decideStarts())
+                .extracting(next -> next.runner().id())
+                .containsExactly("b");
+    }
 }
