--- a/src/test/java/org/tamarackline/core/fleet/PaceControlTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/PaceControlTest.java
@@ -1,6 +1,8 @@
 package org.tamarackline.core.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 
@@ -8,30 +10,43 @@
 
 class PaceControlTest {
 
-    private static final long TARGET_MS = 100;
+    private static final double TARGET_MS = 100;
+    private static final double UNDISTURBED_MS = 20;
+    private static final PairWeight HARMLESS = new PairWeight(0.2, 0.02);
 
     private final FleetFixture fixture = new FleetFixture(1);
 
     /** Guards against harm that goes on because a rounded reading at the target counts as within it. */
     @Test
     void readingAtTheTargetCountsAsOverIt() {
-        FleetRunner runner = fixture.addRunner("a", 8_000);
-        fixture.fleet()
-                .jobs()
-                .add(FleetFixture.job("web", FleetFixture.serving("web", 1, 2_000)), JobProgress.NONE, false, 0);
+        // The model finds the pair harmless and the step of the serving task idle, so that only the target stops the
+        // filler.
+        fixture.fleet().startFromWeights(Map.of(new ImagePair("web", "x"), HARMLESS));
+        List<FleetRunner> runners = List.of(fixture.addRunner("a", 8_000), fixture.addRunner("b", 8_000));
+        JobDefinition web = FleetFixture.job("web", FleetFixture.serving("web", 2, 6_000));
+        fixture.fleet().jobs().add(web, JobProgress.NONE, false, 0);
         fixture.fleet().jobs().add(FleetFixture.job("x", FleetFixture.filler("x")), JobProgress.NONE, false, 0);
         List<Run> runs = fixture.decideStarts();
-        assertThat(runs).hasSize(2);
+        assertThat(runs).hasSize(3);
         runs.forEach(run -> fixture.answer(run, StartResult.STARTED));
+        Run filler = runs.getLast();
         for (int i = 0; i < 5; i++) {
             fixture.advanceMs(500);
-            fixture.list(
-                    runner,
-                    List.of(
-                            FleetFixture.row(runs.getFirst(), 50, TARGET_MS),
-                            FleetFixture.row(runs.getLast(), 10 + i, 0)),
-                    List.of());
+            for (FleetRunner runner : runners) {
+                fixture.list(runner, rows(runs, runner, filler, i), List.of());
+            }
         }
-        assertThat(runs.getLast().pacePercent).isZero();
+        assertThat(filler.pacePercent).isZero();
+    }
+
+    private static List<RunnerListing.RunningRow> rows(List<Run> runs, FleetRunner runner, Run filler, int percent) {
+        List<RunnerListing.RunningRow> rows = new ArrayList<>();
+        for (Run run : runs) {
+            if (run.runner() == runner) {
+                double latencyMs = runner == filler.runner() ? TARGET_MS : UNDISTURBED_MS;
+                rows.add(FleetFixture.row(run, percent, run == filler ? 1_000 : latencyMs));
+            }
+        }
+        return rows;
     }
 }
