Log every two seconds what keeps a leader from starting tasks; log fewer speeds

The hypotheses (wait for runners, processor time, unanswered starts, store) could not be told apart.

A leader now logs its state every 2 s, and a speed only where a filling task begins to wait, to work slowly or to work at full speed (LeaderStateTest, PaceOrderTest).

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -120,6 +120,13 @@
         return unheardRunners.size();
     }
 
+    /** Returns the number of waiting tasks that wait only because a runner may run them unseen. */
+    public int heldTasks() {
+        return unheardRunners.isEmpty()
+                ? 0
+                : jobs.ready().count(task -> task.job().inherited());
+    }
+
     /**
      * Takes note of a listing of a runner.
      *
--- a/src/main/java/org/tamarackline/core/fleet/Order.java
+++ b/src/main/java/org/tamarackline/core/fleet/Order.java
@@ -32,8 +32,19 @@
      *
      * @param run the run
      * @param percent share of full speed, 0 to 100
+     * @param previousPercent share that was ordered before, {@link Run#UNKNOWN_PACE} if that is not known
      */
-    record Pace(Run run, int percent) implements Order {
+    record Pace(Run run, int percent, int previousPercent) implements Order {
+
+        private static final int FULL_PERCENT = 100;
+
+        /** Returns whether the run begins to wait, to work slowly or to work at full speed, not only faster or slower. */
+        public boolean changesState() {
+            return percent == 0
+                    || previousPercent <= 0
+                    || (percent == FULL_PERCENT) != (previousPercent == FULL_PERCENT);
+        }
+
         @Override
         public FleetRunner runner() {
             return run.runner();
--- a/src/main/java/org/tamarackline/core/fleet/PaceControl.java
+++ b/src/main/java/org/tamarackline/core/fleet/PaceControl.java
@@ -103,10 +103,10 @@
         boolean limit = percent == 0 || percent == FULL_PERCENT;
         boolean worthIt = Math.abs(percent - run.pacePercent) >= MIN_CHANGE_PERCENT;
         if (percent != run.pacePercent && (limit || worthIt)) {
+            orders.add(new Order.Pace(run, percent, run.pacePercent));
             run.pacePercent = percent;
             noteSlowed(run, percent, nowNanos);
             run.progressNanos = nowNanos;
-            orders.add(new Order.Pace(run, percent));
         }
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 import org.tamarackline.core.model.Resources;
 
@@ -41,6 +42,10 @@
         return tasks.size();
     }
 
+    int count(Predicate<Task> condition) {
+        return (int) tasks.stream().filter(condition).count();
+    }
+
     /**
      * Returns a walk over the tasks that wait now. Of one priority, those whose job can still meet its objective come
      * first, and those that earn nothing any more last.
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -187,6 +187,21 @@
         });
     }
 
+    void leaderState(LeaderState state) {
+        line("leader-state", json -> {
+            json.writeNumberField("epoch", state.epoch());
+            json.writeNumberField("ledMs", state.ledMs());
+            json.writeNumberField("openJobs", state.openJobs());
+            json.writeNumberField("waitingTasks", state.waitingTasks());
+            json.writeNumberField("heldTasks", state.heldTasks());
+            json.writeNumberField("unheardRunners", state.unheardRunners());
+            json.writeNumberField("silentRunners", state.silentRunners());
+            json.writeNumberField("unansweredStarts", state.unansweredStarts());
+            json.writeNumberField("loopDelayMs", state.loopDelayMs());
+            json.writeNumberField("storeAgeMs", state.storeAgeMs());
+        });
+    }
+
     void storeState(String event, String cause) {
         line(event, json -> json.writeStringField("cause", cause));
     }
--- a/src/main/java/org/tamarackline/fleet/FleetLimits.java
+++ b/src/main/java/org/tamarackline/fleet/FleetLimits.java
@@ -59,6 +59,9 @@
     /** How often the leader looks for orders that time makes due. */
     static final Duration TICK = Duration.ofMillis(150);
 
+    /** How often a leader logs its state, so that what holds tasks back is known even if other lines are lost. */
+    static final Duration STATE_LOG_INTERVAL = Duration.ofSeconds(2);
+
     /** How long one read waits for a change of the jobs. */
     static final Duration JOBS_FOLLOW_WAIT = Duration.ofSeconds(1);
 
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -47,6 +47,7 @@
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     private final Map<String, JobProgress> progress = new HashMap<>();
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
+    private final LoopDelay loopDelay = new LoopDelay();
     private Committer committer;
 
     private boolean ended;
@@ -54,6 +55,7 @@
     private boolean loaded;
     private boolean pumpPlanned;
     private long pumpedNanos;
+    private long tickPlannedNanos;
     private int unansweredStarts;
     private long jobsVersion = -1;
     private long sequenceVersion;
@@ -193,9 +195,31 @@
         enlistListed();
         followJobs();
         loop.schedule(FleetLimits.DIRECTORY_INTERVAL, this::pollDirectory);
+        loop.schedule(FleetLimits.STATE_LOG_INTERVAL, this::logState);
+        tickPlannedNanos = loop.nowNanos();
         tick();
     }
 
+    private void logState() {
+        if (ended) {
+            return;
+        }
+        int silentRunners =
+                (int) sessions.values().stream().filter(RunnerSession::silent).count();
+        log.leaderState(new LeaderState(
+                record.epoch(),
+                (loop.nowNanos() - takeoverNanos) / 1_000_000,
+                fleet.jobs().openJobs(),
+                fleet.jobs().waitingTasks(),
+                fleet.heldTasks(),
+                fleet.unheardRunners(),
+                silentRunners,
+                unansweredStarts,
+                loopDelay.takeLongestMs(),
+                storeAgeMs()));
+        loop.schedule(FleetLimits.STATE_LOG_INTERVAL, this::logState);
+    }
+
     private String summary() {
         return "openJobs=%d runners=%d tookMs=%d"
                 .formatted(fleet.jobs().openJobs(), sessions.size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
@@ -337,9 +361,11 @@
         if (ended || resigning) {
             return;
         }
+        loopDelay.ran(tickPlannedNanos, loop.nowNanos());
         dropSilentRunners();
         forgetOldJobs();
         pump();
+        tickPlannedNanos = loop.nowNanos() + FleetLimits.TICK.toNanos();
         loop.schedule(FleetLimits.TICK, this::tick);
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -276,7 +276,9 @@
 
     private void pace(Order.Pace pace) {
         Run run = pace.run();
-        context.log().paceOrdered(run, pace.percent(), epoch);
+        if (pace.changesState()) {
+            context.log().paceOrdered(run, pace.percent(), epoch);
+        }
         context.runnerCalls().pace(runner.report(), run.task().key(), run.number(), pace.percent(), epoch, answer -> {
             if (closed) {
                 return;
--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/PaceOrderTest.java
@@ -0,0 +1,27 @@
+package org.tamarackline.core.fleet;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PaceOrderTest {
+
+    /** Guards against a log that loses the start or end of a wait, or that is filled with changes between slow speeds. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 100, true",
+        "0, 60, true",
+        "60, 0, true",
+        "100, 0, true",
+        "60, 100, true",
+        "100, 60, true",
+        "60, -1, true",
+        "60, 80, false",
+        "80, 40, false",
+    })
+    void tellsWaitingSlowAndFullSpeedApart(int percent, int previousPercent, boolean changesState) {
+        assertThat(new Order.Pace(null, percent, previousPercent).changesState())
+                .isEqualTo(changesState);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -0,0 +1,126 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** A store in memory on the test's event loop, which may be slow, refuse, or lose its answers. */
+final class FakeRecordStore implements RecordStore {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(1_200);
+
+    private final ManualLoop loop;
+    private final Map<Table, TreeMap<String, Entry>> tables = new EnumMap<>(Table.class);
+    private Duration latency = Duration.ofMillis(10);
+    private boolean refusing;
+    private int answersToLose;
+    private long version;
+
+    FakeRecordStore(ManualLoop loop) {
+        this.loop = loop;
+        for (Table table : Table.values()) {
+            tables.put(table, new TreeMap<>());
+        }
+    }
+
+    /** Sets the time from a call to its effect, and from the effect to the answer. */
+    void setLatency(Duration next) {
+        latency = next;
+    }
+
+    /** Makes the store refuse all calls without doing anything, or ends that. */
+    void setRefusing(boolean next) {
+        refusing = next;
+    }
+
+    /** Makes the next transactions take effect without an answer. */
+    void loseAnswers(int transactions) {
+        answersToLose = transactions;
+    }
+
+    /** Returns the records of a table by key. */
+    Map<String, Entry> table(Table table) {
+        return tables.get(table);
+    }
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionResult> done) {
+        loop.schedule(latency, () -> {
+            if (refusing) {
+                answer(done, new TransactionResult.NotDone("status 429"));
+                return;
+            }
+            TransactionResult result = apply(transaction);
+            if (answersToLose > 0) {
+                answersToLose--;
+                loop.schedule(TIMEOUT, () -> done.accept(new TransactionResult.Unknown("no answer")));
+            } else {
+                answer(done, result);
+            }
+        });
+    }
+
+    private <T> void answer(Consumer<T> done, T result) {
+        loop.schedule(latency, () -> done.accept(result));
+    }
+
+    private TransactionResult apply(Transaction transaction) {
+        List<Entry> current = new ArrayList<>();
+        boolean holds = true;
+        for (Condition condition : transaction.conditions()) {
+            Entry entry = tables.get(condition.table()).get(condition.key());
+            long found = entry == null ? 0 : entry.version();
+            holds &= found == condition.version();
+            if (entry != null) {
+                current.add(entry);
+            }
+        }
+        if (!holds) {
+            return new TransactionResult.Conflict(current);
+        }
+        version++;
+        for (Write write : transaction.writes()) {
+            if (write.value() == null) {
+                tables.get(write.table()).remove(write.key());
+            } else {
+                Entry entry = new Entry(write.table(), write.key(), write.value(), version, false);
+                tables.get(write.table()).put(write.key(), entry);
+            }
+        }
+        return new TransactionResult.Applied(version);
+    }
+
+    @Override
+    public void read(Table table, String from, String to, Consumer<ReadResult> done) {
+        loop.schedule(latency, () -> {
+            if (refusing) {
+                answer(done, new ReadResult.Failed("status 503"));
+                return;
+            }
+            TreeMap<String, Entry> rows = tables.get(table);
+            Map<String, Entry> range = to == null ? rows.tailMap(from, true) : rows.subMap(from, true, to, false);
+            answer(done, new ReadResult.Page(List.copyOf(range.values()), version, false));
+        });
+    }
+
+    @Override
+    public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> done) {
+        loop.schedule(wait, () -> {
+            if (refusing) {
+                answer(done, new ReadResult.Failed("status 503"));
+                return;
+            }
+            List<Entry> changed = new ArrayList<>();
+            for (Entry entry : tables.get(table).values()) {
+                if (entry.version() > afterVersion) {
+                    changed.add(entry);
+                }
+            }
+            answer(done, new ReadResult.Page(changed, version, false));
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -0,0 +1,81 @@
+package org.tamarackline.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.logging.LineSink;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeaderStateTest {
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeRecordStore store = new FakeRecordStore(loop);
+    private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final LineSink sink = new LineSink(output);
+    private final RunnerReport runner = new RunnerReport(
+            "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
+
+    /** Guards against a wait for a silent runner that the log does not tell from a lack of room or of processor time. */
+    @Test
+    void logsHowManyTasksWaitForARunnerThatDoesNotAnswer() {
+        write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
+        write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(twoTasks()));
+        calls.fallSilent();
+        InstantSource timeOfDay = () -> java.time.Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
+        NodeServices services = new NodeServices(
+                loop,
+                store,
+                calls,
+                done -> done.accept(Optional.of(List.of(runner))),
+                timeOfDay,
+                new DecisionLog(sink, timeOfDay, "node"));
+        new Leader(services, new LeaderRecord(2, "node", "10.0.0.9:1", false), 0, reason -> {}).start(loop.nowNanos());
+        loop.advance(Duration.ofSeconds(3));
+        sink.flush();
+        assertThat(output.toString(StandardCharsets.UTF_8))
+                .contains("\"event\":\"leader-state\"")
+                .contains("\"waitingTasks\":2,\"heldTasks\":2,\"unheardRunners\":1,\"silentRunners\":1");
+    }
+
+    private void write(RecordStore.Table table, String key, byte[] value) {
+        store.transact(
+                new RecordStore.Transaction(List.of(), List.of(new RecordStore.Write(table, key, value))),
+                result -> {});
+        loop.advance(Duration.ofMillis(100));
+    }
+
+    private static JobDefinition twoTasks() {
+        StepDefinition step = new StepDefinition(
+                2,
+                new Resources(1_000, 100, 0),
+                500,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0);
+        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
+        return new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0);
+    }
+}
