--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
@@ -0,0 +1,49 @@
+package org.tamarackline.core.fleet;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Which tasks of jobs that an earlier leader knew may start while a runner has not answered. */
+class InheritedTasksTest {
+
+    private final FleetFixture fixture = new FleetFixture(2);
+    private final Fleet fleet = fixture.fleet();
+    private final FleetRunner runner = fixture.addRunner("a", 16_000);
+
+    private void inherit(JobDefinition job) {
+        fleet.jobs().add(job, JobProgress.NONE, true, 0);
+    }
+
+    private void expectSilentRunner() {
+        fleet.expectAnswer(FleetFixture.report("silent", 16_000));
+    }
+
+    /** Guards against tasks of a later step that wait for a silent runner although no earlier leader can have started them. */
+    @Test
+    void stepWhoseEarlierStepWasSeenRunningNeedNotWait() {
+        expectSilentRunner();
+        inherit(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
+        TaskKey first = new TaskKey("j", 0, 0, 0);
+        fixture.list(runner, List.of(new RunnerListing.RunningRow(first, 7, "", 50, -1)), List.of());
+        assertThat(fixture.decideStarts()).isEmpty();
+        fixture.list(runner, List.of(), List.of(new RunnerListing.EndedRow(1, first, 7, EndReason.DONE, "")));
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().key().step())
+                .containsExactly(1);
+    }
+
+    /** Guards against a second run of a later step that an earlier leader may have started on a silent runner. */
+    @Test
+    void stepWhoseEarlierStepHadEndedBeforeWaits() {
+        expectSilentRunner();
+        inherit(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
+        TaskKey first = new TaskKey("j", 0, 0, 0);
+        fixture.list(runner, List.of(), List.of(new RunnerListing.EndedRow(1, first, 7, EndReason.DONE, "")));
+        assertThat(fixture.decideStarts()).isEmpty();
+        fleet.runnerLost("silent");
+        assertThat(fixture.decideStarts()).hasSize(1);
+    }
+}
