--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/ElectionNodes.java
@@ -0,0 +1,113 @@
+package org.tamarackline.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.logging.LineSink;
+
+/** Elections of several nodes on one clock, with a store and a runner that they share. */
+final class ElectionNodes {
+
+    private static final Pattern LED = Pattern.compile("\"event\":\"leader-started\",\"epoch\":(\\d+)");
+
+    /** A node of the fleet. */
+    record Node(String address, NodeLoop loop, Election election) {
+
+        boolean leads() {
+            return election.leader().isPresent();
+        }
+
+        long epoch() {
+            return election.leader().map(leader -> leader.record().epoch()).orElse(0L);
+        }
+    }
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeRecordStore store = new FakeRecordStore(loop);
+    private final FakeRunner runner = new FakeRunner(loop);
+    private final FakePeerCalls.Network network = new FakePeerCalls.Network();
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final LineSink sink = new LineSink(output);
+    private final List<Node> nodes = new ArrayList<>();
+
+    ManualLoop loop() {
+        return loop;
+    }
+
+    FakeRecordStore store() {
+        return store;
+    }
+
+    FakeRunner runner() {
+        return runner;
+    }
+
+    FakePeerCalls.Network network() {
+        return network;
+    }
+
+    /** Starts a node that finds the shared runner in its directory. */
+    Node start(String name) {
+        NodeLoop nodeLoop = new NodeLoop(loop);
+        InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
+        List<RunnerReport> listed = List.of(FakeRunner.REPORT);
+        NodeServices services = new NodeServices(
+                nodeLoop,
+                new NodeStore(store, nodeLoop),
+                runner,
+                done -> done.accept(Optional.of(listed)),
+                timeOfDay,
+                new DecisionLog(sink, timeOfDay, name));
+        String address = name + ":1";
+        Election election = new Election(
+                services,
+                new FakePeerCalls(nodeLoop, network),
+                new NodeSettings(name, "dc", address, Duration.ofSeconds(5)));
+        network.add(address, nodeLoop, election);
+        Node node = new Node(address, nodeLoop, election);
+        nodes.add(node);
+        nodeLoop.execute(election::start);
+        return node;
+    }
+
+    /** Ends the process of a node. */
+    void kill(Node node) {
+        node.loop().suspend();
+        network.cutOff(node.address());
+        nodes.remove(node);
+    }
+
+    /** Returns the running nodes that lead. */
+    List<Node> leading() {
+        return nodes.stream().filter(Node::leads).toList();
+    }
+
+    /** Returns the epochs that came to lead, in the order in which they did. */
+    List<Long> epochsThatLed() {
+        sink.flush();
+        return LED.matcher(logged())
+                .results()
+                .map(match -> Long.valueOf(match.group(1)))
+                .toList();
+    }
+
+    String logged() {
+        sink.flush();
+        return output.toString(StandardCharsets.UTF_8);
+    }
+
+    void write(RecordStore.Table table, String key, byte[] value) {
+        store.transact(
+                new RecordStore.Transaction(List.of(), List.of(new RecordStore.Write(table, key, value))),
+                result -> {});
+        loop.advance(Duration.ofMillis(100));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -0,0 +1,94 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** One node's questions to the elections of other nodes, which may be slow or unreachable. */
+final class FakePeerCalls implements PeerCalls {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(700);
+
+    private final EventLoop loop;
+    private final Network network;
+
+    FakePeerCalls(EventLoop loop, Network network) {
+        this.loop = loop;
+        this.network = network;
+    }
+
+    /** What connects the nodes. */
+    static final class Network {
+
+        private record Node(EventLoop loop, Election election) {}
+
+        private final Map<String, Node> nodes = new HashMap<>();
+        private final Set<String> unreachable = new HashSet<>();
+        private Duration latency = Duration.ofMillis(2);
+
+        void add(String address, EventLoop loop, Election election) {
+            nodes.put(address, new Node(loop, election));
+        }
+
+        /** Sets the time from a question to its arrival, and from the answer to its arrival. */
+        void setLatency(Duration next) {
+            latency = next;
+        }
+
+        /** Loses all questions to an address. */
+        void cutOff(String address) {
+            unreachable.add(address);
+        }
+    }
+
+    /** Hands over the first of an answer and its timeout. */
+    private static final class Call<T> {
+
+        private final Consumer<T> done;
+        private boolean over;
+
+        Call(Consumer<T> done) {
+            this.done = done;
+        }
+
+        void end(T answer) {
+            if (!over) {
+                over = true;
+                done.accept(answer);
+            }
+        }
+    }
+
+    private <T> void ask(String address, Function<Election, T> question, T noAnswer, Consumer<T> done) {
+        Call<T> call = new Call<>(done);
+        loop.schedule(TIMEOUT, () -> call.end(noAnswer));
+        Network.Node node = network.nodes.get(address);
+        if (node == null || network.unreachable.contains(address)) {
+            return;
+        }
+        node.loop().schedule(network.latency, () -> {
+            T answer = question.apply(node.election());
+            loop.schedule(network.latency, () -> call.end(answer));
+        });
+    }
+
+    @Override
+    public void ping(String address, String self, Consumer<Optional<PingAnswer>> done) {
+        ask(address, election -> Optional.of(election.answerPing(self)), Optional.empty(), done);
+    }
+
+    @Override
+    public void state(String address, String job, Consumer<StateAnswer> done) {
+        loop.schedule(TIMEOUT, () -> done.accept(StateAnswer.UNREACHABLE));
+    }
+
+    @Override
+    public void pending(String address, String queue, Consumer<Optional<Integer>> done) {
+        loop.schedule(TIMEOUT, () -> done.accept(Optional.empty()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/FakeRunner.java
@@ -0,0 +1,103 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.RunnerListing;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StartResult;
+import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.core.model.Resources;
+
+/** A runner that several leaders reach: it refuses orders of lower epochs and takes note of the leases. */
+final class FakeRunner implements RunnerCalls {
+
+    static final RunnerReport REPORT = new RunnerReport(
+            "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    /** A hold that the runner carried out. */
+    record Hold(long epoch, long atNanos, boolean renewsLease) {}
+
+    private final ManualLoop loop;
+    private final List<RunnerListing.RunningRow> running = new ArrayList<>();
+    private final List<Hold> holds = new ArrayList<>();
+    private long highestEpoch;
+    private boolean silent;
+
+    FakeRunner(ManualLoop loop) {
+        this.loop = loop;
+    }
+
+    void fallSilent() {
+        silent = true;
+    }
+
+    List<Hold> holds() {
+        return holds;
+    }
+
+    private OrderAnswer accept(long epoch) {
+        if (silent) {
+            return OrderAnswer.UNKNOWN;
+        }
+        if (epoch < highestEpoch) {
+            return OrderAnswer.FENCED;
+        }
+        highestEpoch = epoch;
+        return OrderAnswer.DONE;
+    }
+
+    private <T> void answer(OrderAnswer outcome, Consumer<T> done, T answer) {
+        loop.schedule(outcome == OrderAnswer.UNKNOWN ? TIMEOUT : Duration.ofMillis(2), () -> done.accept(answer));
+    }
+
+    @Override
+    public void start(RunnerReport runner, StartCommand command, long leaseUntilMs, Consumer<StartAnswer> done) {
+        OrderAnswer outcome = accept(command.epoch());
+        if (outcome == OrderAnswer.DONE) {
+            running.add(new RunnerListing.RunningRow(command.task(), command.run(), "", 1, -1));
+        }
+        StartResult result = outcome == OrderAnswer.DONE ? StartResult.STARTED : StartResult.UNKNOWN;
+        answer(outcome, done, new StartAnswer(result, outcome, ""));
+    }
+
+    @Override
+    public void stop(RunnerReport runner, TaskKey task, long run, long epoch, Consumer<OrderAnswer> done) {
+        OrderAnswer outcome = accept(epoch);
+        answer(outcome, done, outcome);
+    }
+
+    @Override
+    public void pace(RunnerReport runner, TaskKey task, long run, int percent, long epoch, Consumer<OrderAnswer> done) {
+        OrderAnswer outcome = accept(epoch);
+        answer(outcome, done, outcome);
+    }
+
+    @Override
+    public void hold(
+            RunnerReport runner,
+            long epoch,
+            long confirmedEnds,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<HoldAnswer> done) {
+        OrderAnswer outcome = accept(epoch);
+        if (outcome != OrderAnswer.DONE) {
+            answer(outcome, done, new HoldAnswer(outcome, null, outcome.name()));
+            return;
+        }
+        holds.add(new Hold(epoch, loop.nowNanos(), leaseUntilMs > 0));
+        loop.schedule(
+                Duration.ofMillis(Math.max(2, waitMs)),
+                () -> done.accept(new HoldAnswer(OrderAnswer.DONE, listing(), "")));
+    }
+
+    private RunnerListing listing() {
+        return new RunnerListing(1, loop.nowNanos() / 1_000_000, running, List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -0,0 +1,23 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** The shared store as one node reaches it: answers arrive on the node's loop. */
+record NodeStore(RecordStore shared, EventLoop loop) implements RecordStore {
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionResult> done) {
+        shared.transact(transaction, result -> loop.execute(() -> done.accept(result)));
+    }
+
+    @Override
+    public void read(Table table, String from, String to, Consumer<ReadResult> done) {
+        shared.read(table, from, to, result -> loop.execute(() -> done.accept(result)));
+    }
+
+    @Override
+    public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> done) {
+        shared.follow(table, afterVersion, wait, result -> loop.execute(() -> done.accept(result)));
+    }
+}
