Let a node tell the epoch that it claims, so that others do not replace it

Cause: a node whose claim was in progress answered that it did not lead. Nodes that had read its record replaced it at once, and were replaced in the same way. Ruled out: equal latencies of reads and transactions, which do not show the fault, because the answer to the claim then arrives before the question.

Change: PingAnswer contains the claimed epoch. A node that learns of a claim of the record's epoch or a higher one asks again after 0.4 s. A claiming node that the store has not answered for 4 s is replaced, so that one that is cut off from the store does not keep the lead from others.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -26,6 +26,9 @@
     /** Time without an answer of the store after which a leader is replaced by a node that the store serves. */
     private static final long MAX_STORE_AGE_MS = 2_500;
 
+    /** The same for a node whose claim is in progress: a claim without an answer, a pause and a slow read fit in. */
+    private static final long MAX_CLAIM_STORE_AGE_MS = 4_000;
+
     /** Additional wait of each further rank before it takes over. */
     private static final Duration RANK_DELAY = Duration.ofMillis(350);
 
@@ -48,6 +51,12 @@
 
     private final TreeMap<String, Long> successorsNanos = new TreeMap<>();
     private Leader leader;
+    /** Claim of this node whose outcome is not known, null if there is none. */
+    private LeaderRecord claim;
+    /** Version of the record that the claim replaces. */
+    private long claimVersion;
+
+    private long storeAnsweredNanos;
     private LeaderRecord followed;
     private long followedVersion;
     private int rank;
@@ -63,6 +72,7 @@
         this.peers = peers;
         this.log = services.log();
         this.settings = settings;
+        this.storeAnsweredNanos = loop.nowNanos();
         this.rank = Math.floorMod(settings.node().hashCode(), UNKNOWN_RANKS);
     }
 
@@ -91,7 +101,7 @@
         leader.resign();
         LeaderRecord record = leader.record();
         LeaderRecord resigned = new LeaderRecord(record.epoch(), record.node(), record.address(), true);
-        store.transact(claim(resigned, leader.leaderVersion()), result -> {
+        store.transact(writing(resigned, leader.leaderVersion()), result -> {
             log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
             done.run();
         });
@@ -103,10 +113,14 @@
         successorsNanos.put(node, nowNanos);
         successorsNanos.values().removeIf(seen -> nowNanos - seen > SUCCESSOR_MEMORY.toNanos());
         int position = successorsNanos.headMap(node).size();
-        if (leader == null || stopped) {
-            return new PeerCalls.PingAnswer(0, 0, position);
+        if (stopped) {
+            return new PeerCalls.PingAnswer(0, 0, 0, position);
+        }
+        if (leader != null) {
+            return new PeerCalls.PingAnswer(leader.record().epoch(), 0, leader.storeAgeMs(), position);
         }
-        return new PeerCalls.PingAnswer(leader.record().epoch(), leader.storeAgeMs(), position);
+        long claimedEpoch = claim == null ? 0 : claim.epoch();
+        return new PeerCalls.PingAnswer(0, claimedEpoch, (nowNanos - storeAnsweredNanos) / 1_000_000, position);
     }
 
     // ---- Finding the leader
@@ -121,6 +135,7 @@
                 return;
             }
             if (result instanceof RecordStore.ReadResult.Page page) {
+                storeAnsweredNanos = loop.nowNanos();
                 onRecord(page.entries());
             } else {
                 log.storeState("leader-read-failing", result.toString());
@@ -143,6 +158,10 @@
             loop.schedule(RETRY, this::readRecord);
             return;
         }
+        if (entry.version() != claimVersion) {
+            // The claim's condition no longer holds, so it cannot take effect any more.
+            claim = null;
+        }
         if (record.node().equals(settings.node())) {
             takeOver(record.epoch(), entry.version(), "an earlier process of this node led");
         } else if (followed != null && followedVersion == entry.version() && missedPings >= MAX_MISSED_PINGS) {
@@ -183,6 +202,11 @@
                 return;
             }
             missedPings = 0;
+        } else if (answer.isPresent() && claiming(answer.get())) {
+            rank = answer.get().rank();
+            missedPings = 0;
+            loop.schedule(NEAR_PING, () -> ping(current));
+            return;
         } else if (answer.isPresent()) {
             // The process there does not lead, so the record is outdated or soon will be.
             replace(current, "the node of the record does not lead");
@@ -198,6 +222,11 @@
         loop.schedule(pause, () -> ping(current));
     }
 
+    /** Returns whether the node of the record does not lead only because it does not know yet that it may. */
+    private boolean claiming(PeerCalls.PingAnswer answer) {
+        return answer.claimedEpoch() >= followed.epoch() && answer.storeAgeMs() <= MAX_CLAIM_STORE_AGE_MS;
+    }
+
     /** Takes over unless the record changes before it is this node's turn. */
     private void replace(long current, String reason) {
         missedPings = MAX_MISSED_PINGS;
@@ -209,7 +238,7 @@
         });
     }
 
-    private RecordStore.Transaction claim(LeaderRecord record, long version) {
+    private static RecordStore.Transaction writing(LeaderRecord record, long version) {
         return new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.leader(record))));
@@ -219,13 +248,16 @@
         LeaderRecord record = new LeaderRecord(epoch + 1, settings.node(), settings.peerAddress(), false);
         long current = ++plan;
         long sentNanos = loop.nowNanos();
-        store.transact(claim(record, version), result -> {
+        claim = record;
+        claimVersion = version;
+        store.transact(writing(record, version), result -> {
             if (stopped || current != plan) {
                 return;
             }
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 lead(record, applied.version(), sentNanos, reason);
             } else {
+                // An earlier attempt may have taken effect, so the record tells the outcome.
                 log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
                 loop.schedule(RETRY, this::readRecord);
             }
@@ -234,6 +266,7 @@
 
     private void lead(LeaderRecord record, long version, long sentNanos, String reason) {
         log.leadership("leader-started", record.epoch(), record.node(), reason);
+        claim = null;
         followed = null;
         missedPings = 0;
         leader = new Leader(services, record, version, why -> deposed(record, why));
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -36,7 +36,11 @@
 
     private static PingAnswer pingAnswer(String text) {
         String[] parts = text.split(" ", -1);
-        return new PingAnswer(Long.parseLong(parts[0]), Long.parseLong(parts[1]), Integer.parseInt(parts[2]));
+        return new PingAnswer(
+                Long.parseLong(parts[0]),
+                Long.parseLong(parts[1]),
+                Long.parseLong(parts[2]),
+                Integer.parseInt(parts[3]));
     }
 
     @Override
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -21,10 +21,11 @@
      * Answer of a leader that is asked whether it is well.
      *
      * @param epoch epoch that the node leads, 0 if it does not
+     * @param claimedEpoch epoch of a claim of the node whose outcome it does not know yet, 0 if there is none
      * @param storeAgeMs time since the store last answered it, in milliseconds
      * @param rank position of the asking node among those that may succeed the leader, from 0
      */
-    record PingAnswer(long epoch, long storeAgeMs, int rank) {}
+    record PingAnswer(long epoch, long claimedEpoch, long storeAgeMs, int rank) {}
 
     /**
      * Answer to a question for a state.
--- a/src/main/java/org/tamarackline/fleet/PeerHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerHandler.java
@@ -37,7 +37,10 @@
         if (path.startsWith(PeerPaths.PING)) {
             loop.execute(() -> {
                 PeerCalls.PingAnswer answer = election.answerPing(nameIn(path, PeerPaths.PING));
-                respond(exchange, answer.epoch() + " " + answer.storeAgeMs() + " " + answer.rank());
+                respond(
+                        exchange,
+                        "%d %d %d %d"
+                                .formatted(answer.epoch(), answer.claimedEpoch(), answer.storeAgeMs(), answer.rank()));
             });
         } else if (path.startsWith(PeerPaths.JOBS)) {
             loop.execute(() -> answerLeading(
