--- a/src/test/java/org/tamarackline/fleet/ElectionTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionTest.java
@@ -30,4 +30,28 @@
             assertThat(nodes.leading()).hasSize(1);
         }
     }
+
+    /** Guards against a second claim by the node that holds the record already. */
+    @Test
+    void claimWhoseAnswerIsLostIsNotRepeated() {
+        ElectionNodes nodes = new ElectionNodes();
+        nodes.store().loseAnswers(1);
+        ElectionNodes.Node node = nodes.start("node-0");
+        nodes.loop().advance(Duration.ofSeconds(10));
+        assertThat(node.leads()).isTrue();
+        assertThat(nodes.epochsThatLed()).containsExactly(1L);
+    }
+
+    /** Guards against a new process that takes the record of an earlier one for its own. */
+    @Test
+    void restartedNodeLeadsWithAnotherEpoch() {
+        ElectionNodes nodes = new ElectionNodes();
+        ElectionNodes.Node before = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(5));
+        assertThat(before.epoch()).isEqualTo(1);
+        nodes.kill(before);
+        ElectionNodes.Node after = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(5));
+        assertThat(after.epoch()).isEqualTo(2);
+    }
 }
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -33,6 +33,7 @@
 
         void add(String address, EventLoop loop, Election election) {
             nodes.put(address, new Node(loop, election));
+            unreachable.remove(address);
         }
 
         /** Sets the time from a question to its arrival, and from the answer to its arrival. */
