Let a node recognise its own claim by the number of its process

Cause: a node whose claim took effect without an answer found a record of its own name, took it for that of an earlier process and claimed the next epoch. Ruled out: recognition by name, since a restarted node must not lead with the epoch of its earlier process.

Change: LeaderRecord has an incarnation, drawn at process start. A node that finds it with the epoch of its last claim, and has not led with it yet, leads with that record. A claim is forgotten once its condition no longer holds.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -48,6 +48,7 @@
     private final PeerCalls peers;
     private final DecisionLog log;
     private final NodeSettings settings;
+    private final long incarnation;
 
     private final TreeMap<String, Long> successorsNanos = new TreeMap<>();
     private Leader leader;
@@ -65,13 +66,19 @@
     /** Identifies the current plan of questions, so that an outdated one ends. */
     private long plan;
 
-    Election(NodeServices services, PeerCalls peers, NodeSettings settings) {
+    /**
+     * Creates an election that does nothing yet.
+     *
+     * @param incarnation number that tells this process from earlier ones of the same node
+     */
+    Election(NodeServices services, PeerCalls peers, NodeSettings settings, long incarnation) {
         this.services = services;
         this.loop = services.loop();
         this.store = services.store();
         this.peers = peers;
         this.log = services.log();
         this.settings = settings;
+        this.incarnation = incarnation;
         this.storeAnsweredNanos = loop.nowNanos();
         this.rank = Math.floorMod(settings.node().hashCode(), UNKNOWN_RANKS);
     }
@@ -100,7 +107,8 @@
         }
         leader.resign();
         LeaderRecord record = leader.record();
-        LeaderRecord resigned = new LeaderRecord(record.epoch(), record.node(), record.address(), true);
+        LeaderRecord resigned =
+                new LeaderRecord(record.epoch(), record.node(), record.address(), record.incarnation(), true);
         store.transact(writing(resigned, leader.leaderVersion()), result -> {
             log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
             done.run();
@@ -130,13 +138,14 @@
             return;
         }
         long current = ++plan;
+        long sentNanos = loop.nowNanos();
         store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
             if (stopped || leader != null || current != plan) {
                 return;
             }
             if (result instanceof RecordStore.ReadResult.Page page) {
                 storeAnsweredNanos = loop.nowNanos();
-                onRecord(page.entries());
+                onRecord(page.entries(), sentNanos);
             } else {
                 log.storeState("leader-read-failing", result.toString());
                 loop.schedule(RETRY, this::readRecord);
@@ -144,7 +153,7 @@
         });
     }
 
-    private void onRecord(List<RecordStore.Entry> entries) {
+    private void onRecord(List<RecordStore.Entry> entries, long sentNanos) {
         if (entries.isEmpty()) {
             takeOver(0, 0, "no node has led yet");
             return;
@@ -158,6 +167,10 @@
             loop.schedule(RETRY, this::readRecord);
             return;
         }
+        if (ownClaim(record)) {
+            lead(record, entry.version(), sentNanos, "its claim is in the store");
+            return;
+        }
         if (entry.version() != claimVersion) {
             // The claim's condition no longer holds, so it cannot take effect any more.
             claim = null;
@@ -173,6 +186,11 @@
         }
     }
 
+    /** Returns whether a record was written by a claim of this process that it does not lead with yet. */
+    private boolean ownClaim(LeaderRecord record) {
+        return claim != null && record.incarnation() == incarnation && record.epoch() == claim.epoch();
+    }
+
     private void follow(LeaderRecord record, long version) {
         if (followedVersion != version) {
             log.leadership("leader-followed", record.epoch(), record.node(), "its record is in the store");
@@ -245,18 +263,21 @@
     }
 
     private void takeOver(long epoch, long version, String reason) {
-        LeaderRecord record = new LeaderRecord(epoch + 1, settings.node(), settings.peerAddress(), false);
-        long current = ++plan;
+        LeaderRecord record = new LeaderRecord(epoch + 1, settings.node(), settings.peerAddress(), incarnation, false);
+        plan++;
         long sentNanos = loop.nowNanos();
         claim = record;
         claimVersion = version;
         store.transact(writing(record, version), result -> {
-            if (stopped || current != plan) {
+            if (stopped || claim == null || claim.epoch() != record.epoch()) {
                 return;
             }
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 lead(record, applied.version(), sentNanos, reason);
             } else {
+                if (result instanceof RecordStore.TransactionResult.Conflict) {
+                    storeAnsweredNanos = loop.nowNanos();
+                }
                 // An earlier attempt may have taken effect, so the record tells the outcome.
                 log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
                 loop.schedule(RETRY, this::readRecord);
@@ -265,6 +286,7 @@
     }
 
     private void lead(LeaderRecord record, long version, long sentNanos, String reason) {
+        plan++;
         log.leadership("leader-started", record.epoch(), record.node(), reason);
         claim = null;
         followed = null;
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -27,20 +27,25 @@
     private final PeerHandler peerHandler;
     private volatile boolean draining;
 
-    /** Creates a node that does nothing yet. */
+    /**
+     * Creates a node that does nothing yet.
+     *
+     * @param incarnation number that tells this process from earlier ones of the same node
+     */
     public FleetNode(
             NodeServices services,
             ConfigurationSource configurationSource,
             AsyncHttpClient peerHttp,
             NodeMetrics metrics,
-            NodeSettings settings) {
+            NodeSettings settings,
+            long incarnation) {
         this.loop = services.loop();
         this.settings = settings;
         this.log = services.log();
         this.metrics = metrics;
         PeerCalls peers = new HttpPeerCalls(peerHttp, loop);
         this.configuration = new ConfigurationFollower(loop, services.store(), configurationSource, log);
-        this.election = new Election(services, peers, settings);
+        this.election = new Election(services, peers, settings, incarnation);
         this.jobs = new JobService(loop, services.store(), election, peers);
         this.peerHandler = new PeerHandler(loop, election, metrics::text, this::dump);
     }
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -64,6 +64,7 @@
             packer.packLong(leader.epoch());
             packer.packString(leader.node());
             packer.packString(leader.address());
+            packer.packLong(leader.incarnation());
             packer.packBoolean(leader.resigned());
         });
     }
@@ -83,7 +84,8 @@
         return unpack(
                 LeaderRecord.KEY,
                 bytes,
-                in -> new LeaderRecord(in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackBoolean()));
+                in -> new LeaderRecord(
+                        in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackBoolean()));
     }
 
     static byte[] weights(Map<ImagePair, PairWeight> weights) {
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
@@ -64,7 +65,13 @@
         NodeMetrics metrics = new NodeMetrics();
         NodeServices services =
                 new NodeServices(loop, store, new RunnerClient(runnerHttp, loop), store, timeOfDay, log);
-        this.node = new FleetNode(services, new ConfigurationDocuments(), storeHttp, metrics, settings.node());
+        this.node = new FleetNode(
+                services,
+                new ConfigurationDocuments(),
+                storeHttp,
+                metrics,
+                settings.node(),
+                new SecureRandom().nextLong());
         this.listener = new HttpListener(MAX_BODY_BYTES);
         listener.add(settings.callerAddress(), CALLER_IDLE_MS, new CallerInterface(node, metrics, timeOfDay));
         listener.add(settings.readinessAddress(), CALLER_IDLE_MS, this::answerReadiness);
--- a/src/test/java/org/tamarackline/fleet/ElectionNodes.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionNodes.java
@@ -37,6 +37,7 @@
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final LineSink sink = new LineSink(output);
     private final List<Node> nodes = new ArrayList<>();
+    private long incarnations;
 
     ManualLoop loop() {
         return loop;
@@ -70,7 +71,8 @@
         Election election = new Election(
                 services,
                 new FakePeerCalls(nodeLoop, network),
-                new NodeSettings(name, "dc", address, Duration.ofSeconds(5)));
+                new NodeSettings(name, "dc", address, Duration.ofSeconds(5)),
+                ++incarnations);
         network.add(address, nodeLoop, election);
         Node node = new Node(address, nodeLoop, election);
         nodes.add(node);
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -42,7 +42,8 @@
                 done -> done.accept(Optional.of(List.of(runner))),
                 timeOfDay,
                 new DecisionLog(sink, timeOfDay, "node"));
-        new Leader(services, new LeaderRecord(2, "node", "10.0.0.9:1", false), 0, reason -> {}).start(loop.nowNanos());
+        new Leader(services, new LeaderRecord(2, "node", "10.0.0.9:1", 1, false), 0, reason -> {})
+                .start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(3));
         sink.flush();
         assertThat(output.toString(StandardCharsets.UTF_8))
