--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -107,6 +107,12 @@
                 count, SMALL, 1_000, List.of(after), false, false, false, "", "", 0, false, false, "", 0, false, 0);
     }
 
+    /** Returns a step whose tasks last and have no latency target. */
+    static StepDefinition lasting(int count) {
+        return new StepDefinition(
+                count, SMALL, 0, List.of(), false, false, false, "", "", 0, false, true, "", 0, false, 0);
+    }
+
     static StepDefinition filler() {
         return filler("image");
     }
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -0,0 +1,110 @@
+package org.tamarackline.fleet;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.RunnerReport;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.logging.LineSink;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeaderTakeoverTest {
+
+    private static final Duration LONGEST_LEASE = Duration.ofNanos(
+                    (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT)))
+            .plus(FleetLimits.LEASE_MARGIN);
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeRecordStore store = new FakeRecordStore(loop);
+    private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
+    private final List<RunnerReport> listed = new ArrayList<>();
+
+    /** Guards against a second run of a task when a leader that was replaced without notice takes a runner for lost. */
+    @Test
+    void lostRunnersTaskWaitsUntilTheStoreConfirmsTheLeader() {
+        listed.add(report("a"));
+        submit("j", false);
+        lead(1);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a");
+        listed.add(report("b"));
+        loop.advance(Duration.ofSeconds(2));
+        calls.fallSilent("a");
+        store.setRefusing(true);
+        loop.advance(LONGEST_LEASE.plusMillis(1_500));
+        assertThat(startsOf("j"))
+                .as("before the store has confirmed the leader")
+                .hasSize(1);
+        store.setRefusing(false);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a", "b");
+    }
+
+    private List<FakeRunnerCalls.SentStart> startsOf(String job) {
+        return calls.starts().stream()
+                .filter(start -> start.task().job().equals(job))
+                .toList();
+    }
+
+    private Leader lead(long epoch) {
+        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", false);
+        write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.leader(record));
+        long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
+        InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
+        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node" + epoch);
+        NodeServices services = new NodeServices(
+                loop, store, calls, done -> done.accept(Optional.of(List.copyOf(listed))), timeOfDay, log);
+        Leader leader = new Leader(services, record, version, reason -> {});
+        leader.start(loop.nowNanos());
+        return leader;
+    }
+
+    private void submit(String job, boolean lasting) {
+        write(RecordStore.Table.JOBS, job, RecordCodec.openJob(oneTask(job, lasting)));
+    }
+
+    private void write(RecordStore.Table table, String key, byte[] value) {
+        store.transact(
+                new RecordStore.Transaction(List.of(), List.of(new RecordStore.Write(table, key, value))),
+                result -> {});
+        loop.advance(Duration.ofMillis(10));
+    }
+
+    private static RunnerReport report(String id) {
+        Resources capacity = new Resources(16_000, 64_000, 0);
+        return new RunnerReport(id, 1, "dispatch", "10.0.0.1:80", "dc", "", false, capacity, Set.of());
+    }
+
+    private static JobDefinition oneTask(String id, boolean lasting) {
+        StepDefinition step = new StepDefinition(
+                1,
+                new Resources(1_000, 100, 0),
+                lasting ? 0 : 600_000,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                lasting,
+                "",
+                0,
+                false,
+                0);
+        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
+        return new JobDefinition(id, queue, "", List.of(step), 0, 0, 0, 0);
+    }
+}
