Take a runner for lost only if the store confirmed the leader after its lease ended

Cause: a leader that was replaced without being told, and that a runner does not answer, took the runner's tasks for ended with the lease that it had given itself. Its successor may have reached the runner and renewed the leases; the task then ran on two runners. Ruled out: late orders, which carry the end of their lease.

A runner is now taken for lost only once the store has confirmed the leader by a request sent after the lease ended; the leader sends a transaction for it if none is due. While the store is down, tasks of a silent runner therefore wait.

LeaderTakeoverTest failed with 2 starts instead of 1 and passes.

--- a/src/main/java/org/tamarackline/fleet/Authority.java
+++ b/src/main/java/org/tamarackline/fleet/Authority.java
@@ -47,6 +47,11 @@
         return confirmed && clock.nowNanos() - confirmedNanos < FleetLimits.AUTHORITY.toNanos();
     }
 
+    /** Returns whether the store confirmed the leader by a request sent after {@code nanos}. */
+    boolean confirmedAfter(long nanos) {
+        return confirmed && confirmedNanos - nanos > 0;
+    }
+
     /** Returns the time since the last confirmation in milliseconds. */
     long ageMs() {
         return (clock.nowNanos() - confirmedNanos) / 1_000_000;
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -58,6 +58,7 @@
     private boolean inFlight;
     private boolean flushPlanned;
     private boolean storeFailing;
+    private boolean confirmationWanted;
     private final Set<String> storedProgress = new HashSet<>();
     private final Map<String, RunnerReport> toEnlist = new HashMap<>();
     private final Set<String> toDismiss = new LinkedHashSet<>();
@@ -103,6 +104,12 @@
         toForget.add(job);
     }
 
+    /** Makes sure that a transaction is sent soon, which confirms the leader. */
+    void requestConfirmation() {
+        confirmationWanted = true;
+        planFlush(true);
+    }
+
     /** Makes sure that changes are stored soon. */
     void changed() {
         if (context.fleet().jobs().hasFinishedChanges()) {
@@ -133,9 +140,10 @@
         }
         Batch batch = new Batch();
         batch.fill();
-        if (batch.empty()) {
+        if (batch.empty() && !confirmationWanted) {
             return;
         }
+        confirmationWanted = false;
         inFlight = true;
         long sentNanos = context.loop().nowNanos();
         store.transact(batch.transaction(), result -> {
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -372,7 +372,7 @@
     private void dropSilentRunners() {
         for (RunnerSession session : List.copyOf(sessions.values())) {
             FleetRunner runner = session.runner();
-            if (session.silent() && !session.lost() && session.leaseExpired()) {
+            if (session.silent() && !session.lost() && session.leaseExpired() && confirmedSinceLease(session)) {
                 log.runnerLost(runner.id(), "it is silent and its lease has expired");
                 fleet.runnerLost(runner.id());
                 session.markLost();
@@ -387,6 +387,15 @@
         }
     }
 
+    /** Returns whether no successor can have renewed the leases of a runner before they ended. */
+    private boolean confirmedSinceLease(RunnerSession session) {
+        boolean confirmed = authority.confirmedAfter(session.leaseEndNanos());
+        if (!confirmed) {
+            committer.requestConfirmation();
+        }
+        return confirmed;
+    }
+
     private void forgetOldJobs() {
         long keptSinceMs = timeOfDay.millis() - FleetLimits.FINISHED_JOB_KEPT.toMillis();
         while (!finishedJobs.isEmpty() && finishedJobs.getFirst().endedEpochMs() < keptSinceMs) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -78,6 +78,11 @@
         return context.loop().nowNanos() - leaseEndNanos > 0;
     }
 
+    /** Returns when nothing that was ordered can still run or start on the runner. */
+    long leaseEndNanos() {
+        return leaseEndNanos;
+    }
+
     /** Returns whether the runner did not answer the last hold. */
     boolean silent() {
         return failedHolds > 0;
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -289,7 +289,7 @@
         if (nowMs - session.answeredMs > SILENT_AFTER_MS) {
             any.fleet.runnerSilent(runner.id());
         }
-        if (nowMs > session.leaseEndMs && !session.lost) {
+        if (any.confirmedMs > session.leaseEndMs && !session.lost) {
             session.lost = true;
             any.fleet.runnerLost(runner.id());
         }
