--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -58,7 +58,7 @@
     }
 
     private Leader lead(long epoch) {
-        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", false);
+        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", 1, false);
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.leader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
