Let a leader that is told to stop renew leases until it has a successor

Cause: an order to stop closed all exchange with runners at once and tried the resignation once. A store that refused it left the leases to run out while the node still had the lead. Ruled out: giving up at the order to stop and leaving the change to the others; their claims need the same store.

Once it is stored, the leader only renews leases, until the process ends or a runner has heard of a successor. Its own resignation, met by a transaction, in the changes of the jobs or by a repeated attempt, is recognised by its epoch and does not count as the record of a successor. A failed attempt is logged as resignation-failed.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -26,8 +26,8 @@
         /** Returns whether transactions may be sent. */
         boolean leading();
 
-        /** The store has another leader's record. */
-        void superseded(String reason);
+        /** The store has a record of a leader other than the one that this leader began with. */
+        void leaderRecordChanged(RecordStore.Entry entry);
 
         /** The store confirmed the leader by a request sent at this time. */
         void confirmed(long sentNanos);
@@ -174,7 +174,8 @@
     private void onConflict(Batch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
         for (RecordStore.Entry entry : conflict.current()) {
             if (entry.key().equals(LeaderRecord.KEY) && entry.version() != leaderVersion) {
-                host.superseded("a transaction met the record of another leader");
+                host.leaderRecordChanged(entry);
+                batch.putBack();
                 return;
             }
             if (entry.key().equals(CommitSequence.KEY)) {
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -63,6 +63,8 @@
     private int rank;
     private int missedPings;
     private boolean stopped;
+    /** Runs once this node, told to stop, may be succeeded. */
+    private Runnable onHandedOver = () -> {};
     /** Identifies the current plan of questions, so that an outdated one ends. */
     private long plan;
 
@@ -97,7 +99,12 @@
         return leader == null && followed != null ? Optional.of(followed.address()) : Optional.empty();
     }
 
-    /** Gives up the lead, if this node has it, and never takes it again. */
+    /**
+     * Gives up the lead, if this node has it, and never takes it again. A leader goes on until its resignation is stored, and
+     * renews leases until it has a successor.
+     *
+     * @param done runs once this node does not lead or its resignation is stored
+     */
     void resign(Runnable done) {
         stopped = true;
         plan++;
@@ -105,29 +112,61 @@
             done.run();
             return;
         }
-        leader.resign();
-        LeaderRecord record = leader.record();
-        LeaderRecord resigned =
-                new LeaderRecord(record.epoch(), record.node(), record.address(), record.incarnation(), true);
-        store.transact(writing(resigned, leader.leaderVersion()), result -> {
-            log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
-            done.run();
+        onHandedOver = done;
+        storeResignation(leader);
+    }
+
+    private void storeResignation(Leader resigning) {
+        if (leader != resigning) {
+            return;
+        }
+        LeaderRecord resigned = resigning.record().asResigned();
+        long sentNanos = loop.nowNanos();
+        store.transact(writing(resigned, resigning.leaderVersion()), result -> {
+            if (leader == resigning) {
+                onResignation(resigning, result, sentNanos);
+            }
         });
     }
 
+    private void onResignation(Leader resigning, RecordStore.TransactionResult result, long sentNanos) {
+        switch (result) {
+            case RecordStore.TransactionResult.Applied applied -> {
+                resigning.confirmed(sentNanos);
+                resigning.noteResigned();
+            }
+            case RecordStore.TransactionResult.Conflict conflict ->
+                conflict.current().forEach(resigning::leaderRecordChanged);
+            default -> {}
+        }
+        if (leader != resigning) {
+            return;
+        }
+        LeaderRecord record = resigning.record();
+        if (resigning.resigned()) {
+            log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
+            handedOver();
+        } else {
+            log.leadership("resignation-failed", record.epoch(), record.node(), result.toString());
+            loop.schedule(RETRY, () -> storeResignation(resigning));
+        }
+    }
+
+    private void handedOver() {
+        onHandedOver.run();
+        onHandedOver = () -> {};
+    }
+
     /** Answers the question of a node whether this leader is well; takes note of the node as a successor. */
     PeerCalls.PingAnswer answerPing(String node) {
         long nowNanos = loop.nowNanos();
         successorsNanos.put(node, nowNanos);
         successorsNanos.values().removeIf(seen -> nowNanos - seen > SUCCESSOR_MEMORY.toNanos());
         int position = successorsNanos.headMap(node).size();
-        if (stopped) {
-            return new PeerCalls.PingAnswer(0, 0, 0, position);
-        }
-        if (leader != null) {
+        if (leader != null && !leader.resigned()) {
             return new PeerCalls.PingAnswer(leader.record().epoch(), 0, leader.storeAgeMs(), position);
         }
-        long claimedEpoch = claim == null ? 0 : claim.epoch();
+        long claimedEpoch = stopped || claim == null ? 0 : claim.epoch();
         return new PeerCalls.PingAnswer(0, claimedEpoch, (nowNanos - storeAnsweredNanos) / 1_000_000, position);
     }
 
@@ -298,6 +337,7 @@
     private void deposed(LeaderRecord record, String reason) {
         log.leadership("leader-ended", record.epoch(), record.node(), reason);
         leader = null;
+        handedOver();
         loop.execute(this::readRecord);
     }
 }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -51,7 +51,7 @@
     private Committer committer;
 
     private boolean ended;
-    private boolean resigning;
+    private boolean resigned;
     private boolean loaded;
     private boolean pumpPlanned;
     private long pumpedNanos;
@@ -136,10 +136,17 @@
         sessions.values().forEach(RunnerSession::close);
     }
 
-    /** Stops giving orders, so that a successor can take over; questions are still answered. */
-    void resign() {
-        resigning = true;
-        sessions.values().forEach(RunnerSession::close);
+    /**
+     * Takes note that the store has this leader's resignation. From now on it only renews leases, so that tasks run on until
+     * a successor renews them; questions are still answered.
+     */
+    void noteResigned() {
+        resigned = true;
+    }
+
+    /** Returns whether the store is known to have this leader's resignation. */
+    boolean resigned() {
+        return resigned;
     }
 
     // ---- Reading the store
@@ -229,7 +236,7 @@
             throws CorruptRecordException {
         if (entry.key().equals(LeaderRecord.KEY)) {
             if (entry.version() > leaderVersion) {
-                superseded("the store has a later leader's record");
+                leaderRecordChanged(entry);
             }
             return;
         }
@@ -260,12 +267,12 @@
     // ---- Following the store
 
     private void followJobs() {
-        if (ended || resigning) {
+        if (ended || resigned) {
             return;
         }
         long sentNanos = loop.nowNanos();
         store.follow(RecordStore.Table.JOBS, jobsVersion, FleetLimits.JOBS_FOLLOW_WAIT, result -> {
-            if (ended || resigning) {
+            if (ended || resigned) {
                 return;
             }
             switch (result) {
@@ -309,11 +316,11 @@
     }
 
     private void pollDirectory() {
-        if (ended || resigning) {
+        if (ended || resigned) {
             return;
         }
         directory.list(reports -> {
-            if (ended || resigning) {
+            if (ended || resigned) {
                 return;
             }
             reports.ifPresent(list -> {
@@ -358,7 +365,7 @@
     // ---- Orders
 
     private void tick() {
-        if (ended || resigning) {
+        if (ended || resigned) {
             return;
         }
         loopDelay.ran(tickPlannedNanos, loop.nowNanos());
@@ -396,7 +403,7 @@
 
     private void pump() {
         pumpPlanned = false;
-        if (ended || resigning || !loaded) {
+        if (ended || resigned || !loaded) {
             return;
         }
         pumpedNanos = loop.nowNanos();
@@ -420,7 +427,7 @@
 
     @Override
     public boolean mayOrder() {
-        return !ended && !resigning && authority.held();
+        return !ended && authority.held();
     }
 
     @Override
@@ -449,11 +456,28 @@
 
     @Override
     public boolean leading() {
-        return !ended && !resigning;
+        return !ended && !resigned;
     }
 
     @Override
-    public void superseded(String reason) {
+    public void leaderRecordChanged(RecordStore.Entry entry) {
+        if (ownRecord(entry)) {
+            noteResigned();
+        } else {
+            superseded("the store has the record of another leader");
+        }
+    }
+
+    private boolean ownRecord(RecordStore.Entry entry) {
+        try {
+            return !entry.removed() && RecordCodec.readLeader(entry.value()).epoch() == record.epoch();
+        } catch (CorruptRecordException corrupt) {
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+            return false;
+        }
+    }
+
+    private void superseded(String reason) {
         if (!ended) {
             end();
             onDeposed.accept(reason);
--- a/src/main/java/org/tamarackline/fleet/LeaderRecord.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -16,4 +16,9 @@
 
     /** Key of the record, which sorts before all identifiers of jobs. */
     static final String KEY = "!leader";
+
+    /** Returns the record with which the leader gives up its role. */
+    LeaderRecord asResigned() {
+        return new LeaderRecord(epoch, node, address, incarnation, true);
+    }
 }
