--- a/src/test/java/org/tamarackline/fleet/FakeRunner.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunner.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -26,6 +28,7 @@
     private final ManualLoop loop;
     private final List<RunnerListing.RunningRow> running = new ArrayList<>();
     private final List<Hold> holds = new ArrayList<>();
+    private final Map<Long, Long> lastOrdersNanos = new HashMap<>();
     private long highestEpoch;
     private boolean silent;
 
@@ -46,7 +49,13 @@
         return running.size();
     }
 
+    /** Returns when an epoch sent its last order, whether or not the runner was silent. */
+    long lastOrderNanos(long epoch) {
+        return lastOrdersNanos.get(epoch);
+    }
+
     private OrderAnswer accept(long epoch) {
+        lastOrdersNanos.put(epoch, loop.nowNanos());
         if (silent) {
             return OrderAnswer.UNKNOWN;
         }
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/StepDownTest.java
@@ -0,0 +1,136 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Plays changes of the leader while a runner that the first leader used does not answer. */
+class StepDownTest {
+
+    /** Time that a leader leads on without the store, and the longest lease after it. */
+    private static final Duration FULL_WAIT = Duration.ofMillis(13_350);
+
+    /** Longest lease alone. */
+    private static final Duration LEASE_WAIT = Duration.ofMillis(5_350);
+
+    /** A leader looks for expired waits every 150 ms; the test looks every 10 ms. */
+    private static final Duration TOLERANCE = Duration.ofMillis(500);
+
+    private final ElectionNodes nodes = new ElectionNodes();
+
+    /** Guards against a successor that waits for a leader which has ended. */
+    @Test
+    void waitIsShortOnceTheEarlierLeaderHasSteppedDown() {
+        ElectionNodes.Node first = startWithSilentRunner();
+        ElectionNodes.Node second = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(1));
+        first.election().resign(() -> {});
+        assertThat(waitAfterTakeover(second)).isBetween(LEASE_WAIT, LEASE_WAIT.plus(TOLERANCE));
+        assertThat(first.leads()).isFalse();
+    }
+
+    /** Guards against a short wait although an earlier leader may still give orders. */
+    @Test
+    void waitIsFullWhileTheEarlierLeaderIsUnreachable() {
+        ElectionNodes.Node first = startWithSilentRunner();
+        ElectionNodes.Node second = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(1));
+        nodes.network().cutOff(first.address());
+        assertThat(waitAfterTakeover(second)).isBetween(FULL_WAIT, FULL_WAIT.plus(TOLERANCE));
+    }
+
+    /** Guards against a successor that asks only the last one of two leaders that may still give orders. */
+    @Test
+    void waitIsFullWhileOnlyTheNewerOfTwoEarlierLeadersAnswers() {
+        ElectionNodes.Node second = succeedUnreachableLeader();
+        ElectionNodes.Node third = nodes.start("node-2");
+        nodes.loop().advance(Duration.ofSeconds(1));
+        second.election().resign(() -> {});
+        assertThat(waitAfterTakeover(third)).isBetween(FULL_WAIT, FULL_WAIT.plus(TOLERANCE));
+        assertThat(second.leads()).isFalse();
+    }
+
+    /** Guards against a successor that asks leaders again whose authority is known to have ended. */
+    @Test
+    void waitIsShortIfTheLastLeaderKnewThatAllBeforeHadEnded() {
+        ElectionNodes.Node second = succeedUnreachableLeader();
+        nodes.loop().advance(Duration.ofSeconds(9));
+        nodes.kill(second);
+        ElectionNodes.Node third = nodes.start("node-1");
+        assertThat(waitAfterTakeover(third)).isBetween(LEASE_WAIT, LEASE_WAIT.plus(TOLERANCE));
+    }
+
+    /** Guards against a suspended leader that gives orders after the successor has stopped waiting for it. */
+    @Test
+    void suspendedLeaderEndsBeforeItAnswers() {
+        ElectionNodes.Node first = startWithSilentRunner();
+        ElectionNodes.Node second = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(1));
+        first.loop().suspend();
+        Duration suspended = Duration.ofSeconds(6);
+        nodes.loop().schedule(suspended, () -> first.loop().resume());
+        long resumedNanos = nodes.loop().nowNanos() + suspended.toNanos();
+        Duration wait = waitAfterTakeover(second);
+        long waitedUntilNanos = nodes.loop().nowNanos();
+        assertThat(Duration.ofNanos(waitedUntilNanos - resumedNanos)).isBetween(LEASE_WAIT, LEASE_WAIT.plus(TOLERANCE));
+        assertThat(wait).isLessThan(FULL_WAIT);
+        assertThat(first.leads()).isFalse();
+        assertThat(nodes.runner().lastOrderNanos(1)).isLessThanOrEqualTo(resumedNanos);
+    }
+
+    /** Guards against a node that leads with an old claim after it has promised not to. */
+    @Test
+    void lateAnswerToAClaimDoesNotLeadAfterStepDown() {
+        nodes.store().delayNextAnswer(Duration.ofSeconds(8));
+        ElectionNodes.Node first = nodes.start("node-0");
+        nodes.loop().advance(Duration.ofMillis(500));
+        ElectionNodes.Node second = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(12));
+        assertThat(nodes.epochsThatLed()).containsExactly(2L);
+        assertThat(nodes.leading()).containsExactly(second);
+        assertThat(first.election().leaderAddress()).contains(second.address());
+    }
+
+    private ElectionNodes.Node startWithSilentRunner() {
+        nodes.write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(ElectionNodes.lastingTask("j")));
+        ElectionNodes.Node node = nodes.start("node-0");
+        nodes.loop().advance(Duration.ofSeconds(3));
+        assertThat(nodes.runner().runs()).isEqualTo(1);
+        nodes.runner().fallSilent();
+        return node;
+    }
+
+    /** Returns a node that leads with epoch 2 since less than a second, after a leader that no longer answers. */
+    private ElectionNodes.Node succeedUnreachableLeader() {
+        ElectionNodes.Node first = startWithSilentRunner();
+        ElectionNodes.Node second = nodes.start("node-1");
+        nodes.loop().advance(Duration.ofSeconds(1));
+        nodes.kill(first);
+        awaitTakeover(second);
+        assertThat(second.epoch()).isEqualTo(2);
+        return second;
+    }
+
+    private void awaitTakeover(ElectionNodes.Node node) {
+        for (int i = 0; i < 1_000 && !node.leads(); i++) {
+            nodes.loop().advance(Duration.ofMillis(10));
+        }
+        assertThat(node.leads()).isTrue();
+    }
+
+    /** Returns the time from a node's takeover until it no longer waits for the silent runner. */
+    private Duration waitAfterTakeover(ElectionNodes.Node node) {
+        awaitTakeover(node);
+        long takeoverNanos = nodes.loop().nowNanos();
+        Leader leader = node.election().leader().orElseThrow();
+        // The tables are read first; until then no runner is expected.
+        nodes.loop().advance(Duration.ofMillis(200));
+        assertThat(leader.fleet().unheardRunners()).isEqualTo(1);
+        for (int i = 0; i < 2_000 && leader.fleet().unheardRunners() > 0; i++) {
+            nodes.loop().advance(Duration.ofMillis(10));
+        }
+        return Duration.ofNanos(nodes.loop().nowNanos() - takeoverNanos);
+    }
+}
