Add failing tests: one silent runner holds back the lasting tasks of all others

After a takeover, no inherited task starts before every runner of the roster has answered or the longest wait is over, because no record tells where a lasting task may run.

FleetTest: none of three lasting tasks starts, two should. LeaderTakeoverTest: the lasting task of a runner that answers is not started within 1 s; a lasting task is ordered while the store refuses.

--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -76,6 +76,12 @@
         fleet.startAnswered(run, result, nowNanos);
     }
 
+    /** Returns what would be stored about a job. */
+    JobProgress progress(String job) {
+        Task task = fleet.jobs().findTask(new TaskKey(job, 0, 0, 0));
+        return task == null ? JobProgress.NONE : task.job().progress();
+    }
+
     static RunnerListing.RunningRow row(Run run, double percent) {
         return new RunnerListing.RunningRow(run.task().key(), run.number(), "", percent, -1);
     }
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -347,4 +347,31 @@
                 .extracting(next -> next.runner().id())
                 .containsExactly("b");
     }
+
+    /** Guards against one silent runner that holds back the lasting tasks of all others after a takeover. */
+    @Test
+    void inheritedLastingTaskWaitsOnlyForTheRunnerInItsRecord() {
+        FleetRunner runner = fixture.addRunner("a", 1_500);
+        JobDefinition onA = FleetFixture.job("onA", FleetFixture.lasting(1));
+        JobDefinition onB = FleetFixture.job("onB", FleetFixture.lasting(1));
+        JobDefinition nowhere = FleetFixture.job("nowhere", FleetFixture.lasting(1));
+        add(onA);
+        fixture.decideStarts().forEach(run -> fixture.answer(run, StartResult.STARTED));
+        fixture.addRunner("b", 1_500);
+        add(onB);
+        fixture.decideStarts().forEach(run -> fixture.answer(run, StartResult.STARTED));
+        assertThat(runner.busy()).isTrue();
+
+        FleetFixture next = new FleetFixture(2);
+        next.fleet().expectAnswer(FleetFixture.report("b", 1_500));
+        for (JobDefinition job : List.of(onA, onB, nowhere)) {
+            next.fleet().jobs().add(job, fixture.progress(job.id()), true, 0);
+        }
+        next.addRunner("a", 16_000);
+        assertThat(next.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactlyInAnyOrder("onA", "nowhere");
+        next.fleet().runnerLost("b");
+        assertThat(next.decideStarts()).extracting(run -> run.task().job().id()).containsExactly("onB");
+    }
 }
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -51,6 +51,46 @@
         assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a", "b");
     }
 
+    /** Guards against one silent runner that holds back the lasting tasks of all others after a takeover. */
+    @Test
+    void silentRunnerDoesNotHoldBackALastingTaskOfAnotherOne() {
+        listed.add(report("a"));
+        submit("j", true);
+        Leader first = lead(1);
+        loop.advance(Duration.ofSeconds(1));
+        listed.add(report("b"));
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a");
+        first.end();
+        calls.endAll("a");
+        calls.fallSilent("b");
+        lead(2);
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a", "a");
+    }
+
+    /** Guards against a run that no successor knows of, because the leader ended before its place was stored. */
+    @Test
+    void lastingTaskStartsOnlyOnceItsPlaceIsStored() {
+        listed.add(report("a"));
+        lead(1);
+        loop.advance(Duration.ofSeconds(2));
+        calls.fallSilent("a");
+        loop.advance(FleetLimits.IDLE_HOLD_PAUSE.plusSeconds(2));
+        submit("j", true);
+        loop.advance(Duration.ofSeconds(3));
+        store.setRefusing(true);
+        calls.answerAgain("a");
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).as("while the store refuses").isEmpty();
+        store.setRefusing(false);
+        store.loseAnswers(1);
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(startsOf("j")).as("while the answer of the store is missing").isEmpty();
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(startsOf("j")).hasSize(1);
+    }
+
     private List<FakeRunnerCalls.SentStart> startsOf(String job) {
         return calls.starts().stream()
                 .filter(start -> start.task().job().equals(job))
