Store where lasting tasks are placed before they are ordered

Cause: no record told where a lasting task may run, so a successor let every inherited task wait until each runner of the roster had answered or the longest wait was over. One silent runner held back the lasting tasks of all others. Ruled out: recording every task (a transaction before each start) and recording after the order (a leader that ends between leaves a run that nobody knows of).

The progress of a job now names the runners on which a run of a lasting task may exist. Such a run gets its place and its room, and is ordered once the progress with that place is stored; the committer sends it at once. A run that is stopped, dropped or cancelled in between, or whose runner falls silent, is never ordered. An inherited lasting task waits only while a runner in its record is unheard.

Fixture and session test store the place between two decisions now.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -28,6 +28,7 @@
     private final Relocation relocation = new Relocation(placement);
     private final Starter starter;
     private final List<Order> paceOrders = new ArrayList<>();
+    private final Placements placements = new Placements();
     private final JobBook jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final Set<String> unheardRunners = new HashSet<>();
@@ -41,7 +42,7 @@
      */
     public Fleet(long epoch, FleetObserver observer) {
         this.observer = observer;
-        this.jobs = new JobBook(observer, this::stopAll);
+        this.jobs = new JobBook(observer, placements, this::stopAll);
         this.starter = new Starter(jobs, placement, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
     }
 
@@ -50,6 +51,11 @@
         return jobs;
     }
 
+    /** Returns the runs of lasting tasks that are ordered once their place is stored. */
+    public Placements placements() {
+        return placements;
+    }
+
     /** Returns what was learned about the disturbance of serving images by filling ones. */
     public Map<ImagePair, PairWeight> interferenceWeights() {
         return interference.weights();
@@ -83,6 +89,7 @@
         FleetRunner runner = runners.get(id);
         if (runner != null) {
             runner.listed = false;
+            dropUnordered(runner);
         }
     }
 
@@ -91,6 +98,16 @@
         FleetRunner runner = runners.get(id);
         if (runner != null) {
             runner.silent = true;
+            dropUnordered(runner);
+        }
+    }
+
+    /** Ends the runs that were placed on a runner and not ordered, so that their tasks start elsewhere. */
+    private void dropUnordered(FleetRunner runner) {
+        for (Run run : runner.snapshotOfRuns()) {
+            if (placements.contains(run)) {
+                drop(run);
+            }
         }
     }
 
@@ -122,9 +139,17 @@
 
     /** Returns the number of waiting tasks that wait only because a runner may run them unseen. */
     public int heldTasks() {
-        return unheardRunners.isEmpty()
-                ? 0
-                : jobs.ready().count(task -> task.job().inherited());
+        return unheardRunners.isEmpty() ? 0 : jobs.ready().count(task -> !mayStart(task));
+    }
+
+    /** Returns whether no run of a task by an earlier leader can still run unseen. */
+    private boolean mayStart(Task task) {
+        if (!task.job().inherited()) {
+            return true;
+        }
+        return task.step().longRunning()
+                ? Collections.disjoint(task.inheritedPlaces, unheardRunners)
+                : unheardRunners.isEmpty();
     }
 
     /**
@@ -226,6 +251,7 @@
         settleStart(run, nowNanos);
         run.pacePercent = Run.UNKNOWN_PACE;
         task.lastRun = Math.max(task.lastRun, row.run());
+        task.inheritedPlaces.remove(runner.id());
         runner.add(run);
         jobs.refresh(task);
         observer.runAdopted(run);
@@ -343,9 +369,9 @@
                 orders.add(new Order.Stop(run.runner(), run.task().key(), run.number()));
             }
         }
-        for (Run run : starter.start(unheardRunners.isEmpty(), maxStarts, nowNanos, nowEpochMs)) {
-            orders.add(new Order.Start(run));
-        }
+        List<Run> starts = placements.take(maxStarts);
+        starts.addAll(placeWaiting(maxStarts - starts.size(), nowNanos, nowEpochMs));
+        starts.forEach(run -> orders.add(new Order.Start(run)));
         for (Run run : relocation.due(runners.values(), nowNanos)) {
             observer.runGivenUp(run, Relocation.reason(run));
             stop(run);
@@ -353,6 +379,20 @@
         return orders;
     }
 
+    /** Finds places for waiting tasks; returns the runs that need not be stored before they are ordered. */
+    private List<Run> placeWaiting(int maxStarts, long nowNanos, long nowEpochMs) {
+        List<Run> orderable = new ArrayList<>();
+        for (Run run : starter.start(this::mayStart, maxStarts, nowNanos, nowEpochMs)) {
+            if (run.task().step().longRunning()) {
+                placements.add(run);
+                jobs.noteChange(run.task().job());
+            } else {
+                orderable.add(run);
+            }
+        }
+        return orderable;
+    }
+
     private static boolean stopDue(Run run, long nowNanos) {
         return run.stopOrderedNanos == 0 || nowNanos - run.stopOrderedNanos > FleetTimes.STOP_REPEAT_NANOS;
     }
@@ -416,10 +456,14 @@
     }
 
     private void stopAll(Task task) {
-        task.runs.forEach(this::stop);
+        List.copyOf(task.runs).forEach(this::stop);
     }
 
     private void stop(Run run) {
+        if (placements.contains(run)) {
+            drop(run);
+            return;
+        }
         run.phase = Run.Phase.STOPPING;
         stopping.add(run);
     }
@@ -436,6 +480,10 @@
     private void drop(Run run) {
         run.runner().remove(run);
         stopping.remove(run);
+        placements.remove(run);
+        if (run.task().step().longRunning() && run.task().job().terminal == null) {
+            jobs.noteChange(run.task().job());
+        }
         jobs.refresh(run.task());
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/JobBook.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobBook.java
@@ -19,14 +19,16 @@
 
     private final FleetObserver observer;
     private final Runs runs;
+    private final Placements placements;
     private final ReadyTasks ready = new ReadyTasks();
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, JobState> finished = new LinkedHashMap<>();
     private final Set<Job> repeating = new LinkedHashSet<>();
     private final Set<Job> changed = new LinkedHashSet<>();
 
-    JobBook(FleetObserver observer, Runs runs) {
+    JobBook(FleetObserver observer, Placements placements, Runs runs) {
         this.observer = observer;
+        this.placements = placements;
         this.runs = runs;
     }
 
@@ -124,10 +126,10 @@
         return !changed.isEmpty();
     }
 
-    /** Returns whether a job has reached its last state and that is not stored yet. */
-    public boolean hasFinishedChanges() {
+    /** Returns whether a job has reached its last state, or has a run that waits to be ordered, and that is not stored yet. */
+    public boolean hasUrgentChanges() {
         for (Job job : changed) {
-            if (job.terminal != null) {
+            if (job.terminal != null || !placements.unstored(job).isEmpty()) {
                 return true;
             }
         }
--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
- * What must be stored about an open job before its runners may forget the ends of its runs.
+ * What must be stored about an open job before its runners may forget the ends of its runs, and before its lasting tasks
+ * are ordered.
  *
- * <p>Where tasks run is not part of it: the runners tell a new leader.
+ * <p>Where other tasks run is not part of it: the runners tell a new leader.
  *
  * @param occurrences number of occurrences that are open
  * @param tasks tasks that differ from a new one
@@ -30,13 +33,21 @@
      * @param done whether the task is done
      * @param failedRuns numbers of the runs that failed, in rising order
      * @param checkpoint where the task resumes, empty for its beginning
+     * @param runners runners on which a run of a lasting task may exist; empty for other tasks
      */
     public record TaskProgress(
-            int occurrence, int step, int index, boolean done, List<Long> failedRuns, String checkpoint) {
+            int occurrence,
+            int step,
+            int index,
+            boolean done,
+            List<Long> failedRuns,
+            String checkpoint,
+            List<String> runners) {
 
         /** Creates a progress that later changes of the arguments do not affect. */
         public TaskProgress {
             failedRuns = List.copyOf(failedRuns);
+            runners = List.copyOf(runners);
         }
     }
 
@@ -54,13 +65,30 @@
 
     private static void addChanged(Task task, List<TaskProgress> tasks) {
         String checkpoint = task.done || !task.runs.isEmpty() ? "" : task.checkpoint;
-        if (task.done || !task.failedRuns.isEmpty() || !checkpoint.isEmpty()) {
+        Set<String> runners = placesOf(task);
+        if (task.done || !task.failedRuns.isEmpty() || !checkpoint.isEmpty() || !runners.isEmpty()) {
             TaskKey key = task.key();
             tasks.add(new TaskProgress(
-                    key.occurrence(), key.step(), key.index(), task.done, List.copyOf(task.failedRuns), checkpoint));
+                    key.occurrence(),
+                    key.step(),
+                    key.index(),
+                    task.done,
+                    List.copyOf(task.failedRuns),
+                    checkpoint,
+                    List.copyOf(runners)));
         }
     }
 
+    /** Returns the runners on which a run of a lasting task may exist. */
+    private static Set<String> placesOf(Task task) {
+        Set<String> places = new TreeSet<>();
+        if (task.step().longRunning()) {
+            places.addAll(task.inheritedPlaces);
+            task.runs.forEach(run -> places.add(run.runner().id()));
+        }
+        return places;
+    }
+
     void applyTo(Job job) {
         while (job.openedOccurrences() < occurrences) {
             job.openOccurrence();
@@ -76,7 +104,10 @@
             }
             task.failedRuns.addAll(progress.failedRuns());
             task.checkpoint = progress.checkpoint();
-            job.started = true;
+            task.inheritedPlaces.addAll(progress.runners());
+            job.started |= progress.done()
+                    || !progress.failedRuns().isEmpty()
+                    || !progress.checkpoint().isEmpty();
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/Placements.java
@@ -0,0 +1,67 @@
+package org.tamarackline.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Runs of lasting tasks that are placed and not ordered yet, because their place must be stored first.
+ *
+ * <p>A leader that ended between an order and its record would leave a run that its successor does not look for.
+ */
+public final class Placements {
+
+    private final Set<Run> unstored = new LinkedHashSet<>();
+    private final Set<Run> stored = new LinkedHashSet<>();
+
+    Placements() {}
+
+    /** Returns the runs of a job whose place is not known to be stored. */
+    public List<Run> unstored(Job job) {
+        List<Run> found = new ArrayList<>();
+        for (Run run : unstored) {
+            if (run.task().job() == job) {
+                found.add(run);
+            }
+        }
+        return found;
+    }
+
+    /** Takes note that the progress of their jobs was stored with these runs; those that still exist may be ordered. */
+    public void stored(Collection<Run> runs) {
+        for (Run run : runs) {
+            if (unstored.remove(run)) {
+                stored.add(run);
+            }
+        }
+    }
+
+    void add(Run run) {
+        unstored.add(run);
+    }
+
+    /** Returns whether a run has a place and was not ordered. */
+    boolean contains(Run run) {
+        return unstored.contains(run) || stored.contains(run);
+    }
+
+    /** Keeps a run from being ordered. */
+    void remove(Run run) {
+        unstored.remove(run);
+        stored.remove(run);
+    }
+
+    /** Returns up to {@code most} runs to order, and regards them as ordered. */
+    List<Run> take(int most) {
+        List<Run> taken = new ArrayList<>();
+        Iterator<Run> iterator = stored.iterator();
+        while (taken.size() < most && iterator.hasNext()) {
+            taken.add(iterator.next());
+            iterator.remove();
+        }
+        return taken;
+    }
+}
--- a/src/main/java/org/tamarackline/core/fleet/Starter.java
+++ b/src/main/java/org/tamarackline/core/fleet/Starter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** Starts waiting tasks where there is room, the most urgent first. */
 final class Starter {
@@ -28,10 +29,10 @@
     /**
      * Returns the runs to order; their tasks no longer wait.
      *
-     * @param inheritedMayStart whether nothing of earlier leaders can still run unseen
+     * @param mayStart tells whether no run of a task by an earlier leader can still run unseen
      * @param maxStarts most tasks to start; a gang may exceed it
      */
-    List<Run> start(boolean inheritedMayStart, int maxStarts, long nowNanos, long nowEpochMs) {
+    List<Run> start(Predicate<Task> mayStart, int maxStarts, long nowNanos, long nowEpochMs) {
         List<Run> allStarted = new ArrayList<>();
         if (maxStarts <= 0) {
             return allStarted;
@@ -40,10 +41,10 @@
         ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
         while (allStarted.size() < maxStarts && scan.hasNext()) {
             Task task = scan.next();
-            if (task.job().inherited() && !inheritedMayStart) {
+            if (!mayStart.test(task)) {
                 continue;
             }
-            List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
+            List<Run> started = task.step().gang() ? startGang(task, mayStart, nowNanos) : startOne(task, nowNanos);
             if (started.isEmpty()) {
                 scan.skipStep(task);
             }
@@ -59,12 +60,12 @@
     }
 
     /** Starts all members of a gang with one run number, or none. */
-    private List<Run> startGang(Task first, long nowNanos) {
+    private List<Run> startGang(Task first, Predicate<Task> mayStart, long nowNanos) {
         Task[] members = first.job().gangOf(first);
         long number = 0;
         String checkpoint = "";
         for (Task member : members) {
-            if (!member.runs.isEmpty() || member.done) {
+            if (!member.runs.isEmpty() || member.done || !mayStart.test(member)) {
                 return List.of();
             }
             number = Math.max(number, nextRun(member));
@@ -88,6 +89,7 @@
 
     private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
         task.lastRun = number;
+        task.inheritedPlaces.clear();
         Run run = new Run(task, number, runner, checkpoint, nowNanos);
         runner.add(run);
         placement.changed(runner);
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -21,6 +21,8 @@
     long lastRun;
     String checkpoint = "";
     final List<Run> runs = new ArrayList<>(1);
+    /** Runners on which earlier leaders may have left a run of a lasting task. */
+    final Set<String> inheritedPlaces = new HashSet<>();
     /** Runners on which the task failed or stalled. */
     final Set<String> avoidedRunners = new HashSet<>();
 
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -15,6 +15,7 @@
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.PairWeight;
+import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerReport;
 
 /** Stores what a leader learns, several changes in one transaction, one transaction at a time. */
@@ -112,7 +113,7 @@
 
     /** Makes sure that changes are stored soon. */
     void changed() {
-        if (context.fleet().jobs().hasFinishedChanges()) {
+        if (context.fleet().jobs().hasUrgentChanges()) {
             planFlush(true);
         } else if (context.fleet().jobs().hasChanges()) {
             planFlush(false);
@@ -207,6 +208,7 @@
         private final List<RecordStore.Write> writes = new ArrayList<>();
         private final List<Job> jobs = new ArrayList<>();
         private final Map<Job, JobState> states = new HashMap<>();
+        private final List<Run> placed = new ArrayList<>();
         private final Map<RunnerSession, Long> ends = new HashMap<>();
         private final List<RunnerReport> enlisted = new ArrayList<>();
         private final List<String> dismissed = new ArrayList<>();
@@ -253,6 +255,7 @@
             states.put(job, job.terminalState());
             if (job.terminalState() == null) {
                 JobProgress progress = job.progress();
+                placed.addAll(context.fleet().placements().unstored(job));
                 storedProgress.add(job.id());
                 write(RecordStore.Table.PROGRESS, job.id(), RecordCodec.progress(progress));
                 return;
@@ -318,6 +321,7 @@
                     context.fleet().jobs().stored(job);
                 }
             }
+            context.fleet().placements().stored(placed);
             forgotten.forEach(context.fleet().jobs()::forget);
             enlisted.forEach(host::enlisted);
             ends.forEach(RunnerSession::endsStored);
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -246,6 +246,10 @@
                     packer.packLong(run);
                 }
                 packer.packString(task.checkpoint());
+                packer.packArrayHeader(task.runners().size());
+                for (String runner : task.runners()) {
+                    packer.packString(runner);
+                }
             }
         });
     }
@@ -272,7 +276,13 @@
         for (int i = 0; i < count; i++) {
             failedRuns.add(in.unpackLong());
         }
-        return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, in.unpackString());
+        String checkpoint = in.unpackString();
+        int places = in.unpackArrayHeader();
+        List<String> runners = new ArrayList<>(places);
+        for (int i = 0; i < places; i++) {
+            runners.add(in.unpackString());
+        }
+        return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, checkpoint, runners);
     }
 
     static byte[] runner(RunnerReport runner) {
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -49,8 +49,24 @@
         fleet.applyListing(runner, new RunnerListing(born, nowNanos / 1_000_000, running, ended), sentNanos, nowNanos);
     }
 
-    /** Decides, and returns the runs that were started. */
+    /** Decides, stores where lasting tasks were placed, and returns the runs that were started, the lasting ones first. */
     List<Run> decideStarts() {
+        List<Run> started = orderedStarts();
+        List<Run> placed = new ArrayList<>();
+        for (FleetRunner runner : fleet.runners()) {
+            for (Run run : runner.snapshotOfRuns()) {
+                placed.addAll(fleet.placements().unstored(run.task().job()));
+            }
+        }
+        if (!placed.isEmpty()) {
+            fleet.placements().stored(placed);
+            started.addAll(0, orderedStarts());
+        }
+        return started;
+    }
+
+    /** Decides without storing anything, and returns the runs that were started. */
+    List<Run> orderedStarts() {
         List<Run> started = new ArrayList<>();
         for (Order order : fleet.decide(nowNanos, nowNanos / 1_000_000, Integer.MAX_VALUE)) {
             if (order instanceof Order.Start start) {
--- a/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
@@ -23,12 +23,23 @@
     /** The check finds a successor that does not wait for silent runners. */
     @Property(tries = 1)
     void noticesASuccessorThatDoesNotWait() {
+        assertThat(violationsOf(FleetSimulation.Variant.NO_WAIT_FOR_SILENT_RUNNERS))
+                .isPositive();
+    }
+
+    /** The check finds a leader that orders lasting tasks before their place is stored. */
+    @Property(tries = 1)
+    void noticesOrdersBeforeTheirRecords() {
+        assertThat(violationsOf(FleetSimulation.Variant.ORDERS_BEFORE_RECORDS)).isPositive();
+    }
+
+    private static long violationsOf(FleetSimulation.Variant variant) {
         long found = 0;
         for (long seed = 0; seed < 100; seed++) {
-            FleetSimulation simulation = new FleetSimulation(seed, FleetSimulation.Variant.NO_WAIT_FOR_SILENT_RUNNERS);
+            FleetSimulation simulation = new FleetSimulation(seed, variant);
             simulation.play(FAULTY_STEPS, 0);
             found += simulation.violations().size();
         }
-        assertThat(found).isPositive();
+        return found;
     }
 }
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -25,7 +25,9 @@
         /** Nothing. */
         CORRECT,
         /** A successor does not wait for runners that an earlier leader may have used. */
-        NO_WAIT_FOR_SILENT_RUNNERS
+        NO_WAIT_FOR_SILENT_RUNNERS,
+        /** Lasting tasks are ordered before their place is stored. */
+        ORDERS_BEFORE_RECORDS
     }
 
     private static final long STEP_MS = 50;
@@ -45,7 +47,12 @@
 
     /** A transaction of the leader. */
     private record Commit(
-            long atMs, boolean answered, List<Job> jobs, Map<String, JobProgress> progress, Map<String, Long> ends) {}
+            long atMs,
+            boolean answered,
+            List<Job> jobs,
+            Map<String, JobProgress> progress,
+            List<Run> placed,
+            Map<String, Long> ends) {}
 
     /** What a leader knows about its exchange with a runner. */
     private static final class Session {
@@ -178,6 +185,14 @@
         for (Order order : any.fleet.decide(nowNanos(), nowMs, Integer.MAX_VALUE)) {
             carryOut(any, order, faulty);
         }
+        if (variant == Variant.ORDERS_BEFORE_RECORDS) {
+            lastingJobs.keySet().forEach(id -> releaseUnstored(any, id));
+        }
+    }
+
+    private static void releaseUnstored(Leader any, String job) {
+        Job open = any.fleet.jobs().findTask(new TaskKey(job, 0, 0, 0)).job();
+        any.fleet.placements().stored(any.fleet.placements().unstored(open));
     }
 
     private void injectFault() {
@@ -381,10 +396,14 @@
         leader.fleet.runners().forEach(runner -> ends.put(runner.id(), runner.processedEnds()));
         List<Job> changed = leader.fleet.jobs().takeChanged();
         Map<String, JobProgress> progress = new HashMap<>();
-        changed.forEach(job -> progress.put(job.id(), job.progress()));
+        List<Run> placed = new ArrayList<>();
+        for (Job job : changed) {
+            progress.put(job.id(), job.progress());
+            placed.addAll(leader.fleet.placements().unstored(job));
+        }
         boolean answered = !faulty || random.nextInt(20) != 0;
         long latencyMs = faulty ? random.nextInt(4) * STEP_MS : 0;
-        leader.commit = new Commit(nowMs + latencyMs, answered, changed, progress, ends);
+        leader.commit = new Commit(nowMs + latencyMs, answered, changed, progress, placed, ends);
     }
 
     /** Applies the transaction that is due; one whose answer is lost may have had no effect. */
@@ -402,6 +421,7 @@
             leader.fleet.jobs().returnChanged(commit.jobs());
             return;
         }
+        leader.fleet.placements().stored(commit.placed());
         commit.jobs().forEach(leader.fleet.jobs()::stored);
         commit.ends().forEach((id, number) -> leader.sessions.get(id).confirmed = number);
     }
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -374,4 +374,30 @@
         next.fleet().runnerLost("b");
         assertThat(next.decideStarts()).extracting(run -> run.task().job().id()).containsExactly("onB");
     }
+
+    /** Guards against an order for a run that was ended while its place was being stored. */
+    @Test
+    void lastingTaskCancelledBeforeItsPlaceIsStoredIsNotOrdered() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.lasting(1)));
+        assertThat(fixture.orderedStarts()).isEmpty();
+        Job job = fleet.jobs().takeChanged().getFirst();
+        List<Run> placed = fleet.placements().unstored(job);
+        assertThat(placed).hasSize(1);
+        fleet.jobs().cancel("j");
+        fleet.placements().stored(placed);
+        assertThat(fixture.orderedStarts()).isEmpty();
+        assertThat(runner.busy()).isFalse();
+    }
+
+    /** Guards against a lasting task that waits for a runner which fell silent while its place was being stored. */
+    @Test
+    void lastingTaskIsPlacedAnewIfItsRunnerFallsSilentBeforeTheOrder() {
+        fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.lasting(1)));
+        assertThat(fixture.orderedStarts()).isEmpty();
+        fixture.addRunner("b", 16_000);
+        fleet.runnerSilent("a");
+        assertThat(fixture.decideStarts()).extracting(run -> run.runner().id()).containsExactly("b");
+    }
 }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -80,6 +80,10 @@
                 0);
         QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
         fleet.jobs().add(new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0), JobProgress.NONE, false, 0);
+        assertThat(fleet.decide(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
+        fleet.jobs()
+                .takeChanged()
+                .forEach(job -> fleet.placements().stored(fleet.placements().unstored(job)));
         for (Order order : fleet.decide(loop.nowNanos(), 0, Integer.MAX_VALUE)) {
             session.carryOut(order);
         }
