--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -347,4 +347,57 @@
                 .extracting(next -> next.runner().id())
                 .containsExactly("b");
     }
+
+    /** Guards against one silent runner that holds back the lasting tasks of all others after a takeover. */
+    @Test
+    void inheritedLastingTaskWaitsOnlyForTheRunnerInItsRecord() {
+        FleetRunner runner = fixture.addRunner("a", 1_500);
+        JobDefinition onA = FleetFixture.job("onA", FleetFixture.lasting(1));
+        JobDefinition onB = FleetFixture.job("onB", FleetFixture.lasting(1));
+        JobDefinition nowhere = FleetFixture.job("nowhere", FleetFixture.lasting(1));
+        add(onA);
+        fixture.decideStarts().forEach(run -> fixture.answer(run, StartResult.STARTED));
+        fixture.addRunner("b", 1_500);
+        add(onB);
+        fixture.decideStarts().forEach(run -> fixture.answer(run, StartResult.STARTED));
+        assertThat(runner.busy()).isTrue();
+
+        FleetFixture next = new FleetFixture(2);
+        next.fleet().expectAnswer(FleetFixture.report("b", 1_500));
+        for (JobDefinition job : List.of(onA, onB, nowhere)) {
+            next.fleet().jobs().add(job, fixture.progress(job.id()), true, 0);
+        }
+        next.addRunner("a", 16_000);
+        assertThat(next.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactlyInAnyOrder("onA", "nowhere");
+        next.fleet().runnerLost("b");
+        assertThat(next.decideStarts()).extracting(run -> run.task().job().id()).containsExactly("onB");
+    }
+
+    /** Guards against an order for a run that was ended while its place was being stored. */
+    @Test
+    void lastingTaskCancelledBeforeItsPlaceIsStoredIsNotOrdered() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.lasting(1)));
+        assertThat(fixture.orderedStarts()).isEmpty();
+        Job job = fleet.jobs().takeChanged().getFirst();
+        List<Run> placed = fleet.placements().unstored(job);
+        assertThat(placed).hasSize(1);
+        fleet.jobs().cancel("j");
+        fleet.placements().stored(placed);
+        assertThat(fixture.orderedStarts()).isEmpty();
+        assertThat(runner.busy()).isFalse();
+    }
+
+    /** Guards against a lasting task that waits for a runner which fell silent while its place was being stored. */
+    @Test
+    void lastingTaskIsPlacedAnewIfItsRunnerFallsSilentBeforeTheOrder() {
+        fixture.addRunner("a", 16_000);
+        add(FleetFixture.job("j", FleetFixture.lasting(1)));
+        assertThat(fixture.orderedStarts()).isEmpty();
+        fixture.addRunner("b", 16_000);
+        fleet.runnerSilent("a");
+        assertThat(fixture.decideStarts()).extracting(run -> run.runner().id()).containsExactly("b");
+    }
 }
