--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -15,6 +15,7 @@
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.PairWeight;
+import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerReport;
 
 /** Stores what a leader learns, several changes in one transaction, one transaction at a time. */
@@ -26,8 +27,8 @@
         /** Returns whether transactions may be sent. */
         boolean leading();
 
-        /** The store has another leader's record. */
-        void superseded(String reason);
+        /** The store has a record of a leader other than the one that this leader began with. */
+        void leaderRecordChanged(RecordStore.Entry entry);
 
         /** The store confirmed the leader by a request sent at this time. */
         void confirmed(long sentNanos);
@@ -112,7 +113,7 @@
 
     /** Makes sure that changes are stored soon. */
     void changed() {
-        if (context.fleet().jobs().hasFinishedChanges()) {
+        if (context.fleet().jobs().hasUrgentChanges()) {
             planFlush(true);
         } else if (context.fleet().jobs().hasChanges()) {
             planFlush(false);
@@ -182,7 +183,8 @@
     private void onConflict(Batch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
         for (RecordStore.Entry entry : conflict.current()) {
             if (entry.key().equals(LeaderRecord.KEY) && entry.version() != leaderVersion) {
-                host.superseded("a transaction met the record of another leader");
+                host.leaderRecordChanged(entry);
+                batch.putBack();
                 return;
             }
             if (entry.key().equals(CommitSequence.KEY)) {
@@ -207,6 +209,7 @@
         private final List<RecordStore.Write> writes = new ArrayList<>();
         private final List<Job> jobs = new ArrayList<>();
         private final Map<Job, JobState> states = new HashMap<>();
+        private final List<Run> placed = new ArrayList<>();
         private final Map<RunnerSession, Long> ends = new HashMap<>();
         private final List<RunnerReport> enlisted = new ArrayList<>();
         private final List<String> dismissed = new ArrayList<>();
@@ -253,6 +256,7 @@
             states.put(job, job.terminalState());
             if (job.terminalState() == null) {
                 JobProgress progress = job.progress();
+                placed.addAll(context.fleet().placements().unstored(job));
                 storedProgress.add(job.id());
                 write(RecordStore.Table.PROGRESS, job.id(), RecordCodec.progress(progress));
                 return;
@@ -318,6 +322,7 @@
                     context.fleet().jobs().stored(job);
                 }
             }
+            context.fleet().placements().stored(placed);
             forgotten.forEach(context.fleet().jobs()::forget);
             enlisted.forEach(host::enlisted);
             ends.forEach(RunnerSession::endsStored);
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -49,8 +49,24 @@
         fleet.applyListing(runner, new RunnerListing(born, nowNanos / 1_000_000, running, ended), sentNanos, nowNanos);
     }
 
-    /** Decides, and returns the runs that were started. */
+    /** Decides, stores where lasting tasks were placed, and returns the runs that were started, the lasting ones first. */
     List<Run> decideStarts() {
+        List<Run> started = orderedStarts();
+        List<Run> placed = new ArrayList<>();
+        for (FleetRunner runner : fleet.runners()) {
+            for (Run run : runner.snapshotOfRuns()) {
+                placed.addAll(fleet.placements().unstored(run.task().job()));
+            }
+        }
+        if (!placed.isEmpty()) {
+            fleet.placements().stored(placed);
+            started.addAll(0, orderedStarts());
+        }
+        return started;
+    }
+
+    /** Decides without storing anything, and returns the runs that were started. */
+    List<Run> orderedStarts() {
         List<Run> started = new ArrayList<>();
         for (Order order : fleet.decide(nowNanos, nowNanos / 1_000_000, Integer.MAX_VALUE)) {
             if (order instanceof Order.Start start) {
@@ -76,6 +92,12 @@
         fleet.startAnswered(run, result, nowNanos);
     }
 
+    /** Returns what would be stored about a job. */
+    JobProgress progress(String job) {
+        Task task = fleet.jobs().findTask(new TaskKey(job, 0, 0, 0));
+        return task == null ? JobProgress.NONE : task.job().progress();
+    }
+
     static RunnerListing.RunningRow row(Run run, double percent) {
         return new RunnerListing.RunningRow(run.task().key(), run.number(), "", percent, -1);
     }
