Start later steps that no earlier leader can have started without waiting for silent runners

Cause: after a takeover every task of an inherited job waited for every runner. A task whose earlier step was still running when the successor heard its runner cannot have been started by an earlier leader: the runner refuses earlier leaders from then on, so they never learn that the step ended.

Ruled out: a shorter wait for all, which an earlier leader that runs on could break. The check of random faults (FleetSequencesTest) passes with the rule.

InheritedTasksTest#stepWhoseEarlierStepWasSeenRunningNeedNotWait failed before and passes now.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -31,7 +31,7 @@
     private final Placements placements = new Placements();
     private final JobBook jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
-    private final Set<String> unheardRunners = new HashSet<>();
+    private final Inheritance inheritance = new Inheritance();
     private final Set<Run> stopping = new LinkedHashSet<>();
     private final List<Order> strayStops = new ArrayList<>();
 
@@ -43,7 +43,7 @@
     public Fleet(long epoch, FleetObserver observer) {
         this.observer = observer;
         this.jobs = new JobBook(observer, placements, this::stopAll);
-        this.starter = new Starter(jobs, placement, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
+        this.starter = new Starter(jobs, placement, inheritance, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
     }
 
     /** Returns the jobs. */
@@ -73,7 +73,7 @@
      * runner has answered or its lease has expired. Returns the runner.
      */
     public FleetRunner expectAnswer(RunnerReport report) {
-        unheardRunners.add(report.id());
+        inheritance.expect(report.id());
         return runners.computeIfAbsent(report.id(), id -> new FleetRunner(report));
     }
 
@@ -113,7 +113,7 @@
 
     /** Takes note that nothing which earlier orders started on a runner can still run. */
     public void runnerLost(String id) {
-        unheardRunners.remove(id);
+        inheritance.settle(id);
         FleetRunner runner = runners.get(id);
         if (runner == null) {
             return;
@@ -134,22 +134,12 @@
 
     /** Returns the number of runners that may run tasks of an earlier leader and have not answered. */
     public int unheardRunners() {
-        return unheardRunners.size();
+        return inheritance.unheardRunners();
     }
 
     /** Returns the number of waiting tasks that wait only because a runner may run them unseen. */
     public int heldTasks() {
-        return unheardRunners.isEmpty() ? 0 : jobs.ready().count(task -> !mayStart(task));
-    }
-
-    /** Returns whether no run of a task by an earlier leader can still run unseen. */
-    private boolean mayStart(Task task) {
-        if (!task.job().inherited()) {
-            return true;
-        }
-        return task.step().longRunning()
-                ? Collections.disjoint(task.inheritedPlaces, unheardRunners)
-                : unheardRunners.isEmpty();
+        return jobs.ready().count(inheritance::mayRunUnseen);
     }
 
     /**
@@ -185,7 +175,7 @@
             }
         }
         runner.strayStops.keySet().retainAll(listed);
-        unheardRunners.remove(runner.id());
+        inheritance.settle(runner.id());
         giveUpStandingRuns(runner, nowNanos);
         paceOrders.addAll(paceControl.review(runner, nowNanos));
     }
@@ -252,6 +242,7 @@
         run.pacePercent = Run.UNKNOWN_PACE;
         task.lastRun = Math.max(task.lastRun, row.run());
         task.inheritedPlaces.remove(runner.id());
+        task.seenUndone = !task.step().speculative();
         runner.add(run);
         jobs.refresh(task);
         observer.runAdopted(run);
@@ -382,7 +373,7 @@
     /** Finds places for waiting tasks; returns the runs that need not be stored before they are ordered. */
     private List<Run> placeWaiting(int maxStarts, long nowNanos, long nowEpochMs) {
         List<Run> orderable = new ArrayList<>();
-        for (Run run : starter.start(this::mayStart, maxStarts, nowNanos, nowEpochMs)) {
+        for (Run run : starter.start(maxStarts, nowNanos, nowEpochMs)) {
             if (run.task().step().longRunning()) {
                 placements.add(run);
                 jobs.noteChange(run.task().job());
--- a/src/main/java/org/tamarackline/core/fleet/Starter.java
+++ b/src/main/java/org/tamarackline/core/fleet/Starter.java
@@ -3,13 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.function.Predicate;
 
 /** Starts waiting tasks where there is room, the most urgent first. */
 final class Starter {
 
     private final JobBook jobs;
     private final Placement placement;
+    private final Inheritance inheritance;
     private final Collection<FleetRunner> runners;
     private final long firstRun;
 
@@ -19,9 +19,15 @@
      * @param runners all runners, as they are at each call
      * @param firstRun highest number of a run that earlier leaders may have used
      */
-    Starter(JobBook jobs, Placement placement, Collection<FleetRunner> runners, long firstRun) {
+    Starter(
+            JobBook jobs,
+            Placement placement,
+            Inheritance inheritance,
+            Collection<FleetRunner> runners,
+            long firstRun) {
         this.jobs = jobs;
         this.placement = placement;
+        this.inheritance = inheritance;
         this.runners = runners;
         this.firstRun = firstRun;
     }
@@ -29,10 +35,9 @@
     /**
      * Returns the runs to order; their tasks no longer wait.
      *
-     * @param mayStart tells whether no run of a task by an earlier leader can still run unseen
      * @param maxStarts most tasks to start; a gang may exceed it
      */
-    List<Run> start(Predicate<Task> mayStart, int maxStarts, long nowNanos, long nowEpochMs) {
+    List<Run> start(int maxStarts, long nowNanos, long nowEpochMs) {
         List<Run> allStarted = new ArrayList<>();
         if (maxStarts <= 0) {
             return allStarted;
@@ -41,10 +46,10 @@
         ReadyTasks.Scan scan = jobs.ready().scan(nowEpochMs);
         while (allStarted.size() < maxStarts && scan.hasNext()) {
             Task task = scan.next();
-            if (!mayStart.test(task)) {
+            if (inheritance.mayRunUnseen(task)) {
                 continue;
             }
-            List<Run> started = task.step().gang() ? startGang(task, mayStart, nowNanos) : startOne(task, nowNanos);
+            List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
             if (started.isEmpty()) {
                 scan.skipStep(task);
             }
@@ -60,12 +65,12 @@
     }
 
     /** Starts all members of a gang with one run number, or none. */
-    private List<Run> startGang(Task first, Predicate<Task> mayStart, long nowNanos) {
+    private List<Run> startGang(Task first, long nowNanos) {
         Task[] members = first.job().gangOf(first);
         long number = 0;
         String checkpoint = "";
         for (Task member : members) {
-            if (!member.runs.isEmpty() || member.done || !mayStart.test(member)) {
+            if (!member.runs.isEmpty() || member.done || inheritance.mayRunUnseen(member)) {
                 return List.of();
             }
             number = Math.max(number, nextRun(member));
@@ -90,6 +95,7 @@
     private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
         task.lastRun = number;
         task.inheritedPlaces.clear();
+        task.seenUndone = !task.step().speculative();
         Run run = new Run(task, number, runner, checkpoint, nowNanos);
         runner.add(run);
         placement.changed(runner);
