Ask earlier leaders to step down; shorten waits once all have ended

Cause: a successor waited for silent runners as if every earlier leader could still give orders for 8 s, even one that was reachable or known to have ended. A leader that no runner fenced led on beside its successor, and a node believed the late answer to an old claim. Ruled out: asking only the leader of the replaced record, since a leader may be replaced before it knows that the ones before it have ended.

Change: PeerCalls.stepDown. A claim's LeaderRecord lists the earlier leaders that may still give orders, by address and highest epoch. Once all have answered, or after 8.2 s, the wait of a runner that has not answered ends at the latest 5.35 s later. The asked node ends a leader of a lower epoch and drops a claim of one. CommitSequence stores the epoch below which all leaders have ended, and successors carry it on; a plain flag would be lost when the next leader is replaced before it knows, and nodes that are gone for good would then be asked again.

--- a/src/main/java/org/tamarackline/fleet/CommitSequence.java
+++ b/src/main/java/org/tamarackline/fleet/CommitSequence.java
@@ -8,9 +8,15 @@
  *
  * @param epoch fencing token of the leader
  * @param number transactions of this leader
+ * @param endedBelowEpoch all leaders of lower epochs than this are known to have ended
  */
-record CommitSequence(long epoch, long number) {
+record CommitSequence(long epoch, long number, long endedBelowEpoch) {
 
     /** Key of the record in the table of progress, which sorts before all identifiers of jobs. */
     static final String KEY = "!sequence";
+
+    /** Returns whether all leaders before this one are known to have ended. */
+    boolean earlierLeadersEnded() {
+        return endedBelowEpoch >= epoch;
+    }
 }
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -38,6 +38,9 @@
         /** A runner is on the roster now and may get orders. */
         void enlisted(RunnerReport runner);
 
+        /** Returns the epoch below which all leaders are known to have ended. */
+        long endedBelowEpoch();
+
         /** Something was stored. */
         void changed();
     }
@@ -55,6 +58,7 @@
     private long sequenceVersion;
     private long weightsNanos;
     private long sequenceNumber;
+    private boolean sequenceDue;
     private boolean inFlight;
     private boolean flushPlanned;
     private boolean storeFailing;
@@ -92,6 +96,12 @@
         planFlush(false);
     }
 
+    /** Makes sure that the commit sequence is stored soon, even if nothing else is. */
+    void storeSequence() {
+        sequenceDue = true;
+        planFlush(false);
+    }
+
     /** Takes a runner off the roster, on which nothing can run any more. */
     void dismiss(String runner) {
         toEnlist.remove(runner);
@@ -133,9 +143,10 @@
         }
         Batch batch = new Batch();
         batch.fill();
-        if (batch.empty()) {
+        if (batch.empty() && !sequenceDue) {
             return;
         }
+        sequenceDue = false;
         inFlight = true;
         long sentNanos = context.loop().nowNanos();
         store.transact(batch.transaction(), result -> {
@@ -166,7 +177,7 @@
         }
         host.changed();
         changed();
-        if (!toEnlist.isEmpty()) {
+        if (!toEnlist.isEmpty() || sequenceDue) {
             planFlush(false);
         }
     }
@@ -296,7 +307,7 @@
             all.add(new RecordStore.Write(
                     RecordStore.Table.PROGRESS,
                     CommitSequence.KEY,
-                    RecordCodec.sequence(new CommitSequence(epoch, sequenceNumber))));
+                    RecordCodec.sequence(new CommitSequence(epoch, sequenceNumber, host.endedBelowEpoch()))));
             return new RecordStore.Transaction(
                     List.of(
                             new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, leaderVersion),
@@ -317,6 +328,7 @@
         }
 
         void putBack() {
+            sequenceDue = true;
             context.fleet().jobs().returnChanged(jobs);
             for (RunnerReport runner : enlisted) {
                 toEnlist.putIfAbsent(runner.id(), runner);
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -57,6 +57,9 @@
     /** Version of the record that the claim replaces. */
     private long claimVersion;
 
+    /** This process leads with no lower epoch. */
+    private long promisedEpoch;
+
     private long storeAnsweredNanos;
     private LeaderRecord followed;
     private long followedVersion;
@@ -120,7 +123,7 @@
         if (leader != resigning) {
             return;
         }
-        LeaderRecord resigned = resigning.record().asResigned();
+        LeaderRecord resigned = resigning.record().asResigned(resigning.earlierLeadersEnded());
         long sentNanos = loop.nowNanos();
         store.transact(writing(resigned, resigning.leaderVersion()), result -> {
             if (leader == resigning) {
@@ -157,6 +160,17 @@
         onHandedOver = () -> {};
     }
 
+    /** Ends a leader of a lower epoch; from now on this process leads with no lower epoch, whatever it claimed before. */
+    void stepDown(long epoch) {
+        promisedEpoch = Math.max(promisedEpoch, epoch);
+        if (leader != null && leader.record().epoch() < promisedEpoch) {
+            leader.stepDown();
+        } else if (claim != null && claim.epoch() < promisedEpoch) {
+            claim = null;
+            loop.execute(this::readRecord);
+        }
+    }
+
     /** Answers the question of a node whether this leader is well; takes note of the node as a successor. */
     PeerCalls.PingAnswer answerPing(String node) {
         long nowNanos = loop.nowNanos();
@@ -194,7 +208,7 @@
 
     private void onRecord(List<RecordStore.Entry> entries, long sentNanos) {
         if (entries.isEmpty()) {
-            takeOver(0, 0, "no node has led yet");
+            takeOver(0, List.of(), 0, "no node has led yet");
             return;
         }
         RecordStore.Entry entry = entries.getFirst();
@@ -215,11 +229,11 @@
             claim = null;
         }
         if (record.node().equals(settings.node())) {
-            takeOver(record.epoch(), entry.version(), "an earlier process of this node led");
+            takeOver(record, entry.version(), "an earlier process of this node led");
         } else if (followed != null && followedVersion == entry.version() && missedPings >= MAX_MISSED_PINGS) {
-            takeOver(record.epoch(), entry.version(), "the leader does not answer");
+            takeOver(record, entry.version(), "the leader does not answer");
         } else if (record.resigned()) {
-            takeOver(record.epoch(), entry.version(), "the leader has resigned");
+            takeOver(record, entry.version(), "the leader has resigned");
         } else {
             follow(record, entry.version());
         }
@@ -301,8 +315,13 @@
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.leader(record))));
     }
 
-    private void takeOver(long epoch, long version, String reason) {
-        LeaderRecord record = new LeaderRecord(epoch + 1, settings.node(), settings.peerAddress(), incarnation, false);
+    private void takeOver(LeaderRecord replaced, long version, String reason) {
+        takeOver(replaced.epoch(), replaced.unsettledAt(settings.peerAddress()), version, reason);
+    }
+
+    private void takeOver(long epoch, List<LeaderRecord.Earlier> unsettled, long version, String reason) {
+        LeaderRecord record =
+                new LeaderRecord(epoch + 1, settings.node(), settings.peerAddress(), incarnation, false, unsettled);
         plan++;
         long sentNanos = loop.nowNanos();
         claim = record;
@@ -325,12 +344,16 @@
     }
 
     private void lead(LeaderRecord record, long version, long sentNanos, String reason) {
+        claim = null;
+        if (record.epoch() < promisedEpoch) {
+            readRecord();
+            return;
+        }
         plan++;
         log.leadership("leader-started", record.epoch(), record.node(), reason);
-        claim = null;
         followed = null;
         missedPings = 0;
-        leader = new Leader(services, record, version, why -> deposed(record, why));
+        leader = new Leader(services, peers, record, version, why -> deposed(record, why));
         leader.start(sentNanos);
     }
 
--- a/src/main/java/org/tamarackline/fleet/FleetLimits.java
+++ b/src/main/java/org/tamarackline/fleet/FleetLimits.java
@@ -11,6 +11,9 @@
      */
     static final Duration AUTHORITY = Duration.ofSeconds(8);
 
+    /** Time after its takeover at which no earlier leader has authority, on a clock that may be faster than theirs. */
+    static final Duration EARLIER_LEADERS_END = Duration.ofMillis(8_200);
+
     /** Lease that runners get with each order. It must outlast the change to a new leader. */
     static final Duration RUNNER_LEASE = Duration.ofSeconds(5);
 
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -28,6 +28,7 @@
     @Override
     public void ping(String address, String self, Consumer<Optional<PingAnswer>> done) {
         ask(
+                "GET",
                 address,
                 PeerPaths.PING + encoded(self),
                 PING_TIMEOUT,
@@ -43,9 +44,20 @@
                 Integer.parseInt(parts[3]));
     }
 
+    @Override
+    public void stepDown(String address, long epoch, Consumer<Boolean> done) {
+        ask(
+                "POST",
+                address,
+                PeerPaths.STEP_DOWN + epoch,
+                QUESTION_TIMEOUT,
+                text -> done.accept(text.filter(PeerPaths.STEPPED_DOWN::equals).isPresent()));
+    }
+
     @Override
     public void state(String address, String job, Consumer<StateAnswer> done) {
         ask(
+                "GET",
                 address,
                 PeerPaths.JOBS + encoded(job),
                 QUESTION_TIMEOUT,
@@ -57,14 +69,15 @@
     @Override
     public void pending(String address, String queue, Consumer<Optional<Integer>> done) {
         ask(
+                "GET",
                 address,
                 PeerPaths.QUEUES + encoded(queue),
                 QUESTION_TIMEOUT,
                 text -> done.accept(text.filter(count -> !count.isEmpty()).map(Integer::valueOf)));
     }
 
-    private void ask(String address, String target, Duration timeout, Consumer<Optional<String>> done) {
-        http.call("GET", address, target, Map.of(), null, timeout, reply -> {
+    private void ask(String method, String address, String target, Duration timeout, Consumer<Optional<String>> done) {
+        http.call(method, address, target, Map.of(), null, timeout, reply -> {
             Optional<String> text = reply instanceof HttpReply.Answer answer && answer.status() == 200
                     ? Optional.of(AsyncHttpClient.text(answer.body()))
                     : Optional.empty();
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -48,6 +48,8 @@
     private final Map<String, JobProgress> progress = new HashMap<>();
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
     private final LoopDelay loopDelay = new LoopDelay();
+    private final EarlierLeaders earlierLeaders;
+    private long endedBelowEpoch;
     private Committer committer;
 
     private boolean ended;
@@ -72,7 +74,12 @@
      * @param leaderVersion version of the record
      * @param onDeposed is told why the leader has ended, unless it was asked to
      */
-    Leader(NodeServices services, LeaderRecord record, long leaderVersion, Consumer<String> onDeposed) {
+    Leader(
+            NodeServices services,
+            PeerCalls peers,
+            LeaderRecord record,
+            long leaderVersion,
+            Consumer<String> onDeposed) {
         this.loop = services.loop();
         this.store = services.store();
         this.directory = services.directory();
@@ -85,6 +92,7 @@
         this.storeAnsweredNanos = takeoverNanos;
         this.authority = new Authority(loop, timeOfDay);
         this.tables = new TableReader(loop, store, log, () -> ended, this::noteStoreAnswer);
+        this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::noteEarlierLeadersEnded);
         this.fleet = new Fleet(record.epoch(), log);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
     }
@@ -123,6 +131,7 @@
     /** Starts to read the store. */
     void start(long confirmedNanos) {
         authority.confirm(confirmedNanos);
+        earlierLeaders.start();
         tables.readAll(RecordStore.Table.ROSTER, this::expectRunner, version -> readDirectory());
     }
 
@@ -130,6 +139,30 @@
         storeAnsweredNanos = loop.nowNanos();
     }
 
+    private void noteEarlierLeadersEnded(String reason) {
+        log.leadership("earlier-leaders-ended", record.epoch(), record.node(), reason);
+        endedBelowEpoch = record.epoch();
+        sessions.values().forEach(session -> session.earlierLeadersEnded(earlierLeaders.endedNanos()));
+        if (loaded) {
+            committer.storeSequence();
+        }
+    }
+
+    /** Returns whether all leaders before this one are known to have ended. */
+    boolean earlierLeadersEnded() {
+        return earlierLeaders.ended();
+    }
+
+    @Override
+    public long endedBelowEpoch() {
+        return endedBelowEpoch;
+    }
+
+    /** Ends this leader because a successor asked it to. */
+    void stepDown() {
+        superseded("a successor asked it to step down");
+    }
+
     /** Ends all orders of this leader. */
     void end() {
         ended = true;
@@ -154,10 +187,12 @@
     private void expectRunner(RecordStore.Entry entry) throws CorruptRecordException {
         RunnerReport report = RecordCodec.readRunner(entry.key(), entry.value());
         FleetRunner runner = fleet.expectAnswer(report);
-        long wait = FleetLimits.AUTHORITY.toNanos()
-                + (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
-                + FleetLimits.LEASE_MARGIN.toNanos();
-        sessions.put(report.id(), new RunnerSession(context, this, record.epoch(), runner, takeoverNanos + wait));
+        long wait = FleetLimits.AUTHORITY.toNanos() + RunnerSession.longestLeaseNanos();
+        RunnerSession session = new RunnerSession(context, this, record.epoch(), runner, takeoverNanos + wait);
+        if (earlierLeaders.ended()) {
+            session.earlierLeadersEnded(earlierLeaders.endedNanos());
+        }
+        sessions.put(report.id(), session);
     }
 
     private void readDirectory() {
@@ -170,6 +205,7 @@
     private void readProgress(RecordStore.Entry entry) throws CorruptRecordException {
         if (entry.key().equals(CommitSequence.KEY)) {
             sequenceVersion = entry.version();
+            noteSequence(RecordCodec.readSequence(entry.value()));
             return;
         }
         if (entry.key().equals(RecordCodec.WEIGHTS_KEY)) {
@@ -179,6 +215,11 @@
         progress.put(entry.key(), RecordCodec.readProgress(entry.key(), entry.value()));
     }
 
+    private void noteSequence(CommitSequence sequence) {
+        endedBelowEpoch = Math.max(endedBelowEpoch, sequence.endedBelowEpoch());
+        earlierLeaders.endedBelow(sequence.endedBelowEpoch());
+    }
+
     private void readJobs() {
         Set<String> cancelled = new HashSet<>();
         tables.readAll(RecordStore.Table.JOBS, entry -> readJob(entry, true, cancelled), version -> {
@@ -193,6 +234,9 @@
         progress.keySet().forEach(committer::progressIsStored);
         progress.clear();
         loaded = true;
+        if (earlierLeaders.ended()) {
+            committer.storeSequence();
+        }
         log.leadership("leader-ready", record.epoch(), record.node(), summary());
         for (RunnerSession session : sessions.values()) {
             if (!notEnlisted.contains(session.runner().id())) {
--- a/src/main/java/org/tamarackline/fleet/LeaderRecord.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -1,5 +1,8 @@
 package org.tamarackline.fleet;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Who leads, as stored.
  *
@@ -11,14 +14,43 @@
  * @param address where other nodes reach the leader
  * @param incarnation number that the leader's process drew at its start, which tells it from other processes of the node
  * @param resigned whether the leader has given up its role
+ * @param unsettled earlier leaders that may still give orders, with different addresses
  */
-record LeaderRecord(long epoch, String node, String address, long incarnation, boolean resigned) {
+record LeaderRecord(
+        long epoch, String node, String address, long incarnation, boolean resigned, List<Earlier> unsettled) {
 
     /** Key of the record, which sorts before all identifiers of jobs. */
     static final String KEY = "!leader";
 
-    /** Returns the record with which the leader gives up its role. */
-    LeaderRecord asResigned() {
-        return new LeaderRecord(epoch, node, address, incarnation, true);
+    /** Creates a record that later changes of the list do not affect. */
+    LeaderRecord {
+        unsettled = List.copyOf(unsettled);
+    }
+
+    /**
+     * A leader that was replaced.
+     *
+     * @param epoch highest epoch that was led from its address
+     * @param address where other nodes reach it
+     */
+    record Earlier(long epoch, String address) {}
+
+    /**
+     * Returns the record with which the leader gives up its role.
+     *
+     * @param earlierEnded whether all leaders before it are known to have ended
+     */
+    LeaderRecord asResigned(boolean earlierEnded) {
+        return new LeaderRecord(epoch, node, address, incarnation, true, earlierEnded ? List.of() : unsettled);
+    }
+
+    /** Returns the leaders that may still give orders when the leader at an address replaces this one. */
+    List<Earlier> unsettledAt(String successorAddress) {
+        List<Earlier> all = new ArrayList<>(unsettled);
+        all.removeIf(earlier -> earlier.address().equals(address));
+        all.add(new Earlier(epoch, address));
+        // Only one process has the address of the successor, and it leads with no other epoch.
+        all.removeIf(earlier -> earlier.address().equals(successorAddress));
+        return all;
     }
 }
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -11,6 +11,13 @@
     /** Asks a leader whether it is well; the answer is empty if none arrived in time. */
     void ping(String address, String self, Consumer<Optional<PingAnswer>> done);
 
+    /**
+     * Asks a node to end any leader of a lower epoch, and never to lead with a lower epoch.
+     *
+     * @param done gets whether the node has answered that it did
+     */
+    void stepDown(String address, long epoch, Consumer<Boolean> done);
+
     /** Asks a leader for the state of a job; {@link StateAnswer#UNREACHABLE} if no answer arrived in time. */
     void state(String address, String job, Consumer<StateAnswer> done);
 
--- a/src/main/java/org/tamarackline/fleet/PeerHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerHandler.java
@@ -42,6 +42,8 @@
                         "%d %d %d %d"
                                 .formatted(answer.epoch(), answer.claimedEpoch(), answer.storeAgeMs(), answer.rank()));
             });
+        } else if (path.startsWith(PeerPaths.STEP_DOWN) && exchange.method().equals("POST")) {
+            answerStepDown(exchange, path.substring(PeerPaths.STEP_DOWN.length()));
         } else if (path.startsWith(PeerPaths.JOBS)) {
             loop.execute(() -> answerLeading(
                     exchange,
@@ -59,6 +61,20 @@
         }
     }
 
+    private void answerStepDown(HttpExchange exchange, String epochText) {
+        long epoch;
+        try {
+            epoch = Long.parseLong(epochText);
+        } catch (NumberFormatException malformed) {
+            exchange.respond(400, Map.of(), new byte[0]);
+            return;
+        }
+        loop.execute(() -> {
+            election.stepDown(epoch);
+            respond(exchange, PeerPaths.STEPPED_DOWN);
+        });
+    }
+
     private interface Question {
         Optional<String> ask(Leader leader);
     }
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -1,13 +1,17 @@
 package org.tamarackline.fleet;
 
-/** Paths that nodes ask each other, each followed by a name. */
+/** Paths that nodes ask each other, each followed by a name or an epoch. */
 final class PeerPaths {
 
     static final String PING = "/ping/";
+    static final String STEP_DOWN = "/step-down/";
     static final String JOBS = "/jobs/";
     static final String QUEUES = "/queues/";
     static final String STATE = "/state";
     static final String METRICS = "/metrics";
 
+    /** Answer of a node that has stepped down. */
+    static final String STEPPED_DOWN = "stepped down";
+
     private PeerPaths() {}
 }
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -66,6 +66,11 @@
             packer.packString(leader.address());
             packer.packLong(leader.incarnation());
             packer.packBoolean(leader.resigned());
+            packer.packArrayHeader(leader.unsettled().size());
+            for (LeaderRecord.Earlier earlier : leader.unsettled()) {
+                packer.packLong(earlier.epoch());
+                packer.packString(earlier.address());
+            }
         });
     }
 
@@ -73,11 +78,13 @@
         return pack(packer -> {
             packer.packLong(sequence.epoch());
             packer.packLong(sequence.number());
+            packer.packLong(sequence.endedBelowEpoch());
         });
     }
 
     static CommitSequence readSequence(byte[] bytes) throws CorruptRecordException {
-        return unpack(CommitSequence.KEY, bytes, in -> new CommitSequence(in.unpackLong(), in.unpackLong()));
+        return unpack(
+                CommitSequence.KEY, bytes, in -> new CommitSequence(in.unpackLong(), in.unpackLong(), in.unpackLong()));
     }
 
     static LeaderRecord readLeader(byte[] bytes) throws CorruptRecordException {
@@ -85,7 +92,21 @@
                 LeaderRecord.KEY,
                 bytes,
                 in -> new LeaderRecord(
-                        in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackBoolean()));
+                        in.unpackLong(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackLong(),
+                        in.unpackBoolean(),
+                        unpackUnsettled(in)));
+    }
+
+    private static List<LeaderRecord.Earlier> unpackUnsettled(MessageUnpacker in) throws IOException {
+        int count = in.unpackArrayHeader();
+        List<LeaderRecord.Earlier> unsettled = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            unsettled.add(new LeaderRecord.Earlier(in.unpackLong(), in.unpackString()));
+        }
+        return unsettled;
     }
 
     static byte[] weights(Map<ImagePair, PairWeight> weights) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -60,6 +60,20 @@
         this.leaseEndNanos = leaseEndNanos;
     }
 
+    /** Takes note of when all earlier leaders had ended; a runner that has not answered may end its wait earlier. */
+    void earlierLeadersEnded(long endedNanos) {
+        long waitEndNanos = endedNanos + longestLeaseNanos();
+        if (!clockKnown && leaseEndNanos - waitEndNanos > 0) {
+            leaseEndNanos = waitEndNanos;
+        }
+    }
+
+    /** Returns the longest time from an order to the end of all that it started. */
+    static long longestLeaseNanos() {
+        return (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
+                + FleetLimits.LEASE_MARGIN.toNanos();
+    }
+
     FleetRunner runner() {
         return runner;
     }
@@ -216,9 +230,7 @@
         long nowNanos = context.loop().nowNanos();
         double elapsedMs = (nowNanos - clockNanos) / 1e6;
         long earliestClockMs = clockMs + (long) (elapsedMs * (1 - FleetLimits.CLOCK_DRIFT));
-        long longestNanos = (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
-                + FleetLimits.LEASE_MARGIN.toNanos();
-        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestNanos);
+        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestLeaseNanos());
         return earliestClockMs + FleetLimits.RUNNER_LEASE.toMillis();
     }
 
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -83,6 +83,18 @@
         ask(address, election -> Optional.of(election.answerPing(self)), Optional.empty(), done);
     }
 
+    @Override
+    public void stepDown(String address, long epoch, Consumer<Boolean> done) {
+        ask(
+                address,
+                election -> {
+                    election.stepDown(epoch);
+                    return true;
+                },
+                false,
+                done);
+    }
+
     @Override
     public void state(String address, String job, Consumer<StateAnswer> done) {
         loop.schedule(TIMEOUT, () -> done.accept(StateAnswer.UNREACHABLE));
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -42,7 +42,12 @@
                 done -> done.accept(Optional.of(List.of(runner))),
                 timeOfDay,
                 new DecisionLog(sink, timeOfDay, "node"));
-        new Leader(services, new LeaderRecord(2, "node", "10.0.0.9:1", 1, false), 0, reason -> {})
+        new Leader(
+                        services,
+                        new FakePeerCalls(loop, new FakePeerCalls.Network()),
+                        new LeaderRecord(2, "node", "10.0.0.9:1", 1, false, List.of()),
+                        0,
+                        reason -> {})
                 .start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(3));
         sink.flush();
