Test the step-down request over sockets and with wrong requests

A drained leader answers its successor, seen in the log of two nodes over sockets. A read, a malformed epoch and the leader's own epoch end no leader. These tests were written after the change and have not been seen to fail.

--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/PeerHandlerTest.java
@@ -0,0 +1,99 @@
+package org.tamarackline.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.tamarackline.http.HttpExchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerHandlerTest {
+
+    private final ElectionNodes nodes = new ElectionNodes();
+    private final ElectionNodes.Node node = nodes.start("node-0");
+    private final PeerHandler handler = new PeerHandler(node.loop(), node.election(), () -> "", () -> new byte[0]);
+
+    private static final class FakeExchange implements HttpExchange {
+
+        private final String method;
+        private final String path;
+        private int status;
+        private String answer;
+
+        FakeExchange(String method, String path) {
+            this.method = method;
+            this.path = path;
+        }
+
+        @Override
+        public String method() {
+            return method;
+        }
+
+        @Override
+        public String host() {
+            return "";
+        }
+
+        @Override
+        public String path() {
+            return path;
+        }
+
+        @Override
+        public Map<String, String> query() {
+            return Map.of();
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[0];
+        }
+
+        @Override
+        public String header(String name) {
+            return null;
+        }
+
+        @Override
+        public void respond(int code, Map<String, String> headers, byte[] body) {
+            status = code;
+            answer = new String(body, StandardCharsets.UTF_8);
+        }
+    }
+
+    private FakeExchange ask(String method, String path) {
+        nodes.loop().advance(Duration.ofSeconds(1));
+        assertThat(node.epoch()).isEqualTo(1);
+        FakeExchange exchange = new FakeExchange(method, path);
+        handler.accept(exchange);
+        nodes.loop().advance(Duration.ofMillis(1));
+        return exchange;
+    }
+
+    /** Guards against an answer before the leader has ended. */
+    @Test
+    void stepDownEndsALeaderOfALowerEpoch() {
+        FakeExchange exchange = ask("POST", "/step-down/2");
+        assertThat(exchange.status).isEqualTo(200);
+        assertThat(exchange.answer).isEqualTo(PeerPaths.STEPPED_DOWN);
+        assertThat(node.leads()).isFalse();
+    }
+
+    /** Guards against an old request that ends a later leader. */
+    @Test
+    void stepDownLeavesALeaderOfTheSameEpoch() {
+        assertThat(ask("POST", "/step-down/1").status).isEqualTo(200);
+        assertThat(node.leads()).isTrue();
+    }
+
+    /** Guards against reads and malformed requests that end a leader. */
+    @Test
+    void otherRequestsEndNoLeader() {
+        assertThat(ask("GET", "/step-down/2").status).isEqualTo(404);
+        assertThat(ask("POST", "/step-down/x").status).isEqualTo(400);
+        assertThat(node.leads()).isTrue();
+    }
+}
--- a/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
@@ -118,6 +118,21 @@
                 .allSatisfy((task, starts) -> assertThat(starts).isOne());
     }
 
+    /** Guards against a successor that waits for a leader although that can tell it that it has ended. */
+    @Test
+    void drainedLeaderStepsDownForItsSuccessor() throws Exception {
+        startNode("first");
+        awaitLog("leader-ready");
+        startNode("second");
+        submit(1, LASTING);
+        awaitLog("\"event\":\"start\"");
+        awaitLog("\"event\":\"leader-followed\"");
+        nodes.getFirst().drain();
+        awaitLog("\"event\":\"earlier-leaders-ended\",\"epoch\":2,\"leader\":\"second\","
+                + "\"reason\":\"each has ended or stepped down\"");
+        assertThat(logged()).contains("\"event\":\"leader-resigned\"").doesNotContain("resignation-failed");
+    }
+
     /** Guards against a refusal that is not true, and against holding a request while the store is away. */
     @Test
     void refusesAtOnceWhileTheStoreIsAway() throws Exception {
