Split the slot broker by the jobs that it did

Ruled out: a lock for each part. A grant changes slots, queues and claims together, so that one lock guards them as before; only the statistics, which need no agreement with them, have a lock of their own.

Change: SlotAllocator holds the lock and divides the slots; SlotQueues, OwnSlots and PeerClaims are its parts. RunnerGroups tells it which groups this node owns. ServiceStatistics keeps service times and retry budgets. SlotBroker is left with finding a slot and reporting how a request went. No behaviour changes.

--- a/src/main/java/org/tamarackline/core/routing/AdmissionQueue.java
+++ b/src/main/java/org/tamarackline/core/routing/AdmissionQueue.java
@@ -12,7 +12,7 @@
  * <p>A request that cannot be answered by its deadline is shed before it is queued, so that it neither holds a place nor
  * occupies a runner for an answer that nobody uses.
  *
- * <p>Not thread-safe: guarded by the lock of the slot ledger.
+ * <p>Not thread-safe: guarded by its owner's lock.
  *
  * @param <T> what waits
  */
--- a/src/main/java/org/tamarackline/core/routing/OutlierDetector.java
+++ b/src/main/java/org/tamarackline/core/routing/OutlierDetector.java
@@ -13,7 +13,7 @@
  * <p>At most a set share of the runners is ejected at once: when most of them fail, the cause is more likely common to all,
  * and the few that are left would be overloaded.
  *
- * <p>Not thread-safe: guarded by the lock of the slot ledger.
+ * <p>Not thread-safe: guarded by its owner's lock.
  */
 public final class OutlierDetector {
 
--- a/src/main/java/org/tamarackline/core/routing/ServiceTime.java
+++ b/src/main/java/org/tamarackline/core/routing/ServiceTime.java
@@ -3,7 +3,7 @@
 /**
  * The measured time that a request of one service occupies a slot, as a mean that follows changes.
  *
- * <p>Not thread-safe: guarded by the lock of the slot ledger.
+ * <p>Not thread-safe: guarded by its owner's lock.
  */
 public final class ServiceTime {
 
--- a/src/main/java/org/tamarackline/entry/proxy/GroupOwnership.java
+++ b/src/main/java/org/tamarackline/entry/proxy/GroupOwnership.java
@@ -14,19 +14,19 @@
 import org.tamarackline.core.routing.SlotHandover;
 import org.tamarackline.entry.cluster.OwnershipListener;
 
-/** Tells the slot broker which runner groups this node owns. */
+/** Tells the runner groups which of them this node owns. */
 @Singleton
 public final class GroupOwnership implements OwnershipListener {
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    private final SlotBroker broker;
+    private final RunnerGroups groups;
     private final ObjectMapper json = new ObjectMapper();
 
     /** Creates the listener. */
     @Inject
-    public GroupOwnership(SlotBroker broker) {
-        this.broker = broker;
+    public GroupOwnership(RunnerGroups groups) {
+        this.groups = groups;
     }
 
     @Override
@@ -36,34 +36,34 @@
 
     @Override
     public void gained(ShardId shard, Epoch epoch, Origin origin, Optional<JsonNode> handedOver) {
-        SlotBroker.GroupOrigin groupOrigin = switch (origin) {
-            case FIRST -> new SlotBroker.GroupOrigin.Fresh();
-            case TAKEOVER -> new SlotBroker.GroupOrigin.AfterFailure();
+        GroupOrigin groupOrigin = switch (origin) {
+            case FIRST -> new GroupOrigin.Fresh();
+            case TAKEOVER -> new GroupOrigin.AfterFailure();
             case HANDOVER -> read(handedOver);
         };
-        broker.gained(shard, groupOrigin);
+        groups.gained(shard, groupOrigin);
     }
 
     /** A state that cannot be read tells nothing about open uses, so the group counts as taken over. */
-    private SlotBroker.GroupOrigin read(Optional<JsonNode> handedOver) {
+    private GroupOrigin read(Optional<JsonNode> handedOver) {
         if (handedOver.isEmpty()) {
-            return new SlotBroker.GroupOrigin.AfterFailure();
+            return new GroupOrigin.AfterFailure();
         }
         try {
-            return new SlotBroker.GroupOrigin.HandedOver(json.treeToValue(handedOver.get(), SlotHandover.class));
+            return new GroupOrigin.HandedOver(json.treeToValue(handedOver.get(), SlotHandover.class));
         } catch (JsonProcessingException | IllegalArgumentException e) {
             LOG.atWarning().withCause(e).log("handed-over slots could not be read");
-            return new SlotBroker.GroupOrigin.AfterFailure();
+            return new GroupOrigin.AfterFailure();
         }
     }
 
     @Override
     public JsonNode prepareHandover(ShardId shard) {
-        return json.valueToTree(broker.prepareHandover(shard));
+        return json.valueToTree(groups.prepareHandover(shard));
     }
 
     @Override
     public void lost(ShardId shard) {
-        broker.lost(shard);
+        groups.lost(shard);
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/OwnSlots.java
@@ -0,0 +1,152 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.ConnectionShare;
+import org.tamarackline.core.routing.OutlierDetector;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.routing.SlotHandover;
+import org.tamarackline.core.routing.SlotLease;
+import org.tamarackline.core.routing.SlotLedger;
+import org.tamarackline.core.routing.SlotRequest;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * The slots of the runners that this node owns, and the health of these runners. Not thread-safe: guarded by the lock of
+ * the slot allocator.
+ */
+final class OwnSlots {
+
+    private final RunnerDirectory directory;
+    private final MonotonicClock clock;
+    private final EntrySettings settings;
+    private final SlotLedger ledger;
+    private final OutlierDetector outliers = new OutlierDetector(OutlierDetector.Limits.defaults());
+    private ConnectionShare connectionShare = new ConnectionShare(1);
+
+    OwnSlots(RunnerDirectory directory, MonotonicClock clock, EntrySettings settings) {
+        this.directory = directory;
+        this.clock = clock;
+        this.settings = settings;
+        this.ledger = new SlotLedger(
+                settings.requests().requestLimit().plus(settings.cluster().driftMargin()));
+    }
+
+    /** Grants a free slot of a usable runner, if there is one. */
+    Optional<SlotLease> acquire(long grantId, ServiceName service, NodeId holder, Set<RunnerId> excluded) {
+        long nowNanos = clock.nowNanos();
+        SlotRequest request =
+                new SlotRequest(grantId, service, holder, settings.dataCentre(), connectionShare, excluded);
+        Optional<SlotLease> lease = ledger.acquire(request, runner -> outliers.isUsable(runner, nowNanos), nowNanos);
+        lease.ifPresent(granted -> outliers.recordGrant(granted.runner().id(), nowNanos));
+        return lease;
+    }
+
+    /** Ends the use of a slot. */
+    void release(long grantId) {
+        ledger.release(grantId);
+    }
+
+    /** Takes back a slot that no request was sent to. */
+    void takeBack(SlotLease lease) {
+        ledger.release(lease.grantId());
+        outliers.recordUnused(lease.runner().id());
+    }
+
+    /** Applies a report. Returns false if this node does not own the group. */
+    boolean apply(SlotMessages.ReturnSlot report) {
+        if (!ledger.owns(report.shard())) {
+            return false;
+        }
+        recordHealth(report);
+        if (report.released()) {
+            ledger.release(report.grantId());
+        }
+        return true;
+    }
+
+    private void recordHealth(SlotMessages.ReturnSlot report) {
+        if (report.health() == RunnerHealth.ANSWERED) {
+            outliers.recordSuccess(report.runner());
+        } else if (report.health() == RunnerHealth.FAILED) {
+            long nowNanos = clock.nowNanos();
+            int ownRunners = ledger.loads(serviceOf(report.shard()), nowNanos).size();
+            outliers.recordFailure(report.runner(), nowNanos, ownRunners);
+        } else {
+            outliers.recordUnused(report.runner());
+        }
+    }
+
+    /** Returns the service of the group's runners, if it has any. */
+    Optional<ServiceName> serviceOf(ShardId shard) {
+        return directory.runnersOf(shard).stream().findFirst().map(Runner::service);
+    }
+
+    /** Starts counting the slots of a group that this node gained. */
+    void gained(ShardId shard, GroupOrigin origin) {
+        long nowNanos = clock.nowNanos();
+        switch (origin) {
+            case GroupOrigin.Fresh fresh -> ledger.gainFresh(shard, nowNanos);
+            case GroupOrigin.AfterFailure failure -> ledger.gainAfterFailure(shard, nowNanos);
+            case GroupOrigin.HandedOver handed -> ledger.gainByHandover(shard, handed.state(), nowNanos);
+        }
+    }
+
+    /** Stops granting slots of the group and returns its open uses. */
+    SlotHandover prepareHandover(ShardId shard) {
+        return ledger.prepareHandover(shard, clock.nowNanos());
+    }
+
+    /** Forgets a group that this node lost. */
+    void lost(ShardId shard) {
+        ledger.lose(shard);
+    }
+
+    /** Replaces the runners of an owned group. */
+    void setRunners(ShardId shard, List<Runner> runners) {
+        ledger.setRunners(shard, runners);
+    }
+
+    /** Sets how many connections to each runner this node may hold. */
+    void setConnectionShare(ConnectionShare share) {
+        connectionShare = share;
+    }
+
+    /** Forgets the health of runners that do not exist any more and the uses that have ended by time. */
+    void dropOld(List<RunnerId> known) {
+        outliers.retain(known);
+        ledger.expire(clock.nowNanos());
+    }
+
+    /** Returns the number of slots that serve requests of the service: the own ones, else those of all nodes. */
+    int slotsServing(ServiceName service) {
+        int own = ledger.capacityOf(service);
+        return own > 0
+                ? own
+                : directory.acceptingRunnersOf(service).stream()
+                        .mapToInt(Runner::slots)
+                        .sum();
+    }
+
+    /** Returns the load of each owned runner. */
+    List<SlotLedger.RunnerLoad> loads() {
+        return ledger.loads(Optional.empty(), clock.nowNanos());
+    }
+
+    /** Returns the number of slots in use, those lent to other nodes included. */
+    int openUses() {
+        return ledger.openUses();
+    }
+
+    /** Returns the number of runners that are ejected for failures. */
+    int ejectedRunners() {
+        return outliers.ejectedCount();
+    }
+}
--- a/src/main/java/org/tamarackline/entry/proxy/PeerClaims.java
+++ b/src/main/java/org/tamarackline/entry/proxy/PeerClaims.java
@@ -13,7 +13,7 @@
  * Peers that were refused a slot, and slots that are reserved for them.
  *
  * <p>Without claims a node without runners of its own would get nothing while the owners are busy, because each freed slot
- * goes to a request that waits at its owner. Not thread-safe: guarded by the lock of the slot broker.
+ * goes to a request that waits at its owner. Not thread-safe: guarded by the lock of the slot allocator.
  */
 final class PeerClaims {
 
--- a/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RequestRouter.java
@@ -66,7 +66,7 @@
      * @throws RequestException if there is none; it tells whether the request may have run
      */
     public RoutedAnswer route(QuickRequest request) throws RequestException {
-        broker.recordRequest(request.service());
+        broker.statistics().recordRequest(request.service());
         return new Routing(request).run();
     }
 
@@ -232,7 +232,8 @@
             if (!useful || !request.message().body().canBeSent() || !hasOtherRunner()) {
                 return false;
             }
-            return executed == Executed.NO || (request.idempotent() && broker.tryRetry(request.service()));
+            return executed == Executed.NO
+                    || (request.idempotent() && broker.statistics().tryRetry(request.service()));
         }
 
         /** A late answer is not awaited any longer if the request may run twice and another runner can answer in time. */
@@ -242,7 +243,7 @@
                     && request.message().body().canBeSent()
                     && request.deadlineNanos() - clock.nowNanos() > 0
                     && directory.acceptingRunnersOf(request.service()).size() > failed.size() + 1
-                    && broker.tryRetry(request.service());
+                    && broker.statistics().tryRetry(request.service());
             return replacingLate;
         }
 
@@ -255,7 +256,7 @@
                 return false;
             }
             failed.add(slot.runner().id());
-            return hasOtherRunner() && broker.tryRetry(request.service());
+            return hasOtherRunner() && broker.statistics().tryRetry(request.service());
         }
 
         private boolean hasOtherRunner() {
--- a/src/main/java/org/tamarackline/entry/proxy/RoutingDump.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RoutingDump.java
@@ -8,13 +8,13 @@
 @Singleton
 public final class RoutingDump implements StateDump {
 
-    private final SlotBroker broker;
+    private final SlotAllocator allocator;
     private final RequestsInFlight inFlight;
 
     /** Creates the dump. */
     @Inject
-    public RoutingDump(SlotBroker broker, RequestsInFlight inFlight) {
-        this.broker = broker;
+    public RoutingDump(SlotAllocator allocator, RequestsInFlight inFlight) {
+        this.allocator = allocator;
         this.inFlight = inFlight;
     }
 
@@ -24,7 +24,7 @@
      * @param requestsInFlight accepted requests that have not ended
      * @param slots slots of the owned runners
      */
-    public record Content(int requestsInFlight, SlotBroker.Snapshot slots) {}
+    public record Content(int requestsInFlight, SlotAllocator.Snapshot slots) {}
 
     @Override
     public String name() {
@@ -33,6 +33,6 @@
 
     @Override
     public Object snapshot() {
-        return new Content(inFlight.count(), broker.snapshot());
+        return new Content(inFlight.count(), allocator.snapshot());
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerGroups.java
@@ -0,0 +1,72 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.List;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.ConnectionShare;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.routing.SlotHandover;
+import org.tamarackline.entry.cluster.Cluster;
+
+/** Tells the slot allocator which runner groups this node owns and which runners are in them. Thread-safe. */
+@Singleton
+public final class RunnerGroups {
+
+    private final Cluster cluster;
+    private final RunnerDirectory directory;
+    private final SlotAllocator allocator;
+    private volatile ConnectionShare connectionShare = new ConnectionShare(1);
+
+    /** Creates the groups of a node that owns none. */
+    @Inject
+    public RunnerGroups(Cluster cluster, RunnerDirectory directory, SlotAllocator allocator) {
+        this.cluster = cluster;
+        this.directory = directory;
+        this.allocator = allocator;
+    }
+
+    /** Starts counting the slots of a group that this node gained. */
+    public void gained(ShardId shard, GroupOrigin origin) {
+        allocator.gained(shard, origin);
+        updateRunners(shard);
+    }
+
+    /** Stops granting slots of the group and returns its open uses. */
+    public SlotHandover prepareHandover(ShardId shard) {
+        return allocator.prepareHandover(shard);
+    }
+
+    /** Forgets a group that this node lost. */
+    public void lost(ShardId shard) {
+        allocator.lost(shard);
+    }
+
+    /** Marks a runner of the group as leaving, so that it gets no new requests. */
+    void markLeaving(ShardId shard, RunnerId runner) {
+        if (directory.markLeaving(runner)) {
+            directory.rebuild();
+            updateRunners(shard);
+        }
+    }
+
+    /** Applies the directory's runners to all owned groups and grants slots that became free by time. */
+    public void updateRunners() {
+        connectionShare = new ConnectionShare(cluster.peers().size() + 1);
+        allocator.setConnectionShare(connectionShare);
+        cluster.ownedShards().forEach(this::updateRunners);
+        List<RunnerId> known = directory.all().stream().map(Runner::id).toList();
+        allocator.dropOld(known);
+    }
+
+    private void updateRunners(ShardId shard) {
+        allocator.setRunners(shard, directory.runnersOf(shard));
+    }
+
+    /** Returns how many connections to each runner this node may hold. */
+    public ConnectionShare connectionShare() {
+        return connectionShare;
+    }
+}
--- a/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RunnerRefresh.java
@@ -27,7 +27,7 @@
 
     private final Cluster cluster;
     private final RunnerDirectory directory;
-    private final SlotBroker broker;
+    private final RunnerGroups groups;
     private final UpstreamClient client;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("runner-refresh").daemon().factory());
@@ -37,10 +37,10 @@
 
     /** Creates the refresh, which {@link #start} begins. */
     @Inject
-    public RunnerRefresh(Cluster cluster, RunnerDirectory directory, SlotBroker broker, UpstreamClient client) {
+    public RunnerRefresh(Cluster cluster, RunnerDirectory directory, RunnerGroups groups, UpstreamClient client) {
         this.cluster = cluster;
         this.directory = directory;
-        this.broker = broker;
+        this.groups = groups;
         this.client = client;
     }
 
@@ -67,8 +67,8 @@
     }
 
     private void apply() {
-        broker.updateRunners();
-        ConnectionShare share = broker.connectionShare();
+        groups.updateRunners();
+        ConnectionShare share = groups.connectionShare();
         directory.all().forEach(runner -> client.limitConnections(runner, share.of(runner)));
     }
 
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/ServiceStatistics.java
@@ -0,0 +1,76 @@
+package org.tamarackline.entry.proxy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.routing.RetryBudget;
+import org.tamarackline.core.routing.ServiceTime;
+import org.tamarackline.settings.EntrySettings;
+
+/** The measured service time and the retry budget of each service. Thread-safe. */
+@Singleton
+public final class ServiceStatistics {
+
+    private final EntrySettings settings;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Map<ServiceName, Entry> entries = new HashMap<>();
+
+    /** Creates statistics without measurements. */
+    @Inject
+    public ServiceStatistics(EntrySettings settings) {
+        this.settings = settings;
+    }
+
+    private record Entry(ServiceTime time, RetryBudget retries) {}
+
+    /** Records the time that an answered request took on its runner. */
+    public void recordServiceTime(ServiceName service, long nanos) {
+        lock.lock();
+        try {
+            entryOf(service).time().record(nanos);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the measured mean time of the service's requests, 0 if unknown. */
+    public long meanServiceTimeNanos(ServiceName service) {
+        lock.lock();
+        try {
+            return entryOf(service).time().meanNanos();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Counts a request for the retry budget of its service. */
+    public void recordRequest(ServiceName service) {
+        lock.lock();
+        try {
+            entryOf(service).retries().recordRequest();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes a retry from the budget of the service. */
+    public boolean tryRetry(ServiceName service) {
+        lock.lock();
+        try {
+            return entryOf(service).retries().tryRetry();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private Entry entryOf(ServiceName service) {
+        return entries.computeIfAbsent(
+                service,
+                name -> new Entry(
+                        new ServiceTime(), new RetryBudget(settings.requests().retryPercent())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/proxy/SlotAllocator.java
@@ -0,0 +1,340 @@
+package org.tamarackline.entry.proxy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.ReentrantLock;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.RunnerId;
+import org.tamarackline.core.model.ServiceName;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.routing.AdmissionQueue;
+import org.tamarackline.core.routing.ConnectionShare;
+import org.tamarackline.core.routing.Runner;
+import org.tamarackline.core.routing.SlotHandover;
+import org.tamarackline.core.routing.SlotLease;
+import org.tamarackline.core.routing.SlotLedger;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.cluster.Cluster;
+import org.tamarackline.settings.EntrySettings;
+
+/**
+ * Divides the own slots among the requests that wait here and the peers that want to borrow.
+ *
+ * <p>Thread-safe. One lock guards the slots, the queues and the claims; it is never held during I/O or a wait, nor during
+ * a call to {@link Cluster}, which calls the ownership listener under a lock of its own.
+ */
+@Singleton
+public final class SlotAllocator {
+
+    private final NodeId self;
+    private final MonotonicClock clock;
+    private final EntrySettings settings;
+    private final SlotLending lending;
+    private final ServiceStatistics statistics;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final OwnSlots slots;
+    private final SlotQueues queues;
+    private final PeerClaims peerClaims = new PeerClaims();
+
+    /** Creates an allocator that owns no runners. */
+    @Inject
+    public SlotAllocator(
+            Cluster cluster,
+            RunnerDirectory directory,
+            MonotonicClock clock,
+            EntrySettings settings,
+            SlotLending lending,
+            ServiceStatistics statistics) {
+        this.self = cluster.self();
+        this.clock = clock;
+        this.settings = settings;
+        this.lending = lending;
+        this.statistics = statistics;
+        this.slots = new OwnSlots(directory, clock, settings);
+        this.queues = new SlotQueues(settings.requests().queueLength());
+    }
+
+    /** Returns a free own slot, unless other requests of the service wait for one. */
+    Optional<HeldSlot> tryOwn(ServiceName service, Set<RunnerId> excluded) {
+        lock.lock();
+        try {
+            if (!queues.isEmpty(service)) {
+                return Optional.empty();
+            }
+            return slots.acquire(newGrantId(), service, self, excluded).map(this::own);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private HeldSlot own(SlotLease lease) {
+        return new HeldSlot(
+                lease,
+                Optional.empty(),
+                clock.nowNanos() + settings.requests().requestLimit().toNanos());
+    }
+
+    /**
+     * Lets a request wait.
+     *
+     * @throws RequestException if the request is shed; it was not run
+     */
+    AdmissionQueue.Entry<SlotWaiter> enqueue(ServiceName service, SlotWaiter waiter, long deadlineNanos)
+            throws RequestException {
+        lock.lock();
+        try {
+            AdmissionQueue.Entry<SlotWaiter> entry = queues.add(
+                    service,
+                    waiter,
+                    deadlineNanos,
+                    clock.nowNanos(),
+                    slots.slotsServing(service),
+                    statistics.meanServiceTimeNanos(service));
+            grantWaitingLocked(service);
+            return entry;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Ends the wait of a request. Returns the slot that it was granted, if any. */
+    Optional<HeldSlot> leaveQueue(ServiceName service, AdmissionQueue.Entry<SlotWaiter> entry) {
+        lock.lock();
+        try {
+            queues.remove(service, entry);
+            return entry.item().poll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the waiting request that gets the next slot. */
+    Optional<AdmissionQueue.Entry<SlotWaiter>> firstWaiting(ServiceName service) {
+        lock.lock();
+        try {
+            return queues.first(service);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Grants a borrowed slot to the first waiting request. Returns false if there is none that can use it. */
+    boolean grantToFirst(ServiceName service, HeldSlot slot) {
+        lock.lock();
+        try {
+            Optional<AdmissionQueue.Entry<SlotWaiter>> first = queues.first(service);
+            if (first.isEmpty()
+                    || first.get().item().excluded().contains(slot.runner().id())) {
+                return false;
+            }
+            queues.remove(service, first.get());
+            first.get().item().grant(slot);
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Grants the free slots to those who wait for them. */
+    void grantWaiting(ServiceName service) {
+        lock.lock();
+        try {
+            grantWaitingLocked(service);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void grantWaitingLocked(ServiceName service) {
+        boolean more = true;
+        while (more) {
+            more = reserveForPeerLocked(service) || grantFirstLocked(service);
+        }
+    }
+
+    /** Returns false if nothing waits or no slot is free. */
+    private boolean grantFirstLocked(ServiceName service) {
+        Optional<AdmissionQueue.Entry<SlotWaiter>> first = queues.first(service);
+        if (first.isEmpty()) {
+            return false;
+        }
+        SlotWaiter waiter = first.get().item();
+        Optional<SlotLease> lease = slots.acquire(newGrantId(), service, self, waiter.excluded());
+        if (lease.isEmpty()) {
+            return false;
+        }
+        queues.remove(service, first.get());
+        waiter.grant(own(lease.get()));
+        return true;
+    }
+
+    /** Lends a slot to another node, unless own requests wait. A peer that is refused has a claim to a later slot. */
+    Optional<SlotLease> lend(NodeId borrower, SlotMessages.BorrowSlot request) {
+        PeerClaims.Key key = new PeerClaims.Key(borrower, request.service());
+        lock.lock();
+        try {
+            Optional<SlotLease> reserved = peerClaims.takeReserved(key);
+            reserved.ifPresent(lease -> slots.release(lease.grantId()));
+            Optional<SlotLease> lease = Optional.empty();
+            if (reserved.isPresent() || queues.isEmpty(request.service())) {
+                lease = slots.acquire(request.grantId(), request.service(), borrower, request.excluded());
+            }
+            if (lease.isEmpty()) {
+                long nowNanos = clock.nowNanos();
+                long remainingNanos = Duration.ofMillis(request.remainingMs()).toNanos();
+                peerClaims.add(key, nowNanos + remainingNanos, nowNanos);
+            }
+            return lease;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Reserves a free slot for a peer whose request comes first, and tells it. Returns false if there is none. */
+    private boolean reserveForPeerLocked(ServiceName service) {
+        Optional<Long> ownDeadlineNanos = queues.first(service).map(AdmissionQueue.Entry::deadlineNanos);
+        Optional<PeerClaims.Key> first = peerClaims.firstBefore(service, ownDeadlineNanos, clock.nowNanos());
+        if (first.isEmpty()) {
+            return false;
+        }
+        PeerClaims.Key key = first.get();
+        Optional<SlotLease> lease = slots.acquire(newGrantId(), service, key.peer(), Set.of());
+        if (lease.isEmpty()) {
+            peerClaims.drop(key);
+            return true;
+        }
+        peerClaims.reserve(key, lease.get());
+        Thread.ofVirtual().start(() -> offer(key, lease.get()));
+        return true;
+    }
+
+    /** The peer borrows while it is being told; a reservation that is left then was not wanted. */
+    private void offer(PeerClaims.Key key, SlotLease lease) {
+        lending.tellFree(key.peer(), key.service());
+        lock.lock();
+        try {
+            if (peerClaims.endReservation(key, lease)) {
+                slots.takeBack(lease);
+                grantWaitingLocked(key.service());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Ends the use of an own slot. */
+    void release(long grantId) {
+        lock.lock();
+        try {
+            slots.release(grantId);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Applies a report to an own runner. Returns false if this node does not own its group any more. */
+    boolean apply(SlotMessages.ReturnSlot report) {
+        lock.lock();
+        try {
+            if (!slots.apply(report)) {
+                return false;
+            }
+            slots.serviceOf(report.shard()).ifPresent(this::grantWaitingLocked);
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Starts counting the slots of a group that this node gained. */
+    void gained(ShardId shard, GroupOrigin origin) {
+        lock.lock();
+        try {
+            slots.gained(shard, origin);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Stops granting slots of the group and returns its open uses. */
+    SlotHandover prepareHandover(ShardId shard) {
+        lock.lock();
+        try {
+            return slots.prepareHandover(shard);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Forgets a group that this node lost. */
+    void lost(ShardId shard) {
+        lock.lock();
+        try {
+            slots.lost(shard);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Replaces the runners of an owned group. */
+    void setRunners(ShardId shard, List<Runner> runners) {
+        lock.lock();
+        try {
+            slots.setRunners(shard, runners);
+            runners.stream().findFirst().ifPresent(runner -> grantWaitingLocked(runner.service()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Sets how many connections to each runner this node may hold. */
+    void setConnectionShare(ConnectionShare share) {
+        lock.lock();
+        try {
+            slots.setConnectionShare(share);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Forgets runners that do not exist any more and uses that have ended by time, and grants what became free. */
+    void dropOld(List<RunnerId> known) {
+        lock.lock();
+        try {
+            slots.dropOld(known);
+            queues.services().forEach(this::grantWaitingLocked);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static long newGrantId() {
+        return ThreadLocalRandom.current().nextLong();
+    }
+
+    /**
+     * A snapshot for operators.
+     *
+     * @param runners load of the owned runners
+     * @param openUses slots in use, those lent to other nodes included
+     * @param waiting requests that wait for a slot
+     * @param ejected runners that are ejected for failures
+     */
+    public record Snapshot(List<SlotLedger.RunnerLoad> runners, int openUses, int waiting, int ejected) {}
+
+    /** Returns a snapshot for operators. */
+    public Snapshot snapshot() {
+        lock.lock();
+        try {
+            return new Snapshot(slots.loads(), slots.openUses(), queues.waiting(), slots.ejectedRunners());
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
+++ b/src/main/java/org/tamarackline/entry/proxy/UpstreamAttempt.java
@@ -193,7 +193,7 @@
     }
 
     private long usualWaitNanos() {
-        long usualNanos = SILENT_AFTER_SERVICE_TIMES * broker.meanServiceTimeNanos(request.service());
+        long usualNanos = SILENT_AFTER_SERVICE_TIMES * broker.statistics().meanServiceTimeNanos(request.service());
         return Math.max(SILENT_AFTER_NANOS, usualNanos);
     }
 
@@ -252,7 +252,7 @@
                 }
                 count = read(body, buffer);
             }
-            broker.recordServiceTime(request.service(), clock.nowNanos() - startNanos);
+            broker.statistics().recordServiceTime(request.service(), clock.nowNanos() - startNanos);
             finish(true, health());
             answer.close();
         }
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -83,9 +83,13 @@
                 List.of(new ServiceDefinition(QUOTES, Profiles.QUICK_ANSWER.name(), new TeamName("lianhua"))),
                 Set.of()));
         directory = new RunnerDirectory(() -> List.copyOf(vms), settings, cluster, clock);
-        broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
+        SlotLending lending = new SlotLending(cluster, peers, clock, settings);
+        ServiceStatistics statistics = new ServiceStatistics(settings);
+        SlotAllocator allocator = new SlotAllocator(cluster, directory, clock, settings, lending, statistics);
+        RunnerGroups groups = new RunnerGroups(cluster, directory, allocator);
+        broker = new SlotBroker(cluster, directory, clock, allocator, groups, lending, statistics);
         upstreams = new UpstreamClient(settings, clock);
-        ownership = new GroupOwnership(broker);
+        ownership = new GroupOwnership(groups);
         peerHandler = new RoutingPeerHandler(broker);
         RequestRouter router = new RequestRouter(
                 cluster,
