Split the ownership loop by the steps that it takes

Ruled out: threads or timers for single steps. The steps must run one after the other, so that a reading of the shard rows is never applied after a later handover; the new classes are called by the loop only.

No behaviour changes.

--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/PreferredOwners.java
@@ -0,0 +1,58 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.tamarackline.core.membership.NodeState;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.ShardAssignment;
+import org.tamarackline.settings.EntrySettings;
+
+/** Chooses the owners of the shards among the live nodes of the region. */
+final class PreferredOwners {
+
+    private final EntrySettings settings;
+    private final MembershipState state;
+    private final PeerDirectory directory;
+    private final RegionShards shards;
+
+    PreferredOwners(ClusterParts parts, RegionShards shards) {
+        settings = parts.settings();
+        state = parts.state();
+        directory = parts.directory();
+        this.shards = shards;
+    }
+
+    /** Returns the nodes that may own shards. */
+    Set<NodeId> candidates() {
+        return candidateList().stream().map(ShardAssignment.Candidate::node).collect(Collectors.toSet());
+    }
+
+    /** Returns the preferred owner of each shard. */
+    Map<ShardId, NodeId> all() {
+        return ShardAssignment.assign(shards.all(), candidateList());
+    }
+
+    /** Returns the preferred owner of the shard among the nodes that are not excluded, if there is one. */
+    Optional<NodeId> ofWithout(ShardId shard, Set<NodeId> excluded) {
+        List<ShardAssignment.Candidate> others = candidateList().stream()
+                .filter(candidate -> !excluded.contains(candidate.node()))
+                .toList();
+        return Optional.ofNullable(ShardAssignment.assign(shards.all(), others).get(shard));
+    }
+
+    private List<ShardAssignment.Candidate> candidateList() {
+        Duration silence = settings.cluster().takeTime();
+        return state.decide(view -> view.rows().stream()
+                .filter(row -> row.state() == NodeState.LIVE)
+                .filter(row -> view.silentFor(row.node()).compareTo(silence) < 0)
+                .filter(row -> !directory.isLeaving(row.node()))
+                .map(row -> new ShardAssignment.Candidate(row.node(), row.dataCentre()))
+                .toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ShardClaims.java
@@ -0,0 +1,160 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.NodeRow;
+import org.tamarackline.core.membership.NodeState;
+import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.Shard;
+import org.tamarackline.core.ownership.ShardRow;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.TransactionConflictException;
+
+/** Claims shards that have no owner any more, or none yet. Not thread-safe: used by the ownership loop. */
+final class ShardClaims {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int CLAIMS_PER_TRANSACTION = 100;
+
+    private final EntrySettings settings;
+    private final LocalNode self;
+    private final MonotonicClock clock;
+    private final ClusterTable table;
+    private final MembershipState state;
+    private final RegionShards shards;
+    private final ShardRows rows;
+    private final PreferredOwners owners;
+    private final ShardGains gains;
+    private final Runnable requestScan;
+    private final Map<ShardId, Long> orphanSinceNanos = new HashMap<>();
+
+    ShardClaims(
+            ClusterParts parts,
+            RegionShards shards,
+            ShardRows rows,
+            PreferredOwners owners,
+            ShardGains gains,
+            Runnable requestScan) {
+        settings = parts.settings();
+        self = parts.self();
+        clock = parts.clock();
+        table = parts.table();
+        state = parts.state();
+        this.shards = shards;
+        this.rows = rows;
+        this.owners = owners;
+        this.gains = gains;
+        this.requestScan = requestScan;
+    }
+
+    /** Claims the shards without an owner that this node should own. */
+    void claimOrphans() throws PlatformException {
+        List<NodeRow> nodeRows = state.allRows();
+        shards.setDataCentres(nodeRows.stream().map(NodeRow::dataCentre).collect(Collectors.toSet()));
+        Map<NodeId, NodeRow> nodes = byNode(nodeRows);
+        List<Shard> suspects =
+                shards.all().stream().filter(shard -> isOrphan(shard, nodes)).toList();
+        orphanSinceNanos.keySet().retainAll(suspects.stream().map(Shard::id).toList());
+        if (suspects.isEmpty()) {
+            return;
+        }
+        List<Shard> due = dueClaims(suspects);
+        if (due.isEmpty()) {
+            return;
+        }
+        // A row of the last poll may be older than the shard rows: an owner that joined in between is not in it.
+        NodeScan scan = table.nodes();
+        if (!scan.complete()) {
+            return;
+        }
+        Map<NodeId, NodeRow> current =
+                byNode(scan.nodes().stream().map(StoredNode::row).toList());
+        List<Shard> orphans =
+                due.stream().filter(shard -> isOrphan(shard, current)).toList();
+        for (int start = 0; start < orphans.size(); start += CLAIMS_PER_TRANSACTION) {
+            claim(orphans.subList(start, Math.min(orphans.size(), start + CLAIMS_PER_TRANSACTION)));
+        }
+    }
+
+    private static Map<NodeId, NodeRow> byNode(List<NodeRow> nodeRows) {
+        Map<NodeId, NodeRow> nodes = new HashMap<>();
+        nodeRows.forEach(row -> nodes.put(row.node(), row));
+        return nodes;
+    }
+
+    private boolean isOrphan(Shard shard, Map<NodeId, NodeRow> nodes) {
+        Optional<StoredShard> stored = rows.find(shard.id());
+        if (stored.isEmpty()) {
+            return true;
+        }
+        NodeRow owner = nodes.get(stored.get().row().owner());
+        return owner == null
+                || owner.state() == NodeState.GONE
+                || !owner.incarnation().equals(stored.get().row().incarnation());
+    }
+
+    /** Returns the orphans that this node should claim: as preferred owner at once, otherwise after a delay. */
+    private List<Shard> dueClaims(List<Shard> orphans) {
+        // Nodes that start together see each other first, so that none of them claims everything.
+        Duration settling = settings.cluster().heartbeatInterval().multipliedBy(2);
+        if (!settings.cluster().singleNode() && !state.decide(view -> view.observedFor(settling))) {
+            return List.of();
+        }
+        long nowNanos = clock.nowNanos();
+        long delayNanos = settings.cluster().takeTime().toNanos();
+        Map<ShardId, NodeId> preferred = owners.all();
+        List<Shard> due = new ArrayList<>();
+        for (Shard orphan : orphans) {
+            long sinceNanos = orphanSinceNanos.computeIfAbsent(orphan.id(), key -> nowNanos);
+            if (self.node().equals(preferred.get(orphan.id())) || nowNanos - sinceNanos >= delayNanos) {
+                due.add(orphan);
+            }
+        }
+        return due;
+    }
+
+    /** Writes rows that name this node as owner, and takes up the shards if that succeeds. */
+    void claim(List<Shard> orphans) throws PlatformException {
+        Incarnation incarnation = self.incarnation();
+        Map<StoredShard, OwnershipListener.Origin> claims = new LinkedHashMap<>();
+        for (Shard orphan : orphans) {
+            Optional<StoredShard> stored = rows.find(orphan.id());
+            if (stored.isEmpty()) {
+                ShardRow first = new ShardRow(orphan.id(), self.node(), incarnation, new Epoch(1), orphan.dataCentre());
+                claims.put(new StoredShard(first, 0), OwnershipListener.Origin.FIRST);
+            } else {
+                ShardRow next = stored.get().row().ownedBy(self.node(), incarnation);
+                claims.put(new StoredShard(next, stored.get().version()), OwnershipListener.Origin.TAKEOVER);
+            }
+        }
+        requestScan.run();
+        if (state.standing() != Standing.CONFIRMED) {
+            return;
+        }
+        try {
+            table.writeShards(List.copyOf(claims.keySet()));
+        } catch (TransactionConflictException e) {
+            LOG.atFine().withCause(e).log("another node claimed one of the shards");
+            return;
+        }
+        claims.forEach((stored, origin) -> {
+            rows.written(stored);
+            gains.gain(stored.row(), incarnation, origin, Optional.empty());
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ShardGains.java
@@ -0,0 +1,44 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.ownership.ShardRow;
+import org.tamarackline.peer.LocalNode;
+
+/** Takes up shards whose rows name this process. */
+final class ShardGains {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final LocalNode self;
+    private final MembershipState state;
+    private final PeerDirectory directory;
+    private final Listeners listeners;
+
+    ShardGains(ClusterParts parts, Listeners listeners) {
+        self = parts.self();
+        state = parts.state();
+        directory = parts.directory();
+        this.listeners = listeners;
+    }
+
+    /** Owns the shard from now on, unless this process has another incarnation by now. */
+    void gain(ShardRow row, Incarnation incarnation, OwnershipListener.Origin origin, Optional<JsonNode> handedOver) {
+        boolean[] added = new boolean[1];
+        state.ifStill(incarnation, () -> {
+            added[0] = state.owned().add(row.shard(), row.epoch());
+            if (added[0]) {
+                listeners.gained(row.shard(), row.epoch(), origin, handedOver);
+            }
+        });
+        if (added[0]) {
+            directory.ownerSeen(row.shard(), self.node(), row.epoch());
+            LOG.atInfo().log(
+                    "shard %s gained by %s at epoch %d",
+                    row.shard(), origin, row.epoch().value());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ShardHandover.java
@@ -0,0 +1,122 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.membership.NodeRow;
+import org.tamarackline.core.model.Epoch;
+import org.tamarackline.core.model.Incarnation;
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+import org.tamarackline.core.ownership.ShardRow;
+import org.tamarackline.peer.LocalNode;
+import org.tamarackline.peer.PeerCaller;
+import org.tamarackline.peer.PeerException;
+import org.tamarackline.peer.PeerMessage;
+import org.tamarackline.settings.EntrySettings;
+import org.tamarackline.store.OutcomeUnknownException;
+import org.tamarackline.store.PlatformException;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.TransactionConflictException;
+
+/** Hands shards over to other nodes. Not thread-safe: used by the ownership loop. */
+final class ShardHandover {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final EntrySettings settings;
+    private final LocalNode self;
+    private final ClusterTable table;
+    private final MembershipState state;
+    private final PeerDirectory directory;
+    private final PeerCaller peers;
+    private final Listeners listeners;
+    private final ShardRows rows;
+    private final Runnable requestScan;
+
+    ShardHandover(ClusterParts parts, Listeners listeners, ShardRows rows, Runnable requestScan) {
+        settings = parts.settings();
+        self = parts.self();
+        table = parts.table();
+        state = parts.state();
+        directory = parts.directory();
+        peers = parts.peers();
+        this.listeners = listeners;
+        this.rows = rows;
+        this.requestScan = requestScan;
+    }
+
+    /** Hands one shard over; returns whether the target owns it now. */
+    boolean handOver(ShardId shard, NodeId target) throws PlatformException {
+        Optional<StoredShard> found = rows.find(shard);
+        Optional<NodeRow> targetRow = state.decide(view -> view.row(target));
+        if (found.isEmpty()
+                || targetRow.isEmpty()
+                || state.owned().epochOf(shard).isEmpty()) {
+            return false;
+        }
+        StoredShard stored = found.get();
+        Incarnation incarnation = self.incarnation();
+        ShardRow next = stored.row().ownedBy(target, targetRow.get().incarnation());
+        JsonNode shardState = listeners.prepareHandover(shard);
+        if (!send(target, next, shardState)) {
+            resume(shard, stored.row(), shardState);
+            return false;
+        }
+        if (!state.ifStill(incarnation, () -> state.owned().giveUp(shard))) {
+            return false;
+        }
+        return commitHandover(new StoredShard(next, stored.version()), stored, incarnation, shardState);
+    }
+
+    private boolean commitHandover(StoredShard next, StoredShard stored, Incarnation incarnation, JsonNode shardState)
+            throws PlatformException {
+        ShardId shard = next.row().shard();
+        try {
+            table.writeShards(List.of(next));
+        } catch (TransactionConflictException | PlatformUnavailableException e) {
+            LOG.atInfo().withCause(e).log("handover of %s was not committed", shard);
+            Epoch epoch = stored.row().epoch();
+            if (state.ifStill(incarnation, () -> state.owned().takeBack(shard, epoch))) {
+                resume(shard, stored.row(), shardState);
+            }
+            requestScan.run();
+            return false;
+        } catch (OutcomeUnknownException e) {
+            listeners.lost(shard);
+            requestScan.run();
+            throw e;
+        }
+        rows.written(next);
+        directory.ownerSeen(shard, next.row().owner(), next.row().epoch());
+        listeners.lost(shard);
+        listeners.deliver();
+        call(next.row().owner(), new ClusterMessages.HandOverDone(shard));
+        LOG.atInfo().log("shard %s handed over to %s", shard, next.row().owner());
+        return true;
+    }
+
+    /** Lets the listener go on with a shard whose handover did not take place. */
+    private void resume(ShardId shard, ShardRow row, JsonNode shardState) {
+        listeners.lost(shard);
+        listeners.gained(shard, row.epoch(), OwnershipListener.Origin.HANDOVER, Optional.of(shardState));
+        listeners.deliver();
+    }
+
+    private boolean send(NodeId target, ShardRow next, JsonNode shardState) {
+        return call(target, new ClusterMessages.HandOverShard(next, shardState))
+                .filter(PeerMessage.Ok.class::isInstance)
+                .isPresent();
+    }
+
+    private Optional<PeerMessage> call(NodeId target, PeerMessage request) {
+        try {
+            return Optional.of(peers.call(target, request, settings.cluster().requestTimeout()));
+        } catch (PeerException e) {
+            LOG.atInfo().withCause(e).log("call to %s failed", target);
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/ShardRows.java
@@ -0,0 +1,45 @@
+package org.tamarackline.entry.cluster;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.tamarackline.core.model.NodeId;
+import org.tamarackline.core.model.ShardId;
+
+/** The shard rows as they were last read or written. Not thread-safe: used by the ownership loop. */
+final class ShardRows {
+
+    private Map<ShardId, StoredShard> rows = new TreeMap<>();
+
+    /** Replaces all rows by those read. */
+    void replace(List<StoredShard> read) {
+        Map<ShardId, StoredShard> next = new TreeMap<>();
+        read.forEach(stored -> next.put(stored.row().shard(), stored));
+        rows = next;
+    }
+
+    /** Takes note of a row that was written on top of the version it names. */
+    void written(StoredShard stored) {
+        rows.put(stored.row().shard(), new StoredShard(stored.row(), stored.version() + 1));
+    }
+
+    /** Returns the row of the shard if it exists. */
+    Optional<StoredShard> find(ShardId shard) {
+        return Optional.ofNullable(rows.get(shard));
+    }
+
+    /** Returns all rows in the order of their shards. */
+    Collection<StoredShard> all() {
+        return rows.values();
+    }
+
+    /** Returns the nodes that own a shard according to the rows. */
+    Set<NodeId> owners() {
+        return rows.values().stream().map(stored -> stored.row().owner()).collect(Collectors.toSet());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/entry/cluster/VmListRefresh.java
@@ -0,0 +1,49 @@
+package org.tamarackline.entry.cluster;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.flogger.FluentLogger;
+import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.store.PlatformUnavailableException;
+import org.tamarackline.store.VmDirectory;
+
+/** Reads the VM list at a fixed interval. Not thread-safe: used by the ownership loop. */
+final class VmListRefresh {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** The VM list of 1,000 workers has about 200 KB. */
+    private static final Duration VM_INTERVAL = Duration.ofSeconds(30);
+
+    private static final Duration VM_RETRY_INTERVAL = Duration.ofSeconds(2);
+
+    private final MonotonicClock clock;
+    private final VmDirectory vms;
+    private final RegionShards shards;
+    private long dueNanos;
+
+    VmListRefresh(MonotonicClock clock, VmDirectory vms, RegionShards shards) {
+        this.clock = clock;
+        this.vms = vms;
+        this.shards = shards;
+        dueNanos = clock.nowNanos();
+    }
+
+    /** Reads the list if that is due. */
+    void refresh() {
+        long nowNanos = clock.nowNanos();
+        if (nowNanos < dueNanos) {
+            return;
+        }
+        Duration next = VM_RETRY_INTERVAL;
+        try {
+            List<VmRecord> list = List.copyOf(vms.list());
+            shards.setVms(list);
+            next = list.isEmpty() ? VM_RETRY_INTERVAL : VM_INTERVAL;
+        } catch (PlatformUnavailableException e) {
+            LOG.atFine().withCause(e).log("VM list could not be read");
+        }
+        dueNanos = nowNanos + next.toNanos();
+    }
+}
