Split the rack scheduler

Besides the events of a rack it chose the changes of a batch, applied what became of them, and gave up the tasks of silent workers.

Ruled out: a class for the renewals as well. They share the sequence number of the commands and are 40 lines.

Change: RowCommits chooses batches and applies their outcome. LapsedLeases gives up the tasks of workers whose leases have lapsed and looks up their results. Proposals owns the map of the changes that wait, which RackScheduler shared with it. No behaviour changes.

--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/LapsedLeases.java
@@ -0,0 +1,100 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/**
+ * Gives up the tasks of workers that were silent for so long that their leases have lapsed, and looks for the results of
+ * the attempts first.
+ */
+final class LapsedLeases {
+
+    /** Pause before the object store is asked again whether an attempt has finished. */
+    private static final long LOOKUP_RETRY_NANOS = Duration.ofMillis(500).toNanos();
+
+    private final RackState state;
+    private final Proposals proposals;
+    private final RackRules rules;
+    private final MonotonicClock clock;
+    private final long gainedAtNanos;
+
+    /** Creates the rule for a rack that was gained at this moment. */
+    LapsedLeases(Proposals proposals, RackRules rules, MonotonicClock clock) {
+        this.state = proposals.state();
+        this.proposals = proposals;
+        this.rules = rules;
+        this.clock = clock;
+        this.gainedAtNanos = clock.nowNanos();
+    }
+
+    /** Gives up the tasks of the workers whose leases have lapsed. */
+    void giveUp() {
+        long now = clock.nowNanos();
+        long silenceNanos = rules.silence().toNanos();
+        for (WorkerEntry worker : state.workers()) {
+            if (worker.hasLapsed(gainedAtNanos, silenceNanos, now)) {
+                giveUpTasksOf(worker);
+            }
+        }
+    }
+
+    private void giveUpTasksOf(WorkerEntry worker) {
+        worker.leaseCurrent = false;
+        worker.leftovers().stream().filter(left -> left.stopNeeded).forEach(Leftover::lapse);
+        for (TaskEntry entry : state.tasksOn(worker.id)) {
+            if (entry.inFlight || !entry.row.isOn(worker.id)) {
+                continue;
+            }
+            // Added before the commit: a start of this attempt may be under way and must never find a current lease.
+            worker.add(Leftover.lapsed(entry.task(), entry.row.attempt()));
+            if (!entry.cancelRequested && entry.proposal.isEmpty() && entry.lookup == TaskEntry.Lookup.NONE) {
+                entry.lookup = TaskEntry.Lookup.DUE;
+            }
+        }
+    }
+
+    /** Returns the lookups to make now; the answer to each has to be reported back. */
+    List<ResultLookup> dueLookups() {
+        List<ResultLookup> due = new ArrayList<>();
+        long now = clock.nowNanos();
+        for (TaskEntry entry : state.live()) {
+            if (entry.lookup == TaskEntry.Lookup.DUE && now >= entry.retryAtNanos) {
+                entry.lookup = TaskEntry.Lookup.IN_FLIGHT;
+                due.add(new ResultLookup(entry.task(), entry.row.attempt()));
+            }
+        }
+        return due;
+    }
+
+    /** Takes in the answer to a lookup. */
+    void lookedUp(ResultLookup lookup, ResultLookup.Answer answer) {
+        state.task(lookup.task())
+                .filter(entry -> entry.lookup == TaskEntry.Lookup.IN_FLIGHT)
+                .ifPresent(entry -> lookedUp(entry, lookup, answer));
+    }
+
+    private void lookedUp(TaskEntry entry, ResultLookup lookup, ResultLookup.Answer answer) {
+        entry.lookup = TaskEntry.Lookup.NONE;
+        boolean current = entry.row.state().isOnWorker() && entry.row.attempt() == lookup.attempt();
+        if (!current || !entry.isIdle()) {
+            return;
+        }
+        switch (answer) {
+            case ResultLookup.Answer.Found found -> {
+                TaskRow.Outcome outcome =
+                        new TaskRow.Outcome(Optional.of(lookup.key()), Optional.of(0), found.workDoneMs());
+                proposals.propose(entry, new TaskEvent.Finished(outcome), TaskEntry.Aftermath.NOTHING);
+            }
+            case ResultLookup.Answer.Absent absent ->
+                proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
+            case ResultLookup.Answer.Unknown unknown -> {
+                entry.lookup = TaskEntry.Lookup.DUE;
+                entry.retryAtNanos = clock.nowNanos() + LOOKUP_RETRY_NANOS;
+            }
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/core/task/Proposals.java
+++ b/src/main/java/org/tamarackline/core/task/Proposals.java
@@ -1,5 +1,7 @@
 package org.tamarackline.core.task;
 
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -9,11 +11,10 @@
 final class Proposals {
 
     private final RackState state;
-    private final Map<TaskId, TaskEntry> proposed;
+    private final Map<TaskId, TaskEntry> proposed = new LinkedHashMap<>();
 
-    Proposals(RackState state, Map<TaskId, TaskEntry> proposed) {
+    Proposals(RackState state) {
         this.state = state;
-        this.proposed = proposed;
     }
 
     /**
@@ -36,6 +37,21 @@
         }
     }
 
+    /** Returns the tasks whose changes wait, oldest proposal first. */
+    Collection<TaskEntry> waiting() {
+        return proposed.values();
+    }
+
+    /** Takes the change of the task out of those that wait. */
+    void withdraw(TaskId task) {
+        proposed.remove(task);
+    }
+
+    /** Lets the change of the task wait again after a batch that was not committed. */
+    void putBack(TaskEntry entry) {
+        proposed.put(entry.task(), entry);
+    }
+
     RackState state() {
         return state;
     }
--- a/src/main/java/org/tamarackline/core/task/RackScheduler.java
+++ b/src/main/java/org/tamarackline/core/task/RackScheduler.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -28,16 +26,13 @@
 
     private static final long LEASE_RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
-    /** Pause before the object store is asked again whether an attempt has finished. */
-    private static final long LOOKUP_RETRY_NANOS = Duration.ofMillis(500).toNanos();
-
     private final RackRules rules;
     private final MonotonicClock clock;
-    private final long gainedAtNanos;
     private final RackState state = new RackState();
-    private final Map<TaskId, TaskEntry> proposed = new LinkedHashMap<>();
     private final ProfileBook profiles = new ProfileBook();
     private final Proposals proposals;
+    private final RowCommits commits;
+    private final LapsedLeases lapsedLeases;
     private final ListReader listReader;
     private final CommandSteps commandSteps;
     private final PlacementRound placement;
@@ -47,8 +42,9 @@
     public RackScheduler(RackRules rules, MonotonicClock clock, PlacementPolicy policy, RoomMaker roomMaker) {
         this.rules = rules;
         this.clock = clock;
-        this.gainedAtNanos = clock.nowNanos();
-        this.proposals = new Proposals(state, proposed);
+        this.proposals = new Proposals(state);
+        this.commits = new RowCommits(proposals, clock);
+        this.lapsedLeases = new LapsedLeases(proposals, rules, clock);
         this.listReader = new ListReader(proposals, clock);
         this.commandSteps = new CommandSteps(proposals, listReader, profiles, clock);
         this.placement = new PlacementRound(proposals, profiles, clock, policy, roomMaker);
@@ -177,7 +173,7 @@
         if (mode == RackMode.HOLDING) {
             return;
         }
-        giveUpLapsed();
+        lapsedLeases.giveUp();
         parkPoisoned();
         placement.run();
     }
@@ -192,70 +188,14 @@
                         proposals.propose(entry, new TaskEvent.Cancelled(entry.workDoneMs), TaskEntry.Aftermath.STOP));
     }
 
-    private void giveUpLapsed() {
-        long now = clock.nowNanos();
-        long silenceNanos = rules.silence().toNanos();
-        for (WorkerEntry worker : state.workers()) {
-            if (worker.hasLapsed(gainedAtNanos, silenceNanos, now)) {
-                giveUpTasksOf(worker);
-            }
-        }
-    }
-
-    private void giveUpTasksOf(WorkerEntry worker) {
-        worker.leaseCurrent = false;
-        worker.leftovers().stream().filter(left -> left.stopNeeded).forEach(Leftover::lapse);
-        for (TaskEntry entry : state.tasksOn(worker.id)) {
-            if (entry.inFlight || !entry.row.isOn(worker.id)) {
-                continue;
-            }
-            // Added before the commit: a start of this attempt may be under way and must never find a current lease.
-            worker.add(Leftover.lapsed(entry.task(), entry.row.attempt()));
-            if (!entry.cancelRequested && entry.proposal.isEmpty() && entry.lookup == TaskEntry.Lookup.NONE) {
-                entry.lookup = TaskEntry.Lookup.DUE;
-            }
-        }
-    }
-
     /** Returns the lookups to make now; the answer to each has to be reported back. */
     public List<ResultLookup> dueLookups() {
-        List<ResultLookup> due = new ArrayList<>();
-        long now = clock.nowNanos();
-        for (TaskEntry entry : state.live()) {
-            if (entry.lookup == TaskEntry.Lookup.DUE && now >= entry.retryAtNanos) {
-                entry.lookup = TaskEntry.Lookup.IN_FLIGHT;
-                due.add(new ResultLookup(entry.task(), entry.row.attempt()));
-            }
-        }
-        return due;
+        return lapsedLeases.dueLookups();
     }
 
     /** Takes in the answer to a lookup. */
     public void lookedUp(ResultLookup lookup, ResultLookup.Answer answer) {
-        state.task(lookup.task())
-                .filter(entry -> entry.lookup == TaskEntry.Lookup.IN_FLIGHT)
-                .ifPresent(entry -> lookedUp(entry, lookup, answer));
-    }
-
-    private void lookedUp(TaskEntry entry, ResultLookup lookup, ResultLookup.Answer answer) {
-        entry.lookup = TaskEntry.Lookup.NONE;
-        boolean current = entry.row.state().isOnWorker() && entry.row.attempt() == lookup.attempt();
-        if (!current || !entry.isIdle()) {
-            return;
-        }
-        switch (answer) {
-            case ResultLookup.Answer.Found found -> {
-                TaskRow.Outcome outcome =
-                        new TaskRow.Outcome(Optional.of(lookup.key()), Optional.of(0), found.workDoneMs());
-                proposals.propose(entry, new TaskEvent.Finished(outcome), TaskEntry.Aftermath.NOTHING);
-            }
-            case ResultLookup.Answer.Absent absent ->
-                proposals.propose(entry, entry.ended(Optional.empty()), TaskEntry.Aftermath.NOTHING);
-            case ResultLookup.Answer.Unknown unknown -> {
-                entry.lookup = TaskEntry.Lookup.DUE;
-                entry.retryAtNanos = clock.nowNanos() + LOOKUP_RETRY_NANOS;
-            }
-        }
+        lapsedLeases.lookedUp(lookup, answer);
     }
 
     private void parkPoisoned() {
@@ -294,107 +234,24 @@
      * most half of a batch while other changes wait.
      */
     public List<RowChange> nextBatch(int max) {
-        List<TaskEntry> cancellations = new ArrayList<>();
-        List<TaskEntry> others = new ArrayList<>();
-        proposed.values().forEach(entry -> (entry.cancelRequested ? cancellations : others).add(entry));
-        int forOthers = Math.min(others.size(), Math.max(max / 2, max - cancellations.size()));
-        List<TaskEntry> chosen = new ArrayList<>(others.subList(0, forOthers));
-        int forCancellations = Math.min(cancellations.size(), max - forOthers);
-        chosen.addAll(cancellations.subList(0, forCancellations));
-        return chosen.stream().map(this::takeIntoFlight).toList();
-    }
-
-    private RowChange takeIntoFlight(TaskEntry entry) {
-        entry.inFlight = true;
-        proposed.remove(entry.task());
-        return entry.proposal.orElseThrow().change();
+        return commits.nextBatch(max);
     }
 
     /** Takes note that the changes of a batch took effect. */
     public void committed(List<RowChange> changes) {
-        changes.forEach(change ->
-                state.task(change.task()).filter(entry -> entry.inFlight).ifPresent(entry -> committed(entry, change)));
-    }
-
-    private void committed(TaskEntry entry, RowChange change) {
-        TaskEntry.Aftermath aftermath = entry.proposal.orElseThrow().aftermath();
-        entry.inFlight = false;
-        entry.proposal = Optional.empty();
-        entry.row = change.to();
-        entry.version++;
-        change.from()
-                .worker()
-                .filter(worker -> change.from().state().isOnWorker())
-                .flatMap(state::worker)
-                .ifPresent(worker -> leave(worker, entry, change, aftermath));
-        enter(entry, change);
-    }
-
-    private void leave(WorkerEntry worker, TaskEntry entry, RowChange change, TaskEntry.Aftermath aftermath) {
-        if (change.to().state().isOnWorker()) {
-            return;
-        }
-        int attempt = change.from().attempt();
-        switch (aftermath) {
-            case FORGET -> worker.add(Leftover.toForget(entry.task(), attempt));
-            case STOP -> worker.add(Leftover.toStop(entry.task(), attempt, entry.size()));
-            case NOTHING -> {}
-            default -> throw new IllegalStateException("aftermath " + aftermath + " is not handled");
-        }
-    }
-
-    private void enter(TaskEntry entry, RowChange change) {
-        long now = clock.nowNanos();
-        switch (entry.row.state()) {
-            case ASSIGNED -> {
-                entry.adopted = false;
-                entry.startMayArrive = false;
-                entry.startUnsettled = false;
-                entry.workDoneMs = entry.savedWorkMs;
-                entry.throttlePercent = TaskEntry.UNTHROTTLED_PERCENT;
-                entry.confirmedSequence = Long.MAX_VALUE;
-                entry.expect(TaskEntry.Step.START);
-            }
-            case EVICTING -> entry.expect(TaskEntry.Step.CHECKPOINT);
-            case RUNNING -> {
-                entry.expect(TaskEntry.Step.NONE);
-                if (change.from().state() == TaskState.EVICTING) {
-                    entry.evictedAtNanos = Optional.of(now);
-                }
-            }
-            case PENDING -> {
-                if (change.from().state() == TaskState.EVICTING) {
-                    entry.evictedAtNanos = Optional.of(now);
-                }
-                entry.verdict = Optional.empty();
-                entry.waitingSinceNanos = now;
-                entry.expect(TaskEntry.Step.NONE);
-            }
-            case PARKED -> entry.expect(TaskEntry.Step.NONE);
-            case DONE, FAILED, CANCELLED -> state.end(entry.row);
-            default -> throw new IllegalStateException("state " + entry.row.state() + " is not handled");
-        }
+        commits.committed(changes);
     }
 
     /** Takes note that a batch certainly did not take effect. Assignments are decided anew, the rest is kept. */
     public void notCommitted(List<RowChange> changes) {
-        changes.forEach(change -> state.task(change.task())
-                .filter(entry -> entry.inFlight)
-                .ifPresent(entry -> {
-                    entry.inFlight = false;
-                    if (change.to().state() == TaskState.ASSIGNED) {
-                        entry.proposal = Optional.empty();
-                    } else {
-                        proposed.put(entry.task(), entry);
-                    }
-                }));
+        commits.notCommitted(changes);
     }
 
     /** Replaces what is known of a row by what the table holds, after a conflict on that row. */
     public void reload(TaskId task, Optional<VersionedRow> stored) {
         boolean cancelRequested =
                 state.task(task).map(entry -> entry.cancelRequested).orElse(false);
-        proposed.remove(task);
+        proposals.withdraw(task);
         state.remove(task);
         stored.ifPresent(this::loadOne);
         state.task(task).ifPresent(entry -> entry.cancelRequested = cancelRequested);
@@ -434,7 +291,7 @@
     /** Forgets tasks that were moved to another rack. */
     public void movedAway(List<TaskId> tasks) {
         tasks.forEach(task -> {
-            proposed.remove(task);
+            proposals.withdraw(task);
             state.remove(task);
         });
     }
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/RowCommits.java
@@ -0,0 +1,122 @@
+package org.tamarackline.core.task;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/** Chooses the row changes to commit and applies what became of them. */
+final class RowCommits {
+
+    private final RackState state;
+    private final Proposals proposals;
+    private final MonotonicClock clock;
+
+    RowCommits(Proposals proposals, MonotonicClock clock) {
+        this.state = proposals.state();
+        this.proposals = proposals;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns up to {@code max} row changes to commit in one transaction and marks them as in flight. Cancellations take at
+     * most half of a batch while other changes wait.
+     */
+    List<RowChange> nextBatch(int max) {
+        List<TaskEntry> cancellations = new ArrayList<>();
+        List<TaskEntry> others = new ArrayList<>();
+        proposals.waiting().forEach(entry -> (entry.cancelRequested ? cancellations : others).add(entry));
+        int forOthers = Math.min(others.size(), Math.max(max / 2, max - cancellations.size()));
+        List<TaskEntry> chosen = new ArrayList<>(others.subList(0, forOthers));
+        int forCancellations = Math.min(cancellations.size(), max - forOthers);
+        chosen.addAll(cancellations.subList(0, forCancellations));
+        return chosen.stream().map(this::takeIntoFlight).toList();
+    }
+
+    private RowChange takeIntoFlight(TaskEntry entry) {
+        entry.inFlight = true;
+        proposals.withdraw(entry.task());
+        return entry.proposal.orElseThrow().change();
+    }
+
+    /** Takes note that the changes of a batch took effect. */
+    void committed(List<RowChange> changes) {
+        changes.forEach(change ->
+                state.task(change.task()).filter(entry -> entry.inFlight).ifPresent(entry -> committed(entry, change)));
+    }
+
+    private void committed(TaskEntry entry, RowChange change) {
+        TaskEntry.Aftermath aftermath = entry.proposal.orElseThrow().aftermath();
+        entry.inFlight = false;
+        entry.proposal = Optional.empty();
+        entry.row = change.to();
+        entry.version++;
+        change.from()
+                .worker()
+                .filter(worker -> change.from().state().isOnWorker())
+                .flatMap(state::worker)
+                .ifPresent(worker -> leave(worker, entry, change, aftermath));
+        enter(entry, change);
+    }
+
+    private void leave(WorkerEntry worker, TaskEntry entry, RowChange change, TaskEntry.Aftermath aftermath) {
+        if (change.to().state().isOnWorker()) {
+            return;
+        }
+        int attempt = change.from().attempt();
+        switch (aftermath) {
+            case FORGET -> worker.add(Leftover.toForget(entry.task(), attempt));
+            case STOP -> worker.add(Leftover.toStop(entry.task(), attempt, entry.size()));
+            case NOTHING -> {}
+            default -> throw new IllegalStateException("aftermath " + aftermath + " is not handled");
+        }
+    }
+
+    private void enter(TaskEntry entry, RowChange change) {
+        long now = clock.nowNanos();
+        switch (entry.row.state()) {
+            case ASSIGNED -> {
+                entry.adopted = false;
+                entry.startMayArrive = false;
+                entry.startUnsettled = false;
+                entry.workDoneMs = entry.savedWorkMs;
+                entry.throttlePercent = TaskEntry.UNTHROTTLED_PERCENT;
+                entry.confirmedSequence = Long.MAX_VALUE;
+                entry.expect(TaskEntry.Step.START);
+            }
+            case EVICTING -> entry.expect(TaskEntry.Step.CHECKPOINT);
+            case RUNNING -> {
+                entry.expect(TaskEntry.Step.NONE);
+                if (change.from().state() == TaskState.EVICTING) {
+                    entry.evictedAtNanos = Optional.of(now);
+                }
+            }
+            case PENDING -> {
+                if (change.from().state() == TaskState.EVICTING) {
+                    entry.evictedAtNanos = Optional.of(now);
+                }
+                entry.verdict = Optional.empty();
+                entry.waitingSinceNanos = now;
+                entry.expect(TaskEntry.Step.NONE);
+            }
+            case PARKED -> entry.expect(TaskEntry.Step.NONE);
+            case DONE, FAILED, CANCELLED -> state.end(entry.row);
+            default -> throw new IllegalStateException("state " + entry.row.state() + " is not handled");
+        }
+    }
+
+    /** Takes note that a batch certainly did not take effect. Assignments are decided anew, the rest is kept. */
+    void notCommitted(List<RowChange> changes) {
+        changes.forEach(change -> state.task(change.task())
+                .filter(entry -> entry.inFlight)
+                .ifPresent(entry -> {
+                    entry.inFlight = false;
+                    if (change.to().state() == TaskState.ASSIGNED) {
+                        entry.proposal = Optional.empty();
+                    } else {
+                        proposals.putBack(entry);
+                    }
+                }));
+    }
+}
