Split the placement round

Change: PlacementBoard fills the workers in one round, RackViews tells what placement sees of them, Reservations keeps room for urgent tasks, Evictions takes room from running tasks; PlacementParts is what they share. No behaviour changes.

--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/PlacementBoard.java
@@ -0,0 +1,179 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TeamName;
+import org.tamarackline.core.model.WorkerId;
+import org.tamarackline.core.placement.Demand;
+import org.tamarackline.core.placement.PlacementPolicy;
+import org.tamarackline.core.placement.QuotaLedger;
+import org.tamarackline.core.placement.RoomMaker;
+import org.tamarackline.core.placement.WorkerView;
+
+/** The workers of a rack as one round of placement fills them. */
+final class PlacementBoard {
+
+    /** Assignments of one round; more would only wait for the next transactions. */
+    static final int MAX_ASSIGNMENTS = 200;
+
+    /** Time after which a task returns to a worker on which it failed, if there is no other. */
+    private static final long SAME_WORKER_PAUSE_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private final RackState state;
+    private final Proposals proposals;
+    private final ProfileBook profiles;
+    private final PlacementPolicy policy;
+    private final RoomMaker roomMaker;
+    private final RackViews rack;
+    private final Reservations reservations;
+    private final Evictions evictions;
+    private final QuotaLedger ledger;
+    private final long now;
+    private final Map<WorkerId, WorkerView> views = new LinkedHashMap<>();
+    private final Set<Resources> misfits = new HashSet<>();
+    private int assignments;
+
+    /**
+     * Creates the board of a round.
+     *
+     * @param ledger what the teams take up at the start of the round
+     * @param now time of the round on the monotonic clock
+     */
+    PlacementBoard(PlacementParts parts, QuotaLedger ledger, long now) {
+        this.state = parts.proposals().state();
+        this.proposals = parts.proposals();
+        this.profiles = parts.profiles();
+        this.policy = parts.policy();
+        this.roomMaker = parts.roomMaker();
+        this.rack = parts.rack();
+        this.reservations = parts.reservations();
+        this.evictions = parts.evictions();
+        this.ledger = ledger;
+        this.now = now;
+        state.workers().stream()
+                .filter(worker -> rack.admits(worker, now))
+                .forEach(worker -> views.put(worker.id, rack.view(worker, Resources.NONE, now)));
+    }
+
+    /** Places an urgent task, or makes room for it. */
+    void placeUrgent(TaskEntry entry) {
+        if (tryAssign(entry, List.copyOf(views.values()))) {
+            return;
+        }
+        if (reservations.contains(entry.task())) {
+            return;
+        }
+        List<WorkerView> afterEvictions = views.values().stream()
+                .map(view -> withReserved(view, Resources.NONE.minus(evictingOn(view.id()))))
+                .toList();
+        roomMaker.makeRoom(demandOf(entry), afterEvictions).ifPresent(plan -> {
+            evictions.carryOut(plan);
+            reservations.add(entry, plan.worker(), now);
+        });
+    }
+
+    private Resources evictingOn(WorkerId worker) {
+        return state.worker(worker).map(rack::evicting).orElse(Resources.NONE);
+    }
+
+    /** Returns the view with the room that is kept for urgent tasks counted as taken. */
+    private WorkerView withReserved(WorkerView view, Resources extra) {
+        Resources reserved = extra.plus(reservations.on(view.id()));
+        return new WorkerView(view.id(), view.capacity(), view.occupied().plus(reserved), view.running());
+    }
+
+    /** Places tasks that are not urgent, team by team. */
+    void placeByTeam(List<TaskEntry> waiting) {
+        Map<TeamName, Deque<TaskEntry>> queues = new HashMap<>();
+        waiting.stream()
+                .sorted(Comparator.comparingInt(
+                                (TaskEntry entry) -> -profiles.of(entry).priority())
+                        .thenComparingLong(entry -> entry.waitingSinceNanos))
+                .forEach(entry -> queues.computeIfAbsent(entry.row.spec().team(), team -> new ArrayDeque<>())
+                        .add(entry));
+        while (!queues.isEmpty() && assignments < MAX_ASSIGNMENTS) {
+            TeamName next = nextTeam(queues);
+            Deque<TaskEntry> queue = queues.get(next);
+            placeOrdinary(queue.remove());
+            if (queue.isEmpty()) {
+                queues.remove(next);
+            }
+        }
+    }
+
+    private TeamName nextTeam(Map<TeamName, Deque<TaskEntry>> queues) {
+        return queues.entrySet().stream()
+                .min(Comparator.<Map.Entry<TeamName, Deque<TaskEntry>>>comparingInt(
+                                entry -> isGuaranteed(entry.getValue().element()) ? 0 : 1)
+                        .thenComparingInt(entry ->
+                                -profiles.of(entry.getValue().element()).priority())
+                        .thenComparingDouble(entry -> ledger.share(entry.getKey()))
+                        .thenComparing(entry -> entry.getKey().value()))
+                .map(Map.Entry::getKey)
+                .orElseThrow();
+    }
+
+    private boolean isGuaranteed(TaskEntry entry) {
+        return ledger.isGuaranteed(entry.row.spec().team(), entry.size());
+    }
+
+    private void placeOrdinary(TaskEntry entry) {
+        boolean plain = entry.row.failedOn().isEmpty();
+        if (plain && misfits.contains(entry.size())) {
+            return;
+        }
+        List<WorkerView> reserved = views.values().stream()
+                .map(view -> withReserved(view, Resources.NONE))
+                .toList();
+        if (!tryAssign(entry, reserved) && plain) {
+            misfits.add(entry.size());
+        }
+    }
+
+    private boolean tryAssign(TaskEntry entry, List<WorkerView> candidates) {
+        Optional<WorkerId> choice = policy.choose(demandOf(entry), candidates);
+        choice.ifPresent(worker -> assign(entry, worker));
+        return choice.isPresent();
+    }
+
+    private void assign(TaskEntry entry, WorkerId worker) {
+        proposals.propose(entry, new TaskEvent.Assigned(worker), TaskEntry.Aftermath.NOTHING);
+        reservations.remove(entry.task());
+        ledger.add(entry.row.spec().team(), entry.size());
+        assignments++;
+        WorkerEntry chosen = state.worker(worker).orElseThrow();
+        if (chosen.health.isQuarantined()) {
+            views.remove(worker);
+        } else {
+            views.put(worker, rack.view(chosen, Resources.NONE, now));
+        }
+    }
+
+    private Demand demandOf(TaskEntry entry) {
+        Set<WorkerId> avoid = new HashSet<>();
+        boolean noOther = entry.row.failedOn().containsAll(views.keySet());
+        boolean waitedLong = now - entry.waitingSinceNanos >= SAME_WORKER_PAUSE_NANOS;
+        if (!noOther || !waitedLong) {
+            avoid.addAll(entry.row.failedOn());
+        }
+        for (WorkerEntry worker : state.workers()) {
+            boolean leftoverHere = worker.leftover(entry.task()).isPresent();
+            boolean riskyProbe = worker.health.isQuarantined() && profiles.isUrgent(entry);
+            if (leftoverHere || riskyProbe) {
+                avoid.add(worker.id);
+            }
+        }
+        return new Demand(entry.task(), entry.size(), profiles.of(entry), avoid);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/RackViews.java
@@ -0,0 +1,112 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.placement.RunningTask;
+import org.tamarackline.core.placement.Shares;
+import org.tamarackline.core.placement.WorkerView;
+
+/** What placement sees of the workers of a rack. */
+final class RackViews {
+
+    private static final long EVICTION_PAUSE_NANOS = Duration.ofSeconds(60).toNanos();
+
+    private final RackState state;
+    private final ProfileBook profiles;
+
+    RackViews(RackState state, ProfileBook profiles) {
+        this.state = state;
+        this.profiles = profiles;
+    }
+
+    /** Returns whether the task may be evicted now. */
+    boolean isEvictable(TaskEntry entry, long now) {
+        boolean recently = entry.evictedAtNanos
+                .map(evicted -> now - evicted < EVICTION_PAUSE_NANOS)
+                .orElse(false);
+        return entry.row.state() == TaskState.RUNNING
+                && entry.isIdle()
+                && entry.step == TaskEntry.Step.NONE
+                && !recently;
+    }
+
+    /** Returns what the tasks that are being evicted take up. */
+    Resources evicting(WorkerEntry worker) {
+        return state.tasksOn(worker.id).stream()
+                .filter(RackViews::isLeaving)
+                .map(TaskEntry::size)
+                .reduce(Resources.NONE, Resources::plus);
+    }
+
+    private static boolean isLeaving(TaskEntry entry) {
+        boolean proposed = entry.proposal
+                .map(proposal -> proposal.change().to().state() == TaskState.EVICTING)
+                .orElse(false);
+        return proposed || entry.row.state() == TaskState.EVICTING;
+    }
+
+    /** Returns the worker as placement sees it, with {@code reserved} counted as taken. */
+    WorkerView view(WorkerEntry worker, Resources reserved, long now) {
+        List<RunningTask> running = state.tasksOn(worker.id).stream()
+                .map(entry -> new RunningTask(
+                        entry.task(),
+                        entry.size(),
+                        profiles.of(entry),
+                        Math.max(0, entry.workDoneMs - entry.savedWorkMs),
+                        isEvictable(entry, now)))
+                .toList();
+        Resources occupied = state.occupied(worker).plus(reserved);
+        return new WorkerView(worker.id, worker.capacity, occupied, running);
+    }
+
+    /** Returns whether the worker may be given new tasks. */
+    boolean admits(WorkerEntry worker, long now) {
+        boolean startsPending =
+                state.tasksOn(worker.id).stream().anyMatch(entry -> entry.row.state() != TaskState.RUNNING);
+        return worker.listed
+                && !worker.closed
+                && worker.acceptsStarts()
+                && now >= worker.coolUntilNanos
+                && worker.health.admits(startsPending, now);
+    }
+
+    /** Returns what the rack has to offer. */
+    RackLoad load() {
+        Resources capacity = Resources.NONE;
+        Resources free = Resources.NONE;
+        Resources largestFree = Resources.NONE;
+        Resources largestWorker = Resources.NONE;
+        boolean complete = state.areWorkersKnown();
+        for (WorkerEntry worker : state.workers()) {
+            if (!worker.listed || worker.closed) {
+                continue;
+            }
+            complete = complete && worker.answeredOnce;
+            largestWorker = largestWorker.max(worker.capacity);
+            if (worker.silent || worker.health.isQuarantined()) {
+                continue;
+            }
+            Resources freeHere = freeForOrdinaryTasks(worker);
+            capacity = capacity.plus(worker.capacity);
+            free = free.plus(freeHere.max(Resources.NONE));
+            largestFree = larger(largestFree, freeHere);
+        }
+        int waiting = (int) state.live().stream()
+                .filter(entry -> entry.row.state() == TaskState.PENDING)
+                .count();
+        return new RackLoad(capacity, free, largestFree, largestWorker, waiting, complete);
+    }
+
+    /** A task that needs nearly a whole worker may use the room kept for urgent work if the worker is empty. */
+    private Resources freeForOrdinaryTasks(WorkerEntry worker) {
+        Resources occupied = state.occupied(worker);
+        boolean empty = occupied.equals(Resources.NONE);
+        return empty ? worker.capacity : Shares.withoutHeadroom(worker.capacity).minus(occupied);
+    }
+
+    private static Resources larger(Resources first, Resources second) {
+        return first.processorMillis() >= second.processorMillis() ? first : second;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/task/Reservations.java
@@ -0,0 +1,56 @@
+package org.tamarackline.core.task;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.model.TaskId;
+import org.tamarackline.core.model.WorkerId;
+
+/** The room that is being made for urgent tasks. */
+final class Reservations {
+
+    private static final long RESERVATION_NANOS = Duration.ofSeconds(8).toNanos();
+
+    private final RackState state;
+    private final Map<TaskId, Reservation> reservations = new HashMap<>();
+
+    Reservations(RackState state) {
+        this.state = state;
+    }
+
+    private record Reservation(WorkerId worker, Resources size, long untilNanos) {}
+
+    /** Drops the reservations of tasks that do not wait any more, and those that were kept for too long. */
+    void dropSettled(long now) {
+        reservations.entrySet().removeIf(entry -> isSettled(entry.getKey(), entry.getValue(), now));
+    }
+
+    private boolean isSettled(TaskId task, Reservation reservation, long now) {
+        boolean waiting = state.task(task)
+                .map(entry -> entry.row.state() == TaskState.PENDING && entry.isIdle())
+                .orElse(false);
+        return !waiting || now >= reservation.untilNanos();
+    }
+
+    boolean contains(TaskId task) {
+        return reservations.containsKey(task);
+    }
+
+    void add(TaskEntry entry, WorkerId worker, long now) {
+        reservations.put(entry.task(), new Reservation(worker, entry.size(), now + RESERVATION_NANOS));
+    }
+
+    void remove(TaskId task) {
+        reservations.remove(task);
+    }
+
+    /** Returns what is reserved on the worker. */
+    Resources on(WorkerId worker) {
+        return reservations.values().stream()
+                .filter(reservation -> reservation.worker().equals(worker))
+                .map(Reservation::size)
+                .reduce(Resources.NONE, Resources::plus);
+    }
+}
