Build the jobs of the leader's tests in one place

Cause: LeaderStateTest and RunnerSessionTest each spelled out the sixteen arguments of a step and the queue of its job.

Change: JobDefinitions of the tests builds both jobs, with the same values.

--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/JobDefinitions.java
@@ -0,0 +1,50 @@
+package org.tamarackline.fleet;
+
+import java.util.List;
+
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.model.Resources;
+
+/** Jobs of one step for tests of a leader. */
+final class JobDefinitions {
+
+    private JobDefinitions() {}
+
+    /** Returns a job whose tasks run for a while. */
+    static JobDefinition tasks(int count, long estimateMs) {
+        return jobOf(step(count, estimateMs, false));
+    }
+
+    /** Returns a job with one task that runs until the job is cancelled. */
+    static JobDefinition lastingTask() {
+        return jobOf(step(1, 0, true));
+    }
+
+    private static JobDefinition jobOf(StepDefinition step) {
+        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
+        return new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0);
+    }
+
+    private static StepDefinition step(int count, long estimateMs, boolean longRunning) {
+        Resources demand = new Resources(1_000, 100, 0);
+        return new StepDefinition(
+                count,
+                demand,
+                estimateMs,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                longRunning,
+                "",
+                0,
+                false,
+                0);
+    }
+}
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -9,10 +9,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
-import org.tamarackline.core.fleet.JobDefinition;
-import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerReport;
-import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
@@ -32,7 +29,7 @@
     @Test
     void logsHowManyTasksWaitForARunnerThatDoesNotAnswer() {
         write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
-        write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(twoTasks()));
+        write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(JobDefinitions.tasks(2, 500)));
         calls.fallSilent();
         InstantSource timeOfDay = () -> java.time.Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         NodeServices services = new NodeServices(
@@ -56,26 +53,4 @@
                 result -> {});
         loop.advance(Duration.ofMillis(100));
     }
-
-    private static JobDefinition twoTasks() {
-        StepDefinition step = new StepDefinition(
-                2,
-                new Resources(1_000, 100, 0),
-                500,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0);
-        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        return new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0);
-    }
 }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -3,18 +3,14 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.fleet.Fleet;
 import org.tamarackline.core.fleet.FleetRunner;
-import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.Order;
-import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerReport;
-import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
@@ -61,25 +57,7 @@
     }
 
     private void startLastingTask() {
-        StepDefinition step = new StepDefinition(
-                1,
-                new Resources(1_000, 100, 0),
-                0,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                true,
-                "",
-                0,
-                false,
-                0);
-        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        fleet.jobs().add(new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0), JobProgress.NONE, false, 0);
+        fleet.jobs().add(JobDefinitions.lastingTask(), JobProgress.NONE, false, 0);
         for (Order order : fleet.decide(loop.nowNanos(), 0, Integer.MAX_VALUE)) {
             session.carryOut(order);
         }
