Use one bounded HTTP client for the platform and for workers

Cause: HttpWorkerGateway repeated BoundedHttpClient: the connection pool, the abort after a bound, the reading of the answer and the test whether a part of the request may have been sent.

Ruled out: letting the package worker depend on store, where the client was.

Change: BoundedHttpClient moves to the package http and takes its limits and the name of its thread; the limits of both users stay as they were. No other change of behaviour.

--- a/src/main/java/org/tamarackline/store/BoundedHttpClient.java
+++ b/src/main/java/org/tamarackline/http/BoundedHttpClient.java
@@ -1,4 +1,4 @@
-package org.tamarackline.store;
+package org.tamarackline.http;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -35,25 +35,37 @@
  * <p>A connection that failed is closed, and so are the idle ones: connections can go silent together while new ones
  * work, and each would otherwise cost a timeout. Nothing is retried.
  */
-final class BoundedHttpClient implements AutoCloseable {
+public final class BoundedHttpClient implements AutoCloseable {
 
-    private static final int MAX_CONNECTIONS = 32;
     private static final TimeValue IDLE_CHECK_AFTER = TimeValue.ofSeconds(1);
 
-    /** Bound on an answer, in bytes: a full scan of 500 rows of 64 KB. */
-    private static final int MAX_ANSWER_BYTES = 33 * 1024 * 1024;
-
+    private final int maxAnswerBytes;
     private final PoolingHttpClientConnectionManager connections;
     private final CloseableHttpClient client;
     private final ScheduledExecutorService aborts;
 
-    /** Creates a client; no connection is opened before the first call. */
-    BoundedHttpClient(Duration connectTimeout) {
+    /**
+     * Bounds of a client.
+     *
+     * @param connections most open connections
+     * @param connectionsPerServer most open connections to one server
+     * @param answerBytes longest answer
+     * @param connectTimeout bound on opening a connection
+     */
+    public record Limits(int connections, int connectionsPerServer, int answerBytes, Duration connectTimeout) {}
+
+    /**
+     * Creates a client; no connection is opened before the first call.
+     *
+     * @param name name of the thread that ends calls
+     */
+    public BoundedHttpClient(String name, Limits limits) {
+        maxAnswerBytes = limits.answerBytes();
         connections = PoolingHttpClientConnectionManagerBuilder.create()
-                .setMaxConnTotal(MAX_CONNECTIONS)
-                .setMaxConnPerRoute(MAX_CONNECTIONS)
+                .setMaxConnTotal(limits.connections())
+                .setMaxConnPerRoute(limits.connectionsPerServer())
                 .setDefaultConnectionConfig(ConnectionConfig.custom()
-                        .setConnectTimeout(Timeout.of(connectTimeout))
+                        .setConnectTimeout(Timeout.of(limits.connectTimeout()))
                         .setValidateAfterInactivity(IDLE_CHECK_AFTER)
                         .build())
                 .build();
@@ -65,7 +77,7 @@
                 .disableContentCompression()
                 .build();
         aborts = Executors.newSingleThreadScheduledExecutor(
-                Thread.ofPlatform().name("platform-call-timeout").daemon().factory());
+                Thread.ofPlatform().name(name).daemon().factory());
     }
 
     /**
@@ -75,7 +87,7 @@
      * @param timeout bound on the call
      * @throws CallFailedException if the whole answer did not arrive in time
      */
-    HttpAnswer send(String method, URI uri, byte[] body, Duration timeout) throws CallFailedException {
+    public HttpAnswer send(String method, URI uri, byte[] body, Duration timeout) throws CallFailedException {
         HttpUriRequestBase request = new HttpUriRequestBase(method, uri);
         request.setConfig(RequestConfig.custom()
                 .setConnectionRequestTimeout(Timeout.of(timeout))
@@ -86,7 +98,7 @@
         }
         ScheduledFuture<?> abort = aborts.schedule(request::abort, timeout.toNanos(), TimeUnit.NANOSECONDS);
         try {
-            return client.execute(request, BoundedHttpClient::readAnswer);
+            return client.execute(request, this::readAnswer);
         } catch (IOException failure) {
             connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
             throw new CallFailedException(method, failure, !failedBeforeSending(failure));
@@ -101,15 +113,15 @@
         client.close(CloseMode.IMMEDIATE);
     }
 
-    private static HttpAnswer readAnswer(ClassicHttpResponse response) throws IOException {
+    private HttpAnswer readAnswer(ClassicHttpResponse response) throws IOException {
         HttpEntity entity = response.getEntity();
         if (entity == null) {
             return new HttpAnswer(response.getCode(), new byte[0]);
         }
         try (InputStream content = entity.getContent()) {
-            byte[] bytes = content.readNBytes(MAX_ANSWER_BYTES + 1);
-            if (bytes.length > MAX_ANSWER_BYTES) {
-                throw new IOException("answer is longer than %d bytes".formatted(MAX_ANSWER_BYTES));
+            byte[] bytes = content.readNBytes(maxAnswerBytes + 1);
+            if (bytes.length > maxAnswerBytes) {
+                throw new IOException("answer is longer than %d bytes".formatted(maxAnswerBytes));
             }
             return new HttpAnswer(response.getCode(), bytes);
         }
@@ -130,10 +142,10 @@
      * @param body content, empty if there was none
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record HttpAnswer(int status, byte[] body) {}
+    public record HttpAnswer(int status, byte[] body) {}
 
     /** A call without a whole answer. */
-    static final class CallFailedException extends Exception {
+    public static final class CallFailedException extends Exception {
 
         private static final long serialVersionUID = 1L;
 
@@ -148,7 +160,7 @@
         }
 
         /** Returns whether a part of the request may have reached the server. */
-        boolean possiblySent() {
+        public boolean possiblySent() {
             return possiblySent;
         }
     }
--- a/src/main/java/org/tamarackline/store/HttpPlatformClient.java
+++ b/src/main/java/org/tamarackline/store/HttpPlatformClient.java
@@ -13,8 +13,9 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
-import org.tamarackline.store.BoundedHttpClient.CallFailedException;
-import org.tamarackline.store.BoundedHttpClient.HttpAnswer;
+import org.tamarackline.http.BoundedHttpClient;
+import org.tamarackline.http.BoundedHttpClient.CallFailedException;
+import org.tamarackline.http.BoundedHttpClient.HttpAnswer;
 
 /**
  * Reaches the platform's table, object store and VM list over HTTP.
@@ -37,6 +38,11 @@
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
 
+    private static final int MAX_CONNECTIONS = 32;
+
+    /** Bound on an answer, in bytes: a full scan of 500 rows of 64 KB. */
+    private static final int MAX_ANSWER_BYTES = 33 * 1024 * 1024;
+
     private static final int MAX_TOKEN_READS = 3;
     private static final Duration TOKEN_READ_PAUSE = Duration.ofMillis(40);
 
@@ -57,7 +63,9 @@
     public HttpPlatformClient(String baseUrl, Duration requestTimeout) {
         this.baseUrl = baseUrl.endsWith("/") ? baseUrl.substring(0, baseUrl.length() - 1) : baseUrl;
         this.requestTimeout = requestTimeout;
-        this.http = new BoundedHttpClient(requestTimeout);
+        this.http = new BoundedHttpClient(
+                "platform-call-timeout",
+                new BoundedHttpClient.Limits(MAX_CONNECTIONS, MAX_CONNECTIONS, MAX_ANSWER_BYTES, requestTimeout));
     }
 
     @Override
