Share what answers that wrap another answer have in common

Cause: MeteredAnswer and RecordingAnswer both repeated the head of the answer that they wrap.

Change: ForwardingAnswer passes on the head and the discard; each of the two adds only its own part. No behaviour changes. UpstreamAttempt.StreamedAnswer wraps an upstream's answer, which is another type, and stays as it is.

--- a/src/main/java/org/tamarackline/entry/proxy/RecordingAnswer.java
+++ b/src/main/java/org/tamarackline/entry/proxy/RecordingAnswer.java
@@ -3,18 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.List;
 import java.util.Optional;
 
-import org.tamarackline.entry.Executed;
-
 /**
  * An answer that is recorded under its idempotency key.
  *
  * <p>A body that can be recorded is read to its end before the caller gets the first byte, so that a caller that has gone
  * finds the answer when it repeats the request.
  */
-final class RecordingAnswer implements RoutedAnswer {
+final class RecordingAnswer extends ForwardingAnswer {
 
     /** Largest body that is recorded, in bytes. */
     static final int MAX_BODY_BYTES = 64 * 1024;
@@ -22,46 +19,25 @@
     /** Larger headers are not recorded, because they would not fit into the row, in characters. */
     private static final int MAX_HEADER_CHARS = 16 * 1024;
 
-    private final RoutedAnswer answer;
     private final IdempotencyStore store;
     private final IdempotencyStore.Claim claim;
 
     RecordingAnswer(RoutedAnswer answer, IdempotencyStore store, IdempotencyStore.Claim claim) {
-        this.answer = answer;
+        super(answer);
         this.store = store;
         this.claim = claim;
     }
 
-    @Override
-    public int status() {
-        return answer.status();
-    }
-
-    @Override
-    public List<HeaderField> headers() {
-        return answer.headers();
-    }
-
-    @Override
-    public Executed executed() {
-        return answer.executed();
-    }
-
     @Override
     public void writeTo(OutputStream output) throws IOException {
         HeldBack heldBack = new HeldBack(output);
-        answer.writeTo(heldBack);
+        answer().writeTo(heldBack);
         boolean recordable = !heldBack.passedOn && headerChars() <= MAX_HEADER_CHARS;
         Optional<byte[]> body = recordable ? Optional.of(heldBack.kept.toByteArray()) : Optional.empty();
         store.record(claim, status(), Headers.forCaller(headers()), body);
         heldBack.passOn();
     }
 
-    @Override
-    public void discard() {
-        answer.discard();
-    }
-
     private int headerChars() {
         return headers().stream()
                 .mapToInt(field -> field.name().length() + field.value().length())
