Use one fake cluster in the tests of the entry packages

Cause: three classes FakeCluster differed only in what the test could set.

Change: entry.FakeCluster takes the node and lets the test set standing, configuration, peers, owners and epochs. What the tests assert has not changed.

--- a/src/test/java/org/tamarackline/entry/EntryNodeTest.java
+++ b/src/test/java/org/tamarackline/entry/EntryNodeTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.membership.Standing;
+import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.model.TeamName;
 import org.tamarackline.core.usage.UsageKey;
 import org.tamarackline.core.usage.UsageSource;
@@ -36,7 +37,7 @@
 /** Guards the HTTP surface of a node: credentials, separated ports, bad input and errors without inner details. */
 class EntryNodeTest {
 
-    private static final FakeCluster CLUSTER = new FakeCluster();
+    private static final FakeCluster CLUSTER = new FakeCluster(new NodeId("127.0.0.1:7400"));
     private static final List<String> OPERATOR_PATHS =
             List.of("/profiles", "/teams", "/vms", "/state", "/metrics", "/nodes/a/confirm-stopped", "/tasks/gc");
     private static final HttpClient HTTP = HttpClient.newHttpClient();
--- a/src/test/java/org/tamarackline/entry/FakeCluster.java
+++ b/src/test/java/org/tamarackline/entry/FakeCluster.java
@@ -1,7 +1,10 @@
 package org.tamarackline.entry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.tamarackline.core.config.Configuration;
 import org.tamarackline.core.membership.Standing;
@@ -11,12 +14,22 @@
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.entry.cluster.Member;
 
-/** A cluster of one node whose standing and configuration the test sets. */
+/** What one node believes about the cluster, as set by the test. */
 public final class FakeCluster implements Cluster {
 
+    private final NodeId self;
+    private final Map<ShardId, Owner> owners = new ConcurrentHashMap<>();
+    private final List<Member> peers = new CopyOnWriteArrayList<>();
     private volatile Standing standing = Standing.CONFIRMED;
     private volatile Optional<Configuration> configuration = Optional.of(Configuration.initial());
 
+    /** Creates a cluster of one node that owns nothing. */
+    public FakeCluster(NodeId self) {
+        this.self = self;
+    }
+
+    private record Owner(NodeId node, Epoch epoch) {}
+
     public void setStanding(Standing value) {
         standing = value;
     }
@@ -25,9 +38,25 @@
         configuration = value;
     }
 
+    public void addPeer(Member peer) {
+        peers.add(peer);
+    }
+
+    public void own(ShardId shard, Epoch epoch) {
+        setOwner(shard, self, epoch);
+    }
+
+    public void setOwner(ShardId shard, NodeId owner, Epoch epoch) {
+        owners.put(shard, new Owner(owner, epoch));
+    }
+
+    public void disown(ShardId shard) {
+        owners.remove(shard);
+    }
+
     @Override
     public NodeId self() {
-        return new NodeId("127.0.0.1:7400");
+        return self;
     }
 
     @Override
@@ -42,21 +71,26 @@
 
     @Override
     public List<Member> peers() {
-        return List.of();
+        return List.copyOf(peers);
     }
 
     @Override
     public Optional<NodeId> ownerOf(ShardId shard) {
-        return Optional.empty();
+        return Optional.ofNullable(owners.get(shard)).map(Owner::node);
     }
 
     @Override
     public Optional<Epoch> ownedEpoch(ShardId shard) {
-        return Optional.empty();
+        return Optional.ofNullable(owners.get(shard))
+                .filter(owner -> owner.node().equals(self))
+                .map(Owner::epoch);
     }
 
     @Override
     public List<ShardId> ownedShards() {
-        return List.of();
+        return owners.entrySet().stream()
+                .filter(entry -> entry.getValue().node().equals(self))
+                .map(Map.Entry::getKey)
+                .toList();
     }
 }
--- a/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeNode.java
@@ -14,6 +14,7 @@
 import org.tamarackline.core.model.Region;
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.entry.FakeCluster;
 import org.tamarackline.entry.cluster.OwnershipListener.Origin;
 import org.tamarackline.peer.PeerException;
 import org.tamarackline.settings.EntrySettings;
--- a/src/test/java/org/tamarackline/entry/jobs/JobServiceTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobServiceTest.java
@@ -106,12 +106,12 @@
                 () -> fixture.submit(JobsFixture.submission(new ProfileName("none"), 1, 1, SMALL)));
         fixture.platform.setDown(true);
         assertRefused(JobErrorCode.PLATFORM_UNAVAILABLE, () -> fixture.submit(submission));
-        fixture.node.cluster.standing = Standing.OUTAGE;
+        fixture.node.cluster.setStanding(Standing.OUTAGE);
         assertRefused(JobErrorCode.PLATFORM_UNAVAILABLE, () -> fixture.submit(submission));
-        fixture.node.cluster.standing = Standing.ISOLATED;
+        fixture.node.cluster.setStanding(Standing.ISOLATED);
         assertRefused(JobErrorCode.NODE_ISOLATED, () -> fixture.submit(submission));
         fixture.platform.setDown(false);
-        fixture.node.cluster.standing = Standing.CONFIRMED;
+        fixture.node.cluster.setStanding(Standing.CONFIRMED);
         fixture.run(Duration.ofSeconds(10));
         assertThat(fixture.workers.history).isEmpty();
     }
--- a/src/test/java/org/tamarackline/entry/jobs/JobsModuleTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/JobsModuleTest.java
@@ -13,6 +13,7 @@
 import org.tamarackline.core.time.ManualClock;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.CallerApi;
+import org.tamarackline.entry.FakeCluster;
 import org.tamarackline.entry.cluster.Cluster;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
--- a/src/test/java/org/tamarackline/entry/proxy/IdempotencyStorePropertyTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/IdempotencyStorePropertyTest.java
@@ -18,6 +18,7 @@
 import org.tamarackline.core.model.NodeId;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.entry.Executed;
+import org.tamarackline.entry.FakeCluster;
 import org.tamarackline.store.FakePlatform;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -43,6 +43,7 @@
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.core.usage.RequestOutcome;
+import org.tamarackline.entry.FakeCluster;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
@@ -76,12 +77,12 @@
         cluster = new FakeCluster(self);
         EntrySettings settings = settings(limits());
         MonotonicClock clock = MonotonicClock.system();
-        cluster.configuration = java.util.Optional.of(new Configuration(
+        cluster.setConfiguration(java.util.Optional.of(new Configuration(
                 1,
                 Profiles.BUILT_IN,
                 List.of(),
                 List.of(new ServiceDefinition(QUOTES, Profiles.QUICK_ANSWER.name(), new TeamName("lianhua"))),
-                Set.of()));
+                Set.of())));
         directory = new RunnerDirectory(() -> List.copyOf(vms), settings, cluster, clock);
         SlotLending lending = new SlotLending(cluster, peers, clock, settings);
         ServiceStatistics statistics = new ServiceStatistics(settings);
@@ -130,7 +131,7 @@
     }
 
     void own() {
-        cluster.owners.put(GROUP, cluster.self());
+        cluster.own(GROUP, new Epoch(1));
         directory.refresh();
         ownership.gained(GROUP, new Epoch(1), OwnershipListener.Origin.FIRST, java.util.Optional.empty());
     }
--- a/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/SlotBorrowingTest.java
@@ -109,7 +109,7 @@
     void anIsolatedOwnerLendsNothing() throws Exception {
         try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
                 Pair pair = new Pair(runner)) {
-            pair.owner.cluster.standing = Standing.ISOLATED;
+            pair.owner.cluster.setStanding(Standing.ISOLATED);
             HttpResponse<String> refused =
                     pair.borrower.send(pair.borrower.request("/").header("Tamarackline-Deadline-Ms", "100"));
             assertThat(refused.statusCode()).isEqualTo(503);
@@ -173,7 +173,7 @@
             ProxyFixture node =
                     new ProxyFixture(self, (target, request, timeout) -> call(self, target, request), platform);
             node.addRunner("r0", runner.address(), 2);
-            node.cluster.peers.add(new Member(other, new Region("tw"), ProxyFixture.HERE, false));
+            node.cluster.addPeer(new Member(other, new Region("tw"), ProxyFixture.HERE, false));
             handlers.put(self, node.peerHandler);
             return node;
         }
@@ -187,8 +187,8 @@
         }
 
         void setOwner(NodeId node) {
-            owner.cluster.owners.put(ProxyFixture.GROUP, node);
-            borrower.cluster.owners.put(ProxyFixture.GROUP, node);
+            owner.cluster.setOwner(ProxyFixture.GROUP, node, new Epoch(1));
+            borrower.cluster.setOwner(ProxyFixture.GROUP, node, new Epoch(1));
         }
 
         @Override
