--- a/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyFixture.java
@@ -43,6 +43,7 @@
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.core.usage.RequestOutcome;
+import org.tamarackline.entry.FakeCluster;
 import org.tamarackline.entry.cluster.OwnershipListener;
 import org.tamarackline.peer.PeerCaller;
 import org.tamarackline.peer.PeerException;
@@ -76,16 +77,20 @@
         cluster = new FakeCluster(self);
         EntrySettings settings = settings(limits());
         MonotonicClock clock = MonotonicClock.system();
-        cluster.configuration = java.util.Optional.of(new Configuration(
+        cluster.setConfiguration(java.util.Optional.of(new Configuration(
                 1,
                 Profiles.BUILT_IN,
                 List.of(),
                 List.of(new ServiceDefinition(QUOTES, Profiles.QUICK_ANSWER.name(), new TeamName("lianhua"))),
-                Set.of()));
+                Set.of())));
         directory = new RunnerDirectory(() -> List.copyOf(vms), settings, cluster, clock);
-        broker = new SlotBroker(cluster, directory, clock, settings, new SlotLending(cluster, peers, clock, settings));
+        SlotLending lending = new SlotLending(cluster, peers, clock, settings);
+        ServiceStatistics statistics = new ServiceStatistics(settings);
+        SlotAllocator allocator = new SlotAllocator(cluster, directory, clock, settings, lending, statistics);
+        RunnerGroups groups = new RunnerGroups(cluster, directory, allocator);
+        broker = new SlotBroker(cluster, directory, clock, allocator, groups, lending, statistics);
         upstreams = new UpstreamClient(settings, clock);
-        ownership = new GroupOwnership(broker);
+        ownership = new GroupOwnership(groups);
         peerHandler = new RoutingPeerHandler(broker);
         RequestRouter router = new RequestRouter(
                 cluster,
@@ -126,7 +131,7 @@
     }
 
     void own() {
-        cluster.owners.put(GROUP, cluster.self());
+        cluster.own(GROUP, new Epoch(1));
         directory.refresh();
         ownership.gained(GROUP, new Epoch(1), OwnershipListener.Origin.FIRST, java.util.Optional.empty());
     }
