Tell from the logs where the time of jobs went

Change: `tamarackline losses LOGS` attributes each moment of each job to one cause, along the tasks that determined the job's end, and prints sums in total, for each queue and for the slowest jobs. Reading log files is shared with `trace`.

--- a/src/main/java/org/tamarackline/cli/CommandRegistry.java
+++ b/src/main/java/org/tamarackline/cli/CommandRegistry.java
@@ -44,6 +44,7 @@
             new Entry("usage", "Prints the usage record", UsageCommand::new),
             new Entry("state", "Prints the state of a node", () -> new ListCommand("/state")),
             new Entry("trace", "Prints what logs say about a job on the users' platform", TraceCommand::new),
+            new Entry("losses", "Prints from logs where the time of jobs went", LossesCommand::new),
             new Entry("load", "Sends open-loop load to nodes and reports latencies", LoadCommand::new),
             new Entry("demo", "Shows a local installation at work, with stand-ins", DemoCommand::new),
             new Entry("local-cluster", "Runs a local installation and reports what it uses", LocalClusterCommand::new),
--- /dev/null
+++ b/src/main/java/org/tamarackline/cli/LossesCommand.java
@@ -0,0 +1,36 @@
+package org.tamarackline.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.tamarackline.fleet.losses.JobLoss;
+import org.tamarackline.fleet.losses.JobLosses;
+import org.tamarackline.fleet.losses.LossTable;
+
+/** Prints from the logs of all nodes where the time of jobs went, in total, for each queue and for the slowest jobs. */
+final class LossesCommand implements Command {
+
+    @Option(name = "--slowest", metaVar = "N", usage = "number of jobs with a row of their own")
+    private int slowest = 10;
+
+    @Argument(metaVar = "LOG", usage = "log files of all nodes", required = true)
+    private List<Path> logs = new ArrayList<>();
+
+    @Override
+    public int run() throws UsageException {
+        JobLosses losses = new JobLosses();
+        for (Path log : logs) {
+            LogFiles.read(log, losses::add);
+        }
+        List<JobLoss> jobs = losses.jobs();
+        if (jobs.isEmpty()) {
+            System.err.println("no line tells of a submission; give the logs of all nodes from the start of the jobs");
+            return ExitCodes.FAILED;
+        }
+        LossTable.lines(jobs, slowest).forEach(System.out::println);
+        return ExitCodes.DONE;
+    }
+}
--- a/src/main/java/org/tamarackline/cli/TraceCommand.java
+++ b/src/main/java/org/tamarackline/cli/TraceCommand.java
@@ -1,12 +1,8 @@
 package org.tamarackline.cli;
 
-import java.io.IOException;
-import java.nio.charset.MalformedInputException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Stream;
 
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -25,7 +21,7 @@
     public int run() throws UsageException {
         JobTrace trace = new JobTrace(job);
         for (Path log : logs) {
-            read(log, trace);
+            LogFiles.read(log, trace::add);
         }
         List<String> lines = trace.lines();
         lines.forEach(System.out::println);
@@ -36,14 +32,4 @@
         }
         return ExitCodes.DONE;
     }
-
-    private static void read(Path log, JobTrace trace) throws UsageException {
-        try (Stream<String> lines = Files.lines(log)) {
-            lines.forEach(trace::add);
-        } catch (MalformedInputException notText) {
-            throw new UsageException("log \"%s\" is not UTF-8 text".formatted(log));
-        } catch (IOException e) {
-            throw new UsageException("log \"%s\" cannot be read; check the path".formatted(log));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/losses/JobHistory.java
@@ -0,0 +1,144 @@
+package org.tamarackline.fleet.losses;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What the logs tell of one job.
+ *
+ * <p>The time of a job is attributed along the tasks that determined its end: the task that ended last, from the time at which
+ * its turn came, before that the task of an earlier step that ended last before it first started, and so on.
+ */
+final class JobHistory {
+
+    private static final String OPEN = "OPEN";
+
+    private final String id;
+    private final Map<String, TaskHistory> tasks = new HashMap<>();
+    private String queue = "";
+    private long submittedMs = Long.MAX_VALUE;
+    private long lastSubmittedMs;
+    private long acceptedMs = Long.MAX_VALUE;
+    private long endedMs = Long.MAX_VALUE;
+    private String state = OPEN;
+
+    JobHistory(String id) {
+        this.id = id;
+    }
+
+    String id() {
+        return id;
+    }
+
+    String queue() {
+        return queue;
+    }
+
+    String state() {
+        return state;
+    }
+
+    boolean submitted() {
+        return submittedMs != Long.MAX_VALUE;
+    }
+
+    boolean accepted() {
+        return acceptedMs != Long.MAX_VALUE;
+    }
+
+    boolean ended() {
+        return endedMs != Long.MAX_VALUE;
+    }
+
+    /** Takes the next line that names the job, in order of time. */
+    void add(LogLine line) {
+        switch (line.event()) {
+            case "submit" -> addSubmission(line);
+            case "start" -> run(line).answered(line);
+            case "adopt" -> run(line).adopted();
+            case "pace" -> run(line).paced(line);
+            case "end" -> run(line).ended(line.timeMs(), line.text("reason").equals("DONE"));
+            case "job-end" -> addEnd(line);
+            default -> {}
+        }
+    }
+
+    private void addSubmission(LogLine line) {
+        queue = line.text("queue");
+        submittedMs = Math.min(submittedMs, line.timeMs());
+        lastSubmittedMs = line.timeMs();
+        if (line.text("answer").equals("ACCEPTED")) {
+            acceptedMs = Math.min(acceptedMs, line.timeMs());
+        }
+    }
+
+    private void addEnd(LogLine line) {
+        if (!ended()) {
+            endedMs = line.timeMs();
+            state = line.text("state");
+        }
+    }
+
+    private RunHistory run(LogLine line) {
+        String key = line.text("task");
+        return tasks.computeIfAbsent(key, name -> new TaskHistory(stepOf(name))).run(line);
+    }
+
+    /** Returns the step of a task, whose name is job, occurrence, step and index with points between them. */
+    private static int stepOf(String task) {
+        String[] parts = task.split("\\.", -1);
+        return parts.length < 2 ? 0 : Integer.parseInt(parts[parts.length - 2]);
+    }
+
+    void runnerLost(String runner, long timeMs) {
+        tasks.values().forEach(task -> task.runnerLost(runner, timeMs));
+    }
+
+    /**
+     * Attributes the job's time from its first submission to its end, or to its last submission if none was stored.
+     *
+     * @param logsEndMs end of the logs, for a job that has not ended
+     */
+    LossSums attribute(WaitHistory waits, long logsEndMs) {
+        LossSums sums = new LossSums();
+        long toMs = ended() ? endedMs : logsEndMs;
+        if (!accepted()) {
+            sums.add(LossCause.SUBMISSION, lastSubmittedMs - submittedMs);
+            return sums;
+        }
+        sums.add(LossCause.SUBMISSION, acceptedMs - submittedMs);
+        TaskHistory task = lastTask();
+        while (task != null) {
+            TaskHistory before = lastBefore(task);
+            long turnMs = Math.min(before == null ? acceptedMs : before.doneMs(), toMs);
+            task.attribute(new Span(turnMs, toMs), acceptedMs, waits, sums);
+            toMs = turnMs;
+            task = before;
+        }
+        waits.attribute(new Span(acceptedMs, toMs), acceptedMs, sums);
+        return sums;
+    }
+
+    /** Returns the task that determined the end: the one done last, or the unfinished one that began to wait first. */
+    private TaskHistory lastTask() {
+        TaskHistory last = null;
+        for (TaskHistory task : tasks.values()) {
+            boolean earlier = last != null && task.firstOrderedMs() < last.firstOrderedMs();
+            if (last == null || task.doneMs() > last.doneMs() || (!task.done() && !last.done() && earlier)) {
+                last = task;
+            }
+        }
+        return last;
+    }
+
+    private TaskHistory lastBefore(TaskHistory later) {
+        TaskHistory last = null;
+        for (TaskHistory task : tasks.values()) {
+            boolean before = task.step() < later.step() && task.doneMs() <= later.firstOrderedMs();
+            if (before && (last == null || task.doneMs() > last.doneMs())) {
+                last = task;
+            }
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/losses/LeaderTerm.java
@@ -0,0 +1,63 @@
+package org.tamarackline.fleet.losses;
+
+/** One node's time as leader. */
+final class LeaderTerm {
+
+    private final String node;
+    private final long epoch;
+    private final long startedMs;
+    private long readyMs = Long.MAX_VALUE;
+    private long endedMs = Long.MAX_VALUE;
+    private long heldUntilMs = Long.MIN_VALUE;
+
+    LeaderTerm(String node, long epoch, long startedMs) {
+        this.node = node;
+        this.epoch = epoch;
+        this.startedMs = startedMs;
+    }
+
+    String node() {
+        return node;
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    long startedMs() {
+        return startedMs;
+    }
+
+    long readyMs() {
+        return readyMs;
+    }
+
+    long endedMs() {
+        return endedMs;
+    }
+
+    long heldUntilMs() {
+        return heldUntilMs;
+    }
+
+    void ready(long timeMs) {
+        readyMs = timeMs;
+    }
+
+    void ended(long timeMs) {
+        endedMs = Math.min(endedMs, timeMs);
+    }
+
+    void heldTasks(long timeMs) {
+        heldUntilMs = timeMs;
+    }
+
+    boolean leads(long timeMs) {
+        return timeMs >= readyMs && timeMs < endedMs;
+    }
+
+    /** Returns whether tasks of a job that an earlier leader accepted were held back. */
+    boolean holds(long timeMs, long acceptedMs) {
+        return acceptedMs < startedMs && timeMs < heldUntilMs;
+    }
+}
