Show that new jobs take the room of begun ones

Cause: waiting tasks of one priority are ordered by the time at which their job is due. While room is short, each job begins within a second of its submission and then shares the room with all others.

Change: a test that fails.

--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -157,6 +157,27 @@
                 .containsExactly("fresh");
     }
 
+    /** Guards against overload in which all jobs are begun and none is on time because new ones take the room of begun ones. */
+    @Test
+    void servesBegunJobsBeforeNewOnesThatAreDueEarlier() {
+        FleetRunner runner = fixture.addRunner("a", 2_500);
+        add(FleetFixture.job("begun", FleetFixture.step(4)));
+        List<Run> begun = fixture.decideStarts();
+        assertThat(begun).hasSize(2);
+        begun.forEach(run -> fixture.answer(run, StartResult.STARTED));
+        QueueDefinition tighter =
+                new QueueDefinition("tighter", "host", "/t/", FleetFixture.SERVICE, 0, 2, 2, 500, false);
+        JobDefinition fresh = FleetFixture.job("fresh", FleetFixture.step(4));
+        add(new JobDefinition("fresh", tighter, "", fresh.steps(), 0, 0, 0, 0));
+        fixture.list(
+                runner,
+                List.of(FleetFixture.row(begun.get(1), 90)),
+                List.of(FleetFixture.ended(1, begun.get(0), EndReason.DONE)));
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactly("begun");
+    }
+
     /** Guards against time that explodes with the number of ways through the steps of a job. */
     @Test
     void chainsOfManyCrossingStepsAreQuick() {
