--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -28,6 +28,7 @@
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
+    private final PeerCalls unreachablePeers = new FakePeerCalls(loop, new FakePeerCalls.Network());
     private final List<RunnerReport> listed = new ArrayList<>();
 
     /** Guards against a second run of a task when a leader that was replaced without notice takes a runner for lost. */
@@ -98,14 +99,16 @@
     }
 
     private Leader lead(long epoch) {
-        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", 1, false);
+        List<LeaderRecord.Earlier> unsettled =
+                epoch > 1 ? List.of(new LeaderRecord.Earlier(epoch - 1, "10.0.0.8:1")) : List.of();
+        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", 1, false, unsettled);
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.leader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node" + epoch);
         NodeServices services = new NodeServices(
                 loop, store, calls, done -> done.accept(Optional.of(List.copyOf(listed))), timeOfDay, log);
-        Leader leader = new Leader(services, record, version, reason -> {});
+        Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
     }
