Add failing tests: the wait for a silent runner starts anew at each takeover

The third leader does not start an inherited task 6.35 s after the first one's last order to the silent runner, because it waits 13.35 s from its own takeover. A silent runner that answers again is ordered at once; with a stored time on which successors rely it must not be.

--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -91,6 +91,81 @@
         assertThat(startsOf("j")).hasSize(1);
     }
 
+    /** Guards against a wait for a silent runner that is counted anew at each takeover. */
+    @Test
+    void waitForASilentRunnerDoesNotStartAnewAtEachTakeover() {
+        Leader first = leadWithSilentRunner();
+        long lastOrderNanos = lastOrderTo("b");
+        loop.advance(Duration.ofSeconds(2));
+        first.end();
+        Leader second = lead(2);
+        loop.advance(Duration.ofMillis(1_500));
+        second.end();
+        lead(3);
+        long waitedNanos = loop.nowNanos() - lastOrderNanos;
+        loop.advance(LONGEST_LEASE.plusSeconds(1).minusNanos(waitedNanos));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("b", "a");
+        assertThat(startsOf("j").getLast().sentNanos() - lastOrderNanos)
+                .as("not before the lease has ended")
+                .isGreaterThan(FleetLimits.RUNNER_LEASE.toNanos());
+    }
+
+    /** Guards against orders to a closed runner, on whose stored time a successor relies. */
+    @Test
+    void closedRunnerGetsNoOrderBeforeItIsStoredAsOpen() {
+        leadWithSilentRunner();
+        long lastOrderNanos = lastOrderTo("b");
+        loop.advance(Duration.ofSeconds(2));
+        store.setRefusing(true);
+        calls.answerAgain("b");
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(lastOrderTo("b")).as("while the store refuses").isEqualTo(lastOrderNanos);
+        store.setRefusing(false);
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(lastOrderTo("b")).as("once it is open").isGreaterThan(lastOrderNanos);
+        loop.advance(Duration.ofSeconds(10));
+        assertThat(startsOf("j")).as("its task goes on").hasSize(1);
+    }
+
+    /** Guards against orders to a runner that is stored as closed although the answer of the store was lost. */
+    @Test
+    void runnerWhoseClosingGotNoAnswerGetsNoOrder() {
+        leadWithSilentRunner();
+        long lastOrderNanos = lastOrderTo("b");
+        store.loseAnswers(1);
+        loop.advance(Duration.ofSeconds(2));
+        store.setRefusing(true);
+        calls.answerAgain("b");
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(lastOrderTo("b")).isEqualTo(lastOrderNanos);
+    }
+
+    /** Starts a task that does not last on b, lists a beside it, and lets b fall silent. */
+    private Leader leadWithSilentRunner() {
+        listed.add(report("b"));
+        submit("j", false);
+        Leader leader = lead(1);
+        loop.advance(Duration.ofSeconds(2));
+        listed.add(report("a"));
+        loop.advance(Duration.ofSeconds(2));
+        calls.fallSilent("b");
+        loop.advance(Duration.ofMillis(1_100));
+        return leader;
+    }
+
+    /** Returns when the last start or renewal was sent to a runner. */
+    private long lastOrderTo(String runner) {
+        long startNanos = calls.starts().stream()
+                .filter(start -> start.runner().equals(runner))
+                .mapToLong(FakeRunnerCalls.SentStart::sentNanos)
+                .max()
+                .orElseThrow();
+        return calls.renewals().stream()
+                .filter(renewal -> renewal.runner().equals(runner))
+                .mapToLong(FakeRunnerCalls.SentRenewal::sentNanos)
+                .reduce(startNanos, Math::max);
+    }
+
     private List<FakeRunnerCalls.SentStart> startsOf(String job) {
         return calls.starts().stream()
                 .filter(start -> start.task().job().equals(job))
