Close silent runners in the store, so that no takeover restarts the wait for them

Cause: a successor waited 13.35 s from its own takeover for a runner that did not answer, however long ago it got its last order. Ruled out: the silence of the runner towards the successor itself, which says nothing of orders by earlier leaders.

A leader closes a runner that has been silent for 1.2 s: its roster record gets the time, on the store's clock, after which nothing that was ordered there has any effect. From the sending of that record the runner gets no start and no renewal until a record that opens it is stored; if it is unknown what is stored, it counts as closed. A successor waits no longer than the record says. StoreClock bounds the store's clock by readings in the store's answers; it keeps the closest one, as an answer to a request that waited 1 s for a change widens the bounds by that second.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -102,6 +102,14 @@
         }
     }
 
+    /** Takes note of whether a runner must not get orders before that is stored. */
+    public void runnerClosed(String id, boolean closed) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.closed = closed;
+        }
+    }
+
     /** Ends the runs that were placed on a runner and not ordered, so that their tasks start elsewhere. */
     private void dropUnordered(FleetRunner runner) {
         for (Run run : runner.snapshotOfRuns()) {
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -27,6 +27,8 @@
     boolean contacted;
     /** Whether the runner left the last question unanswered. */
     boolean silent;
+    /** Whether the runner must not get orders before that is stored. */
+    boolean closed;
     /** Incarnation that {@link #runs} belong to, 0 before the first listing. */
     long bornEpochMs;
     /** Highest number in the list of ends that is taken into account. */
--- a/src/main/java/org/tamarackline/core/fleet/Placement.java
+++ b/src/main/java/org/tamarackline/core/fleet/Placement.java
@@ -127,7 +127,7 @@
     private boolean permits(Task task, FleetRunner runner, long nowNanos) {
         StepDefinition step = task.step();
         RunnerReport report = runner.report();
-        if (!runner.listed || !runner.contacted || runner.silent || report.draining()) {
+        if (!runner.listed || !runner.contacted || runner.silent || runner.closed || report.draining()) {
             return false;
         }
         if (!report.service().equals(task.job().definition().queue().service())) {
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -39,6 +39,9 @@
         /** A runner is on the roster now and may get orders. */
         void enlisted(RunnerReport runner);
 
+        /** Returns which runners are closed. */
+        RunnerClosures closures();
+
         /** Something was stored. */
         void changed();
     }
@@ -62,6 +65,7 @@
     private boolean confirmationWanted;
     private final Set<String> storedProgress = new HashSet<>();
     private final Map<String, RunnerReport> toEnlist = new HashMap<>();
+    private final Set<String> toClose = new LinkedHashSet<>();
     private final Set<String> toDismiss = new LinkedHashSet<>();
     private final Set<String> toForget = new LinkedHashSet<>();
 
@@ -94,9 +98,16 @@
         planFlush(false);
     }
 
+    /** Stores until when what was ordered on a silent runner may have an effect. */
+    void closeRunner(String runner) {
+        toClose.add(runner);
+        planFlush(true);
+    }
+
     /** Takes a runner off the roster, on which nothing can run any more. */
     void dismiss(String runner) {
         toEnlist.remove(runner);
+        toClose.remove(runner);
         toDismiss.add(runner);
     }
 
@@ -175,7 +186,7 @@
         }
         host.changed();
         changed();
-        if (!toEnlist.isEmpty()) {
+        if (!toEnlist.isEmpty() || !toClose.isEmpty()) {
             planFlush(false);
         }
     }
@@ -211,6 +222,7 @@
         private final List<Run> placed = new ArrayList<>();
         private final Map<RunnerSession, Long> ends = new HashMap<>();
         private final List<RunnerReport> enlisted = new ArrayList<>();
+        private final List<String> closed = new ArrayList<>();
         private final List<String> dismissed = new ArrayList<>();
         private final List<String> forgotten = new ArrayList<>();
 
@@ -274,7 +286,14 @@
                 if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
                     toEnlist.remove(runner.id());
                     enlisted.add(runner);
-                    write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
+                    host.closures().opening(runner.id());
+                    write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.roster(RosterRecord.open(runner)));
+                }
+            }
+            for (String runner : List.copyOf(toClose)) {
+                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                    toClose.remove(runner);
+                    host.closures().closing(runner).ifPresent(this::addClosed);
                 }
             }
             for (String runner : List.copyOf(toDismiss)) {
@@ -286,6 +305,11 @@
             }
         }
 
+        private void addClosed(RosterRecord roster) {
+            closed.add(roster.runner().id());
+            write(RecordStore.Table.ROSTER, roster.runner().id(), RecordCodec.roster(roster));
+        }
+
         private void addForgotten() {
             for (String job : List.copyOf(toForget)) {
                 if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
@@ -323,6 +347,7 @@
             }
             context.fleet().placements().stored(placed);
             forgotten.forEach(context.fleet().jobs()::forget);
+            closed.forEach(host.closures()::closed);
             enlisted.forEach(host::enlisted);
             ends.forEach(RunnerSession::endsStored);
         }
@@ -332,6 +357,7 @@
             for (RunnerReport runner : enlisted) {
                 toEnlist.putIfAbsent(runner.id(), runner);
             }
+            toClose.addAll(closed);
             toDismiss.addAll(dismissed);
             toForget.addAll(forgotten);
         }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -46,6 +46,7 @@
     private final LeaderContext context;
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     private final Map<String, JobProgress> progress = new HashMap<>();
+    private final RunnerClosures closures;
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
     private final LoopDelay loopDelay = new LoopDelay();
     private Committer committer;
@@ -86,6 +87,7 @@
         this.authority = new Authority(loop, timeOfDay);
         this.tables = new TableReader(loop, store, log, () -> ended, this::noteStoreAnswer);
         this.fleet = new Fleet(record.epoch(), log);
+        this.closures = new RunnerClosures(loop, store.clock(), fleet, sessions);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
     }
 
@@ -145,12 +147,16 @@
     // ---- Reading the store
 
     private void expectRunner(RecordStore.Entry entry) throws CorruptRecordException {
-        RunnerReport report = RecordCodec.readRunner(entry.key(), entry.value());
+        RosterRecord roster = RecordCodec.readRoster(entry.key(), entry.value());
+        RunnerReport report = roster.runner();
         FleetRunner runner = fleet.expectAnswer(report);
         long wait = FleetLimits.AUTHORITY.toNanos()
                 + (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT))
                 + FleetLimits.LEASE_MARGIN.toNanos();
-        sessions.put(report.id(), new RunnerSession(context, this, record.epoch(), runner, takeoverNanos + wait));
+        long endNanos = closures.inheritedEndNanos(roster, takeoverNanos + wait);
+        RunnerSession session = new RunnerSession(context, this, record.epoch(), runner, endNanos);
+        sessions.put(report.id(), session);
+        closures.inherit(session, roster);
     }
 
     private void readDirectory() {
@@ -415,6 +421,7 @@
                 carryOut(order);
             }
         }
+        closures.review(committer);
         committer.changed();
     }
 
@@ -480,8 +487,14 @@
         return sessions.values();
     }
 
+    @Override
+    public RunnerClosures closures() {
+        return closures;
+    }
+
     @Override
     public void enlisted(RunnerReport runner) {
+        closures.opened(runner.id());
         RunnerSession session = sessions.get(runner.id());
         if (session != null) {
             session.planHold(Duration.ZERO);
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -285,8 +285,10 @@
         return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, checkpoint, runners);
     }
 
-    static byte[] runner(RunnerReport runner) {
+    static byte[] roster(RosterRecord roster) {
+        RunnerReport runner = roster.runner();
         return pack(packer -> {
+            packer.packLong(roster.closedUntilStoreMs());
             packer.packLong(runner.bornEpochMs());
             packer.packString(runner.service());
             packer.packString(runner.address());
@@ -302,8 +304,9 @@
         });
     }
 
-    static RunnerReport readRunner(String id, byte[] bytes) throws CorruptRecordException {
+    static RosterRecord readRoster(String id, byte[] bytes) throws CorruptRecordException {
         return unpack(id, bytes, in -> {
+            long closedUntilStoreMs = in.unpackLong();
             long bornEpochMs = in.unpackLong();
             String service = in.unpackString();
             String address = in.unpackString();
@@ -315,7 +318,9 @@
             for (int i = 0; i < count; i++) {
                 labels.add(in.unpackString());
             }
-            return new RunnerReport(id, bornEpochMs, service, address, dataCentre, rack, false, capacity, labels);
+            RunnerReport runner =
+                    new RunnerReport(id, bornEpochMs, service, address, dataCentre, rack, false, capacity, labels);
+            return new RosterRecord(runner, closedUntilStoreMs);
         });
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -24,6 +24,9 @@
      */
     void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> done);
 
+    /** Returns what the store's answers tell about its steady clock. */
+    StoreClock clock();
+
     /** Most records of a transaction, checked and written together. */
     int MAX_TRANSACTION_RECORDS = 100;
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -46,6 +46,8 @@
     private long confirmedEnds;
     private long reportedEnds;
     private boolean lost;
+    private long unansweredNanos;
+    private final RunnerClosure closure = new RunnerClosure();
 
     /**
      * Creates a session that has not contacted its runner.
@@ -88,6 +90,15 @@
         return failedHolds > 0;
     }
 
+    /** Returns whether the runner has left a hold unanswered that was sent so long ago, and all later ones. */
+    boolean silentFor(Duration time) {
+        return silent() && context.loop().nowNanos() - unansweredNanos >= time.toNanos();
+    }
+
+    RunnerClosure closure() {
+        return closure;
+    }
+
     /** Returns whether the session took its runner for lost since it last answered. */
     boolean lost() {
         return lost;
@@ -139,7 +150,8 @@
         long sentNanos = context.loop().nowNanos();
         boolean wait = runner.contacted() && runner.busy() && confirmedEnds >= reportedEnds;
         // A silent runner may have got the holds it did not answer; its lease must still come to an end.
-        long until = clockKnown && runner.busy() && failedHolds == 0 ? leaseUntilMs() : 0;
+        boolean renew = clockKnown && runner.busy() && failedHolds == 0 && !closure.closedForOrders();
+        long until = renew ? leaseUntilMs() : 0;
         context.runnerCalls()
                 .hold(
                         runner.report(),
@@ -159,6 +171,9 @@
         if (closed) {
             return;
         }
+        if (failedHolds == 0) {
+            unansweredNanos = sentNanos;
+        }
         switch (answer.outcome()) {
             case DONE -> onListing(answer, sentNanos);
             case FENCED -> host.fenced(runner.id());
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -17,6 +17,7 @@
 import org.tamarackline.fleet.EventLoop;
 import org.tamarackline.fleet.RecordStore;
 import org.tamarackline.fleet.RunnerDirectory;
+import org.tamarackline.fleet.StoreClock;
 import org.tamarackline.http.AsyncHttpClient;
 import org.tamarackline.http.HttpReply;
 
@@ -28,6 +29,7 @@
     /** Added to the time that the store may wait for a change. */
     private static final Duration FOLLOW_TIMEOUT = Duration.ofSeconds(1);
 
+    private static final String CLOCK_FIELD = "nowMs";
     private static final int PAGE_ROWS = 500;
     private static final String DIRECTORY_TABLE = "servers";
 
@@ -39,6 +41,7 @@
 
     private final AsyncHttpClient http;
     private final EventLoop loop;
+    private final StoreClock clock = new StoreClock();
     private String address;
 
     StoreClient(AsyncHttpClient http, EventLoop loop, String address) {
@@ -52,9 +55,20 @@
         address = next;
     }
 
+    @Override
+    public StoreClock clock() {
+        return clock;
+    }
+
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> done) {
-        call("POST", "/-/rows-tx", body(transaction), WRITE_TIMEOUT, reply -> done.accept(transactionResult(reply)));
+        long sentNanos = loop.nowNanos();
+        call(
+                "POST",
+                "/-/rows-tx",
+                body(transaction),
+                WRITE_TIMEOUT,
+                reply -> done.accept(transactionResult(reply, sentNanos)));
     }
 
     private static byte[] body(Transaction transaction) {
@@ -94,20 +108,20 @@
         json.writeStringField("key", key);
     }
 
-    private static TransactionResult transactionResult(HttpReply reply) {
+    private TransactionResult transactionResult(HttpReply reply, long sentNanos) {
         return switch (reply) {
             case HttpReply.NoAnswer none when none.neverSent() -> new TransactionResult.NotDone(none.cause());
             case HttpReply.NoAnswer none -> new TransactionResult.Unknown(none.cause());
             case HttpReply.Answer answer ->
                 switch (answer.status()) {
                     case 200 ->
-                        Json.parse(answer.body())
+                        parse(answer, sentNanos)
                                 .<TransactionResult>map(root -> new TransactionResult.Applied(
                                         root.path("ver").asLong()))
                                 .orElseGet(() -> new TransactionResult.Unknown("the answer cannot be read"));
                     case 412 ->
                         new TransactionResult.Conflict(
-                                Json.parse(answer.body()).map(StoreClient::rows).orElse(List.of()));
+                                parse(answer, sentNanos).map(StoreClient::rows).orElse(List.of()));
                     case 400, 403, 429, 503 -> new TransactionResult.NotDone("status " + answer.status());
                     default -> new TransactionResult.Unknown("status " + answer.status());
                 };
@@ -120,22 +134,24 @@
         String end = to == null ? "" : "&target=" + encoded(to);
         String target = "/-/rows-get?table=" + nameOf(table) + "&part=" + partOf(table) + "&from=" + encoded(from) + end
                 + "&limit=" + PAGE_ROWS;
-        call("GET", target, null, READ_TIMEOUT, reply -> done.accept(readResult(reply)));
+        long sentNanos = loop.nowNanos();
+        call("GET", target, null, READ_TIMEOUT, reply -> done.accept(readResult(reply, sentNanos)));
     }
 
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> done) {
         String target = "/-/rows-feed?table=" + nameOf(table) + "&after=" + afterVersion + "&waitMs=" + wait.toMillis();
-        call("GET", target, null, wait.plus(FOLLOW_TIMEOUT), reply -> done.accept(readResult(reply)));
+        long sentNanos = loop.nowNanos();
+        call("GET", target, null, wait.plus(FOLLOW_TIMEOUT), reply -> done.accept(readResult(reply, sentNanos)));
     }
 
-    private static ReadResult readResult(HttpReply reply) {
+    private ReadResult readResult(HttpReply reply, long sentNanos) {
         return switch (reply) {
             case HttpReply.NoAnswer none -> new ReadResult.Failed(none.cause());
             case HttpReply.Answer answer when answer.status() == 410 -> new ReadResult.HistoryLost();
             case HttpReply.Answer answer
             when answer.status() == 200 ->
-                Json.parse(answer.body())
+                parse(answer, sentNanos)
                         .<ReadResult>map(root -> new ReadResult.Page(
                                 rows(root),
                                 root.path("ver").asLong(),
@@ -177,9 +193,10 @@
 
     private void listFrom(String from, List<RunnerReport> found, Consumer<Optional<List<RunnerReport>>> done) {
         String target = "/-/rows-get?table=" + DIRECTORY_TABLE + "&part=&from=" + encoded(from) + "&limit=" + PAGE_ROWS;
+        long sentNanos = loop.nowNanos();
         call("GET", target, null, READ_TIMEOUT, reply -> {
             Optional<JsonNode> root = reply instanceof HttpReply.Answer answer && answer.status() == 200
-                    ? Json.parse(answer.body())
+                    ? parse(answer, sentNanos)
                     : Optional.empty();
             if (root.isEmpty()) {
                 done.accept(Optional.empty());
@@ -202,6 +219,15 @@
         http.call(method, address, target, Map.of(), body, timeout, reply -> loop.execute(() -> done.accept(reply)));
     }
 
+    /** Reads an answer about rows, and takes note of the store's clock in it. */
+    private Optional<JsonNode> parse(HttpReply.Answer answer, long sentNanos) {
+        Optional<JsonNode> root = Json.parse(answer.body());
+        root.map(object -> object.path(CLOCK_FIELD))
+                .filter(JsonNode::isNumber)
+                .ifPresent(reading -> clock.noteReading(reading.asLong(), sentNanos, loop.nowNanos()));
+        return root;
+    }
+
     private static String nameOf(Table table) {
         return switch (table) {
             case JOBS -> "jobs";
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -151,7 +151,7 @@
 
     private void transact(HttpExchange exchange) throws IOException {
         ArrayNode conflict = rows.transact(mapper.readTree(exchange.body()));
-        ObjectNode answer = mapper.createObjectNode().put("ver", rows.version());
+        ObjectNode answer = rows.stamped(mapper.createObjectNode());
         if (conflict != null) {
             answer.set("rows", conflict);
         }
--- a/src/main/java/org/tamarackline/standin/fleet/StandinRows.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinRows.java
@@ -98,7 +98,7 @@
             }
         }
         answer.put("truncated", truncated);
-        return answer.put("ver", version);
+        return stamped(answer);
     }
 
     /** Returns the changes of a table after a version; waits for one. */
@@ -122,7 +122,12 @@
                 found.add(document(row));
             }
         }
-        return answer.put("ver", version);
+        return stamped(answer);
+    }
+
+    /** Adds to an answer what every answer about rows has: the newest version and the store's steady clock. */
+    synchronized ObjectNode stamped(ObjectNode answer) {
+        return answer.put("ver", version).put("nowMs", System.nanoTime() / 1_000_000);
     }
 
     private ObjectNode document(Row row) {
@@ -138,8 +143,4 @@
         }
         return document;
     }
-
-    synchronized long version() {
-        return version;
-    }
 }
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -13,7 +13,11 @@
 
     private static final Duration TIMEOUT = Duration.ofMillis(1_200);
 
+    /** What the store's clock shows at the start, so that it differs from the loop's. */
+    private static final long CLOCK_START_MS = 5_000_000;
+
     private final ManualLoop loop;
+    private final StoreClock clock = new StoreClock();
     private final Map<Table, TreeMap<String, Entry>> tables = new EnumMap<>(Table.class);
     private Duration latency = Duration.ofMillis(10);
     private boolean refusing;
@@ -42,6 +46,11 @@
         answersToLose = transactions;
     }
 
+    @Override
+    public StoreClock clock() {
+        return clock;
+    }
+
     /** Returns the records of a table by key. */
     Map<String, Entry> table(Table table) {
         return tables.get(table);
@@ -49,25 +58,38 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> done) {
+        long sentNanos = loop.nowNanos();
         loop.schedule(latency, () -> {
             if (refusing) {
                 answer(done, new TransactionResult.NotDone("status 429"));
                 return;
             }
             TransactionResult result = apply(transaction);
+            long readingMs = readingMs();
             if (answersToLose > 0) {
                 answersToLose--;
                 loop.schedule(TIMEOUT, () -> done.accept(new TransactionResult.Unknown("no answer")));
             } else {
-                answer(done, result);
+                answer(done, result, sentNanos, readingMs);
             }
         });
     }
 
+    private long readingMs() {
+        return CLOCK_START_MS + loop.nowNanos() / 1_000_000;
+    }
+
     private <T> void answer(Consumer<T> done, T result) {
         loop.schedule(latency, () -> done.accept(result));
     }
 
+    private <T> void answer(Consumer<T> done, T result, long sentNanos, long readingMs) {
+        loop.schedule(latency, () -> {
+            clock.noteReading(readingMs, sentNanos, loop.nowNanos());
+            done.accept(result);
+        });
+    }
+
     private TransactionResult apply(Transaction transaction) {
         List<Entry> current = new ArrayList<>();
         boolean holds = true;
@@ -96,6 +118,7 @@
 
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> done) {
+        long sentNanos = loop.nowNanos();
         loop.schedule(latency, () -> {
             if (refusing) {
                 answer(done, new ReadResult.Failed("status 503"));
@@ -103,12 +126,13 @@
             }
             TreeMap<String, Entry> rows = tables.get(table);
             Map<String, Entry> range = to == null ? rows.tailMap(from, true) : rows.subMap(from, true, to, false);
-            answer(done, new ReadResult.Page(List.copyOf(range.values()), version, false));
+            answer(done, new ReadResult.Page(List.copyOf(range.values()), version, false), sentNanos, readingMs());
         });
     }
 
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> done) {
+        long sentNanos = loop.nowNanos();
         loop.schedule(wait, () -> {
             if (refusing) {
                 answer(done, new ReadResult.Failed("status 503"));
@@ -120,7 +144,7 @@
                     changed.add(entry);
                 }
             }
-            answer(done, new ReadResult.Page(changed, version, false));
+            answer(done, new ReadResult.Page(changed, version, false), sentNanos, readingMs());
         });
     }
 }
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -31,7 +31,7 @@
     /** Guards against a wait for a silent runner that the log does not tell from a lack of room or of processor time. */
     @Test
     void logsHowManyTasksWaitForARunnerThatDoesNotAnswer() {
-        write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
+        write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.roster(RosterRecord.open(runner)));
         write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(twoTasks()));
         calls.fallSilent();
         InstantSource timeOfDay = () -> java.time.Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
--- /dev/null
+++ b/src/test/java/org/tamarackline/platform/StoreClientTest.java
@@ -0,0 +1,54 @@
+package org.tamarackline.platform;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamarackline.fleet.RecordStore;
+import org.tamarackline.fleet.SingleThreadLoop;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.standin.fleet.StandinFleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StoreClientTest {
+
+    private static final int BOUND_SECONDS = 10;
+
+    private StandinFleet fleet;
+    private AsyncHttpClient http;
+    private SingleThreadLoop loop;
+    private StoreClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new StandinFleet(1, 100);
+        http = new AsyncHttpClient(2);
+        loop = new SingleThreadLoop("store-client-test");
+        client = new StoreClient(http, loop, fleet.storeAddress());
+    }
+
+    @AfterEach
+    void stop() {
+        loop.close();
+        http.close();
+        fleet.close();
+    }
+
+    /** Guards against a wait that is never shortened because the store's clock is not read from its answers. */
+    @Test
+    void readsTheStoresClockFromAnswersAboutRows() throws InterruptedException {
+        assertThat(client.clock().latestMs(loop.nowNanos())).isEmpty();
+        await(done -> client.read(RecordStore.Table.ROSTER, "", null, result -> done.run()));
+        assertThat(client.clock().latestMs(loop.nowNanos())).isPresent();
+    }
+
+    private void await(Consumer<Runnable> call) throws InterruptedException {
+        CountDownLatch answered = new CountDownLatch(1);
+        loop.execute(() -> call.accept(answered::countDown));
+        assertThat(answered.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+}
