--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -42,6 +42,9 @@
         /** Returns the epoch below which all leaders are known to have ended. */
         long endedBelowEpoch();
 
+        /** Returns which runners are closed. */
+        RunnerClosures closures();
+
         /** Something was stored. */
         void changed();
     }
@@ -65,6 +68,7 @@
     private boolean storeFailing;
     private final Set<String> storedProgress = new HashSet<>();
     private final Map<String, RunnerReport> toEnlist = new HashMap<>();
+    private final Set<String> toClose = new LinkedHashSet<>();
     private final Set<String> toDismiss = new LinkedHashSet<>();
     private final Set<String> toForget = new LinkedHashSet<>();
 
@@ -103,9 +107,16 @@
         planFlush(false);
     }
 
+    /** Stores until when what was ordered on a silent runner may have an effect. */
+    void closeRunner(String runner) {
+        toClose.add(runner);
+        planFlush(true);
+    }
+
     /** Takes a runner off the roster, on which nothing can run any more. */
     void dismiss(String runner) {
         toEnlist.remove(runner);
+        toClose.remove(runner);
         toDismiss.add(runner);
     }
 
@@ -184,7 +195,7 @@
         }
         host.changed();
         changed();
-        if (!toEnlist.isEmpty() || sequenceDue) {
+        if (!toEnlist.isEmpty() || !toClose.isEmpty() || sequenceDue) {
             planFlush(false);
         }
     }
@@ -221,6 +232,7 @@
         private final List<Run> placed = new ArrayList<>();
         private final Map<RunnerSession, Long> ends = new HashMap<>();
         private final List<RunnerReport> enlisted = new ArrayList<>();
+        private final List<String> closed = new ArrayList<>();
         private final List<String> dismissed = new ArrayList<>();
         private final List<String> forgotten = new ArrayList<>();
 
@@ -284,7 +296,14 @@
                 if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
                     toEnlist.remove(runner.id());
                     enlisted.add(runner);
-                    write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.runner(runner));
+                    host.closures().opening(runner.id());
+                    write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.roster(RosterRecord.open(runner)));
+                }
+            }
+            for (String runner : List.copyOf(toClose)) {
+                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                    toClose.remove(runner);
+                    host.closures().closing(runner).ifPresent(this::addClosed);
                 }
             }
             for (String runner : List.copyOf(toDismiss)) {
@@ -296,6 +315,11 @@
             }
         }
 
+        private void addClosed(RosterRecord roster) {
+            closed.add(roster.runner().id());
+            write(RecordStore.Table.ROSTER, roster.runner().id(), RecordCodec.roster(roster));
+        }
+
         private void addForgotten() {
             for (String job : List.copyOf(toForget)) {
                 if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
@@ -333,6 +357,7 @@
             }
             context.fleet().placements().stored(placed);
             forgotten.forEach(context.fleet().jobs()::forget);
+            closed.forEach(host.closures()::closed);
             enlisted.forEach(host::enlisted);
             ends.forEach(RunnerSession::endsStored);
         }
@@ -343,6 +368,7 @@
             for (RunnerReport runner : enlisted) {
                 toEnlist.putIfAbsent(runner.id(), runner);
             }
+            toClose.addAll(closed);
             toDismiss.addAll(dismissed);
             toForget.addAll(forgotten);
         }
