--- a/src/main/java/org/tamarackline/fleet/losses/JobLosses.java
+++ b/src/main/java/org/tamarackline/fleet/losses/JobLosses.java
@@ -20,7 +20,7 @@
         LogLine.parse(text).ifPresent(lines::add);
     }
 
-    /** Returns the jobs, those that took longest first. */
+    /** Returns the jobs, those that lost most time first. */
     public List<JobLoss> jobs() {
         lines.sort(Comparator.comparingLong(LogLine::timeMs));
         long endMs = lines.isEmpty() ? 0 : lines.get(lines.size() - 1).timeMs();
@@ -38,7 +38,7 @@
                 losses.add(new JobLoss(history.id(), history.queue(), history.state(), history.accepted(), sums));
             }
         }
-        losses.sort(Comparator.comparingLong((JobLoss loss) -> -loss.sums().totalMs()));
+        losses.sort(Comparator.comparingLong((JobLoss loss) -> -loss.sums().lostMs()));
         return losses;
     }
 
--- a/src/main/java/org/tamarackline/fleet/losses/LossSums.java
+++ b/src/main/java/org/tamarackline/fleet/losses/LossSums.java
@@ -27,4 +27,9 @@
     public long totalMs() {
         return sumsMs.values().stream().mapToLong(Long::longValue).sum();
     }
+
+    /** Returns the time of all causes but work at full speed, in milliseconds. */
+    public long lostMs() {
+        return totalMs() - ms(LossCause.WORK);
+    }
 }
--- a/src/main/java/org/tamarackline/fleet/losses/LossTable.java
+++ b/src/main/java/org/tamarackline/fleet/losses/LossTable.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Writes what became of the time of jobs as text: a row for each queue, one for all, and one for each of the slowest jobs. */
+/** Writes what became of the time of jobs as text: a row for each queue, one for all, and one for each of the jobs that lost most. */
 public final class LossTable {
 
     private static final double MS_PER_S = 1_000;
@@ -31,7 +31,7 @@
     /**
      * Returns the lines of the table.
      *
-     * @param losses the jobs, those that took longest first
+     * @param losses the jobs, those that lost most time first
      * @param slowest number of jobs that get a row of their own
      */
     public static List<String> lines(List<JobLoss> losses, int slowest) {
