Serve begun jobs before new ones while room is short

Cause: waiting tasks of one priority and lateness were ordered by due time.

In a model of one queue a reserve for slower work and better estimates of run times changed little.

Change: of one priority and lateness, the job comes first that has the fewest tasks to start for its worth, then due time. Lateness is worked out once a step instead of in each comparison. PaceControlTest took the last started run for the filling one; it now chooses it by its step, and still fails if a reading at the target counts as within it.

--- a/src/main/java/org/tamarackline/core/fleet/Job.java
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -11,6 +11,7 @@
     private final boolean inherited;
     private final long[] chainsMs;
     private final long objectiveMs;
+    private final int size;
     private final List<Task[][]> occurrences = new ArrayList<>();
     private final StepHeadroom[] headrooms;
 
@@ -29,6 +30,7 @@
         this.definition = definition;
         this.inherited = inherited;
         this.chainsMs = definition.chainsMs();
+        this.size = definition.steps().stream().mapToInt(StepDefinition::count).sum();
         this.headrooms = new StepHeadroom[definition.steps().size()];
         long longestMs = LongStream.of(chainsMs).max().orElse(0);
         QueueDefinition queue = definition.queue();
@@ -122,6 +124,16 @@
         return task.step().gang() ? occurrences.get(key.occurrence())[key.step()] : new Task[] {task};
     }
 
+    /** Returns the number of tasks of one occurrence. */
+    int size() {
+        return size;
+    }
+
+    /** Returns the number of opened tasks that are not done and of which nothing runs. */
+    int tasksToStart() {
+        return Math.max(0, openTasks - activeRuns);
+    }
+
     /** Returns the headroom of the serving tasks of a step. */
     StepHeadroom headroom(int step) {
         if (headrooms[step] == null) {
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -22,6 +22,14 @@
             .thenComparingInt(task -> task.key().step())
             .thenComparingInt(task -> task.key().index());
 
+    /** Equal groups stay in the order of their tasks. */
+    private static final Comparator<Group> GROUP_ORDER = Comparator.comparingInt(Group::priority)
+            .thenComparing(Group::lateness)
+            .thenComparingDouble(Group::tasksToStartByWorth);
+
+    /** What a job is worth beside its work, in tasks: about half of a job of middle size. */
+    private static final double FIXED_WORTH_TASKS = 7;
+
     private final TreeSet<Task> tasks = new TreeSet<>(ORDER);
 
     void add(Task task) {
@@ -48,13 +56,22 @@
 
     /**
      * Returns a walk over the tasks that wait now. Of one priority, those whose job can still meet its objective come
-     * first, and those that earn nothing any more last.
+     * first, and those that earn nothing any more last. Of one lateness, the job comes first that earns most for the tasks
+     * that it still has to start: room spent on many begun jobs that all end late earns little.
      */
     Scan scan(long nowEpochMs) {
-        List<Task> waiting = new ArrayList<>(tasks);
-        waiting.sort(Comparator.<Task>comparingInt(
-                        task -> task.job().definition().queue().priority())
-                .thenComparing(task -> Lateness.of(task, nowEpochMs)));
+        List<Group> groups = new ArrayList<>();
+        Group last = null;
+        for (Task task : tasks) {
+            if (last == null || !last.holds(task)) {
+                last = new Group(task, nowEpochMs);
+                groups.add(last);
+            }
+            last.tasks.add(task);
+        }
+        groups.sort(GROUP_ORDER);
+        List<Task> waiting = new ArrayList<>(tasks.size());
+        groups.forEach(group -> waiting.addAll(group.tasks));
         return new Scan(waiting);
     }
 
@@ -63,6 +80,40 @@
         return job.definition().dueEpochMs(task.key().occurrence()) + job.objectiveMs();
     }
 
+    /** The waiting tasks of one step of an occurrence, which are equally urgent. */
+    private static final class Group {
+
+        private final Task first;
+        private final Lateness lateness;
+        private final double tasksToStartByWorth;
+        private final List<Task> tasks = new ArrayList<>();
+
+        Group(Task first, long nowEpochMs) {
+            this.first = first;
+            this.lateness = Lateness.of(first, nowEpochMs);
+            this.tasksToStartByWorth = first.job().tasksToStart()
+                    / (FIXED_WORTH_TASKS + first.job().size());
+        }
+
+        boolean holds(Task task) {
+            return task.job() == first.job()
+                    && task.key().occurrence() == first.key().occurrence()
+                    && task.key().step() == first.key().step();
+        }
+
+        int priority() {
+            return first.job().definition().queue().priority();
+        }
+
+        Lateness lateness() {
+            return lateness;
+        }
+
+        double tasksToStartByWorth() {
+            return tasksToStartByWorth;
+        }
+    }
+
     /** A walk over waiting tasks that passes over the rest of a step once one of its tasks finds no room. */
     static final class Scan {
 
--- a/src/test/java/org/tamarackline/core/fleet/PaceControlTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/PaceControlTest.java
@@ -29,7 +29,10 @@
         List<Run> runs = fixture.decideStarts();
         assertThat(runs).hasSize(3);
         runs.forEach(run -> fixture.answer(run, StartResult.STARTED));
-        Run filler = runs.getLast();
+        Run filler = runs.stream()
+                .filter(run -> run.task().step().filler())
+                .findFirst()
+                .orElseThrow();
         for (int i = 0; i < 5; i++) {
             fixture.advanceMs(500);
             for (FleetRunner runner : runners) {
