--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/LatenessTest.java
@@ -0,0 +1,26 @@
+package org.tamarackline.core.fleet;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LatenessTest {
+
+    private final FleetFixture fixture = new FleetFixture(1);
+    private final Fleet fleet = fixture.fleet();
+
+    /** Guards against a lasting task whose restart comes after all new jobs because its own job was accepted long ago. */
+    @Test
+    void restartOfALastingTaskIsAsUrgentAsANewJob() {
+        StepDefinition lasting = FleetFixture.serving("web", 1, 1_000);
+        fleet.jobs().add(FleetFixture.job("lasting", lasting), JobProgress.NONE, false, 0);
+        fixture.advanceMs(60_000);
+        JobDefinition job = FleetFixture.job("new", FleetFixture.step(1));
+        JobDefinition fresh = new JobDefinition("new", job.queue(), "", job.steps(), 0, 0, 0, 60_000);
+        fleet.jobs().add(fresh, JobProgress.NONE, false, 0);
+        fixture.addRunner("a", 1_500);
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().job().id())
+                .containsExactly("lasting");
+    }
+}
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -6,6 +6,11 @@
 /** The shared store as one node reaches it: answers arrive on the node's loop. */
 record NodeStore(RecordStore shared, EventLoop loop) implements RecordStore {
 
+    @Override
+    public StoreClock clock() {
+        return shared.clock();
+    }
+
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> done) {
         shared.transact(transaction, result -> loop.execute(() -> done.accept(result)));
