Restart lasting tasks as urgently as new jobs start

A lasting job counts as expired soon after its start, because its age is compared with an objective that only jobs with an end have. So the restart of its tasks came after all other tasks of its priority, and found room last.

LatenessTest#restartOfALastingTaskIsAsUrgentAsANewJob failed before (the new job was started) and passes now.

--- a/src/main/java/org/tamarackline/core/fleet/Lateness.java
+++ b/src/main/java/org/tamarackline/core/fleet/Lateness.java
@@ -13,6 +13,9 @@
     private static final int USEFUL_MULTIPLE = 3;
 
     static Lateness of(Task task, long nowEpochMs) {
+        if (task.step().longRunning()) {
+            return ON_TIME;
+        }
         Job job = task.job();
         long ageAtEndMs = nowEpochMs
                 - job.definition().dueEpochMs(task.key().occurrence())
