--- a/src/test/java/org/tamarackline/entry/proxy/ScriptedUpstream.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ScriptedUpstream.java
@@ -32,6 +32,26 @@
         void answer(Received request, Socket connection) throws Exception;
     }
 
+    /** A request that is counted as at work until it ends, once. */
+    private final class InService {
+
+        private boolean ended;
+
+        InService() {
+            mostAtOnce.accumulateAndGet(atOnce.incrementAndGet(), Math::max);
+        }
+
+        void end() {
+            if (!ended) {
+                ended = true;
+                atOnce.decrementAndGet();
+            }
+        }
+    }
+
+    /** The request that the current thread answers. */
+    private static final ThreadLocal<InService> CURRENT = new ThreadLocal<>();
+
     final List<Received> received = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
     final AtomicInteger atOnce = new AtomicInteger();
@@ -60,6 +80,10 @@
         for (String line : headerLines) {
             head.append(line).append("\r\n");
         }
+        // The next request may arrive as soon as the answer is read, before this thread goes on.
+        if (CURRENT.get() != null) {
+            CURRENT.get().end();
+        }
         write(connection, head.append("\r\n").append(body).toString());
     }
 
@@ -87,11 +111,12 @@
             while (true) {
                 Received request = read(in);
                 received.add(request);
-                mostAtOnce.accumulateAndGet(atOnce.incrementAndGet(), Math::max);
+                InService service = new InService();
+                CURRENT.set(service);
                 try {
                     script.answer(request, connection);
                 } finally {
-                    atOnce.decrementAndGet();
+                    service.end();
                 }
             }
         } catch (Exception e) {
