Trust only ends that earlier leaders cannot have heard of

A later step was started beside an unheard runner as soon as its earlier step had been seen at work. An earlier leader may still hear that the step ended: from the runner of another member of a gang, or in the answer to a question that the runner accepted before it heard the successor; it may then have started the later step, too.

The end now counts only if this leader started the run, or has known it for longer than such a question lasts, and the step is neither a gang nor speculative. InheritedTasksTest gets both cases; with the rule before, the same lists led to a start.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -250,7 +250,7 @@
         run.pacePercent = Run.UNKNOWN_PACE;
         task.lastRun = Math.max(task.lastRun, row.run());
         task.inheritedPlaces.remove(runner.id());
-        task.seenUndone = !task.step().speculative();
+        run.adopted = true;
         runner.add(run);
         jobs.refresh(task);
         observer.runAdopted(run);
@@ -297,6 +297,7 @@
             jobs.refresh(task);
             return;
         }
+        task.endedHere = run != null && Inheritance.endIsUnknownToEarlierLeaders(run, nowNanos);
         Job job = task.job();
         for (Task member : job.gangOf(task)) {
             if (!member.done) {
--- a/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetTimes.java
@@ -15,5 +15,8 @@
     /** Most tasks that one round moves, so that the next round sees their effect. */
     static final int MOVES_PER_ROUND = 3;
 
+    /** Longest time that a runner may take to answer a question of an earlier leader that it accepted, in nanoseconds. */
+    static final long EARLIER_QUESTION_NANOS = 2_000_000_000L;
+
     private FleetTimes() {}
 }
--- a/src/main/java/org/tamarackline/core/fleet/Inheritance.java
+++ b/src/main/java/org/tamarackline/core/fleet/Inheritance.java
@@ -31,22 +31,33 @@
         if (task.step().longRunning()) {
             return !Collections.disjoint(task.inheritedPlaces, unheardRunners);
         }
-        return !earlierStepWasUndone(task);
+        return !earlierStepEndedHere(task);
     }
 
-    /**
-     * Returns whether a step that the task comes after was not done under this leader. The runner that showed this refuses
-     * earlier leaders from then on, so none of them can have learned that the step was done.
-     */
-    private static boolean earlierStepWasUndone(Task task) {
+    /** Returns whether a task of a step that the task comes after ended unknown to earlier leaders. */
+    private static boolean earlierStepEndedHere(Task task) {
         Task[][] steps = task.job().occurrence(task.key().occurrence());
         for (int step : task.step().after()) {
             for (Task earlier : steps[step]) {
-                if (earlier.seenUndone) {
+                if (earlier.endedHere) {
                     return true;
                 }
             }
         }
         return false;
     }
+
+    /**
+     * Returns whether no earlier leader can learn of the end of a run: this leader started it, or has known it at work for
+     * so long that its runner answers no question of an earlier leader any more. An earlier leader may hear of the end of
+     * a gang from the runner of another member, and of a copy of a speculative task from the runner of another copy.
+     */
+    static boolean endIsUnknownToEarlierLeaders(Run run, long nowNanos) {
+        if (!run.adopted) {
+            return true;
+        }
+        StepDefinition step = run.task().step();
+        boolean single = !step.gang() && !step.speculative();
+        return single && nowNanos - run.orderedNanos() > FleetTimes.EARLIER_QUESTION_NANOS;
+    }
 }
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -23,6 +23,8 @@
     private final long orderedNanos;
 
     Phase phase = Phase.ORDERED;
+    /** Whether an earlier leader started the run. */
+    boolean adopted;
     /** Whether the start was answered, so that a listing asked for later must contain the run. */
     boolean startSettled;
 
--- a/src/main/java/org/tamarackline/core/fleet/Starter.java
+++ b/src/main/java/org/tamarackline/core/fleet/Starter.java
@@ -95,7 +95,6 @@
     private Run addRun(Task task, FleetRunner runner, long number, String checkpoint, long nowNanos) {
         task.lastRun = number;
         task.inheritedPlaces.clear();
-        task.seenUndone = !task.step().speculative();
         Run run = new Run(task, number, runner, checkpoint, nowNanos);
         runner.add(run);
         placement.changed(runner);
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -27,8 +27,8 @@
     final Set<String> avoidedRunners = new HashSet<>();
 
     boolean ready;
-    /** Whether this leader knows that the task was not done when a run of it was listed or ordered. */
-    boolean seenUndone;
+    /** Whether the task was done by a run whose end no earlier leader can have learned of. */
+    boolean endedHere;
 
     Task(Job job, TaskKey key, StepDefinition step) {
         this.job = job;
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -135,6 +135,11 @@
                 count, SMALL, 0, List.of(), false, false, false, "", "", 0, false, true, "", 0, false, 0);
     }
 
+    static StepDefinition gang(int count) {
+        return new StepDefinition(
+                count, SMALL, 1_000, List.of(), false, true, false, "", "", 0, false, false, "", 0, false, 0);
+    }
+
     static StepDefinition filler() {
         return filler("image");
     }
--- a/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
@@ -28,6 +28,7 @@
         inherit(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
         TaskKey first = new TaskKey("j", 0, 0, 0);
         fixture.list(runner, List.of(new RunnerListing.RunningRow(first, 7, "", 50, -1)), List.of());
+        fixture.advanceMs(3_000);
         assertThat(fixture.decideStarts()).isEmpty();
         fixture.list(runner, List.of(), List.of(new RunnerListing.EndedRow(1, first, 7, EndReason.DONE, "")));
         assertThat(fixture.decideStarts())
@@ -46,4 +47,31 @@
         fleet.runnerLost("silent");
         assertThat(fixture.decideStarts()).hasSize(1);
     }
+
+    /** Guards against a second run of a step whose earlier step's end was told in answer to an earlier leader's question. */
+    @Test
+    void stepWhoseEarlierStepEndsSoonAfterTheTakeoverWaits() {
+        expectSilentRunner();
+        inherit(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
+        TaskKey first = new TaskKey("j", 0, 0, 0);
+        fixture.list(runner, List.of(new RunnerListing.RunningRow(first, 7, "", 50, -1)), List.of());
+        fixture.list(runner, List.of(), List.of(new RunnerListing.EndedRow(1, first, 7, EndReason.DONE, "")));
+        assertThat(fixture.decideStarts()).isEmpty();
+    }
+
+    /** Guards against a second run of a step after a gang, whose end an earlier leader may hear from another runner. */
+    @Test
+    void stepAfterAGangWaits() {
+        expectSilentRunner();
+        inherit(FleetFixture.job("j", FleetFixture.gang(2), FleetFixture.step(1, 0)));
+        TaskKey member = new TaskKey("j", 0, 0, 1);
+        fixture.list(runner, List.of(new RunnerListing.RunningRow(member, 7, "", 50, -1)), List.of());
+        fixture.advanceMs(3_000);
+        fixture.list(runner, List.of(), List.of(new RunnerListing.EndedRow(1, member, 7, EndReason.DONE, "")));
+        assertThat(fixture.decideStarts()).isEmpty();
+        fleet.runnerLost("silent");
+        assertThat(fixture.decideStarts())
+                .extracting(run -> run.task().key().step())
+                .containsExactly(1);
+    }
 }
