End a leader's authority at a suspension whichever call notices it

A confirmation that came first after a suspension took note of the jump of the time of day and left the old confirmation in force; an answer that had waited in the socket confirmed the leader again. Readings of the store's clock from before a suspension are too early by its length, too.

A noticed suspension now ends the authority, drops the store's clock, and answers to requests from before it confirm nothing.

--- a/src/main/java/org/tamarackline/fleet/Authority.java
+++ b/src/main/java/org/tamarackline/fleet/Authority.java
@@ -15,13 +15,23 @@
 
     private final MonotonicClock clock;
     private final InstantSource timeOfDay;
+    private final Runnable onSuspension;
     private long confirmedNanos;
     private boolean confirmed;
     private long offsetMs;
+    /** When the last suspension was noticed; requests sent before it may have been answered long ago. */
+    private long noticedNanos;
 
-    Authority(MonotonicClock clock, InstantSource timeOfDay) {
+    /**
+     * Creates an authority that is not confirmed.
+     *
+     * @param onSuspension runs when a suspension of the machine is noticed
+     */
+    Authority(MonotonicClock clock, InstantSource timeOfDay, Runnable onSuspension) {
         this.clock = clock;
         this.timeOfDay = timeOfDay;
+        this.onSuspension = onSuspension;
+        this.noticedNanos = Long.MIN_VALUE;
         this.offsetMs = currentOffsetMs();
     }
 
@@ -31,7 +41,8 @@
      * @param sentNanos when the confirmed request was sent
      */
     void confirm(long sentNanos) {
-        if (suspendedSinceLastLook()) {
+        endIfSuspended();
+        if (noticedNanos != Long.MIN_VALUE && sentNanos - noticedNanos < 0) {
             return;
         }
         if (!confirmed || sentNanos - confirmedNanos > 0) {
@@ -41,9 +52,7 @@
     }
 
     boolean held() {
-        if (suspendedSinceLastLook()) {
-            confirmed = false;
-        }
+        endIfSuspended();
         return confirmed && clock.nowNanos() - confirmedNanos < FleetLimits.AUTHORITY.toNanos();
     }
 
@@ -57,6 +66,14 @@
         return (clock.nowNanos() - confirmedNanos) / 1_000_000;
     }
 
+    private void endIfSuspended() {
+        if (suspendedSinceLastLook()) {
+            confirmed = false;
+            noticedNanos = clock.nowNanos();
+            onSuspension.run();
+        }
+    }
+
     private boolean suspendedSinceLastLook() {
         long now = currentOffsetMs();
         boolean jumped = Math.abs(now - offsetMs) > FleetLimits.SUSPENSION_THRESHOLD.toMillis();
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -91,7 +91,9 @@
         this.onDeposed = onDeposed;
         this.takeoverNanos = loop.nowNanos();
         this.storeAnsweredNanos = takeoverNanos;
-        this.authority = new Authority(loop, timeOfDay);
+        // The steady clock does not count a suspension, so readings from before one are too early.
+        store.clock().forget(takeoverNanos);
+        this.authority = new Authority(loop, timeOfDay, () -> store.clock().forget(loop.nowNanos()));
         this.tables = new TableReader(loop, store, log, () -> ended, this::noteStoreAnswer);
         this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::noteEarlierLeadersEnded);
         this.fleet = new Fleet(record.epoch(), log);
--- a/src/main/java/org/tamarackline/fleet/StoreClock.java
+++ b/src/main/java/org/tamarackline/fleet/StoreClock.java
@@ -17,18 +17,23 @@
     private long readingMs;
     private long sentNanos;
     private long receivedNanos;
+    private boolean forgotten;
+    private long forgottenNanos;
 
     /** Creates a clock without a reading. */
     public StoreClock() {}
 
     /**
-     * Takes note of a reading; does nothing if an earlier one bounds the clock more closely.
+     * Takes note of a reading; does nothing if an earlier one bounds the clock more closely or if it is to be forgotten.
      *
      * @param storeMs what the store's clock showed
      * @param sent when the request was sent, on our steady clock in nanoseconds
      * @param received when the answer was received, on the same clock
      */
     public void noteReading(long storeMs, long sent, long received) {
+        if (forgotten && sent - forgottenNanos < 0) {
+            return;
+        }
         if (known && received - sent > uncertaintyNanos(received)) {
             return;
         }
@@ -38,6 +43,13 @@
         receivedNanos = received;
     }
 
+    /** Drops the reading, and passes over those in answers to requests that were sent before a moment. */
+    public void forget(long nowNanos) {
+        known = false;
+        forgotten = true;
+        forgottenNanos = nowNanos;
+    }
+
     /** Returns how far apart the bounds by the kept reading are. */
     private double uncertaintyNanos(long atNanos) {
         double driftNanos = 2 * FleetLimits.CLOCK_DRIFT * (atNanos - receivedNanos);
