Wait for a claim for five seconds at most

A node whose writes the store refuses while it answers its reads could claim for ever, and all others would wait for it. No test of its own yet.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -29,6 +29,9 @@
     /** The same for a node whose claim is in progress: a claim without an answer, a pause and a slow read fit in. */
     private static final long MAX_CLAIM_STORE_AGE_MS = 4_000;
 
+    /** Longest time that a claim is waited for: the store may refuse the writes of a node that reads. */
+    private static final Duration MAX_CLAIM = Duration.ofSeconds(5);
+
     /** Additional wait of each further rank before it takes over. */
     private static final Duration RANK_DELAY = Duration.ofMillis(350);
 
@@ -68,6 +71,9 @@
     private boolean stopped;
     /** Runs once this node, told to stop, may be succeeded. */
     private Runnable onHandedOver = () -> {};
+    /** When the node of the followed record was first heard to claim, 0 if it was not. */
+    private long claimSeenNanos;
+
     /** Identifies the current plan of questions, so that an outdated one ends. */
     private long plan;
 
@@ -248,6 +254,9 @@
         if (followedVersion != version) {
             log.leadership("leader-followed", record.epoch(), record.node(), "its record is in the store");
         }
+        if (followedVersion != version) {
+            claimSeenNanos = 0;
+        }
         followed = record;
         followedVersion = version;
         missedPings = 0;
@@ -274,6 +283,9 @@
             }
             missedPings = 0;
         } else if (answer.isPresent() && claiming(answer.get())) {
+            if (claimSeenNanos == 0) {
+                claimSeenNanos = loop.nowNanos();
+            }
             rank = answer.get().rank();
             missedPings = 0;
             loop.schedule(NEAR_PING, () -> ping(current));
@@ -295,7 +307,8 @@
 
     /** Returns whether the node of the record does not lead only because it does not know yet that it may. */
     private boolean claiming(PeerCalls.PingAnswer answer) {
-        return answer.claimedEpoch() >= followed.epoch() && answer.storeAgeMs() <= MAX_CLAIM_STORE_AGE_MS;
+        boolean tooLong = claimSeenNanos != 0 && loop.nowNanos() - claimSeenNanos > MAX_CLAIM.toNanos();
+        return !tooLong && answer.claimedEpoch() >= followed.epoch() && answer.storeAgeMs() <= MAX_CLAIM_STORE_AGE_MS;
     }
 
     /** Takes over unless the record changes before it is this node's turn. */
