End the wait for earlier leaders at a runner's first answer; close runners after two unanswered holds

One unanswered hold of a busy runner closed it, also while the store failed, so that a moment of silent connections could let all leases lapse. A runner that is enlisted again while its removal from the roster is being repeated is no longer removed.

The wait now ends a lease after the first answer; a runner is closed after two unanswered holds and only while the store accepts transactions. The last one has no test.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -110,6 +110,9 @@
     /** Stores until when what was ordered on a silent runner may have an effect. */
     void closeRunner(String runner) {
         toClose.add(runner);
+        // While the store fails no runner is closed, as it could not be opened again; this finds out when the store is
+        // back.
+        sequenceDue |= storeFailing;
         planFlush(true);
     }
 
@@ -301,7 +304,7 @@
                 }
             }
             for (String runner : List.copyOf(toClose)) {
-                if (writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
+                if (!storeFailing && writes.size() < FleetLimits.MAX_COMMIT_WRITES) {
                     toClose.remove(runner);
                     host.closures().closing(runner).ifPresent(this::addClosed);
                 }
@@ -369,6 +372,7 @@
                 toEnlist.putIfAbsent(runner.id(), runner);
             }
             toClose.addAll(closed);
+            dismissed.removeIf(toEnlist::containsKey);
             toDismiss.addAll(dismissed);
             toForget.addAll(forgotten);
         }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -30,6 +30,9 @@
         void changed();
     }
 
+    /** Unanswered holds after which a runner counts as silent for a while; a single one may be a connection's fault. */
+    private static final int HOLDS_BEFORE_SILENCE = 2;
+
     private final LeaderContext context;
     private final Host host;
     private final long epoch;
@@ -62,7 +65,10 @@
         this.leaseEndNanos = leaseEndNanos;
     }
 
-    /** Takes note of when all earlier leaders had ended; a runner that has not answered may end its wait earlier. */
+    /**
+     * Takes note of when the runner took its last order of an earlier leader at the latest: when all of these had ended, or
+     * when the runner answered this leader and thereby refuses the others. Does nothing once this leader gives orders.
+     */
     void earlierLeadersEnded(long endedNanos) {
         long waitEndNanos = endedNanos + longestLeaseNanos();
         if (!clockKnown && leaseEndNanos - waitEndNanos > 0) {
@@ -104,9 +110,9 @@
         return failedHolds > 0;
     }
 
-    /** Returns whether the runner has left a hold unanswered that was sent so long ago, and all later ones. */
+    /** Returns whether the runner has left a hold unanswered that was sent so long ago, and a further one. */
     boolean silentFor(Duration time) {
-        return silent() && context.loop().nowNanos() - unansweredNanos >= time.toNanos();
+        return failedHolds >= HOLDS_BEFORE_SILENCE && context.loop().nowNanos() - unansweredNanos >= time.toNanos();
     }
 
     RunnerClosure closure() {
@@ -221,6 +227,9 @@
         if (answer.listing().bornEpochMs() != runner.bornEpochMs()) {
             confirmedEnds = 0;
         }
+        if (!clockKnown) {
+            earlierLeadersEnded(nowNanos);
+        }
         noteClock(answer.listing().clockMs(), nowNanos);
         context.fleet().applyListing(runner, answer.listing(), sentNanos, nowNanos);
         reportedEnds = runner.processedEnds();
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -84,6 +84,32 @@
         assertThat(session.leaseExpired()).isTrue();
     }
 
+    /** Guards against a wait for earlier leaders on a runner that has answered this one and then falls silent. */
+    @Test
+    void answerOfTheRunnerEndsTheLongerWaitForEarlierLeaders() {
+        long waitEndNanos = loop.nowNanos() + Duration.ofSeconds(13).toNanos();
+        RunnerSession inherited =
+                new RunnerSession(new LeaderContext(loop, calls, fleet, log), new Host(), 1, runner, waitEndNanos);
+        inherited.planHold(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.fallSilent();
+        loop.advance(FleetLimits.RUNNER_LEASE.plusSeconds(1));
+        assertThat(inherited.leaseExpired()).isTrue();
+    }
+
+    /** Guards against closing a runner because of one connection that went silent. */
+    @Test
+    void singleUnansweredHoldIsNoSilence() {
+        session.planHold(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.fallSilent();
+        loop.advance(FleetLimits.IDLE_HOLD_PAUSE.plusMillis(1_250));
+        assertThat(session.silent()).isTrue();
+        assertThat(session.silentFor(FleetLimits.CLOSE_AFTER.dividedBy(2))).isFalse();
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(session.silentFor(FleetLimits.CLOSE_AFTER)).isTrue();
+    }
+
     /** Guards against new tasks on a runner that does not answer. */
     @Test
     void silentRunnerGetsNoNewTasks() {
