Split the job feed and the runner sessions from the leader

The moved code is unchanged, but for one check: a leader that is superseded while it reads the jobs no longer reports itself as ready. Drops an unused method of CommitSequence.

--- a/src/main/java/org/tamarackline/fleet/CommitSequence.java
+++ b/src/main/java/org/tamarackline/fleet/CommitSequence.java
@@ -14,9 +14,4 @@
 
     /** Key of the record in the table of progress, which sorts before all identifiers of jobs. */
     static final String KEY = "!sequence";
-
-    /** Returns whether all leaders before this one are known to have ended. */
-    boolean earlierLeadersEnded() {
-        return endedBelowEpoch >= epoch;
-    }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -0,0 +1,171 @@
+package org.tamarackline.fleet;
+
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.JobBook;
+import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.JobState;
+
+/** A leader's view of the table of jobs: reads it whole at the takeover and then follows its changes. */
+final class JobFeed {
+
+    /** What a feed needs of its leader. */
+    interface Host {
+
+        /** Returns whether the table is to be followed on. */
+        boolean leading();
+
+        /** Returns whether the leader has ended. */
+        boolean ended();
+
+        /** The store has a later leader's record, or this leader's resignation. */
+        void leaderRecordChanged(RecordStore.Entry entry);
+
+        /** The store confirmed the leader by a request sent at this time. */
+        void confirmed(long sentNanos);
+
+        /** Something changed that may make orders due. */
+        void changed();
+    }
+
+    private record FinishedJob(String id, long endedEpochMs) {}
+
+    private final EventLoop loop;
+    private final RecordStore store;
+    private final TableReader tables;
+    private final DecisionLog log;
+    private final InstantSource timeOfDay;
+    private final JobBook jobs;
+    private final long leaderVersion;
+    private final Host host;
+    private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
+    private long version = -1;
+
+    /**
+     * Creates a feed that has read nothing.
+     *
+     * @param leaderVersion version of the leader's record, which lies in the same table
+     */
+    JobFeed(NodeServices services, TableReader tables, JobBook jobs, long leaderVersion, Host host) {
+        this.loop = services.loop();
+        this.store = services.store();
+        this.log = services.log();
+        this.timeOfDay = services.timeOfDay();
+        this.tables = tables;
+        this.jobs = jobs;
+        this.leaderVersion = leaderVersion;
+        this.host = host;
+    }
+
+    /** Reads all jobs, which earlier leaders may have begun. */
+    void readAll(Map<String, JobProgress> progress, Runnable done) {
+        Set<String> cancelled = new HashSet<>();
+        tables.readAll(
+                RecordStore.Table.JOBS,
+                entry -> read(entry, true, progress.getOrDefault(entry.key(), JobProgress.NONE), cancelled),
+                readVersion -> {
+                    cancelled.forEach(jobs::cancel);
+                    version = readVersion;
+                    done.run();
+                });
+    }
+
+    /** Follows the changes since the table was read. */
+    void follow() {
+        if (!host.leading()) {
+            return;
+        }
+        long sentNanos = loop.nowNanos();
+        store.follow(RecordStore.Table.JOBS, version, FleetLimits.JOBS_FOLLOW_WAIT, result -> {
+            if (host.leading()) {
+                onChanges(result, sentNanos);
+            }
+        });
+    }
+
+    private void onChanges(RecordStore.ReadResult result, long sentNanos) {
+        switch (result) {
+            case RecordStore.ReadResult.Page page -> {
+                note(page.entries());
+                if (host.ended()) {
+                    return;
+                }
+                version = page.version();
+                host.confirmed(sentNanos);
+                loop.schedule(FleetLimits.FOLLOW_PAUSE, this::follow);
+            }
+            case RecordStore.ReadResult.HistoryLost lost -> readAgain();
+            case RecordStore.ReadResult.Failed failed -> {
+                log.storeState("jobs-feed-failing", failed.cause());
+                loop.schedule(FleetLimits.STORE_RETRY, this::follow);
+            }
+        }
+    }
+
+    private void readAgain() {
+        log.storeState("jobs-history-lost", "the table is read again");
+        List<RecordStore.Entry> all = new ArrayList<>();
+        tables.readAll(RecordStore.Table.JOBS, all::add, readVersion -> {
+            note(all);
+            version = readVersion;
+            follow();
+        });
+    }
+
+    private void note(Collection<RecordStore.Entry> entries) {
+        Set<String> cancelled = new HashSet<>();
+        for (RecordStore.Entry entry : entries) {
+            tables.readEntry(entry, each -> read(each, false, JobProgress.NONE, cancelled));
+        }
+        if (!host.ended()) {
+            cancelled.forEach(jobs::cancel);
+            host.changed();
+        }
+    }
+
+    private void read(RecordStore.Entry entry, boolean inherited, JobProgress known, Set<String> cancelled)
+            throws CorruptRecordException {
+        if (entry.key().equals(LeaderRecord.KEY)) {
+            if (entry.version() > leaderVersion) {
+                host.leaderRecordChanged(entry);
+            }
+            return;
+        }
+        if (entry.key().endsWith(JobRecord.CANCEL_SUFFIX)) {
+            if (!entry.removed()) {
+                String id = entry.key().substring(0, entry.key().length() - JobRecord.CANCEL_SUFFIX.length());
+                cancelled.add(id);
+            }
+            return;
+        }
+        if (entry.removed()) {
+            return;
+        }
+        switch (RecordCodec.readJob(entry.key(), entry.value())) {
+            case JobRecord.Open open -> jobs.add(open.definition(), known, inherited, timeOfDay.millis());
+            case JobRecord.Finished finished -> {
+                if (jobs.state(finished.id()).filter(JobState::terminal).isEmpty()) {
+                    jobs.addFinished(finished.id(), finished.state());
+                }
+                finishedJobs.add(new FinishedJob(finished.id(), finished.endedEpochMs()));
+            }
+        }
+    }
+
+    /** Names the jobs that ended so long ago that nobody asks for them any more, once each. */
+    void forgetOld(Consumer<String> forget) {
+        long keptSinceMs = timeOfDay.millis() - FleetLimits.FINISHED_JOB_KEPT.toMillis();
+        while (!finishedJobs.isEmpty() && finishedJobs.getFirst().endedEpochMs() < keptSinceMs) {
+            forget.accept(finishedJobs.removeFirst().id());
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -1,22 +1,12 @@
 package org.tamarackline.fleet;
 
-import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.Fleet;
-import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.Order;
@@ -26,9 +16,9 @@
  * The node that decides, from its takeover to its end.
  *
  * <p>It first reads what the store has, then asks every runner that earlier leaders may have used, and takes over what
- * runs. Jobs that were accepted before its takeover wait until each of these runners has answered or outlived its lease.
+ * runs. A task that an earlier leader may have started on a runner that has not answered waits for that runner.
  */
-final class Leader implements RunnerSession.Host, Committer.Host {
+final class Leader implements RunnerSession.Host, Committer.Host, JobFeed.Host {
 
     private final EventLoop loop;
     private final RecordStore store;
@@ -44,10 +34,9 @@
     private final Authority authority;
     private final Fleet fleet;
     private final LeaderContext context;
-    private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
+    private final RunnerSessions sessions;
+    private final JobFeed jobFeed;
     private final Map<String, JobProgress> progress = new HashMap<>();
-    private final RunnerClosures closures;
-    private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
     private final LoopDelay loopDelay = new LoopDelay();
     private final EarlierLeaders earlierLeaders;
     private long endedBelowEpoch;
@@ -60,15 +49,9 @@
     private long pumpedNanos;
     private long tickPlannedNanos;
     private int unansweredStarts;
-    private long jobsVersion = -1;
     private long sequenceVersion;
-    /** Runners that the directory lists and the roster does not have yet. */
-    private final Set<String> notEnlisted = new HashSet<>();
-
     private long storeAnsweredNanos;
 
-    private record FinishedJob(String id, long endedEpochMs) {}
-
     /**
      * Creates a leader whose record is stored.
      *
@@ -97,8 +80,9 @@
         this.tables = new TableReader(loop, store, log, () -> ended, this::noteStoreAnswer);
         this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::noteEarlierLeadersEnded);
         this.fleet = new Fleet(record.epoch(), log);
-        this.closures = new RunnerClosures(loop, store.clock(), fleet, sessions);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
+        this.sessions = new RunnerSessions(context, this, record.epoch(), earlierLeaders, store.clock());
+        this.jobFeed = new JobFeed(services, tables, fleet.jobs(), leaderVersion, this);
     }
 
     LeaderRecord record() {
@@ -146,7 +130,7 @@
     private void noteEarlierLeadersEnded(String reason) {
         log.leadership("earlier-leaders-ended", record.epoch(), record.node(), reason);
         endedBelowEpoch = record.epoch();
-        sessions.values().forEach(session -> session.earlierLeadersEnded(earlierLeaders.endedNanos()));
+        sessions.earlierLeadersEnded();
         if (loaded) {
             committer.storeSequence();
         }
@@ -170,7 +154,7 @@
     /** Ends all orders of this leader. */
     void end() {
         ended = true;
-        sessions.values().forEach(RunnerSession::close);
+        sessions.closeAll();
     }
 
     /**
@@ -189,23 +173,16 @@
     // ---- Reading the store
 
     private void expectRunner(RecordStore.Entry entry) throws CorruptRecordException {
-        RosterRecord roster = RecordCodec.readRoster(entry.key(), entry.value());
-        RunnerReport report = roster.runner();
-        FleetRunner runner = fleet.expectAnswer(report);
-        long wait = FleetLimits.AUTHORITY.toNanos() + RunnerSession.longestLeaseNanos();
-        long endNanos = closures.inheritedEndNanos(roster, takeoverNanos + wait);
-        RunnerSession session = new RunnerSession(context, this, record.epoch(), runner, endNanos);
-        if (earlierLeaders.ended()) {
-            session.earlierLeadersEnded(earlierLeaders.endedNanos());
-        }
-        sessions.put(report.id(), session);
-        closures.inherit(session, roster);
+        sessions.inherit(RecordCodec.readRoster(entry.key(), entry.value()), takeoverNanos);
     }
 
     private void readDirectory() {
         directory.list(reports -> {
-            reports.ifPresent(this::noteDirectory);
-            tables.readAll(RecordStore.Table.PROGRESS, this::readProgress, version -> readJobs());
+            reports.ifPresent(sessions::noteDirectory);
+            tables.readAll(
+                    RecordStore.Table.PROGRESS,
+                    this::readProgress,
+                    version -> jobFeed.readAll(progress, this::finishLoading));
         });
     }
 
@@ -227,16 +204,10 @@
         earlierLeaders.endedBelow(sequence.endedBelowEpoch());
     }
 
-    private void readJobs() {
-        Set<String> cancelled = new HashSet<>();
-        tables.readAll(RecordStore.Table.JOBS, entry -> readJob(entry, true, cancelled), version -> {
-            cancelled.forEach(fleet.jobs()::cancel);
-            finishLoading(version);
-        });
-    }
-
-    private void finishLoading(long version) {
-        jobsVersion = version;
+    private void finishLoading() {
+        if (ended) {
+            return;
+        }
         committer = new Committer(context, store, timeOfDay, this, record.epoch(), leaderVersion, sequenceVersion);
         progress.keySet().forEach(committer::progressIsStored);
         progress.clear();
@@ -245,13 +216,9 @@
             committer.storeSequence();
         }
         log.leadership("leader-ready", record.epoch(), record.node(), summary());
-        for (RunnerSession session : sessions.values()) {
-            if (!notEnlisted.contains(session.runner().id())) {
-                session.planHold(Duration.ZERO);
-            }
-        }
-        enlistListed();
-        followJobs();
+        sessions.startHolds();
+        sessions.enlistListed(committer);
+        jobFeed.follow();
         loop.schedule(FleetLimits.DIRECTORY_INTERVAL, this::pollDirectory);
         loop.schedule(FleetLimits.STATE_LOG_INTERVAL, this::logState);
         tickPlannedNanos = loop.nowNanos();
@@ -262,8 +229,6 @@
         if (ended) {
             return;
         }
-        int silentRunners =
-                (int) sessions.values().stream().filter(RunnerSession::silent).count();
         log.leaderState(new LeaderState(
                 record.epoch(),
                 (loop.nowNanos() - takeoverNanos) / 1_000_000,
@@ -271,7 +236,7 @@
                 fleet.jobs().waitingTasks(),
                 fleet.heldTasks(),
                 fleet.unheardRunners(),
-                silentRunners,
+                sessions.silent(),
                 unansweredStarts,
                 loopDelay.takeLongestMs(),
                 storeAgeMs()));
@@ -280,91 +245,11 @@
 
     private String summary() {
         return "openJobs=%d runners=%d tookMs=%d"
-                .formatted(fleet.jobs().openJobs(), sessions.size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
+                .formatted(
+                        fleet.jobs().openJobs(), sessions.all().size(), (loop.nowNanos() - takeoverNanos) / 1_000_000);
     }
 
-    private void readJob(RecordStore.Entry entry, boolean inherited, Set<String> cancelled)
-            throws CorruptRecordException {
-        if (entry.key().equals(LeaderRecord.KEY)) {
-            if (entry.version() > leaderVersion) {
-                leaderRecordChanged(entry);
-            }
-            return;
-        }
-        if (entry.key().endsWith(JobRecord.CANCEL_SUFFIX)) {
-            if (!entry.removed()) {
-                String id = entry.key().substring(0, entry.key().length() - JobRecord.CANCEL_SUFFIX.length());
-                cancelled.add(id);
-            }
-            return;
-        }
-        if (entry.removed()) {
-            return;
-        }
-        switch (RecordCodec.readJob(entry.key(), entry.value())) {
-            case JobRecord.Open open -> {
-                JobProgress known = progress.getOrDefault(entry.key(), JobProgress.NONE);
-                fleet.jobs().add(open.definition(), known, inherited, timeOfDay.millis());
-            }
-            case JobRecord.Finished finished -> {
-                if (fleet.jobs().state(finished.id()).filter(JobState::terminal).isEmpty()) {
-                    fleet.jobs().addFinished(finished.id(), finished.state());
-                }
-                finishedJobs.add(new FinishedJob(finished.id(), finished.endedEpochMs()));
-            }
-        }
-    }
-
-    // ---- Following the store
-
-    private void followJobs() {
-        if (ended || resigned) {
-            return;
-        }
-        long sentNanos = loop.nowNanos();
-        store.follow(RecordStore.Table.JOBS, jobsVersion, FleetLimits.JOBS_FOLLOW_WAIT, result -> {
-            if (ended || resigned) {
-                return;
-            }
-            switch (result) {
-                case RecordStore.ReadResult.Page page -> {
-                    noteJobs(page.entries());
-                    if (ended) {
-                        return;
-                    }
-                    jobsVersion = page.version();
-                    confirmed(sentNanos);
-                    loop.schedule(FleetLimits.FOLLOW_PAUSE, this::followJobs);
-                }
-                case RecordStore.ReadResult.HistoryLost lost -> rereadJobs();
-                case RecordStore.ReadResult.Failed failed -> {
-                    log.storeState("jobs-feed-failing", failed.cause());
-                    loop.schedule(FleetLimits.STORE_RETRY, this::followJobs);
-                }
-            }
-        });
-    }
-
-    private void noteJobs(Collection<RecordStore.Entry> entries) {
-        Set<String> cancelled = new HashSet<>();
-        for (RecordStore.Entry entry : entries) {
-            tables.readEntry(entry, each -> readJob(each, false, cancelled));
-        }
-        if (!ended) {
-            cancelled.forEach(fleet.jobs()::cancel);
-            changed();
-        }
-    }
-
-    private void rereadJobs() {
-        log.storeState("jobs-history-lost", "the table is read again");
-        List<RecordStore.Entry> all = new ArrayList<>();
-        tables.readAll(RecordStore.Table.JOBS, all::add, version -> {
-            noteJobs(all);
-            jobsVersion = version;
-            followJobs();
-        });
-    }
+    // ---- Following the directory
 
     private void pollDirectory() {
         if (ended || resigned) {
@@ -376,43 +261,13 @@
             }
             reports.ifPresent(list -> {
                 noteStoreAnswer();
-                noteDirectory(list);
-                enlistListed();
+                sessions.noteDirectory(list);
+                sessions.enlistListed(committer);
             });
             loop.schedule(FleetLimits.DIRECTORY_INTERVAL, this::pollDirectory);
         });
     }
 
-    private void noteDirectory(List<RunnerReport> reports) {
-        Set<String> listed = new HashSet<>();
-        for (RunnerReport report : reports) {
-            listed.add(report.id());
-            FleetRunner runner = fleet.runnerReported(report);
-            RunnerSession session = sessions.get(report.id());
-            if (session == null || session.runner() != runner) {
-                sessions.put(report.id(), new RunnerSession(context, this, record.epoch(), runner, loop.nowNanos()));
-                notEnlisted.add(report.id());
-            }
-        }
-        for (FleetRunner runner : fleet.runners()) {
-            if (runner.listed() && !listed.contains(runner.id())) {
-                log.runnerLost(runner.id(), "the directory no longer lists it");
-                fleet.runnerUnlisted(runner.id());
-            }
-        }
-        changed();
-    }
-
-    private void enlistListed() {
-        for (String id : notEnlisted) {
-            RunnerSession session = sessions.get(id);
-            if (session != null) {
-                committer.enlist(session.runner().report());
-            }
-        }
-        notEnlisted.clear();
-    }
-
     // ---- Orders
 
     private void tick() {
@@ -420,47 +275,13 @@
             return;
         }
         loopDelay.ran(tickPlannedNanos, loop.nowNanos());
-        dropSilentRunners();
-        forgetOldJobs();
+        sessions.dropSilent(authority, committer);
+        jobFeed.forgetOld(committer::forget);
         pump();
         tickPlannedNanos = loop.nowNanos() + FleetLimits.TICK.toNanos();
         loop.schedule(FleetLimits.TICK, this::tick);
     }
 
-    private void dropSilentRunners() {
-        for (RunnerSession session : List.copyOf(sessions.values())) {
-            FleetRunner runner = session.runner();
-            if (session.silent() && !session.lost() && session.leaseExpired() && confirmedSinceLease(session)) {
-                log.runnerLost(runner.id(), "it is silent and its lease has expired");
-                fleet.runnerLost(runner.id());
-                session.markLost();
-            }
-            boolean gone = !runner.listed() && !runner.busy() && (session.lost() || session.idle());
-            if (gone && session.leaseExpired()) {
-                session.close();
-                sessions.remove(runner.id());
-                fleet.runnerLost(runner.id());
-                committer.dismiss(runner.id());
-            }
-        }
-    }
-
-    /** Returns whether no successor can have renewed the leases of a runner before they ended. */
-    private boolean confirmedSinceLease(RunnerSession session) {
-        boolean confirmed = authority.confirmedAfter(session.leaseEndNanos());
-        if (!confirmed) {
-            committer.requestConfirmation();
-        }
-        return confirmed;
-    }
-
-    private void forgetOldJobs() {
-        long keptSinceMs = timeOfDay.millis() - FleetLimits.FINISHED_JOB_KEPT.toMillis();
-        while (!finishedJobs.isEmpty() && finishedJobs.getFirst().endedEpochMs() < keptSinceMs) {
-            committer.forget(finishedJobs.removeFirst().id());
-        }
-    }
-
     private void pump() {
         pumpPlanned = false;
         if (ended || resigned || !loaded) {
@@ -473,12 +294,12 @@
                 carryOut(order);
             }
         }
-        closures.review(committer);
+        sessions.closures().review(committer);
         committer.changed();
     }
 
     private void carryOut(Order order) {
-        RunnerSession session = sessions.get(order.runner().id());
+        RunnerSession session = sessions.find(order.runner().id());
         if (session != null) {
             session.carryOut(order);
         }
@@ -515,6 +336,11 @@
         }
     }
 
+    @Override
+    public boolean ended() {
+        return ended;
+    }
+
     @Override
     public boolean leading() {
         return !ended && !resigned;
@@ -553,20 +379,16 @@
 
     @Override
     public Iterable<RunnerSession> sessions() {
-        return sessions.values();
+        return sessions.all();
     }
 
     @Override
     public RunnerClosures closures() {
-        return closures;
+        return sessions.closures();
     }
 
     @Override
     public void enlisted(RunnerReport runner) {
-        closures.opened(runner.id());
-        RunnerSession session = sessions.get(runner.id());
-        if (session != null) {
-            session.planHold(Duration.ZERO);
-        }
+        sessions.enlisted(runner.id());
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -0,0 +1,163 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.RunnerReport;
+
+/** A leader's sessions with the runners of its roster and of the directory. */
+final class RunnerSessions {
+
+    private final LeaderContext context;
+    private final RunnerSession.Host host;
+    private final long epoch;
+    private final EarlierLeaders earlierLeaders;
+    private final RunnerClosures closures;
+    private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
+    /** Runners that the directory lists and the roster does not have yet. */
+    private final Set<String> notEnlisted = new HashSet<>();
+
+    RunnerSessions(
+            LeaderContext context,
+            RunnerSession.Host host,
+            long epoch,
+            EarlierLeaders earlierLeaders,
+            StoreClock storeClock) {
+        this.context = context;
+        this.host = host;
+        this.epoch = epoch;
+        this.earlierLeaders = earlierLeaders;
+        this.closures = new RunnerClosures(context.loop(), storeClock, context.fleet(), sessions);
+    }
+
+    Collection<RunnerSession> all() {
+        return sessions.values();
+    }
+
+    RunnerClosures closures() {
+        return closures;
+    }
+
+    /** Returns the session with a runner, null if there is none. */
+    RunnerSession find(String runner) {
+        return sessions.get(runner);
+    }
+
+    int silent() {
+        return (int) sessions.values().stream().filter(RunnerSession::silent).count();
+    }
+
+    void closeAll() {
+        sessions.values().forEach(RunnerSession::close);
+    }
+
+    /** Takes note that all earlier leaders have ended. */
+    void earlierLeadersEnded() {
+        sessions.values().forEach(session -> session.earlierLeadersEnded(earlierLeaders.endedNanos()));
+    }
+
+    /**
+     * Adds a runner that earlier leaders may have given orders to.
+     *
+     * @param takeoverNanos when this leader took over
+     */
+    void inherit(RosterRecord roster, long takeoverNanos) {
+        FleetRunner runner = context.fleet().expectAnswer(roster.runner());
+        long wait = FleetLimits.AUTHORITY.toNanos() + RunnerSession.longestLeaseNanos();
+        long endNanos = closures.inheritedEndNanos(roster, takeoverNanos + wait);
+        RunnerSession session = new RunnerSession(context, host, epoch, runner, endNanos);
+        if (earlierLeaders.ended()) {
+            session.earlierLeadersEnded(earlierLeaders.endedNanos());
+        }
+        sessions.put(runner.id(), session);
+        closures.inherit(session, roster);
+    }
+
+    /** Takes note of the runners that the directory lists. */
+    void noteDirectory(List<RunnerReport> reports) {
+        Set<String> listed = new HashSet<>();
+        for (RunnerReport report : reports) {
+            listed.add(report.id());
+            FleetRunner runner = context.fleet().runnerReported(report);
+            RunnerSession session = sessions.get(report.id());
+            if (session == null || session.runner() != runner) {
+                long nowNanos = context.loop().nowNanos();
+                sessions.put(report.id(), new RunnerSession(context, host, epoch, runner, nowNanos));
+                notEnlisted.add(report.id());
+            }
+        }
+        for (FleetRunner runner : context.fleet().runners()) {
+            if (runner.listed() && !listed.contains(runner.id())) {
+                context.log().runnerLost(runner.id(), "the directory no longer lists it");
+                context.fleet().runnerUnlisted(runner.id());
+            }
+        }
+        host.changed();
+    }
+
+    /** Asks the runners that are on the roster for their first listing. */
+    void startHolds() {
+        for (RunnerSession session : sessions.values()) {
+            if (!notEnlisted.contains(session.runner().id())) {
+                session.planHold(Duration.ZERO);
+            }
+        }
+    }
+
+    /** Puts the runners on the roster that the directory has shown since the last call. */
+    void enlistListed(Committer committer) {
+        for (String id : notEnlisted) {
+            RunnerSession session = sessions.get(id);
+            if (session != null) {
+                committer.enlist(session.runner().report());
+            }
+        }
+        notEnlisted.clear();
+    }
+
+    /** A runner is on the roster, and open. */
+    void enlisted(String runner) {
+        closures.opened(runner);
+        RunnerSession session = sessions.get(runner);
+        if (session != null) {
+            session.planHold(Duration.ZERO);
+        }
+    }
+
+    /** Gives up runners that are silent and on which nothing can run any more. */
+    void dropSilent(Authority authority, Committer committer) {
+        for (RunnerSession session : List.copyOf(sessions.values())) {
+            FleetRunner runner = session.runner();
+            if (session.silent()
+                    && !session.lost()
+                    && session.leaseExpired()
+                    && confirmedSinceLease(session, authority, committer)) {
+                context.log().runnerLost(runner.id(), "it is silent and its lease has expired");
+                context.fleet().runnerLost(runner.id());
+                session.markLost();
+            }
+            boolean gone = !runner.listed() && !runner.busy() && (session.lost() || session.idle());
+            if (gone && session.leaseExpired()) {
+                session.close();
+                sessions.remove(runner.id());
+                context.fleet().runnerLost(runner.id());
+                committer.dismiss(runner.id());
+            }
+        }
+    }
+
+    /** Returns whether no successor can have renewed the leases of a runner before they ended. */
+    private static boolean confirmedSinceLease(RunnerSession session, Authority authority, Committer committer) {
+        boolean confirmed = authority.confirmedAfter(session.leaseEndNanos());
+        if (!confirmed) {
+            committer.requestConfirmation();
+        }
+        return confirmed;
+    }
+}
