--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -25,10 +25,10 @@
     /** Equal groups stay in the order of their tasks. */
     private static final Comparator<Group> GROUP_ORDER = Comparator.comparingInt(Group::priority)
             .thenComparing(Group::lateness)
-            .thenComparingDouble(Group::tasksToStartByWorth);
+            .thenComparingDouble(Group::remainingShare);
 
-    /** What a job is worth beside its work, in tasks: about half of a job of middle size. */
-    private static final double FIXED_WORTH_TASKS = 7;
+    /** Added to the size of a job, in tasks, so that of jobs that are equally far the smaller one comes first. */
+    private static final double SIZE_OFFSET_TASKS = 7;
 
     private final TreeSet<Task> tasks = new TreeSet<>(ORDER);
 
@@ -56,8 +56,8 @@
 
     /**
      * Returns a walk over the tasks that wait now. Of one priority, those whose job can still meet its objective come
-     * first, and those that earn nothing any more last. Of one lateness, the job comes first that earns most for the tasks
-     * that it still has to start: room spent on many begun jobs that all end late earns little.
+     * first, and those that nobody waits for any more last. Of one lateness, the job with the smallest share of its tasks
+     * left to start comes first, so that begun jobs end on time instead of all sharing the room and ending late.
      */
     Scan scan(long nowEpochMs) {
         List<Group> groups = new ArrayList<>();
@@ -85,14 +85,14 @@
 
         private final Task first;
         private final Lateness lateness;
-        private final double tasksToStartByWorth;
+        private final double remainingShare;
         private final List<Task> tasks = new ArrayList<>();
 
         Group(Task first, long nowEpochMs) {
             this.first = first;
             this.lateness = Lateness.of(first, nowEpochMs);
-            this.tasksToStartByWorth = first.job().tasksToStart()
-                    / (FIXED_WORTH_TASKS + first.job().size());
+            this.remainingShare = first.job().tasksToStart()
+                    / (SIZE_OFFSET_TASKS + first.job().size());
         }
 
         boolean holds(Task task) {
@@ -109,8 +109,8 @@
             return lateness;
         }
 
-        double tasksToStartByWorth() {
-            return tasksToStartByWorth;
+        double remainingShare() {
+            return remainingShare;
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/EarlierLeaders.java
+++ b/src/main/java/org/tamarackline/fleet/EarlierLeaders.java
@@ -26,7 +26,7 @@
     private long endedNanos;
 
     /**
-     * Creates what does not ask yet.
+     * Creates an instance that asks nobody before {@link #start}.
      *
      * @param record record of the leader that asks
      * @param stopped says whether the answers no longer matter
