--- a/src/test/java/org/tamarackline/fleet/ElectionNodes.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionNodes.java
@@ -10,11 +10,7 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 
-import org.tamarackline.core.fleet.JobDefinition;
-import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerReport;
-import org.tamarackline.core.fleet.StepDefinition;
-import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
 /** Elections of several nodes on one clock, with a store and a runner that they share. */
@@ -126,27 +122,4 @@
             throw new AssertionError(corrupt);
         }
     }
-
-    /** Returns a job of one task that runs until it is cancelled. */
-    static JobDefinition lastingTask(String id) {
-        StepDefinition step = new StepDefinition(
-                1,
-                new Resources(1_000, 100, 0),
-                0,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                true,
-                "",
-                0,
-                false,
-                0);
-        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        return new JobDefinition(id, queue, "", List.of(step), 0, 0, 0, 0);
-    }
 }
--- a/src/test/java/org/tamarackline/fleet/ElectionTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionTest.java
@@ -91,7 +91,7 @@
         nodes.loop().advance(Duration.ofMillis(100));
         assertThat(nodes.storedLeader().resigned()).isTrue();
         long resignedNanos = nodes.loop().nowNanos();
-        nodes.write(RecordStore.Table.JOBS, "k", RecordCodec.openJob(ElectionNodes.lastingTask("k")));
+        nodes.write(RecordStore.Table.JOBS, "k", RecordCodec.openJob(JobDefinitions.lastingTask("k")));
         nodes.loop().advance(Duration.ofSeconds(5));
         assertThat(nodes.runner().runs()).isEqualTo(1);
         assertThat(longestPauseOfRenewals(nodes, resignedNanos)).isLessThan(MAX_RENEWAL_PAUSE);
@@ -113,7 +113,7 @@
     }
 
     private static ElectionNodes.Node startWithLastingTask(ElectionNodes nodes) {
-        nodes.write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(ElectionNodes.lastingTask("j")));
+        nodes.write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(JobDefinitions.lastingTask("j")));
         ElectionNodes.Node node = nodes.start("node-0");
         nodes.loop().advance(Duration.ofSeconds(3));
         assertThat(nodes.runner().runs()).isEqualTo(1);
--- a/src/test/java/org/tamarackline/fleet/JobDefinitions.java
+++ b/src/test/java/org/tamarackline/fleet/JobDefinitions.java
@@ -13,18 +13,18 @@
     private JobDefinitions() {}
 
     /** Returns a job whose tasks run for a while. */
-    static JobDefinition tasks(int count, long estimateMs) {
-        return jobOf(step(count, estimateMs, false));
+    static JobDefinition tasks(String id, int count, long estimateMs) {
+        return jobOf(id, step(count, estimateMs, false));
     }
 
     /** Returns a job with one task that runs until the job is cancelled. */
-    static JobDefinition lastingTask() {
-        return jobOf(step(1, 0, true));
+    static JobDefinition lastingTask(String id) {
+        return jobOf(id, step(1, 0, true));
     }
 
-    private static JobDefinition jobOf(StepDefinition step) {
+    private static JobDefinition jobOf(String id, StepDefinition step) {
         QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        return new JobDefinition("j", queue, "", List.of(step), 0, 0, 0, 0);
+        return new JobDefinition(id, queue, "", List.of(step), 0, 0, 0, 0);
     }
 
     private static StepDefinition step(int count, long estimateMs, boolean longRunning) {
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -29,7 +29,7 @@
     @Test
     void logsHowManyTasksWaitForARunnerThatDoesNotAnswer() {
         write(RecordStore.Table.ROSTER, runner.id(), RecordCodec.roster(RosterRecord.open(runner)));
-        write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(JobDefinitions.tasks(2, 500)));
+        write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(JobDefinitions.tasks("j", 2, 500)));
         calls.fallSilent();
         InstantSource timeOfDay = () -> java.time.Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         NodeServices services = new NodeServices(
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -11,9 +11,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.fleet.JobDefinition;
-import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerReport;
-import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
@@ -25,6 +23,8 @@
                     (long) (FleetLimits.RUNNER_LEASE.toNanos() / (1 - FleetLimits.CLOCK_DRIFT)))
             .plus(FleetLimits.LEASE_MARGIN);
 
+    private static final long LONG_TASK_MS = 600_000;
+
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
@@ -189,7 +189,9 @@
     }
 
     private void submit(String job, boolean lasting) {
-        write(RecordStore.Table.JOBS, job, RecordCodec.openJob(oneTask(job, lasting)));
+        JobDefinition definition =
+                lasting ? JobDefinitions.lastingTask(job) : JobDefinitions.tasks(job, 1, LONG_TASK_MS);
+        write(RecordStore.Table.JOBS, job, RecordCodec.openJob(definition));
     }
 
     private void write(RecordStore.Table table, String key, byte[] value) {
@@ -203,26 +205,4 @@
         Resources capacity = new Resources(16_000, 64_000, 0);
         return new RunnerReport(id, 1, "dispatch", "10.0.0.1:80", "dc", "", false, capacity, Set.of());
     }
-
-    private static JobDefinition oneTask(String id, boolean lasting) {
-        StepDefinition step = new StepDefinition(
-                1,
-                new Resources(1_000, 100, 0),
-                lasting ? 0 : 600_000,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                lasting,
-                "",
-                0,
-                false,
-                0);
-        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        return new JobDefinition(id, queue, "", List.of(step), 0, 0, 0, 0);
-    }
 }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -57,7 +57,7 @@
     }
 
     private void startLastingTask() {
-        fleet.jobs().add(JobDefinitions.lastingTask(), JobProgress.NONE, false, 0);
+        fleet.jobs().add(JobDefinitions.lastingTask("j"), JobProgress.NONE, false, 0);
         assertThat(fleet.decide(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
         fleet.jobs()
                 .takeChanged()
--- a/src/test/java/org/tamarackline/fleet/StepDownTest.java
+++ b/src/test/java/org/tamarackline/fleet/StepDownTest.java
@@ -96,7 +96,7 @@
     }
 
     private ElectionNodes.Node startWithSilentRunner() {
-        nodes.write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(ElectionNodes.lastingTask("j")));
+        nodes.write(RecordStore.Table.JOBS, "j", RecordCodec.openJob(JobDefinitions.lastingTask("j")));
         ElectionNodes.Node node = nodes.start("node-0");
         nodes.loop().advance(Duration.ofSeconds(3));
         assertThat(nodes.runner().runs()).isEqualTo(1);
