Log runs that are lost and runners that restart

Whether a task started again because its runner restarted, its lease expired, or its end was discarded unprocessed could not be told from the log: none of these wrote a line that names the run. run-lost now names the run and the reason, runner-restarted the two process starts.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -133,7 +133,7 @@
         }
         runner.statusKnown = false;
         for (Run run : runner.snapshotOfRuns()) {
-            removeRun(run);
+            loseRun(run, "the runner is lost");
         }
         if (!runner.registered) {
             runners.remove(id);
@@ -161,11 +161,7 @@
      */
     public void applyStatus(FleetRunner runner, RunnerStatus status, long requestSentNanos, long nowNanos) {
         if (runner.processStartEpochMs != status.processStartEpochMs()) {
-            if (runner.processStartEpochMs != 0) {
-                removeRunsOfEarlierIncarnation(runner);
-            }
-            runner.processStartEpochMs = status.processStartEpochMs();
-            runner.lastProcessedEnd = 0;
+            startIncarnation(runner, status.processStartEpochMs());
         }
         runner.statusKnown = true;
         runner.silent = false;
@@ -184,7 +180,7 @@
             boolean missing =
                     !reported.contains(new FleetRunner.RunKey(run.task().key(), run.number()));
             if (missing && confirmedBefore(run, requestSentNanos)) {
-                removeRun(run);
+                loseRun(run, "the runner reports neither the run nor its end");
             }
         }
         runner.orphanStopNanos.keySet().retainAll(reported);
@@ -209,6 +205,16 @@
         return run.stopConfirmed && requestSentNanos - run.stopConfirmedNanos > 0;
     }
 
+    private void startIncarnation(FleetRunner runner, long processStartEpochMs) {
+        long previousStartEpochMs = runner.processStartEpochMs;
+        runner.processStartEpochMs = processStartEpochMs;
+        runner.lastProcessedEnd = 0;
+        if (previousStartEpochMs != 0) {
+            observer.runnerRestarted(runner, previousStartEpochMs);
+            removeRunsOfEarlierIncarnation(runner);
+        }
+    }
+
     /**
      * Removes the runs whose start was confirmed. A start without a response is kept: it may still reach the new
      * incarnation.
@@ -217,7 +223,7 @@
         runner.orphanStopNanos.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed) {
-                removeRun(run);
+                loseRun(run, "the runner restarted");
             }
         }
     }
@@ -488,6 +494,11 @@
         }
     }
 
+    private void loseRun(Run run, String reason) {
+        observer.runLost(run, reason);
+        removeRun(run);
+    }
+
     /** Removes a run that can no longer exist; its task becomes ready again. */
     private void removeRun(Run run) {
         run.runner().remove(run);
--- a/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
@@ -12,6 +12,16 @@
     /** Called when a run is stopped because it makes no progress or is migrated to another runner. */
     void runEvicted(Run run, String reason);
 
+    /** Called when a run is removed whose end no runner reported, so that its task may start again. */
+    void runLost(Run run, String reason);
+
+    /**
+     * Called when a runner reports that its process has restarted under the same identifier.
+     *
+     * @param previousStartEpochMs process start of the incarnation that reported before
+     */
+    void runnerRestarted(FleetRunner runner, long previousStartEpochMs);
+
     /**
      * Called when a runner reports the end of a run.
      *
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -145,6 +145,23 @@
         });
     }
 
+    @Override
+    public void runLost(Run run, String reason) {
+        writeLine("run-lost", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    @Override
+    public void runnerRestarted(FleetRunner runner, long previousStartEpochMs) {
+        writeLine("runner-restarted", json -> {
+            json.writeStringField("runner", runner.id());
+            json.writeNumberField("previousStartMs", previousStartEpochMs);
+            json.writeNumberField("startMs", runner.processStartEpochMs());
+        });
+    }
+
     @Override
     public void jobFinished(Job job) {
         writeLine("job-end", json -> {
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -196,6 +196,12 @@
         @Override
         public void runEvicted(Run run, String reason) {}
 
+        @Override
+        public void runLost(Run run, String reason) {}
+
+        @Override
+        public void runnerRestarted(FleetRunner runner, long previousStartEpochMs) {}
+
         @Override
         public void runEnded(FleetRunner runner, RunnerStatus.EndedRun end, Run run) {}
     }
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -546,6 +546,12 @@
         @Override
         public void runEvicted(Run run, String reason) {}
 
+        @Override
+        public void runLost(Run run, String reason) {}
+
+        @Override
+        public void runnerRestarted(FleetRunner runner, long previousStartEpochMs) {}
+
         @Override
         public void runEnded(FleetRunner runner, RunnerStatus.EndedRun end, Run run) {}
     }
