Acknowledge ends only to the runner process that reported them

A task was started again after a run of it had ended as done and the end had been acknowledged. Each process of a runner numbers its ends from 1, but the position up to which ends were stored, and polls prepared for a process, named no process. After a restart under the same identifier they discarded ends of the new process that no leader had processed; the next status had neither the run nor its end, and the task started again.

Stored positions now name the process. A poll acknowledges ends only until one such poll was answered, and only if nothing was started on the runner since the last answered poll was sent, so a process that took over unnoticed has no ends to discard.

--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -93,9 +93,9 @@
         return latencyCriticalRuns > 0;
     }
 
-    /** Returns the highest sequence number of an ended run that was processed. */
-    public long lastProcessedEnd() {
-        return lastProcessedEnd;
+    /** Returns the position up to which the runner's ended runs were processed. */
+    public ProcessedEnds processedEnds() {
+        return new ProcessedEnds(processStartEpochMs, lastProcessedEnd);
     }
 
     void update(RunnerDescriptor next) {
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -15,6 +15,7 @@
 import org.tamarackline.core.fleet.Job;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.ProcessedEnds;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 
@@ -237,7 +238,7 @@
         private final List<Job> jobs = new ArrayList<>();
         private final Map<Job, JobState> terminalStates = new HashMap<>();
         private final List<Run> pendingStarts = new ArrayList<>();
-        private final Map<RunnerSession, Long> lastProcessedEnds = new HashMap<>();
+        private final Map<RunnerSession, ProcessedEnds> processedEnds = new HashMap<>();
         private final List<RunnerDescriptor> addedToRoster = new ArrayList<>();
         private final List<String> cordoned = new ArrayList<>();
         private final List<String> removedFromRoster = new ArrayList<>();
@@ -249,7 +250,7 @@
 
         void fill() {
             for (RunnerSession session : leader.sessions()) {
-                lastProcessedEnds.put(session, session.lastProcessedEnd());
+                processedEnds.put(session, session.processedEnds());
             }
             List<Job> all = context.fleet().jobs().takeDirtyJobs();
             List<Job> deferred = new ArrayList<>();
@@ -261,7 +262,7 @@
                 }
             }
             if (!deferred.isEmpty()) {
-                lastProcessedEnds.clear();
+                processedEnds.clear();
                 context.fleet().jobs().returnDirtyJobs(deferred);
             }
             addRosterChanges();
@@ -377,7 +378,7 @@
             removedJobs.forEach(context.fleet().jobs()::removeFinished);
             cordoned.forEach(leader.cordons()::onCordonStored);
             addedToRoster.forEach(leader::onAddedToRoster);
-            lastProcessedEnds.forEach(RunnerSession::onEndsStored);
+            processedEnds.forEach(RunnerSession::onEndsStored);
         }
 
         void requeue() {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.ProcessedEnds;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -49,11 +50,10 @@
     private long runnerClockMs;
     private long runnerClockReadNanos;
     private long leaseEndNanos;
-    private long lastAcknowledgedEnd;
-    private long lastReportedEnd;
     private boolean lost;
     private long firstMissedPollNanos;
     private final RunnerCordon cordon = new RunnerCordon();
+    private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
 
     /**
      * Creates a session that has not contacted its runner.
@@ -96,7 +96,7 @@
 
     /** Returns whether the runner has no runs and no ended runs to acknowledge. */
     boolean idle() {
-        return !runner.busy() && lastAcknowledgedEnd >= lastReportedEnd;
+        return !runner.busy() && allReportedEndsStored() && !acknowledgement.due();
     }
 
     /** Returns whether nothing that was started on the runner can still run or start. */
@@ -133,14 +133,21 @@
         lost = true;
     }
 
-    long lastProcessedEnd() {
-        return runner.lastProcessedEnd();
+    ProcessedEnds processedEnds() {
+        return runner.processedEnds();
     }
 
-    /** Acknowledges ended runs to the runner, since they are stored up to a sequence number. */
-    void onEndsStored(long sequenceNumber) {
-        if (sequenceNumber > lastAcknowledgedEnd) {
-            lastAcknowledgedEnd = sequenceNumber;
+    private boolean allReportedEndsStored() {
+        return acknowledgement.storedUpTo(runner.processedEnds().lastSequenceNumber());
+    }
+
+    /** Acknowledges ended runs to the runner, since they are stored, unless the runner has restarted since. */
+    void onEndsStored(ProcessedEnds stored) {
+        if (stored.processStartEpochMs() != runner.processStartEpochMs()) {
+            return;
+        }
+        acknowledgement.onEndsStored(stored.lastSequenceNumber());
+        if (acknowledgement.due()) {
             schedulePoll(Duration.ZERO);
         }
     }
@@ -173,7 +180,9 @@
         }
         pollInFlight = true;
         long sentNanos = context.loop().nowNanos();
-        boolean wait = runner.statusKnown() && runner.busy() && lastAcknowledgedEnd >= lastReportedEnd;
+        long acknowledgedEnd = missedPolls == 0 ? acknowledgement.next() : 0;
+        boolean acknowledgesAll = allReportedEndsStored() && (acknowledgedEnd > 0 || !acknowledgement.due());
+        boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
         boolean renew = runnerClockKnown && runner.busy() && missedPolls == 0 && !cordon.commandsBlocked();
@@ -182,17 +191,17 @@
                 .poll(
                         runner.descriptor(),
                         epoch,
-                        lastAcknowledgedEnd,
+                        acknowledgedEnd,
                         leaseUntilMs,
                         wait ? pollWaitMs() : 0,
-                        response -> onPollResponse(response, sentNanos));
+                        response -> onPollResponse(response, sentNanos, acknowledgedEnd));
     }
 
     private int pollWaitMs() {
         return runner.hasColocatedTasks() ? FleetConstants.SHARED_POLL_WAIT_MS : FleetConstants.POLL_WAIT_MS;
     }
 
-    private void onPollResponse(RunnerCalls.PollResponse response, long sentNanos) {
+    private void onPollResponse(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         pollInFlight = false;
         if (closed) {
             return;
@@ -201,7 +210,7 @@
             firstMissedPollNanos = sentNanos;
         }
         switch (response.outcome()) {
-            case DONE -> onStatus(response, sentNanos);
+            case DONE -> onStatus(response, sentNanos, acknowledgedEnd);
             case FENCED -> leader.onFenced(runner.id());
             case RUNNER_REPLACED -> {
                 context.log().runnerLost(runner.id(), "another incarnation answers at its address");
@@ -223,7 +232,7 @@
         }
     }
 
-    private void onStatus(RunnerCalls.PollResponse response, long sentNanos) {
+    private void onStatus(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         long nowNanos = context.loop().nowNanos();
         if (missedPolls > 0 || lost) {
             context.log().runnerBack(runner.id(), missedPolls);
@@ -231,16 +240,20 @@
         missedPolls = 0;
         lost = false;
         if (response.status().processStartEpochMs() != runner.processStartEpochMs()) {
-            lastAcknowledgedEnd = 0;
+            acknowledgement.onProcessChanged();
+            acknowledgement.onPollAnswered(sentNanos, 0);
+        } else {
+            acknowledgement.onPollAnswered(sentNanos, acknowledgedEnd);
         }
         if (!runnerClockKnown) {
             onEarlierLeadersEnded(nowNanos);
         }
         updateRunnerClock(response.status().clockMs(), nowNanos);
         context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
-        lastReportedEnd = runner.lastProcessedEnd();
         leader.requestSchedulingRound();
-        if (lastAcknowledgedEnd < lastReportedEnd) {
+        if (acknowledgement.next() > 0) {
+            schedulePoll(Duration.ZERO);
+        } else if (acknowledgement.due() || !allReportedEndsStored()) {
             schedulePoll(FleetConstants.ACKNOWLEDGE_DELAY);
         } else {
             schedulePoll(runner.busy() ? Duration.ZERO : FleetConstants.IDLE_POLL_INTERVAL);
@@ -286,8 +299,10 @@
                 run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
         long sentNanos = context.loop().nowNanos();
         leader.onStartSent();
+        acknowledgement.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, extendLease(), response -> {
             leader.onStartCompleted();
+            acknowledgement.onStartCompleted();
             if (closed) {
                 return;
             }
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -442,7 +442,10 @@
             return;
         }
         Map<String, Long> lastProcessedEnds = new HashMap<>();
-        leader.fleet.runners().forEach(runner -> lastProcessedEnds.put(runner.id(), runner.lastProcessedEnd()));
+        leader.fleet
+                .runners()
+                .forEach(runner -> lastProcessedEnds.put(
+                        runner.id(), runner.processedEnds().lastSequenceNumber()));
         List<Job> dirtyJobs = leader.fleet.jobs().takeDirtyJobs();
         Map<String, JobProgress> progress = new HashMap<>();
         List<Run> pendingStarts = new ArrayList<>();
