Lose the runs of an ended process only once the store confirms the leader

A leader that was replaced and not told could start a task again whose end its successor had stored and acknowledged. A poll that found another process at a runner's address, or a new process under the runner's identifier, ended all runs of the earlier one at once: the leader concluded from missing information that they had not ended as done. It then started their tasks on a runner that the successor had not reached, or that had forgotten the successor's epoch by the restart.

Such runs are now lost, and a process gets its first start, only once the store has confirmed the leader by a request sent since the leader learned of the process, as it already was for runs whose lease has expired.

FleetSimulation now checks the rule at its runners: no start after an end as done that is acknowledged then or later, unless the lease expired in between. A simulated leader now ends by that answer, and a replaced one is cut off from most runners, so that it often misses the answer.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -113,6 +113,18 @@
         }
     }
 
+    /**
+     * Sets whether the store has confirmed the leader since it learned of the runner's process. Until then the runner
+     * gets no new tasks: a successor may have started and finished tasks that are ready here, and the process may have
+     * forgotten the successor's epoch.
+     */
+    public void setRunnerConfirmed(String id, boolean confirmed) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.unconfirmed = !confirmed;
+        }
+    }
+
     /** Removes the runs on a runner whose start was not sent yet, so that their tasks start elsewhere. */
     private void removeUnsentRuns(FleetRunner runner) {
         for (Run run : runner.snapshotOfRuns()) {
@@ -428,7 +440,7 @@
                 run.runner().health.recordRefusal(nowNanos);
                 removeRun(run);
             }
-            case RUNNER_REPLACED -> runnerLost(run.runner().id());
+            case RUNNER_REPLACED -> removeRun(run);
             default -> startNotConfirmed(run);
         }
     }
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -29,6 +29,8 @@
     boolean silent;
     /** Whether the runner is cordoned, or may be according to the store; meanwhile it gets no new tasks. */
     boolean cordoned;
+    /** Whether the store has not confirmed the leader since it learned of the runner's process. */
+    boolean unconfirmed;
     /** Incarnation that {@link #runs} belong to, 0 before the first status. */
     long processStartEpochMs;
     /** Highest sequence number of an ended run that was processed. */
@@ -98,6 +100,11 @@
         return new ProcessedEnds(processStartEpochMs, lastProcessedEnd);
     }
 
+    /** Returns whether starts may be sent to the runner, whatever its directory entry says of draining. */
+    boolean acceptsStarts() {
+        return registered && statusKnown && !silent && !cordoned && !unconfirmed;
+    }
+
     void update(RunnerDescriptor next) {
         this.descriptor = next;
         this.registered = true;
--- a/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
@@ -163,7 +163,7 @@
     private boolean isFeasible(Task task, FleetRunner runner, long nowNanos) {
         StepDefinition step = task.step();
         RunnerDescriptor descriptor = runner.descriptor();
-        if (!runner.registered || !runner.statusKnown || runner.silent || runner.cordoned || descriptor.draining()) {
+        if (!runner.acceptsStarts() || descriptor.draining()) {
             return false;
         }
         if (!descriptor.service().equals(task.job().definition().queue().service())) {
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -377,6 +377,17 @@
     public void onLeadershipConfirmed(long sentNanos) {
         onStoreResponse();
         leadershipLease.confirm(sentNanos);
+        sessions.onLeadershipConfirmed();
+    }
+
+    @Override
+    public boolean confirmedSince(long nanos) {
+        return leadershipLease.confirmedSince(nanos);
+    }
+
+    @Override
+    public void requestConfirmation() {
+        committer.requestConfirmation();
     }
 
     @Override
--- a/src/main/java/org/tamarackline/fleet/LeadershipLease.java
+++ b/src/main/java/org/tamarackline/fleet/LeadershipLease.java
@@ -56,9 +56,9 @@
         return confirmed && clock.nowNanos() - confirmedNanos < FleetConstants.LEADERSHIP_LEASE.toNanos();
     }
 
-    /** Returns whether the store confirmed the leader by a request sent after {@code nanos}. */
-    boolean confirmedAfter(long nanos) {
-        return confirmed && confirmedNanos - nanos > 0;
+    /** Returns whether the store confirmed the leader by a request sent no earlier than {@code nanos}. */
+    boolean confirmedSince(long nanos) {
+        return confirmed && confirmedNanos - nanos >= 0;
     }
 
     /** Returns the time since the last confirmation, in milliseconds. */
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -27,6 +27,12 @@
         /** The runner has seen a higher epoch. */
         void onFenced(String runner);
 
+        /** Returns whether the store confirmed the leader by a request sent no earlier than {@code nanos}. */
+        boolean confirmedSince(long nanos);
+
+        /** Requests that the store confirm the leader soon. */
+        void requestConfirmation();
+
         /** Requests a scheduling round, because something changed that may make commands or a transaction due. */
         void requestSchedulingRound();
     }
@@ -37,6 +43,9 @@
      */
     private static final int MISSED_POLLS_BEFORE_SILENCE = 2;
 
+    /** Delay before a runner is polled again whose new process is not accepted yet. */
+    private static final Duration UNCONFIRMED_POLL_DELAY = Duration.ofMillis(100);
+
     private final LeaderContext context;
     private final Callbacks leader;
     private final long epoch;
@@ -51,7 +60,10 @@
     private long runnerClockReadNanos;
     private long leaseEndNanos;
     private boolean lost;
+    private boolean replacedAtAddress;
+    private boolean restartPending;
     private long firstMissedPollNanos;
+    private final ProcessConfirmation process = new ProcessConfirmation();
     private final RunnerCordon cordon = new RunnerCordon();
     private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
 
@@ -109,6 +121,20 @@
         return leaseEndNanos;
     }
 
+    /** Returns why the runner counts as lost once its lease has expired. */
+    String lossReason() {
+        return replacedAtAddress
+                ? "another incarnation answers at its address"
+                : "it is silent and its lease has expired";
+    }
+
+    /** Allows starts once the store has confirmed the leader since it learned of the runner's process. */
+    void onLeadershipConfirmed() {
+        if (process.confirm(leader::confirmedSince)) {
+            context.fleet().setRunnerConfirmed(runner.id(), true);
+        }
+    }
+
     /** Returns whether the runner did not answer the last poll. */
     boolean silent() {
         return missedPolls > 0;
@@ -143,7 +169,7 @@
 
     /** Acknowledges ended runs to the runner, since they are stored, unless the runner has restarted since. */
     void onEndsStored(ProcessedEnds stored) {
-        if (stored.processStartEpochMs() != runner.processStartEpochMs()) {
+        if (!process.is(stored.processStartEpochMs())) {
             return;
         }
         acknowledgement.onEndsStored(stored.lastSequenceNumber());
@@ -185,7 +211,8 @@
         boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
-        boolean renew = runnerClockKnown && runner.busy() && missedPolls == 0 && !cordon.commandsBlocked();
+        boolean renew =
+                runnerClockKnown && runner.busy() && missedPolls == 0 && !restartPending && !cordon.commandsBlocked();
         long leaseUntilMs = renew ? extendLease() : 0;
         context.runnerCalls()
                 .poll(
@@ -206,39 +233,63 @@
         if (closed) {
             return;
         }
-        if (missedPolls == 0) {
-            firstMissedPollNanos = sentNanos;
-        }
         switch (response.outcome()) {
             case DONE -> onStatus(response, sentNanos, acknowledgedEnd);
             case FENCED -> leader.onFenced(runner.id());
             case RUNNER_REPLACED -> {
-                context.log().runnerLost(runner.id(), "another incarnation answers at its address");
-                context.fleet().runnerLost(runner.id());
-                markLost();
-                leaseEndNanos = context.loop().nowNanos();
-                missedPolls++;
-                leader.requestSchedulingRound();
+                onProcessEnded(sentNanos);
                 schedulePoll(FleetConstants.IDLE_POLL_INTERVAL);
             }
             default -> {
                 if (missedPolls == 0) {
                     context.log().runnerSilent(runner.id(), response.reason());
                 }
-                missedPolls++;
-                context.fleet().runnerSilent(runner.id());
+                onSilence(sentNanos);
                 schedulePoll(FleetConstants.POLL_RETRY_DELAY);
             }
         }
     }
 
+    /**
+     * Another runner answers at the address, so nothing runs on this one any more. Its runs may have ended as done, with
+     * ends that only a successor has read, so they are lost only once the store has confirmed the leader.
+     */
+    private void onProcessEnded(long sentNanos) {
+        onSilence(sentNanos);
+        if (!lost) {
+            replacedAtAddress = true;
+            leaseEndNanos = Math.min(leaseEndNanos, context.loop().nowNanos());
+            leader.requestConfirmation();
+        }
+    }
+
+    private void onSilence(long sentNanos) {
+        if (missedPolls == 0) {
+            firstMissedPollNanos = sentNanos;
+        }
+        missedPolls++;
+        context.fleet().runnerSilent(runner.id());
+    }
+
     private void onStatus(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         long nowNanos = context.loop().nowNanos();
-        if (missedPolls > 0 || lost) {
+        if (missedPolls > 0 || (lost && !restartPending)) {
             context.log().runnerBack(runner.id(), missedPolls);
         }
         missedPolls = 0;
+        learnProcess(response.status().processStartEpochMs());
+        boolean restarted = runner.processStartEpochMs() != 0
+                && runner.processStartEpochMs() != response.status().processStartEpochMs();
+        restartPending = restarted && !process.confirmed();
+        if (restartPending) {
+            // The runs of the earlier process may have ended as done, with ends that only a successor has read.
+            acknowledgement.onProcessChanged();
+            context.fleet().runnerSilent(runner.id());
+            schedulePoll(UNCONFIRMED_POLL_DELAY);
+            return;
+        }
         lost = false;
+        replacedAtAddress = false;
         if (response.status().processStartEpochMs() != runner.processStartEpochMs()) {
             acknowledgement.onProcessChanged();
             acknowledgement.onPollAnswered(sentNanos, 0);
@@ -260,6 +311,13 @@
         }
     }
 
+    private void learnProcess(long processStartEpochMs) {
+        if (process.learn(processStartEpochMs, context.loop().nowNanos())) {
+            context.fleet().setRunnerConfirmed(runner.id(), false);
+            leader.requestConfirmation();
+        }
+    }
+
     /** Polls the runner at once, so that the lease of a new run is renewed in time. */
     private void pollNow() {
         if (!pollInFlight) {
@@ -317,7 +375,7 @@
                 pollNow();
             }
             if (response.result() == StartResult.RUNNER_REPLACED) {
-                markLost();
+                onProcessEnded(sentNanos);
             }
             leader.requestSchedulingRound();
         });
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -57,6 +57,11 @@
         sessions.values().forEach(RunnerSession::close);
     }
 
+    /** The store has confirmed the leader. */
+    void onLeadershipConfirmed() {
+        sessions.values().forEach(RunnerSession::onLeadershipConfirmed);
+    }
+
     /** Shortens the lease waits of all sessions, since all earlier leaders have ended. */
     void onEarlierLeadersEnded() {
         sessions.values().forEach(session -> session.onEarlierLeadersEnded(earlierLeaders.endedNanos()));
@@ -141,7 +146,7 @@
                     && !session.lost()
                     && session.leaseExpired()
                     && leadershipConfirmedSinceLeaseEnd(session, leadershipLease, committer)) {
-                context.log().runnerLost(runner.id(), "it is silent and its lease has expired");
+                context.log().runnerLost(runner.id(), session.lossReason());
                 context.fleet().runnerLost(runner.id());
                 session.markLost();
             }
@@ -161,7 +166,7 @@
      */
     private static boolean leadershipConfirmedSinceLeaseEnd(
             RunnerSession session, LeadershipLease leadershipLease, Committer committer) {
-        boolean confirmed = leadershipLease.confirmedAfter(session.leaseEndNanos());
+        boolean confirmed = leadershipLease.confirmedSince(session.leaseEndNanos());
         if (!confirmed) {
             committer.requestConfirmation();
         }
--- a/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
@@ -24,12 +24,12 @@
         assertThat(simulation.allFinished()).isTrue();
     }
 
-    /** Guards against a second run of a completed task by a leader that does not know that it was replaced. */
+    /** Guards against another run of a task whose end a leader has acknowledged. */
     @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
     void replacedLeaderRepeatsNoTaskThatIsDone(@ForAll long seed) {
         FleetSimulation simulation = new FleetSimulation(seed, FleetSimulation.Defect.NONE);
         simulation.run(FAULTY_STEPS, FAULT_FREE_STEPS);
-        assertThat(simulation.repeatedStartsByReplacedLeaders()).isEmpty();
+        assertThat(simulation.repeatedStarts()).isEmpty();
     }
 
     /** Checks that the simulation detects a new leader that does not wait for silent runners. */
@@ -46,6 +46,30 @@
                 .isPositive();
     }
 
+    /** Checks that the simulation detects an acknowledgement that reaches another process of a runner. */
+    @Property(tries = 1)
+    void detectsAcknowledgementsToAnotherProcess() {
+        assertThat(repeatedStartsOf(FleetSimulation.Defect.ACKNOWLEDGES_ENDS_TO_ANOTHER_PROCESS))
+                .isPositive();
+    }
+
+    /** Checks that the simulation detects a replaced leader that gives up runs whose end its successor may know. */
+    @Property(tries = 1)
+    void detectsRunsLostWithoutConfirmation() {
+        assertThat(repeatedStartsOf(FleetSimulation.Defect.LOSES_RUNS_WITHOUT_CONFIRMATION))
+                .isPositive();
+    }
+
+    private static long repeatedStartsOf(FleetSimulation.Defect defect) {
+        long found = 0;
+        for (long seed = 0; seed < 300; seed++) {
+            FleetSimulation simulation = new FleetSimulation(seed, defect);
+            simulation.run(FAULTY_STEPS, 0);
+            found += simulation.repeatedStarts().size();
+        }
+        return found;
+    }
+
     private static long violationsOf(FleetSimulation.Defect defect) {
         long found = 0;
         for (long seed = 0; seed < 100; seed++) {
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Simulates leaders, runners and the store under random faults, and checks invariants after each step.
@@ -15,11 +13,11 @@
  * <p>Faults: responses are lost; commands take effect late; runners restart, fall silent or lose the connection to one
  * leader while they continue; the store is down or loses its responses; leaders are replaced by ones that know only the
  * stored state. A leader that does not know that it was replaced continues to send commands and to renew leases until
- * 8 s after the last confirmation by the store.
+ * 8 s after the last confirmation by the store, or until a runner answers that it has seen a higher epoch.
  *
- * <p>Invariants: no task has two runs at the same time, the current leader starts no task after the completion of the task
- * was stored, no task starts before its dependencies are done, and once the faults have ended, all long-running tasks
- * run again within {@link #RECOVERY_BOUND_MS}.
+ * <p>Invariants: no task has two runs at the same time, no task is started after a run of it ended as done (see {@link
+ * RepeatedStartCheck}), no task starts before its dependencies are done, and once the faults have ended, all long-running
+ * tasks run again within {@link #RECOVERY_BOUND_MS}.
  */
 final class FleetSimulation {
 
@@ -30,7 +28,11 @@
         /** A new leader does not wait for silent runners on which earlier leaders may have started tasks. */
         NO_WAIT_FOR_SILENT_RUNNERS,
         /** Long-running tasks are started before their placement is stored. */
-        STARTS_BEFORE_PLACEMENT_IS_STORED
+        STARTS_BEFORE_PLACEMENT_IS_STORED,
+        /** Stored ends of an earlier runner process are acknowledged to the new one. */
+        ACKNOWLEDGES_ENDS_TO_ANOTHER_PROCESS,
+        /** The runs of a runner process that has ended are lost before the store confirms the leader. */
+        LOSES_RUNS_WITHOUT_CONFIRMATION
     }
 
     private static final long STEP_MS = 50;
@@ -60,7 +62,7 @@
             List<Job> jobs,
             Map<String, JobProgress> progress,
             List<Run> pendingStarts,
-            Map<String, Long> lastProcessedEnds) {}
+            Map<String, ProcessedEnds> processedEnds) {}
 
     /** The state of a leader's connection to a runner. */
     private static final class Session {
@@ -75,6 +77,15 @@
         private long processStartEpochMs;
 
         private boolean runnerLost;
+        /** When another process answered at the runner's address, 0 if none has since the last response. */
+        private long processGoneMs;
+
+        private void followProcess(long currentStartEpochMs) {
+            if (currentStartEpochMs != processStartEpochMs) {
+                processStartEpochMs = currentStartEpochMs;
+                lastConfirmedEndNumber = 0;
+            }
+        }
     }
 
     /** A leader, which may have been replaced without knowing it. */
@@ -84,6 +95,8 @@
         private final Map<String, Session> sessions = new HashMap<>();
         private long confirmedMs;
         private Commit commit;
+        /** Whether a runner answered that it has seen a higher epoch; such a leader ends. */
+        private boolean fenced;
 
         private Leader(long epoch, long nowMs) {
             this.epoch = epoch;
@@ -93,6 +106,7 @@
     }
 
     private final Random random;
+    private final RepeatedStartCheck repeatedStarts = new RepeatedStartCheck();
     private final Map<String, SimulatedRunner> runners = new LinkedHashMap<>();
     private final Map<String, Long> silentUntilMs = new HashMap<>();
     private final List<DelayedCommand> delayedCommands = new ArrayList<>();
@@ -100,13 +114,10 @@
     private final Map<String, JobDefinition> longRunningJobs = new LinkedHashMap<>();
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
     private final Map<String, JobState> storedStates = new HashMap<>();
-    /** Tasks whose completion is stored. */
-    private final Set<TaskKey> storedDone = new HashSet<>();
     /** Tasks whose completion a leader has learned of, with the runner that reported it. */
     private final Map<TaskKey, String> reportedDone = new HashMap<>();
 
     private final List<String> violations = new ArrayList<>();
-    private final List<String> repeatedStartsByReplacedLeaders = new ArrayList<>();
     private final List<Leader> replacedLeaders = new ArrayList<>();
     private final Defect defect;
 
@@ -118,7 +129,7 @@
         this.random = new Random(seed);
         this.defect = defect;
         for (int i = 0; i < 3; i++) {
-            runners.put("r" + i, new SimulatedRunner("r" + i));
+            runners.put("r" + i, new SimulatedRunner("r" + i, repeatedStarts));
         }
         for (int i = 0; i < JOBS; i++) {
             String id = "job" + i;
@@ -135,9 +146,9 @@
         return violations;
     }
 
-    /** Returns the starts by replaced leaders of tasks whose completion was stored. */
-    List<String> repeatedStartsByReplacedLeaders() {
-        return repeatedStartsByReplacedLeaders;
+    /** Returns the starts of tasks that had ended as done, if that end was acknowledged. */
+    List<String> repeatedStarts() {
+        return repeatedStarts.violations();
     }
 
     boolean allFinished() {
@@ -198,13 +209,16 @@
     }
 
     private boolean hasLeadershipLease(Leader actingLeader) {
-        return nowMs - actingLeader.confirmedMs < LEADERSHIP_LEASE_MS;
+        return !actingLeader.fenced && nowMs - actingLeader.confirmedMs < LEADERSHIP_LEASE_MS;
     }
 
     private void runLeader(Leader actingLeader, boolean faulty) {
         for (SimulatedRunner runner : runners.values()) {
             poll(actingLeader, runner, faulty);
         }
+        if (actingLeader.fenced) {
+            return;
+        }
         for (RunnerCommand command : actingLeader.fleet.schedule(nowNanos(), nowMs, Integer.MAX_VALUE)) {
             execute(actingLeader, command, faulty);
         }
@@ -239,8 +253,8 @@
     }
 
     /**
-     * Replaces the leader, unless the store is down. Each at random: the old leader does not learn that it was replaced;
-     * the new one is disconnected from a runner.
+     * Replaces the leader, unless the store is down. Each at random: the old leader does not learn that it was replaced
+     * and is disconnected from some runners; the new one is disconnected from a runner.
      */
     private void replaceLeader(String runnerId) {
         if (nowMs < storeDownUntilMs) {
@@ -250,12 +264,22 @@
         leader = newLeader(replaced.epoch + 1);
         if (random.nextBoolean()) {
             replacedLeaders.add(replaced);
+            disconnectFromSomeRunners(replaced);
         }
         if (random.nextBoolean()) {
             leader.sessions.get(runnerId).disconnectedUntilMs = nowMs + random.nextInt(16_000);
         }
     }
 
+    /** Keeps a replaced leader from learning from most of its runners that they have seen a higher epoch. */
+    private void disconnectFromSomeRunners(Leader replaced) {
+        for (Session session : replaced.sessions.values()) {
+            if (random.nextInt(3) != 0) {
+                session.disconnectedUntilMs = nowMs + random.nextInt(16_000);
+            }
+        }
+    }
+
     private Leader newLeader(long epoch) {
         Leader next = new Leader(epoch, nowMs);
         for (SimulatedRunner runner : runners.values()) {
@@ -302,7 +326,7 @@
             return;
         }
         if (runner.processStartEpochMs() != session.processStartEpochMs) {
-            actingLeader.fleet.runnerLost(runner.id());
+            handleProcessGone(actingLeader, runner, session);
             return;
         }
         long leaseEndMs = nowMs + LEASE_MS;
@@ -316,17 +340,19 @@
             return;
         }
         RunnerStatus status = runner.poll(actingLeader.epoch, lastConfirmedEndNumber, leaseEndMs, nowMs);
-        if (responseLost || status == null) {
+        if (responseLost) {
+            return;
+        }
+        if (status == null) {
+            actingLeader.fenced = true;
             return;
         }
         // The response proves that no longer lease of an earlier leader is in effect.
         session.leaseEndMs = leaseEndMs;
         session.lastResponseMs = nowMs;
         session.runnerLost = false;
+        session.processGoneMs = 0;
         FleetRunner fleetRunner = fleetRunnerOf(actingLeader, runner);
-        if (fleetRunner.processStartEpochMs() != status.processStartEpochMs()) {
-            session.lastConfirmedEndNumber = 0;
-        }
         for (RunnerStatus.EndedRun end : status.endedRuns()) {
             if (end.reason() == EndReason.DONE) {
                 reportedDone.put(end.task(), runner.id());
@@ -336,6 +362,18 @@
         actingLeader.fleet.applyStatus(fleetRunner, status, nowNanos() - 1, nowNanos());
     }
 
+    /** The runs of the earlier process are lost once the store has confirmed the leader since. */
+    private void handleProcessGone(Leader actingLeader, SimulatedRunner runner, Session session) {
+        if (session.processGoneMs == 0) {
+            session.processGoneMs = nowMs;
+            actingLeader.fleet.runnerSilent(runner.id());
+        }
+        boolean confirmed = actingLeader.confirmedMs > session.processGoneMs;
+        if (confirmed || defect == Defect.LOSES_RUNS_WITHOUT_CONFIRMATION) {
+            actingLeader.fleet.runnerLost(runner.id());
+        }
+    }
+
     private void handleSilence(Leader actingLeader, SimulatedRunner runner, Session session) {
         if (nowMs - session.lastResponseMs > SILENCE_TIMEOUT_MS) {
             actingLeader.fleet.runnerSilent(runner.id());
@@ -369,8 +407,7 @@
                 Run run = start.run();
                 long leaseEndMs = nowMs + LEASE_MS;
                 session.leaseEndMs = Math.max(session.leaseEndMs, leaseEndMs);
-                boolean byCurrentLeader = actingLeader == leader;
-                Runnable effect = () -> startOn(runner, run, actingLeader.epoch, byCurrentLeader, leaseEndMs);
+                Runnable effect = () -> startOn(runner, run, actingLeader.epoch, leaseEndMs);
                 if (delayed) {
                     executeLate(runner, session.processStartEpochMs, effect);
                 } else if (!unreachable) {
@@ -399,26 +436,17 @@
         }
     }
 
-    private void startOn(SimulatedRunner runner, Run run, long epoch, boolean byCurrentLeader, long leaseEndMs) {
+    private void startOn(SimulatedRunner runner, Run run, long epoch, long leaseEndMs) {
         TaskKey task = run.task().key();
         boolean alreadyRunning = runner.runs(task, nowMs);
         long durationMs = run.task().step().longRunning() ? Integer.MAX_VALUE : 200 + random.nextInt(2_000);
         boolean accepted = runner.start(task, run.number(), epoch, leaseEndMs, nowMs, durationMs, EndReason.DONE);
         if (accepted && !alreadyRunning) {
-            checkStart(task, byCurrentLeader);
+            checkDependencies(task);
         }
     }
 
-    /**
-     * Checks a start. Repeated starts by a leader that does not know that it was replaced are collected separately.
-     *
-     * @param byCurrentLeader whether the leader that sent the start was the current one at that time
-     */
-    private void checkStart(TaskKey task, boolean byCurrentLeader) {
-        if (storedDone.contains(task)) {
-            List<String> found = byCurrentLeader ? violations : repeatedStartsByReplacedLeaders;
-            found.add(nowMs + ": " + task + " starts after its confirmed end");
-        }
+    private void checkDependencies(TaskKey task) {
         if (task.step() == 1 && !isFirstStepDone(task)) {
             violations.add(nowMs + ": " + task + " starts before its dependencies are done");
         }
@@ -437,15 +465,12 @@
         }
         leader.confirmedMs = nowMs;
         leader.sessions.forEach(
-                (id, session) -> session.processStartEpochMs = runners.get(id).processStartEpochMs());
+                (id, session) -> session.followProcess(runners.get(id).processStartEpochMs()));
         if (leader.commit != null) {
             return;
         }
-        Map<String, Long> lastProcessedEnds = new HashMap<>();
-        leader.fleet
-                .runners()
-                .forEach(runner -> lastProcessedEnds.put(
-                        runner.id(), runner.processedEnds().lastSequenceNumber()));
+        Map<String, ProcessedEnds> processedEnds = new HashMap<>();
+        leader.fleet.runners().forEach(runner -> processedEnds.put(runner.id(), runner.processedEnds()));
         List<Job> dirtyJobs = leader.fleet.jobs().takeDirtyJobs();
         Map<String, JobProgress> progress = new HashMap<>();
         List<Run> pendingStarts = new ArrayList<>();
@@ -456,7 +481,7 @@
         boolean responseArrives = !faulty || random.nextInt(20) != 0;
         long latencyMs = faulty ? random.nextInt(4) * STEP_MS : 0;
         leader.commit =
-                new Commit(nowMs + latencyMs, responseArrives, dirtyJobs, progress, pendingStarts, lastProcessedEnds);
+                new Commit(nowMs + latencyMs, responseArrives, dirtyJobs, progress, pendingStarts, processedEnds);
     }
 
     /** Completes the transaction that is due; one whose response is lost may have had no effect. */
@@ -476,17 +501,20 @@
         }
         leader.fleet.pendingStarts().markStored(commit.pendingStarts());
         commit.jobs().forEach(leader.fleet.jobs()::markStored);
-        commit.lastProcessedEnds().forEach((id, number) -> leader.sessions.get(id).lastConfirmedEndNumber = number);
+        commit.processedEnds().forEach(this::onEndsStored);
+    }
+
+    private void onEndsStored(String runner, ProcessedEnds stored) {
+        Session session = leader.sessions.get(runner);
+        boolean sameProcess = stored.processStartEpochMs() == session.processStartEpochMs;
+        if (sameProcess || defect == Defect.ACKNOWLEDGES_ENDS_TO_ANOTHER_PROCESS) {
+            session.lastConfirmedEndNumber = Math.max(session.lastConfirmedEndNumber, stored.lastSequenceNumber());
+        }
     }
 
     private void apply(Commit commit) {
         for (Job job : commit.jobs()) {
-            JobProgress progress = commit.progress().get(job.id());
-            storedProgress.put(job.id(), progress);
-            progress.tasks().stream()
-                    .filter(JobProgress.TaskProgress::done)
-                    .forEach(task ->
-                            storedDone.add(new TaskKey(job.id(), task.occurrence(), task.step(), task.index())));
+            storedProgress.put(job.id(), commit.progress().get(job.id()));
             if (job.terminalState() != null) {
                 storedStates.put(job.id(), job.terminalState());
             }
--- a/src/test/java/org/tamarackline/core/fleet/SimulatedRunner.java
+++ b/src/test/java/org/tamarackline/core/fleet/SimulatedRunner.java
@@ -11,16 +11,21 @@
     private record SimulatedRun(TaskKey task, long runNumber, long endsAtMs, EndReason outcome) {}
 
     private final String id;
+    private final RepeatedStartCheck repeatedStarts;
     private final Map<TaskKey, SimulatedRun> activeRuns = new HashMap<>();
     private final Map<TaskKey, Long> highestRunNumbers = new HashMap<>();
     private final List<RunnerStatus.EndedRun> endedRuns = new ArrayList<>();
+    /** Times of the ends since which the lease has not expired, by sequence number. */
+    private final Map<Long, Long> endTimesMs = new HashMap<>();
+
     private long fence;
     private long lastSequenceNumber;
     private long processStartEpochMs = 1;
     private long leaseEndMs;
 
-    SimulatedRunner(String id) {
+    SimulatedRunner(String id, RepeatedStartCheck repeatedStarts) {
         this.id = id;
+        this.repeatedStarts = repeatedStarts;
     }
 
     String id() {
@@ -36,6 +41,7 @@
         activeRuns.clear();
         highestRunNumbers.clear();
         endedRuns.clear();
+        endTimesMs.clear();
         fence = 0;
         lastSequenceNumber = 0;
         processStartEpochMs++;
@@ -61,6 +67,7 @@
         }
         highestRunNumbers.put(task, runNumber);
         activeRuns.put(task, new SimulatedRun(task, runNumber, nowMs + durationMs, outcome));
+        repeatedStarts.started(task, runNumber, epoch, id, nowMs);
         return true;
     }
 
@@ -73,7 +80,7 @@
         highestRunNumbers.merge(task, runNumber, Math::max);
         SimulatedRun running = activeRuns.get(task);
         if (running != null && running.runNumber() == runNumber) {
-            end(running, EndReason.STOPPED);
+            end(running, EndReason.STOPPED, nowMs);
         }
         return true;
     }
@@ -86,7 +93,7 @@
         }
         fence = epoch;
         leaseEndMs = Math.max(leaseEndMs, newLeaseEndMs);
-        endedRuns.removeIf(end -> end.sequenceNumber() <= lastConfirmedEnd);
+        discardEnds(lastConfirmedEnd);
         List<RunnerStatus.ActiveRun> reported = new ArrayList<>();
         for (SimulatedRun run : activeRuns.values()) {
             reported.add(new RunnerStatus.ActiveRun(run.task(), run.runNumber(), "", nowMs % 100, -1));
@@ -94,6 +101,19 @@
         return new RunnerStatus(processStartEpochMs, nowMs, reported, List.copyOf(endedRuns));
     }
 
+    private void discardEnds(long lastConfirmedEnd) {
+        for (RunnerStatus.EndedRun end : List.copyOf(endedRuns)) {
+            if (end.sequenceNumber() > lastConfirmedEnd) {
+                continue;
+            }
+            endedRuns.remove(end);
+            Long endedAtMs = endTimesMs.remove(end.sequenceNumber());
+            if (endedAtMs != null && end.reason() == EndReason.DONE) {
+                repeatedStarts.acknowledged(end.task(), end.runNumber(), id, endedAtMs);
+            }
+        }
+    }
+
     boolean runs(TaskKey task, long nowMs) {
         advance(nowMs);
         return activeRuns.containsKey(task);
@@ -102,15 +122,19 @@
     private void advance(long nowMs) {
         for (SimulatedRun run : List.copyOf(activeRuns.values())) {
             if (run.endsAtMs() <= Math.min(nowMs, leaseEndMs)) {
-                end(run, run.outcome());
+                end(run, run.outcome(), run.endsAtMs());
             } else if (leaseEndMs <= nowMs) {
-                end(run, EndReason.LEASE_EXPIRED);
+                end(run, EndReason.LEASE_EXPIRED, leaseEndMs);
             }
         }
+        if (leaseEndMs <= nowMs) {
+            endTimesMs.clear();
+        }
     }
 
-    private void end(SimulatedRun run, EndReason reason) {
+    private void end(SimulatedRun run, EndReason reason, long atMs) {
         activeRuns.remove(run.task());
         endedRuns.add(new RunnerStatus.EndedRun(++lastSequenceNumber, run.task(), run.runNumber(), reason, ""));
+        endTimesMs.put(lastSequenceNumber, atMs);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -41,6 +41,8 @@
     private final ManualLoop loop;
     private final Map<String, List<RunnerStatus.ActiveRun>> activeRuns = new HashMap<>();
     private final Set<String> silentRunners = new HashSet<>();
+    private final Set<String> replacedRunners = new HashSet<>();
+    private final Map<String, Long> processStartsMs = new HashMap<>();
     private final List<SentStart> starts = new ArrayList<>();
     private final List<SentRenewal> renewals = new ArrayList<>();
     private boolean allSilent;
@@ -64,6 +66,18 @@
         silentRunners.remove(runner);
     }
 
+    /** Ends the process of a runner; from now on another runner answers at its address. */
+    void replace(String runner) {
+        activeRuns.remove(runner);
+        replacedRunners.add(runner);
+    }
+
+    /** Restarts the process of a runner under its identifier. */
+    void restart(String runner) {
+        activeRuns.remove(runner);
+        processStartsMs.merge(runner, 2L, (current, first) -> current + 1);
+    }
+
     /** Removes all runs of a runner without reporting that they ended. */
     void removeRuns(String runner) {
         activeRuns.remove(runner);
@@ -91,6 +105,11 @@
     public void start(
             RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
         starts.add(new SentStart(runner.id(), command.task(), command.epoch(), loop.nowNanos()));
+        if (replacedRunners.contains(runner.id())) {
+            loop.execute(() -> callback.accept(
+                    new StartResponse(StartResult.RUNNER_REPLACED, RunnerCommandOutcome.RUNNER_REPLACED, "replaced")));
+            return;
+        }
         if (silent(runner)) {
             loop.schedule(
                     TIMEOUT,
@@ -142,10 +161,16 @@
             return;
         }
         loop.schedule(Duration.ofMillis(waitMs), () -> {
+            if (replacedRunners.contains(runner.id())) {
+                callback.accept(new PollResponse(RunnerCommandOutcome.RUNNER_REPLACED, null, "replaced"));
+                return;
+            }
             long clockMs = loop.nowNanos() / 1_000_000;
             List<RunnerStatus.ActiveRun> runs = List.copyOf(activeRuns(runner));
-            callback.accept(
-                    new PollResponse(RunnerCommandOutcome.DONE, new RunnerStatus(1, clockMs, runs, List.of()), ""));
+            callback.accept(new PollResponse(
+                    RunnerCommandOutcome.DONE,
+                    new RunnerStatus(processStartsMs.getOrDefault(runner.id(), 1L), clockMs, runs, List.of()),
+                    ""));
         });
     }
 }
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -59,6 +59,46 @@
         assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a", "b");
     }
 
+    /**
+     * Guards against another run of a completed task: a leader that has not noticed that it was replaced gives up the runs
+     * of a process that has ended, although the new leader may have read that they are done.
+     */
+    @Test
+    void taskOfAnEndedProcessWaitsUntilTheStoreConfirmsTheLeader() {
+        startLeaderWithTaskOnFirstOfTwoRunners();
+        store.setRejecting(true);
+        calls.replace("a");
+        assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
+    }
+
+    /** As for an ended process, if a process with the same identifier has taken its place. */
+    @Test
+    void taskOfARestartedRunnerWaitsUntilTheStoreConfirmsTheLeader() {
+        startLeaderWithTaskOnFirstOfTwoRunners();
+        store.setRejecting(true);
+        calls.restart("a");
+        assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
+    }
+
+    private void startLeaderWithTaskOnFirstOfTwoRunners() {
+        registered.add(descriptor("a"));
+        submit("j", false);
+        startLeader(1);
+        loop.advance(Duration.ofSeconds(2));
+        registered.add(descriptor("b"));
+        loop.advance(Duration.ofSeconds(2));
+    }
+
+    private void assertTaskStartsOnSecondRunnerOnceTheStoreIsBack() {
+        loop.advance(Duration.ofSeconds(4));
+        assertThat(startsOf("j"))
+                .as("before the store has confirmed the leader")
+                .hasSize(1);
+        store.setRejecting(false);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).hasSize(2);
+    }
+
     /**
      * Guards against a takeover after which one silent runner keeps the long-running tasks that ran on other runners from
      * starting again.
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -43,6 +43,16 @@
             throw new AssertionError("no runner fences commands in this test");
         }
 
+        @Override
+        public boolean confirmedSince(long nanos) {
+            return true;
+        }
+
+        @Override
+        public void requestConfirmation() {
+            session.onLeadershipConfirmed();
+        }
+
         @Override
         public void requestSchedulingRound() {}
 
