--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -0,0 +1,297 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** Injects random faults into a {@link ClusterSimulation}; each seed uses a random part of the kinds of faults. */
+final class ClusterFaults {
+
+    /** Kind of fault. */
+    private enum Kind {
+        RUNNER_RESTARTS,
+        RUNNER_REPLACED,
+        RUNNER_ADDED,
+        RUNNER_DRAINS,
+        RUNNER_CRASHES,
+        RUNNER_ISOLATED,
+        RUNNER_CUT_FROM_NODE,
+        NODE_CUT_FROM_STORE,
+        NODE_CUT_FROM_PEERS,
+        NODE_CUT_FROM_STORE_AND_PEERS,
+        NODE_CUT_FROM_ALL_RUNNERS,
+        STORE_REJECTS,
+        STORE_SILENT,
+        STORE_SLOW,
+        STORE_LOSES_RESPONSES,
+        STORE_LOSES_HISTORY,
+        NODE_KILLED,
+        NODE_SUSPENDED,
+        NODE_STOPPED,
+        RUNNER_CALLS_DISTURBED
+    }
+
+    private static final int MIN_RUNNERS = 5;
+    private static final int MAX_RUNNERS = 9;
+
+    private final ClusterSimulation cluster;
+    private final Random random;
+    private final List<Kind> kinds = new ArrayList<>();
+    private final int meanIntervalMs;
+    private final double lostResponses;
+    private final double delayedCalls;
+    private boolean active;
+    private boolean disturbed;
+
+    ClusterFaults(ClusterSimulation cluster, Random random) {
+        this.cluster = cluster;
+        this.random = random;
+        for (Kind kind : Kind.values()) {
+            if (random.nextBoolean()) {
+                kinds.add(kind);
+            }
+        }
+        this.meanIntervalMs = 200 + random.nextInt(1_800);
+        this.lostResponses = random.nextInt(3) * 0.04;
+        this.delayedCalls = random.nextInt(3) * 0.02;
+    }
+
+    /** Starts to inject faults. */
+    void start() {
+        active = true;
+        disturbed = true;
+        double rate = random.nextInt(3) * 0.02;
+        cluster.nodes().forEach(node -> node.storeLink().setFaultRates(rate, rate, rate));
+        if (!kinds.isEmpty()) {
+            scheduleNext();
+        }
+    }
+
+    private void scheduleNext() {
+        long delayMs = (long) (-Math.log(1 - random.nextDouble()) * meanIntervalMs);
+        cluster.loop().schedule(Duration.ofMillis(delayMs), () -> {
+            if (active) {
+                inject(kinds.get(random.nextInt(kinds.size())));
+                scheduleNext();
+            }
+        });
+    }
+
+    /** Ends all faults; calls that are already delayed still arrive late. */
+    void end() {
+        active = false;
+        disturbed = false;
+        cluster.history().event("the faults end");
+        cluster.restoreAllConnections();
+        cluster.store().setAvailability(SimulatedStore.Availability.AVAILABLE);
+        cluster.store().setAdditionalLatency(Duration.ZERO);
+        for (SimulatedNode node : cluster.nodes()) {
+            node.storeLink().setCut(false);
+            node.storeLink().setFaultRates(0, 0, 0);
+            if (node.process() != null) {
+                node.process().loop().resume(true);
+            }
+            node.start();
+        }
+        while (runnersUp() < MIN_RUNNERS + 1) {
+            add();
+        }
+    }
+
+    /** Returns how a call to a runner is delivered. */
+    ProtocolRunnerCalls.Delivery delivery(Random own, boolean cut) {
+        Duration request = Duration.ofNanos(1_000_000 + own.nextInt(4_000_000));
+        Duration response = Duration.ofNanos(1_000_000 + own.nextInt(4_000_000));
+        double draw = own.nextDouble();
+        Duration delay = Duration.ofNanos(2_000_000_000L + (long) (own.nextDouble() * 1e10));
+        if (cut) {
+            return delivery(ProtocolRunnerCalls.Fate.CALL_LOST, request, response);
+        }
+        if (!active || !disturbed) {
+            return delivery(ProtocolRunnerCalls.Fate.ANSWERED, request, response);
+        }
+        if (draw < lostResponses) {
+            return delivery(ProtocolRunnerCalls.Fate.RESPONSE_LOST, request, response);
+        }
+        if (draw < lostResponses + delayedCalls) {
+            return delivery(ProtocolRunnerCalls.Fate.RESPONSE_LOST, delay, response);
+        }
+        if (draw > 0.99) {
+            return delivery(
+                    draw > 0.995
+                            ? ProtocolRunnerCalls.Fate.UNAVAILABLE
+                            : ProtocolRunnerCalls.Fate.CONNECTION_REFUSED,
+                    request,
+                    response);
+        }
+        return delivery(ProtocolRunnerCalls.Fate.ANSWERED, request, response);
+    }
+
+    private static ProtocolRunnerCalls.Delivery delivery(
+            ProtocolRunnerCalls.Fate fate, Duration request, Duration response) {
+        return new ProtocolRunnerCalls.Delivery(fate, request, response);
+    }
+
+    private Duration between(int minMs, int maxMs) {
+        return Duration.ofMillis(minMs + random.nextInt(maxMs - minMs));
+    }
+
+    private void later(Duration delay, Runnable action) {
+        cluster.loop().schedule(delay, action);
+    }
+
+    private SimulatedNode anyNode() {
+        return cluster.nodes().get(random.nextInt(cluster.nodes().size()));
+    }
+
+    /** Returns the leading node, or any node if there is none, or sometimes any other. */
+    private SimulatedNode likelyLeader() {
+        List<SimulatedNode> leading = cluster.nodes().stream()
+                .filter(node -> node.leader().isPresent())
+                .toList();
+        return leading.isEmpty() || random.nextInt(4) == 0
+                ? anyNode()
+                : leading.get(random.nextInt(leading.size()));
+    }
+
+    private ProtocolRunner anyRunner() {
+        List<ProtocolRunner> runners = cluster.runners();
+        return runners.get(random.nextInt(runners.size()));
+    }
+
+    private long runnersUp() {
+        return cluster.runners().stream()
+                .filter(runner -> runner.up() && !runner.descriptor().draining())
+                .count();
+    }
+
+    private void inject(Kind kind) {
+        ProtocolRunner runner = anyRunner();
+        SimulatedNode node = likelyLeader();
+        cluster.history().event("FAULT %s (%s, %s)", kind, runner.id(), node.name());
+        switch (kind) {
+            case RUNNER_RESTARTS -> cluster.restartRunner(runner, between(500, 3_000));
+            case RUNNER_REPLACED -> replace(runner);
+            case RUNNER_ADDED -> add();
+            case RUNNER_DRAINS -> drain(runner);
+            case RUNNER_CRASHES -> crash(runner);
+            case RUNNER_ISOLATED -> isolate(runner, between(500, 10_000));
+            case RUNNER_CUT_FROM_NODE -> cutRunner(node, runner.address(), between(500, 16_000));
+            case NODE_CUT_FROM_ALL_RUNNERS -> cutAllRunners(node, between(500, 6_000));
+            case NODE_CUT_FROM_STORE -> cutStore(node, between(1_000, 15_000));
+            case NODE_CUT_FROM_PEERS -> cutPeers(node, between(1_000, 15_000));
+            case NODE_CUT_FROM_STORE_AND_PEERS -> {
+                Duration time = between(1_000, 15_000);
+                cutStore(node, time);
+                cutPeers(node, time);
+            }
+            case STORE_REJECTS -> failStore(SimulatedStore.Availability.REJECTING, between(500, 8_000));
+            case STORE_SILENT -> failStore(SimulatedStore.Availability.SILENT, between(500, 8_000));
+            case STORE_SLOW -> slowStore(between(500, 5_000));
+            case STORE_LOSES_RESPONSES -> loseStoreResponses(node, between(500, 4_000));
+            case STORE_LOSES_HISTORY -> node.storeLink().loseHistory();
+            case NODE_KILLED -> {
+                node.kill();
+                later(between(300, 5_000), node::start);
+            }
+            case NODE_SUSPENDED -> suspend(node, between(500, 10_000));
+            case NODE_STOPPED -> stop(node);
+            case RUNNER_CALLS_DISTURBED -> {
+                disturbed = !disturbed;
+                later(between(500, 5_000), () -> disturbed = active);
+            }
+        }
+    }
+
+    private void replace(ProtocolRunner runner) {
+        if (runnersUp() <= MIN_RUNNERS && runner.up()) {
+            return;
+        }
+        cluster.removeRunner(runner);
+        String address = runner.address();
+        later(between(100, 2_000), () -> cluster.addRunner(address));
+    }
+
+    private void add() {
+        if (runnersUp() < MAX_RUNNERS) {
+            cluster.addRunner("10.0.1." + cluster.runners().size() + ":80");
+        }
+    }
+
+    private void drain(ProtocolRunner runner) {
+        if (runnersUp() > MIN_RUNNERS && runner.up()) {
+            cluster.drainRunner(runner, between(500, 6_000));
+        }
+    }
+
+    private void crash(ProtocolRunner runner) {
+        if (runnersUp() > MIN_RUNNERS && runner.up()) {
+            cluster.removeRunner(runner);
+        }
+    }
+
+    private void isolate(ProtocolRunner runner, Duration time) {
+        cluster.nodes().forEach(node -> cutRunner(node, runner.address(), time));
+    }
+
+    private void cutAllRunners(SimulatedNode node, Duration time) {
+        cluster.runners().forEach(runner -> cutRunner(node, runner.address(), time));
+    }
+
+    private void cutRunner(SimulatedNode node, String address, Duration time) {
+        cluster.setRunnerCut(node, address, true);
+        later(time, () -> cluster.setRunnerCut(node, address, false));
+    }
+
+    private void cutStore(SimulatedNode node, Duration time) {
+        node.storeLink().setCut(true);
+        later(time, () -> node.storeLink().setCut(false));
+    }
+
+    private void cutPeers(SimulatedNode node, Duration time) {
+        boolean onlyIncoming = random.nextInt(4) == 0;
+        for (SimulatedNode other : cluster.nodes()) {
+            if (other != node) {
+                cluster.setPeerCut(other, node, true);
+                cluster.setPeerCut(node, other, !onlyIncoming);
+            }
+        }
+        later(time, () -> {
+            for (SimulatedNode other : cluster.nodes()) {
+                cluster.setPeerCut(other, node, false);
+                cluster.setPeerCut(node, other, false);
+            }
+        });
+    }
+
+    private void failStore(SimulatedStore.Availability availability, Duration time) {
+        cluster.store().setAvailability(availability);
+        later(time, () -> cluster.store().setAvailability(SimulatedStore.Availability.AVAILABLE));
+    }
+
+    private void slowStore(Duration time) {
+        cluster.store().setAdditionalLatency(between(100, 700));
+        later(time, () -> cluster.store().setAdditionalLatency(Duration.ZERO));
+    }
+
+    private void loseStoreResponses(SimulatedNode node, Duration time) {
+        node.storeLink().setFaultRates(0.5, 0.2, 0);
+        later(time, () -> node.storeLink().setFaultRates(0, 0, 0));
+    }
+
+    private void suspend(SimulatedNode node, Duration time) {
+        SimulatedNode.Process process = node.process();
+        if (process == null || process.loop().suspended()) {
+            return;
+        }
+        boolean clockCounts = random.nextBoolean();
+        process.loop().suspend();
+        later(time, () -> process.loop().resume(clockCounts));
+    }
+
+    private void stop(SimulatedNode node) {
+        node.stop();
+        later(between(4_200, 8_000), node::start);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -0,0 +1,564 @@
+package org.tamarackline.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.tamarackline.core.fleet.EndReason;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.RunnerStatus;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.core.model.Resources;
+import org.tamarackline.logging.LineSink;
+
+/**
+ * Simulates several nodes with their real classes, the store and runners under random faults ({@link ClusterFaults}).
+ *
+ * <p>Jobs are submitted and cancelled through the nodes. {@link RunHistory} checks what the runners see. Once the faults
+ * have ended, all jobs must end and all long-running tasks must run. The same seed gives the same sequence of events:
+ * each connection draws from its own random numbers, so that the order of independent calls does not matter.
+ */
+final class ClusterSimulation {
+
+    /** Defect of the simulated environment, which breaks a mechanism that the nodes depend on. */
+    enum Defect {
+        /** No defect. */
+        NONE,
+        /** Runners accept commands of lower epochs. */
+        RUNNERS_IGNORE_EPOCHS,
+        /** Runs continue after the lease has expired. */
+        LEASES_DO_NOT_EXPIRE,
+        /** The store applies transactions whose conditions do not hold. */
+        STORE_IGNORES_CONDITIONS,
+        /** Nodes confirm that they stepped down, but continue to lead. */
+        STEP_DOWN_HAS_NO_EFFECT,
+        /** Ended runs are acknowledged before they are stored. */
+        ENDS_ACKNOWLEDGED_BEFORE_STORED
+    }
+
+    private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
+
+    /** Leadership lease and runner lease of the documentation, a takeover, and commands that are still delayed. */
+    private static final Duration LONG_RUNNING_TASKS_BOUND = Duration.ofSeconds(30);
+
+    private static final Duration JOBS_BOUND = Duration.ofSeconds(60);
+    private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(50);
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(700);
+    private static final int NODES = 3;
+    private static final int INITIAL_RUNNERS = 6;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long EPOCH_MS = 1_700_000_000_000L;
+
+    private static final QueueDefinition QUEUE =
+            new QueueDefinition("queue", "host", "/q/", "dispatch", 0, MAX_ATTEMPTS, 2, 1_000, false);
+
+    private static final LineSink NO_LOG = new LineSink(OutputStream.nullOutputStream());
+
+    private final long seed;
+    private final Defect defect;
+    private final Random random;
+    private final ManualLoop loop = new ManualLoop();
+    private final RunHistory history;
+    private final SimulatedStore store;
+    private final List<SimulatedNode> nodes = new ArrayList<>();
+    private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
+    private final Set<String> cutNodePairs = new TreeSet<>();
+    private final Set<String> cutRunnerLinks = new TreeSet<>();
+    private final ClusterFaults faults;
+    private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+    private final LineSink log;
+    private final boolean tracing;
+
+    private final Map<String, JobDefinition> submitted = new TreeMap<>();
+    private final Set<String> accepted = new TreeSet<>();
+    private final Set<String> cancelRequested = new TreeSet<>();
+    private final Set<String> cancelled = new TreeSet<>();
+    private final Map<String, Long> directorySequences = new TreeMap<>();
+    private long faultsEndNanos = Long.MAX_VALUE;
+    private long lastStandstillNanos;
+    private int runnerCount;
+
+    /**
+     * Creates a simulation.
+     *
+     * @param tracing whether the events and the decision logs of the nodes are kept
+     */
+    ClusterSimulation(long seed, Defect defect, boolean tracing) {
+        this.seed = seed;
+        this.defect = defect;
+        this.tracing = tracing;
+        this.random = new Random(seed);
+        this.history = new RunHistory(loop, tracing);
+        this.log = tracing ? new LineSink(logBytes) : NO_LOG;
+        this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
+        this.faults = new ClusterFaults(this, new Random(random.nextLong()));
+        int pageRows = random.nextBoolean() ? 500 : 10;
+        for (int i = 0; i < NODES; i++) {
+            SimulatedStoreClient.Link link = new SimulatedStoreClient.Link(new Random(random.nextLong()), pageRows);
+            nodes.add(new SimulatedNode(
+                    "node-" + i, loop, store, link, new NodeClients(), log, new Random(random.nextLong())));
+        }
+        for (int i = 0; i < INITIAL_RUNNERS; i++) {
+            addRunner("10.0.0." + i + ":80");
+        }
+    }
+
+    ManualLoop loop() {
+        return loop;
+    }
+
+    SimulatedStore store() {
+        return store;
+    }
+
+    List<SimulatedNode> nodes() {
+        return nodes;
+    }
+
+    RunHistory history() {
+        return history;
+    }
+
+    /** Returns the runner that has each address, whether or not it is up. */
+    List<ProtocolRunner> runners() {
+        return List.copyOf(runnersByAddress.values());
+    }
+
+    /** Returns the decision logs of the nodes; empty without tracing. */
+    String decisionLogs() {
+        log.flush();
+        return logBytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the time from the end of the faults until all long-running tasks ran, in milliseconds. */
+    long recoveryMs() {
+        return Math.max(0, lastStandstillNanos - faultsEndNanos) / NANOS_PER_MS;
+    }
+
+    /** Runs the phase with faults and the phase without. */
+    void run() {
+        nodes.forEach(SimulatedNode::start);
+        for (int i = 0; i < 3; i++) {
+            submit(longRunningJob());
+        }
+        faults.start();
+        scheduleNextJob();
+        sample();
+        loop.advance(FAULTY_TIME);
+        faults.end();
+        faultsEndNanos = loop.nowNanos();
+        loop.advance(JOBS_BOUND);
+        checkEndState();
+    }
+
+    private static Duration millis(long millis) {
+        return Duration.ofMillis(millis);
+    }
+
+    // ---- Jobs
+
+    private void scheduleNextJob() {
+        loop.schedule(millis(100 + random.nextInt(900)), () -> {
+            if (faultsEnded()) {
+                return;
+            }
+            JobDefinition job = random.nextInt(15) == 0 && longRunningJobs() < 5 ? longRunningJob() : twoStepJob();
+            submit(job);
+            if (random.nextInt(8) == 0) {
+                loop.schedule(millis(200 + random.nextInt(6_000)), () -> cancel(job.id()));
+            }
+            scheduleNextJob();
+        });
+    }
+
+    private boolean faultsEnded() {
+        return loop.nowNanos() >= faultsEndNanos;
+    }
+
+    private int longRunningJobs() {
+        return (int) submitted.values().stream()
+                .filter(ClusterSimulation::isLongRunning)
+                .count();
+    }
+
+    private static boolean isLongRunning(JobDefinition job) {
+        return job.steps().getFirst().longRunning();
+    }
+
+    private JobDefinition longRunningJob() {
+        return job(List.of(step(2, 0, List.of(), true)));
+    }
+
+    private JobDefinition twoStepJob() {
+        return job(List.of(
+                step(1 + random.nextInt(3), 1_000, List.of(), false),
+                step(1 + random.nextInt(2), 1_000, List.of(0), false)));
+    }
+
+    private JobDefinition job(List<StepDefinition> steps) {
+        String id = "job%03d".formatted(submitted.size());
+        return new JobDefinition(id, QUEUE, "", steps, 0, 0, 0, EPOCH_MS + loop.nowNanos() / NANOS_PER_MS);
+    }
+
+    private static StepDefinition step(int count, long estimateMs, List<Integer> dependencies, boolean longRunning) {
+        Resources demand = new Resources(1_000, 100, 0);
+        return new StepDefinition(
+                count,
+                demand,
+                estimateMs,
+                dependencies,
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                longRunning,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    private void submit(JobDefinition job) {
+        submitted.put(job.id(), job);
+        history.submitted(job);
+        trySubmit(job);
+    }
+
+    private void trySubmit(JobDefinition job) {
+        if (accepted.contains(job.id())) {
+            return;
+        }
+        runningNode().ifPresent(node -> node.process().requests().submit(job, outcome -> {
+            if (outcome instanceof JobRequestHandler.Outcome.Accepted && accepted.add(job.id())) {
+                history.event("%s accepts %s", node.name(), job.id());
+            }
+        }));
+        loop.schedule(RETRY_INTERVAL, () -> trySubmit(job));
+    }
+
+    private void cancel(String job) {
+        cancelRequested.add(job);
+        if (cancelled.contains(job)) {
+            return;
+        }
+        runningNode().ifPresent(node -> node.process().requests().cancel(job, outcome -> {
+            if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
+                history.event("%s accepts the cancellation of %s", node.name(), job);
+            }
+        }));
+        loop.schedule(RETRY_INTERVAL, () -> cancel(job));
+    }
+
+    private Optional<SimulatedNode> runningNode() {
+        List<SimulatedNode> running =
+                nodes.stream().filter(node -> node.process() != null).toList();
+        return running.isEmpty() ? Optional.empty() : Optional.of(running.get(random.nextInt(running.size())));
+    }
+
+    // ---- Runners
+
+    /** Starts a runner with a new identifier at an address. */
+    void addRunner(String address) {
+        String id = "r%02d".formatted(runnerCount++);
+        Random properties = new Random(random.nextLong());
+        int maxReportedEnds = properties.nextInt(4) == 0 ? 5 : 500;
+        ProtocolRunner runner = new ProtocolRunner(
+                id,
+                address,
+                loop,
+                history,
+                new ProtocolRunner.Properties(
+                        1 - 0.02 * properties.nextDouble(),
+                        ProtocolRunner.Properties.DEFAULT.maxReportedEnds(),
+                        millis(properties.nextInt(300)),
+                        defect != Defect.RUNNERS_IGNORE_EPOCHS,
+                        defect != Defect.LEASES_DO_NOT_EXPIRE));
+        runnersByAddress.put(address, runner);
+        history.processStarted(runner);
+        register(runner, Duration.ZERO, millis(1_500));
+    }
+
+    /** Ends a runner's process and starts another one under its identifier after a downtime. */
+    void restartRunner(ProtocolRunner runner, Duration downtime) {
+        runner.crash();
+        loop.schedule(downtime, () -> {
+            if (!runner.up() && runnersByAddress.get(runner.address()) == runner) {
+                runner.boot();
+                history.processStarted(runner);
+                register(runner, Duration.ZERO, millis(1_500));
+            }
+        });
+    }
+
+    /** Ends a runner's process for good; its directory entry is removed after a delay. */
+    void removeRunner(ProtocolRunner runner) {
+        runner.crash();
+        updateDirectory(runner.id(), Optional.empty(), millis(500), millis(5_000));
+    }
+
+    /** Marks a runner as draining and removes it after a delay. */
+    void drainRunner(ProtocolRunner runner, Duration delay) {
+        runner.drain();
+        history.event("%s drains", runner.id());
+        register(runner, Duration.ZERO, millis(800));
+        int process = runner.process();
+        loop.schedule(delay, () -> {
+            if (runner.process() == process && runner.up()) {
+                removeRunner(runner);
+            }
+        });
+    }
+
+    private void register(ProtocolRunner runner, Duration minDelay, Duration maxDelay) {
+        updateDirectory(runner.id(), Optional.of(runner.descriptor()), minDelay, maxDelay);
+    }
+
+    /** Updates the directory as each node sees it, after a delay of its own. */
+    private void updateDirectory(
+            String id, Optional<RunnerDescriptor> entry, Duration minDelay, Duration maxDelay) {
+        long sequence = directorySequences.merge(id, 1L, Long::sum);
+        for (SimulatedNode node : nodes) {
+            long delayMs = minDelay.toMillis() + random.nextInt((int) maxDelay.minus(minDelay).toMillis());
+            loop.schedule(millis(delayMs), () -> {
+                if (directorySequences.get(id) == sequence) {
+                    applyToDirectory(node.storeLink().directory(), id, entry);
+                }
+            });
+        }
+    }
+
+    private static void applyToDirectory(
+            Map<String, RunnerDescriptor> directory, String id, Optional<RunnerDescriptor> entry) {
+        entry.ifPresentOrElse(descriptor -> directory.put(id, descriptor), () -> directory.remove(id));
+    }
+
+    private ProtocolRunner.RunPlan planOf(ProtocolRunner runner, TaskKey task, long runNumber) {
+        long hash = seed;
+        hash = hash * 1_000_003 + task.job().hashCode();
+        hash = hash * 1_000_003 + task.step() * 31L + task.index();
+        hash = hash * 1_000_003 + runner.id().hashCode() + runner.process();
+        Random plan = new Random(hash * 1_000_003 + runNumber);
+        boolean fails = !faultsEnded() && plan.nextInt(20) == 0;
+        if (isLongRunning(submitted.get(task.job()))) {
+            return fails
+                    ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
+                    : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
+        }
+        return new ProtocolRunner.RunPlan(
+                millis(100 + plan.nextInt(2_400)), fails ? EndReason.FAILED : EndReason.DONE);
+    }
+
+    // ---- Connections
+
+    /** Cuts or restores the connection between two nodes in one direction. */
+    void setPeerCut(SimulatedNode from, SimulatedNode to, boolean cut) {
+        setCut(cutNodePairs, from.address() + ">" + to.address(), cut);
+    }
+
+    /** Cuts or restores the connection between a node and a runner's address. */
+    void setRunnerCut(SimulatedNode node, String address, boolean cut) {
+        setCut(cutRunnerLinks, node.name() + ">" + address, cut);
+    }
+
+    private static void setCut(Set<String> cuts, String link, boolean cut) {
+        if (cut) {
+            cuts.add(link);
+        } else {
+            cuts.remove(link);
+        }
+    }
+
+    void restoreAllConnections() {
+        cutNodePairs.clear();
+        cutRunnerLinks.clear();
+    }
+
+    private final class NodeClients implements SimulatedNode.Clients {
+
+        @Override
+        public PeerCalls peers(SimulatedNode node, EventLoop nodeLoop) {
+            return new SimulatedPeerCalls(loop, nodeLoop, new NodeNetwork(node), new Random(random.nextLong()));
+        }
+
+        @Override
+        public RunnerCalls runners(SimulatedNode node, EventLoop nodeLoop) {
+            ProtocolRunnerCalls calls = new ProtocolRunnerCalls(loop, nodeLoop, new NodeConnections(node));
+            return defect == Defect.ENDS_ACKNOWLEDGED_BEFORE_STORED ? new EarlyAcknowledgingCalls(calls) : calls;
+        }
+    }
+
+    private final class NodeNetwork implements SimulatedPeerCalls.Network {
+
+        private final SimulatedNode node;
+
+        NodeNetwork(SimulatedNode node) {
+            this.node = node;
+        }
+
+        @Override
+        public SimulatedNode.Process processAt(String address) {
+            return nodes.stream()
+                    .filter(candidate -> candidate.address().equals(address))
+                    .map(SimulatedNode::process)
+                    .filter(process -> process != null)
+                    .findFirst()
+                    .orElse(null);
+        }
+
+        @Override
+        public boolean reaches(String address) {
+            return !cutNodePairs.contains(node.address() + ">" + address);
+        }
+
+        @Override
+        public boolean reachedFrom(String address) {
+            return !cutNodePairs.contains(address + ">" + node.address());
+        }
+
+        @Override
+        public boolean ignoresStepDown() {
+            return defect == Defect.STEP_DOWN_HAS_NO_EFFECT;
+        }
+    }
+
+    /** Connections of one node process to the runners, each with its own random numbers. */
+    private final class NodeConnections implements ProtocolRunnerCalls.Connections {
+
+        private final SimulatedNode node;
+        private final long connectionsSeed = random.nextLong();
+        private final Map<String, Random> randoms = new TreeMap<>();
+
+        NodeConnections(SimulatedNode node) {
+            this.node = node;
+        }
+
+        @Override
+        public ProtocolRunner runnerAt(String address) {
+            return runnersByAddress.get(address);
+        }
+
+        @Override
+        public ProtocolRunnerCalls.Delivery next(RunnerDescriptor runner) {
+            Random own = randoms.computeIfAbsent(
+                    runner.id(), id -> new Random(connectionsSeed + 1_000_003L * id.hashCode()));
+            return faults.delivery(own, !responsesArrive(runner));
+        }
+
+        @Override
+        public boolean responsesArrive(RunnerDescriptor runner) {
+            return !cutRunnerLinks.contains(node.name() + ">" + runner.address());
+        }
+
+        @Override
+        public ProtocolRunner.RunPlan plan(ProtocolRunner runner, TaskKey task, long runNumber) {
+            return planOf(runner, task, runNumber);
+        }
+
+        @Override
+        public void startSent(RunnerDescriptor runner, RunnerCalls.StartCommand command) {
+            history.startSent(
+                    describeSender(command.epoch()), command.task(), command.runNumber(), command.epoch(), runner.id());
+        }
+
+        private String describeSender(long epoch) {
+            boolean replaced = nodes.stream()
+                    .anyMatch(other -> other.leader()
+                            .filter(leader -> leader.record().epoch() > epoch)
+                            .isPresent());
+            return node.name() + (replaced ? " [replaced]" : "")
+                    + (node.storeLink().cut() ? " [cut off from the store]" : "");
+        }
+
+        @Override
+        public void statusReceived(RunnerDescriptor runner, RunnerStatus status) {
+            history.statusReceived(node.name(), runner.id(), status);
+        }
+    }
+
+    // ---- Checks
+
+    private void sample() {
+        Set<String> shownBy = new HashSet<>();
+        for (SimulatedNode node : nodes) {
+            node.leader().ifPresent(leader -> sampleStates(node, leader));
+            node.leader().ifPresent(leader -> shownBy.add(node.name()));
+        }
+        checkLongRunningTasks();
+        if (tracing) {
+            log.flush();
+        }
+        loop.schedule(SAMPLE_INTERVAL, this::sample);
+    }
+
+    private void sampleStates(SimulatedNode node, Leader leader) {
+        for (String job : submitted.keySet()) {
+            leader.state(job)
+                    .ifPresent(state -> history.stateShown(node.name(), job, state, cancelRequested.contains(job)));
+        }
+    }
+
+    private void checkLongRunningTasks() {
+        if (!faultsEnded()) {
+            return;
+        }
+        for (String job : accepted) {
+            if (!isLongRunning(submitted.get(job)) || cancelRequested.contains(job)) {
+                continue;
+            }
+            for (TaskKey task : RunHistory.tasksOf(submitted.get(job))) {
+                if (!history.runs(task)) {
+                    lastStandstillNanos = loop.nowNanos();
+                    checkStandstill(task);
+                }
+            }
+        }
+    }
+
+    private void checkStandstill(TaskKey task) {
+        long standingNanos = loop.nowNanos() - faultsEndNanos;
+        if (standingNanos > LONG_RUNNING_TASKS_BOUND.toNanos()
+                && standingNanos <= LONG_RUNNING_TASKS_BOUND.plus(SAMPLE_INTERVAL).toNanos()) {
+            history.report(RunHistory.Rule.LONG_RUNNING_TASK_STOPPED, task.toString(), "no run");
+        }
+    }
+
+    private void checkEndState() {
+        for (String job : accepted) {
+            JobDefinition definition = submitted.get(job);
+            boolean runs = RunHistory.tasksOf(definition).stream().anyMatch(history::runs);
+            if (cancelled.contains(job) && runs) {
+                history.report(RunHistory.Rule.CANCELLED_JOB_RUNS, job, "a run of it has not ended");
+            }
+            if ((!isLongRunning(definition) || cancelled.contains(job)) && !storedAsFinished(job)) {
+                history.report(RunHistory.Rule.JOB_NOT_FINISHED, job, "the store has it as open");
+            }
+        }
+    }
+
+    private boolean storedAsFinished(String job) {
+        RecordStore.Entry entry = store.table(RecordStore.Table.JOBS).get(job);
+        try {
+            return entry != null && RecordCodec.decodeJob(job, entry.value()) instanceof StoredJob.Finished;
+        } catch (CorruptRecordException corrupt) {
+            throw new AssertionError(corrupt);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -0,0 +1,384 @@
+package org.tamarackline.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.tamarackline.core.fleet.EndReason;
+import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.RunnerStatus;
+import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.fleet.TaskKey;
+
+/** What the simulated runners saw, checked against the rules for runs. */
+final class RunHistory implements ProtocolRunner.Observer {
+
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** Time for which a start may still be sent after its job was shown as completed, in nanoseconds. */
+    private static final long COMPLETION_TOLERANCE_NANOS = 1_000 * NANOS_PER_MS;
+
+    private static final Comparator<TaskKey> TASK_ORDER = Comparator.comparing(TaskKey::job)
+            .thenComparingInt(TaskKey::occurrence)
+            .thenComparingInt(TaskKey::step)
+            .thenComparingInt(TaskKey::index);
+
+    /** Rule that a run or a job broke. */
+    enum Rule {
+        /** Two runs of a task at the same time on live processes. */
+        CONCURRENT_RUNS,
+        /** A start after a run has ended as done, if that end is acknowledged then or later. */
+        STARTED_AFTER_END,
+        /** A start sent more than a second after the job was shown as completed. */
+        STARTED_AFTER_COMPLETION,
+        /** A start before all tasks of an earlier step have ended as done. */
+        STARTED_BEFORE_DEPENDENCIES,
+        /** A start after as many acknowledged failures as the queue permits. */
+        TOO_MANY_ATTEMPTS,
+        /** A terminal state that the runs do not justify. */
+        WRONG_STATE,
+        /** An accepted job without a terminal state long after the faults. */
+        JOB_NOT_FINISHED,
+        /** A long-running task without a run long after the faults. */
+        LONG_RUNNING_TASK_STOPPED,
+        /** A run of a cancelled job long after the faults. */
+        CANCELLED_JOB_RUNS
+    }
+
+    /**
+     * A broken rule.
+     *
+     * @param timeMs time of the simulation
+     * @param rule rule that was broken
+     * @param task task or job that broke it
+     * @param detail what happened
+     */
+    record Violation(long timeMs, Rule rule, String task, String detail) {
+
+        @Override
+        public String toString() {
+            return timeMs + " ms: " + rule + " " + task + ": " + detail;
+        }
+    }
+
+    private record RunKey(TaskKey task, long number) {}
+
+    private record EndKey(String runner, long processStartEpochMs, long number) {}
+
+    private record Sent(long nanos, String sender) {}
+
+    private record Start(
+            long nanos, String runner, int process, long processStartNanos, long number, long epoch, Sent sent) {
+
+        @Override
+        public String toString() {
+            return "run %d of epoch %d on %s (process %d, up since %d ms), started at %d ms, sent at %d ms by %s"
+                    .formatted(
+                            number,
+                            epoch,
+                            runner,
+                            process,
+                            processStartNanos / NANOS_PER_MS,
+                            nanos / NANOS_PER_MS,
+                            sent.nanos() / NANOS_PER_MS,
+                            sent.sender());
+        }
+    }
+
+    private static final class End {
+
+        private final long nanos;
+        private final String runner;
+        private final int process;
+        private final RunnerStatus.EndedRun end;
+        private boolean acknowledged;
+        private boolean reported;
+
+        End(long nanos, ProtocolRunner runner, RunnerStatus.EndedRun end) {
+            this.nanos = nanos;
+            this.runner = runner.id();
+            this.process = runner.process();
+            this.end = end;
+        }
+
+        @Override
+        public String toString() {
+            return "end %d of run %d on %s (process %d) as %s at %d ms%s"
+                    .formatted(
+                            end.sequenceNumber(),
+                            end.runNumber(),
+                            runner,
+                            process,
+                            end.reason(),
+                            nanos / NANOS_PER_MS,
+                            reported ? "" : " [no node received it before its acknowledgement]");
+        }
+    }
+
+    /** Runs of one task. */
+    private static final class TaskHistory {
+
+        private final List<Start> starts = new ArrayList<>();
+        private final List<Start> live = new ArrayList<>();
+        private final List<End> ends = new ArrayList<>();
+        private boolean done;
+        private final Set<Long> failedRuns = new HashSet<>();
+    }
+
+    private final ManualLoop loop;
+    private final boolean tracing;
+    private final Map<String, JobDefinition> jobs = new TreeMap<>();
+    private final Map<TaskKey, TaskHistory> tasks = new TreeMap<>(TASK_ORDER);
+    private final Map<RunKey, Sent> sentStarts = new HashMap<>();
+    private final Map<EndKey, End> ends = new HashMap<>();
+    private final Map<String, Long> processStarts = new TreeMap<>();
+    private final Map<String, Long> shownCompletedNanos = new TreeMap<>();
+    private final Map<String, JobState> shownStates = new TreeMap<>();
+    private final List<Violation> violations = new ArrayList<>();
+    private final List<String> trace = new ArrayList<>();
+    private long digest;
+
+    RunHistory(ManualLoop loop, boolean tracing) {
+        this.loop = loop;
+        this.tracing = tracing;
+    }
+
+    List<Violation> violations() {
+        return violations;
+    }
+
+    /** Returns all events; empty without tracing. */
+    List<String> trace() {
+        return trace;
+    }
+
+    /** Returns a hash of all events and their times. */
+    long digest() {
+        return digest;
+    }
+
+    /** Records an event for the trace. */
+    void event(String format, Object... arguments) {
+        digest = 31 * digest + loop.nowNanos();
+        digest = 31 * digest + format.hashCode();
+        if (tracing) {
+            trace.add(nowMs() + " ms: " + format.formatted(arguments));
+        }
+    }
+
+    private long nowMs() {
+        return loop.nowNanos() / NANOS_PER_MS;
+    }
+
+    void report(Rule rule, String subject, String detail) {
+        violations.add(new Violation(nowMs(), rule, subject, detail));
+        event("VIOLATION %s %s: %s", rule, subject, detail);
+    }
+
+    /** Records that a job is submitted. */
+    void submitted(JobDefinition job) {
+        jobs.put(job.id(), job);
+    }
+
+    private StepDefinition stepOf(TaskKey task) {
+        return jobs.get(task.job()).steps().get(task.step());
+    }
+
+    private TaskHistory historyOf(TaskKey task) {
+        return tasks.computeIfAbsent(task, key -> new TaskHistory());
+    }
+
+    /** Records that a node sends a start. */
+    void startSent(String sender, TaskKey task, long number, long epoch, String runner) {
+        event("%s sends start of %s run %d epoch %d to %s", sender, text(task), number, epoch, runner);
+        sentStarts.put(new RunKey(task, number), new Sent(loop.nowNanos(), sender));
+    }
+
+    /** Records that a node received a status of a runner's process. */
+    void statusReceived(String node, String runner, RunnerStatus status) {
+        for (RunnerStatus.EndedRun ended : status.endedRuns()) {
+            End end = ends.get(new EndKey(runner, status.processStartEpochMs(), ended.sequenceNumber()));
+            if (end != null && !end.reported) {
+                end.reported = true;
+                event("%s receives %s", node, end);
+            }
+        }
+    }
+
+    void processStarted(ProtocolRunner runner) {
+        event("%s starts process %d at %s", runner.id(), runner.process(), runner.address());
+        processStarts.put(runner.id(), loop.nowNanos());
+    }
+
+    @Override
+    public void processEnded(ProtocolRunner runner) {
+        event("%s ends its process", runner.id());
+        for (TaskHistory task : tasks.values()) {
+            task.live.removeIf(start -> start.runner().equals(runner.id()));
+        }
+    }
+
+    @Override
+    public void started(ProtocolRunner runner, TaskKey task, long number, long epoch) {
+        TaskHistory history = historyOf(task);
+        Start start = new Start(
+                loop.nowNanos(),
+                runner.id(),
+                runner.process(),
+                processStarts.get(runner.id()),
+                number,
+                epoch,
+                sentStarts.get(new RunKey(task, number)));
+        event("%s starts %s: %s", runner.id(), text(task), start);
+        if (!history.live.isEmpty()) {
+            report(Rule.CONCURRENT_RUNS, text(task), start + "; beside " + history.live.getFirst());
+        }
+        history.starts.add(start);
+        history.live.add(start);
+        if (!stepOf(task).longRunning()) {
+            checkEarlierEnds(task, history, start);
+            checkCompletion(task, start);
+            checkDependencies(task, start);
+        }
+    }
+
+    private void checkEarlierEnds(TaskKey task, TaskHistory history, Start start) {
+        for (End end : history.ends) {
+            if (end.end.reason() == EndReason.DONE && end.acknowledged) {
+                report(Rule.STARTED_AFTER_END, text(task), start + "; after " + end);
+                return;
+            }
+        }
+        checkAttempts(task, history, start);
+    }
+
+    private void checkAttempts(TaskKey task, TaskHistory history, Start start) {
+        long failures = history.ends.stream()
+                .filter(end -> end.end.reason() == EndReason.FAILED && end.acknowledged && end.nanos <= start.nanos())
+                .count();
+        if (failures >= jobs.get(task.job()).queue().maxAttempts()) {
+            report(Rule.TOO_MANY_ATTEMPTS, text(task), start + "; after " + failures + " failures");
+        }
+    }
+
+    private void checkCompletion(TaskKey task, Start start) {
+        Long shownNanos = shownCompletedNanos.get(task.job());
+        if (shownNanos != null && start.sent().nanos() - shownNanos > COMPLETION_TOLERANCE_NANOS) {
+            report(
+                    Rule.STARTED_AFTER_COMPLETION,
+                    text(task),
+                    start + "; the job was shown as completed at " + shownNanos / NANOS_PER_MS + " ms");
+        }
+    }
+
+    private void checkDependencies(TaskKey task, Start start) {
+        JobDefinition job = jobs.get(task.job());
+        for (int step : stepOf(task).dependencies()) {
+            for (int index = 0; index < job.steps().get(step).count(); index++) {
+                TaskKey dependency = new TaskKey(task.job(), task.occurrence(), step, index);
+                if (!historyOf(dependency).done) {
+                    report(Rule.STARTED_BEFORE_DEPENDENCIES, text(task), start + "; before " + text(dependency));
+                }
+            }
+        }
+    }
+
+    @Override
+    public void ended(ProtocolRunner runner, RunnerStatus.EndedRun ended) {
+        TaskHistory history = historyOf(ended.task());
+        End end = new End(loop.nowNanos(), runner, ended);
+        event("%s ends %s: %s", runner.id(), text(ended.task()), end);
+        history.live.removeIf(start -> start.runner().equals(runner.id()) && start.number() == ended.runNumber());
+        history.ends.add(end);
+        ends.put(keyOf(runner, ended), end);
+        history.done |= ended.reason() == EndReason.DONE;
+        if (ended.reason() == EndReason.FAILED) {
+            history.failedRuns.add(ended.runNumber());
+        }
+    }
+
+    private static EndKey keyOf(ProtocolRunner runner, RunnerStatus.EndedRun ended) {
+        return new EndKey(runner.id(), runner.descriptor().processStartEpochMs(), ended.sequenceNumber());
+    }
+
+    @Override
+    public void acknowledged(ProtocolRunner runner, RunnerStatus.EndedRun ended, boolean leaseExpiredSinceEnd) {
+        End end = ends.get(keyOf(runner, ended));
+        event("%s drops %s: %s, leaseExpired=%s", runner.id(), text(ended.task()), end, leaseExpiredSinceEnd);
+        if (leaseExpiredSinceEnd) {
+            return;
+        }
+        end.acknowledged = true;
+        if (stepOf(ended.task()).longRunning()) {
+            return;
+        }
+        TaskHistory history = historyOf(ended.task());
+        for (Start start : history.starts) {
+            if (ended.reason() == EndReason.DONE && start.nanos() >= end.nanos) {
+                report(Rule.STARTED_AFTER_END, text(ended.task()), start + "; after " + end + " [acknowledged later]");
+            }
+            if (ended.reason() == EndReason.FAILED && start.nanos() >= end.nanos) {
+                checkAttempts(ended.task(), history, start);
+            }
+        }
+    }
+
+    /** Records the state of a job that a leader shows. */
+    void stateShown(String node, String job, JobState state, boolean cancellationRequested) {
+        if (!state.terminal() || shownStates.get(job) == state) {
+            return;
+        }
+        event("%s shows %s as %s", node, job, state);
+        JobState other = shownStates.put(job, state);
+        if (other != null) {
+            report(Rule.WRONG_STATE, job, state + " after " + other);
+        }
+        if (state == JobState.COMPLETED) {
+            shownCompletedNanos.putIfAbsent(job, loop.nowNanos());
+        }
+        if (!justified(job, state, cancellationRequested)) {
+            report(Rule.WRONG_STATE, job, state + " shown by " + node);
+        }
+    }
+
+    private boolean justified(String job, JobState state, boolean cancellationRequested) {
+        JobDefinition definition = jobs.get(job);
+        return switch (state) {
+            case COMPLETED -> tasksOf(definition).stream().allMatch(task -> historyOf(task).done);
+            case FAILED -> tasksOf(definition).stream()
+                    .anyMatch(task -> historyOf(task).failedRuns.size()
+                            >= definition.queue().maxAttempts());
+            case CANCELLED -> cancellationRequested;
+            default -> true;
+        };
+    }
+
+    /** Returns the tasks of a job without occurrences. */
+    static List<TaskKey> tasksOf(JobDefinition job) {
+        List<TaskKey> all = new ArrayList<>();
+        for (int step = 0; step < job.steps().size(); step++) {
+            for (int index = 0; index < job.steps().get(step).count(); index++) {
+                all.add(new TaskKey(job.id(), 0, step, index));
+            }
+        }
+        return all;
+    }
+
+    boolean runs(TaskKey task) {
+        return !historyOf(task).live.isEmpty();
+    }
+
+    int startCount() {
+        return tasks.values().stream().mapToInt(task -> task.starts.size()).sum();
+    }
+
+    private static String text(TaskKey task) {
+        return task.job() + "." + task.step() + "." + task.index();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -0,0 +1,131 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.Random;
+
+import org.tamarackline.logging.LineSink;
+
+/** A node of a {@link ClusterSimulation}: one process at a time, with the classes of a real node. */
+final class SimulatedNode {
+
+    /** Time of day at the start of the simulation, in milliseconds since 1970. */
+    private static final long EPOCH_MS = 1_700_000_000_000L;
+
+    /** Time after which a stopped process ends even if its resignation is not stored. */
+    private static final Duration DRAIN_TIME = Duration.ofMillis(4_100);
+
+    /**
+     * Running process of the node.
+     *
+     * @param loop event loop of the process
+     * @param election election of the process
+     * @param requests handler of requests about jobs
+     */
+    record Process(SimulatedNodeLoop loop, Election election, JobRequestHandler requests) {
+
+        Optional<Leader> leader() {
+            return election.leader();
+        }
+    }
+
+    /** Creates the clients of a new process. */
+    interface Clients {
+
+        PeerCalls peers(SimulatedNode node, EventLoop loop);
+
+        RunnerCalls runners(SimulatedNode node, EventLoop loop);
+    }
+
+    private final String name;
+    private final ManualLoop shared;
+    private final SimulatedStore store;
+    private final SimulatedStoreClient.Link storeLink;
+    private final Clients clients;
+    private final LineSink log;
+    private final Random random;
+    private Process process;
+    private long incarnations;
+    private boolean stopping;
+
+    SimulatedNode(
+            String name,
+            ManualLoop shared,
+            SimulatedStore store,
+            SimulatedStoreClient.Link storeLink,
+            Clients clients,
+            LineSink log,
+            Random random) {
+        this.name = name;
+        this.shared = shared;
+        this.store = store;
+        this.storeLink = storeLink;
+        this.clients = clients;
+        this.log = log;
+        this.random = random;
+    }
+
+    String name() {
+        return name;
+    }
+
+    String address() {
+        return name + ":1";
+    }
+
+    SimulatedStoreClient.Link storeLink() {
+        return storeLink;
+    }
+
+    /** Returns the running process, null if there is none. */
+    Process process() {
+        return process;
+    }
+
+    Optional<Leader> leader() {
+        return Optional.ofNullable(process).flatMap(Process::leader);
+    }
+
+    /** Starts a process unless one is running. */
+    void start() {
+        if (process != null) {
+            return;
+        }
+        SimulatedNodeLoop loop = new SimulatedNodeLoop(shared);
+        InstantSource timeOfDay = () -> Instant.ofEpochMilli(EPOCH_MS + shared.nowNanos() / 1_000_000);
+        SimulatedStoreClient client = new SimulatedStoreClient(shared, loop, store, storeLink);
+        NodeServices services = new NodeServices(
+                loop, client, clients.runners(this, loop), client, timeOfDay, new DecisionLog(log, timeOfDay, name));
+        PeerCalls peers = clients.peers(this, loop);
+        NodeSettings settings = new NodeSettings(name, "dc", address(), DRAIN_TIME);
+        Election election = new Election(services, peers, settings, incarnations++ * 1_000 + random.nextInt(1_000));
+        process = new Process(loop, election, new JobRequestHandler(loop, client, election, peers));
+        stopping = false;
+        loop.execute(election::start);
+    }
+
+    /** Ends the process at once. */
+    void kill() {
+        if (process != null) {
+            process.loop().end();
+            process = null;
+        }
+    }
+
+    /** Tells the process to stop: it resigns and ends. */
+    void stop() {
+        if (process == null || stopping) {
+            return;
+        }
+        stopping = true;
+        Process stopped = process;
+        stopped.loop().execute(() -> stopped.election().resign(() -> {}));
+        shared.schedule(DRAIN_TIME, () -> {
+            if (process == stopped) {
+                kill();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -0,0 +1,260 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.tamarackline.core.fleet.RunnerDescriptor;
+
+/** Access of one node process to the {@link SimulatedStore} and to the directory of runners in it. */
+final class SimulatedStoreClient implements RecordStore, PlatformRunnerDirectory {
+
+    private static final Duration WRITE_TIMEOUT = Duration.ofMillis(1_200);
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration FOLLOW_TIMEOUT_MARGIN = Duration.ofSeconds(1);
+    private static final int MIN_LATE_MS = 1_500;
+    private static final int MAX_LATE_MS = 8_000;
+
+    /** Connection of a node to the store, which outlives the node's processes. */
+    static final class Link {
+
+        private final Random random;
+        private final int pageRows;
+        private final Map<String, RunnerDescriptor> directory = new TreeMap<>();
+        private boolean cut;
+        private boolean loseHistory;
+        private double lostResponses;
+        private double lateWrites;
+        private double rejections;
+
+        /**
+         * Creates a link without faults.
+         *
+         * @param pageRows maximum number of records in a response
+         */
+        Link(Random random, int pageRows) {
+            this.random = random;
+            this.pageRows = pageRows;
+        }
+
+        void setCut(boolean next) {
+            cut = next;
+        }
+
+        boolean cut() {
+            return cut;
+        }
+
+        /** Sets the probabilities of single faults of a call. */
+        void setFaultRates(double nextLostResponses, double nextLateWrites, double nextRejections) {
+            lostResponses = nextLostResponses;
+            lateWrites = nextLateWrites;
+            rejections = nextRejections;
+        }
+
+        /** Makes the next read of changes fail because the store has discarded them. */
+        void loseHistory() {
+            loseHistory = true;
+        }
+
+        /** Returns the directory as the node sees it. */
+        Map<String, RunnerDescriptor> directory() {
+            return directory;
+        }
+
+        private Duration latency() {
+            return Duration.ofNanos(3_000_000 + random.nextInt(12_000_000));
+        }
+
+        private boolean happens(double probability) {
+            return random.nextDouble() < probability;
+        }
+    }
+
+    private final ManualLoop shared;
+    private final EventLoop loop;
+    private final SimulatedStore store;
+    private final Link link;
+    private final StoreClock clock = new StoreClock();
+
+    SimulatedStoreClient(ManualLoop shared, EventLoop loop, SimulatedStore store, Link link) {
+        this.shared = shared;
+        this.loop = loop;
+        this.store = store;
+        this.link = link;
+    }
+
+    /** One call, which passes on its response or its timeout, whichever comes first. */
+    private final class Call<T> {
+
+        private final Consumer<T> callback;
+        private final T rejection;
+        private final long sentNanos = loop.nowNanos();
+        private final boolean responseLost = link.happens(link.lostResponses);
+        private final Duration responseLatency = link.latency();
+        private boolean over;
+
+        Call(Duration timeout, T noResponse, T rejection, Consumer<T> callback) {
+            this.callback = callback;
+            this.rejection = rejection;
+            loop.schedule(timeout, () -> end(noResponse));
+        }
+
+        void send(Runnable execution) {
+            boolean lost = link.cut;
+            boolean rejected = link.happens(link.rejections);
+            shared.schedule(link.latency().plus(store.additionalLatency()), () -> {
+                if (lost || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
+                    return;
+                }
+                if (rejected || store.availability() == SimulatedStore.Availability.REJECTING) {
+                    respond(() -> rejection, false);
+                } else {
+                    execution.run();
+                }
+            });
+        }
+
+        void respond(T response) {
+            respond(() -> response, true);
+        }
+
+        private void respond(Supplier<T> response, boolean withReading) {
+            if (responseLost || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
+                return;
+            }
+            long readingMs = store.clockMs();
+            shared.schedule(
+                    responseLatency.plus(store.additionalLatency()),
+                    () -> loop.execute(() -> {
+                        if (!over && withReading) {
+                            clock.addReading(readingMs, sentNanos, loop.nowNanos());
+                        }
+                        end(response.get());
+                    }));
+        }
+
+        private void end(T response) {
+            if (!over) {
+                over = true;
+                callback.accept(response);
+            }
+        }
+    }
+
+    @Override
+    public StoreClock clock() {
+        return clock;
+    }
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        Call<TransactionResult> call = new Call<>(
+                WRITE_TIMEOUT,
+                new TransactionResult.Unknown("no response"),
+                new TransactionResult.NotApplied("status 503"),
+                callback);
+        boolean late = link.happens(link.lateWrites);
+        Duration delay = Duration.ofMillis(MIN_LATE_MS + link.random.nextInt(MAX_LATE_MS - MIN_LATE_MS));
+        call.send(() -> {
+            if (late) {
+                shared.schedule(delay, () -> store.apply(transaction));
+            } else {
+                call.respond(store.apply(transaction));
+            }
+        });
+    }
+
+    @Override
+    public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
+        Call<ReadResult> call = readCall(READ_TIMEOUT, callback);
+        call.send(() -> {
+            TreeMap<String, Entry> rows = store.table(table);
+            Map<String, Entry> range = to == null ? rows.tailMap(from, true) : rows.subMap(from, true, to, false);
+            List<Entry> entries = range.values().stream().limit(link.pageRows).toList();
+            call.respond(new ReadResult.Page(entries, store.version(), entries.size() < range.size()));
+        });
+    }
+
+    private Call<ReadResult> readCall(Duration timeout, Consumer<ReadResult> callback) {
+        return new Call<>(
+                timeout, new ReadResult.Failed("no response"), new ReadResult.Failed("status 503"), callback);
+    }
+
+    @Override
+    public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
+        Call<ReadResult> call = readCall(wait.plus(FOLLOW_TIMEOUT_MARGIN), callback);
+        call.send(() -> {
+            if (link.loseHistory) {
+                link.loseHistory = false;
+                call.respond(new ReadResult.HistoryLost());
+            } else {
+                new Follow(table, afterVersion, call).respondWithin(wait);
+            }
+        });
+    }
+
+    /** A read that the store answers when the table changes or the wait is over. */
+    private final class Follow {
+
+        private final Table table;
+        private final long afterVersion;
+        private final Call<ReadResult> call;
+        private boolean answered;
+
+        Follow(Table table, long afterVersion, Call<ReadResult> call) {
+            this.table = table;
+            this.afterVersion = afterVersion;
+            this.call = call;
+        }
+
+        void respondWithin(Duration wait) {
+            shared.schedule(wait, () -> respond(changes()));
+            respondAtChange();
+        }
+
+        private List<Entry> changes() {
+            return store.changes(table, afterVersion);
+        }
+
+        private void respondAtChange() {
+            if (answered) {
+                return;
+            }
+            List<Entry> changes = changes();
+            if (changes.isEmpty()) {
+                store.onNextChange(this::respondAtChange);
+            } else {
+                respond(changes);
+            }
+        }
+
+        private void respond(List<Entry> changes) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            List<Entry> page = new ArrayList<>(changes);
+            long version = store.version();
+            if (changes.size() > link.pageRows) {
+                version = changes.get(link.pageRows - 1).version();
+                long last = version;
+                page.removeIf(entry -> entry.version() > last);
+            }
+            call.respond(new ReadResult.Page(page, version, false));
+        }
+    }
+
+    @Override
+    public void list(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+        Call<Optional<List<RunnerDescriptor>>> call =
+                new Call<>(READ_TIMEOUT, Optional.empty(), Optional.empty(), callback);
+        call.send(() -> call.respond(Optional.of(List.copyOf(link.directory.values()))));
+    }
+}
