Test the lease of a runner that restarts unnoticed

A start that reaches a restarted runner before the leader hears of the restart carries a lease end on the clock of the earlier process, so that the runner grants its maximum of 6 s from receipt. The leader expects the lease to end 5.35 s after sending and starts the task elsewhere.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -29,7 +29,11 @@
         NODE_KILLED,
         NODE_SUSPENDED,
         NODE_STOPPED,
-        RUNNER_CALLS_DISTURBED
+        RUNNER_CALLS_DISTURBED,
+        /** A node reaches nothing but a few runners, which restart. */
+        NODE_ISOLATED_WITH_RESTARTING_RUNNERS,
+        /** A runner restarts and is isolated soon after. */
+        RUNNER_RESTARTS_AND_IS_ISOLATED
     }
 
     private static final int MIN_RUNNERS = 5;
@@ -53,8 +57,8 @@
             }
         }
         this.meanIntervalMs = 200 + random.nextInt(1_800);
-        this.lostResponses = random.nextInt(3) * 0.04;
-        this.delayedCalls = random.nextInt(3) * 0.02;
+        this.lostResponses = random.nextInt(4) * 0.04;
+        this.delayedCalls = random.nextInt(4) * 0.04;
     }
 
     /** Starts to inject faults. */
@@ -197,6 +201,11 @@
             }
             case NODE_SUSPENDED -> suspend(node, between(500, 10_000));
             case NODE_STOPPED -> stop(node);
+            case NODE_ISOLATED_WITH_RESTARTING_RUNNERS -> isolateWithRestartingRunners(node, between(3_000, 12_000));
+            case RUNNER_RESTARTS_AND_IS_ISOLATED -> {
+                cluster.restartRunner(runner, between(500, 1_500));
+                later(between(1_500, 4_000), () -> isolate(runner, between(6_000, 16_000)));
+            }
             case RUNNER_CALLS_DISTURBED -> {
                 disturbed = !disturbed;
                 later(between(500, 5_000), () -> disturbed = active);
@@ -290,6 +299,18 @@
         later(time, () -> process.loop().resume(clockCounts));
     }
 
+    private void isolateWithRestartingRunners(SimulatedNode node, Duration time) {
+        cutStore(node, time);
+        cutPeers(node, time);
+        for (ProtocolRunner runner : cluster.runners()) {
+            if (random.nextInt(4) == 0) {
+                later(between(500, 8_000), () -> cluster.restartRunner(runner, between(500, 3_000)));
+            } else {
+                cutRunner(node, runner.address(), time);
+            }
+        }
+    }
+
     private void stop(SimulatedNode node) {
         node.stop();
         later(between(4_200, 8_000), node::start);
