--- /dev/null
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -0,0 +1,27 @@
+package org.tamarackline.core.fleet;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests which runs a fleet takes for lost when a status shows that a runner has restarted. */
+class RestartedRunnerRunsTest {
+
+    private final FleetFixture fixture = new FleetFixture(1);
+    private final Fleet fleet = fixture.fleet();
+
+    /** Guards against a second run of a task that was started on the new process after it had sent its status. */
+    @Test
+    void runThatWasConfirmedAfterTheStatusWasRequestedIsKept() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        long requestSentNanos = fixture.nowNanos();
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.STARTED);
+        fleet.applyStatus(
+                runner, new RunnerStatus(2, 1, List.of(), List.of()), requestSentNanos, fixture.nowNanos());
+        assertThat(fixture.scheduleStarts()).isEmpty();
+    }
+}
--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -204,7 +204,7 @@
             case NODE_ISOLATED_WITH_RESTARTING_RUNNERS -> isolateWithRestartingRunners(node, between(3_000, 12_000));
             case RUNNER_RESTARTS_AND_IS_ISOLATED -> {
                 cluster.restartRunner(runner, between(500, 1_500));
-                later(between(1_500, 4_000), () -> isolate(runner, between(6_000, 16_000)));
+                later(between(600, 3_000), () -> isolate(runner, between(6_000, 16_000)));
             }
             case RUNNER_CALLS_DISTURBED -> {
                 disturbed = !disturbed;
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -47,7 +47,6 @@
     private final LineSink log;
     private final Random random;
     private Process process;
-    private long incarnations;
     private boolean stopping;
 
     SimulatedNode(
@@ -100,7 +99,7 @@
                 loop, client, clients.runners(this, loop), client, timeOfDay, new DecisionLog(log, timeOfDay, name));
         PeerCalls peers = clients.peers(this, loop);
         NodeSettings settings = new NodeSettings(name, "dc", address(), DRAIN_TIME);
-        Election election = new Election(services, peers, settings, incarnations++ * 1_000 + random.nextInt(1_000));
+        Election election = new Election(services, peers, settings, random.nextLong());
         process = new Process(loop, election, new JobRequestHandler(loop, client, election, peers));
         stopping = false;
         loop.execute(election::start);
