Draw no conclusion from a status about runs that it cannot contain

A run was taken for over, and its task started again, if a status did not list it. A status lists at most 500 ended runs, so the end of a run may not be in it yet; and a status that shows a restart may have been requested before the new process confirmed a start. Both are now left to the next status, and a runner with a truncated status counts as unreported after a takeover.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -173,7 +173,7 @@
      */
     public void applyStatus(FleetRunner runner, RunnerStatus status, long requestSentNanos, long nowNanos) {
         if (runner.processStartEpochMs != status.processStartEpochMs()) {
-            startIncarnation(runner, status.processStartEpochMs());
+            startIncarnation(runner, status.processStartEpochMs(), requestSentNanos);
         }
         runner.statusKnown = true;
         runner.silent = false;
@@ -188,6 +188,16 @@
             reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
             applyRunning(runner, entry, nowNanos);
         }
+        if (!status.truncated()) {
+            loseMissingRuns(runner, reported, requestSentNanos);
+            unreportedRunners.remove(runner.id());
+        }
+        runner.orphanStopNanos.keySet().retainAll(reported);
+        evictStalledRuns(runner, nowNanos);
+        throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
+    }
+
+    private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
         for (Run run : runner.snapshotOfRuns()) {
             boolean missing =
                     !reported.contains(new FleetRunner.RunKey(run.task().key(), run.number()));
@@ -195,10 +205,6 @@
                 loseRun(run, "the runner reports neither the run nor its end");
             }
         }
-        runner.orphanStopNanos.keySet().retainAll(reported);
-        unreportedRunners.remove(runner.id());
-        evictStalledRuns(runner, nowNanos);
-        throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
     }
 
     private void evictStalledRuns(FleetRunner runner, long nowNanos) {
@@ -217,24 +223,24 @@
         return run.stopConfirmed && requestSentNanos - run.stopConfirmedNanos > 0;
     }
 
-    private void startIncarnation(FleetRunner runner, long processStartEpochMs) {
+    private void startIncarnation(FleetRunner runner, long processStartEpochMs, long requestSentNanos) {
         long previousStartEpochMs = runner.processStartEpochMs;
         runner.processStartEpochMs = processStartEpochMs;
         runner.lastProcessedEnd = 0;
         if (previousStartEpochMs != 0) {
             observer.runnerRestarted(runner, previousStartEpochMs);
-            removeRunsOfEarlierIncarnation(runner);
+            removeRunsOfEarlierIncarnation(runner, requestSentNanos);
         }
     }
 
     /**
-     * Removes the runs whose start was confirmed. A start without a response is kept: it may still reach the new
-     * incarnation.
+     * Removes the runs whose start was confirmed before the status was requested. Others are kept: the new incarnation may
+     * have confirmed them since, or may still receive them.
      */
-    private void removeRunsOfEarlierIncarnation(FleetRunner runner) {
+    private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         runner.orphanStopNanos.clear();
         for (Run run : runner.snapshotOfRuns()) {
-            if (run.startConfirmed) {
+            if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 loseRun(run, "the runner restarted");
             }
         }
--- a/src/main/java/org/tamarackline/core/fleet/RunnerStatus.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerStatus.java
@@ -13,12 +13,20 @@
 public record RunnerStatus(
         long processStartEpochMs, long clockMs, List<ActiveRun> activeRuns, List<EndedRun> endedRuns) {
 
+    /** Number of ended runs in a status from which on further ones may be missing. */
+    private static final int MAX_ENDED_RUNS = 500;
+
     /** Copies the lists. */
     public RunnerStatus {
         activeRuns = List.copyOf(activeRuns);
         endedRuns = List.copyOf(endedRuns);
     }
 
+    /** Returns whether further ended runs may be missing, which the runner lists once these are acknowledged. */
+    public boolean truncated() {
+        return endedRuns.size() >= MAX_ENDED_RUNS;
+    }
+
     /**
      * A run in progress.
      *
