Wait for the longest lease of a runner that may have restarted

The end of a lease is computed from the clock of the process that reported last. A process that has restarted unnoticed counts from zero and shortens such a lease to its maximum of 6 s, but the leader expected it to end after 5.35 s and started the task elsewhere while it still ran. Until a poll that was sent after the last start is answered by the known process, the leader now waits for the longest lease that any process can grant.

--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -20,6 +20,12 @@
     /** Duration of the lease that a runner gets with a start or a poll. It must outlast a change of leader. */
     static final Duration RUNNER_LEASE = Duration.ofSeconds(5);
 
+    /**
+     * Longest lease that a runner grants, from the arrival of a command. A process that has restarted unnoticed grants
+     * it, because its clock starts anew and the end of the lease was computed from the earlier clock.
+     */
+    static final Duration MAX_RUNNER_LEASE = Duration.ofSeconds(6);
+
     /** Fraction by which the clocks of a runner or of the store may be slower or faster than this node's clock. */
     static final double MAX_CLOCK_DRIFT = 0.02;
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -66,6 +66,8 @@
     private final ProcessConfirmation process = new ProcessConfirmation();
     private final RunnerCordon cordon = new RunnerCordon();
     private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
+    private final StartVerification starts = new StartVerification();
+    private long leaseExtendedNanos;
 
     /**
      * Creates a session that has not contacted its runner.
@@ -92,10 +94,16 @@
         }
     }
 
-    /** Returns the longest time from a command until everything that it started has ended. */
+    /**
+     * Returns the longest time from a command until everything that it started has ended, if the lease in the command
+     * was computed from the clock of the process that received it.
+     */
     static long longestLeaseNanos() {
-        return (long) (FleetConstants.RUNNER_LEASE.toNanos() / (1 - FleetConstants.MAX_CLOCK_DRIFT))
-                + FleetConstants.LEASE_MARGIN.toNanos();
+        return longestNanos(FleetConstants.RUNNER_LEASE);
+    }
+
+    private static long longestNanos(Duration lease) {
+        return (long) (lease.toNanos() / (1 - FleetConstants.MAX_CLOCK_DRIFT)) + FleetConstants.LEASE_MARGIN.toNanos();
     }
 
     FleetRunner runner() {
@@ -206,13 +214,16 @@
         }
         pollInFlight = true;
         long sentNanos = context.loop().nowNanos();
-        long acknowledgedEnd = missedPolls == 0 ? acknowledgement.next() : 0;
+        long acknowledgedEnd = missedPolls == 0 ? acknowledgement.next(starts.allVerified()) : 0;
         boolean acknowledgesAll = allReportedEndsStored() && (acknowledgedEnd > 0 || !acknowledgement.due());
         boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
-        boolean renew =
-                runnerClockKnown && runner.busy() && missedPolls == 0 && !restartPending && !cordon.commandsBlocked();
+        boolean renew = runnerClockKnown
+                && runner.busy()
+                && missedPolls == 0
+                && !restartPending
+                && !cordon.commandsBlocked();
         long leaseUntilMs = renew ? extendLease() : 0;
         context.runnerCalls()
                 .poll(
@@ -292,9 +303,11 @@
         replacedAtAddress = false;
         if (response.status().processStartEpochMs() != runner.processStartEpochMs()) {
             acknowledgement.onProcessChanged();
-            acknowledgement.onPollAnswered(sentNanos, 0);
+            starts.onPollAnswered(sentNanos);
         } else {
-            acknowledgement.onPollAnswered(sentNanos, acknowledgedEnd);
+            acknowledgement.onPollAnswered(acknowledgedEnd);
+            starts.onPollAnswered(sentNanos);
+            boundLeaseByOwnClock();
         }
         if (!runnerClockKnown) {
             onEarlierLeadersEnded(nowNanos);
@@ -302,7 +315,7 @@
         updateRunnerClock(response.status().clockMs(), nowNanos);
         context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
         leader.requestSchedulingRound();
-        if (acknowledgement.next() > 0) {
+        if (acknowledgement.next(starts.allVerified()) > 0) {
             schedulePoll(Duration.ZERO);
         } else if (acknowledgement.due() || !allReportedEndsStored()) {
             schedulePoll(FleetConstants.ACKNOWLEDGE_DELAY);
@@ -339,10 +352,19 @@
         long nowNanos = context.loop().nowNanos();
         double elapsedMs = (nowNanos - runnerClockReadNanos) / 1e6;
         long earliestClockMs = runnerClockMs + (long) (elapsedMs * (1 - FleetConstants.MAX_CLOCK_DRIFT));
-        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestLeaseNanos());
+        leaseExtendedNanos = nowNanos;
+        Duration lease = starts.allVerified() ? FleetConstants.RUNNER_LEASE : FleetConstants.MAX_RUNNER_LEASE;
+        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestNanos(lease));
         return earliestClockMs + FleetConstants.RUNNER_LEASE.toMillis();
     }
 
+    /** Shortens the wait for a lease that no other process than the known one can have granted. */
+    private void boundLeaseByOwnClock() {
+        if (starts.allVerified() && leaseExtendedNanos != 0) {
+            leaseEndNanos = Math.min(leaseEndNanos, leaseExtendedNanos + longestLeaseNanos());
+        }
+    }
+
     void send(RunnerCommand command) {
         switch (command) {
             case RunnerCommand.Start start -> start(start.run());
@@ -357,10 +379,10 @@
                 run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
         long sentNanos = context.loop().nowNanos();
         leader.onStartSent();
-        acknowledgement.onStartSent(sentNanos);
+        starts.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, extendLease(), response -> {
             leader.onStartCompleted();
-            acknowledgement.onStartCompleted();
+            starts.onStartCompleted();
             if (closed) {
                 return;
             }
--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -123,9 +123,7 @@
         }
         if (draw > 0.99) {
             return delivery(
-                    draw > 0.995
-                            ? ProtocolRunnerCalls.Fate.UNAVAILABLE
-                            : ProtocolRunnerCalls.Fate.CONNECTION_REFUSED,
+                    draw > 0.995 ? ProtocolRunnerCalls.Fate.UNAVAILABLE : ProtocolRunnerCalls.Fate.CONNECTION_REFUSED,
                     request,
                     response);
         }
@@ -154,9 +152,7 @@
         List<SimulatedNode> leading = cluster.nodes().stream()
                 .filter(node -> node.leader().isPresent())
                 .toList();
-        return leading.isEmpty() || random.nextInt(4) == 0
-                ? anyNode()
-                : leading.get(random.nextInt(leading.size()));
+        return leading.isEmpty() || random.nextInt(4) == 0 ? anyNode() : leading.get(random.nextInt(leading.size()));
     }
 
     private ProtocolRunner anyRunner() {
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -36,9 +36,8 @@
         }
         long first = Long.parseLong(arguments[0]);
         long count = Long.parseLong(arguments[1]);
-        ClusterSimulation.Defect defect = arguments.length > 2
-                ? ClusterSimulation.Defect.valueOf(arguments[2])
-                : ClusterSimulation.Defect.NONE;
+        ClusterSimulation.Defect defect =
+                arguments.length > 2 ? ClusterSimulation.Defect.valueOf(arguments[2]) : ClusterSimulation.Defect.NONE;
         runSeeds(first, count, defect);
     }
 
@@ -60,8 +59,8 @@
             violations.stream()
                     .map(RunHistory.Violation::rule)
                     .distinct()
-                    .forEach(rule ->
-                            failures.computeIfAbsent(rule, key -> new ArrayList<>()).add(seed));
+                    .forEach(rule -> failures.computeIfAbsent(rule, key -> new ArrayList<>())
+                            .add(seed));
         }
         failures.forEach((rule, seeds) -> System.out.println(rule + " in " + seeds.size() + " seeds: "
                 + seeds.stream().limit(20).map(String::valueOf).collect(Collectors.joining(" "))));
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -246,11 +246,12 @@
         if (accepted.contains(job.id())) {
             return;
         }
-        runningNode().ifPresent(node -> node.process().requests().submit(job, outcome -> {
-            if (outcome instanceof JobRequestHandler.Outcome.Accepted && accepted.add(job.id())) {
-                history.event("%s accepts %s", node.name(), job.id());
-            }
-        }));
+        runningNode()
+                .ifPresent(node -> node.process().requests().submit(job, outcome -> {
+                    if (outcome instanceof JobRequestHandler.Outcome.Accepted && accepted.add(job.id())) {
+                        history.event("%s accepts %s", node.name(), job.id());
+                    }
+                }));
         loop.schedule(RETRY_INTERVAL, () -> trySubmit(job));
     }
 
@@ -259,11 +260,12 @@
         if (cancelled.contains(job)) {
             return;
         }
-        runningNode().ifPresent(node -> node.process().requests().cancel(job, outcome -> {
-            if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
-                history.event("%s accepts the cancellation of %s", node.name(), job);
-            }
-        }));
+        runningNode()
+                .ifPresent(node -> node.process().requests().cancel(job, outcome -> {
+                    if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
+                        history.event("%s accepts the cancellation of %s", node.name(), job);
+                    }
+                }));
         loop.schedule(RETRY_INTERVAL, () -> cancel(job));
     }
 
@@ -336,11 +338,11 @@
     }
 
     /** Updates the directory as each node sees it, after a delay of its own. */
-    private void updateDirectory(
-            String id, Optional<RunnerDescriptor> entry, Duration minDelay, Duration maxDelay) {
+    private void updateDirectory(String id, Optional<RunnerDescriptor> entry, Duration minDelay, Duration maxDelay) {
         long sequence = directorySequences.merge(id, 1L, Long::sum);
         for (SimulatedNode node : nodes) {
-            long delayMs = minDelay.toMillis() + random.nextInt((int) maxDelay.minus(minDelay).toMillis());
+            long delayMs = minDelay.toMillis()
+                    + random.nextInt((int) maxDelay.minus(minDelay).toMillis());
             loop.schedule(millis(delayMs), () -> {
                 if (directorySequences.get(id) == sequence) {
                     applyToDirectory(node.storeLink().directory(), id, entry);
@@ -366,8 +368,7 @@
                     ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
                     : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
         }
-        return new ProtocolRunner.RunPlan(
-                millis(100 + plan.nextInt(2_400)), fails ? EndReason.FAILED : EndReason.DONE);
+        return new ProtocolRunner.RunPlan(millis(100 + plan.nextInt(2_400)), fails ? EndReason.FAILED : EndReason.DONE);
     }
 
     // ---- Connections
@@ -487,7 +488,8 @@
                     .anyMatch(other -> other.leader()
                             .filter(leader -> leader.record().epoch() > epoch)
                             .isPresent());
-            return node.name() + (replaced ? " [replaced]" : "")
+            return node.name()
+                    + (replaced ? " [replaced]" : "")
                     + (node.storeLink().cut() ? " [cut off from the store]" : "");
         }
 
@@ -539,7 +541,8 @@
     private void checkStandstill(TaskKey task) {
         long standingNanos = loop.nowNanos() - faultsEndNanos;
         if (standingNanos > LONG_RUNNING_TASKS_BOUND.toNanos()
-                && standingNanos <= LONG_RUNNING_TASKS_BOUND.plus(SAMPLE_INTERVAL).toNanos()) {
+                && standingNanos
+                        <= LONG_RUNNING_TASKS_BOUND.plus(SAMPLE_INTERVAL).toNanos()) {
             history.report(RunHistory.Rule.LONG_RUNNING_TASK_STOPPED, task.toString(), "no run");
         }
     }
--- a/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
+++ b/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
@@ -8,38 +8,39 @@
 class EndAcknowledgementTest {
 
     private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
+    private final StartVerification starts = new StartVerification();
+
+    private long next() {
+        return acknowledgement.next(starts.allVerified());
+    }
 
     @Test
     void storedEndsAreAcknowledgedUntilAPollIsAnswered() {
         acknowledgement.onEndsStored(5);
-        assertThat(acknowledgement.next()).isEqualTo(5);
-        acknowledgement.onPollAnswered(10, 5);
-        assertThat(acknowledgement.next()).isZero();
+        assertThat(next()).isEqualTo(5);
+        acknowledgement.onPollAnswered(5);
+        assertThat(next()).isZero();
         assertThat(acknowledgement.due()).isFalse();
     }
 
     @Test
     void runThatAnotherProcessMayHaveStartedKeepsEndsFromBeingAcknowledged() {
         acknowledgement.onEndsStored(5);
-        acknowledgement.onStartSent(20);
-        assertThat(acknowledgement.next()).isZero();
-        acknowledgement.onStartCompleted();
-        acknowledgement.onPollAnswered(15, 0);
-        assertThat(acknowledgement.next())
-                .as("after a poll sent before the start")
-                .isZero();
-        acknowledgement.onPollAnswered(25, 0);
-        assertThat(acknowledgement.next())
-                .as("after a poll sent after the start")
-                .isEqualTo(5);
+        starts.onStartSent(20);
+        assertThat(next()).isZero();
+        starts.onStartCompleted();
+        starts.onPollAnswered(15);
+        assertThat(next()).as("after a poll sent before the start").isZero();
+        starts.onPollAnswered(25);
+        assertThat(next()).as("after a poll sent after the start").isEqualTo(5);
     }
 
     @Test
     void unansweredStartKeepsEndsFromBeingAcknowledged() {
         acknowledgement.onEndsStored(5);
-        acknowledgement.onStartSent(20);
-        acknowledgement.onPollAnswered(25, 0);
-        assertThat(acknowledgement.next()).isZero();
+        starts.onStartSent(20);
+        starts.onPollAnswered(25);
+        assertThat(next()).isZero();
         assertThat(acknowledgement.due()).isTrue();
     }
 
@@ -47,8 +48,8 @@
     void newProcessGetsNoAcknowledgementOfTheEarlierOne() {
         acknowledgement.onEndsStored(5);
         acknowledgement.onProcessChanged();
-        assertThat(acknowledgement.next()).isZero();
+        assertThat(next()).isZero();
         acknowledgement.onEndsStored(1);
-        assertThat(acknowledgement.next()).isEqualTo(1);
+        assertThat(next()).isEqualTo(1);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -287,7 +287,8 @@
 
     private RunnerStatus.ActiveRun describe(ActiveRun run) {
         double elapsed = loop.nowNanos() - run.startNanos();
-        double progressPercent = Math.min(100, 100 * elapsed / run.plan().duration().toNanos());
+        double progressPercent =
+                Math.min(100, 100 * elapsed / run.plan().duration().toNanos());
         return new RunnerStatus.ActiveRun(run.key().task(), run.key().number(), "", progressPercent, -1);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -351,9 +351,10 @@
         JobDefinition definition = jobs.get(job);
         return switch (state) {
             case COMPLETED -> tasksOf(definition).stream().allMatch(task -> historyOf(task).done);
-            case FAILED -> tasksOf(definition).stream()
-                    .anyMatch(task -> historyOf(task).failedRuns.size()
-                            >= definition.queue().maxAttempts());
+            case FAILED ->
+                tasksOf(definition).stream()
+                        .anyMatch(task -> historyOf(task).failedRuns.size()
+                                >= definition.queue().maxAttempts());
             case CANCELLED -> cancellationRequested;
             default -> true;
         };
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -183,8 +183,7 @@
     }
 
     private Call<ReadResult> readCall(Duration timeout, Consumer<ReadResult> callback) {
-        return new Call<>(
-                timeout, new ReadResult.Failed("no response"), new ReadResult.Failed("status 503"), callback);
+        return new Call<>(timeout, new ReadResult.Failed("no response"), new ReadResult.Failed("status 503"), callback);
     }
 
     @Override
