Stop starts that were given up before a runner's lease is extended

A start without a response was forgotten when its runner was lost, and its task started elsewhere. When the runner was back, the leader extended the lease for other runs, and a start that was carried out only then ran the task a second time. The leader now has the runner reject such starts by a stop before it extends the lease or starts anything there.

Before, RunnerCommandRacesTest.delayedStartHasNoEffectAfterItsTaskStartedElsewhere failed with two runs at once; it passes now.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -145,6 +145,9 @@
         }
         runner.statusKnown = false;
         for (Run run : runner.snapshotOfRuns()) {
+            if (!run.startConfirmed && !pendingStarts.contains(run)) {
+                runner.unresolvedStarts.put(new FleetRunner.RunKey(run.task().key(), run.number()), 0L);
+            }
             loseRun(run, "the runner is lost");
         }
         if (!runner.registered) {
@@ -193,6 +196,7 @@
             unreportedRunners.remove(runner.id());
         }
         runner.orphanStopNanos.keySet().retainAll(reported);
+        stopUnresolvedStarts(runner, nowNanos);
         evictStalledRuns(runner, nowNanos);
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
     }
@@ -207,6 +211,17 @@
         }
     }
 
+    /** Requests that starts which were given up be stopped, so that the runner rejects them from now on. */
+    private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
+        runner.unresolvedStarts.replaceAll((key, lastNanos) -> {
+            if (lastNanos != 0 && nowNanos - lastNanos <= SchedulingLimits.STOP_RETRY_NANOS) {
+                return lastNanos;
+            }
+            orphanStops.add(new RunnerCommand.Stop(runner, key.task(), key.runNumber()));
+            return nowNanos;
+        });
+    }
+
     private void evictStalledRuns(FleetRunner runner, long nowNanos) {
         for (Run run : runner.snapshotOfRuns()) {
             if (StallDetector.isStalled(run, nowNanos)) {
@@ -299,6 +314,7 @@
     }
 
     private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
+        runner.unresolvedStarts.remove(new FleetRunner.RunKey(end.task(), end.runNumber()));
         Task task = jobs.findTask(end.task());
         Run run = runner.find(end.task(), end.runNumber());
         if (run != null) {
@@ -468,6 +484,7 @@
 
     /** Records that a runner confirmed a stop; the run can no longer start there. */
     public void applyStopConfirmation(FleetRunner runner, TaskKey task, long runNumber, long nowNanos) {
+        runner.unresolvedStarts.remove(new FleetRunner.RunKey(task, runNumber));
         Run run = runner.find(task, runNumber);
         if (run != null && !run.stopConfirmed) {
             run.stopConfirmed = true;
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -45,6 +45,11 @@
     final Map<RunKey, Run> runs = new HashMap<>();
     /** When a stop was last sent for each orphaned run, that is, a run that the leader does not know. */
     final Map<RunKey, Long> orphanStopNanos = new HashMap<>();
+    /**
+     * When a stop was last sent, 0 for never, for each start without a response that was given up with the runner. Such a
+     * start may still take effect once the runner's lease is extended.
+     */
+    final Map<RunKey, Long> unresolvedStarts = new HashMap<>();
 
     private Resources reserved = Resources.NONE;
     private long bestEffortMillis;
@@ -102,7 +107,12 @@
 
     /** Returns whether starts may be sent to the runner, whatever its directory entry says of draining. */
     boolean acceptsStarts() {
-        return registered && statusKnown && !silent && !cordoned && !unconfirmed;
+        return registered && statusKnown && !silent && !cordoned && !unconfirmed && !hasUnresolvedStarts();
+    }
+
+    /** Returns whether a start that was given up may still take effect, so that the lease must not be extended. */
+    public boolean hasUnresolvedStarts() {
+        return !unresolvedStarts.isEmpty();
     }
 
     void update(RunnerDescriptor next) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -223,6 +223,7 @@
                 && runner.busy()
                 && missedPolls == 0
                 && !restartPending
+                && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
         long leaseUntilMs = renew ? extendLease() : 0;
         context.runnerCalls()
