Count only specified refusals of a runner as not executed

Any response to a command other than 200, 409 and 421 counted as a refusal, so that the task of a start was started elsewhere at once. A runner that fails after it has started the run, with status 500 for instance, then ran the task beside the second run. Only the statuses that promise that nothing was done (400, 409, 429, 503) now count as a refusal; after any other the start is stopped before the task starts again.

--- a/src/main/java/org/tamarackline/platform/RunnerClient.java
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -24,6 +25,9 @@
     private static final int MISDIRECTED = 421;
     private static final int CONFLICT = 409;
 
+    /** Statuses of a runner that has done nothing; any other error may come after the command took effect. */
+    private static final Set<Integer> NOT_EXECUTED = Set.of(400, CONFLICT, 429, 503);
+
     private final AsyncHttpClient http;
     private final EventLoop loop;
 
@@ -151,7 +155,7 @@
                 result -> loop.execute(() -> callback.accept(result)));
     }
 
-    private static RunnerCommandOutcome toCommandOutcome(HttpCallResult result) {
+    static RunnerCommandOutcome toCommandOutcome(HttpCallResult result) {
         if (!(result instanceof HttpCallResult.Response response)) {
             return RunnerCommandOutcome.UNKNOWN;
         }
@@ -161,9 +165,10 @@
         if (response.status() == MISDIRECTED) {
             return RunnerCommandOutcome.RUNNER_REPLACED;
         }
-        return response.status() == CONFLICT && reasonOf(result).equals("fence")
-                ? RunnerCommandOutcome.FENCED
-                : RunnerCommandOutcome.REFUSED;
+        if (response.status() == CONFLICT && reasonOf(result).equals("fence")) {
+            return RunnerCommandOutcome.FENCED;
+        }
+        return NOT_EXECUTED.contains(response.status()) ? RunnerCommandOutcome.REFUSED : RunnerCommandOutcome.UNKNOWN;
     }
 
     /** Returns the reason of a refusal, or else the cause of the failure; empty on success. */
