Keep the ports of a local cluster's entry nodes reserved

Cause: LocalCluster found free ports, released them and started its processes later, so that another socket could get a port before the first start of an entry node or while it was restarted ("Failed to bind to /127.0.0.1:40837"). BinaryTest did the same.

Change: the parent keeps each port bound by a socket with SO_REUSEADDR that does not listen. Linux gives such a port neither to a bind to port 0 nor to an outgoing connection, while a child binds and listens, also after a restart. The children do not bind port 0 themselves, because the nodes are each other's peers and the address is a node's identity, which a restart keeps. Only a program that asks for this very port with SO_REUSEADDR while the node does not run could still take it.

--- a/src/main/java/org/tamarackline/load/EntryAddresses.java
+++ b/src/main/java/org/tamarackline/load/EntryAddresses.java
@@ -1,9 +1,6 @@
 package org.tamarackline.load;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -16,29 +13,17 @@
  */
 public record EntryAddresses(String peer, String caller, String operator) {
 
-    private static final int PORTS_PER_NODE = 3;
-
-    /** Returns free addresses. All sockets stay open until the last one is bound, so that the ports differ. */
-    static List<EntryAddresses> reserve(int nodes) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            List<EntryAddresses> addresses = new ArrayList<>();
-            for (int node = 0; node < nodes; node++) {
-                List<String> nodeAddresses = new ArrayList<>();
-                for (int port = 0; port < PORTS_PER_NODE; port++) {
-                    ServerSocket socket = new ServerSocket();
-                    sockets.add(socket);
-                    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                    nodeAddresses.add("127.0.0.1:" + socket.getLocalPort());
-                }
-                addresses.add(new EntryAddresses(nodeAddresses.get(0), nodeAddresses.get(1), nodeAddresses.get(2)));
-            }
-            return addresses;
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
+    /** Returns addresses for a number of nodes whose ports are reserved. */
+    static List<EntryAddresses> reserve(int nodes, PortReservations ports) throws IOException {
+        List<EntryAddresses> addresses = new ArrayList<>();
+        for (int node = 0; node < nodes; node++) {
+            addresses.add(new EntryAddresses(loopback(ports), loopback(ports), loopback(ports)));
         }
+        return addresses;
+    }
+
+    private static String loopback(PortReservations ports) throws IOException {
+        return "127.0.0.1:" + ports.reserve();
     }
 
     /** Returns the base URL for callers. */
--- a/src/main/java/org/tamarackline/load/LocalCluster.java
+++ b/src/main/java/org/tamarackline/load/LocalCluster.java
@@ -36,14 +36,16 @@
     private final List<ChildProcess> startedProcesses = new ArrayList<>();
     private final List<StandinProcess> workers = new ArrayList<>();
     private final List<StandinProcess> runners = new ArrayList<>();
+    private final PortReservations ports;
     private final List<EntryAddresses> addresses;
     private final List<ChildProcess> entryNodes = new ArrayList<>();
     private StandinProcess platform;
     private boolean closed;
 
-    private LocalCluster(LocalClusterPlan plan) throws IOException {
+    private LocalCluster(LocalClusterPlan plan, PortReservations ports, List<EntryAddresses> addresses) {
         this.plan = plan;
-        this.addresses = EntryAddresses.reserve(plan.entryNodes());
+        this.ports = ports;
+        this.addresses = addresses;
     }
 
     /**
@@ -60,9 +62,20 @@
         }
     }
 
-    /** Creates a cluster without starting a process, so that the caller can first arrange for {@link #close}. */
+    /**
+     * Creates a cluster without starting a process, so that the caller can first arrange for {@link #close}.
+     *
+     * <p>The ports of the entry nodes stay reserved until then: the nodes are each other's peers, so their addresses must be
+     * known before the first start, and a node is restarted with the same addresses.
+     */
     public static LocalCluster prepare(LocalClusterPlan plan) throws IOException {
-        return new LocalCluster(plan);
+        PortReservations ports = new PortReservations();
+        try {
+            return new LocalCluster(plan, ports, EntryAddresses.reserve(plan.entryNodes(), ports));
+        } catch (IOException e) {
+            ports.close();
+            throw e;
+        }
     }
 
     /**
@@ -175,6 +188,7 @@
         }
         killAll();
         http.close();
+        ports.close();
     }
 
     /** Ends every process immediately; used in shutdown hooks. */
--- a/src/test/java/org/tamarackline/process/BinaryTest.java
+++ b/src/test/java/org/tamarackline/process/BinaryTest.java
@@ -1,8 +1,6 @@
 package org.tamarackline.process;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,8 +13,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.tamarackline.load.PortReservations;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -32,6 +32,13 @@
     @TempDir
     private Path directory;
 
+    private final PortReservations reservations = new PortReservations();
+
+    @AfterEach
+    void releasePorts() {
+        reservations.close();
+    }
+
     @Test
     void versionAndSettingsCheck() throws Exception {
         assertThat(run("--version")).isEqualTo(new CommandResult(0, "tamarackline 0.1.0\n"));
@@ -42,7 +49,7 @@
 
     @Test
     void sigtermLowersReadinessThenExitsWithZero() throws Exception {
-        List<Integer> ports = freePorts(3);
+        List<Integer> ports = List.of(reservations.reserve(), reservations.reserve(), reservations.reserve());
         Path log = directory.resolve("log");
         Process node = new ProcessBuilder(
                         BINARY.toString(), "entry", "--config", settings(ports).toString())
@@ -108,18 +115,6 @@
         }
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-        }
-        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
-
     private static CommandResult run(String... arguments) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(BINARY.toString()));
         command.addAll(List.of(arguments));
