Close connections that are being opened when a peer client stops

Cause: PeerClient.stop closed only current connections. A connection whose handshake was in progress stayed open until its timeout, or became current after the stop.

Change: the client holds the socket of the connection that it opens for each node. A stop closes these sockets before the current connections, so that it finds each connection in one of the two places.

Result: stopClosesAConnectionThatIsBeingOpened failed before ("Read timed out" at the peer) and passes; PeerConnectionTest passes.

--- a/src/main/java/org/tamarackline/peer/PeerClient.java
+++ b/src/main/java/org/tamarackline/peer/PeerClient.java
@@ -52,7 +52,7 @@
     }
 
     /**
-     * Closes the current connections; no later call opens one. A connection that is just being opened is not closed.
+     * Closes the current connections and those that are being opened; no later call opens one.
      */
     public void stop() {
         stopped = true;
@@ -94,10 +94,11 @@
             if (current != null && current.isUsable()) {
                 return current;
             }
-            PeerConnection opened = open(node, deadlineNanos);
+            PeerConnection opened = open(node, nodeConnection, deadlineNanos);
             nodeConnection.current = opened;
             return opened;
         } finally {
+            nodeConnection.opening = null;
             nodeConnection.connecting.unlock();
         }
     }
@@ -113,12 +114,15 @@
         throw unreachable(node, null);
     }
 
-    private PeerConnection open(NodeId node, long deadlineNanos) throws PeerException {
+    private PeerConnection open(NodeId node, NodeConnection nodeConnection, long deadlineNanos) throws PeerException {
+        Socket socket = new Socket();
+        FrameChannel channel = null;
+        // Set before the check: a stop that the check does not see yet finds the socket and closes it.
+        nodeConnection.opening = socket;
         if (stopped) {
+            closeBoth(socket, channel);
             throw unreachable(node, null);
         }
-        Socket socket = new Socket();
-        FrameChannel channel = null;
         try {
             int remainingMs = (int) TimeUnit.NANOSECONDS.toMillis(deadlineNanos - clock.nowNanos());
             socket.connect(PeerAddresses.parse(node), Math.max(1, remainingMs));
@@ -162,18 +166,24 @@
                 PeerException.Reason.UNREACHABLE, "connection to node %s could not be opened".formatted(node), cause);
     }
 
-    /** Holds the current connection to a node, if there is one. */
+    /** Holds the current connection to a node, if there is one, and the socket of one that is being opened. */
     private static final class NodeConnection {
 
         private final ReentrantLock connecting = new ReentrantLock();
         private volatile PeerConnection current;
+        private volatile Socket opening;
 
         boolean isUnused() {
             PeerConnection connection = current;
             return !connecting.isLocked() && (connection == null || !connection.isUsable());
         }
 
+        /** Closes the socket first: when it is no longer being opened, the connection that uses it is the current one. */
         void close() {
+            Socket socket = opening;
+            if (socket != null) {
+                closeBoth(socket, null);
+            }
             PeerConnection connection = current;
             if (connection != null) {
                 connection.close("this node is stopping");
--- a/src/test/java/org/tamarackline/peer/PeerConnectionTest.java
+++ b/src/test/java/org/tamarackline/peer/PeerConnectionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -207,10 +208,31 @@
         assertThat(reasonOf(client, new Echo(3, false))).isEqualTo(PeerException.Reason.UNREACHABLE);
     }
 
+    /** Guards against a connection that stays open after the client has stopped, because the stop missed its opening. */
+    @Test
+    void stopClosesAConnectionThatIsBeingOpened() throws Exception {
+        PeerClient client = client(KEY);
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            NodeId silentId = new NodeId("127.0.0.1:" + silent.getLocalPort());
+            CompletableFuture<PeerException.Reason> call = CompletableFuture.supplyAsync(
+                    () -> reasonOf(client, silentId, new Echo(1, false)), Thread::startVirtualThread);
+            try (Socket accepted = silent.accept()) {
+                accepted.setSoTimeout((int) LONG_TIMEOUT.dividedBy(2).toMillis());
+                client.stop();
+                accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
+            }
+            assertThat(call.get(20, TimeUnit.SECONDS)).isEqualTo(PeerException.Reason.UNREACHABLE);
+        }
+    }
+
     private PeerException.Reason reasonOf(PeerClient client, PeerMessage request) {
+        return reasonOf(client, serverId, request);
+    }
+
+    private static PeerException.Reason reasonOf(PeerClient client, NodeId node, PeerMessage request) {
         try {
             throw new IllegalStateException(
-                    "response instead of a failure: " + client.call(serverId, request, LONG_TIMEOUT));
+                    "response instead of a failure: " + client.call(node, request, LONG_TIMEOUT));
         } catch (PeerException e) {
             return e.reason();
         }
