Keep an attempt whose unconfirmed start cannot be sent again

Cause: after a start without a response, the task may be running. The next two tries that were refused or not sent reached the limit of tries, and the owner then stopped the attempt and ran the task again as the next one. A try without a response has no such limit for this reason.

Change: retryStart does not abandon an attempt with an unconfirmed start; the worker's task list or the end of its lease decides. The two runs did not overlap, because the worker had to confirm the stop first; the work of the first was lost.

Result: keepsATaskRunningWhoseStartIsUnconfirmedWhenRetriesCannotBeSent failed before ("Expected size: 1 but was: 2", attempts 1 and 2 on w1) and passes; RackManagerTest and RackSequencesTest pass.

--- a/src/main/java/org/tamarackline/core/task/CommandDispatcher.java
+++ b/src/main/java/org/tamarackline/core/task/CommandDispatcher.java
@@ -209,12 +209,13 @@
 
     /**
      * Repeats a start that was refused or not sent, or abandons it after {@link #MAX_START_TRIES}. If an earlier try got no
-     * response, the stop may end a running attempt.
+     * response, the attempt may be running, so that only the worker's task list decides, as in
+     * {@link #retryUnconfirmedStart}.
      */
     private void retryStart(TaskEntry entry) {
         entry.commandTries++;
         entry.retryAtNanos = clock.nowNanos() + RETRY_DELAY_NANOS;
-        if (entry.commandTries >= MAX_START_TRIES) {
+        if (entry.commandTries >= MAX_START_TRIES && !entry.startUnconfirmed) {
             abandonAssignment(entry, entry.interruptedEvent(Optional.empty()));
         }
     }
--- a/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
+++ b/src/test/java/org/tamarackline/entry/jobs/FakeWorkers.java
@@ -43,6 +43,8 @@
     boolean loseNextResponse;
     /** Number of next responses to starts that are lost. */
     int startResponsesToLose;
+    /** Number of starts that cannot be sent, once no more responses to starts are lost. */
+    int startsNotSent;
     /** Whether start requests are lost before they reach a worker. */
     boolean dropStarts;
 
@@ -141,6 +143,10 @@
         if (dropStarts) {
             throw new WorkerOutcomeUnknownException("start was lost", null);
         }
+        if (startResponsesToLose == 0 && startsNotSent > 0) {
+            startsNotSent--;
+            throw new WorkerUnreachableException("connection for the start was refused", null);
+        }
         call(address, worker -> start(worker, request));
         if (startResponsesToLose > 0) {
             startResponsesToLose--;
--- a/src/test/java/org/tamarackline/entry/jobs/RackManagerTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackManagerTest.java
@@ -53,6 +53,20 @@
         assertThat(fixture.workers.history).hasSize(1);
     }
 
+    /** Guards against a running task that is stopped and run again, because later tries of its start could not be sent. */
+    @Test
+    void keepsATaskRunningWhoseStartIsUnconfirmedWhenRetriesCannotBeSent() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        registerWorkers();
+        fixture.workers.startResponsesToLose = 1;
+        fixture.workers.startsNotSent = 2;
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 20_000, SMALL));
+        fixture.run(Duration.ofSeconds(60));
+        assertThat(fixture.get(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.startsNotSent).isZero();
+        assertThat(fixture.workers.history).hasSize(1);
+    }
+
     /** Guards against a second run of a finished task whose worker was silent until its lease expired. */
     @Test
     void doesNotRepeatATaskWhoseResultIsStored() throws Exception {
