Ask how an attempt ended when a repeated start of it is forbidden

Cause: if the response to a start is lost and the task ends before the start is repeated, a worker may refuse the repeat with ATTEMPT_FORBIDDEN. The owner took this as proof that the attempt never ran, raised the attempt number and ran a finished task a second time. The worker stand-in accepts such a repeat while it lists the task as done, so that only the fake worker of the tests showed the fault; design.md asks for 200 on a repeat of an accepted attempt.

Change: after an unconfirmed start, the owner sends a stop and applies its report, which says whether the attempt is done. Without one, the attempt is abandoned at once as before.

--- a/src/main/java/org/tamarackline/core/task/CommandDispatcher.java
+++ b/src/main/java/org/tamarackline/core/task/CommandDispatcher.java
@@ -194,10 +194,9 @@
                 worker(entry).noTasksUntilNanos = clock.nowNanos() + OVER_CAPACITY_DELAY_NANOS;
                 abandonAssignment(entry, entry.interruptedEvent(Optional.empty()));
             }
-            case ATTEMPT_FORBIDDEN -> {
-                entry.startMayBeAccepted = false;
-                abandonAssignment(entry, entry.interruptedEvent(Optional.empty()));
-            }
+            // If an earlier try got no response, the attempt may have run, even to its end. The report on the stop
+            // tells.
+            case ATTEMPT_FORBIDDEN -> abandonAssignment(entry, entry.interruptedEvent(Optional.empty()));
             case NO_LEASE -> {
                 worker(entry).leaseCurrent = false;
                 retryStart(entry);
--- a/src/test/java/org/tamarackline/entry/jobs/RackManagerTest.java
+++ b/src/test/java/org/tamarackline/entry/jobs/RackManagerTest.java
@@ -67,6 +67,18 @@
         assertThat(fixture.workers.history).hasSize(1);
     }
 
+    /** Guards against a second run of a task that is done before its start, whose response was lost, is repeated. */
+    @Test
+    void doesNotRepeatATaskThatIsDoneBeforeItsStartIsRepeated() throws Exception {
+        fixture.addWorker("w1", "1", WORKER_SIZE);
+        registerWorkers();
+        fixture.workers.startResponsesToLose = 1;
+        JobView job = fixture.submit(JobsFixture.submission(BATCH, 1, 100, SMALL));
+        fixture.run(Duration.ofSeconds(20));
+        assertThat(fixture.get(job).state()).isEqualTo(JobView.State.DONE);
+        assertThat(fixture.workers.history).hasSize(1);
+    }
+
     /** Guards against a second run of a finished task whose worker was silent until its lease expired. */
     @Test
     void doesNotRepeatATaskWhoseResultIsStored() throws Exception {
