Check that a failed handover of slots changes nothing at the owner

Cause: failHandover of SlotTrackerPropertyTest prepared a handover and took the group back, but checked neither that no slot is granted in between nor that the owner has its uses and grants afterwards.

Change: it checks all three.

--- a/src/test/java/org/tamarackline/core/routing/SlotTrackerPropertyTest.java
+++ b/src/test/java/org/tamarackline/core/routing/SlotTrackerPropertyTest.java
@@ -165,11 +165,7 @@
 
         private void handOver() {
             SlotHandover state = ownerTracker.prepareHandover(SHARD, clock.nowNanos());
-            assertThat(ownerTracker.acquire(
-                            new SlotRequest(nextGrantId++, SERVICE, NODES.get(0), HERE, CONNECTION_LIMIT, Set.of()),
-                            runner -> true,
-                            clock.nowNanos()))
-                    .isEmpty();
+            checkThatNothingIsGranted();
             advance(Duration.ofMillis(random.nextInt(500)));
             SlotTracker next = newTracker();
             if (random.nextBoolean()) {
@@ -184,10 +180,27 @@
             ownerTracker = next;
         }
 
-        /** Prepares a handover that the next owner does not take over, so that the owner keeps the group. */
+        /**
+         * Prepares a handover that the next owner does not take over. The owner keeps the group with its open uses and grants
+         * slots as before.
+         */
         private void failHandover() {
+            ownerTracker.expireUses(clock.nowNanos());
+            int openUses = ownerTracker.openUses();
+            List<SlotTracker.RunnerLoad> loads = ownerTracker.runnerLoads(Optional.empty(), clock.nowNanos());
             ownerTracker.prepareHandover(SHARD, clock.nowNanos());
+            checkThatNothingIsGranted();
             ownerTracker.addNewGroup(SHARD, clock.nowNanos());
+            assertThat(ownerTracker.openUses()).isEqualTo(openUses);
+            assertThat(ownerTracker.runnerLoads(Optional.empty(), clock.nowNanos()))
+                    .isEqualTo(loads);
+        }
+
+        private void checkThatNothingIsGranted() {
+            SlotRequest request =
+                    new SlotRequest(nextGrantId++, SERVICE, NODES.get(0), HERE, CONNECTION_LIMIT, Set.of());
+            assertThat(ownerTracker.acquire(request, runner -> true, clock.nowNanos()))
+                    .isEmpty();
         }
 
         /** Checks that the slot of a use whose return was lost is freed after the maximum duration of a use. */
