Say that a request ran if its recorded response lacks a part

Cause: a repeat of a request whose record is complete, but a row of whose response body is missing, got IN_PROGRESS_OR_UNKNOWN with executed "unknown". The record shows that the request ran.

Result: saysThatARequestRanWhoseRecordedResponseLacksAPart failed before ("Expecting actual: Optional[unknown] to contain: yes") and passes; ProxyResourceTest and IdempotencyStorePropertyTest pass.

--- a/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
+++ b/src/main/java/org/tamarackline/entry/proxy/IdempotencyStore.java
@@ -270,7 +270,7 @@
     private RoutedResponse readResponse(IdempotencyKey key, RecordedResponse recorded) throws RequestException {
         byte[] body = new byte[0];
         for (int part = 0; part < recorded.bodyParts(); part++) {
-            Row row = read(key.bodyRowKey(part)).orElseThrow(IdempotencyStore::inProgressOrUnknown);
+            Row row = read(key.bodyRowKey(part)).orElseThrow(IdempotencyStore::bodyPartMissing);
             byte[] next = decodePart(row);
             byte[] joined = Arrays.copyOf(body, body.length + next.length);
             System.arraycopy(next, 0, joined, body.length, next.length);
@@ -319,6 +319,14 @@
                 "a request with this key is running, or its outcome is unknown");
     }
 
+    /** The record of the response shows that the request was executed, also if its body is not complete. */
+    private static RequestException bodyPartMissing() {
+        return new RequestException(
+                RequestErrorCode.ANSWER_NOT_RECORDED,
+                Executed.YES,
+                "a request with this key was executed, but a part of its recorded response is missing");
+    }
+
     private static RequestException unavailable(String detail) {
         return RequestException.notExecuted(RequestErrorCode.PLATFORM_UNAVAILABLE, detail);
     }
--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -12,7 +12,9 @@
 import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
+import org.tamarackline.core.idempotency.IdempotencyKey;
 import org.tamarackline.core.usage.AttemptOutcome;
+import org.tamarackline.store.TableTransaction;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -297,6 +299,29 @@
         }
     }
 
+    /** Guards against a caller that is told of an unknown outcome although the record shows that the request ran. */
+    @Test
+    void saysThatARequestRanWhoseRecordedResponseLacksAPart() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(
+                        (request, connection) -> ScriptedUpstream.reply(connection, 200, "order 7"));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            node.send(order(node, "1 tassel"));
+            ProxyFixture.await(() -> node.send(order(node, "1 tassel")).statusCode() == 200);
+            String partKey = new IdempotencyKey(ProxyFixture.QUOTES, ProxyFixture.CALLER, "key-1").bodyRowKey(0);
+            long version = node.platform.get(partKey).orElseThrow().version();
+            node.platform.transact(new TableTransaction(
+                    "removal",
+                    List.of(new TableTransaction.Check(partKey, version)),
+                    List.of(new TableTransaction.Write(partKey, null))));
+
+            HttpResponse<String> repeat = node.send(order(node, "1 tassel"));
+            assertThat(repeat.statusCode()).isEqualTo(409);
+            assertThat(repeat.headers().firstValue(EXECUTED)).contains("yes");
+            assertThat(repeat.body()).contains("\"code\":\"ANSWER_NOT_RECORDED\"", "\"executed\":\"yes\"");
+            assertThat(runner.received).hasSize(1);
+        }
+    }
+
     @Test
     void refusesARequestWithAKeyWhileThePlatformIsDown() throws Exception {
         try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
