--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -12,7 +12,9 @@
 import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
+import org.tamarackline.core.idempotency.IdempotencyKey;
 import org.tamarackline.core.usage.AttemptOutcome;
+import org.tamarackline.store.TableTransaction;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -98,13 +100,17 @@
                     }
                     ScriptedUpstream.echo().respond(request, connection);
                 });
-                ProxyFixture node = ProxyFixture.withRunners(runner)) {
-            CompletableFuture<String> slow = CompletableFuture.supplyAsync(() -> getBody(node, "/slow"));
+                ProxyFixture node = ProxyFixture.withoutDeadline(runner)) {
+            CompletableFuture<String> slow = getBodyAsync(node, "/slow");
             ProxyFixture.await(() -> runner.received.size() == 1);
             for (int i = 0; i < 50; i++) {
-                assertThat(getBody(node, "/fast" + i)).isEqualTo("/fast" + i);
+                CompletableFuture<String> fast = getBodyAsync(node, "/fast" + i);
+                ProxyFixture.await(fast::isDone);
+                assertThat(fast.join()).isEqualTo("/fast" + i);
             }
+            assertThat(slow).isNotDone();
             fastAnswered.countDown();
+            ProxyFixture.await(slow::isDone);
             assertThat(slow.join()).isEqualTo("/slow");
             assertThat(runner.acceptedConnections.get()).isEqualTo(2);
         }
@@ -293,6 +299,29 @@
         }
     }
 
+    /** Guards against a caller that is told of an unknown outcome although the record shows that the request ran. */
+    @Test
+    void saysThatARequestRanWhoseRecordedResponseLacksAPart() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(
+                        (request, connection) -> ScriptedUpstream.reply(connection, 200, "order 7"));
+                ProxyFixture node = ProxyFixture.withRunners(runner)) {
+            node.send(order(node, "1 tassel"));
+            ProxyFixture.await(() -> node.send(order(node, "1 tassel")).statusCode() == 200);
+            String partKey = new IdempotencyKey(ProxyFixture.QUOTES, ProxyFixture.CALLER, "key-1").bodyRowKey(0);
+            long version = node.platform.get(partKey).orElseThrow().version();
+            node.platform.transact(new TableTransaction(
+                    "removal",
+                    List.of(new TableTransaction.Check(partKey, version)),
+                    List.of(new TableTransaction.Write(partKey, null))));
+
+            HttpResponse<String> repeat = node.send(order(node, "1 tassel"));
+            assertThat(repeat.statusCode()).isEqualTo(409);
+            assertThat(repeat.headers().firstValue(EXECUTED)).contains("yes");
+            assertThat(repeat.body()).contains("\"code\":\"ANSWER_NOT_RECORDED\"", "\"executed\":\"yes\"");
+            assertThat(runner.received).hasSize(1);
+        }
+    }
+
     @Test
     void refusesARequestWithAKeyWhileThePlatformIsDown() throws Exception {
         try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
@@ -364,6 +393,10 @@
         assertThat(response.body()).contains("\"code\"", "\"executed\":\"no\"").doesNotContain("Exception");
     }
 
+    private static CompletableFuture<String> getBodyAsync(ProxyFixture node, String path) {
+        return node.sendAsync(node.request(path)).thenApply(HttpResponse::body);
+    }
+
     private static String getBody(ProxyFixture node, String path) {
         try {
             return node.send(node.request(path)).body();
