Answer every request that a draining node has read

Cause: the drain looked at the requests in flight for the last time 2.6 s after the stop signal and returned, but the listener went on reading requests until the process was gone about 0.3 s later. A request counted as answered before its response was transferred.

Change: at the end of the drain the callers' address is closed and nothing more is read from its open connections, by an end point whose reads return the end of the input. Idle connections close at once; others close after their response. The drain waits until all are closed. Requests whose answer takes longer get 504, which asks the caller to repeat the request. A request of which only a part was read gets 503.

--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -1,11 +1,16 @@
 package org.tamarackline.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -18,7 +23,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -31,10 +35,12 @@
     private static final int MAX_THREADS = 8;
     private static final int MIN_THREADS = 4;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final Duration CLOSE_CHECK_INTERVAL = Duration.ofMillis(10);
 
     private final Server server;
     private final int maxBodyBytes;
-    private final AtomicInteger inFlight = new AtomicInteger();
+    private final List<DrainableConnector> connectors = new ArrayList<>();
+    private final Set<JettyExchange> unanswered = ConcurrentHashMap.newKeySet();
     private volatile boolean closeAfterResponse;
 
     /**
@@ -62,14 +68,12 @@
         configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
         configuration.setSendServerVersion(false);
         configuration.setSendDateHeader(false);
-        ServerConnector connector =
-                new ServerConnector(server, null, null, null, 0, 1, new HttpConnectionFactory(configuration));
-        connector.setHost(address.getHostString());
-        connector.setPort(address.getPort());
+        DrainableConnector connector =
+                new DrainableConnector(server, new HttpConnectionFactory(configuration), address, handler);
         connector.setIdleTimeout(idleMs);
         connector.setAcceptQueueSize(512);
         connector.setReuseAddress(true);
-        connector.addBean(new AddressHandler(handler));
+        connectors.add(connector);
         server.addConnector(connector);
     }
 
@@ -92,9 +96,53 @@
         closeAfterResponse = true;
     }
 
-    /** Returns the number of requests that have not been responded to. */
+    /** Returns the number of requests that were read completely and have not been responded to. */
     public int inFlight() {
-        return inFlight.get();
+        return unanswered.size();
+    }
+
+    /**
+     * Closes an address to new connections and reads nothing more from open ones. Idle connections close at once; a
+     * connection whose request was read completely closes after its response.
+     */
+    public void stopReading(InetSocketAddress address) {
+        try {
+            connector(address).stopReading();
+        } catch (IOException failure) {
+            LOGGER.atWarning().withCause(failure).log(
+                    "failed to close %s to new connections; nothing is read from them", address);
+        }
+    }
+
+    /**
+     * Waits until an address to which {@link #stopReading} was applied has no open connection.
+     *
+     * @return whether all connections closed before the timeout
+     */
+    public boolean awaitConnectionsClosed(InetSocketAddress address, Duration timeout) throws InterruptedException {
+        DrainableConnector connector = connector(address);
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        connector.closeIdleConnections();
+        while (connector.hasConnections()) {
+            if (System.nanoTime() - deadlineNanos >= 0) {
+                return false;
+            }
+            Thread.sleep(CLOSE_CHECK_INTERVAL);
+            connector.closeIdleConnections();
+        }
+        return true;
+    }
+
+    private DrainableConnector connector(InetSocketAddress address) {
+        return connectors.stream()
+                .filter(connector -> connector.address().equals(address))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("%s was not added".formatted(address)));
+    }
+
+    /** Responds to all requests in flight; responses that their handlers send later are ignored. */
+    public void respondToUnanswered(int status, byte[] content) {
+        unanswered.forEach(exchange -> exchange.abandon(status, content));
     }
 
     /** Closes all addresses and connections. */
@@ -107,28 +155,36 @@
         }
     }
 
-    private record AddressHandler(Consumer<HttpExchange> handler) {}
-
     private final class Dispatcher extends Handler.Abstract.NonBlocking {
 
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
-            inFlight.incrementAndGet();
-            AddressHandler addressHandler =
-                    ((ServerConnector) request.getConnectionMetaData().getConnector()).getBean(AddressHandler.class);
+            DrainableConnector connector =
+                    (DrainableConnector) request.getConnectionMetaData().getConnector();
             Content.Source.asByteArrayAsync(request, maxBodyBytes, new Promise.Invocable.NonBlocking<>() {
                 @Override
                 public void succeeded(byte[] body) {
-                    addressHandler.handler().accept(new JettyExchange(request, response, callback, body));
+                    JettyExchange exchange = new JettyExchange(request, response, callback, body);
+                    unanswered.add(exchange);
+                    connector.handler().accept(exchange);
                 }
 
                 @Override
                 public void failed(Throwable failure) {
-                    new JettyExchange(request, response, callback, new byte[0]).respond(413, Map.of(), new byte[0]);
+                    respondToFailedRead(new JettyExchange(request, response, callback, new byte[0]), failure);
                 }
             });
             return true;
         }
+
+        private static void respondToFailedRead(HttpExchange exchange, Throwable failure) {
+            if (failure instanceof IOException) {
+                // The input ended before the body, so the request was not passed on.
+                exchange.respond(503, Map.of("Retry-After", "1"), new byte[0]);
+            } else {
+                exchange.respond(413, Map.of(), new byte[0]);
+            }
+        }
     }
 
     private final class JettyExchange implements HttpExchange {
@@ -138,6 +194,7 @@
         private final Callback callback;
         private final byte[] body;
         private final AtomicBoolean responded = new AtomicBoolean();
+        private volatile boolean abandoned;
 
         JettyExchange(Request request, Response response, Callback callback, byte[] body) {
             this.request = request;
@@ -185,12 +242,24 @@
 
         @Override
         public void respond(int status, Map<String, String> headers, byte[] content) {
-            if (!responded.compareAndSet(false, true)) {
+            if (responded.compareAndSet(false, true)) {
+                send(status, headers, content);
+            } else if (!abandoned) {
                 LOGGER.atWarning().log(
                         "request %s %s was responded to twice; ignoring the second response", method(), path());
-                return;
             }
-            inFlight.decrementAndGet();
+        }
+
+        /** Responds instead of the handler, whose response is ignored if it comes later. */
+        void abandon(int status, byte[] content) {
+            abandoned = true;
+            if (responded.compareAndSet(false, true)) {
+                send(status, Map.of(), content);
+            }
+        }
+
+        private void send(int status, Map<String, String> headers, byte[] content) {
+            unanswered.remove(this);
             response.setStatus(status);
             HttpFields.Mutable fields = response.getHeaders();
             headers.forEach(fields::put);
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -1,6 +1,7 @@
 package org.tamarackline.platform;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
@@ -41,6 +42,10 @@
     private static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(2_600);
 
     private static final Duration IN_FLIGHT_TIMEOUT = Duration.ofMillis(1_500);
+
+    /** Time for the transfer of the responses to requests that were not finished in time. */
+    private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(200);
+
     private static final Duration SETTINGS_CHECK_INTERVAL = Duration.ofSeconds(2);
 
     private final Path settingsFile;
@@ -52,6 +57,7 @@
     private final StoreClient store;
     private final FleetNode node;
     private final HttpListener listener;
+    private final InetSocketAddress callerAddress;
     private PlatformSettings settings;
     private FileTime settingsModifiedTime;
 
@@ -76,8 +82,8 @@
                 settings.node(),
                 new SecureRandom().nextLong());
         this.listener = new HttpListener(MAX_BODY_BYTES);
-        listener.add(
-                settings.callerAddress(), CALLER_IDLE_TIMEOUT_MS, new CallerRequestHandler(node, metrics, timeOfDay));
+        this.callerAddress = settings.callerAddress();
+        listener.add(callerAddress, CALLER_IDLE_TIMEOUT_MS, new CallerRequestHandler(node, metrics, timeOfDay));
         listener.add(settings.readinessAddress(), CALLER_IDLE_TIMEOUT_MS, this::respondReadiness);
         listener.add(settings.peerAddress(), PEER_IDLE_TIMEOUT_MS, node.peerHandler());
     }
@@ -162,7 +168,7 @@
 
     /**
      * Prepares the end of the process: reports the node as not ready, resigns if it leads, serves requests until the
-     * load balancer has noticed, and waits a limited time for the requests in flight.
+     * load balancer has noticed, reads no more requests, and waits a limited time for the requests in flight.
      */
     public void drain() {
         long startNanos = System.nanoTime();
@@ -175,15 +181,30 @@
             boolean resigned = drained.await(LOAD_BALANCER_DELAY.toMillis(), TimeUnit.MILLISECONDS);
             long elapsedMs = (System.nanoTime() - startNanos) / 1_000_000;
             Thread.sleep(Math.max(0, LOAD_BALANCER_DELAY.toMillis() - elapsedMs));
-            for (long waitedMs = 0;
-                    listener.inFlight() > 0 && waitedMs < IN_FLIGHT_TIMEOUT.toMillis();
-                    waitedMs += 20) {
-                Thread.sleep(20);
-            }
-            decisionLog.process("node-stop", "resigned=%s inFlight=%d".formatted(resigned, listener.inFlight()));
+            int unfinished = finishCallerRequests();
+            decisionLog.process("node-stop", "resigned=%s inFlight=%d".formatted(resigned, unfinished));
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
         sink.flush();
     }
+
+    /**
+     * Reads no more requests of callers and waits for the responses to those that were read. Callers that send requests
+     * until the process is gone find their connections closed instead of losing a request that was read.
+     *
+     * @return number of requests that were not finished in time and got a response of status 504
+     */
+    private int finishCallerRequests() throws InterruptedException {
+        listener.stopReading(callerAddress);
+        if (listener.awaitConnectionsClosed(callerAddress, IN_FLIGHT_TIMEOUT)) {
+            return 0;
+        }
+        int unfinished = listener.inFlight();
+        byte[] content = Json.encodeObject(
+                json -> json.writeStringField("error", "the node stops; repeat the request with the same identifier"));
+        listener.respondToUnanswered(504, content);
+        listener.awaitConnectionsClosed(callerAddress, LAST_RESPONSES_TIMEOUT);
+        return unfinished;
+    }
 }
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -5,11 +5,13 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -42,6 +44,7 @@
     private final ExecutorService requestExecutor = Executors.newVirtualThreadPerTaskExecutor();
     private final String storeAddress;
     private volatile boolean storeDown;
+    private volatile Duration storeDelay = Duration.ZERO;
 
     /**
      * Starts a store that contains a configuration and the descriptors of the runners, and starts the runners.
@@ -108,6 +111,16 @@
         storeDown = down;
     }
 
+    /** Sets the time by which the store delays its responses to transactions, which take effect at once. */
+    public void setStoreDelay(Duration delay) {
+        storeDelay = delay;
+    }
+
+    /** Returns the keys of all rows that were ever written to the store. */
+    public Set<String> writtenKeys() {
+        return store.writtenKeys();
+    }
+
     /** Returns the number of starts of each task on all runners. */
     public Map<String, Integer> startCounts() {
         Map<String, Integer> counts = new HashMap<>();
@@ -161,8 +174,9 @@
         }
     }
 
-    private void transact(HttpExchange exchange) throws IOException {
+    private void transact(HttpExchange exchange) throws IOException, InterruptedException {
         ArrayNode currentRows = store.transact(mapper.readTree(exchange.body()));
+        Thread.sleep(storeDelay);
         ObjectNode response = store.addVersionAndClock(mapper.createObjectNode());
         if (currentRows != null) {
             response.set("rows", currentRows);
--- a/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -82,6 +84,10 @@
         notifyAll();
     }
 
+    synchronized Set<String> writtenKeys() {
+        return history.stream().map(StoreRow::key).collect(Collectors.toSet());
+    }
+
     synchronized ObjectNode read(String table, String part, String from, String to) {
         ObjectNode response = mapper.createObjectNode();
         ArrayNode found = response.putArray("rows");
--- a/src/test/java/org/tamarackline/http/HttpListenerTest.java
+++ b/src/test/java/org/tamarackline/http/HttpListenerTest.java
@@ -2,23 +2,33 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-/** Guards against request bodies that are lost, read too late or accepted beyond the limit. */
+/**
+ * Guards against request bodies that are lost, read too late or accepted beyond the limit, and against requests without a
+ * response when reading stops.
+ */
 class HttpListenerTest {
 
     private static final int TIMEOUT_MS = 5_000;
+    private static final Duration TIMEOUT = Duration.ofMillis(TIMEOUT_MS);
+    private static final byte[] REQUEST = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final HttpListener listener = new HttpListener(1_000);
     private InetSocketAddress address;
@@ -60,6 +70,92 @@
                 .startsWith("HTTP/1.1 413");
     }
 
+    /** Guards against a stop that leaves idle connections open, on which clients would send requests in vain. */
+    @Test
+    void closesIdleConnectionsAndTheAddressWhenReadingStops() throws Exception {
+        start(exchange -> exchange.respond(200, Map.of(), new byte[0]));
+        try (Socket unused = connect();
+                Socket used = connect()) {
+            used.getOutputStream().write(REQUEST);
+            assertThat(readAvailable(used)).startsWith("HTTP/1.1 200");
+            listener.stopReading(address);
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+            assertThat(unused.getInputStream().read()).isEqualTo(-1);
+            assertThat(used.getInputStream().read()).isEqualTo(-1);
+        }
+        assertThatThrownBy(this::connect).isInstanceOf(ConnectException.class);
+    }
+
+    /** Guards against a response that is cut off because its request was in flight when reading stopped. */
+    @Test
+    void respondsToARequestInFlightAfterReadingStopped() throws Exception {
+        CompletableFuture<HttpExchange> received = new CompletableFuture<>();
+        start(received::complete);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(REQUEST);
+            HttpExchange exchange = received.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            listener.closeConnectionsAfterResponses();
+            listener.stopReading(address);
+            assertThat(listener.awaitConnectionsClosed(address, Duration.ofMillis(100)))
+                    .isFalse();
+            exchange.respond(200, Map.of(), new byte[200_000]);
+            byte[] response = socket.getInputStream().readAllBytes();
+            assertThat(new String(response, StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 200")
+                    .contains("Connection: close");
+            assertThat(response).hasSizeGreaterThan(200_000);
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+        }
+    }
+
+    /** Guards against a request without a response because its handler takes longer than the stop may last. */
+    @Test
+    void respondsInsteadOfAHandlerThatTakesTooLong() throws Exception {
+        CompletableFuture<HttpExchange> received = new CompletableFuture<>();
+        start(received::complete);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(REQUEST);
+            HttpExchange exchange = received.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            listener.closeConnectionsAfterResponses();
+            listener.stopReading(address);
+            listener.respondToUnanswered(504, new byte[0]);
+            exchange.respond(200, Map.of(), new byte[0]);
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 504");
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+            assertThat(listener.inFlight()).isZero();
+        }
+    }
+
+    /** Guards against a handler that gets part of a body, and a caller told that its body is too long. */
+    @Test
+    void refusesARequestOfWhichPartWasReadWhenReadingStopped() throws Exception {
+        start(exchange -> exchange.respond(200, Map.of(), new byte[0]));
+        try (Socket socket = connect()) {
+            socket.getOutputStream()
+                    .write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhe"
+                            .getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(100);
+            listener.closeConnectionsAfterResponses();
+            listener.stopReading(address);
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 503");
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(TIMEOUT_MS);
+        return socket;
+    }
+
+    private static String readAvailable(Socket socket) throws IOException {
+        byte[] response = new byte[4_096];
+        int read = socket.getInputStream().read(response);
+        return new String(response, 0, read, StandardCharsets.US_ASCII);
+    }
+
     private String send(String firstPart, String secondPart) throws IOException, InterruptedException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(TIMEOUT_MS);
