Derive the times of the drain from the platform's kill time

Cause: the drain used constants (2.6 s and 1.5 s) while the settings drainTime and shutdownTime had no reader.

Change: drainTime is a setting of the platform's process: the time until the kill, less a fifth of it, at most 1.2 s, for the exit. All waits of the drain end within it. shutdownTime and the drainTime of NodeSettings are removed. A kill time that is not greater than 0 is refused.

--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -41,10 +41,8 @@
     /** Time after which the load balancer has noticed that a node is not ready: two checks, one per second. */
     private static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(2_600);
 
-    private static final Duration IN_FLIGHT_TIMEOUT = Duration.ofMillis(1_500);
-
-    /** Time for the transfer of the responses to requests that were not finished in time. */
-    private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(200);
+    /** Fraction of the drain time for the transfer of the responses to requests that were not finished in time. */
+    private static final int LAST_RESPONSES_DIVISOR = 10;
 
     private static final Duration SETTINGS_CHECK_INTERVAL = Duration.ofSeconds(2);
 
@@ -58,6 +56,7 @@
     private final FleetNode node;
     private final HttpListener listener;
     private final InetSocketAddress callerAddress;
+    private final Duration drainTime;
     private PlatformSettings settings;
     private FileTime settingsModifiedTime;
 
@@ -83,6 +82,7 @@
                 new SecureRandom().nextLong());
         this.listener = new HttpListener(MAX_BODY_BYTES);
         this.callerAddress = settings.callerAddress();
+        this.drainTime = settings.drainTime();
         listener.add(callerAddress, CALLER_IDLE_TIMEOUT_MS, new CallerRequestHandler(node, metrics, timeOfDay));
         listener.add(settings.readinessAddress(), CALLER_IDLE_TIMEOUT_MS, this::respondReadiness);
         listener.add(settings.peerAddress(), PEER_IDLE_TIMEOUT_MS, node.peerHandler());
@@ -168,20 +168,21 @@
 
     /**
      * Prepares the end of the process: reports the node as not ready, resigns if it leads, serves requests until the
-     * load balancer has noticed, reads no more requests, and waits a limited time for the requests in flight.
+     * load balancer has noticed, reads no more requests, and waits for the requests in flight. Ends within the drain time
+     * of the settings.
      */
     public void drain() {
         long startNanos = System.nanoTime();
+        long servingEndNanos = startNanos + servingTime().toNanos();
         decisionLog.process("node-drain", "inFlight=" + listener.inFlight());
         CountDownLatch drained = new CountDownLatch(1);
         listener.closeConnectionsAfterResponses();
         node.drain(drained::countDown);
         try {
             // Also true if this node did not lead.
-            boolean resigned = drained.await(LOAD_BALANCER_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-            long elapsedMs = (System.nanoTime() - startNanos) / 1_000_000;
-            Thread.sleep(Math.max(0, LOAD_BALANCER_DELAY.toMillis() - elapsedMs));
-            int unfinished = finishCallerRequests();
+            boolean resigned = drained.await(servingEndNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+            Thread.sleep(untilNanos(servingEndNanos));
+            int unfinished = finishCallerRequests(startNanos + drainTime.toNanos());
             decisionLog.process("node-stop", "resigned=%s inFlight=%d".formatted(resigned, unfinished));
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
@@ -189,22 +190,33 @@
         sink.flush();
     }
 
+    /** Returns the time for which requests are read after the stop signal; shorter if the platform kills early. */
+    private Duration servingTime() {
+        Duration limit = drainTime.multipliedBy(3).dividedBy(5);
+        return limit.compareTo(LOAD_BALANCER_DELAY) < 0 ? limit : LOAD_BALANCER_DELAY;
+    }
+
+    private static Duration untilNanos(long endNanos) {
+        return Duration.ofNanos(Math.max(0, endNanos - System.nanoTime()));
+    }
+
     /**
      * Reads no more requests of callers and waits for the responses to those that were read. Callers that send requests
      * until the process is gone find their connections closed instead of losing a request that was read.
      *
      * @return number of requests that were not finished in time and got a response of status 504
      */
-    private int finishCallerRequests() throws InterruptedException {
+    private int finishCallerRequests(long endNanos) throws InterruptedException {
         listener.stopReading(callerAddress);
-        if (listener.awaitConnectionsClosed(callerAddress, IN_FLIGHT_TIMEOUT)) {
+        Duration lastResponsesTime = drainTime.dividedBy(LAST_RESPONSES_DIVISOR);
+        if (listener.awaitConnectionsClosed(callerAddress, untilNanos(endNanos - lastResponsesTime.toNanos()))) {
             return 0;
         }
         int unfinished = listener.inFlight();
         byte[] content = Json.encodeObject(
                 json -> json.writeStringField("error", "the node stops; repeat the request with the same identifier"));
         listener.respondToUnanswered(504, content);
-        listener.awaitConnectionsClosed(callerAddress, LAST_RESPONSES_TIMEOUT);
+        listener.awaitConnectionsClosed(callerAddress, untilNanos(endNanos));
         return unfinished;
     }
 }
--- a/src/main/java/org/tamarackline/platform/PlatformSettings.java
+++ b/src/main/java/org/tamarackline/platform/PlatformSettings.java
@@ -15,7 +15,7 @@
  * @param peerAddress address that listens for other nodes
  * @param storeAddress host and port of the store
  * @param adviceAddress host and port of the service that issues tickets, empty if there is none
- * @param shutdownTime time between the stop signal and the kill
+ * @param drainTime maximum time from the stop signal to the end of the drain
  */
 record PlatformSettings(
         NodeSettings node,
@@ -24,4 +24,4 @@
         InetSocketAddress peerAddress,
         String storeAddress,
         String adviceAddress,
-        Duration shutdownTime) {}
+        Duration drainTime) {}
--- a/src/main/java/org/tamarackline/platform/SettingsReader.java
+++ b/src/main/java/org/tamarackline/platform/SettingsReader.java
@@ -17,8 +17,14 @@
     /** Environment variable with the path of the settings file. */
     static final String PATH_VARIABLE = "TAMARACKLINE_BOOT";
 
-    /** Part of the shutdown time that is reserved for the exit of the process after the node has drained. */
-    private static final Duration EXIT_RESERVE = Duration.ofMillis(1_200);
+    /**
+     * Maximum part of the time between stop signal and kill that is kept free for the exit of the process after the drain.
+     * The exit took 0.3 s on the bench.
+     */
+    private static final Duration MAX_EXIT_RESERVE = Duration.ofMillis(1_200);
+
+    /** The same as a fraction of that time, which limits it if the platform kills early. */
+    private static final int EXIT_RESERVE_DIVISOR = 5;
 
     private SettingsReader() {}
 
@@ -37,9 +43,7 @@
         InetSocketAddress callerAddress = address(root, "/bindAddrs/frontend");
         String ip = text(root, "/ip");
         int peerPort = integer(root, "/internalPorts/0");
-        Duration shutdownTime = Duration.ofMillis((long) (decimal(root, "/bounds/graceS") * 1_000));
-        NodeSettings node = new NodeSettings(
-                text(root, "/nodeName"), text(root, "/zone"), ip + ":" + peerPort, shutdownTime.minus(EXIT_RESERVE));
+        NodeSettings node = new NodeSettings(text(root, "/nodeName"), text(root, "/zone"), ip + ":" + peerPort);
         return new PlatformSettings(
                 node,
                 callerAddress,
@@ -47,7 +51,19 @@
                 new InetSocketAddress(ip, peerPort),
                 text(root, "/platform/address"),
                 root.at("/advice").asText(""),
-                shutdownTime);
+                drainTime(root));
+    }
+
+    private static Duration drainTime(JsonNode root) throws PlatformSettingsException {
+        String pointer = "/bounds/graceS";
+        double graceSeconds = decimal(root, pointer);
+        if (!(graceSeconds > 0)) {
+            throw new PlatformSettingsException(
+                    "setting %s must be greater than 0, not %s".formatted(settingName(pointer), graceSeconds));
+        }
+        Duration grace = Duration.ofMillis((long) (graceSeconds * 1_000));
+        Duration reserve = grace.dividedBy(EXIT_RESERVE_DIVISOR);
+        return grace.minus(reserve.compareTo(MAX_EXIT_RESERVE) < 0 ? reserve : MAX_EXIT_RESERVE);
     }
 
     private static JsonNode required(JsonNode root, String pointer) throws PlatformSettingsException {
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -69,10 +69,7 @@
                 new DecisionLog(sink, timeOfDay, name));
         String address = name + ":1";
         Election election = new Election(
-                services,
-                new FakePeerCalls(nodeLoop, network),
-                new NodeSettings(name, "dc", address, Duration.ofSeconds(5)),
-                ++incarnations);
+                services, new FakePeerCalls(nodeLoop, network), new NodeSettings(name, "dc", address), ++incarnations);
         network.add(address, nodeLoop, election);
         Node node = new Node(address, nodeLoop, election);
         nodes.add(node);
--- a/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
@@ -60,12 +60,16 @@
     private InetSocketAddress address;
 
     @BeforeEach
-    void start() throws Exception {
+    void startFleet() throws Exception {
         fleet = new StandinFleet(1, 100);
+    }
+
+    private void startNode(String graceSeconds) throws Exception {
         address = StandinFleet.freeAddress();
         NodeSettingsText settings = new NodeSettingsText(
                 "node", address, StandinFleet.freeAddress(), StandinFleet.freeAddress(), fleet.storeAddress());
-        Path file = Files.writeString(directory.resolve("node.toml"), settings.text());
+        Path file = Files.writeString(
+                directory.resolve("node.toml"), settings.text().replace("graceS = 6", "graceS = " + graceSeconds));
         node = PlatformNode.start(file, new LineSink(log), InstantSource.system());
         while (!log.toString(StandardCharsets.UTF_8).contains("leader-ready")) {
             Thread.sleep(20);
@@ -85,6 +89,7 @@
     @ParameterizedTest
     @ValueSource(longs = {0, 1_000, 2_500})
     void respondsToEveryRequestThatWasReadBeforeTheEndOfTheProcess(long storeDelayMs) throws Exception {
+        startNode("6");
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             boolean reuse = i % 3 != 0;
@@ -109,6 +114,22 @@
         assertThat(statuses.values()).contains(200).isSubsetOf(200, 503, 504);
     }
 
+    /** Guards against a drain that is killed because it takes longer than the platform waits. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1", "2.5", "6"})
+    void endsBeforeThePlatformKillsTheProcess(String graceSeconds) throws Exception {
+        startNode(graceSeconds);
+        Thread client = Thread.ofVirtual().start(() -> sendUntilStopped(false));
+        Thread.sleep(LOAD_BEFORE_DRAIN);
+        fleet.setStoreDelay(Duration.ofSeconds(10));
+        long startNanos = System.nanoTime();
+        node.drain();
+        double drainSeconds = (System.nanoTime() - startNanos) / 1e9;
+        stopped.set(true);
+        client.join();
+        assertThat(drainSeconds).isLessThan(Double.parseDouble(graceSeconds) * 0.9);
+    }
+
     private void sendUntilStopped(boolean reuse) {
         while (!stopped.get()) {
             try (Socket socket = new Socket()) {
