Keep the detail of a refusal in the load client's outcome

Cause: the code NOT_READY stands for an isolated node and for one without configuration; the load client dropped the detail that tells them apart, so a failure of OutageTest did not show which it was.

Change: RequestOutcome has the detail of the error response.

--- a/src/main/java/org/tamarackline/load/LoadClient.java
+++ b/src/main/java/org/tamarackline/load/LoadClient.java
@@ -77,7 +77,8 @@
         try {
             return client.execute(request, response -> toOutcome(response, requestId, expected));
         } catch (IOException failure) {
-            return new RequestOutcome(requestId, RequestOutcome.Kind.BROKEN, 0, Optional.empty(), Optional.empty());
+            return new RequestOutcome(
+                    requestId, RequestOutcome.Kind.BROKEN, 0, Optional.empty(), Optional.empty(), Optional.empty());
         }
     }
 
@@ -92,8 +93,10 @@
         Optional<String> executed =
                 Optional.ofNullable(response.getFirstHeader(EXECUTED_HEADER)).map(Header::getValue);
         RequestOutcome.Kind kind = outcomeKind(response, requestId, expected, content);
-        Optional<String> code = kind == RequestOutcome.Kind.REFUSED ? errorCode(content) : Optional.empty();
-        return new RequestOutcome(requestId, kind, response.getCode(), code, executed);
+        Optional<String> code = kind == RequestOutcome.Kind.REFUSED ? errorField(content, "code") : Optional.empty();
+        Optional<String> detail =
+                kind == RequestOutcome.Kind.REFUSED ? errorField(content, "detail") : Optional.empty();
+        return new RequestOutcome(requestId, kind, response.getCode(), code, detail, executed);
     }
 
     private static RequestOutcome.Kind outcomeKind(
@@ -108,9 +111,9 @@
                 : RequestOutcome.Kind.MISMATCHED;
     }
 
-    private static Optional<String> errorCode(byte[] content) {
+    private static Optional<String> errorField(byte[] content, String name) {
         try {
-            return Optional.ofNullable(StandinJson.mapper().readTree(content).get("code"))
+            return Optional.ofNullable(StandinJson.mapper().readTree(content).get(name))
                     .map(JsonNode::asText);
         } catch (IOException notJson) {
             return Optional.empty();
--- a/src/main/java/org/tamarackline/load/LoadGenerator.java
+++ b/src/main/java/org/tamarackline/load/LoadGenerator.java
@@ -54,7 +54,12 @@
             } else {
                 report(
                         new RequestOutcome(
-                                requestId, RequestOutcome.Kind.NOT_SENT, 0, Optional.empty(), Optional.empty()),
+                                requestId,
+                                RequestOutcome.Kind.NOT_SENT,
+                                0,
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty()),
                         0);
             }
         }
--- a/src/main/java/org/tamarackline/load/RequestOutcome.java
+++ b/src/main/java/org/tamarackline/load/RequestOutcome.java
@@ -9,10 +9,16 @@
  * @param kind how the request ended
  * @param status HTTP status, 0 without a response
  * @param code code of the error response, empty if there is none
+ * @param detail explanation in the error response, empty if there is none
  * @param executed value of the response header {@code Tamarackline-Executed}
  */
 public record RequestOutcome(
-        String requestId, Kind kind, int status, Optional<String> code, Optional<String> executed) {
+        String requestId,
+        Kind kind,
+        int status,
+        Optional<String> code,
+        Optional<String> detail,
+        Optional<String> executed) {
 
     /** How a request ended. */
     public enum Kind {
--- a/src/test/java/org/tamarackline/load/HistoryCheckTest.java
+++ b/src/test/java/org/tamarackline/load/HistoryCheckTest.java
@@ -70,7 +70,7 @@
     }
 
     private static RequestOutcome outcome(String id, RequestOutcome.Kind kind, Optional<String> executed) {
-        return new RequestOutcome(id, kind, 200, Optional.empty(), executed);
+        return new RequestOutcome(id, kind, 200, Optional.empty(), Optional.empty(), executed);
     }
 
     private static UpstreamHistory history(Map<String, Integer> requests) {
