Ask peers for outage evidence before the membership lease ends

Cause: peers confirm an outage 1.5 heartbeat intervals after their last heartbeat, and a node's own lease may end 2 intervals after the platform's last answer. Pings are one interval apart, in phase with the node's own heartbeats, so none may fall between; the node then is ISOLATED and stays so, because evidence after the lease does not count.

Change: a node whose heartbeat is that late asks every tenth of an interval until its evidence is valid for half of the lease. A silent peer delays no other one. The rule is unchanged: Ownership.tla already gives all possible evidence in each step. Changes of the membership status are logged with the ages that they follow from.

Measured: ClusterScenarioTest.noNodeIsIsolatedInAnOutageWhenever- HeartbeatsAndPingsAreDue failed before at "node 0 crashed, ping phase 0, outage phase 2, step 8" and passes now; ClusterSafetyTest and SpecificationTest pass.

--- a/src/main/java/org/tamarackline/core/membership/MembershipStatusTracker.java
+++ b/src/main/java/org/tamarackline/core/membership/MembershipStatusTracker.java
@@ -97,6 +97,24 @@
         return evidenceValid || (joined && singleNode) ? MembershipStatus.OUTAGE : MembershipStatus.ISOLATED;
     }
 
+    /** Returns whether this node has outage evidence that is valid for {@code time} after {@code nowNanos}. */
+    public boolean hasEvidenceFor(Duration time, long nowNanos) {
+        return hasEvidence && nowNanos + time.toNanos() < evidenceEndNanos;
+    }
+
+    /** Returns what the status at {@code nowNanos} follows from, for the log. */
+    public String describeAt(long nowNanos) {
+        return "last confirmed heartbeat %s, last poll %s, outage evidence %s"
+                .formatted(
+                        joined ? ageMs(lastHeartbeatNanos, nowNanos) : "none",
+                        polled ? ageMs(lastPollNanos, nowNanos) : "none",
+                        hasEvidence ? ageMs(evidenceEndNanos - membershipLeaseNanos, nowNanos) : "none");
+    }
+
+    private static String ageMs(long sentNanos, long nowNanos) {
+        return "sent %d ms ago".formatted((nowNanos - sentNanos) / 1_000_000);
+    }
+
     private boolean isConfirmed(long nowNanos) {
         return polled
                 && nowNanos - lastHeartbeatNanos < membershipLeaseNanos
--- a/src/main/java/org/tamarackline/entry/cluster/ClusterNode.java
+++ b/src/main/java/org/tamarackline/entry/cluster/ClusterNode.java
@@ -38,7 +38,10 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final Duration OWNERSHIP_INTERVAL = Duration.ofMillis(250);
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
-    private static final int LOOP_COUNT = 4;
+    private static final int LOOP_COUNT = 5;
+
+    /** Checks per heartbeat interval whether outage evidence is needed. */
+    private static final int EVIDENCE_CHECKS = 10;
 
     private final EntrySettings settings;
     private final ClusterContext context;
@@ -76,6 +79,7 @@
         schedule(this::heartbeatTick, times.heartbeatInterval());
         schedule(this::pollTick, times.pollInterval());
         schedule(this::pingTick, times.heartbeatInterval());
+        schedule(this::evidenceTick, times.heartbeatInterval().dividedBy(EVIDENCE_CHECKS));
         schedule(this::ownershipTick, OWNERSHIP_INTERVAL);
     }
 
@@ -107,6 +111,11 @@
         pingLoop.tick();
     }
 
+    /** Asks the peers for outage evidence if it is needed. */
+    void evidenceTick() {
+        pingLoop.evidenceTick();
+    }
+
     /** Scans, claims, takes over or hands over shards, whichever is due. */
     void ownershipTick() {
         ownershipLock.lock();
--- a/src/main/java/org/tamarackline/entry/cluster/Fanout.java
+++ b/src/main/java/org/tamarackline/entry/cluster/Fanout.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Applies a function that may block, such as a call to a peer, to several items. */
@@ -25,6 +26,11 @@
         return new Fanout(task -> Thread.ofVirtual().name("cluster-call").start(task));
     }
 
+    /** Starts to process the items without waiting for the results. */
+    <T> void start(Collection<T> items, Consumer<T> action) {
+        items.forEach(item -> executor.execute(() -> action.accept(item)));
+    }
+
     /** Waits for all results and returns them in the order of the items. */
     <T, R> List<R> map(Collection<T> items, Function<T, R> function) {
         List<CompletableFuture<R>> futures = items.stream()
--- a/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
+++ b/src/main/java/org/tamarackline/entry/cluster/MembershipState.java
@@ -65,6 +65,7 @@
     private boolean platformResponded;
     private long lastPlatformResponseNanos;
     private long ownedVersion;
+    private MembershipStatus lastStatus = MembershipStatus.ISOLATED;
 
     MembershipState(EntrySettings settings, LocalNode self, MonotonicClock clock, IncarnationSource incarnations) {
         this.settings = settings;
@@ -245,6 +246,21 @@
         return !stopped && !statusTracker.confirmedWithin(recencyWindow, clock.nowNanos());
     }
 
+    /**
+     * Returns whether this node should ask its peers for outage evidence at once, because no heartbeat has taken effect
+     * recently and the evidence that it has, if any, expires soon. An isolated node asks for none, because it could not use
+     * it.
+     */
+    synchronized boolean needsOutageEvidence() {
+        long nowNanos = clock.nowNanos();
+        return !stopped
+                && statusTracker.isJoined()
+                && statusTracker.statusAt(nowNanos) != MembershipStatus.ISOLATED
+                && !statusTracker.confirmedWithin(recencyWindow, nowNanos)
+                && !statusTracker.hasEvidenceFor(
+                        settings.cluster().membershipLease().dividedBy(2), nowNanos);
+    }
+
     /**
      * Returns whether this node gives outage evidence to the peer: it is a member that is neither leaving, stopped nor
      * isolated, none of its heartbeats was confirmed recently, and no version of its row that may be in the table records
@@ -266,7 +282,17 @@
     }
 
     synchronized MembershipStatus status() {
-        return stopped ? MembershipStatus.ISOLATED : statusTracker.statusAt(clock.nowNanos());
+        if (stopped) {
+            return MembershipStatus.ISOLATED;
+        }
+        long nowNanos = clock.nowNanos();
+        MembershipStatus status = statusTracker.statusAt(nowNanos);
+        if (status != lastStatus) {
+            lastStatus = status;
+            LOG.atInfo().log(
+                    "membership status of %s is %s; %s", self.node(), status, statusTracker.describeAt(nowNanos));
+        }
+        return status;
     }
 
     synchronized boolean isJoined() {
--- a/src/main/java/org/tamarackline/entry/cluster/PingLoop.java
+++ b/src/main/java/org/tamarackline/entry/cluster/PingLoop.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.membership.NodeRow;
@@ -35,6 +37,7 @@
     private final MonotonicClock clock;
     private final Fanout fanout;
     private final Duration timeout;
+    private final Set<NodeId> evidenceRequests = ConcurrentHashMap.newKeySet();
 
     PingLoop(ClusterContext context) {
         settings = context.settings();
@@ -57,6 +60,36 @@
         }
     }
 
+    /**
+     * Asks the peers for outage evidence if it is needed. Peers give it 1.5 heartbeat intervals after their last heartbeat,
+     * and this node may be isolated 2 intervals after the last platform response, so that a ping once per interval may come
+     * too early and the next one too late.
+     */
+    void evidenceTick() {
+        if (membership.needsOutageEvidence()) {
+            fanout.start(targets(), this::requestEvidence);
+        }
+    }
+
+    /** Asks one peer, unless an earlier request to it is in progress, so that a silent peer delays no other one. */
+    private void requestEvidence(NodeId peer) {
+        if (!evidenceRequests.add(peer)) {
+            return;
+        }
+        try {
+            long sentNanos = clock.nowNanos();
+            if (call(peer, newPing()).orElse(null) instanceof ClusterMessages.Pong pong && pong.outageEvidence()) {
+                membership.recordOutageEvidence(sentNanos);
+            }
+        } finally {
+            evidenceRequests.remove(peer);
+        }
+    }
+
+    private ClusterMessages.Ping newPing() {
+        return new ClusterMessages.Ping(self.incarnation(), settings.region(), configurationReplica.version());
+    }
+
     /** Returns the known peers, or the seed peers of the settings if none is known. */
     private List<NodeId> targets() {
         List<NodeId> known = new ArrayList<>(
@@ -70,9 +103,7 @@
 
     private boolean ping(NodeId peer) {
         long sentNanos = clock.nowNanos();
-        ClusterMessages.Ping ping =
-                new ClusterMessages.Ping(self.incarnation(), settings.region(), configurationReplica.version());
-        Optional<PeerMessage> response = call(peer, ping);
+        Optional<PeerMessage> response = call(peer, newPing());
         if (!(response.orElse(null) instanceof ClusterMessages.Pong pong)) {
             peerDirectory.recordFailedPing(peer);
             return false;
--- a/src/test/java/org/tamarackline/entry/cluster/ClusterScenarioTest.java
+++ b/src/test/java/org/tamarackline/entry/cluster/ClusterScenarioTest.java
@@ -80,6 +80,35 @@
         assertThat(ownedCounts()).isEqualTo(ownedBefore);
     }
 
+    /** Guards against nodes that refuse requests at the begin of an outage because no ping came in time for evidence. */
+    @Test
+    void noNodeIsIsolatedInAnOutageWheneverHeartbeatsAndPingsAreDue() {
+        for (int crashed = 0; crashed < 3; crashed++) {
+            for (int pingPhase = 0; pingPhase < STEPS_PER_SECOND; pingPhase++) {
+                for (int outagePhase = 0; outagePhase < STEPS_PER_SECOND; outagePhase++) {
+                    assertNoNodeIsIsolatedInAnOutage(crashed, pingPhase, outagePhase);
+                }
+            }
+        }
+    }
+
+    private static void assertNoNodeIsIsolatedInAnOutage(int crashed, int pingPhase, int outagePhase) {
+        SimulatedCluster pair = new SimulatedCluster(3, 1, Mutation.NONE, 1, pingPhase * SimulatedCluster.STEP_MS);
+        pair.run(20 * STEPS_PER_SECOND);
+        pair.crash(crashed);
+        pair.run(20 * STEPS_PER_SECOND + outagePhase);
+        pair.setPlatformDown(true);
+        for (int step = 0; step < 12 * STEPS_PER_SECOND; step++) {
+            pair.run(1);
+            assertThat(pair.processes())
+                    .as(
+                            "node %d crashed, ping phase %d, outage phase %d, step %d",
+                            crashed, pingPhase, outagePhase, step)
+                    .extracting(node -> node.clusterNode.membershipStatus())
+                    .doesNotContain(MembershipStatus.ISOLATED);
+        }
+    }
+
     private List<Integer> ownedCounts() {
         return cluster.processes().stream()
                 .map(node -> node.clusterNode.ownedShards().size())
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedCluster.java
@@ -48,6 +48,7 @@
     private final FakePlatform platform = new FakePlatform();
     private final Mutation mutation;
     private final Random random;
+    private final long pingPhaseMs;
     private final Map<NodeId, SimulatedNode> processes = new TreeMap<>();
     private final Map<NodeId, DataCentre> dataCentreByNode = new TreeMap<>();
     private final List<VmRecord> vms = new ArrayList<>();
@@ -62,7 +63,12 @@
     private long startedProcesses;
 
     SimulatedCluster(int nodes, int dataCentres, Mutation mutation, long seed) {
+        this(nodes, dataCentres, mutation, seed, STEP_MS);
+    }
+
+    SimulatedCluster(int nodes, int dataCentres, Mutation mutation, long seed, long pingPhaseMs) {
         this.mutation = mutation;
+        this.pingPhaseMs = pingPhaseMs;
         random = new Random(seed);
         for (int number = 0; number < nodes; number++) {
             NodeId id = new NodeId("10.0.0.%d:7400".formatted(number + 1));
@@ -119,6 +125,10 @@
         return new Incarnation(++lastIncarnation);
     }
 
+    long pingPhaseMs() {
+        return pingPhaseMs;
+    }
+
     /** Counts the start of a process and returns the offset of its ticks. */
     long nextTickOffsetMs() {
         return STEP_MS * (startedProcesses++ % 4);
--- a/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/entry/cluster/SimulatedNode.java
@@ -43,6 +43,10 @@
     final MembershipState membership;
     final ArrayDeque<Runnable> messagesDuringPause = new ArrayDeque<>();
     final long tickOffsetMs;
+
+    /** Time from each heartbeat to the next ping. */
+    private final long pingPhaseMs;
+
     boolean platformUnreachable;
     boolean peersUnreachable;
     boolean paused;
@@ -65,6 +69,7 @@
         this.cluster = cluster;
         this.id = id;
         tickOffsetMs = cluster.nextTickOffsetMs();
+        pingPhaseMs = cluster.pingPhaseMs();
         connectedSinceMs = cluster.nowMs();
         EntrySettings settings = settings(id, dataCentre, cluster.nodeIds(), times);
         MonotonicClock clock = cluster.driftingClock();
@@ -120,9 +125,10 @@
         if (ageMs % cluster.mutation().pollIntervalMs() == 0) {
             clusterNode.pollTick();
         }
-        if (ageMs % 1000 == 250) {
+        if (ageMs % 1000 == pingPhaseMs) {
             clusterNode.pingTick();
         }
+        clusterNode.evidenceTick();
         clusterNode.ownershipTick();
         ticking = false;
     }
