Report a call to an invalid address as not sent

AsyncHttpClient.call threw for an address that is none, so the callback never ran: a poll was never scheduled again and an unanswered start was counted for good. It now checks the address, reports whatever the HTTP library rejects before the send as never sent, passes on one result only, and logs a callback that fails, at most once a second.

--- a/src/main/java/org/tamarackline/http/AsyncHttpClient.java
+++ b/src/main/java/org/tamarackline/http/AsyncHttpClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -17,11 +18,12 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.tamarackline.settings.Addresses;
 
 /**
  * An asynchronous HTTP client with a small thread pool, for a fleet node and its stand-ins.
  *
- * <p>Every call ends within its timeout. Failed connections are closed and not reused, and no call is retried.
+ * <p>Every call ends within its timeout, with exactly one result. Failed connections are closed and not reused, and no call is retried.
  */
 public final class AsyncHttpClient implements AutoCloseable {
 
@@ -64,13 +66,13 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request. Never throws: a request that cannot be sent has the result {@link HttpCallResult.NoResponse}.
      *
-     * @param address host and port, separated by a colon
+     * @param address IPv4 address and port, separated by a colon
      * @param target path and query
      * @param body JSON content, null for none
      * @param timeout timeout of the whole call
-     * @param callback receives the result on a thread of the client
+     * @param callback receives the result, once, on a thread of the client or of the caller
      */
     public void call(
             String method,
@@ -80,16 +82,35 @@
             byte[] body,
             Duration timeout,
             Consumer<HttpCallResult> callback) {
-        int colon = address.lastIndexOf(':');
-        Request request = client.newRequest(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
-                .method(method)
-                .path(target)
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-                .headers(fields -> headers.forEach(fields::put));
+        ResponseListener listener = new ResponseListener(callback);
+        if (!Addresses.isIpAndPort(address)) {
+            listener.complete(new HttpCallResult.NoResponse(true, "the address is not an IPv4 address and a port"));
+            return;
+        }
+        Request request;
+        try {
+            request = client.newRequest(Addresses.host(address), Addresses.port(address))
+                    .method(method)
+                    .path(target)
+                    .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                    .headers(fields -> headers.forEach(fields::put));
+        } catch (RuntimeException failure) {
+            listener.complete(new HttpCallResult.NoResponse(true, describe(failure)));
+            return;
+        }
         if (body != null) {
             request.body(new BytesRequestContent("application/json", body));
         }
-        request.send(new ResponseListener(callback));
+        try {
+            request.send(listener);
+        } catch (RuntimeException failure) {
+            // Whether a part was sent is not known.
+            listener.complete(new HttpCallResult.NoResponse(false, describe(failure)));
+        }
+    }
+
+    private static String describe(Throwable failure) {
+        return failure.getClass().getSimpleName() + ": " + failure.getMessage();
     }
 
     @Override
@@ -110,6 +131,7 @@
     private static final class ResponseListener extends BufferingResponseListener {
 
         private final Consumer<HttpCallResult> callback;
+        private final AtomicBoolean completed = new AtomicBoolean();
 
         ResponseListener(Consumer<HttpCallResult> callback) {
             super(MAX_RESPONSE_BYTES);
@@ -120,13 +142,25 @@
         public void onComplete(Result result) {
             if (result.isSucceeded()) {
                 byte[] body = getContent();
-                callback.accept(new HttpCallResult.Response(
+                complete(new HttpCallResult.Response(
                         result.getResponse().getStatus(), body == null ? new byte[0] : body));
                 return;
             }
             Throwable failure = result.getFailure();
-            String cause = failure.getClass().getSimpleName() + ": " + failure.getMessage();
-            callback.accept(new HttpCallResult.NoResponse(failure instanceof ConnectException, cause));
+            complete(new HttpCallResult.NoResponse(failure instanceof ConnectException, describe(failure)));
+        }
+
+        /** Passes on the first result. A callback that fails is logged and ends neither the caller nor its thread. */
+        void complete(HttpCallResult result) {
+            if (!completed.compareAndSet(false, true)) {
+                return;
+            }
+            try {
+                callback.accept(result);
+            } catch (RuntimeException | Error failure) {
+                LOGGER.atSevere().withCause(failure).atMostEvery(1, TimeUnit.SECONDS).log(
+                        "callback of an HTTP call failed");
+            }
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
@@ -0,0 +1,109 @@
+package org.tamarackline.http;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tamarackline.standin.fleet.StandinFleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against calls whose callback never runs, so that whoever waits for the result waits forever. */
+class AsyncHttpClientTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final List<HttpCallResult> results = new CopyOnWriteArrayList<>();
+    private AsyncHttpClient client;
+    private HttpListener listener;
+    private String address;
+
+    @BeforeEach
+    void start() throws Exception {
+        client = new AsyncHttpClient(2);
+        listener = new HttpListener(1_000);
+        var socketAddress = StandinFleet.freeAddress();
+        address = StandinFleet.hostAndPort(socketAddress);
+        listener.add(socketAddress, TIMEOUT.toMillis(), exchange -> exchange.respond(200, Map.of(), new byte[0]));
+        listener.start();
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+        listener.stop();
+    }
+
+    private void call(String callAddress, String target, Map<String, String> headers) throws InterruptedException {
+        CountDownLatch called = new CountDownLatch(1);
+        client.call("GET", callAddress, target, headers, null, TIMEOUT, result -> {
+            results.add(result);
+            called.countDown();
+        });
+        assertThat(called.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    /** Guards against a poll or a start that is never answered because the address in a record is not one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "x",
+                ":80",
+                "10.0.0.1",
+                "10.0.0.1:",
+                "10.0.0.1:0",
+                "10.0.0.1:99999",
+                "10.0.0.1:99999999999",
+                "10.0.0.1:-1",
+                "....:80",
+                "999.1.1.1:80",
+                "10.0.0.1\r\nX: y:80",
+                "name:80"
+            })
+    void reportsACallToAnInvalidAddressAsNotSent(String invalid) throws InterruptedException {
+        call(invalid, "/", Map.of());
+        assertThat(results)
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        HttpCallResult.NoResponse.class,
+                        result -> assertThat(result.neverSent()).isTrue());
+    }
+
+    /** Guards against a target that the HTTP library rejects with an exception. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "no-slash", "/a b", "/%zz", "/\r\nX: y", "http://[", "/\u0000"})
+    void answersACallWithAnOddTargetOnce(String target) throws InterruptedException {
+        call(address, target, Map.of("X-Odd", "a\r\nY: b"));
+        assertThat(results).hasSize(1);
+    }
+
+    /** Guards against a failing callback that runs twice or takes a thread of the client with it. */
+    @Test
+    void callbackThatThrowsRunsOnceAndLaterCallsAreAnswered() throws InterruptedException {
+        for (int i = 0; i < 10; i++) {
+            client.call("GET", address, "/", Map.of(), null, TIMEOUT, result -> {
+                results.add(result);
+                throw new StackOverflowError("test");
+            });
+        }
+        client.call("GET", "", "/", Map.of(), null, TIMEOUT, result -> {
+            results.add(result);
+            throw new IllegalStateException("test");
+        });
+        call(address, "/", Map.of());
+        long deadlineNanos = System.nanoTime() + TIMEOUT.toNanos();
+        while (results.size() < 12 && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(5);
+        }
+        assertThat(results).hasSize(12);
+    }
+}
