Log errors of event loop steps, at most one a second

The loop caught exceptions only. An error, such as an overflow of the 256-KB stack, stayed in the executor's future: no trace of it was left. A step that fails again and again wrote a stack trace each time. Both kinds are now logged, at most one a second.

--- a/src/main/java/org/tamarackline/fleet/SingleThreadLoop.java
+++ b/src/main/java/org/tamarackline/fleet/SingleThreadLoop.java
@@ -49,12 +49,15 @@
         executor.schedule(step, delay.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    /** Catches the exception of a failing step, so that later steps still run. */
+    /**
+     * Logs the failure of a step, at most once a second. Errors are caught too: the executor would keep them to itself,
+     * and a stack that overflows on deeply nested input says nothing about later steps.
+     */
     private static void run(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException failure) {
-            LOGGER.atSevere().withCause(failure).log("event loop step failed");
+        } catch (RuntimeException | Error failure) {
+            LOGGER.atSevere().withCause(failure).atMostEvery(1, TimeUnit.SECONDS).log("event loop step failed");
         }
     }
 }
