Answer a request whose handler fails

If a handler threw, the request was never answered and stayed in the count of requests in flight, for which a planned stop waits. It is now logged, at most once a second, and answered with status 500.

The test failed before the change, since no response arrived.

--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -119,7 +120,8 @@
             Content.Source.asByteArrayAsync(request, maxBodyBytes, new Promise.Invocable.NonBlocking<>() {
                 @Override
                 public void succeeded(byte[] body) {
-                    addressHandler.handler().accept(new JettyExchange(request, response, callback, body));
+                    handleCompleteRequest(
+                            addressHandler.handler(), new JettyExchange(request, response, callback, body));
                 }
 
                 @Override
@@ -131,6 +133,18 @@
         }
     }
 
+    /** Answers with status 500 if the handler fails, so that no caller waits for a response that never comes. */
+    private static void handleCompleteRequest(Consumer<HttpExchange> handler, JettyExchange exchange) {
+        try {
+            handler.accept(exchange);
+        } catch (RuntimeException | Error failure) {
+            LOGGER.atSevere().withCause(failure).atMostEvery(1, TimeUnit.SECONDS).log("handling a request failed");
+            if (!exchange.responded.get()) {
+                exchange.respond(500, Map.of(), new byte[0]);
+            }
+        }
+    }
+
     private final class JettyExchange implements HttpExchange {
 
         private final Request request;
--- a/src/test/java/org/tamarackline/http/HttpListenerTest.java
+++ b/src/test/java/org/tamarackline/http/HttpListenerTest.java
@@ -53,6 +53,16 @@
                 .endsWith("hello");
     }
 
+    /** Guards against a caller that waits, and a count of requests in flight that never falls, after a handler failed. */
+    @Test
+    void answersARequestWhoseHandlerFails() throws Exception {
+        start(exchange -> {
+            throw new StackOverflowError("test");
+        });
+        assertThat(send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "")).startsWith("HTTP/1.1 500");
+        assertThat(listener.inFlight()).isZero();
+    }
+
     @Test
     void refusesABodyOverTheLimit() throws Exception {
         start(exchange -> exchange.respond(200, Map.of(), new byte[0]));
