Reject directory entries that are not within bounds

Numbers of an entry were converted by the JSON library, which wraps around or saturates: a capacity of 1e400 or 2^63 became 2^63 - 1 or -2^63 thousandths of a processor, 2^40 accelerators became none. Ports up to 99999, hosts such as "....", labels nested 900 deep and identifiers with line breaks, which are sent in a header, were accepted. Other entries were skipped without a line of the log.

One decoder now checks each field that is used; the bounds on capacity keep the sums over a million runners within their types.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -182,6 +182,14 @@
         });
     }
 
+    /** Logs that an entry of the directory does not describe a usable runner. */
+    public void rejectedRunnerEntry(String runner, String reason) {
+        writeLine("runner-entry-rejected", json -> {
+            json.writeStringField("runner", runner);
+            json.writeStringField("reason", reason);
+        });
+    }
+
     void leadership(String event, long epoch, String leader, String reason) {
         writeLine(event, json -> {
             json.writeNumberField("epoch", epoch);
--- a/src/main/java/org/tamarackline/platform/Json.java
+++ b/src/main/java/org/tamarackline/platform/Json.java
@@ -9,11 +9,12 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.tamarackline.json.BoundedJson;
 
 /** Parses and encodes the JSON bodies and values that are exchanged with the platform. */
 final class Json {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.newMapper();
     private static final JsonFactory FACTORY = MAPPER.getFactory();
 
     private Json() {}
@@ -23,7 +24,7 @@
         void write(JsonGenerator json) throws IOException;
     }
 
-    /** Returns the parsed object; empty if the bytes are not a JSON object. */
+    /** Returns the parsed object; empty if the bytes are not a JSON object within the bounds of {@link BoundedJson}. */
     static Optional<JsonNode> parse(byte[] bytes) {
         try {
             JsonNode node = MAPPER.readTree(bytes);
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -64,7 +64,7 @@
         this.loop = new SingleThreadLoop("node");
         this.storeHttp = new AsyncHttpClient(STORE_CONNECTIONS_PER_ADDRESS);
         this.runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS_PER_ADDRESS);
-        this.store = new StoreClient(storeHttp, loop, settings.storeAddress());
+        this.store = new StoreClient(storeHttp, loop, decisionLog, settings.storeAddress());
         FleetNodeMetrics metrics = new FleetNodeMetrics();
         NodeServices services =
                 new NodeServices(loop, store, new RunnerClient(runnerHttp, loop), store, timeOfDay, decisionLog);
--- a/src/main/java/org/tamarackline/platform/RunnerDecoder.java
+++ b/src/main/java/org/tamarackline/platform/RunnerDecoder.java
@@ -1,7 +1,7 @@
 package org.tamarackline.platform;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +13,8 @@
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.json.JsonNumbers;
+import org.tamarackline.settings.Addresses;
 
 /** Decodes the directory entries of runners and the status that they return to a poll. */
 final class RunnerDecoder {
@@ -20,49 +22,104 @@
     /** Form of the label that names the rack, such as r1-3; the other labels are kinds of runners. */
     private static final Pattern RACK_LABEL = Pattern.compile("r\\d+-\\d+");
 
-    private RunnerDecoder() {}
+    /** Form of an identifier, which is sent in a header and written to the log. */
+    private static final Pattern RUNNER_ID = Pattern.compile("[!-~]{1,200}");
 
-    /** Returns the descriptor in a directory entry; empty if the entry does not describe a usable runner. */
-    static Optional<RunnerDescriptor> decodeDescriptor(String id, byte[] value) {
-        return Json.parse(value).flatMap(root -> decodeDescriptor(id, root));
-    }
+    /**
+     * Bounds on one runner. They are far above any machine, and small enough that the sums over a million runners fit
+     * into the numbers that hold them: a million processors in thousandths, a petabyte in megabytes, and 1,000
+     * accelerators, which are summed as 32-bit numbers.
+     */
+    private static final long MAX_PROCESSOR_MILLIS = 1_000_000_000;
 
-    private static Optional<RunnerDescriptor> decodeDescriptor(String id, JsonNode root) {
-        JsonNode capacity = root.path("capacity");
-        String state = root.path("state").asText();
-        boolean knownState = state.equals("ready") || state.equals("draining");
-        boolean complete = root.path("service").isTextual()
-                && validAddress(root.path("address"))
-                && capacity.path("cpu").isNumber()
-                && capacity.path("memMb").isNumber();
-        if (!knownState || !complete) {
-            return Optional.empty();
+    private static final long MAX_MEMORY_MB = 1_000_000_000;
+    private static final long MAX_ACCELERATORS = 1_000;
+
+    private static final int MAX_LABELS = 100;
+    private static final int MAX_LABEL_LENGTH = 200;
+
+    private RunnerDecoder() {}
+
+    /**
+     * Returns the descriptor in a directory entry.
+     *
+     * @throws RejectedEntryException if the entry does not describe a usable runner
+     */
+    static RunnerDescriptor decodeDescriptor(String id, byte[] value) throws RejectedEntryException {
+        if (!RUNNER_ID.matcher(id).matches()) {
+            throw new RejectedEntryException("its key is not an identifier");
         }
-        Set<String> labels = new HashSet<>();
-        String rack = "";
-        for (JsonNode label : root.path("labels")) {
-            labels.add(label.asText());
-            if (RACK_LABEL.matcher(label.asText()).matches()) {
-                rack = label.asText();
-            }
+        JsonNode root = Json.parse(value)
+                .orElseThrow(() -> new RejectedEntryException("it is not a JSON object, or nests too deeply"));
+        String state = requiredText(root, "state");
+        if (!state.equals("ready") && !state.equals("draining")) {
+            throw new RejectedEntryException("state is neither ready nor draining");
+        }
+        String address = requiredText(root, "address");
+        if (!Addresses.isIpAndPort(address)) {
+            throw new RejectedEntryException("address is not an IPv4 address and a port");
+        }
+        JsonNode capacity = root.path("capacity");
+        Resources resources = new Resources(
+                requiredNumber(capacity, "cpu", MAX_PROCESSOR_MILLIS),
+                requiredNumber(capacity, "memMb", MAX_MEMORY_MB),
+                (int) optionalNumber(capacity, "gpu", MAX_ACCELERATORS));
+        for (String unused : List.of("slots", "sequence")) {
+            optionalNumber(root, unused, JsonNumbers.MAX_EXACT);
         }
-        return Optional.of(new RunnerDescriptor(
+        Set<String> labels = decodeLabels(root.path("labels"));
+        return new RunnerDescriptor(
                 id,
-                root.path("born").asLong(0),
-                root.path("service").textValue(),
-                root.path("address").textValue(),
-                root.path("zone").asText(""),
-                rack,
+                optionalNumber(root, "born", JsonNumbers.MAX_EXACT),
+                requiredText(root, "service"),
+                address,
+                optionalText(root, "zone"),
+                labels.stream()
+                        .filter(label -> RACK_LABEL.matcher(label).matches())
+                        .findFirst()
+                        .orElse(""),
                 state.equals("draining"),
-                new Resources(
-                        capacity.path("cpu").asLong(),
-                        capacity.path("memMb").asLong(),
-                        capacity.path("gpu").asInt(0)),
-                labels));
+                resources,
+                labels);
     }
 
-    private static boolean validAddress(JsonNode address) {
-        return address.isTextual() && address.textValue().matches("[0-9.]+:\\d{1,5}");
+    private static String requiredText(JsonNode object, String field) throws RejectedEntryException {
+        JsonNode value = object.path(field);
+        if (!value.isTextual()) {
+            throw new RejectedEntryException(field + " is missing or not a text");
+        }
+        return value.textValue();
+    }
+
+    private static String optionalText(JsonNode object, String field) throws RejectedEntryException {
+        return object.path(field).isMissingNode() ? "" : requiredText(object, field);
+    }
+
+    private static long requiredNumber(JsonNode object, String field, long max) throws RejectedEntryException {
+        return JsonNumbers.whole(object.path(field), 0, max)
+                .orElseThrow(() ->
+                        new RejectedEntryException("%s is not a whole number from 0 to %d".formatted(field, max)));
+    }
+
+    /** Returns 0 if the field is missing. */
+    private static long optionalNumber(JsonNode object, String field, long max) throws RejectedEntryException {
+        return object.path(field).isMissingNode() ? 0 : requiredNumber(object, field, max);
+    }
+
+    private static Set<String> decodeLabels(JsonNode labels) throws RejectedEntryException {
+        boolean absent = labels.isMissingNode() || labels.isNull();
+        if (!absent && (!labels.isArray() || labels.size() > MAX_LABELS)) {
+            throw new RejectedEntryException("labels is not an array of at most %d texts".formatted(MAX_LABELS));
+        }
+        Set<String> decoded = new LinkedHashSet<>();
+        for (JsonNode label : labels) {
+            if (!label.isTextual() || label.textValue().length() > MAX_LABEL_LENGTH) {
+                throw new RejectedEntryException(
+                        "a label is not a text of at most %d characters".formatted(MAX_LABEL_LENGTH));
+            }
+            decoded.add(label.textValue());
+        }
+        return decoded;
     }
 
     /** Returns the status in a response to a poll; empty if the response is malformed. */
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.fleet.DecisionLog;
 import org.tamarackline.fleet.EventLoop;
 import org.tamarackline.fleet.PlatformRunnerDirectory;
 import org.tamarackline.fleet.RecordStore;
@@ -41,12 +43,14 @@
 
     private final AsyncHttpClient http;
     private final EventLoop loop;
+    private final RejectedEntries rejectedEntries;
     private final StoreClock clock = new StoreClock();
     private String address;
 
-    StoreClient(AsyncHttpClient http, EventLoop loop, String address) {
+    StoreClient(AsyncHttpClient http, EventLoop loop, DecisionLog log, String address) {
         this.http = http;
         this.loop = loop;
+        this.rejectedEntries = new RejectedEntries(log);
         this.address = address;
     }
 
@@ -195,11 +199,14 @@
 
     @Override
     public void list(Consumer<Optional<List<RunnerDescriptor>>> callback) {
-        listFrom("", new ArrayList<>(), callback);
+        listFrom("", new ArrayList<>(), new LinkedHashMap<>(), callback);
     }
 
     private void listFrom(
-            String from, List<RunnerDescriptor> runners, Consumer<Optional<List<RunnerDescriptor>>> callback) {
+            String from,
+            List<RunnerDescriptor> runners,
+            Map<String, String> rejectionReasons,
+            Consumer<Optional<List<RunnerDescriptor>>> callback) {
         String target =
                 "/-/rows-get?table=" + DIRECTORY_TABLE + "&part=&from=" + urlEncode(from) + "&limit=" + PAGE_ROWS;
         long sentNanos = loop.nowNanos();
@@ -214,11 +221,16 @@
             String lastKey = from;
             for (JsonNode row : root.get().path("rows")) {
                 lastKey = row.path("key").asText();
-                RunnerDecoder.decodeDescriptor(lastKey, decodeValue(row)).ifPresent(runners::add);
+                try {
+                    runners.add(RunnerDecoder.decodeDescriptor(lastKey, decodeValue(row)));
+                } catch (RejectedEntryException rejected) {
+                    rejectionReasons.put(lastKey, rejected.getMessage());
+                }
             }
             if (root.get().path("truncated").asBoolean() && !lastKey.equals(from)) {
-                listFrom(lastKey + "\u0000", runners, callback);
+                listFrom(lastKey + "\u0000", runners, rejectionReasons, callback);
             } else {
+                rejectedEntries.onReading(rejectionReasons);
                 callback.accept(Optional.of(runners));
             }
         });
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -103,6 +103,11 @@
         return storeAddress;
     }
 
+    /** Writes an entry into the directory of runners, as another writer may do. */
+    public void writeDirectoryEntry(String key, byte[] value) {
+        store.write("servers", key, Base64.getEncoder().encodeToString(value));
+    }
+
     /** Sets whether the store responds to every request with status 503. */
     public void setStoreDown(boolean down) {
         storeDown = down;
--- a/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
@@ -193,6 +193,26 @@
                 .allSatisfy((task, starts) -> assertThat(starts).isOne());
     }
 
+    /**
+     * Guards against a leader that waits forever for a runner which an odd entry of the directory seems to name, and
+     * against tasks that start a second time because garbage replaced the entry of their runner.
+     */
+    @Test
+    void oddDirectoryEntriesLeaveTheJobsToTheOtherRunners() throws Exception {
+        String odd = "{\"service\":\"dispatch\",\"address\":\"10.0.0.1:99999\",\"zone\":\"a\",\"state\":\"ready\","
+                + "\"born\":5,\"capacity\":{\"cpu\":1e400,\"memMb\":64000,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"]}";
+        fleet.writeDirectoryEntry("aaa", odd.getBytes(StandardCharsets.UTF_8));
+        startNode("first");
+        submit(0, TWO_STEP_JOB);
+        awaitLog("\"event\":\"start\"");
+        fleet.writeDirectoryEntry("runner-0", "[".repeat(20_000).getBytes(StandardCharsets.UTF_8));
+        assertThat(caller.awaitJobState(callerAddresses.getFirst(), JOB_ID, "completed", TIMEOUT))
+                .isTrue();
+        assertThat(fleet.startCounts())
+                .hasSize(TWO_STEP_JOB_TASKS)
+                .allSatisfy((task, starts) -> assertThat(starts).isOne());
+    }
+
     /** Guards against invalid requests that crash a node or are stored. */
     @Test
     void rejectsInvalidRequests() throws Exception {
--- a/src/test/java/org/tamarackline/platform/StoreClientTest.java
+++ b/src/test/java/org/tamarackline/platform/StoreClientTest.java
@@ -1,5 +1,7 @@
 package org.tamarackline.platform;
 
+import java.io.OutputStream;
+import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -7,9 +9,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tamarackline.fleet.DecisionLog;
 import org.tamarackline.fleet.RecordStore;
 import org.tamarackline.fleet.SingleThreadLoop;
 import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.logging.LineSink;
 import org.tamarackline.standin.fleet.StandinFleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,7 +32,11 @@
         fleet = new StandinFleet(1, 100);
         http = new AsyncHttpClient(2);
         loop = new SingleThreadLoop("store-client-test");
-        client = new StoreClient(http, loop, fleet.storeAddress());
+        client = new StoreClient(
+                http,
+                loop,
+                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node"),
+                fleet.storeAddress());
     }
 
     @AfterEach
