Count a runner's status that is malformed in part as unanswered

A row of a status that could not be read was left out. A run that is missing in the status counts as ended, so its task started a second time beside it; an end that is left out is acknowledged with the next one and lost. A status without the time of birth counted as one of another incarnation, with the same effect, and numbers wrapped around. Such a status now counts as unanswered as a whole, which renews no lease.

--- a/src/main/java/org/tamarackline/platform/RunnerDecoder.java
+++ b/src/main/java/org/tamarackline/platform/RunnerDecoder.java
@@ -38,6 +38,9 @@
     private static final int MAX_LABELS = 100;
     private static final int MAX_LABEL_LENGTH = 200;
 
+    /** A larger percentage, latency or use of processors is no measurement. */
+    private static final double MAX_MEASUREMENT = 1e9;
+
     private RunnerDecoder() {}
 
     /**
@@ -122,38 +125,96 @@
         return decoded;
     }
 
-    /** Returns the status in a response to a poll; empty if the response is malformed. */
+    /**
+     * Returns the status in a response to a poll; empty if any part of it is malformed. A status without a run that
+     * could not be read would let the task of that run start a second time, and a status without the incarnation would
+     * count as the status of another one.
+     */
     static Optional<RunnerStatus> decodeStatus(byte[] body) {
         Optional<JsonNode> root = Json.parse(body);
-        if (root.isEmpty() || !root.get().path("clockMs").isNumber()) {
+        if (root.isEmpty()) {
             return Optional.empty();
         }
+        try {
+            return Optional.of(decodeStatus(root.get()));
+        } catch (RejectedEntryException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    private static RunnerStatus decodeStatus(JsonNode root) throws RejectedEntryException {
         List<RunnerStatus.ActiveRun> running = new ArrayList<>();
-        for (JsonNode row : root.get().path("running")) {
-            Optional<TaskKey> task = TaskKeyFormat.parse(row.path(0).asText());
-            task.ifPresent(key -> running.add(new RunnerStatus.ActiveRun(
-                    key,
-                    row.path(1).asLong(),
-                    row.path(2).asText(""),
-                    row.path(3).asDouble(),
-                    row.path(4).asDouble(-1))));
+        for (JsonNode row : rows(root, "running")) {
+            running.add(new RunnerStatus.ActiveRun(
+                    task(row, 0),
+                    positiveNumber(row, 1),
+                    textOrEmpty(row, 2),
+                    measurement(row, 3, 0),
+                    measurement(row, 4, -1)));
         }
         List<RunnerStatus.EndedRun> ended = new ArrayList<>();
-        for (JsonNode row : root.get().path("ended")) {
-            Optional<TaskKey> task = TaskKeyFormat.parse(row.path(1).asText());
-            task.ifPresent(key -> ended.add(new RunnerStatus.EndedRun(
-                    row.path(0).asLong(),
-                    key,
-                    row.path(2).asLong(),
-                    decodeEndReason(row.path(3).asText()),
-                    row.path(4).asText(""))));
-        }
-        return Optional.of(new RunnerStatus(
-                root.get().path("born").asLong(0), root.get().path("clockMs").asLong(), running, ended));
+        for (JsonNode row : rows(root, "ended")) {
+            ended.add(new RunnerStatus.EndedRun(
+                    positiveNumber(row, 0),
+                    task(row, 1),
+                    positiveNumber(row, 2),
+                    decodeEndReason(row.path(3)),
+                    textOrEmpty(row, 4)));
+        }
+        long processStartEpochMs = JsonNumbers.whole(root.path("born"), 1, JsonNumbers.MAX_EXACT)
+                .orElseThrow(() -> new RejectedEntryException("born is not a time"));
+        long clockMs = JsonNumbers.truncated(root.path("clockMs"), 0, JsonNumbers.MAX_EXACT)
+                .orElseThrow(() -> new RejectedEntryException("clockMs is not a time"));
+        return new RunnerStatus(processStartEpochMs, clockMs, running, ended);
+    }
+
+    /** Returns the rows of a list, which may be null but not missing. */
+    private static JsonNode rows(JsonNode root, String field) throws RejectedEntryException {
+        JsonNode rows = root.path(field);
+        if (!rows.isArray() && !rows.isNull()) {
+            throw new RejectedEntryException(field + " is missing or not an array");
+        }
+        return rows;
+    }
+
+    private static TaskKey task(JsonNode row, int column) throws RejectedEntryException {
+        return TaskKeyFormat.parse(row.path(column).asText())
+                .orElseThrow(() -> new RejectedEntryException("a row does not name a task"));
     }
 
-    private static EndReason decodeEndReason(String text) {
-        return switch (text) {
+    private static long positiveNumber(JsonNode row, int column) throws RejectedEntryException {
+        return JsonNumbers.whole(row.path(column), 1, JsonNumbers.MAX_EXACT)
+                .orElseThrow(() -> new RejectedEntryException("a number of a row is not a positive whole number"));
+    }
+
+    private static String textOrEmpty(JsonNode row, int column) throws RejectedEntryException {
+        JsonNode value = row.path(column);
+        if (value.isMissingNode() || value.isNull()) {
+            return "";
+        }
+        if (!value.isTextual()) {
+            throw new RejectedEntryException("a checkpoint is not a text");
+        }
+        return value.textValue();
+    }
+
+    private static double measurement(JsonNode row, int column, double ifAbsent) throws RejectedEntryException {
+        JsonNode value = row.path(column);
+        if (value.isMissingNode() || value.isNull()) {
+            return ifAbsent;
+        }
+        // False for values that are not finite.
+        if (!value.isNumber() || !(Math.abs(value.doubleValue()) <= MAX_MEASUREMENT)) {
+            throw new RejectedEntryException("a measurement is not a number within bounds");
+        }
+        return value.doubleValue();
+    }
+
+    private static EndReason decodeEndReason(JsonNode reason) throws RejectedEntryException {
+        if (!reason.isTextual()) {
+            throw new RejectedEntryException("the reason of an end is not a text");
+        }
+        return switch (reason.textValue()) {
             case "done" -> EndReason.DONE;
             case "failed" -> EndReason.FAILED;
             case "lapsed" -> EndReason.LEASE_EXPIRED;
--- a/src/main/java/org/tamarackline/platform/TaskKeyFormat.java
+++ b/src/main/java/org/tamarackline/platform/TaskKeyFormat.java
@@ -1,13 +1,15 @@
 package org.tamarackline.platform;
 
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.tamarackline.core.fleet.TaskKey;
 
 /** Formats and parses task keys in the platform's form: job, occurrence, step and index, joined by dots. */
 final class TaskKeyFormat {
 
-    private static final int PART_COUNT = 4;
+    private static final Pattern FORM = Pattern.compile("([^.]{1,64})\\.(\\d{1,9})\\.(\\d{1,9})\\.(\\d{1,9})");
 
     private TaskKeyFormat() {}
 
@@ -17,15 +19,14 @@
 
     /** Returns the key of the task; empty if the text is malformed. */
     static Optional<TaskKey> parse(String text) {
-        String[] parts = text.split("\\.", -1);
-        if (parts.length != PART_COUNT) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(new TaskKey(
-                    parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3])));
-        } catch (NumberFormatException malformed) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches()) {
             return Optional.empty();
         }
+        return Optional.of(new TaskKey(
+                matcher.group(1),
+                Integer.parseInt(matcher.group(2)),
+                Integer.parseInt(matcher.group(3)),
+                Integer.parseInt(matcher.group(4))));
     }
 }
