Count malformed answers of the store as failures

An answer without a version, or with one that wrapped around, was taken for a page of version 0, or for a transaction that was applied with version 0, which breaks the chain of conditional writes. A page of the directory that does not advance was read again without end. Both are now failures, which are retried after a delay. An answer without rows remains a page without entries.

--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -5,11 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -22,6 +24,7 @@
 import org.tamarackline.fleet.StoreClock;
 import org.tamarackline.http.AsyncHttpClient;
 import org.tamarackline.http.HttpCallResult;
+import org.tamarackline.json.JsonNumbers;
 
 /** Accesses the platform's store over HTTP, and the directory of runners in it. */
 final class StoreClient implements RecordStore, PlatformRunnerDirectory {
@@ -31,6 +34,7 @@
     /** Added to the time for which the store may wait for a change. */
     private static final Duration FOLLOW_TIMEOUT_MARGIN = Duration.ofSeconds(1);
 
+    private static final String UNDECODABLE = "the response cannot be decoded";
     private static final String CLOCK_FIELD = "nowMs";
     private static final int PAGE_ROWS = 500;
     private static final String DIRECTORY_TABLE = "servers";
@@ -121,12 +125,13 @@
                 switch (response.status()) {
                     case 200 ->
                         parse(response, sentNanos)
-                                .<TransactionResult>map(root -> new TransactionResult.Applied(
-                                        root.path("ver").asLong()))
-                                .orElseGet(() -> new TransactionResult.Unknown("the response cannot be decoded"));
+                                .map(StoreClient::version)
+                                .filter(OptionalLong::isPresent)
+                                .<TransactionResult>map(version -> new TransactionResult.Applied(version.getAsLong()))
+                                .orElseGet(() -> new TransactionResult.Unknown(UNDECODABLE));
                     case 412 ->
                         new TransactionResult.Conflict(parse(response, sentNanos)
-                                .map(StoreClient::decodeEntries)
+                                .flatMap(StoreClient::decodeEntries)
                                 .orElse(List.of()));
                     case 400, 403, 429, 503 -> new TransactionResult.NotApplied("status " + response.status());
                     default -> new TransactionResult.Unknown("status " + response.status());
@@ -163,29 +168,50 @@
             case HttpCallResult.Response response
             when response.status() == 200 ->
                 parse(response, sentNanos)
-                        .<ReadResult>map(root -> new ReadResult.Page(
-                                decodeEntries(root),
-                                root.path("ver").asLong(),
-                                root.path("truncated").asBoolean()))
-                        .orElseGet(() -> new ReadResult.Failed("the response cannot be decoded"));
+                        .flatMap(StoreClient::decodePage)
+                        .orElseGet(() -> new ReadResult.Failed(UNDECODABLE));
             case HttpCallResult.Response response -> new ReadResult.Failed("status " + response.status());
         };
     }
 
-    private static List<Entry> decodeEntries(JsonNode root) {
+    private static Optional<ReadResult> decodePage(JsonNode root) {
+        OptionalLong version = version(root);
+        if (version.isEmpty()) {
+            return Optional.empty();
+        }
+        return decodeEntries(root)
+                .map(entries -> new ReadResult.Page(
+                        entries, version.getAsLong(), root.path("truncated").asBoolean()));
+    }
+
+    /** Returns the rows of the known tables; empty if one of them is malformed. A response without rows may omit them. */
+    private static Optional<List<Entry>> decodeEntries(JsonNode root) {
+        JsonNode rows = root.path("rows");
+        if (!rows.isArray() && !rows.isMissingNode() && !rows.isNull()) {
+            return Optional.empty();
+        }
         List<Entry> entries = new ArrayList<>();
-        for (JsonNode row : root.path("rows")) {
+        for (JsonNode row : rows) {
+            OptionalLong version = version(row);
+            boolean keyAbsent = row.path("key").isMissingNode();
+            if (!row.isObject() || (!keyAbsent && !row.path("key").isTextual()) || version.isEmpty()) {
+                return Optional.empty();
+            }
             Table table = tableOf(row.path("table").asText());
             if (table != null) {
                 entries.add(new Entry(
                         table,
                         row.path("key").asText(),
                         decodeValue(row),
-                        row.path("ver").asLong(),
+                        version.getAsLong(),
                         row.path("deleted").asBoolean()));
             }
         }
-        return entries;
+        return Optional.of(entries);
+    }
+
+    private static OptionalLong version(JsonNode object) {
+        return JsonNumbers.whole(object.path("ver"), 0, Long.MAX_VALUE);
     }
 
     /** Returns the content of a row, empty if it is absent or not valid base64. */
@@ -214,7 +240,7 @@
             Optional<JsonNode> root = result instanceof HttpCallResult.Response response && response.status() == 200
                     ? parse(response, sentNanos)
                     : Optional.empty();
-            if (root.isEmpty()) {
+            if (root.isEmpty() || decodePage(root.get()).isEmpty()) {
                 callback.accept(Optional.empty());
                 return;
             }
@@ -227,15 +253,23 @@
                     rejectionReasons.put(lastKey, rejected.getMessage());
                 }
             }
-            if (root.get().path("truncated").asBoolean() && !lastKey.equals(from)) {
-                listFrom(lastKey + "\u0000", runners, rejectionReasons, callback);
-            } else {
+            if (!root.get().path("truncated").asBoolean()) {
                 rejectedEntries.onReading(rejectionReasons);
                 callback.accept(Optional.of(runners));
+            } else if (isAfter(lastKey, from)) {
+                listFrom(lastKey + "\u0000", runners, rejectionReasons, callback);
+            } else {
+                // A page that does not advance would be read again and again.
+                callback.accept(Optional.empty());
             }
         });
     }
 
+    /** Compares keys in the order of the store, which is that of their bytes. */
+    private static boolean isAfter(String key, String from) {
+        return Arrays.compareUnsigned(key.getBytes(StandardCharsets.UTF_8), from.getBytes(StandardCharsets.UTF_8)) > 0;
+    }
+
     private void call(String method, String target, byte[] body, Duration timeout, Consumer<HttpCallResult> callback) {
         http.call(
                 method,
@@ -250,9 +284,9 @@
     /** Parses a response, and records the reading of the store's clock in it. */
     private Optional<JsonNode> parse(HttpCallResult.Response response, long sentNanos) {
         Optional<JsonNode> root = Json.parse(response.body());
-        root.map(object -> object.path(CLOCK_FIELD))
-                .filter(JsonNode::isNumber)
-                .ifPresent(reading -> clock.addReading(reading.asLong(), sentNanos, loop.nowNanos()));
+        root.map(object -> JsonNumbers.truncated(object.path(CLOCK_FIELD), 0, JsonNumbers.MAX_EXACT))
+                .filter(OptionalLong::isPresent)
+                .ifPresent(reading -> clock.addReading(reading.getAsLong(), sentNanos, loop.nowNanos()));
         return root;
     }
 
