Skip records that are out of range

A job whose step has a negative number of tasks failed in the scheduler, not in the decoder: the takeover of every successor ended there, and a leader that followed the change read no further ones. A record that announces two billion elements allocated a list of that size. Progress with more occurrences than its job made a job that never completes, an epoch near 2^63 wraps run numbers, and a job whose identifier has a dot makes names of tasks that cannot be read back.

The decoder now checks the fields, with the limits that submissions have, and allocates no list at an announced length. A record that fails when it is applied is skipped as well.

--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -90,7 +90,8 @@
     }
 
     void applyTo(Job job) {
-        while (job.createdOccurrences() < createdOccurrences) {
+        int occurrences = Math.min(createdOccurrences, job.definition().occurrences());
+        while (job.createdOccurrences() < occurrences) {
             job.createOccurrence();
         }
         for (TaskProgress progress : tasks) {
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -16,6 +17,7 @@
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
 import org.tamarackline.core.fleet.JobDefinition;
+import org.tamarackline.core.fleet.JobLimits;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.QueueDefinition;
@@ -23,12 +25,22 @@
 import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.model.Resources;
 
-/** Encodes and decodes the records of the store as MessagePack. */
+/**
+ * Encodes and decodes the records of the store as MessagePack.
+ *
+ * <p>Lists are not allocated at the length that a record announces, because a damaged record may announce any.
+ */
 final class RecordCodec {
 
     /** Key of the interference estimates in the table of progress. */
     static final String INTERFERENCE_ESTIMATES_KEY = "!pairs";
 
+    /** Run numbers are multiples of the epoch, and the JSON of the runners carries no larger ones exactly. */
+    private static final long MAX_EPOCH = 100_000_000_000L;
+
+    /** Task names join the identifier of their job by dots with numbers. */
+    private static final Pattern JOB_ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+
     private static final int OPEN_JOB = 1;
     private static final int FINISHED_JOB = 2;
 
@@ -83,8 +95,13 @@
     }
 
     static CommitSequence decodeSequence(byte[] bytes) throws CorruptRecordException {
-        return unpack(
-                CommitSequence.KEY, bytes, in -> new CommitSequence(in.unpackLong(), in.unpackLong(), in.unpackLong()));
+        return unpack(CommitSequence.KEY, bytes, in -> {
+            long epoch = unpackEpoch(in);
+            CommitSequence sequence = new CommitSequence(epoch, in.unpackLong(), in.unpackLong());
+            check(sequence.number() >= 0, "the number of a transaction is negative");
+            check(sequence.endedBelowEpoch() <= epoch, "later epochs than the record's own have ended");
+            return sequence;
+        });
     }
 
     static LeaderRecord decodeLeader(byte[] bytes) throws CorruptRecordException {
@@ -92,7 +109,7 @@
                 LeaderRecord.KEY,
                 bytes,
                 in -> new LeaderRecord(
-                        in.unpackLong(),
+                        unpackEpoch(in),
                         in.unpackString(),
                         in.unpackString(),
                         in.unpackLong(),
@@ -100,6 +117,18 @@
                         unpackPossiblyActive(in)));
     }
 
+    private static long unpackEpoch(MessageUnpacker in) throws IOException {
+        long epoch = in.unpackLong();
+        check(epoch >= 1 && epoch <= MAX_EPOCH, "the epoch is out of range");
+        return epoch;
+    }
+
+    private static void check(boolean valid, String failure) {
+        if (!valid) {
+            throw new IllegalArgumentException(failure);
+        }
+    }
+
     private static List<LeaderRecord.EarlierLeader> unpackPossiblyActive(MessageUnpacker in) throws IOException {
         int count = in.unpackArrayHeader();
         List<LeaderRecord.EarlierLeader> possiblyActive = new ArrayList<>();
@@ -128,7 +157,10 @@
             Map<ImagePair, InterferenceEstimate> estimates = new HashMap<>();
             for (int i = 0; i < count; i++) {
                 ImagePair pair = new ImagePair(in.unpackString(), in.unpackString());
-                estimates.put(pair, new InterferenceEstimate(in.unpackDouble(), in.unpackDouble()));
+                InterferenceEstimate estimate = new InterferenceEstimate(in.unpackDouble(), in.unpackDouble());
+                boolean finite = Double.isFinite(estimate.headroomLoss()) && Double.isFinite(estimate.variance());
+                check(finite, "an estimate is not a finite number");
+                estimates.put(pair, estimate);
             }
             return estimates;
         });
@@ -160,9 +192,12 @@
 
     static StoredJob decodeJob(String id, byte[] bytes) throws CorruptRecordException {
         return unpack(id, bytes, in -> {
-            if (in.unpackInt() == FINISHED_JOB) {
+            check(JOB_ID.matcher(id).matches(), "the key is not the identifier of a job");
+            int kind = in.unpackInt();
+            if (kind == FINISHED_JOB) {
                 return new StoredJob.Finished(id, JobState.valueOf(in.unpackString()), in.unpackLong());
             }
+            check(kind == OPEN_JOB, "the record is neither an open nor a finished job");
             long acceptedEpochMs = in.unpackLong();
             int scheduledOccurrences = in.unpackInt();
             long firstDueEpochMs = in.unpackLong();
@@ -170,12 +205,14 @@
             String spec = in.unpackString();
             QueueDefinition queue = unpackQueue(in);
             int count = in.unpackArrayHeader();
-            List<StepDefinition> steps = new ArrayList<>(count);
+            List<StepDefinition> steps = new ArrayList<>();
             for (int i = 0; i < count; i++) {
                 steps.add(unpackStep(in));
             }
-            return new StoredJob.Open(new JobDefinition(
-                    id, queue, spec, steps, scheduledOccurrences, firstDueEpochMs, intervalMs, acceptedEpochMs));
+            JobDefinition job = new JobDefinition(
+                    id, queue, spec, steps, scheduledOccurrences, firstDueEpochMs, intervalMs, acceptedEpochMs);
+            JobLimits.check(job);
+            return new StoredJob.Open(job);
         });
     }
 
@@ -233,7 +270,7 @@
         Resources demand = new Resources(in.unpackLong(), in.unpackLong(), in.unpackInt());
         long estimateMs = in.unpackLong();
         int dependencyCount = in.unpackArrayHeader();
-        List<Integer> dependencies = new ArrayList<>(dependencyCount);
+        List<Integer> dependencies = new ArrayList<>();
         for (int i = 0; i < dependencyCount; i++) {
             dependencies.add(in.unpackInt());
         }
@@ -282,7 +319,7 @@
         return unpack(id, bytes, in -> {
             int createdOccurrences = in.unpackInt();
             int count = in.unpackArrayHeader();
-            List<JobProgress.TaskProgress> tasks = new ArrayList<>(count);
+            List<JobProgress.TaskProgress> tasks = new ArrayList<>();
             for (int i = 0; i < count; i++) {
                 tasks.add(unpackTask(in));
             }
@@ -296,13 +333,13 @@
         int index = in.unpackInt();
         boolean done = in.unpackBoolean();
         int count = in.unpackArrayHeader();
-        List<Long> failedRuns = new ArrayList<>(count);
+        List<Long> failedRuns = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             failedRuns.add(in.unpackLong());
         }
         String checkpoint = in.unpackString();
         int runnerCount = in.unpackArrayHeader();
-        List<String> runners = new ArrayList<>(runnerCount);
+        List<String> runners = new ArrayList<>();
         for (int i = 0; i < runnerCount; i++) {
             runners.add(in.unpackString());
         }
@@ -331,6 +368,7 @@
     static RosterRecord decodeRoster(String id, byte[] bytes) throws CorruptRecordException {
         return unpack(id, bytes, in -> {
             long leaseEndStoreMs = in.unpackLong();
+            check(leaseEndStoreMs >= 0, "the end of the lease is negative");
             long processStartEpochMs = in.unpackLong();
             String service = in.unpackString();
             String address = in.unpackString();
--- a/src/main/java/org/tamarackline/fleet/TableReader.java
+++ b/src/main/java/org/tamarackline/fleet/TableReader.java
@@ -66,12 +66,17 @@
         });
     }
 
-    /** Passes a record to a reader; a record that cannot be decoded is skipped and logged. */
+    /**
+     * Passes a record to a reader. A record that cannot be decoded or applied is skipped and logged: every later reader
+     * of the table would fail on it as well, so that no node could take over.
+     */
     void readEntry(RecordStore.Entry entry, EntryReader reader) {
         try {
             reader.read(entry);
         } catch (CorruptRecordException corrupt) {
             log.skippedRecord(entry.key(), corrupt.getMessage());
+        } catch (RuntimeException failure) {
+            log.skippedRecord(entry.key(), "applying it failed: " + failure);
         }
     }
 }
