Wait for a runner whose roster record cannot be read

A successor skipped such a record, and so started the tasks that may still run on that runner. It now counts the runner as silent, without an address, until the directory names it or the leases of earlier leaders have ended; cordoning it replaces the record by a readable one.

Before the change: "expected: 0L but was: 1L" starts within 3 s of the takeover.

--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -170,8 +170,15 @@
 
     // ---- Loading the state
 
-    private void readRosterEntry(RecordStore.Entry entry) throws CorruptRecordException {
-        sessions.restoreFromRoster(RecordCodec.decodeRoster(entry.key(), entry.value()), takeoverNanos);
+    private void readRosterEntry(RecordStore.Entry entry) {
+        RosterRecord roster;
+        try {
+            roster = RecordCodec.decodeRoster(entry.key(), entry.value());
+        } catch (CorruptRecordException corrupt) {
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+            roster = RosterRecord.unreadable(entry.key());
+        }
+        sessions.restoreFromRoster(roster, takeoverNanos);
     }
 
     private void readDirectory() {
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -133,4 +133,22 @@
         loop.advance(Duration.ofSeconds(3));
         assertThat(startsOf("a.b")).isZero();
     }
+
+    /** Guards against a second run of a task on a runner that a successor does not know, since it cannot read its record. */
+    @Test
+    void runnerWithAnUnreadableRosterRecordIsWaitedFor() throws CorruptRecordException {
+        write(RecordStore.Table.ROSTER, "b", GARBAGE);
+        submit("j", 1);
+        calls.stopResponding("b");
+        startLeader();
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(startsOf("j")).isZero();
+        loop.advance(Duration.ofSeconds(20));
+        assertThat(startsOf("j")).isEqualTo(1);
+        assertThat(skipped("b")).hasSize(1);
+        byte[] stored = store.table(RecordStore.Table.ROSTER).get("b").value();
+        assertThat(RecordCodec.decodeRoster("b", stored).cordoned())
+                .as("the next leader can read the record")
+                .isTrue();
+    }
 }
