Keep a leader ticking after a step that fails

A tick, or a reading of the directory, that failed did not schedule the next one: the leader stayed in the lead and did nothing. The next one is now scheduled in any case.

Before the change: "Expecting actual: ["a"] to contain exactly ["b"]", since the next directory was not read.

--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -266,12 +266,13 @@
             if (ended || resigned) {
                 return;
             }
+            // Scheduled first, so that a directory which cannot be applied is not the last one that is read.
+            loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
             descriptors.ifPresent(list -> {
                 onStoreResponse();
                 sessions.applyDirectory(list);
                 sessions.addRegisteredToRoster(committer);
             });
-            loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
         });
     }
 
@@ -282,11 +283,15 @@
             return;
         }
         loopDelay.record(tickDueNanos, loop.nowNanos());
-        sessions.removeLost(leadershipLease, committer);
-        jobFeed.expireFinishedJobs(committer::removeFinishedJob);
-        runSchedulingRound();
-        tickDueNanos = loop.nowNanos() + FleetConstants.TICK_INTERVAL.toNanos();
-        loop.schedule(FleetConstants.TICK_INTERVAL, this::tick);
+        try {
+            sessions.removeLost(leadershipLease, committer);
+            jobFeed.expireFinishedJobs(committer::removeFinishedJob);
+            runSchedulingRound();
+        } finally {
+            // A tick that fails must not be the last.
+            tickDueNanos = loop.nowNanos() + FleetConstants.TICK_INTERVAL.toNanos();
+            loop.schedule(FleetConstants.TICK_INTERVAL, this::tick);
+        }
     }
 
     private void runSchedulingRound() {
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +17,7 @@
 import org.tamarackline.logging.LineSink;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Guards against a record of another writer that ends a takeover or stops a leader from following the store. */
 class OddRecordsTest {
@@ -113,6 +115,21 @@
         assertThat(skipped("garbage")).hasSize(1);
     }
 
+    /** Guards against a leader that stops reading the directory, and to schedule, after one reading that it cannot apply. */
+    @Test
+    void leaderGoesOnAfterADirectoryThatItCannotApply() {
+        startLeader();
+        loop.advance(Duration.ofSeconds(1));
+        directory = Collections.singletonList(null);
+        assertThatThrownBy(() -> loop.advance(FleetConstants.DIRECTORY_READ_INTERVAL.plusSeconds(1)))
+                .isInstanceOf(NullPointerException.class);
+        directory = List.of(descriptor("b"));
+        loop.advance(FleetConstants.DIRECTORY_READ_INTERVAL.plusSeconds(1));
+        submit("good", 1);
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(calls.starts()).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("b");
+    }
+
     /** Guards against a job that never completes because its progress has more occurrences than the job. */
     @Test
     void progressCreatesNoMoreOccurrencesThanTheJobHas() {
