Log a leader record that cannot be read once

Each node wrote a line at each of its readings, three a second, until the record was replaced. It now writes one for each version of the record.

Before the change: "Expected size: 1 but was: 32" lines in 10 s.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -73,6 +73,9 @@
     private long minEpoch;
 
     private long storeRespondedNanos;
+    /** Version of the leader record that could not be decoded, which is logged once; 0 if there was none. */
+    private long corruptVersion;
+
     private LeaderRecord followed;
     private long followedVersion;
     private int rank;
@@ -234,7 +237,10 @@
         try {
             record = RecordCodec.decodeLeader(entry.value());
         } catch (CorruptRecordException corrupt) {
-            log.skippedRecord(entry.key(), corrupt.getMessage());
+            if (corruptVersion != entry.version()) {
+                corruptVersion = entry.version();
+                log.skippedRecord(entry.key(), corrupt.getMessage());
+            }
             loop.schedule(RETRY_DELAY, this::readRecord);
             return;
         }
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -130,6 +130,17 @@
         assertThat(calls.starts()).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("b");
     }
 
+    /** Guards against a line of the log for each reading of a leader record that cannot be decoded. */
+    @Test
+    void unreadableLeaderRecordIsLoggedOnce() {
+        ElectionCluster cluster = new ElectionCluster();
+        cluster.write(RecordStore.Table.JOBS, LeaderRecord.KEY, GARBAGE);
+        cluster.start("node-0");
+        cluster.loop().advance(Duration.ofSeconds(10));
+        assertThat(cluster.logged().lines().filter(line -> line.contains("record-skipped")))
+                .hasSize(1);
+    }
+
     /** Guards against a job that never completes because its progress has more occurrences than the job. */
     @Test
     void progressCreatesNoMoreOccurrencesThanTheJobHas() {
