Count odd answers of other nodes as none

An answer to a ping that is not four numbers, or a state that is not known, threw in the event loop before the callback ran: the node pinged no more and noticed no end of the leader, or its caller got no answer.

--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.http.AsyncHttpClient;
@@ -17,6 +20,11 @@
     private static final Duration PING_TIMEOUT = Duration.ofMillis(700);
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(600);
 
+    /** Numbers of at most 18 digits fit into 64 bits, those of at most 9 digits into 32 bits. */
+    private static final Pattern PING_RESPONSE = Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})");
+
+    private static final Pattern COUNT = Pattern.compile("\\d{1,9}");
+
     private final AsyncHttpClient http;
     private final EventLoop loop;
 
@@ -32,16 +40,20 @@
                 address,
                 PeerPaths.PING + encoded(callerNode),
                 PING_TIMEOUT,
-                text -> callback.accept(text.map(HttpPeerCalls::parsePingResponse)));
+                text -> callback.accept(text.flatMap(HttpPeerCalls::parsePingResponse)));
     }
 
-    private static PingResponse parsePingResponse(String text) {
-        String[] parts = text.split(" ", -1);
-        return new PingResponse(
-                Long.parseLong(parts[0]),
-                Long.parseLong(parts[1]),
-                Long.parseLong(parts[2]),
-                Integer.parseInt(parts[3]));
+    /** Returns the response; empty if the text is not one. */
+    private static Optional<PingResponse> parsePingResponse(String text) {
+        Matcher matcher = PING_RESPONSE.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        return Optional.of(new PingResponse(
+                Long.parseLong(matcher.group(1)),
+                Long.parseLong(matcher.group(2)),
+                Long.parseLong(matcher.group(3)),
+                Integer.parseInt(matcher.group(4))));
     }
 
     @Override
@@ -62,9 +74,7 @@
                 address,
                 PeerPaths.JOBS + encoded(job),
                 REQUEST_TIMEOUT,
-                text -> callback.accept(
-                        text.map(state -> new StateResponse(true, state.isEmpty() ? null : JobState.valueOf(state)))
-                                .orElse(StateResponse.UNREACHABLE)));
+                text -> callback.accept(text.flatMap(HttpPeerCalls::parseState).orElse(StateResponse.UNREACHABLE)));
     }
 
     @Override
@@ -74,7 +84,19 @@
                 address,
                 PeerPaths.QUEUES + encoded(queue),
                 REQUEST_TIMEOUT,
-                text -> callback.accept(text.filter(count -> !count.isEmpty()).map(Integer::valueOf)));
+                text -> callback.accept(
+                        text.filter(count -> COUNT.matcher(count).matches()).map(Integer::valueOf)));
+    }
+
+    /** Returns the response; empty if the text is not the name of a state. */
+    private static Optional<StateResponse> parseState(String text) {
+        if (text.isEmpty()) {
+            return Optional.of(new StateResponse(true, null));
+        }
+        return Stream.of(JobState.values())
+                .filter(state -> state.name().equals(text))
+                .findFirst()
+                .map(state -> new StateResponse(true, state));
     }
 
     private void request(
