Refuse requests of nodes with a malformed path

A malformed escape failed in the event loop, so the request was never answered. It is now refused with status 400.

Before the change: "URLDecoder: Illegal hex characters in escape (%) pattern".

--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -35,28 +35,21 @@
     public void accept(HttpExchange exchange) {
         String path = exchange.path();
         if (path.startsWith(PeerPaths.PING)) {
-            loop.execute(() -> {
-                PeerCalls.PingResponse response = election.handlePing(pathParameter(path, PeerPaths.PING));
-                respond(
-                        exchange,
-                        "%d %d %d %d"
-                                .formatted(
-                                        response.epoch(),
-                                        response.claimedEpoch(),
-                                        response.storeAgeMs(),
-                                        response.rank()));
-            });
+            withParameter(exchange, PeerPaths.PING, callerNode -> respondToPing(exchange, callerNode));
         } else if (path.startsWith(PeerPaths.STEP_DOWN) && exchange.method().equals("POST")) {
             handleStepDown(exchange, path.substring(PeerPaths.STEP_DOWN.length()));
         } else if (path.startsWith(PeerPaths.JOBS)) {
-            loop.execute(() -> respondFromLeader(
+            withParameter(
                     exchange,
-                    leader -> leader.state(pathParameter(path, PeerPaths.JOBS)).map(JobState::name)));
+                    PeerPaths.JOBS,
+                    job -> respondFromLeader(
+                            exchange, leader -> leader.state(job).map(JobState::name)));
         } else if (path.startsWith(PeerPaths.QUEUES)) {
-            loop.execute(() -> respondFromLeader(
+            withParameter(
                     exchange,
-                    leader -> leader.queuedJobCount(pathParameter(path, PeerPaths.QUEUES))
-                            .map(String::valueOf)));
+                    PeerPaths.QUEUES,
+                    queue -> respondFromLeader(
+                            exchange, leader -> leader.queuedJobCount(queue).map(String::valueOf)));
         } else if (path.equals(PeerPaths.STATE)) {
             loop.execute(() -> exchange.respond(200, Map.of(), stateJson.get()));
         } else if (path.equals(PeerPaths.METRICS)) {
@@ -66,6 +59,26 @@
         }
     }
 
+    /** Passes the parameter that follows a prefix of the path to a handler on the event loop, or refuses the request. */
+    private void withParameter(HttpExchange exchange, String prefix, Consumer<String> handler) {
+        String parameter;
+        try {
+            parameter = URLDecoder.decode(exchange.path().substring(prefix.length()), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException malformed) {
+            exchange.respond(400, Map.of(), new byte[0]);
+            return;
+        }
+        loop.execute(() -> handler.accept(parameter));
+    }
+
+    private void respondToPing(HttpExchange exchange, String callerNode) {
+        PeerCalls.PingResponse response = election.handlePing(callerNode);
+        respond(
+                exchange,
+                "%d %d %d %d"
+                        .formatted(response.epoch(), response.claimedEpoch(), response.storeAgeMs(), response.rank()));
+    }
+
     private void handleStepDown(HttpExchange exchange, String epochText) {
         long epoch;
         try {
@@ -93,10 +106,6 @@
         respond(exchange, query.query(leader.get()).orElse(""));
     }
 
-    private static String pathParameter(String path, String prefix) {
-        return URLDecoder.decode(path.substring(prefix.length()), StandardCharsets.UTF_8);
-    }
-
     private static void respond(HttpExchange exchange, String text) {
         exchange.respond(200, Map.of(), text.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
+++ b/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
@@ -98,4 +98,12 @@
         assertThat(request("POST", "/step-down/x").status).isEqualTo(400);
         assertThat(node.leads()).isTrue();
     }
+
+    /** Guards against a request that is never answered, because its path has a malformed escape. */
+    @Test
+    void malformedPathParametersAreRefused() {
+        assertThat(request("GET", PeerPaths.PING + "%zz").status).isEqualTo(400);
+        assertThat(request("GET", PeerPaths.JOBS + "%").status).isEqualTo(400);
+        assertThat(request("GET", PeerPaths.QUEUES + "%f").status).isEqualTo(400);
+    }
 }
