Follow the configuration after a record on which the decoder fails

An exception of the decoder ended the following for good. The record is now skipped with a line of the log.

Before the change: "IllegalStateException: test" out of the event loop.

--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -1,5 +1,7 @@
 package org.tamarackline.fleet;
 
+import java.util.Optional;
+
 import org.tamarackline.core.fleet.FleetConfiguration;
 
 /**
@@ -68,7 +70,17 @@
             if (entry.removed()) {
                 continue;
             }
-            source.decode(entry).ifPresent(this::install);
+            decode(entry).ifPresent(this::install);
+        }
+    }
+
+    /** Skips a record on which the decoder fails, because the configurations after it must still come into force. */
+    private Optional<FleetConfiguration> decode(RecordStore.Entry entry) {
+        try {
+            return source.decode(entry);
+        } catch (RuntimeException failure) {
+            log.skippedRecord(entry.key(), "decoding it failed: " + failure);
+            return Optional.empty();
         }
     }
 
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.tamarackline.core.fleet.FleetConfiguration;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.model.Resources;
@@ -141,6 +142,27 @@
                 .hasSize(1);
     }
 
+    /** Guards against a node whose configuration never changes again, because the decoder failed on one record. */
+    @Test
+    void configurationIsFollowedAfterARecordOnWhichTheDecoderFails() {
+        ConfigurationFollower follower = new ConfigurationFollower(
+                loop,
+                store,
+                entry -> {
+                    if (entry.key().equals("odd")) {
+                        throw new IllegalStateException("test");
+                    }
+                    return Optional.of(new FleetConfiguration(entry.version(), List.of()));
+                },
+                log());
+        write(RecordStore.Table.CONFIGURATION, "odd", GARBAGE);
+        follower.start();
+        loop.advance(Duration.ofSeconds(1));
+        write(RecordStore.Table.CONFIGURATION, "config", GARBAGE);
+        loop.advance(FleetConstants.CONFIGURATION_FOLLOW_WAIT.plusSeconds(1));
+        assertThat(follower.current().version()).isPositive();
+    }
+
     /** Guards against a job that never completes because its progress has more occurrences than the job. */
     @Test
     void progressCreatesNoMoreOccurrencesThanTheJobHas() {
