Skip invalid entries of the VM list

One entry with an unknown state, a number that is too large or an invalid data centre made the whole list unreadable, at every node and at every reading; a null entry ended the reading with a NullPointerException. Ports out of range, addresses that are none and negative or endless capacities were accepted. Each entry is now decoded and checked by itself; one that is invalid is skipped with a line of the log, at most one a minute.

--- a/src/main/java/org/tamarackline/store/HttpPlatformClient.java
+++ b/src/main/java/org/tamarackline/store/HttpPlatformClient.java
@@ -5,12 +5,16 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.http.BlockingHttpClient;
@@ -31,7 +35,7 @@
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .build();
     private static final TypeReference<List<Row>> ROWS = new TypeReference<>() {};
-    private static final TypeReference<List<VmEntry>> VM_ENTRIES = new TypeReference<>() {};
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private static final int OK = 200;
     private static final int NO_CONTENT = 204;
@@ -111,11 +115,33 @@
 
     @Override
     public List<VmRecord> list() throws PlatformUnavailableException {
-        List<VmEntry> entries = parse(expectOk(call("GET", "/vms", null)), VM_ENTRIES);
+        JsonNode entries;
         try {
-            return entries.stream().map(VmEntry::toRecord).toList();
-        } catch (IllegalArgumentException invalid) {
-            throw new PlatformUnavailableException("the VM list contains an invalid entry", invalid);
+            entries = JSON.readTree(expectOk(call("GET", "/vms", null)).body());
+        } catch (IOException malformed) {
+            throw new PlatformUnavailableException("the platform's response cannot be decoded", malformed);
+        }
+        if (!entries.isArray()) {
+            throw new PlatformUnavailableException("the VM list is not an array", null);
+        }
+        List<VmRecord> vms = new ArrayList<>();
+        for (JsonNode entry : entries) {
+            decodeVm(entry).ifPresent(vms::add);
+        }
+        return vms;
+    }
+
+    /** Skips an entry that does not describe a VM: the other VMs must still be known. */
+    private static Optional<VmRecord> decodeVm(JsonNode entry) {
+        try {
+            if (!entry.isObject()) {
+                throw new IllegalArgumentException("it is not an object");
+            }
+            return Optional.of(JSON.treeToValue(entry, VmEntry.class).toRecord());
+        } catch (IOException | IllegalArgumentException invalid) {
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.MINUTES).log(
+                    "skipping an entry of the VM list that is not valid: %s", invalid.getMessage());
+            return Optional.empty();
         }
     }
 
--- a/src/main/java/org/tamarackline/store/VmEntry.java
+++ b/src/main/java/org/tamarackline/store/VmEntry.java
@@ -3,6 +3,7 @@
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.settings.Addresses;
 
 /**
  * A VM in the JSON form of the platform's VM list.
@@ -34,6 +35,12 @@
 
     private static final double MILLIS_PER_PROCESSOR = 1000;
 
+    /** Far above any machine, and small enough that the sums over all VMs do not overflow. */
+    private static final long MAX_AMOUNT = 1_000_000;
+
+    private static final long MAX_MEMORY_MB = 1_000_000_000;
+    private static final long MAX_ACCELERATORS = 1_000;
+
     /** Returns the entry for {@code vm}. */
     public static VmEntry of(VmRecord vm) {
         Resources capacity = vm.capacity();
@@ -54,10 +61,25 @@
     /**
      * Returns the VM that this entry describes.
      *
-     * @throws IllegalArgumentException if the data centre is not a valid identifier
+     * @throws IllegalArgumentException if a field is missing or out of range
      */
     public VmRecord toRecord() {
+        check(id != null && !id.isEmpty(), "the id is missing");
+        check(role != null && rack != null && state != null && dataCentre != null, "a field is missing");
+        check(address != null && Addresses.isIpAndPort(address), "the address is not an IPv4 address and a port");
+        check(slots >= 0 && slots <= MAX_AMOUNT, "the number of slots is out of range");
+        check(connections >= 0 && connections <= MAX_AMOUNT, "the number of connections is out of range");
+        // Also false for a value that is not a number.
+        check(processors >= 0 && processors <= MAX_AMOUNT, "the number of processors is out of range");
+        check(memoryMb >= 0 && memoryMb <= MAX_MEMORY_MB, "the memory is out of range");
+        check(accelerators >= 0 && accelerators <= MAX_ACCELERATORS, "the number of accelerators is out of range");
         Resources capacity = new Resources(Math.round(processors * MILLIS_PER_PROCESSOR), memoryMb, accelerators);
         return new VmRecord(id, role, address, new DataCentre(dataCentre), rack, state, slots, connections, capacity);
     }
+
+    private static void check(boolean valid, String failure) {
+        if (!valid) {
+            throw new IllegalArgumentException(failure);
+        }
+    }
 }
