Count incomplete answers of a worker as none

A renewal without a list of tasks, or with null in it, failed in the scheduler instead of counting as unanswered, and a capacity was taken at any value. The gateway now checks the fields that are used, and an address that makes no URL counts as unreachable instead of failing with an IllegalArgumentException.

--- a/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
+++ b/src/main/java/org/tamarackline/worker/HttpWorkerGateway.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.task.WorkerProtocol.Refusal;
 import org.tamarackline.core.task.WorkerProtocol.RenewRequest;
 import org.tamarackline.core.task.WorkerProtocol.RenewResponse;
@@ -34,6 +35,9 @@
     private static final int MAX_CONNECTIONS = 256;
     private static final int MAX_CONNECTIONS_PER_WORKER = 4;
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+    /** Far above any machine, and small enough that the sums over all workers do not overflow. */
+    private static final Resources MAX_CAPACITY = new Resources(1_000_000_000, 1_000_000_000, 1_000);
+
     private static final int OK = 200;
     private static final int MIN_ERROR_STATUS = 400;
 
@@ -55,7 +59,30 @@
 
     @Override
     public RenewResponse renew(String address, RenewRequest request) throws WorkerException {
-        return parse(post(address, "/renew", request), RenewResponse.class);
+        RenewResponse response = parse(post(address, "/renew", request), RenewResponse.class);
+        if (!isComplete(response)) {
+            throw new WorkerOutcomeUnknownException("the response of the worker is incomplete or out of range", null);
+        }
+        return response;
+    }
+
+    /** A list that lacks a task would count as one on which the task has ended. */
+    private static boolean isComplete(RenewResponse response) {
+        return response.nonce() != null
+                && isWithinBounds(response.capacity())
+                && response.tasks() != null
+                && response.tasks().stream().allMatch(HttpWorkerGateway::isComplete)
+                && response.usage() != null
+                && response.usage().stream()
+                        .allMatch(sample -> sample != null && sample.taskId() != null && isWithinBounds(sample.used()));
+    }
+
+    private static boolean isComplete(TaskReport report) {
+        return report != null && report.taskId() != null && report.state() != null;
+    }
+
+    private static boolean isWithinBounds(Resources amount) {
+        return amount != null && Resources.NONE.fitsIn(amount) && amount.fitsIn(MAX_CAPACITY);
     }
 
     @Override
@@ -65,17 +92,17 @@
 
     @Override
     public TaskReport checkpoint(String address, TaskCommand command) throws WorkerException {
-        return parse(post(address, "/checkpoint", command), TaskReport.class);
+        return report(address, "/checkpoint", command);
     }
 
     @Override
     public TaskReport throttle(String address, TaskCommand command) throws WorkerException {
-        return parse(post(address, "/throttle", command), TaskReport.class);
+        return report(address, "/throttle", command);
     }
 
     @Override
     public TaskReport stop(String address, TaskCommand command) throws WorkerException {
-        return parse(post(address, "/stop", command), TaskReport.class);
+        return report(address, "/stop", command);
     }
 
     @Override
@@ -88,6 +115,14 @@
         http.close();
     }
 
+    private TaskReport report(String address, String path, TaskCommand command) throws WorkerException {
+        TaskReport report = parse(post(address, path, command), TaskReport.class);
+        if (!isComplete(report)) {
+            throw new WorkerOutcomeUnknownException("the response of the worker is incomplete", null);
+        }
+        return report;
+    }
+
     private byte[] post(String address, String path, Object message) throws WorkerException {
         CompleteResponse response = send(address, path, encode(message));
         if (response.status() == OK) {
@@ -112,8 +147,14 @@
     }
 
     private CompleteResponse send(String address, String path, byte[] body) throws WorkerException {
+        URI uri;
+        try {
+            uri = URI.create("http://" + address + path);
+        } catch (IllegalArgumentException malformed) {
+            throw new WorkerUnreachableException("%s is not the address of a worker".formatted(address), malformed);
+        }
         try {
-            return http.send("POST", URI.create("http://" + address + path), body, timeout);
+            return http.send("POST", uri, body, timeout);
         } catch (CallFailedException failure) {
             if (!failure.possiblySent()) {
                 throw new WorkerUnreachableException(
