--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
@@ -166,7 +167,7 @@
                 public void succeeded(byte[] body) {
                     JettyExchange exchange = new JettyExchange(request, response, callback, body);
                     unanswered.add(exchange);
-                    connector.handler().accept(exchange);
+                    handleCompleteRequest(connector.handler(), exchange);
                 }
 
                 @Override
@@ -187,6 +188,18 @@
         }
     }
 
+    /** Answers with status 500 if the handler fails, so that no caller waits for a response that never comes. */
+    private static void handleCompleteRequest(Consumer<HttpExchange> handler, JettyExchange exchange) {
+        try {
+            handler.accept(exchange);
+        } catch (RuntimeException | Error failure) {
+            LOGGER.atSevere().withCause(failure).atMostEvery(1, TimeUnit.SECONDS).log("handling a request failed");
+            if (!exchange.responded.get()) {
+                exchange.respond(500, Map.of(), new byte[0]);
+            }
+        }
+    }
+
     private final class JettyExchange implements HttpExchange {
 
         private final Request request;
