--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -314,8 +314,15 @@
             onEarlierLeadersEnded(nowNanos);
         }
         updateRunnerClock(response.status().clockMs(), nowNanos);
-        context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
-        leader.requestSchedulingRound();
+        try {
+            context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
+        } finally {
+            leader.requestSchedulingRound();
+            scheduleNextPoll();
+        }
+    }
+
+    private void scheduleNextPoll() {
         if (acknowledgement.next(starts.allVerified()) > 0) {
             schedulePoll(Duration.ZERO);
         } else if (acknowledgement.due() || !allReportedEndsStored()) {
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -227,7 +227,7 @@
     private void endLater(ActiveRun run, Duration delay, EndReason reason) {
         int process = processes;
         loop.schedule(delay, () -> {
-            if (process == processes && activeRuns.get(run.key()) == run) {
+            if (process == processes && run.equals(activeRuns.get(run.key()))) {
                 end(run, reason);
             }
         });
