Move the lease of a runner out of its session

The session computed the lease's end on two clocks beside polls, commands, acknowledgements and cordons.

--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunnerLease.java
@@ -0,0 +1,102 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/**
+ * Lease under which a runner runs its tasks. Computes its end on the runner's clock, for commands, and the latest time on
+ * this node's clock at which it may still be in effect.
+ */
+final class RunnerLease {
+
+    private final MonotonicClock clock;
+    private long endNanos;
+    private boolean runnerClockKnown;
+    private long runnerClockMs;
+    private long runnerClockReadNanos;
+    private boolean extended;
+    private long extendedNanos;
+
+    /**
+     * Creates a lease that this node has not extended.
+     *
+     * @param endNanos when everything that earlier leaders started on the runner has ended
+     */
+    RunnerLease(MonotonicClock clock, long endNanos) {
+        this.clock = clock;
+        this.endNanos = endNanos;
+    }
+
+    /**
+     * Returns the longest time from a command until everything that it started has ended, if the lease in the command
+     * was computed from the clock of the process that received it.
+     */
+    static long longestNanos() {
+        return longestNanos(FleetConstants.RUNNER_LEASE);
+    }
+
+    private static long longestNanos(Duration lease) {
+        return (long) (lease.toNanos() / (1 - FleetConstants.MAX_CLOCK_DRIFT)) + FleetConstants.LEASE_MARGIN.toNanos();
+    }
+
+    /** Returns whether the runner has reported its clock to this leader. */
+    boolean runnerClockKnown() {
+        return runnerClockKnown;
+    }
+
+    /** Records the runner's clock from a status that has just arrived. */
+    void readRunnerClock(long clockMs) {
+        runnerClockKnown = true;
+        runnerClockMs = clockMs;
+        runnerClockReadNanos = clock.nowNanos();
+    }
+
+    /**
+     * Extends the lease from now on and returns its end on the runner's clock in milliseconds.
+     *
+     * @param processVerified whether the runner can have no run on a process other than the known one
+     */
+    long extend(boolean processVerified) {
+        long nowNanos = clock.nowNanos();
+        extended = true;
+        extendedNanos = nowNanos;
+        Duration lease = processVerified ? FleetConstants.RUNNER_LEASE : FleetConstants.MAX_RUNNER_LEASE;
+        endNanos = Math.max(endNanos, nowNanos + longestNanos(lease));
+        double elapsedMs = (nowNanos - runnerClockReadNanos) / 1e6;
+        long earliestClockMs = runnerClockMs + (long) (elapsedMs * (1 - FleetConstants.MAX_CLOCK_DRIFT));
+        return earliestClockMs + FleetConstants.RUNNER_LEASE.toMillis();
+    }
+
+    /** Records that no process other than the known one can have granted the lease. */
+    void onProcessVerified() {
+        if (extended) {
+            endNanos = Math.min(endNanos, extendedNanos + longestNanos());
+        }
+    }
+
+    /**
+     * Records that the runner accepted no command of an earlier leader after a time. Does nothing once the runner has
+     * reported to this leader.
+     */
+    void onEarlierLeadersEnded(long endedNanos) {
+        long waitEndNanos = endedNanos + longestNanos();
+        if (!runnerClockKnown && endNanos - waitEndNanos > 0) {
+            endNanos = waitEndNanos;
+        }
+    }
+
+    /** Records that the runner's process has ended. */
+    void onProcessEnded() {
+        endNanos = Math.min(endNanos, clock.nowNanos());
+    }
+
+    /** Returns when nothing that was started on the runner can still run or start. */
+    long endNanos() {
+        return endNanos;
+    }
+
+    boolean expired() {
+        return clock.nowNanos() - endNanos > 0;
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -55,10 +55,6 @@
     private boolean pollInFlight;
     private boolean pollScheduled;
     private int missedPolls;
-    private boolean runnerClockKnown;
-    private long runnerClockMs;
-    private long runnerClockReadNanos;
-    private long leaseEndNanos;
     private boolean lost;
     private boolean replacedAtAddress;
     private boolean restartPending;
@@ -67,7 +63,7 @@
     private final RunnerCordon cordon = new RunnerCordon();
     private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
     private final StartVerification starts = new StartVerification();
-    private long leaseExtendedNanos;
+    private final RunnerLease lease;
 
     /**
      * Creates a session that has not contacted its runner.
@@ -79,7 +75,7 @@
         this.leader = leader;
         this.epoch = epoch;
         this.runner = runner;
-        this.leaseEndNanos = leaseEndNanos;
+        this.lease = new RunnerLease(context.loop(), leaseEndNanos);
     }
 
     /**
@@ -88,22 +84,7 @@
      * nothing once the runner has reported to this leader.
      */
     void onEarlierLeadersEnded(long endedNanos) {
-        long waitEndNanos = endedNanos + longestLeaseNanos();
-        if (!runnerClockKnown && leaseEndNanos - waitEndNanos > 0) {
-            leaseEndNanos = waitEndNanos;
-        }
-    }
-
-    /**
-     * Returns the longest time from a command until everything that it started has ended, if the lease in the command
-     * was computed from the clock of the process that received it.
-     */
-    static long longestLeaseNanos() {
-        return longestNanos(FleetConstants.RUNNER_LEASE);
-    }
-
-    private static long longestNanos(Duration lease) {
-        return (long) (lease.toNanos() / (1 - FleetConstants.MAX_CLOCK_DRIFT)) + FleetConstants.LEASE_MARGIN.toNanos();
+        lease.onEarlierLeadersEnded(endedNanos);
     }
 
     FleetRunner runner() {
@@ -121,12 +102,12 @@
 
     /** Returns whether nothing that was started on the runner can still run or start. */
     boolean leaseExpired() {
-        return context.loop().nowNanos() - leaseEndNanos > 0;
+        return lease.expired();
     }
 
     /** Returns when nothing that was started on the runner can still run or start. */
     long leaseEndNanos() {
-        return leaseEndNanos;
+        return lease.endNanos();
     }
 
     /** Returns why the runner counts as lost once its lease has expired. */
@@ -219,13 +200,13 @@
         boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
-        boolean renew = runnerClockKnown
+        boolean renew = lease.runnerClockKnown()
                 && runner.busy()
                 && missedPolls == 0
                 && !restartPending
                 && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
-        long leaseUntilMs = renew ? extendLease() : 0;
+        long leaseUntilMs = renew ? lease.extend(starts.allVerified()) : 0;
         context.runnerCalls()
                 .poll(
                         runner.descriptor(),
@@ -270,7 +251,7 @@
         onSilence(sentNanos);
         if (!lost) {
             replacedAtAddress = true;
-            leaseEndNanos = Math.min(leaseEndNanos, context.loop().nowNanos());
+            lease.onProcessEnded();
             leader.requestConfirmation();
         }
     }
@@ -308,12 +289,14 @@
         } else {
             acknowledgement.onPollAnswered(acknowledgedEnd);
             starts.onPollAnswered(sentNanos);
-            boundLeaseByOwnClock();
+            if (starts.allVerified()) {
+                lease.onProcessVerified();
+            }
         }
-        if (!runnerClockKnown) {
+        if (!lease.runnerClockKnown()) {
             onEarlierLeadersEnded(nowNanos);
         }
-        updateRunnerClock(response.status().clockMs(), nowNanos);
+        lease.readRunnerClock(response.status().clockMs());
         try {
             context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
         } finally {
@@ -346,33 +329,6 @@
         }
     }
 
-    private void updateRunnerClock(long clockMs, long nowNanos) {
-        runnerClockKnown = true;
-        runnerClockMs = clockMs;
-        runnerClockReadNanos = nowNanos;
-    }
-
-    /**
-     * Extends the lease from now on and returns its end on the runner's clock in milliseconds; also updates the latest
-     * end of the lease on this node's clock.
-     */
-    private long extendLease() {
-        long nowNanos = context.loop().nowNanos();
-        double elapsedMs = (nowNanos - runnerClockReadNanos) / 1e6;
-        long earliestClockMs = runnerClockMs + (long) (elapsedMs * (1 - FleetConstants.MAX_CLOCK_DRIFT));
-        leaseExtendedNanos = nowNanos;
-        Duration lease = starts.allVerified() ? FleetConstants.RUNNER_LEASE : FleetConstants.MAX_RUNNER_LEASE;
-        leaseEndNanos = Math.max(leaseEndNanos, nowNanos + longestNanos(lease));
-        return earliestClockMs + FleetConstants.RUNNER_LEASE.toMillis();
-    }
-
-    /** Shortens the wait for a lease that no other process than the known one can have granted. */
-    private void boundLeaseByOwnClock() {
-        if (starts.allVerified() && leaseExtendedNanos != 0) {
-            leaseEndNanos = Math.min(leaseEndNanos, leaseExtendedNanos + longestLeaseNanos());
-        }
-    }
-
     void send(RunnerCommand command) {
         switch (command) {
             case RunnerCommand.Start start -> start(start.run());
@@ -388,7 +344,7 @@
         long sentNanos = context.loop().nowNanos();
         leader.onStartSent();
         starts.onStartSent(sentNanos);
-        context.runnerCalls().start(descriptor, command, extendLease(), response -> {
+        context.runnerCalls().start(descriptor, command, lease.extend(starts.allVerified()), response -> {
             leader.onStartCompleted();
             starts.onStartCompleted();
             if (closed) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -74,7 +74,7 @@
      */
     void restoreFromRoster(RosterRecord roster, long takeoverNanos) {
         FleetRunner runner = context.fleet().expectStatus(roster.runner());
-        long wait = FleetConstants.LEADERSHIP_LEASE.toNanos() + RunnerSession.longestLeaseNanos();
+        long wait = FleetConstants.LEADERSHIP_LEASE.toNanos() + RunnerLease.longestNanos();
         long endNanos = cordons.endOfEarlierLeasesNanos(roster, takeoverNanos + wait);
         RunnerSession session = new RunnerSession(context, leader, epoch, runner, endNanos);
         if (earlierLeaders.ended()) {
