Keep given-up starts when the entry of their runner expires

A start that was given up with its runner was forgotten if the runner's directory entry had expired, so it could still run beside the next run of its task once the entry was back.

Before, delayedStartHasNoEffectIfTheRunnersEntryExpiredMeanwhile failed with two runs at once; it passes now.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -146,11 +146,12 @@
         runner.statusKnown = false;
         for (Run run : runner.snapshotOfRuns()) {
             if (!run.startConfirmed && !pendingStarts.contains(run)) {
-                runner.unresolvedStarts.put(new FleetRunner.RunKey(run.task().key(), run.number()), 0L);
+                FleetRunner.RunKey start = new FleetRunner.RunKey(run.task().key(), run.number());
+                runner.unresolvedStarts.put(start, FleetRunner.StopTimes.NEVER);
             }
             loseRun(run, "the runner is lost");
         }
-        if (!runner.registered) {
+        if (!runner.registered && !runner.hasUnresolvedStarts()) {
             runners.remove(id);
         }
     }
@@ -164,6 +165,11 @@
         return unreportedRunners.count();
     }
 
+    /** Returns whether a runner may run tasks of an earlier leader and has not reported its status. */
+    public boolean unreported(String id) {
+        return unreportedRunners.contains(id);
+    }
+
     /** Returns the number of ready tasks that are held back because a runner without a status may already run them. */
     public int heldTasks() {
         return jobs.readyTasks().count(unreportedRunners::mayHaveRunOf);
@@ -211,14 +217,21 @@
         }
     }
 
-    /** Requests that starts which were given up be stopped, so that the runner rejects them from now on. */
+    /**
+     * Requests that starts which were given up be stopped, so that the runner rejects them from now on. One whose stops
+     * got no response for the longest delay of a command can no longer take effect.
+     */
     private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
-        runner.unresolvedStarts.replaceAll((key, lastNanos) -> {
-            if (lastNanos != 0 && nowNanos - lastNanos <= SchedulingLimits.STOP_RETRY_NANOS) {
-                return lastNanos;
+        runner.unresolvedStarts
+                .values()
+                .removeIf(stops ->
+                        stops.sent() && nowNanos - stops.firstNanos() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS);
+        runner.unresolvedStarts.replaceAll((start, stops) -> {
+            if (stops.sent() && nowNanos - stops.lastNanos() <= SchedulingLimits.STOP_RETRY_NANOS) {
+                return stops;
             }
-            orphanStops.add(new RunnerCommand.Stop(runner, key.task(), key.runNumber()));
-            return nowNanos;
+            orphanStops.add(new RunnerCommand.Stop(runner, start.task(), start.runNumber()));
+            return stops.withStopAt(nowNanos);
         });
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -18,6 +18,21 @@
      */
     record RunKey(TaskKey task, long runNumber) {}
 
+    /**
+     * When stops were sent for a start that was given up.
+     *
+     * @param firstNanos time of the first one, meaningful only if {@code sent}
+     * @param lastNanos time of the last one, meaningful only if {@code sent}
+     */
+    record StopTimes(boolean sent, long firstNanos, long lastNanos) {
+
+        static final StopTimes NEVER = new StopTimes(false, 0, 0);
+
+        StopTimes withStopAt(long nanos) {
+            return new StopTimes(true, sent ? firstNanos : nanos, nanos);
+        }
+    }
+
     private final String id;
     private RunnerDescriptor descriptor;
 
@@ -46,10 +61,10 @@
     /** When a stop was last sent for each orphaned run, that is, a run that the leader does not know. */
     final Map<RunKey, Long> orphanStopNanos = new HashMap<>();
     /**
-     * When a stop was last sent, 0 for never, for each start without a response that was given up with the runner. Such a
-     * start may still take effect once the runner's lease is extended.
+     * Starts without a response that were given up with the runner, and when stops were sent for them. Such a start may
+     * still take effect once the runner's lease is extended.
      */
-    final Map<RunKey, Long> unresolvedStarts = new HashMap<>();
+    final Map<RunKey, StopTimes> unresolvedStarts = new HashMap<>();
 
     private Resources reserved = Resources.NONE;
     private long bestEffortMillis;
--- a/src/main/java/org/tamarackline/core/fleet/SchedulingLimits.java
+++ b/src/main/java/org/tamarackline/core/fleet/SchedulingLimits.java
@@ -20,5 +20,8 @@
      */
     static final long EARLIER_LEADER_REQUEST_NANOS = 2_000_000_000L;
 
+    /** Longest time from the sending of a command until a runner executes it, in nanoseconds. */
+    static final long MAX_COMMAND_DELAY_NANOS = 12_000_000_000L;
+
     private SchedulingLimits() {}
 }
--- a/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
@@ -23,6 +23,10 @@
         runners.remove(runner);
     }
 
+    boolean contains(String runner) {
+        return runners.contains(runner);
+    }
+
     int count() {
         return runners.size();
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -43,9 +43,6 @@
      */
     private static final int MISSED_POLLS_BEFORE_SILENCE = 2;
 
-    /** Delay before a runner is polled again whose new process is not accepted yet. */
-    private static final Duration UNCONFIRMED_POLL_DELAY = Duration.ofMillis(100);
-
     private final LeaderContext context;
     private final Callbacks leader;
     private final long epoch;
@@ -121,6 +118,9 @@
     void onLeadershipConfirmed() {
         if (process.confirm(leader::confirmedSince)) {
             context.fleet().setRunnerConfirmed(runner.id(), true);
+            if (restartPending) {
+                schedulePoll(Duration.ZERO);
+            }
         }
     }
 
@@ -278,7 +278,7 @@
             // The runs of the earlier process may have ended as done, with ends that only a successor has read.
             acknowledgement.onProcessChanged();
             context.fleet().runnerSilent(runner.id());
-            schedulePoll(UNCONFIRMED_POLL_DELAY);
+            schedulePoll(FleetConstants.POLL_RETRY_DELAY);
             return;
         }
         lost = false;
@@ -306,6 +306,10 @@
     }
 
     private void scheduleNextPoll() {
+        if (runner.hasUnresolvedStarts()) {
+            schedulePoll(FleetConstants.POLL_RETRY_DELAY);
+            return;
+        }
         if (acknowledgement.next(starts.allVerified()) > 0) {
             schedulePoll(Duration.ZERO);
         } else if (acknowledgement.due() || !allReportedEndsStored()) {
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -143,6 +143,43 @@
         assertThat(history.violations()).isEmpty();
     }
 
+    /** Guards against a given-up start that is forgotten with the directory entry of its runner. */
+    @Test
+    void delayedStartHasNoEffectIfTheRunnersEntryExpiredMeanwhile() {
+        startLeader();
+        submitAndAwaitStart("busy");
+        connections.nextStartDelay = Duration.ofSeconds(9);
+        submitAndAwaitStart("job");
+        connections.cut = true;
+        addRunner("second");
+        loop.advance(Duration.ofSeconds(2));
+        link.directory().remove("first");
+        loop.advance(Duration.ofSeconds(5));
+        link.directory().put("first", runner.descriptor());
+        connections.cut = false;
+        for (int i = 0; i < 4; i++) {
+            submit("more" + i);
+        }
+        loop.advance(Duration.ofSeconds(5));
+        assertThat(history.violations()).isEmpty();
+    }
+
+    /** Guards against a successor that expects the lease of a restarted runner to end before it does. */
+    @Test
+    void successorWaitsForTheMaximumLeaseOfARunnerThatRestartedUnnoticed() {
+        Leader first = restartWhilePolling();
+        submitAndAwaitStart("job");
+        loop.advance(Duration.ofMillis(10));
+        assertThat(runner.runs(taskOf("job"))).isTrue();
+        connections.cut = true;
+        addRunner("second");
+        loop.advance(Duration.ofMillis(200));
+        first.end();
+        startLeader(2);
+        loop.advance(Duration.ofSeconds(15));
+        assertThat(history.violations()).isEmpty();
+    }
+
     /** Guards against a delayed acknowledgement for an earlier process that discards ends of the new one. */
     @Test
     void delayedAcknowledgementOfAnEarlierProcessDiscardsNoEndOfTheNewOne() {
@@ -170,18 +207,23 @@
     }
 
     /** Starts a leader, and restarts its runner while a poll waits there. */
-    private void restartWhilePolling() {
-        startLeader();
+    private Leader restartWhilePolling() {
+        Leader leader = startLeader();
         submitAndAwaitStart("busy");
         loop.advance(Duration.ofSeconds(20));
         runner.crash();
         loop.advance(DOWNTIME);
         runner.boot();
         history.processStarted(runner);
+        return leader;
+    }
+
+    private Leader startLeader() {
+        return startLeader(1);
     }
 
-    private void startLeader() {
-        LeaderRecord record = new LeaderRecord(1, "node", "10.0.0.9:1", 1, false, List.of());
+    private Leader startLeader(long epoch) {
+        LeaderRecord record = new LeaderRecord(epoch, "node", "10.0.0.9:1", 1, false, List.of());
         write(LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
@@ -189,8 +231,10 @@
         NodeServices services = new NodeServices(
                 loop, client, new ProtocolRunnerCalls(loop, loop, connections), client, timeOfDay, log);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
+        Leader leader = new Leader(services, peers, record, version, reason -> {});
+        leader.start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
+        return leader;
     }
 
     private static TaskKey taskOf(String job) {
