Process ended runs in the order of their numbers

If a status listed a later end before an earlier one, the earlier one was skipped and then acknowledged, and its task started again. Before, endsThatAreListedOutOfOrderAreAllProcessed failed with one start.

--- a/src/main/java/org/tamarackline/core/fleet/RunnerStatus.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerStatus.java
@@ -1,5 +1,6 @@
 package org.tamarackline.core.fleet;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -16,10 +17,12 @@
     /** Number of ended runs in a status from which on further ones may be missing. */
     private static final int MAX_ENDED_RUNS = 500;
 
-    /** Copies the lists. */
+    /** Copies the lists, and puts the ended runs in the order of their sequence numbers. */
     public RunnerStatus {
         activeRuns = List.copyOf(activeRuns);
-        endedRuns = List.copyOf(endedRuns);
+        endedRuns = endedRuns.stream()
+                .sorted(Comparator.comparingLong(EndedRun::sequenceNumber))
+                .toList();
     }
 
     /** Returns whether further ended runs may be missing, which the runner lists once these are acknowledged. */
