Keep an unregistered runner until it has reported or is lost

A runner without a directory entry that had not reported to a new leader counted as idle and was removed without the store's confirmation, so that inherited tasks which may run there started elsewhere.

--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -150,7 +150,9 @@
                 context.fleet().runnerLost(runner.id());
                 session.markLost();
             }
-            boolean removable = !runner.registered() && !runner.busy() && (session.lost() || session.idle());
+            boolean idle =
+                    session.idle() && runner.statusKnown() && !context.fleet().unreported(runner.id());
+            boolean removable = !runner.registered() && !runner.busy() && (session.lost() || idle);
             if (removable && session.leaseExpired()) {
                 session.close();
                 sessions.remove(runner.id());
