Confirm the leader only by a conflict that shows its record

A conflict whose rows were missing or unreadable counted as a confirmation of the leader, also of a replaced one.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -209,18 +209,22 @@
     }
 
     private void onConflict(Batch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
+        boolean confirmed = false;
         for (RecordStore.Entry entry : conflict.current()) {
             if (entry.key().equals(LeaderRecord.KEY) && entry.version() != leaderVersion) {
                 leader.onLeaderRecordChanged(entry);
                 batch.requeue();
                 return;
             }
+            confirmed |= entry.key().equals(LeaderRecord.KEY);
             if (entry.key().equals(CommitSequence.KEY)) {
                 sequenceVersion = entry.version();
             }
         }
         // An earlier transaction took effect although its response was lost; what it wrote is written again.
-        leader.onLeadershipConfirmed(sentNanos);
+        if (confirmed) {
+            leader.onLeadershipConfirmed(sentNanos);
+        }
         batch.requeue();
     }
 
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -130,9 +130,10 @@
                                 .<TransactionResult>map(version -> new TransactionResult.Applied(version.getAsLong()))
                                 .orElseGet(() -> new TransactionResult.Unknown(UNDECODABLE));
                     case 412 ->
-                        new TransactionResult.Conflict(parse(response, sentNanos)
+                        parse(response, sentNanos)
                                 .flatMap(StoreClient::decodeEntries)
-                                .orElse(List.of()));
+                                .<TransactionResult>map(TransactionResult.Conflict::new)
+                                .orElseGet(() -> new TransactionResult.Unknown("the response cannot be decoded"));
                     case 400, 403, 429, 503 -> new TransactionResult.NotApplied("status " + response.status());
                     default -> new TransactionResult.Unknown("status " + response.status());
                 };
