Check that the leader still leads after it has read all jobs again

A job on a later page may have been accepted after a successor's claim, so that both leaders started it. The leader's record is now read after the last page.

--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -114,10 +114,30 @@
     private void rereadTable() {
         log.storeState("jobs-history-lost", "reading the whole table again");
         List<RecordStore.Entry> all = new ArrayList<>();
-        tables.readAll(RecordStore.Table.JOBS, all::add, readVersion -> {
-            applyChanges(all);
-            version = readVersion;
-            follow();
+        tables.readAll(
+                RecordStore.Table.JOBS,
+                all::add,
+                readVersion -> runIfStillLeading(() -> {
+                    applyChanges(all);
+                    version = readVersion;
+                    follow();
+                }));
+    }
+
+    /** A job on a later page may have been accepted after a successor's claim, which the earlier pages do not show. */
+    private void runIfStillLeading(Runnable next) {
+        store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
+            if (!leader.leading()) {
+                return;
+            }
+            if (!(result instanceof RecordStore.ReadResult.Page page)) {
+                loop.schedule(FleetConstants.STORE_RETRY_DELAY, () -> runIfStillLeading(next));
+                return;
+            }
+            applyChanges(page.entries());
+            if (leader.leading()) {
+                next.run();
+            }
         });
     }
 
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -22,6 +22,10 @@
     private Duration latency = Duration.ofMillis(10);
     private Duration transactionLatency = latency;
     private boolean rejecting;
+    private boolean historyLost;
+    private boolean conflictsWithoutRows;
+    private int pageRows = Integer.MAX_VALUE;
+    private Runnable afterFirstPage = () -> {};
     private int responsesToLose;
     private Duration nextResponseDelay = Duration.ZERO;
     private long version;
@@ -49,6 +53,22 @@
         rejecting = next;
     }
 
+    /** Answers the next read of changes that the history is lost. */
+    void loseHistoryOnce() {
+        historyLost = true;
+    }
+
+    /** Limits the rows of a page, and runs an action after the next one was read. */
+    void setPageRows(int rows, Runnable afterNextPage) {
+        pageRows = rows;
+        afterFirstPage = afterNextPage;
+    }
+
+    /** Makes conflicts report no rows, and rejects all reads. */
+    void setConflictsWithoutRows() {
+        conflictsWithoutRows = true;
+    }
+
     /** Loses the responses of the next transactions, which are still applied. */
     void loseResponses(int count) {
         responsesToLose = count;
@@ -116,7 +136,7 @@
             }
         }
         if (!conditionsHold) {
-            return new TransactionResult.Conflict(current);
+            return new TransactionResult.Conflict(conflictsWithoutRows ? List.of() : current);
         }
         version++;
         for (Write write : transaction.writes()) {
@@ -134,18 +154,21 @@
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
         loop.schedule(latency, () -> {
-            if (rejecting) {
+            if (rejecting || conflictsWithoutRows) {
                 respond(latency, callback, new ReadResult.Failed("status 503"));
                 return;
             }
             TreeMap<String, Entry> rows = tables.get(table);
             Map<String, Entry> range = to == null ? rows.tailMap(from, true) : rows.subMap(from, true, to, false);
+            List<Entry> page = range.values().stream().limit(pageRows).toList();
             respond(
                     latency,
                     callback,
-                    new ReadResult.Page(List.copyOf(range.values()), version, false),
+                    new ReadResult.Page(page, version, page.size() < range.size()),
                     sentNanos,
                     readingMs());
+            afterFirstPage.run();
+            afterFirstPage = () -> {};
         });
     }
 
@@ -153,10 +176,15 @@
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
         loop.schedule(wait, () -> {
-            if (rejecting) {
+            if (rejecting || conflictsWithoutRows) {
                 respond(latency, callback, new ReadResult.Failed("status 503"));
                 return;
             }
+            if (historyLost) {
+                historyLost = false;
+                respond(latency, callback, new ReadResult.HistoryLost());
+                return;
+            }
             List<Entry> changed = new ArrayList<>();
             for (Entry entry : tables.get(table).values()) {
                 if (entry.version() > afterVersion) {
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -80,6 +80,52 @@
         assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
     }
 
+    /** Guards against a runner that counts as unused because it has no directory entry, although it has not reported. */
+    @Test
+    void taskOfAnUnregisteredRunnerWaitsUntilTheStoreConfirmsTheLeader() {
+        registered.add(descriptor("a"));
+        submit("j", false);
+        Leader first = startLeader(1);
+        loop.advance(Duration.ofSeconds(2));
+        registered.add(descriptor("b"));
+        loop.advance(Duration.ofSeconds(2));
+        calls.stopResponding("a");
+        registered.removeIf(runner -> runner.id().equals("a"));
+        first.end();
+        startLeader(2);
+        loop.advance(Duration.ofSeconds(1));
+        store.setRejecting(true);
+        calls.resumeResponding("a");
+        calls.replace("a");
+        assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
+    }
+
+    /** Guards against a replaced leader that takes a conflict without rows for a confirmation. */
+    @Test
+    void conflictWithoutRowsDoesNotConfirmTheLeader() {
+        startLeaderWithTaskOnFirstOfTwoRunners();
+        store.setConflictsWithoutRows();
+        write(RecordStore.Table.JOBS, LeaderRecord.KEY, new byte[] {1});
+        calls.replace("a");
+        loop.advance(Duration.ofMillis(500));
+        assertThat(startsOf("j")).hasSize(1);
+    }
+
+    /** Guards against a replaced leader that starts a job which was accepted after its successor's claim. */
+    @Test
+    void jobAcceptedDuringAReadAfterASuccessorsClaimIsNotStarted() {
+        registered.add(descriptor("a"));
+        startLeader(1);
+        loop.advance(Duration.ofSeconds(3));
+        store.loseHistoryOnce();
+        store.setPageRows(1, () -> {
+            write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(recordOf(2)));
+            submit("zz", false);
+        });
+        loop.advance(Duration.ofSeconds(4));
+        assertThat(startsOf("zz")).isEmpty();
+    }
+
     private void startLeaderWithTaskOnFirstOfTwoRunners() {
         registered.add(descriptor("a"));
         submit("j", false);
@@ -228,9 +274,7 @@
     }
 
     private Leader startLeader(long epoch) {
-        List<LeaderRecord.EarlierLeader> possiblyActive =
-                epoch > 1 ? List.of(new LeaderRecord.EarlierLeader(epoch - 1, "10.0.0.8:1")) : List.of();
-        LeaderRecord record = new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", 1, false, possiblyActive);
+        LeaderRecord record = recordOf(epoch);
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
@@ -242,6 +286,12 @@
         return leader;
     }
 
+    private static LeaderRecord recordOf(long epoch) {
+        List<LeaderRecord.EarlierLeader> possiblyActive =
+                epoch > 1 ? List.of(new LeaderRecord.EarlierLeader(epoch - 1, "10.0.0.8:1")) : List.of();
+        return new LeaderRecord(epoch, "node" + epoch, "10.0.0.9:1", 1, false, possiblyActive);
+    }
+
     private void submit(String job, boolean longRunning) {
         JobDefinition definition =
                 longRunning ? JobDefinitions.longRunningTask(job) : JobDefinitions.tasks(job, 1, LONG_TASK_MS);
