Verify a runner's process before a start if the store is silent

If the store has not confirmed the leader within 0.5 s, the shortest time of a restart, a start is now preceded by a poll, and is not sent unless the known process answers it.

The tests of RunnerCommandRacesTest have the leader confirmed before their starts, since they are about leaders that send a start without that poll.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -459,6 +459,11 @@
         return run.stopSentNanos == 0 || nowNanos - run.stopSentNanos > SchedulingLimits.STOP_RETRY_NANOS;
     }
 
+    /** Returns whether a run still exists and its start has not been confirmed or given up. */
+    public boolean awaitsStart(Run run) {
+        return run.phase == Run.Phase.STARTING && run.runner().find(run.task().key(), run.number()) == run;
+    }
+
     /** Applies the result of a start command. */
     public void applyStartResult(Run run, StartResult result, long nowNanos) {
         if (run.runner().find(run.task().key(), run.number()) != run) {
@@ -475,7 +480,7 @@
                 run.runner().health.recordRefusal(nowNanos);
                 removeRun(run);
             }
-            case RUNNER_REPLACED -> removeRun(run);
+            case RUNNER_REPLACED, NOT_SENT -> removeRun(run);
             default -> startNotConfirmed(run);
         }
     }
--- a/src/main/java/org/tamarackline/core/fleet/StartResult.java
+++ b/src/main/java/org/tamarackline/core/fleet/StartResult.java
@@ -10,6 +10,8 @@
     REFUSED,
     /** The address now belongs to another incarnation; the run did not start. */
     RUNNER_REPLACED,
+    /** The start was not sent. */
+    NOT_SENT,
     /** No response arrived; the run may have started or may still start. */
     UNKNOWN
 }
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -26,6 +26,9 @@
      */
     static final Duration MAX_RUNNER_LEASE = Duration.ofSeconds(6);
 
+    /** Shortest time from the end of a runner's process until a new one accepts commands. */
+    static final Duration MIN_RESTART_TIME = Duration.ofMillis(500);
+
     /** Fraction by which the clocks of a runner or of the store may be slower or faster than this node's clock. */
     static final double MAX_CLOCK_DRIFT = 0.02;
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -341,12 +341,49 @@
         }
     }
 
+    /**
+     * Starts a run. If the store has not confirmed the leader lately, a successor may have been in contact with the runner
+     * and the runner may have restarted since, so its process is verified first.
+     */
     private void start(Run run) {
+        leader.onStartSent();
+        long recentNanos = context.loop().nowNanos() - FleetConstants.MIN_RESTART_TIME.toNanos();
+        if (leader.confirmedSince(recentNanos)) {
+            sendStart(run);
+        } else {
+            verifyProcessAndStart(run);
+        }
+    }
+
+    private void verifyProcessAndStart(Run run) {
+        context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
+            if (closed) {
+                leader.onStartCompleted();
+                return;
+            }
+            boolean verified = response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
+                    && process.confirmed()
+                    && process.is(response.status().processStartEpochMs());
+            if (verified && leader.maySendCommands() && context.fleet().awaitsStart(run)) {
+                sendStart(run);
+                return;
+            }
+            leader.onStartCompleted();
+            if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
+                leader.onFenced(runner.id());
+                return;
+            }
+            context.fleet()
+                    .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
+            leader.requestSchedulingRound();
+        });
+    }
+
+    private void sendStart(Run run) {
         RunnerDescriptor descriptor = runner.descriptor();
         RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
                 run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
         long sentNanos = context.loop().nowNanos();
-        leader.onStartSent();
         starts.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, lease.extend(starts.allVerified()), response -> {
             leader.onStartCompleted();
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -80,6 +80,31 @@
         assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
     }
 
+    /**
+     * Guards against a start by a replaced leader on a runner that has forgotten the higher epoch by a restart which the
+     * leader has not noticed.
+     */
+    @Test
+    void runnerThatRestartedUnnoticedGetsNoStartWhileTheLeaderIsCutOffFromTheStore() {
+        registered.add(descriptor("b"));
+        submit("j", false);
+        startLeader(1);
+        loop.advance(Duration.ofSeconds(2));
+        registered.add(descriptor("a"));
+        loop.advance(Duration.ofSeconds(1));
+        registered.removeIf(runner -> runner.id().equals("b"));
+        loop.advance(Duration.ofSeconds(1));
+        store.setRejecting(true);
+        loop.advance(Duration.ofMillis(700));
+        calls.restart("a");
+        calls.removeRuns("b");
+        loop.advance(Duration.ofMillis(1_200));
+        assertThat(startsOf("j")).as("while the store rejects calls").hasSize(1);
+        store.setRejecting(false);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("b", "a");
+    }
+
     /** Guards against a runner that counts as unused because it has no directory entry, although it has not reported. */
     @Test
     void taskOfAnUnregisteredRunnerWaitsUntilTheStoreConfirmsTheLeader() {
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -215,6 +215,7 @@
         loop.advance(DOWNTIME);
         runner.boot();
         history.processStarted(runner);
+        confirmLeader();
         return leader;
     }
 
@@ -237,6 +238,12 @@
         return leader;
     }
 
+    /** Has the leader read a change, so that the store has confirmed it recently when it sends the next start. */
+    private void confirmLeader() {
+        write(StoredJob.cancelKey("unknown"), new byte[0]);
+        loop.advance(Duration.ofMillis(100));
+    }
+
     private static TaskKey taskOf(String job) {
         return new TaskKey(job, 0, 0, 0);
     }
