Refuse connections as soon as reading has stopped

Cause: the listening channel is registered with Jetty's selector. Closing it cancels its key, but the operating system's socket stays open until the selector's next selection, so clients still connect for that time and are then reset. The earlier suspicion, another process on the same port, is not needed to explain it.

DrainableConnector waits until the selector has released the channel, for at most 1 s. The test now reserves its port instead of releasing it.

--- a/src/main/java/org/tamarackline/http/DrainableConnector.java
+++ b/src/main/java/org/tamarackline/http/DrainableConnector.java
@@ -6,8 +6,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.eclipse.jetty.io.EndPoint;
@@ -26,6 +29,8 @@
  */
 final class DrainableConnector extends ServerConnector {
 
+    private static final Duration DEREGISTRATION_TIMEOUT = Duration.ofSeconds(1);
+
     private final InetSocketAddress address;
     private final Consumer<HttpExchange> handler;
 
@@ -54,14 +59,31 @@
         return handler;
     }
 
-    /** Closes the address to new connections and reads nothing more from open ones. */
-    void stopReading() throws IOException {
+    /**
+     * Closes the address to new connections and reads nothing more from open ones.
+     *
+     * @throws IOException if the address could not be closed; nothing is read from its connections
+     */
+    void stopReading() throws IOException, InterruptedException {
         readingStopped = true;
+        closeIdleConnections();
         setAccepting(false);
         if (getTransport() instanceof ServerSocketChannel channel) {
             channel.close();
+            awaitDeregistration();
+        }
+    }
+
+    /** Waits until the selector has released the closed channel; until then clients can still connect. */
+    private void awaitDeregistration() throws IOException, InterruptedException {
+        ManagedSelector selector = getSelectorManager().getBean(ManagedSelector.class);
+        CountDownLatch deregistered = new CountDownLatch(1);
+        // Channels are deregistered by the selection that follows the first update.
+        selector.submit(first -> selector.submit(second -> deregistered.countDown()));
+        if (!deregistered.await(DEREGISTRATION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+            throw new IOException("the selector did not release the channel within %d ms"
+                    .formatted(DEREGISTRATION_TIMEOUT.toMillis()));
         }
-        closeIdleConnections();
     }
 
     /**
--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -104,9 +104,9 @@
 
     /**
      * Closes an address to new connections and reads nothing more from open ones. Idle connections close at once; a
-     * connection whose request was read completely closes after its response.
+     * connection whose request was read completely closes after its response. Returns when clients can no longer connect.
      */
-    public void stopReading(InetSocketAddress address) {
+    public void stopReading(InetSocketAddress address) throws InterruptedException {
         try {
             connector(address).stopReading();
         } catch (IOException failure) {
--- a/src/test/java/org/tamarackline/http/HttpListenerTest.java
+++ b/src/test/java/org/tamarackline/http/HttpListenerTest.java
@@ -5,17 +5,19 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.tamarackline.load.PortReservations;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -30,18 +32,18 @@
     private static final Duration TIMEOUT = Duration.ofMillis(TIMEOUT_MS);
     private static final byte[] REQUEST = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private final PortReservations ports = new PortReservations();
     private final HttpListener listener = new HttpListener(1_000);
     private InetSocketAddress address;
 
     @AfterEach
     void stop() {
         listener.stop();
+        ports.close();
     }
 
     private void start(Consumer<HttpExchange> handler) throws Exception {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
-        }
+        address = new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.reserve());
         listener.add(address, TIMEOUT_MS, handler);
         listener.start();
     }
@@ -96,6 +98,24 @@
         assertThatThrownBy(this::connect).isInstanceOf(ConnectException.class);
     }
 
+    /** Guards against a client that can still connect because the selector has not yet released the address. */
+    @Test
+    void refusesConnectionsOnceReadingHasStopped() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        start(exchange -> {
+            received.countDown();
+            occupySelector();
+            exchange.respond(200, Map.of(), new byte[0]);
+        });
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(REQUEST);
+            received.await();
+            listener.stopReading(address);
+            assertThatThrownBy(this::connect).isInstanceOf(ConnectException.class);
+            assertThat(readAvailable(socket)).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** Guards against a response that is cut off because its request was in flight when reading stopped. */
     @Test
     void respondsToARequestInFlightAfterReadingStopped() throws Exception {
@@ -154,6 +174,11 @@
         }
     }
 
+    /** Handlers run on the selector's thread, which so does not release channels. */
+    private static void occupySelector() {
+        LockSupport.parkNanos(Duration.ofMillis(300).toNanos());
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(TIMEOUT_MS);
