Reserve the ports of tests instead of releasing them

HttpWorkerGatewayTest, PeerConnectionTest, ClusterServiceTest, HttpPlatformClientTest and the users of StandinFleet looked for a free port and released it.

They keep the port bound by PortReservations until they end; StandinFleet until the process ends. Each assertion stays.

--- a/src/main/java/org/tamarackline/cli/RehearseCommand.java
+++ b/src/main/java/org/tamarackline/cli/RehearseCommand.java
@@ -31,12 +31,12 @@
         JsonLogging.install(System.out, Map.of());
         try (StandinFleet fleet = new StandinFleet(RUNNERS, TASK_MS);
                 AsyncHttpClient http = new AsyncHttpClient(2)) {
-            InetSocketAddress callerAddress = StandinFleet.freeAddress();
+            InetSocketAddress callerAddress = StandinFleet.reserveAddress();
             NodeSettingsText settings = new NodeSettingsText(
                     "rehearsal",
                     callerAddress,
-                    StandinFleet.freeAddress(),
-                    StandinFleet.freeAddress(),
+                    StandinFleet.reserveAddress(),
+                    StandinFleet.reserveAddress(),
                     fleet.storeAddress());
             Path file = Files.createTempFile("rehearsal", ".toml");
             Files.writeString(file, settings.text());
--- a/src/main/java/org/tamarackline/load/PortReservations.java
+++ b/src/main/java/org/tamarackline/load/PortReservations.java
@@ -23,7 +23,7 @@
     private final List<Socket> sockets = new ArrayList<>();
 
     /** Reserves a port until {@link #close} and returns it. */
-    public int reserve() throws IOException {
+    public synchronized int reserve() throws IOException {
         Socket socket = new Socket();
         sockets.add(socket);
         socket.setReuseAddress(true);
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         for (Socket socket : sockets) {
             closeQuietly(socket);
         }
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,6 +21,7 @@
 import org.tamarackline.http.HttpExchange;
 import org.tamarackline.http.HttpListener;
 import org.tamarackline.http.HttpStartException;
+import org.tamarackline.load.PortReservations;
 
 /**
  * Stand-in for the platform of a fleet: a store and runners on loopback addresses, for tests and for the rehearsal of a
@@ -31,6 +31,7 @@
 
     private static final int MAX_BODY_BYTES = 2 * 1024 * 1024;
     private static final long IDLE_TIMEOUT_MS = 60_000;
+    private static final PortReservations PORTS = new PortReservations();
 
     /** Host of the only queue in the configuration. */
     public static final String QUEUE_HOST = "queue.example";
@@ -53,7 +54,7 @@
      * @param taskMs duration of each task in milliseconds
      */
     public StandinFleet(int runnerCount, long taskMs) throws IOException, HttpStartException {
-        InetSocketAddress storeSocketAddress = freeAddress();
+        InetSocketAddress storeSocketAddress = reserveAddress();
         storeAddress = hostAndPort(storeSocketAddress);
         listener.add(
                 storeSocketAddress,
@@ -62,7 +63,7 @@
         for (int i = 0; i < runnerCount; i++) {
             StandinRunner runner = new StandinRunner("runner-" + i, taskMs);
             runners.add(runner);
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = reserveAddress();
             listener.add(
                     address,
                     IDLE_TIMEOUT_MS,
@@ -135,11 +136,9 @@
         return counts;
     }
 
-    /** Returns a loopback address with a port that was free when this method checked. */
-    public static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
-        }
+    /** Returns a loopback address whose port stays reserved for this process. */
+    public static InetSocketAddress reserveAddress() throws IOException {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), PORTS.reserve());
     }
 
     public static String hostAndPort(InetSocketAddress address) {
--- a/src/test/java/org/tamarackline/entry/cluster/ClusterServiceTest.java
+++ b/src/test/java/org/tamarackline/entry/cluster/ClusterServiceTest.java
@@ -1,8 +1,6 @@
 package org.tamarackline.entry.cluster;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +30,7 @@
 import org.tamarackline.core.model.ShardId;
 import org.tamarackline.core.model.VmRecord;
 import org.tamarackline.core.time.MonotonicClock;
+import org.tamarackline.load.PortReservations;
 import org.tamarackline.settings.EntrySettings;
 import org.tamarackline.settings.Secret;
 import org.tamarackline.store.FakePlatform;
@@ -50,10 +49,12 @@
 
     private final FakePlatform platform = new FakePlatform();
     private final List<Injector> nodes = new ArrayList<>();
+    private final PortReservations ports = new PortReservations();
 
     @AfterEach
     void stop() {
         nodes.forEach(node -> node.getInstance(ClusterService.class).stop());
+        ports.close();
     }
 
     /** Records the acquired shards. It depends on the cluster, as the listeners of other packages do. */
@@ -90,7 +91,7 @@
     }
 
     private Injector start() throws IOException {
-        NodeId id = new NodeId("127.0.0.1:" + freePort());
+        NodeId id = new NodeId("127.0.0.1:" + ports.reserve());
         EntrySettings settings = new EntrySettings(
                 id,
                 new Region("north"),
@@ -122,12 +123,6 @@
         return node;
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static Cluster cluster(Injector node) {
         return node.getInstance(Cluster.class);
     }
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -37,7 +37,7 @@
         http = new AsyncHttpClient(2);
         calls = new HttpPeerCalls(http, loop);
         listener = new HttpListener(1_000);
-        var socketAddress = StandinFleet.freeAddress();
+        var socketAddress = StandinFleet.reserveAddress();
         address = StandinFleet.hostAndPort(socketAddress);
         listener.add(
                 socketAddress,
--- a/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
+++ b/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
@@ -30,7 +30,7 @@
     void start() throws Exception {
         client = new AsyncHttpClient(2);
         listener = new HttpListener(1_000);
-        var socketAddress = StandinFleet.freeAddress();
+        var socketAddress = StandinFleet.reserveAddress();
         address = StandinFleet.hostAndPort(socketAddress);
         listener.add(socketAddress, TIMEOUT.toMillis(), exchange -> exchange.respond(200, Map.of(), new byte[0]));
         listener.start();
--- a/src/test/java/org/tamarackline/peer/PeerConnectionTest.java
+++ b/src/test/java/org/tamarackline/peer/PeerConnectionTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.model.Incarnation;
 import org.tamarackline.core.model.NodeId;
+import org.tamarackline.load.PortReservations;
 import org.tamarackline.settings.Secret;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -41,12 +42,13 @@
     private final CountDownLatch release = new CountDownLatch(1);
     private final AtomicInteger handled = new AtomicInteger();
     private final List<PeerClient> clients = new ArrayList<>();
+    private final PortReservations ports = new PortReservations();
     private NodeId serverId;
     private PeerServer server;
 
     @BeforeEach
     void startServer() throws IOException {
-        serverId = new NodeId("127.0.0.1:" + freePort());
+        serverId = new NodeId("127.0.0.1:" + ports.reserve());
         server = new PeerServer(
                 new LocalNode(serverId, new Incarnation(1)),
                 KEY,
@@ -62,12 +64,7 @@
         release.countDown();
         clients.forEach(PeerClient::stop);
         server.stop();
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
+        ports.close();
     }
 
     private Optional<PeerMessage> handle(NodeId sender, PeerMessage request) {
--- a/src/test/java/org/tamarackline/platform/OddStoreAnswersTest.java
+++ b/src/test/java/org/tamarackline/platform/OddStoreAnswersTest.java
@@ -39,7 +39,7 @@
     void start() throws Exception {
         http = new AsyncHttpClient(2);
         listener = new HttpListener(100_000);
-        var address = StandinFleet.freeAddress();
+        var address = StandinFleet.reserveAddress();
         listener.add(
                 address, 5_000, exchange -> exchange.respond(200, Map.of(), body.getBytes(StandardCharsets.UTF_8)));
         listener.start();
--- a/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
@@ -65,9 +65,9 @@
     }
 
     private void startNode(String graceSeconds) throws Exception {
-        address = StandinFleet.freeAddress();
+        address = StandinFleet.reserveAddress();
         NodeSettingsText settings = new NodeSettingsText(
-                "node", address, StandinFleet.freeAddress(), StandinFleet.freeAddress(), fleet.storeAddress());
+                "node", address, StandinFleet.reserveAddress(), StandinFleet.reserveAddress(), fleet.storeAddress());
         Path file = Files.writeString(
                 directory.resolve("node.toml"), settings.text().replace("graceS = 6", "graceS = " + graceSeconds));
         node = PlatformNode.start(file, new LineSink(log), InstantSource.system());
--- a/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
@@ -62,9 +62,9 @@
     }
 
     private void startNode(String name) throws Exception {
-        InetSocketAddress address = StandinFleet.freeAddress();
+        InetSocketAddress address = StandinFleet.reserveAddress();
         NodeSettingsText settings = new NodeSettingsText(
-                name, address, StandinFleet.freeAddress(), StandinFleet.freeAddress(), fleet.storeAddress());
+                name, address, StandinFleet.reserveAddress(), StandinFleet.reserveAddress(), fleet.storeAddress());
         Path file = Files.writeString(directory.resolve(name + ".toml"), settings.text());
         nodes.add(PlatformNode.start(file, new LineSink(log), InstantSource.system()));
         callerAddresses.add(address);
--- a/src/test/java/org/tamarackline/store/HttpPlatformClientTest.java
+++ b/src/test/java/org/tamarackline/store/HttpPlatformClientTest.java
@@ -2,7 +2,6 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 
@@ -13,6 +12,7 @@
 import org.tamarackline.core.model.DataCentre;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.VmRecord;
+import org.tamarackline.load.PortReservations;
 import org.tamarackline.standin.platform.PlatformFaults;
 import org.tamarackline.standin.platform.StandinPlatform;
 
@@ -97,7 +97,9 @@
         platform.setFaults(new PlatformFaults(true, 0, 0, false, 0));
         assertThatExceptionOfType(PlatformUnavailableException.class)
                 .isThrownBy(() -> client.transact(put("t1", KEY, 0, 1)));
-        try (HttpPlatformClient unreachable = new HttpPlatformClient("http://127.0.0.1:" + closedPort(), TIMEOUT)) {
+        try (PortReservations ports = new PortReservations();
+                HttpPlatformClient unreachable =
+                        new HttpPlatformClient("http://127.0.0.1:" + ports.reserve(), TIMEOUT)) {
             assertThatExceptionOfType(PlatformUnavailableException.class)
                     .isThrownBy(() -> unreachable.transact(put("t1", KEY, 0, 1)));
         }
@@ -120,12 +122,6 @@
         assertThat(client.list()).containsExactly(vm);
     }
 
-    private static int closedPort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static TableTransaction put(String token, String key, long version, int value) {
         return new TableTransaction(
                 token,
--- a/src/test/java/org/tamarackline/store/OddVmListTest.java
+++ b/src/test/java/org/tamarackline/store/OddVmListTest.java
@@ -29,7 +29,7 @@
     @BeforeEach
     void start() throws Exception {
         listener = new HttpListener(1_000);
-        var address = StandinFleet.freeAddress();
+        var address = StandinFleet.reserveAddress();
         listener.add(
                 address, 5_000, exchange -> exchange.respond(200, Map.of(), body.getBytes(StandardCharsets.UTF_8)));
         listener.start();
--- a/src/test/java/org/tamarackline/worker/HttpWorkerGatewayTest.java
+++ b/src/test/java/org/tamarackline/worker/HttpWorkerGatewayTest.java
@@ -2,7 +2,6 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -20,6 +19,7 @@
 import org.tamarackline.core.task.WorkerProtocol.StartRequest;
 import org.tamarackline.core.task.WorkerProtocol.TaskCommand;
 import org.tamarackline.core.task.WorkerProtocol.TaskReportState;
+import org.tamarackline.load.PortReservations;
 import org.tamarackline.standin.worker.StandinWorker;
 import org.tamarackline.standin.worker.WorkerFaults;
 import org.tamarackline.standin.worker.WorkerOptions;
@@ -125,11 +125,10 @@
     /** Guards against waiting for the expiry of a lease although the command was never sent. */
     @Test
     void reportsAClosedPortAsUnreachable() throws Exception {
-        int port;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = socket.getLocalPort();
+        try (PortReservations ports = new PortReservations()) {
+            int port = ports.reserve();
+            assertThatThrownBy(() -> gateway.stop("127.0.0.1:" + port, command(3)))
+                    .isInstanceOf(WorkerUnreachableException.class);
         }
-        assertThatThrownBy(() -> gateway.stop("127.0.0.1:" + port, command(3)))
-                .isInstanceOf(WorkerUnreachableException.class);
     }
 }
--- a/src/test/java/org/tamarackline/worker/OddWorkerAnswersTest.java
+++ b/src/test/java/org/tamarackline/worker/OddWorkerAnswersTest.java
@@ -39,7 +39,7 @@
     @BeforeEach
     void start() throws Exception {
         listener = new HttpListener(10_000);
-        var socketAddress = StandinFleet.freeAddress();
+        var socketAddress = StandinFleet.reserveAddress();
         address = StandinFleet.hostAndPort(socketAddress);
         listener.add(
                 socketAddress,
