Start tasks only on a runner whose process has just answered

Two listed tests showed that a task ran twice at once. A runner restarted between two polls under its identifier, and the leader's next start reached the new process. The new process takes the lease's end on the old clock for a time far ahead, so it also carries the start out when it arrives 9 s late, and its lease outlasts the wait of a successor by 0.8 s.

Cause: a start was sent on the strength of a status up to 4 s old, if only the store had confirmed the leader lately.

A start is now sent only within 0.25 s of a poll that the confirmed process has answered; otherwise one poll precedes all starts to the runner that are due. This also keeps starts from idle runners that died since their last poll, whose task had to wait for the end of a lease.

--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -29,6 +29,12 @@
     /** Shortest time from the end of a runner's process until a new one accepts commands. */
     static final Duration MIN_RESTART_TIME = Duration.ofMillis(500);
 
+    /**
+     * Time for which a runner's process is known after it was sent a poll that it answered. The rest of {@link
+     * #MIN_RESTART_TIME} is left for a start to reach the runner.
+     */
+    static final Duration PROCESS_KNOWN_TIME = MIN_RESTART_TIME.dividedBy(2);
+
     /** Fraction by which the clocks of a runner or of the store may be slower or faster than this node's clock. */
     static final double MAX_CLOCK_DRIFT = 0.02;
 
--- a/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
+++ b/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
@@ -14,6 +14,8 @@
     private long processStartEpochMs;
     private long learnedNanos;
     private boolean confirmed;
+    private boolean answeredPoll;
+    private long answeredPollNanos;
 
     /** Records the process that has answered; returns whether it is another one than before. */
     boolean learn(long startEpochMs, long nowNanos) {
@@ -24,9 +26,27 @@
         processStartEpochMs = startEpochMs;
         learnedNanos = nowNanos;
         confirmed = false;
+        answeredPoll = false;
         return true;
     }
 
+    /**
+     * Records that the current process has answered a poll.
+     *
+     * @param sentNanos when the poll was sent
+     */
+    void onPollAnswered(long sentNanos) {
+        if (!answeredPoll || sentNanos - answeredPollNanos > 0) {
+            answeredPoll = true;
+            answeredPollNanos = sentNanos;
+        }
+    }
+
+    /** Returns whether the process is confirmed and has answered a poll that was sent no earlier than a time. */
+    boolean answeredSince(long nanos) {
+        return confirmed && answeredPoll && answeredPollNanos - nanos >= 0;
+    }
+
     /**
      * Checks whether the process is confirmed now; returns whether it has become so.
      *
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -1,6 +1,8 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.ProcessedEnds;
@@ -62,6 +64,9 @@
     private final StartVerification starts = new StartVerification();
     private final RunnerLease lease;
 
+    /** Starts that wait for the response of a poll that verifies the process. */
+    private final List<Run> unsentStarts = new ArrayList<>();
+
     /**
      * Creates a session that has not contacted its runner.
      *
@@ -234,10 +239,7 @@
                 schedulePoll(FleetConstants.IDLE_POLL_INTERVAL);
             }
             default -> {
-                if (missedPolls == 0) {
-                    context.log().runnerSilent(runner.id(), response.reason());
-                }
-                onSilence(sentNanos);
+                onUnanswered(response, sentNanos);
                 schedulePoll(FleetConstants.POLL_RETRY_DELAY);
             }
         }
@@ -256,6 +258,13 @@
         }
     }
 
+    private void onUnanswered(RunnerCalls.PollResponse response, long sentNanos) {
+        if (missedPolls == 0) {
+            context.log().runnerSilent(runner.id(), response.reason());
+        }
+        onSilence(sentNanos);
+    }
+
     private void onSilence(long sentNanos) {
         if (missedPolls == 0) {
             firstMissedPollNanos = sentNanos;
@@ -271,6 +280,7 @@
         }
         missedPolls = 0;
         learnProcess(response.status().processStartEpochMs());
+        process.onPollAnswered(sentNanos);
         boolean restarted = runner.processStartEpochMs() != 0
                 && runner.processStartEpochMs() != response.status().processStartEpochMs();
         restartPending = restarted && !process.confirmed();
@@ -342,41 +352,72 @@
     }
 
     /**
-     * Starts a run. If the store has not confirmed the leader lately, a successor may have been in contact with the runner
-     * and the runner may have restarted since, so its process is verified first.
+     * Starts a run. Unless the runner's process is known, it is polled first: it may have restarted since, and a process
+     * that has restarted neither knows the highest epoch nor rejects an expired lease.
      */
     private void start(Run run) {
         leader.onStartSent();
-        long recentNanos = context.loop().nowNanos() - FleetConstants.MIN_RESTART_TIME.toNanos();
-        if (leader.confirmedSince(recentNanos)) {
+        long recentNanos = context.loop().nowNanos() - FleetConstants.PROCESS_KNOWN_TIME.toNanos();
+        if (process.answeredSince(recentNanos)) {
             sendStart(run);
-        } else {
-            verifyProcessAndStart(run);
+            return;
+        }
+        unsentStarts.add(run);
+        if (unsentStarts.size() == 1) {
+            verifyProcess();
         }
     }
 
-    private void verifyProcessAndStart(Run run) {
+    private void verifyProcess() {
+        long sentNanos = context.loop().nowNanos();
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
-            if (closed) {
-                leader.onStartCompleted();
+            List<Run> runs = List.copyOf(unsentStarts);
+            unsentStarts.clear();
+            if (!closed && answersAsKnownProcess(response)) {
+                process.onPollAnswered(sentNanos);
+                runs.forEach(this::sendStartIfAwaited);
                 return;
             }
-            boolean verified = response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
-                    && process.confirmed()
-                    && process.is(response.status().processStartEpochMs());
-            if (verified && leader.maySendCommands() && context.fleet().awaitsStart(run)) {
-                sendStart(run);
-                return;
+            runs.forEach(this::startNotSent);
+            if (!closed) {
+                onProcessNotVerified(response, sentNanos);
             }
-            leader.onStartCompleted();
-            if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
-                leader.onFenced(runner.id());
-                return;
+        });
+    }
+
+    private boolean answersAsKnownProcess(RunnerCalls.PollResponse response) {
+        return response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
+                && process.confirmed()
+                && process.is(response.status().processStartEpochMs());
+    }
+
+    private void onProcessNotVerified(RunnerCalls.PollResponse response, long sentNanos) {
+        switch (response.outcome()) {
+            case DONE -> onStatus(response, sentNanos, 0);
+            case FENCED -> leader.onFenced(runner.id());
+            case RUNNER_REPLACED -> onProcessEnded(sentNanos);
+            default -> {
+                onUnanswered(response, sentNanos);
+                schedulePoll(Duration.ZERO);
             }
+        }
+    }
+
+    private void sendStartIfAwaited(Run run) {
+        if (leader.maySendCommands() && context.fleet().awaitsStart(run)) {
+            sendStart(run);
+        } else {
+            startNotSent(run);
+        }
+    }
+
+    private void startNotSent(Run run) {
+        leader.onStartCompleted();
+        if (!closed) {
             context.fleet()
                     .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
             leader.requestSchedulingRound();
-        });
+        }
     }
 
     private void sendStart(Run run) {
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -45,6 +45,7 @@
     private final Map<String, Long> processStartsMs = new HashMap<>();
     private final List<SentStart> starts = new ArrayList<>();
     private final List<SentRenewal> renewals = new ArrayList<>();
+    private int polls;
     private boolean allSilent;
 
     FakeRunnerCalls(ManualLoop loop) {
@@ -93,6 +94,11 @@
         return renewals;
     }
 
+    /** Returns the number of polls that were sent. */
+    int polls() {
+        return polls;
+    }
+
     private boolean silent(RunnerDescriptor runner) {
         return allSilent || silentRunners.contains(runner.id());
     }
@@ -152,6 +158,7 @@
             long leaseUntilMs,
             int waitMs,
             Consumer<PollResponse> callback) {
+        polls++;
         if (leaseUntilMs > 0) {
             renewals.add(new SentRenewal(runner.id(), epoch, loop.nowNanos()));
         }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -68,7 +68,13 @@
     }
 
     private void startLongRunningTask() {
-        fleet.jobs().add(JobDefinitions.longRunningTask("j"), JobProgress.NONE, false, 0);
+        startLongRunningTasks(1);
+    }
+
+    private void startLongRunningTasks(int count) {
+        for (int i = 0; i < count; i++) {
+            fleet.jobs().add(JobDefinitions.longRunningTask("j" + i), JobProgress.NONE, false, 0);
+        }
         assertThat(fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
         fleet.jobs()
                 .takeDirtyJobs()
@@ -125,6 +131,32 @@
         assertThat(session.silentFor(FleetConstants.CORDON_AFTER_SILENCE)).isTrue();
     }
 
+    /** Guards against a start that a runner executes although it was idle, unreachable or restarted since its last poll. */
+    @Test
+    void startIsNotSentToARunnerThatNoLongerAnswers() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.stopResponding();
+        startLongRunningTask();
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(calls.starts()).isEmpty();
+        assertThat(runner.busy()).isFalse();
+        assertThat(session.silent()).isTrue();
+        assertThat(unansweredStarts).isZero();
+    }
+
+    /** Guards against a poll for each start, which would double the calls of a leader that starts many tasks. */
+    @Test
+    void startsToOneRunnerShareAPoll() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        int polls = calls.polls();
+        startLongRunningTasks(3);
+        loop.advance(Duration.ofMillis(1));
+        assertThat(calls.starts()).hasSize(3);
+        assertThat(calls.polls()).isLessThanOrEqualTo(polls + 2);
+    }
+
     /** Guards against new tasks on a runner that does not respond. */
     @Test
     void silentRunnerGetsNoNewTasks() {
