Verify a runner's process while the placement is stored

Each start waited for the poll that verifies its runner's process, although the transaction that stores the placement goes before it.

The committer announces the runs of a transaction, and their sessions poll then. RunnerSessionTest.preparedStartIsSentAtOnce shows that the start no longer waits. Nine classes of leader tests and the simulation of the cluster passed, 54 tests.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -40,6 +40,9 @@
         /** Returns the sessions whose ended runs are acknowledged once they are stored. */
         Iterable<RunnerSession> sessions();
 
+        /** The placement of runs is being stored; they are started once it is. */
+        void onStartsExpected(List<Run> runs);
+
         /** The runner is stored on the roster and may get commands. */
         void onAddedToRoster(RunnerDescriptor runner);
 
@@ -175,6 +178,7 @@
         sequenceDue = false;
         inFlight = true;
         long sentNanos = context.loop().nowNanos();
+        leader.onStartsExpected(batch.pendingStarts);
         store.transact(batch.transaction(), result -> {
             inFlight = false;
             if (leader.leading()) {
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -9,6 +10,7 @@
 import org.tamarackline.core.fleet.Fleet;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 
@@ -407,6 +409,19 @@
         return sessions.all();
     }
 
+    @Override
+    public void onStartsExpected(List<Run> runs) {
+        if (!maySendCommands()) {
+            return;
+        }
+        for (Run run : runs) {
+            RunnerSession session = sessions.find(run.runner().id());
+            if (session != null) {
+                session.prepareStart();
+            }
+        }
+    }
+
     @Override
     public RunnerCordons cordons() {
         return sessions.cordons();
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -64,6 +64,8 @@
     private final StartVerification starts = new StartVerification();
     private final RunnerLease lease;
 
+    private boolean verifyingProcess;
+
     /** Starts that wait for the response of a poll that verifies the process. */
     private final List<Run> unsentStarts = new ArrayList<>();
 
@@ -351,26 +353,41 @@
         }
     }
 
+    /** Prepares for a start within the time of a transaction, so that it does not wait for the verification of the process. */
+    void prepareStart() {
+        if (!closed
+                && !silent()
+                && !verifyingProcess
+                && !answeredWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
+            verifyProcess();
+        }
+    }
+
     /**
      * Starts a run. Unless the runner's process is known, it is polled first: it may have restarted since, and a process
      * that has restarted neither knows the highest epoch nor rejects an expired lease.
      */
     private void start(Run run) {
         leader.onStartSent();
-        long recentNanos = context.loop().nowNanos() - FleetConstants.PROCESS_KNOWN_TIME.toNanos();
-        if (process.answeredSince(recentNanos)) {
+        if (answeredWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
             sendStart(run);
             return;
         }
         unsentStarts.add(run);
-        if (unsentStarts.size() == 1) {
+        if (!verifyingProcess) {
             verifyProcess();
         }
     }
 
+    private boolean answeredWithin(Duration time) {
+        return process.answeredSince(context.loop().nowNanos() - time.toNanos());
+    }
+
     private void verifyProcess() {
+        verifyingProcess = true;
         long sentNanos = context.loop().nowNanos();
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
+            verifyingProcess = false;
             List<Run> runs = List.copyOf(unsentStarts);
             unsentStarts.clear();
             if (!closed && answersAsKnownProcess(response)) {
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -157,6 +157,17 @@
         assertThat(calls.polls()).isLessThanOrEqualTo(polls + 2);
     }
 
+    /** Guards against starts that wait for the verification of the process although it could run during the transaction. */
+    @Test
+    void preparedStartIsSentAtOnce() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        session.prepareStart();
+        loop.advance(Duration.ofMillis(10));
+        startLongRunningTask();
+        assertThat(calls.starts()).hasSize(1);
+    }
+
     /** Guards against new tasks on a runner that does not respond. */
     @Test
     void silentRunnerGetsNoNewTasks() {
