Move the starts of a session into a class of their own

RunStarter sends the starts and verifies the process; the session keeps polls, silence and the lease. No behaviour changes.

--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -0,0 +1,164 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.Run;
+import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.StartResult;
+
+/**
+ * Sends the starts of a session. Each is sent to a process that has just answered a poll, so that it does not reach one
+ * that has restarted unnoticed.
+ */
+final class RunStarter {
+
+    /** The session that the starts belong to. */
+    interface Session {
+
+        /** Returns whether responses no longer matter. */
+        boolean closed();
+
+        /** The runner has started a run. */
+        void onStarted();
+
+        /** The runner's process has ended, by the response to a request that was sent at this time. */
+        void onProcessEnded(long sentNanos);
+
+        /** A poll that should verify the process got this response; no start was sent. */
+        void onNotVerified(RunnerCalls.PollResponse response, long sentNanos);
+    }
+
+    private final LeaderContext context;
+    private final RunnerSession.Callbacks leader;
+    private final long epoch;
+    private final FleetRunner runner;
+    private final ProcessConfirmation process;
+    private final StartVerification verification;
+    private final RunnerLease lease;
+    private final Session session;
+
+    private boolean verifyingProcess;
+
+    /** Starts that wait for the response of a poll that verifies the process. */
+    private final List<Run> unsentStarts = new ArrayList<>();
+
+    RunStarter(
+            LeaderContext context,
+            RunnerSession.Callbacks leader,
+            long epoch,
+            FleetRunner runner,
+            ProcessConfirmation process,
+            StartVerification verification,
+            RunnerLease lease,
+            Session session) {
+        this.context = context;
+        this.leader = leader;
+        this.epoch = epoch;
+        this.runner = runner;
+        this.process = process;
+        this.verification = verification;
+        this.lease = lease;
+        this.session = session;
+    }
+
+    /** Verifies the process unless it is known, so that a start which is due soon does not wait for that. */
+    void prepareStart() {
+        if (!verifyingProcess && !answeredWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
+            verifyProcess();
+        }
+    }
+
+    /**
+     * Starts a run. Unless the runner's process is known, it is polled first: it may have restarted since, and a process
+     * that has restarted neither knows the highest epoch nor rejects an expired lease.
+     */
+    void start(Run run) {
+        leader.onStartSent();
+        if (answeredWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
+            sendStart(run);
+            return;
+        }
+        unsentStarts.add(run);
+        if (!verifyingProcess) {
+            verifyProcess();
+        }
+    }
+
+    private boolean answeredWithin(Duration time) {
+        return process.answeredSince(context.loop().nowNanos() - time.toNanos());
+    }
+
+    private void verifyProcess() {
+        verifyingProcess = true;
+        long sentNanos = context.loop().nowNanos();
+        context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
+            verifyingProcess = false;
+            List<Run> runs = List.copyOf(unsentStarts);
+            unsentStarts.clear();
+            if (!session.closed() && answersAsKnownProcess(response)) {
+                process.onPollAnswered(sentNanos);
+                runs.forEach(this::sendStartIfAwaited);
+                return;
+            }
+            runs.forEach(this::startNotSent);
+            if (!session.closed()) {
+                session.onNotVerified(response, sentNanos);
+            }
+        });
+    }
+
+    private boolean answersAsKnownProcess(RunnerCalls.PollResponse response) {
+        return response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
+                && process.confirmed()
+                && process.is(response.status().processStartEpochMs());
+    }
+
+    private void sendStartIfAwaited(Run run) {
+        if (leader.maySendCommands() && context.fleet().awaitsStart(run)) {
+            sendStart(run);
+        } else {
+            startNotSent(run);
+        }
+    }
+
+    private void startNotSent(Run run) {
+        leader.onStartCompleted();
+        if (!session.closed()) {
+            context.fleet()
+                    .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
+            leader.requestSchedulingRound();
+        }
+    }
+
+    private void sendStart(Run run) {
+        RunnerDescriptor descriptor = runner.descriptor();
+        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
+                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
+        long sentNanos = context.loop().nowNanos();
+        verification.onStartSent(sentNanos);
+        context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
+            leader.onStartCompleted();
+            verification.onStartCompleted();
+            if (session.closed()) {
+                return;
+            }
+            context.log().startCompleted(run, epoch, response, sentNanos);
+            if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
+                leader.onFenced(runner.id());
+                return;
+            }
+            context.fleet()
+                    .applyStartResult(run, response.result(), context.loop().nowNanos());
+            if (response.result() == StartResult.STARTED) {
+                session.onStarted();
+            }
+            if (response.result() == StartResult.RUNNER_REPLACED) {
+                session.onProcessEnded(sentNanos);
+            }
+            leader.requestSchedulingRound();
+        });
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -1,18 +1,14 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.ProcessedEnds;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
-import org.tamarackline.core.fleet.RunnerDescriptor;
-import org.tamarackline.core.fleet.StartResult;
 
 /** Communication of a leader with one runner: sends commands, polls the runner's status, and tracks its lease. */
-final class RunnerSession {
+final class RunnerSession implements RunStarter.Session {
 
     /** Callbacks of a session to its leader. */
     interface Callbacks {
@@ -64,10 +60,7 @@
     private final StartVerification starts = new StartVerification();
     private final RunnerLease lease;
 
-    private boolean verifyingProcess;
-
-    /** Starts that wait for the response of a poll that verifies the process. */
-    private final List<Run> unsentStarts = new ArrayList<>();
+    private final RunStarter starter;
 
     /**
      * Creates a session that has not contacted its runner.
@@ -80,6 +73,7 @@
         this.epoch = epoch;
         this.runner = runner;
         this.lease = new RunnerLease(context.loop(), leaseEndNanos);
+        this.starter = new RunStarter(context, leader, epoch, runner, process, starts, lease, this);
     }
 
     /**
@@ -251,7 +245,8 @@
      * Another runner answers at the address, so nothing runs on this one any more. Its runs may have ended as done, with
      * ends that only a successor has read, so they are lost only once the store has confirmed the leader.
      */
-    private void onProcessEnded(long sentNanos) {
+    @Override
+    public void onProcessEnded(long sentNanos) {
         onSilence(sentNanos);
         if (!lost) {
             replacedAtAddress = true;
@@ -347,68 +342,31 @@
 
     void send(RunnerCommand command) {
         switch (command) {
-            case RunnerCommand.Start start -> start(start.run());
+            case RunnerCommand.Start start -> starter.start(start.run());
             case RunnerCommand.Stop stop -> stop(stop);
             case RunnerCommand.Throttle throttle -> throttle(throttle);
         }
     }
 
-    /** Prepares for a start within the time of a transaction, so that it does not wait for the verification of the process. */
+    /** Prepares for a start that is due once a transaction is stored. */
     void prepareStart() {
-        if (!closed
-                && !silent()
-                && !verifyingProcess
-                && !answeredWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
-            verifyProcess();
+        if (!closed && !silent()) {
+            starter.prepareStart();
         }
     }
 
-    /**
-     * Starts a run. Unless the runner's process is known, it is polled first: it may have restarted since, and a process
-     * that has restarted neither knows the highest epoch nor rejects an expired lease.
-     */
-    private void start(Run run) {
-        leader.onStartSent();
-        if (answeredWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
-            sendStart(run);
-            return;
-        }
-        unsentStarts.add(run);
-        if (!verifyingProcess) {
-            verifyProcess();
-        }
+    @Override
+    public boolean closed() {
+        return closed;
     }
 
-    private boolean answeredWithin(Duration time) {
-        return process.answeredSince(context.loop().nowNanos() - time.toNanos());
+    @Override
+    public void onStarted() {
+        pollNow();
     }
 
-    private void verifyProcess() {
-        verifyingProcess = true;
-        long sentNanos = context.loop().nowNanos();
-        context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
-            verifyingProcess = false;
-            List<Run> runs = List.copyOf(unsentStarts);
-            unsentStarts.clear();
-            if (!closed && answersAsKnownProcess(response)) {
-                process.onPollAnswered(sentNanos);
-                runs.forEach(this::sendStartIfAwaited);
-                return;
-            }
-            runs.forEach(this::startNotSent);
-            if (!closed) {
-                onProcessNotVerified(response, sentNanos);
-            }
-        });
-    }
-
-    private boolean answersAsKnownProcess(RunnerCalls.PollResponse response) {
-        return response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
-                && process.confirmed()
-                && process.is(response.status().processStartEpochMs());
-    }
-
-    private void onProcessNotVerified(RunnerCalls.PollResponse response, long sentNanos) {
+    @Override
+    public void onNotVerified(RunnerCalls.PollResponse response, long sentNanos) {
         switch (response.outcome()) {
             case DONE -> onStatus(response, sentNanos, 0);
             case FENCED -> leader.onFenced(runner.id());
@@ -420,52 +378,6 @@
         }
     }
 
-    private void sendStartIfAwaited(Run run) {
-        if (leader.maySendCommands() && context.fleet().awaitsStart(run)) {
-            sendStart(run);
-        } else {
-            startNotSent(run);
-        }
-    }
-
-    private void startNotSent(Run run) {
-        leader.onStartCompleted();
-        if (!closed) {
-            context.fleet()
-                    .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
-            leader.requestSchedulingRound();
-        }
-    }
-
-    private void sendStart(Run run) {
-        RunnerDescriptor descriptor = runner.descriptor();
-        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
-                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
-        long sentNanos = context.loop().nowNanos();
-        starts.onStartSent(sentNanos);
-        context.runnerCalls().start(descriptor, command, lease.extend(starts.allVerified()), response -> {
-            leader.onStartCompleted();
-            starts.onStartCompleted();
-            if (closed) {
-                return;
-            }
-            context.log().startCompleted(run, epoch, response, sentNanos);
-            if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
-                leader.onFenced(runner.id());
-                return;
-            }
-            context.fleet()
-                    .applyStartResult(run, response.result(), context.loop().nowNanos());
-            if (response.result() == StartResult.STARTED) {
-                pollNow();
-            }
-            if (response.result() == StartResult.RUNNER_REPLACED) {
-                onProcessEnded(sentNanos);
-            }
-            leader.requestSchedulingRound();
-        });
-    }
-
     private void stop(RunnerCommand.Stop stop) {
         context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
         context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
