Acknowledge ends while other jobs wait to be stored

If any dirty job did not fit into a transaction, the transaction acknowledged no ended run at all. During a burst of cancellations no runner was acknowledged until the backlog was stored, so that runners repeated the same ends in each status, and cut off newer ones from 500 ends on.

The fleet now keeps, for each processed end that is not known to be stored, the job that it belongs to. A transaction acknowledges the ends of a runner up to the first one whose job is still dirty after the jobs of the transaction were taken; all other jobs of ends are in it or stored already, because only one transaction is in flight. The first half of a transaction goes to the jobs of processed ends, the rest to the jobs that have been dirty for the longest time. Jobs of a failed transaction return to the front.

The bulk method JobTracker.takeDirtyJobs, which only tests still used, moved to FleetFixture.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -190,6 +190,8 @@
             if (entry.sequenceNumber() > runner.lastProcessedEnd) {
                 runner.lastProcessedEnd = entry.sequenceNumber();
                 applyEnd(runner, entry, nowNanos);
+                runner.unstoredEnds.add(entry.sequenceNumber(), entry.task().job());
+                jobs.onEndProcessed(entry.task().job());
             }
         }
         Set<FleetRunner.RunKey> reported = new HashSet<>();
@@ -207,6 +209,22 @@
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
     }
 
+    /**
+     * Returns the position up to which no processed end of a runner belongs to a dirty job. The results of these ends are
+     * stored once the transaction is that contains the jobs taken last.
+     */
+    public ProcessedEnds processedEndsOfCleanJobs(FleetRunner runner) {
+        long last = runner.unstoredEnds.lastBeforeDirtyJob(runner.lastProcessedEnd, jobs::isDirty);
+        return new ProcessedEnds(runner.processStartEpochMs, last);
+    }
+
+    /** Records that the results of ended runs are stored, unless the runner has another process by now. */
+    public void onEndsStored(FleetRunner runner, ProcessedEnds stored) {
+        if (stored.processStartEpochMs() == runner.processStartEpochMs) {
+            runner.unstoredEnds.removeUpTo(stored.lastSequenceNumber());
+        }
+    }
+
     private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
         for (Run run : runner.snapshotOfRuns()) {
             boolean missing =
@@ -255,6 +273,7 @@
         long previousStartEpochMs = runner.processStartEpochMs;
         runner.processStartEpochMs = processStartEpochMs;
         runner.lastProcessedEnd = 0;
+        runner.unstoredEnds.clear();
         if (previousStartEpochMs != 0) {
             observer.runnerRestarted(runner, previousStartEpochMs);
             removeRunsOfEarlierIncarnation(runner, requestSentNanos);
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -51,6 +51,8 @@
     /** Highest sequence number of an ended run that was processed. */
     long lastProcessedEnd;
 
+    final UnstoredEnds unstoredEnds = new UnstoredEnds();
+
     /** Whether a latency-critical task violated its target in the last status. */
     boolean targetViolated;
 
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedSet;
 import java.util.Set;
 
 /**
@@ -27,7 +28,10 @@
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, JobState> terminalStates = new LinkedHashMap<>();
     private final Set<Job> recurringJobs = new LinkedHashSet<>();
-    private final Set<Job> dirtyJobs = new LinkedHashSet<>();
+    /** Dirty jobs, in the order in which they became dirty. */
+    private final SequencedSet<Job> dirtyJobs = new LinkedHashSet<>();
+    /** Dirty jobs that processed ends belong to, in the order of their first such end. */
+    private final SequencedSet<Job> dirtyJobsWithEnds = new LinkedHashSet<>();
 
     JobTracker(FleetObserver observer, PendingStarts pendingStarts, RunStopper runStopper) {
         this.observer = observer;
@@ -120,11 +124,37 @@
         return readyTasks.size();
     }
 
-    /** Returns the dirty jobs and marks them as clean. */
-    public List<Job> takeDirtyJobs() {
-        List<Job> taken = List.copyOf(dirtyJobs);
-        dirtyJobs.clear();
-        return taken;
+    /** Returns the job that has been dirty for the longest time and marks it as clean; empty if no job is dirty. */
+    public Optional<Job> takeDirtyJob() {
+        return takeFirst(dirtyJobs);
+    }
+
+    /** Same among the dirty jobs to which ended runs belong that their runners keep until the job is stored. */
+    public Optional<Job> takeDirtyJobWithEnds() {
+        return takeFirst(dirtyJobsWithEnds);
+    }
+
+    private Optional<Job> takeFirst(SequencedSet<Job> from) {
+        if (from.isEmpty()) {
+            return Optional.empty();
+        }
+        Job job = from.getFirst();
+        dirtyJobs.remove(job);
+        dirtyJobsWithEnds.remove(job);
+        return Optional.of(job);
+    }
+
+    /** Returns whether a job has changes that are not stored and not part of a transaction. */
+    boolean isDirty(String id) {
+        Job job = jobs.get(id);
+        return job != null && dirtyJobs.contains(job);
+    }
+
+    /** Records that an end was processed which can be discarded once the job is stored. */
+    void onEndProcessed(String id) {
+        if (isDirty(id)) {
+            dirtyJobsWithEnds.add(jobs.get(id));
+        }
     }
 
     /** Returns whether any job is dirty. */
@@ -142,9 +172,12 @@
         return false;
     }
 
-    /** Marks jobs as dirty again after their progress could not be stored. */
+    /**
+     * Marks jobs as dirty again after a transaction did not store them or may not have. They keep their place before the
+     * jobs that have become dirty since.
+     */
     public void returnDirtyJobs(Collection<Job> notStored) {
-        dirtyJobs.addAll(notStored);
+        List.copyOf(notStored).reversed().forEach(dirtyJobs::addFirst);
     }
 
     /** Records that the changes of a job are stored. A job with a terminal state is closed. */
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
@@ -56,6 +58,15 @@
     /** Interval at which the learned interference estimates are stored. */
     private static final Duration ESTIMATES_INTERVAL = Duration.ofSeconds(2);
 
+    /** Maximum number of records that are written for a job. */
+    private static final int MAX_WRITES_PER_JOB = 3;
+
+    /**
+     * Number of records of a transaction that are kept for jobs with processed ends. Otherwise thousands of other dirty
+     * jobs, such as cancelled ones, delay the acknowledgement of ends until all of them are stored.
+     */
+    private static final int WRITES_FOR_JOBS_WITH_ENDS = FleetConstants.MAX_COMMIT_WRITES / 2;
+
     private final LeaderContext context;
     private final RecordStore store;
     private final InstantSource timeOfDay;
@@ -253,27 +264,27 @@
         }
 
         void fill() {
+            addJobs(context.fleet().jobs()::takeDirtyJobWithEnds, WRITES_FOR_JOBS_WITH_ENDS);
+            addJobs(context.fleet().jobs()::takeDirtyJob, FleetConstants.MAX_COMMIT_WRITES);
             for (RunnerSession session : leader.sessions()) {
-                processedEnds.put(session, session.processedEnds());
-            }
-            List<Job> all = context.fleet().jobs().takeDirtyJobs();
-            List<Job> deferred = new ArrayList<>();
-            for (Job job : all) {
-                if (writes.size() + 3 > FleetConstants.MAX_COMMIT_WRITES) {
-                    deferred.add(job);
-                } else {
-                    addJob(job);
-                }
-            }
-            if (!deferred.isEmpty()) {
-                processedEnds.clear();
-                context.fleet().jobs().returnDirtyJobs(deferred);
+                processedEnds.put(session, session.endsToStore());
             }
             addRosterChanges();
             addRemovedJobs();
             addInterferenceEstimates();
         }
 
+        /** Adds jobs while each of them fits. */
+        private void addJobs(Supplier<Optional<Job>> nextJob, int maxWrites) {
+            while (writes.size() + MAX_WRITES_PER_JOB <= maxWrites) {
+                Optional<Job> job = nextJob.get();
+                if (job.isEmpty()) {
+                    return;
+                }
+                addJob(job.get());
+            }
+        }
+
         /** Adds the interference estimates at intervals, and only to a transaction that is sent anyway. */
         private void addInterferenceEstimates() {
             long nowNanos = context.loop().nowNanos();
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -148,8 +148,9 @@
         lost = true;
     }
 
-    ProcessedEnds processedEnds() {
-        return runner.processedEnds();
+    /** Returns the position up to which the results of ended runs will be stored with the jobs taken last. */
+    ProcessedEnds endsToStore() {
+        return context.fleet().processedEndsOfCleanJobs(runner);
     }
 
     private boolean allReportedEndsStored() {
@@ -161,6 +162,7 @@
         if (!process.is(stored.processStartEpochMs())) {
             return;
         }
+        context.fleet().onEndsStored(runner, stored);
         acknowledgement.onEndsStored(stored.lastSequenceNumber());
         if (acknowledgement.due()) {
             schedulePoll(Duration.ZERO);
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.tamarackline.core.model.Resources;
@@ -97,6 +98,17 @@
         return stops;
     }
 
+    /** Returns all dirty jobs and marks them as clean, as a transaction without a limit does. */
+    static List<Job> takeDirtyJobs(Fleet fleet) {
+        List<Job> taken = new ArrayList<>();
+        for (Optional<Job> job = fleet.jobs().takeDirtyJob();
+                job.isPresent();
+                job = fleet.jobs().takeDirtyJob()) {
+            taken.add(job.get());
+        }
+        return taken;
+    }
+
     void applyStartResult(Run run, StartResult result) {
         advanceMs(1);
         fleet.applyStartResult(run, result, nowNanos);
--- a/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSequencesTest.java
@@ -32,6 +32,16 @@
         assertThat(simulation.repeatedStarts()).isEmpty();
     }
 
+    /** Same if jobs are deferred because they do not fit into a transaction. */
+    @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void holdsItsInvariantsIfJobsAreDeferred(@ForAll long seed) {
+        FleetSimulation simulation = new FleetSimulation(seed, FleetSimulation.Defect.NONE, 1);
+        simulation.run(FAULTY_STEPS, FAULT_FREE_STEPS);
+        assertThat(simulation.violations()).isEmpty();
+        assertThat(simulation.allFinished()).isTrue();
+        assertThat(simulation.repeatedStarts()).isEmpty();
+    }
+
     /** Checks that the simulation detects a new leader that does not wait for silent runners. */
     @Property(tries = 1)
     void detectsANewLeaderThatDoesNotWait() {
@@ -53,6 +63,13 @@
                 .isPositive();
     }
 
+    /** Checks that the simulation detects an acknowledgement of ends whose jobs are not stored. */
+    @Property(tries = 1)
+    void detectsAcknowledgementsOfDeferredJobs() {
+        assertThat(repeatedStartsOf(FleetSimulation.Defect.ACKNOWLEDGES_ENDS_OF_DEFERRED_JOBS, 1))
+                .isPositive();
+    }
+
     /** Checks that the simulation detects a replaced leader that gives up runs whose end its successor may know. */
     @Property(tries = 1)
     void detectsRunsLostWithoutConfirmation() {
@@ -61,9 +78,13 @@
     }
 
     private static long repeatedStartsOf(FleetSimulation.Defect defect) {
+        return repeatedStartsOf(defect, Integer.MAX_VALUE);
+    }
+
+    private static long repeatedStartsOf(FleetSimulation.Defect defect, int maxCommitJobs) {
         long found = 0;
         for (long seed = 0; seed < 300; seed++) {
-            FleetSimulation simulation = new FleetSimulation(seed, defect);
+            FleetSimulation simulation = new FleetSimulation(seed, defect, maxCommitJobs);
             simulation.run(FAULTY_STEPS, 0);
             found += simulation.repeatedStarts().size();
         }
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -31,6 +31,8 @@
         STARTS_BEFORE_PLACEMENT_IS_STORED,
         /** Stored ends of an earlier runner process are acknowledged to the new one. */
         ACKNOWLEDGES_ENDS_TO_ANOTHER_PROCESS,
+        /** Ends are acknowledged although their jobs did not fit into the transaction. */
+        ACKNOWLEDGES_ENDS_OF_DEFERRED_JOBS,
         /** The runs of a runner process that has ended are lost before the store confirms the leader. */
         LOSES_RUNS_WITHOUT_CONFIRMATION
     }
@@ -120,14 +122,26 @@
     private final List<String> violations = new ArrayList<>();
     private final List<Leader> replacedLeaders = new ArrayList<>();
     private final Defect defect;
+    private final int maxCommitJobs;
 
     private long nowMs = 1;
     private long storeDownUntilMs;
     private Leader leader;
 
+    /** Creates a simulation in which all jobs fit into one transaction. */
     FleetSimulation(long seed, Defect defect) {
+        this(seed, defect, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a simulation.
+     *
+     * @param maxCommitJobs number of jobs that fit into a transaction; others are deferred
+     */
+    FleetSimulation(long seed, Defect defect, int maxCommitJobs) {
         this.random = new Random(seed);
         this.defect = defect;
+        this.maxCommitJobs = maxCommitJobs;
         for (int i = 0; i < 3; i++) {
             runners.put("r" + i, new SimulatedRunner("r" + i, repeatedStarts));
         }
@@ -469,9 +483,9 @@
         if (leader.commit != null) {
             return;
         }
+        List<Job> dirtyJobs = takeDirtyJobs();
         Map<String, ProcessedEnds> processedEnds = new HashMap<>();
-        leader.fleet.runners().forEach(runner -> processedEnds.put(runner.id(), runner.processedEnds()));
-        List<Job> dirtyJobs = leader.fleet.jobs().takeDirtyJobs();
+        leader.fleet.runners().forEach(runner -> processedEnds.put(runner.id(), endsToStore(runner)));
         Map<String, JobProgress> progress = new HashMap<>();
         List<Run> pendingStarts = new ArrayList<>();
         for (Job job : dirtyJobs) {
@@ -484,6 +498,24 @@
                 new Commit(nowMs + latencyMs, responseArrives, dirtyJobs, progress, pendingStarts, processedEnds);
     }
 
+    private List<Job> takeDirtyJobs() {
+        List<Job> taken = new ArrayList<>();
+        // A transaction of one job takes those with ends and the others in turn, as half of a larger one does.
+        if (maxCommitJobs > 1 || random.nextBoolean()) {
+            leader.fleet.jobs().takeDirtyJobWithEnds().ifPresent(taken::add);
+        }
+        while (taken.size() < maxCommitJobs && leader.fleet.jobs().hasDirtyJobs()) {
+            leader.fleet.jobs().takeDirtyJob().ifPresent(taken::add);
+        }
+        return taken;
+    }
+
+    private ProcessedEnds endsToStore(FleetRunner runner) {
+        return defect == Defect.ACKNOWLEDGES_ENDS_OF_DEFERRED_JOBS
+                ? runner.processedEnds()
+                : leader.fleet.processedEndsOfCleanJobs(runner);
+    }
+
     /** Completes the transaction that is due; one whose response is lost may have had no effect. */
     private void finishCommit() {
         Commit commit = leader.commit;
@@ -509,6 +541,7 @@
         boolean sameProcess = stored.processStartEpochMs() == session.processStartEpochMs;
         if (sameProcess || defect == Defect.ACKNOWLEDGES_ENDS_TO_ANOTHER_PROCESS) {
             session.lastConfirmedEndNumber = Math.max(session.lastConfirmedEndNumber, stored.lastSequenceNumber());
+            leader.fleet.onEndsStored(fleetRunnerOf(leader, runners.get(runner)), stored);
         }
     }
 
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -63,14 +63,14 @@
         fixture.applyStartResult(run, StartResult.STARTED);
         RunnerStatus.EndedRun end = FleetFixture.endedRun(1, run, EndReason.FAILED);
         fixture.reportStatus(runner, List.of(), List.of(end));
-        JobProgress stored = fleet.jobs().takeDirtyJobs().getFirst().progress();
+        JobProgress stored = FleetFixture.takeDirtyJobs(fleet).getFirst().progress();
 
         FleetFixture next = new FleetFixture(2);
         next.fleet().jobs().add(FleetFixture.job("j", FleetFixture.step(1)), stored, true, 0);
         FleetRunner again = next.addRunner("a", 16_000);
         next.reportStatus(again, List.of(), List.of(end));
         assertThat(next.fleet().jobs().state("j")).contains(JobState.RUNNING);
-        assertThat(next.fleet().jobs().takeDirtyJobs()).noneMatch(job -> job.terminalState() != null);
+        assertThat(FleetFixture.takeDirtyJobs(next.fleet())).noneMatch(job -> job.terminalState() != null);
     }
 
     /**
@@ -90,7 +90,9 @@
                 List.of(new RunnerStatus.EndedRun(1, task, 1, EndReason.FAILED, "")));
         fixture.addRunner("c", 16_000);
         assertThat(fixture.scheduleStarts()).isEmpty();
-        assertThat(fleet.jobs().takeDirtyJobs()).extracting(Job::terminalState).containsExactly(JobState.FAILED);
+        assertThat(FleetFixture.takeDirtyJobs(fleet))
+                .extracting(Job::terminalState)
+                .containsExactly(JobState.FAILED);
     }
 
     /** Guards against starting an inherited task that a silent runner may still run. */
@@ -144,7 +146,7 @@
         fleet.jobs().cancel("j");
         assertThat(fixture.scheduleStops()).hasSize(2);
         assertThat(fleet.jobs().state("j")).contains(JobState.CANCELLED);
-        fleet.jobs().takeDirtyJobs().forEach(fleet.jobs()::markStored);
+        FleetFixture.takeDirtyJobs(fleet).forEach(fleet.jobs()::markStored);
         fixture.reportStatus(runner, List.of(FleetFixture.activeRun(runs.get(0), 5)), List.of());
         fixture.advanceMs(1_000);
         assertThat(fixture.scheduleStops()).as("repeated while it is reported").hasSize(1);
@@ -244,7 +246,7 @@
                     run.runner(), List.of(), List.of(FleetFixture.endedRun(attempt, run, EndReason.FAILED)));
         }
         assertThat(fixture.scheduleStarts()).isEmpty();
-        fleet.jobs().takeDirtyJobs().forEach(fleet.jobs()::markStored);
+        FleetFixture.takeDirtyJobs(fleet).forEach(fleet.jobs()::markStored);
         assertThat(fleet.jobs().state("j")).contains(JobState.FAILED);
         assertThat(runner.busy()).isFalse();
     }
@@ -258,7 +260,7 @@
         fixture.applyStartResult(run, StartResult.STARTED);
         fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, run, EndReason.DONE)));
         assertThat(fleet.jobs().state("j")).contains(JobState.RUNNING);
-        fleet.jobs().takeDirtyJobs().forEach(fleet.jobs()::markStored);
+        FleetFixture.takeDirtyJobs(fleet).forEach(fleet.jobs()::markStored);
         assertThat(fleet.jobs().state("j")).isEqualTo(Optional.of(JobState.COMPLETED));
     }
 
@@ -354,7 +356,9 @@
         fixture.applyStartResult(run, StartResult.UNKNOWN);
         assertThat(fixture.scheduleStops()).isEmpty();
         fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, run, EndReason.DONE)));
-        assertThat(fleet.jobs().takeDirtyJobs()).extracting(Job::terminalState).containsExactly(JobState.COMPLETED);
+        assertThat(FleetFixture.takeDirtyJobs(fleet))
+                .extracting(Job::terminalState)
+                .containsExactly(JobState.COMPLETED);
     }
 
     /**
@@ -427,7 +431,7 @@
         FleetRunner runner = fixture.addRunner("a", 16_000);
         add(FleetFixture.job("j", FleetFixture.longRunning(1)));
         assertThat(fixture.scheduleStartsWithoutStoring()).isEmpty();
-        Job job = fleet.jobs().takeDirtyJobs().getFirst();
+        Job job = FleetFixture.takeDirtyJobs(fleet).getFirst();
         List<Run> placed = fleet.pendingStarts().unstored(job);
         assertThat(placed).hasSize(1);
         fleet.jobs().cancel("j");
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -71,8 +71,8 @@
         fleet.jobs().add(JobDefinitions.longRunningTask("j"), JobProgress.NONE, false, 0);
         assertThat(fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
         fleet.jobs()
-                .takeDirtyJobs()
-                .forEach(job ->
+                .takeDirtyJob()
+                .ifPresent(job ->
                         fleet.pendingStarts().markStored(fleet.pendingStarts().unstored(job)));
         for (RunnerCommand command : fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)) {
             session.send(command);
