Acknowledge ends to runners whose starts overlap

A poll acknowledges ends only if no start is unanswered and a poll that was sent after the last start was answered. A runner that gets a start before the response to the previous one arrives never meets this: with a start every 100 ms and 70 ms each way, none of 299 ends was acknowledged in 30 s, and the runner would truncate its statuses from 500 ends on. With 50 ms each way the longest wait was 7.4 s, with 2 ms 43 ms.

A runner that has discarded no ends for 4 s although some were due now gets no new tasks until a poll that acknowledges them was answered. The condition for an acknowledgement is unchanged. Long-running tasks whose placement is stored already are still started meanwhile.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -125,6 +125,17 @@
         }
     }
 
+    /**
+     * Sets whether ended runs should have been acknowledged to a runner long ago. Until that is done, the runner gets no
+     * new tasks, because ends can be acknowledged only while no start is on its way.
+     */
+    public void setAcknowledgementOverdue(String id, boolean overdue) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.acknowledgementOverdue = overdue;
+        }
+    }
+
     /** Removes the runs on a runner whose start was not sent yet, so that their tasks start elsewhere. */
     private void removeUnsentRuns(FleetRunner runner) {
         for (Run run : runner.snapshotOfRuns()) {
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -46,6 +46,8 @@
     boolean cordoned;
     /** Whether the store has not confirmed the leader since it learned of the runner's process. */
     boolean unconfirmed;
+    /** Whether the runner gets no new tasks so that it can discard ended runs. */
+    boolean acknowledgementOverdue;
     /** Incarnation that {@link #runs} belong to, 0 before the first status. */
     long processStartEpochMs;
     /** Highest sequence number of an ended run that was processed. */
@@ -124,7 +126,13 @@
 
     /** Returns whether starts may be sent to the runner, whatever its directory entry says of draining. */
     boolean acceptsStarts() {
-        return registered && statusKnown && !silent && !cordoned && !unconfirmed && !hasUnresolvedStarts();
+        return registered
+                && statusKnown
+                && !silent
+                && !cordoned
+                && !unconfirmed
+                && !acknowledgementOverdue
+                && !hasUnresolvedStarts();
     }
 
     /** Returns whether a start that was given up may still take effect, so that the lease must not be extended. */
--- a/src/main/java/org/tamarackline/fleet/EndAcknowledgement.java
+++ b/src/main/java/org/tamarackline/fleet/EndAcknowledgement.java
@@ -12,6 +12,8 @@
 
     private long storedEnd;
     private long discardedEnd;
+    /** When ends became due, or when the runner discarded some most recently; meaningful only while ends are due. */
+    private long dueSinceNanos;
 
     /** Forgets the ends of the previous process. */
     void onProcessChanged() {
@@ -20,13 +22,19 @@
     }
 
     /** Records that the ends of the current process are stored up to a sequence number. */
-    void onEndsStored(long sequenceNumber) {
+    void onEndsStored(long sequenceNumber, long nowNanos) {
+        if (!due()) {
+            dueSinceNanos = nowNanos;
+        }
         storedEnd = Math.max(storedEnd, sequenceNumber);
     }
 
     /** Records that the runner answered a poll that acknowledged ends up to a sequence number, 0 for none. */
-    void onPollAnswered(long acknowledgedEnd) {
-        discardedEnd = Math.max(discardedEnd, acknowledgedEnd);
+    void onPollAnswered(long acknowledgedEnd, long nowNanos) {
+        if (acknowledgedEnd > discardedEnd) {
+            discardedEnd = acknowledgedEnd;
+            dueSinceNanos = nowNanos;
+        }
     }
 
     /** Returns the sequence number that a poll may acknowledge now, 0 for none. */
@@ -39,6 +47,14 @@
         return storedEnd > discardedEnd;
     }
 
+    /**
+     * Returns whether ends have been due for so long that the runner should get no starts until one poll has acknowledged
+     * them.
+     */
+    boolean overdue(long nowNanos) {
+        return due() && nowNanos - dueSinceNanos > FleetConstants.ACKNOWLEDGEMENT_OVERDUE.toNanos();
+    }
+
     /** Returns whether all ends up to a sequence number are stored. */
     boolean storedUpTo(long sequenceNumber) {
         return storedEnd >= sequenceNumber;
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -58,6 +58,12 @@
     /** Longest delay of a poll, so that it can acknowledge the ended runs that the previous one returned. */
     static final Duration ACKNOWLEDGE_DELAY = Duration.ofMillis(300);
 
+    /**
+     * Time after which a runner gets no further starts until its ended runs are acknowledged. A runner that gets starts
+     * more often than they are answered would otherwise never be acknowledged, and a status lists at most 500 ends.
+     */
+    static final Duration ACKNOWLEDGEMENT_OVERDUE = Duration.ofSeconds(4);
+
     /** Time for which changes are collected into one transaction, unless a job has ended. */
     static final Duration COMMIT_LINGER = Duration.ofMillis(60);
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -163,7 +163,7 @@
             return;
         }
         context.fleet().onEndsStored(runner, stored);
-        acknowledgement.onEndsStored(stored.lastSequenceNumber());
+        acknowledgement.onEndsStored(stored.lastSequenceNumber(), context.loop().nowNanos());
         if (acknowledgement.due()) {
             schedulePoll(Duration.ZERO);
         }
@@ -289,7 +289,7 @@
             acknowledgement.onProcessChanged();
             starts.onPollAnswered(sentNanos);
         } else {
-            acknowledgement.onPollAnswered(acknowledgedEnd);
+            acknowledgement.onPollAnswered(acknowledgedEnd, nowNanos);
             starts.onPollAnswered(sentNanos);
             if (starts.allVerified()) {
                 lease.onProcessVerified();
@@ -299,6 +299,7 @@
             onEarlierLeadersEnded(nowNanos);
         }
         lease.readRunnerClock(response.status().clockMs());
+        context.fleet().setAcknowledgementOverdue(runner.id(), acknowledgement.overdue(nowNanos));
         try {
             context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
         } finally {
--- a/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
+++ b/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
@@ -16,16 +16,16 @@
 
     @Test
     void storedEndsAreAcknowledgedUntilAPollIsAnswered() {
-        acknowledgement.onEndsStored(5);
+        acknowledgement.onEndsStored(5, 10);
         assertThat(next()).isEqualTo(5);
-        acknowledgement.onPollAnswered(5);
+        acknowledgement.onPollAnswered(5, 10);
         assertThat(next()).isZero();
         assertThat(acknowledgement.due()).isFalse();
     }
 
     @Test
     void runThatAnotherProcessMayHaveStartedKeepsEndsFromBeingAcknowledged() {
-        acknowledgement.onEndsStored(5);
+        acknowledgement.onEndsStored(5, 10);
         starts.onStartSent(20);
         assertThat(next()).isZero();
         starts.onStartCompleted();
@@ -37,7 +37,7 @@
 
     @Test
     void unansweredStartKeepsEndsFromBeingAcknowledged() {
-        acknowledgement.onEndsStored(5);
+        acknowledgement.onEndsStored(5, 10);
         starts.onStartSent(20);
         starts.onPollAnswered(25);
         assertThat(next()).isZero();
@@ -46,10 +46,25 @@
 
     @Test
     void newProcessGetsNoAcknowledgementOfTheEarlierOne() {
-        acknowledgement.onEndsStored(5);
+        acknowledgement.onEndsStored(5, 10);
         acknowledgement.onProcessChanged();
         assertThat(next()).isZero();
-        acknowledgement.onEndsStored(1);
+        acknowledgement.onEndsStored(1, 10);
         assertThat(next()).isEqualTo(1);
     }
+
+    /** Guards against a runner whose starts are held back although its ends were acknowledged in time. */
+    @Test
+    void endsAreOverdueOnlyIfTheRunnerHasDiscardedNoneForLong() {
+        long limitNanos = FleetConstants.ACKNOWLEDGEMENT_OVERDUE.toNanos();
+        acknowledgement.onEndsStored(5, 10);
+        acknowledgement.onEndsStored(6, limitNanos);
+        assertThat(acknowledgement.overdue(10 + limitNanos)).isFalse();
+        assertThat(acknowledgement.overdue(11 + limitNanos)).isTrue();
+        acknowledgement.onPollAnswered(5, 20 + limitNanos);
+        assertThat(acknowledgement.overdue(20 + 2 * limitNanos)).isFalse();
+        assertThat(acknowledgement.overdue(21 + 2 * limitNanos)).isTrue();
+        acknowledgement.onPollAnswered(6, 30 + 2 * limitNanos);
+        assertThat(acknowledgement.overdue(31 + 3 * limitNanos)).isFalse();
+    }
 }
