Measure the times of the decision log with the event loop's clock

DecisionLog computed waitedMs and tookMs as differences of System.nanoTime() and times of the event loop's clock. The two are the same clock in production only; in simulations the figures were meaningless.

The log gets the event loop's clock.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -13,6 +13,7 @@
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.TaskKey;
+import org.tamarackline.core.time.MonotonicClock;
 import org.tamarackline.logging.LineSink;
 
 /**
@@ -25,16 +26,19 @@
 
     private final LineSink sink;
     private final InstantSource timeOfDay;
+    private final MonotonicClock clock;
     private final String node;
 
     /**
      * Creates a log.
      *
+     * @param clock clock of the event loop, which the times of runs and requests are measured with
      * @param node name of the node, part of each line
      */
-    public DecisionLog(LineSink sink, InstantSource timeOfDay, String node) {
+    public DecisionLog(LineSink sink, InstantSource timeOfDay, MonotonicClock clock, String node) {
         this.sink = sink;
         this.timeOfDay = timeOfDay;
+        this.clock = clock;
         this.node = node;
     }
 
@@ -96,7 +100,7 @@
             writeRun(json, run.task().key(), run.number(), run.runner().id());
             json.writeNumberField("epoch", epoch);
             json.writeBooleanField("resumed", !run.checkpoint().isEmpty());
-            json.writeNumberField("waitedMs", (System.nanoTime() - sentNanos) / 1_000_000);
+            json.writeNumberField("waitedMs", (clock.nowNanos() - sentNanos) / 1_000_000);
             json.writeStringField("outcome", response.result().name());
             json.writeStringField("reason", response.reason());
         });
@@ -124,7 +128,7 @@
             json.writeNumberField("number", row.sequenceNumber());
             json.writeStringField("reason", row.reason().name());
             if (run != null) {
-                json.writeNumberField("tookMs", (System.nanoTime() - run.createdNanos()) / 1_000_000);
+                json.writeNumberField("tookMs", (clock.nowNanos() - run.createdNanos()) / 1_000_000);
             }
         });
     }
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -65,8 +65,9 @@
         this.settingsFile = settingsFile;
         this.settings = settings;
         this.sink = sink;
-        this.decisionLog = new DecisionLog(sink, timeOfDay, settings.node().node());
         this.loop = new SingleThreadLoop("node");
+        this.decisionLog =
+                new DecisionLog(sink, timeOfDay, loop, settings.node().node());
         this.storeHttp = new AsyncHttpClient(STORE_CONNECTIONS_PER_ADDRESS);
         this.runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS_PER_ADDRESS);
         this.store = new StoreClient(storeHttp, loop, decisionLog, settings.storeAddress());
--- a/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
@@ -136,7 +136,7 @@
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
-        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node");
+        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node");
         RunnerCalls calls = new ProtocolRunnerCalls(loop, loop, new DelayingConnections(runner, latency));
         link.directory().put(runner.id(), descriptor());
         NodeServices services = new NodeServices(loop, client, calls, client, timeOfDay, log);
--- a/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
+++ b/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
@@ -209,7 +209,7 @@
         loop.advance(Duration.ofMillis(50));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
-        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node");
+        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node");
         NodeServices services = new NodeServices(loop, store, calls, this::listRunners, timeOfDay, log);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -66,7 +66,7 @@
                 runner,
                 done -> done.accept(Optional.of(registered)),
                 timeOfDay,
-                new DecisionLog(sink, timeOfDay, name));
+                new DecisionLog(sink, timeOfDay, nodeLoop, name));
         String address = name + ":1";
         Election election = new Election(
                 services, new FakePeerCalls(nodeLoop, network), new NodeSettings(name, "dc", address), ++incarnations);
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -41,7 +41,7 @@
                 calls,
                 done -> done.accept(Optional.of(List.of(runner))),
                 timeOfDay,
-                new DecisionLog(sink, timeOfDay, "node"));
+                new DecisionLog(sink, timeOfDay, loop, "node"));
         new Leader(
                         services,
                         new FakePeerCalls(loop, new FakePeerCalls.Network()),
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -303,7 +303,8 @@
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
-        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node" + epoch);
+        DecisionLog log =
+                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node" + epoch);
         NodeServices services = new NodeServices(
                 loop, store, calls, done -> done.accept(Optional.of(List.copyOf(registered))), timeOfDay, log);
         Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -35,7 +35,7 @@
     private List<RunnerDescriptor> directory = List.of(descriptor("a"));
 
     private DecisionLog log() {
-        return new DecisionLog(sink, timeOfDay, "node");
+        return new DecisionLog(sink, timeOfDay, loop, "node");
     }
 
     private static RunnerDescriptor descriptor(String id) {
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -228,7 +228,7 @@
         write(LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
-        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node");
+        DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node");
         NodeServices services = new NodeServices(
                 loop, client, new ProtocolRunnerCalls(loop, loop, connections), client, timeOfDay, log);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -23,7 +23,7 @@
     private final ManualLoop loop = new ManualLoop();
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
     private final DecisionLog log =
-            new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node");
+            new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), loop, "node");
     private final Fleet fleet = new Fleet(1, log);
     private final RunnerDescriptor descriptor = new RunnerDescriptor(
             "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
--- a/src/test/java/org/tamarackline/platform/OddStoreAnswersTest.java
+++ b/src/test/java/org/tamarackline/platform/OddStoreAnswersTest.java
@@ -46,7 +46,7 @@
         client = new StoreClient(
                 http,
                 loop,
-                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node"),
+                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), loop, "node"),
                 StandinFleet.hostAndPort(address));
     }
 
--- a/src/test/java/org/tamarackline/platform/RunnerDirectoryTest.java
+++ b/src/test/java/org/tamarackline/platform/RunnerDirectoryTest.java
@@ -43,7 +43,7 @@
         http = new AsyncHttpClient(2);
         loop = new SingleThreadLoop("runner-directory-test");
         client = new StoreClient(
-                http, loop, new DecisionLog(sink, InstantSource.system(), "node"), fleet.storeAddress());
+                http, loop, new DecisionLog(sink, InstantSource.system(), loop, "node"), fleet.storeAddress());
     }
 
     @AfterEach
--- a/src/test/java/org/tamarackline/platform/StoreClientTest.java
+++ b/src/test/java/org/tamarackline/platform/StoreClientTest.java
@@ -35,7 +35,7 @@
         client = new StoreClient(
                 http,
                 loop,
-                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node"),
+                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), loop, "node"),
                 fleet.storeAddress());
     }
 
