Verify starts only by polls sent after their responses

A poll that was sent between a start and its response counted as proof that the known process had executed the start, if its response arrived after that of the start. The process may have answered the poll and ended before the start was executed by its successor; the next poll then acknowledges ends to that successor, and the runner's lease is computed from the wrong clock.

A start now counts as verified once the known process has answered a poll that was sent at or after the response to the start. Before the change, EndAcknowledgementTest#pollSentBeforeTheResponseToAStartDoesNotVerifyIt failed: end 5 was acknowledged. BusyRunnerTest still passes.

--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -390,7 +390,7 @@
         starts.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, lease.extend(starts.allVerified()), response -> {
             leader.onStartCompleted();
-            starts.onStartCompleted();
+            starts.onStartCompleted(context.loop().nowNanos());
             if (closed) {
                 return;
             }
--- a/src/main/java/org/tamarackline/fleet/StartVerification.java
+++ b/src/main/java/org/tamarackline/fleet/StartVerification.java
@@ -1,25 +1,28 @@
 package org.tamarackline.fleet;
 
 /**
- * Tells whether a runner's process is known to be the one that received all starts: a poll that was sent after the last
- * of them was answered, and none is without a response.
+ * Tells whether a runner's process is known to be the one that received all starts: the known process has answered a
+ * poll that was sent when none of them was without a response any more.
  *
- * <p>Otherwise the runner may have restarted unnoticed, and the new process may have accepted a start.
+ * <p>Otherwise the runner may have restarted unnoticed, and the new process may have accepted a start. A poll that was
+ * sent earlier may have been answered before the start was executed, even if its response arrives later.
  */
 final class StartVerification {
 
     private int unansweredStarts;
     private boolean startedSinceAnsweredPoll;
-    private long lastStartNanos;
+    /** When the last start was sent or completed, whichever is later. */
+    private long lastChangeNanos;
 
     void onStartSent(long nowNanos) {
         unansweredStarts++;
         startedSinceAnsweredPoll = true;
-        lastStartNanos = nowNanos;
+        lastChangeNanos = nowNanos;
     }
 
-    void onStartCompleted() {
+    void onStartCompleted(long nowNanos) {
         unansweredStarts--;
+        lastChangeNanos = nowNanos;
     }
 
     /**
@@ -28,7 +31,7 @@
      * @param sentNanos when the poll was sent
      */
     void onPollAnswered(long sentNanos) {
-        if (unansweredStarts == 0 && sentNanos - lastStartNanos > 0) {
+        if (unansweredStarts == 0 && sentNanos - lastChangeNanos >= 0) {
             startedSinceAnsweredPoll = false;
         }
     }
--- a/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
+++ b/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
@@ -28,13 +28,30 @@
         acknowledgement.onEndsStored(5, 10);
         starts.onStartSent(20);
         assertThat(next()).isZero();
-        starts.onStartCompleted();
+        starts.onStartCompleted(22);
         starts.onPollAnswered(15);
         assertThat(next()).as("after a poll sent before the start").isZero();
         starts.onPollAnswered(25);
         assertThat(next()).as("after a poll sent after the start").isEqualTo(5);
     }
 
+    /**
+     * Guards against a poll that the known process answered before it ended, with the response of a start that the next
+     * process executed arriving earlier than that of the poll.
+     */
+    @Test
+    void pollSentBeforeTheResponseToAStartDoesNotVerifyIt() {
+        acknowledgement.onEndsStored(5, 10);
+        starts.onStartSent(20);
+        starts.onStartCompleted(40);
+        starts.onPollAnswered(30);
+        assertThat(next())
+                .as("after a poll sent before the response to the start")
+                .isZero();
+        starts.onPollAnswered(40);
+        assertThat(next()).as("after a poll sent on that response").isEqualTo(5);
+    }
+
     @Test
     void unansweredStartKeepsEndsFromBeingAcknowledged() {
         acknowledgement.onEndsStored(5, 10);
