Do not take a truncated page of changes for a confirmation of the leader

A page of changes of the job table that ends before the newest change says nothing of the changes after it, among which may be the record of a successor that was stored before the page was requested. The feed nevertheless confirmed the leader by the time of the request, so that a replaced leader with a backlog of changes could give up a silent runner whose lease its successor had renewed.

A truncated page no longer confirms the leader. The simulated store marks the pages that it cuts off as truncated, as RecordStore requires. Before the change, JobFeedTest failed with a confirmation by the truncated page.

--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -100,7 +100,10 @@
                     return;
                 }
                 version = page.version();
-                leader.onLeadershipConfirmed(sentNanos);
+                // The record of a successor may be among the changes that a truncated page lacks.
+                if (!page.truncated()) {
+                    leader.onLeadershipConfirmed(sentNanos);
+                }
                 loop.schedule(FleetConstants.FOLLOW_INTERVAL, this::follow);
             }
             case RecordStore.ReadResult.HistoryLost lost -> rereadTable();
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -242,12 +242,13 @@
             answered = true;
             List<Entry> page = new ArrayList<>(changes);
             long version = store.version();
-            if (changes.size() > link.pageRows) {
+            boolean truncated = changes.size() > link.pageRows;
+            if (truncated) {
                 version = changes.get(link.pageRows - 1).version();
                 long last = version;
                 page.removeIf(entry -> entry.version() > last);
             }
-            call.respond(new ReadResult.Page(page, version, false));
+            call.respond(new ReadResult.Page(page, version, truncated));
         }
     }
 
