Count the longest lease for commands before a restart was noticed

A renewal that reaches a restarted runner carries a lease end on the clock of the earlier process, for which the new process grants up to 6 s. If a task started there right after, and the process was verified by a poll less than 0.65 s after the renewal, the leader computed the end of the lease from its last command only, and started the task elsewhere up to 0.6 s too early.

The lease now ends no earlier than 6.37 s after the last command that was sent before the new process was noticed.

--- a/src/main/java/org/tamarackline/fleet/RunnerLease.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerLease.java
@@ -17,6 +17,10 @@
     private long runnerClockReadNanos;
     private boolean extended;
     private long extendedNanos;
+    /** Whether {@link #earliestEndNanos} is a lower bound of the end. */
+    private boolean earliestEndKnown;
+
+    private long earliestEndNanos;
 
     /**
      * Creates a lease that this node has not extended.
@@ -72,6 +76,7 @@
     void onProcessVerified() {
         if (extended) {
             endNanos = Math.min(endNanos, extendedNanos + longestNanos());
+            endNanos = earliestEndKnown ? Math.max(endNanos, earliestEndNanos) : endNanos;
         }
     }
 
@@ -86,9 +91,23 @@
         }
     }
 
+    /**
+     * Records that another process than before has reported. It may have granted the longest lease to a command whose
+     * lease was computed from the clock of the earlier process, also if it had no run then. To be called before the new
+     * clock is recorded.
+     */
+    void onProcessChanged() {
+        if (extended) {
+            earliestEndKnown = true;
+            earliestEndNanos = extendedNanos + longestNanos(FleetConstants.MAX_RUNNER_LEASE);
+            endNanos = Math.max(endNanos, earliestEndNanos);
+        }
+    }
+
     /** Records that the runner's process has ended. */
     void onProcessEnded() {
         endNanos = Math.min(endNanos, clock.nowNanos());
+        earliestEndKnown = false;
     }
 
     /** Returns when nothing that was started on the runner can still run or start. */
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -287,6 +287,7 @@
         replacedAtAddress = false;
         if (response.status().processStartEpochMs() != runner.processStartEpochMs()) {
             acknowledgement.onProcessChanged();
+            lease.onProcessChanged();
             starts.onPollAnswered(sentNanos);
         } else {
             acknowledgement.onPollAnswered(acknowledgedEnd, nowNanos);
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -206,6 +206,35 @@
         assertThat(history.violations()).isEmpty();
     }
 
+    /**
+     * Guards against a leader that forgets the lease which a restarted runner granted to a renewal that was computed from
+     * the clock of the earlier process.
+     */
+    @Test
+    void leaseOfARenewalThatReachedARestartedRunnerEndsBeforeItsTasksStartElsewhere() {
+        startLeader();
+        submitAndAwaitStart("busy");
+        loop.advance(Duration.ofSeconds(20));
+        // The leader may send no polls any more when the runner restarts, and renews the lease when the store is back.
+        store.setAvailability(SimulatedStore.Availability.REJECTING);
+        loop.advance(FleetConstants.LEADERSHIP_LEASE.plusSeconds(2));
+        runner.crash();
+        loop.advance(DOWNTIME);
+        runner.boot();
+        history.processStarted(runner);
+        runDurations.put("short", Duration.ofMillis(20));
+        submit("short");
+        store.setAvailability(SimulatedStore.Availability.AVAILABLE);
+        while (!runner.runs(taskOf("busy"))) {
+            loop.advance(Duration.ofNanos(100_000));
+        }
+        loop.advance(Duration.ofMillis(40));
+        connections.cut = true;
+        addRunner("second");
+        loop.advance(Duration.ofSeconds(15));
+        assertThat(history.violations()).isEmpty();
+    }
+
     /** Starts a leader, and restarts its runner while a poll waits there. */
     private Leader restartWhilePolling() {
         Leader leader = startLeader();
