Acknowledge ends whose jobs are stored already

The end of a run that outlives the storing of its job, as after a cancellation, makes no job dirty. It was acknowledged only with the next transaction that something else caused; until then its runner repeated it in every status, and was polled every 0.3 s.

A transaction is now also due if a runner has processed ends that no dirty job holds back. Before the change, CommitBacklogTest#endOfAJobThatIsStored- IsAcknowledgedWithoutFurtherChanges failed: the end of a cancelled run was not acknowledged within 4 s.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -149,15 +149,27 @@
         scheduleFlush(true);
     }
 
-    /** Schedules a transaction if there are changes to store. */
+    /** Schedules a transaction if there are changes to store or ends to acknowledge. */
     void scheduleFlushIfDirty() {
         if (context.fleet().jobs().hasUrgentDirtyJobs()) {
             scheduleFlush(true);
         } else if (context.fleet().jobs().hasDirtyJobs()) {
             scheduleFlush(false);
+        } else if (!inFlight && hasEndsToStore()) {
+            storeSequence();
         }
     }
 
+    /** Ends whose jobs are stored already, such as cancelled ones, make no job dirty. */
+    private boolean hasEndsToStore() {
+        for (RunnerSession session : leader.sessions()) {
+            if (session.hasEndsToStore()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void scheduleFlush(boolean immediately) {
         if (inFlight || !leader.leading()) {
             return;
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -153,6 +153,12 @@
         return context.fleet().processedEndsOfCleanJobs(runner);
     }
 
+    /** Returns whether a transaction without jobs would store the results of further ended runs. */
+    boolean hasEndsToStore() {
+        ProcessedEnds ends = endsToStore();
+        return process.is(ends.processStartEpochMs()) && !acknowledgement.storedUpTo(ends.lastSequenceNumber());
+    }
+
     private boolean allReportedEndsStored() {
         return acknowledgement.storedUpTo(runner.processedEnds().lastSequenceNumber());
     }
--- a/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
+++ b/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
@@ -37,6 +37,10 @@
 
     private static final int RUNNERS = 5;
 
+    /** Runs end some time after the stop, so that the cancellation of their job may be stored before. */
+    private static final ProtocolRunner.Properties PROPERTIES =
+            new ProtocolRunner.Properties(1, 500, Duration.ofMillis(200), true, true);
+
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final Map<String, ProtocolRunner> runners = new TreeMap<>();
@@ -114,6 +118,19 @@
                 .isPositive();
     }
 
+    /** Guards against an end that waits for the transaction of another job, because its own job is stored already. */
+    @Test
+    void endOfAJobThatIsStoredIsAcknowledgedWithoutFurtherChanges() {
+        startLeader();
+        submit(longJob(longJobs++));
+        loop.advance(Duration.ofSeconds(4));
+        write(RecordStore.Table.JOBS, StoredJob.cancelKey(longJob(0)), new byte[0]);
+        loop.advance(Duration.ofSeconds(4));
+        assertThat(ends).hasSize(1);
+        assertThat(acknowledgedEnds).hasSize(1);
+        assertThat(acknowledgedBeforeStored).isEmpty();
+    }
+
     /** Guards against the acknowledgement of ends whose jobs did not fit into the transaction. */
     @Test
     void endsOfMoreJobsThanFitIntoATransactionAreAcknowledgedOnceStored() {
@@ -201,7 +218,8 @@
 
     private void startLeader() {
         for (int i = 0; i < RUNNERS; i++) {
-            ProtocolRunner runner = new ProtocolRunner("r" + i, loop, new RecordingObserver());
+            ProtocolRunner runner =
+                    new ProtocolRunner("r" + i, "r" + i + ":80", loop, new RecordingObserver(), PROPERTIES);
             runners.put(runner.address(), runner);
         }
         LeaderRecord record = new LeaderRecord(1, "node", "10.0.0.9:1", 1, false, List.of());
