Merge the acknowledgement of ends while jobs wait to be stored

Also lets the runner's clock show that its process is alive: the answer to a poll that waited at the runner counts by the clock in it, not by the time at which the poll was sent. Starts to runners that report often then need no further poll.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -125,6 +125,17 @@
         }
     }
 
+    /**
+     * Sets whether ended runs should have been acknowledged to a runner long ago. Until that is done, the runner gets no
+     * new tasks, because ends can be acknowledged only while no start is on its way.
+     */
+    public void setAcknowledgementOverdue(String id, boolean overdue) {
+        FleetRunner runner = runners.get(id);
+        if (runner != null) {
+            runner.acknowledgementOverdue = overdue;
+        }
+    }
+
     /** Removes the runs on a runner whose start was not sent yet, so that their tasks start elsewhere. */
     private void removeUnsentRuns(FleetRunner runner) {
         for (Run run : runner.snapshotOfRuns()) {
@@ -190,6 +201,8 @@
             if (entry.sequenceNumber() > runner.lastProcessedEnd) {
                 runner.lastProcessedEnd = entry.sequenceNumber();
                 applyEnd(runner, entry, nowNanos);
+                runner.unstoredEnds.add(entry.sequenceNumber(), entry.task().job());
+                jobs.onEndProcessed(entry.task().job());
             }
         }
         Set<FleetRunner.RunKey> reported = new HashSet<>();
@@ -207,6 +220,22 @@
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
     }
 
+    /**
+     * Returns the position up to which no processed end of a runner belongs to a dirty job. The results of these ends are
+     * stored once the transaction is that contains the jobs taken last.
+     */
+    public ProcessedEnds processedEndsOfCleanJobs(FleetRunner runner) {
+        long last = runner.unstoredEnds.lastBeforeDirtyJob(runner.lastProcessedEnd, jobs::isDirty);
+        return new ProcessedEnds(runner.processStartEpochMs, last);
+    }
+
+    /** Records that the results of ended runs are stored, unless the runner has another process by now. */
+    public void onEndsStored(FleetRunner runner, ProcessedEnds stored) {
+        if (stored.processStartEpochMs() == runner.processStartEpochMs) {
+            runner.unstoredEnds.removeUpTo(stored.lastSequenceNumber());
+        }
+    }
+
     private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
         for (Run run : runner.snapshotOfRuns()) {
             boolean missing =
@@ -255,6 +284,7 @@
         long previousStartEpochMs = runner.processStartEpochMs;
         runner.processStartEpochMs = processStartEpochMs;
         runner.lastProcessedEnd = 0;
+        runner.unstoredEnds.clear();
         if (previousStartEpochMs != 0) {
             observer.runnerRestarted(runner, previousStartEpochMs);
             removeRunsOfEarlierIncarnation(runner, requestSentNanos);
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -30,7 +30,7 @@
     static final Duration MIN_RESTART_TIME = Duration.ofMillis(500);
 
     /**
-     * Time for which a runner's process is known after it was sent a poll that it answered. The rest of {@link
+     * Time for which a runner's process is known after it is known to have been alive. The rest of {@link
      * #MIN_RESTART_TIME} is left for a start to reach the runner.
      */
     static final Duration PROCESS_KNOWN_TIME = MIN_RESTART_TIME.dividedBy(2);
@@ -64,6 +64,12 @@
     /** Longest delay of a poll, so that it can acknowledge the ended runs that the previous one returned. */
     static final Duration ACKNOWLEDGE_DELAY = Duration.ofMillis(300);
 
+    /**
+     * Time after which a runner gets no further starts until its ended runs are acknowledged. A runner that gets starts
+     * more often than they are answered would otherwise never be acknowledged, and a status lists at most 500 ends.
+     */
+    static final Duration ACKNOWLEDGEMENT_OVERDUE = Duration.ofSeconds(4);
+
     /** Time for which changes are collected into one transaction, unless a job has ended. */
     static final Duration COMMIT_LINGER = Duration.ofMillis(60);
 
--- a/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
+++ b/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
@@ -15,7 +15,8 @@
     private long learnedNanos;
     private boolean confirmed;
     private boolean answeredPoll;
-    private long answeredPollNanos;
+    private long aliveNanos;
+    private long aliveClockMs;
 
     /** Records the process that has answered; returns whether it is another one than before. */
     boolean learn(long startEpochMs, long nowNanos) {
@@ -31,20 +32,30 @@
     }
 
     /**
-     * Records that the current process has answered a poll.
+     * Records that the current process has answered a poll. A poll may wait at the runner for long; the runner's clock then
+     * tells how much later than the poll the answer was written.
      *
      * @param sentNanos when the poll was sent
+     * @param clockMs the runner's clock in the answer
      */
-    void onPollAnswered(long sentNanos) {
-        if (!answeredPoll || sentNanos - answeredPollNanos > 0) {
-            answeredPoll = true;
-            answeredPollNanos = sentNanos;
+    void onPollAnswered(long sentNanos, long clockMs) {
+        if (answeredPoll && clockMs < aliveClockMs) {
+            return;
         }
+        long writtenNanos = sentNanos;
+        if (answeredPoll) {
+            long byClockNanos =
+                    aliveNanos + (long) ((clockMs - aliveClockMs) * 1e6 / (1 + FleetConstants.MAX_CLOCK_DRIFT));
+            writtenNanos += Math.max(0, byClockNanos - sentNanos);
+        }
+        answeredPoll = true;
+        aliveNanos = writtenNanos;
+        aliveClockMs = clockMs;
     }
 
-    /** Returns whether the process is confirmed and has answered a poll that was sent no earlier than a time. */
-    boolean answeredSince(long nanos) {
-        return confirmed && answeredPoll && answeredPollNanos - nanos >= 0;
+    /** Returns whether the process is confirmed and known to have been alive at a time or later. */
+    boolean aliveSince(long nanos) {
+        return confirmed && answeredPoll && aliveNanos - nanos >= 0;
     }
 
     /**
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -66,7 +66,7 @@
 
     /** Verifies the process unless it is known, so that a start which is due soon does not wait for that. */
     void prepareStart() {
-        if (!verifyingProcess && !answeredWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
+        if (!verifyingProcess && !processAliveWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
             verifyProcess();
         }
     }
@@ -77,7 +77,7 @@
      */
     void start(Run run) {
         leader.onStartSent();
-        if (answeredWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
+        if (processAliveWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
             sendStart(run);
             return;
         }
@@ -87,8 +87,8 @@
         }
     }
 
-    private boolean answeredWithin(Duration time) {
-        return process.answeredSince(context.loop().nowNanos() - time.toNanos());
+    private boolean processAliveWithin(Duration time) {
+        return process.aliveSince(context.loop().nowNanos() - time.toNanos());
     }
 
     private void verifyProcess() {
@@ -99,7 +99,7 @@
             List<Run> runs = List.copyOf(unsentStarts);
             unsentStarts.clear();
             if (!session.closed() && answersAsKnownProcess(response)) {
-                process.onPollAnswered(sentNanos);
+                process.onPollAnswered(sentNanos, response.status().clockMs());
                 runs.forEach(this::sendStartIfAwaited);
                 return;
             }
@@ -141,7 +141,7 @@
         verification.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
             leader.onStartCompleted();
-            verification.onStartCompleted();
+            verification.onStartCompleted(context.loop().nowNanos());
             if (session.closed()) {
                 return;
             }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -149,8 +149,15 @@
         lost = true;
     }
 
-    ProcessedEnds processedEnds() {
-        return runner.processedEnds();
+    /** Returns the position up to which the results of ended runs will be stored with the jobs taken last. */
+    ProcessedEnds endsToStore() {
+        return context.fleet().processedEndsOfCleanJobs(runner);
+    }
+
+    /** Returns whether a transaction without jobs would store the results of further ended runs. */
+    boolean hasEndsToStore() {
+        ProcessedEnds ends = endsToStore();
+        return process.is(ends.processStartEpochMs()) && !acknowledgement.storedUpTo(ends.lastSequenceNumber());
     }
 
     private boolean allReportedEndsStored() {
@@ -162,7 +169,8 @@
         if (!process.is(stored.processStartEpochMs())) {
             return;
         }
-        acknowledgement.onEndsStored(stored.lastSequenceNumber());
+        context.fleet().onEndsStored(runner, stored);
+        acknowledgement.onEndsStored(stored.lastSequenceNumber(), context.loop().nowNanos());
         if (acknowledgement.due()) {
             schedulePoll(Duration.ZERO);
         }
@@ -277,7 +285,7 @@
         }
         missedPolls = 0;
         learnProcess(response.status().processStartEpochMs());
-        process.onPollAnswered(sentNanos);
+        process.onPollAnswered(sentNanos, response.status().clockMs());
         boolean restarted = runner.processStartEpochMs() != 0
                 && runner.processStartEpochMs() != response.status().processStartEpochMs();
         restartPending = restarted && !process.confirmed();
@@ -292,9 +300,10 @@
         replacedAtAddress = false;
         if (response.status().processStartEpochMs() != runner.processStartEpochMs()) {
             acknowledgement.onProcessChanged();
+            lease.onProcessChanged();
             starts.onPollAnswered(sentNanos);
         } else {
-            acknowledgement.onPollAnswered(acknowledgedEnd);
+            acknowledgement.onPollAnswered(acknowledgedEnd, nowNanos);
             starts.onPollAnswered(sentNanos);
             if (starts.allVerified()) {
                 lease.onProcessVerified();
@@ -304,6 +313,7 @@
             onEarlierLeadersEnded(nowNanos);
         }
         lease.readRunnerClock(response.status().clockMs());
+        context.fleet().setAcknowledgementOverdue(runner.id(), acknowledgement.overdue(nowNanos));
         try {
             context.fleet().applyStatus(runner, response.status(), sentNanos, nowNanos);
         } finally {
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -28,7 +28,7 @@
     /** Maximum number of ends in one status. */
     private static final int MAX_REPORTED_ENDS = 500;
 
-    /** Number of runs that fit on the runner; each takes one core. */
+    /** Number of runs that fit on a runner of the default properties; each takes one core. */
     private static final int MAX_RUNS = 4;
 
     /** Receives what happens to the runs of a runner. */
@@ -65,11 +65,26 @@
      * @param stopTime time from a stop to the end of the run
      * @param checksEpochs whether the runner rejects commands of lower epochs
      * @param leasesExpire whether runs end with the lease
+     * @param maxRuns number of runs that fit on the runner
      */
     record Properties(
-            double clockRate, int maxReportedEnds, Duration stopTime, boolean checksEpochs, boolean leasesExpire) {
+            double clockRate,
+            int maxReportedEnds,
+            Duration stopTime,
+            boolean checksEpochs,
+            boolean leasesExpire,
+            int maxRuns) {
+
+        static final Properties DEFAULT = new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true, MAX_RUNS);
+
+        Properties(
+                double clockRate, int maxReportedEnds, Duration stopTime, boolean checksEpochs, boolean leasesExpire) {
+            this(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, MAX_RUNS);
+        }
 
-        static final Properties DEFAULT = new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true);
+        Properties withMaxRuns(int runs) {
+            return new Properties(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, runs);
+        }
     }
 
     private record RunKey(TaskKey task, long number) {}
@@ -118,7 +133,7 @@
     }
 
     RunnerDescriptor descriptor() {
-        Resources capacity = new Resources(1_000L * MAX_RUNS, 64_000, 0);
+        Resources capacity = new Resources(1_000L * properties.maxRuns(), 64_000, 0);
         return new RunnerDescriptor(
                 id, processStartEpochMs, "dispatch", address, "dc", "", draining, capacity, Set.of());
     }
@@ -214,7 +229,7 @@
         if (leaseEndMs <= clockMs() || number <= highestRunNumbers.getOrDefault(task, 0L)) {
             return StartResult.REFUSED;
         }
-        if (activeRuns.size() >= MAX_RUNS) {
+        if (activeRuns.size() >= properties.maxRuns()) {
             return StartResult.NO_ROOM;
         }
         ActiveRun run = new ActiveRun(key, loop.nowNanos(), plan);
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -3,11 +3,13 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.fleet.Fleet;
 import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.Job;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -23,7 +25,7 @@
     private final ManualLoop loop = new ManualLoop();
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
     private final DecisionLog log =
-            new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node");
+            new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), loop, "node");
     private final Fleet fleet = new Fleet(1, log);
     private final RunnerDescriptor descriptor = new RunnerDescriptor(
             "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
@@ -76,10 +78,11 @@
             fleet.jobs().add(JobDefinitions.longRunningTask("j" + i), JobProgress.NONE, false, 0);
         }
         assertThat(fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
-        fleet.jobs()
-                .takeDirtyJobs()
-                .forEach(job ->
-                        fleet.pendingStarts().markStored(fleet.pendingStarts().unstored(job)));
+        Optional<Job> job = fleet.jobs().takeDirtyJob();
+        while (job.isPresent()) {
+            fleet.pendingStarts().markStored(fleet.pendingStarts().unstored(job.get()));
+            job = fleet.jobs().takeDirtyJob();
+        }
         for (RunnerCommand command : fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)) {
             session.send(command);
         }
