Take over from a leader record that cannot be read

Cause: a node that could not decode the leader record waited for another one. If another writer had replaced the record, no node ever led again, and one line of the log said so.

Change: epochs rise by one with each claim, from 1, and each claim is a transaction, so no epoch is higher than the version at which it was claimed. The version of the unreadable record is higher than that of every earlier claim, and a node claims it as the next epoch on condition of that version. A readable record with an epoch above its version was not written by a node and is treated in the same way; it could use up the range of epochs. The earlier leaders are not known, so the new record lists one without an address, and the wait for silent runners is the full one.

--- a/src/main/java/org/tamarackline/fleet/EarlierLeaders.java
+++ b/src/main/java/org/tamarackline/fleet/EarlierLeaders.java
@@ -53,7 +53,10 @@
             reportIfAllEnded("the leadership leases of all earlier leaders have expired");
         });
         reportIfAllEnded("there are no earlier leaders");
-        List.copyOf(possiblyActiveLeaders).forEach(this::requestStepDownUntilConfirmed);
+        possiblyActiveLeaders.stream()
+                .filter(LeaderRecord.EarlierLeader::hasAddress)
+                .toList()
+                .forEach(this::requestStepDownUntilConfirmed);
     }
 
     private void requestStepDownUntilConfirmed(LeaderRecord.EarlierLeader earlier) {
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -235,23 +235,16 @@
         RecordStore.Entry entry = entries.getFirst();
         LeaderRecord record;
         try {
-            record = RecordCodec.decodeLeader(entry.value());
+            record = decodeLeader(entry);
         } catch (CorruptRecordException corrupt) {
-            if (corruptVersion != entry.version()) {
-                corruptVersion = entry.version();
-                log.skippedRecord(entry.key(), corrupt.getMessage());
-            }
-            loop.schedule(RETRY_DELAY, this::readRecord);
+            onCorruptRecord(entry, corrupt);
             return;
         }
         if (matchesPendingClaim(record)) {
             startLeading(record, entry.version(), sentNanos, "its claim took effect");
             return;
         }
-        if (entry.version() != claimVersion) {
-            // The condition of the claim no longer holds, so it cannot take effect any more.
-            claim = null;
-        }
+        discardReplacedClaim(entry);
         if (record.node().equals(settings.node())) {
             takeOver(record, entry.version(), "an earlier process of this node led");
         } else if (followed != null && followedVersion == entry.version() && missedPings >= MAX_MISSED_PINGS) {
@@ -263,6 +256,49 @@
         }
     }
 
+    /**
+     * Decodes the leader record. Every claim raises the epoch by one in a transaction of its own, so an epoch above the
+     * record's version was not written by a node.
+     */
+    private static LeaderRecord decodeLeader(RecordStore.Entry entry) throws CorruptRecordException {
+        LeaderRecord record = RecordCodec.decodeLeader(entry.value());
+        if (record.epoch() > entry.version()) {
+            throw new CorruptRecordException(
+                    entry.key(), new IllegalArgumentException("the epoch is higher than the record's version"));
+        }
+        return record;
+    }
+
+    /**
+     * Takes over from a record that cannot be decoded. No epoch is higher than the version at which it was claimed, and
+     * all claims have a lower version than this record, so the record's version is a new epoch. The earlier leaders are
+     * not known and cannot be asked to step down.
+     */
+    private void onCorruptRecord(RecordStore.Entry entry, CorruptRecordException corrupt) {
+        discardReplacedClaim(entry);
+        if (corruptVersion != entry.version()) {
+            corruptVersion = entry.version();
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+            loop.schedule(TAKEOVER_DELAY_PER_RANK.multipliedBy(rank), this::readRecord);
+        } else if (entry.version() > RecordCodec.MAX_EPOCH) {
+            loop.schedule(RETRY_DELAY, this::readRecord);
+        } else {
+            long highestEpoch = entry.version() - 1;
+            takeOver(
+                    highestEpoch,
+                    List.of(LeaderRecord.EarlierLeader.unknown(highestEpoch)),
+                    entry.version(),
+                    "the leader record cannot be read");
+        }
+    }
+
+    /** Forgets a claim that can no longer take effect, because the record has changed since. */
+    private void discardReplacedClaim(RecordStore.Entry entry) {
+        if (entry.version() != claimVersion) {
+            claim = null;
+        }
+    }
+
     /** Returns whether a record was written by a claim of this process whose outcome it did not know. */
     private boolean matchesPendingClaim(LeaderRecord record) {
         return claim != null && record.incarnation() == incarnation && record.epoch() == claim.epoch();
--- a/src/main/java/org/tamarackline/fleet/LeaderRecord.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -37,9 +37,22 @@
      * Leader that was replaced.
      *
      * @param epoch highest epoch that was led from its address
-     * @param address address where other nodes reach it
+     * @param address address where other nodes reach it, empty if it is not known
      */
-    record EarlierLeader(long epoch, String address) {}
+    record EarlierLeader(long epoch, String address) {
+
+        private static final String UNKNOWN_ADDRESS = "";
+
+        /** Returns the entry for all leaders up to an epoch whose addresses are not known. */
+        static EarlierLeader unknown(long highestEpoch) {
+            return new EarlierLeader(highestEpoch, UNKNOWN_ADDRESS);
+        }
+
+        /** Returns whether the leader can be asked to step down. */
+        boolean hasAddress() {
+            return !address.equals(UNKNOWN_ADDRESS);
+        }
+    }
 
     /**
      * Returns the record that the leader stores to resign.
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -36,7 +36,7 @@
     static final String INTERFERENCE_ESTIMATES_KEY = "!pairs";
 
     /** Run numbers are multiples of the epoch, and the JSON of the runners carries no larger ones exactly. */
-    private static final long MAX_EPOCH = 100_000_000_000L;
+    static final long MAX_EPOCH = 100_000_000_000L;
 
     /** Task names join the identifier of their job by dots with numbers. */
     private static final Pattern JOB_ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
