Hold jobs whose progress cannot be read

Cause: a record of progress that could not be decoded was skipped, and its job was loaded as new, so tasks that were done started again. Progress that names a task which the job does not have lost the end of another task in the same way.

Change: such a job is held. None of its tasks starts. Its runs keep their runner's lease and are neither adopted nor stopped. The end of each is stored in a record of its own before the runner may discard it, so neither the end is lost nor the runner's other ends stay listed. The leader reads the records of held jobs again every 5 s and loads a job once they can be read: it applies the stored ends and adopts the runs. A cancellation ends a held job. Callers get 503 for its state. A finished job whose stored state is not final counts as unreadable, and the message about an unknown constant no longer contains text of the record.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -144,6 +144,7 @@
             return;
         }
         runner.statusKnown = false;
+        runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (!run.startConfirmed && !pendingStarts.contains(run)) {
                 FleetRunner.RunKey start = new FleetRunner.RunKey(run.task().key(), run.number());
@@ -192,6 +193,9 @@
                 applyEnd(runner, entry, nowNanos);
             }
         }
+        if (!status.truncated()) {
+            runner.heldRuns.clear();
+        }
         Set<FleetRunner.RunKey> reported = new HashSet<>();
         for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
             reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
@@ -267,6 +271,7 @@
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         runner.orphanStopNanos.clear();
+        runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 loseRun(run, "the runner restarted");
@@ -275,6 +280,10 @@
     }
 
     private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+        if (jobs.held().contains(entry.task().job())) {
+            runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
+            return;
+        }
         Run run = runner.find(entry.task(), entry.runNumber());
         if (run == null) {
             run = adopt(runner, entry, nowNanos);
@@ -292,7 +301,23 @@
             run.lastProgressNanos = nowNanos;
         }
         run.measurement = entry.measurement();
-        updateCheckpoint(run.task(), run.number(), entry.checkpoint());
+        run.task().updateCheckpoint(run.number(), entry.checkpoint());
+    }
+
+    /**
+     * Loads a held job, applies the ends of its runs that were reported since, and adopts the runs that go on. No runner
+     * may be unreported, because a run there is not known.
+     */
+    public void loadHeldJob(JobDefinition definition, JobProgress progress, long nowNanos, long nowEpochMs) {
+        jobs.addWithStoredEnds(definition, progress, true, nowEpochMs);
+        for (FleetRunner runner : runners.values()) {
+            for (RunnerStatus.ActiveRun entry : List.copyOf(runner.heldRuns.values())) {
+                if (entry.task().job().equals(definition.id())) {
+                    runner.heldRuns.remove(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
+                    adopt(runner, entry, nowNanos);
+                }
+            }
+        }
     }
 
     /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
@@ -327,7 +352,15 @@
     }
 
     private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
-        runner.unresolvedStarts.remove(new FleetRunner.RunKey(end.task(), end.runNumber()));
+        FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
+        runner.unresolvedStarts.remove(key);
+        if (jobs.held().contains(end.task().job())) {
+            runner.heldRuns.remove(key);
+            if (jobs.held().addEnd(end)) {
+                observer.runEnded(runner, end, null);
+            }
+            return;
+        }
         Task task = jobs.findTask(end.task());
         Run run = runner.find(end.task(), end.runNumber());
         if (run != null) {
@@ -337,10 +370,7 @@
         if (task == null || task.done || task.job().terminalState != null) {
             return;
         }
-        task.job().started = true;
-        task.lastRunNumber = Math.max(task.lastRunNumber, end.runNumber());
-        updateCheckpoint(task, end.runNumber(), end.checkpoint());
-        jobs.markDirty(task.job());
+        jobs.recordEnd(task, end.runNumber(), end.checkpoint());
         observer.runEnded(runner, end, run);
         switch (end.reason()) {
             case DONE -> applyDone(task, run, runner, nowNanos);
@@ -359,20 +389,7 @@
             return;
         }
         task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run, nowNanos);
-        Job job = task.job();
-        for (Task member : job.gangOf(task)) {
-            if (!member.done) {
-                member.done = true;
-                job.openTasks--;
-                jobs.readyTasks().remove(member);
-                stopAll(member);
-            }
-        }
-        if (job.allDone()) {
-            jobs.finish(job, JobState.COMPLETED);
-        } else if (job.stepDone(task.key().occurrence(), task.key().step())) {
-            jobs.updateReadinessOfOccurrence(job, task.key().occurrence());
-        }
+        jobs.complete(task);
     }
 
     private static void recordDuration(Run run, long nowNanos) {
@@ -387,27 +404,13 @@
             jobs.updateReadiness(task);
             return;
         }
-        if (task.failedRunNumbers.add(runNumber)) {
+        if (!task.failedRunNumbers.contains(runNumber)) {
             if (task.avoidedRunners.isEmpty()) {
                 runner.health.recordFailure(task.job().id(), nowNanos);
             }
             avoidRunner(task, runner);
         }
-        int attempts = 0;
-        for (Task member : task.job().gangOf(task)) {
-            attempts += member.failedRunNumbers.size();
-        }
-        if (attempts >= task.job().definition().queue().maxAttempts()) {
-            jobs.finish(task.job(), JobState.FAILED);
-        } else {
-            jobs.updateReadiness(task);
-        }
-    }
-
-    private void updateCheckpoint(Task task, long runNumber, String checkpoint) {
-        if (task.step().checkpointed() && !checkpoint.isEmpty() && runNumber >= task.lastRunNumber) {
-            task.checkpoint = checkpoint;
-        }
+        jobs.recordFailure(task, runNumber);
     }
 
     // ---- Commands
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -60,6 +60,8 @@
     final Map<RunKey, Run> runs = new HashMap<>();
     /** When a stop was last sent for each orphaned run, that is, a run that the leader does not know. */
     final Map<RunKey, Long> orphanStopNanos = new HashMap<>();
+    /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
+    final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
     /**
      * Starts without a response that were given up with the runner, and when stops were sent for them. Such a start may
      * still take effect once the runner's lease is extended.
@@ -99,9 +101,9 @@
         return statusKnown;
     }
 
-    /** Returns whether the runner has any run that the leader knows. */
+    /** Returns whether the runner has any run that the leader knows, or one of a held job. */
     public boolean busy() {
-        return !runs.isEmpty();
+        return !runs.isEmpty() || !heldRuns.isEmpty();
     }
 
     /**
--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -89,6 +89,27 @@
         return runners;
     }
 
+    /**
+     * Checks that each task exists in a job, because the progress of another task cannot be told from it.
+     *
+     * @throws IllegalArgumentException if a task does not exist
+     */
+    public void checkTasksOf(JobDefinition job) {
+        int occurrences = Math.min(createdOccurrences, job.occurrences());
+        for (TaskProgress task : tasks) {
+            boolean exists = task.occurrence() >= 0
+                    && task.occurrence() < occurrences
+                    && task.step() >= 0
+                    && task.step() < job.steps().size()
+                    && task.index() >= 0
+                    && task.index() < job.steps().get(task.step()).count();
+            if (!exists) {
+                throw new IllegalArgumentException("the progress names task %d.%d.%d, which the job does not have"
+                        .formatted(task.occurrence(), task.step(), task.index()));
+            }
+        }
+    }
+
     void applyTo(Job job) {
         int occurrences = Math.min(createdOccurrences, job.definition().occurrences());
         while (job.createdOccurrences() < occurrences) {
--- a/src/main/java/org/tamarackline/core/fleet/JobState.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobState.java
@@ -6,6 +6,8 @@
     QUEUED,
     /** A task has started. */
     RUNNING,
+    /** A record of the job cannot be read, so none of its tasks starts; not stored. */
+    HELD,
     /** Every task is done. */
     COMPLETED,
     /** A task has failed as often as its queue permits. */
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -28,6 +28,7 @@
     private final Map<String, JobState> terminalStates = new LinkedHashMap<>();
     private final Set<Job> recurringJobs = new LinkedHashSet<>();
     private final Set<Job> dirtyJobs = new LinkedHashSet<>();
+    private final HeldJobs heldJobs = new HeldJobs();
 
     JobTracker(FleetObserver observer, PendingStarts pendingStarts, RunStopper runStopper) {
         this.observer = observer;
@@ -46,8 +47,8 @@
             return;
         }
         Job job = new Job(definition, inherited);
-        jobs.put(job.id(), job);
         progress.applyTo(job);
+        jobs.put(job.id(), job);
         if (definition.scheduledOccurrences() > 0) {
             recurringJobs.add(job);
         }
@@ -60,9 +61,55 @@
         }
     }
 
+    /** Returns the jobs whose records cannot be read. */
+    public HeldJobs held() {
+        return heldJobs;
+    }
+
+    /** Holds a job because a record of it cannot be read. Does nothing if the job is known. */
+    public void hold(String id) {
+        if (!jobs.containsKey(id) && !terminalStates.containsKey(id)) {
+            heldJobs.hold(id);
+        }
+    }
+
+    /**
+     * Adds a job that is not held, or no longer, and applies the ends of its runs that were stored while it was held.
+     *
+     * @see #add
+     */
+    public void addWithStoredEnds(JobDefinition definition, JobProgress progress, boolean inherited, long nowEpochMs) {
+        add(definition, progress, inherited, nowEpochMs);
+        heldJobs.release(definition.id()).forEach(this::applyHeldEnd);
+    }
+
+    private void applyHeldEnd(HeldEnd end) {
+        Task task = findTask(end.task());
+        if (task == null || task.done || task.job().terminalState != null) {
+            return;
+        }
+        recordEnd(task, end.runNumber(), end.checkpoint());
+        if (end.reason() == EndReason.DONE && !task.step().longRunning()) {
+            complete(task);
+        } else if (end.reason() == EndReason.FAILED && !task.step().longRunning()) {
+            recordFailure(task, end.runNumber());
+        }
+    }
+
+    /** Removes the stored ends of jobs that are neither open nor held, once all jobs were read. */
+    public void removeUnneededEnds() {
+        heldJobs.markOthersObsolete(jobs.keySet());
+    }
+
+    /** Drops a held job that was removed from the store. */
+    public void dropHeld(String id) {
+        heldJobs.drop(id);
+    }
+
     /** Adds a job whose terminal state is already stored. */
     public void addFinished(String id, JobState state) {
         terminalStates.put(id, state);
+        heldJobs.drop(id);
     }
 
     /** Removes a finished job that was deleted from the store. */
@@ -70,11 +117,16 @@
         terminalStates.remove(id);
     }
 
-    /** Cancels a job and stops its runs. Does nothing if the job is unknown or has a terminal state. */
+    /**
+     * Cancels a job and stops its runs; those of a held job once the cancellation is stored. Does nothing if the job is
+     * unknown or has a terminal state.
+     */
     public void cancel(String id) {
         Job job = jobs.get(id);
         if (job != null && job.terminalState == null) {
             finish(job, JobState.CANCELLED);
+        } else if (heldJobs.contains(id)) {
+            heldJobs.cancel(id);
         }
     }
 
@@ -87,6 +139,9 @@
         if (terminalState != null) {
             return Optional.of(terminalState);
         }
+        if (heldJobs.contains(id)) {
+            return Optional.of(JobState.HELD);
+        }
         Job job = jobs.get(id);
         if (job == null) {
             return Optional.empty();
@@ -156,6 +211,46 @@
         }
     }
 
+    /** Records what the end of a run tells, however it ended. */
+    void recordEnd(Task task, long runNumber, String checkpoint) {
+        task.job().started = true;
+        task.lastRunNumber = Math.max(task.lastRunNumber, runNumber);
+        task.updateCheckpoint(runNumber, checkpoint);
+        dirtyJobs.add(task.job());
+    }
+
+    /** Completes a task and its gang. */
+    void complete(Task task) {
+        Job job = task.job();
+        for (Task member : job.gangOf(task)) {
+            if (!member.done) {
+                member.done = true;
+                job.openTasks--;
+                readyTasks.remove(member);
+                runStopper.stopAll(member);
+            }
+        }
+        if (job.allDone()) {
+            finish(job, JobState.COMPLETED);
+        } else if (job.stepDone(task.key().occurrence(), task.key().step())) {
+            updateReadinessOfOccurrence(job, task.key().occurrence());
+        }
+    }
+
+    /** Counts a failed run, and fails the job if its task or gang has used up the attempts. */
+    void recordFailure(Task task, long runNumber) {
+        task.failedRunNumbers.add(runNumber);
+        int attempts = 0;
+        for (Task member : task.job().gangOf(task)) {
+            attempts += member.failedRunNumbers.size();
+        }
+        if (attempts >= task.job().definition().queue().maxAttempts()) {
+            finish(task.job(), JobState.FAILED);
+        } else {
+            updateReadiness(task);
+        }
+    }
+
     void finish(Job job, JobState state) {
         job.terminalState = state;
         dirtyJobs.add(job);
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -50,6 +50,13 @@
         return step;
     }
 
+    /** Keeps the checkpoint of a run, unless a later run is known. */
+    void updateCheckpoint(long runNumber, String next) {
+        if (step.checkpointed() && !next.isEmpty() && runNumber >= lastRunNumber) {
+            checkpoint = next;
+        }
+    }
+
     Run findRun(long runNumber) {
         for (Run run : runs) {
             if (run.number() == runNumber) {
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.tamarackline.core.fleet.HeldEnd;
+import org.tamarackline.core.fleet.HeldJobs;
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
 import org.tamarackline.core.fleet.Job;
@@ -127,6 +129,11 @@
         toRemoveFromRoster.add(runner);
     }
 
+    /** Returns whether the store has progress of a job. */
+    boolean hasStoredProgress(String job) {
+        return storedProgress.contains(job);
+    }
+
     /** Removes a job that ended long ago. */
     void removeFinishedJob(String job) {
         finishedJobsToRemove.add(job);
@@ -142,7 +149,8 @@
     void scheduleFlushIfDirty() {
         if (context.fleet().jobs().hasUrgentDirtyJobs()) {
             scheduleFlush(true);
-        } else if (context.fleet().jobs().hasDirtyJobs()) {
+        } else if (context.fleet().jobs().hasDirtyJobs()
+                || context.fleet().jobs().held().dirty()) {
             scheduleFlush(false);
         }
     }
@@ -247,6 +255,9 @@
         private final List<String> cordoned = new ArrayList<>();
         private final List<String> removedFromRoster = new ArrayList<>();
         private final List<String> removedJobs = new ArrayList<>();
+        private final List<HeldEnd> heldEnds = new ArrayList<>();
+        private final List<HeldEnd> removedEnds = new ArrayList<>();
+        private final List<String> cancelledHeldJobs = new ArrayList<>();
 
         boolean empty() {
             return writes.isEmpty();
@@ -269,7 +280,9 @@
                 processedEnds.clear();
                 context.fleet().jobs().returnDirtyJobs(deferred);
             }
+            addHeldEnds();
             addRosterChanges();
+            addCancelledHeldJobs();
             addRemovedJobs();
             addInterferenceEstimates();
         }
@@ -311,6 +324,42 @@
             }
         }
 
+        /** Adds the ends of the runs of held jobs; the runners may discard no end before all of them are stored. */
+        private void addHeldEnds() {
+            HeldJobs held = context.fleet().jobs().held();
+            for (HeldEnd end : held.unstoredEnds()) {
+                if (writes.size() >= FleetConstants.MAX_COMMIT_WRITES) {
+                    processedEnds.clear();
+                    break;
+                }
+                heldEnds.add(end);
+                write(RecordStore.Table.PROGRESS, RecordCodec.heldEndKey(end), RecordCodec.encodeHeldEnd(end));
+            }
+            for (HeldEnd end : held.obsoleteEnds()) {
+                if (writes.size() < FleetConstants.MAX_COMMIT_WRITES) {
+                    removedEnds.add(end);
+                    write(RecordStore.Table.PROGRESS, RecordCodec.heldEndKey(end), null);
+                }
+            }
+        }
+
+        private void addCancelledHeldJobs() {
+            for (String job : context.fleet().jobs().held().cancellations()) {
+                if (writes.size() + 3 > FleetConstants.MAX_COMMIT_WRITES) {
+                    break;
+                }
+                cancelledHeldJobs.add(job);
+                write(
+                        RecordStore.Table.JOBS,
+                        job,
+                        RecordCodec.encodeFinishedJob(JobState.CANCELLED, timeOfDay.millis()));
+                if (storedProgress.contains(job)) {
+                    write(RecordStore.Table.PROGRESS, job, null);
+                }
+                write(RecordStore.Table.JOBS, StoredJob.cancelKey(job), null);
+            }
+        }
+
         private void addRosterChanges() {
             for (RunnerDescriptor runner : List.copyOf(toAddToRoster.values())) {
                 if (writes.size() < FleetConstants.MAX_COMMIT_WRITES) {
@@ -372,7 +421,16 @@
         }
 
         void onApplied() {
+            HeldJobs held = context.fleet().jobs().held();
+            held.markStored(heldEnds);
+            held.markRemoved(removedEnds);
+            for (String job : cancelledHeldJobs) {
+                storedProgress.remove(job);
+                context.log().heldJobReleased(job, "it is cancelled");
+                context.fleet().jobs().addFinished(job, JobState.CANCELLED);
+            }
             for (Job job : jobs) {
+                held.markObsolete(job.id());
                 if (terminalStates.get(job) != null) {
                     storedProgress.remove(job.id());
                     context.fleet().jobs().markStored(job);
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -220,6 +220,7 @@
             json.writeNumberField("epoch", state.epoch());
             json.writeNumberField("ledMs", state.ledMs());
             json.writeNumberField("openJobs", state.openJobs());
+            json.writeNumberField("heldJobs", state.heldJobs());
             json.writeNumberField("waitingTasks", state.readyTasks());
             json.writeNumberField("heldTasks", state.heldTasks());
             json.writeNumberField("unheardRunners", state.unreportedRunners());
@@ -230,6 +231,14 @@
         });
     }
 
+    /** Logs that a job is no longer held. */
+    void heldJobReleased(String job, String reason) {
+        writeLine("job-released", json -> {
+            json.writeStringField("job", job);
+            json.writeStringField("reason", reason);
+        });
+    }
+
     void storeState(String event, String cause) {
         writeLine(event, json -> json.writeStringField("cause", cause));
     }
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -90,6 +90,9 @@
      */
     static final Duration STATE_LOG_INTERVAL = Duration.ofSeconds(2);
 
+    /** Interval at which the records of held jobs are read again. */
+    static final Duration HELD_JOBS_READ_INTERVAL = Duration.ofSeconds(5);
+
     /** Longest time that one read waits for a change of the jobs. */
     static final Duration JOBS_FOLLOW_WAIT = Duration.ofSeconds(1);
 
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -156,6 +156,7 @@
                 Leader leader = election.leader().get();
                 json.writeNumberField("epoch", leader.record().epoch());
                 json.writeNumberField("openJobs", leader.fleet().jobs().openJobCount());
+                json.writeNumberField("heldJobs", leader.fleet().jobs().held().count());
                 json.writeNumberField("waitingTasks", leader.fleet().jobs().readyTaskCount());
                 json.writeNumberField("unheardRunners", leader.fleet().unreportedRunners());
                 json.writeNumberField("storeAgeMs", leader.storeAgeMs());
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -7,10 +7,10 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.JobTracker;
@@ -67,16 +67,14 @@
     }
 
     /** Reads all jobs; earlier leaders may have started any of them. */
-    void readAll(Map<String, JobProgress> progress, Runnable callback) {
+    void readAll(StoredProgress progress, Runnable callback) {
         Set<String> cancelled = new HashSet<>();
-        tables.readAll(
-                RecordStore.Table.JOBS,
-                entry -> applyEntry(entry, true, progress.getOrDefault(entry.key(), JobProgress.NONE), cancelled),
-                readVersion -> {
-                    cancelled.forEach(jobs::cancel);
-                    version = readVersion;
-                    callback.run();
-                });
+        tables.readAll(RecordStore.Table.JOBS, entry -> applyEntry(entry, true, progress, cancelled), readVersion -> {
+            jobs.removeUnneededEnds();
+            cancelled.forEach(jobs::cancel);
+            version = readVersion;
+            callback.run();
+        });
     }
 
     /** Follows the changes from the version that was read. */
@@ -125,7 +123,7 @@
     }
 
     /** A job on a later page may have been accepted after a successor's claim, which the earlier pages do not show. */
-    private void runIfStillLeading(Runnable next) {
+    void runIfStillLeading(Runnable next) {
         store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
             if (!leader.leading()) {
                 return;
@@ -144,7 +142,7 @@
     private void applyChanges(Collection<RecordStore.Entry> entries) {
         Set<String> cancelled = new HashSet<>();
         for (RecordStore.Entry entry : entries) {
-            tables.readEntry(entry, each -> applyEntry(each, false, JobProgress.NONE, cancelled));
+            tables.readEntry(entry, each -> applyEntry(each, false, StoredProgress.NONE, cancelled));
         }
         if (!leader.ended()) {
             cancelled.forEach(jobs::cancel);
@@ -152,7 +150,7 @@
         }
     }
 
-    private void applyEntry(RecordStore.Entry entry, boolean inherited, JobProgress progress, Set<String> cancelled)
+    private void applyEntry(RecordStore.Entry entry, boolean inherited, StoredProgress progress, Set<String> cancelled)
             throws CorruptRecordException {
         if (entry.key().equals(LeaderRecord.KEY)) {
             if (entry.version() > leaderVersion) {
@@ -168,10 +166,11 @@
             return;
         }
         if (entry.removed()) {
+            jobs.dropHeld(entry.key());
             return;
         }
         switch (RecordCodec.decodeJob(entry.key(), entry.value())) {
-            case StoredJob.Open open -> jobs.add(open.definition(), progress, inherited, timeOfDay.millis());
+            case StoredJob.Open open -> addOpenJob(open.definition(), inherited, progress);
             case StoredJob.Finished finished -> {
                 if (jobs.state(finished.id()).filter(JobState::terminal).isEmpty()) {
                     jobs.addFinished(finished.id(), finished.state());
@@ -181,6 +180,24 @@
         }
     }
 
+    /** Adds an open job; one that is held is loaded by {@link HeldJobLoader}. */
+    private void addOpenJob(JobDefinition job, boolean inherited, StoredProgress progress)
+            throws CorruptRecordException {
+        if (progress.unreadable(job.id())) {
+            jobs.hold(job.id());
+        }
+        if (jobs.held().contains(job.id())) {
+            return;
+        }
+        try {
+            JobProgress stored = progress.of(job);
+            jobs.addWithStoredEnds(job, stored, inherited, timeOfDay.millis());
+        } catch (CorruptRecordException corrupt) {
+            jobs.hold(job.id());
+            throw corrupt;
+        }
+    }
+
     /** Passes the jobs whose retention has ended to {@code remove}, once each. */
     void expireFinishedJobs(Consumer<String> remove) {
         long oldestKeptMs = timeOfDay.millis() - FleetConstants.FINISHED_JOB_RETENTION.toMillis();
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -1,13 +1,10 @@
 package org.tamarackline.fleet;
 
 import java.time.InstantSource;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.Fleet;
-import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -37,7 +34,7 @@
     private final LeaderContext context;
     private final RunnerSessions sessions;
     private final JobFeed jobFeed;
-    private final Map<String, JobProgress> progress = new HashMap<>();
+    private final StoredProgress progress = new StoredProgress();
     private final LoopDelay loopDelay = new LoopDelay();
     private final EarlierLeaders earlierLeaders;
     private long endedBelowEpoch;
@@ -201,7 +198,11 @@
             fleet.restoreInterferenceEstimates(RecordCodec.decodeInterferenceEstimates(entry.value()));
             return;
         }
-        progress.put(entry.key(), RecordCodec.decodeProgress(entry.key(), entry.value()));
+        if (entry.key().startsWith(RecordCodec.HELD_END_PREFIX)) {
+            fleet.jobs().held().restoreEnd(RecordCodec.decodeHeldEnd(entry.key(), entry.value()));
+            return;
+        }
+        progress.read(entry);
     }
 
     private void applySequence(CommitSequence sequence) {
@@ -214,7 +215,7 @@
             return;
         }
         committer = new Committer(context, store, timeOfDay, this, record.epoch(), leaderVersion, sequenceVersion);
-        progress.keySet().forEach(committer::addStoredProgress);
+        progress.jobs().forEach(committer::addStoredProgress);
         progress.clear();
         loaded = true;
         if (earlierLeaders.ended()) {
@@ -224,6 +225,7 @@
         sessions.startPolling();
         sessions.addRegisteredToRoster(committer);
         jobFeed.follow();
+        new HeldJobLoader(loop, store, context, jobFeed, committer, timeOfDay, this::leading).start();
         loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
         loop.schedule(FleetConstants.STATE_LOG_INTERVAL, this::logState);
         tickDueNanos = loop.nowNanos();
@@ -238,6 +240,7 @@
                 record.epoch(),
                 (loop.nowNanos() - takeoverNanos) / 1_000_000,
                 fleet.jobs().openJobCount(),
+                fleet.jobs().held().count(),
                 fleet.jobs().readyTaskCount(),
                 fleet.heldTasks(),
                 fleet.unreportedRunners(),
--- a/src/main/java/org/tamarackline/fleet/LeaderState.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderState.java
@@ -6,6 +6,7 @@
  * @param epoch fencing token of the leader
  * @param ledMs time since its takeover, in milliseconds
  * @param openJobs jobs that have not reached a terminal state
+ * @param heldJobs jobs of which nothing starts because a record cannot be read
  * @param readyTasks tasks without a run whose dependencies are done
  * @param heldTasks ready tasks that wait because an unreported runner may already be running them
  * @param unreportedRunners runners that earlier leaders used and that have not reported to this one
@@ -18,6 +19,7 @@
         long epoch,
         long ledMs,
         int openJobs,
+        int heldJobs,
         int readyTasks,
         int heldTasks,
         int unreportedRunners,
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -14,6 +14,8 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.tamarackline.core.fleet.EndReason;
+import org.tamarackline.core.fleet.HeldEnd;
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
 import org.tamarackline.core.fleet.JobDefinition;
@@ -23,6 +25,7 @@
 import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.fleet.StepDefinition;
+import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
 
 /**
@@ -35,6 +38,9 @@
     /** Key of the interference estimates in the table of progress. */
     static final String INTERFERENCE_ESTIMATES_KEY = "!pairs";
 
+    /** Start of the keys of held ends in the table of progress; the task and the number of the run follow. */
+    static final String HELD_END_PREFIX = "!end/";
+
     /** Run numbers are multiples of the epoch, and the JSON of the runners carries no larger ones exactly. */
     static final long MAX_EPOCH = 100_000_000_000L;
 
@@ -129,6 +135,17 @@
         }
     }
 
+    /** Unpacks the name of a constant; the message of a failure contains nothing of the record. */
+    private static <E extends Enum<E>> E unpackConstant(MessageUnpacker in, E[] constants) throws IOException {
+        String name = in.unpackString();
+        for (E constant : constants) {
+            if (constant.name().equals(name)) {
+                return constant;
+            }
+        }
+        throw new IllegalArgumentException("the name of a constant is not known");
+    }
+
     private static List<LeaderRecord.EarlierLeader> unpackPossiblyActive(MessageUnpacker in) throws IOException {
         int count = in.unpackArrayHeader();
         List<LeaderRecord.EarlierLeader> possiblyActive = new ArrayList<>();
@@ -195,7 +212,9 @@
             check(JOB_ID.matcher(id).matches(), "the key is not the identifier of a job");
             int kind = in.unpackInt();
             if (kind == FINISHED_JOB) {
-                return new StoredJob.Finished(id, JobState.valueOf(in.unpackString()), in.unpackLong());
+                JobState state = unpackConstant(in, JobState.values());
+                check(state.terminal(), "the state of a finished job is not final");
+                return new StoredJob.Finished(id, state, in.unpackLong());
             }
             check(kind == OPEN_JOB, "the record is neither an open nor a finished job");
             long acceptedEpochMs = in.unpackLong();
@@ -346,6 +365,32 @@
         return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, checkpoint, runners);
     }
 
+    /** Returns the key of a held end. */
+    static String heldEndKey(HeldEnd end) {
+        return HELD_END_PREFIX + end.task() + "/" + end.runNumber();
+    }
+
+    static byte[] encodeHeldEnd(HeldEnd end) {
+        return pack(packer -> {
+            packer.packString(end.task().job());
+            packer.packInt(end.task().occurrence());
+            packer.packInt(end.task().step());
+            packer.packInt(end.task().index());
+            packer.packLong(end.runNumber());
+            packer.packString(end.reason().name());
+            packer.packString(end.checkpoint());
+        });
+    }
+
+    static HeldEnd decodeHeldEnd(String key, byte[] bytes) throws CorruptRecordException {
+        return unpack(key, bytes, in -> {
+            TaskKey task = new TaskKey(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt());
+            HeldEnd end = new HeldEnd(task, in.unpackLong(), unpackConstant(in, EndReason.values()), in.unpackString());
+            check(heldEndKey(end).equals(key), "the key does not name the run");
+            return end;
+        });
+    }
+
     static byte[] encodeRoster(RosterRecord roster) {
         RunnerDescriptor runner = roster.runner();
         return pack(packer -> {
--- a/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
+++ b/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
@@ -108,7 +108,10 @@
 
     private void respondState(String id, Responder responder) {
         node.state(id, result -> {
-            if (result.state().isPresent()) {
+            if (result.state().filter(JobState.HELD::equals).isPresent()) {
+                // The platform has no such state, and the job may be queued or running.
+                respondUnavailable(responder, "the job is held because a record of it cannot be read");
+            } else if (result.state().isPresent()) {
                 responder.respond(200, Map.of(), stateBody(result.state().get()));
             } else if (result.known()) {
                 responder.respond(410, Map.of(), EMPTY_BODY);
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -112,6 +112,11 @@
         store.write("servers", key, Base64.getEncoder().encodeToString(value));
     }
 
+    /** Replaces a record of the fleet's nodes, as another writer may do. */
+    public void writeFleetRecord(String table, String key, byte[] value) {
+        store.write(table, "0", key, Base64.getEncoder().encodeToString(value));
+    }
+
     /** Sets whether the store responds to every request with status 503. */
     public void setStoreDown(boolean down) {
         storeDown = down;
--- a/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
@@ -76,10 +76,15 @@
     }
 
     /** Writes a row without conditions, as an operator or a runner does. */
-    synchronized void write(String table, String key, String value) {
+    void write(String table, String key, String value) {
+        write(table, "", key, value);
+    }
+
+    /** Writes a row of a partition without conditions. */
+    synchronized void write(String table, String part, String key, String value) {
         version++;
-        StoreRow row = new StoreRow(table, "", key, value, version);
-        rowsByFullKey.put(fullKey(table, "", key), row);
+        StoreRow row = new StoreRow(table, part, key, value, version);
+        rowsByFullKey.put(fullKey(table, part, key), row);
         history.add(row);
         notifyAll();
     }
--- a/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
+++ b/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
@@ -7,9 +7,13 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.tamarackline.core.fleet.EndReason;
+import org.tamarackline.core.fleet.HeldEnd;
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
 import org.tamarackline.core.fleet.JobProgress;
+import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -21,6 +25,8 @@
         Object decode(byte[] bytes) throws CorruptRecordException;
     }
 
+    private static final HeldEnd HELD_END = new HeldEnd(new TaskKey("j", 0, 1, 2), 30_001, EndReason.DONE, "c");
+
     private static final Map<String, Decoder> DECODERS = Map.of(
             "leader",
             RecordCodec::decodeLeader,
@@ -33,13 +39,17 @@
             "progress",
             bytes -> RecordCodec.decodeProgress("j", bytes),
             "roster",
-            bytes -> RecordCodec.decodeRoster("r", bytes));
+            bytes -> RecordCodec.decodeRoster("r", bytes),
+            "held end",
+            bytes -> RecordCodec.decodeHeldEnd(RecordCodec.heldEndKey(HELD_END), bytes));
 
     private static final List<byte[]> VALID = List.of(
             RecordCodec.encodeLeader(new LeaderRecord(
                     3, "n", "10.0.0.1:1", 5, false, List.of(new LeaderRecord.EarlierLeader(2, "10.0.0.2:1")))),
             RecordCodec.encodeSequence(new CommitSequence(3, 2, 1)),
             RecordCodec.encodeInterferenceEstimates(Map.of(new ImagePair("a", "b"), new InterferenceEstimate(1, 1))),
+            RecordCodec.encodeHeldEnd(HELD_END),
+            RecordCodec.encodeFinishedJob(JobState.COMPLETED, 1),
             RecordCodec.encodeOpenJob(JobDefinitions.tasks("j", 2, 100)),
             RecordCodec.encodeProgress(new JobProgress(
                     1, List.of(new JobProgress.TaskProgress(0, 0, 0, false, List.of(1L), "c", List.of("r"))))));
@@ -75,6 +85,23 @@
         decodeAll(longer);
     }
 
+    /** Guards against an end that is lost because a leader cannot read what another one has stored. */
+    @Test
+    void heldEndsAreDecodedAsTheyWereStored() throws CorruptRecordException {
+        byte[] bytes = RecordCodec.encodeHeldEnd(HELD_END);
+        assertThat(RecordCodec.decodeHeldEnd(RecordCodec.heldEndKey(HELD_END), bytes))
+                .isEqualTo(HELD_END);
+        assertThatThrownBy(() -> RecordCodec.decodeHeldEnd("!end/k.0.1.2/30001", bytes))
+                .isInstanceOf(CorruptRecordException.class);
+    }
+
+    /** Guards against a finished job that callers see as held or queued for good. */
+    @Test
+    void finishedJobInAStateThatIsNotFinalIsCorrupt() {
+        byte[] bytes = RecordCodec.encodeFinishedJob(JobState.HELD, 1);
+        assertThatThrownBy(() -> RecordCodec.decodeJob("j", bytes)).isInstanceOf(CorruptRecordException.class);
+    }
+
     /** Guards against estimates that no later measurement can correct, because they are not numbers. */
     @Test
     void estimatesThatAreNoFiniteNumbersAreCorrupt() {
--- a/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeTest.java
@@ -213,6 +213,30 @@
                 .allSatisfy((task, starts) -> assertThat(starts).isOne());
     }
 
+    /** Guards against callers that are told "queued" of a job whose progress is damaged, and that cannot end it. */
+    @Test
+    void heldJobIsUnavailableOnEveryNodeUntilItIsCancelled() throws Exception {
+        startNode("first");
+        submit(0, LONG_RUNNING_JOB);
+        awaitLog("\"event\":\"start\"");
+        nodes.removeFirst().kill();
+        fleet.writeFleetRecord("progress", JOB_ID, new byte[] {(byte) 0xc1});
+        log.reset();
+        startNode("second");
+        awaitLog("leader-ready");
+        startNode("third");
+        awaitLog("\"node\":\"third\",\"event\":\"leader-followed\"");
+        for (InetSocketAddress node : callerAddresses.subList(1, 3)) {
+            assertThat(caller.send(node, "GET", JOB_ID, null)).isEqualTo(503);
+        }
+        assertThat(caller.send(callerAddresses.get(2), "DELETE", JOB_ID, null)).isEqualTo(200);
+        assertThat(caller.awaitJobState(callerAddresses.get(2), JOB_ID, "cancelled", TIMEOUT))
+                .isTrue();
+        awaitLog("job-released");
+        assertThat(fleet.startCounts())
+                .allSatisfy((task, starts) -> assertThat(starts).isOne());
+    }
+
     /** Guards against invalid requests that crash a node or are stored. */
     @Test
     void rejectsInvalidRequests() throws Exception {
