Hold jobs whose own record cannot be read

Cause: a record of a job that could not be decoded was skipped, so the leader did not know the job. It stopped the job's runs, processed their ends without effect and acknowledged them to the runners, which forgot the results. When the record was written again, the leader in office loaded the job without its progress. The job could not be cancelled.

Change: such a job is held like one whose progress cannot be read: its runs go on, their ends are stored before they are acknowledged, and it is loaded with its progress, these ends and its runs once its record can be read. Ends of a job that the leader does not have are therefore acknowledged only if the job does not exist or is finished. A cancellation is stored although the job's record cannot be decoded.

The acknowledged position is one number for all ends of a runner. Holding it back would keep all later ends of the runner listed, up to 500, after which further ends are invisible. Storing the ends costs one write for each end of a held job and nothing for others.

--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -169,7 +169,7 @@
             jobs.dropHeld(entry.key());
             return;
         }
-        switch (RecordCodec.decodeJob(entry.key(), entry.value())) {
+        switch (decodeOrHold(entry)) {
             case StoredJob.Open open -> addOpenJob(open.definition(), inherited, progress);
             case StoredJob.Finished finished -> {
                 if (jobs.state(finished.id()).filter(JobState::terminal).isEmpty()) {
@@ -180,6 +180,18 @@
         }
     }
 
+    /** Decodes a job; one that cannot be decoded is held, because an earlier leader may have started its tasks. */
+    private StoredJob decodeOrHold(RecordStore.Entry entry) throws CorruptRecordException {
+        try {
+            return RecordCodec.decodeJob(entry.key(), entry.value());
+        } catch (CorruptRecordException corrupt) {
+            if (RecordCodec.isJobId(entry.key())) {
+                jobs.hold(entry.key());
+            }
+            throw corrupt;
+        }
+    }
+
     /** Adds an open job; one that is held is loaded by {@link HeldJobLoader}. */
     private void addOpenJob(JobDefinition job, boolean inherited, StoredProgress progress)
             throws CorruptRecordException {
--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -68,10 +68,10 @@
         };
     }
 
-    /** Stores the cancellation of a job. */
+    /** Stores the cancellation of a job, also if the job's record cannot be decoded. */
     void cancel(String id, Consumer<Outcome> callback) {
         loop.execute(() -> readJob(id, stored -> {
-            if (stored.failure() != null) {
+            if (stored.failure() != null && !stored.exists()) {
                 callback.accept(new Outcome.Unavailable(stored.failure()));
             } else if (!stored.exists()) {
                 callback.accept(new Outcome.NoSuchJob());
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -207,9 +207,14 @@
         });
     }
 
+    /** Returns whether a key of the table of jobs can be the identifier of a job. */
+    static boolean isJobId(String key) {
+        return JOB_ID.matcher(key).matches();
+    }
+
     static StoredJob decodeJob(String id, byte[] bytes) throws CorruptRecordException {
         return unpack(id, bytes, in -> {
-            check(JOB_ID.matcher(id).matches(), "the key is not the identifier of a job");
+            check(isJobId(id), "the key is not the identifier of a job");
             int kind = in.unpackInt();
             if (kind == FINISHED_JOB) {
                 JobState state = unpackConstant(in, JobState.values());
--- a/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
@@ -264,6 +264,112 @@
         assertThat(storedState("j")).isEqualTo(JobState.CANCELLED);
     }
 
+    /** Ends the leader while both tasks of a job run, and damages the record of the job. */
+    private byte[] runTasksThenDamageJob() {
+        calls.add(runner);
+        startLeader();
+        submit("j", 2);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(startsOf("j")).hasSize(2);
+        leader.end();
+        byte[] job = store.table(RecordStore.Table.JOBS).get("j").value();
+        write(RecordStore.Table.JOBS, "j", GARBAGE);
+        return job;
+    }
+
+    /** Guards against an end that a runner discards because its leader does not know the job. */
+    @Test
+    void endsOfAJobThatCannotBeDecodedAreNotLost() throws CorruptRecordException {
+        byte[] job = runTasksThenDamageJob();
+        startLeader();
+        loop.advance(TASK_DURATION.plusSeconds(3));
+        assertThat(ends).extracting(end -> end.reason().name()).containsOnly("DONE");
+        assertThat(acknowledgedEndsOf("j")).as("ends that are stored").hasSize(2);
+        startLeader();
+        write(RecordStore.Table.JOBS, "j", job);
+        loop.advance(RELOAD_TIME);
+        assertThat(startsOf("j")).as("both tasks are known to be done").hasSize(2);
+        assertThat(storedState("j")).isEqualTo(JobState.COMPLETED);
+        assertThat(heldEndRecords()).isZero();
+    }
+
+    /** Guards against another run of a task that was done before the record of its job was damaged. */
+    @Test
+    void rewrittenJobIsLoadedWithItsProgress() {
+        calls.add(runner);
+        submit("j", 2);
+        byte[] job = store.table(RecordStore.Table.JOBS).get("j").value();
+        write(RecordStore.Table.JOBS, "j", GARBAGE);
+        write(RecordStore.Table.PROGRESS, "j", progressWithDoneTasks(1));
+        startLeader();
+        write(RecordStore.Table.JOBS, "j", job);
+        loop.advance(RELOAD_TIME);
+        assertThat(startsOf("j")).containsExactly(new TaskKey("j", 0, 0, 1));
+    }
+
+    /** Guards against runs that start a second time when a leader in office finds that it can read their job. */
+    @Test
+    void runsOfARewrittenJobAreAdopted() throws CorruptRecordException {
+        byte[] job = runTasksThenDamageJob();
+        startLeader();
+        write(RecordStore.Table.JOBS, "j", job);
+        loop.advance(RELOAD_TIME);
+        assertThat(ends).as("the tasks still run").isEmpty();
+        loop.advance(TASK_DURATION);
+        assertThat(startsOf("j")).hasSize(2);
+        assertThat(storedState("j")).isEqualTo(JobState.COMPLETED);
+    }
+
+    /** Guards against a job that stays held although its record was mended, and one that is held although it is known. */
+    @Test
+    void jobThatIsDamagedWhileALeaderFollowsIt() {
+        calls.add(runner);
+        startLeader();
+        submit("known", 1);
+        loop.advance(Duration.ofSeconds(2));
+        write(RecordStore.Table.JOBS, "known", GARBAGE);
+        write(RecordStore.Table.JOBS, "new", GARBAGE);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(leader.state("known")).contains(JobState.RUNNING);
+        assertThat(leader.state("new").orElseThrow().name()).isEqualTo("HELD");
+        submit("new", 1);
+        loop.advance(RELOAD_TIME);
+        assertThat(startsOf("new")).hasSize(1);
+    }
+
+    /** Guards against a list of ends that a runner cannot discard because their job has been removed. */
+    @Test
+    void endsOfAJobThatDoesNotExistAreAcknowledged() {
+        runTasksThenDamageJob();
+        startLeader();
+        write(RecordStore.Table.JOBS, "j", null);
+        startLeader();
+        submit("other", 1);
+        loop.advance(TASK_DURATION.plusSeconds(3));
+        assertThat(acknowledgedEndsOf("j")).hasSize(2);
+        assertThat(heldEndRecords()).isZero();
+        assertThat(leader.state("j")).isEmpty();
+    }
+
+    /** Guards against a job that no operator can end, because its record cannot be decoded. */
+    @Test
+    void jobThatCannotBeDecodedCanBeCancelled() throws CorruptRecordException {
+        runTasksThenDamageJob();
+        startLeader();
+        ElectionCluster followers = new ElectionCluster();
+        JobRequestHandler handler = new JobRequestHandler(
+                loop,
+                store,
+                followers.start("node-0").election(),
+                new FakePeerCalls(loop, new FakePeerCalls.Network()));
+        List<JobRequestHandler.Outcome> outcomes = new ArrayList<>();
+        handler.cancel("j", outcomes::add);
+        loop.advance(Duration.ofSeconds(5));
+        assertThat(outcomes).hasSize(1).first().isInstanceOf(JobRequestHandler.Outcome.Accepted.class);
+        assertThat(storedState("j")).isEqualTo(JobState.CANCELLED);
+        assertThat(ends).extracting(end -> end.reason().name()).containsOnly("STOPPED");
+    }
+
     /** Guards against a state of a job that does not exist. */
     @Test
     void damagedProgressWithoutAJobHoldsNothing() {
