Do not begin epochs anew after the leader record was removed

Cause: a node that found no leader record claimed epoch 1 without earlier leaders. If another writer had removed the record, epoch 1 was used a second time, while the earlier leader may still have sent commands.

Change: the first claim of all also requires that there is no commit sequence, which the first transaction of every leader writes. On a conflict without a leader record the node writes one that cannot be decoded, on condition that there is none, and claims its version as the epoch, as with any unreadable record. A fresh fleet still begins with epoch 1 and one transaction.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -1,6 +1,7 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -54,6 +55,9 @@
 
     private static final int NEXT_SUCCESSOR_RANKS = 2;
 
+    /** An epoch that is out of range, and nothing else. */
+    private static final byte[] UNREADABLE_RECORD = {0};
+
     private final NodeServices services;
     private final EventLoop loop;
     private final RecordStore store;
@@ -381,9 +385,18 @@
         });
     }
 
+    /**
+     * Returns the transaction that replaces the leader record. Where there is none, no leader may have stored anything
+     * either, because the record of a leader may have been removed.
+     */
     private static RecordStore.Transaction conditionalWrite(LeaderRecord record, long version) {
+        List<RecordStore.Condition> conditions = new ArrayList<>();
+        conditions.add(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version));
+        if (version == 0) {
+            conditions.add(new RecordStore.Condition(RecordStore.Table.PROGRESS, CommitSequence.KEY, 0));
+        }
         return new RecordStore.Transaction(
-                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version)),
+                conditions,
                 List.of(new RecordStore.Write(
                         RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record))));
     }
@@ -406,8 +419,12 @@
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 startLeading(record, applied.version(), sentNanos, reason);
             } else {
-                if (result instanceof RecordStore.TransactionResult.Conflict) {
+                if (result instanceof RecordStore.TransactionResult.Conflict conflict) {
                     storeRespondedNanos = loop.nowNanos();
+                    if (version == 0 && !containsLeader(conflict)) {
+                        replaceRemovedRecord();
+                        return;
+                    }
                 }
                 // An earlier claim may have taken effect, so read the record to learn the outcome.
                 log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
@@ -416,6 +433,23 @@
         });
     }
 
+    private static boolean containsLeader(RecordStore.TransactionResult.Conflict conflict) {
+        return conflict.current().stream().anyMatch(entry -> entry.key().equals(LeaderRecord.KEY) && !entry.removed());
+    }
+
+    /**
+     * Writes a leader record that cannot be decoded in place of one that was removed. Its version is higher than that of
+     * every earlier claim, whose epochs are not known.
+     */
+    private void replaceRemovedRecord() {
+        claim = null;
+        log.skippedRecord(LeaderRecord.KEY, "it was removed although a leader has stored transactions");
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, 0)),
+                List.of(new RecordStore.Write(RecordStore.Table.JOBS, LeaderRecord.KEY, UNREADABLE_RECORD)));
+        store.transact(transaction, result -> loop.schedule(RETRY_DELAY, this::readRecord));
+    }
+
     private void startLeading(LeaderRecord record, long version, long sentNanos, String reason) {
         claim = null;
         if (record.epoch() < minEpoch) {
--- a/src/test/java/org/tamarackline/fleet/UnreadableLeaderRecordTest.java
+++ b/src/test/java/org/tamarackline/fleet/UnreadableLeaderRecordTest.java
@@ -77,6 +77,22 @@
         assertThat(leader.fleet().unreportedRunners()).isZero();
     }
 
+    /** Guards against a removed record after which epochs begin at 1 again. */
+    @Test
+    void removedRecordIsNotTakenForAFleetWithoutAnEarlierLeader() {
+        ElectionCluster.Node first = cluster.start("node-0");
+        cluster.loop().advance(Duration.ofSeconds(3));
+        cluster.kill(first);
+        long highestEpoch = cluster.storedLeader().epoch();
+        writeLeader(null);
+        cluster.start("node-1");
+        cluster.start("node-2");
+        cluster.loop().advance(Duration.ofSeconds(5));
+        assertThat(cluster.leading()).hasSize(1);
+        assertThat(cluster.storedLeader().epoch()).isGreaterThan(highestEpoch);
+        assertThat(cluster.storedLeader().possiblyActive()).hasSize(1);
+    }
+
     /** Guards against epochs near the limit, and against a later record whose epoch is not the highest. */
     @Test
     void epochAboveTheVersionOfItsRecordIsNotUsed() {
