Create an occurrence of which a runner reports a run

Cause: a leader starts the tasks of an occurrence as soon as its clock finds it due and stores that later. A successor whose clock is behind did not know these tasks: it stopped their runs, and processed and acknowledged their ends without effect, so the tasks started again when the occurrence became due.

Change: a leader creates the next occurrence of an inherited job when a runner reports a run of it, active or ended.

Result: two of the three tests of InheritedOccurrencesTest failed before (a stop, and a second start); they pass now. The third checks that later occurrences, and those of jobs that no earlier leader had, are not created.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -322,7 +322,7 @@
 
     /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
     private Run adopt(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
-        Task task = jobs.findTask(entry.task());
+        Task task = jobs.findReportedTask(entry.task());
         if (task == null || task.done || task.job().terminalState != null) {
             return null;
         }
@@ -361,7 +361,7 @@
             }
             return;
         }
-        Task task = jobs.findTask(end.task());
+        Task task = jobs.findReportedTask(end.task());
         Run run = runner.find(end.task(), end.runNumber());
         if (run != null) {
             runner.remove(run);
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -84,7 +84,7 @@
     }
 
     private void applyHeldEnd(HeldEnd end) {
-        Task task = findTask(end.task());
+        Task task = findReportedTask(end.task());
         if (task == null || task.done || task.job().terminalState != null) {
             return;
         }
@@ -269,14 +269,18 @@
         while (job.terminalState == null
                 && job.createdOccurrences() < job.definition().occurrences()
                 && job.definition().isDue(job.createdOccurrences(), nowEpochMs)) {
-            job.createOccurrence();
-            if (job.definition().scheduledOccurrences() > 0) {
-                dirtyJobs.add(job);
-            }
-            updateReadinessOfOccurrence(job, job.createdOccurrences() - 1);
+            createNextOccurrence(job);
         }
     }
 
+    private void createNextOccurrence(Job job) {
+        job.createOccurrence();
+        if (job.definition().scheduledOccurrences() > 0) {
+            dirtyJobs.add(job);
+        }
+        updateReadinessOfOccurrence(job, job.createdOccurrences() - 1);
+    }
+
     void updateReadinessOfOccurrence(Job job, int occurrence) {
         for (Task[] step : job.occurrence(occurrence)) {
             for (Task task : step) {
@@ -323,6 +327,23 @@
         dirtyJobs.add(job);
     }
 
+    /**
+     * Returns a task of an open job of which a runner reports a run, or null if there is none with this key. Creates the
+     * next occurrence of an inherited job if the task is in it: an earlier leader, whose clock may be ahead of this one,
+     * found it due and may have ended before it stored that.
+     */
+    Task findReportedTask(TaskKey key) {
+        Job job = jobs.get(key.job());
+        if (job != null
+                && job.inherited()
+                && job.terminalState == null
+                && key.occurrence() == job.createdOccurrences()
+                && key.occurrence() < job.definition().occurrences()) {
+            createNextOccurrence(job);
+        }
+        return findTask(key);
+    }
+
     /** Returns a task of an open job, or null if there is none with this key. */
     Task findTask(TaskKey key) {
         Job job = jobs.get(key.job());
