--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -155,6 +155,7 @@
             return;
         }
         runner.statusKnown = false;
+        runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (!run.startConfirmed && !pendingStarts.contains(run)) {
                 FleetRunner.RunKey start = new FleetRunner.RunKey(run.task().key(), run.number());
@@ -205,6 +206,9 @@
                 jobs.onEndProcessed(entry.task().job());
             }
         }
+        if (!status.truncated()) {
+            runner.heldRuns.clear();
+        }
         Set<FleetRunner.RunKey> reported = new HashSet<>();
         for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
             reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
@@ -297,6 +301,7 @@
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         runner.orphanStopNanos.clear();
+        runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 loseRun(run, "the runner restarted");
@@ -305,6 +310,10 @@
     }
 
     private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+        if (jobs.held().contains(entry.task().job())) {
+            runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
+            return;
+        }
         Run run = runner.find(entry.task(), entry.runNumber());
         if (run == null) {
             run = adopt(runner, entry, nowNanos);
@@ -322,12 +331,28 @@
             run.lastProgressNanos = nowNanos;
         }
         run.measurement = entry.measurement();
-        updateCheckpoint(run.task(), run.number(), entry.checkpoint());
+        run.task().updateCheckpoint(run.number(), entry.checkpoint());
+    }
+
+    /**
+     * Loads a held job, applies the ends of its runs that were reported since, and adopts the runs that go on. No runner
+     * may be unreported, because a run there is not known.
+     */
+    public void loadHeldJob(JobDefinition definition, JobProgress progress, long nowNanos, long nowEpochMs) {
+        jobs.addWithStoredEnds(definition, progress, true, nowEpochMs);
+        for (FleetRunner runner : runners.values()) {
+            for (RunnerStatus.ActiveRun entry : List.copyOf(runner.heldRuns.values())) {
+                if (entry.task().job().equals(definition.id())) {
+                    runner.heldRuns.remove(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
+                    adopt(runner, entry, nowNanos);
+                }
+            }
+        }
     }
 
     /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
     private Run adopt(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
-        Task task = jobs.findTask(entry.task());
+        Task task = jobs.findReportedTask(entry.task());
         if (task == null || task.done || task.job().terminalState != null) {
             return null;
         }
@@ -357,8 +382,16 @@
     }
 
     private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
-        runner.unresolvedStarts.remove(new FleetRunner.RunKey(end.task(), end.runNumber()));
-        Task task = jobs.findTask(end.task());
+        FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
+        runner.unresolvedStarts.remove(key);
+        if (jobs.held().contains(end.task().job())) {
+            runner.heldRuns.remove(key);
+            if (jobs.held().addEnd(end)) {
+                observer.runEnded(runner, end, null);
+            }
+            return;
+        }
+        Task task = jobs.findReportedTask(end.task());
         Run run = runner.find(end.task(), end.runNumber());
         if (run != null) {
             runner.remove(run);
@@ -367,10 +400,7 @@
         if (task == null || task.done || task.job().terminalState != null) {
             return;
         }
-        task.job().started = true;
-        task.lastRunNumber = Math.max(task.lastRunNumber, end.runNumber());
-        updateCheckpoint(task, end.runNumber(), end.checkpoint());
-        jobs.markDirty(task.job());
+        jobs.recordEnd(task, end.runNumber(), end.checkpoint());
         observer.runEnded(runner, end, run);
         switch (end.reason()) {
             case DONE -> applyDone(task, run, runner, nowNanos);
@@ -389,20 +419,7 @@
             return;
         }
         task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run, nowNanos);
-        Job job = task.job();
-        for (Task member : job.gangOf(task)) {
-            if (!member.done) {
-                member.done = true;
-                job.openTasks--;
-                jobs.readyTasks().remove(member);
-                stopAll(member);
-            }
-        }
-        if (job.allDone()) {
-            jobs.finish(job, JobState.COMPLETED);
-        } else if (job.stepDone(task.key().occurrence(), task.key().step())) {
-            jobs.updateReadinessOfOccurrence(job, task.key().occurrence());
-        }
+        jobs.complete(task);
     }
 
     private static void recordDuration(Run run, long nowNanos) {
@@ -417,27 +434,13 @@
             jobs.updateReadiness(task);
             return;
         }
-        if (task.failedRunNumbers.add(runNumber)) {
+        if (!task.failedRunNumbers.contains(runNumber)) {
             if (task.avoidedRunners.isEmpty()) {
                 runner.health.recordFailure(task.job().id(), nowNanos);
             }
             avoidRunner(task, runner);
         }
-        int attempts = 0;
-        for (Task member : task.job().gangOf(task)) {
-            attempts += member.failedRunNumbers.size();
-        }
-        if (attempts >= task.job().definition().queue().maxAttempts()) {
-            jobs.finish(task.job(), JobState.FAILED);
-        } else {
-            jobs.updateReadiness(task);
-        }
-    }
-
-    private void updateCheckpoint(Task task, long runNumber, String checkpoint) {
-        if (task.step().checkpointed() && !checkpoint.isEmpty() && runNumber >= task.lastRunNumber) {
-            task.checkpoint = checkpoint;
-        }
+        jobs.recordFailure(task, runNumber);
     }
 
     // ---- Commands
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
+import org.tamarackline.core.fleet.HeldEnd;
+import org.tamarackline.core.fleet.HeldJobs;
 import org.tamarackline.core.fleet.ImagePair;
 import org.tamarackline.core.fleet.InterferenceEstimate;
 import org.tamarackline.core.fleet.Job;
@@ -65,7 +67,7 @@
     private static final int MAX_WRITES_PER_JOB = 3;
 
     /**
-     * Number of records of a transaction that are kept for jobs with processed ends. Otherwise thousands of other dirty
+     * Number of records of a transaction that are kept for processed ends and their jobs. Otherwise thousands of other dirty
      * jobs, such as cancelled ones, delay the acknowledgement of ends until all of them are stored.
      */
     private static final int WRITES_FOR_JOBS_WITH_ENDS = FleetConstants.MAX_COMMIT_WRITES / 2;
@@ -141,6 +143,11 @@
         toRemoveFromRoster.add(runner);
     }
 
+    /** Returns whether the store has progress of a job. */
+    boolean hasStoredProgress(String job) {
+        return storedProgress.contains(job);
+    }
+
     /** Removes a job that ended long ago. */
     void removeFinishedJob(String job) {
         finishedJobsToRemove.add(job);
@@ -156,7 +163,8 @@
     void scheduleFlushIfDirty() {
         if (context.fleet().jobs().hasUrgentDirtyJobs()) {
             scheduleFlush(true);
-        } else if (context.fleet().jobs().hasDirtyJobs()) {
+        } else if (context.fleet().jobs().hasDirtyJobs()
+                || context.fleet().jobs().held().dirty()) {
             scheduleFlush(false);
         } else if (!inFlight && hasEndsToStore()) {
             storeSequence();
@@ -274,18 +282,26 @@
         private final List<String> cordoned = new ArrayList<>();
         private final List<String> removedFromRoster = new ArrayList<>();
         private final List<String> removedJobs = new ArrayList<>();
+        private final List<HeldEnd> heldEnds = new ArrayList<>();
+        private final List<HeldEnd> removedEnds = new ArrayList<>();
+        private final List<String> cancelledHeldJobs = new ArrayList<>();
 
         boolean empty() {
             return writes.isEmpty();
         }
 
         void fill() {
+            addHeldEnds();
             addJobs(context.fleet().jobs()::takeDirtyJobWithEnds, WRITES_FOR_JOBS_WITH_ENDS);
             addJobs(context.fleet().jobs()::takeDirtyJob, FleetConstants.MAX_COMMIT_WRITES);
-            for (RunnerSession session : leader.sessions()) {
-                processedEnds.put(session, session.endsToStore());
+            if (heldEnds.containsAll(context.fleet().jobs().held().unstoredEnds())) {
+                for (RunnerSession session : leader.sessions()) {
+                    processedEnds.put(session, session.endsToStore());
+                }
             }
+            removeObsoleteEnds();
             addRosterChanges();
+            addCancelledHeldJobs();
             addRemovedJobs();
             addInterferenceEstimates();
         }
@@ -338,6 +354,43 @@
             }
         }
 
+        /** Adds the ends of the runs of held jobs; the runners may discard no end before all of them are stored. */
+        private void addHeldEnds() {
+            for (HeldEnd end : context.fleet().jobs().held().unstoredEnds()) {
+                if (writes.size() >= WRITES_FOR_JOBS_WITH_ENDS) {
+                    break;
+                }
+                heldEnds.add(end);
+                write(RecordStore.Table.PROGRESS, RecordCodec.heldEndKey(end), RecordCodec.encodeHeldEnd(end));
+            }
+        }
+
+        private void removeObsoleteEnds() {
+            for (HeldEnd end : context.fleet().jobs().held().obsoleteEnds()) {
+                if (writes.size() < FleetConstants.MAX_COMMIT_WRITES) {
+                    removedEnds.add(end);
+                    write(RecordStore.Table.PROGRESS, RecordCodec.heldEndKey(end), null);
+                }
+            }
+        }
+
+        private void addCancelledHeldJobs() {
+            for (String job : context.fleet().jobs().held().cancellations()) {
+                if (writes.size() + 3 > FleetConstants.MAX_COMMIT_WRITES) {
+                    break;
+                }
+                cancelledHeldJobs.add(job);
+                write(
+                        RecordStore.Table.JOBS,
+                        job,
+                        RecordCodec.encodeFinishedJob(JobState.CANCELLED, timeOfDay.millis()));
+                if (storedProgress.contains(job)) {
+                    write(RecordStore.Table.PROGRESS, job, null);
+                }
+                write(RecordStore.Table.JOBS, StoredJob.cancelKey(job), null);
+            }
+        }
+
         private void addRosterChanges() {
             for (RunnerDescriptor runner : List.copyOf(toAddToRoster.values())) {
                 if (writes.size() < FleetConstants.MAX_COMMIT_WRITES) {
@@ -399,7 +452,16 @@
         }
 
         void onApplied() {
+            HeldJobs held = context.fleet().jobs().held();
+            held.markStored(heldEnds);
+            held.markRemoved(removedEnds);
+            for (String job : cancelledHeldJobs) {
+                storedProgress.remove(job);
+                context.log().heldJobReleased(job, "it is cancelled");
+                context.fleet().jobs().addFinished(job, JobState.CANCELLED);
+            }
             for (Job job : jobs) {
+                held.markObsolete(job.id());
                 if (terminalStates.get(job) != null) {
                     storedProgress.remove(job.id());
                     context.fleet().jobs().markStored(job);
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -1,6 +1,7 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -54,6 +55,9 @@
 
     private static final int NEXT_SUCCESSOR_RANKS = 2;
 
+    /** An epoch that is out of range, and nothing else. */
+    private static final byte[] UNREADABLE_RECORD = {0};
+
     private final NodeServices services;
     private final EventLoop loop;
     private final RecordStore store;
@@ -235,23 +239,16 @@
         RecordStore.Entry entry = entries.getFirst();
         LeaderRecord record;
         try {
-            record = RecordCodec.decodeLeader(entry.value());
+            record = decodeLeader(entry);
         } catch (CorruptRecordException corrupt) {
-            if (corruptVersion != entry.version()) {
-                corruptVersion = entry.version();
-                log.skippedRecord(entry.key(), corrupt.getMessage());
-            }
-            loop.schedule(RETRY_DELAY, this::readRecord);
+            onCorruptRecord(entry, corrupt);
             return;
         }
         if (matchesPendingClaim(record)) {
             startLeading(record, entry.version(), sentNanos, "its claim took effect");
             return;
         }
-        if (entry.version() != claimVersion) {
-            // The condition of the claim no longer holds, so it cannot take effect any more.
-            claim = null;
-        }
+        discardReplacedClaim(entry);
         if (record.node().equals(settings.node())) {
             takeOver(record, entry.version(), "an earlier process of this node led");
         } else if (followed != null && followedVersion == entry.version() && missedPings >= MAX_MISSED_PINGS) {
@@ -263,6 +260,49 @@
         }
     }
 
+    /**
+     * Decodes the leader record. Every claim raises the epoch by one in a transaction of its own, so an epoch above the
+     * record's version was not written by a node.
+     */
+    private static LeaderRecord decodeLeader(RecordStore.Entry entry) throws CorruptRecordException {
+        LeaderRecord record = RecordCodec.decodeLeader(entry.value());
+        if (record.epoch() > entry.version()) {
+            throw new CorruptRecordException(
+                    entry.key(), new IllegalArgumentException("the epoch is higher than the record's version"));
+        }
+        return record;
+    }
+
+    /**
+     * Takes over from a record that cannot be decoded. No epoch is higher than the version at which it was claimed, and
+     * all claims have a lower version than this record, so the record's version is a new epoch. The earlier leaders are
+     * not known and cannot be asked to step down.
+     */
+    private void onCorruptRecord(RecordStore.Entry entry, CorruptRecordException corrupt) {
+        discardReplacedClaim(entry);
+        if (corruptVersion != entry.version()) {
+            corruptVersion = entry.version();
+            log.skippedRecord(entry.key(), corrupt.getMessage());
+            loop.schedule(TAKEOVER_DELAY_PER_RANK.multipliedBy(rank), this::readRecord);
+        } else if (entry.version() > RecordCodec.MAX_EPOCH) {
+            loop.schedule(RETRY_DELAY, this::readRecord);
+        } else {
+            long highestEpoch = entry.version() - 1;
+            takeOver(
+                    highestEpoch,
+                    List.of(LeaderRecord.EarlierLeader.unknown(highestEpoch)),
+                    entry.version(),
+                    "the leader record cannot be read");
+        }
+    }
+
+    /** Forgets a claim that can no longer take effect, because the record has changed since. */
+    private void discardReplacedClaim(RecordStore.Entry entry) {
+        if (entry.version() != claimVersion) {
+            claim = null;
+        }
+    }
+
     /** Returns whether a record was written by a claim of this process whose outcome it did not know. */
     private boolean matchesPendingClaim(LeaderRecord record) {
         return claim != null && record.incarnation() == incarnation && record.epoch() == claim.epoch();
@@ -345,9 +385,18 @@
         });
     }
 
+    /**
+     * Returns the transaction that replaces the leader record. Where there is none, no leader may have stored anything
+     * either, because the record of a leader may have been removed.
+     */
     private static RecordStore.Transaction conditionalWrite(LeaderRecord record, long version) {
+        List<RecordStore.Condition> conditions = new ArrayList<>();
+        conditions.add(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version));
+        if (version == 0) {
+            conditions.add(new RecordStore.Condition(RecordStore.Table.PROGRESS, CommitSequence.KEY, 0));
+        }
         return new RecordStore.Transaction(
-                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version)),
+                conditions,
                 List.of(new RecordStore.Write(
                         RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record))));
     }
@@ -370,8 +419,12 @@
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 startLeading(record, applied.version(), sentNanos, reason);
             } else {
-                if (result instanceof RecordStore.TransactionResult.Conflict) {
+                if (result instanceof RecordStore.TransactionResult.Conflict conflict) {
                     storeRespondedNanos = loop.nowNanos();
+                    if (version == 0 && !containsLeader(conflict)) {
+                        replaceRemovedRecord();
+                        return;
+                    }
                 }
                 // An earlier claim may have taken effect, so read the record to learn the outcome.
                 log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
@@ -380,6 +433,23 @@
         });
     }
 
+    private static boolean containsLeader(RecordStore.TransactionResult.Conflict conflict) {
+        return conflict.current().stream().anyMatch(entry -> entry.key().equals(LeaderRecord.KEY) && !entry.removed());
+    }
+
+    /**
+     * Writes a leader record that cannot be decoded in place of one that was removed. Its version is higher than that of
+     * every earlier claim, whose epochs are not known.
+     */
+    private void replaceRemovedRecord() {
+        claim = null;
+        log.skippedRecord(LeaderRecord.KEY, "it was removed although a leader has stored transactions");
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, 0)),
+                List.of(new RecordStore.Write(RecordStore.Table.JOBS, LeaderRecord.KEY, UNREADABLE_RECORD)));
+        store.transact(transaction, result -> loop.schedule(RETRY_DELAY, this::readRecord));
+    }
+
     private void startLeading(LeaderRecord record, long version, long sentNanos, String reason) {
         claim = null;
         if (record.epoch() < minEpoch) {
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -5,7 +5,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -91,7 +90,7 @@
                 loop, store, new FakeRunnerCalls(loop), done -> done.accept(Optional.empty()), () -> null, log);
         TableReader tables = new TableReader(loop, store, log, () -> false, () -> {});
         JobFeed feed = new JobFeed(services, tables, new Fleet(1, log).jobs(), 1, new FakeLeader());
-        feed.readAll(Map.of(), feed::follow);
+        feed.readAll(StoredProgress.NONE, feed::follow);
         loop.advance(Duration.ofSeconds(1));
         assertThat(store.followsSentNanos).hasSize(3);
         assertThat(confirmationsNanos).containsExactly(store.followsSentNanos.get(1));
