Show state and events of a fleet node in its metrics

The metrics had only submissions by answer and one request timer. Whether the node leads, what tasks wait for, and what happens to runners and the store could only be told from the log.

FleetMetrics receives events where their results are handled: changes of the leadership, starts, ends of runs, runners, calls to runners, transactions, reads, refused submissions, delay of the event loop. FleetNodeMetrics implements it with Micrometer and registers all series at its construction; FleetMetrics.NONE ignores everything. Gauges read an immutable sample that the leader publishes once a second and at its start and end, so a scrape shows one measurement and touches no state of the event loop. The line leader-state uses every second sample instead of a scan of its own.

The core reports to FleetObserver. A task keeps since when it waits, until a run of it is confirmed, so that refusals do not hide a long wait; for this Fleet gets the clock of the times that are passed to it.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.LongStream;
+
+import org.tamarackline.core.time.MonotonicClock;
 
 /**
  * The scheduler state of one leader: its jobs, its runners, and the commands that are due.
@@ -25,6 +28,7 @@
     private static final long RUNS_PER_EPOCH = 10_000;
 
     private final FleetObserver observer;
+    private final MonotonicClock clock;
     private final InterferenceModel interference = new InterferenceModel();
     private final ThrottleController throttleController = new ThrottleController(interference);
     private final RunnerSelector runnerSelector = new RunnerSelector(interference);
@@ -42,10 +46,12 @@
      * Creates a fleet without jobs and runners.
      *
      * @param epoch fencing token of the leader, from 1
+     * @param clock clock of the times that are passed to the fleet
      */
-    public Fleet(long epoch, FleetObserver observer) {
+    public Fleet(long epoch, FleetObserver observer, MonotonicClock clock) {
         this.observer = observer;
-        this.jobs = new JobTracker(observer, pendingStarts, this::stopAll);
+        this.clock = clock;
+        this.jobs = new JobTracker(observer, clock, pendingStarts, this::stopAll);
         this.starter = new TaskStarter(
                 jobs, runnerSelector, unreportedRunners, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
     }
@@ -170,9 +176,40 @@
         return unreportedRunners.contains(id);
     }
 
-    /** Returns the number of ready tasks that are held back because a runner without a status may already run them. */
-    public int heldTasks() {
-        return jobs.readyTasks().count(unreportedRunners::mayHaveRunOf);
+    /** Measures the load in one pass over the ready tasks and one over the runs. */
+    public FleetLoad load() {
+        long nowNanos = clock.nowNanos();
+        int heldTasks = 0;
+        long[] longestWaitNanos = new long[QueueDefinition.LOWEST_PRIORITY + 1];
+        for (Task task : jobs.readyTasks().all()) {
+            if (unreportedRunners.mayHaveRunOf(task)) {
+                heldTasks++;
+            }
+            int priority = Math.clamp(task.job().definition().queue().priority(), 0, QueueDefinition.LOWEST_PRIORITY);
+            longestWaitNanos[priority] = Math.max(longestWaitNanos[priority], nowNanos - task.waitingSinceNanos);
+        }
+        int startingRuns = 0;
+        int runningRuns = 0;
+        int stoppingRuns = 0;
+        for (FleetRunner runner : runners.values()) {
+            for (Run run : runner.runs.values()) {
+                switch (run.phase) {
+                    case STARTING -> startingRuns++;
+                    case RUNNING -> runningRuns++;
+                    default -> stoppingRuns++;
+                }
+            }
+        }
+        return new FleetLoad(
+                jobs.openJobCount(),
+                jobs.readyTaskCount(),
+                heldTasks,
+                LongStream.of(longestWaitNanos).boxed().toList(),
+                startingRuns,
+                runningRuns,
+                stoppingRuns,
+                runners.size(),
+                unreportedRunners.count());
     }
 
     /**
@@ -306,6 +343,8 @@
         }
         Run run = new Run(task, entry.runNumber(), runner, "", nowNanos);
         run.phase = Run.Phase.RUNNING;
+        // How long the task waited before an earlier leader started it is not known.
+        task.waiting = false;
         confirmStart(run, nowNanos);
         run.speedPercent = Run.UNKNOWN_SPEED;
         task.lastRunNumber = Math.max(task.lastRunNumber, entry.runNumber());
@@ -330,7 +369,9 @@
         runner.unresolvedStarts.remove(new FleetRunner.RunKey(end.task(), end.runNumber()));
         Task task = jobs.findTask(end.task());
         Run run = runner.find(end.task(), end.runNumber());
+        observer.endProcessed(end.reason());
         if (run != null) {
+            endWaiting(run, nowNanos);
             runner.remove(run);
             stopping.remove(run);
         }
@@ -466,6 +507,7 @@
 
     /** Applies the result of a start command. */
     public void applyStartResult(Run run, StartResult result, long nowNanos) {
+        observer.startCompleted(result);
         if (run.runner().find(run.task().key(), run.number()) != run) {
             return;
         }
@@ -518,7 +560,8 @@
         stop(run);
     }
 
-    private static void confirmStart(Run run, long nowNanos) {
+    private void confirmStart(Run run, long nowNanos) {
+        endWaiting(run, nowNanos);
         if (!run.startConfirmed) {
             run.startConfirmed = true;
             run.startConfirmedNanos = nowNanos;
@@ -526,6 +569,15 @@
         }
     }
 
+    /** Reports how long the task of a run that exists on its runner waited, unless that was reported before. */
+    private void endWaiting(Run run, long nowNanos) {
+        Task task = run.task();
+        if (task.waiting) {
+            task.waiting = false;
+            observer.taskStarted(nowNanos - task.waitingSinceNanos);
+        }
+    }
+
     private void stopAll(Task task) {
         List.copyOf(task.runs).forEach(this::stop);
     }
--- a/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
@@ -28,4 +28,20 @@
      * @param run the run as the leader knew it, null if it did not
      */
     void runEnded(FleetRunner runner, RunnerStatus.EndedRun end, Run run);
+
+    /**
+     * Called once for each end of a run that a runner reports to this leader, also if the task or its job has ended
+     * before.
+     */
+    default void endProcessed(EndReason reason) {}
+
+    /** Called when the result of a start command is known. */
+    default void startCompleted(StartResult result) {}
+
+    /**
+     * Called when a runner has confirmed that a task runs which was ready; not for adopted runs.
+     *
+     * @param waitedNanos time since the task became ready, including starts that were refused or not answered
+     */
+    default void taskStarted(long waitedNanos) {}
 }
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.tamarackline.core.time.MonotonicClock;
+
 /**
  * Tracks the jobs of a fleet: which of their tasks are ready, which jobs are dirty, that is, changed and not stored
  * yet, and how finished jobs ended.
@@ -23,14 +25,15 @@
     private final FleetObserver observer;
     private final RunStopper runStopper;
     private final PendingStarts pendingStarts;
-    private final ReadyTasks readyTasks = new ReadyTasks();
+    private final ReadyTasks readyTasks;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, JobState> terminalStates = new LinkedHashMap<>();
     private final Set<Job> recurringJobs = new LinkedHashSet<>();
     private final Set<Job> dirtyJobs = new LinkedHashSet<>();
 
-    JobTracker(FleetObserver observer, PendingStarts pendingStarts, RunStopper runStopper) {
+    JobTracker(FleetObserver observer, MonotonicClock clock, PendingStarts pendingStarts, RunStopper runStopper) {
         this.observer = observer;
+        this.readyTasks = new ReadyTasks(clock);
         this.pendingStarts = pendingStarts;
         this.runStopper = runStopper;
     }
--- a/src/main/java/org/tamarackline/core/fleet/QueueDefinition.java
+++ b/src/main/java/org/tamarackline/core/fleet/QueueDefinition.java
@@ -22,4 +22,8 @@
         int maxAttempts,
         double objectiveStretch,
         long objectiveBaseMs,
-        boolean requiresPlacementTicket) {}
+        boolean requiresPlacementTicket) {
+
+    /** Largest number of a priority. */
+    public static final int LOWEST_PRIORITY = 9;
+}
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -1,15 +1,17 @@
 package org.tamarackline.core.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 
 import org.tamarackline.core.model.Resources;
+import org.tamarackline.core.time.MonotonicClock;
 
 /**
  * The ready tasks, whose dependencies are done and which wait for free resources, in the order in which they should
@@ -37,12 +39,21 @@
     private static final double SIZE_OFFSET_TASKS = 7;
 
     private final TreeSet<Task> tasks = new TreeSet<>(TASK_ORDER);
+    private final MonotonicClock clock;
+
+    ReadyTasks(MonotonicClock clock) {
+        this.clock = clock;
+    }
 
     void add(Task task) {
         if (!task.ready) {
             task.ready = true;
             tasks.add(task);
         }
+        if (!task.waiting) {
+            task.waiting = true;
+            task.waitingSinceNanos = clock.nowNanos();
+        }
     }
 
     void remove(Task task) {
@@ -56,8 +67,9 @@
         return tasks.size();
     }
 
-    int count(Predicate<Task> condition) {
-        return (int) tasks.stream().filter(condition).count();
+    /** Returns the ready tasks, the most urgent priority first. */
+    Collection<Task> all() {
+        return Collections.unmodifiableCollection(tasks);
     }
 
     /**
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -29,6 +29,10 @@
     final Set<String> avoidedRunners = new HashSet<>();
 
     boolean ready;
+    /** Whether the task has become ready and none of its runs was confirmed since. */
+    boolean waiting;
+    /** When the task became ready, meaningful only if {@link #waiting}. */
+    long waitingSinceNanos;
     /** Whether the task was completed by a run whose end no earlier leader can have learned of. */
     boolean endUnknownToEarlierLeaders;
 
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -177,6 +177,7 @@
         long sentNanos = context.loop().nowNanos();
         store.transact(batch.transaction(), result -> {
             inFlight = false;
+            context.recordCommit(result, sentNanos);
             if (leader.leading()) {
                 onResult(batch, result, sentNanos);
             }
--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -14,14 +14,17 @@
     private final RecordStore store;
     private final ConfigurationSource source;
     private final DecisionLog log;
+    private final FleetMetrics metrics;
     private volatile FleetConfiguration current = FleetConfiguration.NONE;
     private boolean failing;
 
-    ConfigurationFollower(EventLoop loop, RecordStore store, ConfigurationSource source, DecisionLog log) {
+    ConfigurationFollower(
+            EventLoop loop, RecordStore store, ConfigurationSource source, DecisionLog log, FleetMetrics metrics) {
         this.loop = loop;
         this.store = store;
         this.source = source;
         this.log = log;
+        this.metrics = metrics;
     }
 
     void start() {
@@ -35,6 +38,7 @@
 
     private void readAll() {
         store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
             if (result instanceof RecordStore.ReadResult.Page page) {
                 apply(page);
                 follow(page.version());
@@ -47,6 +51,7 @@
 
     private void follow(long version) {
         store.follow(RecordStore.Table.CONFIGURATION, version, FleetConstants.CONFIGURATION_FOLLOW_WAIT, result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
             switch (result) {
                 case RecordStore.ReadResult.Page page -> {
                     apply(page);
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -59,6 +59,7 @@
     private final RecordStore store;
     private final PeerCalls peers;
     private final DecisionLog log;
+    private final FleetMetrics metrics;
     private final NodeSettings settings;
     private final long incarnation;
 
@@ -100,6 +101,7 @@
         this.store = services.store();
         this.peers = peers;
         this.log = services.log();
+        this.metrics = services.metrics();
         this.settings = settings;
         this.incarnation = incarnation;
         this.storeRespondedNanos = loop.nowNanos();
@@ -144,6 +146,7 @@
         LeaderRecord resigned = resigning.record().asResigned(resigning.earlierLeadersEnded());
         long sentNanos = loop.nowNanos();
         store.transact(conditionalWrite(resigned, resigning.leaderVersion()), result -> {
+            recordTransaction(FleetMetrics.TransactionPurpose.RESIGNATION, result, sentNanos);
             if (leader == resigning) {
                 onResignation(resigning, result, sentNanos);
             }
@@ -166,13 +169,20 @@
         LeaderRecord record = resigning.record();
         if (resigning.resigned()) {
             log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNED);
             reportHandedOver();
         } else {
             log.leadership("resignation-failed", record.epoch(), record.node(), result.toString());
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNATION_FAILED);
             loop.schedule(RETRY_DELAY, () -> storeResignation(resigning));
         }
     }
 
+    private void recordTransaction(
+            FleetMetrics.TransactionPurpose purpose, RecordStore.TransactionResult result, long sentNanos) {
+        metrics.transactionCompleted(purpose, FleetMetrics.TransactionOutcome.of(result), loop.nowNanos() - sentNanos);
+    }
+
     private void reportHandedOver() {
         onHandedOver.run();
         onHandedOver = () -> {};
@@ -214,6 +224,7 @@
         long scheduledGeneration = ++generation;
         long sentNanos = loop.nowNanos();
         store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
             if (stopped || leader != null || scheduledGeneration != generation) {
                 return;
             }
@@ -271,6 +282,7 @@
     private void follow(LeaderRecord record, long version) {
         if (followedVersion != version) {
             log.leadership("leader-followed", record.epoch(), record.node(), "the store has its leader record");
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
         }
         if (followedVersion != version) {
             claimFirstSeenNanos = 0;
@@ -338,6 +350,7 @@
     private void scheduleTakeover(long scheduledGeneration, String reason) {
         missedPings = MAX_MISSED_PINGS;
         log.leadership("leader-suspected", followed.epoch(), followed.node(), reason);
+        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.SUSPECTED);
         loop.schedule(TAKEOVER_DELAY_PER_RANK.multipliedBy(rank), () -> {
             if (scheduledGeneration == generation) {
                 readRecord();
@@ -364,6 +377,7 @@
         claim = record;
         claimVersion = version;
         store.transact(conditionalWrite(record, version), result -> {
+            recordTransaction(FleetMetrics.TransactionPurpose.CLAIM, result, sentNanos);
             if (stopped || claim == null || claim.epoch() != record.epoch()) {
                 return;
             }
@@ -375,6 +389,7 @@
                 }
                 // An earlier claim may have taken effect, so read the record to learn the outcome.
                 log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
+                metrics.leadershipChanged(FleetMetrics.LeadershipEvent.TAKEOVER_FAILED);
                 loop.schedule(RETRY_DELAY, this::readRecord);
             }
         });
@@ -388,6 +403,7 @@
         }
         generation++;
         log.leadership("leader-started", record.epoch(), record.node(), reason);
+        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.STARTED);
         followed = null;
         missedPings = 0;
         leader = new Leader(services, peers, record, version, why -> onLeaderEnded(record, why));
@@ -396,6 +412,7 @@
 
     private void onLeaderEnded(LeaderRecord record, String reason) {
         log.leadership("leader-ended", record.epoch(), record.node(), reason);
+        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.ENDED);
         leader = null;
         reportHandedOver();
         loop.execute(this::readRecord);
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -91,10 +91,16 @@
     static final Duration TICK_INTERVAL = Duration.ofMillis(150);
 
     /**
-     * Interval at which a leader logs its state, so that the cause of held tasks is known even if other log lines are
-     * lost.
+     * Interval at which a leader measures its state for the metrics. A measurement scans all ready tasks and runs, so it
+     * must not be much shorter.
      */
-    static final Duration STATE_LOG_INTERVAL = Duration.ofSeconds(2);
+    static final Duration STATE_SAMPLE_INTERVAL = Duration.ofSeconds(1);
+
+    /**
+     * Number of measurements for each of which one is logged, so that the cause of held tasks is known even if other log
+     * lines are lost.
+     */
+    static final int STATE_SAMPLES_PER_LOG = 2;
 
     /** Longest time that one read waits for a change of the jobs. */
     static final Duration JOBS_FOLLOW_WAIT = Duration.ofSeconds(1);
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -23,7 +24,7 @@
     private final EventLoop loop;
     private final NodeSettings settings;
     private final DecisionLog log;
-    private final FleetNodeMetrics metrics;
+    private final FleetMetrics metrics;
     private final ConfigurationFollower configuration;
     private final Election election;
     private final JobRequestHandler jobs;
@@ -33,24 +34,25 @@
     /**
      * Creates a node; {@link #start} starts it.
      *
+     * @param metricsText supplies the text of the metrics; called from any thread
      * @param incarnation number that distinguishes this process from earlier processes of the same node
      */
     public FleetNode(
             NodeServices services,
             ConfigurationSource configurationSource,
             AsyncHttpClient peerHttp,
-            FleetNodeMetrics metrics,
+            Supplier<String> metricsText,
             NodeSettings settings,
             long incarnation) {
         this.loop = services.loop();
         this.settings = settings;
         this.log = services.log();
-        this.metrics = metrics;
+        this.metrics = services.metrics();
         PeerCalls peers = new HttpPeerCalls(peerHttp, loop);
-        this.configuration = new ConfigurationFollower(loop, services.store(), configurationSource, log);
+        this.configuration = new ConfigurationFollower(loop, services.store(), configurationSource, log, metrics);
         this.election = new Election(services, peers, settings, incarnation);
-        this.jobs = new JobRequestHandler(loop, services.store(), election, peers);
-        this.peerHandler = new PeerRequestHandler(loop, election, metrics::text, this::stateJson);
+        this.jobs = new JobRequestHandler(loop, services.store(), election, peers, metrics);
+        this.peerHandler = new PeerRequestHandler(loop, election, metricsText, this::stateJson);
     }
 
     /** Starts to read the configuration and to look for the leader. */
@@ -58,6 +60,7 @@
         loop.execute(() -> {
             configuration.start();
             election.start();
+            new LoopDelayProbe(loop, metrics).start();
         });
     }
 
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -43,6 +43,7 @@
     private final RecordStore store;
     private final TableReader tables;
     private final DecisionLog log;
+    private final FleetMetrics metrics;
     private final InstantSource timeOfDay;
     private final JobTracker jobs;
     private final long leaderVersion;
@@ -59,6 +60,7 @@
         this.loop = services.loop();
         this.store = services.store();
         this.log = services.log();
+        this.metrics = services.metrics();
         this.timeOfDay = services.timeOfDay();
         this.tables = tables;
         this.jobs = jobs;
@@ -86,6 +88,7 @@
         }
         long sentNanos = loop.nowNanos();
         store.follow(RecordStore.Table.JOBS, version, FleetConstants.JOBS_FOLLOW_WAIT, result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.JOB_CHANGES, FleetMetrics.ReadOutcome.of(result));
             if (leader.leading()) {
                 onChanges(result, sentNanos);
             }
@@ -127,6 +130,7 @@
     /** A job on a later page may have been accepted after a successor's claim, which the earlier pages do not show. */
     private void runIfStillLeading(Runnable next) {
         store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
             if (!leader.leading()) {
                 return;
             }
--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -19,13 +19,15 @@
     private final RecordStore store;
     private final Election election;
     private final PeerCalls peers;
+    private final FleetMetrics metrics;
     private final StoreCircuitBreaker breaker;
 
-    JobRequestHandler(EventLoop loop, RecordStore store, Election election, PeerCalls peers) {
+    JobRequestHandler(EventLoop loop, RecordStore store, Election election, PeerCalls peers, FleetMetrics metrics) {
         this.loop = loop;
         this.store = store;
         this.election = election;
         this.peers = peers;
+        this.metrics = metrics;
         this.breaker = new StoreCircuitBreaker(loop);
     }
 
@@ -33,6 +35,7 @@
     void submit(JobDefinition job, Consumer<Outcome> callback) {
         byte[] value = RecordCodec.encodeOpenJob(job);
         if (value.length > MAX_JOB_BYTES) {
+            metrics.submissionRefused(FleetMetrics.RefusalReason.TOO_LARGE);
             callback.accept(new Outcome.TooLarge("the job takes %d bytes, more than the maximum of %d; split it"
                     .formatted(value.length, MAX_JOB_BYTES)));
             return;
@@ -40,15 +43,23 @@
         RecordStore.Transaction transaction = new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, job.id(), 0)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, job.id(), value)));
-        loop.execute(() -> send(transaction, callback));
+        loop.execute(() -> send(FleetMetrics.TransactionPurpose.SUBMISSION, transaction, callback));
     }
 
-    private void send(RecordStore.Transaction transaction, Consumer<Outcome> callback) {
+    private void send(
+            FleetMetrics.TransactionPurpose purpose, RecordStore.Transaction transaction, Consumer<Outcome> callback) {
         if (!breaker.tryAcquire()) {
+            countRefusal(purpose, FleetMetrics.RefusalReason.STORE_SUSPENDED);
             callback.accept(new Outcome.Unavailable("the store did not answer lately"));
             return;
         }
+        long sentNanos = loop.nowNanos();
         store.transact(transaction, result -> {
+            FleetMetrics.TransactionOutcome outcome = FleetMetrics.TransactionOutcome.of(result);
+            metrics.transactionCompleted(purpose, outcome, loop.nowNanos() - sentNanos);
+            if (outcome == FleetMetrics.TransactionOutcome.NOT_APPLIED) {
+                countRefusal(purpose, FleetMetrics.RefusalReason.STORE_REFUSED);
+            }
             if (result instanceof RecordStore.TransactionResult.Applied
                     || result instanceof RecordStore.TransactionResult.Conflict) {
                 breaker.onSuccess();
@@ -59,6 +70,12 @@
         });
     }
 
+    private void countRefusal(FleetMetrics.TransactionPurpose purpose, FleetMetrics.RefusalReason reason) {
+        if (purpose == FleetMetrics.TransactionPurpose.SUBMISSION) {
+            metrics.submissionRefused(reason);
+        }
+    }
+
     private static Outcome outcomeOf(RecordStore.TransactionResult result) {
         return switch (result) {
             case RecordStore.TransactionResult.Applied applied -> new Outcome.Accepted("stored");
@@ -87,7 +104,7 @@
         RecordStore.Transaction transaction = new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, id, jobVersion)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, StoredJob.cancelKey(id), new byte[] {1})));
-        send(transaction, callback);
+        send(FleetMetrics.TransactionPurpose.CANCELLATION, transaction, callback);
     }
 
     /** Looks up the state of a job with the leader, or else in the store. */
@@ -137,6 +154,7 @@
     /** Reads the records of one job: the job itself and its cancellation, whose key follows the job's key. */
     private void readJob(String id, Consumer<JobReadResult> callback) {
         store.read(RecordStore.Table.JOBS, id, StoredJob.cancelKey(id) + "\u0000", result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.JOB, FleetMetrics.ReadOutcome.of(result));
             if (result instanceof RecordStore.ReadResult.Page page) {
                 callback.accept(readResult(id, page));
             } else {
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.Fleet;
+import org.tamarackline.core.fleet.FleetLoad;
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.RunnerCommand;
@@ -26,6 +27,7 @@
     private final PlatformRunnerDirectory directory;
     private final InstantSource timeOfDay;
     private final DecisionLog log;
+    private final FleetMetrics metrics;
     private final Consumer<String> onEnded;
     private final LeaderRecord record;
     private final long leaderVersion;
@@ -50,6 +52,7 @@
     private long lastSchedulingRoundNanos;
     private long tickDueNanos;
     private int unansweredStarts;
+    private int samplesSinceLog;
     private long sequenceVersion;
     private long storeRespondedNanos;
 
@@ -65,6 +68,7 @@
         this.directory = services.directory();
         this.timeOfDay = services.timeOfDay();
         this.log = services.log();
+        this.metrics = services.metrics();
         this.record = record;
         this.leaderVersion = leaderVersion;
         this.onEnded = onEnded;
@@ -75,10 +79,10 @@
         store.clock().discardReadingsBefore(takeoverNanos);
         this.leadershipLease =
                 new LeadershipLease(loop, timeOfDay, () -> store.clock().discardReadingsBefore(loop.nowNanos()));
-        this.tables = new TableReader(loop, store, log, () -> ended, this::onStoreResponse);
+        this.tables = new TableReader(services, () -> ended, this::onStoreResponse);
         this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::onEarlierLeadersEnded);
-        this.fleet = new Fleet(record.epoch(), log);
-        this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log);
+        this.fleet = new Fleet(record.epoch(), new CountingObserver(metrics, log), loop);
+        this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics);
         this.sessions = new RunnerSessions(context, this, record.epoch(), earlierLeaders, store.clock());
         this.jobFeed = new JobFeed(services, tables, fleet.jobs(), leaderVersion, this);
     }
@@ -117,6 +121,7 @@
     /** Starts to load the state from the store. */
     void start(long confirmedNanos) {
         leadershipLease.confirm(confirmedNanos);
+        sampleState();
         earlierLeaders.start();
         tables.readAll(RecordStore.Table.ROSTER, this::readRosterEntry, version -> readDirectory());
     }
@@ -151,6 +156,9 @@
 
     /** Ends this leader; it sends no further commands. */
     void end() {
+        if (!ended) {
+            metrics.leaderSampled(LeaderSample.NOT_LEADING);
+        }
         ended = true;
         sessions.closeAll();
     }
@@ -183,6 +191,7 @@
 
     private void readDirectory() {
         directory.list(descriptors -> {
+            recordDirectoryRead(descriptors.isPresent());
             descriptors.ifPresent(sessions::applyDirectory);
             tables.readAll(
                     RecordStore.Table.PROGRESS,
@@ -191,6 +200,11 @@
         });
     }
 
+    private void recordDirectoryRead(boolean read) {
+        FleetMetrics.ReadOutcome outcome = read ? FleetMetrics.ReadOutcome.READ : FleetMetrics.ReadOutcome.FAILED;
+        metrics.readCompleted(FleetMetrics.ReadPurpose.DIRECTORY, outcome);
+    }
+
     private void readProgressEntry(RecordStore.Entry entry) throws CorruptRecordException {
         if (entry.key().equals(CommitSequence.KEY)) {
             sequenceVersion = entry.version();
@@ -221,31 +235,50 @@
             committer.storeSequence();
         }
         log.leadership("leader-ready", record.epoch(), record.node(), loadSummary());
+        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.READY);
         sessions.startPolling();
         sessions.addRegisteredToRoster(committer);
         jobFeed.follow();
         loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
-        loop.schedule(FleetConstants.STATE_LOG_INTERVAL, this::logState);
         tickDueNanos = loop.nowNanos();
         tick();
     }
 
-    private void logState() {
+    /** Measures the state for metrics and log; one measurement serves both, because it scans all ready tasks and runs. */
+    private void sampleState() {
         if (ended) {
             return;
         }
+        // Scheduled first, so that a sample that fails is not the last one.
+        loop.schedule(FleetConstants.STATE_SAMPLE_INTERVAL, this::sampleState);
+        FleetLoad load = fleet.load();
+        int silentRunners = sessions.silentCount();
+        metrics.leaderSampled(new LeaderSample(
+                loop.nowNanos(),
+                record.epoch(),
+                loaded && !resigned && maySendCommands(),
+                load,
+                silentRunners,
+                unansweredStarts,
+                leadershipLease.ageNanos()));
+        if (loaded && ++samplesSinceLog >= FleetConstants.STATE_SAMPLES_PER_LOG) {
+            samplesSinceLog = 0;
+            logState(load, silentRunners);
+        }
+    }
+
+    private void logState(FleetLoad load, int silentRunners) {
         log.leaderState(new LeaderState(
                 record.epoch(),
                 (loop.nowNanos() - takeoverNanos) / 1_000_000,
-                fleet.jobs().openJobCount(),
-                fleet.jobs().readyTaskCount(),
-                fleet.heldTasks(),
-                fleet.unreportedRunners(),
-                sessions.silentCount(),
+                load.openJobs(),
+                load.readyTasks(),
+                load.heldTasks(),
+                load.unreportedRunners(),
+                silentRunners,
                 unansweredStarts,
                 loopDelay.getAndResetMaxMs(),
                 storeAgeMs()));
-        loop.schedule(FleetConstants.STATE_LOG_INTERVAL, this::logState);
     }
 
     private String loadSummary() {
@@ -263,6 +296,7 @@
             return;
         }
         directory.list(descriptors -> {
+            recordDirectoryRead(descriptors.isPresent());
             if (ended || resigned) {
                 return;
             }
--- a/src/main/java/org/tamarackline/fleet/LeaderContext.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderContext.java
@@ -9,5 +9,15 @@
  * @param runnerCalls client for commands to runners
  * @param fleet jobs and runners
  * @param log decision log
+ * @param metrics metrics of the node
  */
-record LeaderContext(EventLoop loop, RunnerCalls runnerCalls, Fleet fleet, DecisionLog log) {}
+record LeaderContext(EventLoop loop, RunnerCalls runnerCalls, Fleet fleet, DecisionLog log, FleetMetrics metrics) {
+
+    /** Records the result of a transaction that stores changes of the leader. */
+    void recordCommit(RecordStore.TransactionResult result, long sentNanos) {
+        metrics.transactionCompleted(
+                FleetMetrics.TransactionPurpose.COMMIT,
+                FleetMetrics.TransactionOutcome.of(result),
+                loop.nowNanos() - sentNanos);
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/LeadershipLease.java
+++ b/src/main/java/org/tamarackline/fleet/LeadershipLease.java
@@ -61,9 +61,9 @@
         return confirmed && confirmedNanos - nanos >= 0;
     }
 
-    /** Returns the time since the last confirmation, in milliseconds. */
-    long ageMs() {
-        return (clock.nowNanos() - confirmedNanos) / 1_000_000;
+    /** Returns the time since the last confirmed request was sent, in nanoseconds. */
+    long ageNanos() {
+        return clock.nowNanos() - confirmedNanos;
     }
 
     private void expireIfSuspended() {
--- a/src/main/java/org/tamarackline/fleet/NodeServices.java
+++ b/src/main/java/org/tamarackline/fleet/NodeServices.java
@@ -11,6 +11,7 @@
  * @param directory directory of runners
  * @param timeOfDay time of day, by which scheduled jobs become due
  * @param log decision log
+ * @param metrics metrics of the node
  */
 public record NodeServices(
         EventLoop loop,
@@ -18,4 +19,5 @@
         RunnerCalls runnerCalls,
         PlatformRunnerDirectory directory,
         InstantSource timeOfDay,
-        DecisionLog log) {}
+        DecisionLog log,
+        FleetMetrics metrics) {}
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -228,6 +228,7 @@
 
     private void onPollResponse(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         pollInFlight = false;
+        context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.POLL, response.outcome());
         if (closed) {
             return;
         }
@@ -261,6 +262,7 @@
     private void onUnanswered(RunnerCalls.PollResponse response, long sentNanos) {
         if (missedPolls == 0) {
             context.log().runnerSilent(runner.id(), response.reason());
+            context.metrics().runnerChanged(FleetMetrics.RunnerEvent.SILENT);
         }
         onSilence(sentNanos);
     }
@@ -277,6 +279,7 @@
         long nowNanos = context.loop().nowNanos();
         if (missedPolls > 0 || (lost && !restartPending)) {
             context.log().runnerBack(runner.id(), missedPolls);
+            context.metrics().runnerChanged(FleetMetrics.RunnerEvent.BACK);
         }
         missedPolls = 0;
         learnProcess(response.status().processStartEpochMs());
@@ -371,6 +374,7 @@
     private void verifyProcess() {
         long sentNanos = context.loop().nowNanos();
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.VERIFICATION, response.outcome());
             List<Run> runs = List.copyOf(unsentStarts);
             unsentStarts.clear();
             if (!closed && answersAsKnownProcess(response)) {
@@ -427,6 +431,7 @@
         long sentNanos = context.loop().nowNanos();
         starts.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, lease.extend(starts.allVerified()), response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
             leader.onStartCompleted();
             starts.onStartCompleted();
             if (closed) {
@@ -452,6 +457,7 @@
     private void stop(RunnerCommand.Stop stop) {
         context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
         context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
             if (closed) {
                 return;
             }
@@ -482,6 +488,7 @@
                         throttle.speedPercent(),
                         epoch,
                         response -> {
+                            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.THROTTLE, response);
                             if (closed) {
                                 return;
                             }
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -100,6 +100,7 @@
         for (FleetRunner runner : context.fleet().runners()) {
             if (runner.registered() && !registered.contains(runner.id())) {
                 context.log().runnerLost(runner.id(), "it is no longer in the directory");
+                context.metrics().runnerChanged(FleetMetrics.RunnerEvent.DEREGISTERED);
                 context.fleet().runnerDeregistered(runner.id());
             }
         }
@@ -147,6 +148,7 @@
                     && session.leaseExpired()
                     && leadershipConfirmedSinceLeaseEnd(session, leadershipLease, committer)) {
                 context.log().runnerLost(runner.id(), session.lossReason());
+                context.metrics().runnerChanged(FleetMetrics.RunnerEvent.LOST);
                 context.fleet().runnerLost(runner.id());
                 session.markLost();
             }
--- a/src/main/java/org/tamarackline/fleet/TableReader.java
+++ b/src/main/java/org/tamarackline/fleet/TableReader.java
@@ -14,6 +14,7 @@
     private final EventLoop loop;
     private final RecordStore store;
     private final DecisionLog log;
+    private final FleetMetrics metrics;
     private final BooleanSupplier ended;
     private final Runnable onResponse;
 
@@ -23,10 +24,11 @@
      * @param ended whether to stop reading
      * @param onResponse runs at each response of the store
      */
-    TableReader(EventLoop loop, RecordStore store, DecisionLog log, BooleanSupplier ended, Runnable onResponse) {
-        this.loop = loop;
-        this.store = store;
-        this.log = log;
+    TableReader(NodeServices services, BooleanSupplier ended, Runnable onResponse) {
+        this.loop = services.loop();
+        this.store = services.store();
+        this.log = services.log();
+        this.metrics = services.metrics();
         this.ended = ended;
         this.onResponse = onResponse;
     }
@@ -44,6 +46,7 @@
             return;
         }
         store.read(table, from, null, result -> {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.TABLE, FleetMetrics.ReadOutcome.of(result));
             if (ended.getAsBoolean()) {
                 return;
             }
--- a/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
+++ b/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
@@ -12,8 +12,8 @@
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.fleet.FleetMetrics;
 import org.tamarackline.fleet.FleetNode;
-import org.tamarackline.fleet.FleetNodeMetrics;
 import org.tamarackline.http.HttpExchange;
 
 /**
@@ -32,10 +32,10 @@
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private final FleetNode node;
-    private final FleetNodeMetrics metrics;
+    private final FleetMetrics metrics;
     private final InstantSource timeOfDay;
 
-    CallerRequestHandler(FleetNode node, FleetNodeMetrics metrics, InstantSource timeOfDay) {
+    CallerRequestHandler(FleetNode node, FleetMetrics metrics, InstantSource timeOfDay) {
         this.node = node;
         this.metrics = metrics;
         this.timeOfDay = timeOfDay;
@@ -50,11 +50,13 @@
         };
         FleetConfiguration configuration = node.configuration();
         if (configuration.version() == 0) {
+            countRefusal(exchange, FleetMetrics.RefusalReason.NOT_CONFIGURED);
             respondUnavailable(responder, "the node has not received its configuration yet");
             return;
         }
         Optional<QueueDefinition> queue = configuration.match(exchange.host(), exchange.path());
         if (queue.isEmpty()) {
+            countRefusal(exchange, FleetMetrics.RefusalReason.NO_QUEUE);
             respondError(responder, 404, "no queue matches this host and path");
             return;
         }
@@ -62,12 +64,19 @@
         if (id.isEmpty() && exchange.method().equals("GET")) {
             respondQueuedJobCount(queue.get(), responder);
         } else if (!JOB_ID.matcher(id).matches()) {
+            countRefusal(exchange, FleetMetrics.RefusalReason.INVALID_ID);
             respondError(responder, 404, "the path must end with an identifier of 16 hexadecimal digits");
         } else {
             handleJobRequest(exchange, queue.get(), id, responder);
         }
     }
 
+    private void countRefusal(HttpExchange exchange, FleetMetrics.RefusalReason reason) {
+        if (exchange.method().equals("POST")) {
+            metrics.submissionRefused(reason);
+        }
+    }
+
     private interface Responder {
         void respond(int status, Map<String, String> headers, byte[] body);
     }
@@ -86,6 +95,7 @@
         try {
             job = JobDecoder.decode(id, queue, exchange.body(), timeOfDay.millis());
         } catch (InvalidJobException invalid) {
+            metrics.submissionRefused(FleetMetrics.RefusalReason.INVALID_JOB);
             respondError(responder, 400, invalid.getMessage());
             return;
         }
--- a/src/main/java/org/tamarackline/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/tamarackline/platform/ConfigurationDecoder.java
@@ -19,7 +19,6 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String CONFIGURATION_KEY = "config";
-    private static final int LOWEST_PRIORITY = 9;
     private static final double DEFAULT_OBJECTIVE_STRETCH = 2;
 
     @Override
@@ -72,7 +71,7 @@
                 text(route, "host"),
                 text(route, "prefix"),
                 text(route, "service"),
-                (int) number(route, "priority", Integer.MAX_VALUE, LOWEST_PRIORITY),
+                (int) number(route, "priority", Integer.MAX_VALUE, QueueDefinition.LOWEST_PRIORITY),
                 (int) Math.max(1, number(route, "maxAttempts", Integer.MAX_VALUE, 1)),
                 stretch(route),
                 number(route, "targetLatencyMs", JobLimits.MAX_INTERVAL_MS, 0),
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -70,14 +70,14 @@
         this.storeHttp = new AsyncHttpClient(STORE_CONNECTIONS_PER_ADDRESS);
         this.runnerHttp = new AsyncHttpClient(RUNNER_CONNECTIONS_PER_ADDRESS);
         this.store = new StoreClient(storeHttp, loop, decisionLog, settings.storeAddress());
-        FleetNodeMetrics metrics = new FleetNodeMetrics();
-        NodeServices services =
-                new NodeServices(loop, store, new RunnerClient(runnerHttp, loop), store, timeOfDay, decisionLog);
+        FleetNodeMetrics metrics = new FleetNodeMetrics(loop);
+        NodeServices services = new NodeServices(
+                loop, store, new RunnerClient(runnerHttp, loop), store, timeOfDay, decisionLog, metrics);
         this.node = new FleetNode(
                 services,
                 new ConfigurationDecoder(),
                 storeHttp,
-                metrics,
+                metrics::text,
                 settings.node(),
                 new SecureRandom().nextLong());
         this.listener = new HttpListener(MAX_BODY_BYTES);
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -16,7 +16,7 @@
     private long nowNanos = 1;
 
     FleetFixture(long epoch) {
-        fleet = new Fleet(epoch, new NoOpObserver());
+        fleet = new Fleet(epoch, new NoOpObserver(), this::nowNanos);
     }
 
     Fleet fleet() {
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Random;
 
+import org.tamarackline.core.time.MonotonicClock;
+
 /**
  * Simulates leaders, runners and the store under random faults, and checks invariants after each step.
  *
@@ -98,9 +100,9 @@
         /** Whether a runner answered that it has seen a higher epoch; such a leader ends. */
         private boolean fenced;
 
-        private Leader(long epoch, long nowMs) {
+        private Leader(long epoch, long nowMs, MonotonicClock clock) {
             this.epoch = epoch;
-            this.fleet = new Fleet(epoch, new NoOpObserver());
+            this.fleet = new Fleet(epoch, new NoOpObserver(), clock);
             this.confirmedMs = nowMs;
         }
     }
@@ -281,7 +283,7 @@
     }
 
     private Leader newLeader(long epoch) {
-        Leader next = new Leader(epoch, nowMs);
+        Leader next = new Leader(epoch, nowMs, this::nowNanos);
         for (SimulatedRunner runner : runners.values()) {
             RunnerDescriptor descriptor = FleetFixture.descriptor(runner.id(), 3_000);
             if (defect != Defect.NO_WAIT_FOR_SILENT_RUNNERS) {
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -19,7 +19,7 @@
     private static final Pattern LEADER_STARTED = Pattern.compile("\"event\":\"leader-started\",\"epoch\":(\\d+)");
 
     /** Node of the fleet. */
-    record Node(String address, SuspendableLoop loop, Election election) {
+    record Node(String address, SuspendableLoop loop, Election election, FleetNodeMetrics metrics) {
 
         boolean leads() {
             return election.leader().isPresent();
@@ -58,6 +58,7 @@
     /** Starts a node that finds the shared runner in its directory. */
     Node start(String name) {
         SuspendableLoop nodeLoop = new SuspendableLoop(loop);
+        FleetNodeMetrics metrics = new FleetNodeMetrics(nodeLoop);
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         List<RunnerDescriptor> registered = List.of(FencingFakeRunner.DESCRIPTOR);
         NodeServices services = new NodeServices(
@@ -66,12 +67,13 @@
                 runner,
                 done -> done.accept(Optional.of(registered)),
                 timeOfDay,
-                new DecisionLog(sink, timeOfDay, name));
+                new DecisionLog(sink, timeOfDay, name),
+                metrics);
         String address = name + ":1";
         Election election = new Election(
                 services, new FakePeerCalls(nodeLoop, network), new NodeSettings(name, "dc", address), ++incarnations);
         network.add(address, nodeLoop, election);
-        Node node = new Node(address, nodeLoop, election);
+        Node node = new Node(address, nodeLoop, election, metrics);
         nodes.add(node);
         nodeLoop.execute(election::start);
         return node;
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -41,7 +41,8 @@
                 calls,
                 done -> done.accept(Optional.of(List.of(runner))),
                 timeOfDay,
-                new DecisionLog(sink, timeOfDay, "node"));
+                new DecisionLog(sink, timeOfDay, "node"),
+                FleetMetrics.NONE);
         new Leader(
                         services,
                         new FakePeerCalls(loop, new FakePeerCalls.Network()),
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -305,7 +305,13 @@
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node" + epoch);
         NodeServices services = new NodeServices(
-                loop, store, calls, done -> done.accept(Optional.of(List.copyOf(registered))), timeOfDay, log);
+                loop,
+                store,
+                calls,
+                done -> done.accept(Optional.of(List.copyOf(registered))),
+                timeOfDay,
+                log,
+                FleetMetrics.NONE);
         Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -47,8 +47,8 @@
         LeaderRecord record = new LeaderRecord(2, "node", "10.0.0.9:1", 1, false, List.of());
         write(RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(record));
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
-        NodeServices services =
-                new NodeServices(loop, store, calls, done -> done.accept(Optional.of(directory)), timeOfDay, log());
+        NodeServices services = new NodeServices(
+                loop, store, calls, done -> done.accept(Optional.of(directory)), timeOfDay, log(), FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
     }
@@ -154,7 +154,8 @@
                     }
                     return Optional.of(new FleetConfiguration(entry.version(), List.of()));
                 },
-                log());
+                log(),
+                FleetMetrics.NONE);
         write(RecordStore.Table.CONFIGURATION, "odd", GARBAGE);
         follower.start();
         loop.advance(Duration.ofSeconds(1));
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -230,7 +230,13 @@
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node");
         NodeServices services = new NodeServices(
-                loop, client, new ProtocolRunnerCalls(loop, loop, connections), client, timeOfDay, log);
+                loop,
+                client,
+                new ProtocolRunnerCalls(loop, loop, connections),
+                client,
+                timeOfDay,
+                log,
+                FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         Leader leader = new Leader(services, peers, record, version, reason -> {});
         leader.start(loop.nowNanos());
--- a/src/test/java/org/tamarackline/fleet/RunnerRestartTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerRestartTest.java
@@ -91,7 +91,13 @@
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, "node");
         NodeServices services = new NodeServices(
-                loop, store, calls, done -> done.accept(Optional.of(List.of(runner.descriptor()))), timeOfDay, log);
+                loop,
+                store,
+                calls,
+                done -> done.accept(Optional.of(List.of(runner.descriptor()))),
+                timeOfDay,
+                log,
+                FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -24,12 +24,16 @@
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
     private final DecisionLog log =
             new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), "node");
-    private final Fleet fleet = new Fleet(1, log);
+    private final Fleet fleet = new Fleet(1, log, loop);
     private final RunnerDescriptor descriptor = new RunnerDescriptor(
             "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
     private final FleetRunner runner = fleet.runnerRegistered(descriptor);
-    private final RunnerSession session =
-            new RunnerSession(new LeaderContext(loop, calls, fleet, log), new FakeLeader(), 1, runner, loop.nowNanos());
+    private final RunnerSession session = new RunnerSession(
+            new LeaderContext(loop, calls, fleet, log, FleetMetrics.NONE),
+            new FakeLeader(),
+            1,
+            runner,
+            loop.nowNanos());
 
     private final class FakeLeader implements RunnerSession.Callbacks {
 
@@ -109,7 +113,11 @@
     void responseOfTheRunnerEndsTheLongerWaitForEarlierLeaders() {
         long waitEndNanos = loop.nowNanos() + Duration.ofSeconds(13).toNanos();
         RunnerSession inherited = new RunnerSession(
-                new LeaderContext(loop, calls, fleet, log), new FakeLeader(), 1, runner, waitEndNanos);
+                new LeaderContext(loop, calls, fleet, log, FleetMetrics.NONE),
+                new FakeLeader(),
+                1,
+                runner,
+                waitEndNanos);
         inherited.schedulePoll(Duration.ZERO);
         loop.advance(Duration.ofMillis(100));
         calls.stopResponding();
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -96,11 +96,18 @@
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(EPOCH_MS + shared.nowNanos() / 1_000_000);
         SimulatedStoreClient client = new SimulatedStoreClient(shared, loop, store, storeLink);
         NodeServices services = new NodeServices(
-                loop, client, clients.runners(this, loop), client, timeOfDay, new DecisionLog(log, timeOfDay, name));
+                loop,
+                client,
+                clients.runners(this, loop),
+                client,
+                timeOfDay,
+                new DecisionLog(log, timeOfDay, name),
+                FleetMetrics.NONE);
         PeerCalls peers = clients.peers(this, loop);
         NodeSettings settings = new NodeSettings(name, "dc", address());
         Election election = new Election(services, peers, settings, random.nextLong());
-        process = new NodeProcess(loop, election, new JobRequestHandler(loop, client, election, peers));
+        process = new NodeProcess(
+                loop, election, new JobRequestHandler(loop, client, election, peers, FleetMetrics.NONE));
         stopping = false;
         loop.execute(election::start);
     }
