Merge the metrics of the fleet node

Calls that verify a runner's process and starts are counted in RunStarter, which takes its runner from the session now (checkstyle allows 7 parameters).

--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -10,6 +10,8 @@
 import java.util.SequencedSet;
 import java.util.Set;
 
+import org.tamarackline.core.time.MonotonicClock;
+
 /**
  * Tracks the jobs of a fleet: which of their tasks are ready, which jobs are dirty, that is, changed and not stored
  * yet, and how finished jobs ended.
@@ -24,7 +26,7 @@
     private final FleetObserver observer;
     private final RunStopper runStopper;
     private final PendingStarts pendingStarts;
-    private final ReadyTasks readyTasks = new ReadyTasks();
+    private final ReadyTasks readyTasks;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, JobState> terminalStates = new LinkedHashMap<>();
     private final Set<Job> recurringJobs = new LinkedHashSet<>();
@@ -35,8 +37,9 @@
 
     private final HeldJobs heldJobs = new HeldJobs();
 
-    JobTracker(FleetObserver observer, PendingStarts pendingStarts, RunStopper runStopper) {
+    JobTracker(FleetObserver observer, MonotonicClock clock, PendingStarts pendingStarts, RunStopper runStopper) {
         this.observer = observer;
+        this.readyTasks = new ReadyTasks(clock);
         this.pendingStarts = pendingStarts;
         this.runStopper = runStopper;
     }
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -212,6 +212,7 @@
         leader.onStartsExpected(batch.pendingStarts);
         store.transact(batch.transaction(), result -> {
             inFlight = false;
+            context.recordCommit(result, sentNanos);
             if (leader.leading()) {
                 onResult(batch, result, sentNanos);
             }
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -18,6 +18,9 @@
     /** The session that the starts belong to. */
     interface Session {
 
+        /** Returns the runner of the session. */
+        FleetRunner runner();
+
         /** Returns whether responses no longer matter. */
         boolean closed();
 
@@ -49,7 +52,6 @@
             LeaderContext context,
             RunnerSession.Callbacks leader,
             long epoch,
-            FleetRunner runner,
             ProcessConfirmation process,
             StartVerification verification,
             RunnerLease lease,
@@ -57,7 +59,7 @@
         this.context = context;
         this.leader = leader;
         this.epoch = epoch;
-        this.runner = runner;
+        this.runner = session.runner();
         this.process = process;
         this.verification = verification;
         this.lease = lease;
@@ -95,6 +97,7 @@
         verifyingProcess = true;
         long sentNanos = context.loop().nowNanos();
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.VERIFICATION, response.outcome());
             verifyingProcess = false;
             List<Run> runs = List.copyOf(unsentStarts);
             unsentStarts.clear();
@@ -140,6 +143,7 @@
         long sentNanos = context.loop().nowNanos();
         verification.onStartSent(sentNanos);
         context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
             leader.onStartCompleted();
             verification.onStartCompleted(context.loop().nowNanos());
             if (session.closed()) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -73,7 +73,7 @@
         this.epoch = epoch;
         this.runner = runner;
         this.lease = new RunnerLease(context.loop(), leaseEndNanos);
-        this.starter = new RunStarter(context, leader, epoch, runner, process, starts, lease, this);
+        this.starter = new RunStarter(context, leader, epoch, process, starts, lease, this);
     }
 
     /**
@@ -85,7 +85,8 @@
         lease.onEarlierLeadersEnded(endedNanos);
     }
 
-    FleetRunner runner() {
+    @Override
+    public FleetRunner runner() {
         return runner;
     }
 
@@ -232,6 +233,7 @@
 
     private void onPollResponse(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         pollInFlight = false;
+        context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.POLL, response.outcome());
         if (closed) {
             return;
         }
@@ -266,6 +268,7 @@
     private void onUnanswered(RunnerCalls.PollResponse response, long sentNanos) {
         if (missedPolls == 0) {
             context.log().runnerSilent(runner.id(), response.reason());
+            context.metrics().runnerChanged(FleetMetrics.RunnerEvent.SILENT);
         }
         onSilence(sentNanos);
     }
@@ -282,6 +285,7 @@
         long nowNanos = context.loop().nowNanos();
         if (missedPolls > 0 || (lost && !restartPending)) {
             context.log().runnerBack(runner.id(), missedPolls);
+            context.metrics().runnerChanged(FleetMetrics.RunnerEvent.BACK);
         }
         missedPolls = 0;
         learnProcess(response.status().processStartEpochMs());
@@ -391,6 +395,7 @@
     private void stop(RunnerCommand.Stop stop) {
         context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
         context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
             if (closed) {
                 return;
             }
@@ -421,6 +426,7 @@
                         throttle.speedPercent(),
                         epoch,
                         response -> {
+                            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.THROTTLE, response);
                             if (closed) {
                                 return;
                             }
--- a/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
@@ -140,7 +140,7 @@
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node");
         RunnerCalls calls = new ProtocolRunnerCalls(loop, loop, new DelayingConnections(runner, latency));
         link.directory().put(runner.id(), descriptor());
-        NodeServices services = new NodeServices(loop, client, calls, client, timeOfDay, log);
+        NodeServices services = new NodeServices(loop, client, calls, client, timeOfDay, log, FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
--- a/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
+++ b/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
@@ -228,7 +228,8 @@
         long version = store.table(RecordStore.Table.JOBS).get(LeaderRecord.KEY).version();
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         DecisionLog log = new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node");
-        NodeServices services = new NodeServices(loop, store, calls, this::listRunners, timeOfDay, log);
+        NodeServices services =
+                new NodeServices(loop, store, calls, this::listRunners, timeOfDay, log, FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
--- a/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
@@ -34,7 +34,7 @@
     private final LineSink sink = new LineSink(lines);
     private final InstantSource timeOfDay = InstantSource.fixed(Instant.EPOCH);
     private final DecisionLog log = new DecisionLog(sink, timeOfDay, loop, "node");
-    private final Fleet fleet = new Fleet(1, log);
+    private final Fleet fleet = new Fleet(1, log, loop);
 
     /** Guards against times measured with another clock than that of the events, which simulations move. */
     @Test
--- a/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
@@ -72,7 +72,8 @@
                 calls,
                 done -> done.accept(Optional.of(List.of(runner.descriptor()))),
                 timeOfDay,
-                new DecisionLog(sink, timeOfDay, loop, "node"));
+                new DecisionLog(sink, timeOfDay, loop, "node"),
+                FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
         leader = new Leader(services, peers, record, version, reason -> {});
         leader.start(loop.nowNanos());
@@ -361,7 +362,8 @@
                 loop,
                 store,
                 followers.start("node-0").election(),
-                new FakePeerCalls(loop, new FakePeerCalls.Network()));
+                new FakePeerCalls(loop, new FakePeerCalls.Network()),
+                FleetMetrics.NONE);
         List<JobRequestHandler.Outcome> outcomes = new ArrayList<>();
         handler.cancel("j", outcomes::add);
         loop.advance(Duration.ofSeconds(5));
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -87,9 +87,15 @@
         DecisionLog log =
                 new DecisionLog(new LineSink(OutputStream.nullOutputStream()), InstantSource.system(), loop, "node");
         NodeServices services = new NodeServices(
-                loop, store, new FakeRunnerCalls(loop), done -> done.accept(Optional.empty()), () -> null, log);
-        TableReader tables = new TableReader(loop, store, log, () -> false, () -> {});
-        JobFeed feed = new JobFeed(services, tables, new Fleet(1, log).jobs(), 1, new FakeLeader());
+                loop,
+                store,
+                new FakeRunnerCalls(loop),
+                done -> done.accept(Optional.empty()),
+                () -> null,
+                log,
+                FleetMetrics.NONE);
+        TableReader tables = new TableReader(services, () -> false, () -> {});
+        JobFeed feed = new JobFeed(services, tables, new Fleet(1, log, loop).jobs(), 1, new FakeLeader());
         feed.readAll(StoredProgress.NONE, feed::follow);
         loop.advance(Duration.ofSeconds(1));
         assertThat(store.followsSentNanos).hasSize(3);
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -306,7 +306,13 @@
         DecisionLog log =
                 new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node" + epoch);
         NodeServices services = new NodeServices(
-                loop, store, calls, done -> done.accept(Optional.of(List.copyOf(registered))), timeOfDay, log);
+                loop,
+                store,
+                calls,
+                done -> done.accept(Optional.of(List.copyOf(registered))),
+                timeOfDay,
+                log,
+                FleetMetrics.NONE);
         Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -101,11 +101,13 @@
                 clients.runners(this, loop),
                 client,
                 timeOfDay,
-                new DecisionLog(log, timeOfDay, loop, name));
+                new DecisionLog(log, timeOfDay, loop, name),
+                FleetMetrics.NONE);
         PeerCalls peers = clients.peers(this, loop);
         NodeSettings settings = new NodeSettings(name, "dc", address());
         Election election = new Election(services, peers, settings, random.nextLong());
-        process = new NodeProcess(loop, election, new JobRequestHandler(loop, client, election, peers));
+        process = new NodeProcess(
+                loop, election, new JobRequestHandler(loop, client, election, peers, FleetMetrics.NONE));
         stopping = false;
         loop.execute(election::start);
     }
