--- a/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
+++ b/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
@@ -25,7 +25,7 @@
 /** Tests when ends are acknowledged while more jobs are dirty than fit into a transaction. */
 class CommitBacklogTest {
 
-    private static final Duration LONG_TASK = Duration.ofSeconds(600);
+    private static final Duration LONG_TASK = Duration.ofMinutes(10);
     private static final Duration SHORT_TASK = Duration.ofMillis(300);
     private static final Duration QUICK_TASK = Duration.ofMillis(20);
 
