Show the outcomes and node logs when the outage test fails

OutageTest.platformDownLongerThanEveryLease printed only the kinds of the outcomes, so a refusal left no trace of its code. It now describes each request that was not answered or took more than 500 ms, with its detail, its times relative to the start of the outage and the node that was asked, and prints the log of each node from 5 s before the outage on. The load generator passes the target and the times with each outcome, and a broken request keeps its exception as detail. The assertions are unchanged.

--- a/src/main/java/org/tamarackline/load/DemoScenario.java
+++ b/src/main/java/org/tamarackline/load/DemoScenario.java
@@ -113,7 +113,7 @@
     private void warmUp() throws InterruptedException {
         try (LoadClient client = new LoadClient(CONNECTIONS, REQUEST_TIMEOUT)) {
             LoadPlan plan = plan(WARMUP_REQUESTS_PER_SECOND, WARMUP);
-            new LoadGenerator(client, new LoadRecorder(), outcome -> {}).run(plan, targets, "warm-up");
+            new LoadGenerator(client, new LoadRecorder(), request -> {}).run(plan, targets, "warm-up");
         }
     }
 
@@ -128,7 +128,8 @@
     private Queue<RequestOutcome> sendRequests(LoadRecorder recorder) throws InterruptedException {
         Queue<RequestOutcome> outcomes = new ConcurrentLinkedQueue<>();
         try (LoadClient client = new LoadClient(CONNECTIONS, REQUEST_TIMEOUT)) {
-            new LoadGenerator(client, recorder, outcomes::add).run(plan(), targets, "demo");
+            new LoadGenerator(client, recorder, request -> outcomes.add(request.outcome()))
+                    .run(plan(), targets, "demo");
         }
         return outcomes;
     }
--- a/src/main/java/org/tamarackline/load/LoadClient.java
+++ b/src/main/java/org/tamarackline/load/LoadClient.java
@@ -78,7 +78,12 @@
             return client.execute(request, response -> toOutcome(response, requestId, expected));
         } catch (IOException failure) {
             return new RequestOutcome(
-                    requestId, RequestOutcome.Kind.BROKEN, 0, Optional.empty(), Optional.empty(), Optional.empty());
+                    requestId,
+                    RequestOutcome.Kind.BROKEN,
+                    0,
+                    Optional.empty(),
+                    Optional.of(failure.toString()),
+                    Optional.empty());
         }
     }
 
--- a/src/main/java/org/tamarackline/load/LoadCommand.java
+++ b/src/main/java/org/tamarackline/load/LoadCommand.java
@@ -121,7 +121,7 @@
 
     private static void send(LoadClient client, LoadRecorder recorder, LoadPlan plan, List<String> urls)
             throws InterruptedException {
-        new LoadGenerator(client, recorder, outcome -> {})
+        new LoadGenerator(client, recorder, request -> {})
                 .run(plan, urls, UUID.randomUUID().toString());
     }
 
--- a/src/main/java/org/tamarackline/load/LoadGenerator.java
+++ b/src/main/java/org/tamarackline/load/LoadGenerator.java
@@ -19,10 +19,10 @@
 
     private final LoadClient client;
     private final LoadRecorder recorder;
-    private final Consumer<RequestOutcome> listener;
+    private final Consumer<EndedRequest> listener;
 
-    /** Creates a generator; {@code listener} is called with each outcome, concurrently from many threads. */
-    public LoadGenerator(LoadClient client, LoadRecorder recorder, Consumer<RequestOutcome> listener) {
+    /** Creates a generator; {@code listener} is called with each request that ended, concurrently from many threads. */
+    public LoadGenerator(LoadClient client, LoadRecorder recorder, Consumer<EndedRequest> listener) {
         this.client = client;
         this.recorder = recorder;
         this.listener = listener;
@@ -53,14 +53,16 @@
                 });
             } else {
                 report(
+                        target,
+                        dueNanos,
+                        dueNanos,
                         new RequestOutcome(
                                 requestId,
                                 RequestOutcome.Kind.NOT_SENT,
                                 0,
                                 Optional.empty(),
                                 Optional.empty(),
-                                Optional.empty()),
-                        0);
+                                Optional.empty()));
             }
         }
         openRequests.acquire(MAX_OPEN_REQUESTS);
@@ -69,12 +71,12 @@
     private void send(LoadPlan plan, String target, String requestId, long dueNanos) {
         recorder.recordSend(System.nanoTime() - dueNanos);
         RequestOutcome outcome = client.send(target, plan, requestId);
-        report(outcome, System.nanoTime() - dueNanos);
+        report(target, dueNanos, System.nanoTime(), outcome);
     }
 
-    private void report(RequestOutcome outcome, long latencyNanos) {
-        recorder.recordOutcome(outcome, latencyNanos);
-        listener.accept(outcome);
+    private void report(String target, long dueNanos, long endNanos, RequestOutcome outcome) {
+        recorder.recordOutcome(outcome, endNanos - dueNanos);
+        listener.accept(new EndedRequest(target, dueNanos, endNanos, outcome));
     }
 
     private static void awaitDue(long dueNanos) throws InterruptedException {
--- a/src/main/java/org/tamarackline/load/RequestOutcome.java
+++ b/src/main/java/org/tamarackline/load/RequestOutcome.java
@@ -9,7 +9,7 @@
  * @param kind how the request ended
  * @param status HTTP status, 0 without a response
  * @param code code of the error response, empty if there is none
- * @param detail explanation in the error response, empty if there is none
+ * @param detail explanation in the error response, or the failure of a broken request; empty if there is neither
  * @param executed value of the response header {@code Tamarackline-Executed}
  */
 public record RequestOutcome(
--- a/src/test/java/org/tamarackline/load/LoadGeneratorTest.java
+++ b/src/test/java/org/tamarackline/load/LoadGeneratorTest.java
@@ -78,7 +78,7 @@
     }
 
     private LoadResult run(String address) throws Exception {
-        new LoadGenerator(client, recorder, outcome -> {}).run(PLAN, List.of("http://" + address), "run");
+        new LoadGenerator(client, recorder, request -> {}).run(PLAN, List.of("http://" + address), "run");
         return recorder.result();
     }
 }
--- a/src/test/java/org/tamarackline/process/ClusterFixture.java
+++ b/src/test/java/org/tamarackline/process/ClusterFixture.java
@@ -1,8 +1,11 @@
 package org.tamarackline.process;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,12 +15,15 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 
 import org.tamarackline.core.model.JobId;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.model.TaskId;
 import org.tamarackline.load.ChildProcess;
+import org.tamarackline.load.EndedRequest;
 import org.tamarackline.load.EntryAddresses;
 import org.tamarackline.load.HistoryCheck;
 import org.tamarackline.load.LoadClient;
@@ -49,14 +55,20 @@
     private static final int REQUESTS_PER_SECOND = 40;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(15);
     private static final long SIGNAL_TIMEOUT_SECONDS = 10;
+    private static final Duration SLOW_REQUEST = Duration.ofMillis(500);
+    private static final Duration SHOWN_LOG_BEFORE = Duration.ofSeconds(5);
+    private static final int MAX_SHOWN_LOG_LINES = 100;
+    private static final Pattern LOG_TIMESTAMP = Pattern.compile("\"timestamp\":\"([^\"]+)\"");
 
     private final LocalCluster cluster;
+    private final Path directory;
     private final LoadClient client = new LoadClient(MAX_CONNECTIONS, REQUEST_TIMEOUT);
-    private final Queue<RequestOutcome> outcomes = new ConcurrentLinkedQueue<>();
+    private final Queue<EndedRequest> requests = new ConcurrentLinkedQueue<>();
     private final Set<TaskId> acceptedTasks = new HashSet<>();
 
-    private ClusterFixture(LocalCluster cluster) {
+    private ClusterFixture(LocalCluster cluster, Path directory) {
         this.cluster = cluster;
+        this.directory = directory;
     }
 
     /** Starts the cluster and returns when every node serves requests. */
@@ -72,7 +84,7 @@
                 Map.of(
                         "cluster", Map.of("drain_delay_ms", 200),
                         "jobs", Map.of("worker_renewal_interval_ms", 1_000, "task_lease_ms", 6_000)));
-        ClusterFixture fixture = new ClusterFixture(LocalCluster.prepare(plan));
+        ClusterFixture fixture = new ClusterFixture(LocalCluster.prepare(plan), directory);
         try {
             fixture.cluster.start();
             fixture.configure();
@@ -107,7 +119,7 @@
 
     /** Starts a thread that sends requests to all nodes for {@code duration}. */
     Thread startLoad(Duration duration) {
-        LoadGenerator runner = new LoadGenerator(client, new LoadRecorder(), outcomes::add);
+        LoadGenerator runner = new LoadGenerator(client, new LoadRecorder(), requests::add);
         List<String> targets =
                 cluster.entryAddresses().stream().map(EntryAddresses::callerUrl).toList();
         return Thread.ofVirtual().start(() -> {
@@ -121,8 +133,10 @@
 
     /** Sends one request and returns its outcome for the caller. */
     RequestOutcome sendRequest(int node, String requestId) {
-        RequestOutcome outcome = client.send(cluster.entryAddresses().get(node).callerUrl(), loadPlan(), requestId);
-        outcomes.add(outcome);
+        String target = cluster.entryAddresses().get(node).callerUrl();
+        long startNanos = System.nanoTime();
+        RequestOutcome outcome = client.send(target, loadPlan(), requestId);
+        requests.add(new EndedRequest(target, startNanos, System.nanoTime(), outcome));
         return outcome;
     }
 
@@ -158,7 +172,7 @@
 
     /** Compares the outcomes that callers received with the histories of the runners. */
     HistoryCheck.RequestCounts checkRequests() throws IOException, InterruptedException {
-        return HistoryCheck.requests(outcomes, cluster.runnerHistories());
+        return HistoryCheck.requests(outcomes(), cluster.runnerHistories());
     }
 
     /** Compares the accepted tasks with the histories of the workers. */
@@ -166,8 +180,61 @@
         return HistoryCheck.tasks(acceptedTasks, cluster.workerRuns());
     }
 
-    Queue<RequestOutcome> outcomes() {
-        return outcomes;
+    List<RequestOutcome> outcomes() {
+        return requests.stream().map(EndedRequest::outcome).toList();
+    }
+
+    /**
+     * Describes each request that was not answered, the answered ones that took long, and what the entry nodes logged from
+     * shortly before {@code start} on, so that a failed assertion on the outcomes shows their cause.
+     *
+     * @param start the event to which the times of the requests are relative
+     */
+    String describeUnanswered(Instant start) {
+        long startNanos =
+                System.nanoTime() - Duration.between(start, Instant.now()).toNanos();
+        List<String> lines = new ArrayList<>();
+        lines.add("requests that were not answered or took more than %d ms, with times from %s:"
+                .formatted(SLOW_REQUEST.toMillis(), start));
+        requests.stream()
+                .filter(request -> request.outcome().kind() != RequestOutcome.Kind.ANSWERED
+                        || request.endNanos() - request.dueNanos() > SLOW_REQUEST.toNanos())
+                .map(request -> describe(request, startNanos))
+                .forEach(lines::add);
+        for (int node = 0; node < ENTRY_NODES; node++) {
+            lines.add("log of node %d from %s on:".formatted(node, start.minus(SHOWN_LOG_BEFORE)));
+            lines.addAll(logLines(node, start.minus(SHOWN_LOG_BEFORE)));
+        }
+        return String.join(System.lineSeparator(), lines);
+    }
+
+    private String describe(EndedRequest request, long startNanos) {
+        List<String> targets =
+                cluster.entryAddresses().stream().map(EntryAddresses::callerUrl).toList();
+        return "node %d, due at %d ms, ended at %d ms: %s"
+                .formatted(
+                        targets.indexOf(request.target()),
+                        TimeUnit.NANOSECONDS.toMillis(request.dueNanos() - startNanos),
+                        TimeUnit.NANOSECONDS.toMillis(request.endNanos() - startNanos),
+                        request.outcome());
+    }
+
+    /** Returns the lines of a node's log that begin with a time from {@code start} on; the log is in the order of time. */
+    private List<String> logLines(int node, Instant start) {
+        Path log = directory.resolve("entry-%d.log".formatted(node));
+        try {
+            return Files.readAllLines(log).stream()
+                    .dropWhile(line -> isBefore(line, start))
+                    .limit(MAX_SHOWN_LOG_LINES)
+                    .toList();
+        } catch (IOException e) {
+            return List.of("could not be read: " + e);
+        }
+    }
+
+    private static boolean isBefore(String logLine, Instant time) {
+        Matcher matcher = LOG_TIMESTAMP.matcher(logLine);
+        return !matcher.find() || Instant.parse(matcher.group(1)).isBefore(time);
     }
 
     /** Suspends a process with SIGSTOP. */
--- a/src/test/java/org/tamarackline/process/OutageTest.java
+++ b/src/test/java/org/tamarackline/process/OutageTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
@@ -43,17 +44,23 @@
             JobId job = fixture.awaitAccepted(0, TASKS, TASK_WORK);
             fixture.awaitRunning(0, job, TASKS);
             String faults = fixture.cluster().platform().url() + "/faults";
+            Instant outageStart = Instant.now();
             fixture.cluster().http().putJson(faults, DOWN);
             long outageEndNanos = System.nanoTime() + OUTAGE_DURATION.toNanos();
             Thread load = fixture.startLoad(LOAD_DURATION);
             load.join();
             Waits.until("the outage has lasted", ClusterFixture.TIMEOUT, () -> System.nanoTime() - outageEndNanos > 0);
             RequestOutcome outageOutcome = fixture.sendRequest(1, "in the outage");
-            assertThat(outageOutcome.kind()).as(outageOutcome.toString()).isEqualTo(RequestOutcome.Kind.ANSWERED);
+            assertThat(outageOutcome.kind())
+                    .as(() -> fixture.describeUnanswered(outageStart))
+                    .isEqualTo(RequestOutcome.Kind.ANSWERED);
             assertThat(fixture.submit(1, 1, TASK_WORK)).isEmpty();
             fixture.cluster().http().putJson(faults, PlatformFaults.NONE);
             fixture.awaitDone(0, job);
-            assertThat(fixture.outcomes()).extracting(RequestOutcome::kind).containsOnly(RequestOutcome.Kind.ANSWERED);
+            assertThat(fixture.outcomes())
+                    .as(() -> fixture.describeUnanswered(outageStart))
+                    .extracting(RequestOutcome::kind)
+                    .containsOnly(RequestOutcome.Kind.ANSWERED);
             HistoryCheck.TaskCounts tasks = fixture.checkTasks();
             assertThat(tasks).isEqualTo(new HistoryCheck.TaskCounts(TASKS, 0, 0, 0, 0, 0));
             assertThat(fixture.checkRequests().isCorrect()).isTrue();
