State the cause of the outage test's refusals

The entry of OutageTest.platformDownLongerThanEveryLease said that the cause was not known. The printed outcomes show 504 and 503 after the 1 s that the profile allows: client, nodes and runners waited that long for a processor, also with the platform up.

ProxyResourceTest now shows that a request without a key calls no platform in an outage, so a platform that does not respond cannot delay it.

--- a/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
+++ b/src/test/java/org/tamarackline/entry/proxy/ProxyResourceTest.java
@@ -13,6 +13,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.idempotency.IdempotencyKey;
+import org.tamarackline.core.membership.MembershipStatus;
 import org.tamarackline.core.usage.AttemptOutcome;
 import org.tamarackline.store.TableTransaction;
 
@@ -336,6 +337,21 @@
         }
     }
 
+    /** Guards against a request that waits for a platform which does not respond, and misses its deadline in every outage. */
+    @Test
+    void answersARequestWithoutAKeyInAnOutageWithoutCallingThePlatform() throws Exception {
+        try (ScriptedUpstream runner = new ScriptedUpstream(ScriptedUpstream.echo());
+                ProxyFixture node = ProxyFixture.withoutDeadline(runner)) {
+            node.cluster.setMembershipStatus(MembershipStatus.OUTAGE);
+            int callsBefore = node.platform.reads() + node.platform.writes();
+            HttpResponse<String> answer =
+                    node.send(node.request("/order").POST(HttpRequest.BodyPublishers.ofString("1 tassel")));
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(runner.received).hasSize(1);
+            assertThat(node.platform.reads() + node.platform.writes()).isEqualTo(callsBefore);
+        }
+    }
+
     private static HttpRequest.Builder order(ProxyFixture node, String body) {
         return node.request("/order")
                 .header("Idempotency-Key", "key-1")
