Count a runner as reported only once its process is confirmed

A leader that was replaced without being told gets the first answer of an inherited runner that has restarted. Its empty status counted as the report of all its runs, so their tasks started elsewhere, although the successor may have acknowledged their ends. A restart of a runner that had reported did wait for the store's confirmation; the first status did not.

The runner now stays unreported until the store has confirmed the leader since it learned of the process. The answer of a poll before a start sends no start if it is older than the shortest restart, and the runner's clock can no longer place the process later than the arrival of its answer, as it could after a suspension.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -122,12 +122,19 @@
     /**
      * Sets whether the store has confirmed the leader since it learned of the runner's process. Until then the runner
      * gets no new tasks: a successor may have started and finished tasks that are ready here, and the process may have
-     * forgotten the successor's epoch.
+     * forgotten the successor's epoch. It also counts as unreported, if it did: the successor may have acknowledged ends
+     * of an earlier process, which are missing from the status.
      */
     public void setRunnerConfirmed(String id, boolean confirmed) {
         FleetRunner runner = runners.get(id);
-        if (runner != null) {
-            runner.unconfirmed = !confirmed;
+        if (runner == null) {
+            return;
+        }
+        runner.unconfirmed = !confirmed;
+        if (!confirmed) {
+            runner.reported = false;
+        } else if (runner.reported) {
+            unreportedRunners.remove(id);
         }
     }
 
@@ -253,7 +260,10 @@
         }
         if (!status.truncated()) {
             loseMissingRuns(runner, reported, requestSentNanos);
-            unreportedRunners.remove(runner.id());
+            runner.reported = true;
+            if (!runner.unconfirmed) {
+                unreportedRunners.remove(runner.id());
+            }
         }
         runner.orphanStopNanos.keySet().retainAll(reported);
         stopUnresolvedStarts(runner, nowNanos);
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -46,6 +46,8 @@
     boolean cordoned;
     /** Whether the store has not confirmed the leader since it learned of the runner's process. */
     boolean unconfirmed;
+    /** Whether the runner's process has reported all its runs and ends. */
+    boolean reported;
     /** Whether the runner gets no new tasks so that it can discard ended runs. */
     boolean acknowledgementOverdue;
     /** Incarnation that {@link #runs} belong to, 0 before the first status. */
--- a/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
+++ b/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
@@ -37,20 +37,21 @@
      *
      * @param sentNanos when the poll was sent
      * @param clockMs the runner's clock in the answer
+     * @param nowNanos when the answer arrived
      */
-    void onPollAnswered(long sentNanos, long clockMs) {
-        if (answeredPoll && clockMs < aliveClockMs) {
-            return;
-        }
+    void onPollAnswered(long sentNanos, long clockMs, long nowNanos) {
         long writtenNanos = sentNanos;
-        if (answeredPoll) {
-            long byClockNanos =
-                    aliveNanos + (long) ((clockMs - aliveClockMs) * 1e6 / (1 + FleetConstants.MAX_CLOCK_DRIFT));
-            writtenNanos += Math.max(0, byClockNanos - sentNanos);
+        if (answeredPoll && clockMs >= aliveClockMs) {
+            double elapsedNanos = (clockMs - aliveClockMs) * 1e6 / (1 + FleetConstants.MAX_CLOCK_DRIFT);
+            // This node's clock may have stood still in between, or the runner's may be wrong.
+            long laterNanos = (long) Math.min(nowNanos - aliveNanos, elapsedNanos);
+            writtenNanos = Math.max(sentNanos, aliveNanos + laterNanos);
+        }
+        if (!answeredPoll || writtenNanos - aliveNanos > 0) {
+            answeredPoll = true;
+            aliveNanos = writtenNanos;
+            aliveClockMs = clockMs;
         }
-        answeredPoll = true;
-        aliveNanos = writtenNanos;
-        aliveClockMs = clockMs;
     }
 
     /** Returns whether the process is confirmed and known to have been alive at a time or later. */
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -102,9 +102,13 @@
             List<Run> runs = List.copyOf(unsentStarts);
             unsentStarts.clear();
             if (!session.closed() && answersAsKnownProcess(response)) {
-                process.onPollAnswered(sentNanos, response.status().clockMs());
-                runs.forEach(this::sendStartIfAwaited);
-                return;
+                process.onPollAnswered(
+                        sentNanos, response.status().clockMs(), context.loop().nowNanos());
+                // The process may have been replaced while an older answer was on its way.
+                if (processAliveWithin(FleetConstants.MIN_RESTART_TIME)) {
+                    runs.forEach(this::sendStartIfAwaited);
+                    return;
+                }
             }
             runs.forEach(this::startNotSent);
             if (!session.closed()) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -289,7 +289,7 @@
         }
         missedPolls = 0;
         learnProcess(response.status().processStartEpochMs());
-        process.onPollAnswered(sentNanos, response.status().clockMs());
+        process.onPollAnswered(sentNanos, response.status().clockMs(), nowNanos);
         boolean restarted = runner.processStartEpochMs() != 0
                 && runner.processStartEpochMs() != response.status().processStartEpochMs();
         restartPending = restarted && !process.confirmed();
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -125,6 +125,25 @@
         assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
     }
 
+    /** Guards against a first status that lacks the runs of an earlier process, whose ends a successor has acknowledged. */
+    @Test
+    void taskOfAnUnreportedRunnerThatRestartedWaitsUntilTheStoreConfirmsTheLeader() {
+        registered.add(descriptor("a"));
+        submit("j", false);
+        Leader first = startLeader(1);
+        loop.advance(Duration.ofSeconds(2));
+        registered.add(descriptor("b"));
+        loop.advance(Duration.ofSeconds(2));
+        calls.stopResponding("a");
+        first.end();
+        startLeader(2);
+        loop.advance(Duration.ofSeconds(1));
+        store.setRejecting(true);
+        calls.resumeResponding("a");
+        calls.restart("a");
+        assertTaskStartsOnSecondRunnerOnceTheStoreIsBack();
+    }
+
     /** Guards against a replaced leader that takes a conflict without rows for a confirmation. */
     @Test
     void conflictWithoutRowsDoesNotConfirmTheLeader() {
