--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -46,6 +46,7 @@
     private final List<SentStart> starts = new ArrayList<>();
     private final List<SentRenewal> renewals = new ArrayList<>();
     private int polls;
+    private Duration pollResponseDelay = Duration.ZERO;
     private boolean allSilent;
 
     FakeRunnerCalls(ManualLoop loop) {
@@ -94,6 +95,11 @@
         return renewals;
     }
 
+    /** Delays the responses to polls; a status shows the time at which its poll arrived. */
+    void delayPollResponses(Duration delay) {
+        pollResponseDelay = delay;
+    }
+
     /** Returns the number of polls that were sent. */
     int polls() {
         return polls;
@@ -167,12 +173,13 @@
                     TIMEOUT, () -> callback.accept(new PollResponse(RunnerCommandOutcome.UNKNOWN, null, "no answer")));
             return;
         }
-        loop.schedule(Duration.ofMillis(waitMs), () -> {
+        long sentMs = loop.nowNanos() / 1_000_000;
+        loop.schedule(Duration.ofMillis(waitMs).plus(pollResponseDelay), () -> {
             if (replacedRunners.contains(runner.id())) {
                 callback.accept(new PollResponse(RunnerCommandOutcome.RUNNER_REPLACED, null, "replaced"));
                 return;
             }
-            long clockMs = loop.nowNanos() / 1_000_000;
+            long clockMs = pollResponseDelay.isZero() ? loop.nowNanos() / 1_000_000 : sentMs;
             List<RunnerStatus.ActiveRun> runs = List.copyOf(activeRuns(runner));
             callback.accept(new PollResponse(
                     RunnerCommandOutcome.DONE,
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -156,6 +156,19 @@
         assertThat(unansweredStarts).isZero();
     }
 
+    /** Guards against a start to a process that has taken over while the answer of the earlier one was on its way. */
+    @Test
+    void answerThatIsOlderThanARestartSendsNoStart() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.delayPollResponses(Duration.ofMillis(800));
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(900));
+        assertThat(calls.starts()).isEmpty();
+        assertThat(unansweredStarts).isZero();
+        assertThat(runner.busy()).isFalse();
+    }
+
     /** Guards against a poll for each start, which would double the calls of a leader that starts many tasks. */
     @Test
     void startsToOneRunnerShareAPoll() {
