--- a/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
+++ b/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
@@ -44,7 +44,7 @@
         if (answeredPoll && clockMs >= aliveClockMs) {
             double elapsedNanos = (clockMs - aliveClockMs) * 1e6 / (1 + FleetConstants.MAX_CLOCK_DRIFT);
             // This node's clock may have stood still in between, or the runner's may be wrong.
-            long laterNanos = (long) Math.min(nowNanos - aliveNanos, elapsedNanos);
+            long laterNanos = Math.min(nowNanos - aliveNanos, (long) elapsedNanos);
             writtenNanos = Math.max(sentNanos, aliveNanos + laterNanos);
         }
         if (!answeredPoll || writtenNanos - aliveNanos > 0) {
