Simulate nodes of unequal speed and outages of the store for all nodes

The simulated nodes were equally fast, and an outage of the store came only among other faults, where a change of leader is allowed. Each step of a simulated node now takes processor time, between 0.1 and 8 ms, and a second profile of faults has outages of the store of up to 6 s and nothing else. There no leader may be replaced and no run may end with its lease.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -8,6 +8,20 @@
 /** Injects random faults into a {@link ClusterSimulation}; each seed uses a random part of the kinds of faults. */
 final class ClusterFaults {
 
+    /** Faults of a simulation. */
+    enum Profile {
+        /** A random part of all kinds, which may overlap. */
+        ALL_KINDS,
+        /** The store is unavailable to all nodes from time to time, and nothing else fails. */
+        STORE_OUTAGES
+    }
+
+    /** Longest outage of the store that the nodes have to bridge, in milliseconds. */
+    private static final int MAX_BRIDGED_OUTAGE_MS = 6_000;
+
+    /** Shortest time between two such outages, in milliseconds. */
+    private static final int MIN_TIME_BETWEEN_OUTAGES_MS = 6_000;
+
     /** Injects one fault that may concern a runner and a node. */
     private interface Injection {
         void inject(ClusterFaults faults, ProtocolRunner runner, SimulatedNode node);
@@ -72,11 +86,22 @@
                 faults.later(faults.between(600, 3_000), () -> faults.isolate(runner, faults.between(6_000, 16_000)));
             }));
 
+    private static final List<Kind> STORE_OUTAGES = List.of(
+            new Kind(
+                    "store-rejects",
+                    (faults, runner, node) -> faults.failStore(
+                            SimulatedStore.Availability.REJECTING, faults.between(500, MAX_BRIDGED_OUTAGE_MS))),
+            new Kind(
+                    "store-silent",
+                    (faults, runner, node) -> faults.failStore(
+                            SimulatedStore.Availability.SILENT, faults.between(500, MAX_BRIDGED_OUTAGE_MS))));
+
     private static final int MIN_RUNNERS = 5;
     private static final int MAX_RUNNERS = 9;
 
     private final ClusterSimulation cluster;
     private final Random random;
+    private final Profile profile;
     private final List<Kind> kinds = new ArrayList<>();
     private final int meanIntervalMs;
     private final double lostResponses;
@@ -84,11 +109,12 @@
     private boolean active;
     private boolean disturbed;
 
-    ClusterFaults(ClusterSimulation cluster, Random random) {
+    ClusterFaults(ClusterSimulation cluster, Random random, Profile profile) {
         this.cluster = cluster;
         this.random = random;
-        for (Kind kind : ALL_KINDS) {
-            if (random.nextBoolean()) {
+        this.profile = profile;
+        for (Kind kind : profile == Profile.ALL_KINDS ? ALL_KINDS : STORE_OUTAGES) {
+            if (profile == Profile.STORE_OUTAGES || random.nextBoolean()) {
                 kinds.add(kind);
             }
         }
@@ -100,6 +126,10 @@
     /** Starts to inject faults. */
     void start() {
         active = true;
+        if (profile == Profile.STORE_OUTAGES) {
+            scheduleNext();
+            return;
+        }
         disturbed = true;
         double rate = random.nextInt(3) * 0.02;
         cluster.nodes().forEach(node -> node.storeLink().setFaultRates(rate, rate, rate));
@@ -110,6 +140,9 @@
 
     private void scheduleNext() {
         long delayMs = (long) (-Math.log(1 - random.nextDouble()) * meanIntervalMs);
+        if (profile == Profile.STORE_OUTAGES) {
+            delayMs += MAX_BRIDGED_OUTAGE_MS + MIN_TIME_BETWEEN_OUTAGES_MS;
+        }
         cluster.loop().schedule(Duration.ofMillis(delayMs), () -> {
             if (active) {
                 inject(kinds.get(random.nextInt(kinds.size())));
--- a/src/test/java/org/tamarackline/fleet/ClusterSeeds.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSeeds.java
@@ -16,12 +16,14 @@
  * java -cp target/test-classes:target/tamarackline-0.1.0-all.jar org.tamarackline.fleet.ClusterSeeds trace 9
  * </pre>
  *
- * <p>A third argument of the first form names a {@link ClusterSimulation.Defect}.
+ * <p>A third argument names a {@link ClusterFaults.Profile}, a fourth one of the first form a {@link
+ * ClusterSimulation.Defect}.
  */
 final class ClusterSeeds {
 
     private static final int MAX_PRINTED_SEEDS = 20;
 
+    private final ClusterFaults.Profile profile;
     private final ClusterSimulation.Defect defect;
     private final Map<RunHistory.Rule, List<Long>> seedsByRule = new TreeMap<>();
     private long seeds;
@@ -29,20 +31,24 @@
     private long slowestRecoveryMs;
     private long digest;
 
-    private ClusterSeeds(ClusterSimulation.Defect defect) {
+    private ClusterSeeds(ClusterFaults.Profile profile, ClusterSimulation.Defect defect) {
+        this.profile = profile;
         this.defect = defect;
     }
 
     /** Runs the seeds that the arguments name. */
     public static void main(String[] arguments) {
+        ClusterFaults.Profile profile =
+                arguments.length > 2 ? ClusterFaults.Profile.valueOf(arguments[2]) : ClusterFaults.Profile.ALL_KINDS;
         if (arguments[0].equals("trace")) {
-            printTrace(Long.parseLong(arguments[1]));
+            printTrace(Long.parseLong(arguments[1]), profile);
             return;
         }
         long first = Long.parseLong(arguments[0]);
         long count = Long.parseLong(arguments[1]);
-        ClusterSeeds run = new ClusterSeeds(
-                arguments.length > 2 ? ClusterSimulation.Defect.valueOf(arguments[2]) : ClusterSimulation.Defect.NONE);
+        ClusterSimulation.Defect defect =
+                arguments.length > 3 ? ClusterSimulation.Defect.valueOf(arguments[3]) : ClusterSimulation.Defect.NONE;
+        ClusterSeeds run = new ClusterSeeds(profile, defect);
         for (long seed = first; seed < first + count; seed++) {
             run.runSeed(seed);
         }
@@ -50,7 +56,7 @@
     }
 
     private void runSeed(long seed) {
-        ClusterSimulation simulation = new ClusterSimulation(seed, defect, false);
+        ClusterSimulation simulation = new ClusterSimulation(seed, defect, profile, false);
         simulation.run();
         seeds++;
         starts += simulation.history().startCount();
@@ -75,8 +81,8 @@
                 + " ms, digest " + digest);
     }
 
-    private static void printTrace(long seed) {
-        ClusterSimulation simulation = new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, true);
+    private static void printTrace(long seed, ClusterFaults.Profile profile) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, profile, true);
         simulation.run();
         simulation.history().trace().forEach(System.out::println);
         System.out.println(simulation.decisionLogs());
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -23,6 +23,18 @@
         assertThat(simulation.history().violations()).isEmpty();
     }
 
+    /**
+     * Guards against a leader that is replaced because the store answers nobody, and against a successor that lets the
+     * leases of runners expire.
+     */
+    @Property(tries = 60, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void bridgesOutagesOfTheStore(@ForAll long seed) {
+        ClusterSimulation simulation =
+                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.STORE_OUTAGES, false);
+        simulation.run();
+        assertThat(simulation.history().violations()).isEmpty();
+    }
+
     /** Guards against failures that cannot be reproduced. */
     @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
     void sameSeedGivesTheSameEvents(@ForAll long seed) {
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -58,6 +59,14 @@
     /** Fraction by which the clock of a runner may be slow. */
     private static final double MAX_CLOCK_LAG = 0.02;
 
+    /** Time in which a cluster without faults has found the node that is to lead it. */
+    private static final Duration SETTLING_TIME = Duration.ofSeconds(10);
+
+    /** Time that the processor of a fast node takes for a step, and the longest such time, in microseconds. */
+    private static final int FAST_STEP_MICROS = 100;
+
+    private static final int MAX_STEP_MICROS = 8_000;
+
     private static final int NODES = 3;
     private static final int INITIAL_RUNNERS = 6;
     private static final int MAX_ATTEMPTS = 3;
@@ -71,6 +80,7 @@
 
     private final long seed;
     private final Defect defect;
+    private final ClusterFaults.Profile profile;
     private final Random random;
     private final ManualLoop loop = new ManualLoop();
     private final RunHistory history;
@@ -92,26 +102,41 @@
     private long faultsEndNanos = Long.MAX_VALUE;
     private long lastStandstillNanos;
     private int runnerCount;
+    private long settledEpoch;
+
+    /** Creates a simulation with all kinds of faults. */
+    ClusterSimulation(long seed, Defect defect, boolean tracing) {
+        this(seed, defect, ClusterFaults.Profile.ALL_KINDS, tracing);
+    }
 
     /**
      * Creates a simulation.
      *
      * @param tracing whether the events and the decision logs of the nodes are kept
      */
-    ClusterSimulation(long seed, Defect defect, boolean tracing) {
+    ClusterSimulation(long seed, Defect defect, ClusterFaults.Profile profile, boolean tracing) {
         this.seed = seed;
         this.defect = defect;
+        this.profile = profile;
         this.tracing = tracing;
         this.random = new Random(seed);
         this.history = new RunHistory(loop, tracing);
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
-        this.faults = new ClusterFaults(this, new Random(random.nextLong()));
+        this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
         int pageRows = random.nextBoolean() ? 500 : 10;
+        int fastNode = random.nextInt(NODES);
         for (int i = 0; i < NODES; i++) {
+            int stepMicros = i == fastNode ? FAST_STEP_MICROS : FAST_STEP_MICROS + random.nextInt(MAX_STEP_MICROS);
             SimulatedStoreClient.Link link = new SimulatedStoreClient.Link(new Random(random.nextLong()), pageRows);
             nodes.add(new SimulatedNode(
-                    "node-" + i, loop, store, link, new NodeClients(), log, new Random(random.nextLong())));
+                    new SimulatedNode.Machine("node-" + i, Duration.of(stepMicros, ChronoUnit.MICROS)),
+                    loop,
+                    store,
+                    link,
+                    new NodeClients(),
+                    log,
+                    new Random(random.nextLong())));
         }
         for (int i = 0; i < INITIAL_RUNNERS; i++) {
             addRunner("10.0.0." + i + ":80");
@@ -500,6 +525,9 @@
             node.leader().ifPresent(leader -> sampleStates(node, leader));
         }
         checkLongRunningTasks();
+        if (profile == ClusterFaults.Profile.STORE_OUTAGES) {
+            checkLeaderStays();
+        }
         if (tracing) {
             log.flush();
         }
@@ -513,6 +541,20 @@
         }
     }
 
+    /** Checks that only one node leads after the cluster has settled, because all nodes reach each other and all runners. */
+    private void checkLeaderStays() {
+        for (SimulatedNode node : nodes) {
+            long epoch = node.leader().map(leader -> leader.record().epoch()).orElse(0L);
+            if (epoch <= settledEpoch) {
+                continue;
+            }
+            if (loop.nowNanos() > SETTLING_TIME.toNanos()) {
+                history.report(RunHistory.Rule.LEADER_REPLACED_IN_STORE_OUTAGE, node.name(), "leads epoch " + epoch);
+            }
+            settledEpoch = epoch;
+        }
+    }
+
     private void checkLongRunningTasks() {
         if (!faultsEnded()) {
             return;
@@ -540,6 +582,12 @@
     }
 
     private void checkEndState() {
+        if (profile == ClusterFaults.Profile.STORE_OUTAGES && history.leaseExpiryCount() > 0) {
+            history.report(
+                    RunHistory.Rule.LEASE_EXPIRED_IN_STORE_OUTAGE,
+                    "all jobs",
+                    history.leaseExpiryCount() + " runs ended with their lease");
+        }
         for (String job : accepted) {
             JobDefinition definition = submitted.get(job);
             boolean runs = RunHistory.tasksOf(definition).stream().anyMatch(history::runs);
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -50,7 +50,11 @@
         /** A long-running task without a run long after the faults. */
         LONG_RUNNING_TASK_STOPPED,
         /** A run of a cancelled job long after the faults. */
-        CANCELLED_JOB_RUNS
+        CANCELLED_JOB_RUNS,
+        /** A run that ended with its lease although only the store was unavailable for a while. */
+        LEASE_EXPIRED_IN_STORE_OUTAGE,
+        /** A leader that was replaced although only the store was unavailable for a while. */
+        LEADER_REPLACED_IN_STORE_OUTAGE
     }
 
     /**
@@ -378,6 +382,14 @@
         return !historyOf(task).live.isEmpty();
     }
 
+    /** Returns the number of runs that ended because their lease expired. */
+    long leaseExpiryCount() {
+        return tasks.values().stream()
+                .flatMap(task -> task.ends.stream())
+                .filter(end -> end.end.reason() == EndReason.LEASE_EXPIRED)
+                .count();
+    }
+
     int startCount() {
         return tasks.values().stream().mapToInt(task -> task.starts.size()).sum();
     }
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -31,6 +31,14 @@
         }
     }
 
+    /**
+     * Machine of the node.
+     *
+     * @param name name of the node
+     * @param stepTime time that the processor takes for a step of the event loop
+     */
+    record Machine(String name, Duration stepTime) {}
+
     /** Creates the clients of a new process. */
     interface Clients {
 
@@ -39,7 +47,7 @@
         RunnerCalls runners(SimulatedNode node, EventLoop loop);
     }
 
-    private final String name;
+    private final Machine machine;
     private final ManualLoop shared;
     private final SimulatedStore store;
     private final SimulatedStoreClient.Link storeLink;
@@ -50,14 +58,14 @@
     private boolean stopping;
 
     SimulatedNode(
-            String name,
+            Machine machine,
             ManualLoop shared,
             SimulatedStore store,
             SimulatedStoreClient.Link storeLink,
             Clients clients,
             LineSink log,
             Random random) {
-        this.name = name;
+        this.machine = machine;
         this.shared = shared;
         this.store = store;
         this.storeLink = storeLink;
@@ -67,11 +75,11 @@
     }
 
     String name() {
-        return name;
+        return machine.name();
     }
 
     String address() {
-        return name + ":1";
+        return machine.name() + ":1";
     }
 
     SimulatedStoreClient.Link storeLink() {
@@ -92,7 +100,7 @@
         if (process != null) {
             return;
         }
-        SimulatedNodeLoop loop = new SimulatedNodeLoop(shared);
+        SimulatedNodeLoop loop = new SimulatedNodeLoop(shared, machine.stepTime());
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(EPOCH_MS + shared.nowNanos() / 1_000_000);
         SimulatedStoreClient client = new SimulatedStoreClient(shared, loop, store, storeLink);
         NodeServices services = new NodeServices(
@@ -101,10 +109,10 @@
                 clients.runners(this, loop),
                 client,
                 timeOfDay,
-                new DecisionLog(log, timeOfDay, loop, name),
+                new DecisionLog(log, timeOfDay, loop, machine.name()),
                 FleetMetrics.NONE);
         PeerCalls peers = clients.peers(this, loop);
-        NodeSettings settings = new NodeSettings(name, "dc", address());
+        NodeSettings settings = new NodeSettings(machine.name(), "dc", address());
         Election election = new Election(services, peers, settings, random.nextLong());
         process = new NodeProcess(
                 loop, election, new JobRequestHandler(loop, client, election, peers, FleetMetrics.NONE));
--- a/src/test/java/org/tamarackline/fleet/SimulatedNodeLoop.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNodeLoop.java
@@ -5,25 +5,34 @@
 import java.util.List;
 
 /**
- * Event loop of one node process on a shared clock. It may be suspended, with a steady clock that does or does not count
- * the suspension, and it may end.
+ * Event loop of one node process on a shared clock. It runs one step at a time, each for the same time of its processor.
+ * It may be suspended, with a steady clock that does or does not count the suspension, and it may end.
  */
 final class SimulatedNodeLoop implements EventLoop {
 
     private final ManualLoop shared;
+    private final Duration stepTime;
     private final List<Runnable> deferred = new ArrayList<>();
     private boolean suspended;
     private boolean ended;
     private long suspendedSinceNanos;
     private long uncountedNanos;
+    /** When the processor has finished all steps that are due. */
+    private long busyUntilNanos;
 
-    SimulatedNodeLoop(ManualLoop shared) {
+    /**
+     * Creates a loop.
+     *
+     * @param stepTime time that the processor takes for a step
+     */
+    SimulatedNodeLoop(ManualLoop shared, Duration stepTime) {
         this.shared = shared;
+        this.stepTime = stepTime;
     }
 
     @Override
     public void execute(Runnable step) {
-        shared.execute(() -> run(step));
+        shared.execute(() -> enqueue(step));
     }
 
     @Override
@@ -34,7 +43,7 @@
     private void scheduleAt(long atNanos, Runnable step) {
         shared.schedule(
                 Duration.ofNanos(Math.max(0, atNanos - nowNanos())),
-                () -> run(() -> {
+                () -> enqueue(() -> {
                     if (nowNanos() < atNanos) {
                         scheduleAt(atNanos, step);
                     } else {
@@ -43,6 +52,12 @@
                 }));
     }
 
+    /** Runs a step that is due once the processor has finished the earlier ones. */
+    private void enqueue(Runnable step) {
+        busyUntilNanos = Math.max(busyUntilNanos, shared.nowNanos()) + stepTime.toNanos();
+        shared.schedule(Duration.ofNanos(busyUntilNanos - shared.nowNanos()), () -> run(step));
+    }
+
     private void run(Runnable step) {
         if (ended) {
             return;
