Keep the leader through outages of the store, and let a node with the capacity lead

Cause: a node that found the leader without the store for 2.5 s took over as soon as the store answered it, although the store had answered nobody; and who led was decided by names and by who asked first, so that a node with a fifth of a processor could take over hundreds of runners from a healthy leader, and lose their leases.

Change: a leader without the store is replaced only by a node that the store has answered for 2.5 s without a failure (StoreContact, MonitoredStore); otherwise the followers keep it and ask it again. Nodes send their processor time, memory and open files with their pings; the leader ranks its successors by them (Successors), and a leader without the capacity for its runners resigns in favour of one that has it (HandoverPolicy). It renews leases until it is succeeded, and leads again if nobody succeeds it. Retries back off with jitter, the pings of lower ranks are further apart, and takeovers follow one order.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -278,7 +279,7 @@
         private final List<Job> jobs = new ArrayList<>();
         private final Map<Job, JobState> terminalStates = new HashMap<>();
         private final List<Run> pendingStarts = new ArrayList<>();
-        private final Map<RunnerSession, ProcessedEnds> processedEnds = new HashMap<>();
+        private final Map<RunnerSession, ProcessedEnds> processedEnds = new LinkedHashMap<>();
         private final List<RunnerDescriptor> addedToRoster = new ArrayList<>();
         private final List<String> cordoned = new ArrayList<>();
         private final List<String> removedFromRoster = new ArrayList<>();
--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -1,6 +1,8 @@
 package org.tamarackline.fleet;
 
+import java.time.Duration;
 import java.util.Optional;
+import java.util.Random;
 
 import org.tamarackline.core.fleet.FleetConfiguration;
 
@@ -10,21 +12,36 @@
  */
 final class ConfigurationFollower {
 
+    /** Longest delay between two reads while the store does not answer. */
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final EventLoop loop;
     private final RecordStore store;
     private final ConfigurationSource source;
     private final DecisionLog log;
     private final FleetMetrics metrics;
+    private final RetryBackoff backoff;
     private volatile FleetConfiguration current = FleetConfiguration.NONE;
     private boolean failing;
 
+    /**
+     * Creates a follower; {@link #start} starts it.
+     *
+     * @param random spreads the retries of the nodes
+     */
     ConfigurationFollower(
-            EventLoop loop, RecordStore store, ConfigurationSource source, DecisionLog log, FleetMetrics metrics) {
+            EventLoop loop,
+            RecordStore store,
+            ConfigurationSource source,
+            DecisionLog log,
+            FleetMetrics metrics,
+            Random random) {
         this.loop = loop;
         this.store = store;
         this.source = source;
         this.log = log;
         this.metrics = metrics;
+        this.backoff = new RetryBackoff(FleetConstants.STORE_RETRY_DELAY, MAX_RETRY_DELAY, random);
     }
 
     void start() {
@@ -44,7 +61,7 @@
                 follow(page.version());
             } else {
                 reportFailure(result.toString());
-                loop.schedule(FleetConstants.STORE_RETRY_DELAY, this::readAll);
+                loop.schedule(backoff.next(), this::readAll);
             }
         });
     }
@@ -60,13 +77,14 @@
                 case RecordStore.ReadResult.HistoryLost lost -> readAll();
                 case RecordStore.ReadResult.Failed failed -> {
                     reportFailure(failed.cause());
-                    loop.schedule(FleetConstants.STORE_RETRY_DELAY, this::readAll);
+                    loop.schedule(backoff.next(), this::readAll);
                 }
             }
         });
     }
 
     private void apply(RecordStore.ReadResult.Page page) {
+        backoff.reset();
         if (failing) {
             failing = false;
             log.storeState("store-regained", "configuration read");
--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -104,6 +104,10 @@
         FOLLOWED,
         /** This node takes the leader for ended. */
         SUSPECTED,
+        /** This node does not replace a leader that the store does not answer, because it does not answer this node either. */
+        KEPT,
+        /** This node hands over to a node with more capacity. */
+        YIELDED,
         /** This node could not store its claim, or does not know whether it did. */
         TAKEOVER_FAILED
     }
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -49,9 +50,12 @@
         this.log = services.log();
         this.metrics = services.metrics();
         PeerCalls peers = new HttpPeerCalls(peerHttp, loop);
-        this.configuration = new ConfigurationFollower(loop, services.store(), configurationSource, log, metrics);
-        this.election = new Election(services, peers, settings, incarnation);
-        this.jobs = new JobRequestHandler(loop, services.store(), election, peers, metrics);
+        StoreContact storeContact = new StoreContact(loop);
+        RecordStore store = new MonitoredStore(services.store(), storeContact);
+        this.configuration =
+                new ConfigurationFollower(loop, store, configurationSource, log, metrics, new Random(incarnation));
+        this.election = new Election(services.withStore(store), storeContact, peers, settings, incarnation);
+        this.jobs = new JobRequestHandler(loop, store, election, peers, metrics);
         this.peerHandler = new PeerRequestHandler(loop, election, metricsText, this::stateJson);
     }
 
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -34,11 +34,11 @@
     }
 
     @Override
-    public void ping(String address, String callerNode, Consumer<Optional<PingResponse>> callback) {
+    public void ping(String address, PingRequest request, Consumer<Optional<PingResponse>> callback) {
         request(
                 "GET",
                 address,
-                PeerPaths.PING + encoded(callerNode),
+                PeerPaths.ping(request),
                 PING_TIMEOUT,
                 text -> callback.accept(text.flatMap(HttpPeerCalls::parsePingResponse)));
     }
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -1,5 +1,6 @@
 package org.tamarackline.fleet;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -50,6 +51,7 @@
     private final Callbacks leader;
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
     private long version = -1;
+    private boolean failing;
 
     /**
      * Creates a feed that has read nothing.
@@ -85,7 +87,9 @@
             return;
         }
         long sentNanos = loop.nowNanos();
-        store.follow(RecordStore.Table.JOBS, version, FleetConstants.JOBS_FOLLOW_WAIT, result -> {
+        // While the store fails, an answer at once tells sooner that it is back than one that waits for a change.
+        Duration wait = failing ? Duration.ZERO : FleetConstants.JOBS_FOLLOW_WAIT;
+        store.follow(RecordStore.Table.JOBS, version, wait, result -> {
             metrics.readCompleted(FleetMetrics.ReadPurpose.JOB_CHANGES, FleetMetrics.ReadOutcome.of(result));
             if (leader.leading()) {
                 onChanges(result, sentNanos);
@@ -94,6 +98,7 @@
     }
 
     private void onChanges(RecordStore.ReadResult result, long sentNanos) {
+        failing = result instanceof RecordStore.ReadResult.Failed;
         switch (result) {
             case RecordStore.ReadResult.Page page -> {
                 applyChanges(page.entries());
--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -120,6 +120,9 @@
                                 () -> readStoredState(id, callback));
             } else if (address.isPresent()) {
                 peers.state(address.get(), id, response -> {
+                    if (!response.reached()) {
+                        election.checkLeader();
+                    }
                     if (response.reached() && response.state() != null) {
                         callback.accept(new StateLookup(response.state(), null));
                     } else {
@@ -144,7 +147,12 @@
             if (leader.isPresent()) {
                 callback.accept(leader.get().queuedJobCount(queue));
             } else if (address.isPresent()) {
-                peers.queuedJobCount(address.get(), queue, callback);
+                peers.queuedJobCount(address.get(), queue, count -> {
+                    if (count.isEmpty()) {
+                        election.checkLeader();
+                    }
+                    callback.accept(count);
+                });
             } else {
                 callback.accept(Optional.empty());
             }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -153,6 +153,16 @@
         endWithReason("a successor requested it to step down");
     }
 
+    /** Ends this leader after its resignation, because no node has succeeded it. */
+    void endUnsucceeded() {
+        endWithReason("no node took over after its resignation");
+    }
+
+    /** Returns the number of runners that this leader polls. */
+    int runnerCount() {
+        return sessions.all().size();
+    }
+
     /** Ends this leader; it sends no further commands. */
     void end() {
         if (!ended) {
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -0,0 +1,244 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Pings the leader that this node follows and decides when it should be replaced.
+ *
+ * <p>A leader without contact to the store is replaced only if the store answers this node: an outage of the store for
+ * all nodes ends with the leader that it began with.
+ */
+final class LeaderMonitor {
+
+    /** Consecutive unanswered pings after which the leader is considered to have ended. */
+    private static final int MAX_MISSED_PINGS = 2;
+
+    /** Delay before a ping is repeated that was not answered, or that was answered by a node whose claim is in progress. */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(400);
+
+    /** Time without an answer of the store to the leader, but to this node, after which the leader is replaced. */
+    private static final Duration MAX_STORE_AGE = Duration.ofMillis(2_500);
+
+    /**
+     * Same limit for a node whose claim is in progress; it covers a claim without a response, a retry delay and a slow
+     * read.
+     */
+    private static final Duration MAX_CLAIM_STORE_AGE = Duration.ofSeconds(4);
+
+    /**
+     * Longest wait for another node's claim. It is limited because the store may reject the writes of a node whose
+     * reads it serves.
+     */
+    private static final Duration MAX_CLAIM_WAIT = Duration.ofSeconds(5);
+
+    /** Additional delay before a takeover for each further rank. */
+    private static final Duration TAKEOVER_DELAY_PER_RANK = Duration.ofMillis(350);
+
+    /** Ranks from this one on take over after the same delay, in random order. */
+    private static final int LAST_DELAYED_RANK = 6;
+
+    private final EventLoop loop;
+    private final PeerCalls peers;
+    private final DecisionLog log;
+    private final FleetMetrics metrics;
+    private final StoreContact storeContact;
+    private final PeerCalls.PingRequest request;
+    private final Random random;
+    private final Runnable readRecord;
+
+    private LeaderRecord followed;
+    private long followedVersion;
+    private int rank;
+    private int missedPings;
+    /** Why the leader should be replaced, null if it should not. */
+    private String suspicion;
+    /** Whether the leader was found without the store while this node lacked it too. */
+    private boolean keptWithoutStore;
+    /** When the node of the followed record first reported a claim in progress, 0 if it has not. */
+    private long claimFirstSeenNanos;
+
+    private long lastPingNanos;
+    /** Identifies the current sequence of pings, so that callbacks of an older one do nothing. */
+    private long generation;
+
+    /**
+     * Creates a monitor that follows no leader.
+     *
+     * @param storeContact contact of this node to the store
+     * @param request ping that this node sends
+     * @param initialRank rank of this node until a leader reports one
+     * @param readRecord reads the leader record again; {@link #follow} or {@link #resume} must follow unless this node takes
+     *     over
+     */
+    LeaderMonitor(
+            NodeServices services,
+            PeerCalls peers,
+            StoreContact storeContact,
+            PeerCalls.PingRequest request,
+            int initialRank,
+            Random random,
+            Runnable readRecord) {
+        this.loop = services.loop();
+        this.peers = peers;
+        this.log = services.log();
+        this.metrics = services.metrics();
+        this.storeContact = storeContact;
+        this.request = request;
+        this.rank = initialRank;
+        this.random = random;
+        this.readRecord = readRecord;
+    }
+
+    /** Follows the leader of a record, unless it does so already, and pings it. */
+    void follow(LeaderRecord record, long version) {
+        if (followed == null || followedVersion != version) {
+            log.leadership("leader-followed", record.epoch(), record.node(), "the store has its leader record");
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
+            claimFirstSeenNanos = 0;
+            keptWithoutStore = false;
+        }
+        followed = record;
+        followedVersion = version;
+        missedPings = 0;
+        suspicion = null;
+        ping();
+    }
+
+    /** Stops to follow the leader. */
+    void stop() {
+        generation++;
+        followed = null;
+        suspicion = null;
+        missedPings = 0;
+    }
+
+    /** Returns the address of the followed leader. */
+    Optional<String> address() {
+        return Optional.ofNullable(followed).map(LeaderRecord::address);
+    }
+
+    /** Returns why the leader of a version of the leader record should be replaced; empty if it should not. */
+    Optional<String> suspicion(long version) {
+        return followed != null && followedVersion == version ? Optional.ofNullable(suspicion) : Optional.empty();
+    }
+
+    /** Returns the delay after which this node takes over, so that the successors try one after the other. */
+    Duration takeoverDelay() {
+        Duration delay = TAKEOVER_DELAY_PER_RANK.multipliedBy(Math.min(rank, LAST_DELAYED_RANK));
+        return rank < LAST_DELAYED_RANK
+                ? delay
+                : delay.plusNanos((long) (random.nextDouble() * TAKEOVER_DELAY_PER_RANK.toNanos()));
+    }
+
+    /** Continues to ping the followed leader after the leader record could not be read; returns whether there is one. */
+    boolean resume() {
+        if (followed != null) {
+            ping();
+        }
+        return followed != null;
+    }
+
+    /** Pings the leader now, because it left a request of this node unanswered. */
+    void checkNow() {
+        if (followed != null && suspicion == null && loop.nowNanos() - lastPingNanos >= RETRY_DELAY.toNanos()) {
+            ping();
+        }
+    }
+
+    private void ping() {
+        long pingGeneration = ++generation;
+        lastPingNanos = loop.nowNanos();
+        peers.ping(followed.address(), request, response -> {
+            if (pingGeneration == generation) {
+                onPing(response);
+            }
+        });
+    }
+
+    private void onPing(Optional<PeerCalls.PingResponse> response) {
+        if (response.isEmpty()) {
+            onMissedPing();
+        } else if (response.get().epoch() == followed.epoch()) {
+            rank = response.get().rank();
+            missedPings = 0;
+            onLeaderAnswered(Duration.ofMillis(response.get().storeAgeMs()));
+        } else if (isClaiming(response.get())) {
+            rank = response.get().rank();
+            missedPings = 0;
+            schedule(RETRY_DELAY, this::ping);
+        } else {
+            // The process at that address does not lead, so the record is outdated or soon will be.
+            suspect("the node in the leader record does not lead");
+        }
+    }
+
+    private void onMissedPing() {
+        missedPings++;
+        if (missedPings >= MAX_MISSED_PINGS) {
+            suspect("the leader does not answer");
+        } else {
+            schedule(RETRY_DELAY, this::ping);
+        }
+    }
+
+    private void onLeaderAnswered(Duration storeAge) {
+        suspicion = null;
+        if (storeAge.compareTo(MAX_STORE_AGE) <= 0) {
+            keptWithoutStore = false;
+            schedule(Successors.pingInterval(rank), this::ping);
+        } else if (storeContact.uninterruptedFor(MAX_STORE_AGE)) {
+            suspect("the store answers this node but not the leader");
+        } else {
+            reportKeptWithoutStore();
+            // The read tells whether the store answers this node.
+            schedule(Successors.pingInterval(rank), readRecord);
+        }
+    }
+
+    private void reportKeptWithoutStore() {
+        if (!keptWithoutStore) {
+            keptWithoutStore = true;
+            log.leadership(
+                    "leader-kept",
+                    followed.epoch(),
+                    followed.node(),
+                    "the store answers neither the leader nor, for long enough, this node");
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.KEPT);
+        }
+    }
+
+    /**
+     * Returns whether the node of the record does not lead only because it does not know yet that its claim succeeded.
+     */
+    private boolean isClaiming(PeerCalls.PingResponse response) {
+        if (response.claimedEpoch() < followed.epoch() || response.storeAgeMs() > MAX_CLAIM_STORE_AGE.toMillis()) {
+            return false;
+        }
+        if (claimFirstSeenNanos == 0) {
+            claimFirstSeenNanos = loop.nowNanos();
+        }
+        return loop.nowNanos() - claimFirstSeenNanos <= MAX_CLAIM_WAIT.toNanos();
+    }
+
+    /** Lets this node take over after the delay of its rank, unless the record has changed by then. */
+    private void suspect(String reason) {
+        if (suspicion == null) {
+            log.leadership("leader-suspected", followed.epoch(), followed.node(), reason);
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.SUSPECTED);
+        }
+        suspicion = reason;
+        schedule(takeoverDelay(), readRecord);
+    }
+
+    /** Schedules an action unless the leader is pinged again or another one is followed before. */
+    private void schedule(Duration delay, Runnable action) {
+        long scheduledGeneration = generation;
+        loop.schedule(delay, () -> {
+            if (scheduledGeneration == generation) {
+                action.run();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -0,0 +1,50 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * Access to the store that records in a {@link StoreContact} which calls are answered.
+ *
+ * @param store store to access
+ * @param contact record of the answers
+ */
+record MonitoredStore(RecordStore store, StoreContact contact) implements RecordStore {
+
+    @Override
+    public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        store.transact(transaction, result -> {
+            switch (result) {
+                case TransactionResult.Applied applied -> contact.onAnswer();
+                case TransactionResult.Conflict conflict -> contact.onAnswer();
+                case TransactionResult.NotApplied notApplied -> contact.onFailure();
+                case TransactionResult.Unknown unknown -> contact.onFailure();
+            }
+            callback.accept(result);
+        });
+    }
+
+    @Override
+    public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
+        store.read(table, from, to, result -> recordRead(result, callback));
+    }
+
+    @Override
+    public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
+        store.follow(table, afterVersion, wait, result -> recordRead(result, callback));
+    }
+
+    private void recordRead(ReadResult result, Consumer<ReadResult> callback) {
+        if (result instanceof ReadResult.Failed) {
+            contact.onFailure();
+        } else {
+            contact.onAnswer();
+        }
+        callback.accept(result);
+    }
+
+    @Override
+    public StoreClock clock() {
+        return store.clock();
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/NodeServices.java
+++ b/src/main/java/org/tamarackline/fleet/NodeServices.java
@@ -20,4 +20,10 @@
         PlatformRunnerDirectory directory,
         InstantSource timeOfDay,
         DecisionLog log,
-        FleetMetrics metrics) {}
+        FleetMetrics metrics) {
+
+    /** Returns the same services with another access to the store. */
+    NodeServices withStore(RecordStore otherStore) {
+        return new NodeServices(loop, otherStore, runnerCalls, directory, timeOfDay, log, metrics);
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -9,7 +9,7 @@
 public interface PeerCalls {
 
     /** Pings the leader; the response is empty if none arrived in time. */
-    void ping(String address, String callerNode, Consumer<Optional<PingResponse>> callback);
+    void ping(String address, PingRequest request, Consumer<Optional<PingResponse>> callback);
 
     /**
      * Requests a node to end any leader with a lower epoch, and never again to lead with a lower epoch.
@@ -26,6 +26,14 @@
     /** Requests the number of queued jobs of a queue from the leader; empty if no response arrived in time. */
     void queuedJobCount(String address, String queue, Consumer<Optional<Integer>> callback);
 
+    /**
+     * Ping of a node that may succeed the leader.
+     *
+     * @param node name of the pinging node
+     * @param capacity capacity of the pinging node
+     */
+    record PingRequest(String node, NodeCapacity capacity) {}
+
     /**
      * Response to a ping.
      *
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -1,9 +1,21 @@
 package org.tamarackline.fleet;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 /** Paths of the requests between nodes; all but the last two are followed by a name or an epoch. */
 final class PeerPaths {
 
+    /** Followed by the node's name and its capacity; nodes of earlier versions send no capacity. */
     static final String PING = "/ping/";
+
+    /** Numbers of at most 9 digits fit into 32 bits. */
+    private static final Pattern PING_PATH = Pattern.compile(PING + "([^/]+)(?:/(\\d{1,9})/(\\d{1,9})/(\\d{1,9}))?");
+
     static final String STEP_DOWN = "/step-down/";
     static final String JOBS = "/jobs/";
     static final String QUEUES = "/queues/";
@@ -14,4 +26,37 @@
     static final String STEPPED_DOWN = "stepped down";
 
     private PeerPaths() {}
+
+    /** Returns the path of a ping. */
+    static String ping(PeerCalls.PingRequest request) {
+        NodeCapacity capacity = request.capacity();
+        return "%s%s/%d/%d/%d"
+                .formatted(
+                        PING,
+                        URLEncoder.encode(request.node(), StandardCharsets.UTF_8),
+                        capacity.cpuMillis(),
+                        capacity.memoryMb(),
+                        capacity.maxOpenFiles());
+    }
+
+    /** Returns the ping of a path; empty if the path is malformed. */
+    static Optional<PeerCalls.PingRequest> parsePing(String path) {
+        Matcher matcher = PING_PATH.matcher(path);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        String node;
+        try {
+            node = URLDecoder.decode(matcher.group(1), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
+        NodeCapacity capacity = matcher.group(2) == null
+                ? NodeCapacity.UNKNOWN
+                : new NodeCapacity(
+                        Integer.parseInt(matcher.group(2)),
+                        Integer.parseInt(matcher.group(3)),
+                        Integer.parseInt(matcher.group(4)));
+        return Optional.of(new PeerCalls.PingRequest(node, capacity));
+    }
 }
--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -35,7 +35,10 @@
     public void accept(HttpExchange exchange) {
         String path = exchange.path();
         if (path.startsWith(PeerPaths.PING)) {
-            withParameter(exchange, PeerPaths.PING, callerNode -> respondToPing(exchange, callerNode));
+            PeerPaths.parsePing(path)
+                    .ifPresentOrElse(
+                            ping -> loop.execute(() -> respondToPing(exchange, ping)),
+                            () -> exchange.respond(400, Map.of(), new byte[0]));
         } else if (path.startsWith(PeerPaths.STEP_DOWN) && exchange.method().equals("POST")) {
             handleStepDown(exchange, path.substring(PeerPaths.STEP_DOWN.length()));
         } else if (path.startsWith(PeerPaths.JOBS)) {
@@ -71,8 +74,8 @@
         loop.execute(() -> handler.accept(parameter));
     }
 
-    private void respondToPing(HttpExchange exchange, String callerNode) {
-        PeerCalls.PingResponse response = election.handlePing(callerNode);
+    private void respondToPing(HttpExchange exchange, PeerCalls.PingRequest ping) {
+        PeerCalls.PingResponse response = election.handlePing(ping);
         respond(
                 exchange,
                 "%d %d %d %d"
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RetryBackoff.java
@@ -0,0 +1,36 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.Random;
+
+/**
+ * Delays of successive retries. They double up to a maximum; each is shortened at random by up to a half, so that the
+ * nodes of a fleet do not retry at the same time.
+ */
+final class RetryBackoff {
+
+    private final Duration initialDelay;
+    private final Duration maxDelay;
+    private final Random random;
+    private Duration nextDelay;
+
+    RetryBackoff(Duration initialDelay, Duration maxDelay, Random random) {
+        this.initialDelay = initialDelay;
+        this.maxDelay = maxDelay;
+        this.random = random;
+        this.nextDelay = initialDelay;
+    }
+
+    /** Returns the delay before the next retry. */
+    Duration next() {
+        Duration delay = nextDelay;
+        Duration doubled = delay.multipliedBy(2);
+        nextDelay = doubled.compareTo(maxDelay) < 0 ? doubled : maxDelay;
+        return Duration.ofNanos((long) (delay.toNanos() * (1 - random.nextDouble() / 2)));
+    }
+
+    /** Records a success. */
+    void reset() {
+        nextDelay = initialDelay;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/StoreContact.java
@@ -0,0 +1,48 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/** Tells since when the store has answered this node without a failed call. */
+final class StoreContact {
+
+    /** Age of the last answer beyond which a failure may only not have been noticed yet. */
+    private static final Duration MAX_ANSWER_AGE = Duration.ofMillis(1_200);
+
+    private final MonotonicClock clock;
+    private boolean answering;
+    private long answeringSinceNanos;
+    private long lastAnswerNanos;
+
+    StoreContact(MonotonicClock clock) {
+        this.clock = clock;
+        this.lastAnswerNanos = clock.nowNanos();
+    }
+
+    /** The store has executed a call of this node, or has found that a condition of it does not hold. */
+    void onAnswer() {
+        lastAnswerNanos = clock.nowNanos();
+        if (!answering) {
+            answering = true;
+            answeringSinceNanos = lastAnswerNanos;
+        }
+    }
+
+    /** The store has refused a call of this node or left it without an answer. */
+    void onFailure() {
+        answering = false;
+    }
+
+    /** Returns the time since the last answer, in milliseconds. */
+    long answerAgeMs() {
+        return (clock.nowNanos() - lastAnswerNanos) / 1_000_000;
+    }
+
+    /** Returns whether no call has failed for a time, and the last answer is recent. */
+    boolean uninterruptedFor(Duration time) {
+        return answering
+                && clock.nowNanos() - answeringSinceNanos >= time.toNanos()
+                && answerAgeMs() <= MAX_ANSWER_AGE.toMillis();
+    }
+}
--- a/src/main/java/org/tamarackline/platform/SettingsReader.java
+++ b/src/main/java/org/tamarackline/platform/SettingsReader.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import org.tamarackline.fleet.NodeCapacity;
 import org.tamarackline.fleet.NodeSettings;
 
 /** Reads the TOML settings file that the platform writes for a process. */
@@ -26,6 +27,9 @@
     /** The same as a fraction of that time, which limits it if the platform kills early. */
     private static final int EXIT_RESERVE_DIVISOR = 5;
 
+    /** Largest limit that is told to other nodes, in whatever unit. */
+    private static final int MAX_LIMIT = 999_999_999;
+
     private SettingsReader() {}
 
     static PlatformSettings read(Path file) throws PlatformSettingsException {
@@ -43,7 +47,8 @@
         InetSocketAddress callerAddress = address(root, "/bindAddrs/frontend");
         String ip = text(root, "/ip");
         int peerPort = integer(root, "/internalPorts/0");
-        NodeSettings node = new NodeSettings(text(root, "/nodeName"), text(root, "/zone"), ip + ":" + peerPort);
+        NodeSettings node =
+                new NodeSettings(text(root, "/nodeName"), text(root, "/zone"), ip + ":" + peerPort, capacity(root));
         return new PlatformSettings(
                 node,
                 callerAddress,
@@ -54,14 +59,25 @@
                 drainTime(root));
     }
 
-    private static Duration drainTime(JsonNode root) throws PlatformSettingsException {
-        String pointer = "/bounds/graceS";
-        double graceSeconds = decimal(root, pointer);
-        if (!(graceSeconds > 0)) {
-            throw new PlatformSettingsException(
-                    "setting %s must be greater than 0, not %s".formatted(settingName(pointer), graceSeconds));
+    /** Returns the limits of the machine; unknown if the platform does not write any. */
+    private static NodeCapacity capacity(JsonNode root) throws PlatformSettingsException {
+        if (root.path("limits").isMissingNode()) {
+            return NodeCapacity.UNKNOWN;
         }
-        Duration grace = Duration.ofMillis((long) (graceSeconds * 1_000));
+        // The share is that of a processor which is as fast as this number of cores.
+        double cpuMillis = positive(root, "/limits/cpuShare") * positive(root, "/limits/cores") * 1_000;
+        return new NodeCapacity(
+                limited(cpuMillis),
+                limited(positive(root, "/limits/memoryMb")),
+                limited(positive(root, "/limits/maxFds")));
+    }
+
+    private static int limited(double value) {
+        return (int) Math.min(value, MAX_LIMIT);
+    }
+
+    private static Duration drainTime(JsonNode root) throws PlatformSettingsException {
+        Duration grace = Duration.ofMillis((long) (positive(root, "/bounds/graceS") * 1_000));
         Duration reserve = grace.dividedBy(EXIT_RESERVE_DIVISOR);
         return grace.minus(reserve.compareTo(MAX_EXIT_RESERVE) < 0 ? reserve : MAX_EXIT_RESERVE);
     }
@@ -93,11 +109,11 @@
         return value.intValue();
     }
 
-    private static double decimal(JsonNode root, String pointer) throws PlatformSettingsException {
+    private static double positive(JsonNode root, String pointer) throws PlatformSettingsException {
         JsonNode value = required(root, pointer);
-        if (!value.isNumber()) {
+        if (!value.isNumber() || !(value.doubleValue() > 0)) {
             throw new PlatformSettingsException(
-                    "setting %s must be a number, not %s".formatted(settingName(pointer), value));
+                    "setting %s must be a number greater than 0, not %s".formatted(settingName(pointer), value));
         }
         return value.doubleValue();
     }
--- a/src/main/java/org/tamarackline/standin/fleet/NodeSettingsText.java
+++ b/src/main/java/org/tamarackline/standin/fleet/NodeSettingsText.java
@@ -28,6 +28,11 @@
                 [bindAddrs]
                 frontend = "%s"
                 readiness = "%s"
+                [limits]
+                cpuShare = 0.75
+                cores = 1
+                memoryMb = 430
+                maxFds = 4100
                 [bounds]
                 graceS = 6
                 [platform]
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -67,6 +67,12 @@
 
     private static final int MAX_STEP_MICROS = 8_000;
 
+    /** Longest time for a step with which a node counts as able to lead, in microseconds. */
+    private static final int MAX_LEADER_STEP_MICROS = 1_000;
+
+    private static final NodeCapacity LARGE = new NodeCapacity(1_000, 512, 8_000);
+    private static final NodeCapacity SMALL = new NodeCapacity(100, 512, 8_000);
+
     private static final int NODES = 3;
     private static final int INITIAL_RUNNERS = 6;
     private static final int MAX_ATTEMPTS = 3;
@@ -130,7 +136,10 @@
             int stepMicros = i == fastNode ? FAST_STEP_MICROS : FAST_STEP_MICROS + random.nextInt(MAX_STEP_MICROS);
             SimulatedStoreClient.Link link = new SimulatedStoreClient.Link(new Random(random.nextLong()), pageRows);
             nodes.add(new SimulatedNode(
-                    new SimulatedNode.Machine("node-" + i, Duration.of(stepMicros, ChronoUnit.MICROS)),
+                    new SimulatedNode.Machine(
+                            "node-" + i,
+                            Duration.of(stepMicros, ChronoUnit.MICROS),
+                            stepMicros <= MAX_LEADER_STEP_MICROS ? LARGE : SMALL),
                     loop,
                     store,
                     link,
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -19,7 +19,7 @@
     private static final Pattern LEADER_STARTED = Pattern.compile("\"event\":\"leader-started\",\"epoch\":(\\d+)");
 
     /** Node of the fleet. */
-    record Node(String address, SuspendableLoop loop, Election election, FleetNodeMetrics metrics) {
+    record Node(String address, SuspendableLoop loop, NodeStore store, Election election, FleetNodeMetrics metrics) {
 
         boolean leads() {
             return election.leader().isPresent();
@@ -55,25 +55,34 @@
         return network;
     }
 
-    /** Starts a node that finds the shared runner in its directory. */
+    /** Starts a node of unknown capacity that finds the shared runner in its directory. */
     Node start(String name) {
+        return start(name, NodeCapacity.UNKNOWN);
+    }
+
+    /** Starts a node that finds the shared runner in its directory. */
+    Node start(String name, NodeCapacity capacity) {
         SuspendableLoop nodeLoop = new SuspendableLoop(loop);
         FleetNodeMetrics metrics = new FleetNodeMetrics(nodeLoop);
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
         List<RunnerDescriptor> registered = List.of(FencingFakeRunner.DESCRIPTOR);
+        StoreContact storeContact = new StoreContact(nodeLoop);
+        NodeStore nodeStore = new NodeStore(store, nodeLoop);
         NodeServices services = new NodeServices(
                 nodeLoop,
-                new NodeStore(store, nodeLoop),
+                new MonitoredStore(nodeStore, storeContact),
                 runner,
-                done -> done.accept(Optional.of(registered)),
+                done -> done.accept(
+                        store.rejecting() || nodeStore.refused() ? Optional.empty() : Optional.of(registered)),
                 timeOfDay,
                 new DecisionLog(sink, timeOfDay, nodeLoop, name),
                 metrics);
         String address = name + ":1";
-        Election election = new Election(
-                services, new FakePeerCalls(nodeLoop, network), new NodeSettings(name, "dc", address), ++incarnations);
+        NodeSettings settings = new NodeSettings(name, "dc", address, capacity);
+        Election election =
+                new Election(services, storeContact, new FakePeerCalls(nodeLoop, network), settings, ++incarnations);
         network.add(address, nodeLoop, election);
-        Node node = new Node(address, nodeLoop, election, metrics);
+        Node node = new Node(address, nodeLoop, nodeStore, election, metrics);
         nodes.add(node);
         nodeLoop.execute(election::start);
         return node;
@@ -91,6 +100,13 @@
         return nodes.stream().filter(Node::leads).toList();
     }
 
+    /** Returns the number of log lines of an event. */
+    long eventCount(String event) {
+        return logged().lines()
+                .filter(line -> line.contains("\"event\":\"" + event + "\""))
+                .count();
+    }
+
     /** Returns the epochs that started to lead, in order of time. */
     List<Long> leaderEpochs() {
         sink.flush();
--- a/src/test/java/org/tamarackline/fleet/ElectionTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionTest.java
@@ -83,7 +83,7 @@
         assertThat(resigned).isTrue();
         assertThat(handedOver).isTrue();
         assertThat(cluster.leading()).containsExactly(second);
-        assertThat(longestRenewalInterval(cluster, toldNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
+        assertThat(cluster.runner().longestRenewalInterval(toldNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
     }
 
     /**
@@ -101,7 +101,7 @@
         cluster.write(RecordStore.Table.JOBS, "k", RecordCodec.encodeOpenJob(JobDefinitions.longRunningTask("k")));
         cluster.loop().advance(Duration.ofSeconds(5));
         assertThat(cluster.runner().activeRunCount()).isEqualTo(1);
-        assertThat(longestRenewalInterval(cluster, resignedNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
+        assertThat(cluster.runner().longestRenewalInterval(resignedNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
     }
 
     /** Guards against a leader that takes its own resignation for the record of a successor. */
@@ -116,7 +116,7 @@
         cluster.loop().advance(Duration.ofSeconds(5));
         assertThat(cluster.storedLeader().resigned()).isTrue();
         assertThat(handedOver).isTrue();
-        assertThat(longestRenewalInterval(cluster, toldNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
+        assertThat(cluster.runner().longestRenewalInterval(toldNanos)).isLessThan(MAX_RENEWAL_INTERVAL);
     }
 
     private static ElectionCluster.Node startWithLongRunningTask(ElectionCluster cluster) {
@@ -126,22 +126,4 @@
         assertThat(cluster.runner().activeRunCount()).isEqualTo(1);
         return node;
     }
-
-    /**
-     * Returns the longest time without a lease renewal of epoch 1, until the first poll of a higher epoch or until now.
-     */
-    private static Duration longestRenewalInterval(ElectionCluster cluster, long fromNanos) {
-        long renewedNanos = fromNanos;
-        long longestNanos = 0;
-        for (FencingFakeRunner.Poll poll : cluster.runner().polls()) {
-            if (poll.atNanos() >= fromNanos && (poll.renewsLease() || poll.epoch() > 1)) {
-                longestNanos = Math.max(longestNanos, poll.atNanos() - renewedNanos);
-                renewedNanos = poll.atNanos();
-            }
-            if (poll.epoch() > 1) {
-                return Duration.ofNanos(longestNanos);
-            }
-        }
-        return Duration.ofNanos(Math.max(longestNanos, cluster.loop().nowNanos() - renewedNanos));
-    }
 }
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -30,6 +30,7 @@
         private final Map<String, Node> nodes = new HashMap<>();
         private final Set<String> unreachable = new HashSet<>();
         private Duration latency = Duration.ofMillis(2);
+        private long pings;
 
         void add(String address, EventLoop loop, Election election) {
             nodes.put(address, new Node(loop, election));
@@ -41,6 +42,11 @@
             latency = next;
         }
 
+        /** Returns the number of pings that were sent. */
+        long pingCount() {
+            return pings;
+        }
+
         /** Drops all requests to an address. */
         void disconnect(String address) {
             unreachable.add(address);
@@ -79,8 +85,9 @@
     }
 
     @Override
-    public void ping(String address, String callerNode, Consumer<Optional<PingResponse>> callback) {
-        request(address, election -> Optional.of(election.handlePing(callerNode)), Optional.empty(), callback);
+    public void ping(String address, PingRequest ping, Consumer<Optional<PingResponse>> callback) {
+        network.pings++;
+        request(address, election -> Optional.of(election.handlePing(ping)), Optional.empty(), callback);
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -53,6 +53,10 @@
         rejecting = next;
     }
 
+    boolean rejecting() {
+        return rejecting;
+    }
+
     /** Answers the next read of changes that the history is lost. */
     void loseHistoryOnce() {
         historyLost = true;
--- a/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
+++ b/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
@@ -58,6 +58,27 @@
         return lastCommandsNanos.get(epoch);
     }
 
+    /**
+     * Returns the longest time without a lease renewal of epoch 1, until the first poll of a higher epoch or until now.
+     *
+     * @param fromNanos start of the time, at which the lease counts as renewed; 0 for the first renewal
+     */
+    Duration longestRenewalInterval(long fromNanos) {
+        long renewedNanos = fromNanos;
+        long longestNanos = 0;
+        for (Poll poll : polls) {
+            if (poll.atNanos() < fromNanos || (!poll.renewsLease() && poll.epoch() == 1)) {
+                continue;
+            }
+            longestNanos = renewedNanos == 0 ? 0 : Math.max(longestNanos, poll.atNanos() - renewedNanos);
+            renewedNanos = poll.atNanos();
+            if (poll.epoch() > 1) {
+                return Duration.ofNanos(longestNanos);
+            }
+        }
+        return Duration.ofNanos(Math.max(longestNanos, loop.nowNanos() - renewedNanos));
+    }
+
     private RunnerCommandOutcome accept(long epoch) {
         lastCommandsNanos.put(epoch, loop.nowNanos());
         if (silent) {
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -23,6 +23,7 @@
 class HttpPeerCallsTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final PeerCalls.PingRequest PING = new PeerCalls.PingRequest("n", NodeCapacity.UNKNOWN);
 
     private final SingleThreadLoop loop = new SingleThreadLoop("peer-calls-test");
     private final BlockingQueue<Object> answers = new LinkedBlockingQueue<>();
@@ -64,7 +65,7 @@
     @ValueSource(strings = {"", "x", "1 2 3", "1 2 3 99999999999", "1 2 3 4 5", "-1 0 0 0", "1 0 0 -1", "a b c d"})
     void oddAnswersToAPingCountAsNone(String odd) throws InterruptedException {
         text = odd;
-        assertThat(answerTo(done -> calls.ping(address, "n", done::accept))).isEqualTo(Optional.empty());
+        assertThat(answerTo(done -> calls.ping(address, PING, done::accept))).isEqualTo(Optional.empty());
     }
 
     @ParameterizedTest
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -8,6 +8,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -155,7 +156,8 @@
                     return Optional.of(new FleetConfiguration(entry.version(), List.of()));
                 },
                 log(),
-                FleetMetrics.NONE);
+                FleetMetrics.NONE,
+                new Random(1));
         write(RecordStore.Table.CONFIGURATION, "odd", GARBAGE);
         follower.start();
         loop.advance(Duration.ofSeconds(1));
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -36,8 +36,9 @@
      *
      * @param name name of the node
      * @param stepTime time that the processor takes for a step of the event loop
+     * @param capacity capacity that the machine's settings name
      */
-    record Machine(String name, Duration stepTime) {}
+    record Machine(String name, Duration stepTime, NodeCapacity capacity) {}
 
     /** Creates the clients of a new process. */
     interface Clients {
@@ -103,20 +104,21 @@
         SimulatedNodeLoop loop = new SimulatedNodeLoop(shared, machine.stepTime());
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(EPOCH_MS + shared.nowNanos() / 1_000_000);
         SimulatedStoreClient client = new SimulatedStoreClient(shared, loop, store, storeLink);
+        StoreContact storeContact = new StoreContact(loop);
+        RecordStore monitored = new MonitoredStore(client, storeContact);
+        DecisionLog decisionLog = new DecisionLog(log, timeOfDay, loop, machine.name());
         NodeServices services = new NodeServices(
-                loop,
-                client,
-                clients.runners(this, loop),
-                client,
-                timeOfDay,
-                new DecisionLog(log, timeOfDay, loop, machine.name()),
-                FleetMetrics.NONE);
+                loop, monitored, clients.runners(this, loop), client, timeOfDay, decisionLog, FleetMetrics.NONE);
         PeerCalls peers = clients.peers(this, loop);
-        NodeSettings settings = new NodeSettings(machine.name(), "dc", address());
-        Election election = new Election(services, peers, settings, random.nextLong());
+        NodeSettings settings = new NodeSettings(machine.name(), "dc", address(), machine.capacity());
+        long incarnation = random.nextLong();
+        Election election = new Election(services, storeContact, peers, settings, incarnation);
+        ConfigurationFollower configuration = new ConfigurationFollower(
+                loop, monitored, entry -> Optional.empty(), decisionLog, FleetMetrics.NONE, new Random(incarnation));
         process = new NodeProcess(
-                loop, election, new JobRequestHandler(loop, client, election, peers, FleetMetrics.NONE));
+                loop, election, new JobRequestHandler(loop, monitored, election, peers, FleetMetrics.NONE));
         stopping = false;
+        loop.execute(configuration::start);
         loop.execute(election::start);
     }
 
--- a/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
@@ -82,13 +82,8 @@
     }
 
     @Override
-    public void ping(String address, String callerNode, Consumer<Optional<PingResponse>> callback) {
-        request(
-                address,
-                PING_TIMEOUT,
-                election -> Optional.of(election.handlePing(callerNode)),
-                Optional.empty(),
-                callback);
+    public void ping(String address, PingRequest ping, Consumer<Optional<PingResponse>> callback) {
+        request(address, PING_TIMEOUT, election -> Optional.of(election.handlePing(ping)), Optional.empty(), callback);
     }
 
     @Override
