Renew the leases of all runners before a new leader reads the jobs

Cause: a new leader polled its runners only after it had read all jobs. On a slow store or a slow node that takes seconds, in which leases that the earlier leader renewed last run out.

The stops, throttles and the silence of a session move into classes of their own.

--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -122,7 +122,10 @@
         leadershipLease.confirm(confirmedNanos);
         sampleState();
         earlierLeaders.start();
-        tables.readAll(RecordStore.Table.ROSTER, this::readRosterEntry, version -> readDirectory());
+        tables.readAll(RecordStore.Table.ROSTER, this::readRosterEntry, version -> {
+            sessions.startInitialRenewals();
+            readDirectory();
+        });
     }
 
     private void onStoreResponse() {
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
@@ -0,0 +1,60 @@
+package org.tamarackline.fleet;
+
+import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.Run;
+import org.tamarackline.core.fleet.RunnerCommand;
+
+/** Sends the stops and throttles of a leader to one runner. */
+final class RunnerCommandSender {
+
+    private final LeaderContext context;
+    private final RunnerSession.Callbacks leader;
+    private final long epoch;
+    private final RunnerSession session;
+    private final FleetRunner runner;
+
+    RunnerCommandSender(LeaderContext context, RunnerSession.Callbacks leader, long epoch, RunnerSession session) {
+        this.context = context;
+        this.leader = leader;
+        this.epoch = epoch;
+        this.session = session;
+        this.runner = session.runner();
+    }
+
+    void stop(RunnerCommand.Stop stop) {
+        context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
+        context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
+            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
+            if (session.closed()) {
+                return;
+            }
+            if (response == RunnerCalls.RunnerCommandOutcome.FENCED) {
+                leader.onFenced(runner.id());
+            } else if (response == RunnerCalls.RunnerCommandOutcome.DONE) {
+                long nowNanos = context.loop().nowNanos();
+                context.fleet().applyStopConfirmation(runner, stop.task(), stop.runNumber(), nowNanos);
+                session.pollNow();
+            }
+        });
+    }
+
+    void throttle(RunnerCommand.Throttle throttle) {
+        Run run = throttle.run();
+        if (throttle.changesSpeedState()) {
+            context.log().throttleSent(run, throttle.speedPercent(), epoch);
+        }
+        RunnerCalls calls = context.runnerCalls();
+        calls.throttle(
+                runner.descriptor(), run.task().key(), run.number(), throttle.speedPercent(), epoch, response -> {
+                    context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.THROTTLE, response);
+                    if (session.closed()) {
+                        return;
+                    }
+                    if (response == RunnerCalls.RunnerCommandOutcome.FENCED) {
+                        leader.onFenced(runner.id());
+                    } else if (response != RunnerCalls.RunnerCommandOutcome.DONE) {
+                        context.fleet().throttleNotConfirmed(run);
+                    }
+                });
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -4,7 +4,6 @@
 
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.ProcessedEnds;
-import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
 
 /** Communication of a leader with one runner: sends commands, polls the runner's status, and tracks its lease. */
@@ -35,12 +34,6 @@
         void requestSchedulingRound();
     }
 
-    /**
-     * Consecutive unanswered polls before a runner can count as silent for a period; a single one may be due to a
-     * broken connection.
-     */
-    private static final int MISSED_POLLS_BEFORE_SILENCE = 2;
-
     private final LeaderContext context;
     private final Callbacks leader;
     private final long epoch;
@@ -49,18 +42,18 @@
     private boolean closed;
     private boolean pollInFlight;
     private boolean pollScheduled;
-    private int missedPolls;
     private boolean lost;
     private boolean replacedAtAddress;
     private boolean restartPending;
-    private long firstMissedPollNanos;
     private final ProcessConfirmation process = new ProcessConfirmation();
     private final RunnerCordon cordon = new RunnerCordon();
     private final EndAcknowledgement acknowledgement = new EndAcknowledgement();
     private final StartVerification starts = new StartVerification();
+    private final PollSilence silence;
     private final RunnerLease lease;
-
+    private final InitialRenewal initialRenewal;
     private final RunStarter starter;
+    private final RunnerCommandSender commands;
 
     /**
      * Creates a session that has not contacted its runner.
@@ -72,8 +65,11 @@
         this.leader = leader;
         this.epoch = epoch;
         this.runner = runner;
+        this.silence = new PollSilence(context.loop());
         this.lease = new RunnerLease(context.loop(), leaseEndNanos);
+        this.initialRenewal = new InitialRenewal(context, leader, epoch, runner, lease, cordon);
         this.starter = new RunStarter(context, leader, epoch, process, starts, lease, this);
+        this.commands = new RunnerCommandSender(context, leader, epoch, this);
     }
 
     /**
@@ -128,13 +124,17 @@
 
     /** Returns whether the runner did not answer the last poll. */
     boolean silent() {
-        return missedPolls > 0;
+        return silence.missedPolls() > 0;
     }
 
     /** Returns whether the runner left a poll that was sent at least {@code time} ago and a further one unanswered. */
     boolean silentFor(Duration time) {
-        return missedPolls >= MISSED_POLLS_BEFORE_SILENCE
-                && context.loop().nowNanos() - firstMissedPollNanos >= time.toNanos();
+        return silence.longerThan(time);
+    }
+
+    /** Returns the renewal of the runner's lease before the jobs are read. */
+    InitialRenewal initialRenewal() {
+        return initialRenewal;
     }
 
     RunnerCordon cordon() {
@@ -205,14 +205,14 @@
         }
         pollInFlight = true;
         long sentNanos = context.loop().nowNanos();
-        long acknowledgedEnd = missedPolls == 0 ? acknowledgement.next(starts.allVerified()) : 0;
+        long acknowledgedEnd = !silent() ? acknowledgement.next(starts.allVerified()) : 0;
         boolean acknowledgesAll = allReportedEndsStored() && (acknowledgedEnd > 0 || !acknowledgement.due());
         boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
         boolean renew = lease.runnerClockKnown()
                 && runner.busy()
-                && missedPolls == 0
+                && !silent()
                 && !restartPending
                 && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
@@ -266,7 +266,7 @@
     }
 
     private void onUnanswered(RunnerCalls.PollResponse response, long sentNanos) {
-        if (missedPolls == 0) {
+        if (!silent()) {
             context.log().runnerSilent(runner.id(), response.reason());
             context.metrics().runnerChanged(FleetMetrics.RunnerEvent.SILENT);
         }
@@ -274,20 +274,17 @@
     }
 
     private void onSilence(long sentNanos) {
-        if (missedPolls == 0) {
-            firstMissedPollNanos = sentNanos;
-        }
-        missedPolls++;
+        silence.onMissedPoll(sentNanos);
         context.fleet().runnerSilent(runner.id());
     }
 
     private void onStatus(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
         long nowNanos = context.loop().nowNanos();
-        if (missedPolls > 0 || (lost && !restartPending)) {
-            context.log().runnerBack(runner.id(), missedPolls);
+        if (silent() || (lost && !restartPending)) {
+            context.log().runnerBack(runner.id(), silence.missedPolls());
             context.metrics().runnerChanged(FleetMetrics.RunnerEvent.BACK);
         }
-        missedPolls = 0;
+        silence.onAnswer();
         learnProcess(response.status().processStartEpochMs());
         process.onPollAnswered(sentNanos, response.status().clockMs(), nowNanos);
         boolean restarted = runner.processStartEpochMs() != 0
@@ -348,7 +345,7 @@
     }
 
     /** Polls the runner at once, so that the lease of a new run is renewed in time. */
-    private void pollNow() {
+    void pollNow() {
         if (!pollInFlight) {
             schedulePoll(Duration.ZERO);
         }
@@ -357,8 +354,8 @@
     void send(RunnerCommand command) {
         switch (command) {
             case RunnerCommand.Start start -> starter.start(start.run());
-            case RunnerCommand.Stop stop -> stop(stop);
-            case RunnerCommand.Throttle throttle -> throttle(throttle);
+            case RunnerCommand.Stop stop -> commands.stop(stop);
+            case RunnerCommand.Throttle throttle -> commands.throttle(throttle);
         }
     }
 
@@ -391,50 +388,4 @@
             }
         }
     }
-
-    private void stop(RunnerCommand.Stop stop) {
-        context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
-        context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
-            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
-            if (closed) {
-                return;
-            }
-            if (response == RunnerCalls.RunnerCommandOutcome.FENCED) {
-                leader.onFenced(runner.id());
-            } else if (response == RunnerCalls.RunnerCommandOutcome.DONE) {
-                context.fleet()
-                        .applyStopConfirmation(
-                                runner,
-                                stop.task(),
-                                stop.runNumber(),
-                                context.loop().nowNanos());
-                pollNow();
-            }
-        });
-    }
-
-    private void throttle(RunnerCommand.Throttle throttle) {
-        Run run = throttle.run();
-        if (throttle.changesSpeedState()) {
-            context.log().throttleSent(run, throttle.speedPercent(), epoch);
-        }
-        context.runnerCalls()
-                .throttle(
-                        runner.descriptor(),
-                        run.task().key(),
-                        run.number(),
-                        throttle.speedPercent(),
-                        epoch,
-                        response -> {
-                            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.THROTTLE, response);
-                            if (closed) {
-                                return;
-                            }
-                            if (response == RunnerCalls.RunnerCommandOutcome.FENCED) {
-                                leader.onFenced(runner.id());
-                            } else if (response != RunnerCalls.RunnerCommandOutcome.DONE) {
-                                context.fleet().throttleNotConfirmed(run);
-                            }
-                        });
-    }
 }
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -14,11 +14,15 @@
 /** Sessions of a leader with the runners of its roster and of the directory. */
 final class RunnerSessions {
 
+    /** Time between the first polls of two runners, which a node with little processor time takes to send one. */
+    private static final Duration FIRST_POLL_SPACING = Duration.ofNanos(500_000);
+
     private final LeaderContext context;
     private final RunnerSession.Callbacks leader;
     private final long epoch;
     private final EarlierLeaders earlierLeaders;
     private final RunnerCordons cordons;
+    private final InitialRenewals initialRenewals;
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     /** Runners that are in the directory but not on the roster yet. */
     private final Set<String> notOnRoster = new HashSet<>();
@@ -34,6 +38,7 @@
         this.epoch = epoch;
         this.earlierLeaders = earlierLeaders;
         this.cordons = new RunnerCordons(context.loop(), storeClock, context.fleet(), sessions);
+        this.initialRenewals = new InitialRenewals(context.loop());
     }
 
     Collection<RunnerSession> all() {
@@ -54,6 +59,7 @@
     }
 
     void closeAll() {
+        initialRenewals.stop();
         sessions.values().forEach(RunnerSession::close);
     }
 
@@ -107,11 +113,19 @@
         leader.requestSchedulingRound();
     }
 
-    /** Starts to poll the runners that are on the roster. */
+    /** Renews the leases of the runners on the roster until {@link #startPolling}. */
+    void startInitialRenewals() {
+        initialRenewals.start(sessions.values());
+    }
+
+    /** Starts to poll the runners that are on the roster, one shortly after the other. */
     void startPolling() {
+        initialRenewals.stop();
+        Duration delay = Duration.ZERO;
         for (RunnerSession session : sessions.values()) {
             if (!notOnRoster.contains(session.runner().id())) {
-                session.schedulePoll(Duration.ZERO);
+                session.schedulePoll(delay);
+                delay = delay.plus(FIRST_POLL_SPACING);
             }
         }
     }
