--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -31,6 +31,15 @@
         }
     }
 
+    /**
+     * Machine of the node.
+     *
+     * @param name name of the node
+     * @param stepTime time that the processor takes for a step of the event loop
+     * @param capacity capacity that the machine's settings name
+     */
+    record Machine(String name, Duration stepTime, NodeCapacity capacity) {}
+
     /** Creates the clients of a new process. */
     interface Clients {
 
@@ -39,7 +48,7 @@
         RunnerCalls runners(SimulatedNode node, EventLoop loop);
     }
 
-    private final String name;
+    private final Machine machine;
     private final ManualLoop shared;
     private final SimulatedStore store;
     private final SimulatedStoreClient.Link storeLink;
@@ -50,14 +59,14 @@
     private boolean stopping;
 
     SimulatedNode(
-            String name,
+            Machine machine,
             ManualLoop shared,
             SimulatedStore store,
             SimulatedStoreClient.Link storeLink,
             Clients clients,
             LineSink log,
             Random random) {
-        this.name = name;
+        this.machine = machine;
         this.shared = shared;
         this.store = store;
         this.storeLink = storeLink;
@@ -67,11 +76,11 @@
     }
 
     String name() {
-        return name;
+        return machine.name();
     }
 
     String address() {
-        return name + ":1";
+        return machine.name() + ":1";
     }
 
     SimulatedStoreClient.Link storeLink() {
@@ -92,23 +101,24 @@
         if (process != null) {
             return;
         }
-        SimulatedNodeLoop loop = new SimulatedNodeLoop(shared);
+        SimulatedNodeLoop loop = new SimulatedNodeLoop(shared, machine.stepTime());
         InstantSource timeOfDay = () -> Instant.ofEpochMilli(EPOCH_MS + shared.nowNanos() / 1_000_000);
         SimulatedStoreClient client = new SimulatedStoreClient(shared, loop, store, storeLink);
+        StoreContact storeContact = new StoreContact(loop);
+        RecordStore monitored = new MonitoredStore(client, storeContact);
+        DecisionLog decisionLog = new DecisionLog(log, timeOfDay, loop, machine.name());
         NodeServices services = new NodeServices(
-                loop,
-                client,
-                clients.runners(this, loop),
-                client,
-                timeOfDay,
-                new DecisionLog(log, timeOfDay, loop, name),
-                FleetMetrics.NONE);
+                loop, monitored, clients.runners(this, loop), client, timeOfDay, decisionLog, FleetMetrics.NONE);
         PeerCalls peers = clients.peers(this, loop);
-        NodeSettings settings = new NodeSettings(name, "dc", address());
-        Election election = new Election(services, peers, settings, random.nextLong());
+        NodeSettings settings = new NodeSettings(machine.name(), "dc", address(), machine.capacity());
+        long incarnation = random.nextLong();
+        Election election = new Election(services, storeContact, peers, settings, incarnation);
+        ConfigurationFollower configuration = new ConfigurationFollower(
+                loop, monitored, entry -> Optional.empty(), decisionLog, FleetMetrics.NONE, new Random(incarnation));
         process = new NodeProcess(
-                loop, election, new JobRequestHandler(loop, client, election, peers, FleetMetrics.NONE));
+                loop, election, new JobRequestHandler(loop, monitored, election, peers, FleetMetrics.NONE));
         stopping = false;
+        loop.execute(configuration::start);
         loop.execute(election::start);
     }
 
