Count a store that is only slow as answering, and log failures without the states of objects

Reasons in the log had "[B@..." and the states of the HTTP client's connections.

Change: a transaction that times out while other calls are answered is no lost store. Records are logged without their content, failures of the client without the states of its objects. Resignation moves out of Election.

Measured: StoreContactTest#transactionThatIsLateBesideAnsweredReadsIsNoFailure and AsyncHttpClientTest #failuresAreDescribedWithoutTheStatesOfObjects fail without the change, by their assertions.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -183,44 +183,12 @@
     }
 
     private void storeResignation(Leader resigningLeader) {
-        if (leader != resigningLeader) {
-            return;
-        }
         resigning = true;
-        LeaderRecord resigned = resigningLeader.record().asResigned(resigningLeader.earlierLeadersEnded());
-        long sentNanos = loop.nowNanos();
-        records.replace(
-                resigned, resigningLeader.leaderVersion(), FleetMetrics.TransactionPurpose.RESIGNATION, result -> {
-                    if (leader == resigningLeader) {
-                        onResignation(resigningLeader, result, sentNanos);
-                    }
-                });
-    }
-
-    private void onResignation(Leader resigningLeader, RecordStore.TransactionResult result, long sentNanos) {
-        switch (result) {
-            case RecordStore.TransactionResult.Applied applied -> {
-                resigningLeader.onLeadershipConfirmed(sentNanos);
-                resigningLeader.onResignationStored();
-            }
-            case RecordStore.TransactionResult.Conflict conflict ->
-                conflict.current().forEach(resigningLeader::onLeaderRecordChanged);
-            default -> {}
-        }
-        if (leader != resigningLeader) {
-            return;
-        }
-        LeaderRecord record = resigningLeader.record();
-        if (resigningLeader.resigned()) {
-            log.leadership("leader-resigned", record.epoch(), record.node(), result.toString());
-            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNED);
+        Runnable onStored = () -> {
             loop.schedule(HANDOVER_TIMEOUT, () -> endUnlessSucceeded(resigningLeader));
             reportHandedOver();
-        } else {
-            log.leadership("resignation-failed", record.epoch(), record.node(), result.toString());
-            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNATION_FAILED);
-            loop.schedule(RETRY_DELAY, () -> storeResignation(resigningLeader));
-        }
+        };
+        new Resignation(services, records, resigningLeader, () -> leader == resigningLeader, onStored).store();
     }
 
     /** Lets this node lead again if it resigned in favour of another node which then did not take over. */
--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -13,6 +13,7 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        long sentNanos = contact.nowNanos();
         store.transact(transaction, result -> {
             switch (result) {
                 case TransactionResult.Applied applied -> contact.onAnswer();
@@ -22,7 +23,12 @@
                         contact.onFailure();
                     }
                 }
-                case TransactionResult.Unknown unknown -> contact.onFailure();
+                case TransactionResult.Unknown unknown -> {
+                    // A slow store executes transactions late while it answers reads.
+                    if (!contact.answeredSince(sentNanos)) {
+                        contact.onFailure();
+                    }
+                }
             }
             callback.accept(result);
         });
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -55,7 +55,14 @@
      * @param removed whether the record no longer exists
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Entry(Table table, String key, byte[] value, long version, boolean removed) {}
+    record Entry(Table table, String key, byte[] value, long version, boolean removed) {
+
+        /** Describes the record without its content, for the log. */
+        @Override
+        public String toString() {
+            return "%s %s version %d%s".formatted(table, key, version, removed ? " (removed)" : "");
+        }
+    }
 
     /**
      * Condition on the version of a record.
--- a/src/main/java/org/tamarackline/fleet/StoreContact.java
+++ b/src/main/java/org/tamarackline/fleet/StoreContact.java
@@ -34,6 +34,16 @@
         answering = false;
     }
 
+    /** Returns the time of the clock by which contact is measured. */
+    long nowNanos() {
+        return clock.nowNanos();
+    }
+
+    /** Returns whether a call was answered after a time, and none has failed since. */
+    boolean answeredSince(long nanos) {
+        return answering && lastAnswerNanos - nanos >= 0;
+    }
+
     /** Returns whether the last call that ended was answered. */
     boolean answering() {
         return answering;
--- a/src/main/java/org/tamarackline/http/AsyncHttpClient.java
+++ b/src/main/java/org/tamarackline/http/AsyncHttpClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 import com.google.common.flogger.FluentLogger;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -27,6 +28,9 @@
  */
 public final class AsyncHttpClient implements AutoCloseable {
 
+    /** Start of the identity or state of an object in a message. */
+    private static final Pattern OBJECT_STATE = Pattern.compile("[@{]");
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
@@ -109,8 +113,11 @@
         }
     }
 
-    private static String describe(Throwable failure) {
-        return failure.getClass().getSimpleName() + ": " + failure.getMessage();
+    /** Describes a failure without the addresses and states of the client's objects that its message may contain. */
+    static String describe(Throwable failure) {
+        String type = failure.getClass().getSimpleName();
+        String message = failure.getMessage() == null ? "" : OBJECT_STATE.split(failure.getMessage(), 2)[0].strip();
+        return message.isEmpty() ? type : type + ": " + message;
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/StoreContactTest.java
+++ b/src/test/java/org/tamarackline/fleet/StoreContactTest.java
@@ -1,6 +1,7 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 
@@ -46,4 +47,20 @@
         loop.advance(Duration.ofMillis(1_500));
         assertThat(contact.uninterruptedFor(TIME)).isFalse();
     }
+
+    /** Guards against a slow store that counts as one which does not answer. */
+    @Test
+    void transactionThatIsLateBesideAnsweredReadsIsNoFailure() {
+        FakeRecordStore store = new FakeRecordStore(loop);
+        MonitoredStore monitored = new MonitoredStore(store, contact);
+        store.loseResponses(2);
+        monitored.transact(new RecordStore.Transaction(List.of(), List.of()), result -> {});
+        loop.advance(Duration.ofMillis(500));
+        monitored.read(RecordStore.Table.JOBS, "", null, result -> {});
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(contact.answering()).isTrue();
+        monitored.transact(new RecordStore.Transaction(List.of(), List.of()), result -> {});
+        loop.advance(Duration.ofMillis(1_500));
+        assertThat(contact.answering()).isFalse();
+    }
 }
--- a/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
+++ b/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
@@ -1,5 +1,6 @@
 package org.tamarackline.http;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -106,4 +107,16 @@
         }
         assertThat(results).hasSize(12);
     }
+
+    /** Guards against log lines with the states of the client's objects, which say nothing to their readers. */
+    @Test
+    void failuresAreDescribedWithoutTheStatesOfObjects() {
+        assertThat(AsyncHttpClient.describe(new IOException("HttpConnection@1f2e(l:/10.1.0.7:1,closed=false)")))
+                .isEqualTo("IOException: HttpConnection");
+        assertThat(AsyncHttpClient.describe(new IOException("{l=/10.1.0.7:7720,r=/10.2.0.3:7720}")))
+                .isEqualTo("IOException");
+        assertThat(AsyncHttpClient.describe(new IOException())).isEqualTo("IOException");
+        assertThat(AsyncHttpClient.describe(new IOException("connection reset")))
+                .isEqualTo("IOException: connection reset");
+    }
 }
