--- a/src/main/java/org/tamarackline/fleet/HandoverPolicy.java
+++ b/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
@@ -6,12 +6,13 @@
 import org.tamarackline.core.time.MonotonicClock;
 
 /**
- * Decides when a leader without the capacity for its fleet hands over to a node that has more.
+ * Decides by a node's capacity how soon it claims a leadership that no node has had, and when it hands over as leader to a
+ * node that has more.
  *
  * <p>A leader that is short of processor time polls its runners late, so that their leases expire. It can hand over in
  * order before that happens: after its resignation it renews the leases until its successor does.
  */
-final class HandoverPolicy {
+final class CapacityPolicy {
 
     /** Time for which a leader leads at least, in which it renews the leases that it took over. */
     private static final Duration MIN_LEADING_TIME = Duration.ofSeconds(1);
@@ -34,7 +35,7 @@
     private final NodeCapacity own;
     private long earliestHandoverNanos;
 
-    HandoverPolicy(MonotonicClock clock, NodeCapacity own) {
+    CapacityPolicy(MonotonicClock clock, NodeCapacity own) {
         this.clock = clock;
         this.own = own;
     }
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -13,7 +13,7 @@
  * from the store replaces the leader record by its own, on condition that the record is unchanged. A wrong suspicion is
  * safe, because the epoch of the new record fences the commands of the previous leader.
  *
- * <p>A leader that lacks the capacity for its fleet resigns in favour of a node that has it ({@link HandoverPolicy}).
+ * <p>A leader that lacks the capacity for its fleet resigns in favour of a node that has it ({@link CapacityPolicy}).
  */
 final class Election {
 
@@ -42,7 +42,7 @@
     private final StoreContact storeContact;
     private final Successors successors;
     private final LeaderMonitor monitor;
-    private final HandoverPolicy handoverPolicy;
+    private final CapacityPolicy capacityPolicy;
     private final RetryBackoff readBackoff;
 
     private Leader leader;
@@ -97,7 +97,7 @@
                 Math.floorMod(settings.node().hashCode(), INITIAL_RANKS),
                 random,
                 this::readRecord);
-        this.handoverPolicy = new HandoverPolicy(loop, settings.capacity());
+        this.capacityPolicy = new CapacityPolicy(loop, settings.capacity());
         this.readBackoff = new RetryBackoff(RETRY_DELAY, MAX_READ_RETRY_DELAY, random);
     }
 
@@ -174,7 +174,7 @@
         if (stopped || resigning || !leader.loaded()) {
             return;
         }
-        handoverPolicy.reasonToHandOver(leader.runnerCount(), successors).ifPresent(reason -> {
+        capacityPolicy.reasonToHandOver(leader.runnerCount(), successors).ifPresent(reason -> {
             LeaderRecord record = leader.record();
             log.leadership("leader-yields", record.epoch(), record.node(), reason);
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.YIELDED);
@@ -194,7 +194,7 @@
     /** Lets this node lead again if it resigned in favour of another node which then did not take over. */
     private void endUnlessSucceeded(Leader resignedLeader) {
         if (leader == resignedLeader && !stopped) {
-            handoverPolicy.onNotSucceeded();
+            capacityPolicy.onNotSucceeded();
             leader.endUnsucceeded();
         }
     }
@@ -274,7 +274,7 @@
 
     /** Claims the leadership that no node has had yet; nodes with little capacity let others try first. */
     private void claimFirst() {
-        Duration delay = handoverPolicy.firstClaimDelay();
+        Duration delay = capacityPolicy.firstClaimDelay();
         if (firstClaimDelayed || delay.isZero()) {
             takeOver(0, List.of(), 0, "no node has led yet");
         } else {
@@ -370,7 +370,7 @@
         log.leadership("leader-started", record.epoch(), record.node(), reason);
         metrics.leadershipChanged(FleetMetrics.LeadershipEvent.STARTED);
         leader = new Leader(services, peers, record, version, why -> onLeaderEnded(record, why));
-        handoverPolicy.onStartedToLead();
+        capacityPolicy.onStartedToLead();
         leader.start(sentNanos);
     }
 
--- a/src/main/java/org/tamarackline/fleet/InitialRenewal.java
+++ b/src/main/java/org/tamarackline/fleet/InitialRenewal.java
@@ -47,6 +47,7 @@
             return;
         }
         boolean clockKnown = lease.runnerClockKnown();
+        // This leader has sent no start yet, so no run can be on a process other than the one that has answered.
         long leaseUntilMs = clockKnown ? lease.extend(true) : 0;
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, leaseUntilMs, 0, response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.POLL, response.outcome());
