Ask for as many open files a runner as leaders were seen to have

Cause: a leader was taken for sufficient with 4 open files a runner. From 33 to 245 runners the busiest node had 236 and 1,539 files open, about 6 a runner.

Change: NodeCapacity asks for 6.

--- a/src/main/java/org/tamarackline/fleet/NodeCapacity.java
+++ b/src/main/java/org/tamarackline/fleet/NodeCapacity.java
@@ -16,8 +16,8 @@
     private static final int LEADER_MEMORY_MB = 128;
     private static final int RUNNERS_PER_LEADER_MEMORY_MB = 8;
     private static final int LEADER_OPEN_FILES = 500;
-    /** A runner takes a connection for its poll and up to three for commands. */
-    private static final int LEADER_OPEN_FILES_PER_RUNNER = 4;
+    /** A runner takes connections for its poll and for commands that are sent meanwhile. */
+    private static final int LEADER_OPEN_FILES_PER_RUNNER = 6;
 
     /** Capacity of a node that does not tell it. */
     public static final NodeCapacity UNKNOWN = new NodeCapacity(0, 0, 0);
