--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -126,7 +126,7 @@
     PeerCalls.PingResponse handlePing(PeerCalls.PingRequest request) {
         int callerRank = successors.onPing(request);
         if (leader != null && !leader.resigned()) {
-            handOverIfOverloaded();
+            handOverIfTooSmall();
         }
         if (leader != null && !leader.resigned()) {
             return new PeerCalls.PingResponse(leader.record().epoch(), 0, leader.storeAgeMs(), callerRank);
@@ -170,7 +170,7 @@
         }
     }
 
-    private void handOverIfOverloaded() {
+    private void handOverIfTooSmall() {
         if (stopped || resigning || !leader.loaded()) {
             return;
         }
