--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.List;
 import java.util.stream.Stream;
 
 /** A small deployment: store, runners, nodes and a requester. */
@@ -32,23 +33,60 @@
         return folder;
     }
 
+    /** A queue, and the service that runs its tasks. */
+    record Queue(String name, String prefix, String service) {}
+
     /** Writes the configuration with one queue and starts the nodes; waits until they take requests. */
     void start(int nodeCount, int maxAttempts) throws IOException, InterruptedException {
+        start(nodeCount, maxAttempts, List.of(new Queue("work", PREFIX, SERVICE)));
+    }
+
+    /** Writes a configuration and starts the nodes; waits until they take requests. */
+    void start(int nodeCount, int maxAttempts, List<Queue> queues) throws IOException, InterruptedException {
+        configure(3, maxAttempts, queues);
+        startNodes(nodeCount);
+    }
+
+    /** Writes a version of the configuration, as the operator does. */
+    void configure(int version, int maxAttempts, List<Queue> queues) {
         ObjectNode configuration = Http.JSON.createObjectNode();
-        configuration.put("version", 3);
+        configuration.put("version", version);
         ArrayNode routes = configuration.putArray("routes");
-        routes.addObject()
-                .put("name", "work")
-                .put("host", HOST)
-                .put("prefix", PREFIX)
-                .put("service", SERVICE)
-                .put("priority", 1)
-                .put("maxAttempts", maxAttempts)
-                .put("stretch", 2.0)
-                .put("targetLatencyMs", 1_000);
-        configuration.putObject("services").putObject(SERVICE).put("admissionCheck", true);
-        configuration.putObject("limits");
+        for (Queue queue : queues) {
+            routes.addObject()
+                    .put("name", queue.name())
+                    .put("host", HOST)
+                    .put("prefix", queue.prefix())
+                    .put("service", queue.service())
+                    .put("kind", "non_idempotent")
+                    .put("timeoutMs", 3_000)
+                    .put("priority", 1)
+                    .put("maxAttempts", maxAttempts)
+                    .put("stretch", 2.0)
+                    .put("targetLatencyMs", 1_000);
+        }
+        ArrayNode services = configuration.putArray("services");
+        for (String service : queues.stream().map(Queue::service).distinct().toList()) {
+            services.addObject()
+                    .put("name", service)
+                    .put("healthPath", "/health")
+                    .put("maxConns", 64)
+                    .put("protocol", "h1")
+                    .put("tls", false)
+                    .put("admissionCheck", true)
+                    .put("standby", false);
+        }
+        configuration
+                .putObject("limits")
+                .put("maxHeaderBytes", 16_384)
+                .put("maxBodyBytes", 262_144)
+                .put("headerTimeoutMs", 3_000)
+                .put("idleTimeoutMs", 15_000);
         store.write("op", "config", configuration);
+        recorder.line("operator: configuration %d, %s", version, queues);
+    }
+
+    private void startNodes(int nodeCount) throws IOException, InterruptedException {
         nodes.start(nodeCount, store.address());
         requester = new Requester(recorder, nodes.callerAddresses());
         for (int node = 0; node < nodeCount; node++) {
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -221,6 +221,7 @@
                     .put("slots", 8)
                     .put("state", "ready")
                     .put("coldLeftMs", 0)
+                    .put("clockMs", clockMs())
                     .put("sequence", sequence)
                     .put("born", born);
             entry.putObject("capacity").put("cpu", cpu).put("memMb", 64_000).put("gpu", 0);
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -106,7 +106,7 @@
 
     private void handleTransaction(HttpExchange exchange, JsonNode transaction)
             throws IOException, InterruptedException {
-        Thread.sleep(4);
+        Thread.sleep(8);
         if (late.test(transaction)) {
             recorder.line("store: no answer to a transaction, done in %d ms", lateMs);
             timer.schedule(
