--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Small helpers for HTTP servers with JSON bodies on loopback addresses. */
 final class Http {
@@ -18,16 +20,22 @@
     static final ObjectMapper JSON = new ObjectMapper();
     static final String LOOPBACK = "127.0.0.1";
 
-    /** Handles a request; returns false if the connection is to end without a response. */
+    /** Handles a request; one that is not responded to is closed. */
     interface Handler {
         void handle(HttpExchange exchange, JsonNode body) throws IOException, InterruptedException;
     }
 
     private Http() {}
 
-    static synchronized int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-            return socket.getLocalPort();
+    /** Returns a port that nothing listens on, below those that the system takes for outgoing connections. */
+    static int freePort() throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                // Another port is tried.
+            }
         }
     }
 
