--- a/review/standins/Nodes.java
+++ b/review/standins/Nodes.java
@@ -83,18 +83,15 @@
         return callerAddresses;
     }
 
-    boolean alive(int node) {
-        return processes.get(node).isAlive();
-    }
-
-    int ended() {
-        return (int) processes.stream().filter(process -> !process.isAlive()).count();
-    }
-
     /** Sends a signal such as STOP or CONT to a node. */
     void signal(int node, String name) throws IOException, InterruptedException {
         recorder.line("node %d: SIG%s", node, name);
-        new ProcessBuilder("kill", "-" + name, Long.toString(processes.get(node).pid())).start().waitFor();
+        int status = new ProcessBuilder("sh", "-c", "kill -" + name + " " + processes.get(node).pid())
+                .start()
+                .waitFor();
+        if (status != 0) {
+            throw new IOException("signal " + name + " could not be sent");
+        }
     }
 
     @Override
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -10,10 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 /**
  * Stand-in for the platform's metadata store, as PROTOCOL.md describes it: rows, transactions, reads and the feed. It
@@ -32,16 +28,9 @@
     private final HttpServer server;
     private final Map<String, Row> rows = new TreeMap<>();
     private final List<Row> history = new ArrayList<>();
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
-            task -> Thread.ofPlatform().daemon().unstarted(task));
     private long version;
     private long refusedTransactions;
 
-    /** Transactions that get no response and are done later, if their conditions still hold. */
-    private volatile Predicate<JsonNode> late = transaction -> false;
-
-    private volatile long lateMs;
-
     Store(Recorder recorder, int rowBytes) throws IOException {
         this.recorder = recorder;
         this.rowBytes = rowBytes;
@@ -56,16 +45,6 @@
         return refusedTransactions;
     }
 
-    /** From now on the transactions that match are done after a delay and not answered. */
-    void loseAnswers(Predicate<JsonNode> transactions, long delayMs) {
-        lateMs = delayMs;
-        late = transactions;
-    }
-
-    void answerAll() {
-        late = transaction -> false;
-    }
-
     /** Writes a row of the operator or of a runner. */
     synchronized void write(String table, String key, JsonNode value) {
         version++;
@@ -107,15 +86,6 @@
     private void handleTransaction(HttpExchange exchange, JsonNode transaction)
             throws IOException, InterruptedException {
         Thread.sleep(8);
-        if (late.test(transaction)) {
-            recorder.line("store: no answer to a transaction, done in %d ms", lateMs);
-            timer.schedule(
-                    () -> recorder.line("store: late transaction, status %d", apply(transaction, null)),
-                    lateMs,
-                    TimeUnit.MILLISECONDS);
-            exchange.close();
-            return;
-        }
         ObjectNode response = Http.JSON.createObjectNode();
         int status = apply(transaction, response);
         Http.respond(exchange, status, response);
@@ -171,12 +141,10 @@
             }
             notifyAll();
         }
-        if (response != null) {
-            if (!hold) {
-                response.set("rows", current);
-            }
-            addVersion(response);
+        if (!hold) {
+            response.set("rows", current);
         }
+        addVersion(response);
         return hold ? 200 : 412;
     }
 
