--- /dev/null
+++ b/review/standins/Deployment.java
@@ -0,0 +1,94 @@
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.stream.Stream;
+
+/** A small deployment: store, runners, nodes and a requester. */
+final class Deployment implements AutoCloseable {
+
+    static final String HOST = "shop.example";
+    static final String PREFIX = "/work/";
+    static final String SERVICE = "tasselbench";
+
+    final Recorder recorder;
+    final Store store;
+    final Fleet fleet;
+    final Nodes nodes;
+    Requester requester;
+    private final Path folder;
+
+    Deployment(Path record) throws IOException {
+        recorder = new Recorder(record);
+        folder = Files.createTempDirectory("review");
+        store = new Store(recorder, 65_536);
+        fleet = new Fleet(recorder, store);
+        nodes = new Nodes(recorder, folder);
+    }
+
+    Path folder() {
+        return folder;
+    }
+
+    /** Writes the configuration with one queue and starts the nodes; waits until they take requests. */
+    void start(int nodeCount, int maxAttempts) throws IOException, InterruptedException {
+        ObjectNode configuration = Http.JSON.createObjectNode();
+        configuration.put("version", 3);
+        ArrayNode routes = configuration.putArray("routes");
+        routes.addObject()
+                .put("name", "work")
+                .put("host", HOST)
+                .put("prefix", PREFIX)
+                .put("service", SERVICE)
+                .put("priority", 1)
+                .put("maxAttempts", maxAttempts)
+                .put("stretch", 2.0)
+                .put("targetLatencyMs", 1_000);
+        configuration.putObject("services").putObject(SERVICE).put("admissionCheck", true);
+        configuration.putObject("limits");
+        store.write("op", "config", configuration);
+        nodes.start(nodeCount, store.address());
+        requester = new Requester(recorder, nodes.callerAddresses());
+        for (int node = 0; node < nodeCount; node++) {
+            long endNanos = System.nanoTime() + 20_000_000_000L;
+            while (requester.send(node, "GET", HOST, PREFIX, null).status() != 200) {
+                if (System.nanoTime() > endNanos) {
+                    throw new IOException("node " + node + " does not get ready");
+                }
+                Thread.sleep(300);
+            }
+        }
+    }
+
+    static String id(int number) {
+        return String.format("%016x", 0x7a31_0000_0000L + number);
+    }
+
+    static ObjectNode job() {
+        ObjectNode job = Http.JSON.createObjectNode().put("spec", "review");
+        job.putArray("steps");
+        return job;
+    }
+
+    static ObjectNode addStep(ObjectNode job, int count, int cpu, long estMs) {
+        return ((ArrayNode) job.path("steps"))
+                .addObject()
+                .put("count", count)
+                .put("cpu", cpu)
+                .put("memMb", 64)
+                .put("estMs", estMs);
+    }
+
+    @Override
+    public void close() throws IOException {
+        nodes.close();
+        recorder.close();
+        if (System.getenv("KEEP_LOGS") == null) {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        }
+    }
+}
