--- a/review/standins/CancelledBeforeStored.java
+++ b/review/CancelledBeforeStored.java
@@ -6,7 +6,7 @@
     private static final int RUNNERS = 12;
     private static final int STEPS = 4;
     private static final int FROZEN_NODE = 2;
-    private static final long FREEZE_MS = 4_000;
+    private static final long FREEZE_MS = 3_800;
     private static final double CANCEL_S = 3.0;
     private static final double CONTACT_S = 3.0;
 
--- a/review/standins/Deployment.java
+++ b/review/Deployment.java
@@ -11,7 +11,7 @@
 final class Deployment implements AutoCloseable {
 
     static final String HOST = "shop.example";
-    static final String PREFIX = "/work/";
+    static final String PREFIX = "/orders/";
     static final String SERVICE = "tasselbench";
 
     final Recorder recorder;
@@ -38,7 +38,7 @@
 
     /** Writes the configuration with one queue and starts the nodes; waits until they take requests. */
     void start(int nodeCount, int maxAttempts) throws IOException, InterruptedException {
-        start(nodeCount, maxAttempts, List.of(new Queue("work", PREFIX, SERVICE)));
+        start(nodeCount, maxAttempts, List.of(new Queue("orders", PREFIX, SERVICE)));
     }
 
     /** Writes a configuration and starts the nodes; waits until they take requests. */
--- a/review/standins/Main.java
+++ b/review/Main.java
@@ -13,7 +13,6 @@
             case "avoided-runner" -> AvoidedRunner::run;
             case "large-progress" -> LargeProgress::run;
             case "cancelled-before-stored" -> CancelledBeforeStored::run;
-            case "moved-queue" -> MovedQueue::run;
             case "gang-attempts" -> GangAttempts::run;
             default -> throw new IllegalArgumentException(arguments[0]);
         };
