--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -246,7 +246,10 @@
             if (entry.sequenceNumber() > runner.lastProcessedEnd) {
                 runner.lastProcessedEnd = entry.sequenceNumber();
                 applyEnd(runner, entry, nowNanos);
-                runner.unstoredEnds.add(entry.sequenceNumber(), entry.task().job());
+                runner.unstoredEnds.add(entry);
+                if (jobs.isIsolated(entry.task().job())) {
+                    jobs.held().storeEnd(entry);
+                }
                 jobs.onEndProcessed(entry.task().job());
             }
         }
@@ -287,6 +290,17 @@
         }
     }
 
+    /**
+     * Isolates a job because the store rejects its progress: the ends of its runs are stored one by one, so that the
+     * runners may discard them and those of other jobs.
+     */
+    public void isolateJob(Job job) {
+        jobs.isolate(job);
+        for (FleetRunner runner : runners.values()) {
+            runner.unstoredEnds.of(job).forEach(jobs.held()::storeEnd);
+        }
+    }
+
     private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
         for (Run run : runner.snapshotOfRuns()) {
             boolean missing =
--- a/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
+++ b/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
@@ -66,6 +66,16 @@
         return added;
     }
 
+    /** Stores the end of a run of a job that is not held, because the store rejects the progress of the job. */
+    void storeEnd(RunnerStatus.EndedRun entry) {
+        HeldEnd end = HeldEnd.of(entry);
+        if (endsOfOtherJobs
+                .computeIfAbsent(end.task().job(), job -> new LinkedHashSet<>())
+                .add(end)) {
+            unstoredEnds.add(end);
+        }
+    }
+
     /** Stops holding a job that is loaded now, and returns its ends, which become obsolete with its stored progress. */
     Collection<HeldEnd> release(String job) {
         Set<HeldEnd> ends = endsOfHeldJobs.remove(job);
@@ -87,6 +97,7 @@
     public void markObsolete(String job) {
         Set<HeldEnd> ends = endsOfOtherJobs.remove(job);
         if (ends != null) {
+            unstoredEnds.removeAll(ends);
             obsoleteEnds.addAll(ends);
         }
     }
--- a/src/main/java/org/tamarackline/core/fleet/Job.java
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -12,6 +12,7 @@
     private final long[] criticalPathsMs;
     private final long latencyObjectiveMs;
     private final int tasksPerOccurrence;
+    private final int tasksPerChunk;
     private final List<Task[][]> occurrences = new ArrayList<>();
     private final BaselineHeadroomFilter[] baselineFilters;
 
@@ -32,6 +33,7 @@
         this.criticalPathsMs = definition.criticalPathsMs();
         this.tasksPerOccurrence =
                 definition.steps().stream().mapToInt(StepDefinition::count).sum();
+        this.tasksPerChunk = ProgressLayout.tasksPerChunk(definition);
         this.baselineFilters = new BaselineHeadroomFilter[definition.steps().size()];
         long criticalPathMs = LongStream.of(criticalPathsMs).max().orElse(0);
         QueueDefinition queue = definition.queue();
@@ -56,6 +58,56 @@
         return JobProgress.of(this);
     }
 
+    /** Returns the number of chunks that the progress is stored in. */
+    public int progressChunks() {
+        int tasks = occurrences.size() * tasksPerOccurrence;
+        return Math.max(1, (tasks + tasksPerChunk - 1) / tasksPerChunk);
+    }
+
+    /**
+     * Returns the progress of the tasks of one chunk. Only chunk 0 tells how many occurrences were created.
+     *
+     * @param chunk position of the chunk, from 0
+     */
+    public JobProgress progressOfChunk(int chunk) {
+        return JobProgress.of(chunk == 0 ? occurrences.size() : 0, tasksOfChunk(chunk));
+    }
+
+    /** Returns whether all tasks of a chunk are created and done, so that its progress no longer changes. */
+    public boolean chunkFinal(int chunk) {
+        List<Task> tasks = tasksOfChunk(chunk);
+        return chunk > 0
+                && tasks.size() == Math.min(tasksPerChunk, allTasks() - chunk * tasksPerChunk)
+                && tasks.stream().allMatch(task -> task.done);
+    }
+
+    private int allTasks() {
+        return definition.occurrences() * tasksPerOccurrence;
+    }
+
+    /** Returns the created tasks of a chunk. */
+    private List<Task> tasksOfChunk(int chunk) {
+        int first = chunk * tasksPerChunk;
+        int end = Math.min(first + tasksPerChunk, occurrences.size() * tasksPerOccurrence);
+        List<Task> tasks = new ArrayList<>();
+        for (int position = first; position < end; position++) {
+            tasks.add(taskAt(position));
+        }
+        return tasks;
+    }
+
+    /** Returns the task at a position among the tasks of all occurrences. */
+    private Task taskAt(int position) {
+        int index = position % tasksPerOccurrence;
+        for (Task[] step : occurrences.get(position / tasksPerOccurrence)) {
+            if (index < step.length) {
+                return step[index];
+            }
+            index -= step.length;
+        }
+        throw new IllegalStateException("the steps of an occurrence have fewer tasks than the occurrence");
+    }
+
     /** Returns the estimated duration of the critical path from a step to the end of the job, in milliseconds. */
     long criticalPathMs(int step) {
         return criticalPathsMs[step];
--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -1,12 +1,17 @@
 package org.tamarackline.core.fleet;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.TreeSet;
 
 /**
- * The stored progress of an open job. It must be stored before the runners may discard the ends of its runs, and before
+ * The stored progress of an open job, or of some of its tasks. It must be stored before the runners may discard the ends of its runs, and before
  * its long-running tasks start.
  *
  * <p>It does not contain where other tasks run: the runners report that to a new leader.
@@ -49,22 +54,53 @@
             failedRunNumbers = List.copyOf(failedRunNumbers);
             runners = List.copyOf(runners);
         }
+
+        private TaskProgress updatedBy(TaskProgress later) {
+            SortedSet<Long> failed = new TreeSet<>(failedRunNumbers);
+            failed.addAll(later.failedRunNumbers);
+            return new TaskProgress(
+                    occurrence, step, index, done || later.done, List.copyOf(failed), later.checkpoint, later.runners);
+        }
     }
 
     static JobProgress of(Job job) {
-        List<TaskProgress> tasks = new ArrayList<>();
+        List<Task> tasks = new ArrayList<>();
         for (int occurrence = 0; occurrence < job.createdOccurrences(); occurrence++) {
             for (Task[] step : job.occurrence(occurrence)) {
-                for (Task task : step) {
-                    addIfChanged(task, tasks);
-                }
+                tasks.addAll(List.of(step));
             }
         }
-        return new JobProgress(job.createdOccurrences(), tasks);
+        return of(job.createdOccurrences(), tasks);
+    }
+
+    static JobProgress of(int createdOccurrences, List<Task> tasks) {
+        List<TaskProgress> changed = new ArrayList<>();
+        tasks.forEach(task -> addIfChanged(task, changed));
+        return new JobProgress(createdOccurrences, changed);
     }
 
+    /**
+     * Joins the progress of several groups of tasks. Of a task in several of them, the last one counts, but each that
+     * says that the task is done, and all failed runs.
+     */
+    public static JobProgress join(Collection<JobProgress> parts) {
+        int createdOccurrences = 0;
+        Map<Position, TaskProgress> tasks = new LinkedHashMap<>();
+        for (JobProgress part : parts) {
+            createdOccurrences = Math.max(createdOccurrences, part.createdOccurrences());
+            for (TaskProgress task : part.tasks()) {
+                createdOccurrences = Math.max(createdOccurrences, task.occurrence() + 1);
+                Position position = new Position(task.occurrence(), task.step(), task.index());
+                tasks.merge(position, task, TaskProgress::updatedBy);
+            }
+        }
+        return new JobProgress(createdOccurrences, List.copyOf(tasks.values()));
+    }
+
+    private record Position(int occurrence, int step, int index) {}
+
     private static void addIfChanged(Task task, List<TaskProgress> tasks) {
-        String checkpoint = task.done || !task.runs.isEmpty() ? "" : task.checkpoint;
+        String checkpoint = task.done || !task.runs.isEmpty() ? "" : storable(task.checkpoint);
         Set<String> runners = possibleRunners(task);
         if (task.done || !task.failedRunNumbers.isEmpty() || !checkpoint.isEmpty() || !runners.isEmpty()) {
             TaskKey key = task.key();
@@ -79,6 +115,12 @@
         }
     }
 
+    /** Returns a checkpoint if it is short enough to be stored, otherwise an empty one. */
+    public static String storable(String checkpoint) {
+        boolean fits = checkpoint.getBytes(StandardCharsets.UTF_8).length <= ProgressLayout.MAX_CHECKPOINT_BYTES;
+        return fits ? checkpoint : "";
+    }
+
     /** Returns the runners on which a run of a long-running task may exist; empty for other tasks. */
     private static Set<String> possibleRunners(Task task) {
         Set<String> runners = new TreeSet<>();
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,6 +36,9 @@
     /** Dirty jobs that processed ends belong to, in the order of their first such end. */
     private final SequencedSet<Job> dirtyJobsWithEnds = new LinkedHashSet<>();
 
+    /** Jobs whose changes the store rejects; they are not dirty. */
+    private final Set<Job> isolatedJobs = new HashSet<>();
+
     private final HeldJobs heldJobs = new HeldJobs();
 
     JobTracker(FleetObserver observer, MonotonicClock clock, PendingStarts pendingStarts, RunStopper runStopper) {
@@ -193,6 +197,16 @@
         return takeFirst(dirtyJobsWithEnds);
     }
 
+    /** Same for a certain job, if it is dirty. */
+    public Optional<Job> takeDirtyJob(String id) {
+        Job job = jobs.get(id);
+        if (job == null || !dirtyJobs.remove(job)) {
+            return Optional.empty();
+        }
+        dirtyJobsWithEnds.remove(job);
+        return Optional.of(job);
+    }
+
     private Optional<Job> takeFirst(SequencedSet<Job> from) {
         if (from.isEmpty()) {
             return Optional.empty();
@@ -239,6 +253,11 @@
         List.copyOf(notStored).reversed().forEach(dirtyJobs::addFirst);
     }
 
+    /** Puts dirty jobs behind the others, because a transaction contains only some of their changes. */
+    public void deferDirtyJobs(Collection<Job> partlyStored) {
+        partlyStored.forEach(dirtyJobs::addLast);
+    }
+
     /** Records that the changes of a job are stored. A job with a terminal state is closed. */
     public void markStored(Job job) {
         if (job.terminalState != null) {
@@ -253,7 +272,7 @@
         task.job().started = true;
         task.lastRunNumber = Math.max(task.lastRunNumber, runNumber);
         task.updateCheckpoint(runNumber, checkpoint);
-        dirtyJobs.add(task.job());
+        markDirty(task.job());
     }
 
     /** Completes a task and its gang. */
@@ -290,6 +309,7 @@
 
     void finish(Job job, JobState state) {
         job.terminalState = state;
+        endIsolation(job);
         dirtyJobs.add(job);
         for (int occurrence = 0; occurrence < job.createdOccurrences(); occurrence++) {
             for (Task[] step : job.occurrence(occurrence)) {
@@ -313,7 +333,7 @@
     private void createNextOccurrence(Job job) {
         job.createOccurrence();
         if (job.definition().scheduledOccurrences() > 0) {
-            dirtyJobs.add(job);
+            markDirty(job);
         }
         updateReadinessOfOccurrence(job, job.createdOccurrences() - 1);
     }
@@ -361,7 +381,29 @@
 
     /** Marks a job as having changes to store. */
     void markDirty(Job job) {
-        dirtyJobs.add(job);
+        if (!isolatedJobs.contains(job)) {
+            dirtyJobs.add(job);
+        }
+    }
+
+    /** Keeps a job from being dirty until its isolation ends, because the store rejects its progress. */
+    void isolate(Job job) {
+        isolatedJobs.add(job);
+        dirtyJobs.remove(job);
+        dirtyJobsWithEnds.remove(job);
+    }
+
+    /** Returns whether a job is isolated, so that the ends of its runs are stored one by one. */
+    boolean isIsolated(String id) {
+        Job job = jobs.get(id);
+        return job != null && isolatedJobs.contains(job);
+    }
+
+    /** Ends the isolation of a job, whose changes are to be stored. Does nothing if it is not isolated. */
+    public void endIsolation(Job job) {
+        if (isolatedJobs.remove(job)) {
+            dirtyJobs.add(job);
+        }
     }
 
     /**
--- a/src/main/java/org/tamarackline/core/fleet/UnstoredEnds.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnstoredEnds.java
@@ -2,18 +2,22 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Predicate;
 
-/** Processed ends of a runner's process that are not known to be stored, with the jobs that they belong to. */
+/** Processed ends of a runner's process that are not known to be stored. */
 final class UnstoredEnds {
 
-    private record End(long sequenceNumber, String job) {}
-
-    private final Deque<End> ends = new ArrayDeque<>();
+    private final Deque<RunnerStatus.EndedRun> ends = new ArrayDeque<>();
 
     /** Adds an end; sequence numbers ascend. */
-    void add(long sequenceNumber, String job) {
-        ends.addLast(new End(sequenceNumber, job));
+    void add(RunnerStatus.EndedRun end) {
+        ends.addLast(end);
+    }
+
+    /** Returns the ends of the runs of a job. */
+    List<RunnerStatus.EndedRun> of(Job job) {
+        return ends.stream().filter(end -> end.task().job().equals(job.id())).toList();
     }
 
     /** Removes the ends up to a sequence number, because they are stored. */
@@ -34,8 +38,8 @@
      * @param lastProcessed highest sequence number that was processed
      */
     long lastBeforeDirtyJob(long lastProcessed, Predicate<String> dirty) {
-        for (End end : ends) {
-            if (dirty.test(end.job())) {
+        for (RunnerStatus.EndedRun end : ends) {
+            if (dirty.test(end.task().job())) {
                 return end.sequenceNumber() - 1;
             }
         }
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -45,6 +46,9 @@
 
         /** Requests a scheduling round, because a transaction has ended. */
         void requestSchedulingRound();
+
+        /** Changes that were kept out of the transactions may be stored again. */
+        void retryChanges();
     }
 
     private final LeaderContext context;
@@ -59,6 +63,8 @@
     private boolean sequenceDue;
     private boolean flushScheduled;
     private boolean storeFailing;
+    private final RejectionSearch rejectionSearch = new RejectionSearch();
+
     private final PendingChanges changes;
     /** Transaction without an answer, null if there is none. */
     private CommitBatch batchInFlight;
@@ -78,12 +84,18 @@
         this.epoch = epoch;
         this.leaderVersion = leaderVersion;
         this.sequenceVersion = sequenceVersion;
-        this.changes = new PendingChanges(context.loop());
+        this.changes = new PendingChanges(context);
     }
 
-    /** Records that the store has progress of a job. */
-    void addStoredProgress(String job) {
-        changes.storedProgress.add(job);
+    /** Adds the records of progress that the store has. */
+    void addStoredProgress(ProgressRecords records) {
+        changes.progress.addAll(records);
+    }
+
+    /** Removes the stored progress of jobs that are not open. */
+    void removeProgressOfOthers(Predicate<String> open) {
+        changes.progress.markOthersObsolete(open);
+        scheduleFlushIfDirty();
     }
 
     /** Adds a runner to the roster with the next transaction. */
@@ -117,7 +129,7 @@
 
     /** Returns whether the store has progress of a job. */
     boolean hasStoredProgress(String job) {
-        return changes.storedProgress.contains(job);
+        return changes.progress.contains(job);
     }
 
     /** Removes a job that ended long ago. */
@@ -142,12 +154,18 @@
         scheduleFlush(true);
     }
 
+    /** Stores changes again that were kept out of the transactions. */
+    void retryChanges() {
+        scheduleFlush(false);
+    }
+
     /** Schedules a transaction if there are changes to store or ends to acknowledge. */
     void scheduleFlushIfDirty() {
         if (context.fleet().jobs().hasUrgentDirtyJobs()) {
             scheduleFlush(true);
         } else if (context.fleet().jobs().hasDirtyJobs()
-                || context.fleet().jobs().held().dirty()) {
+                || context.fleet().jobs().held().dirty()
+                || changes.progress.hasObsolete()) {
             scheduleFlush(false);
         } else if (batchInFlight == null && hasEndsToStore()) {
             storeSequence();
@@ -184,8 +202,14 @@
         if (batchInFlight != null || !leader.leading()) {
             return;
         }
-        CommitBatch batch = new CommitBatch(context, timeOfDay, leader, changes, !storeFailing);
+        CommitBatch batch = new CommitBatch(context, timeOfDay, leader, changes, !storeFailing, rejectionSearch);
         batch.fill();
+        if (batch.empty() && rejectionSearch.active()) {
+            // What the search was to send is no longer needed.
+            rejectionSearch.onStored();
+            scheduleFlush(false);
+            return;
+        }
         if (batch.empty() && !sequenceDue) {
             return;
         }
@@ -207,6 +231,7 @@
             case RecordStore.TransactionResult.Applied applied -> {
                 reportStoreState(false, "");
                 sequenceVersion = applied.version();
+                rejectionSearch.onStored();
                 leader.onLeadershipConfirmed(sentNanos);
                 batch.onApplied();
             }
@@ -216,6 +241,7 @@
                 changes.submissions.onRefused(batch.submissions());
                 requeue(batch);
             }
+            case RecordStore.TransactionResult.Rejected rejected -> onRejected(batch, rejected.cause());
             case RecordStore.TransactionResult.Unknown unknown -> {
                 reportStoreState(true, unknown.cause());
                 changes.submissions.onUnknown(batch.submissions());
@@ -223,6 +249,9 @@
             }
         }
         leader.requestSchedulingRound();
+        if (rejectionSearch.active()) {
+            scheduleFlush(true);
+        }
         scheduleFlushIfDirty();
         if (!changes.toAddToRoster.isEmpty()
                 || !changes.toCordon.isEmpty()
@@ -232,6 +261,22 @@
         }
     }
 
+    /** Seeks the change that the store rejects by halving the transactions, and isolates it. */
+    private void onRejected(CommitBatch batch, String cause) {
+        rejectionSearch.onRejected(batch.changeKeys());
+        if (batch.changeKeys().size() == 1) {
+            sequenceDue = true;
+            batch.isolateOnlyChange(cause);
+            return;
+        }
+        if (batch.changeKeys().isEmpty()) {
+            // Then the store does not accept this leader's transactions at all.
+            reportStoreState(true, cause);
+        }
+        changes.submissions.onRefused(batch.submissions());
+        requeue(batch);
+    }
+
     private void onConflict(CommitBatch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
         boolean confirmed = false;
         Set<String> existing = new HashSet<>();
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -243,6 +243,24 @@
         });
     }
 
+    /**
+     * Logs that the store rejected a change, which is tried again after a delay and meanwhile kept out of the
+     * transactions.
+     */
+    void changeIsolated(String change, String cause, int rejections, long retryMs) {
+        writeLine("change-isolated", json -> {
+            json.writeStringField("change", change);
+            json.writeStringField("cause", cause);
+            json.writeNumberField("rejections", rejections);
+            json.writeNumberField("retryMs", retryMs);
+        });
+    }
+
+    /** Logs that a change which the store had rejected is stored. */
+    void isolatedChangeStored(String change) {
+        writeLine("isolated-change-stored", json -> json.writeStringField("change", change));
+    }
+
     void storeState(String event, String cause) {
         writeLine(event, json -> json.writeStringField("cause", cause));
     }
--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -60,6 +60,9 @@
      */
     void transactionCompleted(TransactionPurpose purpose, TransactionOutcome outcome, long tookNanos);
 
+    /** The store rejected a change of the leader's jobs or roster, which is therefore stored later than others. */
+    void changeIsolated();
+
     /** A read of the store was answered, or its answer is no longer awaited. */
     void readCompleted(ReadPurpose purpose, ReadOutcome outcome);
 
@@ -162,6 +165,8 @@
         CONFLICT,
         /** It was refused or never sent; nothing was written. */
         NOT_APPLIED,
+        /** The store does not accept it whenever it is sent; nothing was written. */
+        REJECTED,
         /** It is not known whether it was applied. */
         UNKNOWN;
 
@@ -170,6 +175,7 @@
                 case RecordStore.TransactionResult.Applied applied -> APPLIED;
                 case RecordStore.TransactionResult.Conflict conflict -> CONFLICT;
                 case RecordStore.TransactionResult.NotApplied notApplied -> NOT_APPLIED;
+                case RecordStore.TransactionResult.Rejected rejected -> REJECTED;
                 case RecordStore.TransactionResult.Unknown unknown -> UNKNOWN;
             };
         }
--- a/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
@@ -82,6 +82,7 @@
     private final Map<TransactionPurpose, Map<TransactionOutcome, Counter>> transactions =
             new EnumMap<>(TransactionPurpose.class);
     private final Map<ReadPurpose, Map<ReadOutcome, Counter>> reads = new EnumMap<>(ReadPurpose.class);
+    private final Counter isolatedChanges;
     private final Timer requests;
     private final Timer startDelays;
     private final Timer transactionDurations;
@@ -150,6 +151,10 @@
                             "outcome",
                             Tags.of("purpose", labelOf(purpose))));
         }
+        isolatedChanges = counter(
+                "store.changes.isolated",
+                "changes that the store rejected and that are kept out for a time",
+                Tags.empty());
         requests = timer("request.duration", "time from a whole request to its answer", REQUEST_BUCKETS);
         startDelays = timer("task.start.delay", "time from ready to started of a task", START_DELAY_BUCKETS);
         transactionDurations = timer(
@@ -322,6 +327,11 @@
         transactionDurations.record(tookNanos, TimeUnit.NANOSECONDS);
     }
 
+    @Override
+    public void changeIsolated() {
+        isolatedChanges.increment();
+    }
+
     @Override
     public void readCompleted(ReadPurpose purpose, ReadOutcome outcome) {
         reads.get(purpose).get(outcome).increment();
--- a/src/main/java/org/tamarackline/fleet/ForwardedSubmissions.java
+++ b/src/main/java/org/tamarackline/fleet/ForwardedSubmissions.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Submissions that nodes passed on to the leader, which stores many of them in one transaction.
@@ -94,16 +95,24 @@
         return waiting.isEmpty();
     }
 
-    /** Takes the submissions of the next transaction; one of the other methods must be called with them afterwards. */
-    List<Submission> take(int maxCount) {
+    /**
+     * Takes the submissions of the next transaction; one of the other methods must be called with them afterwards.
+     *
+     * @param permitted tells of a job whether it may be taken
+     */
+    List<Submission> take(int maxCount, int maxBytes, Predicate<String> permitted) {
         List<Submission> taken = new ArrayList<>();
         int bytes = 0;
-        while (taken.size() < maxCount && !waiting.isEmpty()) {
-            bytes += waiting.getFirst().value().length;
-            if (bytes > MAX_BATCH_BYTES && !taken.isEmpty()) {
+        for (Submission submission : List.copyOf(waiting)) {
+            if (!permitted.test(submission.job())) {
+                continue;
+            }
+            bytes += submission.value().length;
+            if (taken.size() == maxCount || bytes > Math.min(maxBytes, MAX_BATCH_BYTES)) {
                 break;
             }
-            taken.add(waiting.removeFirst());
+            waiting.remove(submission);
+            taken.add(submission);
         }
         return taken;
     }
@@ -134,6 +143,13 @@
         }
     }
 
+    /** The store rejects the transaction whenever it is sent. */
+    void onRejected(List<Submission> submissions, String cause) {
+        for (Submission submission : submissions) {
+            submission.endUnstored("the store rejects the job: " + cause);
+        }
+    }
+
     /** The transaction was refused. */
     void onRefused(List<Submission> submissions) {
         submissions.forEach(this::retry);
--- a/src/main/java/org/tamarackline/fleet/HeldJobLoader.java
+++ b/src/main/java/org/tamarackline/fleet/HeldJobLoader.java
@@ -16,10 +16,6 @@
     /** Maximum number of jobs that are read in one interval. */
     private static final int MAX_READ_JOBS = 20;
 
-    private interface RecordReader {
-        void read(Optional<RecordStore.Entry> entry) throws CorruptRecordException;
-    }
-
     private final EventLoop loop;
     private final RecordStore store;
     private final LeaderContext context;
@@ -64,41 +60,69 @@
     }
 
     private void readJob(String id) {
-        readRecord(RecordStore.Table.JOBS, id, entry -> {
-            if (entry.isPresent() && RecordCodec.decodeJob(id, entry.get().value()) instanceof StoredJob.Open open) {
-                readProgress(open.definition());
+        store.read(RecordStore.Table.JOBS, id, id + "\u0000", result -> {
+            if (!leading.getAsBoolean() || !(result instanceof RecordStore.ReadResult.Page page)) {
+                return;
+            }
+            for (RecordStore.Entry entry : page.entries()) {
+                readOpenJob(entry).ifPresent(job -> readProgress(job, job.id(), new StoredProgress()));
             }
         });
     }
 
-    private void readProgress(JobDefinition job) {
-        readRecord(RecordStore.Table.PROGRESS, job.id(), entry -> {
-            if (entry.isPresent()) {
-                JobProgress progress =
-                        RecordCodec.decodeProgress(job.id(), entry.get().value());
-                StoredProgress.check(job, progress);
-                committer.addStoredProgress(job.id());
-                load(job, progress);
-            } else if (!committer.hasStoredProgress(job.id())) {
-                load(job, JobProgress.NONE);
-            }
-        });
+    private static Optional<JobDefinition> readOpenJob(RecordStore.Entry entry) {
+        try {
+            return RecordCodec.decodeJob(entry.key(), entry.value()) instanceof StoredJob.Open open
+                    ? Optional.of(open.definition())
+                    : Optional.empty();
+        } catch (CorruptRecordException stillCorrupt) {
+            // It was logged when the job was held.
+            return Optional.empty();
+        }
     }
 
-    /** Reads a record; nothing happens if the store does not answer or the record cannot be decoded. */
-    private void readRecord(RecordStore.Table table, String key, RecordReader reader) {
-        store.read(table, key, key + "\u0000", result -> {
+    /** Reads the records of a job's progress page by page; nothing happens if the store does not answer. */
+    private void readProgress(JobDefinition job, String from, StoredProgress progress) {
+        store.read(RecordStore.Table.PROGRESS, from, ProgressCodec.Key.end(job.id()), result -> {
             if (!leading.getAsBoolean() || !(result instanceof RecordStore.ReadResult.Page page)) {
                 return;
             }
-            try {
-                reader.read(page.entries().stream().findFirst());
-            } catch (CorruptRecordException stillCorrupt) {
-                // It was logged when the job was held.
+            for (RecordStore.Entry entry : page.entries()) {
+                addRecord(job.id(), entry, progress);
+            }
+            if (page.truncated() && !page.entries().isEmpty()) {
+                readProgress(job, page.entries().getLast().key() + "\u0000", progress);
+            } else {
+                onProgressRead(job, progress);
             }
         });
     }
 
+    /** Adds a record, unless it is that of another job, whose identifier begins with that of this one. */
+    private static void addRecord(String job, RecordStore.Entry entry, StoredProgress progress) {
+        try {
+            if (ProgressCodec.Key.parse(entry.key()).job().equals(job)) {
+                progress.read(entry);
+            }
+        } catch (CorruptRecordException stillCorrupt) {
+            // It was logged when the job was held.
+        }
+    }
+
+    private void onProgressRead(JobDefinition job, StoredProgress progress) {
+        boolean missing = !progress.records().contains(job.id()) && committer.hasStoredProgress(job.id());
+        if (progress.unreadable(job.id()) || missing) {
+            return;
+        }
+        try {
+            JobProgress stored = progress.of(job);
+            committer.addStoredProgress(progress.records());
+            load(job, stored);
+        } catch (CorruptRecordException stillCorrupt) {
+            // It was logged when the job was held.
+        }
+    }
+
     /**
      * Loads a job if this leader still leads after the reads, so that no successor has started the job's tasks before,
      * and if all runs of the job are known.
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -50,6 +50,9 @@
     private final long leaderVersion;
     private final Callbacks leader;
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
+    /** Keys of the job records that were read first and do not say that the job has ended. */
+    private final Set<String> unfinishedJobs = new HashSet<>();
+
     private long version = -1;
     private boolean failing;
 
@@ -81,6 +84,11 @@
         });
     }
 
+    /** Returns whether a job may be open, or its record cannot be read, as of {@link #readAll}. */
+    boolean mayBeOpen(String job) {
+        return unfinishedJobs.contains(job);
+    }
+
     /** Follows the changes from the version that was read. */
     void follow() {
         if (!leader.leading()) {
@@ -181,9 +189,13 @@
             jobs.dropHeld(entry.key());
             return;
         }
+        if (inherited) {
+            unfinishedJobs.add(entry.key());
+        }
         switch (decodeOrHold(entry)) {
             case StoredJob.Open open -> addOpenJob(open.definition(), inherited, progress);
             case StoredJob.Finished finished -> {
+                unfinishedJobs.remove(finished.id());
                 if (jobs.state(finished.id()).filter(JobState::terminal).isEmpty()) {
                     jobs.addFinished(finished.id(), finished.state());
                 }
--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -6,15 +6,11 @@
 
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.ProgressLayout;
 
 /** Handles requests about jobs on any node: stores submissions and cancellations, and looks up the state of jobs. */
 final class JobRequestHandler {
 
-    /**
-     * Maximum size of a stored job in bytes, such that its text encoding stays within the store's limit on a record.
-     */
-    private static final int MAX_JOB_BYTES = 45_000;
-
     private static final Outcome.Unavailable STORE_SUSPENDED =
             new Outcome.Unavailable("the store did not answer lately");
 
@@ -43,10 +39,10 @@
     /** Stores a job unless it is already stored. */
     void submit(JobDefinition job, Consumer<Outcome> callback) {
         byte[] value = RecordCodec.encodeOpenJob(job);
-        if (value.length > MAX_JOB_BYTES) {
+        Optional<String> excess = excessOf(job, value);
+        if (excess.isPresent()) {
             metrics.submissionRefused(FleetMetrics.RefusalReason.TOO_LARGE);
-            callback.accept(new Outcome.TooLarge("the job takes %d bytes, more than the maximum of %d; split it"
-                    .formatted(value.length, MAX_JOB_BYTES)));
+            callback.accept(new Outcome.TooLarge(excess.get()));
             return;
         }
         RecordStore.Transaction transaction = new RecordStore.Transaction(
@@ -67,6 +63,20 @@
         });
     }
 
+    /** Returns why a job can't be stored, now or until it ends; empty if it can. */
+    private static Optional<String> excessOf(JobDefinition job, byte[] value) {
+        if (value.length > RecordStore.MAX_RECORD_BYTES) {
+            return Optional.of("the job takes %d bytes, more than the maximum of %d; split it"
+                    .formatted(value.length, RecordStore.MAX_RECORD_BYTES));
+        }
+        try {
+            ProgressLayout.check(job);
+            return Optional.empty();
+        } catch (IllegalArgumentException invalid) {
+            return Optional.of(invalid.getMessage());
+        }
+    }
+
     /**
      * Passes a submission on to the leader, because the store does not take transactions of this node.
      *
@@ -118,6 +128,7 @@
             case RecordStore.TransactionResult.Applied applied -> new Outcome.Accepted("stored");
             case RecordStore.TransactionResult.Conflict conflict -> new Outcome.Accepted("stored before");
             case RecordStore.TransactionResult.NotApplied notApplied -> new Outcome.Unavailable(notApplied.cause());
+            case RecordStore.TransactionResult.Rejected rejected -> new Outcome.Unavailable(rejected.cause());
             case RecordStore.TransactionResult.Unknown unknown -> new Outcome.Undetermined(unknown.cause());
         };
     }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -258,9 +258,10 @@
             return;
         }
         committer = new Committer(context, store, timeOfDay, this, record.epoch(), leaderVersion, sequenceVersion);
-        progress.jobs().forEach(committer::addStoredProgress);
+        committer.addStoredProgress(progress.records());
         progress.clear();
         loaded = true;
+        committer.removeProgressOfOthers(jobFeed::mayBeOpen);
         if (earlierLeaders.ended()) {
             committer.storeSequence();
         }
@@ -416,6 +417,11 @@
         }
     }
 
+    @Override
+    public void retryChanges() {
+        committer.retryChanges();
+    }
+
     @Override
     public boolean ended() {
         return ended;
--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -18,6 +18,7 @@
             switch (result) {
                 case TransactionResult.Applied applied -> contact.onAnswer();
                 case TransactionResult.Conflict conflict -> contact.onAnswer();
+                case TransactionResult.Rejected rejected -> contact.onAnswer();
                 case TransactionResult.NotApplied notApplied -> {
                     if (!notApplied.busy()) {
                         contact.onFailure();
--- a/src/main/java/org/tamarackline/fleet/NoMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/NoMetrics.java
@@ -44,6 +44,9 @@
     @Override
     public void transactionCompleted(TransactionPurpose purpose, TransactionOutcome outcome, long tookNanos) {}
 
+    @Override
+    public void changeIsolated() {}
+
     @Override
     public void readCompleted(ReadPurpose purpose, ReadOutcome outcome) {}
 
--- a/src/main/java/org/tamarackline/fleet/PendingChanges.java
+++ b/src/main/java/org/tamarackline/fleet/PendingChanges.java
@@ -1,7 +1,6 @@
 package org.tamarackline.fleet;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -11,8 +10,8 @@
 /** Changes of a leader that wait for a transaction, apart from those that the jobs keep themselves. */
 final class PendingChanges {
 
-    /** Jobs of which the store has progress. */
-    final Set<String> storedProgress = new HashSet<>();
+    final ProgressRecords progress = new ProgressRecords();
+    final IsolatedChanges isolated;
 
     final Map<String, RunnerDescriptor> toAddToRoster = new HashMap<>();
     final Set<String> toCordon = new LinkedHashSet<>();
@@ -23,7 +22,8 @@
     /** When the interference estimates were last put into a transaction. */
     long estimatesStoredNanos;
 
-    PendingChanges(EventLoop loop) {
-        this.submissions = new ForwardedSubmissions(loop);
+    PendingChanges(LeaderContext context) {
+        this.submissions = new ForwardedSubmissions(context.loop());
+        this.isolated = new IsolatedChanges(context.loop(), context.log(), context.metrics());
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -1,8 +1,9 @@
 package org.tamarackline.fleet;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,8 +12,6 @@
 import java.util.regex.Pattern;
 
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.HeldEnd;
@@ -47,38 +46,19 @@
     /** Task names join the identifier of their job by dots with numbers. */
     private static final Pattern JOB_ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
 
+    /** Largest size of the header of a list or a text. */
+    private static final int LIST_HEADER_BYTES = 5;
+
+    /** Size of the two numbers of an interference estimate. */
+    private static final int ESTIMATE_BYTES = 18;
+
     private static final int OPEN_JOB = 1;
     private static final int FINISHED_JOB = 2;
 
     private RecordCodec() {}
 
-    private interface Body {
-        void write(MessageBufferPacker packer) throws IOException;
-    }
-
-    private interface Reader<T> {
-        T read(MessageUnpacker unpacker) throws IOException;
-    }
-
-    private static byte[] pack(Body body) {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            body.write(packer);
-            return packer.toByteArray();
-        } catch (IOException failure) {
-            throw new UncheckedIOException("packing into a memory buffer failed", failure);
-        }
-    }
-
-    private static <T> T unpack(String key, byte[] bytes, Reader<T> reader) throws CorruptRecordException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            return reader.read(unpacker);
-        } catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException failure) {
-            throw new CorruptRecordException(key, failure);
-        }
-    }
-
     static byte[] encodeLeader(LeaderRecord leader) {
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packLong(leader.epoch());
             packer.packString(leader.node());
             packer.packString(leader.address());
@@ -93,7 +73,7 @@
     }
 
     static byte[] encodeSequence(CommitSequence sequence) {
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packLong(sequence.epoch());
             packer.packLong(sequence.number());
             packer.packLong(sequence.endedBelowEpoch());
@@ -101,17 +81,17 @@
     }
 
     static CommitSequence decodeSequence(byte[] bytes) throws CorruptRecordException {
-        return unpack(CommitSequence.KEY, bytes, in -> {
+        return RecordFormat.unpack(CommitSequence.KEY, bytes, in -> {
             long epoch = unpackEpoch(in);
             CommitSequence sequence = new CommitSequence(epoch, in.unpackLong(), in.unpackLong());
-            check(sequence.number() >= 0, "the number of a transaction is negative");
-            check(sequence.endedBelowEpoch() <= epoch, "later epochs than the record's own have ended");
+            RecordFormat.check(sequence.number() >= 0, "the number of a transaction is negative");
+            RecordFormat.check(sequence.endedBelowEpoch() <= epoch, "later epochs than the record's own have ended");
             return sequence;
         });
     }
 
     static LeaderRecord decodeLeader(byte[] bytes) throws CorruptRecordException {
-        return unpack(
+        return RecordFormat.unpack(
                 LeaderRecord.KEY,
                 bytes,
                 in -> new LeaderRecord(
@@ -125,27 +105,10 @@
 
     private static long unpackEpoch(MessageUnpacker in) throws IOException {
         long epoch = in.unpackLong();
-        check(epoch >= 1 && epoch <= MAX_EPOCH, "the epoch is out of range");
+        RecordFormat.check(epoch >= 1 && epoch <= MAX_EPOCH, "the epoch is out of range");
         return epoch;
     }
 
-    private static void check(boolean valid, String failure) {
-        if (!valid) {
-            throw new IllegalArgumentException(failure);
-        }
-    }
-
-    /** Unpacks the name of a constant; the message of a failure contains nothing of the record. */
-    private static <E extends Enum<E>> E unpackConstant(MessageUnpacker in, E[] constants) throws IOException {
-        String name = in.unpackString();
-        for (E constant : constants) {
-            if (constant.name().equals(name)) {
-                return constant;
-            }
-        }
-        throw new IllegalArgumentException("the name of a constant is not known");
-    }
-
     private static List<LeaderRecord.EarlierLeader> unpackPossiblyActive(MessageUnpacker in) throws IOException {
         int count = in.unpackArrayHeader();
         List<LeaderRecord.EarlierLeader> possiblyActive = new ArrayList<>();
@@ -155,10 +118,25 @@
         return possiblyActive;
     }
 
+    /** Encodes the estimates that fit into a record, the most certain ones first. */
     static byte[] encodeInterferenceEstimates(Map<ImagePair, InterferenceEstimate> estimates) {
-        return pack(packer -> {
-            packer.packArrayHeader(estimates.size());
-            for (Map.Entry<ImagePair, InterferenceEstimate> estimate : estimates.entrySet()) {
+        List<Map.Entry<ImagePair, InterferenceEstimate>> stored = new ArrayList<>();
+        int bytes = LIST_HEADER_BYTES;
+        List<Map.Entry<ImagePair, InterferenceEstimate>> byVariance = new ArrayList<>(estimates.entrySet());
+        byVariance.sort(
+                Comparator.comparingDouble(estimate -> estimate.getValue().variance()));
+        for (Map.Entry<ImagePair, InterferenceEstimate> estimate : byVariance) {
+            bytes += sizeOf(estimate.getKey().latencyCritical())
+                    + sizeOf(estimate.getKey().bestEffort())
+                    + ESTIMATE_BYTES;
+            if (bytes > RecordStore.MAX_RECORD_BYTES) {
+                break;
+            }
+            stored.add(estimate);
+        }
+        return RecordFormat.pack(packer -> {
+            packer.packArrayHeader(stored.size());
+            for (Map.Entry<ImagePair, InterferenceEstimate> estimate : stored) {
                 packer.packString(estimate.getKey().latencyCritical());
                 packer.packString(estimate.getKey().bestEffort());
                 packer.packDouble(estimate.getValue().headroomLoss());
@@ -167,16 +145,21 @@
         });
     }
 
+    /** Returns the largest size of an encoded text. */
+    private static int sizeOf(String text) {
+        return LIST_HEADER_BYTES + text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
     static Map<ImagePair, InterferenceEstimate> decodeInterferenceEstimates(byte[] bytes)
             throws CorruptRecordException {
-        return unpack(INTERFERENCE_ESTIMATES_KEY, bytes, in -> {
+        return RecordFormat.unpack(INTERFERENCE_ESTIMATES_KEY, bytes, in -> {
             int count = in.unpackArrayHeader();
             Map<ImagePair, InterferenceEstimate> estimates = new HashMap<>();
             for (int i = 0; i < count; i++) {
                 ImagePair pair = new ImagePair(in.unpackString(), in.unpackString());
                 InterferenceEstimate estimate = new InterferenceEstimate(in.unpackDouble(), in.unpackDouble());
                 boolean finite = Double.isFinite(estimate.headroomLoss()) && Double.isFinite(estimate.variance());
-                check(finite, "an estimate is not a finite number");
+                RecordFormat.check(finite, "an estimate is not a finite number");
                 estimates.put(pair, estimate);
             }
             return estimates;
@@ -184,7 +167,7 @@
     }
 
     static byte[] encodeOpenJob(JobDefinition job) {
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packInt(OPEN_JOB);
             packer.packLong(job.acceptedEpochMs());
             packer.packInt(job.scheduledOccurrences());
@@ -200,7 +183,7 @@
     }
 
     static byte[] encodeFinishedJob(JobState state, long endedEpochMs) {
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packInt(FINISHED_JOB);
             packer.packString(state.name());
             packer.packLong(endedEpochMs);
@@ -213,15 +196,15 @@
     }
 
     static StoredJob decodeJob(String id, byte[] bytes) throws CorruptRecordException {
-        return unpack(id, bytes, in -> {
-            check(isJobId(id), "the key is not the identifier of a job");
+        return RecordFormat.unpack(id, bytes, in -> {
+            RecordFormat.check(isJobId(id), "the key is not the identifier of a job");
             int kind = in.unpackInt();
             if (kind == FINISHED_JOB) {
-                JobState state = unpackConstant(in, JobState.values());
-                check(state.terminal(), "the state of a finished job is not final");
+                JobState state = RecordFormat.unpackConstant(in, JobState.values());
+                RecordFormat.check(state.terminal(), "the state of a finished job is not final");
                 return new StoredJob.Finished(id, state, in.unpackLong());
             }
-            check(kind == OPEN_JOB, "the record is neither an open nor a finished job");
+            RecordFormat.check(kind == OPEN_JOB, "the record is neither an open nor a finished job");
             long acceptedEpochMs = in.unpackLong();
             int scheduledOccurrences = in.unpackInt();
             long firstDueEpochMs = in.unpackLong();
@@ -317,88 +300,36 @@
                 in.unpackInt());
     }
 
-    static byte[] encodeProgress(JobProgress progress) {
-        return pack(packer -> {
-            packer.packInt(progress.createdOccurrences());
-            packer.packArrayHeader(progress.tasks().size());
-            for (JobProgress.TaskProgress task : progress.tasks()) {
-                packer.packInt(task.occurrence());
-                packer.packInt(task.step());
-                packer.packInt(task.index());
-                packer.packBoolean(task.done());
-                packer.packArrayHeader(task.failedRunNumbers().size());
-                for (long run : task.failedRunNumbers()) {
-                    packer.packLong(run);
-                }
-                packer.packString(task.checkpoint());
-                packer.packArrayHeader(task.runners().size());
-                for (String runner : task.runners()) {
-                    packer.packString(runner);
-                }
-            }
-        });
-    }
-
-    static JobProgress decodeProgress(String id, byte[] bytes) throws CorruptRecordException {
-        return unpack(id, bytes, in -> {
-            int createdOccurrences = in.unpackInt();
-            int count = in.unpackArrayHeader();
-            List<JobProgress.TaskProgress> tasks = new ArrayList<>();
-            for (int i = 0; i < count; i++) {
-                tasks.add(unpackTask(in));
-            }
-            return new JobProgress(createdOccurrences, tasks);
-        });
-    }
-
-    private static JobProgress.TaskProgress unpackTask(MessageUnpacker in) throws IOException {
-        int occurrence = in.unpackInt();
-        int step = in.unpackInt();
-        int index = in.unpackInt();
-        boolean done = in.unpackBoolean();
-        int count = in.unpackArrayHeader();
-        List<Long> failedRuns = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            failedRuns.add(in.unpackLong());
-        }
-        String checkpoint = in.unpackString();
-        int runnerCount = in.unpackArrayHeader();
-        List<String> runners = new ArrayList<>();
-        for (int i = 0; i < runnerCount; i++) {
-            runners.add(in.unpackString());
-        }
-        return new JobProgress.TaskProgress(occurrence, step, index, done, failedRuns, checkpoint, runners);
-    }
-
     /** Returns the key of a held end. */
     static String heldEndKey(HeldEnd end) {
         return HELD_END_PREFIX + end.task() + "/" + end.runNumber();
     }
 
     static byte[] encodeHeldEnd(HeldEnd end) {
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packString(end.task().job());
             packer.packInt(end.task().occurrence());
             packer.packInt(end.task().step());
             packer.packInt(end.task().index());
             packer.packLong(end.runNumber());
             packer.packString(end.reason().name());
-            packer.packString(end.checkpoint());
+            packer.packString(JobProgress.storable(end.checkpoint()));
         });
     }
 
     static HeldEnd decodeHeldEnd(String key, byte[] bytes) throws CorruptRecordException {
-        return unpack(key, bytes, in -> {
+        return RecordFormat.unpack(key, bytes, in -> {
             TaskKey task = new TaskKey(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt());
-            HeldEnd end = new HeldEnd(task, in.unpackLong(), unpackConstant(in, EndReason.values()), in.unpackString());
-            check(heldEndKey(end).equals(key), "the key does not name the run");
+            HeldEnd end = new HeldEnd(
+                    task, in.unpackLong(), RecordFormat.unpackConstant(in, EndReason.values()), in.unpackString());
+            RecordFormat.check(heldEndKey(end).equals(key), "the key does not name the run");
             return end;
         });
     }
 
     static byte[] encodeRoster(RosterRecord roster) {
         RunnerDescriptor runner = roster.runner();
-        return pack(packer -> {
+        return RecordFormat.pack(packer -> {
             packer.packLong(roster.leaseEndStoreMs());
             packer.packLong(runner.processStartEpochMs());
             packer.packString(runner.service());
@@ -416,9 +347,9 @@
     }
 
     static RosterRecord decodeRoster(String id, byte[] bytes) throws CorruptRecordException {
-        return unpack(id, bytes, in -> {
+        return RecordFormat.unpack(id, bytes, in -> {
             long leaseEndStoreMs = in.unpackLong();
-            check(leaseEndStoreMs >= 0, "the end of the lease is negative");
+            RecordFormat.check(leaseEndStoreMs >= 0, "the end of the lease is negative");
             long processStartEpochMs = in.unpackLong();
             String service = in.unpackString();
             String address = in.unpackString();
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.tamarackline.core.fleet.ProgressLayout;
+
 /**
  * Store of versioned records that all nodes share. Results arrive on the event loop.
  *
@@ -33,6 +35,15 @@
     /** Maximum number of records in a transaction, conditions and writes together. */
     int MAX_TRANSACTION_RECORDS = 100;
 
+    /** Maximum size of a record in bytes, such that its text encoding stays within the store's limit. */
+    int MAX_RECORD_BYTES = ProgressLayout.MAX_RECORD_BYTES;
+
+    /**
+     * Maximum size of the records that a transaction writes, in bytes, such that their text encoding stays within the
+     * store's limit of a megabyte.
+     */
+    int MAX_TRANSACTION_BYTES = 600_000;
+
     /** Tables of the store. */
     enum Table {
         /** Accepted and finished jobs, their cancellations, and the leader record. */
@@ -81,7 +92,19 @@
      * @param value new content, null to remove the record
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Write(Table table, String key, byte[] value) {}
+    record Write(Table table, String key, byte[] value) {
+
+        /**
+         * Checks the size of the content.
+         *
+         * @throws RecordTooLargeException if it exceeds {@link #MAX_RECORD_BYTES}
+         */
+        public Write {
+            if (value != null && value.length > MAX_RECORD_BYTES) {
+                throw new RecordTooLargeException(table, key, value.length);
+            }
+        }
+    }
 
     /**
      * Writes that are applied atomically if all conditions hold.
@@ -129,6 +152,13 @@
             }
         }
 
+        /**
+         * Nothing was written, because the store does not accept the transaction whenever it is sent.
+         *
+         * @param cause explanation by the store
+         */
+        record Rejected(String cause) implements TransactionResult {}
+
         /**
          * The transaction may have been applied, or may still be while its conditions hold.
          *
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -135,7 +135,9 @@
                                 .<TransactionResult>map(TransactionResult.Conflict::new)
                                 .orElseGet(() -> new TransactionResult.Unknown("the response cannot be decoded"));
                     case 429 -> new TransactionResult.NotApplied("status 429", true);
-                    case 400, 403, 503 -> new TransactionResult.NotApplied("status " + response.status());
+                    case 503 -> new TransactionResult.NotApplied("status 503");
+                    case 400, 403, 404, 405, 411, 413, 414, 415, 422, 431 ->
+                        new TransactionResult.Rejected("status " + response.status());
                     default -> new TransactionResult.Unknown("status " + response.status());
                 };
         };
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -184,7 +184,12 @@
     }
 
     private void transact(HttpExchange exchange) throws IOException, InterruptedException {
-        ArrayNode currentRows = store.transact(mapper.readTree(exchange.body()));
+        JsonNode transaction = mapper.readTree(exchange.body());
+        if (!StandinStore.withinLimits(transaction, exchange.body().length)) {
+            respond(exchange, 400, mapper.createObjectNode());
+            return;
+        }
+        ArrayNode currentRows = store.transact(transaction);
         Thread.sleep(storeDelay);
         ObjectNode response = store.addVersionAndClock(mapper.createObjectNode());
         if (currentRows != null) {
--- a/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
@@ -1,5 +1,6 @@
 package org.tamarackline.standin.fleet;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,10 @@
 final class StandinStore {
 
     private static final int PAGE_ROWS = 500;
+    private static final int MAX_TRANSACTION_ENTRIES = 100;
+    private static final int MAX_TRANSACTION_BYTES = 1_000_000;
+    private static final int MAX_KEY_BYTES = 200;
+    private static final int MAX_VALUE_TEXT_BYTES = 65_536;
 
     private record StoreRow(String table, String part, String key, String value, long version) {}
 
@@ -28,6 +33,20 @@
         return table + "\u0001" + part + "\u0001" + key;
     }
 
+    /** Returns whether a transaction, which is so many bytes of text, is within the limits of the platform's store. */
+    static boolean withinLimits(JsonNode transaction, int textBytes) {
+        int entries = 0;
+        boolean fits = textBytes <= MAX_TRANSACTION_BYTES;
+        for (String field : List.of("expectedRev", "writes", "remove")) {
+            entries += transaction.path(field).size();
+            for (JsonNode row : transaction.path(field)) {
+                fits &= row.path("key").asText().getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES
+                        && row.path("value").asText().length() <= MAX_VALUE_TEXT_BYTES;
+            }
+        }
+        return fits && entries <= MAX_TRANSACTION_ENTRIES;
+    }
+
     /** Applies a transaction and returns null, or returns the current rows if a condition does not hold. */
     synchronized ArrayNode transact(JsonNode transaction) {
         ArrayNode currentRows = mapper.createArrayNode();
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -5,8 +5,10 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** In-memory store on the test's event loop, which may be slow, reject calls, or lose its responses. */
 final class FakeRecordStore implements RecordStore {
@@ -31,6 +33,8 @@
     private Runnable afterFirstPage = () -> {};
     private int responsesToLose;
     private Duration nextResponseDelay = Duration.ZERO;
+    private Predicate<Write> rejectedWrites = write -> false;
+    private int rejections;
     private long version;
 
     FakeRecordStore(ManualLoop loop) {
@@ -71,6 +75,16 @@
         return rejecting;
     }
 
+    /** Makes the store reject the transactions with such a write, whenever they are sent. */
+    void setRejectedWrites(Predicate<Write> next) {
+        rejectedWrites = next;
+    }
+
+    /** Returns the number of rejected transactions. */
+    int rejections() {
+        return rejections;
+    }
+
     /** Answers the next read of changes that the history is lost. */
     void loseHistoryOnce() {
         historyLost = true;
@@ -116,7 +130,7 @@
                 respond(transactionLatency, callback, new TransactionResult.NotApplied("status 429", !rejecting));
                 return;
             }
-            TransactionResult result = apply(transaction);
+            TransactionResult result = rejection(transaction).orElseGet(() -> apply(transaction));
             long readingMs = readingMs();
             if (responsesToLose > 0) {
                 responsesToLose--;
@@ -128,6 +142,14 @@
         });
     }
 
+    private Optional<TransactionResult> rejection(Transaction transaction) {
+        Optional<TransactionResult> rejection = transaction.writes().stream().anyMatch(rejectedWrites)
+                ? Optional.of(new TransactionResult.Rejected("status 400"))
+                : StoreLimits.rejection(transaction);
+        rejections += rejection.isPresent() ? 1 : 0;
+        return rejection;
+    }
+
     /** Returns the time until the next transaction has been executed. */
     private Duration queueTime() {
         long startNanos = Math.max(busyUntilNanos, loop.nowNanos());
--- a/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
@@ -53,7 +53,9 @@
         assertThat(text.value("tamarackline_task_start_delay_seconds_sum")).isEqualTo(2);
         assertThat(text.value("tamarackline_event_loop_delay_seconds_sum")).isEqualTo(0.003);
         assertThat(text.value("tamarackline_store_transaction_duration_seconds_count"))
-                .isEqualTo(20);
+                .isEqualTo(FleetMetrics.TransactionPurpose.values().length
+                        * FleetMetrics.TransactionOutcome.values().length);
+        assertThat(text.value("tamarackline_store_changes_isolated_total")).isOne();
     }
 
     /** Guards against series that appear with their first event, so that their rate misses it, and unbounded labels. */
@@ -172,6 +174,7 @@
     }
 
     private void recordAllEvents() {
+        metrics.changeIsolated();
         for (FleetNode.SubmitResult result : FleetNode.SubmitResult.values()) {
             metrics.submitted(result);
         }
--- a/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
@@ -99,7 +99,7 @@
         for (int i = 0; i < count; i++) {
             tasks.add(new JobProgress.TaskProgress(0, 0, i, true, List.of(), "", List.of()));
         }
-        return RecordCodec.encodeProgress(new JobProgress(1, tasks));
+        return ProgressCodec.encode(new JobProgress(1, tasks));
     }
 
     private List<TaskKey> startsOf(String job) {
@@ -163,7 +163,7 @@
         calls.add(runner);
         submit("j", 2);
         JobProgress.TaskProgress odd = new JobProgress.TaskProgress(0, 0, 5, true, List.of(), "", List.of());
-        write(RecordStore.Table.PROGRESS, "j", RecordCodec.encodeProgress(new JobProgress(1, List.of(odd))));
+        write(RecordStore.Table.PROGRESS, "j", ProgressCodec.encode(new JobProgress(1, List.of(odd))));
         startLeader();
         loop.advance(Duration.ofSeconds(10));
         assertThat(startsOf("j")).isEmpty();
--- a/src/test/java/org/tamarackline/fleet/JobDefinitions.java
+++ b/src/test/java/org/tamarackline/fleet/JobDefinitions.java
@@ -10,6 +10,9 @@
 /** Definitions of jobs of one step, for tests of a leader. */
 final class JobDefinitions {
 
+    private static final QueueDefinition QUEUE =
+            new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
+
     private JobDefinitions() {}
 
     /** Returns a job whose tasks run for a while. */
@@ -22,9 +25,18 @@
         return jobOf(id, step(1, 0, true));
     }
 
+    /** Returns a job with tasks that run until the job is cancelled. */
+    static JobDefinition longRunningTasks(String id, int count) {
+        return jobOf(id, step(count, 0, true));
+    }
+
+    /** Returns a job whose first occurrence is due at the start of the clock. */
+    static JobDefinition scheduled(String id, int count, int occurrences, long intervalMs) {
+        return new JobDefinition(id, QUEUE, "", List.of(step(count, 100, false)), occurrences, 0, intervalMs, 0);
+    }
+
     private static JobDefinition jobOf(String id, StepDefinition step) {
-        QueueDefinition queue = new QueueDefinition("queue", "host", "/q/", "dispatch", 0, 2, 2, 1_000, false);
-        return new JobDefinition(id, queue, "", List.of(step), 0, 0, 0, 0);
+        return new JobDefinition(id, QUEUE, "", List.of(step), 0, 0, 0, 0);
     }
 
     private static StepDefinition step(int count, long estimateMs, boolean longRunning) {
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -172,7 +172,7 @@
         submit("j", 1);
         JobProgress progress =
                 new JobProgress(3, List.of(new JobProgress.TaskProgress(0, 0, 0, true, List.of(), "", List.of())));
-        write(RecordStore.Table.PROGRESS, "j", RecordCodec.encodeProgress(progress));
+        write(RecordStore.Table.PROGRESS, "j", ProgressCodec.encode(progress));
         startLeader();
         loop.advance(Duration.ofSeconds(3));
         assertThat(startsOf("j")).isZero();
--- a/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
+++ b/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
@@ -37,7 +37,7 @@
             "job",
             bytes -> RecordCodec.decodeJob("j", bytes),
             "progress",
-            bytes -> RecordCodec.decodeProgress("j", bytes),
+            bytes -> ProgressCodec.decode("j", bytes),
             "roster",
             bytes -> RecordCodec.decodeRoster("r", bytes),
             "held end",
@@ -51,7 +51,7 @@
             RecordCodec.encodeHeldEnd(HELD_END),
             RecordCodec.encodeFinishedJob(JobState.COMPLETED, 1),
             RecordCodec.encodeOpenJob(JobDefinitions.tasks("j", 2, 100)),
-            RecordCodec.encodeProgress(new JobProgress(
+            ProgressCodec.encode(new JobProgress(
                     1, List.of(new JobProgress.TaskProgress(0, 0, 0, false, List.of(1L), "c", List.of("r"))))));
 
     private static void decodeAll(byte[] bytes) {
--- a/src/test/java/org/tamarackline/fleet/SimulatedStore.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** The records that all simulated nodes share, with the history of their changes. */
@@ -71,6 +72,10 @@
     }
 
     RecordStore.TransactionResult apply(RecordStore.Transaction transaction) {
+        Optional<RecordStore.TransactionResult> rejection = StoreLimits.rejection(transaction);
+        if (rejection.isPresent()) {
+            return rejection.get();
+        }
         List<RecordStore.Entry> current = new ArrayList<>();
         boolean conditionsHold = true;
         for (RecordStore.Condition condition : transaction.conditions()) {
