Run a task again on a runner that it avoids, if no other one may run it

What callers saw: a task that failed or stalled once on the only runner with its label, or of its service, was never started again, with attempts left and the runner sound and idle; the tasks of its step behind it waited as well.

Cause: a task avoided each runner on which it had failed until it avoided as many runners as the leader knows, of any service, label or state. Where those that may run it are fewer, it avoided all of them for good. A task without a runner also made the scheduler skip the rest of its step, whose tasks avoid nothing.

Change: a task prefers runners that it does not avoid. If none of these may run it (service, label, share of the step, draining, left, unhealthy, too small), or most of the service is free, it runs after 2 s, then 4 s, on one that it avoids; after 10 s it no longer avoids a runner. Only the avoiding task is passed over, not its step.

FleetTest.triesAgainWhereItFailedIfThereIsNoOtherRunner demanded the second start at once, where a runner that fails what it starts for some seconds uses up all attempts. It now demands none at once and one after 2 s; what it guards against, a task that waits for good, is still checked.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -503,7 +503,7 @@
             if (task.avoidedRunners.isEmpty()) {
                 runner.health.recordFailure(task.job().id(), nowNanos);
             }
-            avoidRunner(task, runner);
+            task.avoidedRunners.add(runner.id(), nowNanos);
         }
         jobs.recordFailure(task, runNumber);
     }
@@ -612,7 +612,7 @@
     /** Stops a stalled run and makes its task avoid the runner. */
     private void evictStalled(Run run, long nowNanos) {
         run.runner().health.recordStall(nowNanos);
-        avoidRunner(run.task(), run.runner());
+        run.task().avoidedRunners.add(run.runner().id(), nowNanos);
         observer.runEvicted(run, "no progress");
         stop(run);
     }
@@ -648,14 +648,6 @@
         stopping.add(run);
     }
 
-    /** Makes a task avoid a runner. If the task would then avoid all runners, it avoids none. */
-    private void avoidRunner(Task task, FleetRunner runner) {
-        task.avoidedRunners.add(runner.id());
-        if (task.avoidedRunners.size() >= runners.size()) {
-            task.avoidedRunners.clear();
-        }
-    }
-
     private void loseRun(Run run, String reason) {
         observer.runLost(run, reason);
         removeRun(run);
--- a/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
+++ b/src/main/java/org/tamarackline/core/fleet/ReadyTasks.java
@@ -182,7 +182,7 @@
 
         /**
          * Skips the rest of the step of a task that did not fit on any runner, and all best-effort tasks with the same
-         * requirements.
+         * requirements. The task must avoid no runner on which the others may fit.
          */
         void skipStep(Task task) {
             skipped.add(stepKey(task));
--- a/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Chooses the runner for a task: of the runners that can take the task, the one with the lowest cost.
@@ -99,16 +100,47 @@
     }
 
     /**
-     * Returns the feasible runner with the lowest cost, or null if there is none.
+     * Returns the feasible runner with the lowest cost, or null if there is none. A runner that the task avoids is chosen
+     * only if no other runner may take the task, or none does although most of the service is free.
      *
      * @param rack preferred rack, empty for any
      */
     FleetRunner select(Task task, Collection<FleetRunner> runners, String rack, long nowNanos) {
+        FleetRunner preferred =
+                cheapest(task, runners, rack, nowNanos, runner -> !task.avoidedRunners.contains(runner.id(), nowNanos));
+        if (preferred != null || task.avoidedRunners.isEmpty()) {
+            return preferred;
+        }
+        if (hasAlternative(task, runners, nowNanos) && !serviceMostlyFree(task, runners)) {
+            return null;
+        }
+        return cheapest(task, runners, rack, nowNanos, runner -> task.avoidedRunners.mayRetry(runner.id(), nowNanos));
+    }
+
+    /** Returns whether a runner that the task does not avoid may take it once it has room. */
+    private static boolean hasAlternative(Task task, Collection<FleetRunner> runners, long nowNanos) {
+        for (FleetRunner runner : runners) {
+            boolean fitsEmpty =
+                    task.step().reservation().fitsIn(runner.descriptor().capacity());
+            if (fitsEmpty
+                    && isPermitted(task, runner)
+                    && !runner.health.isAvoided(nowNanos)
+                    && !task.avoidedRunners.contains(runner.id(), nowNanos)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private FleetRunner cheapest(
+            Task task, Collection<FleetRunner> runners, String rack, long nowNanos, Predicate<FleetRunner> permitted) {
         boolean skipCpuTimeCheck = task.job().activeRuns == 0 && serviceMostlyFree(task, runners);
         FleetRunner best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetRunner runner : runners) {
-            if (!isFeasible(task, runner, nowNanos) || (!skipCpuTimeCheck && !hasCpuTimeFor(task.step(), runner))) {
+            if (!permitted.test(runner)
+                    || !isFeasible(task, runner, nowNanos)
+                    || (!skipCpuTimeCheck && !hasCpuTimeFor(task.step(), runner))) {
                 continue;
             }
             double cost = cost(task, runner, rack);
@@ -128,6 +160,7 @@
         StepDefinition step = run.task().step();
         for (FleetRunner runner : runners) {
             if (runner != run.runner()
+                    && !run.task().avoidedRunners.contains(runner.id(), nowNanos)
                     && isFeasible(run.task(), runner, nowNanos)
                     && hasCpuTimeFor(step, runner)
                     && (!step.bestEffort() || budgetUse(step, runner) < MAX_BUDGET_USE_FOR_MIGRATION)) {
@@ -157,10 +190,21 @@
     }
 
     /**
-     * Returns whether the runner accepts tasks now, is avoided neither as unhealthy nor by the task, is not on
-     * probation with a run, meets the constraints of the step and has enough unreserved capacity.
+     * Returns whether the runner may run the task, is not avoided as unhealthy, is not on probation with a run, and has
+     * enough unreserved capacity. Whether the task avoids it is not checked.
      */
-    private boolean isFeasible(Task task, FleetRunner runner, long nowNanos) {
+    private static boolean isFeasible(Task task, FleetRunner runner, long nowNanos) {
+        if (!isPermitted(task, runner)) {
+            return false;
+        }
+        if (runner.health.isAvoided(nowNanos) || (runner.health.onProbation() && hasProbationRun(runner))) {
+            return false;
+        }
+        return task.step().reservation().fitsIn(runner.free());
+    }
+
+    /** Returns whether the runner accepts tasks now and meets the constraints of the step. */
+    private static boolean isPermitted(Task task, FleetRunner runner) {
         StepDefinition step = task.step();
         RunnerDescriptor descriptor = runner.descriptor();
         if (!runner.acceptsStarts() || descriptor.draining()) {
@@ -172,15 +216,6 @@
         if (!step.requiredLabel().isEmpty() && !descriptor.labels().contains(step.requiredLabel())) {
             return false;
         }
-        if (runner.health.isAvoided(nowNanos) || (runner.health.onProbation() && hasProbationRun(runner))) {
-            return false;
-        }
-        if (task.avoidedRunners.contains(runner.id())) {
-            return false;
-        }
-        if (!step.reservation().fitsIn(runner.free())) {
-            return false;
-        }
         return step.maxPerRunner() == 0 || runner.runsOfStep(task.key()) < step.maxPerRunner();
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/Task.java
+++ b/src/main/java/org/tamarackline/core/fleet/Task.java
@@ -26,7 +26,7 @@
     /** Runners on which earlier leaders may have left a run; only for long-running tasks. */
     final Set<String> inheritedRunners = new HashSet<>();
     /** Runners on which the task failed or stalled. */
-    final Set<String> avoidedRunners = new HashSet<>();
+    final AvoidedRunners avoidedRunners = new AvoidedRunners();
 
     boolean ready;
     /** Whether the task has become ready and none of its runs was confirmed since. */
--- a/src/main/java/org/tamarackline/core/fleet/TaskStarter.java
+++ b/src/main/java/org/tamarackline/core/fleet/TaskStarter.java
@@ -50,7 +50,7 @@
                 continue;
             }
             List<Run> started = task.step().gang() ? startGang(task, nowNanos) : startOne(task, nowNanos);
-            if (started.isEmpty()) {
+            if (started.isEmpty() && (task.step().gang() || task.avoidedRunners.isEmpty())) {
                 scan.skipStep(task);
             }
             started.forEach(run -> jobs.readyTasks().remove(run.task()));
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -229,6 +229,8 @@
         Run run = fixture.scheduleStarts().getFirst();
         fixture.applyStartResult(run, StartResult.STARTED);
         fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, run, EndReason.FAILED)));
+        assertThat(fixture.scheduleStarts()).as("at once").isEmpty();
+        fixture.advanceMs(2_000);
         assertThat(fixture.scheduleStarts()).hasSize(1);
     }
 
