Count the members of a gang that fail in one run as one attempt

What callers saw: a gang of which two members failed in its first run was shown as failed, with maxAttempts 2.

Cause: JobTracker.recordFailure added up the failed runs of all members. The members of a gang share the number of a run, so that several failures in one run are one attempt.

Change: the attempts are the distinct numbers of failed runs of all members, as stored for each member; that also counts members that fail in different runs, and holds after a change of leader.

--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -296,17 +296,22 @@
     /** Counts a failed run, and fails the job if its task or gang has used up the attempts. */
     void recordFailure(Task task, long runNumber) {
         task.failedRunNumbers.add(runNumber);
-        int attempts = 0;
-        for (Task member : task.job().gangOf(task)) {
-            attempts += member.failedRunNumbers.size();
-        }
-        if (attempts >= task.job().definition().queue().maxAttempts()) {
+        if (failedAttempts(task) >= task.job().definition().queue().maxAttempts()) {
             finish(task.job(), JobState.FAILED);
         } else {
             updateReadiness(task);
         }
     }
 
+    /** Returns the number of failed runs of a task or its gang, whose members share the number of a run. */
+    private static int failedAttempts(Task task) {
+        Set<Long> failedRunNumbers = new HashSet<>();
+        for (Task member : task.job().gangOf(task)) {
+            failedRunNumbers.addAll(member.failedRunNumbers);
+        }
+        return failedRunNumbers.size();
+    }
+
     void finish(Job job, JobState state) {
         job.terminalState = state;
         endIsolation(job);
