Keep a job from being stored once its cancellation was answered

What callers saw: a submission got no answer, as its node was frozen or its write was late; the caller cancelled the job at another node and got 410; seconds later the submission was stored, and the job was run to its end.

Cause: the cancellation of a job that the store does not have stored nothing, and the only condition of the submission was that the job does not exist. No check of age in a node helps, since the store itself may do the write late.

Change: such a cancellation stores a record under the job's identifier (StoredJob.Withdrawn) before it is answered with 410, so that the late write fails on its condition. A submission that meets the record, of a node or passed on to the leader, is answered with 410 and never runs. To callers there is no such job: GET stays 410, `pending` does not count it. The leader removes the record after three minutes, whichever leader it is; a later cancellation renews it. If the job is stored meanwhile, it is cancelled. Finished and withdrawn jobs are now also removed while nothing else is to be stored.

Related: a submission of the leader that is passed on, and a conflict of the leader's transaction, take the same path. The other requests with an effect after their answer are submissions that were answered with 504, which callers repeat.

--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -165,7 +165,8 @@
             scheduleFlush(true);
         } else if (context.fleet().jobs().hasDirtyJobs()
                 || context.fleet().jobs().held().dirty()
-                || changes.progress.hasObsolete()) {
+                || changes.progress.hasObsolete()
+                || !changes.finishedJobsToRemove.isEmpty()) {
             scheduleFlush(false);
         } else if (batchInFlight == null && hasEndsToStore()) {
             storeSequence();
@@ -280,6 +281,7 @@
     private void onConflict(CommitBatch batch, RecordStore.TransactionResult.Conflict conflict, long sentNanos) {
         boolean confirmed = false;
         Set<String> existing = new HashSet<>();
+        Set<String> withdrawn = new HashSet<>();
         for (RecordStore.Entry entry : conflict.current()) {
             if (entry.key().equals(LeaderRecord.KEY) && entry.version() != leaderVersion) {
                 leader.onLeaderRecordChanged(entry);
@@ -294,8 +296,11 @@
             if (!entry.removed()) {
                 existing.add(entry.key());
             }
+            if (RecordCodec.isWithdrawnJob(entry)) {
+                withdrawn.add(entry.key());
+            }
         }
-        changes.submissions.onConflict(batch.submissions(), existing);
+        changes.submissions.onConflict(batch.submissions(), existing, withdrawn);
         // An earlier transaction took effect although its response was lost; what it wrote is written again.
         if (confirmed) {
             leader.onLeadershipConfirmed(sentNanos);
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -123,6 +123,15 @@
     /** Time for which the state of a finished job can still be requested. */
     static final Duration FINISHED_JOB_RETENTION = Duration.ofMinutes(3);
 
+    /**
+     * Age of the record of a withdrawn job from which a further cancellation renews it, so that it outlasts a submission
+     * that was sent just before.
+     */
+    static final Duration WITHDRAWAL_RENEWAL_AGE = FINISHED_JOB_RETENTION.dividedBy(2);
+
+    /** Age from which it is no longer renewed, because the leader may be removing it. */
+    static final Duration WITHDRAWAL_MAX_RENEWAL_AGE = FINISHED_JOB_RETENTION.minusSeconds(30);
+
     /** Maximum number of records that one transaction writes; it leaves space for the conditions. */
     static final int MAX_COMMIT_WRITES = 95;
 
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -55,7 +55,7 @@
         this.configuration =
                 new ConfigurationFollower(loop, store, configurationSource, log, metrics, new Random(incarnation));
         this.election = new Election(services.withStore(store), storeContact, peers, settings, incarnation);
-        this.jobs = new JobRequestHandler(loop, store, storeContact, election, peers, metrics);
+        this.jobs = new JobRequestHandler(loop, store, storeContact, election, peers, metrics, services.timeOfDay());
         this.peerHandler = new PeerRequestHandler(loop, election, metricsText, this::stateJson);
     }
 
@@ -185,7 +185,7 @@
         UNDETERMINED,
         /** The job is too large to be stored. */
         TOO_LARGE,
-        /** There is no such job. */
+        /** There is no such job; if the request submits one, it was cancelled before and never runs. */
         NO_SUCH_JOB
     }
 
--- a/src/main/java/org/tamarackline/fleet/ForwardedSubmissions.java
+++ b/src/main/java/org/tamarackline/fleet/ForwardedSubmissions.java
@@ -127,15 +127,18 @@
      * The transaction was not applied, and may not be.
      *
      * @param existing keys of the jobs that the store has already
+     * @param withdrawn those of them that were cancelled before they were stored
      */
-    void onConflict(List<Submission> submissions, Set<String> existing) {
+    void onConflict(List<Submission> submissions, Set<String> existing, Set<String> withdrawn) {
         if (existing.isEmpty()) {
             // The store has found a record, but does not say which.
             onUnknown(submissions);
             return;
         }
         for (Submission submission : submissions) {
-            if (existing.contains(submission.job())) {
+            if (withdrawn.contains(submission.job())) {
+                submission.end(new JobRequestHandler.Outcome.NoSuchJob());
+            } else if (existing.contains(submission.job())) {
                 submission.end(new JobRequestHandler.Outcome.Accepted("stored before"));
             } else {
                 retry(submission);
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -50,6 +52,8 @@
     private final long leaderVersion;
     private final Callbacks leader;
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
+    /** When each withdrawn job was last cancelled, in milliseconds since 1970. */
+    private final Map<String, Long> withdrawnEpochMs = new HashMap<>();
     /** Keys of the job records that were read first and do not say that the job has ended. */
     private final Set<String> unfinishedJobs = new HashSet<>();
 
@@ -201,6 +205,11 @@
                 }
                 finishedJobs.add(new FinishedJob(finished.id(), finished.endedEpochMs()));
             }
+            case StoredJob.Withdrawn withdrawn -> {
+                unfinishedJobs.remove(withdrawn.id());
+                withdrawnEpochMs.put(withdrawn.id(), withdrawn.withdrawnEpochMs());
+                finishedJobs.add(new FinishedJob(withdrawn.id(), withdrawn.withdrawnEpochMs()));
+            }
         }
     }
 
@@ -234,11 +243,16 @@
         }
     }
 
-    /** Passes the jobs whose retention has ended to {@code remove}, once each. */
+    /** Passes the finished and withdrawn jobs whose retention has ended to {@code remove}, once each. */
     void expireFinishedJobs(Consumer<String> remove) {
         long oldestKeptMs = timeOfDay.millis() - FleetConstants.FINISHED_JOB_RETENTION.toMillis();
         while (!finishedJobs.isEmpty() && finishedJobs.getFirst().endedEpochMs() < oldestKeptMs) {
-            remove.accept(finishedJobs.removeFirst().id());
+            FinishedJob expired = finishedJobs.removeFirst();
+            boolean renewed = withdrawnEpochMs.getOrDefault(expired.id(), 0L) > expired.endedEpochMs();
+            if (!renewed) {
+                withdrawnEpochMs.remove(expired.id());
+                remove.accept(expired.id());
+            }
         }
     }
 }
--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -1,5 +1,6 @@
 package org.tamarackline.fleet;
 
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -19,7 +20,9 @@
     private final Election election;
     private final PeerCalls peers;
     private final FleetMetrics metrics;
+    private final InstantSource timeOfDay;
     private final StoreCircuitBreaker breaker;
+    private final WithdrawalLimit withdrawalLimit;
 
     JobRequestHandler(
             EventLoop loop,
@@ -27,13 +30,16 @@
             StoreContact storeContact,
             Election election,
             PeerCalls peers,
-            FleetMetrics metrics) {
+            FleetMetrics metrics,
+            InstantSource timeOfDay) {
         this.loop = loop;
         this.store = store;
         this.election = election;
         this.peers = peers;
         this.metrics = metrics;
+        this.timeOfDay = timeOfDay;
         this.breaker = new StoreCircuitBreaker(loop, storeContact);
+        this.withdrawalLimit = new WithdrawalLimit(loop);
     }
 
     /** Stores a job unless it is already stored. */
@@ -50,11 +56,13 @@
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, job.id(), value)));
         loop.execute(() -> {
             if (breaker.tryAcquireForSubmission()) {
-                send(FleetMetrics.TransactionPurpose.SUBMISSION, transaction, outcome -> {
-                    if (outcome instanceof Outcome.Unavailable unavailable) {
+                send(FleetMetrics.TransactionPurpose.SUBMISSION, transaction, result -> {
+                    if (isWithdrawn(result)) {
+                        callback.accept(new Outcome.NoSuchJob());
+                    } else if (outcomeOf(result) instanceof Outcome.Unavailable unavailable) {
                         passOn(job.id(), value, FleetMetrics.RefusalReason.STORE_REFUSED, unavailable, callback);
                     } else {
-                        callback.accept(outcome);
+                        callback.accept(outcomeOf(result));
                     }
                 });
             } else {
@@ -108,7 +116,9 @@
     }
 
     private void send(
-            FleetMetrics.TransactionPurpose purpose, RecordStore.Transaction transaction, Consumer<Outcome> callback) {
+            FleetMetrics.TransactionPurpose purpose,
+            RecordStore.Transaction transaction,
+            Consumer<RecordStore.TransactionResult> callback) {
         long sentNanos = loop.nowNanos();
         store.transact(transaction, result -> {
             FleetMetrics.TransactionOutcome outcome = FleetMetrics.TransactionOutcome.of(result);
@@ -119,10 +129,16 @@
             } else {
                 breaker.onFailure();
             }
-            callback.accept(outcomeOf(result));
+            callback.accept(result);
         });
     }
 
+    /** Returns whether a submission was refused because its job was cancelled before. */
+    private static boolean isWithdrawn(RecordStore.TransactionResult result) {
+        return result instanceof RecordStore.TransactionResult.Conflict conflict
+                && conflict.current().stream().anyMatch(RecordCodec::isWithdrawnJob);
+    }
+
     private static Outcome outcomeOf(RecordStore.TransactionResult result) {
         return switch (result) {
             case RecordStore.TransactionResult.Applied applied -> new Outcome.Accepted("stored");
@@ -139,7 +155,7 @@
             if (stored.failure() != null && !stored.exists()) {
                 callback.accept(new Outcome.Unavailable(stored.failure()));
             } else if (!stored.exists()) {
-                callback.accept(new Outcome.NoSuchJob());
+                withdraw(id, stored, callback);
             } else if (stored.state() != null && stored.state().terminal()) {
                 callback.accept(new Outcome.Accepted("the job has ended"));
             } else {
@@ -153,12 +169,61 @@
                 List.of(new RecordStore.Condition(RecordStore.Table.JOBS, id, jobVersion)),
                 List.of(new RecordStore.Write(RecordStore.Table.JOBS, StoredJob.cancelKey(id), new byte[] {1})));
         if (breaker.tryAcquireForCancellation()) {
-            send(FleetMetrics.TransactionPurpose.CANCELLATION, transaction, callback);
+            send(
+                    FleetMetrics.TransactionPurpose.CANCELLATION,
+                    transaction,
+                    result -> callback.accept(outcomeOf(result)));
         } else {
             callback.accept(STORE_SUSPENDED);
         }
     }
 
+    /**
+     * Withdraws a job that the store does not have: a submission of it may still be on its way, in a node or in the
+     * store, and must not be stored any more.
+     */
+    private void withdraw(String id, JobReadResult stored, Consumer<Outcome> callback) {
+        if (!RecordCodec.isJobId(id)) {
+            callback.accept(new Outcome.NoSuchJob());
+            return;
+        }
+        if (stored.version() > 0) {
+            long ageMs = timeOfDay.millis() - stored.withdrawnEpochMs();
+            if (ageMs < FleetConstants.WITHDRAWAL_RENEWAL_AGE.toMillis()) {
+                callback.accept(new Outcome.NoSuchJob());
+                return;
+            }
+            if (ageMs > FleetConstants.WITHDRAWAL_MAX_RENEWAL_AGE.toMillis()) {
+                callback.accept(new Outcome.Unavailable("the record of an earlier cancellation is being removed"));
+                return;
+            }
+        }
+        if (!withdrawalLimit.tryAcquire()) {
+            callback.accept(new Outcome.Unavailable("too many unknown jobs were cancelled"));
+            return;
+        }
+        storeWithdrawal(id, stored.version(), callback);
+    }
+
+    private void storeWithdrawal(String id, long version, Consumer<Outcome> callback) {
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.JOBS, id, version)),
+                List.of(new RecordStore.Write(
+                        RecordStore.Table.JOBS, id, RecordCodec.encodeWithdrawnJob(timeOfDay.millis()))));
+        if (!breaker.tryAcquireForCancellation()) {
+            callback.accept(STORE_SUSPENDED);
+            return;
+        }
+        send(FleetMetrics.TransactionPurpose.CANCELLATION, transaction, result -> {
+            switch (result) {
+                case RecordStore.TransactionResult.Applied applied -> callback.accept(new Outcome.NoSuchJob());
+                // The job was stored, or withdrawn by another request, since it was read.
+                case RecordStore.TransactionResult.Conflict conflict -> cancel(id, callback);
+                default -> callback.accept(outcomeOf(result));
+            }
+        });
+    }
+
     /** Looks up the state of a job with the leader, or else in the store. */
     void state(String id, Consumer<StateLookup> callback) {
         loop.execute(() -> {
@@ -218,14 +283,14 @@
             if (result instanceof RecordStore.ReadResult.Page page) {
                 callback.accept(readResult(id, page));
             } else {
-                callback.accept(new JobReadResult(false, 0, null, result.toString()));
+                callback.accept(JobReadResult.failed(result.toString()));
             }
         });
     }
 
     private static JobReadResult readResult(String id, RecordStore.ReadResult.Page page) {
         boolean cancelled = false;
-        JobReadResult job = new JobReadResult(false, 0, null, null);
+        JobReadResult job = JobReadResult.NONE;
         for (RecordStore.Entry entry : page.entries()) {
             if (entry.key().equals(StoredJob.cancelKey(id))) {
                 cancelled = true;
@@ -234,17 +299,19 @@
             }
         }
         boolean open = job.exists() && (job.state() == null || !job.state().terminal());
-        return cancelled && open ? new JobReadResult(true, job.version(), JobState.CANCELLED, null) : job;
+        return cancelled && open ? JobReadResult.job(job.version(), JobState.CANCELLED) : job;
     }
 
     private static JobReadResult decoded(String id, RecordStore.Entry entry) {
         try {
             return switch (RecordCodec.decodeJob(id, entry.value())) {
-                case StoredJob.Open open -> new JobReadResult(true, entry.version(), JobState.QUEUED, null);
-                case StoredJob.Finished finished -> new JobReadResult(true, entry.version(), finished.state(), null);
+                case StoredJob.Open open -> JobReadResult.job(entry.version(), JobState.QUEUED);
+                case StoredJob.Finished finished -> JobReadResult.job(entry.version(), finished.state());
+                case StoredJob.Withdrawn withdrawn ->
+                    new JobReadResult(false, entry.version(), null, withdrawn.withdrawnEpochMs(), null);
             };
         } catch (CorruptRecordException corrupt) {
-            return new JobReadResult(true, entry.version(), null, corrupt.getMessage());
+            return new JobReadResult(true, entry.version(), null, 0, corrupt.getMessage());
         }
     }
 
@@ -252,11 +319,24 @@
      * Result of reading a job from the store.
      *
      * @param exists whether there is such a job
-     * @param version version of the job's record, 0 if there is none
+     * @param version version of the record under the job's identifier, 0 if there is none
      * @param state stored state, null if there is no job or it could not be read
+     * @param withdrawnEpochMs when the job was withdrawn, in milliseconds since 1970, meaningful only if it does not exist
+     *     and there is a record
      * @param failure cause if the job could not be read, otherwise null
      */
-    private record JobReadResult(boolean exists, long version, JobState state, String failure) {}
+    private record JobReadResult(boolean exists, long version, JobState state, long withdrawnEpochMs, String failure) {
+
+        static final JobReadResult NONE = new JobReadResult(false, 0, null, 0, null);
+
+        static JobReadResult job(long version, JobState state) {
+            return new JobReadResult(true, version, state, 0, null);
+        }
+
+        static JobReadResult failed(String cause) {
+            return new JobReadResult(false, 0, null, 0, cause);
+        }
+    }
 
     /**
      * Result of a state request.
@@ -297,7 +377,7 @@
          */
         record TooLarge(String cause) implements Outcome {}
 
-        /** There is no such job. */
+        /** There is no such job; if the request submits one, it was cancelled before and never runs. */
         record NoSuchJob() implements Outcome {}
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -54,6 +54,7 @@
 
     private static final int OPEN_JOB = 1;
     private static final int FINISHED_JOB = 2;
+    private static final int WITHDRAWN_JOB = 3;
 
     private RecordCodec() {}
 
@@ -190,11 +191,27 @@
         });
     }
 
+    static byte[] encodeWithdrawnJob(long withdrawnEpochMs) {
+        return RecordFormat.pack(packer -> {
+            packer.packInt(WITHDRAWN_JOB);
+            packer.packLong(withdrawnEpochMs);
+        });
+    }
+
     /** Returns whether a key of the table of jobs can be the identifier of a job. */
     static boolean isJobId(String key) {
         return JOB_ID.matcher(key).matches();
     }
 
+    /** Returns whether a record is that of a job that was cancelled before the store had it. */
+    static boolean isWithdrawnJob(RecordStore.Entry entry) {
+        try {
+            return !entry.removed() && decodeJob(entry.key(), entry.value()) instanceof StoredJob.Withdrawn;
+        } catch (CorruptRecordException otherRecord) {
+            return false;
+        }
+    }
+
     static StoredJob decodeJob(String id, byte[] bytes) throws CorruptRecordException {
         return RecordFormat.unpack(id, bytes, in -> {
             RecordFormat.check(isJobId(id), "the key is not the identifier of a job");
@@ -204,7 +221,10 @@
                 RecordFormat.check(state.terminal(), "the state of a finished job is not final");
                 return new StoredJob.Finished(id, state, in.unpackLong());
             }
-            RecordFormat.check(kind == OPEN_JOB, "the record is neither an open nor a finished job");
+            if (kind == WITHDRAWN_JOB) {
+                return new StoredJob.Withdrawn(id, in.unpackLong());
+            }
+            RecordFormat.check(kind == OPEN_JOB, "the record is neither an open, a finished nor a withdrawn job");
             long acceptedEpochMs = in.unpackLong();
             int scheduledOccurrences = in.unpackInt();
             long firstDueEpochMs = in.unpackLong();
--- a/src/main/java/org/tamarackline/fleet/StoredJob.java
+++ b/src/main/java/org/tamarackline/fleet/StoredJob.java
@@ -25,6 +25,15 @@
      */
     record Finished(String id, JobState state, long endedEpochMs) implements StoredJob {}
 
+    /**
+     * Job that was cancelled before the store had it. The record keeps a submission that is still on its way from being
+     * stored; to callers there is no such job.
+     *
+     * @param id identifier of the job
+     * @param withdrawnEpochMs when it was cancelled, in milliseconds since 1970
+     */
+    record Withdrawn(String id, long withdrawnEpochMs) implements StoredJob {}
+
     /** Returns the key of the cancellation record of a job. */
     static String cancelKey(String id) {
         return id + CANCEL_SUFFIX;
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -55,6 +55,24 @@
         return network;
     }
 
+    /** Returns the time of day on the test's clock. */
+    InstantSource timeOfDay() {
+        return () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
+    }
+
+    /** Returns a handler of the requests that reach a node. */
+    JobRequestHandler requestHandler(Node node) {
+        StoreContact contact = new StoreContact(node.loop());
+        return new JobRequestHandler(
+                node.loop(),
+                new MonitoredStore(node.store(), contact),
+                contact,
+                node.election(),
+                new FakePeerCalls(node.loop(), network),
+                node.metrics(),
+                timeOfDay());
+    }
+
     /** Starts a node of unknown capacity that finds the shared runner in its directory. */
     Node start(String name) {
         return start(name, NodeCapacity.UNKNOWN);
@@ -64,7 +82,7 @@
     Node start(String name, NodeCapacity capacity) {
         SuspendableLoop nodeLoop = new SuspendableLoop(loop);
         FleetNodeMetrics metrics = new FleetNodeMetrics(nodeLoop);
-        InstantSource timeOfDay = () -> Instant.ofEpochMilli(loop.nowNanos() / 1_000_000);
+        InstantSource timeOfDay = timeOfDay();
         List<RunnerDescriptor> registered = List.of(FencingFakeRunner.DESCRIPTOR);
         StoreContact storeContact = new StoreContact(nodeLoop);
         NodeStore nodeStore = new NodeStore(store, nodeLoop);
--- a/src/test/java/org/tamarackline/fleet/ElectionMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionMetricsTest.java
@@ -124,7 +124,8 @@
                 storeContact,
                 node.election(),
                 new FakePeerCalls(node.loop(), cluster.network()),
-                node.metrics());
+                node.metrics(),
+                cluster.timeOfDay());
         handler.submit(JobDefinitions.tasks("a", 1, 10), outcome -> {});
         cluster.loop().advance(Duration.ofMillis(100));
         assertThat(value(node, transactions("submission", "applied"))).isOne();
--- a/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
@@ -364,7 +364,8 @@
                 new StoreContact(loop),
                 followers.start("node-0").election(),
                 new FakePeerCalls(loop, new FakePeerCalls.Network()),
-                FleetMetrics.NONE);
+                FleetMetrics.NONE,
+                followers.timeOfDay());
         List<JobRequestHandler.Outcome> outcomes = new ArrayList<>();
         handler.cancel("j", outcomes::add);
         loop.advance(Duration.ofSeconds(5));
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -118,7 +118,7 @@
         process = new NodeProcess(
                 loop,
                 election,
-                new JobRequestHandler(loop, monitored, storeContact, election, peers, FleetMetrics.NONE));
+                new JobRequestHandler(loop, monitored, storeContact, election, peers, FleetMetrics.NONE, timeOfDay));
         stopping = false;
         loop.execute(configuration::start);
         loop.execute(election::start);
--- a/src/test/java/org/tamarackline/fleet/SlowStoreSubmissionsTest.java
+++ b/src/test/java/org/tamarackline/fleet/SlowStoreSubmissionsTest.java
@@ -71,15 +71,7 @@
 
     private void startNodes() {
         for (int i = 0; i < NODES; i++) {
-            ElectionCluster.Node node = cluster.start("node-" + i);
-            StoreContact contact = new StoreContact(node.loop());
-            handlers.add(new JobRequestHandler(
-                    node.loop(),
-                    new MonitoredStore(node.store(), contact),
-                    contact,
-                    node.election(),
-                    new FakePeerCalls(node.loop(), cluster.network()),
-                    FleetMetrics.NONE));
+            handlers.add(cluster.requestHandler(cluster.start("node-" + i)));
         }
         cluster.loop().advance(Duration.ofSeconds(5));
     }
