Retry what the store rejects after 2 to 16 s

Cause: the first delays, 5 s doubling to 80 s, keep a lasting task of the rejected job without a run for longer than a leader takes to bring it back after any other fault (20 s, ClusterSimulation). Change: 2 s, doubling to 16 s. RecordLimitsTest passes, with its bound on the number of rejected transactions.

--- a/src/main/java/org/tamarackline/fleet/IsolatedChanges.java
+++ b/src/main/java/org/tamarackline/fleet/IsolatedChanges.java
@@ -11,8 +11,8 @@
  */
 final class IsolatedChanges {
 
-    private static final Duration INITIAL_DELAY = Duration.ofSeconds(5);
-    private static final int MAX_DOUBLINGS = 4;
+    private static final Duration INITIAL_DELAY = Duration.ofSeconds(2);
+    private static final int MAX_DOUBLINGS = 3;
 
     private record Isolation(int rejections, long retryNanos) {}
 
