Let the simulation of whole nodes draw gangs, labels, a second service, scheduled and wide jobs, and rejected records

Its jobs had neither gangs, labels, other services, shares of a step nor occurrences; its store had no limits on records; a cancellation counted only if it was accepted.

Change: jobs of these kinds, jobs of 300 tasks whose progress takes several records, a store that rejects the progress of some jobs while the faults last, and cancellations of jobs that may not be stored yet. SimulatedGangs plays the gangs. Two rules more: a start on a runner of the wrong service or label or beyond the share of the step, and a job that is accepted or started although a cancellation was answered that there is no such job.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -167,8 +167,8 @@
             }
             node.start();
         }
-        while (runnersUp() < MIN_RUNNERS + 1) {
-            add();
+        while (runnersUp() < MIN_RUNNERS + 1 || !cluster.hasRunnersForAllTasks()) {
+            cluster.addRunner("10.0.1." + cluster.runners().size() + ":80");
         }
     }
 
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -73,6 +73,9 @@
     private static final NodeCapacity LARGE = new NodeCapacity(1_000, 512, 8_000);
     private static final NodeCapacity SMALL = new NodeCapacity(100, 512, 8_000);
 
+    /** Time between two occurrences of a scheduled job. */
+    private static final Duration OCCURRENCE_INTERVAL = Duration.ofMillis(1_500);
+
     private static final int NODES = 3;
     private static final int INITIAL_RUNNERS = 6;
     private static final int MAX_ATTEMPTS = 3;
@@ -82,6 +85,23 @@
     private static final QueueDefinition QUEUE =
             new QueueDefinition("queue", "host", "/q/", "dispatch", 0, MAX_ATTEMPTS, 2, 1_000, false);
 
+    /** Queue of a service with few runners. */
+    private static final QueueDefinition SMALL_QUEUE =
+            new QueueDefinition("small", "host", "/s/", "small-service", 0, MAX_ATTEMPTS, 2, 1_000, false);
+
+    /** Label of every third runner. */
+    private static final String LABEL = "b";
+
+    private static final int LABELLED_RUNNERS_ONE_IN = 3;
+    private static final int SMALL_SERVICE_RUNNERS_ONE_IN = 5;
+    /** Number of runners with the label whose places the long-running tasks cannot all take. */
+    private static final int MIN_LABELLED_RUNNERS = 3;
+
+    /** Number of tasks of a job whose progress takes several records. */
+    private static final int WIDE_JOB_TASKS = 300;
+
+    private static final Duration WIDE_JOB_TASK_DURATION = Duration.ofMillis(50);
+
     private static final LineSink NO_LOG = new LineSink(OutputStream.nullOutputStream());
 
     private final long seed;
@@ -90,6 +110,7 @@
     private final Random random;
     private final ManualLoop loop = new ManualLoop();
     private final RunHistory history;
+    private final SimulatedGangs gangs;
     private final SimulatedStore store;
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
@@ -104,6 +125,9 @@
     private final Set<String> accepted = new TreeSet<>();
     private final Set<String> cancelRequested = new TreeSet<>();
     private final Set<String> cancelled = new TreeSet<>();
+    /** Jobs of which a cancellation was answered that there is no such job. */
+    private final Set<String> withdrawn = new TreeSet<>();
+
     private final Map<String, Long> directorySequences = new TreeMap<>();
     private long faultsEndNanos = Long.MAX_VALUE;
     private long lastStandstillNanos;
@@ -127,6 +151,7 @@
         this.tracing = tracing;
         this.random = new Random(seed);
         this.history = new RunHistory(loop, tracing);
+        this.gangs = new SimulatedGangs(loop, history, new Random(random.nextLong()));
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
         this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
@@ -191,15 +216,26 @@
             submit(longRunningJob());
         }
         faults.start();
+        if (random.nextInt(4) == 0) {
+            store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
+        }
         scheduleNextJob();
         sample();
         loop.advance(FAULTY_TIME);
         faults.end();
+        store.setRejectedWrites(write -> false);
+        gangs.endFailures();
         faultsEndNanos = loop.nowNanos();
         loop.advance(JOBS_BOUND);
         checkEndState();
     }
 
+    private static boolean isProgressOfEveryTenthJob(RecordStore.Write write) {
+        return write.table() == RecordStore.Table.PROGRESS
+                && write.value() != null
+                && write.key().matches("job\\d*7(/\\d+)?");
+    }
+
     private static Duration millis(long millis) {
         return Duration.ofMillis(millis);
     }
@@ -211,15 +247,40 @@
             if (faultsEnded()) {
                 return;
             }
-            JobDefinition job = random.nextInt(15) == 0 && longRunningJobs() < 5 ? longRunningJob() : twoStepJob();
+            JobDefinition job = nextJob();
             submit(job);
             if (random.nextInt(8) == 0) {
-                loop.schedule(millis(200 + random.nextInt(6_000)), () -> cancel(job.id()));
+                // Some are cancelled while their submission is on its way.
+                int delayMs = random.nextBoolean() ? random.nextInt(100) : 200 + random.nextInt(6_000);
+                loop.schedule(millis(delayMs), () -> cancel(job.id()));
             }
             scheduleNextJob();
         });
     }
 
+    private JobDefinition nextJob() {
+        return switch (random.nextInt(20)) {
+            case 0 -> longRunningJobs() < 5 ? longRunningJob() : twoStepJob();
+            case 1, 2 -> gangJob();
+            case 3 -> job(List.of(step(new Shape(1 + random.nextInt(3), 1_000, LABEL, random.nextInt(3)))));
+            case 4 -> job(SMALL_QUEUE, List.of(step(new Shape(1 + random.nextInt(3), 1_000, "", 0))), 0);
+            case 5 -> job(QUEUE, twoSteps(), 2 + random.nextInt(3));
+            case 6 -> random.nextInt(4) == 0 ? wideJob() : twoStepJob();
+            default -> twoStepJob();
+        };
+    }
+
+    private JobDefinition gangJob() {
+        return job(List.of(
+                step(1, 1_000, List.of(), false),
+                step(new Shape(2 + random.nextInt(3), 1_000, "", 0).asGangAfter(0)),
+                step(1, 1_000, List.of(1), false)));
+    }
+
+    private JobDefinition wideJob() {
+        return job(List.of(step(WIDE_JOB_TASKS, WIDE_JOB_TASK_DURATION.toMillis(), List.of(), false)));
+    }
+
     private boolean faultsEnded() {
         return loop.nowNanos() >= faultsEndNanos;
     }
@@ -239,31 +300,64 @@
     }
 
     private JobDefinition twoStepJob() {
-        return job(List.of(
+        return job(twoSteps());
+    }
+
+    private List<StepDefinition> twoSteps() {
+        return List.of(
                 step(1 + random.nextInt(3), 1_000, List.of(), false),
-                step(1 + random.nextInt(2), 1_000, List.of(0), false)));
+                step(1 + random.nextInt(2), 1_000, List.of(0), false));
     }
 
     private JobDefinition job(List<StepDefinition> steps) {
+        return job(QUEUE, steps, 0);
+    }
+
+    private JobDefinition job(QueueDefinition queue, List<StepDefinition> steps, int scheduledOccurrences) {
         String id = "job%03d".formatted(submitted.size());
-        return new JobDefinition(id, QUEUE, "", steps, 0, 0, 0, EPOCH_MS + loop.nowNanos() / NANOS_PER_MS);
+        long nowEpochMs = EPOCH_MS + loop.nowNanos() / NANOS_PER_MS;
+        return new JobDefinition(
+                id, queue, "", steps, scheduledOccurrences, nowEpochMs, OCCURRENCE_INTERVAL.toMillis(), nowEpochMs);
     }
 
     private static StepDefinition step(int count, long estimateMs, List<Integer> dependencies, boolean longRunning) {
+        return step(new Shape(count, estimateMs, dependencies, longRunning, false, "", 0));
+    }
+
+    /** The properties of a step that the jobs differ in. */
+    private record Shape(
+            int count,
+            long estimateMs,
+            List<Integer> dependencies,
+            boolean longRunning,
+            boolean gang,
+            String label,
+            int maxPerRunner) {
+
+        Shape(int count, long estimateMs, String label, int maxPerRunner) {
+            this(count, estimateMs, List.of(), false, false, label, maxPerRunner);
+        }
+
+        Shape asGangAfter(int step) {
+            return new Shape(count, estimateMs, List.of(step), longRunning, true, label, maxPerRunner);
+        }
+    }
+
+    private static StepDefinition step(Shape shape) {
         Resources demand = new Resources(1_000, 100, 0);
         return new StepDefinition(
-                count,
+                shape.count(),
                 demand,
-                estimateMs,
-                dependencies,
+                shape.estimateMs(),
+                shape.dependencies(),
                 false,
+                shape.gang(),
                 false,
-                false,
-                "",
+                shape.label(),
                 "",
-                0,
+                shape.maxPerRunner(),
                 false,
-                longRunning,
+                shape.longRunning(),
                 "",
                 0,
                 false,
@@ -277,13 +371,14 @@
     }
 
     private void trySubmit(JobDefinition job) {
-        if (accepted.contains(job.id())) {
+        if (accepted.contains(job.id()) || withdrawn.contains(job.id())) {
             return;
         }
         runningNode()
                 .ifPresent(node -> node.process().requests().submit(job, outcome -> {
                     if (outcome instanceof JobRequestHandler.Outcome.Accepted && accepted.add(job.id())) {
                         history.event(node.name(), "accepts", job.id());
+                        checkNotWithdrawn(job.id());
                     }
                 }));
         loop.schedule(RETRY_INTERVAL, () -> trySubmit(job));
@@ -291,18 +386,28 @@
 
     private void cancel(String job) {
         cancelRequested.add(job);
-        if (cancelled.contains(job)) {
+        if (cancelled.contains(job) || withdrawn.contains(job)) {
             return;
         }
         runningNode()
                 .ifPresent(node -> node.process().requests().cancel(job, outcome -> {
                     if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
                         history.event(node.name(), "accepts the cancellation of", job);
+                    } else if (outcome instanceof JobRequestHandler.Outcome.NoSuchJob && withdrawn.add(job)) {
+                        history.withdrawn(job);
+                        checkNotWithdrawn(job);
                     }
                 }));
         loop.schedule(RETRY_INTERVAL, () -> cancel(job));
     }
 
+    /** Checks that a job was not both accepted and answered to be unknown; it is not kept for so short a time. */
+    private void checkNotWithdrawn(String job) {
+        if (accepted.contains(job) && withdrawn.contains(job)) {
+            history.report(RunHistory.Rule.WITHDRAWN_JOB_ACCEPTED, job, "accepted, and not known to a cancellation");
+        }
+    }
+
     private Optional<SimulatedNode> runningNode() {
         List<SimulatedNode> running =
                 nodes.stream().filter(node -> node.process() != null).toList();
@@ -317,24 +422,48 @@
         if (current != null && current.up()) {
             return;
         }
+        ProtocolRunner.Kind kind = kindOf(runnerCount);
         String id = "r%02d".formatted(runnerCount++);
         Random properties = new Random(random.nextLong());
         ProtocolRunner runner = new ProtocolRunner(
                 id,
                 address,
                 loop,
-                history,
+                gangs,
                 new ProtocolRunner.Properties(
                         1 - MAX_CLOCK_LAG * properties.nextDouble(),
                         ProtocolRunner.Properties.DEFAULT.maxReportedEnds(),
                         millis(properties.nextInt(300)),
                         defect != Defect.RUNNERS_IGNORE_EPOCHS,
-                        defect != Defect.LEASES_DO_NOT_EXPIRE));
+                        defect != Defect.LEASES_DO_NOT_EXPIRE),
+                kind);
         runnersByAddress.put(address, runner);
         history.processStarted(runner);
         register(runner, Duration.ZERO, millis(1_500));
     }
 
+    private static ProtocolRunner.Kind kindOf(int number) {
+        boolean small = number % SMALL_SERVICE_RUNNERS_ONE_IN == SMALL_SERVICE_RUNNERS_ONE_IN - 1;
+        return new ProtocolRunner.Kind(
+                (small ? SMALL_QUEUE : QUEUE).service(),
+                number % LABELLED_RUNNERS_ONE_IN == 0 ? Set.of(LABEL) : Set.of());
+    }
+
+    /** Returns whether there are runners that stay for each service and label that tasks need. */
+    boolean hasRunnersForAllTasks() {
+        List<RunnerDescriptor> staying = runners().stream()
+                .filter(ProtocolRunner::up)
+                .map(ProtocolRunner::descriptor)
+                .filter(runner -> !runner.draining())
+                .toList();
+        List<RunnerDescriptor> large = staying.stream()
+                .filter(runner -> runner.service().equals(QUEUE.service()))
+                .toList();
+        long labelled =
+                large.stream().filter(runner -> runner.labels().contains(LABEL)).count();
+        return large.size() < staying.size() && labelled >= MIN_LABELLED_RUNNERS;
+    }
+
     /** Ends a runner's process and starts another one under its identifier after a downtime. */
     void restartRunner(ProtocolRunner runner, Duration downtime) {
         runner.crash();
@@ -392,11 +521,19 @@
     private ProtocolRunner.RunPlan planOf(ProtocolRunner runner, TaskKey task, long runNumber) {
         long hash = seed;
         hash = hash * 1_000_003 + task.job().hashCode();
-        hash = hash * 1_000_003 + task.step() * 31L + task.index();
+        hash = hash * 1_000_003 + task.occurrence() * 961L + task.step() * 31L + task.index();
         hash = hash * 1_000_003 + runner.id().hashCode() + runner.process();
         Random plan = new Random(hash * 1_000_003 + runNumber);
+        JobDefinition job = submitted.get(task.job());
+        if (job.steps().get(task.step()).gang()) {
+            // SimulatedGangs ends it.
+            return new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
+        }
+        if (job.steps().get(task.step()).count() == WIDE_JOB_TASKS) {
+            return new ProtocolRunner.RunPlan(WIDE_JOB_TASK_DURATION, EndReason.DONE);
+        }
         boolean fails = !faultsEnded() && plan.nextInt(20) == 0;
-        if (isLongRunning(submitted.get(task.job()))) {
+        if (isLongRunning(job)) {
             return fails
                     ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
                     : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -87,6 +87,17 @@
         }
     }
 
+    /**
+     * What tasks a runner may run.
+     *
+     * @param service service that the runner belongs to
+     * @param labels labels of the runner
+     */
+    record Kind(String service, Set<String> labels) {
+
+        static final Kind DEFAULT = new Kind("dispatch", Set.of());
+    }
+
     private record RunKey(TaskKey task, long number) {}
 
     private record ActiveRun(RunKey key, long startNanos, RunPlan plan) {}
@@ -96,6 +107,7 @@
     private final ManualLoop loop;
     private final Observer observer;
     private final Properties properties;
+    private final Kind kind;
     private final Map<RunKey, ActiveRun> activeRuns = new LinkedHashMap<>();
     private final Map<TaskKey, Long> highestRunNumbers = new HashMap<>();
     private final List<RunnerStatus.EndedRun> endedRuns = new ArrayList<>();
@@ -115,6 +127,11 @@
     }
 
     ProtocolRunner(String id, String address, ManualLoop loop, Observer observer, Properties properties) {
+        this(id, address, loop, observer, properties, Kind.DEFAULT);
+    }
+
+    ProtocolRunner(String id, String address, ManualLoop loop, Observer observer, Properties properties, Kind kind) {
+        this.kind = kind;
         this.id = id;
         this.address = address;
         this.loop = loop;
@@ -135,7 +152,7 @@
     RunnerDescriptor descriptor() {
         Resources capacity = new Resources(1_000L * properties.maxRuns(), 64_000, 0);
         return new RunnerDescriptor(
-                id, processStartEpochMs, "dispatch", address, "dc", "", draining, capacity, Set.of());
+                id, processStartEpochMs, kind.service(), address, "dc", "", draining, capacity, kind.labels());
     }
 
     /** Restarts the process. */
@@ -257,6 +274,14 @@
         }
     }
 
+    /** Ends a run for a reason outside of it, if the run exists. */
+    void end(TaskKey task, long number, EndReason reason) {
+        ActiveRun active = activeRuns.get(new RunKey(task, number));
+        if (active != null) {
+            end(active, reason);
+        }
+    }
+
     private void end(ActiveRun run, EndReason reason) {
         TaskKey task = run.key().task();
         long number = run.key().number();
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -14,6 +14,7 @@
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.fleet.TaskKey;
@@ -23,6 +24,9 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** Time for which a start may still be sent after the withdrawal of its job was answered, in nanoseconds. */
+    private static final long WITHDRAWAL_TOLERANCE_NANOS = 3_000 * NANOS_PER_MS;
+
     /** Time for which a start may still be sent after its job was shown as completed, in nanoseconds. */
     private static final long COMPLETION_TOLERANCE_NANOS = 1_000 * NANOS_PER_MS;
 
@@ -41,6 +45,10 @@
         STARTED_AFTER_COMPLETION,
         /** A start before all tasks of an earlier step have ended as done. */
         STARTED_BEFORE_DEPENDENCIES,
+        /** A start on a runner of another service, without the label of the step, or beyond its share of the step. */
+        STARTED_ON_WRONG_RUNNER,
+        /** A start sent long after the job was withdrawn, or an acceptance of it. */
+        WITHDRAWN_JOB_ACCEPTED,
         /** A start after as many acknowledged failures as the queue permits. */
         TOO_MANY_ATTEMPTS,
         /** A terminal state that the runs do not justify. */
@@ -145,6 +153,7 @@
     private final Map<EndKey, End> ends = new HashMap<>();
     private final Map<String, Long> processStarts = new TreeMap<>();
     private final Map<String, Long> shownCompletedNanos = new TreeMap<>();
+    private final Map<String, Long> withdrawnNanos = new TreeMap<>();
     private final Map<String, JobState> shownStates = new TreeMap<>();
     private final List<Violation> violations = new ArrayList<>();
     private final List<String> trace = new ArrayList<>();
@@ -191,6 +200,18 @@
     /** Records that a job is submitted. */
     void submitted(JobDefinition job) {
         jobs.put(job.id(), job);
+        event("submits", job);
+    }
+
+    /** Returns a submitted job. */
+    JobDefinition job(String id) {
+        return jobs.get(id);
+    }
+
+    /** Records that the cancellation of a job was answered that there is no such job. */
+    void withdrawn(String job) {
+        event("the withdrawal of", job, "is answered");
+        withdrawnNanos.putIfAbsent(job, loop.nowNanos());
     }
 
     private StepDefinition stepOf(TaskKey task) {
@@ -248,6 +269,8 @@
         }
         history.starts.add(start);
         history.live.add(start);
+        checkRunner(task, start, runner.descriptor());
+        checkWithdrawal(task, start);
         if (!stepOf(task).longRunning()) {
             checkEarlierEnds(task, history, start);
             checkCompletion(task, start);
@@ -255,6 +278,29 @@
         }
     }
 
+    private void checkRunner(TaskKey task, Start start, RunnerDescriptor runner) {
+        StepDefinition step = stepOf(task);
+        boolean permitted = runner.service().equals(jobs.get(task.job()).queue().service())
+                && (step.requiredLabel().isEmpty() || runner.labels().contains(step.requiredLabel()));
+        long runsOfStep = tasks.entrySet().stream()
+                .filter(other -> other.getKey().job().equals(task.job())
+                        && other.getKey().occurrence() == task.occurrence()
+                        && other.getKey().step() == task.step())
+                .flatMap(other -> other.getValue().live.stream())
+                .filter(live -> live.runner().equals(runner.id()))
+                .count();
+        if (!permitted || (step.maxPerRunner() > 0 && runsOfStep > step.maxPerRunner())) {
+            report(Rule.STARTED_ON_WRONG_RUNNER, text(task), start + "; of its step: " + runsOfStep);
+        }
+    }
+
+    private void checkWithdrawal(TaskKey task, Start start) {
+        Long nanos = withdrawnNanos.get(task.job());
+        if (nanos != null && start.sent().nanos() - nanos > WITHDRAWAL_TOLERANCE_NANOS) {
+            report(Rule.WITHDRAWN_JOB_ACCEPTED, text(task), start + "; withdrawn at " + nanos / NANOS_PER_MS + " ms");
+        }
+    }
+
     private void checkEarlierEnds(TaskKey task, TaskHistory history, Start start) {
         for (End end : history.ends) {
             if (end.end.reason() == EndReason.DONE && end.acknowledged) {
@@ -360,19 +406,32 @@
             case COMPLETED -> tasksOf(definition).stream().allMatch(task -> historyOf(task).done);
             case FAILED ->
                 tasksOf(definition).stream()
-                        .anyMatch(task -> historyOf(task).failedRuns.size()
-                                >= definition.queue().maxAttempts());
+                        .anyMatch(task -> failedRuns(task) >= definition.queue().maxAttempts());
             case CANCELLED -> cancellationRequested;
             default -> true;
         };
     }
 
-    /** Returns the tasks of a job without occurrences. */
+    /** Returns the number of failed runs of a task, or of its gang, whose members share the number of a run. */
+    private int failedRuns(TaskKey task) {
+        Set<Long> failed = new HashSet<>();
+        int members = stepOf(task).gang() ? stepOf(task).count() : 1;
+        for (int i = 0; i < members; i++) {
+            int index = members == 1 ? task.index() : i;
+            TaskKey member = new TaskKey(task.job(), task.occurrence(), task.step(), index);
+            failed.addAll(historyOf(member).failedRuns);
+        }
+        return failed.size();
+    }
+
+    /** Returns the tasks of all occurrences of a job. */
     static List<TaskKey> tasksOf(JobDefinition job) {
         List<TaskKey> all = new ArrayList<>();
-        for (int step = 0; step < job.steps().size(); step++) {
-            for (int index = 0; index < job.steps().get(step).count(); index++) {
-                all.add(new TaskKey(job.id(), 0, step, index));
+        for (int occurrence = 0; occurrence < job.occurrences(); occurrence++) {
+            for (int step = 0; step < job.steps().size(); step++) {
+                for (int index = 0; index < job.steps().get(step).count(); index++) {
+                    all.add(new TaskKey(job.id(), occurrence, step, index));
+                }
             }
         }
         return all;
@@ -395,6 +454,6 @@
     }
 
     private static String text(TaskKey task) {
-        return task.job() + "." + task.step() + "." + task.index();
+        return task.job() + "." + task.occurrence() + "." + task.step() + "." + task.index();
     }
 }
--- a/src/test/java/org/tamarackline/fleet/SimulatedStore.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStore.java
@@ -8,6 +8,7 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** The records that all simulated nodes share, with the history of their changes. */
 final class SimulatedStore {
@@ -33,6 +34,7 @@
     private final List<Runnable> changeListeners = new ArrayList<>();
     private Availability availability = Availability.AVAILABLE;
     private Duration additionalLatency = Duration.ZERO;
+    private Predicate<RecordStore.Write> rejectedWrites = write -> false;
     private long version;
 
     SimulatedStore(ManualLoop loop, boolean checksConditions) {
@@ -51,6 +53,11 @@
         availability = next;
     }
 
+    /** Makes the store reject the transactions with such a write, whenever they are sent. */
+    void setRejectedWrites(Predicate<RecordStore.Write> next) {
+        rejectedWrites = next;
+    }
+
     Duration additionalLatency() {
         return additionalLatency;
     }
@@ -72,7 +79,10 @@
     }
 
     RecordStore.TransactionResult apply(RecordStore.Transaction transaction) {
-        Optional<RecordStore.TransactionResult> rejection = StoreLimits.rejection(transaction);
+        Optional<RecordStore.TransactionResult> rejection =
+                transaction.writes().stream().anyMatch(rejectedWrites)
+                        ? Optional.of(new RecordStore.TransactionResult.Rejected("status 400"))
+                        : StoreLimits.rejection(transaction);
         if (rejection.isPresent()) {
             return rejection.get();
         }
