Let the rejected record of one end hold back only its own runner

Cause, found while the diff was read: the store's rejection of the record of a single end kept the ends of all runners from being acknowledged, so that after 4 s none would have got starts; and the search for the rejected change did not test ends in the transaction that it chose for them, so it would have begun anew each time. A job that fits into a transaction only in part kept all other dirty jobs out of it.

Change: each runner's acknowledged position ends before its own first end that is to be stored on its own. The test of the search is chosen before any change is taken. A job that fits in part ends only the part of the transaction it is in.

Result: RecordLimitsTest#rejectedEndCostsOnlyItsRunner and the others pass, as do CommitBacklogTest and ClusterSequencesTest.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -275,11 +275,15 @@
     }
 
     /**
-     * Returns the position up to which no processed end of a runner belongs to a dirty job. The results of these ends are
-     * stored once the transaction is that contains the jobs taken last.
+     * Returns the position up to which no processed end of a runner belongs to a dirty job, or is to be stored on its own.
+     * The results of these ends are stored once the transaction is that contains the jobs taken last.
+     *
+     * @param endsInTransaction ends that this transaction stores
      */
-    public ProcessedEnds processedEndsOfCleanJobs(FleetRunner runner) {
-        long last = runner.unstoredEnds.lastBeforeDirtyJob(runner.lastProcessedEnd, jobs::isDirty);
+    public ProcessedEnds processedEndsToStore(FleetRunner runner, Collection<HeldEnd> endsInTransaction) {
+        long last = runner.unstoredEnds.lastBefore(
+                runner.lastProcessedEnd,
+                end -> jobs.isDirty(end.task().job()) || jobs.held().isUnstored(end, endsInTransaction));
         return new ProcessedEnds(runner.processStartEpochMs, last);
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
+++ b/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
@@ -126,6 +126,15 @@
         return List.copyOf(unstoredEnds);
     }
 
+    /** Returns whether an end is to be stored on its own, and is not in a transaction that stores these. */
+    boolean isUnstored(RunnerStatus.EndedRun entry, Collection<HeldEnd> endsInTransaction) {
+        if (unstoredEnds.isEmpty()) {
+            return false;
+        }
+        HeldEnd end = HeldEnd.of(entry);
+        return unstoredEnds.contains(end) && !endsInTransaction.contains(end);
+    }
+
     /** Records that ends are stored. */
     public void markStored(Collection<HeldEnd> ends) {
         unstoredEnds.removeAll(ends);
--- a/src/main/java/org/tamarackline/core/fleet/JobProgress.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobProgress.java
@@ -11,8 +11,8 @@
 import java.util.TreeSet;
 
 /**
- * The stored progress of an open job, or of some of its tasks. It must be stored before the runners may discard the ends of its runs, and before
- * its long-running tasks start.
+ * The stored progress of an open job, or of some of its tasks. It must be stored before the runners may discard the ends
+ * of its runs, and before its long-running tasks start.
  *
  * <p>It does not contain where other tasks run: the runners report that to a new leader.
  *
--- a/src/main/java/org/tamarackline/core/fleet/UnstoredEnds.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnstoredEnds.java
@@ -33,13 +33,13 @@
     }
 
     /**
-     * Returns the highest sequence number up to which no end belongs to a dirty job.
+     * Returns the highest sequence number before the first end that is not stored yet.
      *
      * @param lastProcessed highest sequence number that was processed
      */
-    long lastBeforeDirtyJob(long lastProcessed, Predicate<String> dirty) {
+    long lastBefore(long lastProcessed, Predicate<RunnerStatus.EndedRun> unstored) {
         for (RunnerStatus.EndedRun end : ends) {
-            if (dirty.test(end.task().job())) {
+            if (unstored.test(end)) {
                 return end.sequenceNumber() - 1;
             }
         }
--- a/src/main/java/org/tamarackline/fleet/CommitBatch.java
+++ b/src/main/java/org/tamarackline/fleet/CommitBatch.java
@@ -133,6 +133,7 @@
 
     /** Takes the changes that are due and fit. */
     void fill() {
+        search.startTest();
         addHeldEnds();
         if (search.active()) {
             addSuspectedJobs();
@@ -144,10 +145,8 @@
             addJobs(context.fleet().jobs()::takeDirtyJob, maxWrites(), RecordStore.MAX_TRANSACTION_BYTES);
         }
         context.fleet().jobs().deferDirtyJobs(partlyAddedJobs);
-        if (heldEnds.containsAll(context.fleet().jobs().held().unstoredEnds())) {
-            for (RunnerSession session : leader.sessions()) {
-                processedEnds.put(session, session.endsToStore());
-            }
+        for (RunnerSession session : leader.sessions()) {
+            processedEnds.put(session, session.endsToStore(heldEnds));
         }
         removeObsoleteEnds();
         addRosterChanges();
@@ -158,7 +157,7 @@
     }
 
     private void addSuspectedJobs() {
-        for (ChangeKey suspect : search.nextTest()) {
+        for (ChangeKey suspect : search.tested()) {
             if (suspect.kind() == ChangeKey.Kind.JOB) {
                 Supplier<Optional<Job>> job = () -> context.fleet().jobs().takeDirtyJob(suspect.id());
                 addJobs(job, maxWrites(), RecordStore.MAX_TRANSACTION_BYTES);
@@ -166,12 +165,13 @@
         }
     }
 
-    /** Adds jobs while each of them fits. */
+    /** Adds jobs while each of them fits whole. */
     private void addJobs(Supplier<Optional<Job>> nextJob, int writeLimit, int byteLimit) {
+        int partlyAddedBefore = partlyAddedJobs.size();
         while (writes.size() + MAX_WRITES_OF_ENDED_JOB <= writeLimit
                 && bytes < byteLimit
                 && fits(MAX_WRITES_OF_ENDED_JOB, 0)
-                && partlyAddedJobs.isEmpty()) {
+                && partlyAddedJobs.size() == partlyAddedBefore) {
             Optional<Job> job = nextJob.get();
             if (job.isEmpty()) {
                 return;
--- a/src/main/java/org/tamarackline/fleet/RejectionSearch.java
+++ b/src/main/java/org/tamarackline/fleet/RejectionSearch.java
@@ -13,15 +13,19 @@
     private final List<ChangeKey> suspects = new ArrayList<>();
     private final List<ChangeKey> tested = new ArrayList<>();
 
-    /** Returns whether transactions must contain only the changes that {@link #permits} names. */
+    /** Returns whether transactions must contain only the changes that are tested. */
     boolean active() {
         return !suspects.isEmpty();
     }
 
-    /** Returns the suspects that the next transaction contains. */
-    List<ChangeKey> nextTest() {
+    /** Chooses the suspects that the next transaction contains. */
+    void startTest() {
         tested.clear();
         tested.addAll(suspects.subList(0, (suspects.size() + 1) / 2));
+    }
+
+    /** Returns the suspects that the next transaction contains. */
+    List<ChangeKey> tested() {
         return List.copyOf(tested);
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -1,8 +1,11 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
 
 import org.tamarackline.core.fleet.FleetRunner;
+import org.tamarackline.core.fleet.HeldEnd;
 import org.tamarackline.core.fleet.ProcessedEnds;
 import org.tamarackline.core.fleet.RunnerCommand;
 
@@ -151,13 +154,13 @@
     }
 
     /** Returns the position up to which the results of ended runs will be stored with the jobs taken last. */
-    ProcessedEnds endsToStore() {
-        return context.fleet().processedEndsOfCleanJobs(runner);
+    ProcessedEnds endsToStore(Collection<HeldEnd> endsInTransaction) {
+        return context.fleet().processedEndsToStore(runner, endsInTransaction);
     }
 
     /** Returns whether a transaction without jobs would store the results of further ended runs. */
     boolean hasEndsToStore() {
-        ProcessedEnds ends = endsToStore();
+        ProcessedEnds ends = endsToStore(List.of());
         return process.is(ends.processStartEpochMs()) && !acknowledgement.storedUpTo(ends.lastSequenceNumber());
     }
 
--- a/src/test/java/org/tamarackline/core/fleet/EndedRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/EndedRunsTest.java
@@ -97,7 +97,7 @@
         FleetRunner runner = reportEndsOf("a");
         FleetFixture.takeDirtyJobs(fleet);
         fixture.reportStatus(runner, 2, List.of(), List.of());
-        assertThat(fleet.processedEndsOfCleanJobs(runner)).isEqualTo(new ProcessedEnds(2, 0));
+        assertThat(fleet.processedEndsToStore(runner, List.of())).isEqualTo(new ProcessedEnds(2, 0));
     }
 
     /** Adds the jobs "a", "b" and "c", starts them and reports the ends of some. */
@@ -121,7 +121,7 @@
     }
 
     private long positionToStore(FleetRunner runner) {
-        return fleet.processedEndsOfCleanJobs(runner).lastSequenceNumber();
+        return fleet.processedEndsToStore(runner, List.of()).lastSequenceNumber();
     }
 
     private static RunnerStatus.EndedRun endOf(Run run, long sequenceNumber) {
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -515,7 +515,7 @@
     private ProcessedEnds endsToStore(FleetRunner runner) {
         return defect == Defect.ACKNOWLEDGES_ENDS_OF_DEFERRED_JOBS
                 ? runner.processedEnds()
-                : leader.fleet.processedEndsOfCleanJobs(runner);
+                : leader.fleet.processedEndsToStore(runner, List.of());
     }
 
     /** Completes the transaction that is due; one whose response is lost may have had no effect. */
--- a/src/test/java/org/tamarackline/fleet/RecordLimitsTest.java
+++ b/src/test/java/org/tamarackline/fleet/RecordLimitsTest.java
@@ -158,6 +158,35 @@
         assertThat(fixture.storedAsFinished("rejected")).isTrue();
     }
 
+    /** Guards against runners that discard no ends and get no starts, as the store rejects the end of another one's run. */
+    @Test
+    void rejectedEndCostsOnlyItsRunner() {
+        fixture.setPlans(task -> task.equals(new TaskKey("rejected", 0, 0, 1))
+                ? new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE)
+                : shortUnlessLasting(task));
+        fixture.store()
+                .setRejectedWrites(write -> write.table() == RecordStore.Table.PROGRESS
+                        && write.value() != null
+                        && (write.key().equals("rejected") || write.key().startsWith("!end/rejected")));
+        fixture.startLeader();
+        fixture.submit(JobDefinitions.tasks("rejected", 2, 100));
+        for (int i = 0; i < 10; i++) {
+            run(Duration.ofSeconds(1));
+            fixture.submit(JobDefinitions.tasks("other" + i, 48, 100));
+        }
+        fixture.submit(JobDefinitions.longRunningTasks("lasting", 24));
+        run(Duration.ofSeconds(5));
+        for (int i = 0; i < 10; i++) {
+            assertThat(fixture.storedAsFinished("other" + i)).isTrue();
+        }
+        assertThat(fixture.runningTasksOf("lasting")).hasSize(24);
+        assertThat(fixture.acknowledgedEndsOf("other9")).hasSizeGreaterThan(40);
+        assertThat(fixture.acknowledgedEndsOf("rejected")).isEmpty();
+        assertThat(fixture.store().rejections())
+                .as("rejected transactions in 15 s")
+                .isLessThan(60);
+    }
+
     /** Guards against a runner that the store rejects on the roster and that keeps all other changes from being stored. */
     @Test
     void rejectedRosterRecordCostsOnlyItsRunner() {
