Count a rejected submission as an answer of the store, and don't pass it on

Cause, found while the diff was read: a submission that the store rejects for good counted as a failure of the store, so that a few of them suspended all submissions of the node; and it was passed on to the leader, where it cost a search in the leader's transactions.

Change: a rejection tells that the store works; the submission is refused at once, as not stored.

Result: SlowStoreSubmissionsTest#submissionThatTheStoreRejectsCostsNoOther passes: 20 rejected submissions, 20 rejected transactions, the next submission is accepted.

--- a/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/JobRequestHandler.java
@@ -59,6 +59,9 @@
                 send(FleetMetrics.TransactionPurpose.SUBMISSION, transaction, result -> {
                     if (isWithdrawn(result)) {
                         callback.accept(new Outcome.NoSuchJob());
+                    } else if (result instanceof RecordStore.TransactionResult.Rejected) {
+                        metrics.submissionRefused(FleetMetrics.RefusalReason.STORE_REFUSED);
+                        callback.accept(outcomeOf(result));
                     } else if (outcomeOf(result) instanceof Outcome.Unavailable unavailable) {
                         passOn(job.id(), value, FleetMetrics.RefusalReason.STORE_REFUSED, unavailable, callback);
                     } else {
@@ -123,11 +126,13 @@
         store.transact(transaction, result -> {
             FleetMetrics.TransactionOutcome outcome = FleetMetrics.TransactionOutcome.of(result);
             metrics.transactionCompleted(purpose, outcome, loop.nowNanos() - sentNanos);
-            if (result instanceof RecordStore.TransactionResult.Applied
-                    || result instanceof RecordStore.TransactionResult.Conflict) {
-                breaker.onSuccess(loop.nowNanos() - sentNanos);
-            } else {
-                breaker.onFailure();
+            switch (result) {
+                case RecordStore.TransactionResult.Applied applied -> breaker.onSuccess(loop.nowNanos() - sentNanos);
+                case RecordStore.TransactionResult.Conflict conflict -> breaker.onSuccess(loop.nowNanos() - sentNanos);
+                // The store works; the fault is the transaction's own.
+                case RecordStore.TransactionResult.Rejected rejected -> breaker.onSuccess(loop.nowNanos() - sentNanos);
+                case RecordStore.TransactionResult.NotApplied notApplied -> breaker.onFailure();
+                case RecordStore.TransactionResult.Unknown unknown -> breaker.onFailure();
             }
             callback.accept(result);
         });
--- a/src/test/java/org/tamarackline/fleet/SlowStoreSubmissionsTest.java
+++ b/src/test/java/org/tamarackline/fleet/SlowStoreSubmissionsTest.java
@@ -40,6 +40,22 @@
         assertThat(storedJobs()).isGreaterThanOrEqualTo(60);
     }
 
+    /** Guards against a node that suspends all submissions, or a leader that divides its transactions, for a rejected one. */
+    @Test
+    void submissionThatTheStoreRejectsCostsNoOther() {
+        startNodes();
+        cluster.store().setRejectedWrites(write -> write.key().startsWith("rejected"));
+        for (int i = 0; i < 20; i++) {
+            handlers.getFirst().submit(JobDefinitions.tasks("rejected" + i, 1, 10), outcomes::add);
+            cluster.loop().advance(Duration.ofMillis(50));
+        }
+        assertThat(outcomes).hasSize(20).allMatch(JobRequestHandler.Outcome.Unavailable.class::isInstance);
+        assertThat(cluster.store().rejections()).isEqualTo(20);
+        handlers.getFirst().submit(JobDefinitions.tasks("accepted", 1, 10), outcomes::add);
+        cluster.loop().advance(Duration.ofMillis(50));
+        assertThat(outcomes.getLast()).isInstanceOf(JobRequestHandler.Outcome.Accepted.class);
+    }
+
     /** Guards against callers that wait for a store which is down for all nodes. */
     @Test
     void submissionsAreRefusedAtOnceWhileTheStoreIsDown() {
