Let the simulation's store reject the progress of some jobs to the end

Cause: it accepted them once the faults had ended, so that nothing showed whether a rejection costs other jobs. Change: the rejections stay; the jobs concerned must still end, as their ends are stored one by one, and only their long-running tasks are exempt, whose placement is stored with the progress.

--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -129,6 +129,9 @@
     private final Set<String> withdrawn = new TreeSet<>();
 
     private final Map<String, Long> directorySequences = new TreeMap<>();
+    /** Whether the store rejects the progress of every tenth job, to the end. */
+    private boolean progressRejected;
+
     private long faultsEndNanos = Long.MAX_VALUE;
     private long lastStandstillNanos;
     private int runnerCount;
@@ -216,14 +219,14 @@
             submit(longRunningJob());
         }
         faults.start();
-        if (random.nextInt(4) == 0) {
+        progressRejected = random.nextInt(4) == 0;
+        if (progressRejected) {
             store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
         }
         scheduleNextJob();
         sample();
         loop.advance(FAULTY_TIME);
         faults.end();
-        store.setRejectedWrites(write -> false);
         gangs.endFailures();
         faultsEndNanos = loop.nowNanos();
         loop.advance(JOBS_BOUND);
@@ -231,9 +234,11 @@
     }
 
     private static boolean isProgressOfEveryTenthJob(RecordStore.Write write) {
-        return write.table() == RecordStore.Table.PROGRESS
-                && write.value() != null
-                && write.key().matches("job\\d*7(/\\d+)?");
+        return write.table() == RecordStore.Table.PROGRESS && write.value() != null && isEveryTenthJob(write.key());
+    }
+
+    private static boolean isEveryTenthJob(String progressKey) {
+        return progressKey.matches("job\\d*7(/\\d+)?");
     }
 
     private static Duration millis(long millis) {
@@ -706,7 +711,9 @@
             return;
         }
         for (String job : accepted) {
-            if (!isLongRunning(submitted.get(job)) || cancelRequested.contains(job)) {
+            // The placement of long-running tasks is stored with the progress.
+            boolean unstorable = progressRejected && isEveryTenthJob(job);
+            if (!isLongRunning(submitted.get(job)) || cancelRequested.contains(job) || unstorable) {
                 continue;
             }
             for (TaskKey task : RunHistory.tasksOf(submitted.get(job))) {
