Log what tells late configurations and starts on leaving runners apart

Cause: after a report of a request that was handled by an older configuration, and of a start on a runner that had said it was leaving, the logs could not tell whether the configuration was late because reads had no answer or because the node had no processor time, nor by how old a directory a start was decided. A 404 left no line at all. Change: `configuration` and `submit` lines have the age of the configuration, a request that matches no queue has a line (`no-queue`), a runner that starts to drain has one (`runner-draining`) with the age of the directory, and `leader-state` has that age. No decision changes.

--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -22,6 +22,9 @@
     private final FleetMetrics metrics;
     private final RetryBackoff backoff;
     private volatile FleetConfiguration current = FleetConfiguration.NONE;
+    /** When the read was sent whose answer was the last one. */
+    private volatile long answeredReadSentNanos;
+
     private boolean failing;
 
     /**
@@ -41,6 +44,7 @@
         this.source = source;
         this.log = log;
         this.metrics = metrics;
+        this.answeredReadSentNanos = loop.nowNanos();
         this.backoff = new RetryBackoff(FleetConstants.STORE_RETRY_DELAY, MAX_RETRY_DELAY, random);
     }
 
@@ -53,11 +57,20 @@
         return current;
     }
 
+    /**
+     * Returns the time for which {@link #current} may have been outdated, in milliseconds: that since the last read with
+     * an answer was sent. Callable from any thread.
+     */
+    long ageMs() {
+        return (loop.nowNanos() - answeredReadSentNanos) / 1_000_000;
+    }
+
     private void readAll() {
+        long sentNanos = loop.nowNanos();
         store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {
             metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
             if (result instanceof RecordStore.ReadResult.Page page) {
-                apply(page);
+                apply(page, sentNanos);
                 follow(page.version());
             } else {
                 reportFailure(result.toString());
@@ -67,11 +80,12 @@
     }
 
     private void follow(long version) {
+        long sentNanos = loop.nowNanos();
         store.follow(RecordStore.Table.CONFIGURATION, version, FleetConstants.CONFIGURATION_FOLLOW_WAIT, result -> {
             metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
             switch (result) {
                 case RecordStore.ReadResult.Page page -> {
-                    apply(page);
+                    apply(page, sentNanos);
                     follow(page.version());
                 }
                 case RecordStore.ReadResult.HistoryLost lost -> readAll();
@@ -83,17 +97,19 @@
         });
     }
 
-    private void apply(RecordStore.ReadResult.Page page) {
+    private void apply(RecordStore.ReadResult.Page page, long sentNanos) {
         backoff.reset();
         if (failing) {
             failing = false;
             log.storeState("store-regained", "configuration read");
         }
+        long ageMs = ageMs();
+        answeredReadSentNanos = sentNanos;
         for (RecordStore.Entry entry : page.entries()) {
             if (entry.removed()) {
                 continue;
             }
-            decode(entry).ifPresent(this::install);
+            decode(entry).ifPresent(next -> install(next, ageMs));
         }
     }
 
@@ -107,10 +123,10 @@
         }
     }
 
-    private void install(FleetConfiguration next) {
+    private void install(FleetConfiguration next, long previousAgeMs) {
         if (next.version() > current.version()) {
             current = next;
-            log.configuration(next.version(), next.size());
+            log.configuration(next.version(), next.size(), previousAgeMs);
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -67,16 +67,36 @@
     }
 
     /** Logs the result of a submission. */
-    public void submitted(String job, String queue, long configurationVersion, String result, String reason) {
+    public void submitted(
+            String job,
+            String queue,
+            long configurationVersion,
+            long configurationAgeMs,
+            String result,
+            String reason) {
         writeLine("submit", json -> {
             json.writeStringField("job", job);
             json.writeStringField("queue", queue);
             json.writeNumberField("configurationVersion", configurationVersion);
+            json.writeNumberField("configurationAgeMs", configurationAgeMs);
             json.writeStringField("answer", result);
             json.writeStringField("reason", reason);
         });
     }
 
+    /**
+     * Logs that a request matches no queue.
+     *
+     * @param configurationAgeMs time for which the configuration may have been outdated
+     */
+    public void noQueue(String path, long configurationVersion, long configurationAgeMs) {
+        writeLine("no-queue", json -> {
+            json.writeStringField("path", path);
+            json.writeNumberField("configurationVersion", configurationVersion);
+            json.writeNumberField("configurationAgeMs", configurationAgeMs);
+        });
+    }
+
     /** Logs the result of a cancellation. */
     public void cancelled(String job, String result, String reason) {
         writeLine("cancel", json -> {
@@ -189,6 +209,18 @@
         });
     }
 
+    /**
+     * Logs that a runner is about to leave.
+     *
+     * @param ageMs time since the directory was requested that says so
+     */
+    void runnerDraining(String runner, long ageMs) {
+        writeLine("runner-draining", json -> {
+            json.writeStringField("runner", runner);
+            json.writeNumberField("directoryAgeMs", ageMs);
+        });
+    }
+
     void runnerBack(String runner, int missedPolls) {
         writeLine("runner-back", json -> {
             json.writeStringField("runner", runner);
@@ -232,6 +264,7 @@
             json.writeNumberField("unansweredStarts", state.unansweredStarts());
             json.writeNumberField("loopDelayMs", state.loopDelayMs());
             json.writeNumberField("storeAgeMs", state.storeAgeMs());
+            json.writeNumberField("directoryAgeMs", state.directoryAgeMs());
         });
     }
 
@@ -261,14 +294,28 @@
         writeLine("isolated-change-stored", json -> json.writeStringField("change", change));
     }
 
+    /** Logs that a read of the store is repeated on a new connection, because it has had no response for some time. */
+    void readRepeated(String subject, long waitedMs) {
+        writeLine("read-repeated", json -> {
+            json.writeStringField("read", subject);
+            json.writeNumberField("waitedMs", waitedMs);
+        });
+    }
+
     void storeState(String event, String cause) {
         writeLine(event, json -> json.writeStringField("cause", cause));
     }
 
-    void configuration(long version, int queues) {
+    /**
+     * Logs that a configuration is in force.
+     *
+     * @param previousAgeMs time for which the one before may have been outdated
+     */
+    void configuration(long version, int queues, long previousAgeMs) {
         writeLine("configuration", json -> {
             json.writeNumberField("configurationVersion", version);
             json.writeNumberField("queues", queues);
+            json.writeNumberField("previousAgeMs", previousAgeMs);
         });
     }
 
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -78,6 +78,11 @@
         return configuration.current();
     }
 
+    /** Records that a request matches no queue of a configuration. */
+    public void onNoQueue(String path, FleetConfiguration used) {
+        log.noQueue(path, used.version(), configuration.ageMs());
+    }
+
     /** Returns the handler of requests from other nodes. */
     public Consumer<HttpExchange> peerHandler() {
         return peerHandler;
@@ -89,7 +94,12 @@
             SubmitResult result = resultOf(outcome);
             metrics.submitted(result);
             log.submitted(
-                    job.id(), job.queue().name(), configuration.current().version(), result.name(), detailOf(outcome));
+                    job.id(),
+                    job.queue().name(),
+                    configuration.current().version(),
+                    configuration.ageMs(),
+                    result.name(),
+                    detailOf(outcome));
             callback.accept(result);
         });
     }
@@ -158,6 +168,7 @@
             json.writeBooleanField("draining", draining);
             json.writeNumberField(
                     "configurationVersion", configuration.current().version());
+            json.writeNumberField("configurationAgeMs", configuration.ageMs());
             json.writeStringField("leaderAddress", election.leaderAddress().orElse(""));
             if (election.leader().isPresent()) {
                 Leader leader = election.leader().get();
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -54,6 +54,7 @@
     private int samplesSinceLog;
     private long sequenceVersion;
     private long storeRespondedNanos;
+    private long directoryRequestedNanos;
 
     /**
      * Creates a leader whose record is stored.
@@ -73,6 +74,7 @@
         this.onEnded = onEnded;
         this.takeoverNanos = loop.nowNanos();
         this.storeRespondedNanos = takeoverNanos;
+        this.directoryRequestedNanos = takeoverNanos;
         // The steady clock does not advance while the machine is suspended, so bounds from readings taken before a
         // suspension are too early.
         store.clock().discardReadingsBefore(takeoverNanos);
@@ -216,9 +218,10 @@
     }
 
     private void readDirectory() {
+        long requestedNanos = loop.nowNanos();
         directory.list(descriptors -> {
             recordDirectoryRead(descriptors.isPresent());
-            descriptors.ifPresent(sessions::applyDirectory);
+            descriptors.ifPresent(list -> applyDirectory(list, requestedNanos));
             tables.readAll(
                     RecordStore.Table.PROGRESS,
                     this::readProgressEntry,
@@ -226,6 +229,15 @@
         });
     }
 
+    private void applyDirectory(List<RunnerDescriptor> descriptors, long requestedNanos) {
+        directoryRequestedNanos = requestedNanos;
+        sessions.applyDirectory(descriptors, directoryAgeMs());
+    }
+
+    private long directoryAgeMs() {
+        return (loop.nowNanos() - directoryRequestedNanos) / 1_000_000;
+    }
+
     private void recordDirectoryRead(boolean read) {
         FleetMetrics.ReadOutcome outcome = read ? FleetMetrics.ReadOutcome.READ : FleetMetrics.ReadOutcome.FAILED;
         metrics.readCompleted(FleetMetrics.ReadPurpose.DIRECTORY, outcome);
@@ -311,7 +323,8 @@
                 silentRunners,
                 unansweredStarts,
                 loopDelay.getAndResetMaxMs(),
-                storeAgeMs()));
+                storeAgeMs(),
+                directoryAgeMs()));
     }
 
     private String loadSummary() {
@@ -328,6 +341,7 @@
         if (ended || resigned) {
             return;
         }
+        long requestedNanos = loop.nowNanos();
         directory.list(descriptors -> {
             recordDirectoryRead(descriptors.isPresent());
             if (ended || resigned) {
@@ -337,7 +351,7 @@
             loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
             descriptors.ifPresent(list -> {
                 onStoreResponse();
-                sessions.applyDirectory(list);
+                applyDirectory(list, requestedNanos);
                 sessions.addRegisteredToRoster(committer);
             });
         });
--- a/src/main/java/org/tamarackline/fleet/LeaderState.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderState.java
@@ -14,6 +14,7 @@
  * @param unansweredStarts start requests without a response
  * @param loopDelayMs longest delay of an event loop step since the last snapshot, in milliseconds
  * @param storeAgeMs time since the store's last response, in milliseconds
+ * @param directoryAgeMs time since the read was sent by which runners are placed on, in milliseconds
  */
 record LeaderState(
         long epoch,
@@ -26,4 +27,5 @@
         int silentRunners,
         int unansweredStarts,
         long loopDelayMs,
-        long storeAgeMs) {}
+        long storeAgeMs,
+        long directoryAgeMs) {}
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -90,11 +90,16 @@
         cordons.restore(session, roster);
     }
 
-    /** Applies the directory: adds sessions for new runners and marks runners that are no longer in it. */
-    void applyDirectory(List<RunnerDescriptor> descriptors) {
+    /**
+     * Applies the directory: adds sessions for new runners and marks runners that are no longer in it.
+     *
+     * @param ageMs time since the directory was requested, in milliseconds
+     */
+    void applyDirectory(List<RunnerDescriptor> descriptors, long ageMs) {
         Set<String> registered = new HashSet<>();
         for (RunnerDescriptor descriptor : descriptors) {
             registered.add(descriptor.id());
+            logDraining(descriptor, ageMs);
             FleetRunner runner = context.fleet().runnerRegistered(descriptor);
             RunnerSession session = sessions.get(descriptor.id());
             if (session == null || session.runner() != runner) {
@@ -113,6 +118,14 @@
         leader.requestSchedulingRound();
     }
 
+    private void logDraining(RunnerDescriptor descriptor, long ageMs) {
+        RunnerSession session = sessions.get(descriptor.id());
+        boolean drainedBefore = session != null && session.runner().descriptor().draining();
+        if (descriptor.draining() && !drainedBefore) {
+            context.log().runnerDraining(descriptor.id(), ageMs);
+        }
+    }
+
     /** Renews the leases of the runners on the roster until {@link #startPolling}. */
     void startInitialRenewals() {
         initialRenewals.start(sessions.values());
--- a/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
+++ b/src/main/java/org/tamarackline/platform/CallerRequestHandler.java
@@ -57,6 +57,7 @@
         Optional<QueueDefinition> queue = configuration.match(exchange.host(), exchange.path());
         if (queue.isEmpty()) {
             countRefusal(exchange, FleetMetrics.RefusalReason.NO_QUEUE);
+            node.onNoQueue(exchange.path(), configuration);
             respondError(responder, 404, "no queue matches this host and path");
             return;
         }
