Place a task anew whose runner drains before the start is sent

Callers saw: a task was started on a runner more than the time for draining after it had said that it was leaving. Cause: a start was decided once and then sent whatever had changed. A long-running task is placed on a runner, and its start waits until the placement is stored (a slow store, a lost answer, a rejected change kept out for 2 to 16 s) and until fewer than 24 starts are unanswered; any start may wait 0.9 s for the poll that verifies the runner's process. Silence and deregistration removed such a start, draining did not; nor did a change of the service, a cordon, or a new process that the store had not confirmed yet. The class: a decision that is acted upon after its premises have gone. Change: a runner that drains loses its unsent starts; a placement whose runner does not accept the start when it is due is made anew; and each start is checked against the runner and the leader's lease right before it is sent, on both ways to the wire (the one to a known process checked neither). RunnerSelector and these checks share one condition, FleetRunner.acceptsStartOf.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -90,6 +90,9 @@
     public FleetRunner runnerRegistered(RunnerDescriptor descriptor) {
         FleetRunner runner = runners.computeIfAbsent(descriptor.id(), id -> new FleetRunner(descriptor));
         runner.update(descriptor);
+        if (descriptor.draining()) {
+            removeUnsentRuns(runner);
+        }
         return runner;
     }
 
@@ -533,6 +536,7 @@
                 commands.add(new RunnerCommand.Stop(run.runner(), run.task().key(), run.number()));
             }
         }
+        replacePendingStarts();
         List<Run> starts = pendingStarts.take(maxStarts);
         starts.addAll(placeReadyTasks(maxStarts - starts.size(), nowNanos, nowEpochMs));
         starts.forEach(run -> commands.add(new RunnerCommand.Start(run)));
@@ -543,6 +547,15 @@
         return commands;
     }
 
+    /** Makes the tasks ready again whose runner has changed since they were placed and does not accept the start. */
+    private void replacePendingStarts() {
+        for (Run run : pendingStarts.stored()) {
+            if (!run.runner().acceptsStartOf(run.task())) {
+                removeRun(run);
+            }
+        }
+    }
+
     /** Assigns ready tasks to runners; returns the runs that can start without storing their placement first. */
     private List<Run> placeReadyTasks(int maxStarts, long nowNanos, long nowEpochMs) {
         List<Run> startable = new ArrayList<>();
@@ -561,9 +574,14 @@
         return run.stopSentNanos == 0 || nowNanos - run.stopSentNanos > SchedulingLimits.STOP_RETRY_NANOS;
     }
 
-    /** Returns whether a run still exists and its start has not been confirmed or given up. */
-    public boolean awaitsStart(Run run) {
-        return run.phase == Run.Phase.STARTING && run.runner().find(run.task().key(), run.number()) == run;
+    /**
+     * Returns whether the start of a run may be sent: the run still exists, its start has not been confirmed or given up,
+     * and its runner has not changed since in a way that rules it out.
+     */
+    public boolean maySendStart(Run run) {
+        return run.phase == Run.Phase.STARTING
+                && run.runner().find(run.task().key(), run.number()) == run
+                && run.runner().acceptsStartOf(run.task());
     }
 
     /** Applies the result of a start command. */
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -128,9 +128,10 @@
         return new ProcessedEnds(processStartEpochMs, lastProcessedEnd);
     }
 
-    /** Returns whether starts may be sent to the runner, whatever its directory entry says of draining. */
+    /** Returns whether starts may be sent to the runner at present. */
     boolean acceptsStarts() {
         return registered
+                && !descriptor.draining()
                 && statusKnown
                 && !silent
                 && !cordoned
@@ -139,6 +140,14 @@
                 && !hasUnresolvedStarts();
     }
 
+    /** Returns whether the start of a task may be sent to the runner at present, its capacity aside. */
+    boolean acceptsStartOf(Task task) {
+        String label = task.step().requiredLabel();
+        return acceptsStarts()
+                && descriptor.service().equals(task.job().definition().queue().service())
+                && (label.isEmpty() || descriptor.labels().contains(label));
+    }
+
     /** Returns whether a start that was given up may still take effect, so that the lease must not be extended. */
     public boolean hasUnresolvedStarts() {
         return !unresolvedStarts.isEmpty();
--- a/src/main/java/org/tamarackline/core/fleet/PendingStarts.java
+++ b/src/main/java/org/tamarackline/core/fleet/PendingStarts.java
@@ -54,6 +54,11 @@
         stored.remove(run);
     }
 
+    /** Returns the runs that wait for their start with a stored placement. */
+    List<Run> stored() {
+        return List.copyOf(stored);
+    }
+
     /** Removes and returns up to {@code limit} runs to start. */
     List<Run> take(int limit) {
         List<Run> taken = new ArrayList<>();
--- a/src/main/java/org/tamarackline/core/fleet/RunnerDescriptor.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerDescriptor.java
@@ -33,4 +33,10 @@
     public RunnerDescriptor {
         labels = Set.copyOf(labels);
     }
+
+    /** Returns the same entry of a runner that is about to leave. */
+    public RunnerDescriptor asDraining() {
+        return new RunnerDescriptor(
+                id, processStartEpochMs, service, address, dataCentre, rack, true, capacity, labels);
+    }
 }
--- a/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerSelector.java
@@ -205,18 +205,11 @@
 
     /** Returns whether the runner accepts tasks now and meets the constraints of the step. */
     private static boolean isPermitted(Task task, FleetRunner runner) {
-        StepDefinition step = task.step();
-        RunnerDescriptor descriptor = runner.descriptor();
-        if (!runner.acceptsStarts() || descriptor.draining()) {
-            return false;
-        }
-        if (!descriptor.service().equals(task.job().definition().queue().service())) {
-            return false;
-        }
-        if (!step.requiredLabel().isEmpty() && !descriptor.labels().contains(step.requiredLabel())) {
+        if (!runner.acceptsStartOf(task)) {
             return false;
         }
-        return step.maxPerRunner() == 0 || runner.runsOfStep(task.key()) < step.maxPerRunner();
+        int maxPerRunner = task.step().maxPerRunner();
+        return maxPerRunner == 0 || runner.runsOfStep(task.key()) < maxPerRunner;
     }
 
     /**
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -80,7 +80,7 @@
     void start(Run run) {
         leader.onStartSent();
         if (processAliveWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
-            sendStart(run);
+            sendStartIfPermitted(run);
             return;
         }
         unsentStarts.add(run);
@@ -106,7 +106,7 @@
                         sentNanos, response.status().clockMs(), context.loop().nowNanos());
                 // The process may have been replaced while an older answer was on its way.
                 if (processAliveWithin(FleetConstants.MIN_RESTART_TIME)) {
-                    runs.forEach(this::sendStartIfAwaited);
+                    runs.forEach(this::sendStartIfPermitted);
                     return;
                 }
             }
@@ -123,8 +123,9 @@
                 && process.is(response.status().processStartEpochMs());
     }
 
-    private void sendStartIfAwaited(Run run) {
-        if (leader.maySendCommands() && context.fleet().awaitsStart(run)) {
+    /** Sends a start, unless the leader's lease has run out or the runner has changed since the start was decided. */
+    private void sendStartIfPermitted(Run run) {
+        if (leader.maySendCommands() && context.fleet().maySendStart(run)) {
             sendStart(run);
         } else {
             startNotSent(run);
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -374,17 +374,7 @@
         Run run = fixture.scheduleStarts().getFirst();
         fixture.applyStartResult(run, StartResult.STARTED);
         fixture.reportStatus(leaving, List.of(FleetFixture.activeRun(run, 100)), List.of());
-        RunnerDescriptor report = leaving.descriptor();
-        fleet.runnerRegistered(new RunnerDescriptor(
-                report.id(),
-                report.processStartEpochMs(),
-                report.service(),
-                report.address(),
-                report.dataCentre(),
-                report.rack(),
-                true,
-                report.capacity(),
-                report.labels()));
+        fleet.runnerRegistered(leaving.descriptor().asDraining());
         fixture.advanceMs(500);
         fixture.scheduleStarts();
         assertThat(fixture.scheduleStops()).as("without another runner").isEmpty();
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -169,6 +169,21 @@
         assertThat(runner.busy()).isFalse();
     }
 
+    /** Guards against a start on a runner that announced its end while its process was being verified. */
+    @Test
+    void startIsNotSentToARunnerThatDrainsDuringTheVerification() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.delayPollResponses(Duration.ofMillis(100));
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(50));
+        fleet.runnerRegistered(descriptor.asDraining());
+        loop.advance(Duration.ofMillis(100));
+        assertThat(calls.starts()).isEmpty();
+        assertThat(unansweredStarts).isZero();
+        assertThat(runner.busy()).isFalse();
+    }
+
     /** Guards against a poll for each start, which would double the calls of a leader that starts many tasks. */
     @Test
     void startsToOneRunnerShareAPoll() {
