Repeat a read of the configuration that has no answer on a new connection

Callers saw: a request was handled by an older configuration than one that had been confirmed two seconds before. Cause: the steps of the follower could add up to more than the two seconds. A read of changes on a connection that had gone silent ran into its timeout (1 s of waiting and 1 s of margin), then came a delay of up to 0.25 s, then a read on the next connection of the pool, which may be as silent as the first (1.5 s). After an outage, the last read that was sent into it ran for its 1.5 s, and the delay before the next one had grown to 1 s. The class: timeouts chosen one by one, without a bound for their sum. Change: HedgedRead. An answer about changes is overdue 0.25 s after the time for which the store may wait; the configuration is then read on a connection that is opened for it, and again after 0.4 s. The first answer ends the read. Attempts are at most 1 s apart, however long an outage is. AsyncHttpClient and StoreClient can open a connection for a call.

--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -3,24 +3,31 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.FleetConfiguration;
 
 /**
  * Follows the configuration in the store and provides the newest version that it has seen; never goes back to an older
  * one.
+ *
+ * <p>A version must be in force within two seconds of its confirmation by the store. The store answers a read of changes
+ * at the latest after {@link FleetConstants#CONFIGURATION_FOLLOW_WAIT}; a read without an answer is repeated soon after.
  */
 final class ConfigurationFollower {
 
-    /** Longest delay between two reads while the store does not answer. */
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
+    /** Time after which an answer of the store about changes is overdue, added to the time that the store may wait. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
+
+    /** Time after which the first read of the whole configuration is repeated if it has no answer. */
+    private static final Duration READ_PATIENCE = Duration.ofMillis(400);
 
     private final EventLoop loop;
     private final RecordStore store;
     private final ConfigurationSource source;
     private final DecisionLog log;
     private final FleetMetrics metrics;
-    private final RetryBackoff backoff;
+    private final HedgedRead<RecordStore.ReadResult> reads;
     private volatile FleetConfiguration current = FleetConfiguration.NONE;
     /** When the read was sent whose answer was the last one. */
     private volatile long answeredReadSentNanos;
@@ -45,7 +52,12 @@
         this.log = log;
         this.metrics = metrics;
         this.answeredReadSentNanos = loop.nowNanos();
-        this.backoff = new RetryBackoff(FleetConstants.STORE_RETRY_DELAY, MAX_RETRY_DELAY, random);
+        this.reads = new HedgedRead<>(
+                loop,
+                random,
+                result -> !(result instanceof RecordStore.ReadResult.Failed),
+                new ReadListener(),
+                () -> false);
     }
 
     void start() {
@@ -66,39 +78,37 @@
     }
 
     private void readAll() {
-        long sentNanos = loop.nowNanos();
-        store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {
-            metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
-            if (result instanceof RecordStore.ReadResult.Page page) {
-                apply(page, sentNanos);
-                follow(page.version());
-            } else {
-                reportFailure(result.toString());
-                loop.schedule(backoff.next(), this::readAll);
-            }
-        });
+        reads.start(this::sendRead, READ_PATIENCE, this::sendReadOnNewConnection, this::onAnswer);
     }
 
     private void follow(long version) {
-        long sentNanos = loop.nowNanos();
-        store.follow(RecordStore.Table.CONFIGURATION, version, FleetConstants.CONFIGURATION_FOLLOW_WAIT, result -> {
-            metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(result));
-            switch (result) {
-                case RecordStore.ReadResult.Page page -> {
-                    apply(page, sentNanos);
-                    follow(page.version());
-                }
-                case RecordStore.ReadResult.HistoryLost lost -> readAll();
-                case RecordStore.ReadResult.Failed failed -> {
-                    reportFailure(failed.cause());
-                    loop.schedule(backoff.next(), this::readAll);
-                }
-            }
-        });
+        Duration wait = FleetConstants.CONFIGURATION_FOLLOW_WAIT;
+        reads.start(
+                callback -> store.follow(RecordStore.Table.CONFIGURATION, version, wait, callback),
+                wait.plus(ANSWER_MARGIN),
+                this::sendReadOnNewConnection,
+                this::onAnswer);
+    }
+
+    private void sendRead(Consumer<RecordStore.ReadResult> callback) {
+        store.read(RecordStore.Table.CONFIGURATION, "", null, callback);
+    }
+
+    private void sendReadOnNewConnection(Consumer<RecordStore.ReadResult> callback) {
+        store.readOnNewConnection(RecordStore.Table.CONFIGURATION, "", null, callback);
+    }
+
+    private void onAnswer(HedgedRead.Success<RecordStore.ReadResult> success) {
+        metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.of(success.result()));
+        if (success.result() instanceof RecordStore.ReadResult.Page page) {
+            apply(page, success.sentNanos());
+            follow(page.version());
+        } else {
+            readAll();
+        }
     }
 
     private void apply(RecordStore.ReadResult.Page page, long sentNanos) {
-        backoff.reset();
         if (failing) {
             failing = false;
             log.storeState("store-regained", "configuration read");
@@ -130,10 +140,20 @@
         }
     }
 
-    private void reportFailure(String cause) {
-        if (!failing) {
-            failing = true;
-            log.storeState("store-lost", cause);
+    private final class ReadListener implements HedgedRead.Listener<RecordStore.ReadResult> {
+
+        @Override
+        public void onFailure(RecordStore.ReadResult result) {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.FAILED);
+            if (!failing) {
+                failing = true;
+                log.storeState("store-lost", result.toString());
+            }
+        }
+
+        @Override
+        public void onRepetition(Duration waited) {
+            log.readRepeated("configuration", waited.toMillis());
         }
     }
 }
--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -40,6 +40,11 @@
         store.read(table, from, to, result -> recordRead(result, callback));
     }
 
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+        store.readOnNewConnection(table, from, to, result -> recordRead(result, callback));
+    }
+
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         store.follow(table, afterVersion, wait, result -> recordRead(result, callback));
--- a/src/main/java/org/tamarackline/fleet/PlatformRunnerDirectory.java
+++ b/src/main/java/org/tamarackline/fleet/PlatformRunnerDirectory.java
@@ -14,4 +14,12 @@
      * read.
      */
     void list(Consumer<Optional<List<RunnerDescriptor>>> callback);
+
+    /**
+     * Reads as {@link #list} does, but over connections that are opened for it, because connections that are already open
+     * may have gone silent. A directory without connections reads as {@link #list} does.
+     */
+    default void listOnNewConnections(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+        list(callback);
+    }
 }
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -22,6 +22,12 @@
      */
     void read(Table table, String from, String to, Consumer<ReadResult> callback);
 
+    /**
+     * Reads as {@link #read} does, but over a connection that is opened for it, because connections that are already open
+     * may have gone silent.
+     */
+    void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback);
+
     /**
      * Reads the changes of a table after a version; waits for a change if there is none.
      *
--- a/src/main/java/org/tamarackline/http/AsyncHttpClient.java
+++ b/src/main/java/org/tamarackline/http/AsyncHttpClient.java
@@ -16,6 +16,8 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -38,6 +40,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(900);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
 
+    /** Tag that keeps requests on new connections apart from the pooled connections to the same address. */
+    private static final String NEW_CONNECTION_TAG = "new-connection";
+
     private final HttpClient client;
 
     /**
@@ -86,24 +91,43 @@
             byte[] body,
             Duration timeout,
             Consumer<HttpCallResult> callback) {
-        ResponseListener listener = new ResponseListener(callback);
-        if (!Addresses.isIpAndPort(address)) {
+        send(new Call(method, address, target, headers, body, timeout), false, new ResponseListener(callback));
+    }
+
+    /**
+     * Sends a request like {@link #call}, but over a connection that is opened for it and closed after it. An open
+     * connection may have gone silent without having been closed.
+     */
+    public void callOnNewConnection(
+            String method,
+            String address,
+            String target,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout,
+            Consumer<HttpCallResult> callback) {
+        send(new Call(method, address, target, headers, body, timeout), true, new ResponseListener(callback));
+    }
+
+    /** The parameters of {@link #call}, without the callback. */
+    @SuppressWarnings("ArrayRecordComponent")
+    private record Call(
+            String method, String address, String target, Map<String, String> headers, byte[] body, Duration timeout) {}
+
+    private void send(Call call, boolean newConnection, ResponseListener listener) {
+        if (!Addresses.isIpAndPort(call.address())) {
             listener.complete(new HttpCallResult.NoResponse(true, "the address is not an IPv4 address and a port"));
             return;
         }
         Request request;
         try {
-            request = client.newRequest(Addresses.host(address), Addresses.port(address))
-                    .method(method)
-                    .path(target)
-                    .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-                    .headers(fields -> headers.forEach(fields::put));
+            request = toRequest(call);
         } catch (RuntimeException failure) {
             listener.complete(new HttpCallResult.NoResponse(true, describe(failure)));
             return;
         }
-        if (body != null) {
-            request.body(new BytesRequestContent("application/json", body));
+        if (newConnection) {
+            request.tag(NEW_CONNECTION_TAG).headers(fields -> fields.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
         }
         try {
             request.send(listener);
@@ -113,6 +137,15 @@
         }
     }
 
+    private Request toRequest(Call call) {
+        Request request = client.newRequest(Addresses.host(call.address()), Addresses.port(call.address()))
+                .method(call.method())
+                .path(call.target())
+                .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
+                .headers(fields -> call.headers().forEach(fields::put));
+        return call.body() == null ? request : request.body(new BytesRequestContent("application/json", call.body()));
+    }
+
     /** Describes a failure without the addresses and states of the client's objects that its message may contain. */
     static String describe(Throwable failure) {
         String type = failure.getClass().getSimpleName();
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -45,6 +45,14 @@
     /** Holds the rows of operators and runners; its name is empty. */
     private static final String SHARED_PARTITION = "";
 
+    /** Connections that the calls of a read use. */
+    private enum Connections {
+        /** Open ones, if any are idle. */
+        POOLED,
+        /** One that is opened for each call. */
+        NEW
+    }
+
     private final AsyncHttpClient http;
     private final EventLoop loop;
     private final RejectedEntries rejectedEntries;
@@ -145,12 +153,21 @@
 
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
+        read(Connections.POOLED, table, from, to, callback);
+    }
+
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+        read(Connections.NEW, table, from, to, callback);
+    }
+
+    private void read(Connections connections, Table table, String from, String to, Consumer<ReadResult> callback) {
         // The platform calls the end of the range a target.
         String endParameter = to == null ? "" : "&target=" + urlEncode(to);
         String target = "/-/rows-get?table=" + nameOf(table) + "&part=" + partitionOf(table) + "&from="
                 + urlEncode(from) + endParameter + "&limit=" + PAGE_ROWS;
         long sentNanos = loop.nowNanos();
-        call("GET", target, null, READ_TIMEOUT, result -> callback.accept(toReadResult(result, sentNanos)));
+        read(connections, target, result -> callback.accept(toReadResult(result, sentNanos)));
     }
 
     @Override
@@ -229,10 +246,16 @@
 
     @Override
     public void list(Consumer<Optional<List<RunnerDescriptor>>> callback) {
-        listFrom("", new ArrayList<>(), new LinkedHashMap<>(), callback);
+        listFrom(Connections.POOLED, "", new ArrayList<>(), new LinkedHashMap<>(), callback);
+    }
+
+    @Override
+    public void listOnNewConnections(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+        listFrom(Connections.NEW, "", new ArrayList<>(), new LinkedHashMap<>(), callback);
     }
 
     private void listFrom(
+            Connections connections,
             String from,
             List<RunnerDescriptor> runners,
             Map<String, String> rejectionReasons,
@@ -240,7 +263,7 @@
         String target =
                 "/-/rows-get?table=" + DIRECTORY_TABLE + "&part=&from=" + urlEncode(from) + "&limit=" + PAGE_ROWS;
         long sentNanos = loop.nowNanos();
-        call("GET", target, null, READ_TIMEOUT, result -> {
+        read(connections, target, result -> {
             Optional<JsonNode> root = result instanceof HttpCallResult.Response response && response.status() == 200
                     ? parse(response, sentNanos)
                     : Optional.empty();
@@ -261,7 +284,7 @@
                 rejectedEntries.onReading(rejectionReasons);
                 callback.accept(Optional.of(runners));
             } else if (isAfter(lastKey, from)) {
-                listFrom(lastKey + "\u0000", runners, rejectionReasons, callback);
+                listFrom(connections, lastKey + "\u0000", runners, rejectionReasons, callback);
             } else {
                 // A page that does not advance would be read again and again.
                 callback.accept(Optional.empty());
@@ -275,14 +298,17 @@
     }
 
     private void call(String method, String target, byte[] body, Duration timeout, Consumer<HttpCallResult> callback) {
-        http.call(
-                method,
-                address,
-                target,
-                Map.of(),
-                body,
-                timeout,
-                result -> loop.execute(() -> callback.accept(result)));
+        Consumer<HttpCallResult> onLoop = result -> loop.execute(() -> callback.accept(result));
+        http.call(method, address, target, Map.of(), body, timeout, onLoop);
+    }
+
+    private void read(Connections connections, String target, Consumer<HttpCallResult> callback) {
+        Consumer<HttpCallResult> onLoop = result -> loop.execute(() -> callback.accept(result));
+        if (connections == Connections.NEW) {
+            http.callOnNewConnection("GET", address, target, Map.of(), null, READ_TIMEOUT, onLoop);
+        } else {
+            http.call("GET", address, target, Map.of(), null, READ_TIMEOUT, onLoop);
+        }
     }
 
     /** Parses a response, and records the reading of the store's clock in it. */
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -223,6 +223,11 @@
         });
     }
 
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+        read(table, from, to, callback);
+    }
+
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -38,6 +38,11 @@
             loop.execute(() -> callback.accept(new ReadResult.Page(List.of(), 1, false)));
         }
 
+        @Override
+        public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+            read(table, from, to, callback);
+        }
+
         @Override
         public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
             followsSentNanos.add(loop.nowNanos());
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -51,6 +51,11 @@
         shared.read(table, from, to, result -> loop.execute(() -> callback.accept(result)));
     }
 
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+        read(table, from, to, callback);
+    }
+
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         if (refused) {
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -30,6 +30,7 @@
         private final Map<String, RunnerDescriptor> directory = new TreeMap<>();
         private boolean cut;
         private boolean loseHistory;
+        private int silentConnections;
         private double lostResponses;
         private double lateWrites;
         private double rejections;
@@ -64,6 +65,22 @@
             loseHistory = true;
         }
 
+        /**
+         * Makes open connections to the store go silent: the next reads that do not open a connection get no response.
+         */
+        void silenceConnections(int count) {
+            silentConnections = count;
+        }
+
+        /** Returns how many open connections are still to go silent. */
+        int silentConnections() {
+            return silentConnections;
+        }
+
+        private boolean takeSilentConnection() {
+            return silentConnections > 0 && silentConnections-- > 0;
+        }
+
         /** Returns the directory as the node sees it. */
         Map<String, RunnerDescriptor> directory() {
             return directory;
@@ -99,16 +116,18 @@
         private final long sentNanos = loop.nowNanos();
         private final boolean responseLost = link.happens(link.lostResponses);
         private final Duration responseLatency = link.latency();
+        private final boolean silent;
         private boolean over;
 
-        Call(Duration timeout, T noResponse, T rejection, Consumer<T> callback) {
+        Call(boolean silent, Duration timeout, T noResponse, T rejection, Consumer<T> callback) {
+            this.silent = silent;
             this.callback = callback;
             this.rejection = rejection;
             loop.schedule(timeout, () -> end(noResponse));
         }
 
         void send(Runnable execution) {
-            boolean lost = link.cut;
+            boolean lost = silent || link.cut;
             boolean rejected = link.happens(link.rejections);
             shared.schedule(link.latency().plus(store.additionalLatency()), () -> {
                 if (lost || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
@@ -157,6 +176,7 @@
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
         Call<TransactionResult> call = new Call<>(
+                false,
                 WRITE_TIMEOUT,
                 new TransactionResult.Unknown("no response"),
                 new TransactionResult.NotApplied("status 503"),
@@ -174,7 +194,16 @@
 
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
-        Call<ReadResult> call = readCall(READ_TIMEOUT, callback);
+        read(link.takeSilentConnection(), table, from, to, callback);
+    }
+
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
+        read(false, table, from, to, callback);
+    }
+
+    private void read(boolean silent, Table table, String from, String to, Consumer<ReadResult> callback) {
+        Call<ReadResult> call = readCall(silent, READ_TIMEOUT, callback);
         call.send(() -> {
             NavigableMap<String, Entry> rows = store.table(table);
             Map<String, Entry> range = to == null ? rows.tailMap(from, true) : rows.subMap(from, true, to, false);
@@ -183,13 +212,14 @@
         });
     }
 
-    private Call<ReadResult> readCall(Duration timeout, Consumer<ReadResult> callback) {
-        return new Call<>(timeout, new ReadResult.Failed("no response"), new ReadResult.Failed("status 503"), callback);
+    private Call<ReadResult> readCall(boolean silent, Duration timeout, Consumer<ReadResult> callback) {
+        return new Call<>(
+                silent, timeout, new ReadResult.Failed("no response"), new ReadResult.Failed("status 503"), callback);
     }
 
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
-        Call<ReadResult> call = readCall(wait.plus(FOLLOW_TIMEOUT_MARGIN), callback);
+        Call<ReadResult> call = readCall(link.takeSilentConnection(), wait.plus(FOLLOW_TIMEOUT_MARGIN), callback);
         call.send(() -> {
             if (link.loseHistory) {
                 link.loseHistory = false;
@@ -254,8 +284,17 @@
 
     @Override
     public void list(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+        list(link.takeSilentConnection(), callback);
+    }
+
+    @Override
+    public void listOnNewConnections(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+        list(false, callback);
+    }
+
+    private void list(boolean silent, Consumer<Optional<List<RunnerDescriptor>>> callback) {
         Call<Optional<List<RunnerDescriptor>>> call =
-                new Call<>(READ_TIMEOUT, Optional.empty(), Optional.empty(), callback);
+                new Call<>(silent, READ_TIMEOUT, Optional.empty(), Optional.empty(), callback);
         call.send(() -> call.respond(Optional.of(List.copyOf(link.directory.values()))));
     }
 }
