Repeat a read of the directory that has no answer on a new connection

Callers saw: a task was started on a runner more than two seconds after the store had confirmed that it was leaving. Cause: the leader read the directory every 0.9 s, but a read on a connection that had gone silent ran into its timeout of 1.5 s, and the next one followed 0.9 s after that, on the next connection of the pool. Starts went on by the old directory for 2.2 s and more. Change: DirectoryFollower takes the reading out of Leader and uses HedgedRead: a read without an answer is repeated after 0.4 s on a new connection, and a failed one after 0.13 to 0.25 s at first.

--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
@@ -0,0 +1,103 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.tamarackline.core.fleet.RunnerDescriptor;
+
+/**
+ * Reads the directory of runners at intervals, from a takeover of the leadership until the leader ends. A runner that is
+ * about to leave says so in the directory, and must get no starts soon after.
+ */
+final class DirectoryFollower {
+
+    /** Time after which a read is repeated if it has no answer. */
+    private static final Duration READ_PATIENCE = Duration.ofMillis(400);
+
+    private final EventLoop loop;
+    private final PlatformRunnerDirectory directory;
+    private final DecisionLog log;
+    private final FleetMetrics metrics;
+    private final HedgedRead<Optional<List<RunnerDescriptor>>> reads;
+    private final BooleanSupplier stopped;
+    private final Consumer<List<RunnerDescriptor>> onRead;
+    private long answeredReadSentNanos;
+
+    /**
+     * Creates a follower that has not read the directory.
+     *
+     * @param random spreads the retries of the nodes
+     * @param stopped whether to stop reading
+     * @param onRead receives the directory each time it is read
+     */
+    DirectoryFollower(
+            NodeServices services, Random random, BooleanSupplier stopped, Consumer<List<RunnerDescriptor>> onRead) {
+        this.loop = services.loop();
+        this.directory = services.directory();
+        this.log = services.log();
+        this.metrics = services.metrics();
+        this.stopped = stopped;
+        this.onRead = onRead;
+        this.answeredReadSentNanos = loop.nowNanos();
+        this.reads = new HedgedRead<>(loop, random, Optional::isPresent, new ReadListener(), stopped);
+    }
+
+    /** Returns the time since the read was sent whose answer was the last one, in milliseconds. */
+    long ageMs() {
+        return (loop.nowNanos() - answeredReadSentNanos) / 1_000_000;
+    }
+
+    /** Reads the directory once; {@code callback} runs after the attempt, whether or not it succeeded. */
+    void readOnce(Runnable callback) {
+        long sentNanos = loop.nowNanos();
+        directory.list(descriptors -> {
+            recordRead(descriptors.isPresent());
+            descriptors.ifPresent(list -> apply(list, sentNanos));
+            callback.run();
+        });
+    }
+
+    /** Starts to read the directory at intervals. */
+    void start() {
+        loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::read);
+    }
+
+    private void read() {
+        reads.start(directory::list, READ_PATIENCE, directory::listOnNewConnections, success -> {
+            recordRead(true);
+            if (stopped.getAsBoolean()) {
+                return;
+            }
+            // Scheduled first, so that a directory which cannot be applied is not the last one that is read.
+            start();
+            apply(success.result().orElseThrow(), success.sentNanos());
+        });
+    }
+
+    private void apply(List<RunnerDescriptor> descriptors, long sentNanos) {
+        answeredReadSentNanos = sentNanos;
+        onRead.accept(descriptors);
+    }
+
+    private void recordRead(boolean read) {
+        FleetMetrics.ReadOutcome outcome = read ? FleetMetrics.ReadOutcome.READ : FleetMetrics.ReadOutcome.FAILED;
+        metrics.readCompleted(FleetMetrics.ReadPurpose.DIRECTORY, outcome);
+    }
+
+    private final class ReadListener implements HedgedRead.Listener<Optional<List<RunnerDescriptor>>> {
+
+        @Override
+        public void onFailure(Optional<List<RunnerDescriptor>> result) {
+            recordRead(false);
+        }
+
+        @Override
+        public void onRepetition(Duration waited) {
+            log.readRepeated("directory", waited.toMillis());
+        }
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.Fleet;
@@ -23,7 +24,6 @@
 
     private final EventLoop loop;
     private final RecordStore store;
-    private final PlatformRunnerDirectory directory;
     private final InstantSource timeOfDay;
     private final DecisionLog log;
     private final FleetMetrics metrics;
@@ -37,6 +37,7 @@
     private final Fleet fleet;
     private final LeaderContext context;
     private final RunnerSessions sessions;
+    private final DirectoryFollower directory;
     private final JobFeed jobFeed;
     private final StoredProgress progress = new StoredProgress();
     private final LoopDelay loopDelay = new LoopDelay();
@@ -54,7 +55,6 @@
     private int samplesSinceLog;
     private long sequenceVersion;
     private long storeRespondedNanos;
-    private long directoryRequestedNanos;
 
     /**
      * Creates a leader whose record is stored.
@@ -65,7 +65,6 @@
     Leader(NodeServices services, PeerCalls peers, LeaderRecord record, long leaderVersion, Consumer<String> onEnded) {
         this.loop = services.loop();
         this.store = services.store();
-        this.directory = services.directory();
         this.timeOfDay = services.timeOfDay();
         this.log = services.log();
         this.metrics = services.metrics();
@@ -74,7 +73,6 @@
         this.onEnded = onEnded;
         this.takeoverNanos = loop.nowNanos();
         this.storeRespondedNanos = takeoverNanos;
-        this.directoryRequestedNanos = takeoverNanos;
         // The steady clock does not advance while the machine is suspended, so bounds from readings taken before a
         // suspension are too early.
         store.clock().discardReadingsBefore(takeoverNanos);
@@ -85,6 +83,8 @@
         this.fleet = new Fleet(record.epoch(), new CountingObserver(metrics, log), loop);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics);
         this.sessions = new RunnerSessions(context, this, record.epoch(), earlierLeaders, store.clock());
+        this.directory = new DirectoryFollower(
+                services, new Random(record.epoch()), () -> ended || resigned, this::applyDirectory);
         this.jobFeed = new JobFeed(services, tables, fleet.jobs(), leaderVersion, this);
     }
 
@@ -218,29 +218,18 @@
     }
 
     private void readDirectory() {
-        long requestedNanos = loop.nowNanos();
-        directory.list(descriptors -> {
-            recordDirectoryRead(descriptors.isPresent());
-            descriptors.ifPresent(list -> applyDirectory(list, requestedNanos));
-            tables.readAll(
-                    RecordStore.Table.PROGRESS,
-                    this::readProgressEntry,
-                    version -> jobFeed.readAll(progress, this::finishLoading));
-        });
-    }
-
-    private void applyDirectory(List<RunnerDescriptor> descriptors, long requestedNanos) {
-        directoryRequestedNanos = requestedNanos;
-        sessions.applyDirectory(descriptors, directoryAgeMs());
-    }
-
-    private long directoryAgeMs() {
-        return (loop.nowNanos() - directoryRequestedNanos) / 1_000_000;
+        directory.readOnce(() -> tables.readAll(
+                RecordStore.Table.PROGRESS,
+                this::readProgressEntry,
+                version -> jobFeed.readAll(progress, this::finishLoading)));
     }
 
-    private void recordDirectoryRead(boolean read) {
-        FleetMetrics.ReadOutcome outcome = read ? FleetMetrics.ReadOutcome.READ : FleetMetrics.ReadOutcome.FAILED;
-        metrics.readCompleted(FleetMetrics.ReadPurpose.DIRECTORY, outcome);
+    private void applyDirectory(List<RunnerDescriptor> descriptors) {
+        onStoreResponse();
+        sessions.applyDirectory(descriptors, directory.ageMs());
+        if (loaded) {
+            sessions.addRegisteredToRoster(committer);
+        }
     }
 
     private void readProgressEntry(RecordStore.Entry entry) throws CorruptRecordException {
@@ -283,7 +272,7 @@
         sessions.addRegisteredToRoster(committer);
         jobFeed.follow();
         new HeldJobLoader(loop, store, context, jobFeed, committer, timeOfDay, this::leading).start();
-        loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
+        directory.start();
         tickDueNanos = loop.nowNanos();
         tick();
     }
@@ -324,7 +313,7 @@
                 unansweredStarts,
                 loopDelay.getAndResetMaxMs(),
                 storeAgeMs(),
-                directoryAgeMs()));
+                directory.ageMs()));
     }
 
     private String loadSummary() {
@@ -335,28 +324,6 @@
                         (loop.nowNanos() - takeoverNanos) / 1_000_000);
     }
 
-    // ---- Following the directory
-
-    private void pollDirectory() {
-        if (ended || resigned) {
-            return;
-        }
-        long requestedNanos = loop.nowNanos();
-        directory.list(descriptors -> {
-            recordDirectoryRead(descriptors.isPresent());
-            if (ended || resigned) {
-                return;
-            }
-            // Scheduled first, so that a directory which cannot be applied is not the last one that is read.
-            loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::pollDirectory);
-            descriptors.ifPresent(list -> {
-                onStoreResponse();
-                applyDirectory(list, requestedNanos);
-                sessions.addRegisteredToRoster(committer);
-            });
-        });
-    }
-
     // ---- Scheduling
 
     private void tick() {
--- a/src/test/java/org/tamarackline/fleet/LeaderFixture.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderFixture.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.tamarackline.core.fleet.EndReason;
@@ -25,12 +26,15 @@
 final class LeaderFixture {
 
     private static final Duration LATENCY = Duration.ofMillis(2);
+    private static final Duration DIRECTORY_TIMEOUT = Duration.ofMillis(1_500);
 
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final Map<String, ProtocolRunner> runners = new TreeMap<>();
     private final ProtocolRunnerCalls calls = new ProtocolRunnerCalls(loop, loop, new FaultFreeConnections());
+    private final FixtureDirectory directory = new FixtureDirectory();
     private final List<TaskKey> starts = new ArrayList<>();
+    private final Map<String, Long> lastStartsNanos = new TreeMap<>();
     private final Set<TaskKey> running = new HashSet<>();
     private final List<RunnerStatus.EndedRun> acknowledgedEnds = new ArrayList<>();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
@@ -44,7 +48,7 @@
     LeaderFixture(int runnerCount, int runsPerRunner) {
         ProtocolRunner.Properties properties = ProtocolRunner.Properties.DEFAULT.withMaxRuns(runsPerRunner);
         for (int i = 0; i < runnerCount; i++) {
-            String address = "10.0.0." + i + ":80";
+            String address = addressOf(i);
             // As long as the identifiers of large fleets.
             String id = "runner-of-a-large-fleet-%03d".formatted(i);
             runners.put(address, new ProtocolRunner(id, address, loop, new RecordingObserver(), properties));
@@ -56,6 +60,7 @@
         @Override
         public void started(ProtocolRunner on, TaskKey task, long runNumber, long startEpoch) {
             starts.add(task);
+            lastStartsNanos.put(on.address(), loop.nowNanos());
             running.add(task);
         }
 
@@ -70,6 +75,29 @@
         }
     }
 
+    /** The entries of all runners, and open connections of which the next ones may be silent. */
+    private final class FixtureDirectory implements PlatformRunnerDirectory {
+
+        private int silentConnections;
+
+        @Override
+        public void list(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+            if (silentConnections > 0) {
+                silentConnections--;
+                loop.schedule(DIRECTORY_TIMEOUT, () -> callback.accept(Optional.empty()));
+            } else {
+                listOnNewConnections(callback);
+            }
+        }
+
+        @Override
+        public void listOnNewConnections(Consumer<Optional<List<RunnerDescriptor>>> callback) {
+            List<RunnerDescriptor> entries =
+                    runners.values().stream().map(ProtocolRunner::descriptor).toList();
+            loop.schedule(LATENCY, () -> callback.accept(Optional.of(entries)));
+        }
+    }
+
     private final class FaultFreeConnections implements ProtocolRunnerCalls.Connections {
 
         @Override
@@ -126,9 +154,7 @@
                 loop,
                 store,
                 calls,
-                callback -> callback.accept(Optional.of(runners.values().stream()
-                        .map(ProtocolRunner::descriptor)
-                        .toList())),
+                directory,
                 timeOfDay,
                 new DecisionLog(sink, timeOfDay, loop, "node"),
                 FleetMetrics.NONE);
@@ -149,6 +175,25 @@
         loop.advance(Duration.ofMillis(20));
     }
 
+    /** Makes a runner announce that it will leave, and the next connections on which the directory is read silent. */
+    void drainRunner(int number, int silentConnections) {
+        runners.get(addressOf(number)).drain();
+        directory.silentConnections = silentConnections;
+    }
+
+    /** Returns when a runner last started a run, on the clock of the fixture. */
+    long lastStartNanos(int number) {
+        return lastStartsNanos.getOrDefault(addressOf(number), 0L);
+    }
+
+    long nowNanos() {
+        return loop.nowNanos();
+    }
+
+    private static String addressOf(int number) {
+        return "10.0.0." + number + ":80";
+    }
+
     /** Returns the tasks of a job that were started, once for each start. */
     List<TaskKey> startsOf(String job) {
         return starts.stream().filter(task -> task.job().equals(job)).toList();
