Let the simulation of whole nodes change configurations, silence connections and reject placements, and check both promises

Change: SimulatedOperator stores versions and checks that each is in force within 2 s on every node in touch with the store for 3 s; LeavingRunners checks that such a node sends no start 2 s after its directory has shown that the runner leaves. New faults: connections that go silent, and progress that the store rejects for a while. Two new defects show that the checks can fail. A unit test each for a version that is read late and for a call on a new connection.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Predicate;
 
 /** Injects random faults into a {@link ClusterSimulation}; each seed uses a random part of the kinds of faults. */
 final class ClusterFaults {
@@ -69,6 +70,10 @@
             new Kind(
                     "store-loses-history",
                     (faults, runner, node) -> node.storeLink().loseHistory()),
+            new Kind(
+                    "connections-silent",
+                    (faults, runner, node) -> node.storeLink().silenceConnections(1 + faults.random.nextInt(3))),
+            new Kind("progress-rejected", (faults, runner, node) -> faults.rejectProgress(faults.between(500, 3_000))),
             new Kind("node-killed", (faults, runner, node) -> {
                 node.kill();
                 faults.later(faults.between(300, 5_000), node::start);
@@ -108,6 +113,7 @@
     private final double delayedCalls;
     private boolean active;
     private boolean disturbed;
+    private boolean rejectingProgress;
 
     ClusterFaults(ClusterSimulation cluster, Random random, Profile profile) {
         this.cluster = cluster;
@@ -322,6 +328,20 @@
         later(time, () -> cluster.store().setAdditionalLatency(Duration.ZERO));
     }
 
+    /** Makes the store reject the progress of all jobs for some time, so that their placements are stored later. */
+    private void rejectProgress(Duration time) {
+        if (rejectingProgress) {
+            return;
+        }
+        rejectingProgress = true;
+        Predicate<RecordStore.Write> lasting = cluster.store().rejectedWrites();
+        cluster.store().setRejectedWrites(write -> ClusterSimulation.isProgressOfAJob(write) || lasting.test(write));
+        later(time, () -> {
+            rejectingProgress = false;
+            cluster.store().setRejectedWrites(lasting);
+        });
+    }
+
     private void loseStoreResponses(SimulatedNode node, Duration time) {
         node.storeLink().setFaultRates(0.5, 0.2, 0);
         later(time, () -> node.storeLink().setFaultRates(0, 0, 0));
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -45,7 +45,11 @@
         /** The store applies transactions whose conditions do not hold. */
         STORE_IGNORES_CONDITIONS,
         /** Ended runs are acknowledged before they are stored. */
-        ENDS_ACKNOWLEDGED_BEFORE_STORED
+        ENDS_ACKNOWLEDGED_BEFORE_STORED,
+        /** The store shows no changes of the configuration to the nodes that follow it. */
+        CONFIGURATION_CHANGES_HIDDEN,
+        /** The directory does not show the nodes which runners will leave. */
+        LEAVING_RUNNERS_HIDDEN
     }
 
     private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
@@ -116,6 +120,9 @@
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
     private final Set<String> cutNodePairs = new TreeSet<>();
     private final Set<String> cutRunnerLinks = new TreeSet<>();
+    private final NodeContacts contacts;
+    private final SimulatedOperator operator;
+    private final LeavingRunners leavingRunners;
     private final ClusterFaults faults;
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
     private final LineSink log;
@@ -157,6 +164,12 @@
         this.gangs = new SimulatedGangs(loop, history, new Random(random.nextLong()));
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
+        if (defect == Defect.CONFIGURATION_CHANGES_HIDDEN) {
+            store.hideChanges(RecordStore.Table.CONFIGURATION);
+        }
+        this.contacts = new NodeContacts(loop, store);
+        this.operator = new SimulatedOperator(loop, store, contacts, history, new Random(random.nextLong()));
+        this.leavingRunners = new LeavingRunners(loop, contacts, history);
         this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
         int pageRows = random.nextBoolean() ? 500 : 10;
         int fastNode = random.nextInt(NODES);
@@ -214,6 +227,7 @@
 
     /** Runs the phase with faults and the phase without. */
     void run() {
+        operator.start();
         nodes.forEach(SimulatedNode::start);
         for (int i = 0; i < 3; i++) {
             submit(longRunningJob());
@@ -234,7 +248,14 @@
     }
 
     private static boolean isProgressOfEveryTenthJob(RecordStore.Write write) {
-        return write.table() == RecordStore.Table.PROGRESS && write.value() != null && isEveryTenthJob(write.key());
+        return isProgressOfAJob(write) && isEveryTenthJob(write.key());
+    }
+
+    /** Returns whether a write stores the progress of a job. */
+    static boolean isProgressOfAJob(RecordStore.Write write) {
+        return write.table() == RecordStore.Table.PROGRESS
+                && write.value() != null
+                && write.key().startsWith("job");
     }
 
     private static boolean isEveryTenthJob(String progressKey) {
@@ -491,7 +512,11 @@
     void drainRunner(ProtocolRunner runner, Duration delay) {
         runner.drain();
         history.event(runner.id(), "drains");
-        register(runner, Duration.ZERO, millis(800));
+        if (defect != Defect.LEAVING_RUNNERS_HIDDEN) {
+            register(runner, Duration.ZERO, millis(800));
+        } else {
+            nodes.forEach(node -> leavingRunners.onEntry(node, runner.id(), true));
+        }
         int process = runner.process();
         loop.schedule(delay, () -> {
             if (runner.process() == process && runner.up()) {
@@ -512,6 +537,8 @@
                     + random.nextInt((int) maxDelay.minus(minDelay).toMillis());
             loop.schedule(millis(delayMs), () -> {
                 if (directorySequences.get(id) == sequence) {
+                    leavingRunners.onEntry(
+                            node, id, entry.filter(RunnerDescriptor::draining).isPresent());
                     applyToDirectory(node.storeLink().directory(), id, entry);
                 }
             });
@@ -649,6 +676,7 @@
 
         @Override
         public void startSent(RunnerDescriptor runner, RunnerCalls.StartCommand command) {
+            leavingRunners.onStartSent(node, runner.id(), command);
             history.startSent(
                     describeSender(command.epoch()), command.task(), command.runNumber(), command.epoch(), runner.id());
         }
@@ -672,6 +700,8 @@
     // ---- Checks
 
     private void sample() {
+        contacts.sample(nodes);
+        operator.check(nodes);
         for (SimulatedNode node : nodes) {
             node.leader().ifPresent(leader -> sampleStates(node, leader));
         }
--- a/src/test/java/org/tamarackline/fleet/ConfigurationFollowerTest.java
+++ b/src/test/java/org/tamarackline/fleet/ConfigurationFollowerTest.java
@@ -4,13 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.tamarackline.core.fleet.FleetConfiguration;
 import org.tamarackline.logging.LineSink;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -33,24 +31,13 @@
     private final ConfigurationFollower follower = new ConfigurationFollower(
             loop,
             client,
-            ConfigurationFollowerTest::decode,
+            ConfigurationRecords::decode,
             new DecisionLog(sink, () -> Instant.EPOCH, loop, "node"),
             FleetMetrics.NONE,
             new Random(1));
 
-    static Optional<FleetConfiguration> decode(RecordStore.Entry entry) {
-        long version = Long.parseLong(new String(entry.value(), StandardCharsets.UTF_8));
-        return Optional.of(new FleetConfiguration(version, List.of()));
-    }
-
-    static RecordStore.Transaction configuration(long version) {
-        byte[] value = Long.toString(version).getBytes(StandardCharsets.UTF_8);
-        return new RecordStore.Transaction(
-                List.of(), List.of(new RecordStore.Write(RecordStore.Table.CONFIGURATION, "config", value)));
-    }
-
     private void startWithVersion1() {
-        store.apply(configuration(1));
+        store.apply(ConfigurationRecords.storing(1));
         follower.start();
         loop.advance(Duration.ofSeconds(5));
         assertThat(follower.current().version()).isEqualTo(1);
@@ -73,7 +60,7 @@
         while (link.silentConnections() == silentConnections) {
             loop.advance(STEP);
         }
-        store.apply(configuration(2));
+        store.apply(ConfigurationRecords.storing(2));
         assertThat(timeUntilVersion2IsInForce()).isLessThan(APPLY_BOUND);
     }
 
@@ -84,11 +71,23 @@
         startWithVersion1();
         store.setAvailability(SimulatedStore.Availability.SILENT);
         loop.advance(OUTAGE.plusMillis(furtherMs));
-        store.apply(configuration(2));
+        store.apply(ConfigurationRecords.storing(2));
         store.setAvailability(SimulatedStore.Availability.AVAILABLE);
         assertThat(timeUntilVersion2IsInForce()).isLessThan(APPLY_BOUND);
     }
 
+    /** Guards against an older version that is in force again because a record of it was read later. */
+    @Test
+    void olderVersionIsNotInstalled() {
+        startWithVersion1();
+        store.apply(ConfigurationRecords.storing(3));
+        loop.advance(APPLY_BOUND);
+        store.apply(ConfigurationRecords.storing(2));
+        link.loseHistory();
+        loop.advance(Duration.ofSeconds(5));
+        assertThat(follower.current().version()).isEqualTo(3);
+    }
+
     /** Guards against a repetition for each answer of a store that is slow but sound. */
     @ParameterizedTest
     @ValueSource(ints = {50, 100})
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -59,6 +59,10 @@
         LONG_RUNNING_TASK_STOPPED,
         /** A run of a cancelled job long after the faults. */
         CANCELLED_JOB_RUNS,
+        /** A start sent long after the directory has shown that the runner will leave. */
+        STARTED_ON_LEAVING_RUNNER,
+        /** A configuration that is not in force in time on a node in touch with the store. */
+        CONFIGURATION_LATE,
         /** A run that ended with its lease although only the store was unavailable for a while. */
         LEASE_EXPIRED_IN_STORE_OUTAGE,
         /** A leader that was replaced although only the store was unavailable for a while. */
--- a/src/test/java/org/tamarackline/fleet/SimulatedNode.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedNode.java
@@ -23,8 +23,15 @@
      * @param loop event loop of the process
      * @param election election of the process
      * @param requests handler of requests about jobs
+     * @param configuration configuration in force in the process
+     * @param startNanos when the process started
      */
-    record NodeProcess(SimulatedNodeLoop loop, Election election, JobRequestHandler requests) {
+    record NodeProcess(
+            SimulatedNodeLoop loop,
+            Election election,
+            JobRequestHandler requests,
+            ConfigurationFollower configuration,
+            long startNanos) {
 
         Optional<Leader> leader() {
             return election.leader();
@@ -114,11 +121,13 @@
         long incarnation = random.nextLong();
         Election election = new Election(services, storeContact, peers, settings, incarnation);
         ConfigurationFollower configuration = new ConfigurationFollower(
-                loop, monitored, entry -> Optional.empty(), decisionLog, FleetMetrics.NONE, new Random(incarnation));
+                loop, monitored, ConfigurationRecords::decode, decisionLog, FleetMetrics.NONE, new Random(incarnation));
         process = new NodeProcess(
                 loop,
                 election,
-                new JobRequestHandler(loop, monitored, storeContact, election, peers, FleetMetrics.NONE, timeOfDay));
+                new JobRequestHandler(loop, monitored, storeContact, election, peers, FleetMetrics.NONE, timeOfDay),
+                configuration,
+                shared.nowNanos());
         stopping = false;
         loop.execute(configuration::start);
         loop.execute(election::start);
--- a/src/test/java/org/tamarackline/fleet/SimulatedStore.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStore.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
@@ -28,6 +30,7 @@
 
     private final ManualLoop loop;
     private final boolean checksConditions;
+    private final Set<RecordStore.Table> tablesWithoutChanges = EnumSet.noneOf(RecordStore.Table.class);
     private final Map<RecordStore.Table, TreeMap<String, RecordStore.Entry>> tables =
             new EnumMap<>(RecordStore.Table.class);
     private final List<RecordStore.Entry> history = new ArrayList<>();
@@ -53,6 +56,10 @@
         availability = next;
     }
 
+    Predicate<RecordStore.Write> rejectedWrites() {
+        return rejectedWrites;
+    }
+
     /** Makes the store reject the transactions with such a write, whenever they are sent. */
     void setRejectedWrites(Predicate<RecordStore.Write> next) {
         rejectedWrites = next;
@@ -120,9 +127,17 @@
         history.add(entry);
     }
 
+    /** Makes the store show no changes of a table to those who follow it. */
+    void hideChanges(RecordStore.Table table) {
+        tablesWithoutChanges.add(table);
+    }
+
     /** Returns the changes of a table after a version, oldest first. */
     List<RecordStore.Entry> changes(RecordStore.Table table, long afterVersion) {
         List<RecordStore.Entry> changes = new ArrayList<>();
+        if (tablesWithoutChanges.contains(table)) {
+            return changes;
+        }
         for (int i = history.size() - 1; i >= 0 && history.get(i).version() > afterVersion; i--) {
             if (history.get(i).table() == table) {
                 changes.addFirst(history.get(i));
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -53,6 +53,11 @@
             return cut;
         }
 
+        /** Returns whether calls of the node fail; connections that have gone silent do not count. */
+        boolean disturbed() {
+            return cut || lostResponses > 0 || lateWrites > 0 || rejections > 0;
+        }
+
         /** Sets the probabilities of single faults of a call. */
         void setFaultRates(double nextLostResponses, double nextLateWrites, double nextRejections) {
             lostResponses = nextLostResponses;
--- a/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
+++ b/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
@@ -1,7 +1,13 @@
 package org.tamarackline.http;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -108,6 +114,54 @@
         assertThat(results).hasSize(12);
     }
 
+    /** Guards against a repeated read that goes over a connection which is as silent as that of the first attempt. */
+    @Test
+    void callOnNewConnectionIsAnsweredAlthoughOpenConnectionsAreSilent() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread.ofPlatform().daemon().start(() -> answerFirstRequestOfEachConnection(server));
+            String silentAddress = "127.0.0.1:" + server.getLocalPort();
+            call(silentAddress, "/", Map.of());
+            client.call("GET", silentAddress, "/", Map.of(), null, TIMEOUT, result -> {});
+            for (int i = 0; i < 4; i++) {
+                CountDownLatch called = new CountDownLatch(1);
+                client.callOnNewConnection("GET", silentAddress, "/", Map.of(), null, TIMEOUT, result -> {
+                    results.add(result);
+                    called.countDown();
+                });
+                assertThat(called.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+                        .isTrue();
+            }
+        }
+        assertThat(results)
+                .hasSize(5)
+                .allSatisfy(result -> assertThat(result).isInstanceOf(HttpCallResult.Response.class));
+    }
+
+    private static void answerFirstRequestOfEachConnection(ServerSocket server) {
+        byte[] response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        List<Socket> connections = new ArrayList<>();
+        try {
+            while (true) {
+                Socket connection = server.accept();
+                connections.add(connection);
+                if (connection.getInputStream().read() >= 0) {
+                    connection.getOutputStream().write(response);
+                }
+            }
+        } catch (IOException closed) {
+            // The test has closed the server.
+            connections.forEach(AsyncHttpClientTest::close);
+        }
+    }
+
+    private static void close(Socket connection) {
+        try {
+            connection.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     /** Guards against log lines with the states of the client's objects, which say nothing to their readers. */
     @Test
     void failuresAreDescribedWithoutTheStatesOfObjects() {
