Let runners of the simulation leave while the placements of long-running tasks are not stored

Change: one kind of fault lets the store reject progress for 3 to 6 s, restarts a runner, and lets others leave meanwhile.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -74,6 +74,9 @@
                     "connections-silent",
                     (faults, runner, node) -> node.storeLink().silenceConnections(1 + faults.random.nextInt(3))),
             new Kind("progress-rejected", (faults, runner, node) -> faults.rejectProgress(faults.between(500, 3_000))),
+            new Kind(
+                    "runners-leave-before-placements-are-stored",
+                    (faults, runner, node) -> faults.drainDuringPlacements(runner)),
             new Kind("node-killed", (faults, runner, node) -> {
                 node.kill();
                 faults.later(faults.between(300, 5_000), node::start);
@@ -278,6 +281,23 @@
         }
     }
 
+    /** Restarts a runner, and lets others leave while the new placements of its long-running tasks cannot be stored. */
+    private void drainDuringPlacements(ProtocolRunner restarted) {
+        rejectProgress(between(3_000, 6_000));
+        restart(restarted, 500, 1_000);
+        for (ProtocolRunner other : cluster.runners()) {
+            if (other != restarted && random.nextInt(3) == 0) {
+                later(between(1_500, 5_000), () -> drainSlowly(other));
+            }
+        }
+    }
+
+    private void drainSlowly(ProtocolRunner runner) {
+        if (active && runnersUp() > MIN_RUNNERS && runner.up()) {
+            cluster.drainRunner(runner, between(8_000, 12_000));
+        }
+    }
+
     private void crash(ProtocolRunner runner) {
         if (runnersUp() > MIN_RUNNERS && runner.up()) {
             cluster.removeRunner(runner);
