Name the time in which an attempt of a read gets its response once

Three constants of 400 ms said the same. No decision changes; ConfigurationFollowerTest and DrainingRunnerTest pass.

--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -19,9 +19,6 @@
     /** Time after which an answer of the store about changes is overdue, added to the time that the store may wait. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
 
-    /** Time after which the first read of the whole configuration is repeated if it has no answer. */
-    private static final Duration READ_PATIENCE = Duration.ofMillis(400);
-
     private final EventLoop loop;
     private final RecordStore store;
     private final ConfigurationSource source;
@@ -78,7 +75,7 @@
     }
 
     private void readAll() {
-        reads.start(this::sendRead, READ_PATIENCE, this::sendReadOnNewConnection, this::onAnswer);
+        reads.start(this::sendRead, HedgedRead.ATTEMPT_TIMEOUT, this::sendReadOnNewConnection, this::onAnswer);
     }
 
     private void follow(long version) {
@@ -147,10 +144,14 @@
             metrics.readCompleted(FleetMetrics.ReadPurpose.CONFIGURATION, FleetMetrics.ReadOutcome.FAILED);
             if (!failing) {
                 failing = true;
-                log.storeState("store-lost", result.toString());
+                log.storeState("store-lost", causeOf(result));
             }
         }
 
+        private static String causeOf(RecordStore.ReadResult result) {
+            return result instanceof RecordStore.ReadResult.Failed failed ? failed.cause() : result.toString();
+        }
+
         @Override
         public void onRepetition(Duration waited) {
             log.readRepeated("configuration", waited.toMillis());
--- a/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
+++ b/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
@@ -15,9 +15,6 @@
  */
 final class DirectoryFollower {
 
-    /** Time after which a read is repeated if it has no answer. */
-    private static final Duration READ_PATIENCE = Duration.ofMillis(400);
-
     private final EventLoop loop;
     private final PlatformRunnerDirectory directory;
     private final DecisionLog log;
@@ -67,7 +64,7 @@
     }
 
     private void read() {
-        reads.start(directory::list, READ_PATIENCE, directory::listOnNewConnections, success -> {
+        reads.start(directory::list, HedgedRead.ATTEMPT_TIMEOUT, directory::listOnNewConnections, success -> {
             recordRead(true);
             if (stopped.getAsBoolean()) {
                 return;
--- a/src/main/java/org/tamarackline/fleet/HedgedRead.java
+++ b/src/main/java/org/tamarackline/fleet/HedgedRead.java
@@ -15,8 +15,11 @@
  */
 final class HedgedRead<R> {
 
-    /** Time in which a repeated attempt gets its response, unless its connection or the store is disturbed. */
-    private static final Duration REPETITION_TIMEOUT = Duration.ofMillis(400);
+    /**
+     * Time in which an attempt gets its response, unless its connection or the store is disturbed. An attempt for which
+     * the store may wait takes longer.
+     */
+    static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(400);
 
     /** Longest delay between two attempts, so that the read succeeds soon after an outage of any length. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
@@ -108,7 +111,7 @@
 
     private void repeat() {
         Duration delay = backoff.next();
-        send(repetition, delay.compareTo(REPETITION_TIMEOUT) > 0 ? delay : REPETITION_TIMEOUT);
+        send(repetition, delay.compareTo(ATTEMPT_TIMEOUT) > 0 ? delay : ATTEMPT_TIMEOUT);
     }
 
     private void onResult(long read, long number, Success<R> success) {
