--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -17,12 +17,9 @@
 
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.JobDefinition;
-import org.tamarackline.core.fleet.QueueDefinition;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.fleet.RunnerStatus;
-import org.tamarackline.core.fleet.StepDefinition;
 import org.tamarackline.core.fleet.TaskKey;
-import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
 /**
@@ -77,35 +74,15 @@
     private static final NodeCapacity LARGE = new NodeCapacity(1_000, 512, 8_000);
     private static final NodeCapacity SMALL = new NodeCapacity(100, 512, 8_000);
 
-    /** Time between two occurrences of a scheduled job. */
-    private static final Duration OCCURRENCE_INTERVAL = Duration.ofMillis(1_500);
-
     private static final int NODES = 3;
     private static final int INITIAL_RUNNERS = 6;
-    private static final int MAX_ATTEMPTS = 3;
     private static final long NANOS_PER_MS = 1_000_000;
-    private static final long EPOCH_MS = 1_700_000_000_000L;
-
-    private static final QueueDefinition QUEUE =
-            new QueueDefinition("queue", "host", "/q/", "dispatch", 0, MAX_ATTEMPTS, 2, 1_000, false);
-
-    /** Queue of a service with few runners. */
-    private static final QueueDefinition SMALL_QUEUE =
-            new QueueDefinition("small", "host", "/s/", "small-service", 0, MAX_ATTEMPTS, 2, 1_000, false);
-
-    /** Label of every third runner. */
-    private static final String LABEL = "b";
 
     private static final int LABELLED_RUNNERS_ONE_IN = 3;
     private static final int SMALL_SERVICE_RUNNERS_ONE_IN = 5;
     /** Number of runners with the label whose places the long-running tasks cannot all take. */
     private static final int MIN_LABELLED_RUNNERS = 3;
 
-    /** Number of tasks of a job whose progress takes several records. */
-    private static final int WIDE_JOB_TASKS = 300;
-
-    private static final Duration WIDE_JOB_TASK_DURATION = Duration.ofMillis(50);
-
     private static final LineSink NO_LOG = new LineSink(OutputStream.nullOutputStream());
 
     private final long seed;
@@ -115,6 +92,7 @@
     private final ManualLoop loop = new ManualLoop();
     private final RunHistory history;
     private final SimulatedGangs gangs;
+    private final SimulatedJobs jobs;
     private final SimulatedStore store;
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
@@ -160,6 +138,7 @@
         this.profile = profile;
         this.tracing = tracing;
         this.random = new Random(seed);
+        this.jobs = new SimulatedJobs(loop, random);
         this.history = new RunHistory(loop, tracing);
         this.gangs = new SimulatedGangs(loop, history, new Random(random.nextLong()));
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
@@ -230,7 +209,7 @@
         operator.start();
         nodes.forEach(SimulatedNode::start);
         for (int i = 0; i < 3; i++) {
-            submit(longRunningJob());
+            submit(jobs.longRunningJob());
         }
         faults.start();
         progressRejected = random.nextInt(4) == 0;
@@ -273,7 +252,7 @@
             if (faultsEnded()) {
                 return;
             }
-            JobDefinition job = nextJob();
+            JobDefinition job = jobs.nextJob();
             submit(job);
             if (random.nextInt(8) == 0) {
                 // Some are cancelled while their submission is on its way.
@@ -284,112 +263,10 @@
         });
     }
 
-    private JobDefinition nextJob() {
-        return switch (random.nextInt(20)) {
-            case 0 -> longRunningJobs() < 5 ? longRunningJob() : twoStepJob();
-            case 1, 2 -> gangJob();
-            case 3 -> job(List.of(step(new Shape(1 + random.nextInt(3), 1_000, LABEL, random.nextInt(3)))));
-            case 4 -> job(SMALL_QUEUE, List.of(step(new Shape(1 + random.nextInt(3), 1_000, "", 0))), 0);
-            case 5 -> job(QUEUE, twoSteps(), 2 + random.nextInt(3));
-            case 6 -> random.nextInt(4) == 0 ? wideJob() : twoStepJob();
-            default -> twoStepJob();
-        };
-    }
-
-    private JobDefinition gangJob() {
-        return job(List.of(
-                step(1, 1_000, List.of(), false),
-                step(new Shape(2 + random.nextInt(3), 1_000, "", 0).asGangAfter(0)),
-                step(1, 1_000, List.of(1), false)));
-    }
-
-    private JobDefinition wideJob() {
-        return job(List.of(step(WIDE_JOB_TASKS, WIDE_JOB_TASK_DURATION.toMillis(), List.of(), false)));
-    }
-
     private boolean faultsEnded() {
         return loop.nowNanos() >= faultsEndNanos;
     }
 
-    private int longRunningJobs() {
-        return (int) submitted.values().stream()
-                .filter(ClusterSimulation::isLongRunning)
-                .count();
-    }
-
-    private static boolean isLongRunning(JobDefinition job) {
-        return job.steps().getFirst().longRunning();
-    }
-
-    private JobDefinition longRunningJob() {
-        return job(List.of(step(2, 0, List.of(), true)));
-    }
-
-    private JobDefinition twoStepJob() {
-        return job(twoSteps());
-    }
-
-    private List<StepDefinition> twoSteps() {
-        return List.of(
-                step(1 + random.nextInt(3), 1_000, List.of(), false),
-                step(1 + random.nextInt(2), 1_000, List.of(0), false));
-    }
-
-    private JobDefinition job(List<StepDefinition> steps) {
-        return job(QUEUE, steps, 0);
-    }
-
-    private JobDefinition job(QueueDefinition queue, List<StepDefinition> steps, int scheduledOccurrences) {
-        String id = "job%03d".formatted(submitted.size());
-        long nowEpochMs = EPOCH_MS + loop.nowNanos() / NANOS_PER_MS;
-        return new JobDefinition(
-                id, queue, "", steps, scheduledOccurrences, nowEpochMs, OCCURRENCE_INTERVAL.toMillis(), nowEpochMs);
-    }
-
-    private static StepDefinition step(int count, long estimateMs, List<Integer> dependencies, boolean longRunning) {
-        return step(new Shape(count, estimateMs, dependencies, longRunning, false, "", 0));
-    }
-
-    /** The properties of a step that the jobs differ in. */
-    private record Shape(
-            int count,
-            long estimateMs,
-            List<Integer> dependencies,
-            boolean longRunning,
-            boolean gang,
-            String label,
-            int maxPerRunner) {
-
-        Shape(int count, long estimateMs, String label, int maxPerRunner) {
-            this(count, estimateMs, List.of(), false, false, label, maxPerRunner);
-        }
-
-        Shape asGangAfter(int step) {
-            return new Shape(count, estimateMs, List.of(step), longRunning, true, label, maxPerRunner);
-        }
-    }
-
-    private static StepDefinition step(Shape shape) {
-        Resources demand = new Resources(1_000, 100, 0);
-        return new StepDefinition(
-                shape.count(),
-                demand,
-                shape.estimateMs(),
-                shape.dependencies(),
-                false,
-                shape.gang(),
-                false,
-                shape.label(),
-                "",
-                shape.maxPerRunner(),
-                false,
-                shape.longRunning(),
-                "",
-                0,
-                false,
-                0);
-    }
-
     private void submit(JobDefinition job) {
         submitted.put(job.id(), job);
         history.submitted(job);
@@ -471,8 +348,8 @@
     private static ProtocolRunner.Kind kindOf(int number) {
         boolean small = number % SMALL_SERVICE_RUNNERS_ONE_IN == SMALL_SERVICE_RUNNERS_ONE_IN - 1;
         return new ProtocolRunner.Kind(
-                (small ? SMALL_QUEUE : QUEUE).service(),
-                number % LABELLED_RUNNERS_ONE_IN == 0 ? Set.of(LABEL) : Set.of());
+                (small ? SimulatedJobs.SMALL_QUEUE : SimulatedJobs.QUEUE).service(),
+                number % LABELLED_RUNNERS_ONE_IN == 0 ? Set.of(SimulatedJobs.LABEL) : Set.of());
     }
 
     /** Returns whether there are runners that stay for each service and label that tasks need. */
@@ -483,10 +360,11 @@
                 .filter(runner -> !runner.draining())
                 .toList();
         List<RunnerDescriptor> large = staying.stream()
-                .filter(runner -> runner.service().equals(QUEUE.service()))
+                .filter(runner -> runner.service().equals(SimulatedJobs.QUEUE.service()))
                 .toList();
-        long labelled =
-                large.stream().filter(runner -> runner.labels().contains(LABEL)).count();
+        long labelled = large.stream()
+                .filter(runner -> runner.labels().contains(SimulatedJobs.LABEL))
+                .count();
         return large.size() < staying.size() && labelled >= MIN_LABELLED_RUNNERS;
     }
 
@@ -561,11 +439,11 @@
             // SimulatedGangs ends it.
             return new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
         }
-        if (job.steps().get(task.step()).count() == WIDE_JOB_TASKS) {
-            return new ProtocolRunner.RunPlan(WIDE_JOB_TASK_DURATION, EndReason.DONE);
+        if (SimulatedJobs.isWide(job.steps().get(task.step()))) {
+            return new ProtocolRunner.RunPlan(SimulatedJobs.WIDE_JOB_TASK_DURATION, EndReason.DONE);
         }
         boolean fails = !faultsEnded() && plan.nextInt(20) == 0;
-        if (isLongRunning(job)) {
+        if (SimulatedJobs.isLongRunning(job)) {
             return fails
                     ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
                     : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
@@ -743,7 +621,7 @@
         for (String job : accepted) {
             // The placement of long-running tasks is stored with the progress.
             boolean unstorable = progressRejected && isEveryTenthJob(job);
-            if (!isLongRunning(submitted.get(job)) || cancelRequested.contains(job) || unstorable) {
+            if (!SimulatedJobs.isLongRunning(submitted.get(job)) || cancelRequested.contains(job) || unstorable) {
                 continue;
             }
             for (TaskKey task : RunHistory.tasksOf(submitted.get(job))) {
@@ -777,7 +655,7 @@
             if (cancelled.contains(job) && runs) {
                 history.report(RunHistory.Rule.CANCELLED_JOB_RUNS, job, "a run of it has not ended");
             }
-            if ((!isLongRunning(definition) || cancelled.contains(job)) && !storedAsFinished(job)) {
+            if ((!SimulatedJobs.isLongRunning(definition) || cancelled.contains(job)) && !storedAsFinished(job)) {
                 history.report(RunHistory.Rule.JOB_NOT_FINISHED, job, "the store has it as open");
             }
         }
