--- a/src/test/java/org/tamarackline/fleet/LeavingRunners.java
+++ b/src/test/java/org/tamarackline/fleet/LeavingRunners.java
@@ -10,12 +10,12 @@
     /** Time for which a runner that has announced to leave still accepts starts. */
     private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
 
-    private record Sight(SimulatedNode node, String runner) {}
+    private record DirectoryEntry(SimulatedNode node, String runner) {}
 
     private final ManualLoop loop;
     private final NodeContacts contacts;
     private final RunHistory history;
-    private final Map<Sight, Long> leavingSinceNanos = new HashMap<>();
+    private final Map<DirectoryEntry, Long> leavingSinceNanos = new HashMap<>();
 
     LeavingRunners(ManualLoop loop, NodeContacts contacts, RunHistory history) {
         this.loop = loop;
@@ -25,17 +25,17 @@
 
     /** The directory shows a node a new entry of a runner. */
     void onEntry(SimulatedNode node, String runner, boolean draining) {
-        Sight sight = new Sight(node, runner);
+        DirectoryEntry entry = new DirectoryEntry(node, runner);
         if (draining) {
-            leavingSinceNanos.putIfAbsent(sight, loop.nowNanos());
+            leavingSinceNanos.putIfAbsent(entry, loop.nowNanos());
         } else {
-            leavingSinceNanos.remove(sight);
+            leavingSinceNanos.remove(entry);
         }
     }
 
     /** A node sends a start to a runner. */
     void onStartSent(SimulatedNode node, String runner, RunnerCalls.StartCommand command) {
-        Long sinceNanos = leavingSinceNanos.get(new Sight(node, runner));
+        Long sinceNanos = leavingSinceNanos.get(new DirectoryEntry(node, runner));
         boolean late = sinceNanos != null && loop.nowNanos() - sinceNanos > DRAIN_TIME.toNanos();
         if (late && contacts.inTouch(node)) {
             history.report(
--- a/src/test/java/org/tamarackline/fleet/SimulatedOperator.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedOperator.java
@@ -38,10 +38,14 @@
 
     /** Stores a first configuration, and further ones at random times. */
     void start() {
+        storeNextConfiguration();
+    }
+
+    private void storeNextConfiguration() {
         newestVersion += 1 + random.nextInt(3);
         store.apply(ConfigurationRecords.storing(newestVersion));
         notYetDue.add(new Confirmation(newestVersion, loop.nowNanos()));
-        loop.schedule(Duration.ofMillis(1 + random.nextInt(MAX_TIME_BETWEEN_CHANGES_MS)), this::start);
+        loop.schedule(Duration.ofMillis(1 + random.nextInt(MAX_TIME_BETWEEN_CHANGES_MS)), this::storeNextConfiguration);
     }
 
     /** Checks the configurations in force; to be called at short intervals. */
