Log what a lost runner, a waiting task and a takeover wait for

The log could not tell the hypotheses about long-running tasks that stood while leaders replaced each other: whether a leader waited for a runner and why, what became of its cordon, what each waiting task waited for, and what a node knew about the leader that it suspected. New lines say each of these; no decision changes.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -39,6 +39,7 @@
     private final JobTracker jobs;
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final UnreportedRunners unreportedRunners = new UnreportedRunners();
+    private final LongRunningWaits longRunningWaits;
     private final Set<Run> stopping = new LinkedHashSet<>();
     private final List<RunnerCommand> orphanStops = new ArrayList<>();
 
@@ -54,6 +55,8 @@
         this.jobs = new JobTracker(observer, clock, pendingStarts, this::stopAll);
         this.starter = new TaskStarter(
                 jobs, runnerSelector, unreportedRunners, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
+        this.longRunningWaits =
+                new LongRunningWaits(jobs, pendingStarts, unreportedRunners, runners.values(), interference);
     }
 
     public JobTracker jobs() {
@@ -65,6 +68,11 @@
         return pendingStarts;
     }
 
+    /** Returns the search for long-running tasks that have waited for long. */
+    public LongRunningWaits longRunningWaits() {
+        return longRunningWaits;
+    }
+
     /** Returns how much each best-effort image is estimated to slow down each latency-critical image. */
     public Map<ImagePair, InterferenceEstimate> interferenceEstimates() {
         return interference.estimates();
--- a/src/main/java/org/tamarackline/fleet/Committer.java
+++ b/src/main/java/org/tamarackline/fleet/Committer.java
@@ -127,6 +127,11 @@
         changes.toRemoveFromRoster.add(runner);
     }
 
+    /** Returns the time for which a rejected change is kept out of the transactions, in milliseconds. */
+    long isolatedForMs(ChangeKey change) {
+        return changes.isolated.remainingMs(change);
+    }
+
     /** Returns whether the store has progress of a job. */
     boolean hasStoredProgress(String job) {
         return changes.progress.contains(job);
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -4,12 +4,15 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.InstantSource;
+import java.util.Collection;
+import java.util.OptionalLong;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.tamarackline.core.fleet.FleetObserver;
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.Job;
+import org.tamarackline.core.fleet.LongRunningWait;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.TaskKey;
@@ -24,6 +27,9 @@
 
     private static final JsonFactory JSON = new JsonFactory();
 
+    /** Maximum number of elements of a list in a line. */
+    private static final int MAX_LISTED = 20;
+
     private final LineSink sink;
     private final InstantSource timeOfDay;
     private final MonotonicClock clock;
@@ -235,6 +241,73 @@
         });
     }
 
+    /** Logs that nothing can run on a silent runner any more. */
+    void runnerLost(String runner, String reason, RunnerLoss loss) {
+        writeLine("runner-lost", json -> {
+            json.writeStringField("runner", runner);
+            json.writeStringField("reason", reason);
+            json.writeNumberField("silentMs", loss.silentMs());
+            json.writeNumberField("leaseEndedMs", loss.leaseEndedMs());
+            json.writeNumberField("confirmedAfterMs", loss.confirmedAfterMs());
+        });
+    }
+
+    /**
+     * Logs an event about the wait for a runner.
+     *
+     * @param remainingMs time until everything on the runner has ended, in milliseconds; empty if it is not known
+     */
+    void runnerEvent(String event, String runner, OptionalLong remainingMs, String reason) {
+        writeLine(event, json -> {
+            json.writeStringField("runner", runner);
+            writeIfPresent(json, "remainingMs", remainingMs);
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    /** Logs an event about the waits for runners of which none is named. */
+    void runnerEvents(String event, RunnerEventLog.Summary summary, String reason) {
+        writeLine(event, json -> {
+            json.writeNumberField("runners", summary.runners());
+            writeIfPresent(json, "minRemainingMs", summary.minRemainingMs());
+            writeIfPresent(json, "maxRemainingMs", summary.maxRemainingMs());
+            json.writeStringField("reason", reason);
+        });
+    }
+
+    /**
+     * Logs what a long-running task waits for.
+     *
+     * @param retryMs time after which the store is asked again to store the placement that it rejected, 0 if it has not
+     */
+    void longRunningTaskWaits(LongRunningWait wait, long retryMs) {
+        writeLine("task-waits", json -> {
+            json.writeStringField("job", wait.task().job());
+            json.writeStringField("task", wait.task().toString());
+            json.writeNumberField("waitedMs", wait.waitedNanos() / 1_000_000);
+            json.writeStringField("waitsFor", wait.cause().toString());
+            writeTexts(json, "runners", wait.runners());
+            if (wait.cause() == LongRunningWait.Cause.PLACEMENT_REJECTED) {
+                json.writeNumberField("retryMs", retryMs);
+            }
+        });
+    }
+
+    private static void writeIfPresent(JsonGenerator json, String name, OptionalLong value) throws IOException {
+        if (value.isPresent()) {
+            json.writeNumberField(name, value.getAsLong());
+        }
+    }
+
+    /** Writes at most {@link #MAX_LISTED} texts. */
+    private static void writeTexts(JsonGenerator json, String name, Collection<String> texts) throws IOException {
+        json.writeArrayFieldStart(name);
+        for (String text : texts.stream().limit(MAX_LISTED).toList()) {
+            json.writeString(text);
+        }
+        json.writeEndArray();
+    }
+
     /** Logs that an entry of the directory does not describe a usable runner. */
     public void rejectedRunnerEntry(String runner, String reason) {
         writeLine("runner-entry-rejected", json -> {
@@ -251,6 +324,40 @@
         });
     }
 
+    /**
+     * Logs that this node leads.
+     *
+     * @param record its leader record, with the earlier leaders that may still be active
+     */
+    void leaderStarted(LeaderRecord record, String reason) {
+        writeLine("leader-started", json -> {
+            json.writeNumberField("epoch", record.epoch());
+            json.writeStringField("leader", record.node());
+            json.writeStringField("reason", reason);
+            json.writeNumberField(
+                    "possiblyActiveLeaders", record.possiblyActive().size());
+            writeTexts(
+                    json,
+                    "possiblyActiveAddresses",
+                    record.possiblyActive().stream()
+                            .map(LeaderRecord.EarlierLeader::address)
+                            .toList());
+        });
+    }
+
+    /** Logs that this node suspects the leader, and what it knows about it. */
+    void leaderSuspected(LeaderRecord leader, String reason, LeaderSuspicion suspicion) {
+        writeLine("leader-suspected", json -> {
+            json.writeNumberField("epoch", leader.epoch());
+            json.writeStringField("leader", leader.node());
+            json.writeStringField("reason", reason);
+            writeTexts(json, "pingFailures", suspicion.pingFailures());
+            writeIfPresent(json, "sinceAnswerMs", suspicion.sinceAnswerMs());
+            writeIfPresent(json, "leaderStoreAgeMs", suspicion.leaderStoreAgeMs());
+            json.writeNumberField("ownLoopDelayMs", suspicion.ownLoopDelayMs());
+        });
+    }
+
     void leaderState(LeaderState state) {
         writeLine("leader-state", json -> {
             json.writeNumberField("epoch", state.epoch());
@@ -265,6 +372,7 @@
             json.writeNumberField("loopDelayMs", state.loopDelayMs());
             json.writeNumberField("storeAgeMs", state.storeAgeMs());
             json.writeNumberField("directoryAgeMs", state.directoryAgeMs());
+            json.writeNumberField("waitingLongRunningTasks", state.waitingLongRunningTasks());
         });
     }
 
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -122,6 +122,11 @@
         }
     }
 
+    /** Records a step of the event loop that was due at a time and runs now, for the log of suspicions. */
+    void onLoopStep(long dueNanos) {
+        monitor.onLoopStep(dueNanos);
+    }
+
     /** Answers a ping of another node and records that node as a possible successor. */
     PeerCalls.PingResponse handlePing(PeerCalls.PingRequest request) {
         int callerRank = successors.onPing(request);
@@ -367,7 +372,7 @@
         readGeneration++;
         monitor.stop();
         resigning = false;
-        log.leadership("leader-started", record.epoch(), record.node(), reason);
+        log.leaderStarted(record, reason);
         metrics.leadershipChanged(FleetMetrics.LeadershipEvent.STARTED);
         leader = new Leader(services, peers, record, version, why -> onLeaderEnded(record, why));
         capacityPolicy.onStartedToLead();
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -108,6 +108,15 @@
      */
     static final int STATE_SAMPLES_PER_LOG = 2;
 
+    /**
+     * Wait of a long-running task from which its cause is logged. The next run is due 9 s after the death of a runner, of
+     * which the lease of the runner takes more than half.
+     */
+    static final Duration LONG_RUNNING_WAIT_TO_LOG = Duration.ofSeconds(4);
+
+    /** Maximum number of waiting long-running tasks that are logged at a time. */
+    static final int MAX_LOGGED_LONG_RUNNING_WAITS = 5;
+
     /** Interval at which the records of held jobs are read again. */
     static final Duration HELD_JOBS_READ_INTERVAL = Duration.ofSeconds(5);
 
--- a/src/main/java/org/tamarackline/fleet/FleetNode.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNode.java
@@ -64,7 +64,7 @@
         loop.execute(() -> {
             configuration.start();
             election.start();
-            new LoopDelayProbe(loop, metrics).start();
+            new LoopDelayProbe(loop, metrics, election::onLoopStep).start();
         });
     }
 
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -37,13 +37,23 @@
     }
 
     @Override
-    public void ping(String address, PingRequest request, Consumer<Optional<PingResponse>> callback) {
-        request(
-                "GET",
-                address,
-                PeerPaths.ping(request),
-                PING_TIMEOUT,
-                text -> callback.accept(text.flatMap(HttpPeerCalls::parsePingResponse)));
+    public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
+        http.call("GET", address, PeerPaths.ping(request), Map.of(), null, PING_TIMEOUT, reply -> {
+            PingResult result = pingResult(reply);
+            loop.execute(() -> callback.accept(result));
+        });
+    }
+
+    private static PingResult pingResult(HttpCallResult result) {
+        return switch (result) {
+            case HttpCallResult.NoResponse noResponse -> new PingFailure(noResponse.cause());
+            case HttpCallResult.Response response
+            when response.status() == 200 -> {
+                Optional<PingResponse> parsed = parsePingResponse(AsyncHttpClient.text(response.body()));
+                yield parsed.isPresent() ? parsed.get() : new PingFailure("unreadable response");
+            }
+            case HttpCallResult.Response response -> new PingFailure("status " + response.status());
+        };
     }
 
     /** Returns the response; empty if the text is not one. */
--- a/src/main/java/org/tamarackline/fleet/IsolatedChanges.java
+++ b/src/main/java/org/tamarackline/fleet/IsolatedChanges.java
@@ -49,6 +49,12 @@
         return isolation != null && isolation.retryNanos() - loop.nowNanos() > 0;
     }
 
+    /** Returns the time until a change may be part of a transaction again, in milliseconds; 0 if it may now. */
+    long remainingMs(ChangeKey change) {
+        Isolation isolation = isolations.get(change);
+        return isolation == null ? 0 : Math.max(0, (isolation.retryNanos() - loop.nowNanos()) / 1_000_000);
+    }
+
     /** Records that changes were stored. */
     void onStored(Collection<ChangeKey> changes) {
         if (isolations.isEmpty()) {
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -9,6 +9,8 @@
 import org.tamarackline.core.fleet.Fleet;
 import org.tamarackline.core.fleet.FleetLoad;
 import org.tamarackline.core.fleet.JobState;
+import org.tamarackline.core.fleet.LongRunningWait;
+import org.tamarackline.core.fleet.LongRunningWaits;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
@@ -301,6 +303,11 @@
     }
 
     private void logState(FleetLoad load, int silentRunners) {
+        LongRunningWaits.Found waits = fleet.longRunningWaits()
+                .find(
+                        FleetConstants.LONG_RUNNING_WAIT_TO_LOG.toNanos(),
+                        FleetConstants.MAX_LOGGED_LONG_RUNNING_WAITS,
+                        loop.nowNanos());
         log.leaderState(new LeaderState(
                 record.epoch(),
                 (loop.nowNanos() - takeoverNanos) / 1_000_000,
@@ -313,7 +320,12 @@
                 unansweredStarts,
                 loopDelay.getAndResetMaxMs(),
                 storeAgeMs(),
-                directory.ageMs()));
+                directory.ageMs(),
+                waits.count()));
+        for (LongRunningWait wait : waits.longest()) {
+            ChangeKey change = ChangeKey.job(wait.task().job());
+            log.longRunningTaskWaits(wait, committer.isolatedForMs(change));
+        }
     }
 
     private String loadSummary() {
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -47,6 +47,7 @@
     private final PeerCalls.PingRequest request;
     private final Random random;
     private final Runnable readRecord;
+    private final PingHistory pings;
 
     private LeaderRecord followed;
     private long followedVersion;
@@ -89,6 +90,7 @@
         this.rank = initialRank;
         this.random = random;
         this.readRecord = readRecord;
+        this.pings = new PingHistory(loop);
     }
 
     /** Follows the leader of a record, unless it does so already, and pings it. */
@@ -98,6 +100,7 @@
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
             claimFirstSeenNanos = 0;
             keptWithoutStore = false;
+            pings.clear();
         }
         followed = record;
         followedVersion = version;
@@ -147,28 +150,44 @@
         }
     }
 
+    /** Records a step of the event loop that was due at a time and runs now. */
+    void onLoopStep(long dueNanos) {
+        pings.onStep(dueNanos);
+    }
+
     private void ping() {
         long pingGeneration = ++generation;
-        lastPingNanos = loop.nowNanos();
-        peers.ping(followed.address(), request, response -> {
+        long sentNanos = loop.nowNanos();
+        lastPingNanos = sentNanos;
+        peers.ping(followed.address(), request, result -> {
             if (pingGeneration == generation) {
-                onPing(response);
+                onPing(result, sentNanos);
             }
         });
     }
 
-    private void onPing(Optional<PeerCalls.PingResponse> response) {
-        if (response.isEmpty()) {
-            onMissedPing();
-        } else if (response.get().epoch() == followed.epoch()) {
-            rank = response.get().rank();
+    private void onPing(PeerCalls.PingResult result, long sentNanos) {
+        switch (result) {
+            case PeerCalls.PingFailure failure -> {
+                pings.onFailure(failure.cause(), sentNanos);
+                onMissedPing();
+            }
+            case PeerCalls.PingResponse response -> onPingResponse(response, sentNanos);
+        }
+    }
+
+    private void onPingResponse(PeerCalls.PingResponse response, long sentNanos) {
+        if (response.epoch() == followed.epoch()) {
+            rank = response.rank();
             missedPings = 0;
-            onLeaderAnswered(Duration.ofMillis(response.get().storeAgeMs()));
-        } else if (isClaiming(response.get())) {
-            rank = response.get().rank();
+            pings.onAnswer(response.storeAgeMs());
+            onLeaderAnswered(Duration.ofMillis(response.storeAgeMs()));
+        } else if (isClaiming(response)) {
+            rank = response.rank();
             missedPings = 0;
             schedule(RETRY_DELAY, this::ping);
         } else {
+            pings.onFailure("answered with epoch %d".formatted(response.epoch()), sentNanos);
             // The process at that address does not lead, so the record is outdated or soon will be.
             suspect("the node in the leader record does not lead");
         }
@@ -225,7 +244,7 @@
     /** Lets this node take over after the delay of its rank, unless the record has changed by then. */
     private void suspect(String reason) {
         if (suspicion == null) {
-            log.leadership("leader-suspected", followed.epoch(), followed.node(), reason);
+            log.leaderSuspected(followed, reason, pings.suspicion());
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.SUSPECTED);
         }
         suspicion = reason;
@@ -235,8 +254,10 @@
     /** Schedules an action unless the leader is pinged again or another one is followed before. */
     private void schedule(Duration delay, Runnable action) {
         long scheduledGeneration = generation;
+        long dueNanos = loop.nowNanos() + delay.toNanos();
         loop.schedule(delay, () -> {
             if (scheduledGeneration == generation) {
+                onLoopStep(dueNanos);
                 action.run();
             }
         });
--- a/src/main/java/org/tamarackline/fleet/LeaderState.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderState.java
@@ -15,6 +15,8 @@
  * @param loopDelayMs longest delay of an event loop step since the last snapshot, in milliseconds
  * @param storeAgeMs time since the store's last response, in milliseconds
  * @param directoryAgeMs time since the read was sent by which runners are placed on, in milliseconds
+ * @param waitingLongRunningTasks long-running tasks that have been ready for more than {@link
+ *     FleetConstants#LONG_RUNNING_WAIT_TO_LOG} without a confirmed run
  */
 record LeaderState(
         long epoch,
@@ -28,4 +30,5 @@
         int unansweredStarts,
         long loopDelayMs,
         long storeAgeMs,
-        long directoryAgeMs) {}
+        long directoryAgeMs,
+        int waitingLongRunningTasks) {}
--- a/src/main/java/org/tamarackline/fleet/LeadershipLease.java
+++ b/src/main/java/org/tamarackline/fleet/LeadershipLease.java
@@ -18,6 +18,9 @@
     private final Runnable onSuspension;
     private long confirmedNanos;
     private boolean confirmed;
+    /** When the response arrived that confirmed the leader last. */
+    private long confirmationReceivedNanos;
+
     private long clockOffsetMs;
     /** When the last suspension was noticed; requests sent before it may have been answered long ago. */
     private long suspensionNoticedNanos;
@@ -48,6 +51,7 @@
         if (!confirmed || sentNanos - confirmedNanos > 0) {
             confirmedNanos = sentNanos;
             confirmed = true;
+            confirmationReceivedNanos = clock.nowNanos();
         }
     }
 
@@ -61,6 +65,11 @@
         return confirmed && confirmedNanos - nanos >= 0;
     }
 
+    /** Returns when the response arrived that confirmed the leader last; meaningful only once it was confirmed. */
+    long confirmationReceivedNanos() {
+        return confirmationReceivedNanos;
+    }
+
     /** Returns the time since the last confirmed request was sent, in nanoseconds. */
     long ageNanos() {
         return clock.nowNanos() - confirmedNanos;
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -8,8 +8,8 @@
 /** Client for requests to other nodes. Responses arrive on the event loop. */
 public interface PeerCalls {
 
-    /** Pings the leader; the response is empty if none arrived in time. */
-    void ping(String address, PingRequest request, Consumer<Optional<PingResponse>> callback);
+    /** Pings the leader. */
+    void ping(String address, PingRequest request, Consumer<PingResult> callback);
 
     /**
      * Requests a node to end any leader with a lower epoch, and never again to lead with a lower epoch.
@@ -41,6 +41,16 @@
      */
     record PingRequest(String node, NodeCapacity capacity) {}
 
+    /** Result of a ping. */
+    sealed interface PingResult {}
+
+    /**
+     * No response arrived in time, or none that can be read.
+     *
+     * @param cause what happened instead
+     */
+    record PingFailure(String cause) implements PingResult {}
+
     /**
      * Response to a ping.
      *
@@ -49,7 +59,7 @@
      * @param storeAgeMs time since the store's last response to the node, in milliseconds
      * @param rank rank of the pinging node among those that may succeed the leader, from 0
      */
-    record PingResponse(long epoch, long claimedEpoch, long storeAgeMs, int rank) {}
+    record PingResponse(long epoch, long claimedEpoch, long storeAgeMs, int rank) implements PingResult {}
 
     /**
      * Response to a state request.
--- a/src/main/java/org/tamarackline/fleet/PollSilence.java
+++ b/src/main/java/org/tamarackline/fleet/PollSilence.java
@@ -42,6 +42,11 @@
         return missedPolls;
     }
 
+    /** Returns the time since the first of the consecutive unanswered polls was sent, 0 if there is none. */
+    long nanos() {
+        return missedPolls == 0 ? 0 : clock.nowNanos() - firstMissedPollNanos;
+    }
+
     /** Returns whether a poll that was sent at least {@code time} ago and a further one are unanswered. */
     boolean longerThan(Duration time) {
         return missedPolls >= MIN_MISSED_POLLS && clock.nowNanos() - firstMissedPollNanos >= time.toNanos();
--- a/src/main/java/org/tamarackline/fleet/RunnerCordons.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCordons.java
@@ -1,5 +1,6 @@
 package org.tamarackline.fleet;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,17 +15,27 @@
     private final StoreClock storeClock;
     private final Fleet fleet;
     private final Map<String, RunnerSession> sessions;
+    private final RunnerEventLog events;
+    /** Ends of the leases of earlier leaders that follow from their cordons, on the local clock, by runner. */
+    private final Map<String, Long> endsOfEarlierCordonsNanos = new HashMap<>();
 
     /**
      * Creates an instance without cordons.
      *
      * @param sessions live view of the sessions by runner
+     * @param events log of the cordons
      */
-    RunnerCordons(EventLoop loop, StoreClock storeClock, Fleet fleet, Map<String, RunnerSession> sessions) {
+    RunnerCordons(
+            EventLoop loop,
+            StoreClock storeClock,
+            Fleet fleet,
+            Map<String, RunnerSession> sessions,
+            RunnerEventLog events) {
         this.loop = loop;
         this.storeClock = storeClock;
         this.fleet = fleet;
         this.sessions = sessions;
+        this.events = events;
     }
 
     /**
@@ -40,13 +51,33 @@
         }
         double remainingMs = Math.max(0, rosterRecord.leaseEndStoreMs() - storeNowMs.getAsLong());
         long remainingNanos = (long) Math.ceil(remainingMs * 1e6 / (1 - FleetConstants.MAX_CLOCK_DRIFT));
-        return Math.min(latestEndNanos, nowNanos + remainingNanos);
+        long endNanos = nowNanos + remainingNanos;
+        endsOfEarlierCordonsNanos.put(rosterRecord.runner().id(), endNanos);
+        return Math.min(latestEndNanos, endNanos);
     }
 
     /** Restores the cordon of a runner from the roster record of an earlier leader. */
     void restore(RunnerSession session, RosterRecord rosterRecord) {
         session.cordon().restore(rosterRecord);
         setCordonedInFleet(session);
+        if (rosterRecord.cordoned()) {
+            log("cordon-read", session, sourceOfLeaseEnd(session));
+        }
+    }
+
+    private String sourceOfLeaseEnd(RunnerSession session) {
+        if (!endsOfEarlierCordonsNanos.containsKey(session.runner().id())) {
+            return "the store's clock is unknown; waits for the leases of earlier leaders";
+        }
+        return determinesLeaseEnd(session)
+                ? "waits for the end that the cordon names"
+                : "the leases of earlier leaders end before the end that the cordon names";
+    }
+
+    /** Returns whether the end of a runner's lease is the one that the cordon of an earlier leader names. */
+    boolean determinesLeaseEnd(RunnerSession session) {
+        Long endNanos = endsOfEarlierCordonsNanos.get(session.runner().id());
+        return endNanos != null && endNanos == session.leaseEndNanos();
     }
 
     /** Requests writes that cordon runners which have been silent for long enough, and uncordon those that respond again. */
@@ -58,6 +89,7 @@
             }
             if (cordonDue(session)) {
                 cordon.requestWrite();
+                log("cordon-requested", session, "it is silent");
                 committer.cordon(session.runner().id());
             } else if (uncordonDue(session)) {
                 cordon.requestWrite();
@@ -89,6 +121,7 @@
         }
         if (!cordonDue(session)) {
             session.cordon().withdrawWrite();
+            log("cordon-withdrawn", session, "it is no longer due");
             return Optional.empty();
         }
         session.cordon().onCordonSent();
@@ -104,6 +137,7 @@
         RunnerSession session = sessions.get(runner);
         if (session != null) {
             session.cordon().onCordonStored();
+            log("cordon-stored", session, "it is silent");
         }
     }
 
@@ -119,11 +153,20 @@
     void onUncordonStored(String runner) {
         RunnerSession session = sessions.get(runner);
         if (session != null) {
+            boolean wasCordoned = session.cordon().commandsBlocked();
             session.cordon().onUncordonStored();
             setCordonedInFleet(session);
+            if (wasCordoned) {
+                log("cordon-removed", session, "it responds again");
+            }
         }
     }
 
+    private void log(String event, RunnerSession session, String reason) {
+        long remainingMs = (session.leaseEndNanos() - loop.nowNanos()) / 1_000_000;
+        events.write(event, session.runner().id(), OptionalLong.of(remainingMs), reason);
+    }
+
     private void setCordonedInFleet(RunnerSession session) {
         fleet.setRunnerCordoned(session.runner().id(), session.cordon().commandsBlocked());
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerLease.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerLease.java
@@ -115,6 +115,11 @@
         return endNanos;
     }
 
+    /** Returns whether this leader has extended the lease. */
+    boolean extended() {
+        return extended;
+    }
+
     boolean expired() {
         return clock.nowNanos() - endNanos > 0;
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -108,6 +108,16 @@
         return lease.endNanos();
     }
 
+    /** Returns whether this leader has extended the runner's lease. */
+    boolean leaseExtended() {
+        return lease.extended();
+    }
+
+    /** Returns the time since the first poll was sent that the runner has left unanswered since, 0 if there is none. */
+    long silentNanos() {
+        return silence.nanos();
+    }
+
     /** Returns why the runner counts as lost once its lease has expired. */
     String lossReason() {
         return replacedAtAddress
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -22,6 +22,8 @@
     private final long epoch;
     private final EarlierLeaders earlierLeaders;
     private final RunnerCordons cordons;
+    private final RunnerEventLog events;
+    private final RunnerLossWaits lossWaits;
     private final InitialRenewals initialRenewals;
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     /** Runners that are in the directory but not on the roster yet. */
@@ -37,7 +39,9 @@
         this.leader = leader;
         this.epoch = epoch;
         this.earlierLeaders = earlierLeaders;
-        this.cordons = new RunnerCordons(context.loop(), storeClock, context.fleet(), sessions);
+        this.events = new RunnerEventLog(context.loop(), context.log());
+        this.cordons = new RunnerCordons(context.loop(), storeClock, context.fleet(), sessions, events);
+        this.lossWaits = new RunnerLossWaits(context.loop(), cordons, events);
         this.initialRenewals = new InitialRenewals(context.loop());
     }
 
@@ -174,7 +178,7 @@
                     && !session.lost()
                     && session.leaseExpired()
                     && leadershipConfirmedSinceLeaseEnd(session, leadershipLease, committer)) {
-                context.log().runnerLost(runner.id(), session.lossReason());
+                logLoss(session, leadershipLease);
                 context.metrics().runnerChanged(FleetMetrics.RunnerEvent.LOST);
                 context.fleet().runnerLost(runner.id());
                 session.markLost();
@@ -185,10 +189,21 @@
             if (removable && session.leaseExpired()) {
                 session.close();
                 sessions.remove(runner.id());
+                lossWaits.remove(runner.id());
                 context.fleet().runnerLost(runner.id());
                 committer.removeFromRoster(runner.id());
             }
         }
+        lossWaits.logChanges(sessions.values());
+    }
+
+    private void logLoss(RunnerSession session, LeadershipLease leadershipLease) {
+        long endNanos = session.leaseEndNanos();
+        RunnerLoss loss = new RunnerLoss(
+                session.silentNanos() / 1_000_000,
+                (context.loop().nowNanos() - endNanos) / 1_000_000,
+                (leadershipLease.confirmationReceivedNanos() - endNanos) / 1_000_000);
+        context.log().runnerLost(session.runner().id(), session.lossReason(), loss);
     }
 
     /**
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -86,9 +86,9 @@
     }
 
     @Override
-    public void ping(String address, PingRequest ping, Consumer<Optional<PingResponse>> callback) {
+    public void ping(String address, PingRequest ping, Consumer<PingResult> callback) {
         network.pings++;
-        request(address, election -> Optional.of(election.handlePing(ping)), Optional.empty(), callback);
+        request(address, election -> election.handlePing(ping), new PingFailure("no response"), callback);
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
@@ -147,7 +147,7 @@
     @Test
     void delayedStepOfTheEventLoopIsMeasured() {
         SuspendableLoop nodeLoop = new SuspendableLoop(loop);
-        new LoopDelayProbe(nodeLoop, metrics).start();
+        new LoopDelayProbe(nodeLoop, metrics, dueNanos -> {}).start();
         loop.advance(LoopDelayProbe.INTERVAL.multipliedBy(4));
         assertThat(scrape().value("tamarackline_event_loop_delay_seconds_count"))
                 .isEqualTo(4);
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -65,7 +65,8 @@
     @ValueSource(strings = {"", "x", "1 2 3", "1 2 3 99999999999", "1 2 3 4 5", "-1 0 0 0", "1 0 0 -1", "a b c d"})
     void oddAnswersToAPingCountAsNone(String odd) throws InterruptedException {
         text = odd;
-        assertThat(answerTo(done -> calls.ping(address, PING, done::accept))).isEqualTo(Optional.empty());
+        assertThat(answerTo(done -> calls.ping(address, PING, done::accept)))
+                .isEqualTo(new PeerCalls.PingFailure("unreadable response"));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
@@ -83,8 +83,8 @@
     }
 
     @Override
-    public void ping(String address, PingRequest ping, Consumer<Optional<PingResponse>> callback) {
-        request(address, PING_TIMEOUT, election -> Optional.of(election.handlePing(ping)), Optional.empty(), callback);
+    public void ping(String address, PingRequest ping, Consumer<PingResult> callback) {
+        request(address, PING_TIMEOUT, election -> election.handlePing(ping), new PingFailure("no response"), callback);
     }
 
     @Override
