Add a failing test for a long-running task whose runner and leaders are lost

Cause: a new leader that does not reach a runner waits for the leases that earlier leaders may have granted. Change: a test that ends a runner and its leader at the same time, and the next leader after 0, 0.3, 1 and 3 s; the stated bound is 9 s.

--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.model.Resources;
@@ -29,6 +31,12 @@
 
     private static final long LONG_TASK_MS = 600_000;
 
+    /** Longest time for which a long-running task may stand, from the end of its runner's process. */
+    private static final Duration MAX_STANDSTILL = Duration.ofSeconds(9);
+
+    /** Time from the end of a leader until the next one leads. */
+    private static final Duration LEADER_CHANGE = Duration.ofMillis(2_200);
+
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
@@ -170,6 +178,33 @@
         assertThat(startsOf("zz")).isEmpty();
     }
 
+    /** Guards against a wait for a lost runner that starts again with each leader, when no earlier one can be asked. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300, 1_000, 3_000})
+    void longRunningTaskOfALostRunnerStartsInTimeAcrossLeaders(long secondLeaderMs) {
+        registered.add(descriptor("a"));
+        submit("j", true);
+        Leader first = startLeader(1);
+        loop.advance(Duration.ofSeconds(2));
+        registered.add(descriptor("b"));
+        loop.advance(Duration.ofSeconds(2));
+        calls.stopResponding("a");
+        long lostNanos = loop.nowNanos();
+        first.end();
+        loop.advance(LEADER_CHANGE);
+        if (secondLeaderMs > 0) {
+            Leader second = startLeader(2);
+            loop.advance(Duration.ofMillis(secondLeaderMs));
+            second.end();
+            loop.advance(LEADER_CHANGE);
+        }
+        startLeader(3);
+        loop.advance(MAX_STANDSTILL);
+        assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("a", "b");
+        assertThat(Duration.ofNanos(startsOf("j").getLast().sentNanos() - lostNanos))
+                .isBetween(FleetConstants.RUNNER_LEASE, MAX_STANDSTILL);
+    }
+
     private void startLeaderWithTaskOnFirstOfTwoRunners() {
         registered.add(descriptor("a"));
         submit("j", false);
