Limit the leases of runners by a time that the store has

Callers saw long-running tasks stand for 34 s after their runner's end, while leaders replaced each other. Cause: a leader that does not reach a runner waits for the leases that earlier leaders may have granted. It counted the wait from its own takeover, 13.55 s if an earlier leader cannot be asked, so that each change of leader began it again. Only a cordon ended it earlier, and a leader that ended within 1.2 s of a runner's silence had stored none. Change: a leader grants no lease beyond a limit that it has stored, 7.5 s ahead, in a partition of the store that jobs do not share. A successor takes the record over, which stops earlier leaders from raising it, and waits no longer than the limit. It raises the limit once each runner of the roster has answered or is cordoned. A leader that is cut off from the store now lets leases expire after 7.5 s at the latest instead of 13.3 s; outages of 6 s still cost no lease. Polls wait less at the runner while leases are short, so that a limit raised at the last moment reaches the runner.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -358,6 +358,18 @@
         });
     }
 
+    /**
+     * Logs that no earlier leader can raise the lease limit any more.
+     *
+     * @param remainingMs time until it, in milliseconds; empty if it is unknown
+     */
+    void leaseLimitKnown(LeaderRecord leader, OptionalLong remainingMs) {
+        writeLine("lease-limit-known", json -> {
+            json.writeNumberField("epoch", leader.epoch());
+            writeIfPresent(json, "remainingMs", remainingMs);
+        });
+    }
+
     void leaderState(LeaderState state) {
         writeLine("leader-state", json -> {
             json.writeNumberField("epoch", state.epoch());
@@ -372,6 +384,7 @@
             json.writeNumberField("loopDelayMs", state.loopDelayMs());
             json.writeNumberField("storeAgeMs", state.storeAgeMs());
             json.writeNumberField("directoryAgeMs", state.directoryAgeMs());
+            writeIfPresent(json, "leaseLimitMs", state.leaseLimitMs());
             json.writeNumberField("waitingLongRunningTasks", state.waitingLongRunningTasks());
         });
     }
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -26,6 +26,25 @@
      */
     static final Duration MAX_RUNNER_LEASE = Duration.ofSeconds(6);
 
+    /**
+     * Time from the moment at which a lease limit is sent to the store until it. A long-running task must run again within
+     * 9 s of the end of its runner, so a successor must not wait much longer than this; leases must outlast a store outage
+     * of 6 s.
+     */
+    static final Duration LEASE_LIMIT = Duration.ofMillis(7_500);
+
+    /** Age of the lease limit after which a leader stores a later one. */
+    static final Duration LEASE_LIMIT_INTERVAL = Duration.ofMillis(300);
+
+    /** Time before the lease limit at which a leader raises it for the sake of the runners that have reported. */
+    static final Duration MIN_REMAINING_LEASE_LIMIT = Duration.ofSeconds(2);
+
+    /** Interval at which a leader checks whether a later lease limit is due. */
+    static final Duration LEASE_LIMIT_CHECK_INTERVAL = Duration.ofMillis(100);
+
+    /** Shortest lease that is worth granting. */
+    static final Duration MIN_RUNNER_LEASE = Duration.ofSeconds(1);
+
     /** Shortest time from the end of a runner's process until a new one accepts commands. */
     static final Duration MIN_RESTART_TIME = Duration.ofMillis(500);
 
@@ -93,6 +112,12 @@
      */
     static final Duration CORDON_AFTER_SILENCE = Duration.ofMillis(1_200);
 
+    /**
+     * Time from the first poll of a new leader after which a runner that has not answered it is cordoned. The lease limit
+     * cannot be raised before.
+     */
+    static final Duration CORDON_AFTER_FIRST_POLL = Duration.ofMillis(600);
+
     /** Interval of the scheduling rounds that send commands which become due with time. */
     static final Duration TICK_INTERVAL = Duration.ofMillis(150);
 
--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -151,6 +151,8 @@
         CLAIM,
         /** Resignation of the leadership. */
         RESIGNATION,
+        /** Limit of the runner leases. */
+        LEASE_LIMIT,
         /** Submission of a job. */
         SUBMISSION,
         /** Cancellation of a job. */
--- a/src/main/java/org/tamarackline/fleet/InitialRenewal.java
+++ b/src/main/java/org/tamarackline/fleet/InitialRenewal.java
@@ -17,6 +17,7 @@
     private final FleetRunner runner;
     private final RunnerLease lease;
     private final RunnerCordon cordon;
+    private final FirstReport firstReport;
     private boolean stopped;
     private long processStartEpochMs;
 
@@ -26,13 +27,15 @@
             long epoch,
             FleetRunner runner,
             RunnerLease lease,
-            RunnerCordon cordon) {
+            RunnerCordon cordon,
+            FirstReport firstReport) {
         this.context = context;
         this.leader = leader;
         this.epoch = epoch;
         this.runner = runner;
         this.lease = lease;
         this.cordon = cordon;
+        this.firstReport = firstReport;
     }
 
     /** Stops to renew the lease and ignores responses that are on their way. */
@@ -48,7 +51,8 @@
         }
         boolean clockKnown = lease.runnerClockKnown();
         // This leader has sent no start yet, so no run can be on a process other than the one that has answered.
-        long leaseUntilMs = clockKnown ? lease.extend(true) : 0;
+        long leaseUntilMs = clockKnown && lease.extendable() ? lease.extend(true) : 0;
+        firstReport.onPollSent();
         context.runnerCalls().poll(runner.descriptor(), epoch, 0, leaseUntilMs, 0, response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.POLL, response.outcome());
             if (!stopped) {
@@ -75,6 +79,7 @@
 
     private void onAnswer(RunnerCalls.PollResponse response) {
         long startEpochMs = response.status().processStartEpochMs();
+        firstReport.onPollAnswered();
         if (!lease.runnerClockKnown()) {
             processStartEpochMs = startEpochMs;
             // From now on the runner rejects commands of earlier leaders.
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -22,7 +22,8 @@
  * task that an earlier leader may have started on a runner that has not reported yet is held until that runner reports
  * or its lease has expired.
  */
-final class Leader implements RunnerSession.Callbacks, Committer.Callbacks, JobFeed.Callbacks {
+final class Leader
+        implements RunnerSession.Callbacks, Committer.Callbacks, JobFeed.Callbacks, LeaseLimitStore.Callbacks {
 
     private final EventLoop loop;
     private final RecordStore store;
@@ -44,11 +45,14 @@
     private final StoredProgress progress = new StoredProgress();
     private final LoopDelay loopDelay = new LoopDelay();
     private final EarlierLeaders earlierLeaders;
+    private final LeaseLimit leaseLimit;
+    private final LeaseLimitStore leaseLimitStore;
     private long endedBelowEpoch;
     private Committer committer;
 
     private boolean ended;
     private boolean resigned;
+    private boolean rosterRead;
     private boolean loaded;
     private boolean schedulingRoundPlanned;
     private long lastSchedulingRoundNanos;
@@ -83,7 +87,9 @@
         this.tables = new TableReader(services, () -> ended, this::onStoreResponse);
         this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::onEarlierLeadersEnded);
         this.fleet = new Fleet(record.epoch(), new CountingObserver(metrics, log), loop);
-        this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics);
+        this.leaseLimit = new LeaseLimit(loop, store.clock());
+        this.leaseLimitStore = new LeaseLimitStore(services, leaseLimit, record.epoch(), this);
+        this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics, leaseLimit);
         this.sessions = new RunnerSessions(context, this, record.epoch(), earlierLeaders, store.clock());
         this.directory = new DirectoryFollower(
                 services, new Random(record.epoch()), () -> ended || resigned, this::applyDirectory);
@@ -137,7 +143,9 @@
         leadershipLease.confirm(confirmedNanos);
         sampleState();
         earlierLeaders.start();
+        leaseLimitStore.start();
         tables.readAll(RecordStore.Table.ROSTER, this::readRosterEntry, version -> {
+            rosterRead = true;
             sessions.startInitialRenewals();
             readDirectory();
         });
@@ -161,6 +169,22 @@
         return earlierLeaders.ended();
     }
 
+    @Override
+    public boolean leaseLimitMayBeRaised() {
+        return rosterRead && sessions.leaseLimitMayBeRaised();
+    }
+
+    @Override
+    public void onLeaseLimitKnown() {
+        log.leaseLimitKnown(record, leaseLimit.remainingMs());
+        sessions.onLeaseLimitKnown();
+    }
+
+    @Override
+    public void onLeaseLimitFenced() {
+        endWithReason("a leader of a higher epoch has replaced the lease limit");
+    }
+
     @Override
     public long endedBelowEpoch() {
         return endedBelowEpoch;
@@ -321,6 +345,7 @@
                 loopDelay.getAndResetMaxMs(),
                 storeAgeMs(),
                 directory.ageMs(),
+                leaseLimit.remainingMs(),
                 waits.count()));
         for (LongRunningWait wait : waits.longest()) {
             ChangeKey change = ChangeKey.job(wait.task().job());
@@ -361,7 +386,7 @@
         }
         lastSchedulingRoundNanos = loop.nowNanos();
         if (maySendCommands()) {
-            int maxStarts = FleetConstants.MAX_UNANSWERED_STARTS - unansweredStarts;
+            int maxStarts = leaseLimit.permitsLeases() ? FleetConstants.MAX_UNANSWERED_STARTS - unansweredStarts : 0;
             for (RunnerCommand command : fleet.schedule(loop.nowNanos(), timeOfDay.millis(), maxStarts)) {
                 send(command);
             }
--- a/src/main/java/org/tamarackline/fleet/LeaderContext.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderContext.java
@@ -10,8 +10,15 @@
  * @param fleet jobs and runners
  * @param log decision log
  * @param metrics metrics of the node
+ * @param leaseLimit limit of the leases of all runners
  */
-record LeaderContext(EventLoop loop, RunnerCalls runnerCalls, Fleet fleet, DecisionLog log, FleetMetrics metrics) {
+record LeaderContext(
+        EventLoop loop,
+        RunnerCalls runnerCalls,
+        Fleet fleet,
+        DecisionLog log,
+        FleetMetrics metrics,
+        LeaseLimit leaseLimit) {
 
     /** Records the result of a transaction that stores changes of the leader. */
     void recordCommit(RecordStore.TransactionResult result, long sentNanos) {
--- a/src/main/java/org/tamarackline/fleet/LeaderState.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderState.java
@@ -1,5 +1,7 @@
 package org.tamarackline.fleet;
 
+import java.util.OptionalLong;
+
 /**
  * Snapshot of what may keep a leader from starting tasks, for the log.
  *
@@ -15,6 +17,7 @@
  * @param loopDelayMs longest delay of an event loop step since the last snapshot, in milliseconds
  * @param storeAgeMs time since the store's last response, in milliseconds
  * @param directoryAgeMs time since the read was sent by which runners are placed on, in milliseconds
+ * @param leaseLimitMs time until the lease limit, in milliseconds; empty if it is unknown
  * @param waitingLongRunningTasks long-running tasks that have been ready for more than {@link
  *     FleetConstants#LONG_RUNNING_WAIT_TO_LOG} without a confirmed run
  */
@@ -31,4 +34,5 @@
         long loopDelayMs,
         long storeAgeMs,
         long directoryAgeMs,
+        OptionalLong leaseLimitMs,
         int waitingLongRunningTasks) {}
--- /dev/null
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -0,0 +1,205 @@
+package org.tamarackline.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Stores the limit of the runner leases for a leader.
+ *
+ * <p>The leader first replaces the record of earlier leaders by its own with the same limit. From then on no earlier
+ * leader can raise the limit, because each write requires the version of the one before. An attempt to raise it that has
+ * no response is followed by further ones; at most one of them takes effect.
+ */
+final class LeaseLimitStore {
+
+    /** Callbacks to the leader. */
+    interface Callbacks {
+
+        /** Returns whether the leader has ended. */
+        boolean ended();
+
+        /** Returns whether the limit may be raised. */
+        boolean leaseLimitMayBeRaised();
+
+        /** No earlier leader can raise the limit any more. */
+        void onLeaseLimitKnown();
+
+        /** A leader with a higher epoch has replaced the record. */
+        void onLeaseLimitFenced();
+    }
+
+    private static final int MAX_UNANSWERED_ATTEMPTS = 4;
+
+    private final NodeServices services;
+    private final EventLoop loop;
+    private final LeaseLimit limit;
+    private final long epoch;
+    private final Callbacks leader;
+
+    /** Version of the record, 0 if there is none. */
+    private long version;
+
+    private boolean earlierLeadersFenced;
+    private boolean raisesFailing;
+    private int unansweredAttempts;
+    private long lastAttemptNanos;
+
+    LeaseLimitStore(NodeServices services, LeaseLimit limit, long epoch, Callbacks leader) {
+        this.services = services;
+        this.loop = services.loop();
+        this.limit = limit;
+        this.epoch = epoch;
+        this.leader = leader;
+    }
+
+    /** Reads the limit, and raises it from time to time until the leader ends. */
+    void start() {
+        read();
+    }
+
+    private void read() {
+        if (leader.ended()) {
+            return;
+        }
+        String afterKey = LeaseLimitRecord.KEY + "\u0000";
+        services.store().read(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, afterKey, result -> {
+            services.metrics().readCompleted(FleetMetrics.ReadPurpose.TABLE, FleetMetrics.ReadOutcome.of(result));
+            if (leader.ended()) {
+                return;
+            }
+            if (result instanceof RecordStore.ReadResult.Page page) {
+                onEntry(page.entries().stream().findFirst());
+            } else {
+                services.log().storeState("takeover-read-failing", result.toString());
+                loop.schedule(FleetConstants.STORE_RETRY_DELAY, this::read);
+            }
+        });
+    }
+
+    /** Handles the record that the store has. */
+    private void onEntry(Optional<RecordStore.Entry> entry) {
+        LeaseLimitRecord record = entry.flatMap(this::decode).orElse(new LeaseLimitRecord(0, LeaseLimitRecord.UNKNOWN));
+        if (record.epoch() > epoch) {
+            leader.onLeaseLimitFenced();
+            return;
+        }
+        version = entry.filter(present -> !present.removed())
+                .map(RecordStore.Entry::version)
+                .orElse(0L);
+        limit.onStored(record.limitStoreMs());
+        if (record.epoch() == epoch) {
+            onEarlierLeadersFenced();
+        } else {
+            fenceEarlierLeaders();
+        }
+    }
+
+    private Optional<LeaseLimitRecord> decode(RecordStore.Entry entry) {
+        if (entry.removed()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(RecordCodec.decodeLeaseLimit(entry.value()));
+        } catch (CorruptRecordException corrupt) {
+            services.log().skippedRecord(entry.key(), corrupt.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void fenceEarlierLeaders() {
+        long storedMs = limit.storedMs();
+        write(storedMs, result -> {
+            switch (result) {
+                case RecordStore.TransactionResult.Applied applied -> {
+                    version = applied.version();
+                    onEarlierLeadersFenced();
+                }
+                case RecordStore.TransactionResult.Conflict conflict -> onConflict(conflict);
+                default -> loop.schedule(FleetConstants.STORE_RETRY_DELAY, this::read);
+            }
+        });
+    }
+
+    private void onEarlierLeadersFenced() {
+        if (earlierLeadersFenced) {
+            return;
+        }
+        earlierLeadersFenced = true;
+        leader.onLeaseLimitKnown();
+        raiseWhenDue();
+    }
+
+    private void raiseWhenDue() {
+        if (leader.ended()) {
+            return;
+        }
+        loop.schedule(FleetConstants.LEASE_LIMIT_CHECK_INTERVAL, this::raiseWhenDue);
+        if (limit.due() && (leader.leaseLimitMayBeRaised() || limit.runsOut()) && mayAttempt()) {
+            limit.raisedMs().ifPresent(this::raise);
+        }
+    }
+
+    private boolean mayAttempt() {
+        long sinceLastNanos = loop.nowNanos() - lastAttemptNanos;
+        return unansweredAttempts == 0
+                || (unansweredAttempts < MAX_UNANSWERED_ATTEMPTS
+                        && sinceLastNanos >= FleetConstants.LEASE_LIMIT_INTERVAL.toNanos());
+    }
+
+    private void raise(long raisedMs) {
+        unansweredAttempts++;
+        lastAttemptNanos = loop.nowNanos();
+        long requiredVersion = version;
+        write(raisedMs, result -> {
+            unansweredAttempts--;
+            logFailures(result);
+            if (result instanceof RecordStore.TransactionResult.Applied applied) {
+                version = applied.version();
+                limit.onStored(raisedMs);
+            } else if (result instanceof RecordStore.TransactionResult.Conflict conflict
+                    && requiredVersion == version) {
+                // An earlier attempt whose response was lost has taken effect, or a successor has fenced this leader.
+                onConflict(conflict);
+            }
+        });
+    }
+
+    private void logFailures(RecordStore.TransactionResult result) {
+        boolean failed = !(result instanceof RecordStore.TransactionResult.Applied)
+                && !(result instanceof RecordStore.TransactionResult.Conflict);
+        if (failed != raisesFailing) {
+            raisesFailing = failed;
+            services.log().storeState(failed ? "lease-limit-failing" : "lease-limit-back", result.toString());
+        }
+    }
+
+    private void onConflict(RecordStore.TransactionResult.Conflict conflict) {
+        Optional<RecordStore.Entry> current = conflict.current().stream()
+                .filter(entry -> entry.key().equals(LeaseLimitRecord.KEY))
+                .findFirst();
+        if (current.isPresent()) {
+            onEntry(current);
+        } else {
+            read();
+        }
+    }
+
+    private void write(long limitStoreMs, Consumer<RecordStore.TransactionResult> callback) {
+        long sentNanos = loop.nowNanos();
+        byte[] value = RecordCodec.encodeLeaseLimit(new LeaseLimitRecord(epoch, limitStoreMs));
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, version)),
+                List.of(new RecordStore.Write(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, value)));
+        services.store().transact(transaction, result -> {
+            services.metrics()
+                    .transactionCompleted(
+                            FleetMetrics.TransactionPurpose.LEASE_LIMIT,
+                            FleetMetrics.TransactionOutcome.of(result),
+                            loop.nowNanos() - sentNanos);
+            if (!leader.ended()) {
+                callback.accept(result);
+            }
+        });
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -73,6 +73,21 @@
         });
     }
 
+    static byte[] encodeLeaseLimit(LeaseLimitRecord limit) {
+        return RecordFormat.pack(packer -> {
+            packer.packLong(limit.epoch());
+            packer.packLong(limit.limitStoreMs());
+        });
+    }
+
+    static LeaseLimitRecord decodeLeaseLimit(byte[] bytes) throws CorruptRecordException {
+        return RecordFormat.unpack(LeaseLimitRecord.KEY, bytes, in -> {
+            LeaseLimitRecord limit = new LeaseLimitRecord(unpackEpoch(in), in.unpackLong());
+            RecordFormat.check(limit.limitStoreMs() >= 0, "the limit is negative");
+            return limit;
+        });
+    }
+
     static byte[] encodeSequence(CommitSequence sequence) {
         return RecordFormat.pack(packer -> {
             packer.packLong(sequence.epoch());
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -58,6 +58,8 @@
         PROGRESS,
         /** Runners that a leader may have sent commands to. */
         ROSTER,
+        /** Limit of the runner leases, stored apart from the jobs so that it does not wait for their transactions. */
+        LEASES,
         /** Configuration that operators write. */
         CONFIGURATION
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerCordons.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCordons.java
@@ -44,16 +44,13 @@
      * @param latestEndNanos upper bound; the result if the runner is not cordoned or the store's time is unknown
      */
     long endOfEarlierLeasesNanos(RosterRecord rosterRecord, long latestEndNanos) {
-        long nowNanos = loop.nowNanos();
-        OptionalLong storeNowMs = storeClock.earliestMs(nowNanos);
-        if (!rosterRecord.cordoned() || storeNowMs.isEmpty()) {
+        if (!rosterRecord.cordoned()) {
             return latestEndNanos;
         }
-        double remainingMs = Math.max(0, rosterRecord.leaseEndStoreMs() - storeNowMs.getAsLong());
-        long remainingNanos = (long) Math.ceil(remainingMs * 1e6 / (1 - FleetConstants.MAX_CLOCK_DRIFT));
-        long endNanos = nowNanos + remainingNanos;
-        endsOfEarlierCordonsNanos.put(rosterRecord.runner().id(), endNanos);
-        return Math.min(latestEndNanos, endNanos);
+        OptionalLong cordonEndNanos = storeClock.latestNanosOf(rosterRecord.leaseEndStoreMs(), loop.nowNanos());
+        cordonEndNanos.ifPresent(
+                endNanos -> endsOfEarlierCordonsNanos.put(rosterRecord.runner().id(), endNanos));
+        return Math.min(latestEndNanos, cordonEndNanos.orElse(latestEndNanos));
     }
 
     /** Restores the cordon of a runner from the roster record of an earlier leader. */
@@ -89,7 +86,10 @@
             }
             if (cordonDue(session)) {
                 cordon.requestWrite();
-                log("cordon-requested", session, "it is silent");
+                log(
+                        "cordon-requested",
+                        session,
+                        session.silent() ? "it is silent" : "it has not reported to this leader");
                 committer.cordon(session.runner().id());
             } else if (uncordonDue(session)) {
                 cordon.requestWrite();
@@ -100,7 +100,8 @@
 
     private boolean cordonDue(RunnerSession session) {
         return !session.cordon().stored()
-                && session.silentFor(FleetConstants.CORDON_AFTER_SILENCE)
+                && (session.silentFor(FleetConstants.CORDON_AFTER_SILENCE)
+                        || session.firstReport().awaitedFor(FleetConstants.CORDON_AFTER_FIRST_POLL))
                 && storeClock.latestMs(loop.nowNanos()).isPresent();
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerLease.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerLease.java
@@ -11,6 +11,7 @@
 final class RunnerLease {
 
     private final MonotonicClock clock;
+    private final LeaseLimit limit;
     private long endNanos;
     private boolean runnerClockKnown;
     private long runnerClockMs;
@@ -25,10 +26,12 @@
     /**
      * Creates a lease that this node has not extended.
      *
+     * @param limit limit of the leases of all runners
      * @param endNanos when everything that earlier leaders started on the runner has ended
      */
-    RunnerLease(MonotonicClock clock, long endNanos) {
+    RunnerLease(MonotonicClock clock, LeaseLimit limit, long endNanos) {
         this.clock = clock;
+        this.limit = limit;
         this.endNanos = endNanos;
     }
 
@@ -56,8 +59,14 @@
         runnerClockReadNanos = clock.nowNanos();
     }
 
+    /** Returns whether the lease limit permits to extend the lease. */
+    boolean extendable() {
+        return limit.permitsLeases();
+    }
+
     /**
-     * Extends the lease from now on and returns its end on the runner's clock in milliseconds.
+     * Extends the lease from now on and returns its end on the runner's clock in milliseconds. To be called only while it
+     * is {@link #extendable}.
      *
      * @param processVerified whether the runner can have no run on a process other than the known one
      */
@@ -69,7 +78,7 @@
         endNanos = Math.max(endNanos, nowNanos + longestNanos(lease));
         double elapsedMs = (nowNanos - runnerClockReadNanos) / 1e6;
         long earliestClockMs = runnerClockMs + (long) (elapsedMs * (1 - FleetConstants.MAX_CLOCK_DRIFT));
-        return earliestClockMs + FleetConstants.RUNNER_LEASE.toMillis();
+        return earliestClockMs + limit.permittedLease().toMillis();
     }
 
     /** Records that no process other than the known one can have granted the lease. */
@@ -85,9 +94,15 @@
      * reported to this leader.
      */
     void onEarlierLeadersEnded(long endedNanos) {
-        long waitEndNanos = endedNanos + longestNanos();
-        if (!runnerClockKnown && endNanos - waitEndNanos > 0) {
-            endNanos = waitEndNanos;
+        onEarlierLeasesLimited(endedNanos + longestNanos());
+    }
+
+    /**
+     * Records by when all leases of earlier leaders have expired. Does nothing once the runner has reported to this leader.
+     */
+    void onEarlierLeasesLimited(long expiredByNanos) {
+        if (!runnerClockKnown && endNanos - expiredByNanos > 0) {
+            endNanos = expiredByNanos;
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -37,6 +37,11 @@
         void requestSchedulingRound();
     }
 
+    /** Number of polls in the time of a lease, also if the lease limit shortens it. */
+    private static final int RENEWALS_PER_LEASE = 5;
+
+    private static final int MIN_POLL_WAIT_MS = 200;
+
     private final LeaderContext context;
     private final Callbacks leader;
     private final long epoch;
@@ -54,6 +59,7 @@
     private final StartVerification starts = new StartVerification();
     private final PollSilence silence;
     private final RunnerLease lease;
+    private final FirstReport firstReport;
     private final InitialRenewal initialRenewal;
     private final RunStarter starter;
     private final RunnerCommandSender commands;
@@ -61,16 +67,24 @@
     /**
      * Creates a session that has not contacted its runner.
      *
+     * @param inherited whether earlier leaders may have sent commands to the runner
      * @param leaseEndNanos when everything that earlier leaders started on the runner has ended
      */
-    RunnerSession(LeaderContext context, Callbacks leader, long epoch, FleetRunner runner, long leaseEndNanos) {
+    RunnerSession(
+            LeaderContext context,
+            Callbacks leader,
+            long epoch,
+            FleetRunner runner,
+            boolean inherited,
+            long leaseEndNanos) {
         this.context = context;
         this.leader = leader;
         this.epoch = epoch;
         this.runner = runner;
         this.silence = new PollSilence(context.loop());
-        this.lease = new RunnerLease(context.loop(), leaseEndNanos);
-        this.initialRenewal = new InitialRenewal(context, leader, epoch, runner, lease, cordon);
+        this.lease = new RunnerLease(context.loop(), context.leaseLimit(), leaseEndNanos);
+        this.firstReport = new FirstReport(context.loop(), inherited);
+        this.initialRenewal = new InitialRenewal(context, leader, epoch, runner, lease, cordon, firstReport);
         this.starter = new RunStarter(context, leader, epoch, process, starts, lease, this);
         this.commands = new RunnerCommandSender(context, leader, epoch, this);
     }
@@ -84,6 +98,11 @@
         lease.onEarlierLeadersEnded(endedNanos);
     }
 
+    /** Shortens the wait for earlier leaders to the time by which all leases that they granted have expired. */
+    void onEarlierLeasesLimited(long expiredByNanos) {
+        lease.onEarlierLeasesLimited(expiredByNanos);
+    }
+
     @Override
     public FleetRunner runner() {
         return runner;
@@ -145,6 +164,11 @@
         return silence.longerThan(time);
     }
 
+    /** Returns the first report of the runner to this leader. */
+    FirstReport firstReport() {
+        return firstReport;
+    }
+
     /** Returns the renewal of the runner's lease before the jobs are read. */
     InitialRenewal initialRenewal() {
         return initialRenewal;
@@ -224,12 +248,14 @@
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
         boolean renew = lease.runnerClockKnown()
+                && lease.extendable()
                 && runner.busy()
                 && !silent()
                 && !restartPending
                 && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
         long leaseUntilMs = renew ? lease.extend(starts.allVerified()) : 0;
+        firstReport.onPollSent();
         context.runnerCalls()
                 .poll(
                         runner.descriptor(),
@@ -240,8 +266,11 @@
                         response -> onPollResponse(response, sentNanos, acknowledgedEnd));
     }
 
+    /** Returns the wait of a poll; short leases are renewed more often, so that they outlast the next raise of the limit. */
     private int pollWaitMs() {
-        return runner.hasColocatedTasks() ? FleetConstants.SHARED_POLL_WAIT_MS : FleetConstants.POLL_WAIT_MS;
+        int waitMs = runner.hasColocatedTasks() ? FleetConstants.SHARED_POLL_WAIT_MS : FleetConstants.POLL_WAIT_MS;
+        long shortLeaseWaitMs = context.leaseLimit().permittedLease().toMillis() / RENEWALS_PER_LEASE;
+        return Math.clamp(shortLeaseWaitMs, MIN_POLL_WAIT_MS, waitMs);
     }
 
     private void onPollResponse(RunnerCalls.PollResponse response, long sentNanos, long acknowledgedEnd) {
@@ -298,6 +327,7 @@
             context.metrics().runnerChanged(FleetMetrics.RunnerEvent.BACK);
         }
         silence.onAnswer();
+        firstReport.onPollAnswered();
         learnProcess(response.status().processStartEpochMs());
         process.onPollAnswered(sentNanos, response.status().clockMs(), nowNanos);
         boolean restarted = runner.processStartEpochMs() != 0
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -77,6 +77,25 @@
         sessions.values().forEach(session -> session.onEarlierLeadersEnded(earlierLeaders.endedNanos()));
     }
 
+    /** Shortens the lease waits of all sessions, since no earlier leader can raise the lease limit any more. */
+    void onLeaseLimitKnown() {
+        sessions.values().forEach(this::limitEarlierLeases);
+    }
+
+    private void limitEarlierLeases(RunnerSession session) {
+        context.leaseLimit().expiredByNanos().ifPresent(session::onEarlierLeasesLimited);
+    }
+
+    /**
+     * Returns whether this leader may have renewed the lease of each runner, or has stored by when it ends. Before, a
+     * higher lease limit would let successors wait longer for the others.
+     */
+    boolean leaseLimitMayBeRaised() {
+        return sessions.values().stream()
+                .allMatch(session ->
+                        !session.firstReport().awaited() || session.cordon().stored());
+    }
+
     /**
      * Adds a session for a runner that earlier leaders may have sent commands to.
      *
@@ -86,7 +105,8 @@
         FleetRunner runner = context.fleet().expectStatus(roster.runner());
         long wait = FleetConstants.LEADERSHIP_LEASE.toNanos() + RunnerLease.longestNanos();
         long endNanos = cordons.endOfEarlierLeasesNanos(roster, takeoverNanos + wait);
-        RunnerSession session = new RunnerSession(context, leader, epoch, runner, endNanos);
+        RunnerSession session = new RunnerSession(context, leader, epoch, runner, true, endNanos);
+        limitEarlierLeases(session);
         if (earlierLeaders.ended()) {
             session.onEarlierLeadersEnded(earlierLeaders.endedNanos());
         }
@@ -108,7 +128,7 @@
             RunnerSession session = sessions.get(descriptor.id());
             if (session == null || session.runner() != runner) {
                 long nowNanos = context.loop().nowNanos();
-                sessions.put(descriptor.id(), new RunnerSession(context, leader, epoch, runner, nowNanos));
+                sessions.put(descriptor.id(), new RunnerSession(context, leader, epoch, runner, false, nowNanos));
                 notOnRoster.add(descriptor.id());
             }
         }
--- a/src/main/java/org/tamarackline/fleet/StoreClock.java
+++ b/src/main/java/org/tamarackline/fleet/StoreClock.java
@@ -78,4 +78,18 @@
         long latestMs = readingMs + 1 + (long) Math.ceil(elapsedMs * (1 + FleetConstants.MAX_CLOCK_DRIFT));
         return known ? OptionalLong.of(latestMs) : OptionalLong.empty();
     }
+
+    /**
+     * Returns the latest local time at which the store's clock may show a time, or {@code nowNanos} if it shows a later
+     * one already; empty if unknown.
+     */
+    OptionalLong latestNanosOf(long storeMs, long nowNanos) {
+        OptionalLong nowMs = earliestMs(nowNanos);
+        if (nowMs.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        double remainingMs = Math.max(0, storeMs - nowMs.getAsLong());
+        return OptionalLong.of(
+                nowNanos + (long) Math.ceil(remainingMs * NANOS_PER_MS / (1 - FleetConstants.MAX_CLOCK_DRIFT)));
+    }
 }
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -42,6 +42,9 @@
     /** Holds all rows of a fleet, because all its transactions are ordered relative to each other. */
     private static final String FLEET_PARTITION = "0";
 
+    /** Holds the limit of the leases, whose writes thereby do not wait for the fleet's other transactions. */
+    private static final String LEASE_PARTITION = "1";
+
     /** Holds the rows of operators and runners; its name is empty. */
     private static final String SHARED_PARTITION = "";
 
@@ -325,6 +328,7 @@
             case JOBS -> "jobs";
             case PROGRESS -> "progress";
             case ROSTER -> "roster";
+            case LEASES -> "leases";
             // The platform's table for operators.
             case CONFIGURATION -> "op";
         };
@@ -335,13 +339,18 @@
             case "jobs" -> Table.JOBS;
             case "progress" -> Table.PROGRESS;
             case "roster" -> Table.ROSTER;
+            case "leases" -> Table.LEASES;
             case "op" -> Table.CONFIGURATION;
             default -> null;
         };
     }
 
     private static String partitionOf(Table table) {
-        return table == Table.CONFIGURATION ? SHARED_PARTITION : FLEET_PARTITION;
+        return switch (table) {
+            case JOBS, PROGRESS, ROSTER -> FLEET_PARTITION;
+            case LEASES -> LEASE_PARTITION;
+            case CONFIGURATION -> SHARED_PARTITION;
+        };
     }
 
     private static String urlEncode(String text) {
--- a/src/test/java/org/tamarackline/fleet/WaitLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/WaitLogTest.java
@@ -52,6 +52,7 @@
     /** Guards against a wait for the leases of earlier leaders that the log does not explain. */
     @Test
     void aSuccessorWithoutACordonNamesTheLeasesOfEarlierLeaders() {
+        store.setWriteFilter(LeaseLimits::withoutLimit);
         Leader first = startLeaderWithTask();
         calls.stopResponding("b");
         loop.advance(Duration.ofMillis(100));
