--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -430,6 +430,7 @@
 
     private void stop(SimulatedNode node) {
         node.stop();
+        // The process ends at the latest then, which is the end of a fault too.
         later(SimulatedNode.DRAIN_TIME, () -> {});
         later(between(4_200, 8_000), node::start);
     }
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -663,6 +663,7 @@
     }
 
     private void checkLongRunningTasks() {
+        // A task without a runner that it fits on cannot start.
         if (faults.inEffect() || !hasRunnersForAllTasks()) {
             longRunningTasks.disturbed();
         }
--- a/src/test/java/org/tamarackline/fleet/LongRunningTasks.java
+++ b/src/test/java/org/tamarackline/fleet/LongRunningTasks.java
@@ -31,7 +31,7 @@
         this.history = history;
     }
 
-    /** A fault begins, ends or is in effect. */
+    /** A fault begins or ends, or the tasks cannot start at present. */
     void disturbed() {
         lastFaultNanos = loop.nowNanos();
     }
