Cordon a runner once its answer to a poll is overdue

Cause: a leader cordoned a silent runner after 1.2 s and two unanswered polls, 2 to 4 s after the runner's end if connections to it stay silent. A leader that ended before left the lease limit, which it had raised for the lost runner as well. Change: a runner is cordoned 0.4 s after the answer to a poll is due; a reset connection leaves time for one more poll. The lease limit is 7.2 s ahead instead of 7.5 s and raised every 0.2 s instead of 0.3 s. A runner is checked for its loss as soon as the store has confirmed the leader. LEASE_ENDS_FORGOTTEN also removes the lease limit from the store.

--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -31,16 +31,16 @@
      * 9 s of the end of its runner, so a successor must not wait much longer than this; leases must outlast a store outage
      * of 6 s.
      */
-    static final Duration LEASE_LIMIT = Duration.ofMillis(7_500);
+    static final Duration LEASE_LIMIT = Duration.ofMillis(7_200);
 
     /** Age of the lease limit after which a leader stores a later one. */
-    static final Duration LEASE_LIMIT_INTERVAL = Duration.ofMillis(300);
+    static final Duration LEASE_LIMIT_INTERVAL = Duration.ofMillis(200);
 
     /** Time before the lease limit at which a leader raises it for the sake of the runners that have reported. */
     static final Duration MIN_REMAINING_LEASE_LIMIT = Duration.ofSeconds(2);
 
     /** Interval at which a leader checks whether a later lease limit is due. */
-    static final Duration LEASE_LIMIT_CHECK_INTERVAL = Duration.ofMillis(100);
+    static final Duration LEASE_LIMIT_CHECK_INTERVAL = Duration.ofMillis(50);
 
     /** Shortest lease that is worth granting. */
     static final Duration MIN_RUNNER_LEASE = Duration.ofSeconds(1);
@@ -108,9 +108,10 @@
     static final Duration DIRECTORY_READ_INTERVAL = Duration.ofMillis(900);
 
     /**
-     * Silence after which a runner is cordoned, so that successors need not wait for it longer than this leader does.
+     * Time from the moment at which the answer to a poll is due until its runner is cordoned, so that successors need not
+     * wait for it longer than this leader does. It leaves time for one more poll after a connection was reset.
      */
-    static final Duration CORDON_AFTER_SILENCE = Duration.ofMillis(1_200);
+    static final Duration CORDON_AFTER_OVERDUE = Duration.ofMillis(400);
 
     /**
      * Time from the first poll of a new leader after which a runner that has not answered it is cordoned. The lease limit
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -480,6 +480,14 @@
         onStoreResponse();
         leadershipLease.confirm(sentNanos);
         sessions.onLeadershipConfirmed();
+        // Not at once, because the transaction that confirmed the leader is still being processed.
+        loop.execute(this::removeLostRunners);
+    }
+
+    private void removeLostRunners() {
+        if (leading() && loaded) {
+            sessions.removeLost(leadershipLease, committer);
+        }
     }
 
     @Override
--- a/src/main/java/org/tamarackline/fleet/PollSilence.java
+++ b/src/main/java/org/tamarackline/fleet/PollSilence.java
@@ -7,20 +7,29 @@
 /** Time for which a runner has left polls unanswered. */
 final class PollSilence {
 
-    /**
-     * Consecutive unanswered polls before a runner can count as silent for a period; a single one may be due to a
-     * broken connection.
-     */
-    private static final int MIN_MISSED_POLLS = 2;
-
     private final MonotonicClock clock;
     private int missedPolls;
     private long firstMissedPollNanos;
+    private boolean answerAwaited;
+    /** When the answer was due to the oldest poll since the last answered one. */
+    private long answerDueNanos;
 
     PollSilence(MonotonicClock clock) {
         this.clock = clock;
     }
 
+    /**
+     * Records that a poll was sent.
+     *
+     * @param dueNanos when the runner is to answer at the latest
+     */
+    void onPollSent(long dueNanos) {
+        if (!answerAwaited) {
+            answerAwaited = true;
+            answerDueNanos = dueNanos;
+        }
+    }
+
     /**
      * Records an unanswered poll.
      *
@@ -31,10 +40,16 @@
             firstMissedPollNanos = sentNanos;
         }
         missedPolls++;
+        long nowNanos = clock.nowNanos();
+        if (!answerAwaited || answerDueNanos - nowNanos > 0) {
+            answerAwaited = true;
+            answerDueNanos = nowNanos;
+        }
     }
 
     void onAnswer() {
         missedPolls = 0;
+        answerAwaited = false;
     }
 
     /** Returns the number of consecutive unanswered polls. */
@@ -47,8 +62,8 @@
         return missedPolls == 0 ? 0 : clock.nowNanos() - firstMissedPollNanos;
     }
 
-    /** Returns whether a poll that was sent at least {@code time} ago and a further one are unanswered. */
-    boolean longerThan(Duration time) {
-        return missedPolls >= MIN_MISSED_POLLS && clock.nowNanos() - firstMissedPollNanos >= time.toNanos();
+    /** Returns whether the answer to a poll has been due for {@code time}, and no later poll is answered. */
+    boolean overdueFor(Duration time) {
+        return answerAwaited && clock.nowNanos() - answerDueNanos >= time.toNanos();
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RunnerCordons.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCordons.java
@@ -89,7 +89,9 @@
                 log(
                         "cordon-requested",
                         session,
-                        session.silent() ? "it is silent" : "it has not reported to this leader");
+                        session.firstReport().awaited()
+                                ? "it has not reported to this leader"
+                                : "its answer is overdue");
                 committer.cordon(session.runner().id());
             } else if (uncordonDue(session)) {
                 cordon.requestWrite();
@@ -100,14 +102,14 @@
 
     private boolean cordonDue(RunnerSession session) {
         return !session.cordon().stored()
-                && (session.silentFor(FleetConstants.CORDON_AFTER_SILENCE)
-                        || session.firstReport().awaitedFor(FleetConstants.CORDON_AFTER_FIRST_POLL))
+                && (session.answerOverdue() || session.firstReport().awaitedFor(FleetConstants.CORDON_AFTER_FIRST_POLL))
                 && storeClock.latestMs(loop.nowNanos()).isPresent();
     }
 
     private static boolean uncordonDue(RunnerSession session) {
         return session.cordon().commandsBlocked()
                 && !session.silent()
+                && !session.answerOverdue()
                 && session.runner().statusKnown();
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -41,6 +41,7 @@
     private static final int RENEWALS_PER_LEASE = 5;
 
     private static final int MIN_POLL_WAIT_MS = 200;
+    private static final long NANOS_PER_MS = 1_000_000;
 
     private final LeaderContext context;
     private final Callbacks leader;
@@ -159,9 +160,9 @@
         return silence.missedPolls() > 0;
     }
 
-    /** Returns whether the runner left a poll that was sent at least {@code time} ago and a further one unanswered. */
-    boolean silentFor(Duration time) {
-        return silence.longerThan(time);
+    /** Returns whether the runner's answer to a poll is overdue for so long that it is to be cordoned. */
+    boolean answerOverdue() {
+        return silence.overdueFor(FleetConstants.CORDON_AFTER_OVERDUE);
     }
 
     /** Returns the first report of the runner to this leader. */
@@ -256,13 +257,15 @@
                 && !cordon.commandsBlocked();
         long leaseUntilMs = renew ? lease.extend(starts.allVerified()) : 0;
         firstReport.onPollSent();
+        int waitMs = wait ? pollWaitMs() : 0;
+        silence.onPollSent(sentNanos + waitMs * NANOS_PER_MS);
         context.runnerCalls()
                 .poll(
                         runner.descriptor(),
                         epoch,
                         acknowledgedEnd,
                         leaseUntilMs,
-                        wait ? pollWaitMs() : 0,
+                        waitMs,
                         response -> onPollResponse(response, sentNanos, acknowledgedEnd));
     }
 
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -268,6 +268,9 @@
 
     /** Returns a write without the time by which everything that earlier leaders started on a runner has ended. */
     private static RecordStore.Write withoutLeaseEnd(RecordStore.Write write) {
+        if (write.table() == RecordStore.Table.LEASES) {
+            return LeaseLimits.withoutLimit(write);
+        }
         if (write.table() != RecordStore.Table.ROSTER || write.value() == null) {
             return write;
         }
