Answer transactions of the stand-in store with their own version

Cause: the stand-in added the newest version to a response after its delay, so a transaction stored meanwhile made a new leader take its own record for a resignation; successors replaced healthy leaders 0.3 s after they began to lead. Change: the response is made with the transaction. The 101 tests that use the stand-ins passed.

--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -16,7 +16,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.tamarackline.http.HttpExchange;
 import org.tamarackline.http.HttpListener;
@@ -236,13 +235,9 @@
             respond(exchange, 400, mapper.createObjectNode());
             return;
         }
-        ArrayNode currentRows = store.transact(transaction);
+        StandinStore.TransactionResult result = store.transact(transaction);
         Thread.sleep(storeDelay);
-        ObjectNode response = store.addVersionAndClock(mapper.createObjectNode());
-        if (currentRows != null) {
-            response.set("rows", currentRows);
-        }
-        respond(exchange, currentRows == null ? 200 : 412, response);
+        respond(exchange, result.applied() ? 200 : 412, result.response());
     }
 
     static void respond(HttpExchange exchange, int status, JsonNode body) {
--- a/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
@@ -47,8 +47,15 @@
         return fits && entries <= MAX_TRANSACTION_ENTRIES;
     }
 
-    /** Applies a transaction and returns null, or returns the current rows if a condition does not hold. */
-    synchronized ArrayNode transact(JsonNode transaction) {
+    /**
+     * Result of a transaction.
+     *
+     * @param response body of the response; its version is that of the transaction, whatever is stored after it
+     */
+    record TransactionResult(boolean applied, ObjectNode response) {}
+
+    /** Applies a transaction, or returns the current rows if a condition does not hold. */
+    synchronized TransactionResult transact(JsonNode transaction) {
         ArrayNode currentRows = mapper.createArrayNode();
         boolean conditionsHold = true;
         for (JsonNode condition : transaction.path("expectedRev")) {
@@ -59,7 +66,8 @@
             }
         }
         if (!conditionsHold) {
-            return currentRows;
+            ObjectNode conflict = mapper.createObjectNode().set("rows", currentRows);
+            return new TransactionResult(false, addVersionAndClock(conflict));
         }
         version++;
         for (JsonNode write : transaction.path("writes")) {
@@ -69,7 +77,7 @@
             put(removal, null);
         }
         notifyAll();
-        return null;
+        return new TransactionResult(true, addVersionAndClock(mapper.createObjectNode()));
     }
 
     private static String fullKeyOf(JsonNode row) {
