Disregard one missed ping of a node that was itself late

Cause: a node counts a ping as missed whenever the response is not there after 700 ms, also if its own event loop stood still meanwhile. On a host that pauses, two such misses replace a healthy leader.

Change: the monitor measures by how much its loop is late during a ping. The first miss with a delay above 200 ms does not count. The bound of one delays the replacement of a leader that has ended by at most 1.1 s, and only on a node that was late.

A node that is on time still suspects a leader that has ended within 2.25 s.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -15,6 +15,12 @@
     /** Consecutive unanswered pings after which the leader is considered to have ended. */
     private static final int MAX_MISSED_PINGS = 2;
 
+    /**
+     * Unanswered pings that do not count because this node was late itself. Each delays the replacement of a leader that
+     * has ended by 1.1 s, of the 5 s for which runners keep their tasks.
+     */
+    private static final int MAX_DISREGARDED_PINGS = 1;
+
     /** Delay before a ping is repeated that was not answered, or that was answered by a node whose claim is in progress. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -47,11 +53,14 @@
     private final PeerCalls.PingRequest request;
     private final Random random;
     private final Runnable readRecord;
+    private final LoopPunctuality punctuality;
 
     private LeaderRecord followed;
     private long followedVersion;
     private int rank;
     private int missedPings;
+    /** Unanswered pings that did not count since the leader last answered. */
+    private int disregardedPings;
     /** Why the leader should be replaced, null if it should not. */
     private String suspicion;
     /** Whether the leader was found without the store while this node lacked it too. */
@@ -89,6 +98,7 @@
         this.rank = initialRank;
         this.random = random;
         this.readRecord = readRecord;
+        this.punctuality = new LoopPunctuality(loop);
     }
 
     /** Follows the leader of a record, unless it does so already, and pings it. */
@@ -98,6 +108,7 @@
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
             claimFirstSeenNanos = 0;
             keptWithoutStore = false;
+            disregardedPings = 0;
         }
         followed = record;
         followedVersion = version;
@@ -109,6 +120,7 @@
     /** Stops to follow the leader. */
     void stop() {
         generation++;
+        punctuality.stop();
         followed = null;
         suspicion = null;
         missedPings = 0;
@@ -150,6 +162,7 @@
     private void ping() {
         long pingGeneration = ++generation;
         lastPingNanos = loop.nowNanos();
+        punctuality.start();
         peers.ping(followed.address(), request, response -> {
             if (pingGeneration == generation) {
                 onPing(response);
@@ -158,11 +171,13 @@
     }
 
     private void onPing(Optional<PeerCalls.PingResponse> response) {
+        punctuality.stop();
         if (response.isEmpty()) {
             onMissedPing();
         } else if (response.get().epoch() == followed.epoch()) {
             rank = response.get().rank();
             missedPings = 0;
+            disregardedPings = 0;
             onLeaderAnswered(Duration.ofMillis(response.get().storeAgeMs()));
         } else if (isClaiming(response.get())) {
             rank = response.get().rank();
@@ -175,6 +190,11 @@
     }
 
     private void onMissedPing() {
+        if (punctuality.late() && disregardedPings < MAX_DISREGARDED_PINGS) {
+            disregardedPings++;
+            schedule(RETRY_DELAY, this::ping);
+            return;
+        }
         missedPings++;
         if (missedPings >= MAX_MISSED_PINGS) {
             suspect("the leader does not answer");
