Repeat the reads of a takeover whose connection has gone silent

Cause: before a claim a node reads the leader record, and a new leader reads the roster, the directory, the progress and the jobs, one after the other. Each read whose response was lost cost its timeout of 1.5 s, and a retry delay of 0.25 s or the interval of the directory on top.

Change: each of these reads is repeated once, on a new connection, if it has no response after 0.4 s. The first success counts.

Result: takeoverDoesNotWaitForSilentConnections and newLeaderDoesNotWaitForASilentConnectionOfTheDirectory failed before.

--- a/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
+++ b/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
@@ -48,14 +48,19 @@
         return (loop.nowNanos() - answeredReadSentNanos) / 1_000_000;
     }
 
-    /** Reads the directory once; {@code callback} runs after the attempt, whether or not it succeeded. */
+    /**
+     * Reads the directory once, on a second connection too if the first one is silent; {@code callback} runs whether or
+     * not it was read.
+     */
     void readOnce(Runnable callback) {
         long sentNanos = loop.nowNanos();
-        directory.list(descriptors -> {
-            recordRead(descriptors.isPresent());
-            descriptors.ifPresent(list -> apply(list, sentNanos));
-            callback.run();
-        });
+        Runnable onRepetition = () -> log.readRepeated("directory", HedgedRead.ATTEMPT_TIMEOUT.toMillis());
+        RepeatedRead.start(
+                loop, directory::list, directory::listOnNewConnections, Optional::isPresent, onRepetition, read -> {
+                    recordRead(read.isPresent());
+                    read.ifPresent(descriptors -> apply(descriptors, sentNanos));
+                    callback.run();
+                });
     }
 
     /** Starts to read the directory at intervals. */
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -80,7 +80,7 @@
             long incarnation) {
         this.services = services;
         this.loop = services.loop();
-        this.records = new LeaderRecordStore(services.store(), loop, services.metrics());
+        this.records = new LeaderRecordStore(services);
         this.peers = peers;
         this.log = services.log();
         this.metrics = services.metrics();
--- a/src/main/java/org/tamarackline/fleet/LeaderRecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecordStore.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-import org.tamarackline.core.time.MonotonicClock;
-
 /** Reads and replaces the leader record in the store. */
 final class LeaderRecordStore {
 
@@ -13,18 +11,22 @@
     private static final byte[] UNREADABLE_RECORD = {0};
 
     private final RecordStore store;
-    private final MonotonicClock clock;
+    private final EventLoop loop;
+    private final DecisionLog log;
     private final FleetMetrics metrics;
 
-    LeaderRecordStore(RecordStore store, MonotonicClock clock, FleetMetrics metrics) {
-        this.store = store;
-        this.clock = clock;
-        this.metrics = metrics;
+    LeaderRecordStore(NodeServices services) {
+        this.store = services.store();
+        this.loop = services.loop();
+        this.log = services.log();
+        this.metrics = services.metrics();
     }
 
     /** Reads the record; the page is empty if there is none. */
     void read(Consumer<RecordStore.ReadResult> callback) {
-        store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
+        Runnable onRepetition = () -> log.readRepeated("leader record", HedgedRead.ATTEMPT_TIMEOUT.toMillis());
+        String end = LeaderRecord.KEY + "\u0000";
+        RepeatedRead.ofTable(loop, store, RecordStore.Table.JOBS, LeaderRecord.KEY, end, onRepetition, result -> {
             metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
             callback.accept(result);
         });
@@ -59,11 +61,11 @@
         if (version == 0) {
             conditions.add(new RecordStore.Condition(RecordStore.Table.PROGRESS, CommitSequence.KEY, 0));
         }
-        long sentNanos = clock.nowNanos();
+        long sentNanos = loop.nowNanos();
         store.transact(
                 new RecordStore.Transaction(conditions, List.of(write(RecordCodec.encodeLeader(record)))), result -> {
                     metrics.transactionCompleted(
-                            purpose, FleetMetrics.TransactionOutcome.of(result), clock.nowNanos() - sentNanos);
+                            purpose, FleetMetrics.TransactionOutcome.of(result), loop.nowNanos() - sentNanos);
                     callback.accept(result);
                 });
     }
--- a/src/main/java/org/tamarackline/fleet/TableReader.java
+++ b/src/main/java/org/tamarackline/fleet/TableReader.java
@@ -45,7 +45,8 @@
         if (ended.getAsBoolean()) {
             return;
         }
-        store.read(table, from, null, result -> {
+        Runnable onRepetition = () -> log.readRepeated(table.toString(), HedgedRead.ATTEMPT_TIMEOUT.toMillis());
+        RepeatedRead.ofTable(loop, store, table, from, null, onRepetition, result -> {
             metrics.readCompleted(FleetMetrics.ReadPurpose.TABLE, FleetMetrics.ReadOutcome.of(result));
             if (ended.getAsBoolean()) {
                 return;
--- a/src/test/java/org/tamarackline/fleet/DrainingRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/DrainingRunnerTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tamarackline.core.fleet.EndReason;
@@ -34,6 +35,14 @@
         assertThat(fixture.lastStartNanos(LEAVING_RUNNER) - announcedNanos).isLessThan(DRAIN_TIME.toNanos());
     }
 
+    /** Guards against a takeover that waits for the timeout of a directory read whose connection has gone silent. */
+    @Test
+    void newLeaderDoesNotWaitForASilentConnectionOfTheDirectory() {
+        fixture.drainRunner(LEAVING_RUNNER, 1);
+        fixture.startLeader();
+        assertThat(fixture.loggedLines("leader-ready")).isEqualTo(1);
+    }
+
     private void submitJobsFor(Duration time) {
         long endNanos = fixture.nowNanos() + time.toNanos();
         while (fixture.nowNanos() < endNanos) {
--- a/src/test/java/org/tamarackline/fleet/ElectionTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionTest.java
@@ -36,6 +36,21 @@
         }
     }
 
+    /** Guards against a takeover that waits for the timeout of each read whose connection has gone silent. */
+    @Test
+    void takeoverDoesNotWaitForSilentConnections() {
+        ElectionCluster cluster = new ElectionCluster();
+        ElectionCluster.Node first = cluster.start("node-0");
+        cluster.loop().advance(Duration.ofSeconds(1));
+        ElectionCluster.Node second = cluster.start("node-1");
+        cluster.loop().advance(Duration.ofSeconds(3));
+        cluster.store().setOpenConnectionsSilent(true);
+        cluster.kill(first);
+        cluster.loop().advance(Duration.ofMillis(4_500));
+        assertThat(second.election().leader())
+                .hasValueSatisfying(leader -> assertThat(leader.loaded()).isTrue());
+    }
+
     /** Guards against a second claim by a node whose first claim took effect. */
     @Test
     void claimWhoseResponseIsLostIsNotRepeated() {
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -29,6 +29,7 @@
     private boolean rejecting;
     private boolean historyLost;
     private boolean conflictsWithoutRows;
+    private boolean openConnectionsSilent;
     private int pageRows = Integer.MAX_VALUE;
     private Runnable afterFirstPage = () -> {};
     private int responsesToLose;
@@ -101,6 +102,11 @@
         conflictsWithoutRows = true;
     }
 
+    /** Loses the responses of reads on open connections, or ends that; new connections work. */
+    void setOpenConnectionsSilent(boolean silent) {
+        openConnectionsSilent = silent;
+    }
+
     /** Loses the responses of the next transactions, which are still applied. */
     void loseResponses(int count) {
         responsesToLose = count;
@@ -203,6 +209,15 @@
 
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
+        if (openConnectionsSilent) {
+            loop.schedule(TIMEOUT, () -> callback.accept(new ReadResult.Failed("no answer")));
+        } else {
+            readOnNewConnection(table, from, to, callback);
+        }
+    }
+
+    @Override
+    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
         loop.schedule(latency, () -> {
             if (rejecting || conflictsWithoutRows) {
@@ -223,11 +238,6 @@
         });
     }
 
-    @Override
-    public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
-        read(table, from, to, callback);
-    }
-
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -53,7 +53,11 @@
 
     @Override
     public void readOnNewConnection(Table table, String from, String to, Consumer<ReadResult> callback) {
-        read(table, from, to, callback);
+        if (refused) {
+            loop.schedule(LATENCY, () -> callback.accept(new ReadResult.Failed(REFUSAL)));
+            return;
+        }
+        shared.readOnNewConnection(table, from, to, result -> loop.execute(() -> callback.accept(result)));
     }
 
     @Override
