Let a runner that answers late get no starts for a second

Cause: a start is sent only if the poll before it is answered within 0.5 s. A second runner with room was not tried.

Change: such a start has the result ANSWERED_LATE, after which the runner gets no starts for 1 s, and for 2 s after a further one.

Result: taskStartsElsewhereIfItsRunnerAnswersLate and lateRunnerGetsNoFurtherStartsForSomeTime failed before. A fleet in which all runners answer late still starts nothing.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -595,12 +595,17 @@
                 if (run.phase == Run.Phase.STARTING) {
                     run.phase = Run.Phase.RUNNING;
                 }
+                run.runner().health.recordStart();
                 confirmStart(run, nowNanos);
             }
             case NO_ROOM, REFUSED -> {
                 run.runner().health.recordRefusal(nowNanos);
                 removeRun(run);
             }
+            case ANSWERED_LATE -> {
+                run.runner().health.recordLateAnswer(nowNanos);
+                removeRun(run);
+            }
             case RUNNER_REPLACED, NOT_SENT -> removeRun(run);
             default -> startNotConfirmed(run);
         }
--- a/src/main/java/org/tamarackline/core/fleet/RunnerHealth.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerHealth.java
@@ -23,6 +23,16 @@
      */
     private static final long REFUSAL_COOLDOWN_NANOS = 400_000_000L;
 
+    /**
+     * Minimum time between a start that was not sent because the runner answered late and the next one, in nanoseconds.
+     * It is longer than the 0.9 s in which another runner answers or does not, so that a task is not placed on several
+     * late runners in turn, and doubles once. The leader itself may have been late, so it is short.
+     */
+    private static final long LATE_ANSWER_COOLDOWN_NANOS = 1_000_000_000L;
+
+    private static final int MAX_LATE_ANSWER_DOUBLINGS = 1;
+
+    private int consecutiveLateAnswers;
     private boolean refusedStart;
     private long refusedUntilNanos;
     private String lastFailedJob = "";
@@ -62,6 +72,19 @@
         refusedStart = true;
     }
 
+    /** Records that the runner answered too late for a start to be sent; it gets no starts for some time. */
+    void recordLateAnswer(long nowNanos) {
+        refusedUntilNanos =
+                nowNanos + (LATE_ANSWER_COOLDOWN_NANOS << Math.min(consecutiveLateAnswers, MAX_LATE_ANSWER_DOUBLINGS));
+        refusedStart = true;
+        consecutiveLateAnswers++;
+    }
+
+    /** Records that the runner has started a run. */
+    void recordStart() {
+        consecutiveLateAnswers = 0;
+    }
+
     void recordSuccess() {
         consecutiveFailures = 0;
         lastFailedJob = "";
--- a/src/main/java/org/tamarackline/core/fleet/StartResult.java
+++ b/src/main/java/org/tamarackline/core/fleet/StartResult.java
@@ -12,6 +12,8 @@
     RUNNER_REPLACED,
     /** The start was not sent. */
     NOT_SENT,
+    /** The start was not sent, because the runner's answer to the poll before it came too late. */
+    ANSWERED_LATE,
     /** No response arrived; the run may have started or may still start. */
     UNKNOWN
 }
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -109,8 +109,10 @@
                     runs.forEach(this::sendStartIfPermitted);
                     return;
                 }
+                runs.forEach(run -> startNotSent(run, StartResult.ANSWERED_LATE));
+            } else {
+                runs.forEach(run -> startNotSent(run, StartResult.NOT_SENT));
             }
-            runs.forEach(this::startNotSent);
             if (!session.closed()) {
                 session.onNotVerified(response, sentNanos);
             }
@@ -128,15 +130,14 @@
         if (leader.maySendCommands() && context.fleet().maySendStart(run)) {
             sendStart(run);
         } else {
-            startNotSent(run);
+            startNotSent(run, StartResult.NOT_SENT);
         }
     }
 
-    private void startNotSent(Run run) {
+    private void startNotSent(Run run, StartResult result) {
         leader.onStartCompleted();
         if (!session.closed()) {
-            context.fleet()
-                    .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
+            context.fleet().applyStartResult(run, result, context.loop().nowNanos());
             leader.requestSchedulingRound();
         }
     }
--- a/src/test/java/org/tamarackline/core/fleet/PendingStartsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/PendingStartsTest.java
@@ -66,6 +66,16 @@
         assertStartsOnTheSecondRunner();
     }
 
+    /** Guards against a task that is placed again and again on a runner which answers too late for any start to be sent. */
+    @Test
+    void taskStartsElsewhereIfItsRunnerAnswersLate() {
+        storePlacements();
+        Run run = fixture.scheduleStarts().getFirst();
+        assertThat(run.runner()).isSameAs(first);
+        fixture.applyStartResult(run, StartResult.ANSWERED_LATE);
+        assertStartsOnTheSecondRunner();
+    }
+
     private void storePlacements() {
         for (Job job : FleetFixture.takeDirtyJobs(fleet)) {
             fleet.pendingStarts().markStored(fleet.pendingStarts().unstored(job));
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -169,6 +169,21 @@
         assertThat(runner.busy()).isFalse();
     }
 
+    /** Guards against starts that are placed again and again on a runner which answers too late for them to be sent. */
+    @Test
+    void lateRunnerGetsNoFurtherStartsForSomeTime() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.delayPollResponses(Duration.ofMillis(800));
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(900));
+        fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE);
+        assertThat(runner.busy()).isFalse();
+        loop.advance(Duration.ofSeconds(1));
+        fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE);
+        assertThat(runner.busy()).isTrue();
+    }
+
     /** Guards against a start on a runner that announced its end while its process was being verified. */
     @Test
     void startIsNotSentToARunnerThatDrainsDuringTheVerification() {
