Ping a suspected leader once more before the takeover

Cause: after two missed pings a node waited 0.35 s for each rank and then replaced the leader, also if that answered again meanwhile.

Change: the node pings the leader when it suspects it. An answer that arrives before the leader record has been read ends the suspicion. The takeover is not delayed.

Result: leaderThatAnswersBeforeTheTakeoverIsNotReplaced failed before.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -198,11 +198,25 @@
         missedPings++;
         if (missedPings >= MAX_MISSED_PINGS) {
             suspect("the leader does not answer");
+            pingWhileSuspected();
         } else {
             schedule(RETRY_DELAY, this::ping);
         }
     }
 
+    /** Pings the leader while this node waits for its turn to take over; an answer in time ends the suspicion. */
+    private void pingWhileSuspected() {
+        long suspectedGeneration = generation;
+        peers.ping(followed.address(), request, response -> {
+            if (suspectedGeneration == generation
+                    && response.isPresent()
+                    && response.get().epoch() == followed.epoch()) {
+                generation++;
+                onPing(response);
+            }
+        });
+    }
+
     private void onLeaderAnswered(Duration storeAge) {
         suspicion = null;
         if (storeAge.compareTo(MAX_STORE_AGE) <= 0) {
--- a/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
@@ -19,6 +19,9 @@
 
     private static final long RECORD_VERSION = 7;
     private static final Duration PING_TIMEOUT = Duration.ofMillis(700);
+    /** Waits 0.7 s before it takes over. */
+    private static final int LATER_RANK = 2;
+
     private static final Duration DELAY = Duration.ofMillis(300);
 
     private final ManualLoop shared = new ManualLoop();
@@ -92,6 +95,16 @@
         assertThat(monitor.suspicion(RECORD_VERSION)).isPresent();
     }
 
+    /** Guards against a node that replaces a leader which has answered again before its turn to take over. */
+    @Test
+    void leaderThatAnswersBeforeTheTakeoverIsNotReplaced() {
+        followAnsweringLeader(LATER_RANK);
+        peers.unansweredPings = 2;
+        shared.advance(Duration.ofSeconds(6));
+        assertThat(recordReads).isZero();
+        assertThat(monitor.suspicion(RECORD_VERSION)).isEmpty();
+    }
+
     private void pause() {
         loop.suspend();
         shared.advance(DELAY);
