Renew no lease of a runner that has left a start unanswered

Cause: a start to a runner that has just ended gets no answer, but only an idle poll, up to 4 s later, told that the runner is silent. That poll was sent with a renewal, so the task waited for a lease that began up to 4 s after its start.

Change: a poll renews no lease while a start is unanswered, or after one whose response is missing until a later poll is answered. The start has extended the lease itself. A start without a response is followed by a poll at once.

Result: pollAfterAnUnansweredStartDoesNotExtendTheLease failed before.

--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -24,7 +24,7 @@
         /** Returns whether responses no longer matter. */
         boolean closed();
 
-        /** The runner has started a run. */
+        /** The runner has started a run, or may have. */
         void onStarted();
 
         /** The runner's process has ended, by the response to a request that was sent at this time. */
@@ -151,7 +151,8 @@
         context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
             leader.onStartCompleted();
-            verification.onStartCompleted(context.loop().nowNanos());
+            verification.onStartCompleted(
+                    response.result() != StartResult.UNKNOWN, context.loop().nowNanos());
             if (session.closed()) {
                 return;
             }
@@ -162,7 +163,7 @@
             }
             context.fleet()
                     .applyStartResult(run, response.result(), context.loop().nowNanos());
-            if (response.result() == StartResult.STARTED) {
+            if (response.result() == StartResult.STARTED || response.result() == StartResult.UNKNOWN) {
                 session.onStarted();
             }
             if (response.result() == StartResult.RUNNER_REPLACED) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -216,6 +216,7 @@
         boolean renew = lease.runnerClockKnown()
                 && runner.busy()
                 && !silent()
+                && starts.allAnswered()
                 && !restartPending
                 && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
--- a/src/main/java/org/tamarackline/fleet/StartVerification.java
+++ b/src/main/java/org/tamarackline/fleet/StartVerification.java
@@ -11,6 +11,8 @@
 
     private int unansweredStarts;
     private boolean startedSinceAnsweredPoll;
+    /** Whether a start has got no response and no poll that was sent since has been answered. */
+    private boolean responseMissing;
     /** When the last start was sent or completed, whichever is later. */
     private long lastChangeNanos;
 
@@ -20,8 +22,14 @@
         lastChangeNanos = nowNanos;
     }
 
-    void onStartCompleted(long nowNanos) {
+    /**
+     * Records that a start needs no response any more.
+     *
+     * @param answered whether it got one
+     */
+    void onStartCompleted(boolean answered, long nowNanos) {
         unansweredStarts--;
+        responseMissing |= !answered;
         lastChangeNanos = nowNanos;
     }
 
@@ -33,9 +41,18 @@
     void onPollAnswered(long sentNanos) {
         if (unansweredStarts == 0 && sentNanos - lastChangeNanos >= 0) {
             startedSinceAnsweredPoll = false;
+            responseMissing = false;
         }
     }
 
+    /**
+     * Returns whether the runner has answered all starts, or a poll since. Otherwise it may have ended, and a poll must not
+     * renew its lease, which each start has extended already.
+     */
+    boolean allAnswered() {
+        return unansweredStarts == 0 && !responseMissing;
+    }
+
     boolean allVerified() {
         return !startedSinceAnsweredPoll;
     }
--- a/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
+++ b/src/test/java/org/tamarackline/fleet/EndAcknowledgementTest.java
@@ -28,7 +28,7 @@
         acknowledgement.onEndsStored(5, 10);
         starts.onStartSent(20);
         assertThat(next()).isZero();
-        starts.onStartCompleted(22);
+        starts.onStartCompleted(true, 22);
         starts.onPollAnswered(15);
         assertThat(next()).as("after a poll sent before the start").isZero();
         starts.onPollAnswered(25);
@@ -43,7 +43,7 @@
     void pollSentBeforeTheResponseToAStartDoesNotVerifyIt() {
         acknowledgement.onEndsStored(5, 10);
         starts.onStartSent(20);
-        starts.onStartCompleted(40);
+        starts.onStartCompleted(true, 40);
         starts.onPollAnswered(30);
         assertThat(next())
                 .as("after a poll sent before the response to the start")
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -109,6 +109,19 @@
         assertThat(session.leaseExpired()).isTrue();
     }
 
+    /** Guards against a lease that the first poll after an unanswered start extends by up to the interval of idle polls. */
+    @Test
+    void pollAfterAnUnansweredStartDoesNotExtendTheLease() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.stopResponding();
+        startLongRunningTask();
+        assertThat(calls.starts()).hasSize(1);
+        loop.advance(FleetConstants.MAX_RUNNER_LEASE.plusMillis(500));
+        assertThat(session.silent()).isTrue();
+        assertThat(session.leaseExpired()).isTrue();
+    }
+
     /**
      * Guards against the full wait for earlier leaders on a runner that falls silent after it has answered this leader.
      */
