--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -15,6 +15,12 @@
     /** Consecutive unanswered pings after which the leader is considered to have ended. */
     private static final int MAX_MISSED_PINGS = 2;
 
+    /**
+     * Unanswered pings that do not count because this node was late itself. Each delays the replacement of a leader that
+     * has ended by 0.7 s, of the 5 s for which runners keep their tasks.
+     */
+    private static final int MAX_DISREGARDED_PINGS = 1;
+
     /** Delay before a ping is repeated that was not answered, or that was answered by a node whose claim is in progress. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -48,11 +54,14 @@
     private final Random random;
     private final Runnable readRecord;
     private final PingHistory pings;
+    private final LoopPunctuality punctuality;
 
     private LeaderRecord followed;
     private long followedVersion;
     private int rank;
     private int missedPings;
+    /** Unanswered pings that did not count since the leader last answered. */
+    private int disregardedPings;
     /** Why the leader should be replaced, null if it should not. */
     private String suspicion;
     /** Whether the leader was found without the store while this node lacked it too. */
@@ -91,6 +100,7 @@
         this.random = random;
         this.readRecord = readRecord;
         this.pings = new PingHistory(loop);
+        this.punctuality = new LoopPunctuality(loop);
     }
 
     /** Follows the leader of a record, unless it does so already, and pings it. */
@@ -101,6 +111,7 @@
             claimFirstSeenNanos = 0;
             keptWithoutStore = false;
             pings.clear();
+            disregardedPings = 0;
         }
         followed = record;
         followedVersion = version;
@@ -112,6 +123,7 @@
     /** Stops to follow the leader. */
     void stop() {
         generation++;
+        punctuality.stop();
         followed = null;
         suspicion = null;
         missedPings = 0;
@@ -159,6 +171,7 @@
         long pingGeneration = ++generation;
         long sentNanos = loop.nowNanos();
         lastPingNanos = sentNanos;
+        punctuality.start();
         peers.ping(followed.address(), request, result -> {
             if (pingGeneration == generation) {
                 onPing(result, sentNanos);
@@ -167,6 +180,7 @@
     }
 
     private void onPing(PeerCalls.PingResult result, long sentNanos) {
+        punctuality.stop();
         switch (result) {
             case PeerCalls.PingFailure failure -> {
                 pings.onFailure(failure.cause(), sentNanos);
@@ -180,6 +194,7 @@
         if (response.epoch() == followed.epoch()) {
             rank = response.rank();
             missedPings = 0;
+            disregardedPings = 0;
             pings.onAnswer(response.storeAgeMs());
             onLeaderAnswered(Duration.ofMillis(response.storeAgeMs()));
         } else if (isClaiming(response)) {
@@ -194,14 +209,34 @@
     }
 
     private void onMissedPing() {
+        if (punctuality.late() && disregardedPings < MAX_DISREGARDED_PINGS) {
+            disregardedPings++;
+            ping();
+            return;
+        }
         missedPings++;
         if (missedPings >= MAX_MISSED_PINGS) {
             suspect("the leader does not answer");
+            pingWhileSuspected();
         } else {
             schedule(RETRY_DELAY, this::ping);
         }
     }
 
+    /** Pings the leader while this node waits for its turn to take over; an answer in time ends the suspicion. */
+    private void pingWhileSuspected() {
+        long suspectedGeneration = generation;
+        long sentNanos = loop.nowNanos();
+        peers.ping(followed.address(), request, result -> {
+            if (suspectedGeneration == generation
+                    && result instanceof PeerCalls.PingResponse response
+                    && response.epoch() == followed.epoch()) {
+                generation++;
+                onPingResponse(response, sentNanos);
+            }
+        });
+    }
+
     private void onLeaderAnswered(Duration storeAge) {
         suspicion = null;
         if (storeAge.compareTo(MAX_STORE_AGE) <= 0) {
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -24,7 +24,7 @@
         /** Returns whether responses no longer matter. */
         boolean closed();
 
-        /** The runner has started a run. */
+        /** The runner has started a run, or may have. */
         void onStarted();
 
         /** The runner's process has ended, by the response to a request that was sent at this time. */
@@ -109,8 +109,10 @@
                     runs.forEach(this::sendStartIfPermitted);
                     return;
                 }
+                runs.forEach(run -> startNotSent(run, StartResult.ANSWERED_LATE));
+            } else {
+                runs.forEach(run -> startNotSent(run, StartResult.NOT_SENT));
             }
-            runs.forEach(this::startNotSent);
             if (!session.closed()) {
                 session.onNotVerified(response, sentNanos);
             }
@@ -128,15 +130,14 @@
         if (leader.maySendCommands() && lease.extendable() && context.fleet().maySendStart(run)) {
             sendStart(run);
         } else {
-            startNotSent(run);
+            startNotSent(run, StartResult.NOT_SENT);
         }
     }
 
-    private void startNotSent(Run run) {
+    private void startNotSent(Run run, StartResult result) {
         leader.onStartCompleted();
         if (!session.closed()) {
-            context.fleet()
-                    .applyStartResult(run, StartResult.NOT_SENT, context.loop().nowNanos());
+            context.fleet().applyStartResult(run, result, context.loop().nowNanos());
             leader.requestSchedulingRound();
         }
     }
@@ -150,7 +151,8 @@
         context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
             leader.onStartCompleted();
-            verification.onStartCompleted(context.loop().nowNanos());
+            verification.onStartCompleted(
+                    response.result() != StartResult.UNKNOWN, context.loop().nowNanos());
             if (session.closed()) {
                 return;
             }
@@ -161,7 +163,7 @@
             }
             context.fleet()
                     .applyStartResult(run, response.result(), context.loop().nowNanos());
-            if (response.result() == StartResult.STARTED) {
+            if (response.result() == StartResult.STARTED || response.result() == StartResult.UNKNOWN) {
                 session.onStarted();
             }
             if (response.result() == StartResult.RUNNER_REPLACED) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -252,6 +252,7 @@
                 && lease.extendable()
                 && runner.busy()
                 && !silent()
+                && starts.allAnswered()
                 && !restartPending
                 && !runner.hasUnresolvedStarts()
                 && !cordon.commandsBlocked();
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -110,6 +110,19 @@
         assertThat(session.leaseExpired()).isTrue();
     }
 
+    /** Guards against a lease that the first poll after an unanswered start extends by up to the interval of idle polls. */
+    @Test
+    void pollAfterAnUnansweredStartDoesNotExtendTheLease() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.stopResponding();
+        startLongRunningTask();
+        assertThat(calls.starts()).hasSize(1);
+        loop.advance(FleetConstants.MAX_RUNNER_LEASE.plusMillis(500));
+        assertThat(session.silent()).isTrue();
+        assertThat(session.leaseExpired()).isTrue();
+    }
+
     /**
      * Guards against the full wait for earlier leaders on a runner that falls silent after it has answered this leader.
      */
@@ -193,6 +206,21 @@
         assertThat(runner.busy()).isFalse();
     }
 
+    /** Guards against starts that are placed again and again on a runner which answers too late for them to be sent. */
+    @Test
+    void lateRunnerGetsNoFurtherStartsForSomeTime() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.delayPollResponses(Duration.ofMillis(800));
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(900));
+        fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE);
+        assertThat(runner.busy()).isFalse();
+        loop.advance(Duration.ofSeconds(1));
+        fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE);
+        assertThat(runner.busy()).isTrue();
+    }
+
     /** Guards against a start on a runner that announced its end while its process was being verified. */
     @Test
     void startIsNotSentToARunnerThatDrainsDuringTheVerification() {
