Follow the directory while a new leader reads the jobs

Cause: a new leader read the directory once and again only 0.9 s after it had read all jobs. After a slow takeover its first starts could go to a runner that had announced to leave more than 2 s before. Change: the directory is read at intervals from its first read on.

--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -244,10 +244,14 @@
     }
 
     private void readDirectory() {
-        directory.readOnce(() -> tables.readAll(
-                RecordStore.Table.PROGRESS,
-                this::readProgressEntry,
-                version -> jobFeed.readAll(progress, this::finishLoading)));
+        directory.readOnce(() -> {
+            // Followed from now on, because the first starts come after the jobs have been read.
+            directory.start();
+            tables.readAll(
+                    RecordStore.Table.PROGRESS,
+                    this::readProgressEntry,
+                    version -> jobFeed.readAll(progress, this::finishLoading));
+        });
     }
 
     private void applyDirectory(List<RunnerDescriptor> descriptors) {
@@ -298,7 +302,6 @@
         sessions.addRegisteredToRoster(committer);
         jobFeed.follow();
         new HeldJobLoader(loop, store, context, jobFeed, committer, timeOfDay, this::leading).start();
-        directory.start();
         tickDueNanos = loop.nowNanos();
         tick();
     }
--- a/src/test/java/org/tamarackline/fleet/DrainingRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/DrainingRunnerTest.java
@@ -43,6 +43,21 @@
         assertThat(fixture.loggedLines("leader-ready")).isEqualTo(1);
     }
 
+    /** Guards against starts by the directory that a new leader read at the beginning of a slow takeover. */
+    @Test
+    void leavingRunnerGetsNoStartsAfterASlowTakeover() {
+        fixture.submit(JobDefinitions.tasks("waiting", 30, 100));
+        fixture.store().setLatency(Duration.ofMillis(900));
+        fixture.store().setTransactionLatency(Duration.ofMillis(5));
+        fixture.startLeader();
+        fixture.advance(Duration.ofSeconds(1));
+        long announcedNanos = fixture.nowNanos();
+        fixture.drainRunner(LEAVING_RUNNER, 0);
+        fixture.advance(Duration.ofSeconds(8));
+        assertThat(fixture.startsOf("waiting")).isNotEmpty();
+        assertThat(fixture.lastStartNanos(LEAVING_RUNNER) - announcedNanos).isLessThan(DRAIN_TIME.toNanos());
+    }
+
     private void submitJobsFor(Duration time) {
         long endNanos = fixture.nowNanos() + time.toNanos();
         while (fixture.nowNanos() < endNanos) {
