Keep a leader that other nodes follow

Cause: a node that does not reach the leader replaced it after two pings. If the node itself was cut off from its peers, the others replaced it 2 s later, and it replaced them again, without end. Each change delays the start of tasks. Change: pings say which leader answered the last one, and a leader stores with its lease limit how many nodes follow it. A node that gets no answer keeps a leader that has stored its limit within a second and has followers, for 6 s at most. A leader that had none lets other nodes take over first. A leader that has ended, is suspended or reaches no node is replaced as before. Result: isolatedNodeDoesNotReplaceALeaderThatOthersFollow failed before.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -34,6 +34,7 @@
     private final NodeServices services;
     private final EventLoop loop;
     private final LeaderRecordStore records;
+    private final StoredFollowers storedFollowers;
     private final PeerCalls peers;
     private final DecisionLog log;
     private final FleetMetrics metrics;
@@ -81,6 +82,7 @@
         this.services = services;
         this.loop = services.loop();
         this.records = new LeaderRecordStore(services);
+        this.storedFollowers = new StoredFollowers(services);
         this.peers = peers;
         this.log = services.log();
         this.metrics = services.metrics();
@@ -93,7 +95,7 @@
                 services,
                 peers,
                 storeContact,
-                new PeerCalls.PingRequest(settings.node(), settings.capacity()),
+                new PeerCalls.PingRequest(settings.node(), settings.capacity(), 0),
                 Math.floorMod(settings.node().hashCode(), INITIAL_RANKS),
                 random,
                 this::readRecord);
@@ -130,6 +132,9 @@
     /** Answers a ping of another node and records that node as a possible successor. */
     PeerCalls.PingResponse handlePing(PeerCalls.PingRequest request) {
         int callerRank = successors.onPing(request);
+        if (leader != null && request.answeredEpoch() == leader.record().epoch()) {
+            leader.followers().onPing(request.node());
+        }
         if (leader != null && !leader.resigned()) {
             handOverIfTooSmall();
         }
@@ -268,6 +273,8 @@
         Optional<String> suspicion = monitor.suspicion(entry.version());
         if (record.node().equals(settings.node())) {
             takeOver(record, entry.version(), "an earlier process of this node led");
+        } else if (suspicion.isPresent() && monitor.suspectsSilentLeader()) {
+            takeOverUnlessFollowed(record, entry.version(), suspicion.get());
         } else if (suspicion.isPresent()) {
             takeOver(record, entry.version(), suspicion.get());
         } else if (record.resigned()) {
@@ -325,6 +332,22 @@
 
     // ---- Taking over
 
+    /**
+     * Takes over from a leader that does not answer this node, unless other nodes follow it. Otherwise a node that is cut off
+     * from its peers and the node that replaces it would take over from each other again and again.
+     */
+    private void takeOverUnlessFollowed(LeaderRecord record, long version, String reason) {
+        long generation = ++readGeneration;
+        storedFollowers.read(record.epoch(), followers -> {
+            if (stopped || leader != null || generation != readGeneration) {
+                return;
+            }
+            if (followers == 0 || !monitor.keepUnreached(followers)) {
+                takeOver(record, version, reason);
+            }
+        });
+    }
+
     private void takeOver(LeaderRecord replaced, long version, String reason) {
         takeOver(replaced.epoch(), replaced.possiblyActiveAfter(settings.peerAddress()), version, reason);
     }
@@ -382,6 +405,9 @@
     private void onLeaderEnded(LeaderRecord record, String reason) {
         log.leadership("leader-ended", record.epoch(), record.node(), reason);
         metrics.leadershipChanged(FleetMetrics.LeadershipEvent.ENDED);
+        if (leader.followerCount() == 0) {
+            monitor.onLedWithoutFollowers();
+        }
         leader = null;
         reportHandedOver();
         loop.execute(this::readRecord);
--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -187,6 +187,8 @@
     enum ReadPurpose {
         /** The leader record. */
         LEADER_RECORD,
+        /** The lease limit and the number of a leader's followers. */
+        LEASE_LIMIT,
         /** A page of a table that a leader reads as a whole. */
         TABLE,
         /** Changes of the jobs. */
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -38,7 +38,8 @@
 
     @Override
     public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
-        http.call("GET", address, PeerPaths.ping(request), Map.of(), null, PING_TIMEOUT, reply -> {
+        Map<String, String> headers = Map.of(PeerPaths.ANSWERED_EPOCH, Long.toString(request.answeredEpoch()));
+        http.call("GET", address, PeerPaths.ping(request), headers, null, PING_TIMEOUT, reply -> {
             PingResult result = pingResult(reply);
             loop.execute(() -> callback.accept(result));
         });
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -45,6 +45,7 @@
     private final StoredProgress progress = new StoredProgress();
     private final LoopDelay loopDelay = new LoopDelay();
     private final EarlierLeaders earlierLeaders;
+    private final Followers followers;
     private final LeaseLimit leaseLimit;
     private final LeaseLimitStore leaseLimitStore;
     private long endedBelowEpoch;
@@ -87,6 +88,7 @@
         this.tables = new TableReader(services, () -> ended, this::onStoreResponse);
         this.earlierLeaders = new EarlierLeaders(loop, peers, record, () -> ended, this::onEarlierLeadersEnded);
         this.fleet = new Fleet(record.epoch(), new CountingObserver(metrics, log), loop);
+        this.followers = new Followers(loop);
         this.leaseLimit = new LeaseLimit(loop, store.clock());
         this.leaseLimitStore = new LeaseLimitStore(services, leaseLimit, record.epoch(), this);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics, leaseLimit);
@@ -123,6 +125,16 @@
         return fleet;
     }
 
+    /** Returns the nodes that follow this leader. */
+    Followers followers() {
+        return followers;
+    }
+
+    @Override
+    public int followerCount() {
+        return followers.count();
+    }
+
     boolean loaded() {
         return loaded;
     }
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -12,6 +12,8 @@
  */
 final class LeaderMonitor {
 
+    private static final String NO_ANSWER = "the leader does not answer";
+
     /** Consecutive unanswered pings after which the leader is considered to have ended. */
     private static final int MAX_MISSED_PINGS = 2;
 
@@ -39,6 +41,9 @@
      */
     private static final Duration MAX_CLAIM_WAIT = Duration.ofSeconds(5);
 
+    /** Longest time for which a leader that this node does not reach is kept because other nodes follow it. */
+    private static final Duration MAX_KEPT_UNREACHED = Duration.ofSeconds(6);
+
     /** Additional delay before a takeover for each further rank. */
     private static final Duration TAKEOVER_DELAY_PER_RANK = Duration.ofMillis(350);
 
@@ -50,7 +55,7 @@
     private final DecisionLog log;
     private final FleetMetrics metrics;
     private final StoreContact storeContact;
-    private final PeerCalls.PingRequest request;
+    private PeerCalls.PingRequest request;
     private final Random random;
     private final Runnable readRecord;
     private final PingHistory pings;
@@ -66,6 +71,8 @@
     private String suspicion;
     /** Whether the leader was found without the store while this node lacked it too. */
     private boolean keptWithoutStore;
+    /** When the leader was first kept although this node does not reach it, 0 if it was not. */
+    private long keptUnreachedSinceNanos;
     /** When the node of the followed record first reported a claim in progress, 0 if it has not. */
     private long claimFirstSeenNanos;
 
@@ -112,6 +119,7 @@
             keptWithoutStore = false;
             pings.clear();
             disregardedPings = 0;
+            keptUnreachedSinceNanos = 0;
         }
         followed = record;
         followedVersion = version;
@@ -139,6 +147,34 @@
         return followed != null && followedVersion == version ? Optional.ofNullable(suspicion) : Optional.empty();
     }
 
+    /** Returns whether the followed leader is to be replaced only because it does not answer this node. */
+    boolean suspectsSilentLeader() {
+        return NO_ANSWER.equals(suspicion);
+    }
+
+    /**
+     * Keeps the followed leader although it does not answer this node, because other nodes follow it; returns false if it
+     * has been kept for long enough.
+     */
+    boolean keepUnreached(int followers) {
+        if (keptUnreachedSinceNanos == 0) {
+            keptUnreachedSinceNanos = loop.nowNanos();
+            log.leadership(
+                    "leader-kept",
+                    followed.epoch(),
+                    followed.node(),
+                    "it does not answer this node, but " + followers + " others follow it");
+            metrics.leadershipChanged(FleetMetrics.LeadershipEvent.KEPT);
+        }
+        if (loop.nowNanos() - keptUnreachedSinceNanos > MAX_KEPT_UNREACHED.toNanos()) {
+            return false;
+        }
+        suspicion = null;
+        generation++;
+        schedule(RETRY_DELAY, this::ping);
+        return true;
+    }
+
     /** Returns the delay after which this node takes over, so that the successors try one after the other. */
     Duration takeoverDelay() {
         Duration delay = TAKEOVER_DELAY_PER_RANK.multipliedBy(Math.min(rank, LAST_DELAYED_RANK));
@@ -147,6 +183,11 @@
                 : delay.plusNanos((long) (random.nextDouble() * TAKEOVER_DELAY_PER_RANK.toNanos()));
     }
 
+    /** Lets other nodes take over first until a leader answers, because no node reached this one while it led. */
+    void onLedWithoutFollowers() {
+        rank = LAST_DELAYED_RANK;
+    }
+
     /** Continues to ping the followed leader after the leader record could not be read; returns whether there is one. */
     boolean resume() {
         if (followed != null) {
@@ -195,6 +236,8 @@
             rank = response.rank();
             missedPings = 0;
             disregardedPings = 0;
+            keptUnreachedSinceNanos = 0;
+            request = request.withAnsweredEpoch(followed.epoch());
             pings.onAnswer(response.storeAgeMs());
             onLeaderAnswered(Duration.ofMillis(response.storeAgeMs()));
         } else if (isClaiming(response)) {
@@ -209,6 +252,7 @@
     }
 
     private void onMissedPing() {
+        request = request.withAnsweredEpoch(0);
         if (punctuality.late() && disregardedPings < MAX_DISREGARDED_PINGS) {
             disregardedPings++;
             ping();
@@ -216,7 +260,7 @@
         }
         missedPings++;
         if (missedPings >= MAX_MISSED_PINGS) {
-            suspect("the leader does not answer");
+            suspect(NO_ANSWER);
             pingWhileSuspected();
         } else {
             schedule(RETRY_DELAY, this::ping);
--- a/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -22,6 +22,9 @@
         /** Returns whether the limit may be raised. */
         boolean leaseLimitMayBeRaised();
 
+        /** Returns the number of nodes that follow the leader. */
+        int followerCount();
+
         /** No earlier leader can raise the limit any more. */
         void onLeaseLimitKnown();
 
@@ -36,6 +39,7 @@
     private final LeaseLimit limit;
     private final long epoch;
     private final Callbacks leader;
+    private final LeaseLimitReader reader;
 
     /** Version of the record, 0 if there is none. */
     private long version;
@@ -51,6 +55,7 @@
         this.limit = limit;
         this.epoch = epoch;
         this.leader = leader;
+        this.reader = new LeaseLimitReader(services);
     }
 
     /** Reads the limit, and raises it from time to time until the leader ends. */
@@ -62,9 +67,7 @@
         if (leader.ended()) {
             return;
         }
-        String afterKey = LeaseLimitRecord.KEY + "\u0000";
-        services.store().read(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, afterKey, result -> {
-            services.metrics().readCompleted(FleetMetrics.ReadPurpose.TABLE, FleetMetrics.ReadOutcome.of(result));
+        reader.read(result -> {
             if (leader.ended()) {
                 return;
             }
@@ -79,7 +82,7 @@
 
     /** Handles the record that the store has. */
     private void onEntry(Optional<RecordStore.Entry> entry) {
-        LeaseLimitRecord record = entry.flatMap(this::decode).orElse(new LeaseLimitRecord(0, LeaseLimitRecord.UNKNOWN));
+        LeaseLimitRecord record = entry.flatMap(this::decode).orElse(LeaseLimitRecord.NONE);
         if (record.epoch() > epoch) {
             leader.onLeaseLimitFenced();
             return;
@@ -187,7 +190,7 @@
 
     private void write(long limitStoreMs, Consumer<RecordStore.TransactionResult> callback) {
         long sentNanos = loop.nowNanos();
-        byte[] value = RecordCodec.encodeLeaseLimit(new LeaseLimitRecord(epoch, limitStoreMs));
+        byte[] value = RecordCodec.encodeLeaseLimit(new LeaseLimitRecord(epoch, limitStoreMs, leader.followerCount()));
         RecordStore.Transaction transaction = new RecordStore.Transaction(
                 List.of(new RecordStore.Condition(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, version)),
                 List.of(new RecordStore.Write(RecordStore.Table.LEASES, LeaseLimitRecord.KEY, value)));
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -38,8 +38,15 @@
      *
      * @param node name of the pinging node
      * @param capacity capacity of the pinging node
+     * @param answeredEpoch epoch of the leader that answered the previous ping of the node, 0 if none did
      */
-    record PingRequest(String node, NodeCapacity capacity) {}
+    record PingRequest(String node, NodeCapacity capacity, long answeredEpoch) {
+
+        /** Returns the same ping after an answer of a leader, or after none if the epoch is 0. */
+        PingRequest withAnsweredEpoch(long epoch) {
+            return new PingRequest(node, capacity, epoch);
+        }
+    }
 
     /** Result of a ping. */
     sealed interface PingResult {}
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -14,6 +14,8 @@
     static final String PING = "/ping/";
 
     /** Numbers of at most 9 digits fit into 32 bits. */
+    private static final Pattern EPOCH = Pattern.compile("\\d{1,18}");
+
     private static final Pattern PING_PATH = Pattern.compile(PING + "([^/]+)(?:/(\\d{1,9})/(\\d{1,9})/(\\d{1,9}))?");
 
     static final String STEP_DOWN = "/step-down/";
@@ -23,6 +25,9 @@
     static final String STATE = "/state";
     static final String METRICS = "/metrics";
 
+    /** Header of a ping with the epoch that answered the previous one; a path with it would be refused by earlier versions. */
+    static final String ANSWERED_EPOCH = "Answered-Epoch";
+
     /** Response of a node that has stepped down. */
     static final String STEPPED_DOWN = "stepped down";
 
@@ -40,7 +45,12 @@
                         capacity.maxOpenFiles());
     }
 
-    /** Returns the ping of a path; empty if the path is malformed. */
+    /** Returns the epoch of the header of a ping, 0 if it is absent or malformed. */
+    static long parseAnsweredEpoch(String header) {
+        return header != null && EPOCH.matcher(header).matches() ? Long.parseLong(header) : 0;
+    }
+
+    /** Returns the ping of a path, without its header; empty if the path is malformed. */
     static Optional<PeerCalls.PingRequest> parsePing(String path) {
         Matcher matcher = PING_PATH.matcher(path);
         if (!matcher.matches()) {
@@ -58,6 +68,6 @@
                         Integer.parseInt(matcher.group(2)),
                         Integer.parseInt(matcher.group(3)),
                         Integer.parseInt(matcher.group(4)));
-        return Optional.of(new PeerCalls.PingRequest(node, capacity));
+        return Optional.of(new PeerCalls.PingRequest(node, capacity, 0));
     }
 }
--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -35,7 +35,9 @@
     public void accept(HttpExchange exchange) {
         String path = exchange.path();
         if (path.startsWith(PeerPaths.PING)) {
+            long answeredEpoch = PeerPaths.parseAnsweredEpoch(exchange.header(PeerPaths.ANSWERED_EPOCH));
             PeerPaths.parsePing(path)
+                    .map(ping -> ping.withAnsweredEpoch(answeredEpoch))
                     .ifPresentOrElse(
                             ping -> loop.execute(() -> respondToPing(exchange, ping)),
                             () -> exchange.respond(400, Map.of(), new byte[0]));
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -77,12 +77,13 @@
         return RecordFormat.pack(packer -> {
             packer.packLong(limit.epoch());
             packer.packLong(limit.limitStoreMs());
+            packer.packInt(limit.followers());
         });
     }
 
     static LeaseLimitRecord decodeLeaseLimit(byte[] bytes) throws CorruptRecordException {
         return RecordFormat.unpack(LeaseLimitRecord.KEY, bytes, in -> {
-            LeaseLimitRecord limit = new LeaseLimitRecord(unpackEpoch(in), in.unpackLong());
+            LeaseLimitRecord limit = new LeaseLimitRecord(unpackEpoch(in), in.unpackLong(), in.unpackInt());
             RecordFormat.check(limit.limitStoreMs() >= 0, "the limit is negative");
             return limit;
         });
--- a/src/test/java/org/tamarackline/fleet/ElectionTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionTest.java
@@ -75,6 +75,21 @@
         assertThat(after.epoch()).isEqualTo(2);
     }
 
+    /** Guards against two nodes that replace each other again and again, because one of them reaches no other node. */
+    @Test
+    void isolatedNodeDoesNotReplaceALeaderThatOthersFollow() {
+        ElectionCluster cluster = new ElectionCluster();
+        ElectionCluster.Node isolated = cluster.start("node-0");
+        cluster.start("node-1");
+        cluster.start("node-2");
+        cluster.loop().advance(Duration.ofSeconds(3));
+        assertThat(cluster.leading()).containsExactly(isolated);
+        cluster.network().isolate(isolated.address());
+        cluster.loop().advance(Duration.ofSeconds(9));
+        assertThat(cluster.storedLeader().epoch()).isEqualTo(2);
+        assertThat(cluster.leading()).doesNotContain(isolated).hasSize(1);
+    }
+
     /**
      * Guards against a resigning leader that lets leases expire before it has a successor, and against one that stops
      * retrying its resignation.
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -30,6 +30,7 @@
 
         private final Map<String, Node> nodes = new HashMap<>();
         private final Set<String> unreachable = new HashSet<>();
+        private final Set<EventLoop> silenced = new HashSet<>();
         private Duration latency = Duration.ofMillis(2);
         private long pings;
 
@@ -48,6 +49,12 @@
             return pings;
         }
 
+        /** Drops all requests to an address and of the node there. */
+        void isolate(String address) {
+            unreachable.add(address);
+            silenced.add(nodes.get(address).loop());
+        }
+
         /** Drops all requests to an address. */
         void disconnect(String address) {
             unreachable.add(address);
@@ -76,7 +83,7 @@
         Call<T> call = new Call<>(callback);
         loop.schedule(TIMEOUT, () -> call.end(noResponse));
         Network.Node node = network.nodes.get(address);
-        if (node == null || network.unreachable.contains(address)) {
+        if (node == null || network.unreachable.contains(address) || network.silenced.contains(loop)) {
             return;
         }
         node.loop().schedule(network.latency, () -> {
--- a/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
@@ -126,7 +126,7 @@
                 services,
                 peers,
                 new StoreContact(loop),
-                new PeerCalls.PingRequest("node", NodeCapacity.UNKNOWN),
+                new PeerCalls.PingRequest("node", NodeCapacity.UNKNOWN, 0),
                 rank,
                 new Random(1),
                 () -> recordReads++);
--- a/src/test/java/org/tamarackline/fleet/LeaseLimits.java
+++ b/src/test/java/org/tamarackline/fleet/LeaseLimits.java
@@ -23,7 +23,7 @@
         }
         try {
             long epoch = RecordCodec.decodeLeaseLimit(write.value()).epoch();
-            LeaseLimitRecord unknown = new LeaseLimitRecord(epoch, LeaseLimitRecord.UNKNOWN);
+            LeaseLimitRecord unknown = new LeaseLimitRecord(epoch, LeaseLimitRecord.UNKNOWN, 0);
             return new RecordStore.Write(write.table(), write.key(), RecordCodec.encodeLeaseLimit(unknown));
         } catch (CorruptRecordException corrupt) {
             throw new AssertionError(corrupt);
--- a/src/test/java/org/tamarackline/fleet/PeerPathsTest.java
+++ b/src/test/java/org/tamarackline/fleet/PeerPathsTest.java
@@ -11,7 +11,8 @@
 
     @Test
     void pingIsReadAsItWasWritten() {
-        PeerCalls.PingRequest ping = new PeerCalls.PingRequest("node/1 ä%", new NodeCapacity(1_500, 682, 999_999_999));
+        PeerCalls.PingRequest ping =
+                new PeerCalls.PingRequest("node/1 ä%", new NodeCapacity(1_500, 682, 999_999_999), 0);
         assertThat(PeerPaths.parsePing(PeerPaths.ping(ping))).contains(ping);
     }
 
@@ -19,7 +20,7 @@
     @Test
     void pingWithoutCapacityIsOfAnUnknownOne() {
         assertThat(PeerPaths.parsePing("/ping/node-1"))
-                .contains(new PeerCalls.PingRequest("node-1", NodeCapacity.UNKNOWN));
+                .contains(new PeerCalls.PingRequest("node-1", NodeCapacity.UNKNOWN, 0));
     }
 
     @ParameterizedTest
