Count the lease limit only once no earlier leader can raise it

It applied the limit that it read before it had replaced the record; it trusted a record that was older than a leader of an earlier version, which stores none; it preferred the limit to the later end that a cordon names; its own raise could apply to a wait that began later. A runner whose answers were always 0.6 to 0.9 s late was cordoned again before each answer and got no renewal, a refused raise was repeated every 50 ms, and an answer of the leader during the look at its followers did not stop the takeover. Change: waits end with the limit as of the replacement of the record. The leader record says since which epoch all leaders keep to a limit. A cordon's end counts for its runner. The overdue time counts from the lateness of the last answer, and no runner is cordoned while the leader's own loop is late. A renewal for a process that is not verified needs room for the longest lease. Refused raises wait 0.2 s. A node counts a leader as followed for 0.5 s after it stored its limit.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -288,7 +288,7 @@
     private void claimFirst() {
         Duration delay = capacityPolicy.firstClaimDelay();
         if (firstClaimDelayed || delay.isZero()) {
-            takeOver(0, List.of(), 0, "no node has led yet");
+            takeOver(0, List.of(), 1, 0, "no node has led yet");
         } else {
             firstClaimDelayed = true;
             loop.schedule(delay, this::readRecord);
@@ -313,6 +313,7 @@
             takeOver(
                     highestEpoch,
                     List.of(LeaderRecord.EarlierLeader.unknown(highestEpoch)),
+                    highestEpoch + 1,
                     entry.version(),
                     "the leader record cannot be read");
         }
@@ -342,6 +343,10 @@
             if (stopped || leader != null || generation != readGeneration) {
                 return;
             }
+            if (monitor.suspicion(version).isEmpty()) {
+                // The leader has answered meanwhile, and the monitor pings it.
+                return;
+            }
             if (followers == 0 || !monitor.keepUnreached(followers)) {
                 takeOver(record, version, reason);
             }
@@ -349,12 +354,29 @@
     }
 
     private void takeOver(LeaderRecord replaced, long version, String reason) {
-        takeOver(replaced.epoch(), replaced.possiblyActiveAfter(settings.peerAddress()), version, reason);
+        long limitedSinceEpoch = replaced.leasesLimitedSinceEpoch();
+        takeOver(
+                replaced.epoch(),
+                replaced.possiblyActiveAfter(settings.peerAddress()),
+                limitedSinceEpoch == 0 ? replaced.epoch() + 1 : limitedSinceEpoch,
+                version,
+                reason);
     }
 
-    private void takeOver(long epoch, List<LeaderRecord.EarlierLeader> possiblyActive, long version, String reason) {
+    private void takeOver(
+            long epoch,
+            List<LeaderRecord.EarlierLeader> possiblyActive,
+            long leasesLimitedSinceEpoch,
+            long version,
+            String reason) {
         LeaderRecord record = new LeaderRecord(
-                epoch + 1, settings.node(), settings.peerAddress(), incarnation, false, possiblyActive);
+                epoch + 1,
+                settings.node(),
+                settings.peerAddress(),
+                incarnation,
+                false,
+                possiblyActive,
+                leasesLimitedSinceEpoch);
         readGeneration++;
         long sentNanos = loop.nowNanos();
         claim = record;
--- a/src/main/java/org/tamarackline/fleet/FleetConstants.java
+++ b/src/main/java/org/tamarackline/fleet/FleetConstants.java
@@ -6,8 +6,8 @@
 final class FleetConstants {
 
     /**
-     * Time after the store's last confirmation for which a leader may send commands. It bridges store outages; a
-     * successor waits for this lease and the runner lease before it assumes that a silent runner runs nothing.
+     * Time after the store's last confirmation for which a leader may send commands. A successor that knows no lease limit
+     * waits for this lease and the runner lease before it assumes that a silent runner runs nothing.
      */
     static final Duration LEADERSHIP_LEASE = Duration.ofSeconds(8);
 
@@ -113,6 +113,9 @@
      */
     static final Duration CORDON_AFTER_OVERDUE = Duration.ofMillis(400);
 
+    /** Delay of a leader's event loop above which it cordons no runner, since answers may wait to be processed. */
+    static final Duration MAX_LOOP_DELAY_FOR_CORDONS = Duration.ofMillis(100);
+
     /**
      * Time from the first poll of a new leader after which a runner that has not answered it is cordoned. The lease limit
      * cannot be raised before.
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -90,7 +90,7 @@
         this.fleet = new Fleet(record.epoch(), new CountingObserver(metrics, log), loop);
         this.followers = new Followers(loop);
         this.leaseLimit = new LeaseLimit(loop, store.clock());
-        this.leaseLimitStore = new LeaseLimitStore(services, leaseLimit, record.epoch(), this);
+        this.leaseLimitStore = new LeaseLimitStore(services, leaseLimit, record, this);
         this.context = new LeaderContext(loop, services.runnerCalls(), fleet, log, metrics, leaseLimit);
         this.sessions = new RunnerSessions(context, this, record.epoch(), earlierLeaders, store.clock());
         this.directory = new DirectoryFollower(
@@ -406,7 +406,10 @@
                 send(command);
             }
         }
-        sessions.cordons().requestDueWrites(committer);
+        // After a delay of the event loop answers wait to be processed, which then seem overdue.
+        if (loop.nowNanos() - tickDueNanos <= FleetConstants.MAX_LOOP_DELAY_FOR_CORDONS.toNanos()) {
+            sessions.cordons().requestDueWrites(committer);
+        }
         committer.scheduleFlushIfDirty();
     }
 
--- a/src/main/java/org/tamarackline/fleet/LeaderRecord.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -16,6 +16,8 @@
  *     processes of the node
  * @param resigned whether the leader has resigned
  * @param possiblyActive earlier leaders that may still send commands, each with a different address
+ * @param leasesLimitedSinceEpoch epoch from which on all leaders grant leases only up to the stored limit; 0 if this leader
+ *     does not, because it runs an earlier version of this program
  */
 record LeaderRecord(
         long epoch,
@@ -23,7 +25,8 @@
         String address,
         long incarnation,
         boolean resigned,
-        List<EarlierLeader> possiblyActive) {
+        List<EarlierLeader> possiblyActive,
+        long leasesLimitedSinceEpoch) {
 
     /** Key of the record; sorts before all job identifiers. */
     static final String KEY = "!leader";
@@ -33,6 +36,17 @@
         possiblyActive = List.copyOf(possiblyActive);
     }
 
+    /** Creates the record of a leader before which all leaders granted leases only up to the stored limit. */
+    LeaderRecord(
+            long epoch,
+            String node,
+            String address,
+            long incarnation,
+            boolean resigned,
+            List<EarlierLeader> possiblyActive) {
+        this(epoch, node, address, incarnation, resigned, possiblyActive, 1);
+    }
+
     /**
      * Leader that was replaced.
      *
@@ -61,7 +75,13 @@
      */
     LeaderRecord asResigned(boolean earlierLeadersEnded) {
         return new LeaderRecord(
-                epoch, node, address, incarnation, true, earlierLeadersEnded ? List.of() : possiblyActive);
+                epoch,
+                node,
+                address,
+                incarnation,
+                true,
+                earlierLeadersEnded ? List.of() : possiblyActive,
+                leasesLimitedSinceEpoch);
     }
 
     /** Returns the leaders that may still send commands after a leader at the given address has replaced this one. */
--- a/src/main/java/org/tamarackline/fleet/LeaseLimit.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimit.java
@@ -16,6 +16,8 @@
     private final MonotonicClock clock;
     private final StoreClock storeClock;
     private long storedMs = LeaseLimitRecord.UNKNOWN;
+    /** Last limit that earlier leaders stored, known once they cannot raise it any more. */
+    private long earlierLeadersMs = LeaseLimitRecord.UNKNOWN;
 
     /** Creates a limit that is not known to be stored, so that no lease may be granted. */
     LeaseLimit(MonotonicClock clock, StoreClock storeClock) {
@@ -61,6 +63,11 @@
         return permittedLease().compareTo(FleetConstants.MIN_RUNNER_LEASE) >= 0;
     }
 
+    /** Returns whether something may be granted that ends after {@code nanos} at the latest. */
+    boolean permits(long nanos) {
+        return remainingNanos() >= nanos;
+    }
+
     /** Returns the longest lease that may be granted now, on the clock of a runner. */
     Duration permittedLease() {
         long remainingNanos = remainingNanos() - FleetConstants.LEASE_MARGIN.toNanos();
@@ -86,10 +93,15 @@
         return (long) (remainingMs * 1e6 / (1 + FleetConstants.MAX_CLOCK_DRIFT));
     }
 
-    /** Returns by when all leases that were granted up to now have expired, on the local clock; empty if unknown. */
-    OptionalLong expiredByNanos() {
-        return storedMs == LeaseLimitRecord.UNKNOWN
+    /** Records that no earlier leader can store a later limit than the one that is stored now. */
+    void onEarlierLeadersFenced() {
+        earlierLeadersMs = storedMs;
+    }
+
+    /** Returns by when all leases of earlier leaders have expired, on the local clock; empty if unknown. */
+    OptionalLong earlierLeasesExpiredByNanos() {
+        return earlierLeadersMs == LeaseLimitRecord.UNKNOWN
                 ? OptionalLong.empty()
-                : storeClock.latestNanosOf(storedMs, clock.nowNanos());
+                : storeClock.latestNanosOf(earlierLeadersMs, clock.nowNanos());
     }
 }
--- a/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -38,6 +38,7 @@
     private final EventLoop loop;
     private final LeaseLimit limit;
     private final long epoch;
+    private final long leasesLimitedSinceEpoch;
     private final Callbacks leader;
     private final LeaseLimitReader reader;
 
@@ -49,11 +50,12 @@
     private int unansweredAttempts;
     private long lastAttemptNanos;
 
-    LeaseLimitStore(NodeServices services, LeaseLimit limit, long epoch, Callbacks leader) {
+    LeaseLimitStore(NodeServices services, LeaseLimit limit, LeaderRecord record, Callbacks leader) {
         this.services = services;
         this.loop = services.loop();
         this.limit = limit;
-        this.epoch = epoch;
+        this.epoch = record.epoch();
+        this.leasesLimitedSinceEpoch = record.leasesLimitedSinceEpoch();
         this.leader = leader;
         this.reader = new LeaseLimitReader(services);
     }
@@ -90,7 +92,8 @@
         version = entry.filter(present -> !present.removed())
                 .map(RecordStore.Entry::version)
                 .orElse(0L);
-        limit.onStored(record.limitStoreMs());
+        boolean ofLastLeaders = record.epoch() + 1 >= leasesLimitedSinceEpoch;
+        limit.onStored(ofLastLeaders ? record.limitStoreMs() : LeaseLimitRecord.UNKNOWN);
         if (record.epoch() == epoch) {
             onEarlierLeadersFenced();
         } else {
@@ -129,6 +132,7 @@
             return;
         }
         earlierLeadersFenced = true;
+        limit.onEarlierLeadersFenced();
         leader.onLeaseLimitKnown();
         raiseWhenDue();
     }
@@ -145,7 +149,7 @@
 
     private boolean mayAttempt() {
         long sinceLastNanos = loop.nowNanos() - lastAttemptNanos;
-        return unansweredAttempts == 0
+        return (unansweredAttempts == 0 && !raisesFailing)
                 || (unansweredAttempts < MAX_UNANSWERED_ATTEMPTS
                         && sinceLastNanos >= FleetConstants.LEASE_LIMIT_INTERVAL.toNanos());
     }
--- a/src/main/java/org/tamarackline/fleet/PollSilence.java
+++ b/src/main/java/org/tamarackline/fleet/PollSilence.java
@@ -13,6 +13,8 @@
     private boolean answerAwaited;
     /** When the answer was due to the oldest poll since the last answered one. */
     private long answerDueNanos;
+    /** By how much the last answer was late. */
+    private long lastLatenessNanos;
 
     PollSilence(MonotonicClock clock) {
         this.clock = clock;
@@ -48,6 +50,7 @@
     }
 
     void onAnswer() {
+        lastLatenessNanos = answerAwaited ? Math.max(0, clock.nowNanos() - answerDueNanos) : 0;
         missedPolls = 0;
         answerAwaited = false;
     }
@@ -62,8 +65,11 @@
         return missedPolls == 0 ? 0 : clock.nowNanos() - firstMissedPollNanos;
     }
 
-    /** Returns whether the answer to a poll has been due for {@code time}, and no later poll is answered. */
+    /**
+     * Returns whether the answer to a poll has been due for {@code time}, and for the time by which the last answer was late,
+     * and no later poll is answered.
+     */
     boolean overdueFor(Duration time) {
-        return answerAwaited && clock.nowNanos() - answerDueNanos >= time.toNanos();
+        return answerAwaited && clock.nowNanos() - answerDueNanos >= time.toNanos() + lastLatenessNanos;
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -70,6 +70,7 @@
                 packer.packLong(earlier.epoch());
                 packer.packString(earlier.address());
             }
+            packer.packLong(leader.leasesLimitedSinceEpoch());
         });
     }
 
@@ -117,7 +118,8 @@
                         in.unpackString(),
                         in.unpackLong(),
                         in.unpackBoolean(),
-                        unpackPossiblyActive(in)));
+                        unpackPossiblyActive(in),
+                        in.hasNext() ? in.unpackLong() : 0));
     }
 
     private static long unpackEpoch(MessageUnpacker in) throws IOException {
--- a/src/main/java/org/tamarackline/fleet/RunnerCordons.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCordons.java
@@ -140,7 +140,7 @@
         RunnerSession session = sessions.get(runner);
         if (session != null) {
             session.cordon().onCordonStored();
-            log("cordon-stored", session, "it is silent");
+            log("cordon-stored", session, "its lease end is stored");
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerLease.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerLease.java
@@ -59,11 +59,21 @@
         runnerClockReadNanos = clock.nowNanos();
     }
 
-    /** Returns whether the lease limit permits to extend the lease. */
+    /** Returns whether the lease limit permits to extend the lease of the known process. */
     boolean extendable() {
         return limit.permitsLeases();
     }
 
+    /**
+     * Returns whether the lease limit permits to extend the lease.
+     *
+     * @param processVerified whether the runner can have no run on a process other than the known one, which may grant the
+     *     longest lease
+     */
+    boolean extendable(boolean processVerified) {
+        return processVerified ? extendable() : limit.permits(longestNanos(FleetConstants.MAX_RUNNER_LEASE));
+    }
+
     /**
      * Extends the lease from now on and returns its end on the runner's clock in milliseconds. To be called only while it
      * is {@link #extendable}.
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -249,7 +249,7 @@
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
         boolean renew = lease.runnerClockKnown()
-                && lease.extendable()
+                && lease.extendable(starts.allVerified())
                 && runner.busy()
                 && !silent()
                 && starts.allAnswered()
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -82,8 +82,11 @@
         sessions.values().forEach(this::limitEarlierLeases);
     }
 
+    /** A cordon names the end of the leases itself, which may be later if its leader did not know the limit. */
     private void limitEarlierLeases(RunnerSession session) {
-        context.leaseLimit().expiredByNanos().ifPresent(session::onEarlierLeasesLimited);
+        if (!session.cordon().commandsBlocked()) {
+            context.leaseLimit().earlierLeasesExpiredByNanos().ifPresent(session::onEarlierLeasesLimited);
+        }
     }
 
     /**
@@ -106,12 +109,12 @@
         long wait = FleetConstants.LEADERSHIP_LEASE.toNanos() + RunnerLease.longestNanos();
         long endNanos = cordons.endOfEarlierLeasesNanos(roster, takeoverNanos + wait);
         RunnerSession session = new RunnerSession(context, leader, epoch, runner, true, endNanos);
-        limitEarlierLeases(session);
         if (earlierLeaders.ended()) {
             session.onEarlierLeadersEnded(earlierLeaders.endedNanos());
         }
         sessions.put(runner.id(), session);
         cordons.restore(session, roster);
+        limitEarlierLeases(session);
     }
 
     /**
--- a/src/main/java/org/tamarackline/fleet/StoredFollowers.java
+++ b/src/main/java/org/tamarackline/fleet/StoredFollowers.java
@@ -9,7 +9,7 @@
 final class StoredFollowers {
 
     /** Longest time since a leader stored its lease limit after which it counts as followed. */
-    private static final Duration MAX_AGE = Duration.ofSeconds(1);
+    private static final Duration MAX_AGE = Duration.ofMillis(500);
 
     private final NodeServices services;
     private final LeaseLimitReader reader;
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -34,6 +34,7 @@
     private int pageRows = Integer.MAX_VALUE;
     private Runnable afterFirstPage = () -> {};
     private int responsesToLose;
+    private int leaseLimitResponsesToLose;
     private Duration nextResponseDelay = Duration.ZERO;
     private UnaryOperator<Write> writeFilter = UnaryOperator.identity();
     private Predicate<Write> rejectedWrites = write -> false;
@@ -119,6 +120,11 @@
         responsesToLose = count;
     }
 
+    /** Loses the responses of the next transactions that store the lease limit, which are still applied. */
+    void loseLeaseLimitResponses(int count) {
+        leaseLimitResponsesToLose = count;
+    }
+
     /** Delays the response to the next transaction. */
     void delayNextResponse(Duration delay) {
         nextResponseDelay = delay;
@@ -147,7 +153,10 @@
             }
             TransactionResult result = rejection(transaction).orElseGet(() -> apply(transaction));
             long readingMs = readingMs();
-            if (!ofFleet) {
+            if (!ofFleet && leaseLimitResponsesToLose > 0) {
+                leaseLimitResponsesToLose--;
+                loop.schedule(TIMEOUT, () -> callback.accept(new TransactionResult.Unknown("no answer")));
+            } else if (!ofFleet) {
                 respond(latency, callback, result, sentNanos, readingMs);
             } else if (responsesToLose > 0) {
                 responsesToLose--;
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -159,6 +159,23 @@
         assertThat(session.silent()).isFalse();
     }
 
+    /** Guards against a runner that is cordoned again and again, and gets no renewal, because it always answers late. */
+    @Test
+    void answersThatAreAlwaysLateAreOverdueOnce() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        startLongRunningTask();
+        calls.delayPollResponses(Duration.ofMillis(700));
+        int changes = 0;
+        boolean overdue = false;
+        for (int i = 0; i < 20_000; i++) {
+            loop.advance(Duration.ofMillis(1));
+            changes += session.answerOverdue() && !overdue ? 1 : 0;
+            overdue = session.answerOverdue();
+        }
+        assertThat(changes).isEqualTo(1);
+    }
+
     /** Guards against a lost runner that is cordoned late, so that a successor waits for it longer than this leader. */
     @Test
     void answerOfALostRunnerIsOverdueSoon() {
