Replace a lease limit of an impossible epoch, and count no lateness after a silence

Cause: found while reading the diff. A record of the lease limit with a high epoch that no leader wrote would end every leader. A runner that answered again after some seconds of silence would be cordoned later by these seconds the next time. Change: a record whose epoch is higher than its version is replaced, as for the leader record. The lateness of an answer counts only if no poll before it was missed.

--- a/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -106,7 +106,13 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(RecordCodec.decodeLeaseLimit(entry.value()));
+            LeaseLimitRecord record = RecordCodec.decodeLeaseLimit(entry.value());
+            if (record.epoch() <= entry.version()) {
+                return Optional.of(record);
+            }
+            // Each claim raises the epoch by one in a transaction of its own, so no node wrote this record.
+            services.log().skippedRecord(entry.key(), "the epoch is higher than the record's version");
+            return Optional.empty();
         } catch (CorruptRecordException corrupt) {
             services.log().skippedRecord(entry.key(), corrupt.getMessage());
             return Optional.empty();
--- a/src/main/java/org/tamarackline/fleet/PollSilence.java
+++ b/src/main/java/org/tamarackline/fleet/PollSilence.java
@@ -4,7 +4,7 @@
 
 import org.tamarackline.core.time.MonotonicClock;
 
-/** Time for which a runner has left polls unanswered. */
+/** Polls that a runner has left unanswered, and since when an answer is overdue. */
 final class PollSilence {
 
     private final MonotonicClock clock;
@@ -13,7 +13,7 @@
     private boolean answerAwaited;
     /** When the answer was due to the oldest poll since the last answered one. */
     private long answerDueNanos;
-    /** By how much the last answer was late. */
+    /** By how much the last answer was late, 0 if polls before it were not answered. */
     private long lastLatenessNanos;
 
     PollSilence(MonotonicClock clock) {
@@ -50,7 +50,8 @@
     }
 
     void onAnswer() {
-        lastLatenessNanos = answerAwaited ? Math.max(0, clock.nowNanos() - answerDueNanos) : 0;
+        boolean late = answerAwaited && missedPolls == 0;
+        lastLatenessNanos = late ? Math.max(0, clock.nowNanos() - answerDueNanos) : 0;
         missedPolls = 0;
         answerAwaited = false;
     }
--- a/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
@@ -120,6 +120,24 @@
         assertThat(third.limit.permitsLeases()).isFalse();
     }
 
+    /** Guards against a leader that ends for good because of a record that no leader wrote. */
+    @Test
+    void recordWithAnImpossibleEpochIsReplaced() {
+        LeaseLimitRecord odd = new LeaseLimitRecord(99_999_999_999L, 1, 0);
+        store.transact(
+                new RecordStore.Transaction(
+                        List.of(),
+                        List.of(new RecordStore.Write(
+                                RecordStore.Table.LEASES, LeaseLimitRecord.KEY, RecordCodec.encodeLeaseLimit(odd)))),
+                result -> {});
+        loop.advance(ROUND_TRIP);
+        FakeLeader first = new FakeLeader().start(1, 1);
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(first.fenced).isFalse();
+        assertThat(first.limit.earlierLeasesExpiredByNanos()).isEmpty();
+        assertThat(first.limit.permitsLeases()).isTrue();
+    }
+
     /** Guards against leases that expire because the response to one raise of the limit is lost. */
     @Test
     void limitIsRaisedAlthoughAResponseIsLost() {
