--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -163,7 +163,7 @@
                     "leader-kept",
                     followed.epoch(),
                     followed.node(),
-                    "it does not answer this node, but " + followers + " others follow it");
+                    "it does not answer this node, but " + followers + " nodes follow it");
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.KEPT);
         }
         if (loop.nowNanos() - keptUnreachedSinceNanos > MAX_KEPT_UNREACHED.toNanos()) {
