--- a/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinStore.java
@@ -108,6 +108,14 @@
         notifyAll();
     }
 
+    /** Removes a row without conditions. */
+    synchronized void remove(String table, String key) {
+        version++;
+        rowsByFullKey.remove(fullKey(table, "", key));
+        history.add(new StoreRow(table, "", key, null, version));
+        notifyAll();
+    }
+
     synchronized Set<String> writtenKeys() {
         return history.stream().map(StoreRow::key).collect(Collectors.toSet());
     }
--- /dev/null
+++ b/src/test/java/org/tamarackline/process/soak/SoakCallers.java
@@ -0,0 +1,164 @@
+package org.tamarackline.process.soak;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+
+import org.tamarackline.standin.fleet.StandinCaller;
+import org.tamarackline.standin.fleet.StandinFleet;
+
+/**
+ * Callers that submit jobs through all nodes, over connections that stay open as long as the node's process. Without an
+ * answer, they repeat a submission at any node; after a refusal, they submit another job.
+ */
+final class SoakCallers {
+
+    private static final int TASKS_PER_JOB = 3;
+    private static final int FIRST_LASTING_JOBS = 6;
+    private static final int MAX_LASTING_JOBS = 12;
+    private static final int ORDINARY_CALLERS = 2;
+    private static final Duration LASTING_JOB_INTERVAL = Duration.ofSeconds(6);
+    private static final Duration ORDINARY_JOB_INTERVAL = Duration.ofMillis(600);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+
+    /** Age up to which an ended job is looked for; nodes know it for three minutes. */
+    private static final Duration KNOWN_TIME = Duration.ofSeconds(100);
+
+    private static final int MAX_STATE_REQUESTS = 40;
+
+    private final StandinCaller caller;
+    private final List<InetSocketAddress> nodes;
+    private final Random random;
+    private final List<SoakJob> jobs = new ArrayList<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean stopped;
+
+    SoakCallers(StandinCaller caller, List<InetSocketAddress> nodes, long seed) {
+        this.caller = caller;
+        this.nodes = nodes;
+        this.random = new Random(seed);
+    }
+
+    void start() {
+        threads.add(Thread.ofVirtual().start(this::submitLastingJobs));
+        for (int i = 0; i < ORDINARY_CALLERS; i++) {
+            threads.add(Thread.ofVirtual().start(this::submitOrdinaryJobs));
+        }
+    }
+
+    void stop() throws InterruptedException {
+        stopped = true;
+        for (Thread thread : threads) {
+            thread.interrupt();
+            thread.join();
+        }
+    }
+
+    synchronized List<SoakJob> acceptedJobs() {
+        return List.copyOf(jobs);
+    }
+
+    private void submitLastingJobs() {
+        try {
+            for (int count = 1; !stopped; count++) {
+                submit(true);
+                if (count >= FIRST_LASTING_JOBS) {
+                    Thread.sleep(LASTING_JOB_INTERVAL);
+                    cancelSurplus();
+                }
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submitOrdinaryJobs() {
+        try {
+            while (!stopped) {
+                submit(false);
+                Thread.sleep(ORDINARY_JOB_INTERVAL);
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submit(boolean lasting) throws InterruptedException {
+        String id = newId();
+        while (!stopped) {
+            int status = caller.send(randomNode(), "POST", id, body(lasting));
+            if (status / 100 == 2) {
+                add(new SoakJob(id, TASKS_PER_JOB, lasting, System.nanoTime(), Long.MAX_VALUE));
+                return;
+            }
+            boolean refused = status != 0 && status != 502 && status != 504;
+            id = refused ? newId() : id;
+            Thread.sleep(RETRY_DELAY);
+        }
+    }
+
+    private synchronized void add(SoakJob job) {
+        jobs.add(job);
+    }
+
+    private synchronized String newId() {
+        return String.format(Locale.ROOT, "%016x", random.nextLong());
+    }
+
+    private synchronized InetSocketAddress randomNode() {
+        return nodes.get(random.nextInt(nodes.size()));
+    }
+
+    private static String body(boolean lasting) {
+        String spec = lasting ? StandinFleet.LASTING_SPEC : StandinFleet.TIMED_SPEC_PREFIX + 400;
+        String kind = lasting ? "\"longRunning\":true,\"antiAffinity\":1" : "\"estMs\":400";
+        return "{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":500,\"memMb\":64,%s}]}"
+                .formatted(spec, TASKS_PER_JOB, kind);
+    }
+
+    /** Cancels the oldest lasting job if there are more than the runners should have. */
+    private void cancelSurplus() {
+        List<SoakJob> active = acceptedJobs().stream()
+                .filter(job -> job.lasting() && !job.cancelled())
+                .toList();
+        if (active.size() > MAX_LASTING_JOBS) {
+            SoakJob oldest = active.getFirst();
+            replace(oldest, oldest.cancelledAt(System.nanoTime()));
+            caller.send(randomNode(), "DELETE", oldest.id(), null);
+        }
+    }
+
+    private synchronized void replace(SoakJob job, SoakJob replacement) {
+        jobs.set(jobs.indexOf(job), replacement);
+    }
+
+    /** Returns the accepted jobs that the nodes say they do not know, or whose state no node tells. */
+    List<String> unknownJobs() throws InterruptedException {
+        List<String> unknown = new ArrayList<>();
+        long oldestNanos = System.nanoTime() - KNOWN_TIME.toNanos();
+        for (SoakJob job : acceptedJobs()) {
+            if (!job.cancelled() && (job.lasting() || job.acceptedNanos() - oldestNanos > 0)) {
+                whyUnknown(job).ifPresent(reason -> unknown.add("job %s: %s".formatted(job.id(), reason)));
+            }
+        }
+        return unknown;
+    }
+
+    private Optional<String> whyUnknown(SoakJob job) throws InterruptedException {
+        for (int i = 0; i < MAX_STATE_REQUESTS; i++) {
+            int status = caller.send(randomNode(), "GET", job.id(), null);
+            if (status == 200) {
+                return Optional.empty();
+            }
+            if (status == 410 || status == 404) {
+                return Optional.of("status " + status);
+            }
+            Thread.sleep(RETRY_DELAY);
+        }
+        return Optional.of("no state after %d requests".formatted(MAX_STATE_REQUESTS));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tamarackline/process/soak/SoakJob.java
@@ -0,0 +1,27 @@
+package org.tamarackline.process.soak;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * A job that a node has accepted.
+ *
+ * @param lasting whether its tasks run until it is cancelled
+ * @param acceptedNanos when the acceptance was received
+ * @param cancelledNanos when its cancellation was sent, the greatest value if it was not
+ */
+record SoakJob(String id, int tasks, boolean lasting, long acceptedNanos, long cancelledNanos) {
+
+    SoakJob cancelledAt(long nanos) {
+        return new SoakJob(id, tasks, lasting, acceptedNanos, nanos);
+    }
+
+    boolean cancelled() {
+        return cancelledNanos != Long.MAX_VALUE;
+    }
+
+    /** Returns the names of the tasks as runners know them. */
+    List<String> taskNames() {
+        return IntStream.range(0, tasks).mapToObj(index -> id + ".0.0." + index).toList();
+    }
+}
