--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -125,7 +125,7 @@
                 && process.is(response.status().processStartEpochMs());
     }
 
-    /** Sends a start, unless the leader's lease or the lease limit has run out or the runner has changed since the start was decided. */
+    /** Sends a start, unless the leader may no longer do so or the runner has changed since the start was decided. */
     private void sendStartIfPermitted(Run run) {
         if (leader.maySendCommands() && lease.extendable() && context.fleet().maySendStart(run)) {
             sendStart(run);
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -40,7 +40,7 @@
     public static final String QUEUE_PATH_PREFIX = "/work/";
 
     /** Spec of jobs whose tasks run until they are stopped. */
-    public static final String LASTING_SPEC = "lasting";
+    public static final String LONG_RUNNING_SPEC = "long-running";
     /** Start of the spec of jobs whose tasks take the number of milliseconds that follows. */
     public static final String TIMED_SPEC_PREFIX = "work ";
 
--- a/src/main/java/org/tamarackline/standin/fleet/StandinRunner.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinRunner.java
@@ -12,7 +12,7 @@
 
 /**
  * Stand-in for one process of a runner of the platform. Checks fences, leases and run numbers like the platform's
- * runners. The work of a task follows from the job's {@code spec}: {@link StandinFleet#LASTING_SPEC}, {@link
+ * runners. The work of a task follows from the job's {@code spec}: {@link StandinFleet#LONG_RUNNING_SPEC}, {@link
  * StandinFleet#TIMED_SPEC_PREFIX} and
  * a number of milliseconds, or any other text for the default time.
  */
@@ -115,7 +115,7 @@
     }
 
     private long durationMs(String spec) {
-        if (spec.equals(StandinFleet.LASTING_SPEC)) {
+        if (spec.equals(StandinFleet.LONG_RUNNING_SPEC)) {
             return Long.MAX_VALUE;
         }
         return spec.startsWith(StandinFleet.TIMED_SPEC_PREFIX)
