Log when a leader learns of a cancellation and what becomes of each stop

Users saw a task of a cancelled job run 4.93 s after the answer to the cancellation. Neither the record nor the log can tell whether the leader learned of it late, whether a stop was lost, or whether the leader did not know the run.

The log now has cancellation-read, stop with attempt and cause, stop-unconfirmed and cancelled-run-ended; a histogram has the time from the first to the last of these. No decision has changed.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -279,7 +279,7 @@
                 unreportedRunners.remove(runner.id());
             }
         }
-        runner.orphanStopNanos.keySet().retainAll(reported);
+        runner.orphanStops.keySet().retainAll(reported);
         stopUnresolvedStarts(runner, nowNanos);
         evictStalledRuns(runner, nowNanos);
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
@@ -339,8 +339,10 @@
             if (stops.sent() && nowNanos - stops.lastNanos() <= SchedulingLimits.STOP_RETRY_NANOS) {
                 return stops;
             }
-            orphanStops.add(new RunnerCommand.Stop(runner, start.task(), start.runNumber()));
-            return stops.withStopAt(nowNanos);
+            FleetRunner.StopTimes next = stops.withStopAt(nowNanos);
+            orphanStops.add(new RunnerCommand.Stop(
+                    runner, start.task(), start.runNumber(), StopCause.UNRESOLVED_START, next.attempts()));
+            return next;
         });
     }
 
@@ -376,7 +378,7 @@
      * have confirmed them since, or may still receive them.
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
-        runner.orphanStopNanos.clear();
+        runner.orphanStops.clear();
         runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
@@ -452,10 +454,12 @@
 
     private void stopOrphan(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
         FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
-        Long lastNanos = runner.orphanStopNanos.get(key);
-        if (lastNanos == null || nowNanos - lastNanos > SchedulingLimits.STOP_RETRY_NANOS) {
-            runner.orphanStopNanos.put(key, nowNanos);
-            orphanStops.add(new RunnerCommand.Stop(runner, entry.task(), entry.runNumber()));
+        FleetRunner.StopTimes stops = runner.orphanStops.getOrDefault(key, FleetRunner.StopTimes.NEVER);
+        if (!stops.sent() || nowNanos - stops.lastNanos() > SchedulingLimits.STOP_RETRY_NANOS) {
+            FleetRunner.StopTimes next = stops.withStopAt(nowNanos);
+            runner.orphanStops.put(key, next);
+            orphanStops.add(new RunnerCommand.Stop(
+                    runner, entry.task(), entry.runNumber(), StopCause.UNKNOWN_RUN, next.attempts()));
         }
     }
 
@@ -476,6 +480,9 @@
             endWaiting(run, nowNanos);
             runner.remove(run);
             stopping.remove(run);
+            if (run.task().job().terminalState == JobState.CANCELLED) {
+                observer.cancelledRunEnded(run, nowNanos - run.task().job().terminalNanos);
+            }
         }
         if (task == null || task.done || task.job().terminalState != null) {
             return;
@@ -541,7 +548,9 @@
         for (Run run : stopping) {
             if (isStopDue(run, nowNanos)) {
                 run.stopSentNanos = nowNanos;
-                commands.add(new RunnerCommand.Stop(run.runner(), run.task().key(), run.number()));
+                run.stopAttempts++;
+                commands.add(new RunnerCommand.Stop(
+                        run.runner(), run.task().key(), run.number(), StopCause.KNOWN_RUN, run.stopAttempts));
             }
         }
         replacePendingStarts();
--- a/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetObserver.java
@@ -35,6 +35,13 @@
      */
     default void endProcessed(EndReason reason) {}
 
+    /**
+     * Called when a runner reports the end of a run whose job was cancelled.
+     *
+     * @param sinceCancelledNanos time since the leader learned of the cancellation
+     */
+    default void cancelledRunEnded(Run run, long sinceCancelledNanos) {}
+
     /** Called when the result of a start command is known. */
     default void startCompleted(StartResult result) {}
 
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -19,17 +19,22 @@
     record RunKey(TaskKey task, long runNumber) {}
 
     /**
-     * When stops were sent for a start that was given up.
+     * When stops were sent for a run.
      *
-     * @param firstNanos time of the first one, meaningful only if {@code sent}
-     * @param lastNanos time of the last one, meaningful only if {@code sent}
+     * @param attempts number of stops
+     * @param firstNanos time of the first one, meaningful only if there was one
+     * @param lastNanos time of the last one, meaningful only if there was one
      */
-    record StopTimes(boolean sent, long firstNanos, long lastNanos) {
+    record StopTimes(int attempts, long firstNanos, long lastNanos) {
 
-        static final StopTimes NEVER = new StopTimes(false, 0, 0);
+        static final StopTimes NEVER = new StopTimes(0, 0, 0);
+
+        boolean sent() {
+            return attempts > 0;
+        }
 
         StopTimes withStopAt(long nanos) {
-            return new StopTimes(true, sent ? firstNanos : nanos, nanos);
+            return new StopTimes(attempts + 1, sent() ? firstNanos : nanos, nanos);
         }
     }
 
@@ -64,8 +69,8 @@
 
     final RunnerHealth health = new RunnerHealth();
     final Map<RunKey, Run> runs = new HashMap<>();
-    /** When a stop was last sent for each orphaned run, that is, a run that the leader does not know. */
-    final Map<RunKey, Long> orphanStopNanos = new HashMap<>();
+    /** When stops were sent for each orphaned run, that is, a run that the leader does not know. */
+    final Map<RunKey, StopTimes> orphanStops = new HashMap<>();
     /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
     final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
     /**
--- a/src/main/java/org/tamarackline/core/fleet/Job.java
+++ b/src/main/java/org/tamarackline/core/fleet/Job.java
@@ -18,6 +18,9 @@
 
     boolean started;
     JobState terminalState;
+    /** When the leader learned of the terminal state, meaningful only if there is one. */
+    long terminalNanos;
+
     int openTasks;
     /** Number of runs of the job's tasks that may still exist. */
     int activeRuns;
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -25,6 +25,7 @@
     }
 
     private final FleetObserver observer;
+    private final MonotonicClock clock;
     private final RunStopper runStopper;
     private final PendingStarts pendingStarts;
     private final ReadyTasks readyTasks;
@@ -43,6 +44,7 @@
 
     JobTracker(FleetObserver observer, MonotonicClock clock, PendingStarts pendingStarts, RunStopper runStopper) {
         this.observer = observer;
+        this.clock = clock;
         this.readyTasks = new ReadyTasks(clock);
         this.pendingStarts = pendingStarts;
         this.runStopper = runStopper;
@@ -132,14 +134,19 @@
     /**
      * Cancels a job and stops its runs; those of a held job once the cancellation is stored. Does nothing if the job is
      * unknown or has a terminal state.
+     *
+     * @return whether the job was open and is cancelled now
      */
-    public void cancel(String id) {
+    public boolean cancel(String id) {
         Job job = jobs.get(id);
         if (job != null && job.terminalState == null) {
             finish(job, JobState.CANCELLED);
-        } else if (heldJobs.contains(id)) {
+            return true;
+        }
+        if (heldJobs.contains(id)) {
             heldJobs.cancel(id);
         }
+        return false;
     }
 
     /**
@@ -314,6 +321,7 @@
 
     void finish(Job job, JobState state) {
         job.terminalState = state;
+        job.terminalNanos = clock.nowNanos();
         endIsolation(job);
         dirtyJobs.add(job);
         for (int occurrence = 0; occurrence < job.createdOccurrences(); occurrence++) {
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -32,6 +32,9 @@
     /** When a stop was last sent, 0 for never. */
     long stopSentNanos;
 
+    /** Number of stops that were sent. */
+    int stopAttempts;
+
     boolean stopConfirmed;
     long stopConfirmedNanos;
     double progressPercent;
--- a/src/main/java/org/tamarackline/core/fleet/RunnerCommand.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerCommand.java
@@ -24,8 +24,11 @@
      * @param runner runner of the run
      * @param task task of the run
      * @param runNumber number of the run
+     * @param cause why the run is stopped
+     * @param attempt number of this stop among those for the run on the runner, from 1
      */
-    record Stop(FleetRunner runner, TaskKey task, long runNumber) implements RunnerCommand {}
+    record Stop(FleetRunner runner, TaskKey task, long runNumber, StopCause cause, int attempt)
+            implements RunnerCommand {}
 
     /**
      * Sets the speed of a run.
--- a/src/main/java/org/tamarackline/fleet/CountingObserver.java
+++ b/src/main/java/org/tamarackline/fleet/CountingObserver.java
@@ -56,6 +56,12 @@
         metrics.runEnded(reason);
     }
 
+    @Override
+    public void cancelledRunEnded(Run run, long sinceCancelledNanos) {
+        metrics.cancelledRunEnded(sinceCancelledNanos);
+        log.cancelledRunEnded(run, sinceCancelledNanos);
+    }
+
     @Override
     public void startCompleted(StartResult result) {
         metrics.startCompleted(result);
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -14,6 +14,7 @@
 import org.tamarackline.core.fleet.Job;
 import org.tamarackline.core.fleet.LongRunningWait;
 import org.tamarackline.core.fleet.Run;
+import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.time.MonotonicClock;
@@ -140,10 +141,46 @@
         });
     }
 
-    void stopSent(String runner, TaskKey task, long runNumber, long epoch) {
+    /**
+     * Logs that this leader has learned of a cancellation.
+     *
+     * @param previousAgeMs time for which this leader may not have known of it: since the last answered read of the jobs
+     *     before was sent
+     */
+    void cancellationRead(String job, long previousAgeMs) {
+        writeLine("cancellation-read", json -> {
+            json.writeStringField("job", job);
+            json.writeNumberField("previousAgeMs", previousAgeMs);
+        });
+    }
+
+    void stopSent(RunnerCommand.Stop stop, long epoch) {
         writeLine("stop", json -> {
-            writeRun(json, task, runNumber, runner);
+            writeStop(json, stop);
             json.writeNumberField("epoch", epoch);
+            json.writeStringField("cause", stop.cause().toString());
+        });
+    }
+
+    /** Logs that a runner has not confirmed a stop. */
+    void stopNotConfirmed(RunnerCommand.Stop stop, RunnerCalls.RunnerCommandOutcome outcome, long sentNanos) {
+        writeLine("stop-unconfirmed", json -> {
+            writeStop(json, stop);
+            json.writeNumberField("waitedMs", (clock.nowNanos() - sentNanos) / 1_000_000);
+            json.writeStringField("outcome", outcome.name());
+        });
+    }
+
+    private static void writeStop(JsonGenerator json, RunnerCommand.Stop stop) throws IOException {
+        writeRun(json, stop.task(), stop.runNumber(), stop.runner().id());
+        json.writeNumberField("attempt", stop.attempt());
+    }
+
+    @Override
+    public void cancelledRunEnded(Run run, long sinceCancelledNanos) {
+        writeLine("cancelled-run-ended", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeNumberField("sinceCancelledMs", sinceCancelledNanos / 1_000_000);
         });
     }
 
--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -44,6 +44,13 @@
     /** A runner reported the end of a run. */
     void runEnded(EndReason reason);
 
+    /**
+     * A runner reported the end of a run whose job was cancelled.
+     *
+     * @param sinceCancelledNanos time since the leader learned of the cancellation, in nanoseconds
+     */
+    void cancelledRunEnded(long sinceCancelledNanos);
+
     /** A run was removed whose end no runner reported. */
     void runLost();
 
--- a/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
@@ -55,6 +55,17 @@
         Duration.ofSeconds(120)
     };
 
+    /** Includes the bounds for the end of a cancelled job's task, from its cancellation on (3 s, 4 s and 5 s). */
+    private static final Duration[] CANCELLED_RUN_BUCKETS = {
+        Duration.ofMillis(50),
+        Duration.ofMillis(250),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(3),
+        Duration.ofSeconds(4),
+        Duration.ofSeconds(5)
+    };
+
     private static final Duration[] LOOP_DELAY_BUCKETS = {
         Duration.ofMillis(5),
         Duration.ofMillis(25),
@@ -85,6 +96,7 @@
     private final Counter isolatedChanges;
     private final Timer requests;
     private final Timer startDelays;
+    private final Timer cancelledRuns;
     private final Timer transactionDurations;
     private final Timer loopDelays;
 
@@ -157,6 +169,10 @@
                 Tags.empty());
         requests = timer("request.duration", "time from a whole request to its answer", REQUEST_BUCKETS);
         startDelays = timer("task.start.delay", "time from ready to started of a task", START_DELAY_BUCKETS);
+        cancelledRuns = timer(
+                "cancelled.run.duration",
+                "time from the leader's learning of a cancellation to the end of a run of the job",
+                CANCELLED_RUN_BUCKETS);
         transactionDurations = timer(
                 "store.transaction.duration", "time from a transaction to its answer or timeout", TRANSACTION_BUCKETS);
         loopDelays = timer("event.loop.delay", "by how much a step of the event loop was late", LOOP_DELAY_BUCKETS);
@@ -306,6 +322,11 @@
         runEnds.get(reason).increment();
     }
 
+    @Override
+    public void cancelledRunEnded(long sinceCancelledNanos) {
+        cancelledRuns.record(sinceCancelledNanos, TimeUnit.NANOSECONDS);
+    }
+
     @Override
     public void runLost() {
         lostRuns.increment();
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -58,6 +58,9 @@
     private final Set<String> unfinishedJobs = new HashSet<>();
 
     private long version = -1;
+    /** When the read was sent whose answer was the last one. */
+    private long answeredReadSentNanos;
+
     private boolean failing;
 
     /**
@@ -75,6 +78,7 @@
         this.jobs = jobs;
         this.leaderVersion = leaderVersion;
         this.leader = leader;
+        this.answeredReadSentNanos = loop.nowNanos();
     }
 
     /** Reads all jobs; earlier leaders may have started any of them. */
@@ -82,12 +86,18 @@
         Set<String> cancelled = new HashSet<>();
         tables.readAll(RecordStore.Table.JOBS, entry -> applyEntry(entry, true, progress, cancelled), readVersion -> {
             jobs.removeUnneededEnds();
-            cancelled.forEach(jobs::cancel);
+            cancelled.forEach(this::cancel);
             version = readVersion;
             callback.run();
         });
     }
 
+    private void cancel(String job) {
+        if (jobs.cancel(job)) {
+            log.cancellationRead(job, (loop.nowNanos() - answeredReadSentNanos) / 1_000_000);
+        }
+    }
+
     /** Returns whether a job may be open, or its record cannot be read, as of {@link #readAll}. */
     boolean mayBeOpen(String job) {
         return unfinishedJobs.contains(job);
@@ -118,6 +128,7 @@
                     return;
                 }
                 version = page.version();
+                answeredReadSentNanos = sentNanos;
                 // The record of a successor may be among the changes that a truncated page lacks.
                 if (!page.truncated()) {
                     leader.onLeadershipConfirmed(sentNanos);
@@ -134,6 +145,7 @@
 
     private void rereadTable() {
         log.storeState("jobs-history-lost", "reading the whole table again");
+        long sentNanos = loop.nowNanos();
         List<RecordStore.Entry> all = new ArrayList<>();
         tables.readAll(
                 RecordStore.Table.JOBS,
@@ -141,6 +153,7 @@
                 readVersion -> runIfStillLeading(() -> {
                     applyChanges(all);
                     version = readVersion;
+                    answeredReadSentNanos = sentNanos;
                     follow();
                 }));
     }
@@ -169,7 +182,7 @@
             tables.readEntry(entry, each -> applyEntry(each, false, StoredProgress.NONE, cancelled));
         }
         if (!leader.ended()) {
-            cancelled.forEach(jobs::cancel);
+            cancelled.forEach(this::cancel);
             leader.requestSchedulingRound();
         }
     }
--- a/src/main/java/org/tamarackline/fleet/NoMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/NoMetrics.java
@@ -32,6 +32,9 @@
     @Override
     public void runEnded(EndReason reason) {}
 
+    @Override
+    public void cancelledRunEnded(long sinceCancelledNanos) {}
+
     @Override
     public void runLost() {}
 
--- a/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
@@ -22,7 +22,8 @@
     }
 
     void stop(RunnerCommand.Stop stop) {
-        context.log().stopSent(runner.id(), stop.task(), stop.runNumber(), epoch);
+        context.log().stopSent(stop, epoch);
+        long sentNanos = context.loop().nowNanos();
         context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
             if (session.closed()) {
@@ -34,6 +35,8 @@
                 long nowNanos = context.loop().nowNanos();
                 context.fleet().applyStopConfirmation(runner, stop.task(), stop.runNumber(), nowNanos);
                 session.pollNow();
+            } else {
+                context.log().stopNotConfirmed(stop, response, sentNanos);
             }
         });
     }
--- a/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
@@ -18,6 +18,8 @@
 import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.StartResult;
+import org.tamarackline.core.fleet.StopCause;
+import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
@@ -59,6 +61,42 @@
                 .contains("\"tookMs\":" + WAIT.plus(RUN).toMillis() + "}");
     }
 
+    /** Guards against a stop that came late without a trace of whether it was the first one and of what became of it. */
+    @Test
+    void stopsAreLoggedWithTheirAttemptAndOutcome() {
+        RunnerDescriptor descriptor = new RunnerDescriptor(
+                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
+        FleetRunner runner = fleet.runnerRegistered(descriptor);
+        RunnerCommand.Stop stop =
+                new RunnerCommand.Stop(runner, new TaskKey("job", 0, 0, 2), 1, StopCause.UNKNOWN_RUN, 3);
+        long sentNanos = loop.nowNanos();
+        log.stopSent(stop, 2);
+        loop.advance(WAIT);
+        log.stopNotConfirmed(stop, RunnerCalls.RunnerCommandOutcome.UNKNOWN, sentNanos);
+        assertThat(writtenLines())
+                .contains("\"event\":\"stop\"", "\"attempt\":3,\"epoch\":2,\"cause\":\"the run is not known\"}")
+                .contains(
+                        "\"event\":\"stop-unconfirmed\"",
+                        "\"waitedMs\":" + WAIT.toMillis() + ",\"outcome\":\"UNKNOWN\"}");
+    }
+
+    /** Guards against a cancelled job whose runs end late without a trace of how long its leader had known of it. */
+    @Test
+    void endsOfCancelledRunsAreLoggedWithTheTimeSinceTheCancellation() {
+        RunnerDescriptor descriptor = new RunnerDescriptor(
+                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
+        FleetRunner runner = fleet.runnerRegistered(descriptor);
+        report(runner, List.of());
+        fleet.jobs().add(JobDefinitions.tasks("job", 1, RUN.toMillis()), JobProgress.NONE, false, 0);
+        Run run = ((RunnerCommand.Start) fleet.schedule(loop.nowNanos(), 0, 1).getFirst()).run();
+        loop.advance(RUN);
+        fleet.jobs().cancel("job");
+        loop.advance(WAIT);
+        report(runner, List.of(new RunnerStatus.EndedRun(1, run.task().key(), run.number(), EndReason.STOPPED, "")));
+        assertThat(writtenLines())
+                .contains("\"event\":\"cancelled-run-ended\"", "\"sinceCancelledMs\":" + WAIT.toMillis() + "}");
+    }
+
     private void report(FleetRunner runner, List<RunnerStatus.EndedRun> ends) {
         fleet.applyStatus(runner, new RunnerStatus(1, 1, List.of(), ends), loop.nowNanos(), loop.nowNanos());
     }
--- a/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
@@ -51,6 +51,8 @@
         }
         assertThat(text.value("tamarackline_request_duration_seconds_count")).isOne();
         assertThat(text.value("tamarackline_task_start_delay_seconds_sum")).isEqualTo(2);
+        assertThat(text.value("tamarackline_cancelled_run_duration_seconds_sum"))
+                .isEqualTo(4);
         assertThat(text.value("tamarackline_event_loop_delay_seconds_sum")).isEqualTo(0.003);
         assertThat(text.value("tamarackline_store_transaction_duration_seconds_count"))
                 .isEqualTo(FleetMetrics.TransactionPurpose.values().length
@@ -209,6 +211,7 @@
             }
         }
         metrics.runLost();
+        metrics.cancelledRunEnded(4_000_000_000L);
         metrics.taskStarted(2_000_000_000);
         metrics.loopDelayed(3_000_000);
         metrics.requestCompleted(Duration.ofMillis(4));
