Offer reads of changes and stops on a connection of their own

An open connection can go silent for good. Reads of tables already have a variant on a new connection; reads of changes and stops get one, without a caller yet.

--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -50,6 +50,11 @@
         store.follow(table, afterVersion, wait, result -> recordRead(result, callback));
     }
 
+    @Override
+    public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+        store.readChangesOnNewConnection(table, afterVersion, result -> recordRead(result, callback));
+    }
+
     private void recordRead(ReadResult result, Consumer<ReadResult> callback) {
         if (result instanceof ReadResult.Failed) {
             contact.onFailure();
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -35,6 +35,12 @@
      */
     void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback);
 
+    /**
+     * Reads the changes of a table after a version as {@link #follow} does, but without waiting for one and over a
+     * connection that is opened for it.
+     */
+    void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback);
+
     /** Returns bounds on the store's steady clock, derived from its responses. */
     StoreClock clock();
 
--- a/src/main/java/org/tamarackline/fleet/RunnerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCalls.java
@@ -21,6 +21,13 @@
     void stop(
             RunnerDescriptor runner, TaskKey task, long runNumber, long epoch, Consumer<RunnerCommandOutcome> callback);
 
+    /**
+     * Stops a run as {@link #stop} does, but over a connection that is opened for it, because connections that are already
+     * open may have gone silent.
+     */
+    void stopOnNewConnection(
+            RunnerDescriptor runner, TaskKey task, long runNumber, long epoch, Consumer<RunnerCommandOutcome> callback);
+
     /** Limits a run to a percentage of full speed. */
     void throttle(
             RunnerDescriptor runner,
--- a/src/main/java/org/tamarackline/platform/RunnerClient.java
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -80,12 +80,33 @@
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
-        byte[] body = Json.encodeObject(json -> {
+        byte[] body = encodeStop(task, runNumber, epoch);
+        post(runner, "/-/run-stop", body, COMMAND_TIMEOUT, result -> callback.accept(toCommandOutcome(result)));
+    }
+
+    @Override
+    public void stopOnNewConnection(
+            RunnerDescriptor runner,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        http.callOnNewConnection(
+                "POST",
+                runner.address(),
+                "/-/run-stop",
+                headersFor(runner),
+                encodeStop(task, runNumber, epoch),
+                COMMAND_TIMEOUT,
+                result -> loop.execute(() -> callback.accept(toCommandOutcome(result))));
+    }
+
+    private static byte[] encodeStop(TaskKey task, long runNumber, long epoch) {
+        return Json.encodeObject(json -> {
             json.writeStringField("task", TaskKeyFormat.format(task));
             json.writeNumberField("run", runNumber);
             json.writeNumberField("fence", epoch);
         });
-        post(runner, "/-/run-stop", body, COMMAND_TIMEOUT, result -> callback.accept(toCommandOutcome(result)));
     }
 
     @Override
@@ -148,13 +169,17 @@
                 "POST",
                 runner.address(),
                 path,
-                // The platform's term for one incarnation of a runner is instance.
-                Map.of("Expect-Instance", runner.id()),
+                headersFor(runner),
                 body,
                 timeout,
                 result -> loop.execute(() -> callback.accept(result)));
     }
 
+    /** Returns the headers of each call; the platform's term for one incarnation of a runner is instance. */
+    private static Map<String, String> headersFor(RunnerDescriptor runner) {
+        return Map.of("Expect-Instance", runner.id());
+    }
+
     static RunnerCommandOutcome toCommandOutcome(HttpCallResult result) {
         if (!(result instanceof HttpCallResult.Response response)) {
             return RunnerCommandOutcome.UNKNOWN;
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -175,16 +175,28 @@
 
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
-        String target = "/-/rows-feed?table=" + nameOf(table) + "&after=" + afterVersion + "&waitMs=" + wait.toMillis();
         long sentNanos = loop.nowNanos();
         call(
                 "GET",
-                target,
+                changesTarget(table, afterVersion, wait),
                 null,
                 wait.plus(FOLLOW_TIMEOUT_MARGIN),
                 result -> callback.accept(toReadResult(result, sentNanos)));
     }
 
+    @Override
+    public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+        long sentNanos = loop.nowNanos();
+        read(
+                Connections.NEW,
+                changesTarget(table, afterVersion, Duration.ZERO),
+                result -> callback.accept(toReadResult(result, sentNanos)));
+    }
+
+    private static String changesTarget(Table table, long afterVersion, Duration wait) {
+        return "/-/rows-feed?table=" + nameOf(table) + "&after=" + afterVersion + "&waitMs=" + wait.toMillis();
+    }
+
     private ReadResult toReadResult(HttpCallResult result, long sentNanos) {
         return switch (result) {
             case HttpCallResult.NoResponse noResponse -> new ReadResult.Failed(noResponse.cause());
--- a/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
+++ b/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
@@ -34,6 +34,16 @@
         calls.stop(runner, task, runNumber, epoch, callback);
     }
 
+    @Override
+    public void stopOnNewConnection(
+            RunnerDescriptor runner,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        calls.stopOnNewConnection(runner, task, runNumber, epoch, callback);
+    }
+
     @Override
     public void throttle(
             RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -258,6 +258,11 @@
         });
     }
 
+    @Override
+    public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+        follow(table, afterVersion, Duration.ZERO, callback);
+    }
+
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -153,6 +153,16 @@
                 () -> callback.accept(silent(runner) ? RunnerCommandOutcome.UNKNOWN : RunnerCommandOutcome.DONE));
     }
 
+    @Override
+    public void stopOnNewConnection(
+            RunnerDescriptor runner,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        stop(runner, task, runNumber, epoch, callback);
+    }
+
     @Override
     public void throttle(
             RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
+++ b/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
@@ -119,6 +119,16 @@
         respond(outcome, callback, outcome);
     }
 
+    @Override
+    public void stopOnNewConnection(
+            RunnerDescriptor runner,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        stop(runner, task, runNumber, epoch, callback);
+    }
+
     @Override
     public void throttle(
             RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -52,6 +52,11 @@
             }
         }
 
+        @Override
+        public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+            follow(table, afterVersion, Duration.ZERO, callback);
+        }
+
         @Override
         public StoreClock clock() {
             return clock;
--- a/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
@@ -395,6 +395,16 @@
             runners.stop(runner, task, runNumber, epoch, callback);
         }
 
+        @Override
+        public void stopOnNewConnection(
+                RunnerDescriptor runner,
+                TaskKey task,
+                long runNumber,
+                long epoch,
+                Consumer<RunnerCommandOutcome> callback) {
+            runners.stopOnNewConnection(runner, task, runNumber, epoch, callback);
+        }
+
         @Override
         public void throttle(
                 RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -68,4 +68,9 @@
         }
         shared.follow(table, afterVersion, wait, result -> loop.execute(() -> callback.accept(result)));
     }
+
+    @Override
+    public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+        follow(table, afterVersion, Duration.ZERO, callback);
+    }
 }
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
@@ -245,6 +245,16 @@
                 });
     }
 
+    @Override
+    public void stopOnNewConnection(
+            RunnerDescriptor runner,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        stop(runner, task, runNumber, epoch, callback);
+    }
+
     @Override
     public void throttle(
             RunnerDescriptor descriptor,
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -224,7 +224,16 @@
 
     @Override
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
-        Call<ReadResult> call = readCall(link.takeSilentConnection(), wait.plus(FOLLOW_TIMEOUT_MARGIN), callback);
+        follow(link.takeSilentConnection(), table, afterVersion, wait, callback);
+    }
+
+    @Override
+    public void readChangesOnNewConnection(Table table, long afterVersion, Consumer<ReadResult> callback) {
+        follow(false, table, afterVersion, Duration.ZERO, callback);
+    }
+
+    private void follow(boolean silent, Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
+        Call<ReadResult> call = readCall(silent, wait.plus(FOLLOW_TIMEOUT_MARGIN), callback);
         call.send(() -> {
             if (link.loseHistory) {
                 link.loseHistory = false;
