Repeat a read of job changes that has no answer on a new connection

The leader learns of a cancellation by following the changes of the job table, one read at a time over pooled connections. A connection that had gone silent delayed it by 2.25 s, a second one to 3.5 s, a third one to 4.75 s, while the leader was confirmed over others. The followers of the configuration and of the directory already repeat such a read on a new connection; this one did not.

JobFeed uses the same HedgedRead now. After the store has dropped its history, the cancellations of the table count as they are read instead of after the last page, and the leader record is read by the repeated read that an election uses.

--- a/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
+++ b/src/main/java/org/tamarackline/fleet/ConfigurationFollower.java
@@ -51,7 +51,7 @@
         this.answeredReadSentNanos = loop.nowNanos();
         this.reads = new HedgedRead<>(
                 loop,
-                random,
+                RetryBackoff.forReads(random),
                 result -> !(result instanceof RecordStore.ReadResult.Failed),
                 new ReadListener(),
                 () -> false);
--- a/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
+++ b/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
@@ -40,7 +40,8 @@
         this.stopped = stopped;
         this.onRead = onRead;
         this.answeredReadSentNanos = loop.nowNanos();
-        this.reads = new HedgedRead<>(loop, random, Optional::isPresent, new ReadListener(), stopped);
+        this.reads =
+                new HedgedRead<>(loop, RetryBackoff.forReads(random), Optional::isPresent, new ReadListener(), stopped);
     }
 
     /** Returns the time since the read was sent whose answer was the last one, in milliseconds. */
--- a/src/main/java/org/tamarackline/fleet/HedgedRead.java
+++ b/src/main/java/org/tamarackline/fleet/HedgedRead.java
@@ -1,7 +1,6 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
-import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -21,9 +20,6 @@
      */
     static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(400);
 
-    /** Longest delay between two attempts, so that the read succeeds soon after an outage of any length. */
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
-
     /** Sends an attempt; its callback receives the result on the event loop. */
     interface Attempt<R> {
         void send(Consumer<R> callback);
@@ -62,13 +58,18 @@
     /**
      * Creates a reader, which runs one read at a time.
      *
-     * @param random spreads the retries of the nodes
+     * @param backoff delays of the attempts after one that failed
      * @param succeeded whether a result ends the read
      * @param stopped whether to send no further attempts
      */
-    HedgedRead(EventLoop loop, Random random, Predicate<R> succeeded, Listener<R> listener, BooleanSupplier stopped) {
+    HedgedRead(
+            EventLoop loop,
+            RetryBackoff backoff,
+            Predicate<R> succeeded,
+            Listener<R> listener,
+            BooleanSupplier stopped) {
         this.loop = loop;
-        this.backoff = new RetryBackoff(FleetConstants.STORE_RETRY_DELAY, MAX_RETRY_DELAY, random);
+        this.backoff = backoff;
         this.succeeded = succeeded;
         this.listener = listener;
         this.stopped = stopped;
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -10,6 +10,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -18,7 +20,12 @@
 import org.tamarackline.core.fleet.JobState;
 import org.tamarackline.core.fleet.JobTracker;
 
-/** Feeds the job table to a leader: reads the whole table at the takeover and then follows its changes. */
+/**
+ * Feeds the job table to a leader: reads the whole table at the takeover and then follows its changes.
+ *
+ * <p>The tasks of a cancelled job must be gone three seconds after the cancellation, so a read without an answer is repeated
+ * on a new connection.
+ */
 final class JobFeed {
 
     /** Callbacks of a feed to its leader. */
@@ -40,6 +47,9 @@
         void requestSchedulingRound();
     }
 
+    /** Time after which an answer of the store about changes is overdue, added to the time that the store may wait. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
+
     private record FinishedJob(String id, long endedEpochMs) {}
 
     private final EventLoop loop;
@@ -51,6 +61,8 @@
     private final JobTracker jobs;
     private final long leaderVersion;
     private final Callbacks leader;
+    private final LeaderRecordStore leaderRecords;
+    private final HedgedRead<RecordStore.ReadResult> reads;
     private final Deque<FinishedJob> finishedJobs = new ArrayDeque<>();
     /** When each withdrawn job was last cancelled, in milliseconds since 1970. */
     private final Map<String, Long> withdrawnEpochMs = new HashMap<>();
@@ -61,8 +73,6 @@
     /** When the read was sent whose answer was the last one. */
     private long answeredReadSentNanos;
 
-    private boolean failing;
-
     /**
      * Creates a feed that has read nothing.
      *
@@ -78,7 +88,17 @@
         this.jobs = jobs;
         this.leaderVersion = leaderVersion;
         this.leader = leader;
+        this.leaderRecords = new LeaderRecordStore(services);
         this.answeredReadSentNanos = loop.nowNanos();
+        // Only one node leads, so its retries need no spreading over time.
+        RetryBackoff backoff = new RetryBackoff(
+                FleetConstants.STORE_RETRY_DELAY, FleetConstants.STORE_RETRY_DELAY, new Random(leaderVersion));
+        this.reads = new HedgedRead<>(
+                loop,
+                backoff,
+                result -> !(result instanceof RecordStore.ReadResult.Failed),
+                new ReadListener(),
+                () -> !leader.leading());
     }
 
     /** Reads all jobs; earlier leaders may have started any of them. */
@@ -95,6 +115,7 @@
     private void cancel(String job) {
         if (jobs.cancel(job)) {
             log.cancellationRead(job, (loop.nowNanos() - answeredReadSentNanos) / 1_000_000);
+            leader.requestSchedulingRound();
         }
     }
 
@@ -105,41 +126,51 @@
 
     /** Follows the changes from the version that was read. */
     void follow() {
+        Duration wait = FleetConstants.JOBS_FOLLOW_WAIT;
+        reads.start(
+                callback -> store.follow(RecordStore.Table.JOBS, version, wait, callback),
+                wait.plus(ANSWER_MARGIN),
+                callback -> store.readChangesOnNewConnection(RecordStore.Table.JOBS, version, callback),
+                this::onAnswer);
+    }
+
+    private void onAnswer(HedgedRead.Success<RecordStore.ReadResult> success) {
+        metrics.readCompleted(FleetMetrics.ReadPurpose.JOB_CHANGES, FleetMetrics.ReadOutcome.of(success.result()));
         if (!leader.leading()) {
             return;
         }
-        long sentNanos = loop.nowNanos();
-        // While the store fails, an answer at once tells sooner that it is back than one that waits for a change.
-        Duration wait = failing ? Duration.ZERO : FleetConstants.JOBS_FOLLOW_WAIT;
-        store.follow(RecordStore.Table.JOBS, version, wait, result -> {
-            metrics.readCompleted(FleetMetrics.ReadPurpose.JOB_CHANGES, FleetMetrics.ReadOutcome.of(result));
-            if (leader.leading()) {
-                onChanges(result, sentNanos);
-            }
-        });
+        if (success.result() instanceof RecordStore.ReadResult.Page page) {
+            onChanges(page, success.sentNanos());
+        } else {
+            rereadTable();
+        }
     }
 
-    private void onChanges(RecordStore.ReadResult result, long sentNanos) {
-        failing = result instanceof RecordStore.ReadResult.Failed;
-        switch (result) {
-            case RecordStore.ReadResult.Page page -> {
-                applyChanges(page.entries());
-                if (leader.ended()) {
-                    return;
-                }
-                version = page.version();
-                answeredReadSentNanos = sentNanos;
-                // The record of a successor may be among the changes that a truncated page lacks.
-                if (!page.truncated()) {
-                    leader.onLeadershipConfirmed(sentNanos);
-                }
-                loop.schedule(FleetConstants.FOLLOW_INTERVAL, this::follow);
-            }
-            case RecordStore.ReadResult.HistoryLost lost -> rereadTable();
-            case RecordStore.ReadResult.Failed failed -> {
-                log.storeState("jobs-feed-failing", failed.cause());
-                loop.schedule(FleetConstants.STORE_RETRY_DELAY, this::follow);
-            }
+    private void onChanges(RecordStore.ReadResult.Page page, long sentNanos) {
+        applyChanges(page.entries());
+        if (leader.ended()) {
+            return;
+        }
+        version = page.version();
+        answeredReadSentNanos = sentNanos;
+        // The record of a successor may be among the changes that a truncated page lacks.
+        if (!page.truncated()) {
+            leader.onLeadershipConfirmed(sentNanos);
+        }
+        loop.schedule(FleetConstants.FOLLOW_INTERVAL, this::follow);
+    }
+
+    private final class ReadListener implements HedgedRead.Listener<RecordStore.ReadResult> {
+
+        @Override
+        public void onFailure(RecordStore.ReadResult result) {
+            metrics.readCompleted(FleetMetrics.ReadPurpose.JOB_CHANGES, FleetMetrics.ReadOutcome.FAILED);
+            log.storeState("jobs-feed-failing", result.toString());
+        }
+
+        @Override
+        public void onRepetition(Duration waited) {
+            log.readRepeated("jobs", waited.toMillis());
         }
     }
 
@@ -149,7 +180,10 @@
         List<RecordStore.Entry> all = new ArrayList<>();
         tables.readAll(
                 RecordStore.Table.JOBS,
-                all::add,
+                entry -> {
+                    all.add(entry);
+                    cancelIfCancellation(entry);
+                },
                 readVersion -> runIfStillLeading(() -> {
                     applyChanges(all);
                     version = readVersion;
@@ -158,10 +192,22 @@
                 }));
     }
 
+    /** Cancels a known job at once; the other records wait until all pages are read, which takes a second or two. */
+    private void cancelIfCancellation(RecordStore.Entry entry) {
+        cancelledJob(entry).ifPresent(this::cancel);
+    }
+
+    /** Returns the job that a record cancels; empty if it is no cancellation. */
+    private static Optional<String> cancelledJob(RecordStore.Entry entry) {
+        boolean cancels = entry.key().endsWith(StoredJob.CANCEL_SUFFIX) && !entry.removed();
+        return cancels
+                ? Optional.of(entry.key().substring(0, entry.key().length() - StoredJob.CANCEL_SUFFIX.length()))
+                : Optional.empty();
+    }
+
     /** A job on a later page may have been accepted after a successor's claim, which the earlier pages do not show. */
     void runIfStillLeading(Runnable next) {
-        store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, LeaderRecord.KEY + "\u0000", result -> {
-            metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
+        leaderRecords.read(result -> {
             if (!leader.leading()) {
                 return;
             }
@@ -196,10 +242,7 @@
             return;
         }
         if (entry.key().endsWith(StoredJob.CANCEL_SUFFIX)) {
-            if (!entry.removed()) {
-                String id = entry.key().substring(0, entry.key().length() - StoredJob.CANCEL_SUFFIX.length());
-                cancelled.add(id);
-            }
+            cancelledJob(entry).ifPresent(cancelled::add);
             return;
         }
         if (entry.removed()) {
--- a/src/main/java/org/tamarackline/fleet/RetryBackoff.java
+++ b/src/main/java/org/tamarackline/fleet/RetryBackoff.java
@@ -9,6 +9,9 @@
  */
 final class RetryBackoff {
 
+    /** Longest delay between two attempts of a read, so that it succeeds soon after an outage of any length. */
+    private static final Duration MAX_READ_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final Duration initialDelay;
     private final Duration maxDelay;
     private final Random random;
@@ -21,6 +24,11 @@
         this.nextDelay = initialDelay;
     }
 
+    /** Creates the delays for a read of the store that every node repeats until it succeeds. */
+    static RetryBackoff forReads(Random random) {
+        return new RetryBackoff(FleetConstants.STORE_RETRY_DELAY, MAX_READ_RETRY_DELAY, random);
+    }
+
     /** Returns the delay before the next retry. */
     Duration next() {
         Duration delay = nextDelay;
