Repeat the stop of an unknown run without waiting for a status

Callers could see a task of a cancelled job run on after a change of leader. The new leader does not know the run, since the job has ended, and stops it when a runner reports it.

PendingStops now owns the stops of known runs, of unknown ones and of starts that were given up; each is repeated until the run is known to be over. A runner with unknown runs is polled each 0.3 s, and its lease is still not renewed for them.

FleetTest#stopOfAnUnknownRunIsRepeatedWithoutAFurtherStatus and RunnerSessionTest#runnerWithARunThatIsNotKnownIsPolledSoon failed before the change. Stops of unknown runs that were due when their runner was lost are no longer sent.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -5,9 +5,9 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.LongStream;
 
@@ -40,8 +40,7 @@
     private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
     private final UnreportedRunners unreportedRunners = new UnreportedRunners();
     private final LongRunningWaits longRunningWaits;
-    private final Set<Run> stopping = new LinkedHashSet<>();
-    private final List<RunnerCommand> orphanStops = new ArrayList<>();
+    private final PendingStops pendingStops = new PendingStops();
 
     /**
      * Creates a fleet without jobs and runners.
@@ -180,10 +179,10 @@
         }
         runner.statusKnown = false;
         runner.heldRuns.clear();
+        pendingStops.removeAll(runner);
         for (Run run : runner.snapshotOfRuns()) {
             if (!run.startConfirmed && !pendingStarts.contains(run)) {
-                FleetRunner.RunKey start = new FleetRunner.RunKey(run.task().key(), run.number());
-                runner.unresolvedStarts.put(start, FleetRunner.StopTimes.NEVER);
+                runner.unresolvedStarts.add(run.key());
             }
             loseRun(run, "the runner is lost");
         }
@@ -196,6 +195,11 @@
         return Collections.unmodifiableCollection(runners.values());
     }
 
+    /** Returns whether a runner has reported runs that this leader does not know and that must end. */
+    public boolean hasUnknownRuns(FleetRunner runner) {
+        return pendingStops.includeUnknownRuns(runner);
+    }
+
     /** Returns the number of runners that may run tasks of an earlier leader and have not reported their status. */
     public int unreportedRunners() {
         return unreportedRunners.count();
@@ -279,7 +283,7 @@
                 unreportedRunners.remove(runner.id());
             }
         }
-        runner.orphanStops.keySet().retainAll(reported);
+        pendingStops.retainUnknownRuns(runner, reported);
         stopUnresolvedStarts(runner, nowNanos);
         evictStalledRuns(runner, nowNanos);
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
@@ -318,8 +322,7 @@
 
     private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
         for (Run run : runner.snapshotOfRuns()) {
-            boolean missing =
-                    !reported.contains(new FleetRunner.RunKey(run.task().key(), run.number()));
+            boolean missing = !reported.contains(run.key());
             if (missing && confirmedBefore(run, requestSentNanos)) {
                 loseRun(run, "the runner reports neither the run nor its end");
             }
@@ -331,19 +334,22 @@
      * got no response for the longest delay of a command can no longer take effect.
      */
     private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
-        runner.unresolvedStarts
-                .values()
-                .removeIf(stops ->
-                        stops.sent() && nowNanos - stops.firstNanos() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS);
-        runner.unresolvedStarts.replaceAll((start, stops) -> {
-            if (stops.sent() && nowNanos - stops.lastNanos() <= SchedulingLimits.STOP_RETRY_NANOS) {
-                return stops;
+        for (FleetRunner.RunKey start : List.copyOf(runner.unresolvedStarts)) {
+            OptionalLong firstStopNanos = pendingStops.firstSentNanos(runner, start);
+            if (firstStopNanos.isPresent()
+                    && nowNanos - firstStopNanos.getAsLong() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS) {
+                resolveStart(runner, start);
+            } else {
+                pendingStops.add(runner, start, StopCause.UNRESOLVED_START);
             }
-            FleetRunner.StopTimes next = stops.withStopAt(nowNanos);
-            orphanStops.add(new RunnerCommand.Stop(
-                    runner, start.task(), start.runNumber(), StopCause.UNRESOLVED_START, next.attempts()));
-            return next;
-        });
+        }
+    }
+
+    /** Records that a start which was given up can no longer take effect. */
+    private void resolveStart(FleetRunner runner, FleetRunner.RunKey start) {
+        if (runner.unresolvedStarts.remove(start)) {
+            pendingStops.remove(runner, start);
+        }
     }
 
     private void evictStalledRuns(FleetRunner runner, long nowNanos) {
@@ -378,7 +384,7 @@
      * have confirmed them since, or may still receive them.
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
-        runner.orphanStops.clear();
+        pendingStops.retainUnknownRuns(runner, Set.of());
         runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
@@ -397,7 +403,7 @@
             run = adopt(runner, entry, nowNanos);
         }
         if (run == null) {
-            stopOrphan(runner, entry, nowNanos);
+            pendingStops.add(runner, new FleetRunner.RunKey(entry.task(), entry.runNumber()), StopCause.UNKNOWN_RUN);
             return;
         }
         if (run.phase == Run.Phase.STARTING) {
@@ -446,26 +452,16 @@
         task.lastRunNumber = Math.max(task.lastRunNumber, entry.runNumber());
         task.inheritedRunners.remove(runner.id());
         run.adopted = true;
+        pendingStops.remove(runner, run.key());
         runner.add(run);
         jobs.updateReadiness(task);
         observer.runAdopted(run);
         return run;
     }
 
-    private void stopOrphan(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
-        FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
-        FleetRunner.StopTimes stops = runner.orphanStops.getOrDefault(key, FleetRunner.StopTimes.NEVER);
-        if (!stops.sent() || nowNanos - stops.lastNanos() > SchedulingLimits.STOP_RETRY_NANOS) {
-            FleetRunner.StopTimes next = stops.withStopAt(nowNanos);
-            runner.orphanStops.put(key, next);
-            orphanStops.add(new RunnerCommand.Stop(
-                    runner, entry.task(), entry.runNumber(), StopCause.UNKNOWN_RUN, next.attempts()));
-        }
-    }
-
     private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
         FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
-        runner.unresolvedStarts.remove(key);
+        resolveStart(runner, key);
         if (jobs.held().contains(end.task().job())) {
             runner.heldRuns.remove(key);
             if (jobs.held().addEnd(end)) {
@@ -479,7 +475,7 @@
         if (run != null) {
             endWaiting(run, nowNanos);
             runner.remove(run);
-            stopping.remove(run);
+            pendingStops.remove(runner, key);
             if (run.task().job().terminalState == JobState.CANCELLED) {
                 observer.cancelledRunEnded(run, nowNanos - run.task().job().terminalNanos);
             }
@@ -540,19 +536,10 @@
      * @param maxStarts maximum number of tasks to start; a gang may exceed it
      */
     public List<RunnerCommand> schedule(long nowNanos, long nowEpochMs, int maxStarts) {
-        List<RunnerCommand> commands = new ArrayList<>(orphanStops);
-        orphanStops.clear();
-        commands.addAll(throttleCommands);
+        List<RunnerCommand> commands = new ArrayList<>(throttleCommands);
         throttleCommands.clear();
         jobs.createAllDueOccurrences(nowEpochMs);
-        for (Run run : stopping) {
-            if (isStopDue(run, nowNanos)) {
-                run.stopSentNanos = nowNanos;
-                run.stopAttempts++;
-                commands.add(new RunnerCommand.Stop(
-                        run.runner(), run.task().key(), run.number(), StopCause.KNOWN_RUN, run.stopAttempts));
-            }
-        }
+        commands.addAll(pendingStops.takeDue(nowNanos));
         replacePendingStarts();
         List<Run> starts = pendingStarts.take(maxStarts);
         starts.addAll(placeReadyTasks(maxStarts - starts.size(), nowNanos, nowEpochMs));
@@ -587,10 +574,6 @@
         return startable;
     }
 
-    private static boolean isStopDue(Run run, long nowNanos) {
-        return run.stopSentNanos == 0 || nowNanos - run.stopSentNanos > SchedulingLimits.STOP_RETRY_NANOS;
-    }
-
     /**
      * Returns whether the start of a run may be sent: the run still exists, its start has not been confirmed or given up,
      * and its runner has not changed since in a way that rules it out.
@@ -645,7 +628,7 @@
 
     /** Records that a runner confirmed a stop; the run can no longer start there. */
     public void applyStopConfirmation(FleetRunner runner, TaskKey task, long runNumber, long nowNanos) {
-        runner.unresolvedStarts.remove(new FleetRunner.RunKey(task, runNumber));
+        resolveStart(runner, new FleetRunner.RunKey(task, runNumber));
         Run run = runner.find(task, runNumber);
         if (run != null && !run.stopConfirmed) {
             run.stopConfirmed = true;
@@ -689,7 +672,7 @@
             return;
         }
         run.phase = Run.Phase.STOPPING;
-        stopping.add(run);
+        pendingStops.add(run.runner(), run.key(), StopCause.KNOWN_RUN);
     }
 
     private void loseRun(Run run, String reason) {
@@ -700,7 +683,7 @@
     /** Removes a run that can no longer exist; its task becomes ready again. */
     private void removeRun(Run run) {
         run.runner().remove(run);
-        stopping.remove(run);
+        pendingStops.remove(run.runner(), run.key());
         pendingStarts.remove(run);
         if (run.task().step().longRunning() && run.task().job().terminalState == null) {
             jobs.markDirty(run.task().job());
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.tamarackline.core.model.Resources;
 
@@ -18,26 +20,6 @@
      */
     record RunKey(TaskKey task, long runNumber) {}
 
-    /**
-     * When stops were sent for a run.
-     *
-     * @param attempts number of stops
-     * @param firstNanos time of the first one, meaningful only if there was one
-     * @param lastNanos time of the last one, meaningful only if there was one
-     */
-    record StopTimes(int attempts, long firstNanos, long lastNanos) {
-
-        static final StopTimes NEVER = new StopTimes(0, 0, 0);
-
-        boolean sent() {
-            return attempts > 0;
-        }
-
-        StopTimes withStopAt(long nanos) {
-            return new StopTimes(attempts + 1, sent() ? firstNanos : nanos, nanos);
-        }
-    }
-
     private final String id;
     private RunnerDescriptor descriptor;
 
@@ -69,15 +51,13 @@
 
     final RunnerHealth health = new RunnerHealth();
     final Map<RunKey, Run> runs = new HashMap<>();
-    /** When stops were sent for each orphaned run, that is, a run that the leader does not know. */
-    final Map<RunKey, StopTimes> orphanStops = new HashMap<>();
     /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
     final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
     /**
-     * Starts without a response that were given up with the runner, and when stops were sent for them. Such a start may
-     * still take effect once the runner's lease is extended.
+     * Starts without a response that were given up with the runner. Such a start may still take effect once the runner's
+     * lease is extended.
      */
-    final Map<RunKey, StopTimes> unresolvedStarts = new HashMap<>();
+    final Set<RunKey> unresolvedStarts = new LinkedHashSet<>();
 
     private Resources reserved = Resources.NONE;
     private long bestEffortMillis;
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -29,12 +29,6 @@
     boolean startConfirmed;
 
     long startConfirmedNanos;
-    /** When a stop was last sent, 0 for never. */
-    long stopSentNanos;
-
-    /** Number of stops that were sent. */
-    int stopAttempts;
-
     boolean stopConfirmed;
     long stopConfirmedNanos;
     double progressPercent;
@@ -70,6 +64,11 @@
         return task;
     }
 
+    /** Returns what identifies the run on its runner. */
+    FleetRunner.RunKey key() {
+        return new FleetRunner.RunKey(task.key(), number);
+    }
+
     /** Returns the number of the run; later runs of a task have higher numbers. */
     public long number() {
         return number;
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -380,10 +380,20 @@
         } else if (acknowledgement.due() || !allReportedEndsStored()) {
             schedulePoll(FleetConstants.ACKNOWLEDGE_DELAY);
         } else {
-            schedulePoll(runner.busy() ? Duration.ZERO : FleetConstants.IDLE_POLL_INTERVAL);
+            schedulePoll(pollInterval());
         }
     }
 
+    private Duration pollInterval() {
+        if (runner.busy()) {
+            return Duration.ZERO;
+        }
+        // Only a status tells that a run which the leader does not know is over.
+        return context.fleet().hasUnknownRuns(runner)
+                ? FleetConstants.POLL_RETRY_DELAY
+                : FleetConstants.IDLE_POLL_INTERVAL;
+    }
+
     private void learnProcess(long processStartEpochMs) {
         if (process.learn(processStartEpochMs, context.loop().nowNanos())) {
             context.fleet().setRunnerConfirmed(runner.id(), false);
--- a/src/test/java/org/tamarackline/core/fleet/FleetTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetTest.java
@@ -10,6 +10,9 @@
 /** Tests the scheduling decisions of {@link Fleet}: starts, stops, failures, migration and takeover. */
 class FleetTest {
 
+    /** Time after which a stop without an effect is due again. */
+    private static final long STOP_RETRY_MS = SchedulingLimits.STOP_RETRY_NANOS / 1_000_000 + 1;
+
     private final FleetFixture fixture = new FleetFixture(1);
     private final Fleet fleet = fixture.fleet();
 
@@ -348,6 +351,40 @@
                 .containsExactly("urgent", "urgent", "plan");
     }
 
+    /** Guards against a run of a cancelled job that goes on because its stop was lost and the next status comes late. */
+    @Test
+    void stopOfAnUnknownRunIsRepeatedWithoutAFurtherStatus() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        RunnerStatus.ActiveRun unknown = new RunnerStatus.ActiveRun(new TaskKey("ended", 0, 0, 0), 7, "", 50, -1);
+        fixture.reportStatus(runner, List.of(unknown), List.of());
+        assertThat(fixture.scheduleStops())
+                .extracting(RunnerCommand.Stop::attempt)
+                .containsExactly(1);
+        fixture.advanceMs(STOP_RETRY_MS);
+        assertThat(fixture.scheduleStops())
+                .extracting(RunnerCommand.Stop::attempt)
+                .containsExactly(2);
+        fixture.advanceMs(STOP_RETRY_MS);
+        assertThat(fixture.scheduleStops())
+                .extracting(RunnerCommand.Stop::attempt)
+                .containsExactly(3);
+        fixture.reportStatus(runner, List.of(), List.of());
+        fixture.advanceMs(STOP_RETRY_MS);
+        assertThat(fixture.scheduleStops()).isEmpty();
+    }
+
+    /** Guards against stops that are sent for good to a runner whose lease has expired. */
+    @Test
+    void unknownRunsOfALostRunnerAreNotStopped() {
+        FleetRunner runner = fixture.addRunner("a", 16_000);
+        RunnerStatus.ActiveRun unknown = new RunnerStatus.ActiveRun(new TaskKey("ended", 0, 0, 0), 7, "", 50, -1);
+        fixture.reportStatus(runner, List.of(unknown), List.of());
+        fleet.runnerLost("a");
+        assertThat(fixture.scheduleStops()).isEmpty();
+        fixture.advanceMs(STOP_RETRY_MS);
+        assertThat(fixture.scheduleStops()).isEmpty();
+    }
+
     /** Guards against stopping a run because only the response to its start was lost or late. */
     @Test
     void keepsARunThatIsReportedBeforeItsStartTimesOut() {
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -36,6 +36,14 @@
      */
     record SentRenewal(String runner, long epoch, long sentNanos) {}
 
+    /**
+     * Stop that was sent.
+     *
+     * @param task task to stop
+     * @param onNewConnection whether a connection was opened for it
+     */
+    record SentStop(TaskKey task, boolean onNewConnection) {}
+
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     private final ManualLoop loop;
@@ -46,6 +54,7 @@
     private final Map<String, Long> processStartsMs = new HashMap<>();
     private final List<SentStart> starts = new ArrayList<>();
     private final List<SentRenewal> renewals = new ArrayList<>();
+    private final List<SentStop> stops = new ArrayList<>();
     private int polls;
     private Duration pollResponseDelay = Duration.ZERO;
     private boolean allSilent;
@@ -103,6 +112,18 @@
         return renewals;
     }
 
+    /** Returns all stops that were sent, in order. */
+    List<SentStop> stops() {
+        return stops;
+    }
+
+    /** Adds a run that a runner reports. */
+    void addRun(String runner, TaskKey task, long runNumber) {
+        activeRuns
+                .computeIfAbsent(runner, id -> new ArrayList<>())
+                .add(new RunnerStatus.ActiveRun(task, runNumber, "", 1, -1));
+    }
+
     /** Delays the responses to polls; a status shows the time at which its poll arrived. */
     void delayPollResponses(Duration delay) {
         pollResponseDelay = delay;
@@ -148,6 +169,11 @@
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
+        stop(runner, new SentStop(task, false), callback);
+    }
+
+    private void stop(RunnerDescriptor runner, SentStop stop, Consumer<RunnerCommandOutcome> callback) {
+        stops.add(stop);
         loop.schedule(
                 TIMEOUT,
                 () -> callback.accept(silent(runner) ? RunnerCommandOutcome.UNKNOWN : RunnerCommandOutcome.DONE));
@@ -160,7 +186,7 @@
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
-        stop(runner, task, runNumber, epoch, callback);
+        stop(runner, new SentStop(task, true), callback);
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -13,6 +13,7 @@
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
@@ -286,4 +287,16 @@
         startLongRunningTask();
         assertThat(runner.busy()).isFalse();
     }
+
+    /** Guards against a runner that only runs what must end, and is polled like one without runs. */
+    @Test
+    void runnerWithARunThatIsNotKnownIsPolledSoon() {
+        calls.addRun("r", new TaskKey("ended", 0, 0, 0), 1);
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        int polls = calls.polls();
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(calls.polls()).isGreaterThanOrEqualTo(polls + 3);
+        assertThat(calls.renewals()).isEmpty();
+    }
 }
