Send a repeated stop on a new connection

A stop that gets no answer is repeated each 0.7 s, but over the same pool of up to eight connections to the runner. Where several of them had gone silent, each repetition could meet another one, and a task of a cancelled job ran on.

The first stop uses an open connection, each further one a new connection. RunnerSessionTest#stopIsRepeatedOnANewConnection failed before the change.

--- a/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
@@ -1,5 +1,7 @@
 package org.tamarackline.fleet;
 
+import java.util.function.Consumer;
+
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.RunnerCommand;
@@ -24,7 +26,7 @@
     void stop(RunnerCommand.Stop stop) {
         context.log().stopSent(stop, epoch);
         long sentNanos = context.loop().nowNanos();
-        context.runnerCalls().stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, response -> {
+        send(stop, response -> {
             context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.STOP, response);
             if (session.closed()) {
                 return;
@@ -41,6 +43,16 @@
         });
     }
 
+    /** Sends a stop; a repeated one on a new connection, because the one before may have met a connection gone silent. */
+    private void send(RunnerCommand.Stop stop, Consumer<RunnerCalls.RunnerCommandOutcome> callback) {
+        RunnerCalls calls = context.runnerCalls();
+        if (stop.attempt() == 1) {
+            calls.stop(runner.descriptor(), stop.task(), stop.runNumber(), epoch, callback);
+        } else {
+            calls.stopOnNewConnection(runner.descriptor(), stop.task(), stop.runNumber(), epoch, callback);
+        }
+    }
+
     void throttle(RunnerCommand.Throttle throttle) {
         Run run = throttle.run();
         if (throttle.changesSpeedState()) {
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -13,6 +13,7 @@
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.StopCause;
 import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
@@ -288,6 +289,16 @@
         assertThat(runner.busy()).isFalse();
     }
 
+    /** Guards against a run of a cancelled job that goes on because each of its stops meets a connection gone silent. */
+    @Test
+    void stopIsRepeatedOnANewConnection() {
+        TaskKey task = new TaskKey("ended", 0, 0, 0);
+        session.send(new RunnerCommand.Stop(runner, task, 1, StopCause.KNOWN_RUN, 1));
+        session.send(new RunnerCommand.Stop(runner, task, 1, StopCause.KNOWN_RUN, 2));
+        assertThat(calls.stops())
+                .containsExactly(new FakeRunnerCalls.SentStop(task, false), new FakeRunnerCalls.SentStop(task, true));
+    }
+
     /** Guards against a runner that only runs what must end, and is polled like one without runs. */
     @Test
     void runnerWithARunThatIsNotKnownIsPolledSoon() {
