Hold a later step if its dependency may have ended just after the takeover

Callers could see a task of a later step run twice around a change of leader: once started by the replaced leader on a runner that the new one had not reached, and once by the new leader.

A new leader starts such a task beside an unreported runner if no earlier leader can have learned that the dependency has ended. It took that for proved if it processed the end more than 2 s after it had adopted the run. But an end is processed when a poll is answered. If the polls after the first get no answer for a while, an end soon after the takeover is processed late, while a poll of the earlier leader that waited at the runner was answered with it at once. That leader may start tasks for up to 8 s after the store last confirmed it.

Now the clock of the runner's own statuses has to show the run active for more than 2 s after the first one.

stepWhoseDependencyMayHaveEndedSoonAfterTheTakeoverWaits failed before. stepWhoseDependencyWasSeenRunningNeedNotWait assumed the old rule: its run was in one status only. It now is in a second one, 3 s later; what it expects is the same.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -270,7 +270,7 @@
         Set<FleetRunner.RunKey> reported = new HashSet<>();
         for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
             reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
-            applyRunning(runner, entry, nowNanos);
+            applyRunning(runner, entry, status.clockMs(), nowNanos);
         }
         if (!status.truncated()) {
             loseMissingRuns(runner, reported, requestSentNanos);
@@ -387,7 +387,7 @@
         }
     }
 
-    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
         if (jobs.held().contains(entry.task().job())) {
             runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
             return;
@@ -400,6 +400,7 @@
             stopOrphan(runner, entry, nowNanos);
             return;
         }
+        run.reportedAt(clockMs);
         if (run.phase == Run.Phase.STARTING) {
             run.phase = Run.Phase.RUNNING;
             confirmStart(run, nowNanos);
@@ -505,7 +506,7 @@
             jobs.updateReadiness(task);
             return;
         }
-        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run, nowNanos);
+        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run);
         jobs.complete(task);
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/Run.java
+++ b/src/main/java/org/tamarackline/core/fleet/Run.java
@@ -35,6 +35,11 @@
     /** Number of stops that were sent. */
     int stopAttempts;
 
+    /** Runner's clock in the first status that contained the run, in milliseconds, -1 before. */
+    long firstReportedClockMs = -1;
+    /** Runner's clock in the last status that contained the run, in milliseconds, -1 before. */
+    long lastReportedClockMs = -1;
+
     boolean stopConfirmed;
     long stopConfirmedNanos;
     double progressPercent;
@@ -66,6 +71,14 @@
         this.lastProgressNanos = createdNanos;
     }
 
+    /** Records that a status which the runner wrote at this time of its clock contains the run. */
+    void reportedAt(long clockMs) {
+        if (firstReportedClockMs < 0) {
+            firstReportedClockMs = clockMs;
+        }
+        lastReportedClockMs = Math.max(lastReportedClockMs, clockMs);
+    }
+
     public Task task() {
         return task;
     }
--- a/src/main/java/org/tamarackline/core/fleet/SchedulingLimits.java
+++ b/src/main/java/org/tamarackline/core/fleet/SchedulingLimits.java
@@ -16,9 +16,9 @@
     static final int MAX_MIGRATIONS_PER_REVIEW = 3;
 
     /**
-     * Maximum time that a runner takes to respond to a request of an earlier leader that it accepted, in nanoseconds.
+     * Maximum time that a runner takes to respond to a request of an earlier leader that it accepted, in milliseconds.
      */
-    static final long EARLIER_LEADER_REQUEST_NANOS = 2_000_000_000L;
+    static final long EARLIER_LEADER_REQUEST_MS = 2_000;
 
     /** Longest time from the sending of a command until a runner executes it, in nanoseconds. */
     static final long MAX_COMMAND_DELAY_NANOS = 12_000_000_000L;
--- a/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
@@ -59,18 +59,21 @@
     }
 
     /**
-     * Returns whether no earlier leader can learn of the end of a run. That is so if this leader started the run, or
-     * adopted it longer ago than its runner may take to respond to a request of an earlier leader that it accepted, and
-     * the run is neither of a gang nor of a speculative step. An earlier leader may learn that a gang has ended from the
-     * runner of another task of the gang, and that a speculative task has ended from the runner of another run.
+     * Returns whether no earlier leader can learn of the end of a run. That is so if this leader started the run, or has
+     * seen it running for longer after the first status than its runner may take to respond to a request of an earlier
+     * leader that it accepted, and the run is neither of a gang nor of a speculative step. An earlier leader may learn that
+     * a gang has ended from the runner of another task of the gang, and that a speculative task has ended from the runner of
+     * another run.
+     *
+     * <p>When this leader learns of the end does not matter, because a poll may have got no answer meanwhile.
      */
-    static boolean endIsUnknownToEarlierLeaders(Run run, long nowNanos) {
+    static boolean endIsUnknownToEarlierLeaders(Run run) {
         if (!run.adopted) {
             return true;
         }
         StepDefinition step = run.task().step();
         boolean onlyItsRunnerReportsTheEnd = !step.gang() && !step.speculative();
         return onlyItsRunnerReportsTheEnd
-                && nowNanos - run.createdNanos() > SchedulingLimits.EARLIER_LEADER_REQUEST_NANOS;
+                && run.lastReportedClockMs - run.firstReportedClockMs > SchedulingLimits.EARLIER_LEADER_REQUEST_MS;
     }
 }
--- a/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
@@ -27,8 +27,10 @@
         expectSilentRunner();
         addInheritedJob(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
         TaskKey first = new TaskKey("j", 0, 0, 0);
-        fixture.reportStatus(runner, List.of(new RunnerStatus.ActiveRun(first, 7, "", 50, -1)), List.of());
+        RunnerStatus.ActiveRun running = new RunnerStatus.ActiveRun(first, 7, "", 50, -1);
+        fixture.reportStatus(runner, List.of(running), List.of());
         fixture.advanceMs(3_000);
+        fixture.reportStatus(runner, List.of(running), List.of());
         assertThat(fixture.scheduleStarts()).isEmpty();
         fixture.reportStatus(runner, List.of(), List.of(new RunnerStatus.EndedRun(1, first, 7, EndReason.DONE, "")));
         assertThat(fixture.scheduleStarts())
@@ -62,6 +64,23 @@
         assertThat(fixture.scheduleStarts()).isEmpty();
     }
 
+    /**
+     * Guards against a second run of a task whose dependency's end was reported to an earlier leader at once and to this
+     * one late, because its next poll got no answer.
+     */
+    @Test
+    void stepWhoseDependencyMayHaveEndedSoonAfterTheTakeoverWaits() {
+        expectSilentRunner();
+        addInheritedJob(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)));
+        TaskKey first = new TaskKey("j", 0, 0, 0);
+        fixture.reportStatus(runner, List.of(new RunnerStatus.ActiveRun(first, 7, "", 50, -1)), List.of());
+        fixture.advanceMs(3_000);
+        fixture.reportStatus(runner, List.of(), List.of(new RunnerStatus.EndedRun(1, first, 7, EndReason.DONE, "")));
+        assertThat(fixture.scheduleStarts()).isEmpty();
+        fleet.runnerLost("silent");
+        assertThat(fixture.scheduleStarts()).hasSize(1);
+    }
+
     /**
      * Guards against a second run of a task that depends on a gang, whose end an earlier leader may learn from another
      * runner.
