Create all occurrences up to one of which a runner reports a run

Callers could see a task of a scheduled job run again after it was done.

A leader whose clock is ahead by more than the interval of a scheduled job finds several occurrences due at once. If it ends before it has stored that, its successor knows none of them. The successor created the next occurrence when a runner reported a run of it, but stopped a run of a later one, and acknowledged its end without recording it; the task started again when the occurrence became due here. The same happened if the later occurrence was merely reported first.

A run of an occurrence shows that an earlier leader found it due, and all occurrences before it are due earlier, so the successor now creates all of them.

endOfALaterOccurrenceIsKept and runOfALaterOccurrenceIsAdopted failed before. laterOccurrencesAndThoseOfOtherJobsAreNotCreated is renamed, since its job is of another kind, not inherited; its assertions are the same.

--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -421,17 +421,18 @@
 
     /**
      * Returns a task of an open job of which a runner reports a run, or null if there is none with this key. Creates the
-     * next occurrence of an inherited job if the task is in it: an earlier leader, whose clock may be ahead of this one,
-     * found it due and may have ended before it stored that.
+     * occurrences of an inherited job up to that of the task: an earlier leader, whose clock may be ahead of this one, found
+     * them due, possibly several at once, and may have ended before it stored that.
      */
     Task findReportedTask(TaskKey key) {
         Job job = jobs.get(key.job());
         if (job != null
                 && job.inherited()
                 && job.terminalState == null
-                && key.occurrence() == job.createdOccurrences()
                 && key.occurrence() < job.definition().occurrences()) {
-            createNextOccurrence(job);
+            while (job.createdOccurrences() <= key.occurrence()) {
+                createNextOccurrence(job);
+            }
         }
         return findTask(key);
     }
--- a/src/test/java/org/tamarackline/core/fleet/InheritedOccurrencesTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedOccurrencesTest.java
@@ -14,6 +14,7 @@
 
     private static final long INTERVAL_MS = 1_000;
     private static final TaskKey SECOND_OCCURRENCE = new TaskKey("j", 1, 0, 0);
+    private static final TaskKey THIRD_OCCURRENCE = new TaskKey("j", 2, 0, 0);
 
     private final FleetFixture fixture = new FleetFixture(2);
     private final Fleet fleet = fixture.fleet();
@@ -50,11 +51,43 @@
         assertThat(fixture.scheduleStarts()).hasSize(1);
     }
 
+    /** Guards against a discarded end of the later one of two occurrences that the earlier leader found due at once. */
     @Test
-    void laterOccurrencesAndThoseOfOtherJobsAreNotCreated() {
+    void endOfALaterOccurrenceIsKept() {
+        addJob(true);
+        RunnerStatus.EndedRun end = new RunnerStatus.EndedRun(1, THIRD_OCCURRENCE, 1, EndReason.DONE, "");
+        fixture.reportStatus(runner, List.of(), List.of(end));
+        fixture.advanceMs(3 * INTERVAL_MS);
+        assertThat(fixture.scheduleStarts()).extracting(run -> run.task().key()).containsExactly(SECOND_OCCURRENCE);
+        assertThat(fixture.progress("j").createdOccurrences()).isEqualTo(3);
+    }
+
+    @Test
+    void runOfALaterOccurrenceIsAdopted() {
+        addJob(true);
+        RunnerStatus.ActiveRun last = new RunnerStatus.ActiveRun(THIRD_OCCURRENCE, 1, "", 10, -1);
+        RunnerStatus.ActiveRun next = new RunnerStatus.ActiveRun(SECOND_OCCURRENCE, 1, "", 10, -1);
+        fixture.reportStatus(runner, List.of(last, next), List.of());
+        assertThat(fixture.scheduleStops()).isEmpty();
+        fixture.advanceMs(3 * INTERVAL_MS);
+        assertThat(fixture.scheduleStarts()).isEmpty();
+    }
+
+    /** Guards against a run of an occurrence that the job does not have, which would create all of them. */
+    @Test
+    void occurrenceThatTheJobDoesNotHaveCreatesNone() {
+        addJob(true);
+        RunnerStatus.ActiveRun odd = new RunnerStatus.ActiveRun(new TaskKey("j", 3, 0, 0), 1, "", 10, -1);
+        fixture.reportStatus(runner, List.of(odd), List.of());
+        assertThat(fixture.scheduleStops()).hasSize(1);
+        assertThat(fixture.progress("j").createdOccurrences()).isEqualTo(1);
+    }
+
+    @Test
+    void occurrencesOfOtherJobsAreNotCreated() {
         addJob(false);
         RunnerStatus.ActiveRun next = new RunnerStatus.ActiveRun(SECOND_OCCURRENCE, 1, "", 10, -1);
-        RunnerStatus.ActiveRun last = new RunnerStatus.ActiveRun(new TaskKey("j", 2, 0, 0), 1, "", 10, -1);
+        RunnerStatus.ActiveRun last = new RunnerStatus.ActiveRun(THIRD_OCCURRENCE, 1, "", 10, -1);
         fixture.reportStatus(runner, List.of(last, next), List.of());
         assertThat(fixture.scheduleStops()).hasSize(2);
         assertThat(fixture.progress("j").createdOccurrences()).isEqualTo(1);
