Have a restarted runner confirm the stop of a start without a response

Callers could see a task run twice after a runner had restarted under its identifier.

A start without a response is stopped, and its task becomes ready once the runner has confirmed the stop and then reports neither the run nor its end. If the process that confirmed the stop ended before that report, the report of the next process counted. But that process knows nothing of the stop, so a start that is carried out late runs there beside the task's next run.

The confirmation of an earlier process no longer counts for a run whose start is not confirmed. The stop is sent to the new process at once, and from its confirmation on that process rejects the start.

A start that the new process carries out before the stop arrives there, or after the run was given up, remains as listed in GUARANTEES.md.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -375,7 +375,8 @@
 
     /**
      * Removes the runs whose start was confirmed before the status was requested. Others are kept: the new incarnation may
-     * have confirmed them since, or may still receive them.
+     * have confirmed them since, or may still receive them. A stop that the earlier incarnation confirmed keeps it from
+     * none of them.
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         runner.orphanStops.clear();
@@ -383,6 +384,9 @@
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 loseRun(run, "the runner restarted");
+            } else if (!run.startConfirmed && run.stopConfirmed) {
+                run.stopConfirmed = false;
+                run.stopSentNanos = 0;
             }
         }
     }
--- a/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -23,4 +23,38 @@
         fleet.applyStatus(runner, new RunnerStatus(2, 1, List.of(), List.of()), requestSentNanos, fixture.nowNanos());
         assertThat(fixture.scheduleStarts()).isEmpty();
     }
+
+    /**
+     * Guards against a second run of a task whose unanswered start reaches the new process, although the earlier process
+     * had confirmed a stop of the run.
+     */
+    @Test
+    void startWithoutResponseIsStoppedAgainOnTheNewProcess() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        assertThat(fixture.scheduleStops()).hasSize(1);
+        fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStarts()).isEmpty();
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStarts()).isEmpty();
+        fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStarts()).hasSize(1);
+    }
+
+    /** Guards against a stop of such a run that is sent to the new process only after the interval of repetitions. */
+    @Test
+    void startWithoutResponseIsStoppedOnTheNewProcessAtOnce() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        assertThat(fixture.scheduleStops()).hasSize(1);
+        fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStops()).hasSize(1);
+    }
 }
