--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -274,7 +274,7 @@
         Set<FleetRunner.RunKey> reported = new HashSet<>();
         for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
             reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
-            applyRunning(runner, entry, nowNanos);
+            applyRunning(runner, entry, status.clockMs(), nowNanos);
         }
         if (!status.truncated()) {
             loseMissingRuns(runner, reported, requestSentNanos);
@@ -381,7 +381,8 @@
 
     /**
      * Removes the runs whose start was confirmed before the status was requested. Others are kept: the new incarnation may
-     * have confirmed them since, or may still receive them.
+     * have confirmed them since, or may still receive them. A stop that the earlier incarnation confirmed keeps it from
+     * none of them.
      */
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         pendingStops.retainUnknownRuns(runner, Set.of());
@@ -389,11 +390,14 @@
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 loseRun(run, "the runner restarted");
+            } else if (!run.startConfirmed && run.stopConfirmed) {
+                run.stopConfirmed = false;
+                pendingStops.sendAgain(runner, run.key());
             }
         }
     }
 
-    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
         if (jobs.held().contains(entry.task().job())) {
             runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
             return;
@@ -406,6 +410,7 @@
             pendingStops.add(runner, new FleetRunner.RunKey(entry.task(), entry.runNumber()), StopCause.UNKNOWN_RUN);
             return;
         }
+        run.reportedAt(clockMs);
         if (run.phase == Run.Phase.STARTING) {
             run.phase = Run.Phase.RUNNING;
             confirmStart(run, nowNanos);
@@ -501,7 +506,7 @@
             jobs.updateReadiness(task);
             return;
         }
-        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run, nowNanos);
+        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run);
         jobs.complete(task);
     }
 
--- a/src/main/java/org/tamarackline/core/fleet/PendingStops.java
+++ b/src/main/java/org/tamarackline/core/fleet/PendingStops.java
@@ -49,6 +49,14 @@
         }
     }
 
+    /** Makes the stop of a run due at once, because the process that received the last one has ended. */
+    void sendAgain(FleetRunner runner, RunKey run) {
+        Map<RunKey, Sent> ofRunner = stops.get(runner);
+        if (ofRunner != null) {
+            ofRunner.computeIfPresent(run, (key, stop) -> new Sent(stop.cause(), 0, 0, 0));
+        }
+    }
+
     /** Ends the stops of a runner on which nothing can run any more. */
     void removeAll(FleetRunner runner) {
         stops.remove(runner);
