--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.LongStream;
 
 import org.tamarackline.core.time.MonotonicClock;
 
@@ -210,40 +209,9 @@
         return unreportedRunners.contains(id);
     }
 
-    /** Measures the load in one pass over the ready tasks and one over the runs. */
+    /** Measures the load. */
     public FleetLoad load() {
-        long nowNanos = clock.nowNanos();
-        int heldTasks = 0;
-        long[] longestWaitNanos = new long[QueueDefinition.LOWEST_PRIORITY + 1];
-        for (Task task : jobs.readyTasks().all()) {
-            if (unreportedRunners.mayHaveRunOf(task)) {
-                heldTasks++;
-            }
-            int priority = Math.clamp(task.job().definition().queue().priority(), 0, QueueDefinition.LOWEST_PRIORITY);
-            longestWaitNanos[priority] = Math.max(longestWaitNanos[priority], nowNanos - task.waitingSinceNanos);
-        }
-        int startingRuns = 0;
-        int runningRuns = 0;
-        int stoppingRuns = 0;
-        for (FleetRunner runner : runners.values()) {
-            for (Run run : runner.runs.values()) {
-                switch (run.phase) {
-                    case STARTING -> startingRuns++;
-                    case RUNNING -> runningRuns++;
-                    default -> stoppingRuns++;
-                }
-            }
-        }
-        return new FleetLoad(
-                jobs.openJobCount(),
-                jobs.readyTaskCount(),
-                heldTasks,
-                LongStream.of(longestWaitNanos).boxed().toList(),
-                startingRuns,
-                runningRuns,
-                stoppingRuns,
-                runners.size(),
-                unreportedRunners.count());
+        return FleetLoad.measure(jobs, runners.values(), unreportedRunners, clock.nowNanos());
     }
 
     /**
--- a/src/main/java/org/tamarackline/core/fleet/FleetLoad.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetLoad.java
@@ -1,7 +1,9 @@
 package org.tamarackline.core.fleet;
 
+import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import java.util.stream.LongStream;
 
 /**
  * How much work a fleet has at one time.
@@ -36,4 +38,40 @@
     public FleetLoad {
         longestWaitNanos = List.copyOf(longestWaitNanos);
     }
+
+    /** Measures the load of a fleet in one pass over the ready tasks and one over the runs. */
+    static FleetLoad measure(
+            JobTracker jobs, Collection<FleetRunner> runners, UnreportedRunners unreportedRunners, long nowNanos) {
+        int heldTasks = 0;
+        long[] longestWaitNanos = new long[QueueDefinition.LOWEST_PRIORITY + 1];
+        for (Task task : jobs.readyTasks().all()) {
+            if (unreportedRunners.mayHaveRunOf(task)) {
+                heldTasks++;
+            }
+            int priority = Math.clamp(task.job().definition().queue().priority(), 0, QueueDefinition.LOWEST_PRIORITY);
+            longestWaitNanos[priority] = Math.max(longestWaitNanos[priority], nowNanos - task.waitingSinceNanos);
+        }
+        int startingRuns = 0;
+        int runningRuns = 0;
+        int stoppingRuns = 0;
+        for (FleetRunner runner : runners) {
+            for (Run run : runner.runs.values()) {
+                switch (run.phase) {
+                    case STARTING -> startingRuns++;
+                    case RUNNING -> runningRuns++;
+                    default -> stoppingRuns++;
+                }
+            }
+        }
+        return new FleetLoad(
+                jobs.openJobCount(),
+                jobs.readyTaskCount(),
+                heldTasks,
+                LongStream.of(longestWaitNanos).boxed().toList(),
+                startingRuns,
+                runningRuns,
+                stoppingRuns,
+                runners.size(),
+                unreportedRunners.count());
+    }
 }
