Let the intended successor take over first when a leader resigns

Cause: a leader that lacks the capacity for its fleet resigned in favour of a stronger node, but the stored resignation named nobody, and the first node that read it took over. That node often lacked the capacity too and resigned again, and each of these leaders sent neither stops nor starts for most of its time.

The resignation now names the strongest node that pinged the leader within the last second. Other nodes leave the leadership to it for 1.2 s from their own first read of the resignation. The leader renews leases meanwhile, as before. The name is a further field at the end of the leader record: earlier versions ignore it, and a record without it makes nobody wait.

--- a/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
+++ b/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
@@ -73,6 +73,11 @@
                         .formatted(runners, required, own, first.node(), first.capacity()));
     }
 
+    /** Returns the node that should take over if the leader resigns now; empty if none has pinged it lately. */
+    static Optional<String> successor(Successors successors) {
+        return successors.first(MAX_PING_AGE).map(Successors.Successor::node);
+    }
+
     /** Returns whether a node can lead the fleet, or at least has far more processor time than this one. */
     private boolean isBetter(NodeCapacity other, NodeCapacity required) {
         return other.covers(required) || other.cpuMillis() >= MIN_CPU_FACTOR * Math.max(1, own.cpuMillis());
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -44,6 +44,7 @@
     private final Successors successors;
     private final LeaderMonitor monitor;
     private final CapacityPolicy capacityPolicy;
+    private final SuccessorTurn successorTurn;
     private final RetryBackoff readBackoff;
 
     private Leader leader;
@@ -100,6 +101,7 @@
                 random,
                 this::readRecord);
         this.capacityPolicy = new CapacityPolicy(loop, settings.capacity());
+        this.successorTurn = new SuccessorTurn(loop, settings.node());
         this.readBackoff = new RetryBackoff(RETRY_DELAY, MAX_READ_RETRY_DELAY, random);
     }
 
@@ -198,7 +200,14 @@
             loop.schedule(HANDOVER_TIMEOUT, () -> endUnlessSucceeded(resigningLeader));
             reportHandedOver();
         };
-        new Resignation(services, records, resigningLeader, () -> leader == resigningLeader, onStored).store();
+        new Resignation(
+                        services,
+                        records,
+                        resigningLeader,
+                        () -> leader == resigningLeader,
+                        () -> CapacityPolicy.successor(successors),
+                        onStored)
+                .store();
     }
 
     /** Lets this node lead again if it resigned in favour of another node which then did not take over. */
@@ -277,6 +286,8 @@
             takeOverUnlessFollowed(record, entry.version(), suspicion.get());
         } else if (suspicion.isPresent()) {
             takeOver(record, entry.version(), suspicion.get());
+        } else if (successorTurn.isOfOther(record, entry.version())) {
+            loop.schedule(RETRY_DELAY, this::readRecord);
         } else if (record.resigned()) {
             takeOver(record, entry.version(), "the leader has resigned");
         } else {
@@ -374,7 +385,6 @@
                 settings.node(),
                 settings.peerAddress(),
                 incarnation,
-                false,
                 possiblyActive,
                 leasesLimitedSinceEpoch);
         readGeneration++;
--- a/src/main/java/org/tamarackline/fleet/LeaderRecord.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Stored record of the current leader.
@@ -18,6 +19,7 @@
  * @param possiblyActive earlier leaders that may still send commands, each with a different address
  * @param leasesLimitedSinceEpoch epoch from which on all leaders grant leases only up to the stored limit; 0 if this leader
  *     does not, because it runs an earlier version of this program
+ * @param successor name of the node in whose favour the leader has resigned, empty if there is none
  */
 record LeaderRecord(
         long epoch,
@@ -26,16 +28,30 @@
         long incarnation,
         boolean resigned,
         List<EarlierLeader> possiblyActive,
-        long leasesLimitedSinceEpoch) {
+        long leasesLimitedSinceEpoch,
+        String successor) {
 
     /** Key of the record; sorts before all job identifiers. */
     static final String KEY = "!leader";
 
+    private static final String NO_SUCCESSOR = "";
+
     /** Copies the list, so that later changes to it do not affect the record. */
     LeaderRecord {
         possiblyActive = List.copyOf(possiblyActive);
     }
 
+    /** Creates the record of a leader that has not resigned. */
+    LeaderRecord(
+            long epoch,
+            String node,
+            String address,
+            long incarnation,
+            List<EarlierLeader> possiblyActive,
+            long leasesLimitedSinceEpoch) {
+        this(epoch, node, address, incarnation, false, possiblyActive, leasesLimitedSinceEpoch, NO_SUCCESSOR);
+    }
+
     /** Creates the record of a leader before which all leaders granted leases only up to the stored limit. */
     LeaderRecord(
             long epoch,
@@ -44,7 +60,7 @@
             long incarnation,
             boolean resigned,
             List<EarlierLeader> possiblyActive) {
-        this(epoch, node, address, incarnation, resigned, possiblyActive, 1);
+        this(epoch, node, address, incarnation, resigned, possiblyActive, 1, NO_SUCCESSOR);
     }
 
     /**
@@ -72,8 +88,9 @@
      * Returns the record that the leader stores to resign.
      *
      * @param earlierLeadersEnded whether all earlier leaders are known to have ended
+     * @param intendedSuccessor name of the node that should take over, empty if none is known
      */
-    LeaderRecord asResigned(boolean earlierLeadersEnded) {
+    LeaderRecord asResigned(boolean earlierLeadersEnded, Optional<String> intendedSuccessor) {
         return new LeaderRecord(
                 epoch,
                 node,
@@ -81,7 +98,13 @@
                 incarnation,
                 true,
                 earlierLeadersEnded ? List.of() : possiblyActive,
-                leasesLimitedSinceEpoch);
+                leasesLimitedSinceEpoch,
+                intendedSuccessor.orElse(NO_SUCCESSOR));
+    }
+
+    /** Returns whether the leader has resigned in favour of a node other than the given one. */
+    boolean resignedInFavourOfOtherThan(String otherNode) {
+        return resigned && !successor.equals(NO_SUCCESSOR) && !successor.equals(otherNode);
     }
 
     /** Returns the leaders that may still send commands after a leader at the given address has replaced this one. */
--- a/src/main/java/org/tamarackline/fleet/RecordCodec.java
+++ b/src/main/java/org/tamarackline/fleet/RecordCodec.java
@@ -71,6 +71,7 @@
                 packer.packString(earlier.address());
             }
             packer.packLong(leader.leasesLimitedSinceEpoch());
+            packer.packString(leader.successor());
         });
     }
 
@@ -119,7 +120,8 @@
                         in.unpackLong(),
                         in.unpackBoolean(),
                         unpackPossiblyActive(in),
-                        in.hasNext() ? in.unpackLong() : 0));
+                        in.hasNext() ? in.unpackLong() : 0,
+                        in.hasNext() ? in.unpackString() : ""));
     }
 
     private static long unpackEpoch(MessageUnpacker in) throws IOException {
--- a/src/main/java/org/tamarackline/fleet/Resignation.java
+++ b/src/main/java/org/tamarackline/fleet/Resignation.java
@@ -1,7 +1,9 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** Stores the resignation of a leader, and repeats that until it is stored or the leader has ended. */
 final class Resignation {
@@ -12,12 +14,14 @@
     private final LeaderRecordStore records;
     private final Leader leader;
     private final BooleanSupplier leading;
+    private final Supplier<Optional<String>> successor;
     private final Runnable onStored;
 
     /**
      * Creates a resignation; {@link #store} stores it.
      *
      * @param leading whether the leader has not ended
+     * @param successor returns the node that should take over, empty if none is known
      * @param onStored runs once the resignation is stored, unless the leader has ended before
      */
     Resignation(
@@ -25,11 +29,13 @@
             LeaderRecordStore records,
             Leader leader,
             BooleanSupplier leading,
+            Supplier<Optional<String>> successor,
             Runnable onStored) {
         this.services = services;
         this.records = records;
         this.leader = leader;
         this.leading = leading;
+        this.successor = successor;
         this.onStored = onStored;
     }
 
@@ -37,7 +43,7 @@
         if (!leading.getAsBoolean()) {
             return;
         }
-        LeaderRecord resigned = leader.record().asResigned(leader.earlierLeadersEnded());
+        LeaderRecord resigned = leader.record().asResigned(leader.earlierLeadersEnded(), successor.get());
         long sentNanos = services.loop().nowNanos();
         records.replace(resigned, leader.leaderVersion(), FleetMetrics.TransactionPurpose.RESIGNATION, result -> {
             if (leading.getAsBoolean()) {
--- a/src/test/java/org/tamarackline/fleet/ElectionAtScaleTest.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionAtScaleTest.java
@@ -106,6 +106,24 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against nodes that leave the leadership to a successor which has ended. */
+    @Test
+    void otherNodeTakesOverIfTheSuccessorEnds() {
+        cluster.write(RecordStore.Table.JOBS, "j", RecordCodec.encodeOpenJob(JobDefinitions.longRunningTask("j")));
+        cluster.start("node-0", SMALL);
+        cluster.loop().advance(Duration.ofSeconds(3));
+        ElectionCluster.Node successor = cluster.start("node-1", LARGE);
+        ElectionCluster.Node other = cluster.start("node-2", LARGE);
+        for (int i = 0; i < 300 && !cluster.storedLeader().resigned(); i++) {
+            cluster.loop().advance(Duration.ofMillis(10));
+        }
+        assertThat(cluster.storedLeader().successor()).isEqualTo("node-1");
+        cluster.kill(successor);
+        cluster.loop().advance(Duration.ofSeconds(3));
+        assertThat(cluster.leading()).containsExactly(other);
+        assertThat(cluster.runner().longestRenewalInterval(0)).isLessThan(Duration.ofMillis(1_500));
+    }
+
     /** Guards against a small node that leads a new fleet because it happened to ask the store first. */
     @Test
     void largeNodeIsTheFirstLeader() {
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -19,12 +19,25 @@
     private static final Pattern LEADER_STARTED = Pattern.compile("\"event\":\"leader-started\",\"epoch\":(\\d+)");
 
     /** Node of the fleet. */
-    record Node(String address, SuspendableLoop loop, NodeStore store, Election election, FleetNodeMetrics metrics) {
+    record Node(
+            String name,
+            String address,
+            SuspendableLoop loop,
+            NodeStore store,
+            Election election,
+            FleetNodeMetrics metrics) {
 
         boolean leads() {
             return election.leader().isPresent();
         }
 
+        /** Returns whether the node leads and starts and stops tasks. */
+        boolean schedules() {
+            return election.leader()
+                    .filter(leader -> leader.loaded() && !leader.resigned())
+                    .isPresent();
+        }
+
         long epoch() {
             return election.leader().map(leader -> leader.record().epoch()).orElse(0L);
         }
@@ -100,7 +113,7 @@
         Election election =
                 new Election(services, storeContact, new FakePeerCalls(nodeLoop, network), settings, ++incarnations);
         network.add(address, nodeLoop, election);
-        Node node = new Node(address, nodeLoop, nodeStore, election, metrics);
+        Node node = new Node(name, address, nodeLoop, nodeStore, election, metrics);
         nodes.add(node);
         nodeLoop.execute(election::start);
         return node;
--- a/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakePeerCalls.java
@@ -28,12 +28,22 @@
 
         private record Node(EventLoop loop, Election election) {}
 
+        private record Connection(EventLoop from, String address) {}
+
         private final Map<String, Node> nodes = new HashMap<>();
         private final Set<String> unreachable = new HashSet<>();
         private final Set<EventLoop> silenced = new HashSet<>();
+        private final Set<Connection> silentConnections = new HashSet<>();
         private Duration latency = Duration.ofMillis(2);
         private long pings;
 
+        private boolean delivers(EventLoop from, String address) {
+            return nodes.containsKey(address)
+                    && !unreachable.contains(address)
+                    && !silenced.contains(from)
+                    && !silentConnections.contains(new Connection(from, address));
+        }
+
         void add(String address, EventLoop loop, Election election) {
             nodes.put(address, new Node(loop, election));
             unreachable.remove(address);
@@ -55,6 +65,16 @@
             silenced.add(nodes.get(address).loop());
         }
 
+        /** Drops all requests of a node to an address. */
+        void silence(EventLoop from, String address) {
+            silentConnections.add(new Connection(from, address));
+        }
+
+        /** Delivers the requests of all nodes that were silenced. */
+        void endSilence() {
+            silentConnections.clear();
+        }
+
         /** Drops all requests to an address. */
         void disconnect(String address) {
             unreachable.add(address);
@@ -83,7 +103,7 @@
         Call<T> call = new Call<>(callback);
         loop.schedule(TIMEOUT, () -> call.end(noResponse));
         Network.Node node = network.nodes.get(address);
-        if (node == null || network.unreachable.contains(address) || network.silenced.contains(loop)) {
+        if (!network.delivers(loop, address)) {
             return;
         }
         node.loop().schedule(network.latency, () -> {
--- a/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
@@ -38,8 +38,7 @@
         private int limitsKnown;
 
         FakeLeader start(long epoch, long leasesLimitedSinceEpoch) {
-            LeaderRecord record =
-                    new LeaderRecord(epoch, "node", "10.0.0.9:1", 1, false, List.of(), leasesLimitedSinceEpoch);
+            LeaderRecord record = new LeaderRecord(epoch, "node", "10.0.0.9:1", 1, List.of(), leasesLimitedSinceEpoch);
             new LeaseLimitStore(services, limit, record, this).start();
             return this;
         }
--- a/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
+++ b/src/test/java/org/tamarackline/fleet/RecordCodecTest.java
@@ -1,7 +1,9 @@
 package org.tamarackline.fleet;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -64,6 +66,19 @@
         });
     }
 
+    /** Guards against a node that cannot read the leader record of the version before or after its own. */
+    @Test
+    void leaderRecordIsReadWithoutItsLastFieldAndWithAnotherOne() throws CorruptRecordException {
+        LeaderRecord record = new LeaderRecord(3, "n", "10.0.0.1:1", 5, false, List.of());
+        byte[] bytes = RecordCodec.encodeLeader(record);
+        assertThat(RecordCodec.decodeLeader(Arrays.copyOf(bytes, bytes.length - 1)))
+                .isEqualTo(record);
+        LeaderRecord resigned = record.asResigned(true, Optional.of("m"));
+        byte[] resignedBytes = RecordCodec.encodeLeader(resigned);
+        assertThat(RecordCodec.decodeLeader(Arrays.copyOf(resignedBytes, resignedBytes.length + 1)))
+                .isEqualTo(resigned);
+    }
+
     @Property(tries = 2_000)
     void randomBytesAreDecodedOrCorrupt(@ForAll @Size(max = 60) byte[] bytes) {
         decodeAll(bytes);
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/SuccessorTurnTest.java
@@ -0,0 +1,49 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests for how long a node lets the node take over in whose favour a leader resigned. */
+class SuccessorTurnTest {
+
+    private static final LeaderRecord LEADER = new LeaderRecord(1, "leader", "10.0.0.1:1", 1, false, List.of());
+    private static final LeaderRecord RESIGNED = LEADER.asResigned(true, Optional.of("successor"));
+
+    private final ManualLoop loop = new ManualLoop();
+    private final SuccessorTurn turn = new SuccessorTurn(loop, "node");
+
+    /** Guards against nodes that wait for a successor which has ended, while runners lose their leases. */
+    @Test
+    void turnEnds() {
+        assertThat(turn.isOfOther(RESIGNED, 5)).isTrue();
+        loop.advance(Duration.ofMillis(600));
+        assertThat(turn.isOfOther(RESIGNED, 5)).isTrue();
+        loop.advance(Duration.ofMillis(600));
+        assertThat(turn.isOfOther(RESIGNED, 5)).isFalse();
+    }
+
+    /** Guards against a second resignation whose successor gets no time, because the first one was read long before. */
+    @Test
+    void eachResignationGivesATurn() {
+        turn.isOfOther(RESIGNED, 5);
+        loop.advance(Duration.ofSeconds(5));
+        assertThat(turn.isOfOther(RESIGNED, 7)).isTrue();
+    }
+
+    @Test
+    void successorDoesNotWaitForItself() {
+        assertThat(new SuccessorTurn(loop, "successor").isOfOther(RESIGNED, 5)).isFalse();
+    }
+
+    /** Guards against a delay after the resignation of a leader that names no successor, as earlier versions do. */
+    @Test
+    void nobodyWaitsWithoutASuccessor() {
+        assertThat(turn.isOfOther(LEADER.asResigned(true, Optional.empty()), 5)).isFalse();
+        assertThat(turn.isOfOther(LEADER, 5)).isFalse();
+    }
+}
