--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -101,7 +101,7 @@
                 random,
                 this::readRecord);
         this.capacityPolicy = new CapacityPolicy(loop, settings.capacity());
-        this.successorTurn = new SuccessorTurn(loop, settings.node());
+        this.successorTurn = new SuccessorTurn(loop, log, settings.node());
         this.readBackoff = new RetryBackoff(RETRY_DELAY, MAX_READ_RETRY_DELAY, random);
     }
 
--- a/src/main/java/org/tamarackline/fleet/SuccessorTurn.java
+++ b/src/main/java/org/tamarackline/fleet/SuccessorTurn.java
@@ -17,6 +17,7 @@
     private static final Duration TURN = Duration.ofMillis(1_200);
 
     private final MonotonicClock clock;
+    private final DecisionLog log;
     private final String node;
 
     /** Version of the resignation that this node read last, 0 if there was none. */
@@ -24,8 +25,9 @@
 
     private long firstReadNanos;
 
-    SuccessorTurn(MonotonicClock clock, String node) {
+    SuccessorTurn(MonotonicClock clock, DecisionLog log, String node) {
         this.clock = clock;
+        this.log = log;
         this.node = node;
     }
 
@@ -42,6 +44,12 @@
         if (version != recordVersion) {
             version = recordVersion;
             firstReadNanos = clock.nowNanos();
+            log.leadership(
+                    "successor-awaited",
+                    record.epoch(),
+                    record.node(),
+                    "it has resigned in favour of %s, which has %d ms to take over"
+                            .formatted(record.successor(), TURN.toMillis()));
         }
         return clock.nowNanos() - firstReadNanos < TURN.toNanos();
     }
--- a/src/test/java/org/tamarackline/fleet/SuccessorTurnTest.java
+++ b/src/test/java/org/tamarackline/fleet/SuccessorTurnTest.java
@@ -1,10 +1,15 @@
 package org.tamarackline.fleet;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.Test;
+import org.tamarackline.logging.LineSink;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,7 +20,13 @@
     private static final LeaderRecord RESIGNED = LEADER.asResigned(true, Optional.of("successor"));
 
     private final ManualLoop loop = new ManualLoop();
-    private final SuccessorTurn turn = new SuccessorTurn(loop, "node");
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final LineSink sink = new LineSink(output);
+    private final SuccessorTurn turn = turnOf("node");
+
+    private SuccessorTurn turnOf(String node) {
+        return new SuccessorTurn(loop, new DecisionLog(sink, () -> Instant.EPOCH, loop, node), node);
+    }
 
     /** Guards against nodes that wait for a successor which has ended, while runners lose their leases. */
     @Test
@@ -27,6 +38,17 @@
         assertThat(turn.isOfOther(RESIGNED, 5)).isFalse();
     }
 
+    /** Guards against nodes that do nothing after a resignation without telling why, and against a line for each read. */
+    @Test
+    void turnIsLoggedOnce() {
+        turn.isOfOther(RESIGNED, 5);
+        turn.isOfOther(RESIGNED, 5);
+        sink.flush();
+        assertThat(output.toString(StandardCharsets.UTF_8).lines())
+                .singleElement(InstanceOfAssertFactories.STRING)
+                .contains("successor-awaited", "in favour of successor");
+    }
+
     /** Guards against a second resignation whose successor gets no time, because the first one was read long before. */
     @Test
     void eachResignationGivesATurn() {
@@ -37,7 +59,7 @@
 
     @Test
     void successorDoesNotWaitForItself() {
-        assertThat(new SuccessorTurn(loop, "successor").isOfOther(RESIGNED, 5)).isFalse();
+        assertThat(turnOf("successor").isOfOther(RESIGNED, 5)).isFalse();
     }
 
     /** Guards against a delay after the resignation of a leader that names no successor, as earlier versions do. */
