Ignore another runner's answer to a request that is older than the process

Callers could see a task run twice after a runner had restarted at another address under its identifier.

If another runner answers at a runner's address, everything on the runner counts as ended once the store has confirmed the leader. A poll of the earlier process may be on its way for up to 1.9 s, and a start for 1.5 s. Meanwhile the leader may learn of the runner's new process by the poll before a start, and start tasks there. The late answer, from the runner that has the earlier address by now, then ended the runs of the new process, and they started elsewhere.

The answer now counts only if the known process was learned of before the request was sent. Otherwise the runner is polled at once, at the address that it has now.

answerOfAnotherRunnerToAPollOfTheEarlierProcessDoesNotEndTheNewOne failed before. Whether runners keep their identifier at another address is not known.

--- a/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
+++ b/src/main/java/org/tamarackline/fleet/ProcessConfirmation.java
@@ -77,6 +77,11 @@
         return learned && startEpochMs == processStartEpochMs;
     }
 
+    /** Returns whether the process was learned of after a time. */
+    boolean learnedSince(long nanos) {
+        return learned && learnedNanos - nanos > 0;
+    }
+
     boolean confirmed() {
         return confirmed;
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -288,7 +288,7 @@
             case FENCED -> leader.onFenced(runner.id());
             case RUNNER_REPLACED -> {
                 onProcessEnded(sentNanos);
-                schedulePoll(FleetConstants.IDLE_POLL_INTERVAL);
+                schedulePoll(process.learnedSince(sentNanos) ? Duration.ZERO : FleetConstants.IDLE_POLL_INTERVAL);
             }
             default -> {
                 onUnanswered(response, sentNanos);
@@ -300,9 +300,15 @@
     /**
      * Another runner answers at the address, so nothing runs on this one any more. Its runs may have ended as done, with
      * ends that only a successor has read, so they are lost only once the store has confirmed the leader.
+     *
+     * <p>The answer tells nothing of a process that was learned of after the request: a runner that has restarted may have
+     * another address, and the answer may come from its earlier one.
      */
     @Override
     public void onProcessEnded(long sentNanos) {
+        if (process.learnedSince(sentNanos)) {
+            return;
+        }
         onSilence(sentNanos);
         if (!lost) {
             replacedAtAddress = true;
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -48,6 +48,7 @@
     private final List<SentRenewal> renewals = new ArrayList<>();
     private int polls;
     private Duration pollResponseDelay = Duration.ZERO;
+    private Duration nextReplacedAnswerDelay = Duration.ZERO;
     private boolean allSilent;
 
     FakeRunnerCalls(ManualLoop loop) {
@@ -108,6 +109,11 @@
         pollResponseDelay = delay;
     }
 
+    /** Has another runner answer the next poll, after a delay. */
+    void replaceNextPollAnswer(Duration delay) {
+        nextReplacedAnswerDelay = delay;
+    }
+
     /** Returns the number of polls that were sent. */
     int polls() {
         return polls;
@@ -183,6 +189,13 @@
             int waitMs,
             Consumer<PollResponse> callback) {
         polls++;
+        if (!nextReplacedAnswerDelay.isZero()) {
+            loop.schedule(
+                    nextReplacedAnswerDelay,
+                    () -> callback.accept(new PollResponse(RunnerCommandOutcome.RUNNER_REPLACED, null, "replaced")));
+            nextReplacedAnswerDelay = Duration.ZERO;
+            return;
+        }
         if (leaseUntilMs > 0) {
             renewals.add(new SentRenewal(runner.id(), epoch, loop.nowNanos()));
         }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -82,6 +82,11 @@
         for (int i = 0; i < count; i++) {
             fleet.jobs().add(JobDefinitions.longRunningTask("j" + i), JobProgress.NONE, false, 0);
         }
+        startReadyTasks();
+    }
+
+    /** Stores the placement of the tasks that are ready, and starts them. */
+    private void startReadyTasks() {
         assertThat(fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE)).isEmpty();
         Optional<Job> job = fleet.jobs().takeDirtyJob();
         while (job.isPresent()) {
@@ -276,6 +281,29 @@
         assertThat(calls.starts()).hasSize(1);
     }
 
+    /**
+     * Guards against a second run of a task on a restarted runner that moved, if the runner which has its earlier address by
+     * now answers an older poll late.
+     */
+    @Test
+    void answerOfAnotherRunnerToAPollOfTheEarlierProcessDoesNotEndTheNewOne() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.replaceNextPollAnswer(Duration.ofMillis(900));
+        session.pollNow();
+        loop.advance(Duration.ofMillis(1));
+        calls.restart("r");
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(100));
+        startReadyTasks();
+        loop.advance(Duration.ofMillis(100));
+        assertThat(calls.starts()).hasSize(1);
+        loop.advance(Duration.ofMillis(800));
+        assertThat(session.silent()).isFalse();
+        assertThat(session.leaseExpired()).isFalse();
+        assertThat(runner.busy()).isTrue();
+    }
+
     /** Guards against new tasks on a runner that does not respond. */
     @Test
     void silentRunnerGetsNoNewTasks() {
