Start a later step only once no other run of its dependency goes on

Callers could see a task of a later step run twice around a change of leader.

A runner that was lost may return with the end of a run that is done, after the task has started again elsewhere. The leader then completed the task, stopped the other run and started the later step at once. If it was replaced before it stored that, and its stop was lost, the successor found the other run active, saw it end, and concluded that no earlier leader could have started the later step. It started the step beside runners that had not reported, one of which ran it already.

The conclusion needs that a leader which starts a later step has no run of the earlier one left, so the later step now waits until the other run has ended or its runner is lost. Gangs and speculative steps are exempt, since no such conclusion is drawn from their ends.

stepWaitsForTheOtherRunOfItsDependency failed before.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -490,6 +490,9 @@
             }
         }
         if (task == null || task.done || task.job().terminalState != null) {
+            if (task != null && run != null) {
+                jobs.updateReadiness(task);
+            }
             return;
         }
         jobs.recordEnd(task, end.runNumber(), end.checkpoint());
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -354,13 +354,24 @@
     void updateReadinessOfOccurrence(Job job, int occurrence) {
         for (Task[] step : job.occurrence(occurrence)) {
             for (Task task : step) {
-                updateReadiness(task);
+                updateOwnReadiness(task);
             }
         }
     }
 
-    /** Adds a task to the ready tasks or removes it from them, depending on its state. */
+    /**
+     * Adds a task to the ready tasks or removes it from them, depending on its state. If the task is done, does so with the
+     * tasks of its occurrence, since another run of it may have ended.
+     */
     void updateReadiness(Task task) {
+        if (task.done && task.runs.isEmpty() && task.job().terminalState == null && endsAlone(task.step())) {
+            updateReadinessOfOccurrence(task.job(), task.key().occurrence());
+        } else {
+            updateOwnReadiness(task);
+        }
+    }
+
+    private void updateOwnReadiness(Task task) {
         if (isReady(task)) {
             readyTasks.add(task);
         } else {
@@ -374,13 +385,33 @@
             return false;
         }
         for (int step : task.step().dependencies()) {
-            if (!job.stepDone(task.key().occurrence(), step)) {
+            if (!job.stepDone(task.key().occurrence(), step)
+                    || hasOtherRuns(job, task.key().occurrence(), step)) {
                 return false;
             }
         }
         return true;
     }
 
+    /**
+     * Returns whether a task of a step that is done still has a run: its runner was lost and returned with the end of an
+     * earlier run. A successor that finds that run active concludes that no earlier leader has started a later step ({@link
+     * UnreportedRunners}).
+     */
+    private static boolean hasOtherRuns(Job job, int occurrence, int step) {
+        for (Task task : job.occurrence(occurrence)[step]) {
+            if (!task.runs.isEmpty() && endsAlone(task.step())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether only the runner of a run reports that the task has ended. */
+    private static boolean endsAlone(StepDefinition step) {
+        return !step.gang() && !step.speculative();
+    }
+
     /** Creates the tasks of all occurrences that have become due. */
     void createAllDueOccurrences(long nowEpochMs) {
         for (Job job : List.copyOf(recurringJobs)) {
--- a/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
@@ -99,4 +99,46 @@
                 .extracting(run -> run.task().key().step())
                 .containsExactly(1);
     }
+
+    /**
+     * Guards against a second run of a task that this leader starts beside another run of its dependency: a successor that
+     * sees this run end takes it for the one that completed the dependency.
+     */
+    @Test
+    void stepWaitsForTheOtherRunOfItsDependency() {
+        fleet.jobs()
+                .add(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)), JobProgress.NONE, false, 0);
+        Run lost = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(lost, StartResult.STARTED);
+        FleetRunner other = fixture.addRunner("b", 16_000);
+        fleet.runnerSilent("a");
+        fleet.runnerLost("a");
+        Run repeated = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(repeated, StartResult.STARTED);
+        fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, lost, EndReason.DONE)));
+        assertThat(fixture.scheduleStarts()).isEmpty();
+        fixture.reportStatus(other, List.of(), List.of(FleetFixture.endedRun(1, repeated, EndReason.STOPPED)));
+        assertThat(fixture.scheduleStarts())
+                .extracting(run -> run.task().key().step())
+                .containsExactly(1);
+    }
+
+    /** Guards against a step that waits for ever for such a run after its runner was lost. */
+    @Test
+    void stepStartsOnceTheRunnerOfTheOtherRunIsLost() {
+        fleet.jobs()
+                .add(FleetFixture.job("j", FleetFixture.step(1), FleetFixture.step(1, 0)), JobProgress.NONE, false, 0);
+        Run lost = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(lost, StartResult.STARTED);
+        fixture.addRunner("b", 16_000);
+        fleet.runnerSilent("a");
+        fleet.runnerLost("a");
+        fixture.applyStartResult(fixture.scheduleStarts().getFirst(), StartResult.STARTED);
+        fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, lost, EndReason.DONE)));
+        fleet.runnerSilent("b");
+        fleet.runnerLost("b");
+        assertThat(fixture.scheduleStarts())
+                .extracting(run -> run.task().key().step())
+                .containsExactly(1);
+    }
 }
