Test that a request which was read is not reported as not sent

A start counts as not executed if its connection was refused. The test shows that this holds while another request to the same address is on an open connection that is reset afterwards: only the refused one counts as not sent. It passed at once.

--- a/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
+++ b/src/test/java/org/tamarackline/http/AsyncHttpClientTest.java
@@ -85,6 +85,35 @@
                         result -> assertThat(result.neverSent()).isTrue());
     }
 
+    /**
+     * Guards against a second run of a task: a start counts as not executed if it was never sent, so one that the runner has
+     * read must not, even if its connection is reset while new connections are refused.
+     */
+    @Test
+    void requestThatWasReadIsNotReportedAsNotSent() throws Exception {
+        ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        String serverAddress = "127.0.0.1:" + server.getLocalPort();
+        CountDownLatch answered = new CountDownLatch(1);
+        client.call("GET", serverAddress, "/", Map.of(), null, TIMEOUT, result -> {
+            results.add(result);
+            answered.countDown();
+        });
+        try (Socket connection = server.accept()) {
+            assertThat(connection.getInputStream().read()).isEqualTo('G');
+            server.close();
+            call(serverAddress, "/", Map.of());
+            assertThat(neverSent(0)).as("on a new connection").isTrue();
+            // Closes the connection with a reset.
+            connection.setSoLinger(true, 0);
+        }
+        assertThat(answered.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(neverSent(1)).as("on the open connection").isFalse();
+    }
+
+    private boolean neverSent(int call) {
+        return ((HttpCallResult.NoResponse) results.get(call)).neverSent();
+    }
+
     /** Guards against a target that the HTTP library rejects with an exception. */
     @ParameterizedTest
     @ValueSource(strings = {"", "no-slash", "/a b", "/%zz", "/\r\nX: y", "http://[", "/\u0000"})
