Read the leader record before applying a truncated page of job changes

A replaced leader could start a job that its successor starts too. If the store lists each record only at its newest version, a truncated page may contain a job that was accepted after a successor's claim, but not the leader record, which a later resignation moved behind it. The protocol leaves this open; the stand-in store lists every change, so no run has shown it.

The leader record is now read before a truncated page is applied, as it is after the whole table has been read again. JobFeedTest#jobOfATruncatedPageIsNotAddedByAReplacedLeader failed before the change.

--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -139,10 +139,12 @@
         if (!leader.leading()) {
             return;
         }
-        if (success.result() instanceof RecordStore.ReadResult.Page page) {
-            onChanges(page, success.sentNanos());
-        } else {
+        if (!(success.result() instanceof RecordStore.ReadResult.Page page)) {
             rereadTable();
+        } else if (page.truncated()) {
+            runIfStillLeading(() -> onChanges(page, success.sentNanos()));
+        } else {
+            onChanges(page, success.sentNanos());
         }
     }
 
@@ -205,7 +207,10 @@
                 : Optional.empty();
     }
 
-    /** A job on a later page may have been accepted after a successor's claim, which the earlier pages do not show. */
+    /**
+     * Runs an action unless the store has the record of a successor. Of several pages, one may contain a job that was
+     * accepted after the successor's claim, and lack the claim.
+     */
     void runIfStillLeading(Runnable next) {
         leaderRecords.read(result -> {
             if (!leader.leading()) {
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -55,6 +55,7 @@
         private final StoreClock clock = new StoreClock();
         private final List<ReadResult> changes = new ArrayList<>();
         private final List<Long> followsSentNanos = new ArrayList<>();
+        private List<Entry> records = List.of();
 
         @Override
         public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
@@ -63,7 +64,7 @@
 
         @Override
         public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
-            loop.execute(() -> callback.accept(new ReadResult.Page(List.of(), 1, false)));
+            loop.execute(() -> callback.accept(new ReadResult.Page(records, 1, false)));
         }
 
         @Override
@@ -93,19 +94,21 @@
 
     private final class FakeLeader implements JobFeed.Callbacks {
 
+        private boolean replaced;
+
         @Override
         public boolean leading() {
-            return true;
+            return !replaced;
         }
 
         @Override
         public boolean ended() {
-            return false;
+            return replaced;
         }
 
         @Override
         public void onLeaderRecordChanged(RecordStore.Entry entry) {
-            throw new AssertionError("the leader record does not change in this test");
+            replaced = true;
         }
 
         @Override
@@ -131,6 +134,29 @@
         assertThat(confirmationsNanos).containsExactly(store.followsSentNanos.get(1));
     }
 
+    /**
+     * Guards against a replaced leader that starts a job accepted after its successor's claim, because the page with the job
+     * lacks the leader record, which has changed again since.
+     */
+    @Test
+    void jobOfATruncatedPageIsNotAddedByAReplacedLeader() {
+        NodeServices services = services(store);
+        TableReader tables = new TableReader(services, () -> false, () -> {});
+        JobTracker jobs = new Fleet(1, log, loop).jobs();
+        JobFeed feed = new JobFeed(services, tables, jobs, 1, new FakeLeader());
+        feed.readAll(StoredProgress.NONE, () -> {
+            byte[] job = RecordCodec.encodeOpenJob(JobDefinitions.tasks(JOB, 1, 1_000));
+            store.changes.add(new RecordStore.ReadResult.Page(
+                    List.of(new RecordStore.Entry(RecordStore.Table.JOBS, JOB, job, 3, false)), 3, true));
+            LeaderRecord successor = new LeaderRecord(2, "other", "10.0.1.8:1", 1, false, List.of());
+            store.records = List.of(new RecordStore.Entry(
+                    RecordStore.Table.JOBS, LeaderRecord.KEY, RecordCodec.encodeLeader(successor), 4, false));
+            feed.follow();
+        });
+        loop.advance(Duration.ofSeconds(1));
+        assertThat(jobs.state(JOB)).isEmpty();
+    }
+
     /** Guards against a cancellation that waits for the timeouts of connections which have gone silent. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4})
