--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -64,7 +64,6 @@
 
     private static final Duration JOBS_BOUND = Duration.ofSeconds(60);
     private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(50);
-    private static final Duration RETRY_INTERVAL = Duration.ofMillis(700);
     /** Fraction by which the clock of a runner may be slow. */
     private static final double MAX_CLOCK_LAG = 0.02;
 
@@ -105,6 +104,7 @@
     private final RunHistory history;
     private final SimulatedGangs gangs;
     private final SimulatedJobs jobs;
+    private final SimulatedCallers callers;
     private final SimulatedStore store;
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
@@ -119,13 +119,6 @@
     private final LineSink log;
     private final boolean tracing;
 
-    private final Map<String, JobDefinition> submitted = new TreeMap<>();
-    private final Map<String, Long> acceptedNanos = new TreeMap<>();
-    private final Set<String> cancelRequested = new TreeSet<>();
-    private final Set<String> cancelled = new TreeSet<>();
-    /** Jobs of which a cancellation was answered that there is no such job. */
-    private final Set<String> withdrawn = new TreeSet<>();
-
     private final Map<String, Long> directorySequences = new TreeMap<>();
     /** Whether the store rejects the progress of every tenth job, to the end. */
     private boolean progressRejected;
@@ -153,6 +146,7 @@
         this.random = new Random(seed);
         this.jobs = new SimulatedJobs(loop, random);
         this.history = new RunHistory(loop, tracing);
+        this.callers = new SimulatedCallers(loop, history, jobs, nodes, random);
         this.gangs = new SimulatedGangs(loop, history, new Random(random.nextLong()));
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
@@ -234,14 +228,14 @@
         operator.start();
         nodes.forEach(SimulatedNode::start);
         for (int i = 0; i < 3; i++) {
-            submit(jobs.longRunningJob());
+            callers.submit(jobs.longRunningJob());
         }
         faults.start();
         progressRejected = random.nextInt(4) == 0;
         if (progressRejected) {
             store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
         }
-        scheduleNextJob();
+        callers.start(this::faultsEnded);
         sample();
         loop.advance(profile == ClusterFaults.Profile.LEADER_CHANGES ? LEADER_CHANGES_TIME : FAULTY_TIME);
         faults.end();
@@ -287,79 +281,10 @@
         return Duration.ofMillis(millis);
     }
 
-    // ---- Jobs
-
-    private void scheduleNextJob() {
-        loop.schedule(millis(100 + random.nextInt(900)), () -> {
-            if (faultsEnded()) {
-                return;
-            }
-            JobDefinition job = jobs.nextJob();
-            submit(job);
-            if (random.nextInt(8) == 0) {
-                // Some are cancelled while their submission is on its way.
-                int delayMs = random.nextBoolean() ? random.nextInt(100) : 200 + random.nextInt(6_000);
-                loop.schedule(millis(delayMs), () -> cancel(job.id()));
-            }
-            scheduleNextJob();
-        });
-    }
-
     private boolean faultsEnded() {
         return loop.nowNanos() >= faultsEndNanos;
     }
 
-    private void submit(JobDefinition job) {
-        submitted.put(job.id(), job);
-        history.submitted(job);
-        trySubmit(job);
-    }
-
-    private void trySubmit(JobDefinition job) {
-        if (acceptedNanos.containsKey(job.id()) || withdrawn.contains(job.id())) {
-            return;
-        }
-        runningNode()
-                .ifPresent(node -> node.process().requests().submit(job, outcome -> {
-                    if (outcome instanceof JobRequestHandler.Outcome.Accepted
-                            && acceptedNanos.putIfAbsent(job.id(), loop.nowNanos()) == null) {
-                        history.event(node.name(), "accepts", job.id());
-                        checkNotWithdrawn(job.id());
-                    }
-                }));
-        loop.schedule(RETRY_INTERVAL, () -> trySubmit(job));
-    }
-
-    private void cancel(String job) {
-        cancelRequested.add(job);
-        if (cancelled.contains(job) || withdrawn.contains(job)) {
-            return;
-        }
-        runningNode()
-                .ifPresent(node -> node.process().requests().cancel(job, outcome -> {
-                    if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
-                        history.event(node.name(), "accepts the cancellation of", job);
-                    } else if (outcome instanceof JobRequestHandler.Outcome.NoSuchJob && withdrawn.add(job)) {
-                        history.withdrawn(job);
-                        checkNotWithdrawn(job);
-                    }
-                }));
-        loop.schedule(RETRY_INTERVAL, () -> cancel(job));
-    }
-
-    /** Checks that a job was not both accepted and answered to be unknown; it is not kept for so short a time. */
-    private void checkNotWithdrawn(String job) {
-        if (acceptedNanos.containsKey(job) && withdrawn.contains(job)) {
-            history.report(RunHistory.Rule.WITHDRAWN_JOB_ACCEPTED, job, "accepted, and not known to a cancellation");
-        }
-    }
-
-    private Optional<SimulatedNode> runningNode() {
-        List<SimulatedNode> running =
-                nodes.stream().filter(node -> node.process() != null).toList();
-        return running.isEmpty() ? Optional.empty() : Optional.of(running.get(random.nextInt(running.size())));
-    }
-
     // ---- Runners
 
     /** Starts a runner with a new identifier at an address, unless one is up there. */
@@ -485,7 +410,7 @@
         hash = hash * 1_000_003 + task.occurrence() * 961L + task.step() * 31L + task.index();
         hash = hash * 1_000_003 + runner.id().hashCode() + runner.process();
         Random plan = new Random(hash * 1_000_003 + runNumber);
-        JobDefinition job = submitted.get(task.job());
+        JobDefinition job = callers.submitted().get(task.job());
         if (job.steps().get(task.step()).gang()) {
             // SimulatedGangs ends it.
             return new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
@@ -645,9 +570,9 @@
     }
 
     private void sampleStates(SimulatedNode node, Leader leader) {
-        for (String job : submitted.keySet()) {
+        for (String job : callers.submitted().keySet()) {
             leader.state(job)
-                    .ifPresent(state -> history.stateShown(node.name(), job, state, cancelRequested.contains(job)));
+                    .ifPresent(state -> history.stateShown(node.name(), job, state, callers.cancelRequested(job)));
         }
     }
 
@@ -670,11 +595,13 @@
         if (faults.inEffect() || !hasRunnersForAllTasks()) {
             longRunningTasks.disturbed();
         }
-        acceptedNanos.forEach((job, nanos) -> {
+        callers.acceptedNanos().forEach((job, nanos) -> {
             // The placement of long-running tasks is stored with the progress.
             boolean unstorable = progressRejected && isEveryTenthJob(job);
-            if (SimulatedJobs.isLongRunning(submitted.get(job)) && !cancelRequested.contains(job) && !unstorable) {
-                checkLongRunningTasks(submitted.get(job), nanos);
+            if (SimulatedJobs.isLongRunning(callers.submitted().get(job))
+                    && !callers.cancelRequested(job)
+                    && !unstorable) {
+                checkLongRunningTasks(callers.submitted().get(job), nanos);
             }
         });
     }
@@ -708,13 +635,13 @@
                     "all jobs",
                     history.leaseExpiryCount() + " runs ended with their lease");
         }
-        for (String job : acceptedNanos.keySet()) {
-            JobDefinition definition = submitted.get(job);
+        for (String job : callers.acceptedNanos().keySet()) {
+            JobDefinition definition = callers.submitted().get(job);
             boolean runs = RunHistory.tasksOf(definition).stream().anyMatch(history::runs);
-            if (cancelled.contains(job) && runs) {
+            if (callers.cancelled(job) && runs) {
                 history.report(RunHistory.Rule.CANCELLED_JOB_RUNS, job, "a run of it has not ended");
             }
-            if ((!SimulatedJobs.isLongRunning(definition) || cancelled.contains(job)) && !storedAsFinished(job)) {
+            if ((!SimulatedJobs.isLongRunning(definition) || callers.cancelled(job)) && !storedAsFinished(job)) {
                 history.report(RunHistory.Rule.JOB_NOT_FINISHED, job, "the store has it as open");
             }
         }
