Check in the cluster simulation that the runs of cancelled jobs end in time

The simulation looked for runs of cancelled jobs only 60 s after all faults. The bound now holds at each calm moment: 3 s after the answer to the cancellation, or after the cluster has settled from a fault, and the 0.3 s that a simulated runner takes at most for a stop. No start is sent later than 3 s after the answer by a node in touch with the store.

Connections to runners and to the store can go silent one by one; a stop on a new connection opens one. Two defects, STOPS_LOST and CANCELLATIONS_HIDDEN, show that the check fails.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -183,7 +183,7 @@
         active = false;
         disturbed = false;
         cluster.history().event("the faults end");
-        cluster.longRunningTasks().disturbed();
+        cluster.disturbed();
         cluster.restoreAllConnections();
         cluster.store().setAvailability(SimulatedStore.Availability.AVAILABLE);
         cluster.store().setAdditionalLatency(Duration.ZERO);
@@ -254,7 +254,7 @@
     /** Runs an action that begins or ends a fault after a delay. */
     void later(Duration delay, Runnable action) {
         cluster.loop().schedule(delay, () -> {
-            cluster.longRunningTasks().disturbed();
+            cluster.disturbed();
             action.run();
         });
     }
@@ -286,7 +286,7 @@
         ProtocolRunner runner = anyRunner();
         SimulatedNode node = likelyLeader();
         cluster.history().event("FAULT", kind.name(), "(", runner.id(), ",", node.name(), ")");
-        cluster.longRunningTasks().disturbed();
+        cluster.disturbed();
         kind.injection().inject(this, runner, node);
     }
 
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -56,7 +56,7 @@
     @ParameterizedTest
     @EnumSource(
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"NONE", "LEASE_ENDS_FORGOTTEN"})
+            names = {"NONE", "LEASE_ENDS_FORGOTTEN", "STOPS_LOST", "CANCELLATIONS_HIDDEN"})
     void detectsADefectOfTheEnvironment(ClusterSimulation.Defect defect) {
         assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
                 .anyMatch(seed -> !violations(seed, defect, ClusterFaults.Profile.ALL_KINDS)
@@ -70,10 +70,26 @@
     @CsvSource({"NEW_RUNNERS_HIDDEN, ALL_KINDS", "LEASE_ENDS_FORGOTTEN, LEADER_CHANGES"})
     void detectsLongRunningTasksThatStand(ClusterSimulation.Defect defect, ClusterFaults.Profile profile) {
         assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
-                .anyMatch(seed -> violations(seed, defect, profile).stream()
-                                .anyMatch(found -> found.rule() == RunHistory.Rule.LONG_RUNNING_TASK_STOPPED)
-                        && violations(seed, ClusterSimulation.Defect.NONE, profile)
-                                .isEmpty());
+                .anyMatch(seed -> breaks(RunHistory.Rule.LONG_RUNNING_TASK_STOPPED, seed, defect, profile));
+    }
+
+    /** Checks that the simulation detects tasks of cancelled jobs that run on, or are started, after their bound. */
+    @ParameterizedTest
+    @CsvSource({
+        "STOPS_LOST, CANCELLED_JOB_RUNS_ON",
+        "CANCELLATIONS_HIDDEN, CANCELLED_JOB_RUNS_ON",
+        "CANCELLATIONS_HIDDEN, CANCELLED_JOB_STARTED"
+    })
+    void detectsRunsOfCancelledJobs(ClusterSimulation.Defect defect, RunHistory.Rule rule) {
+        assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
+                .anyMatch(seed -> breaks(rule, seed, defect, ClusterFaults.Profile.STORE_OUTAGES));
+    }
+
+    /** Returns whether a seed breaks a rule with a defect, and none without. */
+    private static boolean breaks(
+            RunHistory.Rule rule, long seed, ClusterSimulation.Defect defect, ClusterFaults.Profile profile) {
+        return violations(seed, defect, profile).stream().anyMatch(found -> found.rule() == rule)
+                && violations(seed, ClusterSimulation.Defect.NONE, profile).isEmpty();
     }
 
     private static List<RunHistory.Violation> violations(
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -26,9 +26,9 @@
  * Simulates several nodes with their real classes, the store and runners under random faults ({@link ClusterFaults}).
  *
  * <p>Jobs are submitted and cancelled through the nodes. {@link RunHistory} checks what the runners see, {@link
- * LongRunningTasks} how long tasks that last have no run. Once the faults have ended, all jobs must end. The same seed
- * gives the same sequence of events: each connection draws from its own random numbers, so that the order of independent
- * calls does not matter.
+ * LongRunningTasks} how long tasks that last have no run, {@link CancelledJobs} when the runs of cancelled jobs end. Once
+ * the faults have ended, all jobs must end. The same seed gives the same sequence of events: each connection draws from its
+ * own random numbers, so that the order of independent calls does not matter.
  */
 final class ClusterSimulation {
 
@@ -51,7 +51,11 @@
         /** The directory shows no process of a runner that starts after the first seconds. */
         NEW_RUNNERS_HIDDEN,
         /** The store keeps no record of when the leases of lost runners end. */
-        LEASE_ENDS_FORGOTTEN
+        LEASE_ENDS_FORGOTTEN,
+        /** Runners confirm stops and do nothing. */
+        STOPS_LOST,
+        /** The store shows no cancellations to the nodes that follow the jobs. */
+        CANCELLATIONS_HIDDEN
     }
 
     private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
@@ -114,6 +118,7 @@
     private final SimulatedOperator operator;
     private final LeavingRunners leavingRunners;
     private final LongRunningTasks longRunningTasks;
+    private final CancelledJobs cancelledJobs;
     private final ClusterFaults faults;
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
     private final LineSink log;
@@ -151,7 +156,10 @@
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
         if (defect == Defect.CONFIGURATION_CHANGES_HIDDEN) {
-            store.hideChanges(RecordStore.Table.CONFIGURATION);
+            store.hideChanges(entry -> entry.table() == RecordStore.Table.CONFIGURATION);
+        }
+        if (defect == Defect.CANCELLATIONS_HIDDEN) {
+            store.hideChanges(entry -> entry.key().endsWith(StoredJob.CANCEL_SUFFIX));
         }
         if (defect == Defect.LEASE_ENDS_FORGOTTEN) {
             store.setStoredForm(ClusterSimulation::withoutLeaseEnd);
@@ -160,6 +168,7 @@
         this.operator = new SimulatedOperator(loop, store, contacts, history, new Random(random.nextLong()));
         this.leavingRunners = new LeavingRunners(loop, contacts, history);
         this.longRunningTasks = new LongRunningTasks(loop, history);
+        this.cancelledJobs = new CancelledJobs(loop, contacts, history, callers);
         this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
         int pageRows = random.nextBoolean() ? 500 : 10;
         boolean leaderChanges = profile == ClusterFaults.Profile.LEADER_CHANGES;
@@ -203,8 +212,10 @@
         return history;
     }
 
-    LongRunningTasks longRunningTasks() {
-        return longRunningTasks;
+    /** A fault begins or ends; the bounds for calm moments count anew. */
+    void disturbed() {
+        longRunningTasks.disturbed();
+        cancelledJobs.disturbed();
     }
 
     /** Returns the runner that has each address, whether or not it is up. */
@@ -304,9 +315,11 @@
                 new ProtocolRunner.Properties(
                         1 - MAX_CLOCK_LAG * properties.nextDouble(),
                         ProtocolRunner.Properties.DEFAULT.maxReportedEnds(),
-                        millis(properties.nextInt(300)),
+                        millis(properties.nextInt((int) CancelledJobs.MAX_STOP_TIME.toMillis())),
                         defect != Defect.RUNNERS_IGNORE_EPOCHS,
-                        defect != Defect.LEASES_DO_NOT_EXPIRE),
+                        defect != Defect.LEASES_DO_NOT_EXPIRE,
+                        ProtocolRunner.Properties.DEFAULT.maxRuns(),
+                        defect != Defect.STOPS_LOST),
                 kind);
         runnersByAddress.put(address, runner);
         registerProcess(runner);
@@ -349,7 +362,7 @@
         loop.schedule(downtime, () -> {
             if (!runner.up() && runnersByAddress.get(runner.address()) == runner) {
                 runner.boot();
-                longRunningTasks.disturbed();
+                disturbed();
                 registerProcess(runner);
             }
         });
@@ -373,7 +386,7 @@
         int process = runner.process();
         loop.schedule(delay, () -> {
             if (runner.process() == process && runner.up()) {
-                longRunningTasks.disturbed();
+                disturbed();
                 removeRunner(runner);
             }
         });
@@ -531,6 +544,7 @@
         @Override
         public void startSent(RunnerDescriptor runner, RunnerCalls.StartCommand command) {
             leavingRunners.onStartSent(node, runner.id(), command);
+            cancelledJobs.onStartSent(node, command.task(), command.runNumber());
             history.startSent(
                     describeSender(command.epoch()), command.task(), command.runNumber(), command.epoch(), runner.id());
         }
@@ -560,6 +574,7 @@
             node.leader().ifPresent(leader -> sampleStates(node, leader));
         }
         checkLongRunningTasks();
+        checkCancelledJobs();
         if (profile == ClusterFaults.Profile.STORE_OUTAGES) {
             checkLeaderStays();
         }
@@ -590,6 +605,14 @@
         }
     }
 
+    private void checkCancelledJobs() {
+        if (faults.inEffect()
+                || nodes.stream().anyMatch(node -> node.storeLink().disturbed())) {
+            cancelledJobs.disturbed();
+        }
+        cancelledJobs.check();
+    }
+
     private void checkLongRunningTasks() {
         // A task without a runner that it fits on cannot start.
         if (faults.inEffect() || !hasRunnersForAllTasks()) {
--- a/src/test/java/org/tamarackline/fleet/LeaderChanges.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderChanges.java
@@ -160,14 +160,14 @@
         boolean mayBeKilled = cluster.nodes().indexOf(node) < KILLED_NODES;
         if (mayBeKilled && random.nextInt(3) > 0) {
             cluster.history().event("FAULT", "leader-killed", node.name(), "epoch", highestLostEpoch);
-            cluster.longRunningTasks().disturbed();
+            cluster.disturbed();
             node.kill();
             gone.add(node);
             return;
         }
         int timeMs = 2_000 + random.nextInt(12_000);
         burstEndsNotBefore(timeMs);
-        cluster.longRunningTasks().disturbed();
+        cluster.disturbed();
         if (random.nextBoolean()) {
             cluster.history().event("FAULT", "leader-suspended", node.name(), "epoch", highestLostEpoch, timeMs, "ms");
             faults.suspend(node, Duration.ofMillis(timeMs));
@@ -184,7 +184,7 @@
             int calmMs = MIN_CALM_MS + random.nextInt(MAX_CALM_MS - MIN_CALM_MS);
             cluster.loop().schedule(Duration.ofMillis(calmMs), () -> {
                 if (faults.active()) {
-                    cluster.longRunningTasks().disturbed();
+                    cluster.disturbed();
                     burst();
                 }
             });
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -66,6 +66,7 @@
      * @param checksEpochs whether the runner rejects commands of lower epochs
      * @param leasesExpire whether runs end with the lease
      * @param maxRuns number of runs that fit on the runner
+     * @param stopsRuns whether stops have an effect
      */
     record Properties(
             double clockRate,
@@ -73,17 +74,19 @@
             Duration stopTime,
             boolean checksEpochs,
             boolean leasesExpire,
-            int maxRuns) {
+            int maxRuns,
+            boolean stopsRuns) {
 
-        static final Properties DEFAULT = new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true, MAX_RUNS);
+        static final Properties DEFAULT =
+                new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true, MAX_RUNS, true);
 
         Properties(
                 double clockRate, int maxReportedEnds, Duration stopTime, boolean checksEpochs, boolean leasesExpire) {
-            this(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, MAX_RUNS);
+            this(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, MAX_RUNS, true);
         }
 
         Properties withMaxRuns(int runs) {
-            return new Properties(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, runs);
+            return new Properties(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, runs, stopsRuns);
         }
     }
 
@@ -267,6 +270,9 @@
 
     /** Stops a run; a run with this number or a lower one can no longer start. */
     void stop(TaskKey task, long number) {
+        if (!properties.stopsRuns()) {
+            return;
+        }
         highestRunNumbers.merge(task, number, Math::max);
         ActiveRun active = activeRuns.get(new RunKey(task, number));
         if (active != null) {
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
@@ -67,6 +67,7 @@
     private final ManualLoop loop;
     private final EventLoop nodeLoop;
     private final Connections connections;
+    private final ConnectionPools pools;
     private final Map<String, ProtocolRunner> runners = new HashMap<>();
     private int statusesToLose;
 
@@ -78,6 +79,7 @@
     ProtocolRunnerCalls(ManualLoop loop, Duration taskDuration) {
         this.loop = loop;
         this.nodeLoop = loop;
+        this.pools = new ConnectionPools(loop);
         this.connections = new FaultFreeConnections(taskDuration);
     }
 
@@ -85,6 +87,7 @@
     ProtocolRunnerCalls(ManualLoop loop, EventLoop nodeLoop, Connections connections) {
         this.loop = loop;
         this.nodeLoop = nodeLoop;
+        this.pools = new ConnectionPools(loop);
         this.connections = connections;
     }
 
@@ -92,6 +95,11 @@
         runners.put(runner.address(), runner);
     }
 
+    /** Returns the open connections to the runners. */
+    ConnectionPools pools() {
+        return pools;
+    }
+
     /** Loses the next responses to polls, which still take effect. */
     void loseStatuses(int count) {
         statusesToLose = count;
@@ -145,9 +153,20 @@
         private final Failure<T> failure;
         private final Consumer<T> callback;
         private final Delivery delivery;
+        private final ConnectionPools.Connection connection;
         private boolean over;
 
         Call(RunnerDescriptor descriptor, long epoch, Failure<T> failure, Consumer<T> callback) {
+            this(descriptor, epoch, pools.take(descriptor.address()), failure, callback);
+        }
+
+        Call(
+                RunnerDescriptor descriptor,
+                long epoch,
+                ConnectionPools.Connection connection,
+                Failure<T> failure,
+                Consumer<T> callback) {
+            this.connection = connection;
             this.descriptor = descriptor;
             this.epoch = epoch;
             this.failure = failure;
@@ -157,9 +176,14 @@
 
         /** Sends the call; {@code execution} gets the runner that accepts it. */
         void send(Duration timeout, BiConsumer<ProtocolRunner, Call<T>> execution) {
-            nodeLoop.schedule(timeout, () -> end(failure.response(RunnerCommandOutcome.UNKNOWN, false)));
+            nodeLoop.schedule(timeout, () -> {
+                if (!over) {
+                    pools.close(descriptor.address(), connection);
+                    end(failure.response(RunnerCommandOutcome.UNKNOWN, false));
+                }
+            });
             ProtocolRunner runner = connections.runnerAt(descriptor.address());
-            if (delivery.fate() == Fate.CALL_LOST || runner == null) {
+            if (delivery.fate() == Fate.CALL_LOST || runner == null || connection.silent()) {
                 return;
             }
             if (delivery.fate() == Fate.CONNECTION_REFUSED || !runner.up()) {
@@ -168,7 +192,7 @@
             }
             int process = runner.process();
             loop.schedule(delivery.requestLatency(), () -> {
-                if (runner.up() && runner.process() == process) {
+                if (runner.up() && runner.process() == process && !connection.silent()) {
                     execute(runner, execution);
                 }
             });
@@ -187,13 +211,20 @@
         }
 
         void respond(T response) {
-            if (delivery.fate() != Fate.RESPONSE_LOST && connections.responsesArrive(descriptor)) {
+            if (delivery.fate() != Fate.RESPONSE_LOST
+                    && connections.responsesArrive(descriptor)
+                    && !connection.silent()) {
                 arrive(response);
             }
         }
 
         private void arrive(T response) {
-            loop.schedule(delivery.responseLatency(), () -> nodeLoop.execute(() -> end(response)));
+            loop.schedule(
+                    delivery.responseLatency(),
+                    () -> nodeLoop.execute(() -> {
+                        pools.giveBack(descriptor.address(), connection);
+                        end(response);
+                    }));
         }
 
         private void end(T response) {
@@ -238,21 +269,31 @@
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
-        new Call<>(descriptor, epoch, (outcome, neverSent) -> outcome, callback)
-                .send(COMMAND_TIMEOUT, (runner, call) -> {
-                    runner.stop(task, runNumber);
-                    call.respond(RunnerCommandOutcome.DONE);
-                });
+        stop(descriptor, pools.take(descriptor.address()), task, runNumber, epoch, callback);
     }
 
     @Override
     public void stopOnNewConnection(
-            RunnerDescriptor runner,
+            RunnerDescriptor descriptor,
             TaskKey task,
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
-        stop(runner, task, runNumber, epoch, callback);
+        stop(descriptor, pools.open(descriptor.address()), task, runNumber, epoch, callback);
+    }
+
+    private void stop(
+            RunnerDescriptor descriptor,
+            ConnectionPools.Connection connection,
+            TaskKey task,
+            long runNumber,
+            long epoch,
+            Consumer<RunnerCommandOutcome> callback) {
+        new Call<>(descriptor, epoch, connection, (outcome, neverSent) -> outcome, callback)
+                .send(COMMAND_TIMEOUT, (runner, call) -> {
+                    runner.stop(task, runNumber);
+                    call.respond(RunnerCommandOutcome.DONE);
+                });
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -59,6 +59,10 @@
         LONG_RUNNING_TASK_STOPPED,
         /** A run of a cancelled job long after the faults. */
         CANCELLED_JOB_RUNS,
+        /** A run of a cancelled job that goes on for longer than its bound, at a calm moment. */
+        CANCELLED_JOB_RUNS_ON,
+        /** A start sent long after the cancellation of the job was answered, by a node in touch with the store. */
+        CANCELLED_JOB_STARTED,
         /** A start sent long after the directory has shown that the runner will leave. */
         STARTED_ON_LEAVING_RUNNER,
         /** A configuration that is not in force in time on a node in touch with the store. */
@@ -85,6 +89,14 @@
         }
     }
 
+    /**
+     * A run that has not ended.
+     *
+     * @param startNanos when the runner started it
+     * @param sentNanos when its start was sent
+     */
+    record LiveRun(TaskKey task, long number, long epoch, String runner, long startNanos, long sentNanos) {}
+
     private record RunKey(TaskKey task, long number) {}
 
     private record EndKey(String runner, long processStartEpochMs, long number) {}
@@ -449,6 +461,19 @@
         return !historyOf(task).live.isEmpty();
     }
 
+    /** Returns the runs of a task that have not ended. */
+    List<LiveRun> liveRuns(TaskKey task) {
+        return historyOf(task).live.stream()
+                .map(start -> new LiveRun(
+                        task,
+                        start.number(),
+                        start.epoch(),
+                        start.runner(),
+                        start.nanos(),
+                        start.sent().nanos()))
+                .toList();
+    }
+
     /** Returns when the last run of a task ended, 0 if none has ended. */
     long lastRunNanos(TaskKey task) {
         return historyOf(task).lastRunNanos;
--- a/src/test/java/org/tamarackline/fleet/SimulatedCallers.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedCallers.java
@@ -30,7 +30,7 @@
     private final Map<String, JobDefinition> submitted = new TreeMap<>();
     private final Map<String, Long> acceptedNanos = new TreeMap<>();
     private final Set<String> cancelRequested = new TreeSet<>();
-    private final Set<String> cancelled = new TreeSet<>();
+    private final Map<String, Long> cancelledNanos = new TreeMap<>();
     /** Jobs of which a cancellation was answered that there is no such job. */
     private final Set<String> withdrawn = new TreeSet<>();
 
@@ -83,12 +83,13 @@
 
     private void cancel(String job) {
         cancelRequested.add(job);
-        if (cancelled.contains(job) || withdrawn.contains(job)) {
+        if (cancelledNanos.containsKey(job) || withdrawn.contains(job)) {
             return;
         }
         runningNode()
                 .ifPresent(node -> node.process().requests().cancel(job, outcome -> {
-                    if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
+                    if (outcome instanceof JobRequestHandler.Outcome.Accepted
+                            && cancelledNanos.putIfAbsent(job, loop.nowNanos()) == null) {
                         history.event(node.name(), "accepts the cancellation of", job);
                     } else if (outcome instanceof JobRequestHandler.Outcome.NoSuchJob && withdrawn.add(job)) {
                         history.withdrawn(job);
@@ -130,8 +131,13 @@
         return cancelRequested.contains(job);
     }
 
+    /** Returns when the cancellation of each cancelled job was answered. */
+    Map<String, Long> cancelledNanos() {
+        return Collections.unmodifiableMap(cancelledNanos);
+    }
+
     /** Returns whether the cancellation of a job was answered. */
     boolean cancelled(String job) {
-        return cancelled.contains(job);
+        return cancelledNanos.containsKey(job);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/SimulatedStore.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStore.java
@@ -3,12 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
@@ -31,7 +29,7 @@
 
     private final ManualLoop loop;
     private final boolean checksConditions;
-    private final Set<RecordStore.Table> tablesWithoutChanges = EnumSet.noneOf(RecordStore.Table.class);
+    private Predicate<RecordStore.Entry> hiddenChanges = entry -> false;
     private final Map<RecordStore.Table, TreeMap<String, RecordStore.Entry>> tables =
             new EnumMap<>(RecordStore.Table.class);
     private final List<RecordStore.Entry> history = new ArrayList<>();
@@ -134,19 +132,16 @@
         history.add(entry);
     }
 
-    /** Makes the store show no changes of a table to those who follow it. */
-    void hideChanges(RecordStore.Table table) {
-        tablesWithoutChanges.add(table);
+    /** Makes the store hide changes from those who follow their table; reads of the table still show them. */
+    void hideChanges(Predicate<RecordStore.Entry> hidden) {
+        hiddenChanges = hidden;
     }
 
     /** Returns the changes of a table after a version, oldest first. */
     List<RecordStore.Entry> changes(RecordStore.Table table, long afterVersion) {
         List<RecordStore.Entry> changes = new ArrayList<>();
-        if (tablesWithoutChanges.contains(table)) {
-            return changes;
-        }
         for (int i = history.size() - 1; i >= 0 && history.get(i).version() > afterVersion; i--) {
-            if (history.get(i).table() == table) {
+            if (history.get(i).table() == table && !hiddenChanges.test(history.get(i))) {
                 changes.addFirst(history.get(i));
             }
         }
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -31,6 +31,8 @@
         private boolean cut;
         private boolean loseHistory;
         private int silentConnections;
+        private boolean silentForTransactions;
+        private long silencedNanos = -1;
         private double lostResponses;
         private double lateWrites;
         private double rejections;
@@ -77,6 +79,24 @@
             silentConnections = count;
         }
 
+        /**
+         * Makes open connections to the store go silent: the responses to all calls on their way are lost, and the next
+         * reads and transactions that do not open a connection get none.
+         *
+         * @param idle number of such reads and transactions
+         */
+        void silenceOpenConnections(int idle, long nowNanos) {
+            silentConnections = idle;
+            silentForTransactions = true;
+            silencedNanos = nowNanos;
+        }
+
+        /** Ends the effect of silent connections, because the process that opened them has ended. */
+        void closeConnections() {
+            silentConnections = 0;
+            silentForTransactions = false;
+        }
+
         /** Returns how many open connections are still to go silent. */
         int silentConnections() {
             return silentConnections;
@@ -119,6 +139,7 @@
         private final Consumer<T> callback;
         private final T rejection;
         private final long sentNanos = loop.nowNanos();
+        private final long sentAtNanos = shared.nowNanos();
         private final boolean responseLost = link.happens(link.lostResponses);
         private final Duration responseLatency = link.latency();
         private final boolean silent;
@@ -151,7 +172,8 @@
         }
 
         private void respond(Supplier<T> response, boolean withReading) {
-            if (responseLost || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
+            boolean silenced = sentAtNanos <= link.silencedNanos;
+            if (responseLost || silenced || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
                 return;
             }
             long readingMs = store.clockMs();
@@ -181,7 +203,7 @@
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
         Call<TransactionResult> call = new Call<>(
-                false,
+                link.silentForTransactions && link.takeSilentConnection(),
                 WRITE_TIMEOUT,
                 new TransactionResult.Unknown("no response"),
                 new TransactionResult.NotApplied("status 503"),
