Simulate cancellations while connections go silent

The profile CANCELLATIONS makes open connections to the store and to the runners go silent for good, ends the leader or drops the history of the store now and then, and cancels every second job 0.2 s to 6 s after its submission.

--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -16,7 +16,9 @@
         /** The store is unavailable to all nodes from time to time, and nothing else fails. */
         STORE_OUTAGES,
         /** Runners are lost for good while leaders replace each other, with calm times between ({@link LeaderChanges}). */
-        LEADER_CHANGES
+        LEADER_CHANGES,
+        /** Many jobs are cancelled while connections go silent and leaders end ({@link ConnectionLosses}). */
+        CANCELLATIONS
     }
 
     /** Longest outage of the store that the nodes have to bridge, in milliseconds. */
@@ -138,7 +140,7 @@
         return switch (profile) {
             case ALL_KINDS -> ALL_KINDS;
             case STORE_OUTAGES -> STORE_OUTAGES;
-            case LEADER_CHANGES -> List.of();
+            case LEADER_CHANGES, CANCELLATIONS -> List.of();
         };
     }
 
@@ -153,6 +155,10 @@
             new LeaderChanges(cluster, this, random).start();
             return;
         }
+        if (profile == Profile.CANCELLATIONS) {
+            new ConnectionLosses(cluster, this, random).start();
+            return;
+        }
         disturbed = true;
         double rate = random.nextInt(3) * 0.02;
         cluster.nodes().forEach(node -> node.storeLink().setFaultRates(rate, rate, rate));
@@ -264,7 +270,7 @@
     }
 
     /** Returns the leading node, or any node if there is none, or sometimes any other. */
-    private SimulatedNode likelyLeader() {
+    SimulatedNode likelyLeader() {
         List<SimulatedNode> leading = cluster.nodes().stream()
                 .filter(node -> node.leader().isPresent())
                 .toList();
@@ -428,7 +434,7 @@
         }
     }
 
-    private void stop(SimulatedNode node) {
+    void stop(SimulatedNode node) {
         node.stop();
         // The process ends at the latest then, which is the end of a fault too.
         later(SimulatedNode.DRAIN_TIME, () -> {});
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -46,6 +46,15 @@
         assertThat(simulation.history().violations()).isEmpty();
     }
 
+    /** Guards against tasks of cancelled jobs that run on because the cancellation or the stops meet silent connections. */
+    @Property(tries = 12, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void cancelledTasksEndInTimeAlthoughConnectionsAreSilent(@ForAll long seed) {
+        ClusterSimulation simulation =
+                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.CANCELLATIONS, false);
+        simulation.run();
+        assertThat(simulation.history().violations()).isEmpty();
+    }
+
     /** Guards against failures that cannot be reproduced. */
     @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
     void sameSeedGivesTheSameEvents(@ForAll long seed) {
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -71,6 +71,9 @@
     /** Fraction by which the clock of a runner may be slow. */
     private static final double MAX_CLOCK_LAG = 0.02;
 
+    /** Longest time of most tasks if many jobs are cancelled: longer than the bound for the runs of such a job. */
+    private static final int MAX_CANCELLED_TASK_MS = 6_000;
+
     /** Time in which a cluster without faults has found the node that is to lead it. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(10);
 
@@ -87,6 +90,9 @@
 
     private static final int NODES = 3;
 
+    /** Time for several losses of connections, each alone or near the loss of a leader. */
+    private static final Duration CANCELLATIONS_TIME = Duration.ofSeconds(80);
+
     /** Number of nodes of which some do not come back. */
     private static final int LEADER_CHANGES_NODES = 5;
 
@@ -111,6 +117,9 @@
     private final SimulatedCallers callers;
     private final SimulatedStore store;
     private final List<SimulatedNode> nodes = new ArrayList<>();
+    /** Connections of the newest process of each node to the runners. */
+    private final Map<String, ConnectionPools> runnerConnections = new TreeMap<>();
+
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
     private final Set<String> cutNodePairs = new TreeSet<>();
     private final Set<String> cutRunnerLinks = new TreeSet<>();
@@ -246,9 +255,13 @@
         if (progressRejected) {
             store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
         }
-        callers.start(this::faultsEnded);
+        if (profile == ClusterFaults.Profile.CANCELLATIONS) {
+            callers.startCancellingEverySecond(this::faultsEnded);
+        } else {
+            callers.start(this::faultsEnded);
+        }
         sample();
-        loop.advance(profile == ClusterFaults.Profile.LEADER_CHANGES ? LEADER_CHANGES_TIME : FAULTY_TIME);
+        loop.advance(faultyTime());
         faults.end();
         gangs.endFailures();
         faultsEndNanos = loop.nowNanos();
@@ -256,6 +269,14 @@
         checkEndState();
     }
 
+    private Duration faultyTime() {
+        return switch (profile) {
+            case LEADER_CHANGES -> LEADER_CHANGES_TIME;
+            case CANCELLATIONS -> CANCELLATIONS_TIME;
+            case ALL_KINDS, STORE_OUTAGES -> FAULTY_TIME;
+        };
+    }
+
     private static boolean isProgressOfEveryTenthJob(RecordStore.Write write) {
         return isProgressOfAJob(write) && isEveryTenthJob(write.key());
     }
@@ -437,6 +458,9 @@
                     ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
                     : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
         }
+        if (profile == ClusterFaults.Profile.CANCELLATIONS) {
+            return new ProtocolRunner.RunPlan(millis(500 + plan.nextInt(MAX_CANCELLED_TASK_MS)), EndReason.DONE);
+        }
         return new ProtocolRunner.RunPlan(millis(100 + plan.nextInt(2_400)), fails ? EndReason.FAILED : EndReason.DONE);
     }
 
@@ -452,6 +476,13 @@
         setCut(cutRunnerLinks, node.name() + ">" + address, cut);
     }
 
+    /** Makes open connections of a node's process to all runners go silent for good, each with a probability. */
+    void silenceRunnerConnections(SimulatedNode node, double probability, Random own) {
+        runnersByAddress
+                .keySet()
+                .forEach(address -> runnerConnections.get(node.name()).silence(address, probability, own));
+    }
+
     private static void setCut(Set<String> cuts, String link, boolean cut) {
         if (cut) {
             cuts.add(link);
@@ -475,6 +506,7 @@
         @Override
         public RunnerCalls runners(SimulatedNode node, EventLoop nodeLoop) {
             ProtocolRunnerCalls calls = new ProtocolRunnerCalls(loop, nodeLoop, new NodeConnections(node));
+            runnerConnections.put(node.name(), calls.pools());
             return defect == Defect.ENDS_ACKNOWLEDGED_BEFORE_STORED ? new EarlyAcknowledgingCalls(calls) : calls;
         }
     }
--- a/src/test/java/org/tamarackline/fleet/SimulatedCallers.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedCallers.java
@@ -60,6 +60,22 @@
         });
     }
 
+    /** Submits jobs at random times until {@code ended} holds, and cancels every second one a while later. */
+    void startCancellingEverySecond(BooleanSupplier ended) {
+        loop.schedule(millis(100 + random.nextInt(900)), () -> {
+            if (ended.getAsBoolean()) {
+                return;
+            }
+            submit(jobs.nextJob());
+            loop.schedule(millis(100 + random.nextInt(900)), () -> {
+                JobDefinition job = random.nextInt(3) == 0 ? jobs.longRunningJob() : jobs.nextJob();
+                submit(job);
+                loop.schedule(millis(200 + random.nextInt(5_800)), () -> cancel(job.id()));
+                startCancellingEverySecond(ended);
+            });
+        });
+    }
+
     void submit(JobDefinition job) {
         submitted.put(job.id(), job);
         history.submitted(job);
