--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -16,7 +16,9 @@
         /** The store is unavailable to all nodes from time to time, and nothing else fails. */
         STORE_OUTAGES,
         /** Runners are lost for good while leaders replace each other, with calm times between ({@link LeaderChanges}). */
-        LEADER_CHANGES
+        LEADER_CHANGES,
+        /** Many jobs are cancelled while connections go silent and leaders end ({@link ConnectionLosses}). */
+        CANCELLATIONS
     }
 
     /** Longest outage of the store that the nodes have to bridge, in milliseconds. */
@@ -138,7 +140,7 @@
         return switch (profile) {
             case ALL_KINDS -> ALL_KINDS;
             case STORE_OUTAGES -> STORE_OUTAGES;
-            case LEADER_CHANGES -> List.of();
+            case LEADER_CHANGES, CANCELLATIONS -> List.of();
         };
     }
 
@@ -153,6 +155,10 @@
             new LeaderChanges(cluster, this, random).start();
             return;
         }
+        if (profile == Profile.CANCELLATIONS) {
+            new ConnectionLosses(cluster, this, random).start();
+            return;
+        }
         disturbed = true;
         double rate = random.nextInt(3) * 0.02;
         cluster.nodes().forEach(node -> node.storeLink().setFaultRates(rate, rate, rate));
@@ -183,7 +189,7 @@
         active = false;
         disturbed = false;
         cluster.history().event("the faults end");
-        cluster.longRunningTasks().disturbed();
+        cluster.disturbed();
         cluster.restoreAllConnections();
         cluster.store().setAvailability(SimulatedStore.Availability.AVAILABLE);
         cluster.store().setAdditionalLatency(Duration.ZERO);
@@ -254,7 +260,7 @@
     /** Runs an action that begins or ends a fault after a delay. */
     void later(Duration delay, Runnable action) {
         cluster.loop().schedule(delay, () -> {
-            cluster.longRunningTasks().disturbed();
+            cluster.disturbed();
             action.run();
         });
     }
@@ -264,7 +270,7 @@
     }
 
     /** Returns the leading node, or any node if there is none, or sometimes any other. */
-    private SimulatedNode likelyLeader() {
+    SimulatedNode likelyLeader() {
         List<SimulatedNode> leading = cluster.nodes().stream()
                 .filter(node -> node.leader().isPresent())
                 .toList();
@@ -286,7 +292,7 @@
         ProtocolRunner runner = anyRunner();
         SimulatedNode node = likelyLeader();
         cluster.history().event("FAULT", kind.name(), "(", runner.id(), ",", node.name(), ")");
-        cluster.longRunningTasks().disturbed();
+        cluster.disturbed();
         kind.injection().inject(this, runner, node);
     }
 
@@ -428,7 +434,7 @@
         }
     }
 
-    private void stop(SimulatedNode node) {
+    void stop(SimulatedNode node) {
         node.stop();
         // The process ends at the latest then, which is the end of a fault too.
         later(SimulatedNode.DRAIN_TIME, () -> {});
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -26,9 +26,9 @@
  * Simulates several nodes with their real classes, the store and runners under random faults ({@link ClusterFaults}).
  *
  * <p>Jobs are submitted and cancelled through the nodes. {@link RunHistory} checks what the runners see, {@link
- * LongRunningTasks} how long tasks that last have no run. Once the faults have ended, all jobs must end. The same seed
- * gives the same sequence of events: each connection draws from its own random numbers, so that the order of independent
- * calls does not matter.
+ * LongRunningTasks} how long tasks that last have no run, {@link CancelledJobs} when the runs of cancelled jobs end. Once
+ * the faults have ended, all jobs must end. The same seed gives the same sequence of events: each connection draws from its
+ * own random numbers, so that the order of independent calls does not matter.
  */
 final class ClusterSimulation {
 
@@ -51,7 +51,11 @@
         /** The directory shows no process of a runner that starts after the first seconds. */
         NEW_RUNNERS_HIDDEN,
         /** The store keeps no record of when the leases of lost runners end. */
-        LEASE_ENDS_FORGOTTEN
+        LEASE_ENDS_FORGOTTEN,
+        /** Runners confirm stops and do nothing. */
+        STOPS_LOST,
+        /** The store shows no cancellations to the nodes that follow the jobs. */
+        CANCELLATIONS_HIDDEN
     }
 
     private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
@@ -64,10 +68,12 @@
 
     private static final Duration JOBS_BOUND = Duration.ofSeconds(60);
     private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(50);
-    private static final Duration RETRY_INTERVAL = Duration.ofMillis(700);
     /** Fraction by which the clock of a runner may be slow. */
     private static final double MAX_CLOCK_LAG = 0.02;
 
+    /** Longest time of most tasks if many jobs are cancelled: longer than the bound for the runs of such a job. */
+    private static final int MAX_CANCELLED_TASK_MS = 6_000;
+
     /** Time in which a cluster without faults has found the node that is to lead it. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(10);
 
@@ -84,6 +90,9 @@
 
     private static final int NODES = 3;
 
+    /** Time for several losses of connections, each alone or near the loss of a leader. */
+    private static final Duration CANCELLATIONS_TIME = Duration.ofSeconds(80);
+
     /** Number of nodes of which some do not come back. */
     private static final int LEADER_CHANGES_NODES = 5;
 
@@ -105,8 +114,12 @@
     private final RunHistory history;
     private final SimulatedGangs gangs;
     private final SimulatedJobs jobs;
+    private final SimulatedCallers callers;
     private final SimulatedStore store;
     private final List<SimulatedNode> nodes = new ArrayList<>();
+    /** Connections of the newest process of each node to the runners. */
+    private final Map<String, ConnectionPools> runnerConnections = new TreeMap<>();
+
     private final Map<String, ProtocolRunner> runnersByAddress = new LinkedHashMap<>();
     private final Set<String> cutNodePairs = new TreeSet<>();
     private final Set<String> cutRunnerLinks = new TreeSet<>();
@@ -114,18 +127,12 @@
     private final SimulatedOperator operator;
     private final LeavingRunners leavingRunners;
     private final LongRunningTasks longRunningTasks;
+    private final CancelledJobs cancelledJobs;
     private final ClusterFaults faults;
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
     private final LineSink log;
     private final boolean tracing;
 
-    private final Map<String, JobDefinition> submitted = new TreeMap<>();
-    private final Map<String, Long> acceptedNanos = new TreeMap<>();
-    private final Set<String> cancelRequested = new TreeSet<>();
-    private final Set<String> cancelled = new TreeSet<>();
-    /** Jobs of which a cancellation was answered that there is no such job. */
-    private final Set<String> withdrawn = new TreeSet<>();
-
     private final Map<String, Long> directorySequences = new TreeMap<>();
     /** Whether the store rejects the progress of every tenth job, to the end. */
     private boolean progressRejected;
@@ -153,11 +160,15 @@
         this.random = new Random(seed);
         this.jobs = new SimulatedJobs(loop, random);
         this.history = new RunHistory(loop, tracing);
+        this.callers = new SimulatedCallers(loop, history, jobs, nodes, random);
         this.gangs = new SimulatedGangs(loop, history, new Random(random.nextLong()));
         this.log = tracing ? new LineSink(logBytes) : NO_LOG;
         this.store = new SimulatedStore(loop, defect != Defect.STORE_IGNORES_CONDITIONS);
         if (defect == Defect.CONFIGURATION_CHANGES_HIDDEN) {
-            store.hideChanges(RecordStore.Table.CONFIGURATION);
+            store.hideChanges(entry -> entry.table() == RecordStore.Table.CONFIGURATION);
+        }
+        if (defect == Defect.CANCELLATIONS_HIDDEN) {
+            store.hideChanges(entry -> entry.key().endsWith(StoredJob.CANCEL_SUFFIX));
         }
         if (defect == Defect.LEASE_ENDS_FORGOTTEN) {
             store.setStoredForm(ClusterSimulation::withoutLeaseEnd);
@@ -166,6 +177,7 @@
         this.operator = new SimulatedOperator(loop, store, contacts, history, new Random(random.nextLong()));
         this.leavingRunners = new LeavingRunners(loop, contacts, history);
         this.longRunningTasks = new LongRunningTasks(loop, history);
+        this.cancelledJobs = new CancelledJobs(loop, contacts, history, callers);
         this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
         int pageRows = random.nextBoolean() ? 500 : 10;
         boolean leaderChanges = profile == ClusterFaults.Profile.LEADER_CHANGES;
@@ -209,8 +221,10 @@
         return history;
     }
 
-    LongRunningTasks longRunningTasks() {
-        return longRunningTasks;
+    /** A fault begins or ends; the bounds for calm moments count anew. */
+    void disturbed() {
+        longRunningTasks.disturbed();
+        cancelledJobs.disturbed();
     }
 
     /** Returns the runner that has each address, whether or not it is up. */
@@ -234,16 +248,20 @@
         operator.start();
         nodes.forEach(SimulatedNode::start);
         for (int i = 0; i < 3; i++) {
-            submit(jobs.longRunningJob());
+            callers.submit(jobs.longRunningJob());
         }
         faults.start();
         progressRejected = random.nextInt(4) == 0;
         if (progressRejected) {
             store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
         }
-        scheduleNextJob();
+        if (profile == ClusterFaults.Profile.CANCELLATIONS) {
+            callers.startCancellingEverySecond(this::faultsEnded);
+        } else {
+            callers.start(this::faultsEnded);
+        }
         sample();
-        loop.advance(profile == ClusterFaults.Profile.LEADER_CHANGES ? LEADER_CHANGES_TIME : FAULTY_TIME);
+        loop.advance(faultyTime());
         faults.end();
         gangs.endFailures();
         faultsEndNanos = loop.nowNanos();
@@ -251,6 +269,14 @@
         checkEndState();
     }
 
+    private Duration faultyTime() {
+        return switch (profile) {
+            case LEADER_CHANGES -> LEADER_CHANGES_TIME;
+            case CANCELLATIONS -> CANCELLATIONS_TIME;
+            case ALL_KINDS, STORE_OUTAGES -> FAULTY_TIME;
+        };
+    }
+
     private static boolean isProgressOfEveryTenthJob(RecordStore.Write write) {
         return isProgressOfAJob(write) && isEveryTenthJob(write.key());
     }
@@ -287,79 +313,10 @@
         return Duration.ofMillis(millis);
     }
 
-    // ---- Jobs
-
-    private void scheduleNextJob() {
-        loop.schedule(millis(100 + random.nextInt(900)), () -> {
-            if (faultsEnded()) {
-                return;
-            }
-            JobDefinition job = jobs.nextJob();
-            submit(job);
-            if (random.nextInt(8) == 0) {
-                // Some are cancelled while their submission is on its way.
-                int delayMs = random.nextBoolean() ? random.nextInt(100) : 200 + random.nextInt(6_000);
-                loop.schedule(millis(delayMs), () -> cancel(job.id()));
-            }
-            scheduleNextJob();
-        });
-    }
-
     private boolean faultsEnded() {
         return loop.nowNanos() >= faultsEndNanos;
     }
 
-    private void submit(JobDefinition job) {
-        submitted.put(job.id(), job);
-        history.submitted(job);
-        trySubmit(job);
-    }
-
-    private void trySubmit(JobDefinition job) {
-        if (acceptedNanos.containsKey(job.id()) || withdrawn.contains(job.id())) {
-            return;
-        }
-        runningNode()
-                .ifPresent(node -> node.process().requests().submit(job, outcome -> {
-                    if (outcome instanceof JobRequestHandler.Outcome.Accepted
-                            && acceptedNanos.putIfAbsent(job.id(), loop.nowNanos()) == null) {
-                        history.event(node.name(), "accepts", job.id());
-                        checkNotWithdrawn(job.id());
-                    }
-                }));
-        loop.schedule(RETRY_INTERVAL, () -> trySubmit(job));
-    }
-
-    private void cancel(String job) {
-        cancelRequested.add(job);
-        if (cancelled.contains(job) || withdrawn.contains(job)) {
-            return;
-        }
-        runningNode()
-                .ifPresent(node -> node.process().requests().cancel(job, outcome -> {
-                    if (outcome instanceof JobRequestHandler.Outcome.Accepted && cancelled.add(job)) {
-                        history.event(node.name(), "accepts the cancellation of", job);
-                    } else if (outcome instanceof JobRequestHandler.Outcome.NoSuchJob && withdrawn.add(job)) {
-                        history.withdrawn(job);
-                        checkNotWithdrawn(job);
-                    }
-                }));
-        loop.schedule(RETRY_INTERVAL, () -> cancel(job));
-    }
-
-    /** Checks that a job was not both accepted and answered to be unknown; it is not kept for so short a time. */
-    private void checkNotWithdrawn(String job) {
-        if (acceptedNanos.containsKey(job) && withdrawn.contains(job)) {
-            history.report(RunHistory.Rule.WITHDRAWN_JOB_ACCEPTED, job, "accepted, and not known to a cancellation");
-        }
-    }
-
-    private Optional<SimulatedNode> runningNode() {
-        List<SimulatedNode> running =
-                nodes.stream().filter(node -> node.process() != null).toList();
-        return running.isEmpty() ? Optional.empty() : Optional.of(running.get(random.nextInt(running.size())));
-    }
-
     // ---- Runners
 
     /** Starts a runner with a new identifier at an address, unless one is up there. */
@@ -379,9 +336,11 @@
                 new ProtocolRunner.Properties(
                         1 - MAX_CLOCK_LAG * properties.nextDouble(),
                         ProtocolRunner.Properties.DEFAULT.maxReportedEnds(),
-                        millis(properties.nextInt(300)),
+                        millis(properties.nextInt((int) CancelledJobs.MAX_STOP_TIME.toMillis())),
                         defect != Defect.RUNNERS_IGNORE_EPOCHS,
-                        defect != Defect.LEASES_DO_NOT_EXPIRE),
+                        defect != Defect.LEASES_DO_NOT_EXPIRE,
+                        ProtocolRunner.Properties.DEFAULT.maxRuns(),
+                        defect != Defect.STOPS_LOST),
                 kind);
         runnersByAddress.put(address, runner);
         registerProcess(runner);
@@ -424,7 +383,7 @@
         loop.schedule(downtime, () -> {
             if (!runner.up() && runnersByAddress.get(runner.address()) == runner) {
                 runner.boot();
-                longRunningTasks.disturbed();
+                disturbed();
                 registerProcess(runner);
             }
         });
@@ -448,7 +407,7 @@
         int process = runner.process();
         loop.schedule(delay, () -> {
             if (runner.process() == process && runner.up()) {
-                longRunningTasks.disturbed();
+                disturbed();
                 removeRunner(runner);
             }
         });
@@ -485,7 +444,7 @@
         hash = hash * 1_000_003 + task.occurrence() * 961L + task.step() * 31L + task.index();
         hash = hash * 1_000_003 + runner.id().hashCode() + runner.process();
         Random plan = new Random(hash * 1_000_003 + runNumber);
-        JobDefinition job = submitted.get(task.job());
+        JobDefinition job = callers.submitted().get(task.job());
         if (job.steps().get(task.step()).gang()) {
             // SimulatedGangs ends it.
             return new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
@@ -499,6 +458,9 @@
                     ? new ProtocolRunner.RunPlan(millis(1_000 + plan.nextInt(9_000)), EndReason.FAILED)
                     : new ProtocolRunner.RunPlan(Duration.ofDays(1), EndReason.DONE);
         }
+        if (profile == ClusterFaults.Profile.CANCELLATIONS) {
+            return new ProtocolRunner.RunPlan(millis(500 + plan.nextInt(MAX_CANCELLED_TASK_MS)), EndReason.DONE);
+        }
         return new ProtocolRunner.RunPlan(millis(100 + plan.nextInt(2_400)), fails ? EndReason.FAILED : EndReason.DONE);
     }
 
@@ -514,6 +476,13 @@
         setCut(cutRunnerLinks, node.name() + ">" + address, cut);
     }
 
+    /** Makes open connections of a node's process to all runners go silent for good, each with a probability. */
+    void silenceRunnerConnections(SimulatedNode node, double probability, Random own) {
+        runnersByAddress
+                .keySet()
+                .forEach(address -> runnerConnections.get(node.name()).silence(address, probability, own));
+    }
+
     private static void setCut(Set<String> cuts, String link, boolean cut) {
         if (cut) {
             cuts.add(link);
@@ -537,6 +506,7 @@
         @Override
         public RunnerCalls runners(SimulatedNode node, EventLoop nodeLoop) {
             ProtocolRunnerCalls calls = new ProtocolRunnerCalls(loop, nodeLoop, new NodeConnections(node));
+            runnerConnections.put(node.name(), calls.pools());
             return defect == Defect.ENDS_ACKNOWLEDGED_BEFORE_STORED ? new EarlyAcknowledgingCalls(calls) : calls;
         }
     }
@@ -606,6 +576,7 @@
         @Override
         public void startSent(RunnerDescriptor runner, RunnerCalls.StartCommand command) {
             leavingRunners.onStartSent(node, runner.id(), command);
+            cancelledJobs.onStartSent(node, command.task(), command.runNumber());
             history.startSent(
                     describeSender(command.epoch()), command.task(), command.runNumber(), command.epoch(), runner.id());
         }
@@ -635,6 +606,7 @@
             node.leader().ifPresent(leader -> sampleStates(node, leader));
         }
         checkLongRunningTasks();
+        checkCancelledJobs();
         if (profile == ClusterFaults.Profile.STORE_OUTAGES) {
             checkLeaderStays();
         }
@@ -645,9 +617,9 @@
     }
 
     private void sampleStates(SimulatedNode node, Leader leader) {
-        for (String job : submitted.keySet()) {
+        for (String job : callers.submitted().keySet()) {
             leader.state(job)
-                    .ifPresent(state -> history.stateShown(node.name(), job, state, cancelRequested.contains(job)));
+                    .ifPresent(state -> history.stateShown(node.name(), job, state, callers.cancelRequested(job)));
         }
     }
 
@@ -665,16 +637,26 @@
         }
     }
 
+    private void checkCancelledJobs() {
+        if (faults.inEffect()
+                || nodes.stream().anyMatch(node -> node.storeLink().disturbed())) {
+            cancelledJobs.disturbed();
+        }
+        cancelledJobs.check();
+    }
+
     private void checkLongRunningTasks() {
         // A task without a runner that it fits on cannot start.
         if (faults.inEffect() || !hasRunnersForAllTasks()) {
             longRunningTasks.disturbed();
         }
-        acceptedNanos.forEach((job, nanos) -> {
+        callers.acceptedNanos().forEach((job, nanos) -> {
             // The placement of long-running tasks is stored with the progress.
             boolean unstorable = progressRejected && isEveryTenthJob(job);
-            if (SimulatedJobs.isLongRunning(submitted.get(job)) && !cancelRequested.contains(job) && !unstorable) {
-                checkLongRunningTasks(submitted.get(job), nanos);
+            if (SimulatedJobs.isLongRunning(callers.submitted().get(job))
+                    && !callers.cancelRequested(job)
+                    && !unstorable) {
+                checkLongRunningTasks(callers.submitted().get(job), nanos);
             }
         });
     }
@@ -708,13 +690,13 @@
                     "all jobs",
                     history.leaseExpiryCount() + " runs ended with their lease");
         }
-        for (String job : acceptedNanos.keySet()) {
-            JobDefinition definition = submitted.get(job);
+        for (String job : callers.acceptedNanos().keySet()) {
+            JobDefinition definition = callers.submitted().get(job);
             boolean runs = RunHistory.tasksOf(definition).stream().anyMatch(history::runs);
-            if (cancelled.contains(job) && runs) {
+            if (callers.cancelled(job) && runs) {
                 history.report(RunHistory.Rule.CANCELLED_JOB_RUNS, job, "a run of it has not ended");
             }
-            if ((!SimulatedJobs.isLongRunning(definition) || cancelled.contains(job)) && !storedAsFinished(job)) {
+            if ((!SimulatedJobs.isLongRunning(definition) || callers.cancelled(job)) && !storedAsFinished(job)) {
                 history.report(RunHistory.Rule.JOB_NOT_FINISHED, job, "the store has it as open");
             }
         }
