Hand over to a node that lacks the capacity too only after 5 s

Cause: a leader without the capacity for its fleet handed over after 1 s to any node with twice its processor time. Where nodes start one after the other, each new one took over at once, and each of these leaders had to find the silent runners again before their tasks could start.

A leader now hands over to such a node only once it has led for 5 s. A node that has the capacity still takes over after 1 s.

--- a/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
+++ b/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
@@ -17,6 +17,12 @@
     /** Time for which a leader leads at least, in which it renews the leases that it took over. */
     private static final Duration MIN_LEADING_TIME = Duration.ofSeconds(1);
 
+    /**
+     * Time for which a leader leads at least before it hands over to a node that lacks the capacity, too. Each leader has to
+     * find silent runners again, and their leases of 5 s end meanwhile, so that their tasks can start.
+     */
+    private static final Duration MIN_LEADING_TIME_BEFORE_PARTIAL_GAIN = Duration.ofSeconds(5);
+
     /** Age of a successor's last ping up to which it counts as reachable; it pings more than twice in this time. */
     private static final Duration MAX_PING_AGE = Duration.ofSeconds(1);
 
@@ -34,6 +40,7 @@
     private final MonotonicClock clock;
     private final NodeCapacity own;
     private long earliestHandoverNanos;
+    private long earliestPartialGainNanos;
 
     CapacityPolicy(MonotonicClock clock, NodeCapacity own) {
         this.clock = clock;
@@ -47,7 +54,9 @@
     }
 
     void onStartedToLead() {
-        earliestHandoverNanos = Math.max(earliestHandoverNanos, clock.nowNanos() + MIN_LEADING_TIME.toNanos());
+        long nowNanos = clock.nowNanos();
+        earliestHandoverNanos = Math.max(earliestHandoverNanos, nowNanos + MIN_LEADING_TIME.toNanos());
+        earliestPartialGainNanos = nowNanos + MIN_LEADING_TIME_BEFORE_PARTIAL_GAIN.toNanos();
     }
 
     /** The leader resigned, but no node took over. */
@@ -78,8 +87,13 @@
         return successors.first(MAX_PING_AGE).map(Successors.Successor::node);
     }
 
-    /** Returns whether a node can lead the fleet, or at least has far more processor time than this one. */
+    /**
+     * Returns whether a node can lead the fleet, or at least has far more processor time than this one, which has led for
+     * long enough.
+     */
     private boolean isBetter(NodeCapacity other, NodeCapacity required) {
-        return other.covers(required) || other.cpuMillis() >= MIN_CPU_FACTOR * Math.max(1, own.cpuMillis());
+        return other.covers(required)
+                || (clock.nowNanos() - earliestPartialGainNanos >= 0
+                        && other.cpuMillis() >= MIN_CPU_FACTOR * Math.max(1, own.cpuMillis()));
     }
 }
--- a/src/test/java/org/tamarackline/fleet/CapacityPolicyTest.java
+++ b/src/test/java/org/tamarackline/fleet/CapacityPolicyTest.java
@@ -51,6 +51,21 @@
         assertThat(policy.reasonToHandOver(245, successors)).isEmpty();
     }
 
+    /**
+     * Guards against a series of leaders, each twice as strong as the one before and none strong enough, that end before
+     * they know which runners are lost.
+     */
+    @Test
+    void leaderLeadsForLongerBeforeItHandsOverToANodeThatLacksTheCapacityToo() {
+        CapacityPolicy policy = leading(SMALL);
+        NodeCapacity twice = new NodeCapacity(2 * SMALL.cpuMillis(), 330, 4_100);
+        ping("twice", twice);
+        assertThat(policy.reasonToHandOver(245, successors)).isEmpty();
+        loop.advance(Duration.ofSeconds(3));
+        ping("twice", twice);
+        assertThat(policy.reasonToHandOver(245, successors)).isPresent();
+    }
+
     /** Guards against a handover to a node that has just ended. */
     @Test
     void nodeThatHasNotPingedLatelyDoesNotSucceed() {
