Repeat an unanswered poll of a runner on a new connection, and in time

A sound runner could lose its lease, and its runs were not seen by a new leader, because each poll met another connection that had gone silent: 1.2 to 2.2 s each, 8 connections an address.

A poll after one without an answer uses a new connection. A poll that was scheduled for later, up to 4 s on an idle runner, no longer keeps the repetition from being sent after 0.3 s. RunnerSessionTest#unansweredPollIsRepeatedOnANewConnection and #unansweredPollIsRepeatedSoonAlthoughALaterOneIsScheduled failed before.

--- a/src/main/java/org/tamarackline/fleet/RunnerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCalls.java
@@ -52,6 +52,15 @@
             int waitMs,
             Consumer<PollResponse> callback);
 
+    /** Polls a runner as {@link #poll} does, but over a connection that is opened for it. */
+    void pollOnNewConnection(
+            RunnerDescriptor runner,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback);
+
     /**
      * Request to start a run.
      *
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.HeldEnd;
@@ -51,6 +52,9 @@
     private boolean closed;
     private boolean pollInFlight;
     private boolean pollScheduled;
+    /** When the next poll is due, meaningful only if one is scheduled. */
+    private long nextPollNanos;
+
     private boolean lost;
     private boolean replacedAtAddress;
     private boolean restartPending;
@@ -215,17 +219,26 @@
         }
     }
 
-    /** Polls the runner after a delay, unless a poll is in flight or scheduled. */
+    /** Polls the runner after a delay, unless a poll is in flight or scheduled for an earlier time. */
     void schedulePoll(Duration delay) {
-        if (closed || pollInFlight || (pollScheduled && !delay.isZero())) {
+        if (closed || pollInFlight) {
             return;
         }
         if (delay.isZero()) {
             poll();
             return;
         }
+        long dueNanos = context.loop().nowNanos() + delay.toNanos();
+        if (pollScheduled && dueNanos - nextPollNanos >= 0) {
+            return;
+        }
         pollScheduled = true;
+        nextPollNanos = dueNanos;
         context.loop().schedule(delay, () -> {
+            // Another poll may have been scheduled since, for an earlier time.
+            if (!pollScheduled || nextPollNanos != dueNanos) {
+                return;
+            }
             pollScheduled = false;
             if (!pollInFlight) {
                 poll();
@@ -260,14 +273,22 @@
         firstReport.onPollSent();
         int waitMs = wait ? pollWaitMs() : 0;
         silence.onPollSent(sentNanos + waitMs * NANOS_PER_MS);
-        context.runnerCalls()
-                .poll(
-                        runner.descriptor(),
-                        epoch,
-                        acknowledgedEnd,
-                        leaseUntilMs,
-                        waitMs,
-                        response -> onPollResponse(response, sentNanos, acknowledgedEnd));
+        sendPoll(
+                acknowledgedEnd,
+                leaseUntilMs,
+                waitMs,
+                response -> onPollResponse(response, sentNanos, acknowledgedEnd));
+    }
+
+    /** Sends a poll; on a new connection if the one before had no answer, because its connection may have gone silent. */
+    private void sendPoll(
+            long acknowledgedEnd, long leaseUntilMs, int waitMs, Consumer<RunnerCalls.PollResponse> callback) {
+        RunnerCalls calls = context.runnerCalls();
+        if (silent()) {
+            calls.pollOnNewConnection(runner.descriptor(), epoch, acknowledgedEnd, leaseUntilMs, waitMs, callback);
+        } else {
+            calls.poll(runner.descriptor(), epoch, acknowledgedEnd, leaseUntilMs, waitMs, callback);
+        }
     }
 
     /** Returns the wait of a poll; short leases are renewed more often, so that they outlast the next raise of the limit. */
--- a/src/main/java/org/tamarackline/platform/RunnerClient.java
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -91,14 +91,9 @@
             long runNumber,
             long epoch,
             Consumer<RunnerCommandOutcome> callback) {
-        http.callOnNewConnection(
-                "POST",
-                runner.address(),
-                "/-/run-stop",
-                headersFor(runner),
-                encodeStop(task, runNumber, epoch),
-                COMMAND_TIMEOUT,
-                result -> loop.execute(() -> callback.accept(toCommandOutcome(result))));
+        byte[] body = encodeStop(task, runNumber, epoch);
+        postOnNewConnection(
+                runner, "/-/run-stop", body, COMMAND_TIMEOUT, result -> callback.accept(toCommandOutcome(result)));
     }
 
     private static byte[] encodeStop(TaskKey task, long runNumber, long epoch) {
@@ -134,7 +129,32 @@
             long leaseUntilMs,
             int waitMs,
             Consumer<PollResponse> callback) {
-        byte[] body = Json.encodeObject(json -> {
+        post(
+                runner,
+                "/-/hold",
+                encodePoll(epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs),
+                POLL_TIMEOUT_MARGIN.plusMillis(waitMs),
+                result -> callback.accept(toPollResponse(result)));
+    }
+
+    @Override
+    public void pollOnNewConnection(
+            RunnerDescriptor runner,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
+        postOnNewConnection(
+                runner,
+                "/-/hold",
+                encodePoll(epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs),
+                POLL_TIMEOUT_MARGIN.plusMillis(waitMs),
+                result -> callback.accept(toPollResponse(result)));
+    }
+
+    private static byte[] encodePoll(long epoch, long lastAcknowledgedEnd, long leaseUntilMs, int waitMs) {
+        return Json.encodeObject(json -> {
             if (leaseUntilMs > 0) {
                 json.writeNumberField("untilMs", leaseUntilMs);
             }
@@ -145,12 +165,6 @@
                 json.writeNumberField("waitMs", waitMs);
             }
         });
-        post(
-                runner,
-                "/-/hold",
-                body,
-                POLL_TIMEOUT_MARGIN.plusMillis(waitMs),
-                result -> callback.accept(toPollResponse(result)));
     }
 
     private static PollResponse toPollResponse(HttpCallResult result) {
@@ -175,6 +189,18 @@
                 result -> loop.execute(() -> callback.accept(result)));
     }
 
+    private void postOnNewConnection(
+            RunnerDescriptor runner, String path, byte[] body, Duration timeout, Consumer<HttpCallResult> callback) {
+        http.callOnNewConnection(
+                "POST",
+                runner.address(),
+                path,
+                headersFor(runner),
+                body,
+                timeout,
+                result -> loop.execute(() -> callback.accept(result)));
+    }
+
     /** Returns the headers of each call; the platform's term for one incarnation of a runner is instance. */
     private static Map<String, String> headersFor(RunnerDescriptor runner) {
         return Map.of("Expect-Instance", runner.id());
--- a/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
+++ b/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
@@ -72,6 +72,17 @@
         });
     }
 
+    @Override
+    public void pollOnNewConnection(
+            RunnerDescriptor runner,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
+        poll(runner, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+    }
+
     private static long lastEndOf(RunnerStatus status) {
         return status.endedRuns().isEmpty() ? 0 : status.endedRuns().getLast().sequenceNumber();
     }
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -56,6 +56,7 @@
     private final List<SentRenewal> renewals = new ArrayList<>();
     private final List<SentStop> stops = new ArrayList<>();
     private int polls;
+    private int pollsOnNewConnections;
     private Duration pollResponseDelay = Duration.ZERO;
     private Duration nextReplacedAnswerDelay = Duration.ZERO;
     private boolean allSilent;
@@ -140,6 +141,11 @@
         return polls;
     }
 
+    /** Returns the number of polls among them for which a connection was opened. */
+    int pollsOnNewConnections() {
+        return pollsOnNewConnections;
+    }
+
     private boolean silent(RunnerDescriptor runner) {
         return allSilent || silentRunners.contains(runner.id());
     }
@@ -245,4 +251,16 @@
                     ""));
         });
     }
+
+    @Override
+    public void pollOnNewConnection(
+            RunnerDescriptor runner,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
+        pollsOnNewConnections++;
+        poll(runner, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+    }
 }
--- a/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
+++ b/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
@@ -160,6 +160,17 @@
                 () -> callback.accept(new PollResponse(RunnerCommandOutcome.DONE, status(), "")));
     }
 
+    @Override
+    public void pollOnNewConnection(
+            RunnerDescriptor runner,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
+        poll(runner, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+    }
+
     private RunnerStatus status() {
         return new RunnerStatus(1, loop.nowNanos() / 1_000_000, activeRuns, List.of());
     }
--- a/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
@@ -433,6 +433,17 @@
                     response -> callback.accept(withEnds(response)));
         }
 
+        @Override
+        public void pollOnNewConnection(
+                RunnerDescriptor runner,
+                long epoch,
+                long lastAcknowledgedEnd,
+                long leaseUntilMs,
+                int waitMs,
+                Consumer<PollResponse> callback) {
+            poll(runner, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+        }
+
         private PollResponse withEnds(PollResponse response) {
             RunnerStatus status = response.status();
             if (status == null || ends.isEmpty()) {
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
@@ -316,6 +316,30 @@
             long leaseUntilMs,
             int waitMs,
             Consumer<PollResponse> callback) {
+        ConnectionPools.Connection connection = pools.take(descriptor.address());
+        poll(descriptor, connection, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+    }
+
+    @Override
+    public void pollOnNewConnection(
+            RunnerDescriptor descriptor,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
+        ConnectionPools.Connection connection = pools.open(descriptor.address());
+        poll(descriptor, connection, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+    }
+
+    private void poll(
+            RunnerDescriptor descriptor,
+            ConnectionPools.Connection connection,
+            long epoch,
+            long lastAcknowledgedEnd,
+            long leaseUntilMs,
+            int waitMs,
+            Consumer<PollResponse> callback) {
         Failure<PollResponse> failure = (outcome, neverSent) -> new PollResponse(outcome, null, outcome.name());
         Consumer<PollResponse> reportingCallback = response -> {
             if (response.status() != null) {
@@ -323,7 +347,7 @@
             }
             callback.accept(response);
         };
-        new Call<>(descriptor, epoch, failure, reportingCallback)
+        new Call<>(descriptor, epoch, connection, failure, reportingCallback)
                 .send(POLL_TIMEOUT_MARGIN.plusMillis(waitMs), (runner, call) -> {
                     runner.poll(lastAcknowledgedEnd, leaseUntilMs);
                     new WaitingPoll(runner, call).respondWithin(Duration.ofMillis(waitMs));
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -338,4 +338,29 @@
         assertThat(calls.polls()).isGreaterThanOrEqualTo(polls + 3);
         assertThat(calls.renewals()).isEmpty();
     }
+
+    /** Guards against a sound runner whose lease expires because each poll meets a connection gone silent. */
+    @Test
+    void unansweredPollIsRepeatedOnANewConnection() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.stopResponding();
+        int answeredPolls = calls.polls();
+        session.pollNow();
+        loop.advance(Duration.ofMillis(2_500));
+        assertThat(calls.pollsOnNewConnections()).isPositive();
+        assertThat(calls.polls() - calls.pollsOnNewConnections()).isEqualTo(answeredPolls + 1);
+    }
+
+    /** Guards against a poll without an answer that is repeated only at the later time for which one was scheduled. */
+    @Test
+    void unansweredPollIsRepeatedSoonAlthoughALaterOneIsScheduled() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.stopResponding();
+        session.pollNow();
+        int polls = calls.polls();
+        loop.advance(Duration.ofMillis(1_500));
+        assertThat(calls.polls()).isGreaterThan(polls);
+    }
 }
