Correct the stops of given-up starts and the readiness of later steps

The first stop of a given-up start is remembered with the runner again, PendingStops keeps the count of attempts, a step goes through later tasks once, when its last run has ended, and a confirmation counts only for the process that the stop was sent to.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import org.tamarackline.core.time.MonotonicClock;
@@ -181,7 +180,7 @@
         pendingStops.removeAll(runner);
         for (Run run : runner.snapshotOfRuns()) {
             if (!run.startConfirmed && !pendingStarts.contains(run)) {
-                runner.unresolvedStarts.add(run.key());
+                runner.unresolvedStarts.put(run.key(), FleetRunner.NOT_STOPPED);
             }
             loseRun(run, "the runner is lost");
         }
@@ -302,21 +301,21 @@
      * got no response for the longest delay of a command can no longer take effect.
      */
     private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
-        for (FleetRunner.RunKey start : List.copyOf(runner.unresolvedStarts)) {
-            OptionalLong firstStopNanos = pendingStops.firstSentNanos(runner, start);
-            if (firstStopNanos.isPresent()
-                    && nowNanos - firstStopNanos.getAsLong() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS) {
-                resolveStart(runner, start);
+        runner.unresolvedStarts.replaceAll(
+                (start, stoppedNanos) -> stoppedNanos == FleetRunner.NOT_STOPPED ? nowNanos : stoppedNanos);
+        for (Map.Entry<FleetRunner.RunKey, Long> start : List.copyOf(runner.unresolvedStarts.entrySet())) {
+            if (nowNanos - start.getValue() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS) {
+                resolveStart(runner, start.getKey());
             } else {
-                pendingStops.add(runner, start, StopCause.UNRESOLVED_START);
+                pendingStops.add(runner, start.getKey(), StopCause.UNRESOLVED_START);
             }
         }
     }
 
     /** Records that a start which was given up can no longer take effect. */
     private void resolveStart(FleetRunner runner, FleetRunner.RunKey start) {
-        if (runner.unresolvedStarts.remove(start)) {
-            pendingStops.remove(runner, start);
+        if (runner.unresolvedStarts.remove(start) != null) {
+            pendingStops.removeUnresolvedStart(runner, start);
         }
     }
 
@@ -455,6 +454,7 @@
         }
         if (task == null || task.done || task.job().terminalState != null) {
             if (task != null && run != null) {
+                // Later steps wait for the last run of a task that is done.
                 jobs.updateReadiness(task);
             }
             return;
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.tamarackline.core.model.Resources;
 
@@ -53,11 +51,14 @@
     final Map<RunKey, Run> runs = new HashMap<>();
     /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
     final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
+    /** Value of {@link #unresolvedStarts} for a start of which no stop was requested. */
+    static final long NOT_STOPPED = -1;
+
     /**
-     * Starts without a response that were given up with the runner. Such a start may still take effect once the runner's
-     * lease is extended.
+     * Starts without a response that were given up with the runner, and when their stop was first requested, in nanoseconds.
+     * Such a start may still take effect once the runner's lease is extended.
      */
-    final Set<RunKey> unresolvedStarts = new LinkedHashSet<>();
+    final Map<RunKey, Long> unresolvedStarts = new HashMap<>();
 
     private Resources reserved = Resources.NONE;
     private long bestEffortMillis;
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -364,13 +364,25 @@
      * tasks of its occurrence, since another run of it may have ended.
      */
     void updateReadiness(Task task) {
-        if (task.done && task.runs.isEmpty() && task.job().terminalState == null && endsAlone(task.step())) {
+        if (endsOtherRunsOfItsStep(task)) {
             updateReadinessOfOccurrence(task.job(), task.key().occurrence());
         } else {
             updateOwnReadiness(task);
         }
     }
 
+    /** Returns whether the step of a task is done and no run of it is left, so that later steps may start. */
+    private static boolean endsOtherRunsOfItsStep(Task task) {
+        int occurrence = task.key().occurrence();
+        int step = task.key().step();
+        return task.done
+                && task.runs.isEmpty()
+                && task.job().terminalState == null
+                && task.step().endKnownToOneRunner()
+                && task.job().stepDone(occurrence, step)
+                && !hasOtherRuns(task.job(), occurrence, step);
+    }
+
     private void updateOwnReadiness(Task task) {
         if (isReady(task)) {
             readyTasks.add(task);
@@ -400,18 +412,13 @@
      */
     private static boolean hasOtherRuns(Job job, int occurrence, int step) {
         for (Task task : job.occurrence(occurrence)[step]) {
-            if (!task.runs.isEmpty() && endsAlone(task.step())) {
+            if (!task.runs.isEmpty() && task.step().endKnownToOneRunner()) {
                 return true;
             }
         }
         return false;
     }
 
-    /** Returns whether only the runner of a run reports that the task has ended. */
-    private static boolean endsAlone(StepDefinition step) {
-        return !step.gang() && !step.speculative();
-    }
-
     /** Creates the tasks of all occurrences that have become due. */
     void createAllDueOccurrences(long nowEpochMs) {
         for (Job job : List.copyOf(recurringJobs)) {
--- a/src/main/java/org/tamarackline/core/fleet/PendingStops.java
+++ b/src/main/java/org/tamarackline/core/fleet/PendingStops.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import org.tamarackline.core.fleet.FleetRunner.RunKey;
@@ -19,26 +18,41 @@
      * Stops of one run.
      *
      * @param attempts number of stops that were sent
-     * @param firstNanos when the first one was sent, meaningful only if there was one
+     * @param dueAtOnce whether the next one is due however long ago the last one was sent
      * @param lastNanos when the last one was sent, meaningful only if there was one
      */
-    private record Sent(StopCause cause, int attempts, long firstNanos, long lastNanos) {
+    private record Sent(StopCause cause, int attempts, boolean dueAtOnce, long lastNanos) {
+
+        static Sent none(StopCause cause) {
+            return new Sent(cause, 0, true, 0);
+        }
 
         boolean due(long nowNanos) {
-            return attempts == 0 || nowNanos - lastNanos > SchedulingLimits.STOP_RETRY_NANOS;
+            return dueAtOnce || nowNanos - lastNanos > SchedulingLimits.STOP_RETRY_NANOS;
         }
 
         Sent withStopAt(long nanos) {
-            return new Sent(cause, attempts + 1, attempts == 0 ? nanos : firstNanos, nanos);
+            return new Sent(cause, attempts + 1, false, nanos);
+        }
+
+        Sent withCause(StopCause next) {
+            return new Sent(next, attempts, dueAtOnce, lastNanos);
         }
     }
 
     /** The stops of each runner that has any. */
     private final Map<FleetRunner, Map<RunKey, Sent>> stops = new LinkedHashMap<>();
 
-    /** Requests that a run be stopped. Does nothing if that is requested already. */
+    /**
+     * Requests that a run be stopped. If that is requested already, the stops go on as before, and those of a run that the
+     * leader knows now end with the run.
+     */
     void add(FleetRunner runner, RunKey run, StopCause cause) {
-        stops.computeIfAbsent(runner, key -> new LinkedHashMap<>()).putIfAbsent(run, new Sent(cause, 0, 0, 0));
+        stops.computeIfAbsent(runner, key -> new LinkedHashMap<>())
+                .merge(
+                        run,
+                        Sent.none(cause),
+                        (sent, added) -> cause == StopCause.KNOWN_RUN ? sent.withCause(cause) : sent);
     }
 
     /** Ends the stops of a run that is over, or that need not end. */
@@ -49,11 +63,19 @@
         }
     }
 
+    /** Ends the stops of a start that was given up and cannot take effect any more. */
+    void removeUnresolvedStart(FleetRunner runner, RunKey start) {
+        Sent stop = of(runner).get(start);
+        if (stop != null && stop.cause() == StopCause.UNRESOLVED_START) {
+            remove(runner, start);
+        }
+    }
+
     /** Makes the stop of a run due at once, because the process that received the last one has ended. */
     void sendAgain(FleetRunner runner, RunKey run) {
         Map<RunKey, Sent> ofRunner = stops.get(runner);
         if (ofRunner != null) {
-            ofRunner.computeIfPresent(run, (key, stop) -> new Sent(stop.cause(), 0, 0, 0));
+            ofRunner.computeIfPresent(run, (key, stop) -> new Sent(stop.cause(), stop.attempts(), true, 0));
         }
     }
 
@@ -81,12 +103,6 @@
         return of(runner).values().stream().anyMatch(stop -> stop.cause() == StopCause.UNKNOWN_RUN);
     }
 
-    /** Returns when the first stop of a run was sent; empty if none was. */
-    OptionalLong firstSentNanos(FleetRunner runner, RunKey run) {
-        Sent stop = of(runner).get(run);
-        return stop == null || stop.attempts() == 0 ? OptionalLong.empty() : OptionalLong.of(stop.firstNanos());
-    }
-
     private Map<RunKey, Sent> of(FleetRunner runner) {
         return stops.getOrDefault(runner, Map.of());
     }
--- a/src/main/java/org/tamarackline/core/fleet/StepDefinition.java
+++ b/src/main/java/org/tamarackline/core/fleet/StepDefinition.java
@@ -52,6 +52,14 @@
         return bestEffort ? new Resources(0, demand.memoryMb(), demand.accelerators()) : demand;
     }
 
+    /**
+     * Returns whether only the runner of a run reports that its task has ended; of a gang every runner does, and of a
+     * speculative step the runner of each run.
+     */
+    boolean endKnownToOneRunner() {
+        return !gang && !speculative;
+    }
+
     /** Returns whether the tasks have a latency target, which other tasks on the runner can make them miss. */
     public boolean latencyCritical() {
         return latencyTargetMs > 0;
--- a/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnreportedRunners.java
@@ -71,9 +71,7 @@
         if (!run.adopted) {
             return true;
         }
-        StepDefinition step = run.task().step();
-        boolean onlyItsRunnerReportsTheEnd = !step.gang() && !step.speculative();
-        return onlyItsRunnerReportsTheEnd
+        return run.task().step().endKnownToOneRunner()
                 && run.lastReportedClockMs - run.firstReportedClockMs > SchedulingLimits.EARLIER_LEADER_REQUEST_MS;
     }
 }
--- a/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCommandSender.java
@@ -34,8 +34,7 @@
             if (response == RunnerCalls.RunnerCommandOutcome.FENCED) {
                 leader.onFenced(runner.id());
             } else if (response == RunnerCalls.RunnerCommandOutcome.DONE) {
-                long nowNanos = context.loop().nowNanos();
-                context.fleet().applyStopConfirmation(runner, stop.task(), stop.runNumber(), nowNanos);
+                confirmStop(stop, sentNanos);
                 session.pollNow();
             } else {
                 context.log().stopNotConfirmed(stop, response, sentNanos);
@@ -43,6 +42,18 @@
         });
     }
 
+    /** The runner has confirmed a stop; an earlier process of it may have, and the present one may still start the run. */
+    private void confirmStop(RunnerCommand.Stop stop, long sentNanos) {
+        if (!session.processLearnedSince(sentNanos)) {
+            context.fleet()
+                    .applyStopConfirmation(
+                            runner,
+                            stop.task(),
+                            stop.runNumber(),
+                            context.loop().nowNanos());
+        }
+    }
+
     /** Sends a stop; a repeated one on a new connection, because the one before may have met a connection gone silent. */
     private void send(RunnerCommand.Stop stop, Consumer<RunnerCalls.RunnerCommandOutcome> callback) {
         RunnerCalls calls = context.runnerCalls();
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -435,6 +435,11 @@
         }
     }
 
+    /** Returns whether this leader has learned of the runner's present process after a time. */
+    boolean processLearnedSince(long nanos) {
+        return process.learnedSince(nanos);
+    }
+
     void send(RunnerCommand command) {
         switch (command) {
             case RunnerCommand.Start start -> starter.start(start.run());
--- a/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/InheritedTasksTest.java
@@ -1,8 +1,12 @@
 package org.tamarackline.core.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tamarackline.core.model.Resources;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -123,6 +127,47 @@
                 .containsExactly(1);
     }
 
+    /** Guards against a leader that is busy for seconds while the other runs of a large step end one after the other. */
+    @Test
+    @Timeout(5)
+    void endsOfOtherRunsOfALargeStepAreAppliedQuickly() {
+        int tasks = 2_500;
+        fleet.runnerDeregistered("a");
+        FleetRunner first = fixture.addRunner(largeRunner("large-a"));
+        fleet.jobs()
+                .add(
+                        FleetFixture.job("j", FleetFixture.step(tasks), FleetFixture.step(tasks, 0)),
+                        JobProgress.NONE,
+                        false,
+                        0);
+        List<Run> lost = startOn(first, tasks);
+        fleet.runnerLost("large-a");
+        FleetRunner second = fixture.addRunner(largeRunner("large-b"));
+        List<Run> repeated = startOn(second, tasks);
+        fixture.reportStatus(first, List.of(), ends(lost, EndReason.DONE));
+        fixture.reportStatus(second, List.of(), ends(repeated, EndReason.STOPPED));
+        assertThat(fleet.jobs().readyTaskCount()).isEqualTo(tasks);
+    }
+
+    private static RunnerDescriptor largeRunner(String id) {
+        Resources capacity = new Resources(10_000_000, 10_000_000, 0);
+        return new RunnerDescriptor(
+                id, 1, FleetFixture.SERVICE, "10.0.0.1:80", "dc", "r1-1", false, capacity, Set.of("a", "r1-1"));
+    }
+
+    private List<Run> startOn(FleetRunner on, int count) {
+        List<Run> runs = fixture.scheduleStarts();
+        assertThat(runs).hasSize(count).allMatch(run -> run.runner() == on);
+        runs.forEach(run -> fixture.applyStartResult(run, StartResult.STARTED));
+        return runs;
+    }
+
+    private static List<RunnerStatus.EndedRun> ends(List<Run> runs, EndReason reason) {
+        List<RunnerStatus.EndedRun> ends = new ArrayList<>();
+        runs.forEach(run -> ends.add(FleetFixture.endedRun(ends.size() + 1, run, reason)));
+        return ends;
+    }
+
     /** Guards against a step that waits for ever for such a run after its runner was lost. */
     @Test
     void stepStartsOnceTheRunnerOfTheOtherRunIsLost() {
--- a/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -45,6 +45,45 @@
         assertThat(fixture.scheduleStarts()).hasSize(1);
     }
 
+    /** Guards against a runner that gets no more tasks because the wait for a start begins again whenever it is lost. */
+    @Test
+    void waitForAnUnresolvedStartEndsAlthoughTheRunnerIsLostAgain() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        fleet.runnerLost("r");
+        for (int i = 0; i < 5; i++) {
+            fixture.reportStatus(runner, List.of(), List.of());
+            fixture.scheduleStops();
+            fixture.advanceMs(8_000);
+            fleet.runnerLost("r");
+        }
+        fixture.reportStatus(runner, List.of(), List.of());
+        assertThat(runner.hasUnresolvedStarts()).isFalse();
+    }
+
+    /** Guards against a cancelled run that goes on because the stops of its start, which was given up before, have ended. */
+    @Test
+    void stopOfAnAdoptedRunOutlivesItsUnresolvedStart() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        fleet.runnerLost("r");
+        List<RunnerStatus.ActiveRun> running = List.of(FleetFixture.activeRun(run, 10));
+        fixture.reportStatus(runner, running, List.of());
+        assertThat(fixture.scheduleStops()).hasSize(1);
+        fleet.jobs().cancel("j");
+        for (int i = 0; i < 14; i++) {
+            fixture.advanceMs(1_000);
+            fixture.reportStatus(runner, running, List.of());
+            fixture.scheduleStops();
+        }
+        fixture.advanceMs(1_000);
+        assertThat(fixture.scheduleStops()).hasSize(1);
+    }
+
     /** Guards against a stop of such a run that is sent to the new process only after the interval of repetitions. */
     @Test
     void startWithoutResponseIsStoppedOnTheNewProcessAtOnce() {
@@ -55,6 +94,8 @@
         assertThat(fixture.scheduleStops()).hasSize(1);
         fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
         fixture.reportStatus(runner, 2, List.of(), List.of());
-        assertThat(fixture.scheduleStops()).hasSize(1);
+        assertThat(fixture.scheduleStops())
+                .extracting(RunnerCommand.Stop::attempt)
+                .containsExactly(2);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -60,6 +60,7 @@
     private Duration pollResponseDelay = Duration.ZERO;
     private Duration nextReplacedAnswerDelay = Duration.ZERO;
     private boolean allSilent;
+    private boolean startResponsesLost;
 
     FakeRunnerCalls(ManualLoop loop) {
         this.loop = loop;
@@ -114,6 +115,11 @@
         return renewals;
     }
 
+    /** Makes starts have no effect and no response. */
+    void loseStartResponses() {
+        startResponsesLost = true;
+    }
+
     /** Returns all stops that were sent, in order. */
     List<SentStop> stops() {
         return stops;
@@ -163,7 +169,7 @@
                     new StartResponse(StartResult.RUNNER_REPLACED, RunnerCommandOutcome.RUNNER_REPLACED, "replaced")));
             return;
         }
-        if (silent(runner)) {
+        if (silent(runner) || startResponsesLost) {
             loop.schedule(
                     TIMEOUT,
                     () -> callback.accept(
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -363,4 +363,23 @@
         loop.advance(Duration.ofMillis(1_500));
         assertThat(calls.polls()).isGreaterThan(polls);
     }
+
+    /** Guards against a second run of a task whose start reaches a process that knows nothing of the stop. */
+    @Test
+    void stopConfirmedByTheEarlierProcessDoesNotCountForTheNewOne() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.loseStartResponses();
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(1_100));
+        fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE).forEach(session::send);
+        assertThat(calls.stops()).hasSize(1);
+        loop.advance(Duration.ofMillis(500));
+        calls.restart("r");
+        session.pollNow();
+        loop.advance(Duration.ofSeconds(1));
+        session.pollNow();
+        loop.advance(Duration.ofMillis(100));
+        assertThat(runner.busy()).isTrue();
+    }
 }
