Let observers of stand-in runners see acknowledged ends

A start after an acknowledged end is a task that runs twice; until now the record of a soak could not tell it from a start after an end that no leader had read.

--- a/src/main/java/org/tamarackline/standin/fleet/RunObserver.java
+++ b/src/main/java/org/tamarackline/standin/fleet/RunObserver.java
@@ -10,6 +10,9 @@
 
         @Override
         public void runEnded(String runner, String task, long runNumber, String reason, long nanos) {}
+
+        @Override
+        public void endAcknowledged(String runner, String task, long runNumber) {}
     };
 
     /** A run has started. */
@@ -17,4 +20,7 @@
 
     /** A run has ended at {@code nanos}, which may be some milliseconds ago. */
     void runEnded(String runner, String task, long runNumber, String reason, long nanos);
+
+    /** A poll has acknowledged the end of a run, and the runner's lease has not expired between the two. */
+    void endAcknowledged(String runner, String task, long runNumber);
 }
--- a/src/main/java/org/tamarackline/standin/fleet/StandinRunner.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinRunner.java
@@ -38,6 +38,10 @@
     private long highestFence;
     private long leaseEndMs;
     private long lastEndNumber;
+
+    /** Sequence number of the last end before the latest expiry of the lease. */
+    private long lastEndBeforeExpiry;
+
     private boolean processEnded;
 
     /**
@@ -142,7 +146,7 @@
         if (refusal != null) {
             return refusal;
         }
-        endedRuns.removeIf(end -> end.endNumber() <= request.path("lastSeen").asLong());
+        acknowledgeEnds(request.path("lastSeen").asLong());
         long endNanos = System.nanoTime() + request.path("waitMs").asLong() * 1_000_000;
         while (endedRuns.isEmpty() && !processEnded && System.nanoTime() - endNanos < 0) {
             wait(5);
@@ -151,6 +155,17 @@
         return status();
     }
 
+    private void acknowledgeEnds(long lastSeen) {
+        for (EndedStandinRun end : List.copyOf(endedRuns)) {
+            if (end.endNumber() <= lastSeen) {
+                endedRuns.remove(end);
+                if (end.endNumber() > lastEndBeforeExpiry) {
+                    observer.endAcknowledged(id, end.task(), end.number());
+                }
+            }
+        }
+    }
+
     private ObjectNode status() {
         ObjectNode response = newResponse();
         ArrayNode activeArray = response.putArray("running");
@@ -181,6 +196,9 @@
                 end(run, "lapsed", nanosAt(leaseEndMs));
             }
         }
+        if (expired) {
+            lastEndBeforeExpiry = lastEndNumber;
+        }
     }
 
     /** Ends the process, and with it all runs. */
--- a/src/test/java/org/tamarackline/process/soak/RunHistory.java
+++ b/src/test/java/org/tamarackline/process/soak/RunHistory.java
@@ -15,8 +15,16 @@
      *
      * @param endNanos end of the run, the greatest value while it runs
      * @param reason why the run ended, empty while it runs
+     * @param endAcknowledged whether a leader has acknowledged its end before the runner's lease expired
      */
-    record RecordedRun(String task, long number, String runner, long startNanos, long endNanos, String reason) {
+    record RecordedRun(
+            String task,
+            long number,
+            String runner,
+            long startNanos,
+            long endNanos,
+            String reason,
+            boolean endAcknowledged) {
 
         boolean active() {
             return endNanos == Long.MAX_VALUE;
@@ -29,7 +37,7 @@
     public synchronized void runStarted(String runner, String task, long runNumber, long nanos) {
         runsByTask
                 .computeIfAbsent(task, key -> new ArrayList<>())
-                .add(new RecordedRun(task, runNumber, runner, nanos, Long.MAX_VALUE, ""));
+                .add(new RecordedRun(task, runNumber, runner, nanos, Long.MAX_VALUE, "", false));
     }
 
     @Override
@@ -39,7 +47,18 @@
                 .replaceAll(run -> run.active()
                                 && run.number() == runNumber
                                 && run.runner().equals(runner)
-                        ? new RecordedRun(task, runNumber, runner, run.startNanos(), nanos, reason)
+                        ? new RecordedRun(task, runNumber, runner, run.startNanos(), nanos, reason, false)
+                        : run);
+    }
+
+    @Override
+    public synchronized void endAcknowledged(String runner, String task, long runNumber) {
+        runsByTask
+                .get(task)
+                .replaceAll(run -> !run.active()
+                                && run.number() == runNumber
+                                && run.runner().equals(runner)
+                        ? new RecordedRun(task, runNumber, runner, run.startNanos(), run.endNanos(), run.reason(), true)
                         : run);
     }
 
