Check cancellations and starts after completion in the fault soak

Callers cancelled only surplus long-running jobs, and nothing looked at what became of their tasks. They now cancel about a third of the jobs 0.5 to 5 s after the acceptance. The soak checks at calm moments that a task of a cancelled job has ended 3.2 s after the answer and is not started after 3 s, and that no task starts after a run of it was completed and its end was acknowledged. A soak in which no cancellation was checked fails.

--- a/src/test/java/org/tamarackline/process/FleetSoakTest.java
+++ b/src/test/java/org/tamarackline/process/FleetSoakTest.java
@@ -22,6 +22,7 @@
         SoakReport report = FleetSoak.run(new SoakSettings(SEED, DURATION, 7, 10, 0, directory));
         assertThat(report.faults()).isPositive();
         assertThat(report.longRunningJobs()).isPositive();
+        assertThat(report.checkedCancellations()).isPositive();
         assertThat(report.violations())
                 .as(() -> String.join("\n", report.summary()))
                 .isEmpty();
--- a/src/test/java/org/tamarackline/process/soak/NodeLogs.java
+++ b/src/test/java/org/tamarackline/process/soak/NodeLogs.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-/** The lines of all nodes' logs that tell of leaders, runners and starts, and from them who leads. */
+/** The lines of all nodes' logs that tell of leaders, runners, starts and stops, and from them who leads. */
 final class NodeLogs {
 
     private static final Set<String> KEPT_EVENTS = Set.of(
@@ -31,6 +31,10 @@
             "run-lost",
             "start",
             "adopt",
+            "cancellation-read",
+            "stop",
+            "stop-unconfirmed",
+            "cancelled-run-ended",
             "node-start",
             "node-stop");
 
--- a/src/test/java/org/tamarackline/process/soak/SoakCallers.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakCallers.java
@@ -3,17 +3,20 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import org.tamarackline.standin.fleet.StandinCaller;
 import org.tamarackline.standin.fleet.StandinFleet;
 
 /**
  * Callers that submit jobs through all nodes, over connections that stay open as long as the node's process. Without an
- * answer, they repeat a submission at any node; after a refusal, they submit another job.
+ * answer, they repeat a submission at any node; after a refusal, they submit another job. They cancel some jobs soon after
+ * the acceptance, and repeat a cancellation at any node until one succeeds.
  */
 final class SoakCallers {
 
@@ -30,9 +33,22 @@
 
     private static final int MAX_STATE_REQUESTS = 40;
 
+    /** Of so many jobs of the ordinary callers one is cancelled, and every other one of these has long-running tasks. */
+    private static final int CANCELLATION_STEP = 3;
+
+    private static final Duration MIN_CANCELLATION_DELAY = Duration.ofMillis(500);
+    private static final Duration MAX_CANCELLATION_DELAY = Duration.ofSeconds(5);
+
     private final StandinCaller caller;
     private final List<InetSocketAddress> nodes;
     private final Random random;
+
+    /** Makes the choices of cancellations, apart from those of identifiers and nodes. */
+    private final Random cancellationRandom;
+
+    /** Identifiers of the jobs that will be cancelled soon after their acceptance. */
+    private final Set<String> shortLivedJobs = new HashSet<>();
+
     private final List<SoakJob> jobs = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
@@ -41,6 +57,7 @@
         this.caller = caller;
         this.nodes = nodes;
         this.random = new Random(seed);
+        this.cancellationRandom = new Random(~seed);
     }
 
     void start() {
@@ -65,7 +82,7 @@
     private void submitLongRunningJobs() {
         try {
             for (int count = 1; !stopped; count++) {
-                submit(true);
+                submit(true, Optional.empty());
                 if (count >= FIRST_LONG_RUNNING_JOBS) {
                     Thread.sleep(LONG_RUNNING_JOB_INTERVAL);
                     cancelSurplus();
@@ -79,7 +96,7 @@
     private void submitOrdinaryJobs() {
         try {
             while (!stopped) {
-                submit(false);
+                submitOrdinaryJob();
                 Thread.sleep(ORDINARY_JOB_INTERVAL);
             }
         } catch (InterruptedException ended) {
@@ -87,12 +104,30 @@
         }
     }
 
-    private void submit(boolean longRunning) throws InterruptedException {
+    private void submitOrdinaryJob() throws InterruptedException {
+        boolean longRunning;
+        Optional<Duration> cancellationDelay;
+        synchronized (this) {
+            boolean cancelled = cancellationRandom.nextInt(CANCELLATION_STEP) == 0;
+            longRunning = cancelled && cancellationRandom.nextBoolean();
+            cancellationDelay = cancelled ? Optional.of(nextCancellationDelay()) : Optional.empty();
+        }
+        submit(longRunning, cancellationDelay);
+    }
+
+    private Duration nextCancellationDelay() {
+        long rangeNanos = MAX_CANCELLATION_DELAY.minus(MIN_CANCELLATION_DELAY).toNanos();
+        return MIN_CANCELLATION_DELAY.plusNanos((long) (cancellationRandom.nextDouble() * rangeNanos));
+    }
+
+    private void submit(boolean longRunning, Optional<Duration> cancellationDelay) throws InterruptedException {
         String id = newId();
         while (!stopped) {
             int status = caller.send(randomNode(), "POST", id, body(longRunning));
             if (status / 100 == 2) {
-                add(new SoakJob(id, TASKS_PER_JOB, longRunning, System.nanoTime(), Long.MAX_VALUE));
+                SoakJob job = SoakJob.accepted(id, TASKS_PER_JOB, longRunning, System.nanoTime());
+                add(job, cancellationDelay.isPresent());
+                cancellationDelay.ifPresent(delay -> Thread.ofVirtual().start(() -> cancelAfter(job, delay)));
                 return;
             }
             boolean refused = status != 0 && status != 502 && status != 504;
@@ -101,8 +136,19 @@
         }
     }
 
-    private synchronized void add(SoakJob job) {
+    private synchronized void add(SoakJob job, boolean shortLived) {
         jobs.add(job);
+        if (shortLived) {
+            shortLivedJobs.add(job.id());
+        }
+    }
+
+    private synchronized boolean shortLived(SoakJob job) {
+        return shortLivedJobs.contains(job.id());
+    }
+
+    private synchronized boolean cancelled(SoakJob job) {
+        return jobs.stream().anyMatch(other -> other.id().equals(job.id()) && other.cancelled());
     }
 
     private synchronized String newId() {
@@ -120,15 +166,34 @@
                 .formatted(spec, TASKS_PER_JOB, kind);
     }
 
+    private void cancelAfter(SoakJob job, Duration delay) {
+        try {
+            Thread.sleep(delay);
+            cancel(job);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Cancels the oldest long-running job if there are more than the runners should have. */
-    private void cancelSurplus() {
+    private void cancelSurplus() throws InterruptedException {
         List<SoakJob> active = acceptedJobs().stream()
-                .filter(job -> job.longRunning() && !job.cancelled())
+                .filter(job -> job.longRunning() && !job.cancelled() && !shortLived(job))
                 .toList();
         if (active.size() > MAX_LONG_RUNNING_JOBS) {
-            SoakJob oldest = active.getFirst();
-            replace(oldest, oldest.cancelledAt(System.nanoTime()));
-            caller.send(randomNode(), "DELETE", oldest.id(), null);
+            cancel(active.getFirst());
+        }
+    }
+
+    private void cancel(SoakJob job) throws InterruptedException {
+        SoakJob cancelled = job.cancelledAt(System.nanoTime());
+        replace(job, cancelled);
+        while (!stopped) {
+            if (caller.send(randomNode(), "DELETE", job.id(), null) / 100 == 2) {
+                replace(cancelled, cancelled.cancelAnsweredAt(System.nanoTime()));
+                return;
+            }
+            Thread.sleep(RETRY_DELAY);
         }
     }
 
@@ -141,8 +206,10 @@
         List<String> unknown = new ArrayList<>();
         long oldestNanos = System.nanoTime() - KNOWN_TIME.toNanos();
         for (SoakJob job : acceptedJobs()) {
-            if (!job.cancelled() && (job.longRunning() || job.acceptedNanos() - oldestNanos > 0)) {
-                whyUnknown(job).ifPresent(reason -> unknown.add("job %s: %s".formatted(job.id(), reason)));
+            if (!job.cancelled() && !shortLived(job) && (job.longRunning() || job.acceptedNanos() - oldestNanos > 0)) {
+                whyUnknown(job)
+                        .filter(reason -> !cancelled(job))
+                        .ifPresent(reason -> unknown.add("job %s: %s".formatted(job.id(), reason)));
             }
         }
         return unknown;
--- a/src/test/java/org/tamarackline/process/soak/SoakChecks.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakChecks.java
@@ -2,17 +2,18 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
-/** Rules that the runs of a soak must keep, judged only by what the runners did. */
+/** Rules that the runs of a soak must keep, judged only by what the runners did and what the callers were answered. */
 final class SoakChecks {
 
     /** Longest time that a long-running task may have no run, whatever happens: 6 s after its last run and 3 s more. */
     private static final Duration MAX_STANDING = Duration.ofSeconds(9);
 
     /** Time without a fault after which the rule holds: a calm stretch of 4 s, and the 3 s during which a task stands. */
-    private static final Duration CALM = Duration.ofSeconds(7);
+    static final Duration CALM = Duration.ofSeconds(7);
 
     /**
      * A time in which a task of an accepted job had no run.
@@ -37,6 +38,9 @@
     /** Two runs of a task at the same time. */
     record Overlap(RunHistory.RecordedRun first, RunHistory.RecordedRun second) {}
 
+    /** A start of a task that a run had completed before. */
+    record Repetition(RunHistory.RecordedRun completed, RunHistory.RecordedRun repeated) {}
+
     private SoakChecks() {}
 
     /** Returns the gaps between runs of the long-running tasks of a job. */
@@ -62,18 +66,23 @@
 
     /** Returns the first moment of a gap at which the rule is broken; empty if it is kept. */
     static Optional<Long> firstViolation(Gap gap, List<Fault> faults) {
-        long moment = gap.fromNanos() + MAX_STANDING.toNanos();
+        return firstCalmMoment(gap.fromNanos() + MAX_STANDING.toNanos(), gap.toNanos(), CALM, faults);
+    }
+
+    /** Returns the first moment before {@code untilNanos} that has no fault in the time before it. */
+    static Optional<Long> firstCalmMoment(long fromNanos, long untilNanos, Duration timeBefore, List<Fault> faults) {
+        long moment = fromNanos;
         boolean moved = true;
-        while (moved && moment < gap.toNanos()) {
+        while (moved && moment < untilNanos) {
             moved = false;
             for (Fault fault : faults) {
-                if (fault.overlaps(moment - CALM.toNanos(), moment)) {
-                    moment = fault.endNanos() > gap.toNanos() ? gap.toNanos() : fault.endNanos() + CALM.toNanos() + 1;
+                if (fault.overlaps(moment - timeBefore.toNanos(), moment)) {
+                    moment = fault.endNanos() > untilNanos ? untilNanos : fault.endNanos() + timeBefore.toNanos() + 1;
                     moved = true;
                 }
             }
         }
-        return moment < gap.toNanos() ? Optional.of(moment) : Optional.empty();
+        return moment < untilNanos ? Optional.of(moment) : Optional.empty();
     }
 
     /** Returns the pairs of runs of a task that were active at the same time. */
@@ -90,4 +99,19 @@
         }
         return overlaps;
     }
+
+    /** Returns the starts of tasks after a run of them had ended as {@code done} and its end was acknowledged. */
+    static List<Repetition> repetitions(RunHistory history) {
+        List<Repetition> repetitions = new ArrayList<>();
+        for (String task : history.tasks()) {
+            List<RunHistory.RecordedRun> runs = history.runs(task);
+            runs.stream()
+                    .filter(run -> run.reason().equals("done") && run.endAcknowledged())
+                    .min(Comparator.comparingLong(RunHistory.RecordedRun::endNanos))
+                    .ifPresent(completed -> runs.stream()
+                            .filter(run -> run.startNanos() > completed.endNanos())
+                            .forEach(run -> repetitions.add(new Repetition(completed, run))));
+        }
+        return repetitions;
+    }
 }
--- a/src/test/java/org/tamarackline/process/soak/SoakChecksTest.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakChecksTest.java
@@ -7,18 +7,34 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Guards against checks of the fault soak that overlook a task which stands or runs twice. */
+/** Guards against checks of the fault soak that overlook a task which stands, runs twice or outlives its cancellation. */
 class SoakChecksTest {
 
     private static final long SECOND = 1_000_000_000L;
-    private static final SoakJob JOB = new SoakJob("j", 1, true, 0, Long.MAX_VALUE);
+    private static final SoakJob JOB = SoakJob.accepted("j", 1, true, 0);
+    private static final SoakJob CANCELLED = JOB.cancelledAt(20 * SECOND).cancelAnsweredAt(20 * SECOND);
+    private static final long RUN_BOUND_NANOS = 23_200_000_000L;
     private static final String TASK = "j.0.0.0";
 
     private final RunHistory history = new RunHistory();
 
     private void run(String runner, long number, long startS, long endS) {
-        history.runStarted(runner, TASK, number, startS * SECOND);
-        history.runEnded(runner, TASK, number, "process ended", endS * SECOND);
+        run(runner, number, startS * SECOND, endS * SECOND, "process ended");
+    }
+
+    private void run(String runner, long number, long startNanos, long endNanos, String reason) {
+        history.runStarted(runner, TASK, number, startNanos);
+        history.runEnded(runner, TASK, number, reason, endNanos);
+    }
+
+    private static CancellationChecks.Violation onlyViolation(CancellationChecks checks) {
+        List<CancellationChecks.Violation> violations = checks.violations(CANCELLED);
+        assertThat(violations).hasSize(1);
+        return violations.getFirst();
+    }
+
+    private CancellationChecks cancellations(Fault... faults) {
+        return new CancellationChecks(history, List.of(faults), 100 * SECOND);
     }
 
     private Optional<Long> firstViolation(long observedUntilS, Fault... faults) {
@@ -65,4 +81,67 @@
         run("r1", 3, 30, 40);
         assertThat(SoakChecks.overlaps(history)).hasSize(1);
     }
+
+    @Test
+    void startAfterAnAcknowledgedEndIsARepetition() {
+        run("r1", 1, SECOND, 2 * SECOND, "done");
+        history.endAcknowledged("r1", TASK, 1);
+        run("r2", 2, 3, 4);
+        assertThat(SoakChecks.repetitions(history)).hasSize(1);
+    }
+
+    @Test
+    void startAfterAnEndWithoutAcknowledgementIsNone() {
+        run("r1", 1, SECOND, 2 * SECOND, "done");
+        run("r2", 2, 3 * SECOND, 4 * SECOND, "done");
+        history.endAcknowledged("r2", TASK, 2);
+        assertThat(SoakChecks.repetitions(history)).isEmpty();
+    }
+
+    @Test
+    void runOfACancelledJobThatIsNotEndedInTimeIsAViolation() {
+        run("r1", 1, 10 * SECOND, RUN_BOUND_NANOS + 1, "stopped");
+        CancellationChecks.Violation violation = onlyViolation(cancellations());
+        assertThat(violation.lateStart()).isFalse();
+        assertThat(violation.momentNanos()).isEqualTo(RUN_BOUND_NANOS);
+    }
+
+    @Test
+    void runOfACancelledJobThatNeverEndsIsAViolation() {
+        history.runStarted("r1", TASK, 1, 10 * SECOND);
+        assertThat(onlyViolation(cancellations()).lateStart()).isFalse();
+    }
+
+    @Test
+    void runOfACancelledJobThatEndsInTimeIsNone() {
+        run("r1", 1, 10 * SECOND, RUN_BOUND_NANOS, "stopped");
+        assertThat(cancellations().violations(CANCELLED)).isEmpty();
+        assertThat(cancellations().endDelayMs(CANCELLED)).hasValue(3_200);
+    }
+
+    @Test
+    void startOfACancelledJobIsAViolationAfterThreeSeconds() {
+        run("r1", 1, 22, 23);
+        assertThat(cancellations().violations(CANCELLED)).isEmpty();
+        run("r1", 2, 23 * SECOND + 1, 23 * SECOND + 2, "stopped");
+        assertThat(onlyViolation(cancellations()).lateStart()).isTrue();
+    }
+
+    @Test
+    void runOfACancelledJobCountsOnlyAfterACalmStretch() {
+        run("r1", 1, 10, 35);
+        assertThat(onlyViolation(cancellations(fault(13, 13))).momentNanos()).isEqualTo(RUN_BOUND_NANOS + 1);
+        assertThat(onlyViolation(cancellations(fault(23, 23))).momentNanos()).isEqualTo(33_200_000_001L);
+        assertThat(cancellations(fault(23, 25)).violations(CANCELLED)).isEmpty();
+    }
+
+    @Test
+    void cancellationCountsAsCheckedOnlyWithAnUncompletedTaskAndACalmBound() {
+        assertThat(cancellations().checked(CANCELLED)).isTrue();
+        assertThat(cancellations().checked(JOB)).isFalse();
+        assertThat(cancellations(fault(13, 13)).checked(CANCELLED)).isFalse();
+        assertThat(cancellations(fault(23, 23)).checked(CANCELLED)).isFalse();
+        run("r1", 1, 10 * SECOND, 11 * SECOND, "done");
+        assertThat(cancellations().checked(CANCELLED)).isFalse();
+    }
 }
--- a/src/test/java/org/tamarackline/process/soak/SoakEvaluation.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakEvaluation.java
@@ -34,9 +34,40 @@
                 .toList();
         List<String> violations = new ArrayList<>(unknownJobs);
         SoakChecks.overlaps(history).forEach(overlap -> violations.add(describe(overlap)));
+        SoakChecks.repetitions(history).forEach(repetition -> violations.add(describe(repetition)));
         gaps.forEach(gap -> SoakChecks.firstViolation(gap, faults).ifPresent(at -> violations.add(describe(gap, at))));
+        CancellationChecks cancellations = new CancellationChecks(history, faults, observedUntilNanos);
+        jobs.forEach(job -> cancellations.violations(job).forEach(violation -> violations.add(describe(violation))));
+        List<SoakJob> checked = jobs.stream().filter(cancellations::checked).toList();
+        if (checked.isEmpty()) {
+            violations.add("no cancellation was checked; use a longer soak");
+        }
         long longRunningJobs = jobs.stream().filter(SoakJob::longRunning).count();
-        return new SoakReport(violations, faults.size(), longRunningJobs, summary(jobs, longRunningJobs, gaps));
+        List<String> summary = new ArrayList<>(summary(jobs, longRunningJobs, gaps));
+        summary.addAll(1, cancellationSummary(jobs, checked, cancellations));
+        return new SoakReport(violations, faults.size(), longRunningJobs, checked.size(), summary);
+    }
+
+    private static List<String> cancellationSummary(
+            List<SoakJob> jobs, List<SoakJob> checked, CancellationChecks cancellations) {
+        return List.of(
+                "%d cancellations answered; %d checked, %d of them with active runs, %d of them long-running"
+                        .formatted(
+                                jobs.stream().filter(SoakJob::cancelAnswered).count(),
+                                checked.size(),
+                                checked.stream()
+                                        .filter(cancellations::runningAtAnswer)
+                                        .count(),
+                                checked.stream().filter(SoakJob::longRunning).count()),
+                "longest time from the answer of a cancellation to the end of the last run: %d ms checked, %d ms of all"
+                        .formatted(longestEndDelayMs(checked, cancellations), longestEndDelayMs(jobs, cancellations)));
+    }
+
+    private static long longestEndDelayMs(List<SoakJob> jobs, CancellationChecks cancellations) {
+        return jobs.stream()
+                .flatMapToLong(job -> cancellations.endDelayMs(job).stream())
+                .max()
+                .orElse(0);
     }
 
     private List<String> summary(List<SoakJob> jobs, long longRunningJobs, List<SoakChecks.Gap> gaps) {
@@ -58,6 +89,29 @@
         return "task runs twice: %s and %s".formatted(describe(overlap.first()), describe(overlap.second()));
     }
 
+    private String describe(SoakChecks.Repetition repetition) {
+        return "task starts after it was completed: %s and %s"
+                .formatted(describe(repetition.completed()), describe(repetition.repeated()));
+    }
+
+    /** Describes a run that breaks the rule of cancellations, with the faults and the lines of the logs around it. */
+    private String describe(CancellationChecks.Violation violation) {
+        SoakJob job = violation.job();
+        RunHistory.RecordedRun run = violation.run();
+        long fromNanos = Math.min(run.startNanos(), job.cancelAnsweredNanos()) - LOG_BEFORE_GAP.toNanos();
+        long toNanos = (run.active() ? violation.momentNanos() : run.endNanos()) + LOG_AFTER_GAP.toNanos();
+        String rule = violation.lateStart() ? "is started too late" : "runs on";
+        List<String> lines = new ArrayList<>();
+        lines.add("task of a cancelled job %s, calm at %s, cancellation answered at %s: %s"
+                .formatted(
+                        rule,
+                        clock.format(violation.momentNanos()),
+                        clock.format(job.cancelAnsweredNanos()),
+                        describe(run)));
+        addSurroundings(lines, fromNanos, toNanos, run.task(), Optional.of(run.runner()));
+        return String.join(System.lineSeparator(), lines);
+    }
+
     private String describe(RunHistory.RecordedRun run) {
         String end = run.active() ? "runs" : clock.format(run.endNanos()) + " (" + run.reason() + ")";
         return "run %d of %s on %s from %s to %s"
@@ -93,23 +147,27 @@
         List<String> lines = new ArrayList<>();
         lines.add("long-running task stands at a calm moment, %s: %s"
                 .formatted(clock.format(violationNanos), describe(gap)));
+        addSurroundings(lines, fromNanos, toNanos, gap.task(), gap.lastRun().map(RunHistory.RecordedRun::runner));
+        return String.join(System.lineSeparator(), lines);
+    }
+
+    private void addSurroundings(
+            List<String> lines, long fromNanos, long toNanos, String task, Optional<String> runner) {
         faults.stream()
                 .filter(fault -> fault.overlaps(fromNanos, toNanos))
                 .forEach(fault -> lines.add("  " + describe(fault)));
         logs.between(fromNanos, toNanos).stream()
-                .filter(line -> concerns(line, gap))
+                .filter(line -> concerns(line, task, runner))
                 .forEach(line -> lines.add("  log %s %s".formatted(clock.format(line.nanos()), line.fields())));
-        return String.join(System.lineSeparator(), lines);
     }
 
-    /** Returns whether a line tells of the leadership, of the task, or of the runner of its last run. */
-    private static boolean concerns(NodeLogs.Line line, SoakChecks.Gap gap) {
-        String task = line.fields().path("task").asText();
-        String runner = line.fields().path("runner").asText();
-        if (!task.isEmpty()) {
-            return task.equals(gap.task());
+    /** Returns whether a line tells of the leadership, of the task, or of the runner of the run in question. */
+    private static boolean concerns(NodeLogs.Line line, String task, Optional<String> runner) {
+        String lineTask = line.fields().path("task").asText();
+        String lineRunner = line.fields().path("runner").asText();
+        if (!lineTask.isEmpty()) {
+            return lineTask.equals(task);
         }
-        return runner.isEmpty()
-                || gap.lastRun().map(run -> run.runner().equals(runner)).orElse(true);
+        return lineRunner.isEmpty() || runner.map(lineRunner::equals).orElse(true);
     }
 }
--- a/src/test/java/org/tamarackline/process/soak/SoakJob.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakJob.java
@@ -8,12 +8,26 @@
  *
  * @param longRunning whether its tasks run until it is cancelled
  * @param acceptedNanos when the acceptance was received
- * @param cancelledNanos when its cancellation was sent, the greatest value if it was not
+ * @param cancelledNanos when its cancellation was first sent, the greatest value if it was not
+ * @param cancelAnsweredNanos when the success of its cancellation was received, the greatest value if it was not
  */
-record SoakJob(String id, int tasks, boolean longRunning, long acceptedNanos, long cancelledNanos) {
+record SoakJob(
+        String id, int tasks, boolean longRunning, long acceptedNanos, long cancelledNanos, long cancelAnsweredNanos) {
+
+    static SoakJob accepted(String id, int tasks, boolean longRunning, long acceptedNanos) {
+        return new SoakJob(id, tasks, longRunning, acceptedNanos, Long.MAX_VALUE, Long.MAX_VALUE);
+    }
 
     SoakJob cancelledAt(long nanos) {
-        return new SoakJob(id, tasks, longRunning, acceptedNanos, nanos);
+        return new SoakJob(id, tasks, longRunning, acceptedNanos, nanos, cancelAnsweredNanos);
+    }
+
+    SoakJob cancelAnsweredAt(long nanos) {
+        return new SoakJob(id, tasks, longRunning, acceptedNanos, cancelledNanos, nanos);
+    }
+
+    boolean cancelAnswered() {
+        return cancelAnsweredNanos != Long.MAX_VALUE;
     }
 
     boolean cancelled() {
