Let connections of the store or of a runner go silent in the fault soak

The soak had no connection that goes silent for good while others of the same pool work. In about six of ten bursts now 30 to 100 % of the open connections of the store or of one runner stay open without an answer. The choice has a random source of its own, so the other choices of a seed are as before.

--- a/src/main/java/org/tamarackline/http/HttpExchange.java
+++ b/src/main/java/org/tamarackline/http/HttpExchange.java
@@ -5,6 +5,9 @@
 /** A request that was received completely and waits for its response. */
 public interface HttpExchange {
 
+    /** Returns an identifier of the connection, which no other connection to this process has. */
+    String connectionId();
+
     /** Returns the HTTP method in upper case. */
     String method();
 
--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -216,6 +216,11 @@
             this.body = body;
         }
 
+        @Override
+        public String connectionId() {
+            return request.getConnectionMetaData().getId();
+        }
+
         @Override
         public String method() {
             return request.getMethod();
--- a/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinFleet.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.random.RandomGenerator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -49,6 +50,7 @@
     private final List<StandinRunnerHost> runners = new ArrayList<>();
     private final HttpListener listener = new HttpListener(MAX_BODY_BYTES);
     private final ExecutorService requestExecutor = Executors.newVirtualThreadPerTaskExecutor();
+    private final SilentConnections silentStoreConnections = new SilentConnections();
     private final String storeAddress;
     private volatile boolean storeDown;
     private volatile Duration storeDelay = Duration.ZERO;
@@ -74,7 +76,7 @@
         listener.add(
                 storeSocketAddress,
                 IDLE_TIMEOUT_MS,
-                exchange -> requestExecutor.execute(() -> handleStoreRequest(exchange)));
+                silentStoreConnections.guard(exchange -> requestExecutor.execute(() -> handleStoreRequest(exchange))));
         for (int i = 0; i < runnerCount; i++) {
             StandinRunnerHost runner = new StandinRunnerHost(i, reserveAddress(), taskMs, observer, requestExecutor);
             runners.add(runner);
@@ -173,6 +175,15 @@
         storeDelay = delay;
     }
 
+    /**
+     * Makes open connections to the store silent for good; new ones work.
+     *
+     * @param share probability for each connection, from 0 to 1
+     */
+    public void silenceStoreConnections(double share, RandomGenerator random) {
+        silentStoreConnections.silence(share, random);
+    }
+
     /** Returns the keys of all rows that were ever written to the store. */
     public Set<String> writtenKeys() {
         return store.writtenKeys();
--- a/src/main/java/org/tamarackline/standin/fleet/StandinRunnerHost.java
+++ b/src/main/java/org/tamarackline/standin/fleet/StandinRunnerHost.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -42,6 +43,7 @@
     private final double clockRate;
     private final RunObserver observer;
     private final Executor requestExecutor;
+    private final SilentConnections silentConnections = new SilentConnections();
     private final List<String> tasksOfEndedProcesses = new ArrayList<>();
     private HttpListener listener;
     private StandinRunner process;
@@ -94,7 +96,9 @@
         closeListener();
         listener = new HttpListener(StandinFleet.MAX_BODY_BYTES);
         listener.add(
-                address, StandinFleet.IDLE_TIMEOUT_MS, exchange -> requestExecutor.execute(() -> handle(exchange)));
+                address,
+                StandinFleet.IDLE_TIMEOUT_MS,
+                silentConnections.guard(exchange -> requestExecutor.execute(() -> handle(exchange))));
         process = new StandinRunner(id, taskMs, clockRate, observer);
         registered = false;
         connected = true;
@@ -140,6 +144,15 @@
         connected = value;
     }
 
+    /**
+     * Makes open connections silent for good; new ones work.
+     *
+     * @param share probability for each connection, from 0 to 1
+     */
+    public void silenceConnections(double share, RandomGenerator random) {
+        silentConnections.silence(share, random);
+    }
+
     /** Ends the runs of the process that are due to end. */
     synchronized void advance() {
         if (process != null) {
--- a/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
+++ b/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
@@ -31,6 +31,11 @@
             this.content = content;
         }
 
+        @Override
+        public String connectionId() {
+            return "connection";
+        }
+
         @Override
         public String method() {
             return method;
--- a/src/test/java/org/tamarackline/process/soak/FaultInjector.java
+++ b/src/test/java/org/tamarackline/process/soak/FaultInjector.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
 
 import org.tamarackline.http.HttpStartException;
 import org.tamarackline.standin.fleet.StandinFleet;
@@ -118,6 +119,34 @@
         });
     }
 
+    /**
+     * Makes a share of the open connections of the store silent for good, after a time.
+     *
+     * @param share probability for each connection
+     */
+    void silenceStoreConnections(Duration delay, double share, RandomGenerator random) {
+        inBackground(delay, () -> {
+            log.moment(Fault.STORE, silence(share));
+            fleet.silenceStoreConnections(share, random);
+        });
+    }
+
+    /**
+     * Makes a share of the open connections of a runner silent for good, after a time.
+     *
+     * @param share probability for each connection
+     */
+    void silenceConnections(StandinRunnerHost runner, Duration delay, double share, RandomGenerator random) {
+        inBackground(delay, () -> {
+            log.moment(runner.id(), silence(share));
+            runner.silenceConnections(share, random);
+        });
+    }
+
+    private static String silence(double share) {
+        return "%.0f %% of the open connections silent".formatted(100 * share);
+    }
+
     /** Returns whether a fault of the store lasts. */
     boolean storeFaulty() {
         return log.all().stream()
--- a/src/test/java/org/tamarackline/process/soak/FaultSchedule.java
+++ b/src/test/java/org/tamarackline/process/soak/FaultSchedule.java
@@ -27,10 +27,19 @@
     /** Seeds that are a multiple of this have nodes too small to lead, which hand over to each larger node. */
     private static final int SMALL_NODES_SEED_STEP = 3;
 
+    /** Percentage of the bursts in which connections go silent. */
+    private static final int SILENCE_PERCENT = 60;
+
+    private static final double MIN_SILENT_SHARE = 0.3;
+
     private static final double LARGE_CPU_SHARE = 0.75;
     private static final double SMALLEST_CPU_SHARE = 0.01;
 
     private final Random random;
+
+    /** Makes the choices of silent connections; a source of their own keeps the other choices of a seed. */
+    private final Random silenceRandom;
+
     private final List<NodeProcess> nodes;
     private final List<StandinRunnerHost> runners;
     private final NodeLogs logs;
@@ -51,6 +60,7 @@
             RunHistory history,
             FaultInjector injector) {
         this.random = new Random(seed);
+        this.silenceRandom = new Random(~seed);
         this.nodes = nodes;
         this.runners = runners;
         this.logs = logs;
@@ -82,6 +92,7 @@
         Duration limited = burst.compareTo(maxDuration.minus(PAUSE)) < 0 ? burst : maxDuration.minus(PAUSE);
         burstEndNanos = System.nanoTime() + limited.toNanos();
         repair();
+        silenceConnections();
         int choice = random.nextInt(100);
         if (smallNodes && choice < 60) {
             replaceLeaderByLargerNodes();
@@ -116,6 +127,23 @@
         awaitLeaderAfter(0);
     }
 
+    /** Lets connections of the store or of one runner go silent at some moment of the shortest burst. */
+    private void silenceConnections() {
+        if (silenceRandom.nextInt(100) >= SILENCE_PERCENT) {
+            return;
+        }
+        Duration delay = Duration.ofNanos((long) (silenceRandom.nextDouble() * MIN_BURST.toNanos()));
+        double share = MIN_SILENT_SHARE + (1 - MIN_SILENT_SHARE) * silenceRandom.nextDouble();
+        boolean ofStore = silenceRandom.nextBoolean();
+        StandinRunnerHost runner = runners.get(silenceRandom.nextInt(runners.size()));
+        Random connectionRandom = new Random(silenceRandom.nextLong());
+        if (ofStore) {
+            injector.silenceStoreConnections(delay, share, connectionRandom);
+        } else {
+            injector.silenceConnections(runner, delay, share, connectionRandom);
+        }
+    }
+
     /** Hits one leader after the other, with runners lost at about the time of the first hit. */
     private void replaceLeaderRepeatedly() throws IOException, InterruptedException {
         boolean runnersFirst = random.nextBoolean();
