Count an answer that a cancelled job does not exist, and runs when the cancellation was sent

A cancellation whose first answer was lost gets status 410 later, and would have been repeated until the end of the soak. A run usually ends before the answer arrives, so the number of runs at the answer understated what was checked.

--- a/src/test/java/org/tamarackline/process/soak/CancellationChecks.java
+++ b/src/test/java/org/tamarackline/process/soak/CancellationChecks.java
@@ -83,11 +83,10 @@
                         .anyMatch(run -> run.reason().equals("done") && run.endNanos() <= job.cancelAnsweredNanos()));
     }
 
-    /** Returns whether a task of the job was running when the answer of its cancellation came. */
-    boolean runningAtAnswer(SoakJob job) {
+    /** Returns whether a task of the job ran when its cancellation was sent; it may have ended before the answer. */
+    boolean ranWhenSent(SoakJob job) {
         return runs(job).stream()
-                .anyMatch(run ->
-                        run.startNanos() <= job.cancelAnsweredNanos() && run.endNanos() > job.cancelAnsweredNanos());
+                .anyMatch(run -> run.startNanos() <= job.cancelledNanos() && run.endNanos() > job.cancelledNanos());
     }
 
     /** Returns the time from the answer of a cancellation to the end of the job's last run; empty if it was over before. */
--- a/src/test/java/org/tamarackline/process/soak/SoakCallers.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakCallers.java
@@ -16,7 +16,7 @@
 /**
  * Callers that submit jobs through all nodes, over connections that stay open as long as the node's process. Without an
  * answer, they repeat a submission at any node; after a refusal, they submit another job. They cancel some jobs soon after
- * the acceptance, and repeat a cancellation at any node until one succeeds.
+ * the acceptance, and repeat a cancellation at any node until one succeeds or the job does not exist.
  */
 final class SoakCallers {
 
@@ -33,6 +33,9 @@
 
     private static final int MAX_STATE_REQUESTS = 40;
 
+    /** Status of a job that no longer exists, also because of an earlier attempt to cancel it. */
+    private static final int NO_SUCH_JOB = 410;
+
     /** Of so many jobs of the ordinary callers one is cancelled, and every other one of these has long-running tasks. */
     private static final int CANCELLATION_STEP = 3;
 
@@ -189,7 +192,8 @@
         SoakJob cancelled = job.cancelledAt(System.nanoTime());
         replace(job, cancelled);
         while (!stopped) {
-            if (caller.send(randomNode(), "DELETE", job.id(), null) / 100 == 2) {
+            int status = caller.send(randomNode(), "DELETE", job.id(), null);
+            if (status / 100 == 2 || status == NO_SUCH_JOB) {
                 replace(cancelled, cancelled.cancelAnsweredAt(System.nanoTime()));
                 return;
             }
@@ -222,7 +226,7 @@
                 if (status == 200) {
                     return Optional.empty();
                 }
-                if (status == 410 || status == 404) {
+                if (status == NO_SUCH_JOB || status == 404) {
                     return Optional.of("status " + status);
                 }
             }
--- a/src/test/java/org/tamarackline/process/soak/SoakEvaluation.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakEvaluation.java
@@ -51,12 +51,13 @@
     private static List<String> cancellationSummary(
             List<SoakJob> jobs, List<SoakJob> checked, CancellationChecks cancellations) {
         return List.of(
-                "%d cancellations answered; %d checked, %d of them with active runs, %d of them long-running"
+                "%d cancellations, %d answered; %d checked, %d of them with runs when they were sent, %d of long-running jobs"
                         .formatted(
+                                jobs.stream().filter(SoakJob::cancelled).count(),
                                 jobs.stream().filter(SoakJob::cancelAnswered).count(),
                                 checked.size(),
                                 checked.stream()
-                                        .filter(cancellations::runningAtAnswer)
+                                        .filter(cancellations::ranWhenSent)
                                         .count(),
                                 checked.stream().filter(SoakJob::longRunning).count()),
                 "longest time from the answer of a cancellation to the end of the last run: %d ms checked, %d ms of all"
