--- a/src/test/java/org/tamarackline/process/FleetSoakTest.java
+++ b/src/test/java/org/tamarackline/process/FleetSoakTest.java
@@ -10,7 +10,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Guards against long-running tasks that stand, run twice or are forgotten while leaders and runners are lost. */
+/**
+ * Guards against long-running tasks that stand, run twice or are forgotten, and against tasks of cancelled jobs that run
+ * on, while leaders and runners are lost and connections go silent.
+ */
 class FleetSoakTest {
 
     private static final long SEED = 21;
--- a/src/test/java/org/tamarackline/process/soak/SoakJob.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakJob.java
@@ -9,7 +9,8 @@
  * @param longRunning whether its tasks run until it is cancelled
  * @param acceptedNanos when the acceptance was received
  * @param cancelledNanos when its cancellation was first sent, the greatest value if it was not
- * @param cancelAnsweredNanos when an answer was received that it is cancelled or does not exist, the greatest value if it was not
+ * @param cancelAnsweredNanos when an answer was received that it is cancelled or does not exist, the greatest value if
+ *     none was
  */
 record SoakJob(
         String id, int tasks, boolean longRunning, long acceptedNanos, long cancelledNanos, long cancelAnsweredNanos) {
