--- a/src/test/java/org/tamarackline/process/soak/FaultInjector.java
+++ b/src/test/java/org/tamarackline/process/soak/FaultInjector.java
@@ -132,12 +132,16 @@
     }
 
     /**
-     * Makes a share of the open connections of a runner silent for good, after a time.
+     * Makes a share of the open connections of one of the runners that can be reached then silent for good, after a time.
      *
      * @param share probability for each connection
      */
-    void silenceConnections(StandinRunnerHost runner, Duration delay, double share, RandomGenerator random) {
+    void silenceRunnerConnections(Duration delay, double share, RandomGenerator random) {
         inBackground(delay, () -> {
+            List<StandinRunnerHost> reachable = fleet.runners().stream()
+                    .filter(StandinRunnerHost::reachable)
+                    .toList();
+            StandinRunnerHost runner = reachable.get(random.nextInt(reachable.size()));
             log.moment(runner.id(), silence(share));
             runner.silenceConnections(share, random);
         });
--- a/src/test/java/org/tamarackline/process/soak/FaultSchedule.java
+++ b/src/test/java/org/tamarackline/process/soak/FaultSchedule.java
@@ -135,12 +135,11 @@
         Duration delay = Duration.ofNanos((long) (silenceRandom.nextDouble() * MIN_BURST.toNanos()));
         double share = MIN_SILENT_SHARE + (1 - MIN_SILENT_SHARE) * silenceRandom.nextDouble();
         boolean ofStore = silenceRandom.nextBoolean();
-        StandinRunnerHost runner = runners.get(silenceRandom.nextInt(runners.size()));
         Random connectionRandom = new Random(silenceRandom.nextLong());
         if (ofStore) {
             injector.silenceStoreConnections(delay, share, connectionRandom);
         } else {
-            injector.silenceConnections(runner, delay, share, connectionRandom);
+            injector.silenceRunnerConnections(delay, share, connectionRandom);
         }
     }
 
--- a/src/test/java/org/tamarackline/standin/fleet/SilentConnectionsTest.java
+++ b/src/test/java/org/tamarackline/standin/fleet/SilentConnectionsTest.java
@@ -1,12 +1,16 @@
 package org.tamarackline.standin.fleet;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.tamarackline.http.AsyncHttpClient;
+import org.tamarackline.http.HttpCallResult;
 import org.tamarackline.http.HttpExchange;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -84,6 +88,32 @@
         assertThat(handled).hasSize(1);
     }
 
+    @Test
+    void openConnectionsOfTheStoreGetNoResponse() throws Exception {
+        try (StandinFleet fleet = new StandinFleet(1, 1)) {
+            AsyncHttpClient http = new AsyncHttpClient(1);
+            assertThat(read(http, fleet)).isInstanceOf(HttpCallResult.Response.class);
+            fleet.silenceStoreConnections(ALL, new Random(0));
+            assertThat(read(http, fleet)).isNotInstanceOf(HttpCallResult.Response.class);
+            // The client has closed the silent connection by now.
+            assertThat(read(http, fleet)).isInstanceOf(HttpCallResult.Response.class);
+            http.close();
+        }
+    }
+
+    private static HttpCallResult read(AsyncHttpClient http, StandinFleet fleet) {
+        CompletableFuture<HttpCallResult> result = new CompletableFuture<>();
+        http.call(
+                "GET",
+                fleet.storeAddress(),
+                "/-/rows-get?table=op",
+                Map.of(),
+                null,
+                Duration.ofMillis(500),
+                result::complete);
+        return result.join();
+    }
+
     @Test
     void newConnectionWorks() {
         request("a");
