Check cancellations in the soak 4 s after the last fault instead of 7 s

The 7 s of the long-running tasks contain the 3 s for which one may stand. The rule for cancellations needs 4 s without a fault before the answer. The check is stricter; the times in its tests move with it.

--- a/src/test/java/org/tamarackline/process/soak/CancellationChecks.java
+++ b/src/test/java/org/tamarackline/process/soak/CancellationChecks.java
@@ -6,11 +6,14 @@
 import java.util.OptionalLong;
 
 /**
- * Rule that the tasks of a cancelled job are not started any more and end in time. It holds at each moment after a time
- * as long as its bound and the calm time of the other rules without a fault.
+ * Rule that the tasks of a cancelled job are not started any more and end in time. It holds at each moment that no fault
+ * precedes within the bound and the time in which the nodes settle.
  */
 final class CancellationChecks {
 
+    /** Time without a fault before the answer of a cancellation. */
+    private static final Duration SETTLING = Duration.ofSeconds(4);
+
     /** Time after the answer of a cancellation up to which tasks of the job may be started. */
     static final Duration MAX_START_DELAY = Duration.ofSeconds(3);
 
@@ -47,7 +50,7 @@
             } else {
                 long fromNanos = Math.max(run.startNanos(), job.cancelAnsweredNanos() + MAX_RUN_DELAY.toNanos());
                 long untilNanos = Math.min(run.endNanos(), observedUntilNanos);
-                SoakChecks.firstCalmMoment(fromNanos, untilNanos, SoakChecks.CALM.plus(MAX_RUN_DELAY), faults)
+                SoakChecks.firstCalmMoment(fromNanos, untilNanos, SETTLING.plus(MAX_RUN_DELAY), faults)
                         .ifPresent(moment -> violations.add(new Violation(job, run, false, moment)));
             }
         }
@@ -61,7 +64,7 @@
     }
 
     private boolean calm(long momentNanos, Duration bound) {
-        long fromNanos = momentNanos - bound.plus(SoakChecks.CALM).toNanos();
+        long fromNanos = momentNanos - bound.plus(SETTLING).toNanos();
         return faults.stream().noneMatch(fault -> fault.overlaps(fromNanos, momentNanos));
     }
 
--- a/src/test/java/org/tamarackline/process/soak/SoakChecks.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakChecks.java
@@ -13,7 +13,7 @@
     private static final Duration MAX_STANDING = Duration.ofSeconds(9);
 
     /** Time without a fault after which the rule holds: a calm stretch of 4 s, and the 3 s during which a task stands. */
-    static final Duration CALM = Duration.ofSeconds(7);
+    private static final Duration CALM = Duration.ofSeconds(7);
 
     /**
      * A time in which a task of an accepted job had no run.
--- a/src/test/java/org/tamarackline/process/soak/SoakChecksTest.java
+++ b/src/test/java/org/tamarackline/process/soak/SoakChecksTest.java
@@ -130,16 +130,16 @@
     @Test
     void runOfACancelledJobCountsOnlyAfterACalmStretch() {
         run("r1", 1, 10, 35);
-        assertThat(onlyViolation(cancellations(fault(13, 13))).momentNanos()).isEqualTo(RUN_BOUND_NANOS + 1);
-        assertThat(onlyViolation(cancellations(fault(23, 23))).momentNanos()).isEqualTo(33_200_000_001L);
-        assertThat(cancellations(fault(23, 25)).violations(CANCELLED)).isEmpty();
+        assertThat(onlyViolation(cancellations(fault(16, 16))).momentNanos()).isEqualTo(RUN_BOUND_NANOS + 1);
+        assertThat(onlyViolation(cancellations(fault(23, 23))).momentNanos()).isEqualTo(30_200_000_001L);
+        assertThat(cancellations(fault(23, 28)).violations(CANCELLED)).isEmpty();
     }
 
     @Test
     void cancellationCountsAsCheckedOnlyWithAnUncompletedTaskAndACalmBound() {
         assertThat(cancellations().checked(CANCELLED)).isTrue();
         assertThat(cancellations().checked(JOB)).isFalse();
-        assertThat(cancellations(fault(13, 13)).checked(CANCELLED)).isFalse();
+        assertThat(cancellations(fault(16, 16)).checked(CANCELLED)).isFalse();
         assertThat(cancellations(fault(23, 23)).checked(CANCELLED)).isFalse();
         run("r1", 1, 10 * SECOND, 11 * SECOND, "done");
         assertThat(cancellations().checked(CANCELLED)).isFalse();
