--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -145,7 +145,7 @@
     }
 
     void add(Run run) {
-        runs.put(new RunKey(run.task().key(), run.number()), run);
+        runs.put(run.key(), run);
         run.task().runs.add(run);
         run.task().job().activeRuns++;
         reserved = reserved.plus(run.task().step().reservation());
@@ -158,7 +158,7 @@
     }
 
     void remove(Run run) {
-        if (runs.remove(new RunKey(run.task().key(), run.number())) == null) {
+        if (runs.remove(run.key()) == null) {
             return;
         }
         run.task().runs.remove(run);
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -90,7 +90,7 @@
         this.leader = leader;
         this.leaderRecords = new LeaderRecordStore(services);
         this.answeredReadSentNanos = loop.nowNanos();
-        // Only one node leads, so its retries need no spreading over time.
+        // Does not grow, unlike the delay of the reads that all nodes repeat, because only one node leads.
         RetryBackoff backoff = new RetryBackoff(
                 FleetConstants.STORE_RETRY_DELAY, FleetConstants.STORE_RETRY_DELAY, new Random(leaderVersion));
         this.reads = new HedgedRead<>(
--- a/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -24,6 +24,13 @@
         assertThat(fixture.scheduleStarts()).isEmpty();
     }
 
+    private Run startWithoutResponse() {
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        return run;
+    }
+
     /**
      * Guards against a second run of a task whose unanswered start reaches the new process, although the earlier process
      * had confirmed a stop of the run.
@@ -31,9 +38,7 @@
     @Test
     void startWithoutResponseIsStoppedAgainOnTheNewProcess() {
         FleetRunner runner = fixture.addRunner("r", 16_000);
-        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
-        Run run = fixture.scheduleStarts().getFirst();
-        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        Run run = startWithoutResponse();
         assertThat(fixture.scheduleStops()).hasSize(1);
         fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
         fixture.reportStatus(runner, 2, List.of(), List.of());
@@ -49,9 +54,7 @@
     @Test
     void waitForAnUnresolvedStartEndsAlthoughTheRunnerIsLostAgain() {
         FleetRunner runner = fixture.addRunner("r", 16_000);
-        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
-        Run run = fixture.scheduleStarts().getFirst();
-        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        startWithoutResponse();
         fleet.runnerLost("r");
         for (int i = 0; i < 5; i++) {
             fixture.reportStatus(runner, List.of(), List.of());
@@ -67,9 +70,7 @@
     @Test
     void stopOfAnAdoptedRunOutlivesItsUnresolvedStart() {
         FleetRunner runner = fixture.addRunner("r", 16_000);
-        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
-        Run run = fixture.scheduleStarts().getFirst();
-        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        Run run = startWithoutResponse();
         fleet.runnerLost("r");
         List<RunnerStatus.ActiveRun> running = List.of(FleetFixture.activeRun(run, 10));
         fixture.reportStatus(runner, running, List.of());
@@ -88,9 +89,7 @@
     @Test
     void startWithoutResponseIsStoppedOnTheNewProcessAtOnce() {
         FleetRunner runner = fixture.addRunner("r", 16_000);
-        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
-        Run run = fixture.scheduleStarts().getFirst();
-        fixture.applyStartResult(run, StartResult.UNKNOWN);
+        Run run = startWithoutResponse();
         assertThat(fixture.scheduleStops()).hasSize(1);
         fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
         fixture.reportStatus(runner, 2, List.of(), List.of());
--- a/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/DecisionLogTest.java
@@ -41,9 +41,7 @@
     /** Guards against times measured with another clock than that of the events, which simulations move. */
     @Test
     void timesAreMeasuredWithTheClockOfTheEventLoop() {
-        RunnerDescriptor descriptor = new RunnerDescriptor(
-                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
-        FleetRunner runner = fleet.runnerRegistered(descriptor);
+        FleetRunner runner = registerRunner();
         report(runner, List.of());
         fleet.jobs().add(JobDefinitions.tasks("job", 1, RUN.toMillis()), JobProgress.NONE, false, 0);
         Run run = ((RunnerCommand.Start) fleet.schedule(loop.nowNanos(), 0, 1).getFirst()).run();
@@ -64,9 +62,7 @@
     /** Guards against a stop that came late without a trace of whether it was the first one and of what became of it. */
     @Test
     void stopsAreLoggedWithTheirAttemptAndOutcome() {
-        RunnerDescriptor descriptor = new RunnerDescriptor(
-                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
-        FleetRunner runner = fleet.runnerRegistered(descriptor);
+        FleetRunner runner = registerRunner();
         RunnerCommand.Stop stop =
                 new RunnerCommand.Stop(runner, new TaskKey("job", 0, 0, 2), 1, StopCause.UNKNOWN_RUN, 3);
         long sentNanos = loop.nowNanos();
@@ -83,9 +79,7 @@
     /** Guards against a cancelled job whose runs end late without a trace of how long its leader had known of it. */
     @Test
     void endsOfCancelledRunsAreLoggedWithTheTimeSinceTheCancellation() {
-        RunnerDescriptor descriptor = new RunnerDescriptor(
-                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of());
-        FleetRunner runner = fleet.runnerRegistered(descriptor);
+        FleetRunner runner = registerRunner();
         report(runner, List.of());
         fleet.jobs().add(JobDefinitions.tasks("job", 1, RUN.toMillis()), JobProgress.NONE, false, 0);
         Run run = ((RunnerCommand.Start) fleet.schedule(loop.nowNanos(), 0, 1).getFirst()).run();
@@ -97,6 +91,11 @@
                 .contains("\"event\":\"cancelled-run-ended\"", "\"sinceCancelledMs\":" + WAIT.toMillis() + "}");
     }
 
+    private FleetRunner registerRunner() {
+        return fleet.runnerRegistered(new RunnerDescriptor(
+                "r", 1, "dispatch", "10.0.0.1:80", "dc", "", false, new Resources(16_000, 64_000, 0), Set.of()));
+    }
+
     private void report(FleetRunner runner, List<RunnerStatus.EndedRun> ends) {
         fleet.applyStatus(runner, new RunnerStatus(1, 1, List.of(), ends), loop.nowNanos(), loop.nowNanos());
     }
