Log since when the store has answered no transaction of a node

Cause: the log could not tell a leader whose writes fail from one that nobody extended leases for: storeAgeMs is renewed by any answer, so it stays low while only transactions fail.

Change: UnansweredWrites measures for how long the store has answered none of a node's transactions. leader-state, leader-suspected, the pings between nodes and two gauges carry it; lease-limit-runs-out says when the limit was stored last and what became of the attempts since. A ping carries it in a header, and only a node that sends the header is told it, so that nodes of earlier versions still read the answers. No decision uses it yet.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -391,6 +391,7 @@
             writeTexts(json, "pingFailures", suspicion.pingFailures());
             writeIfPresent(json, "sinceAnswerMs", suspicion.sinceAnswerMs());
             writeIfPresent(json, "leaderStoreAgeMs", suspicion.leaderStoreAgeMs());
+            writeIfPresent(json, "leaderUnansweredWritesMs", suspicion.leaderUnansweredWritesMs());
             json.writeNumberField("ownLoopDelayMs", suspicion.ownLoopDelayMs());
         });
     }
@@ -407,6 +408,25 @@
         });
     }
 
+    /**
+     * Logs that the leases of all runners will soon end, because the store has not raised the limit.
+     *
+     * @param remainingMs time until it, in milliseconds; empty if it is unknown
+     * @param ageMs time since the write was sent that stored it, in milliseconds; empty if this leader has stored none
+     * @param failedRaises number of attempts to raise it since then that failed
+     * @param lastFailure what became of the last one, empty if none failed
+     */
+    void leaseLimitRunsOut(
+            LeaderRecord leader, OptionalLong remainingMs, OptionalLong ageMs, int failedRaises, String lastFailure) {
+        writeLine("lease-limit-runs-out", json -> {
+            json.writeNumberField("epoch", leader.epoch());
+            writeIfPresent(json, "remainingMs", remainingMs);
+            writeIfPresent(json, "ageMs", ageMs);
+            json.writeNumberField("failedRaises", failedRaises);
+            json.writeStringField("lastFailure", lastFailure);
+        });
+    }
+
     void leaderState(LeaderState state) {
         writeLine("leader-state", json -> {
             json.writeNumberField("epoch", state.epoch());
@@ -422,6 +442,8 @@
             json.writeNumberField("storeAgeMs", state.storeAgeMs());
             json.writeNumberField("directoryAgeMs", state.directoryAgeMs());
             writeIfPresent(json, "leaseLimitMs", state.leaseLimitMs());
+            writeIfPresent(json, "leaseLimitAgeMs", state.leaseLimitAgeMs());
+            json.writeNumberField("unansweredWritesMs", state.unansweredWritesMs());
             json.writeNumberField("waitingLongRunningTasks", state.waitingLongRunningTasks());
         });
     }
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -96,7 +96,7 @@
                 services,
                 peers,
                 storeContact,
-                new PeerCalls.PingRequest(settings.node(), settings.capacity(), 0),
+                new PeerCalls.PingRequest(settings.node(), settings.capacity()),
                 Math.floorMod(settings.node().hashCode(), INITIAL_RANKS),
                 random,
                 this::readRecord);
@@ -140,11 +140,13 @@
         if (leader != null && !leader.resigned()) {
             handOverIfTooSmall();
         }
+        long unansweredWritesMs = storeContact.unansweredWrites().forMs();
         if (leader != null && !leader.resigned()) {
-            return new PeerCalls.PingResponse(leader.record().epoch(), 0, leader.storeAgeMs(), callerRank);
+            return new PeerCalls.PingResponse(
+                    leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs);
         }
         long claimedEpoch = stopped || claim == null ? 0 : claim.epoch();
-        return new PeerCalls.PingResponse(0, claimedEpoch, storeContact.answerAgeMs(), callerRank);
+        return new PeerCalls.PingResponse(0, claimedEpoch, storeContact.answerAgeMs(), callerRank, unansweredWritesMs);
     }
 
     /** Lets the leader of this process store a job; refuses it at once if the store does not answer. */
@@ -429,7 +431,7 @@
         resigning = false;
         log.leaderStarted(record, reason);
         metrics.leadershipChanged(FleetMetrics.LeadershipEvent.STARTED);
-        leader = new Leader(services, peers, record, version, why -> onLeaderEnded(record, why));
+        leader = new Leader(services, storeContact, peers, record, version, why -> onLeaderEnded(record, why));
         capacityPolicy.onStartedToLead();
         leader.start(sentNanos);
     }
--- a/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
@@ -29,6 +29,7 @@
 
     private static final String PREFIX = "tamarackline.";
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MS = 1e6;
 
     /** Label value of a run whose end no runner reported; the others are the names of {@link EndReason}. */
     private static final String LOST = "lost";
@@ -189,6 +190,16 @@
                 "time since the store last confirmed this leader, 0 if the node does not lead",
                 Tags.empty(),
                 state -> state.leading() ? state.confirmationAgeNanos() + sampleAgeNanos(state) : 0);
+        secondsGauge(
+                "leader.lease.limit.remaining",
+                "time until the leases of all runners end unless the store raises their limit, 0 if it is unknown or the node does not lead",
+                Tags.empty(),
+                state -> state.leading() ? state.leaseLimitMs() * NANOS_PER_MS : 0);
+        secondsGauge(
+                "leader.writes.unanswered",
+                "time for which the store has answered no transaction of this leader, 0 if the node does not lead",
+                Tags.empty(),
+                state -> state.leading() ? state.unansweredWritesMs() * NANOS_PER_MS : 0);
         secondsGauge(
                 "leader.sample.age",
                 "age of the leader's state in this scrape, 0 if the node does not lead",
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -24,7 +25,8 @@
     private static final Duration SUBMISSION_TIMEOUT = Duration.ofMillis(2_500);
 
     /** Numbers of at most 18 digits fit into 64 bits, those of at most 9 digits into 32 bits. */
-    private static final Pattern PING_RESPONSE = Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})");
+    private static final Pattern PING_RESPONSE =
+            Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})(?: unansweredWritesMs=(\\d{1,18}))?");
 
     private static final Pattern COUNT = Pattern.compile("\\d{1,9}");
 
@@ -38,7 +40,10 @@
 
     @Override
     public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
-        Map<String, String> headers = Map.of(PeerPaths.ANSWERED_EPOCH, Long.toString(request.answeredEpoch()));
+        Map<String, String> headers = new HashMap<>();
+        headers.put(PeerPaths.ANSWERED_EPOCH, Long.toString(request.answeredEpoch()));
+        request.unansweredWritesMs()
+                .ifPresent(timeMs -> headers.put(PeerPaths.UNANSWERED_WRITES_MS, Long.toString(timeMs)));
         http.call("GET", address, PeerPaths.ping(request), headers, null, PING_TIMEOUT, reply -> {
             PingResult result = pingResult(reply);
             loop.execute(() -> callback.accept(result));
@@ -67,7 +72,8 @@
                 Long.parseLong(matcher.group(1)),
                 Long.parseLong(matcher.group(2)),
                 Long.parseLong(matcher.group(3)),
-                Integer.parseInt(matcher.group(4))));
+                Integer.parseInt(matcher.group(4)),
+                matcher.group(5) == null ? 0 : Long.parseLong(matcher.group(5))));
     }
 
     @Override
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -27,6 +27,7 @@
 
     private final EventLoop loop;
     private final RecordStore store;
+    private final StoreContact storeContact;
     private final InstantSource timeOfDay;
     private final DecisionLog log;
     private final FleetMetrics metrics;
@@ -66,11 +67,19 @@
     /**
      * Creates a leader whose record is stored.
      *
+     * @param storeContact contact of the node to the store
      * @param leaderVersion version of the leader record
      * @param onEnded receives the reason when the leader ends other than by {@link #end}
      */
-    Leader(NodeServices services, PeerCalls peers, LeaderRecord record, long leaderVersion, Consumer<String> onEnded) {
+    Leader(
+            NodeServices services,
+            StoreContact storeContact,
+            PeerCalls peers,
+            LeaderRecord record,
+            long leaderVersion,
+            Consumer<String> onEnded) {
         this.loop = services.loop();
+        this.storeContact = storeContact;
         this.store = services.store();
         this.timeOfDay = services.timeOfDay();
         this.log = services.log();
@@ -334,7 +343,9 @@
                 load,
                 silentRunners,
                 unansweredStarts,
-                leadershipLease.ageNanos()));
+                leadershipLease.ageNanos(),
+                leaseLimit.remainingMs().orElse(0),
+                storeContact.unansweredWrites().forMs()));
         if (loaded && ++samplesSinceLog >= FleetConstants.STATE_SAMPLES_PER_LOG) {
             samplesSinceLog = 0;
             logState(load, silentRunners);
@@ -361,6 +372,8 @@
                 storeAgeMs(),
                 directory.ageMs(),
                 leaseLimit.remainingMs(),
+                leaseLimitStore.ageMs(),
+                storeContact.unansweredWrites().forMs(),
                 waits.count()));
         for (LongRunningWait wait : waits.longest()) {
             ChangeKey change = ChangeKey.job(wait.task().job());
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 
 /**
@@ -213,13 +214,18 @@
         long sentNanos = loop.nowNanos();
         lastPingNanos = sentNanos;
         punctuality.start();
-        peers.ping(followed.address(), request, result -> {
+        peers.ping(followed.address(), currentRequest(), result -> {
             if (pingGeneration == generation) {
                 onPing(result, sentNanos);
             }
         });
     }
 
+    private PeerCalls.PingRequest currentRequest() {
+        return request.withUnansweredWritesMs(
+                OptionalLong.of(storeContact.unansweredWrites().forMs()));
+    }
+
     private void onPing(PeerCalls.PingResult result, long sentNanos) {
         punctuality.stop();
         switch (result) {
@@ -238,7 +244,7 @@
             disregardedPings = 0;
             keptUnreachedSinceNanos = 0;
             request = request.withAnsweredEpoch(followed.epoch());
-            pings.onAnswer(response.storeAgeMs());
+            pings.onAnswer(response);
             onLeaderAnswered(Duration.ofMillis(response.storeAgeMs()));
         } else if (isClaiming(response)) {
             rank = response.rank();
@@ -271,7 +277,7 @@
     private void pingWhileSuspected() {
         long suspectedGeneration = generation;
         long sentNanos = loop.nowNanos();
-        peers.ping(followed.address(), request, result -> {
+        peers.ping(followed.address(), currentRequest(), result -> {
             if (suspectedGeneration == generation
                     && result instanceof PeerCalls.PingResponse response
                     && response.epoch() == followed.epoch()) {
--- a/src/main/java/org/tamarackline/fleet/LeaderSample.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderSample.java
@@ -13,6 +13,8 @@
  * @param silentRunners runners that did not answer the last poll
  * @param unansweredStarts start requests without a response
  * @param confirmationAgeNanos time since the store last confirmed the leader, in nanoseconds
+ * @param leaseLimitMs time until the lease limit, in milliseconds; 0 if it is unknown
+ * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds
  */
 public record LeaderSample(
         long sampledNanos,
@@ -21,10 +23,12 @@
         FleetLoad load,
         int silentRunners,
         int unansweredStarts,
-        long confirmationAgeNanos) {
+        long confirmationAgeNanos,
+        long leaseLimitMs,
+        long unansweredWritesMs) {
 
     /** Sample of a node that does not lead. */
-    static final LeaderSample NOT_LEADING = new LeaderSample(0, 0, false, FleetLoad.NONE, 0, 0, 0);
+    static final LeaderSample NOT_LEADING = new LeaderSample(0, 0, false, FleetLoad.NONE, 0, 0, 0, 0, 0);
 
     boolean leading() {
         return epoch > 0;
--- a/src/main/java/org/tamarackline/fleet/LeaderState.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderState.java
@@ -18,6 +18,9 @@
  * @param storeAgeMs time since the store's last response, in milliseconds
  * @param directoryAgeMs time since the read was sent by which runners are placed on, in milliseconds
  * @param leaseLimitMs time until the lease limit, in milliseconds; empty if it is unknown
+ * @param leaseLimitAgeMs time since the write was sent that stored the lease limit last, in milliseconds; empty if this
+ *     leader has stored none
+ * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds
  * @param waitingLongRunningTasks long-running tasks that have been ready for more than {@link
  *     FleetConstants#LONG_RUNNING_WAIT_TO_LOG} without a confirmed run
  */
@@ -35,4 +38,6 @@
         long storeAgeMs,
         long directoryAgeMs,
         OptionalLong leaseLimitMs,
+        OptionalLong leaseLimitAgeMs,
+        long unansweredWritesMs,
         int waitingLongRunningTasks) {}
--- a/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /**
@@ -34,11 +35,13 @@
 
     private static final int MAX_UNANSWERED_ATTEMPTS = 4;
 
+    private static final String NO_FAILURE = "";
+
     private final NodeServices services;
     private final EventLoop loop;
     private final LeaseLimit limit;
+    private final LeaderRecord record;
     private final long epoch;
-    private final long leasesLimitedSinceEpoch;
     private final Callbacks leader;
     private final LeaseLimitReader reader;
 
@@ -50,12 +53,19 @@
     private int unansweredAttempts;
     private long lastAttemptNanos;
 
+    /** When the write was sent that stored the limit last; empty if this leader has stored none. */
+    private OptionalLong storedNanos = OptionalLong.empty();
+
+    private int failedRaises;
+    private String lastFailure = NO_FAILURE;
+    private boolean reportedRunningOut;
+
     LeaseLimitStore(NodeServices services, LeaseLimit limit, LeaderRecord record, Callbacks leader) {
         this.services = services;
         this.loop = services.loop();
         this.limit = limit;
+        this.record = record;
         this.epoch = record.epoch();
-        this.leasesLimitedSinceEpoch = record.leasesLimitedSinceEpoch();
         this.leader = leader;
         this.reader = new LeaseLimitReader(services);
     }
@@ -65,6 +75,13 @@
         read();
     }
 
+    /** Returns the time since the write was sent that stored the limit last; empty if this leader has stored none. */
+    OptionalLong ageMs() {
+        return storedNanos.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of((loop.nowNanos() - storedNanos.getAsLong()) / 1_000_000);
+    }
+
     private void read() {
         if (leader.ended()) {
             return;
@@ -84,17 +101,17 @@
 
     /** Handles the record that the store has. */
     private void onEntry(Optional<RecordStore.Entry> entry) {
-        LeaseLimitRecord record = entry.flatMap(this::decode).orElse(LeaseLimitRecord.NONE);
-        if (record.epoch() > epoch) {
+        LeaseLimitRecord stored = entry.flatMap(this::decode).orElse(LeaseLimitRecord.NONE);
+        if (stored.epoch() > epoch) {
             leader.onLeaseLimitFenced();
             return;
         }
         version = entry.filter(present -> !present.removed())
                 .map(RecordStore.Entry::version)
                 .orElse(0L);
-        boolean ofLastLeaders = record.epoch() + 1 >= leasesLimitedSinceEpoch;
-        limit.onStored(ofLastLeaders ? record.limitStoreMs() : LeaseLimitRecord.UNKNOWN);
-        if (record.epoch() == epoch) {
+        boolean ofLastLeaders = stored.epoch() + 1 >= record.leasesLimitedSinceEpoch();
+        limit.onStored(ofLastLeaders ? stored.limitStoreMs() : LeaseLimitRecord.UNKNOWN);
+        if (stored.epoch() == epoch) {
             onEarlierLeadersFenced();
         } else {
             fenceEarlierLeaders();
@@ -106,9 +123,9 @@
             return Optional.empty();
         }
         try {
-            LeaseLimitRecord record = RecordCodec.decodeLeaseLimit(entry.value());
-            if (record.epoch() <= entry.version()) {
-                return Optional.of(record);
+            LeaseLimitRecord stored = RecordCodec.decodeLeaseLimit(entry.value());
+            if (stored.epoch() <= entry.version()) {
+                return Optional.of(stored);
             }
             // Each claim raises the epoch by one in a transaction of its own, so no node wrote this record.
             services.log().skippedRecord(entry.key(), "the epoch is higher than the record's version");
@@ -148,11 +165,20 @@
             return;
         }
         loop.schedule(FleetConstants.LEASE_LIMIT_CHECK_INTERVAL, this::raiseWhenDue);
+        reportRunningOut();
         if (limit.due() && (leader.leaseLimitMayBeRaised() || limit.runsOut()) && mayAttempt()) {
             limit.raisedMs().ifPresent(this::raise);
         }
     }
 
+    private void reportRunningOut() {
+        boolean runsOut = limit.runsOut();
+        if (runsOut && !reportedRunningOut) {
+            services.log().leaseLimitRunsOut(record, limit.remainingMs(), ageMs(), failedRaises, lastFailure);
+        }
+        reportedRunningOut = runsOut;
+    }
+
     private boolean mayAttempt() {
         long sinceLastNanos = loop.nowNanos() - lastAttemptNanos;
         return (unansweredAttempts == 0 && !raisesFailing)
@@ -164,12 +190,14 @@
         unansweredAttempts++;
         lastAttemptNanos = loop.nowNanos();
         long requiredVersion = version;
+        long sentNanos = lastAttemptNanos;
         write(raisedMs, result -> {
             unansweredAttempts--;
             logFailures(result);
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 version = applied.version();
                 limit.onStored(raisedMs);
+                onRaised(sentNanos);
             } else if (result instanceof RecordStore.TransactionResult.Conflict conflict
                     && requiredVersion == version) {
                 // An earlier attempt whose response was lost has taken effect, or a successor has fenced this leader.
@@ -178,9 +206,19 @@
         });
     }
 
+    private void onRaised(long sentNanos) {
+        storedNanos = OptionalLong.of(sentNanos);
+        failedRaises = 0;
+        lastFailure = NO_FAILURE;
+    }
+
     private void logFailures(RecordStore.TransactionResult result) {
         boolean failed = !(result instanceof RecordStore.TransactionResult.Applied)
                 && !(result instanceof RecordStore.TransactionResult.Conflict);
+        if (failed) {
+            failedRaises++;
+            lastFailure = result.toString();
+        }
         if (failed != raisesFailing) {
             raisesFailing = failed;
             services.log().storeState(failed ? "lease-limit-failing" : "lease-limit-back", result.toString());
--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -14,11 +14,12 @@
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
         long sentNanos = contact.nowNanos();
+        contact.unansweredWrites().onSent();
         store.transact(transaction, result -> {
             switch (result) {
-                case TransactionResult.Applied applied -> contact.onAnswer();
-                case TransactionResult.Conflict conflict -> contact.onAnswer();
-                case TransactionResult.Rejected rejected -> contact.onAnswer();
+                case TransactionResult.Applied applied -> recordAnsweredWrite(sentNanos);
+                case TransactionResult.Conflict conflict -> recordAnsweredWrite(sentNanos);
+                case TransactionResult.Rejected rejected -> recordAnsweredWrite(sentNanos);
                 case TransactionResult.NotApplied notApplied -> {
                     if (!notApplied.busy()) {
                         contact.onFailure();
@@ -35,6 +36,11 @@
         });
     }
 
+    private void recordAnsweredWrite(long sentNanos) {
+        contact.unansweredWrites().onAnswered(sentNanos);
+        contact.onAnswer();
+    }
+
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
         store.read(table, from, to, result -> recordRead(result, callback));
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -1,6 +1,7 @@
 package org.tamarackline.fleet;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.JobState;
@@ -39,12 +40,24 @@
      * @param node name of the pinging node
      * @param capacity capacity of the pinging node
      * @param answeredEpoch epoch of the leader that answered the previous ping of the node, 0 if none did
+     * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds; empty if
+     *     the node runs an earlier version of this program
      */
-    record PingRequest(String node, NodeCapacity capacity, long answeredEpoch) {
+    record PingRequest(String node, NodeCapacity capacity, long answeredEpoch, OptionalLong unansweredWritesMs) {
+
+        /** Creates a ping of a node that follows no leader and does not tell what becomes of its transactions. */
+        PingRequest(String node, NodeCapacity capacity) {
+            this(node, capacity, 0, OptionalLong.empty());
+        }
 
         /** Returns the same ping after an answer of a leader, or after none if the epoch is 0. */
         PingRequest withAnsweredEpoch(long epoch) {
-            return new PingRequest(node, capacity, epoch);
+            return new PingRequest(node, capacity, epoch, unansweredWritesMs);
+        }
+
+        /** Returns the same ping of a node whose transactions the store has not answered for a time, in milliseconds. */
+        PingRequest withUnansweredWritesMs(OptionalLong nextUnansweredWritesMs) {
+            return new PingRequest(node, capacity, answeredEpoch, nextUnansweredWritesMs);
         }
     }
 
@@ -65,8 +78,11 @@
      * @param claimedEpoch epoch of a claim of the node whose outcome it does not know yet, 0 if there is none
      * @param storeAgeMs time since the store's last response to the node, in milliseconds
      * @param rank rank of the pinging node among those that may succeed the leader, from 0
+     * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds; 0 if the
+     *     node runs an earlier version of this program
      */
-    record PingResponse(long epoch, long claimedEpoch, long storeAgeMs, int rank) implements PingResult {}
+    record PingResponse(long epoch, long claimedEpoch, long storeAgeMs, int rank, long unansweredWritesMs)
+            implements PingResult {}
 
     /**
      * Response to a state request.
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -4,6 +4,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -13,9 +14,10 @@
     /** Followed by the node's name and its capacity; nodes of earlier versions send no capacity. */
     static final String PING = "/ping/";
 
-    /** Numbers of at most 9 digits fit into 32 bits. */
-    private static final Pattern EPOCH = Pattern.compile("\\d{1,18}");
+    /** Numbers of at most 18 digits fit into 64 bits. */
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,18}");
 
+    /** Numbers of at most 9 digits fit into 32 bits. */
     private static final Pattern PING_PATH = Pattern.compile(PING + "([^/]+)(?:/(\\d{1,9})/(\\d{1,9})/(\\d{1,9}))?");
 
     static final String STEP_DOWN = "/step-down/";
@@ -28,6 +30,12 @@
     /** Header of a ping with the epoch that answered the previous one; a path with it would be refused by earlier versions. */
     static final String ANSWERED_EPOCH = "Answered-Epoch";
 
+    /**
+     * Header of a ping with the time for which the store has answered no transaction of the pinging node, in milliseconds. A
+     * node that sends it is told the same of the other one; earlier versions could not read that.
+     */
+    static final String UNANSWERED_WRITES_MS = "Unanswered-Writes-Ms";
+
     /** Response of a node that has stepped down. */
     static final String STEPPED_DOWN = "stepped down";
 
@@ -47,7 +55,18 @@
 
     /** Returns the epoch of the header of a ping, 0 if it is absent or malformed. */
     static long parseAnsweredEpoch(String header) {
-        return header != null && EPOCH.matcher(header).matches() ? Long.parseLong(header) : 0;
+        return parseNumber(header).orElse(0);
+    }
+
+    /** Returns the time of the header of a ping, in milliseconds; empty if it is absent or malformed. */
+    static OptionalLong parseUnansweredWritesMs(String header) {
+        return parseNumber(header);
+    }
+
+    private static OptionalLong parseNumber(String header) {
+        return header != null && NUMBER.matcher(header).matches()
+                ? OptionalLong.of(Long.parseLong(header))
+                : OptionalLong.empty();
     }
 
     /** Returns the ping of a path, without its header; empty if the path is malformed. */
@@ -68,6 +87,6 @@
                         Integer.parseInt(matcher.group(2)),
                         Integer.parseInt(matcher.group(3)),
                         Integer.parseInt(matcher.group(4)));
-        return Optional.of(new PeerCalls.PingRequest(node, capacity, 0));
+        return Optional.of(new PeerCalls.PingRequest(node, capacity));
     }
 }
--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -36,8 +37,10 @@
         String path = exchange.path();
         if (path.startsWith(PeerPaths.PING)) {
             long answeredEpoch = PeerPaths.parseAnsweredEpoch(exchange.header(PeerPaths.ANSWERED_EPOCH));
+            OptionalLong unansweredWritesMs =
+                    PeerPaths.parseUnansweredWritesMs(exchange.header(PeerPaths.UNANSWERED_WRITES_MS));
             PeerPaths.parsePing(path)
-                    .map(ping -> ping.withAnsweredEpoch(answeredEpoch))
+                    .map(ping -> ping.withAnsweredEpoch(answeredEpoch).withUnansweredWritesMs(unansweredWritesMs))
                     .ifPresentOrElse(
                             ping -> loop.execute(() -> respondToPing(exchange, ping)),
                             () -> exchange.respond(400, Map.of(), new byte[0]));
@@ -80,10 +83,11 @@
 
     private void respondToPing(HttpExchange exchange, PeerCalls.PingRequest ping) {
         PeerCalls.PingResponse response = election.handlePing(ping);
-        respond(
-                exchange,
-                "%d %d %d %d"
-                        .formatted(response.epoch(), response.claimedEpoch(), response.storeAgeMs(), response.rank()));
+        String text = "%d %d %d %d"
+                .formatted(response.epoch(), response.claimedEpoch(), response.storeAgeMs(), response.rank());
+        // Earlier versions accept the four numbers only.
+        boolean readsUnansweredWrites = ping.unansweredWritesMs().isPresent();
+        respond(exchange, readsUnansweredWrites ? text + " unansweredWritesMs=" + response.unansweredWritesMs() : text);
     }
 
     private void handleStepDown(HttpExchange exchange, String epochText) {
--- a/src/main/java/org/tamarackline/fleet/PingHistory.java
+++ b/src/main/java/org/tamarackline/fleet/PingHistory.java
@@ -18,6 +18,7 @@
     private boolean answered;
     private long answeredNanos;
     private long leaderStoreAgeMs;
+    private long leaderUnansweredWritesMs;
 
     PingHistory(MonotonicClock clock) {
         this.clock = clock;
@@ -31,11 +32,12 @@
     }
 
     /** Records an answer of the leader. */
-    void onAnswer(long storeAgeMs) {
+    void onAnswer(PeerCalls.PingResponse response) {
         clear();
         answered = true;
         answeredNanos = clock.nowNanos();
-        leaderStoreAgeMs = storeAgeMs;
+        leaderStoreAgeMs = response.storeAgeMs();
+        leaderUnansweredWritesMs = response.unansweredWritesMs();
     }
 
     /**
@@ -61,6 +63,7 @@
                 failures,
                 answered ? OptionalLong.of((clock.nowNanos() - answeredNanos) / 1_000_000) : OptionalLong.empty(),
                 answered ? OptionalLong.of(leaderStoreAgeMs) : OptionalLong.empty(),
+                answered ? OptionalLong.of(leaderUnansweredWritesMs) : OptionalLong.empty(),
                 loopDelay.getAndResetMaxMs());
     }
 }
--- a/src/main/java/org/tamarackline/fleet/StoreContact.java
+++ b/src/main/java/org/tamarackline/fleet/StoreContact.java
@@ -11,12 +11,14 @@
     private static final Duration MAX_ANSWER_AGE = Duration.ofMillis(1_200);
 
     private final MonotonicClock clock;
+    private final UnansweredWrites unansweredWrites;
     private boolean answering;
     private long answeringSinceNanos;
     private long lastAnswerNanos;
 
     StoreContact(MonotonicClock clock) {
         this.clock = clock;
+        this.unansweredWrites = new UnansweredWrites(clock);
         this.lastAnswerNanos = clock.nowNanos();
     }
 
@@ -34,6 +36,11 @@
         answering = false;
     }
 
+    /** Returns which transactions of this node are not answered, whatever the store answers to reads. */
+    UnansweredWrites unansweredWrites() {
+        return unansweredWrites;
+    }
+
     /** Returns the time of the clock by which contact is measured. */
     long nowNanos() {
         return clock.nowNanos();
--- a/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
@@ -142,7 +142,7 @@
         link.directory().put(runner.id(), descriptor());
         NodeServices services = new NodeServices(loop, client, calls, client, timeOfDay, log, FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
+        new Leader(services, new StoreContact(loop), peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
     }
 
--- a/src/test/java/org/tamarackline/fleet/CapacityPolicyTest.java
+++ b/src/test/java/org/tamarackline/fleet/CapacityPolicyTest.java
@@ -24,7 +24,7 @@
     }
 
     private void ping(String node, NodeCapacity capacity) {
-        successors.onPing(new PeerCalls.PingRequest(node, capacity, 0));
+        successors.onPing(new PeerCalls.PingRequest(node, capacity));
     }
 
     @Test
--- a/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
+++ b/src/test/java/org/tamarackline/fleet/CommitBacklogTest.java
@@ -231,7 +231,7 @@
         NodeServices services =
                 new NodeServices(loop, store, calls, this::listRunners, timeOfDay, log, FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
+        new Leader(services, new StoreContact(loop), peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
     }
 
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -24,6 +24,7 @@
             String address,
             SuspendableLoop loop,
             NodeStore store,
+            StoreContact storeContact,
             Election election,
             FleetNodeMetrics metrics) {
 
@@ -75,11 +76,10 @@
 
     /** Returns a handler of the requests that reach a node. */
     JobRequestHandler requestHandler(Node node) {
-        StoreContact contact = new StoreContact(node.loop());
         return new JobRequestHandler(
                 node.loop(),
-                new MonitoredStore(node.store(), contact),
-                contact,
+                new MonitoredStore(node.store(), node.storeContact()),
+                node.storeContact(),
                 node.election(),
                 new FakePeerCalls(node.loop(), network),
                 node.metrics(),
@@ -113,7 +113,7 @@
         Election election =
                 new Election(services, storeContact, new FakePeerCalls(nodeLoop, network), settings, ++incarnations);
         network.add(address, nodeLoop, election);
-        Node node = new Node(name, address, nodeLoop, nodeStore, election, metrics);
+        Node node = new Node(name, address, nodeLoop, nodeStore, storeContact, election, metrics);
         nodes.add(node);
         nodeLoop.execute(election::start);
         return node;
--- a/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
@@ -66,7 +66,7 @@
         Set<String> before = Set.copyOf(scrape().series());
         recordAllEvents();
         FleetLoad load = new FleetLoad(1, 1, 0, waits(1L, 1L), 0, 0, 0, 0, 0);
-        metrics.leaderSampled(new LeaderSample(1, 1, true, load, 0, 0, 0));
+        metrics.leaderSampled(new LeaderSample(1, 1, true, load, 0, 0, 0, 0, 0));
         PrometheusText after = scrape();
         assertThat(after.series()).containsExactlyInAnyOrderElementsOf(before);
         assertThat(after.labelNames()).isSubsetOf(LABEL_NAMES);
@@ -90,7 +90,7 @@
         List<Long> waits = waits(1_500_000_000L, 250_000_000L);
         FleetLoad load = new FleetLoad(11, 12, 13, waits, 14, 15, 16, 17, 18);
         loop.advance(Duration.ofSeconds(5));
-        metrics.leaderSampled(new LeaderSample(loop.nowNanos(), 7, true, load, 19, 20, 500_000_000));
+        metrics.leaderSampled(new LeaderSample(loop.nowNanos(), 7, true, load, 19, 20, 500_000_000, 2_250, 750));
         loop.advance(Duration.ofSeconds(2));
         PrometheusText text = scrape();
         assertThat(text.value("tamarackline_leader")).isOne();
@@ -98,6 +98,9 @@
         assertThat(text.value("tamarackline_leader_epoch")).isEqualTo(7);
         assertThat(text.value("tamarackline_leader_sample_age_seconds")).isEqualTo(2);
         assertThat(text.value("tamarackline_leader_confirmation_age_seconds")).isEqualTo(2.5);
+        assertThat(text.value("tamarackline_leader_lease_limit_remaining_seconds"))
+                .isEqualTo(2.25);
+        assertThat(text.value("tamarackline_leader_writes_unanswered_seconds")).isEqualTo(0.75);
         assertThat(text.value("tamarackline_jobs_open")).isEqualTo(11);
         assertThat(text.value("tamarackline_tasks_ready")).isEqualTo(12);
         assertThat(text.value("tamarackline_tasks_held")).isEqualTo(13);
@@ -172,7 +175,7 @@
 
     private static LeaderSample sampleOf(int value) {
         FleetLoad load = new FleetLoad(value, value, value, waits(0, 0), value, value, value, value, value);
-        return new LeaderSample(1, value, true, load, value, value, 0);
+        return new LeaderSample(1, value, true, load, value, value, 0, value, value);
     }
 
     private void recordAllEvents() {
--- a/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HeldJobsTest.java
@@ -75,7 +75,7 @@
                 new DecisionLog(sink, timeOfDay, loop, "node"),
                 FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        leader = new Leader(services, peers, record, version, reason -> {});
+        leader = new Leader(services, new StoreContact(loop), peers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
     }
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -23,7 +23,7 @@
 class HttpPeerCallsTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
-    private static final PeerCalls.PingRequest PING = new PeerCalls.PingRequest("n", NodeCapacity.UNKNOWN, 0);
+    private static final PeerCalls.PingRequest PING = new PeerCalls.PingRequest("n", NodeCapacity.UNKNOWN);
 
     private final SingleThreadLoop loop = new SingleThreadLoop("peer-calls-test");
     private final BlockingQueue<Object> answers = new LinkedBlockingQueue<>();
--- a/src/test/java/org/tamarackline/fleet/LeaderFixture.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderFixture.java
@@ -159,7 +159,7 @@
                 new DecisionLog(sink, timeOfDay, loop, "node"),
                 FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        leader = new Leader(services, peers, record, version, reason -> {});
+        leader = new Leader(services, new StoreContact(loop), peers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
     }
--- a/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
@@ -328,7 +328,7 @@
                 new DecisionLog(new LineSink(OutputStream.nullOutputStream()), timeOfDay, loop, "node" + epoch);
         NodeServices services = new NodeServices(
                 loop, store, calls, done -> done.accept(Optional.of(List.copyOf(registered))), timeOfDay, log, metrics);
-        Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
+        Leader leader = new Leader(services, new StoreContact(loop), unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
     }
--- a/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderStateTest.java
@@ -45,6 +45,7 @@
                 FleetMetrics.NONE);
         new Leader(
                         services,
+                        new StoreContact(loop),
                         new FakePeerCalls(loop, new FakePeerCalls.Network()),
                         new LeaderRecord(2, "node", "10.0.0.9:1", 1, false, List.of()),
                         0,
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -367,7 +367,7 @@
                 timeOfDay,
                 log,
                 FleetMetrics.NONE);
-        Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
+        Leader leader = new Leader(services, new StoreContact(loop), unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
     }
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -3,15 +3,37 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 
-/** Access of one node to the shared store: responses arrive on the node's loop. The store may refuse the node. */
+/**
+ * Access of one node to the shared store: responses arrive on the node's loop. The store may refuse the node, or only its
+ * transactions.
+ */
 final class NodeStore implements RecordStore {
 
+    /** What becomes of the node's transactions. */
+    enum Writes {
+        /** They are executed and answered. */
+        ANSWERED,
+        /** They are refused. */
+        REFUSED,
+        /** They are refused because of too many calls. */
+        REFUSED_AS_TOO_MANY,
+        /** They are neither executed nor answered. */
+        LOST,
+        /** They are executed and not answered. */
+        ANSWER_LOST,
+        /** They are executed seconds later if their conditions still hold, and not answered. */
+        LATE
+    }
+
     private static final Duration LATENCY = Duration.ofMillis(5);
+    private static final Duration TIMEOUT = Duration.ofMillis(1_200);
+    private static final Duration LATE_BY = Duration.ofSeconds(4);
     private static final String REFUSAL = "status 503";
 
     private final RecordStore shared;
     private final EventLoop loop;
     private boolean refused;
+    private Writes writes = Writes.ANSWERED;
 
     NodeStore(RecordStore shared, EventLoop loop) {
         this.shared = shared;
@@ -23,6 +45,11 @@
         refused = next;
     }
 
+    /** Sets what becomes of all further transactions of the node; its reads are answered. */
+    void setWrites(Writes next) {
+        writes = next;
+    }
+
     /** Returns whether the store refuses the calls of the node. */
     boolean refused() {
         return refused;
@@ -39,7 +66,26 @@
             loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             return;
         }
-        shared.transact(transaction, result -> loop.execute(() -> callback.accept(result)));
+        switch (writes) {
+            case ANSWERED -> shared.transact(transaction, result -> loop.execute(() -> callback.accept(result)));
+            case REFUSED -> loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
+            case REFUSED_AS_TOO_MANY ->
+                loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied("status 429", true)));
+            case LOST -> endUnanswered(callback);
+            case ANSWER_LOST -> {
+                shared.transact(transaction, result -> {});
+                endUnanswered(callback);
+            }
+            case LATE -> {
+                loop.schedule(LATE_BY, () -> shared.transact(transaction, result -> {}));
+                endUnanswered(callback);
+            }
+            default -> throw new AssertionError(writes);
+        }
+    }
+
+    private void endUnanswered(Consumer<TransactionResult> callback) {
+        loop.schedule(TIMEOUT, () -> callback.accept(new TransactionResult.Unknown("no answer")));
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
+++ b/src/test/java/org/tamarackline/fleet/OddRecordsTest.java
@@ -51,7 +51,7 @@
         NodeServices services = new NodeServices(
                 loop, store, calls, done -> done.accept(Optional.of(directory)), timeOfDay, log(), FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
+        new Leader(services, new StoreContact(loop), peers, record, version, reason -> {}).start(loop.nowNanos());
     }
 
     private void write(RecordStore.Table table, String key, byte[] value) {
--- a/src/test/java/org/tamarackline/fleet/PeerPathsTest.java
+++ b/src/test/java/org/tamarackline/fleet/PeerPathsTest.java
@@ -11,8 +11,7 @@
 
     @Test
     void pingIsReadAsItWasWritten() {
-        PeerCalls.PingRequest ping =
-                new PeerCalls.PingRequest("node/1 ä%", new NodeCapacity(1_500, 682, 999_999_999), 0);
+        PeerCalls.PingRequest ping = new PeerCalls.PingRequest("node/1 ä%", new NodeCapacity(1_500, 682, 999_999_999));
         assertThat(PeerPaths.parsePing(PeerPaths.ping(ping))).contains(ping);
     }
 
@@ -20,7 +19,7 @@
     @Test
     void pingWithoutCapacityIsOfAnUnknownOne() {
         assertThat(PeerPaths.parsePing("/ping/node-1"))
-                .contains(new PeerCalls.PingRequest("node-1", NodeCapacity.UNKNOWN, 0));
+                .contains(new PeerCalls.PingRequest("node-1", NodeCapacity.UNKNOWN));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -267,7 +267,7 @@
                 log,
                 FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        Leader leader = new Leader(services, peers, record, version, reason -> {});
+        Leader leader = new Leader(services, new StoreContact(loop), peers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
         return leader;
--- a/src/test/java/org/tamarackline/fleet/RunnerRestartTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerRestartTest.java
@@ -99,7 +99,7 @@
                 log,
                 FleetMetrics.NONE);
         PeerCalls peers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        new Leader(services, peers, record, version, reason -> {}).start(loop.nowNanos());
+        new Leader(services, new StoreContact(loop), peers, record, version, reason -> {}).start(loop.nowNanos());
         loop.advance(Duration.ofSeconds(1));
     }
 
--- a/src/test/java/org/tamarackline/fleet/SuccessorsTest.java
+++ b/src/test/java/org/tamarackline/fleet/SuccessorsTest.java
@@ -13,7 +13,7 @@
     private final Successors successors = new Successors(loop);
 
     private int ping(String node, int cpuMillis) {
-        return successors.onPing(new PeerCalls.PingRequest(node, new NodeCapacity(cpuMillis, 500, 4_000), 0));
+        return successors.onPing(new PeerCalls.PingRequest(node, new NodeCapacity(cpuMillis, 500, 4_000)));
     }
 
     @Test
--- a/src/test/java/org/tamarackline/fleet/WaitLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/WaitLogTest.java
@@ -149,7 +149,7 @@
                 log,
                 FleetMetrics.NONE);
         PeerCalls unreachablePeers = new FakePeerCalls(loop, new FakePeerCalls.Network());
-        Leader leader = new Leader(services, unreachablePeers, record, version, reason -> {});
+        Leader leader = new Leader(services, new StoreContact(loop), unreachablePeers, record, version, reason -> {});
         leader.start(loop.nowNanos());
         return leader;
     }
