Replace a leader whose transactions the store does not answer

Cause: the store age that a leader tells its followers is renewed by any answer. A leader whose reads are answered but whose transactions are refused, lost or late looked sound. It could no longer raise the lease limit, so all leases ended 7.2 s later, and nobody replaced it.

--- a/src/main/java/org/tamarackline/fleet/FleetMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetMetrics.java
@@ -160,6 +160,8 @@
         RESIGNATION,
         /** Limit of the runner leases. */
         LEASE_LIMIT,
+        /** Probe whether the store takes transactions of a node that follows a leader. */
+        WRITE_PROBE,
         /** Submission of a job. */
         SUBMISSION,
         /** Cancellation of a job. */
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -9,11 +9,13 @@
  * Pings the leader that this node follows and decides when it should be replaced.
  *
  * <p>A leader without contact to the store is replaced only if the store answers this node: an outage of the store for
- * all nodes ends with the leader that it began with.
+ * all nodes ends with the leader that it began with. The same holds for a leader whose reads the store answers, but not its
+ * transactions.
  */
 final class LeaderMonitor {
 
     private static final String NO_ANSWER = "the leader does not answer";
+    private static final String NO_WRITES = "the store answers transactions of this node but none of the leader";
 
     /** Consecutive unanswered pings after which the leader is considered to have ended. */
     private static final int MAX_MISSED_PINGS = 2;
@@ -31,14 +33,20 @@
     private static final Duration MAX_STORE_AGE = Duration.ofMillis(2_500);
 
     /**
-     * Same limit for a node whose claim is in progress; it covers a claim without a response, a retry delay and a slow
-     * read.
+     * Time without an answer of the store to any transaction of the leader after which it is replaced. The leases of all
+     * runners end 7.2 s after the last one that raised their limit.
+     */
+    private static final Duration MAX_UNANSWERED_WRITES = Duration.ofMillis(2_500);
+
+    /**
+     * Time without any answer of the store to a node whose claim is in progress, after which nobody waits for it; it
+     * covers a claim without a response, a retry delay and a slow read.
      */
     private static final Duration MAX_CLAIM_STORE_AGE = Duration.ofSeconds(4);
 
     /**
-     * Longest wait for another node's claim. It is limited because the store may reject the writes of a node whose
-     * reads it serves.
+     * Longest wait for another node's claim. It is limited because the store may not answer the transactions of a node whose
+     * reads it answers, and a node of an earlier version does not tell that.
      */
     private static final Duration MAX_CLAIM_WAIT = Duration.ofSeconds(5);
 
@@ -56,6 +64,7 @@
     private final DecisionLog log;
     private final FleetMetrics metrics;
     private final StoreContact storeContact;
+    private final WriteProbe writeProbe;
     private PeerCalls.PingRequest request;
     private final Random random;
     private final Runnable readRecord;
@@ -103,6 +112,7 @@
         this.log = services.log();
         this.metrics = services.metrics();
         this.storeContact = storeContact;
+        this.writeProbe = new WriteProbe(services);
         this.request = request;
         this.rank = initialRank;
         this.random = random;
@@ -245,7 +255,7 @@
             keptUnreachedSinceNanos = 0;
             request = request.withAnsweredEpoch(followed.epoch());
             pings.onAnswer(response);
-            onLeaderAnswered(Duration.ofMillis(response.storeAgeMs()));
+            onLeaderAnswered(response);
         } else if (isClaiming(response)) {
             rank = response.rank();
             missedPings = 0;
@@ -287,28 +297,52 @@
         });
     }
 
-    private void onLeaderAnswered(Duration storeAge) {
+    private void onLeaderAnswered(PeerCalls.PingResponse response) {
         suspicion = null;
-        if (storeAge.compareTo(MAX_STORE_AGE) <= 0) {
+        if (response.storeAgeMs() > MAX_STORE_AGE.toMillis()) {
+            onLeaderWithoutStore();
+        } else if (response.unansweredWritesMs() > MAX_UNANSWERED_WRITES.toMillis()) {
+            onLeaderWithoutWrites();
+        } else {
             keptWithoutStore = false;
             schedule(Successors.pingInterval(rank), this::ping);
-        } else if (storeContact.uninterruptedFor(MAX_STORE_AGE)) {
+        }
+    }
+
+    private void onLeaderWithoutStore() {
+        if (storeContact.uninterruptedFor(MAX_STORE_AGE)) {
             suspect("the store answers this node but not the leader");
         } else {
-            reportKeptWithoutStore();
+            reportKeptWithoutStore("the store answers neither the leader nor, for long enough, this node");
             // The read tells whether the store answers this node.
             schedule(Successors.pingInterval(rank), readRecord);
         }
     }
 
-    private void reportKeptWithoutStore() {
+    /** Replaces a leader that cannot write if this node can; the leader is pinged once more after the probe of that. */
+    private void onLeaderWithoutWrites() {
+        if (writeProbe.answeredLately()) {
+            suspect(NO_WRITES);
+            return;
+        }
+        schedule(Successors.pingInterval(rank), this::ping);
+        long probeGeneration = generation;
+        writeProbe.start(answered -> {
+            if (probeGeneration != generation) {
+                return;
+            }
+            if (answered) {
+                ping();
+            } else {
+                reportKeptWithoutStore("the store answers transactions neither of the leader nor of this node");
+            }
+        });
+    }
+
+    private void reportKeptWithoutStore(String reason) {
         if (!keptWithoutStore) {
             keptWithoutStore = true;
-            log.leadership(
-                    "leader-kept",
-                    followed.epoch(),
-                    followed.node(),
-                    "the store answers neither the leader nor, for long enough, this node");
+            log.leadership("leader-kept", followed.epoch(), followed.node(), reason);
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.KEPT);
         }
     }
--- /dev/null
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -0,0 +1,94 @@
+package org.tamarackline.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests who leads if the store answers the reads of nodes but not their transactions. */
+class LeaderWithoutWritesTest {
+
+    private static final NodeCapacity LARGE = new NodeCapacity(1_500, 682, 8_192);
+
+    /** Time until the leases of all runners end that a leader has granted. */
+    private static final Duration MAX_TIME_TO_TAKEOVER = FleetConstants.LEASE_LIMIT;
+
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    private final ElectionCluster cluster = new ElectionCluster();
+
+    /** Guards against a leader that looks sound while the leases of all runners run out. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "ANSWERED")
+    void leaderWhoseTransactionsAreNotAnsweredIsReplacedBeforeLeasesEnd(NodeStore.Writes writes) {
+        ElectionCluster.Node first = startNodes(5).getFirst();
+        first.store().setWrites(writes);
+        Duration takeover = timeUntilAnotherSchedules(first);
+        assertThat(takeover).isLessThan(MAX_TIME_TO_TAKEOVER);
+        cluster.loop().advance(Duration.ofSeconds(15));
+        assertThat(cluster.storedLeader().epoch()).isEqualTo(2);
+    }
+
+    /** Guards against successors that cannot write either and keep the others from taking over. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "ANSWERED")
+    void leaderIsReplacedBeforeLeasesEndIfItsFirstSuccessorsCannotWriteEither(NodeStore.Writes writes) {
+        List<ElectionCluster.Node> nodes = startNodes(6);
+        nodes.subList(0, 4).forEach(node -> node.store().setWrites(writes));
+        Duration takeover = timeUntilAnotherSchedules(nodes.getFirst());
+        assertThat(takeover).isLessThan(MAX_TIME_TO_TAKEOVER);
+        assertThat(nodes.subList(4, 6)).containsAll(cluster.leading());
+    }
+
+    /** Guards against leaders that replace each other without gain. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "ANSWERED")
+    void leaderIsKeptWhileTheStoreAnswersTheTransactionsOfNoNode(NodeStore.Writes writes) {
+        List<ElectionCluster.Node> nodes = startNodes(5);
+        nodes.forEach(node -> node.store().setWrites(writes));
+        cluster.loop().advance(Duration.ofSeconds(9));
+        nodes.forEach(node -> node.store().setWrites(NodeStore.Writes.ANSWERED));
+        cluster.loop().advance(Duration.ofSeconds(10));
+        assertThat(cluster.leaderEpochs()).containsExactly(1L);
+        assertThat(nodes.getFirst().schedules()).isTrue();
+        assertThat(cluster.eventCount("leader-kept")).isPositive();
+    }
+
+    /** Guards against a leader that is replaced after a short time in which its transactions failed. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "ANSWERED")
+    void leaderIsKeptIfItsTransactionsAreAnsweredAgainSoon(NodeStore.Writes writes) {
+        ElectionCluster.Node first = startNodes(5).getFirst();
+        first.store().setWrites(writes);
+        cluster.loop().advance(Duration.ofSeconds(2));
+        first.store().setWrites(NodeStore.Writes.ANSWERED);
+        cluster.loop().advance(Duration.ofSeconds(10));
+        assertThat(cluster.leaderEpochs()).containsExactly(1L);
+    }
+
+    private List<ElectionCluster.Node> startNodes(int count) {
+        List<ElectionCluster.Node> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            nodes.add(cluster.start("node-" + i, LARGE));
+            cluster.loop().advance(Duration.ofMillis(300));
+        }
+        cluster.loop().advance(Duration.ofSeconds(5));
+        assertThat(cluster.leading()).containsExactly(nodes.getFirst());
+        return nodes;
+    }
+
+    private Duration timeUntilAnotherSchedules(ElectionCluster.Node first) {
+        Duration waited = Duration.ZERO;
+        while (waited.compareTo(Duration.ofSeconds(25)) < 0
+                && cluster.leading().stream()
+                        .noneMatch(node -> !node.name().equals(first.name()) && node.schedules())) {
+            cluster.loop().advance(STEP);
+            waited = waited.plus(STEP);
+        }
+        return waited;
+    }
+}
