Do not wait for the claim of a node whose transactions are not answered

Seen: after a restart of the leader whose transactions were refused or lost, the other nodes waited 5 s for its claim, as long as leases last.

Cause: a node that claims over its own leader record counted as about to lead while the store answered its reads.

Change: nobody waits for it once its transactions have had no answer for 2 s. A claim that the record shows has taken effect, and is waited for.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -38,6 +38,12 @@
      */
     private static final Duration MAX_UNANSWERED_WRITES = Duration.ofMillis(2_500);
 
+    /**
+     * Same limit for a node that claims the leadership again after the leader record was its own; it covers a claim without
+     * a response and a second one.
+     */
+    private static final Duration MAX_UNANSWERED_CLAIM = Duration.ofSeconds(2);
+
     /**
      * Time without any answer of the store to a node whose claim is in progress, after which nobody waits for it; it
      * covers a claim without a response, a retry delay and a slow read.
@@ -351,7 +357,9 @@
      * Returns whether the node of the record does not lead only because it does not know yet that its claim succeeded.
      */
     private boolean isClaiming(PeerCalls.PingResponse response) {
-        if (response.claimedEpoch() < followed.epoch() || response.storeAgeMs() > MAX_CLAIM_STORE_AGE.toMillis()) {
+        if (response.claimedEpoch() < followed.epoch()
+                || response.storeAgeMs() > MAX_CLAIM_STORE_AGE.toMillis()
+                || claimsInVain(response)) {
             return false;
         }
         if (claimFirstSeenNanos == 0) {
@@ -360,6 +368,12 @@
         return loop.nowNanos() - claimFirstSeenNanos <= MAX_CLAIM_WAIT.toNanos();
     }
 
+    /** Returns whether the store does not answer the claim of a node; one that the followed record shows has succeeded. */
+    private boolean claimsInVain(PeerCalls.PingResponse response) {
+        return response.claimedEpoch() > followed.epoch()
+                && response.unansweredWritesMs() > MAX_UNANSWERED_CLAIM.toMillis();
+    }
+
     /** Lets this node take over after the delay of its rank, unless the record has changed by then. */
     private void suspect(String reason) {
         if (suspicion == null) {
--- a/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -70,6 +70,19 @@
         assertThat(cluster.leaderEpochs()).containsExactly(1L);
     }
 
+    /** Guards against nodes that wait for the claim of a restarted leader whose transactions fail. */
+    @ParameterizedTest
+    @EnumSource(
+            mode = EnumSource.Mode.INCLUDE,
+            names = {"REFUSED", "REFUSED_AS_TOO_MANY", "LOST"})
+    void restartedLeaderThatCannotWriteIsReplacedBeforeLeasesEnd(NodeStore.Writes writes) {
+        ElectionCluster.Node first = startNodes(5).getFirst();
+        cluster.kill(first);
+        ElectionCluster.Node restarted = cluster.start("node-0", LARGE);
+        restarted.store().setWrites(writes);
+        assertThat(timeUntilAnotherSchedules(restarted)).isLessThan(FleetConstants.RUNNER_LEASE);
+    }
+
     private List<ElectionCluster.Node> startNodes(int count) {
         List<ElectionCluster.Node> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
