Hand over only to a node whose transactions the store answers

Seen: a leader without the capacity for its fleet resigned in favour of a node that could not claim the leadership, and led again 4 s later.

Cause: a ping did not tell what becomes of the transactions of its sender.

Change: a node whose transactions have had no answer for 1 s is not chosen.

Measured: LeaderWithoutWritesTest#leaderWithoutCapacityHandsOverToANode- WhoseTransactionsAreAnswered failed without the check, passes with it.

--- a/src/main/java/org/tamarackline/fleet/Successors.java
+++ b/src/main/java/org/tamarackline/fleet/Successors.java
@@ -31,6 +31,9 @@
     /** Time after a missed ping of a node until it no longer counts as a successor. */
     private static final Duration EXPIRY = Duration.ofSeconds(3);
 
+    /** Time without an answer of the store to any transaction of a node from which on no leader hands over to it. */
+    private static final Duration MAX_UNANSWERED_WRITES = Duration.ofSeconds(1);
+
     /**
      * Node that may succeed the leader.
      *
@@ -39,7 +42,7 @@
      */
     record Successor(String node, NodeCapacity capacity) {}
 
-    private record LastPing(Successor successor, long atNanos, int rank) {}
+    private record LastPing(Successor successor, long atNanos, int rank, boolean canClaim) {}
 
     /** The strongest node first; the name decides between equal ones. */
     private static final Comparator<Successor> ORDER =
@@ -68,7 +71,8 @@
                 .filter(ping -> ORDER.compare(ping.successor(), caller) < 0
                         && !ping.successor().node().equals(caller.node()))
                 .count();
-        pings.put(caller.node(), new LastPing(caller, nowNanos, rank));
+        boolean canClaim = request.unansweredWritesMs().orElse(0) <= MAX_UNANSWERED_WRITES.toMillis();
+        pings.put(caller.node(), new LastPing(caller, nowNanos, rank, canClaim));
         return rank;
     }
 
@@ -76,11 +80,11 @@
         return pingInterval(ping.rank()).plus(EXPIRY).toNanos();
     }
 
-    /** Returns the first successor that has pinged this node within a time. */
+    /** Returns the first successor that has pinged this node within a time and that the store lets claim the leadership. */
     Optional<Successor> first(Duration maxAge) {
         long nowNanos = clock.nowNanos();
         return pings.values().stream()
-                .filter(ping -> nowNanos - ping.atNanos() <= maxAge.toNanos())
+                .filter(ping -> ping.canClaim() && nowNanos - ping.atNanos() <= maxAge.toNanos())
                 .map(LastPing::successor)
                 .min(ORDER);
     }
--- a/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -13,6 +14,7 @@
 class LeaderWithoutWritesTest {
 
     private static final NodeCapacity LARGE = new NodeCapacity(1_500, 682, 8_192);
+    private static final NodeCapacity SMALL = new NodeCapacity(60, 330, 4_100);
 
     /** Time until the leases of all runners end that a leader has granted. */
     private static final Duration MAX_TIME_TO_TAKEOVER = FleetConstants.LEASE_LIMIT;
@@ -83,6 +85,31 @@
         assertThat(timeUntilAnotherSchedules(restarted)).isLessThan(FleetConstants.RUNNER_LEASE);
     }
 
+    /** Guards against a resignation in favour of a node that cannot claim the leadership. */
+    @Test
+    void leaderWithoutCapacityHandsOverToANodeWhoseTransactionsAreAnswered() {
+        ElectionCluster.Node refused = cluster.start("node-1", LARGE);
+        refused.store().setWrites(NodeStore.Writes.REFUSED);
+        writeNowAndThen(refused);
+        ElectionCluster.Node small = cluster.start("node-0", SMALL);
+        cluster.loop().advance(Duration.ofSeconds(3));
+        assertThat(cluster.leading()).containsExactly(small);
+        assertThat(cluster.eventCount("leader-yields")).isZero();
+        ElectionCluster.Node other = cluster.start("node-2", LARGE);
+        cluster.loop().advance(Duration.ofSeconds(2));
+        assertThat(cluster.leading()).containsExactly(other);
+        assertThat(cluster.leaderEpochs()).containsExactly(1L, 2L);
+    }
+
+    /** Lets a node store something of callers again and again. */
+    private void writeNowAndThen(ElectionCluster.Node node) {
+        JobRequestHandler handler = cluster.requestHandler(node);
+        cluster.loop().schedule(Duration.ofMillis(200), () -> {
+            handler.cancel("j", outcome -> {});
+            writeNowAndThen(node);
+        });
+    }
+
     private List<ElectionCluster.Node> startNodes(int count) {
         List<ElectionCluster.Node> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
