Let a leader write again before a follower replaces it

Cause: a follower pinged the leader right after its own probe, before the leader had sent another transaction.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -325,7 +325,7 @@
         }
     }
 
-    /** Replaces a leader that cannot write if this node can; the leader is pinged once more after the probe of that. */
+    /** Replaces a leader that cannot write if this node can; the leader is pinged once more after this node's probe. */
     private void onLeaderWithoutWrites() {
         if (writeProbe.answeredLately()) {
             suspect(NO_WRITES);
@@ -338,7 +338,8 @@
                 return;
             }
             if (answered) {
-                ping();
+                // By then the leader has sent another transaction, which is answered if the store serves all nodes again.
+                schedule(RETRY_DELAY, this::ping);
             } else {
                 reportKeptWithoutStore("the store answers transactions neither of the leader nor of this node");
             }
--- a/src/main/java/org/tamarackline/fleet/WriteProbe.java
+++ b/src/main/java/org/tamarackline/fleet/WriteProbe.java
@@ -24,8 +24,8 @@
     /** Longest time in which all of them must be answered. */
     private static final Duration TIMEOUT = Duration.ofMillis(1_200);
 
-    /** Age from which on the result of a probe no longer counts; it covers a ping of the leader. */
-    private static final Duration MAX_ANSWER_AGE = Duration.ofSeconds(1);
+    /** Age from which on the result of a probe no longer counts; it covers the delay and the timeout of a ping of the leader. */
+    private static final Duration MAX_ANSWER_AGE = Duration.ofMillis(1_200);
 
     private final NodeServices services;
     private final EventLoop loop;
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -1,6 +1,7 @@
 package org.tamarackline.fleet;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -34,6 +35,7 @@
     private final EventLoop loop;
     private boolean refused;
     private Writes writes = Writes.ANSWERED;
+    private BooleanSupplier fails = () -> true;
 
     NodeStore(RecordStore shared, EventLoop loop) {
         this.shared = shared;
@@ -47,7 +49,17 @@
 
     /** Sets what becomes of all further transactions of the node; its reads are answered. */
     void setWrites(Writes next) {
+        setWrites(next, () -> true);
+    }
+
+    /**
+     * Sets what becomes of some of the further transactions of the node; its other calls are answered.
+     *
+     * @param affects returns whether this becomes of the next transaction
+     */
+    void setWrites(Writes next, BooleanSupplier affects) {
         writes = next;
+        fails = affects;
     }
 
     /** Returns whether the store refuses the calls of the node. */
@@ -66,7 +78,7 @@
             loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             return;
         }
-        switch (writes) {
+        switch (fails.getAsBoolean() ? writes : Writes.ANSWERED) {
             case ANSWERED -> shared.transact(transaction, result -> loop.execute(() -> callback.accept(result)));
             case REFUSED -> loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             case REFUSED_AS_TOO_MANY ->
