--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -338,7 +338,8 @@
                 return;
             }
             if (answered) {
-                // By then the leader has sent another transaction, which is answered if the store serves all nodes again.
+                // By then the leader has sent another transaction, which is answered if the store serves all nodes
+                // again.
                 schedule(RETRY_DELAY, this::ping);
             } else {
                 reportKeptWithoutStore("the store answers transactions neither of the leader nor of this node");
