Ask a successor whether it can write before handing over to it

Seen: in elections of 18 nodes of unequal capacity whose transactions fail for the leader and a third of the others, weak nodes that took over handed over to strong ones that did not take their turn; up to epoch 4.

Cause: a node that has sent no transaction lately cannot tell whether the store answers them. And a successor beyond the first two in line pinged the leader every 1.5 s only and then waited for its rank, longer than its turn of 1.2 s.

Change: a leader that would hand over to a node asks it for a probe and resigns once the probe has been answered. That node pings the leader every 0.4 s and reads the record without delay once the leader does not lead.

HttpPeerCallsTest and PeerRequestHandlerTest have the answers of both versions.

--- a/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
+++ b/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
@@ -72,19 +72,37 @@
      */
     Optional<String> reasonToHandOver(int runners, Successors successors) {
         NodeCapacity required = NodeCapacity.requiredToLead(runners);
-        if (own.covers(required) || clock.nowNanos() - earliestHandoverNanos < 0) {
+        if (!mayHandOver(required)) {
             return Optional.empty();
         }
         return successors
-                .first(MAX_PING_AGE)
+                .firstThatWrites(MAX_PING_AGE)
                 .filter(first -> isBetter(first.capacity(), required))
                 .map(first -> "%d runners need %s; this node has %s, %s has %s"
                         .formatted(runners, required, own, first.node(), first.capacity()));
     }
 
+    /**
+     * Returns whether the leader would hand over now to a node, if the store answers the transactions of that node.
+     *
+     * @param runners number of runners of the fleet
+     * @param other capacity of the node
+     */
+    boolean prefers(NodeCapacity other, int runners) {
+        NodeCapacity required = NodeCapacity.requiredToLead(runners);
+        return mayHandOver(required) && isBetter(other, required);
+    }
+
+    private boolean mayHandOver(NodeCapacity required) {
+        return !own.covers(required) && clock.nowNanos() - earliestHandoverNanos >= 0;
+    }
+
     /** Returns the node that should take over if the leader resigns now; empty if none has pinged it lately. */
     static Optional<String> successor(Successors successors) {
-        return successors.first(MAX_PING_AGE).map(Successors.Successor::node);
+        return successors
+                .firstThatWrites(MAX_PING_AGE)
+                .or(() -> successors.first(MAX_PING_AGE))
+                .map(Successors.Successor::node);
     }
 
     /**
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -142,11 +142,13 @@
         }
         long unansweredWritesMs = storeContact.unansweredWrites().forMs();
         if (leader != null && !leader.resigned()) {
+            boolean asksForProbe = leader.loaded() && capacityPolicy.prefers(request.capacity(), leader.runnerCount());
             return new PeerCalls.PingResponse(
-                    leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs);
+                    leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs, asksForProbe);
         }
         long claimedEpoch = stopped || claim == null ? 0 : claim.epoch();
-        return new PeerCalls.PingResponse(0, claimedEpoch, storeContact.answerAgeMs(), callerRank, unansweredWritesMs);
+        return new PeerCalls.PingResponse(
+                0, claimedEpoch, storeContact.answerAgeMs(), callerRank, unansweredWritesMs, false);
     }
 
     /** Lets the leader of this process store a job; refuses it at once if the store does not answer. */
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -26,7 +26,8 @@
 
     /** Numbers of at most 18 digits fit into 64 bits, those of at most 9 digits into 32 bits. */
     private static final Pattern PING_RESPONSE =
-            Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})(?: unansweredWritesMs=(\\d{1,18}))?");
+            Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})(?: unansweredWritesMs=(\\d{1,18})("
+                    + PeerPaths.ASKS_FOR_PROBE + ")?)?");
 
     private static final Pattern COUNT = Pattern.compile("\\d{1,9}");
 
@@ -42,8 +43,12 @@
     public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
         Map<String, String> headers = new HashMap<>();
         headers.put(PeerPaths.ANSWERED_EPOCH, Long.toString(request.answeredEpoch()));
-        request.unansweredWritesMs()
-                .ifPresent(timeMs -> headers.put(PeerPaths.UNANSWERED_WRITES_MS, Long.toString(timeMs)));
+        request.writeStatus().ifPresent(status -> {
+            headers.put(PeerPaths.UNANSWERED_WRITES_MS, Long.toString(status.unansweredMs()));
+            if (status.probeAnswered()) {
+                headers.put(PeerPaths.PROBE_ANSWERED, "true");
+            }
+        });
         http.call("GET", address, PeerPaths.ping(request), headers, null, PING_TIMEOUT, reply -> {
             PingResult result = pingResult(reply);
             loop.execute(() -> callback.accept(result));
@@ -73,7 +78,8 @@
                 Long.parseLong(matcher.group(2)),
                 Long.parseLong(matcher.group(3)),
                 Integer.parseInt(matcher.group(4)),
-                matcher.group(5) == null ? 0 : Long.parseLong(matcher.group(5))));
+                matcher.group(5) == null ? 0 : Long.parseLong(matcher.group(5)),
+                matcher.group(6) != null));
     }
 
     @Override
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 
 /**
@@ -26,7 +25,10 @@
      */
     private static final int MAX_DISREGARDED_PINGS = 1;
 
-    /** Delay before a ping is repeated that was not answered, or that was answered by a node whose claim is in progress. */
+    /**
+     * Delay before a ping is repeated that was not answered, or that was answered by a node whose claim is in progress or by
+     * a leader that would hand over to this node.
+     */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
     /** Time without an answer of the store to the leader, but to this node, after which the leader is replaced. */
@@ -85,6 +87,8 @@
     private int disregardedPings;
     /** Why the leader should be replaced, null if it should not. */
     private String suspicion;
+    /** Whether the followed leader would hand over to this node, as of its last answer. */
+    private boolean handoverExpected;
     /** Whether the leader was found without the store while this node lacked it too. */
     private boolean keptWithoutStore;
     /** When the leader was first kept although this node does not reach it, 0 if it was not. */
@@ -134,6 +138,7 @@
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
             claimFirstSeenNanos = 0;
             keptWithoutStore = false;
+            handoverExpected = false;
             pings.clear();
             disregardedPings = 0;
             keptUnreachedSinceNanos = 0;
@@ -238,8 +243,8 @@
     }
 
     private PeerCalls.PingRequest currentRequest() {
-        return request.withUnansweredWritesMs(
-                OptionalLong.of(storeContact.unansweredWrites().forMs()));
+        return request.withWriteStatus(Optional.of(
+                new PeerCalls.WriteStatus(storeContact.unansweredWrites().forMs(), writeProbe.answeredLately())));
     }
 
     private void onPing(PeerCalls.PingResult result, long sentNanos) {
@@ -262,6 +267,10 @@
             request = request.withAnsweredEpoch(followed.epoch());
             pings.onAnswer(response);
             onLeaderAnswered(response);
+            handoverExpected = response.asksForProbe();
+            if (handoverExpected) {
+                probeForHandover();
+            }
         } else if (isClaiming(response)) {
             rank = response.rank();
             missedPings = 0;
@@ -269,7 +278,7 @@
         } else {
             pings.onFailure("answered with epoch %d".formatted(response.epoch()), sentNanos);
             // The process at that address does not lead, so the record is outdated or soon will be.
-            suspect("the node in the leader record does not lead");
+            suspect("the node in the leader record does not lead", handoverExpected ? Duration.ZERO : takeoverDelay());
         }
     }
 
@@ -311,8 +320,22 @@
             onLeaderWithoutWrites();
         } else {
             keptWithoutStore = false;
-            schedule(Successors.pingInterval(rank), this::ping);
+            // A node that the leader would hand over to has a short turn to take over.
+            schedule(response.asksForProbe() ? RETRY_DELAY : Successors.pingInterval(rank), this::ping);
+        }
+    }
+
+    /** Tells the leader soon whether the store answers the transactions of this node, to which it would hand over. */
+    private void probeForHandover() {
+        if (writeProbe.answeredLately()) {
+            return;
         }
+        long probeGeneration = generation;
+        writeProbe.start(answered -> {
+            if (answered && probeGeneration == generation) {
+                ping();
+            }
+        });
     }
 
     private void onLeaderWithoutStore() {
@@ -338,7 +361,8 @@
                 return;
             }
             if (answered) {
-                // By then the leader has sent another transaction, which is answered if the store serves all nodes again.
+                // By then the leader has sent another transaction, which is answered if the store serves all nodes
+                // again.
                 schedule(RETRY_DELAY, this::ping);
             } else {
                 reportKeptWithoutStore("the store answers transactions neither of the leader nor of this node");
@@ -377,12 +401,16 @@
 
     /** Lets this node take over after the delay of its rank, unless the record has changed by then. */
     private void suspect(String reason) {
+        suspect(reason, takeoverDelay());
+    }
+
+    private void suspect(String reason, Duration delay) {
         if (suspicion == null) {
             log.leaderSuspected(followed, reason, pings.suspicion());
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.SUSPECTED);
         }
         suspicion = reason;
-        schedule(takeoverDelay(), readRecord);
+        schedule(delay, readRecord);
     }
 
     /** Schedules an action unless the leader is pinged again or another one is followed before. */
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -1,7 +1,6 @@
 package org.tamarackline.fleet;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.JobState;
@@ -40,27 +39,34 @@
      * @param node name of the pinging node
      * @param capacity capacity of the pinging node
      * @param answeredEpoch epoch of the leader that answered the previous ping of the node, 0 if none did
-     * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds; empty if
-     *     the node runs an earlier version of this program
+     * @param writeStatus what becomes of the node's transactions; empty if it runs an earlier version of this program
      */
-    record PingRequest(String node, NodeCapacity capacity, long answeredEpoch, OptionalLong unansweredWritesMs) {
+    record PingRequest(String node, NodeCapacity capacity, long answeredEpoch, Optional<WriteStatus> writeStatus) {
 
         /** Creates a ping of a node that follows no leader and does not tell what becomes of its transactions. */
         PingRequest(String node, NodeCapacity capacity) {
-            this(node, capacity, 0, OptionalLong.empty());
+            this(node, capacity, 0, Optional.empty());
         }
 
         /** Returns the same ping after an answer of a leader, or after none if the epoch is 0. */
         PingRequest withAnsweredEpoch(long epoch) {
-            return new PingRequest(node, capacity, epoch, unansweredWritesMs);
+            return new PingRequest(node, capacity, epoch, writeStatus);
         }
 
-        /** Returns the same ping of a node whose transactions the store has not answered for a time, in milliseconds. */
-        PingRequest withUnansweredWritesMs(OptionalLong nextUnansweredWritesMs) {
-            return new PingRequest(node, capacity, answeredEpoch, nextUnansweredWritesMs);
+        /** Returns the same ping of a node of which this becomes of its transactions. */
+        PingRequest withWriteStatus(Optional<WriteStatus> nextWriteStatus) {
+            return new PingRequest(node, capacity, answeredEpoch, nextWriteStatus);
         }
     }
 
+    /**
+     * What becomes of a node's transactions.
+     *
+     * @param unansweredMs time for which the store has answered none of them, in milliseconds
+     * @param probeAnswered whether the store has answered a {@link WriteProbe} lately
+     */
+    record WriteStatus(long unansweredMs, boolean probeAnswered) {}
+
     /** Result of a ping. */
     sealed interface PingResult {}
 
@@ -80,8 +86,10 @@
      * @param rank rank of the pinging node among those that may succeed the leader, from 0
      * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds; 0 if the
      *     node runs an earlier version of this program
+     * @param asksForProbe whether the node would hand over to the pinging one, if the store answers its transactions
      */
-    record PingResponse(long epoch, long claimedEpoch, long storeAgeMs, int rank, long unansweredWritesMs)
+    record PingResponse(
+            long epoch, long claimedEpoch, long storeAgeMs, int rank, long unansweredWritesMs, boolean asksForProbe)
             implements PingResult {}
 
     /**
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -36,6 +36,12 @@
      */
     static final String UNANSWERED_WRITES_MS = "Unanswered-Writes-Ms";
 
+    /** Header of a ping of a node whose {@link WriteProbe} the store has answered lately, with any value. */
+    static final String PROBE_ANSWERED = "Write-Probe-Answered";
+
+    /** Last part of the response to a ping of a node that the leader would hand over to. */
+    static final String ASKS_FOR_PROBE = " probe";
+
     /** Response of a node that has stepped down. */
     static final String STEPPED_DOWN = "stepped down";
 
@@ -58,9 +64,17 @@
         return parseNumber(header).orElse(0);
     }
 
-    /** Returns the time of the header of a ping, in milliseconds; empty if it is absent or malformed. */
-    static OptionalLong parseUnansweredWritesMs(String header) {
-        return parseNumber(header);
+    /**
+     * Returns what the headers of a ping tell about the transactions of its sender.
+     *
+     * @param unansweredMs header {@link #UNANSWERED_WRITES_MS}; the result is empty if it is absent or malformed
+     * @param probeAnswered header {@link #PROBE_ANSWERED}, null if it is absent
+     */
+    static Optional<PeerCalls.WriteStatus> parseWriteStatus(String unansweredMs, String probeAnswered) {
+        OptionalLong timeMs = parseNumber(unansweredMs);
+        return timeMs.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PeerCalls.WriteStatus(timeMs.getAsLong(), probeAnswered != null));
     }
 
     private static OptionalLong parseNumber(String header) {
--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -36,11 +35,8 @@
     public void accept(HttpExchange exchange) {
         String path = exchange.path();
         if (path.startsWith(PeerPaths.PING)) {
-            long answeredEpoch = PeerPaths.parseAnsweredEpoch(exchange.header(PeerPaths.ANSWERED_EPOCH));
-            OptionalLong unansweredWritesMs =
-                    PeerPaths.parseUnansweredWritesMs(exchange.header(PeerPaths.UNANSWERED_WRITES_MS));
             PeerPaths.parsePing(path)
-                    .map(ping -> ping.withAnsweredEpoch(answeredEpoch).withUnansweredWritesMs(unansweredWritesMs))
+                    .map(ping -> withHeaders(ping, exchange))
                     .ifPresentOrElse(
                             ping -> loop.execute(() -> respondToPing(exchange, ping)),
                             () -> exchange.respond(400, Map.of(), new byte[0]));
@@ -69,6 +65,12 @@
         }
     }
 
+    private static PeerCalls.PingRequest withHeaders(PeerCalls.PingRequest ping, HttpExchange exchange) {
+        return ping.withAnsweredEpoch(PeerPaths.parseAnsweredEpoch(exchange.header(PeerPaths.ANSWERED_EPOCH)))
+                .withWriteStatus(PeerPaths.parseWriteStatus(
+                        exchange.header(PeerPaths.UNANSWERED_WRITES_MS), exchange.header(PeerPaths.PROBE_ANSWERED)));
+    }
+
     /** Passes the parameter that follows a prefix of the path to a handler on the event loop, or refuses the request. */
     private void withParameter(HttpExchange exchange, String prefix, Consumer<String> handler) {
         String parameter;
@@ -86,8 +88,12 @@
         String text = "%d %d %d %d"
                 .formatted(response.epoch(), response.claimedEpoch(), response.storeAgeMs(), response.rank());
         // Earlier versions accept the four numbers only.
-        boolean readsUnansweredWrites = ping.unansweredWritesMs().isPresent();
-        respond(exchange, readsUnansweredWrites ? text + " unansweredWritesMs=" + response.unansweredWritesMs() : text);
+        respond(exchange, ping.writeStatus().isPresent() ? text + writeStatusOf(response) : text);
+    }
+
+    private static String writeStatusOf(PeerCalls.PingResponse response) {
+        String unanswered = " unansweredWritesMs=" + response.unansweredWritesMs();
+        return response.asksForProbe() ? unanswered + PeerPaths.ASKS_FOR_PROBE : unanswered;
     }
 
     private void handleStepDown(HttpExchange exchange, String epochText) {
--- a/src/main/java/org/tamarackline/fleet/SuccessorTurn.java
+++ b/src/main/java/org/tamarackline/fleet/SuccessorTurn.java
@@ -11,8 +11,8 @@
 final class SuccessorTurn {
 
     /**
-     * Time for the successor. It pings the leader every 0.4 s, and reads and replaces the leader record then. The leader
-     * renews leases meanwhile.
+     * Time for the successor. It pings a leader that would hand over to it every 0.4 s, and reads and replaces the leader
+     * record as soon as that has resigned. The leader renews leases meanwhile.
      */
     private static final Duration TURN = Duration.ofMillis(1_200);
 
--- a/src/main/java/org/tamarackline/fleet/Successors.java
+++ b/src/main/java/org/tamarackline/fleet/Successors.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.tamarackline.core.time.MonotonicClock;
 
@@ -31,7 +32,7 @@
     /** Time after a missed ping of a node until it no longer counts as a successor. */
     private static final Duration EXPIRY = Duration.ofSeconds(3);
 
-    /** Time without an answer of the store to any transaction of a node from which on no leader hands over to it. */
+    /** Time without an answer of the store to any transaction of a node beyond which no leader resigns in favour of it. */
     private static final Duration MAX_UNANSWERED_WRITES = Duration.ofSeconds(1);
 
     /**
@@ -42,7 +43,7 @@
      */
     record Successor(String node, NodeCapacity capacity) {}
 
-    private record LastPing(Successor successor, long atNanos, int rank, boolean canClaim) {}
+    private record LastPing(Successor successor, long atNanos, int rank, Optional<PeerCalls.WriteStatus> writes) {}
 
     /** The strongest node first; the name decides between equal ones. */
     private static final Comparator<Successor> ORDER =
@@ -71,8 +72,7 @@
                 .filter(ping -> ORDER.compare(ping.successor(), caller) < 0
                         && !ping.successor().node().equals(caller.node()))
                 .count();
-        boolean canClaim = request.unansweredWritesMs().orElse(0) <= MAX_UNANSWERED_WRITES.toMillis();
-        pings.put(caller.node(), new LastPing(caller, nowNanos, rank, canClaim));
+        pings.put(caller.node(), new LastPing(caller, nowNanos, rank, request.writeStatus()));
         return rank;
     }
 
@@ -80,11 +80,22 @@
         return pingInterval(ping.rank()).plus(EXPIRY).toNanos();
     }
 
-    /** Returns the first successor that has pinged this node within a time and that the store lets claim the leadership. */
+    /** Returns the first successor that has pinged this node within a time and is not known to write in vain. */
     Optional<Successor> first(Duration maxAge) {
+        return first(maxAge, status -> status.unansweredMs() <= MAX_UNANSWERED_WRITES.toMillis());
+    }
+
+    /** Returns the first successor that has pinged this node within a time and that the store has lately let write. */
+    Optional<Successor> firstThatWrites(Duration maxAge) {
+        return first(maxAge, PeerCalls.WriteStatus::probeAnswered);
+    }
+
+    private Optional<Successor> first(Duration maxAge, Predicate<PeerCalls.WriteStatus> mayWrite) {
         long nowNanos = clock.nowNanos();
         return pings.values().stream()
-                .filter(ping -> ping.canClaim() && nowNanos - ping.atNanos() <= maxAge.toNanos())
+                .filter(ping -> nowNanos - ping.atNanos() <= maxAge.toNanos())
+                // A node of an earlier version does not tell what becomes of its transactions.
+                .filter(ping -> ping.writes().map(mayWrite::test).orElse(true))
                 .map(LastPing::successor)
                 .min(ORDER);
     }
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tamarackline.http.AsyncHttpClient;
 import org.tamarackline.http.HttpListener;
@@ -62,13 +63,39 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "x", "1 2 3", "1 2 3 99999999999", "1 2 3 4 5", "-1 0 0 0", "1 0 0 -1", "a b c d"})
+    @ValueSource(
+            strings = {
+                "",
+                "x",
+                "1 2 3",
+                "1 2 3 99999999999",
+                "1 2 3 4 5",
+                "-1 0 0 0",
+                "1 0 0 -1",
+                "a b c d",
+                "1 2 3 4 probe",
+                "1 2 3 4 unansweredWritesMs="
+            })
     void oddAnswersToAPingCountAsNone(String odd) throws InterruptedException {
         text = odd;
         assertThat(answerTo(done -> calls.ping(address, PING, done::accept)))
                 .isEqualTo(new PeerCalls.PingFailure("unreadable response"));
     }
 
+    /** Guards against a node that cannot read the answers of earlier versions, or loses what those of this one add. */
+    @ParameterizedTest
+    @CsvSource({
+        "1 2 3 4, 0, false",
+        "1 2 3 4 unansweredWritesMs=300, 300, false",
+        "1 2 3 4 unansweredWritesMs=0 probe, 0, true"
+    })
+    void answersOfEachVersionAreRead(String answer, long unansweredWritesMs, boolean asksForProbe)
+            throws InterruptedException {
+        text = answer;
+        assertThat(answerTo(done -> calls.ping(address, PING, done::accept)))
+                .isEqualTo(new PeerCalls.PingResponse(1, 2, 3, 4, unansweredWritesMs, asksForProbe));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"x", "99999999999", "-1", "1.5"})
     void oddAnswersToOtherRequestsCountAsNone(String odd) throws InterruptedException {
--- a/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
@@ -39,7 +39,7 @@
         @Override
         public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
             if (unansweredPings-- <= 0) {
-                PingResponse response = new PingResponse(1, 0, 0, rank, 0);
+                PingResponse response = new PingResponse(1, 0, 0, rank, 0, false);
                 loop.schedule(Duration.ofMillis(2), () -> callback.accept(response));
             } else {
                 loop.schedule(PING_TIMEOUT, () -> callback.accept(new PingFailure("no response")));
--- a/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
+++ b/src/test/java/org/tamarackline/fleet/PeerRequestHandlerTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,7 @@
         private final String method;
         private final String path;
         private final byte[] content;
+        private final Map<String, String> requestHeaders = new HashMap<>();
         private int status;
         private String responseText;
 
@@ -63,7 +65,7 @@
 
         @Override
         public String header(String name) {
-            return null;
+            return requestHeaders.get(name);
         }
 
         @Override
@@ -73,6 +75,18 @@
         }
     }
 
+    /** Guards against an answer that nodes of earlier versions cannot read, so that they take the leader for silent. */
+    @Test
+    void onlyNodesThatTellOfTheirTransactionsAreToldOfThoseOfThisNode() {
+        cluster.loop().advance(Duration.ofSeconds(3));
+        assertThat(request("GET", "/ping/node-1/60/330/4100").responseText).matches("1 0 \\d+ 0");
+        FakeExchange exchange = new FakeExchange("GET", "/ping/node-2/1500/682/8192", new byte[0]);
+        exchange.requestHeaders.put(PeerPaths.UNANSWERED_WRITES_MS, "0");
+        handler.accept(exchange);
+        cluster.loop().advance(Duration.ofMillis(100));
+        assertThat(exchange.responseText).matches("1 0 \\d+ 0 unansweredWritesMs=0 probe");
+    }
+
     private FakeExchange request(String method, String path) {
         return request(method, path, new byte[0]);
     }
