Send transactions over a new connection on request

A connection to the store may go silent for good while others work, so a repeated transaction needs a connection of its own, as repeated reads have. No caller uses it yet.

--- a/src/main/java/org/tamarackline/fleet/MonitoredStore.java
+++ b/src/main/java/org/tamarackline/fleet/MonitoredStore.java
@@ -13,27 +13,41 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        store.transact(transaction, recorded(callback));
+    }
+
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
+        store.transactOnNewConnection(transaction, recorded(callback));
+    }
+
+    /** Records that a transaction is sent now, and returns a callback that records its result. */
+    private Consumer<TransactionResult> recorded(Consumer<TransactionResult> callback) {
         long sentNanos = contact.nowNanos();
         contact.unansweredWrites().onSent();
-        store.transact(transaction, result -> {
-            switch (result) {
-                case TransactionResult.Applied applied -> recordAnsweredWrite(sentNanos);
-                case TransactionResult.Conflict conflict -> recordAnsweredWrite(sentNanos);
-                case TransactionResult.Rejected rejected -> recordAnsweredWrite(sentNanos);
-                case TransactionResult.NotApplied notApplied -> {
-                    if (!notApplied.busy()) {
-                        contact.onFailure();
-                    }
+        return result -> {
+            recordResult(result, sentNanos);
+            callback.accept(result);
+        };
+    }
+
+    private void recordResult(TransactionResult result, long sentNanos) {
+        switch (result) {
+            case TransactionResult.Applied applied -> recordAnsweredWrite(sentNanos);
+            case TransactionResult.Conflict conflict -> recordAnsweredWrite(sentNanos);
+            case TransactionResult.Rejected rejected -> recordAnsweredWrite(sentNanos);
+            case TransactionResult.NotApplied notApplied -> {
+                if (!notApplied.busy()) {
+                    contact.onFailure();
                 }
-                case TransactionResult.Unknown unknown -> {
-                    // A slow store executes transactions late while it answers reads.
-                    if (!contact.answeredSince(sentNanos)) {
-                        contact.onFailure();
-                    }
+            }
+            case TransactionResult.Unknown unknown -> {
+                // A slow store executes transactions late while it answers reads.
+                if (!contact.answeredSince(sentNanos)) {
+                    contact.onFailure();
                 }
             }
-            callback.accept(result);
-        });
+        }
     }
 
     private void recordAnsweredWrite(long sentNanos) {
--- a/src/main/java/org/tamarackline/fleet/RecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/RecordStore.java
@@ -16,6 +16,12 @@
     /** Applies a transaction of at most {@link #MAX_TRANSACTION_RECORDS} records. */
     void transact(Transaction transaction, Consumer<TransactionResult> callback);
 
+    /**
+     * Applies a transaction as {@link #transact} does, but over a connection that is opened for it, because connections that
+     * are already open may have gone silent.
+     */
+    void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback);
+
     /**
      * Reads the records of a table from {@code from} (inclusive) to {@code to} (exclusive, null for no bound), in key
      * order.
--- a/src/main/java/org/tamarackline/platform/StoreClient.java
+++ b/src/main/java/org/tamarackline/platform/StoreClient.java
@@ -48,7 +48,7 @@
     /** Holds the rows of operators and runners; its name is empty. */
     private static final String SHARED_PARTITION = "";
 
-    /** Connections that the calls of a read use. */
+    /** Connections that calls use. */
     private enum Connections {
         /** Open ones, if any are idle. */
         POOLED,
@@ -81,8 +81,18 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        transact(Connections.POOLED, transaction, callback);
+    }
+
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
+        transact(Connections.NEW, transaction, callback);
+    }
+
+    private void transact(Connections connections, Transaction transaction, Consumer<TransactionResult> callback) {
         long sentNanos = loop.nowNanos();
         call(
+                connections,
                 "POST",
                 "/-/rows-tx",
                 encodeTransaction(transaction),
@@ -177,6 +187,7 @@
     public void follow(Table table, long afterVersion, Duration wait, Consumer<ReadResult> callback) {
         long sentNanos = loop.nowNanos();
         call(
+                Connections.POOLED,
                 "GET",
                 changesTarget(table, afterVersion, wait),
                 null,
@@ -312,17 +323,22 @@
         return Arrays.compareUnsigned(key.getBytes(StandardCharsets.UTF_8), from.getBytes(StandardCharsets.UTF_8)) > 0;
     }
 
-    private void call(String method, String target, byte[] body, Duration timeout, Consumer<HttpCallResult> callback) {
-        Consumer<HttpCallResult> onLoop = result -> loop.execute(() -> callback.accept(result));
-        http.call(method, address, target, Map.of(), body, timeout, onLoop);
+    private void read(Connections connections, String target, Consumer<HttpCallResult> callback) {
+        call(connections, "GET", target, null, READ_TIMEOUT, callback);
     }
 
-    private void read(Connections connections, String target, Consumer<HttpCallResult> callback) {
+    private void call(
+            Connections connections,
+            String method,
+            String target,
+            byte[] body,
+            Duration timeout,
+            Consumer<HttpCallResult> callback) {
         Consumer<HttpCallResult> onLoop = result -> loop.execute(() -> callback.accept(result));
         if (connections == Connections.NEW) {
-            http.callOnNewConnection("GET", address, target, Map.of(), null, READ_TIMEOUT, onLoop);
+            http.callOnNewConnection(method, address, target, Map.of(), body, timeout, onLoop);
         } else {
-            http.call("GET", address, target, Map.of(), null, READ_TIMEOUT, onLoop);
+            http.call(method, address, target, Map.of(), body, timeout, onLoop);
         }
     }
 
--- a/src/test/java/org/tamarackline/fleet/ElectionCluster.java
+++ b/src/test/java/org/tamarackline/fleet/ElectionCluster.java
@@ -126,6 +126,11 @@
         nodes.remove(node);
     }
 
+    /** Returns the running nodes. */
+    List<Node> running() {
+        return List.copyOf(nodes);
+    }
+
     /** Returns the running nodes that lead. */
     List<Node> leading() {
         return nodes.stream().filter(Node::leads).toList();
--- a/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRecordStore.java
@@ -168,6 +168,11 @@
         });
     }
 
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
+        transact(transaction, callback);
+    }
+
     private Optional<TransactionResult> rejection(Transaction transaction) {
         Optional<TransactionResult> rejection = transaction.writes().stream().anyMatch(rejectedWrites)
                 ? Optional.of(new TransactionResult.Rejected("status 400"))
--- a/src/test/java/org/tamarackline/fleet/JobFeedTest.java
+++ b/src/test/java/org/tamarackline/fleet/JobFeedTest.java
@@ -62,6 +62,11 @@
             throw new AssertionError("a feed writes nothing");
         }
 
+        @Override
+        public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
+            transact(transaction, callback);
+        }
+
         @Override
         public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
             loop.execute(() -> callback.accept(new ReadResult.Page(records, 1, false)));
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -34,6 +34,11 @@
     private final EventLoop loop;
     private boolean refused;
     private Writes writes = Writes.ANSWERED;
+    /** What becomes of the next transactions before {@link #writes} applies. */
+    private Writes nextWrites = Writes.ANSWERED;
+
+    private int nextWriteCount;
+    private boolean openConnectionsSilentForWrites;
 
     NodeStore(RecordStore shared, EventLoop loop) {
         this.shared = shared;
@@ -50,6 +55,17 @@
         writes = next;
     }
 
+    /** Sets what becomes of the next transactions of the node. */
+    void setNextWrites(int count, Writes next) {
+        nextWriteCount = count;
+        nextWrites = next;
+    }
+
+    /** Makes the store neither execute nor answer transactions on open connections; new connections work. */
+    void setOpenConnectionsSilentForWrites() {
+        openConnectionsSilentForWrites = true;
+    }
+
     /** Returns whether the store refuses the calls of the node. */
     boolean refused() {
         return refused;
@@ -62,11 +78,20 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        if (openConnectionsSilentForWrites) {
+            endUnanswered(callback);
+        } else {
+            transactOnNewConnection(transaction, callback);
+        }
+    }
+
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
         if (refused) {
             loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             return;
         }
-        switch (writes) {
+        switch (nextWriteCount-- > 0 ? nextWrites : writes) {
             case ANSWERED -> shared.transact(transaction, result -> loop.execute(() -> callback.accept(result)));
             case REFUSED -> loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             case REFUSED_AS_TOO_MANY ->
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -202,8 +202,17 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        transact(link.silentForTransactions && link.takeSilentConnection(), transaction, callback);
+    }
+
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
+        transact(false, transaction, callback);
+    }
+
+    private void transact(boolean silent, Transaction transaction, Consumer<TransactionResult> callback) {
         Call<TransactionResult> call = new Call<>(
-                link.silentForTransactions && link.takeSilentConnection(),
+                silent,
                 WRITE_TIMEOUT,
                 new TransactionResult.Unknown("no response"),
                 new TransactionResult.NotApplied("status 503"),
