--- a/src/test/java/org/tamarackline/platform/StoreClientTest.java
+++ b/src/test/java/org/tamarackline/platform/StoreClientTest.java
@@ -2,6 +2,8 @@
 
 import java.io.OutputStream;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -54,6 +56,23 @@
         assertThat(client.clock().latestMs(loop.nowNanos())).isPresent();
     }
 
+    /** Guards against a repeated transaction that is sent otherwise than the first attempt. */
+    @Test
+    void transactionsOnNewConnectionsAreAppliedOnce() throws InterruptedException {
+        RecordStore.Transaction transaction = new RecordStore.Transaction(
+                List.of(new RecordStore.Condition(RecordStore.Table.LEASES, "k", 0)),
+                List.of(new RecordStore.Write(RecordStore.Table.LEASES, "k", new byte[] {1})));
+        List<RecordStore.TransactionResult> results = new CopyOnWriteArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            await(done -> client.transactOnNewConnection(transaction, result -> {
+                results.add(result);
+                done.run();
+            }));
+        }
+        assertThat(results.getFirst()).isInstanceOf(RecordStore.TransactionResult.Applied.class);
+        assertThat(results.getLast()).isInstanceOf(RecordStore.TransactionResult.Conflict.class);
+    }
+
     private void await(Consumer<Runnable> call) throws InterruptedException {
         CountDownLatch completed = new CountDownLatch(1);
         loop.execute(() -> call.accept(completed::countDown));
