Repeat claims and resignations on a new connection after 0.4 s

Cause: a claim or a resignation without an answer was noticed at its timeout of 1.2 s, and then repeated over connections that might be silent too. A claim that had taken effect was noticed only by the read 0.3 s later.

Change: after 0.4 s without an answer the node reads the record on a new connection. It leads if the record is its own claim, and sends the identical claim again on a new connection if the record is unchanged; further waits grow to 1 s. A claim that is refused because of its own earlier attempt leads at once. Claim holds the state of a claim, so that answers to a claim that was given up are ignored. Resignations are sent again after the same time. Attempts require the same version, so at most one takes effect. takeover-failed is logged and counted when an answer is overdue.

StepDownTest#lateResponseToAClaimDoesNotLeadAfterStepDown assumed that a node does not learn of its claim for 8 s while the store answers its reads; it now reads the record after 0.4 s and leads rightly. The test refuses the node's reads until after the late answer, and makes the same assertions, twice.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -482,6 +482,15 @@
         });
     }
 
+    /** Logs that a transaction about a leader record is sent again, because it has had no answer for some time. */
+    void repeated(String event, LeaderRecord record, long waitedMs) {
+        writeLine(event, json -> {
+            json.writeNumberField("epoch", record.epoch());
+            json.writeStringField("leader", record.node());
+            json.writeNumberField("waitedMs", waitedMs);
+        });
+    }
+
     void storeState(String event, String cause) {
         writeLine(event, json -> json.writeStringField("cause", cause));
     }
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -15,7 +15,7 @@
  *
  * <p>A leader that lacks the capacity for its fleet resigns in favour of a node that has it ({@link CapacityPolicy}).
  */
-final class Election {
+final class Election implements Claim.Callbacks {
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
@@ -49,9 +49,7 @@
 
     private Leader leader;
     /** Claim of this node whose outcome is not known, null if there is none. */
-    private LeaderRecord claim;
-    /** Version of the record that the claim replaces. */
-    private long claimVersion;
+    private Claim claim;
 
     /** Lowest epoch that this process may lead with. */
     private long minEpoch;
@@ -145,7 +143,7 @@
             return new PeerCalls.PingResponse(
                     leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs);
         }
-        long claimedEpoch = stopped || claim == null ? 0 : claim.epoch();
+        long claimedEpoch = stopped || claim == null ? 0 : claim.record().epoch();
         return new PeerCalls.PingResponse(0, claimedEpoch, storeContact.answerAgeMs(), callerRank, unansweredWritesMs);
     }
 
@@ -233,7 +231,7 @@
         minEpoch = Math.max(minEpoch, epoch);
         if (leader != null && leader.record().epoch() < minEpoch) {
             leader.stepDown();
-        } else if (claim != null && claim.epoch() < minEpoch) {
+        } else if (claim != null && claim.record().epoch() < minEpoch) {
             claim = null;
             loop.execute(this::readRecord);
         }
@@ -242,12 +240,16 @@
     // ---- Finding the leader
 
     private void readRecord() {
+        readRecord(false);
+    }
+
+    private void readRecord(boolean newConnection) {
         if (stopped || leader != null) {
             return;
         }
         long generation = ++readGeneration;
         long sentNanos = loop.nowNanos();
-        records.read(result -> {
+        records.read(newConnection, result -> {
             if (stopped || leader != null || generation != readGeneration) {
                 return;
             }
@@ -276,7 +278,7 @@
             onCorruptRecord(entry, corrupt);
             return;
         }
-        if (matchesPendingClaim(record)) {
+        if (claim != null && claim.wrote(record)) {
             startLeading(record, entry.version(), sentNanos, "its claim took effect");
             return;
         }
@@ -284,7 +286,7 @@
         Optional<String> suspicion = monitor.suspicion(entry.version());
         if (record.node().equals(settings.node())) {
             takeOver(record, entry.version(), "an earlier process of this node led");
-        } else if (suspicion.isPresent() && monitor.suspectsSilentLeader()) {
+        } else if (suspicion.isPresent() && monitor.suspectsSilentLeader() && !claimUnanswered()) {
             takeOverUnlessFollowed(record, entry.version(), suspicion.get());
         } else if (suspicion.isPresent()) {
             takeOver(record, entry.version(), suspicion.get());
@@ -334,14 +336,13 @@
 
     /** Forgets a claim that can no longer take effect, because the record has changed since. */
     private void discardReplacedClaim(RecordStore.Entry entry) {
-        if (entry.version() != claimVersion) {
+        if (claim != null && !claim.replaces(entry.version())) {
             claim = null;
         }
     }
 
-    /** Returns whether a record was written by a claim of this process whose outcome it did not know. */
-    private boolean matchesPendingClaim(LeaderRecord record) {
-        return claim != null && record.incarnation() == incarnation && record.epoch() == claim.epoch();
+    private boolean claimUnanswered() {
+        return claim != null && claim.unanswered();
     }
 
     // ---- Taking over
@@ -390,36 +391,49 @@
                 possiblyActive,
                 leasesLimitedSinceEpoch);
         readGeneration++;
-        long sentNanos = loop.nowNanos();
-        claim = record;
-        claimVersion = version;
-        records.replace(record, version, FleetMetrics.TransactionPurpose.CLAIM, result -> {
-            if (stopped || claim == null || claim.epoch() != record.epoch()) {
-                return;
-            }
-            if (result instanceof RecordStore.TransactionResult.Applied applied) {
-                startLeading(record, applied.version(), sentNanos, reason);
-            } else {
-                onClaimFailed(record, version, result);
-            }
-        });
+        if (claim == null || !claim.isSameAs(record, version)) {
+            claim = new Claim(services, records, record, version, reason, this);
+        }
+        claim.send();
     }
 
-    private void onClaimFailed(LeaderRecord record, long version, RecordStore.TransactionResult result) {
-        if (version == 0
+    @Override
+    public boolean awaits(Claim sent) {
+        return !stopped && claim == sent;
+    }
+
+    @Override
+    public void onClaimStored(Claim stored, long version, long sentNanos) {
+        startLeading(stored.record(), version, sentNanos, stored.reason());
+    }
+
+    @Override
+    public void onClaimUnanswered(Claim unanswered) {
+        reportFailedClaim(unanswered, "no answer in time");
+        readRecord(true);
+    }
+
+    @Override
+    public void onClaimFailed(Claim failed, RecordStore.TransactionResult result) {
+        if (failed.replaces(0)
                 && result instanceof RecordStore.TransactionResult.Conflict conflict
-                && !LeaderRecordStore.containsLeader(conflict)) {
+                && LeaderRecordStore.leaderEntry(conflict).isEmpty()) {
             claim = null;
             log.skippedRecord(LeaderRecord.KEY, "it was removed although a leader has stored transactions");
             records.replaceRemoved(() -> loop.schedule(RETRY_DELAY, this::readRecord));
             return;
         }
-        // An earlier claim may have taken effect, so read the record to learn the outcome.
-        log.leadership("takeover-failed", record.epoch(), record.node(), result.toString());
-        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.TAKEOVER_FAILED);
+        // An earlier attempt may have taken effect, so read the record to learn the outcome.
+        reportFailedClaim(failed, result.toString());
         loop.schedule(RETRY_DELAY, this::readRecord);
     }
 
+    private void reportFailedClaim(Claim failed, String cause) {
+        LeaderRecord record = failed.record();
+        log.leadership("takeover-failed", record.epoch(), record.node(), cause);
+        metrics.leadershipChanged(FleetMetrics.LeadershipEvent.TAKEOVER_FAILED);
+    }
+
     private void startLeading(LeaderRecord record, long version, long sentNanos, String reason) {
         claim = null;
         if (record.epoch() < minEpoch) {
--- a/src/main/java/org/tamarackline/fleet/HedgedRead.java
+++ b/src/main/java/org/tamarackline/fleet/HedgedRead.java
@@ -111,8 +111,7 @@
     }
 
     private void repeat() {
-        Duration delay = backoff.next();
-        send(repetition, delay.compareTo(ATTEMPT_TIMEOUT) > 0 ? delay : ATTEMPT_TIMEOUT);
+        send(repetition, backoff.nextAtLeast(ATTEMPT_TIMEOUT));
     }
 
     private void onResult(long read, long number, Success<R> success) {
--- a/src/main/java/org/tamarackline/fleet/LeaderRecordStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderRecordStore.java
@@ -2,11 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Reads and replaces the leader record in the store. */
 final class LeaderRecordStore {
 
+    /** End of the range of keys that has only the record. */
+    private static final String END = LeaderRecord.KEY + "\u0000";
+
     /** An epoch that is out of range, and nothing else. */
     private static final byte[] UNREADABLE_RECORD = {0};
 
@@ -24,12 +28,33 @@
 
     /** Reads the record; the page is empty if there is none. */
     void read(Consumer<RecordStore.ReadResult> callback) {
-        Runnable onRepetition = () -> log.readRepeated("leader record", HedgedRead.ATTEMPT_TIMEOUT.toMillis());
-        String end = LeaderRecord.KEY + "\u0000";
-        RepeatedRead.ofTable(loop, store, RecordStore.Table.JOBS, LeaderRecord.KEY, end, onRepetition, result -> {
-            metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
-            callback.accept(result);
-        });
+        read(false, callback);
+    }
+
+    /**
+     * Reads the record as {@link #read(Consumer)} does.
+     *
+     * @param newConnection whether the first attempt opens a connection, as further ones always do
+     */
+    void read(boolean newConnection, Consumer<RecordStore.ReadResult> callback) {
+        RepeatedRead.start(
+                loop,
+                newConnection ? this::readOnNewConnection : this::readOnOpenConnection,
+                this::readOnNewConnection,
+                result -> !(result instanceof RecordStore.ReadResult.Failed),
+                () -> log.readRepeated("leader record", HedgedRead.ATTEMPT_TIMEOUT.toMillis()),
+                result -> {
+                    metrics.readCompleted(FleetMetrics.ReadPurpose.LEADER_RECORD, FleetMetrics.ReadOutcome.of(result));
+                    callback.accept(result);
+                });
+    }
+
+    private void readOnOpenConnection(Consumer<RecordStore.ReadResult> callback) {
+        store.read(RecordStore.Table.JOBS, LeaderRecord.KEY, END, callback);
+    }
+
+    private void readOnNewConnection(Consumer<RecordStore.ReadResult> callback) {
+        store.readOnNewConnection(RecordStore.Table.JOBS, LeaderRecord.KEY, END, callback);
     }
 
     /**
@@ -50,11 +75,13 @@
      * because the record of a leader may have been removed.
      *
      * @param version required version, 0 if there must be no record
+     * @param newConnection whether to open a connection for it, because open ones may have gone silent
      */
     void replace(
             LeaderRecord record,
             long version,
             FleetMetrics.TransactionPurpose purpose,
+            boolean newConnection,
             Consumer<RecordStore.TransactionResult> callback) {
         List<RecordStore.Condition> conditions = new ArrayList<>();
         conditions.add(new RecordStore.Condition(RecordStore.Table.JOBS, LeaderRecord.KEY, version));
@@ -62,12 +89,18 @@
             conditions.add(new RecordStore.Condition(RecordStore.Table.PROGRESS, CommitSequence.KEY, 0));
         }
         long sentNanos = loop.nowNanos();
-        store.transact(
-                new RecordStore.Transaction(conditions, List.of(write(RecordCodec.encodeLeader(record)))), result -> {
-                    metrics.transactionCompleted(
-                            purpose, FleetMetrics.TransactionOutcome.of(result), loop.nowNanos() - sentNanos);
-                    callback.accept(result);
-                });
+        RecordStore.Transaction transaction =
+                new RecordStore.Transaction(conditions, List.of(write(RecordCodec.encodeLeader(record))));
+        Consumer<RecordStore.TransactionResult> onResult = result -> {
+            metrics.transactionCompleted(
+                    purpose, FleetMetrics.TransactionOutcome.of(result), loop.nowNanos() - sentNanos);
+            callback.accept(result);
+        };
+        if (newConnection) {
+            store.transactOnNewConnection(transaction, onResult);
+        } else {
+            store.transact(transaction, onResult);
+        }
     }
 
     /**
@@ -85,8 +118,10 @@
         return new RecordStore.Write(RecordStore.Table.JOBS, LeaderRecord.KEY, value);
     }
 
-    /** Returns whether the records that a transaction found instead contain a leader record. */
-    static boolean containsLeader(RecordStore.TransactionResult.Conflict conflict) {
-        return conflict.current().stream().anyMatch(entry -> entry.key().equals(LeaderRecord.KEY) && !entry.removed());
+    /** Returns the leader record that a transaction found instead of the required one; empty if there was none. */
+    static Optional<RecordStore.Entry> leaderEntry(RecordStore.TransactionResult.Conflict conflict) {
+        return conflict.current().stream()
+                .filter(entry -> entry.key().equals(LeaderRecord.KEY) && !entry.removed())
+                .findFirst();
     }
 }
--- a/src/main/java/org/tamarackline/fleet/Resignation.java
+++ b/src/main/java/org/tamarackline/fleet/Resignation.java
@@ -16,6 +16,10 @@
     private final BooleanSupplier leading;
     private final Supplier<Optional<String>> successor;
     private final Runnable onStored;
+    private final AttemptTimer timer;
+
+    /** Whether {@link #onStored} has run. */
+    private boolean over;
 
     /**
      * Creates a resignation; {@link #store} stores it.
@@ -37,22 +41,51 @@
         this.leading = leading;
         this.successor = successor;
         this.onStored = onStored;
+        this.timer = new AttemptTimer(services.loop());
     }
 
     void store() {
-        if (!leading.getAsBoolean()) {
+        store(false);
+    }
+
+    private void store(boolean newConnection) {
+        if (ended()) {
             return;
         }
         LeaderRecord resigned = leader.record().asResigned(leader.earlierLeadersEnded(), successor.get());
         long sentNanos = services.loop().nowNanos();
-        records.replace(resigned, leader.leaderVersion(), FleetMetrics.TransactionPurpose.RESIGNATION, result -> {
-            if (leading.getAsBoolean()) {
-                onResult(result, sentNanos);
-            }
-        });
+        long attempt = timer.start(HedgedRead.ATTEMPT_TIMEOUT, this::repeat);
+        records.replace(
+                resigned,
+                leader.leaderVersion(),
+                FleetMetrics.TransactionPurpose.RESIGNATION,
+                newConnection,
+                result -> {
+                    boolean latest = timer.end(attempt);
+                    if (!ended()) {
+                        onResult(result, sentNanos, latest);
+                    }
+                });
+    }
+
+    private boolean ended() {
+        return over || !leading.getAsBoolean();
+    }
+
+    /** Repeats an attempt without an answer on a new connection; all require the same version, so one takes effect. */
+    private void repeat() {
+        if (ended()) {
+            return;
+        }
+        if (leader.resigned()) {
+            onResigned("the leader has read its resignation");
+            return;
+        }
+        services.log().repeated("resignation-repeated", leader.record(), HedgedRead.ATTEMPT_TIMEOUT.toMillis());
+        store(true);
     }
 
-    private void onResult(RecordStore.TransactionResult result, long sentNanos) {
+    private void onResult(RecordStore.TransactionResult result, long sentNanos, boolean latest) {
         switch (result) {
             case RecordStore.TransactionResult.Applied applied -> {
                 leader.onLeadershipConfirmed(sentNanos);
@@ -65,15 +98,22 @@
         if (!leading.getAsBoolean()) {
             return;
         }
-        LeaderRecord record = leader.record();
         if (leader.resigned()) {
-            services.log().leadership("leader-resigned", record.epoch(), record.node(), result.toString());
-            services.metrics().leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNED);
-            onStored.run();
-        } else {
+            onResigned(result.toString());
+        } else if (latest) {
+            LeaderRecord record = leader.record();
             services.log().leadership("resignation-failed", record.epoch(), record.node(), result.toString());
             services.metrics().leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNATION_FAILED);
-            services.loop().schedule(RETRY_DELAY, this::store);
+            boolean newConnection = result instanceof RecordStore.TransactionResult.Unknown;
+            services.loop().schedule(RETRY_DELAY, () -> store(newConnection));
         }
     }
+
+    private void onResigned(String reason) {
+        over = true;
+        LeaderRecord record = leader.record();
+        services.log().leadership("leader-resigned", record.epoch(), record.node(), reason);
+        services.metrics().leadershipChanged(FleetMetrics.LeadershipEvent.RESIGNED);
+        onStored.run();
+    }
 }
--- a/src/main/java/org/tamarackline/fleet/RetryBackoff.java
+++ b/src/main/java/org/tamarackline/fleet/RetryBackoff.java
@@ -37,6 +37,12 @@
         return Duration.ofNanos((long) (delay.toNanos() * (1 - random.nextDouble() / 2)));
     }
 
+    /** Returns the delay before the next retry, or a longer one. */
+    Duration nextAtLeast(Duration shortest) {
+        Duration delay = next();
+        return delay.compareTo(shortest) > 0 ? delay : shortest;
+    }
+
     /** Records a success. */
     void reset() {
         nextDelay = initialDelay;
--- a/src/test/java/org/tamarackline/fleet/StepDownTest.java
+++ b/src/test/java/org/tamarackline/fleet/StepDownTest.java
@@ -118,9 +118,16 @@
     void lateResponseToAClaimDoesNotLeadAfterStepDown() {
         cluster.store().delayNextResponse(Duration.ofSeconds(8));
         ElectionCluster.Node first = cluster.start("node-0");
-        cluster.loop().advance(Duration.ofMillis(500));
+        cluster.loop().advance(Duration.ofMillis(100));
+        assertThat(cluster.storedLeader().epoch()).isOne();
+        // The node does not learn from a read that its claim took effect either.
+        first.store().setRefused(true);
+        cluster.loop().advance(Duration.ofMillis(400));
         ElectionCluster.Node second = cluster.start("node-1");
-        cluster.loop().advance(Duration.ofSeconds(12));
+        cluster.loop().advance(Duration.ofMillis(9_500));
+        assertThat(cluster.leaderEpochs()).containsExactly(2L);
+        first.store().setRefused(false);
+        cluster.loop().advance(Duration.ofMillis(2_500));
         assertThat(cluster.leaderEpochs()).containsExactly(2L);
         assertThat(cluster.leading()).containsExactly(second);
         assertThat(first.election().leaderAddress()).contains(second.address());
