Allow starts on a new connection to a runner

Stops and polls can be sent over a connection that is opened for them, starts could not. Nothing uses it yet. The stand-ins of the tests know it too, and can make the open connections to a runner silent.

--- a/src/main/java/org/tamarackline/fleet/RunnerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerCalls.java
@@ -17,6 +17,13 @@
      */
     void start(RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback);
 
+    /**
+     * Starts a run as {@link #start} does, but over a connection that is opened for it. A runner that has the run already
+     * starts it no second time.
+     */
+    void startOnNewConnection(
+            RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback);
+
     /** Stops a run. The outcome is {@link RunnerCommandOutcome#DONE} if the runner stopped it or has no such run. */
     void stop(
             RunnerDescriptor runner, TaskKey task, long runNumber, long epoch, Consumer<RunnerCommandOutcome> callback);
--- a/src/main/java/org/tamarackline/platform/RunnerClient.java
+++ b/src/main/java/org/tamarackline/platform/RunnerClient.java
@@ -39,7 +39,20 @@
     @Override
     public void start(
             RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
-        byte[] body = Json.encodeObject(json -> {
+        byte[] body = encodeStart(command, leaseUntilMs);
+        post(runner, "/-/run-start", body, COMMAND_TIMEOUT, result -> callback.accept(toStartResponse(result)));
+    }
+
+    @Override
+    public void startOnNewConnection(
+            RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        byte[] body = encodeStart(command, leaseUntilMs);
+        postOnNewConnection(
+                runner, "/-/run-start", body, COMMAND_TIMEOUT, result -> callback.accept(toStartResponse(result)));
+    }
+
+    private static byte[] encodeStart(StartCommand command, long leaseUntilMs) {
+        return Json.encodeObject(json -> {
             json.writeStringField("task", TaskKeyFormat.format(command.task()));
             json.writeNumberField("run", command.runNumber());
             json.writeStringField("spec", command.spec());
@@ -50,7 +63,6 @@
                 json.writeStringField("checkpoint", command.checkpoint());
             }
         });
-        post(runner, "/-/run-start", body, COMMAND_TIMEOUT, result -> callback.accept(toStartResponse(result)));
     }
 
     private static StartResponse toStartResponse(HttpCallResult result) {
--- a/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
+++ b/src/test/java/org/tamarackline/fleet/EarlyAcknowledgingCalls.java
@@ -24,6 +24,12 @@
         calls.start(runner, command, leaseUntilMs, callback);
     }
 
+    @Override
+    public void startOnNewConnection(
+            RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        calls.startOnNewConnection(runner, command, leaseUntilMs, callback);
+    }
+
     @Override
     public void stop(
             RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -22,10 +22,13 @@
      *
      * @param runner identifier of the runner
      * @param task task to run
+     * @param runNumber number of the run
      * @param epoch epoch of the leader
      * @param sentNanos when it was sent, on the test's clock
+     * @param onNewConnection whether a connection was opened for it
      */
-    record SentStart(String runner, TaskKey task, long epoch, long sentNanos) {}
+    record SentStart(
+            String runner, TaskKey task, long runNumber, long epoch, long sentNanos, boolean onNewConnection) {}
 
     /**
      * Poll that was sent and renews the lease.
@@ -61,6 +64,8 @@
     private Duration nextReplacedAnswerDelay = Duration.ZERO;
     private boolean allSilent;
     private boolean startResponsesLost;
+    private boolean openConnectionsSilent;
+    private StartResult resultOnNewConnections = StartResult.STARTED;
 
     FakeRunnerCalls(ManualLoop loop) {
         this.loop = loop;
@@ -120,6 +125,16 @@
         startResponsesLost = true;
     }
 
+    /** Makes the connections that are open silent; calls on new ones are answered. */
+    void silenceOpenConnections() {
+        openConnectionsSilent = true;
+    }
+
+    /** Sets the result of starts on new connections. */
+    void answerStartsOnNewConnections(StartResult result) {
+        resultOnNewConnections = result;
+    }
+
     /** Returns all stops that were sent, in order. */
     List<SentStop> stops() {
         return stops;
@@ -163,19 +178,38 @@
     @Override
     public void start(
             RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
-        starts.add(new SentStart(runner.id(), command.task(), command.epoch(), loop.nowNanos()));
+        start(runner, command, false, callback);
+    }
+
+    @Override
+    public void startOnNewConnection(
+            RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        start(runner, command, true, callback);
+    }
+
+    private void start(
+            RunnerDescriptor runner, StartCommand command, boolean onNewConnection, Consumer<StartResponse> callback) {
+        starts.add(new SentStart(
+                runner.id(), command.task(), command.runNumber(), command.epoch(), loop.nowNanos(), onNewConnection));
         if (replacedRunners.contains(runner.id())) {
             loop.execute(() -> callback.accept(
                     new StartResponse(StartResult.RUNNER_REPLACED, RunnerCommandOutcome.RUNNER_REPLACED, "replaced")));
             return;
         }
-        if (silent(runner) || startResponsesLost) {
+        if (silent(runner) || startResponsesLost || (openConnectionsSilent && !onNewConnection)) {
             loop.schedule(
                     TIMEOUT,
                     () -> callback.accept(
                             new StartResponse(StartResult.UNKNOWN, RunnerCommandOutcome.UNKNOWN, "no answer")));
             return;
         }
+        if (onNewConnection && resultOnNewConnections != StartResult.STARTED) {
+            RunnerCommandOutcome outcome = resultOnNewConnections == StartResult.RUNNER_REPLACED
+                    ? RunnerCommandOutcome.RUNNER_REPLACED
+                    : RunnerCommandOutcome.REFUSED;
+            loop.execute(() -> callback.accept(new StartResponse(resultOnNewConnections, outcome, "refused")));
+            return;
+        }
         activeRuns(runner).add(new RunnerStatus.ActiveRun(command.task(), command.runNumber(), "", 1, -1));
         loop.execute(() -> callback.accept(new StartResponse(StartResult.STARTED, RunnerCommandOutcome.DONE, "")));
     }
@@ -226,6 +260,16 @@
             long leaseUntilMs,
             int waitMs,
             Consumer<PollResponse> callback) {
+        poll(runner, epoch, leaseUntilMs, waitMs, false, callback);
+    }
+
+    private void poll(
+            RunnerDescriptor runner,
+            long epoch,
+            long leaseUntilMs,
+            int waitMs,
+            boolean onNewConnection,
+            Consumer<PollResponse> callback) {
         polls++;
         if (!nextReplacedAnswerDelay.isZero()) {
             loop.schedule(
@@ -237,7 +281,7 @@
         if (leaseUntilMs > 0) {
             renewals.add(new SentRenewal(runner.id(), epoch, loop.nowNanos()));
         }
-        if (silent(runner)) {
+        if (silent(runner) || (openConnectionsSilent && !onNewConnection)) {
             loop.schedule(
                     refusingRunners.contains(runner.id()) ? Duration.ZERO : TIMEOUT,
                     () -> callback.accept(new PollResponse(RunnerCommandOutcome.UNKNOWN, null, "no answer")));
@@ -267,6 +311,6 @@
             int waitMs,
             Consumer<PollResponse> callback) {
         pollsOnNewConnections++;
-        poll(runner, epoch, lastAcknowledgedEnd, leaseUntilMs, waitMs, callback);
+        poll(runner, epoch, leaseUntilMs, waitMs, true, callback);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
+++ b/src/test/java/org/tamarackline/fleet/FencingFakeRunner.java
@@ -108,6 +108,12 @@
         respond(outcome, callback, new StartResponse(result, outcome, ""));
     }
 
+    @Override
+    public void startOnNewConnection(
+            RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        start(runner, command, leaseUntilMs, callback);
+    }
+
     @Override
     public void stop(
             RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMetricsTest.java
@@ -385,6 +385,12 @@
             loop.execute(() -> callback.accept(new StartResponse(result, outcome, "")));
         }
 
+        @Override
+        public void startOnNewConnection(
+                RunnerDescriptor runner, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+            start(runner, command, leaseUntilMs, callback);
+        }
+
         @Override
         public void stop(
                 RunnerDescriptor runner,
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunnerCalls.java
@@ -247,8 +247,23 @@
     @Override
     public void start(
             RunnerDescriptor descriptor, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        start(descriptor, pools.take(descriptor.address()), command, leaseUntilMs, callback);
+    }
+
+    @Override
+    public void startOnNewConnection(
+            RunnerDescriptor descriptor, StartCommand command, long leaseUntilMs, Consumer<StartResponse> callback) {
+        start(descriptor, pools.open(descriptor.address()), command, leaseUntilMs, callback);
+    }
+
+    private void start(
+            RunnerDescriptor descriptor,
+            ConnectionPools.Connection connection,
+            StartCommand command,
+            long leaseUntilMs,
+            Consumer<StartResponse> callback) {
         connections.startSent(descriptor, command);
-        new Call<>(descriptor, command.epoch(), ProtocolRunnerCalls::startFailure, callback)
+        new Call<>(descriptor, command.epoch(), connection, ProtocolRunnerCalls::startFailure, callback)
                 .send(COMMAND_TIMEOUT, (runner, call) -> {
                     StartResult result = runner.start(
                             command.task(),
