Repeat the poll before a start on a new connection

Cause: a start to a runner that has not answered lately waits for a poll that verifies the process. Over a connection gone silent the poll had no answer for 0.9 s, and the start was then not sent.

Change: ProcessVerifier polls, and repeats a poll without an answer after 0.4 s on a new connection. The first answer counts; the wait for a runner that does not answer stays the timeout of the first poll.

--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -1,12 +1,7 @@
 package org.tamarackline.fleet;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.Run;
-import org.tamarackline.core.fleet.RunnerDescriptor;
 import org.tamarackline.core.fleet.StartResult;
 
 /**
@@ -38,16 +33,11 @@
     private final RunnerSession.Callbacks leader;
     private final long epoch;
     private final FleetRunner runner;
-    private final ProcessConfirmation process;
+    private final ProcessVerifier verifier;
     private final StartVerification verification;
     private final RunnerLease lease;
     private final Session session;
 
-    private boolean verifyingProcess;
-
-    /** Starts that wait for the response of a poll that verifies the process. */
-    private final List<Run> unsentStarts = new ArrayList<>();
-
     RunStarter(
             LeaderContext context,
             RunnerSession.Callbacks leader,
@@ -60,7 +50,7 @@
         this.leader = leader;
         this.epoch = epoch;
         this.runner = session.runner();
-        this.process = process;
+        this.verifier = new ProcessVerifier(context, leader, epoch, process, session, false);
         this.verification = verification;
         this.lease = lease;
         this.session = session;
@@ -68,9 +58,7 @@
 
     /** Verifies the process unless it is known, so that a start which is due soon does not wait for that. */
     void prepareStart() {
-        if (!verifyingProcess && !processAliveWithin(FleetConstants.PROCESS_KNOWN_TIME.dividedBy(2))) {
-            verifyProcess();
-        }
+        verifier.prepare();
     }
 
     /**
@@ -79,61 +67,29 @@
      */
     void start(Run run) {
         leader.onStartSent();
-        if (processAliveWithin(FleetConstants.PROCESS_KNOWN_TIME)) {
-            sendStartIfPermitted(run);
-            return;
-        }
-        unsentStarts.add(run);
-        if (!verifyingProcess) {
-            verifyProcess();
-        }
-    }
-
-    private boolean processAliveWithin(Duration time) {
-        return process.aliveSince(context.loop().nowNanos() - time.toNanos());
-    }
-
-    private void verifyProcess() {
-        verifyingProcess = true;
-        long sentNanos = context.loop().nowNanos();
-        context.runnerCalls().poll(runner.descriptor(), epoch, 0, 0, 0, response -> {
-            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.VERIFICATION, response.outcome());
-            verifyingProcess = false;
-            List<Run> runs = List.copyOf(unsentStarts);
-            unsentStarts.clear();
-            if (!session.closed() && answersAsKnownProcess(response)) {
-                process.onPollAnswered(
-                        sentNanos, response.status().clockMs(), context.loop().nowNanos());
-                // The process may have been replaced while an older answer was on its way.
-                if (processAliveWithin(FleetConstants.MIN_RESTART_TIME)) {
-                    runs.forEach(this::sendStartIfPermitted);
-                    return;
-                }
-                runs.forEach(run -> startNotSent(run, StartResult.ANSWERED_LATE));
+        verifier.verify(result -> {
+            if (result == ProcessVerifier.Result.ALIVE) {
+                sendStartIfPermitted(run);
             } else {
-                runs.forEach(run -> startNotSent(run, StartResult.NOT_SENT));
-            }
-            if (!session.closed()) {
-                session.onNotVerified(response, sentNanos);
+                boolean late = result == ProcessVerifier.Result.ANSWERED_LATE;
+                startNotSent(run, late ? StartResult.ANSWERED_LATE : StartResult.NOT_SENT);
             }
         });
     }
 
-    private boolean answersAsKnownProcess(RunnerCalls.PollResponse response) {
-        return response.outcome() == RunnerCalls.RunnerCommandOutcome.DONE
-                && process.confirmed()
-                && process.is(response.status().processStartEpochMs());
-    }
-
-    /** Sends a start, unless the leader may no longer do so or the runner has changed since the start was decided. */
     private void sendStartIfPermitted(Run run) {
-        if (leader.maySendCommands() && lease.extendable() && context.fleet().maySendStart(run)) {
+        if (permitted(run)) {
             sendStart(run);
         } else {
             startNotSent(run, StartResult.NOT_SENT);
         }
     }
 
+    /** Returns whether the leader may send a start, and the runner has not changed since the start was decided. */
+    private boolean permitted(Run run) {
+        return leader.maySendCommands() && lease.extendable() && context.fleet().maySendStart(run);
+    }
+
     private void startNotSent(Run run, StartResult result) {
         leader.onStartCompleted();
         if (!session.closed()) {
@@ -143,33 +99,36 @@
     }
 
     private void sendStart(Run run) {
-        RunnerDescriptor descriptor = runner.descriptor();
-        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
-                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
         long sentNanos = context.loop().nowNanos();
         verification.onStartSent(sentNanos);
-        context.runnerCalls().start(descriptor, command, lease.extend(verification.allVerified()), response -> {
-            context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
-            leader.onStartCompleted();
-            verification.onStartCompleted(
-                    response.result() != StartResult.UNKNOWN, context.loop().nowNanos());
-            if (session.closed()) {
-                return;
-            }
-            context.log().startCompleted(run, epoch, response, sentNanos);
-            if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
-                leader.onFenced(runner.id());
-                return;
-            }
-            context.fleet()
-                    .applyStartResult(run, response.result(), context.loop().nowNanos());
-            if (response.result() == StartResult.STARTED || response.result() == StartResult.UNKNOWN) {
-                session.onStarted();
-            }
-            if (response.result() == StartResult.RUNNER_REPLACED) {
-                session.onProcessEnded(sentNanos);
-            }
-            leader.requestSchedulingRound();
-        });
+        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
+                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
+        context.runnerCalls()
+                .start(runner.descriptor(), command, lease.extend(verification.allVerified()), response -> {
+                    context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
+                    onStartCompleted(run, response, sentNanos);
+                });
+    }
+
+    private void onStartCompleted(Run run, RunnerCalls.StartResponse response, long sentNanos) {
+        leader.onStartCompleted();
+        verification.onStartCompleted(
+                response.result() != StartResult.UNKNOWN, context.loop().nowNanos());
+        if (session.closed()) {
+            return;
+        }
+        context.log().startCompleted(run, epoch, response, sentNanos);
+        if (response.outcome() == RunnerCalls.RunnerCommandOutcome.FENCED) {
+            leader.onFenced(runner.id());
+            return;
+        }
+        context.fleet().applyStartResult(run, response.result(), context.loop().nowNanos());
+        if (response.result() == StartResult.STARTED || response.result() == StartResult.UNKNOWN) {
+            session.onStarted();
+        }
+        if (response.result() == StartResult.RUNNER_REPLACED) {
+            session.onProcessEnded(sentNanos);
+        }
+        leader.requestSchedulingRound();
     }
 }
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -380,4 +380,16 @@
         loop.advance(Duration.ofSeconds(4));
         assertThat(runner.busy()).isTrue();
     }
+
+    /** Guards against a start that waits for the timeout of a poll which met a connection gone silent. */
+    @Test
+    void verificationWithoutAnAnswerIsRepeatedOnANewConnection() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(500));
+        calls.silenceOpenConnections();
+        startLongRunningTask();
+        loop.advance(Duration.ofMillis(450));
+        assertThat(calls.pollsOnNewConnections()).isEqualTo(1);
+        assertThat(calls.starts()).hasSize(1);
+    }
 }
