Repeat a start without an answer on a new connection

Cause: a start over a connection gone silent had no answer for 1.5 s, was then stopped, and its task waited for the next status and started anew.

Change: RepeatedStart sends a start again after 0.4 s, once, on a new connection and with the same run number, if it may still be sent, after the same process has answered a poll. An attempt that was refused does not prove that the other one is not executed; unless both are answered, the run is stopped. If a process ends within 12 s of a repetition of which an attempt has no answer, the new process may still execute that one: the run is stopped there before its task starts elsewhere.

Measured: RunnerSessionTest, three tests of repeated starts failed before; four others fail with the check before the second attempt taken out by hand, one of them also with only the comparison of the process taken out. RestartedRunnerRunsTest, two tests failed without the record of the repetition.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -179,7 +179,8 @@
         runner.heldRuns.clear();
         pendingStops.removeAll(runner);
         for (Run run : runner.snapshotOfRuns()) {
-            if (!run.startConfirmed && !pendingStarts.contains(run)) {
+            boolean startUnresolved = !run.startConfirmed || run.mayStartAgain(clock.nowNanos());
+            if (startUnresolved && !pendingStarts.contains(run)) {
                 runner.unresolvedStarts.put(run.key(), FleetRunner.NOT_STOPPED);
             }
             loseRun(run, "the runner is lost");
@@ -356,7 +357,7 @@
         runner.heldRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
-                loseRun(run, "the runner restarted");
+                endRunOfEarlierIncarnation(run);
             } else if (!run.startConfirmed && run.stopConfirmed) {
                 run.stopConfirmed = false;
                 pendingStops.sendAgain(runner, run.key());
@@ -364,6 +365,18 @@
         }
     }
 
+    /** Removes a run; if its start was repeated, the new incarnation may still receive an attempt and has to be told first. */
+    private void endRunOfEarlierIncarnation(Run run) {
+        if (!run.mayStartAgain(clock.nowNanos())) {
+            loseRun(run, "the runner restarted");
+            return;
+        }
+        run.startConfirmed = false;
+        run.stopConfirmed = false;
+        stop(run);
+        pendingStops.sendAgain(run.runner(), run.key());
+    }
+
     private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
         if (jobs.held().contains(entry.task().job())) {
             runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
@@ -560,6 +573,19 @@
                 && run.runner().acceptsStartOf(run.task());
     }
 
+    /**
+     * Records that a start is sent again because it has no response. Until both attempts are answered, one of them may be
+     * executed late, also by a process of the runner that has started since the other one was confirmed.
+     */
+    public void startRepeated(Run run, long nowNanos) {
+        run.onStartRepeated(nowNanos);
+    }
+
+    /** Records that both attempts of a repeated start have been answered. */
+    public void repeatedStartAnswered(Run run) {
+        run.onRepeatedStartAnswered();
+    }
+
     /** Applies the result of a start command. */
     public void applyStartResult(Run run, StartResult result, long nowNanos) {
         observer.startCompleted(result);
--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -133,6 +133,15 @@
         });
     }
 
+    /** Logs that a start is sent again on a new connection, because it has had no response for some time. */
+    void startRepeated(Run run, long epoch, long sentNanos) {
+        writeLine("start-repeated", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeNumberField("epoch", epoch);
+            json.writeNumberField("waitedMs", (clock.nowNanos() - sentNanos) / 1_000_000);
+        });
+    }
+
     void throttleSent(Run run, int speedPercent, long epoch) {
         writeLine("pace", json -> {
             writeRun(json, run.task().key(), run.number(), run.runner().id());
--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -1,12 +1,14 @@
 package org.tamarackline.fleet;
 
+import java.util.function.Consumer;
+
 import org.tamarackline.core.fleet.FleetRunner;
 import org.tamarackline.core.fleet.Run;
 import org.tamarackline.core.fleet.StartResult;
 
 /**
  * Sends the starts of a session. Each is sent to a process that has just answered a poll, so that it does not reach one
- * that has restarted unnoticed.
+ * that has restarted unnoticed. One without a response is repeated on a new connection.
  */
 final class RunStarter {
 
@@ -34,6 +36,7 @@
     private final long epoch;
     private final FleetRunner runner;
     private final ProcessVerifier verifier;
+    private final ProcessVerifier verifierOnNewConnections;
     private final StartVerification verification;
     private final RunnerLease lease;
     private final Session session;
@@ -51,6 +54,7 @@
         this.epoch = epoch;
         this.runner = session.runner();
         this.verifier = new ProcessVerifier(context, leader, epoch, process, session, false);
+        this.verifierOnNewConnections = new ProcessVerifier(context, leader, epoch, process, session, true);
         this.verification = verification;
         this.lease = lease;
         this.session = session;
@@ -101,16 +105,22 @@
     private void sendStart(Run run) {
         long sentNanos = context.loop().nowNanos();
         verification.onStartSent(sentNanos);
-        RunnerCalls.StartCommand command = new RunnerCalls.StartCommand(
-                run.task().key(), run.number(), run.task().job().definition().spec(), run.checkpoint(), epoch);
-        context.runnerCalls()
-                .start(runner.descriptor(), command, lease.extend(verification.allVerified()), response -> {
-                    context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
-                    onStartCompleted(run, response, sentNanos);
-                });
+        RepeatedStart.send(context.loop(), new RunAttempts(run, sentNanos), new RepeatedStart.Listener() {
+
+            @Override
+            public void onOutcome(RunnerCalls.StartResponse response, long answeredAttemptNanos) {
+                onStartCompleted(run, response, sentNanos, answeredAttemptNanos);
+            }
+
+            @Override
+            public void onBothAnswered() {
+                context.fleet().repeatedStartAnswered(run);
+            }
+        });
     }
 
-    private void onStartCompleted(Run run, RunnerCalls.StartResponse response, long sentNanos) {
+    private void onStartCompleted(
+            Run run, RunnerCalls.StartResponse response, long sentNanos, long answeredAttemptNanos) {
         leader.onStartCompleted();
         verification.onStartCompleted(
                 response.result() != StartResult.UNKNOWN, context.loop().nowNanos());
@@ -126,9 +136,73 @@
         if (response.result() == StartResult.STARTED || response.result() == StartResult.UNKNOWN) {
             session.onStarted();
         }
-        if (response.result() == StartResult.RUNNER_REPLACED) {
-            session.onProcessEnded(sentNanos);
+        if (response.outcome() == RunnerCalls.RunnerCommandOutcome.RUNNER_REPLACED) {
+            session.onProcessEnded(answeredAttemptNanos);
         }
         leader.requestSchedulingRound();
     }
+
+    /** Sends the attempts to start one run, both to the same process of the runner. */
+    private final class RunAttempts implements RepeatedStart.Attempts {
+
+        private final Run run;
+        private final long sentNanos;
+        private final long processStartEpochMs;
+
+        RunAttempts(Run run, long sentNanos) {
+            this.run = run;
+            this.sentNanos = sentNanos;
+            this.processStartEpochMs = runner.processStartEpochMs();
+        }
+
+        @Override
+        public void send(Consumer<RunnerCalls.StartResponse> callback) {
+            context.runnerCalls().start(runner.descriptor(), command(), leaseUntilMs(), counted(callback));
+        }
+
+        @Override
+        public void whenRepeatable(Runnable action) {
+            if (!repeatable()) {
+                return;
+            }
+            verifierOnNewConnections.verify(result -> {
+                if (result == ProcessVerifier.Result.ALIVE && repeatable()) {
+                    action.run();
+                }
+            });
+        }
+
+        private boolean repeatable() {
+            return !session.closed() && permitted(run) && runner.processStartEpochMs() == processStartEpochMs;
+        }
+
+        @Override
+        public void repeat(Consumer<RunnerCalls.StartResponse> callback) {
+            long nowNanos = context.loop().nowNanos();
+            context.log().startRepeated(run, epoch, sentNanos);
+            context.fleet().startRepeated(run, nowNanos);
+            context.runnerCalls()
+                    .startOnNewConnection(runner.descriptor(), command(), leaseUntilMs(), counted(callback));
+        }
+
+        private RunnerCalls.StartCommand command() {
+            return new RunnerCalls.StartCommand(
+                    run.task().key(),
+                    run.number(),
+                    run.task().job().definition().spec(),
+                    run.checkpoint(),
+                    epoch);
+        }
+
+        private long leaseUntilMs() {
+            return lease.extend(verification.allVerified());
+        }
+
+        private Consumer<RunnerCalls.StartResponse> counted(Consumer<RunnerCalls.StartResponse> callback) {
+            return response -> {
+                context.metrics().runnerCallCompleted(FleetMetrics.RunnerCallKind.START, response.outcome());
+                callback.accept(response);
+            };
+        }
+    }
 }
--- a/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -50,6 +50,47 @@
         assertThat(fixture.scheduleStarts()).hasSize(1);
     }
 
+    private Run startTwice() {
+        fleet.jobs().add(FleetFixture.job("j", FleetFixture.step(1)), JobProgress.NONE, false, 0);
+        Run run = fixture.scheduleStarts().getFirst();
+        fleet.startRepeated(run, fixture.nowNanos());
+        fixture.applyStartResult(run, StartResult.STARTED);
+        fixture.advanceMs(10);
+        return run;
+    }
+
+    /** Guards against a second run of a task whose first start reaches the new process, although its second was confirmed. */
+    @Test
+    void repeatedStartIsStoppedOnTheNewProcess() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        Run run = startTwice();
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStops()).hasSize(1);
+        assertThat(fixture.scheduleStarts()).isEmpty();
+        fleet.applyStopConfirmation(runner, run.task().key(), run.number(), fixture.nowNanos());
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStarts()).hasSize(1);
+    }
+
+    /** Guards against a repeated start that is executed by a lost runner once its lease is extended again. */
+    @Test
+    void repeatedStartIsUnresolvedOnceItsRunnerIsLost() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        startTwice();
+        fleet.runnerLost("r");
+        assertThat(runner.hasUnresolvedStarts()).isTrue();
+    }
+
+    /** Guards against needless stops, which delay the next run of a task, after both attempts have been answered. */
+    @Test
+    void answeredRepeatedStartIsLostWithTheProcess() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        Run run = startTwice();
+        fleet.repeatedStartAnswered(run);
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStarts()).hasSize(1);
+    }
+
     /** Guards against a runner that gets no more tasks because the wait for a start begins again whenever it is lost. */
     @Test
     void waitForAnUnresolvedStartEndsAlthoughTheRunnerIsLostAgain() {
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -3,6 +3,8 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -13,17 +15,20 @@
 import org.tamarackline.core.fleet.JobProgress;
 import org.tamarackline.core.fleet.RunnerCommand;
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.StartResult;
 import org.tamarackline.core.fleet.StopCause;
 import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.core.model.Resources;
 import org.tamarackline.logging.LineSink;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /** Tests when a session considers its runner silent and when the runner's lease expires. */
 class RunnerSessionTest {
 
     private int unansweredStarts;
+    private boolean maySendCommands = true;
     private final ManualLoop loop = new ManualLoop();
     private final FakeRunnerCalls calls = new FakeRunnerCalls(loop);
     private final DecisionLog log =
@@ -44,7 +49,7 @@
 
         @Override
         public boolean maySendCommands() {
-            return true;
+            return maySendCommands;
         }
 
         @Override
@@ -381,6 +386,24 @@
         assertThat(runner.busy()).isTrue();
     }
 
+    /** Polls the runner, and starts a task over a connection that has just gone silent. */
+    private void startOverASilentConnection() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.silenceOpenConnections();
+        startLongRunningTask();
+        assertThat(calls.starts()).hasSize(1);
+    }
+
+    private List<RunnerCommand> commandsInTheNextSeconds() {
+        List<RunnerCommand> commands = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            loop.advance(Duration.ofMillis(100));
+            commands.addAll(fleet.schedule(loop.nowNanos(), 0, Integer.MAX_VALUE));
+        }
+        return commands;
+    }
+
     /** Guards against a start that waits for the timeout of a poll which met a connection gone silent. */
     @Test
     void verificationWithoutAnAnswerIsRepeatedOnANewConnection() {
@@ -392,4 +415,97 @@
         assertThat(calls.pollsOnNewConnections()).isEqualTo(1);
         assertThat(calls.starts()).hasSize(1);
     }
+
+    /** Guards against a long-running task that stands until the timeout of a start which met a connection gone silent. */
+    @Test
+    void startWithoutAnAnswerIsRepeatedOnANewConnection() {
+        startOverASilentConnection();
+        loop.advance(Duration.ofMillis(450));
+        assertThat(calls.starts())
+                .extracting(FakeRunnerCalls.SentStart::runNumber, FakeRunnerCalls.SentStart::onNewConnection)
+                .containsExactly(tuple(1L, false), tuple(1L, true));
+        assertThat(unansweredStarts).isZero();
+        assertThat(commandsInTheNextSeconds()).isEmpty();
+        assertThat(unansweredStarts).isZero();
+        assertThat(runner.busy()).isTrue();
+        assertThat(session.leaseExpired()).isFalse();
+    }
+
+    /** Guards against a second start to a runner that announced its end after the first one. */
+    @Test
+    void startIsNotRepeatedToARunnerThatDrains() {
+        startOverASilentConnection();
+        fleet.runnerRegistered(descriptor.asDraining());
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(calls.starts()).hasSize(1);
+    }
+
+    /** Guards against a second start by a leader whose lease has ended after the first one. */
+    @Test
+    void startIsNotRepeatedByALeaderThatMayNotSendCommands() {
+        startOverASilentConnection();
+        maySendCommands = false;
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(calls.starts()).hasSize(1);
+        assertThat(unansweredStarts).isZero();
+    }
+
+    /** Guards against a second run on a restarted process, which does not know the first attempt. */
+    @Test
+    void startIsNotRepeatedToAnotherProcess() {
+        startOverASilentConnection();
+        calls.restart("r");
+        loop.advance(Duration.ofMillis(1_050));
+        assertThat(calls.starts()).hasSize(1);
+        assertThat(runner.busy()).isTrue();
+    }
+
+    /** Guards against a second run on a restarted process that the leader has learned of since the first attempt. */
+    @Test
+    void startIsNotRepeatedToAProcessLearnedSince() {
+        session.schedulePoll(Duration.ZERO);
+        loop.advance(Duration.ofMillis(100));
+        calls.loseStartResponses();
+        startLongRunningTask();
+        calls.restart("r");
+        loop.advance(Duration.ofMillis(300));
+        session.prepareStart();
+        loop.advance(Duration.ofMillis(400));
+        assertThat(runner.processStartEpochMs()).isEqualTo(2);
+        assertThat(calls.starts()).hasSize(1);
+    }
+
+    /** Guards against a second start of a run that a stop has been decided for. */
+    @Test
+    void startOfACancelledJobIsNotRepeated() {
+        startOverASilentConnection();
+        fleet.jobs().cancel("j0");
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(calls.starts()).hasSize(1);
+    }
+
+    /** Guards against a second run of a task whose first start is executed after the second one was refused. */
+    @Test
+    void runWhoseRepeatedStartIsRefusedIsStopped() {
+        calls.answerStartsOnNewConnections(StartResult.NO_ROOM);
+        startOverASilentConnection();
+        loop.advance(Duration.ofMillis(500));
+        assertThat(calls.starts()).hasSize(2);
+        assertThat(runner.busy()).isTrue();
+        assertThat(commandsInTheNextSeconds()).first().isInstanceOf(RunnerCommand.Stop.class);
+        assertThat(runner.busy()).isTrue();
+        assertThat(unansweredStarts).isZero();
+    }
+
+    /** Guards against a run that is given up while its first start may still be executed by the replaced process. */
+    @Test
+    void runIsKeptUntilItsRunnerIsLostIfTheRepeatedStartMeetsAnotherRunner() {
+        calls.answerStartsOnNewConnections(StartResult.RUNNER_REPLACED);
+        startOverASilentConnection();
+        loop.advance(Duration.ofMillis(450));
+        assertThat(calls.starts()).hasSize(2);
+        assertThat(runner.busy()).isTrue();
+        assertThat(session.silent()).isTrue();
+        assertThat(unansweredStarts).isZero();
+    }
 }
