Wait for a stored job before the drain test slows the store

Seen: the third case of respondsToEveryRequestThatWasReadBeforeTheEndOfTheProcess found no request with status 200, once in a run of 31 classes at a load of 17 to 33.

Cause: the test, not the drain. It slowed the store 500 ms after its clients started. From then on the store answers after 2,500 ms, a transaction may take 1,200 ms, and no submission can get 200. In one traced run of the case (first test of its process, load 33) one of 24 clients had sent a request by then and none had an answer; the drain itself answered the requests with 503 and 504. In a second run the first 200 came 824 ms after the start, by luck.

Change: the test waits, for 30 s at most, for the first 200 before it slows the store. Load, checks and bounds stay: it still requires a 200, no lost request and no other status than 200, 503 and 504.

--- a/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
+++ b/src/test/java/org/tamarackline/platform/PlatformNodeDrainTest.java
@@ -39,6 +39,7 @@
     private static final int MAX_THINK_TIME_MS = 400;
     private static final int SOCKET_TIMEOUT_MS = 8_000;
     private static final Duration LOAD_BEFORE_DRAIN = Duration.ofMillis(500);
+    private static final Duration FIRST_RESPONSE_TIMEOUT = Duration.ofSeconds(30);
 
     /** From the end of the drain to the end of the process. */
     private static final Duration EXIT_TIME = Duration.ofMillis(300);
@@ -96,6 +97,7 @@
             clients.add(Thread.ofVirtual().start(() -> sendUntilStopped(reuse)));
         }
         Thread.sleep(LOAD_BEFORE_DRAIN);
+        awaitFirstStoredJob();
         fleet.setStoreDelay(Duration.ofMillis(storeDelayMs));
         node.drain();
         Thread.sleep(EXIT_TIME);
@@ -114,6 +116,14 @@
         assertThat(statuses.values()).contains(200).isSubsetOf(200, 503, 504);
     }
 
+    /** A store that responds later than a transaction may take leaves no request with status 200 after this. */
+    private void awaitFirstStoredJob() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + FIRST_RESPONSE_TIMEOUT.toNanos();
+        while (!statuses.containsValue(200) && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(20);
+        }
+    }
+
     /** Guards against a drain that is killed because it takes longer than the platform waits. */
     @ParameterizedTest
     @ValueSource(strings = {"1", "2.5", "6"})
