Answer requests that have arrived when a draining node stops reading

Seen: connections whose request had arrived but was not read yet were closed without a response at the end of the drain, those in the accept queue by a reset.

Cause: once reading had stopped, each read returned the end of the input without looking at the socket, a connection opened afterwards was closed at once, and the listening socket was closed with its queue. Closing it on another thread while the selector accepted also made Jetty close the connection just accepted ("Accept failed for channel", ClosedChannelException, in a traced run of the drain test).

Change: after stopReading a connection is read until nothing has arrived, and then closed. The address is closed on the selector's thread, after the waiting connections were accepted. Until that is done and all accepted connections are open, awaitConnectionsClosed keeps waiting. respondToUnanswered ends reading for good, so that no request is read whose response nobody awaits. A connection that arrives between the last accept and the close is still reset.

Measured: respondsToRequestsThatArrivedBeforeReadingStopped failed before (the connection ended without a response) and passes; readsNothingAfterTheLastResponses failed without the end of reading at the last responses and passes. Neither needs load.

--- a/src/main/java/org/tamarackline/http/DrainableConnector.java
+++ b/src/main/java/org/tamarackline/http/DrainableConnector.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -13,8 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.eclipse.jetty.io.EndPoint;
+import com.google.common.flogger.FluentLogger;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -23,13 +25,16 @@
 /**
  * Connector of one address that can stop reading while it still writes responses.
  *
- * <p>Once reading has stopped, each connection behaves as if its client had sent nothing more: an idle connection closes,
- * and a connection whose request was read completely closes after its response. All reads go through
- * {@link ConnectionEndPoint#fill}, so no request is read that would not be passed on.
+ * <p>Once reading has stopped, each connection behaves as if its client had sent nothing more than what has arrived: a
+ * request that waits to be read is handled, an idle connection closes, and a connection whose request was read completely
+ * closes after its response. All reads go through {@link ConnectionEndPoint#fill}, so no request is read that would not be
+ * passed on.
  */
 final class DrainableConnector extends ServerConnector {
 
-    private static final Duration DEREGISTRATION_TIMEOUT = Duration.ofSeconds(1);
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(1);
+    private static final int ACCEPT_QUEUE_SIZE = 512;
 
     private final InetSocketAddress address;
     private final Consumer<HttpExchange> handler;
@@ -37,7 +42,12 @@
     /** The open connections. Those that the superclass knows lack a connection that was accepted but not yet opened. */
     private final Set<ConnectionEndPoint> connections = ConcurrentHashMap.newKeySet();
 
+    /** The channels that were accepted and are not yet a connection. */
+    private final Set<SelectableChannel> accepted = ConcurrentHashMap.newKeySet();
+
+    private final CountDownLatch addressReleased = new CountDownLatch(1);
     private volatile boolean readingStopped;
+    private volatile boolean arrivedDiscarded;
 
     DrainableConnector(
             Server server,
@@ -49,6 +59,8 @@
         this.handler = handler;
         setHost(address.getHostString());
         setPort(address.getPort());
+        setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
+        getSelectorManager().addEventListener(new AcceptedChannels());
     }
 
     InetSocketAddress address() {
@@ -60,32 +72,62 @@
     }
 
     /**
-     * Closes the address to new connections and reads nothing more from open ones.
+     * Closes the address to new connections and reads from open ones only what has arrived.
      *
-     * @throws IOException if the address could not be closed; nothing is read from its connections
+     * @throws IOException if the address could not be closed yet
      */
     void stopReading() throws IOException, InterruptedException {
         readingStopped = true;
         closeIdleConnections();
         setAccepting(false);
-        if (getTransport() instanceof ServerSocketChannel channel) {
-            channel.close();
-            awaitDeregistration();
+        if (!(getTransport() instanceof ServerSocketChannel channel)) {
+            addressReleased.countDown();
+            return;
+        }
+        ManagedSelector selector = getSelectorManager().getBean(ManagedSelector.class);
+        selector.submit(first -> {
+            closeAddress(channel);
+            // Closed channels are released by the selection that follows the update; until then clients can still
+            // connect.
+            selector.submit(second -> addressReleased.countDown());
+        });
+        if (!addressReleased.await(RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+            throw new IOException(
+                    "the selector did not release the channel within %d ms".formatted(RELEASE_TIMEOUT.toMillis()));
         }
     }
 
-    /** Waits until the selector has released the closed channel; until then clients can still connect. */
-    private void awaitDeregistration() throws IOException, InterruptedException {
-        ManagedSelector selector = getSelectorManager().getBean(ManagedSelector.class);
-        CountDownLatch deregistered = new CountDownLatch(1);
-        // Channels are deregistered by the selection that follows the first update.
-        selector.submit(first -> selector.submit(second -> deregistered.countDown()));
-        if (!deregistered.await(DEREGISTRATION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
-            throw new IOException("the selector did not release the channel within %d ms"
-                    .formatted(DEREGISTRATION_TIMEOUT.toMillis()));
+    /**
+     * Closes the address, but first accepts the waiting connections, which would be reset otherwise.
+     *
+     * <p>Called on the selector's thread: Jetty closes a connection that it has just accepted if another thread closes the
+     * address before it accepts the next one.
+     */
+    private void closeAddress(ServerSocketChannel channel) {
+        try (channel) {
+            acceptWaiting(channel);
+        } catch (IOException failure) {
+            LOGGER.atWarning().withCause(failure).log("failed to accept the last connections of %s", address);
         }
     }
 
+    private void acceptWaiting(ServerSocketChannel channel) throws IOException {
+        for (int i = 0; i < ACCEPT_QUEUE_SIZE; i++) {
+            SocketChannel waiting = channel.accept();
+            if (waiting == null) {
+                return;
+            }
+            waiting.configureBlocking(false);
+            configure(waiting.socket());
+            getSelectorManager().accept(waiting);
+        }
+    }
+
+    /** If reading has stopped, also reads no request any more that has arrived. */
+    void discardArrived() {
+        arrivedDiscarded = readingStopped;
+    }
+
     /**
      * Closes the connections that wait for a request. Has to be called again later, because a connection may begin to wait
      * at any time after its response.
@@ -95,8 +137,9 @@
         connections.forEach(connection -> connection.getFillInterest().fillable());
     }
 
+    /** Returns whether a connection is open or the address may still accept one. */
     boolean hasConnections() {
-        return !connections.isEmpty();
+        return addressReleased.getCount() > 0 || !accepted.isEmpty() || !connections.isEmpty();
     }
 
     @Override
@@ -104,16 +147,20 @@
         ConnectionEndPoint connection = new ConnectionEndPoint(channel, selector, key);
         connection.setIdleTimeout(getIdleTimeout());
         connections.add(connection);
+        accepted.remove(channel);
         return connection;
     }
 
-    @Override
-    protected void onEndPointOpened(EndPoint endPoint) {
-        super.onEndPointOpened(endPoint);
-        // An accepted connection may open after all others have closed, when closeIdleConnections is not called any
-        // more.
-        if (readingStopped) {
-            endPoint.close();
+    private final class AcceptedChannels implements SelectorManager.AcceptListener {
+
+        @Override
+        public void onAccepting(SelectableChannel channel) {
+            accepted.add(channel);
+        }
+
+        @Override
+        public void onAcceptFailed(SelectableChannel channel, Throwable cause) {
+            accepted.remove(channel);
         }
     }
 
@@ -125,11 +172,12 @@
 
         @Override
         public int fill(ByteBuffer buffer) throws IOException {
-            if (readingStopped) {
+            int filled = arrivedDiscarded ? 0 : super.fill(buffer);
+            if (filled == 0 && readingStopped) {
                 shutdownInput();
                 return -1;
             }
-            return super.fill(buffer);
+            return filled;
         }
 
         @Override
--- a/src/main/java/org/tamarackline/http/HttpListener.java
+++ b/src/main/java/org/tamarackline/http/HttpListener.java
@@ -72,7 +72,6 @@
         DrainableConnector connector =
                 new DrainableConnector(server, new HttpConnectionFactory(configuration), address, handler);
         connector.setIdleTimeout(idleMs);
-        connector.setAcceptQueueSize(512);
         connector.setReuseAddress(true);
         connectors.add(connector);
         server.addConnector(connector);
@@ -103,15 +102,15 @@
     }
 
     /**
-     * Closes an address to new connections and reads nothing more from open ones. Idle connections close at once; a
-     * connection whose request was read completely closes after its response. Returns when clients can no longer connect.
+     * Closes an address to new connections and reads from open ones only what has arrived. Idle connections close at once; a
+     * connection whose request was read completely closes after its response, if {@link #closeConnectionsAfterResponses} was
+     * called. Returns when clients can no longer connect.
      */
     public void stopReading(InetSocketAddress address) throws InterruptedException {
         try {
             connector(address).stopReading();
         } catch (IOException failure) {
-            LOGGER.atWarning().withCause(failure).log(
-                    "failed to close %s to new connections; nothing is read from them", address);
+            LOGGER.atWarning().withCause(failure).log("%s is not closed to new connections yet", address);
         }
     }
 
@@ -141,8 +140,12 @@
                 .orElseThrow(() -> new IllegalArgumentException("%s was not added".formatted(address)));
     }
 
-    /** Responds to all requests in flight; responses that their handlers send later are ignored. */
+    /**
+     * Responds to all requests in flight; responses that their handlers send later are ignored. An address to which
+     * {@link #stopReading} was applied reads no further request, not even one that has arrived.
+     */
     public void respondToUnanswered(int status, byte[] content) {
+        connectors.forEach(DrainableConnector::discardArrived);
         unanswered.forEach(exchange -> exchange.abandon(status, content));
     }
 
--- a/src/main/java/org/tamarackline/platform/PlatformNode.java
+++ b/src/main/java/org/tamarackline/platform/PlatformNode.java
@@ -202,8 +202,8 @@
     }
 
     /**
-     * Reads no more requests of callers and waits for the responses to those that were read. Callers that send requests
-     * until the process is gone find their connections closed instead of losing a request that was read.
+     * Reads no more requests of callers than those that have arrived and waits for their responses. Callers that send
+     * requests until the process is gone find their connections closed instead of losing a request that was read.
      *
      * @return number of requests that were not finished in time and got a response of status 504
      */
--- a/src/test/java/org/tamarackline/http/HttpListenerTest.java
+++ b/src/test/java/org/tamarackline/http/HttpListenerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -116,6 +117,63 @@
         }
     }
 
+    /** Guards against requests that have arrived and are thrown away because a busy selector had not read them yet. */
+    @Test
+    void respondsToRequestsThatArrivedBeforeReadingStopped() throws Exception {
+        CountDownLatch occupied = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        start(exchange -> {
+            if (occupied.getCount() > 0) {
+                occupied.countDown();
+                await(released);
+            }
+            exchange.respond(200, Map.of(), new byte[0]);
+        });
+        listener.closeConnectionsAfterResponses();
+        try (Socket occupying = connect();
+                Socket open = connect()) {
+            occupying.getOutputStream().write(REQUEST);
+            occupied.await();
+            open.getOutputStream().write(REQUEST);
+            try (Socket notAccepted = connect()) {
+                notAccepted.getOutputStream().write(REQUEST);
+                listener.stopReading(address);
+                assertThat(listener.awaitConnectionsClosed(address, Duration.ZERO))
+                        .isFalse();
+                released.countDown();
+                assertThat(readToEnd(open)).startsWith("HTTP/1.1 200");
+                assertThat(readToEnd(notAccepted)).startsWith("HTTP/1.1 200");
+            }
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+        }
+        assertThatThrownBy(this::connect).isInstanceOf(ConnectException.class);
+    }
+
+    /** Guards against a request that is read and handled when nobody waits for its response any more. */
+    @Test
+    void readsNothingAfterTheLastResponses() throws Exception {
+        CountDownLatch occupied = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        AtomicInteger handled = new AtomicInteger();
+        start(exchange -> {
+            handled.incrementAndGet();
+            occupied.countDown();
+            await(released);
+        });
+        listener.closeConnectionsAfterResponses();
+        try (Socket occupying = connect();
+                Socket open = connect()) {
+            occupying.getOutputStream().write(REQUEST);
+            occupied.await();
+            open.getOutputStream().write(REQUEST);
+            listener.stopReading(address);
+            listener.respondToUnanswered(504, new byte[0]);
+            released.countDown();
+            assertThat(listener.awaitConnectionsClosed(address, TIMEOUT)).isTrue();
+            assertThat(handled).hasValue(1);
+        }
+    }
+
     /** Guards against a response that is cut off because its request was in flight when reading stopped. */
     @Test
     void respondsToARequestInFlightAfterReadingStopped() throws Exception {
@@ -179,6 +237,14 @@
         LockSupport.parkNanos(Duration.ofMillis(300).toNanos());
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(TIMEOUT_MS);
@@ -191,6 +257,10 @@
         return new String(response, 0, read, StandardCharsets.US_ASCII);
     }
 
+    private static String readToEnd(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
     private String send(String firstPart, String secondPart) throws IOException, InterruptedException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(TIMEOUT_MS);
