--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -133,6 +133,15 @@
         });
     }
 
+    /** Logs that a start is sent again on a new connection, because it has had no response for some time. */
+    void startRepeated(Run run, long epoch, long sentNanos) {
+        writeLine("start-repeated", json -> {
+            writeRun(json, run.task().key(), run.number(), run.runner().id());
+            json.writeNumberField("epoch", epoch);
+            json.writeNumberField("waitedMs", (clock.nowNanos() - sentNanos) / 1_000_000);
+        });
+    }
+
     void throttleSent(Run run, int speedPercent, long epoch) {
         writeLine("pace", json -> {
             writeRun(json, run.task().key(), run.number(), run.runner().id());
@@ -482,6 +491,15 @@
         });
     }
 
+    /** Logs that a transaction about a leader record is sent again, because it has had no answer for some time. */
+    void repeated(String event, LeaderRecord record, long waitedMs) {
+        writeLine(event, json -> {
+            json.writeNumberField("epoch", record.epoch());
+            json.writeStringField("leader", record.node());
+            json.writeNumberField("waitedMs", waitedMs);
+        });
+    }
+
     void storeState(String event, String cause) {
         writeLine(event, json -> json.writeStringField("cause", cause));
     }
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -36,6 +36,11 @@
     private boolean refused;
     private Writes writes = Writes.ANSWERED;
     private BooleanSupplier fails = () -> true;
+    /** What becomes of the next transactions before {@link #writes} applies. */
+    private Writes nextWrites = Writes.ANSWERED;
+
+    private int nextWriteCount;
+    private boolean openConnectionsSilentForWrites;
 
     NodeStore(RecordStore shared, EventLoop loop) {
         this.shared = shared;
@@ -62,6 +67,17 @@
         fails = affects;
     }
 
+    /** Sets what becomes of the next transactions of the node. */
+    void setNextWrites(int count, Writes next) {
+        nextWriteCount = count;
+        nextWrites = next;
+    }
+
+    /** Makes the store neither execute nor answer transactions on open connections; new connections work. */
+    void setOpenConnectionsSilentForWrites() {
+        openConnectionsSilentForWrites = true;
+    }
+
     /** Returns whether the store refuses the calls of the node. */
     boolean refused() {
         return refused;
@@ -74,11 +90,20 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        if (openConnectionsSilentForWrites) {
+            endUnanswered(callback);
+        } else {
+            transactOnNewConnection(transaction, callback);
+        }
+    }
+
+    @Override
+    public void transactOnNewConnection(Transaction transaction, Consumer<TransactionResult> callback) {
         if (refused) {
             loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             return;
         }
-        switch (fails.getAsBoolean() ? writes : Writes.ANSWERED) {
+        switch (nextOutcome()) {
             case ANSWERED -> shared.transact(transaction, result -> loop.execute(() -> callback.accept(result)));
             case REFUSED -> loop.schedule(LATENCY, () -> callback.accept(new TransactionResult.NotApplied(REFUSAL)));
             case REFUSED_AS_TOO_MANY ->
@@ -96,6 +121,13 @@
         }
     }
 
+    private Writes nextOutcome() {
+        if (nextWriteCount-- > 0) {
+            return nextWrites;
+        }
+        return fails.getAsBoolean() ? writes : Writes.ANSWERED;
+    }
+
     private void endUnanswered(Consumer<TransactionResult> callback) {
         loop.schedule(TIMEOUT, () -> callback.accept(new TransactionResult.Unknown("no answer")));
     }
