Simulate failing transactions of one, some or all nodes

Seen: a leader whose reads the store answered but whose transactions were refused, lost or late kept the leadership until all leases ended together; the whole-node simulation could not draw that.

Cause: its faults of the store concern reads and transactions alike, or single calls with the same low probability.

While several nodes are concerned, no moment counts as calm; with one node the bounds hold in the burst too.

--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -440,6 +440,11 @@
         return !ended && leadershipLease.held();
     }
 
+    /** Returns whether the stored lease limit is late enough for leases of runners to be granted. */
+    boolean leaseLimitPermitsLeases() {
+        return leaseLimit.permitsLeases();
+    }
+
     @Override
     public void onStartSent() {
         unansweredStarts++;
--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -18,12 +18,17 @@
         /** Runners are lost for good while leaders replace each other, with calm times between ({@link LeaderChanges}). */
         LEADER_CHANGES,
         /** Many jobs are cancelled while connections go silent and leaders end ({@link ConnectionLosses}). */
-        CANCELLATIONS
+        CANCELLATIONS,
+        /** The store answers reads, but not all transactions, with calm times between ({@link WriteFailures}). */
+        WRITE_FAILURES
     }
 
     /** Longest outage of the store that the nodes have to bridge, in milliseconds. */
     private static final int MAX_BRIDGED_OUTAGE_MS = 6_000;
 
+    /** Longest time from the order to stop a node until its next process starts. */
+    static final Duration MAX_STOP_TIME = Duration.ofSeconds(8);
+
     /** Shortest time between two such outages, in milliseconds. */
     private static final int MIN_TIME_BETWEEN_OUTAGES_MS = 6_000;
 
@@ -140,7 +145,7 @@
         return switch (profile) {
             case ALL_KINDS -> ALL_KINDS;
             case STORE_OUTAGES -> STORE_OUTAGES;
-            case LEADER_CHANGES, CANCELLATIONS -> List.of();
+            case LEADER_CHANGES, CANCELLATIONS, WRITE_FAILURES -> List.of();
         };
     }
 
@@ -159,6 +164,10 @@
             new ConnectionLosses(cluster, this, random).start();
             return;
         }
+        if (profile == Profile.WRITE_FAILURES) {
+            new WriteFailures(cluster, this, random).start();
+            return;
+        }
         disturbed = true;
         double rate = random.nextInt(3) * 0.02;
         cluster.nodes().forEach(node -> node.storeLink().setFaultRates(rate, rate, rate));
@@ -196,6 +205,7 @@
         for (SimulatedNode node : cluster.nodes()) {
             node.storeLink().setCut(false);
             node.storeLink().setFaultRates(0, 0, 0);
+            node.storeLink().answerWrites();
             if (node.process() != null) {
                 node.process().loop().resume(true);
             }
@@ -213,12 +223,19 @@
 
     /**
      * Returns whether a fault is in effect in which no long-running task can start: calls to runners are lost at random,
-     * or the store does not serve the nodes.
+     * or the store does not serve the nodes. While it fails the transactions of one node only, another one is to lead.
      */
     boolean inEffect() {
         return (active && disturbed)
                 || cluster.store().availability() != SimulatedStore.Availability.AVAILABLE
-                || !cluster.store().additionalLatency().isZero();
+                || !cluster.store().additionalLatency().isZero()
+                || nodesWithFailingWrites() > 1;
+    }
+
+    private long nodesWithFailingWrites() {
+        return cluster.nodes().stream()
+                .filter(node -> node.storeLink().failsWrites())
+                .count();
     }
 
     /** Returns how a call to a runner is delivered. */
@@ -438,6 +455,6 @@
         node.stop();
         // The process ends at the latest then, which is the end of a fault too.
         later(SimulatedNode.DRAIN_TIME, () -> {});
-        later(between(4_200, 8_000), node::start);
+        later(between(4_200, (int) MAX_STOP_TIME.toMillis()), node::start);
     }
 }
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -55,6 +55,15 @@
         assertThat(simulation.history().violations()).isEmpty();
     }
 
+    /** Guards against a leader that is kept although the store fails its transactions, until all leases end together. */
+    @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void leaderWhoseTransactionsFailIsReplacedInTime(@ForAll long seed) {
+        ClusterSimulation simulation =
+                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.WRITE_FAILURES, false);
+        simulation.run();
+        assertThat(simulation.history().violations()).isEmpty();
+    }
+
     /** Guards against failures that cannot be reproduced. */
     @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
     void sameSeedGivesTheSameEvents(@ForAll long seed) {
@@ -65,7 +74,7 @@
     @ParameterizedTest
     @EnumSource(
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"NONE", "LEASE_ENDS_FORGOTTEN", "STOPS_LOST", "CANCELLATIONS_HIDDEN"})
+            names = {"NONE", "LEASE_ENDS_FORGOTTEN", "STOPS_LOST", "CANCELLATIONS_HIDDEN", "FAILED_WRITES_HIDDEN"})
     void detectsADefectOfTheEnvironment(ClusterSimulation.Defect defect) {
         assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
                 .anyMatch(seed -> !violations(seed, defect, ClusterFaults.Profile.ALL_KINDS)
@@ -82,6 +91,22 @@
                 .anyMatch(seed -> breaks(RunHistory.Rule.LONG_RUNNING_TASK_STOPPED, seed, defect, profile));
     }
 
+    /**
+     * Checks that the simulation detects leases that end together, and a fleet without a leader that starts tasks.
+     *
+     * @param firstSeed first seed that shows it when this was written, because a run takes a second or more
+     */
+    @ParameterizedTest
+    @CsvSource({"LEASE_EXPIRED_IN_WRITE_FAILURE, 10", "NO_LEADER_ACTS, 6"})
+    void detectsLeadersThatCannotWrite(RunHistory.Rule rule, long firstSeed) {
+        assertThat(LongStream.range(firstSeed, firstSeed + SEEDS_PER_DEFECT))
+                .anyMatch(seed -> breaks(
+                        rule,
+                        seed,
+                        ClusterSimulation.Defect.FAILED_WRITES_HIDDEN,
+                        ClusterFaults.Profile.WRITE_FAILURES));
+    }
+
     /** Checks that the simulation detects tasks of cancelled jobs that run on, or are started, after their bound. */
     @ParameterizedTest
     @CsvSource({
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -55,7 +55,9 @@
         /** Runners confirm stops and do nothing. */
         STOPS_LOST,
         /** The store shows no cancellations to the nodes that follow the jobs. */
-        CANCELLATIONS_HIDDEN
+        CANCELLATIONS_HIDDEN,
+        /** Nodes tell each other that the store answers their transactions, whether or not it does. */
+        FAILED_WRITES_HIDDEN
     }
 
     private static final Duration FAULTY_TIME = Duration.ofSeconds(40);
@@ -93,8 +95,14 @@
     /** Time for several losses of connections, each alone or near the loss of a leader. */
     private static final Duration CANCELLATIONS_TIME = Duration.ofSeconds(80);
 
-    /** Number of nodes of which some do not come back. */
-    private static final int LEADER_CHANGES_NODES = 5;
+    /** Number of nodes of which some do not come back, or of which some lack the capacity to lead. */
+    private static final int MANY_NODES = 5;
+
+    /** Time for several bursts of failing transactions, each with the calm time after it. */
+    private static final Duration WRITE_FAILURES_TIME = Duration.ofMinutes(2);
+
+    /** Longest time for a step with which about half of the nodes count as able to lead, in microseconds. */
+    private static final int MIXED_NODES_STEP_MICROS = 1_900;
 
     private static final int INITIAL_RUNNERS = 6;
     private static final long NANOS_PER_MS = 1_000_000;
@@ -128,6 +136,8 @@
     private final LeavingRunners leavingRunners;
     private final LongRunningTasks longRunningTasks;
     private final CancelledJobs cancelledJobs;
+    private final LeadershipGaps leadershipGaps;
+    private final LeaseExpiries leaseExpiries;
     private final ClusterFaults faults;
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
     private final LineSink log;
@@ -178,12 +188,12 @@
         this.leavingRunners = new LeavingRunners(loop, contacts, history);
         this.longRunningTasks = new LongRunningTasks(loop, history);
         this.cancelledJobs = new CancelledJobs(loop, contacts, history, callers);
+        this.leadershipGaps = new LeadershipGaps(loop, history);
+        this.leaseExpiries = new LeaseExpiries(loop, history);
         this.faults = new ClusterFaults(this, new Random(random.nextLong()), profile);
         int pageRows = random.nextBoolean() ? 500 : 10;
-        boolean leaderChanges = profile == ClusterFaults.Profile.LEADER_CHANGES;
-        int nodeCount = leaderChanges ? LEADER_CHANGES_NODES : NODES;
-        // Each node may have to lead after a few changes.
-        int maxStepMicros = leaderChanges ? MAX_LEADER_STEP_MICROS - FAST_STEP_MICROS : MAX_STEP_MICROS;
+        int nodeCount = nodeCount();
+        int maxStepMicros = maxStepMicros() - FAST_STEP_MICROS;
         int fastNode = random.nextInt(nodeCount);
         for (int i = 0; i < nodeCount; i++) {
             int stepMicros = i == fastNode ? FAST_STEP_MICROS : FAST_STEP_MICROS + random.nextInt(maxStepMicros);
@@ -225,6 +235,12 @@
     void disturbed() {
         longRunningTasks.disturbed();
         cancelledJobs.disturbed();
+        leadershipGaps.disturbed();
+    }
+
+    /** From now on no lease may expire because of something that happens within a time. */
+    void expectNoLeaseExpiry(Duration time) {
+        leaseExpiries.forbidFor(time);
     }
 
     /** Returns the runner that has each address, whether or not it is up. */
@@ -269,8 +285,26 @@
         checkEndState();
     }
 
+    private int nodeCount() {
+        return switch (profile) {
+            case LEADER_CHANGES, WRITE_FAILURES -> MANY_NODES;
+            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS -> NODES;
+        };
+    }
+
+    /** Returns the longest time that the processor of a node takes for a step, in microseconds. */
+    private int maxStepMicros() {
+        return switch (profile) {
+            // Each node may have to lead after a few changes.
+            case LEADER_CHANGES -> MAX_LEADER_STEP_MICROS;
+            case WRITE_FAILURES -> MIXED_NODES_STEP_MICROS;
+            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS -> MAX_STEP_MICROS + FAST_STEP_MICROS;
+        };
+    }
+
     private Duration faultyTime() {
         return switch (profile) {
+            case WRITE_FAILURES -> WRITE_FAILURES_TIME;
             case LEADER_CHANGES -> LEADER_CHANGES_TIME;
             case CANCELLATIONS -> CANCELLATIONS_TIME;
             case ALL_KINDS, STORE_OUTAGES -> FAULTY_TIME;
@@ -500,7 +534,9 @@
 
         @Override
         public PeerCalls peers(SimulatedNode node, EventLoop nodeLoop) {
-            return new SimulatedPeerCalls(loop, nodeLoop, new NodeNetwork(node), new Random(random.nextLong()));
+            boolean hidesFailedWrites = defect == Defect.FAILED_WRITES_HIDDEN;
+            return new SimulatedPeerCalls(
+                    loop, nodeLoop, new NodeNetwork(node), new Random(random.nextLong()), hidesFailedWrites);
         }
 
         @Override
@@ -610,6 +646,9 @@
         if (profile == ClusterFaults.Profile.STORE_OUTAGES) {
             checkLeaderStays();
         }
+        if (profile == ClusterFaults.Profile.WRITE_FAILURES) {
+            checkLeadership();
+        }
         if (tracing) {
             log.flush();
         }
@@ -637,6 +676,14 @@
         }
     }
 
+    private void checkLeadership() {
+        if (faults.inEffect()) {
+            leadershipGaps.disturbed();
+        }
+        leadershipGaps.check(nodes);
+        leaseExpiries.check();
+    }
+
     private void checkCancelledJobs() {
         if (faults.inEffect()
                 || nodes.stream().anyMatch(node -> node.storeLink().disturbed())) {
--- a/src/test/java/org/tamarackline/fleet/LeaseLimits.java
+++ b/src/test/java/org/tamarackline/fleet/LeaseLimits.java
@@ -18,7 +18,7 @@
 
     /** Returns a write as an earlier version of the program stored it. */
     static RecordStore.Write withoutLimit(RecordStore.Write write) {
-        if (write.table() != RecordStore.Table.LEASES) {
+        if (write.table() != RecordStore.Table.LEASES || !write.key().equals(LeaseLimitRecord.KEY)) {
             return write;
         }
         try {
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -70,7 +70,11 @@
         /** A run that ended with its lease although only the store was unavailable for a while. */
         LEASE_EXPIRED_IN_STORE_OUTAGE,
         /** A leader that was replaced although only the store was unavailable for a while. */
-        LEADER_REPLACED_IN_STORE_OUTAGE
+        LEADER_REPLACED_IN_STORE_OUTAGE,
+        /** No leader that starts and stops tasks for longer than the bound, at a calm moment. */
+        NO_LEADER_ACTS,
+        /** A run that ended with its lease although the store failed the transactions of one node only. */
+        LEASE_EXPIRED_IN_WRITE_FAILURE
     }
 
     /**
--- a/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
@@ -32,12 +32,19 @@
     private final EventLoop loop;
     private final Network network;
     private final Random random;
-
-    SimulatedPeerCalls(ManualLoop shared, EventLoop loop, Network network, Random random) {
+    private final boolean hidesFailedWrites;
+
+    /**
+     * Creates the calls of a node process.
+     *
+     * @param hidesFailedWrites whether other nodes tell that the store answers their transactions, whether or not it does
+     */
+    SimulatedPeerCalls(ManualLoop shared, EventLoop loop, Network network, Random random, boolean hidesFailedWrites) {
         this.shared = shared;
         this.loop = loop;
         this.network = network;
         this.random = random;
+        this.hidesFailedWrites = hidesFailedWrites;
     }
 
     /** Passes on the response or the timeout of a request, whichever comes first. */
@@ -84,7 +91,14 @@
 
     @Override
     public void ping(String address, PingRequest ping, Consumer<PingResult> callback) {
-        request(address, PING_TIMEOUT, election -> election.handlePing(ping), new PingFailure("no response"), callback);
+        request(address, PING_TIMEOUT, election -> answer(election, ping), new PingFailure("no response"), callback);
+    }
+
+    private PingResponse answer(Election election, PingRequest ping) {
+        PingResponse response = election.handlePing(ping);
+        return hidesFailedWrites
+                ? new PingResponse(response.epoch(), response.claimedEpoch(), response.storeAgeMs(), response.rank(), 0)
+                : response;
     }
 
     @Override
--- a/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedStoreClient.java
@@ -22,6 +22,11 @@
     private static final int MIN_LATE_MS = 1_500;
     private static final int MAX_LATE_MS = 8_000;
 
+    /** Delays of transactions that are executed late because the writes of a node fail. */
+    private static final int MIN_LATE_FAILED_WRITE_MS = 1_000;
+
+    private static final int MAX_LATE_FAILED_WRITE_MS = 6_000;
+
     /** Connection of a node to the store, which outlives the node's processes. */
     static final class Link {
 
@@ -36,6 +41,8 @@
         private double lostResponses;
         private double lateWrites;
         private double rejections;
+        private NodeStore.Writes failure = NodeStore.Writes.ANSWERED;
+        private double failureProbability;
 
         /**
          * Creates a link without faults.
@@ -67,6 +74,25 @@
             rejections = nextRejections;
         }
 
+        /** Makes further transactions of the node fail in a way with a probability; its other calls are answered. */
+        void failWrites(NodeStore.Writes nextFailure, double probability) {
+            failure = nextFailure;
+            failureProbability = probability;
+        }
+
+        /** Ends the failures of the node's transactions. */
+        void answerWrites() {
+            failure = NodeStore.Writes.ANSWERED;
+        }
+
+        boolean failsWrites() {
+            return failure != NodeStore.Writes.ANSWERED;
+        }
+
+        private NodeStore.Writes nextWrite() {
+            return failsWrites() && happens(failureProbability) ? failure : NodeStore.Writes.ANSWERED;
+        }
+
         /** Makes the next read of changes fail because the store has discarded them. */
         void loseHistory() {
             loseHistory = true;
@@ -160,7 +186,7 @@
                     return;
                 }
                 if (rejected || store.availability() == SimulatedStore.Availability.REJECTING) {
-                    respond(() -> rejection, false);
+                    refuse(rejection);
                 } else {
                     execution.run();
                 }
@@ -171,6 +197,11 @@
             respond(() -> response, true);
         }
 
+        /** Responds without a reading of the store's clock. */
+        void refuse(T response) {
+            respond(() -> response, false);
+        }
+
         private void respond(Supplier<T> response, boolean withReading) {
             boolean silenced = sentAtNanos <= link.silencedNanos;
             if (responseLost || silenced || link.cut || store.availability() == SimulatedStore.Availability.SILENT) {
@@ -202,8 +233,10 @@
 
     @Override
     public void transact(Transaction transaction, Consumer<TransactionResult> callback) {
+        NodeStore.Writes write = link.nextWrite();
+        boolean silent = link.silentForTransactions && link.takeSilentConnection();
         Call<TransactionResult> call = new Call<>(
-                link.silentForTransactions && link.takeSilentConnection(),
+                silent || write == NodeStore.Writes.LOST,
                 WRITE_TIMEOUT,
                 new TransactionResult.Unknown("no response"),
                 new TransactionResult.NotApplied("status 503"),
@@ -214,11 +247,26 @@
             if (late) {
                 shared.schedule(delay, () -> store.apply(transaction));
             } else {
-                call.respond(store.apply(transaction));
+                execute(transaction, write, call);
             }
         });
     }
 
+    private void execute(Transaction transaction, NodeStore.Writes write, Call<TransactionResult> call) {
+        switch (write) {
+            case ANSWERED -> call.respond(store.apply(transaction));
+            case REFUSED -> call.refuse(new TransactionResult.NotApplied("status 503"));
+            case REFUSED_AS_TOO_MANY -> call.refuse(new TransactionResult.NotApplied("status 429", true));
+            case ANSWER_LOST -> store.apply(transaction);
+            case LATE -> {
+                int lateMs = MAX_LATE_FAILED_WRITE_MS - MIN_LATE_FAILED_WRITE_MS;
+                Duration delay = Duration.ofMillis(MIN_LATE_FAILED_WRITE_MS + link.random.nextInt(lateMs));
+                shared.schedule(delay, () -> store.apply(transaction));
+            }
+            default -> throw new AssertionError(write);
+        }
+    }
+
     @Override
     public void read(Table table, String from, String to, Consumer<ReadResult> callback) {
         read(link.takeSilentConnection(), table, from, to, callback);
