--- a/src/test/java/org/tamarackline/fleet/WaitLogTest.java
+++ b/src/test/java/org/tamarackline/fleet/WaitLogTest.java
@@ -117,8 +117,9 @@
         cluster.kill(first);
         cluster.loop().advance(Duration.ofSeconds(5));
         assertThat(cluster.logged())
-                .containsPattern("\"leader-suspected\".*\"pingFailures\":\\[\"no response after \\d+ ms\",\"no response"
-                        + ".*\"sinceAnswerMs\":\\d+,\"leaderStoreAgeMs\":\\d+,\"ownLoopDelayMs\":0}")
+                .containsPattern(
+                        "\"leader-suspected\".*\"pingFailures\":\\[\"no response after \\d+ ms\",\"no response"
+                                + ".*\"sinceAnswerMs\":\\d+,\"leaderStoreAgeMs\":\\d+,\"leaderUnansweredWritesMs\":\\d+,\"ownLoopDelayMs\":0}")
                 .contains("\"possiblyActiveLeaders\":1,\"possiblyActiveAddresses\":[\"node-1:1\"]");
     }
 
