Keep a leader that writes late after an outage for all nodes

Cause: open transactions of the leader end only with their timeouts, so the next one may be sent half a second after the outage. A follower that probed the store before that took the outage for one of the leader alone.

Change: a follower of which a call has failed within 2.5 s keeps the leader, as it does with a leader that the store does not answer at all.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -325,8 +325,17 @@
         }
     }
 
-    /** Replaces a leader that cannot write if this node can; the leader is pinged once more after the probe of that. */
+    /**
+     * Replaces a leader that cannot write if this node can; the leader is pinged once more after the probe of that. After an
+     * outage for all nodes the next transaction of the leader may be sent later than a probe.
+     */
     private void onLeaderWithoutWrites() {
+        if (storeContact.failedWithin(MAX_STORE_AGE)) {
+            reportKeptWithoutStore(
+                    "the store answers no transaction of the leader, and calls of this node have failed lately");
+            schedule(Successors.pingInterval(rank), this::ping);
+            return;
+        }
         if (writeProbe.answeredLately()) {
             suspect(NO_WRITES);
             return;
--- a/src/main/java/org/tamarackline/fleet/StoreContact.java
+++ b/src/main/java/org/tamarackline/fleet/StoreContact.java
@@ -15,6 +15,8 @@
     private boolean answering;
     private long answeringSinceNanos;
     private long lastAnswerNanos;
+    private boolean failed;
+    private long lastFailureNanos;
 
     StoreContact(MonotonicClock clock) {
         this.clock = clock;
@@ -34,6 +36,8 @@
     /** The store has refused a call of this node or left it without an answer. */
     void onFailure() {
         answering = false;
+        failed = true;
+        lastFailureNanos = clock.nowNanos();
     }
 
     /** Returns which transactions of this node are not answered, whatever the store answers to reads. */
@@ -56,6 +60,11 @@
         return answering;
     }
 
+    /** Returns whether a call has failed within a time. */
+    boolean failedWithin(Duration time) {
+        return failed && clock.nowNanos() - lastFailureNanos <= time.toNanos();
+    }
+
     /** Returns the time since the last answer, in milliseconds. */
     long answerAgeMs() {
         return (clock.nowNanos() - lastAnswerNanos) / 1_000_000;
--- a/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -72,6 +72,22 @@
         assertThat(cluster.leaderEpochs()).containsExactly(1L);
     }
 
+    /** Guards against a leader that is replaced because its next transaction comes later than the end of an outage. */
+    @Test
+    void leaderIsKeptIfItsTransactionsAreAnsweredSoonAfterAnOutageForAllNodes() {
+        List<ElectionCluster.Node> nodes = startNodes(5);
+        NodeStore storeOfLeader = nodes.getFirst().store();
+        nodes.forEach(this::readNowAndThen);
+        nodes.forEach(node -> node.store().setRefused(true));
+        cluster.loop().advance(Duration.ofMillis(3_500));
+        storeOfLeader.setWrites(NodeStore.Writes.LOST);
+        nodes.forEach(node -> node.store().setRefused(false));
+        cluster.loop().advance(Duration.ofMillis(700));
+        storeOfLeader.setWrites(NodeStore.Writes.ANSWERED);
+        cluster.loop().advance(Duration.ofSeconds(10));
+        assertThat(cluster.leaderEpochs()).containsExactly(1L);
+    }
+
     /** Guards against nodes that wait for the claim of a restarted leader whose transactions fail. */
     @ParameterizedTest
     @EnumSource(
@@ -110,6 +126,15 @@
         });
     }
 
+    /** Lets a node read from the store again and again, as each does that follows the configuration. */
+    private void readNowAndThen(ElectionCluster.Node node) {
+        cluster.loop().schedule(Duration.ofMillis(500), () -> {
+            RecordStore store = new MonitoredStore(node.store(), node.storeContact());
+            store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {});
+            readNowAndThen(node);
+        });
+    }
+
     private List<ElectionCluster.Node> startNodes(int count) {
         List<ElectionCluster.Node> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
