Read back whether a raise of the lease limit has taken effect

Cause: a raise without an answer counted as failed until another one was answered, and so did the write that fences earlier leaders. The next write had the same version as its condition, and its conflict was lost as well.

Change: while raises have had no answer for 0.4 s, the leader reads the record. A newer version of it is a raise that has taken effect. The write that fences earlier leaders is resolved in the same way. Further writes use new connections until one is answered.

--- a/src/main/java/org/tamarackline/fleet/DecisionLog.java
+++ b/src/main/java/org/tamarackline/fleet/DecisionLog.java
@@ -417,6 +417,14 @@
         });
     }
 
+    /** Logs that a raise of the lease limit without an answer has taken effect. */
+    void leaseLimitReadBack(LeaderRecord leader, OptionalLong remainingMs) {
+        writeLine("lease-limit-read-back", json -> {
+            json.writeNumberField("epoch", leader.epoch());
+            writeIfPresent(json, "remainingMs", remainingMs);
+        });
+    }
+
     /**
      * Logs that the leases of all runners will soon end, because the store has not raised the limit.
      *
--- a/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
+++ b/src/main/java/org/tamarackline/fleet/LeaseLimitStore.java
@@ -10,7 +10,7 @@
  *
  * <p>The leader first replaces the record of earlier leaders by its own with the same limit. From then on no earlier
  * leader can raise the limit, because each write requires the version of the one before. An attempt to raise it that has
- * no response is followed by further ones; at most one of them takes effect.
+ * no response is followed by further ones, of which at most one takes effect, and by a read that tells which has.
  */
 final class LeaseLimitStore {
 
@@ -44,6 +44,7 @@
     private final long epoch;
     private final Callbacks leader;
     private final LeaseLimitReader reader;
+    private final UnansweredWrites unansweredRaises;
     private final AttemptTimer fenceTimer;
 
     /** Version of the record, 0 if there is none. */
@@ -51,10 +52,15 @@
 
     private boolean earlierLeadersFenced;
     private boolean raisesFailing;
+    /** Whether an attempt has had no answer in time and none has been answered since. */
+    private boolean answersMissing;
+
+    private boolean readingBack;
+    private long lastReadBackNanos;
     private int unansweredAttempts;
     private long lastAttemptNanos;
 
-    /** When the write was sent that stored the limit last; empty if this leader has stored none. */
+    /** When the last write was sent that stored the limit and was answered; empty if there is none. */
     private OptionalLong storedNanos = OptionalLong.empty();
 
     private int failedRaises;
@@ -69,6 +75,7 @@
         this.epoch = record.epoch();
         this.leader = leader;
         this.reader = new LeaseLimitReader(services);
+        this.unansweredRaises = new UnansweredWrites(loop);
         this.fenceTimer = new AttemptTimer(loop);
     }
 
@@ -77,7 +84,7 @@
         read();
     }
 
-    /** Returns the time since the write was sent that stored the limit last; empty if this leader has stored none. */
+    /** Returns the time since the last write was sent that stored the limit and was answered; empty if there is none. */
     OptionalLong ageMs() {
         return storedNanos.isEmpty()
                 ? OptionalLong.empty()
@@ -139,13 +146,9 @@
     }
 
     private void fenceEarlierLeaders() {
-        fenceEarlierLeaders(false);
-    }
-
-    private void fenceEarlierLeaders(boolean newConnection) {
         long requiredVersion = version;
         long attempt = fenceTimer.start(HedgedRead.ATTEMPT_TIMEOUT, this::repeatFence);
-        write(limit.storedMs(), newConnection, result -> {
+        write(limit.storedMs(), result -> {
             boolean latest = fenceTimer.end(attempt);
             if (!earlierLeadersFenced && version == requiredVersion) {
                 onFenceResult(result, latest);
@@ -153,11 +156,15 @@
         });
     }
 
-    /** Repeats an attempt without an answer on a new connection; all require the same version, so one takes effect. */
+    /**
+     * Reads whether an attempt without an answer has taken effect, and otherwise repeats it on a new connection. All attempts
+     * require the same version, so one takes effect.
+     */
     private void repeatFence() {
         if (!leader.ended() && !earlierLeadersFenced) {
             services.log().repeated("fence-repeated", record, HedgedRead.ATTEMPT_TIMEOUT.toMillis());
-            fenceEarlierLeaders(true);
+            answersMissing = true;
+            read();
         }
     }
 
@@ -195,6 +202,16 @@
         if (limit.due() && (leader.leaseLimitMayBeRaised() || limit.runsOut()) && mayAttempt()) {
             limit.raisedMs().ifPresent(this::raise);
         }
+        if (readBackDue()) {
+            readBack();
+        }
+    }
+
+    private boolean readBackDue() {
+        long timeoutMs = HedgedRead.ATTEMPT_TIMEOUT.toMillis();
+        return !readingBack
+                && unansweredRaises.forMs() >= timeoutMs
+                && loop.nowNanos() - lastReadBackNanos >= HedgedRead.ATTEMPT_TIMEOUT.toNanos();
     }
 
     private void reportRunningOut() {
@@ -217,8 +234,12 @@
         lastAttemptNanos = loop.nowNanos();
         long requiredVersion = version;
         long sentNanos = lastAttemptNanos;
-        write(raisedMs, false, result -> {
+        unansweredRaises.onSent();
+        write(raisedMs, result -> {
             unansweredAttempts--;
+            if (!(result instanceof RecordStore.TransactionResult.Unknown)) {
+                unansweredRaises.onAnswered(sentNanos);
+            }
             logFailures(result);
             if (result instanceof RecordStore.TransactionResult.Applied applied) {
                 version = applied.version();
@@ -232,6 +253,29 @@
         });
     }
 
+    /** Reads whether an attempt without an answer has taken effect; the answers may be lost while reads are answered. */
+    private void readBack() {
+        answersMissing = true;
+        readingBack = true;
+        lastReadBackNanos = loop.nowNanos();
+        reader.read(result -> {
+            readingBack = false;
+            if (!leader.ended() && result instanceof RecordStore.ReadResult.Page page) {
+                page.entries().stream()
+                        .filter(entry -> entry.version() > version)
+                        .findFirst()
+                        .ifPresent(this::onReadBack);
+            }
+        });
+    }
+
+    private void onReadBack(RecordStore.Entry entry) {
+        onEntry(Optional.of(entry));
+        if (!leader.ended()) {
+            services.log().leaseLimitReadBack(record, limit.remainingMs());
+        }
+    }
+
     private void onRaised(long sentNanos) {
         storedNanos = OptionalLong.of(sentNanos);
         failedRaises = 0;
@@ -262,7 +306,8 @@
         }
     }
 
-    private void write(long limitStoreMs, boolean newConnection, Consumer<RecordStore.TransactionResult> callback) {
+    /** Writes the limit; over a new connection if answers are missing, because those that are open may have gone silent. */
+    private void write(long limitStoreMs, Consumer<RecordStore.TransactionResult> callback) {
         long sentNanos = loop.nowNanos();
         byte[] value = RecordCodec.encodeLeaseLimit(new LeaseLimitRecord(epoch, limitStoreMs, leader.followerCount()));
         RecordStore.Transaction transaction = new RecordStore.Transaction(
@@ -274,11 +319,12 @@
                             FleetMetrics.TransactionPurpose.LEASE_LIMIT,
                             FleetMetrics.TransactionOutcome.of(result),
                             loop.nowNanos() - sentNanos);
+            answersMissing &= result instanceof RecordStore.TransactionResult.Unknown;
             if (!leader.ended()) {
                 callback.accept(result);
             }
         };
-        if (newConnection) {
+        if (answersMissing) {
             services.store().transactOnNewConnection(transaction, onResult);
         } else {
             services.store().transact(transaction, onResult);
--- a/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaseLimitStoreTest.java
@@ -19,6 +19,9 @@
 
     private static final Duration ROUND_TRIP = Duration.ofMillis(20);
 
+    /** Lease that bridges the interval between two polls of a runner. */
+    private static final Duration MIN_LEASE = Duration.ofSeconds(4);
+
     private final ManualLoop loop = new ManualLoop();
     private final FakeRecordStore store = new FakeRecordStore(loop);
     private final NodeStore nodeStore = new NodeStore(store, loop);
@@ -107,6 +110,45 @@
                 .isCloseTo(expiredByNanos, Offset.offset(200_000_000L));
     }
 
+    /** Guards against leases of all runners that end together, although the store executes the raises of their limit. */
+    @Test
+    void leasesArePermittedWhileTheAnswersToRaisesAreLost() {
+        FakeLeader leader = new FakeLeader().start(1, 1);
+        loop.advance(Duration.ofSeconds(3));
+        nodeStore.setWrites(NodeStore.Writes.ANSWER_LOST);
+        for (int i = 0; i < 200; i++) {
+            loop.advance(Duration.ofMillis(100));
+            assertThat(leader.limit.permittedLease()).as("after %d ms", 100 * i).isGreaterThan(MIN_LEASE);
+        }
+    }
+
+    /** Guards against a successor that permits no leases because the answer that fences its predecessor is always lost. */
+    @Test
+    void leasesArePermittedSoonAlthoughTheAnswersOfTheStoreAreLost() {
+        FakeLeader first = new FakeLeader().start(1, 1);
+        loop.advance(Duration.ofSeconds(3));
+        first.ended = true;
+        nodeStore.setWrites(NodeStore.Writes.ANSWER_LOST);
+        FakeLeader second = new FakeLeader().start(2, 1);
+        loop.advance(Duration.ofSeconds(2));
+        assertThat(second.limitsKnown).isOne();
+        assertThat(second.limit.permittedLease()).isGreaterThan(MIN_LEASE);
+    }
+
+    /** Guards against a limit that goes back to an earlier one, because a read was answered late. */
+    @Test
+    void lateAnswerToAReadDoesNotLowerTheLimit() {
+        FakeLeader leader = new FakeLeader().start(1, 1);
+        loop.advance(Duration.ofSeconds(3));
+        nodeStore.setNextWrites(3, NodeStore.Writes.LOST);
+        long limitMs = 0;
+        for (int i = 0; i < 300; i++) {
+            loop.advance(Duration.ofMillis(10));
+            assertThat(leader.limit.storedMs()).isGreaterThanOrEqualTo(limitMs);
+            limitMs = leader.limit.storedMs();
+        }
+    }
+
     /** Guards against a limit that was stored before a leader of an earlier version, which stores none. */
     @Test
     void limitThatIsOlderThanALeaderWithoutOneIsUnknown() {
