Ping a leader that cannot write again right before replacing it

Seen: a node that found that the leader cannot write waited for its turn to take over and then replaced it, although it wrote again meanwhile.

Cause: the turn came after the last look at the leader.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -360,9 +360,13 @@
             return;
         }
         if (writeProbe.answeredLately()) {
-            suspect(NO_WRITES);
-            return;
+            suspect(NO_WRITES, Duration.ZERO);
+        } else {
+            schedule(takeoverDelay(), this::probeForTakeover);
         }
+    }
+
+    private void probeForTakeover() {
         schedule(Successors.pingInterval(rank), this::ping);
         long probeGeneration = generation;
         writeProbe.start(answered -> {
--- a/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderMonitorTest.java
@@ -22,6 +22,9 @@
     /** Waits 0.7 s before it takes over. */
     private static final int LATER_RANK = 2;
 
+    /** Waits 1.75 s before it takes over. */
+    private static final int LAST_RANK = 5;
+
     private static final Duration DELAY = Duration.ofMillis(300);
 
     private final ManualLoop shared = new ManualLoop();
@@ -35,11 +38,12 @@
 
         private int unansweredPings;
         private int rank;
+        private long unansweredWritesMs;
 
         @Override
         public void ping(String address, PingRequest request, Consumer<PingResult> callback) {
             if (unansweredPings-- <= 0) {
-                PingResponse response = new PingResponse(1, 0, 0, rank, 0, false);
+                PingResponse response = new PingResponse(1, 0, 0, rank, unansweredWritesMs, false);
                 loop.schedule(Duration.ofMillis(2), () -> callback.accept(response));
             } else {
                 loop.schedule(PING_TIMEOUT, () -> callback.accept(new PingFailure("no response")));
@@ -105,6 +109,27 @@
         assertThat(monitor.suspicion(RECORD_VERSION)).isEmpty();
     }
 
+    /** Guards against a node that replaces a leader which writes again before the turn of that node to take over. */
+    @Test
+    void leaderThatWritesAgainBeforeTheTakeoverIsNotReplaced() {
+        followAnsweringLeader(LAST_RANK);
+        peers.unansweredWritesMs = 3_000;
+        shared.advance(Duration.ofMillis(2_500));
+        peers.unansweredWritesMs = 0;
+        shared.advance(Duration.ofSeconds(6));
+        assertThat(recordReads).isZero();
+        assertThat(monitor.suspicion(RECORD_VERSION)).isEmpty();
+    }
+
+    /** Guards against a leader that cannot write and is never suspected. */
+    @Test
+    void leaderThatCannotWriteIsSuspected() {
+        followAnsweringLeader(LAST_RANK);
+        peers.unansweredWritesMs = 3_000;
+        shared.advance(Duration.ofSeconds(5));
+        assertThat(monitor.suspicion(RECORD_VERSION)).isPresent();
+    }
+
     private void pause() {
         loop.suspend();
         shared.advance(DELAY);
