--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -348,8 +348,17 @@
         }
     }
 
-    /** Replaces a leader that cannot write if this node can; the leader is pinged once more after this node's probe. */
+    /**
+     * Replaces a leader that cannot write if this node can; the leader is pinged once more after this node's probe. After an
+     * outage for all nodes, the next transaction of the leader may be sent later than a probe.
+     */
     private void onLeaderWithoutWrites() {
+        if (storeContact.failedWithin(MAX_STORE_AGE)) {
+            reportKeptWithoutStore(
+                    "the store answers no transaction of the leader, and calls of this node have failed lately");
+            schedule(Successors.pingInterval(rank), this::ping);
+            return;
+        }
         if (writeProbe.answeredLately()) {
             suspect(NO_WRITES);
             return;
