Stop the repeated start of an ended run on a restarted process

Seen in review: a run is started by the second of two attempts and ends as done; its runner restarts under the same identifier, and the first attempt is executed there seconds later. The task runs again.

Cause: the mark of a repeated start went with the run.

Change: a runner keeps ended runs whose start may still take effect, for as long as commands are delayed. Once its process changes they count as starts without a response, which are stopped on the new process first.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -178,6 +178,7 @@
         runner.statusKnown = false;
         runner.heldRuns.clear();
         pendingStops.removeAll(runner);
+        runner.onProcessEnded(clock.nowNanos());
         for (Run run : runner.snapshotOfRuns()) {
             boolean startUnresolved = !run.startConfirmed || run.mayStartAgain(clock.nowNanos());
             if (startUnresolved && !pendingStarts.contains(run)) {
@@ -343,6 +344,7 @@
         runner.unstoredEnds.clear();
         if (previousStartEpochMs != 0) {
             observer.runnerRestarted(runner, previousStartEpochMs);
+            runner.onProcessEnded(clock.nowNanos());
             removeRunsOfEarlierIncarnation(runner, requestSentNanos);
         }
     }
@@ -460,6 +462,7 @@
         if (run != null) {
             endWaiting(run, nowNanos);
             runner.remove(run);
+            runner.onEnded(run, nowNanos);
             pendingStops.remove(runner, key);
             if (run.task().job().terminalState == JobState.CANCELLED) {
                 observer.cancelledRunEnded(run, nowNanos - run.task().job().terminalNanos);
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -60,6 +60,9 @@
      */
     final Map<RunKey, Long> unresolvedStarts = new HashMap<>();
 
+    /** Ended runs whose start was sent twice. An attempt without a response may still reach a process that restarts. */
+    private final List<Run> endedRepeatedStarts = new ArrayList<>();
+
     private Resources reserved = Resources.NONE;
     private long bestEffortMillis;
     private int latencyCriticalRuns;
@@ -134,6 +137,22 @@
                 && (label.isEmpty() || descriptor.labels().contains(label));
     }
 
+    /** Records that a run has ended, in case another attempt to start it is still on its way. */
+    void onEnded(Run run, long nowNanos) {
+        endedRepeatedStarts.removeIf(ended -> !ended.mayStartAgain(nowNanos));
+        if (run.mayStartAgain(nowNanos)) {
+            endedRepeatedStarts.add(run);
+        }
+    }
+
+    /** Counts starts of ended runs as unresolved, because the process that would reject them has ended. */
+    void onProcessEnded(long nowNanos) {
+        endedRepeatedStarts.stream()
+                .filter(run -> run.mayStartAgain(nowNanos))
+                .forEach(run -> unresolvedStarts.put(run.key(), NOT_STOPPED));
+        endedRepeatedStarts.clear();
+    }
+
     /** Returns whether a start that was given up may still take effect, so that the lease must not be extended. */
     public boolean hasUnresolvedStarts() {
         return !unresolvedStarts.isEmpty();
--- a/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
+++ b/src/test/java/org/tamarackline/core/fleet/RestartedRunnerRunsTest.java
@@ -72,6 +72,19 @@
         assertThat(fixture.scheduleStarts()).hasSize(1);
     }
 
+    /** Guards against a start of a task that is done, by an attempt which reaches the new process of its runner. */
+    @Test
+    void repeatedStartOfAnEndedRunIsStoppedOnTheNewProcess() {
+        FleetRunner runner = fixture.addRunner("r", 16_000);
+        Run run = startTwice();
+        fixture.reportStatus(runner, List.of(), List.of(FleetFixture.endedRun(1, run, EndReason.DONE)));
+        assertThat(runner.hasUnresolvedStarts()).isFalse();
+        fixture.reportStatus(runner, 2, List.of(), List.of());
+        assertThat(fixture.scheduleStops())
+                .extracting(RunnerCommand.Stop::task)
+                .containsExactly(run.task().key());
+    }
+
     /** Guards against a repeated start that is executed by a lost runner once its lease is extended again. */
     @Test
     void repeatedStartIsUnresolvedOnceItsRunnerIsLost() {
