Repeat a start only if the lease limit covers the longest lease

Seen in review: the repetition goes over a connection that is opened for it and may reach a process that has restarted since it was verified. That one grants the longest lease, which could end after the stored limit.

Change: a start is repeated only while the limit covers that lease, as a renewal of a process that is not verified is.

Measured: RunnerSessionTest and RunnerCommandRacesTest pass. No test shows the case itself.

--- a/src/main/java/org/tamarackline/fleet/RunStarter.java
+++ b/src/main/java/org/tamarackline/fleet/RunStarter.java
@@ -173,7 +173,11 @@
         }
 
         private boolean repeatable() {
-            return !session.closed() && permitted(run) && runner.processStartEpochMs() == processStartEpochMs;
+            // The attempt may reach a process that has restarted since, which grants the longest lease.
+            return !session.closed()
+                    && permitted(run)
+                    && lease.extendable(verification.allVerified())
+                    && runner.processStartEpochMs() == processStartEpochMs;
         }
 
         @Override
