Wait a second between probes of a store that refuses them

Seen in review: while the store refuses transactions of all nodes because of their rate, each follower probed it at each ping, up to 2.5 times a second.

Change: no probe starts within 1 s of a failed one.

--- a/src/main/java/org/tamarackline/fleet/WriteProbe.java
+++ b/src/main/java/org/tamarackline/fleet/WriteProbe.java
@@ -27,11 +27,16 @@
     /** Age from which on the result of a probe no longer counts; it covers the delay and the timeout of a ping of the leader. */
     private static final Duration MAX_ANSWER_AGE = Duration.ofMillis(1_200);
 
+    /** Time after a failed probe until the next one, so that the probes of all followers add little to a store that refuses. */
+    private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+
     private final NodeServices services;
     private final EventLoop loop;
     private boolean probing;
     /** Whether the last probe that ended was answered. */
     private boolean answered;
+    /** Whether the last probe that ended was not answered. */
+    private boolean failed;
 
     private long endedNanos;
 
@@ -46,22 +51,27 @@
     }
 
     /**
-     * Starts a probe, unless one is in progress.
+     * Starts a probe, unless one is in progress or has failed just before.
      *
-     * @param callback receives whether the store answered all transactions in time; not called if another probe is in progress
+     * @param callback receives whether the store answered all transactions in time; not called if no probe is started
      */
     void start(Consumer<Boolean> callback) {
-        if (!probing) {
+        if (!probing && !failedLately()) {
             probing = true;
             sendNext(TRANSACTIONS, loop.nowNanos(), allAnswered -> {
                 probing = false;
                 answered = allAnswered;
+                failed = !allAnswered;
                 endedNanos = loop.nowNanos();
                 callback.accept(allAnswered);
             });
         }
     }
 
+    private boolean failedLately() {
+        return failed && loop.nowNanos() - endedNanos <= RETRY_INTERVAL.toNanos();
+    }
+
     private void sendNext(int remaining, long startedNanos, Consumer<Boolean> callback) {
         long sentNanos = loop.nowNanos();
         RecordStore.Write write = new RecordStore.Write(RecordStore.Table.LEASES, KEY, VALUE);
