Replace a leader that cannot write although followers fail now and then

Seen in review: a leader whose transactions were refused was not replaced in 60 s, because a read of each follower failed every 2 s.

Cause: a failed call within 2.5 s kept a follower from replacing the leader, since it may have been the end of an outage for all nodes.

Change: that holds until the leader has been without an answer for 4.5 s, which leaves time for a takeover before the leases end. A follower also forgets that a leader would hand over to it when it no longer follows it.

Measured: LeaderWithoutWritesTest#leaderWithoutWritesIsReplacedAlthough- FollowersHaveRareFailures failed before, passes now.

--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -40,6 +40,12 @@
      */
     private static final Duration MAX_UNANSWERED_WRITES = Duration.ofMillis(2_500);
 
+    /**
+     * Same limit for a node of which a call has failed lately. It ends before the leases, so that rare failures of all other
+     * nodes do not keep a leader that cannot write.
+     */
+    private static final Duration MAX_UNANSWERED_WRITES_AFTER_OUTAGE = Duration.ofMillis(4_500);
+
     /**
      * Same limit for a node that claims the leadership again after the leader record was its own; it covers a claim without
      * a response and a second one.
@@ -156,6 +162,7 @@
         punctuality.stop();
         followed = null;
         suspicion = null;
+        handoverExpected = false;
         missedPings = 0;
     }
 
@@ -317,7 +324,7 @@
         if (response.storeAgeMs() > MAX_STORE_AGE.toMillis()) {
             onLeaderWithoutStore();
         } else if (response.unansweredWritesMs() > MAX_UNANSWERED_WRITES.toMillis()) {
-            onLeaderWithoutWrites();
+            onLeaderWithoutWrites(response);
         } else {
             keptWithoutStore = false;
             // A node that the leader would hand over to has a short turn to take over.
@@ -352,8 +359,9 @@
      * Replaces a leader that cannot write if this node can; the leader is pinged once more after this node's probe. After an
      * outage for all nodes, the next transaction of the leader may be sent later than a probe.
      */
-    private void onLeaderWithoutWrites() {
-        if (storeContact.failedWithin(MAX_STORE_AGE)) {
+    private void onLeaderWithoutWrites(PeerCalls.PingResponse response) {
+        boolean mayBeOutage = response.unansweredWritesMs() <= MAX_UNANSWERED_WRITES_AFTER_OUTAGE.toMillis();
+        if (mayBeOutage && storeContact.failedWithin(MAX_STORE_AGE)) {
             reportKeptWithoutStore(
                     "the store answers no transaction of the leader, and calls of this node have failed lately");
             schedule(Successors.pingInterval(rank), this::ping);
--- a/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -88,6 +88,15 @@
         assertThat(cluster.leaderEpochs()).containsExactly(1L);
     }
 
+    /** Guards against followers whose rare failures keep a leader that cannot write until the leases of all runners end. */
+    @Test
+    void leaderWithoutWritesIsReplacedAlthoughFollowersHaveRareFailures() {
+        List<ElectionCluster.Node> nodes = startNodes(5);
+        nodes.subList(1, 5).forEach(this::failNowAndThen);
+        nodes.getFirst().store().setWrites(NodeStore.Writes.REFUSED);
+        assertThat(timeUntilAnotherSchedules(nodes.getFirst())).isLessThan(MAX_TIME_TO_TAKEOVER);
+    }
+
     /** Guards against nodes that wait for the claim of a restarted leader whose transactions fail. */
     @ParameterizedTest
     @EnumSource(
@@ -135,6 +144,17 @@
         });
     }
 
+    /** Lets the store refuse a node for a short time every 2 s. */
+    private void failNowAndThen(ElectionCluster.Node node) {
+        cluster.loop().schedule(Duration.ofSeconds(2), () -> {
+            node.store().setRefused(true);
+            RecordStore store = new MonitoredStore(node.store(), node.storeContact());
+            store.read(RecordStore.Table.CONFIGURATION, "", null, result -> {});
+            cluster.loop().schedule(Duration.ofMillis(60), () -> node.store().setRefused(false));
+            failNowAndThen(node);
+        });
+    }
+
     private List<ElectionCluster.Node> startNodes(int count) {
         List<ElectionCluster.Node> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
