Keep a leader that answers again while a claim to replace it fails

Seen in review: a node whose claims had no answer sent 56 in 20 s, although the leader had been back for 18 s, and replaced it once a claim worked.

Cause: a node pinged a suspected leader only once, and a claim without an answer left out the look at the followers of the leader.

Change: the leader is pinged again after each claim that failed, and the look at its followers is taken before each.

Measured: LeaderWithoutWritesTest#leaderThatAnswersAgainIsKeptAfterClaims- WithoutAnAnswer failed before, passes now, as do 335 tests of elections, takeovers, runners and org.tamarackline.core.fleet.

--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -288,7 +288,7 @@
         Optional<String> suspicion = monitor.suspicion(entry.version());
         if (record.node().equals(settings.node())) {
             takeOver(record, entry.version(), "an earlier process of this node led");
-        } else if (suspicion.isPresent() && monitor.suspectsSilentLeader() && !claimUnanswered()) {
+        } else if (suspicion.isPresent() && monitor.suspectsSilentLeader()) {
             takeOverUnlessFollowed(record, entry.version(), suspicion.get());
         } else if (suspicion.isPresent()) {
             takeOver(record, entry.version(), suspicion.get());
@@ -343,10 +343,6 @@
         }
     }
 
-    private boolean claimUnanswered() {
-        return claim != null && claim.unanswered();
-    }
-
     // ---- Taking over
 
     /**
@@ -431,6 +427,8 @@
     }
 
     private void reportFailedClaim(Claim failed, String cause) {
+        // The leader may answer again meanwhile, and is not replaced then.
+        monitor.pingAgainIfSuspected();
         LeaderRecord record = failed.record();
         log.leadership("takeover-failed", record.epoch(), record.node(), cause);
         metrics.leadershipChanged(FleetMetrics.LeadershipEvent.TAKEOVER_FAILED);
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -305,6 +305,13 @@
         }
     }
 
+    /** Pings a suspected leader once more, because the claim of this node to replace it has failed. */
+    void pingAgainIfSuspected() {
+        if (suspicion != null) {
+            pingWhileSuspected();
+        }
+    }
+
     /** Pings the leader while this node waits for its turn to take over; an answer in time ends the suspicion. */
     private void pingWhileSuspected() {
         long suspectedGeneration = generation;
--- a/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderWithoutWritesTest.java
@@ -97,6 +97,21 @@
         assertThat(timeUntilAnotherSchedules(nodes.getFirst())).isLessThan(MAX_TIME_TO_TAKEOVER);
     }
 
+    /** Guards against a node whose claims have no answer and which replaces a leader that has answered again long ago. */
+    @Test
+    void leaderThatAnswersAgainIsKeptAfterClaimsWithoutAnAnswer() {
+        List<ElectionCluster.Node> nodes = startNodes(3);
+        ElectionCluster.Node first = nodes.getFirst();
+        nodes.subList(1, 3).forEach(node -> node.store().setWrites(NodeStore.Writes.LOST));
+        first.loop().suspend();
+        cluster.loop().advance(Duration.ofSeconds(3));
+        first.loop().resume();
+        cluster.loop().advance(Duration.ofSeconds(20));
+        nodes.get(1).store().setWrites(NodeStore.Writes.ANSWERED);
+        cluster.loop().advance(Duration.ofSeconds(5));
+        assertThat(cluster.leaderEpochs()).containsExactly(1L);
+    }
+
     /** Guards against nodes that wait for the claim of a restarted leader whose transactions fail. */
     @ParameterizedTest
     @EnumSource(
