Use one name for a leader that would hand over to a node

The ping answer, the policy and the follower had three names for it. The flag for a kept leader no longer says that it lacks the store: it may lack only its transactions. No change of behaviour.

Measured: 106 tests of elections, pings and requests between nodes pass.

--- a/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
+++ b/src/main/java/org/tamarackline/fleet/CapacityPolicy.java
@@ -88,7 +88,7 @@
      * @param runners number of runners of the fleet
      * @param other capacity of the node
      */
-    boolean prefers(NodeCapacity other, int runners) {
+    boolean wouldHandOverTo(NodeCapacity other, int runners) {
         NodeCapacity required = NodeCapacity.requiredToLead(runners);
         return mayHandOver(required) && isBetter(other, required);
     }
--- a/src/main/java/org/tamarackline/fleet/Election.java
+++ b/src/main/java/org/tamarackline/fleet/Election.java
@@ -140,9 +140,10 @@
         }
         long unansweredWritesMs = storeContact.unansweredWrites().forMs();
         if (leader != null && !leader.resigned()) {
-            boolean asksForProbe = leader.loaded() && capacityPolicy.prefers(request.capacity(), leader.runnerCount());
+            boolean wouldHandOver =
+                    leader.loaded() && capacityPolicy.wouldHandOverTo(request.capacity(), leader.runnerCount());
             return new PeerCalls.PingResponse(
-                    leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs, asksForProbe);
+                    leader.record().epoch(), 0, leader.storeAgeMs(), callerRank, unansweredWritesMs, wouldHandOver);
         }
         long claimedEpoch = stopped || claim == null ? 0 : claim.record().epoch();
         return new PeerCalls.PingResponse(
--- a/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/HttpPeerCalls.java
@@ -27,7 +27,7 @@
     /** Numbers of at most 18 digits fit into 64 bits, those of at most 9 digits into 32 bits. */
     private static final Pattern PING_RESPONSE =
             Pattern.compile("(\\d{1,18}) (\\d{1,18}) (\\d{1,18}) (\\d{1,9})(?: unansweredWritesMs=(\\d{1,18})("
-                    + PeerPaths.ASKS_FOR_PROBE + ")?)?");
+                    + PeerPaths.WOULD_HAND_OVER + ")?)?");
 
     private static final Pattern COUNT = Pattern.compile("\\d{1,9}");
 
--- a/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
+++ b/src/main/java/org/tamarackline/fleet/LeaderMonitor.java
@@ -94,9 +94,9 @@
     /** Why the leader should be replaced, null if it should not. */
     private String suspicion;
     /** Whether the followed leader would hand over to this node, as of its last answer. */
-    private boolean handoverExpected;
-    /** Whether the leader was found without the store while this node lacked it too. */
-    private boolean keptWithoutStore;
+    private boolean leaderWouldHandOver;
+    /** Whether the leader was kept because the store serves neither it nor, for long enough, this node. */
+    private boolean kept;
     /** When the leader was first kept although this node does not reach it, 0 if it was not. */
     private long keptUnreachedSinceNanos;
     /** When the node of the followed record first reported a claim in progress, 0 if it has not. */
@@ -143,8 +143,8 @@
             log.leadership("leader-followed", record.epoch(), record.node(), "the store has its leader record");
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.FOLLOWED);
             claimFirstSeenNanos = 0;
-            keptWithoutStore = false;
-            handoverExpected = false;
+            kept = false;
+            leaderWouldHandOver = false;
             pings.clear();
             disregardedPings = 0;
             keptUnreachedSinceNanos = 0;
@@ -162,7 +162,7 @@
         punctuality.stop();
         followed = null;
         suspicion = null;
-        handoverExpected = false;
+        leaderWouldHandOver = false;
         missedPings = 0;
     }
 
@@ -274,8 +274,8 @@
             request = request.withAnsweredEpoch(followed.epoch());
             pings.onAnswer(response);
             onLeaderAnswered(response);
-            handoverExpected = response.asksForProbe();
-            if (handoverExpected) {
+            leaderWouldHandOver = response.wouldHandOver();
+            if (leaderWouldHandOver) {
                 probeForHandover();
             }
         } else if (isClaiming(response)) {
@@ -285,7 +285,9 @@
         } else {
             pings.onFailure("answered with epoch %d".formatted(response.epoch()), sentNanos);
             // The process at that address does not lead, so the record is outdated or soon will be.
-            suspect("the node in the leader record does not lead", handoverExpected ? Duration.ZERO : takeoverDelay());
+            suspect(
+                    "the node in the leader record does not lead",
+                    leaderWouldHandOver ? Duration.ZERO : takeoverDelay());
         }
     }
 
@@ -333,9 +335,9 @@
         } else if (response.unansweredWritesMs() > MAX_UNANSWERED_WRITES.toMillis()) {
             onLeaderWithoutWrites(response);
         } else {
-            keptWithoutStore = false;
+            kept = false;
             // A node that the leader would hand over to has a short turn to take over.
-            schedule(response.asksForProbe() ? RETRY_DELAY : Successors.pingInterval(rank), this::ping);
+            schedule(response.wouldHandOver() ? RETRY_DELAY : Successors.pingInterval(rank), this::ping);
         }
     }
 
@@ -356,7 +358,7 @@
         if (storeContact.uninterruptedFor(MAX_STORE_AGE)) {
             suspect("the store answers this node but not the leader");
         } else {
-            reportKeptWithoutStore("the store answers neither the leader nor, for long enough, this node");
+            reportKept("the store answers neither the leader nor, for long enough, this node");
             // The read tells whether the store answers this node.
             schedule(Successors.pingInterval(rank), readRecord);
         }
@@ -369,8 +371,7 @@
     private void onLeaderWithoutWrites(PeerCalls.PingResponse response) {
         boolean mayBeOutage = response.unansweredWritesMs() <= MAX_UNANSWERED_WRITES_AFTER_OUTAGE.toMillis();
         if (mayBeOutage && storeContact.failedWithin(MAX_STORE_AGE)) {
-            reportKeptWithoutStore(
-                    "the store answers no transaction of the leader, and calls of this node have failed lately");
+            reportKept("the store answers no transaction of the leader, and calls of this node have failed lately");
             schedule(Successors.pingInterval(rank), this::ping);
             return;
         }
@@ -393,14 +394,14 @@
                 // again.
                 schedule(RETRY_DELAY, this::ping);
             } else {
-                reportKeptWithoutStore("the store answers transactions neither of the leader nor of this node");
+                reportKept("the store answers transactions neither of the leader nor of this node");
             }
         });
     }
 
-    private void reportKeptWithoutStore(String reason) {
-        if (!keptWithoutStore) {
-            keptWithoutStore = true;
+    private void reportKept(String reason) {
+        if (!kept) {
+            kept = true;
             log.leadership("leader-kept", followed.epoch(), followed.node(), reason);
             metrics.leadershipChanged(FleetMetrics.LeadershipEvent.KEPT);
         }
--- a/src/main/java/org/tamarackline/fleet/PeerCalls.java
+++ b/src/main/java/org/tamarackline/fleet/PeerCalls.java
@@ -53,7 +53,7 @@
             return new PingRequest(node, capacity, epoch, writeStatus);
         }
 
-        /** Returns the same ping of a node of which this becomes of its transactions. */
+        /** Returns the same ping with another status of the node's transactions. */
         PingRequest withWriteStatus(Optional<WriteStatus> nextWriteStatus) {
             return new PingRequest(node, capacity, answeredEpoch, nextWriteStatus);
         }
@@ -86,10 +86,11 @@
      * @param rank rank of the pinging node among those that may succeed the leader, from 0
      * @param unansweredWritesMs time for which the store has answered no transaction of the node, in milliseconds; 0 if the
      *     node runs an earlier version of this program
-     * @param asksForProbe whether the node would hand over to the pinging one, if the store answers its transactions
+     * @param wouldHandOver whether the node would hand over to the pinging one once the store has answered a {@link WriteProbe} of
+     *     that
      */
     record PingResponse(
-            long epoch, long claimedEpoch, long storeAgeMs, int rank, long unansweredWritesMs, boolean asksForProbe)
+            long epoch, long claimedEpoch, long storeAgeMs, int rank, long unansweredWritesMs, boolean wouldHandOver)
             implements PingResult {}
 
     /**
--- a/src/main/java/org/tamarackline/fleet/PeerPaths.java
+++ b/src/main/java/org/tamarackline/fleet/PeerPaths.java
@@ -40,7 +40,7 @@
     static final String PROBE_ANSWERED = "Write-Probe-Answered";
 
     /** Last part of the response to a ping of a node that the leader would hand over to. */
-    static final String ASKS_FOR_PROBE = " probe";
+    static final String WOULD_HAND_OVER = " probe";
 
     /** Response of a node that has stepped down. */
     static final String STEPPED_DOWN = "stepped down";
--- a/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
+++ b/src/main/java/org/tamarackline/fleet/PeerRequestHandler.java
@@ -93,7 +93,7 @@
 
     private static String writeStatusOf(PeerCalls.PingResponse response) {
         String unanswered = " unansweredWritesMs=" + response.unansweredWritesMs();
-        return response.asksForProbe() ? unanswered + PeerPaths.ASKS_FOR_PROBE : unanswered;
+        return response.wouldHandOver() ? unanswered + PeerPaths.WOULD_HAND_OVER : unanswered;
     }
 
     private void handleStepDown(HttpExchange exchange, String epochText) {
--- a/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
+++ b/src/test/java/org/tamarackline/fleet/HttpPeerCallsTest.java
@@ -89,11 +89,11 @@
         "1 2 3 4 unansweredWritesMs=300, 300, false",
         "1 2 3 4 unansweredWritesMs=0 probe, 0, true"
     })
-    void answersOfEachVersionAreRead(String answer, long unansweredWritesMs, boolean asksForProbe)
+    void answersOfEachVersionAreRead(String answer, long unansweredWritesMs, boolean wouldHandOver)
             throws InterruptedException {
         text = answer;
         assertThat(answerTo(done -> calls.ping(address, PING, done::accept)))
-                .isEqualTo(new PeerCalls.PingResponse(1, 2, 3, 4, unansweredWritesMs, asksForProbe));
+                .isEqualTo(new PeerCalls.PingResponse(1, 2, 3, 4, unansweredWritesMs, wouldHandOver));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/tamarackline/fleet/NodeStore.java
+++ b/src/test/java/org/tamarackline/fleet/NodeStore.java
@@ -60,7 +60,7 @@
     /**
      * Sets what becomes of some of the further transactions of the node; its other calls are answered.
      *
-     * @param affects returns whether this becomes of the next transaction
+     * @param affects returns whether the next transaction is one of them
      */
     void setWrites(Writes next, BooleanSupplier affects) {
         writes = next;
--- a/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/SimulatedPeerCalls.java
@@ -103,7 +103,7 @@
                         response.storeAgeMs(),
                         response.rank(),
                         0,
-                        response.asksForProbe())
+                        response.wouldHandOver())
                 : response;
     }
 
