--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -83,7 +83,7 @@
     void configure(int maxAttempts, boolean admissionCheck) {
         ObjectNode config = mapper.createObjectNode().put("version", version += 2);
         ArrayNode routes = config.putArray("routes");
-        routes.addObject().put("name", "queue").put("host", HOST).put("prefix", "/work/").put("service", "dispatch")
+        routes.addObject().put("name", "queue").put("host", HOST).put("prefix", "/jobs/").put("service", "dispatch")
                 .put("priority", 0).put("maxAttempts", maxAttempts).put("stretch", 2.0).put("targetLatencyMs", 1_000);
         config.putArray("services").addObject().put("name", "dispatch").put("admissionCheck", admissionCheck);
         config.putObject("limits");
@@ -120,7 +120,7 @@
 
     /** Sends a request of a requester and records the answer. */
     Http.Answer request(Node node, String method, String job, String body) {
-        Http.Answer answer = Http.send(method, node.address(), HOST, "/work/" + job, body, 3_000);
+        Http.Answer answer = Http.send(method, node.address(), HOST, "/jobs/" + job, body, 3_000);
         record.line("requester: %s %s at %s: %d %s", method, job, node.name, answer.status(), method.equals("GET") ? answer.body() : "");
         return answer;
     }
