Say why a runner gets no tasks

The log and the metrics did not tell which of several reasons keeps a runner from getting tasks, so a start by an old entry could not be told from one by a late status.

StartBlock names the reasons. No change of decisions.

Measured: FleetNodeMetricsTest passes with the gauge.

--- a/src/main/java/org/tamarackline/core/fleet/FleetLoad.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetLoad.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.LongStream;
 
 /**
@@ -18,6 +20,7 @@
  * @param stoppingRuns runs that must end and whose end is not known
  * @param runners runners of the directory and the roster
  * @param unreportedRunners runners that earlier leaders used and that have not reported to this one
+ * @param blockedRunners number of runners that get no new tasks, by the reason; reasons without runners are left out
  */
 public record FleetLoad(
         int openJobs,
@@ -28,15 +31,17 @@
         int runningRuns,
         int stoppingRuns,
         int runners,
-        int unreportedRunners) {
+        int unreportedRunners,
+        Map<StartBlock, Integer> blockedRunners) {
 
     /** Load of a fleet without jobs and runners. */
-    public static final FleetLoad NONE =
-            new FleetLoad(0, 0, 0, Collections.nCopies(QueueDefinition.LOWEST_PRIORITY + 1, 0L), 0, 0, 0, 0, 0);
+    public static final FleetLoad NONE = new FleetLoad(
+            0, 0, 0, Collections.nCopies(QueueDefinition.LOWEST_PRIORITY + 1, 0L), 0, 0, 0, 0, 0, Map.of());
 
-    /** Copies the list, because another thread may read it. */
+    /** Copies the collections, because another thread may read them. */
     public FleetLoad {
         longestWaitNanos = List.copyOf(longestWaitNanos);
+        blockedRunners = Map.copyOf(blockedRunners);
     }
 
     /** Measures the load of a fleet in one pass over the ready tasks and one over the runs. */
@@ -54,7 +59,11 @@
         int startingRuns = 0;
         int runningRuns = 0;
         int stoppingRuns = 0;
+        Map<StartBlock, Integer> blockedRunners = new EnumMap<>(StartBlock.class);
         for (FleetRunner runner : runners) {
+            if (!runner.acceptsStarts()) {
+                blockedRunners.merge(runner.startBlock(), 1, Integer::sum);
+            }
             for (Run run : runner.runs.values()) {
                 switch (run.phase) {
                     case STARTING -> startingRuns++;
@@ -72,6 +81,7 @@
                 runningRuns,
                 stoppingRuns,
                 runners.size(),
-                unreportedRunners.count());
+                unreportedRunners.count(),
+                blockedRunners);
     }
 }
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -117,16 +117,35 @@
         return new ProcessedEnds(processStartEpochMs, lastProcessedEnd);
     }
 
+    /** Returns why the runner gets no new tasks at present. */
+    public StartBlock startBlock() {
+        if (!registered) {
+            return StartBlock.NOT_IN_DIRECTORY;
+        }
+        if (descriptor.draining()) {
+            return StartBlock.DRAINING;
+        }
+        if (!statusKnown) {
+            return StartBlock.NO_STATUS;
+        }
+        if (silent) {
+            return StartBlock.SILENT;
+        }
+        if (cordoned) {
+            return StartBlock.CORDONED;
+        }
+        if (unconfirmed) {
+            return StartBlock.UNCONFIRMED;
+        }
+        if (acknowledgementOverdue) {
+            return StartBlock.ACKNOWLEDGEMENT_OVERDUE;
+        }
+        return hasUnresolvedStarts() ? StartBlock.UNRESOLVED_STARTS : StartBlock.NONE;
+    }
+
     /** Returns whether starts may be sent to the runner at present. */
     boolean acceptsStarts() {
-        return registered
-                && !descriptor.draining()
-                && statusKnown
-                && !silent
-                && !cordoned
-                && !unconfirmed
-                && !acknowledgementOverdue
-                && !hasUnresolvedStarts();
+        return startBlock() == StartBlock.NONE;
     }
 
     /** Returns whether the start of a task may be sent to the runner at present, its capacity aside. */
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/StartBlock.java
@@ -0,0 +1,34 @@
+package org.tamarackline.core.fleet;
+
+/** Why a runner gets no new tasks at present. */
+public enum StartBlock {
+    /** Nothing: the runner gets new tasks. */
+    NONE("none"),
+    /** The runner is not in the directory. */
+    NOT_IN_DIRECTORY("it is not in the directory"),
+    /** The runner has announced that it will leave. */
+    DRAINING("it is about to leave"),
+    /** The runner has not reported its status to this leader, or its runs were given up. */
+    NO_STATUS("it has not reported its status"),
+    /** The last requests to the runner got no response. */
+    SILENT("it is silent"),
+    /** The runner is cordoned, or may be according to the store. */
+    CORDONED("it is cordoned"),
+    /** The store has not confirmed the leader since the leader learned of the runner's process. */
+    UNCONFIRMED("the store has not confirmed the leader since the runner's process was found"),
+    /** The runner keeps ended runs that should have been acknowledged long ago. */
+    ACKNOWLEDGEMENT_OVERDUE("its ended runs are to be acknowledged first"),
+    /** A start that was given up may still take effect on the runner. */
+    UNRESOLVED_STARTS("starts that were given up may still take effect there");
+
+    private final String text;
+
+    StartBlock(String text) {
+        this.text = text;
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
+++ b/src/main/java/org/tamarackline/fleet/FleetNodeMetrics.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.QueueDefinition;
+import org.tamarackline.core.fleet.StartBlock;
 import org.tamarackline.core.fleet.StartResult;
 import org.tamarackline.core.time.MonotonicClock;
 
@@ -242,6 +244,17 @@
                 "runners.unreported",
                 "runners of earlier leaders that have not reported",
                 state -> state.load().unreportedRunners());
+        EnumSet<StartBlock> blocks = EnumSet.complementOf(EnumSet.of(StartBlock.NONE));
+        blocks.forEach(this::blockedRunnersGauge);
+    }
+
+    private void blockedRunnersGauge(StartBlock block) {
+        register(Gauge.builder(
+                        PREFIX + "runners.blocked",
+                        this,
+                        metrics -> metrics.scraped.load().blockedRunners().getOrDefault(block, 0))
+                .description("runners that get no new tasks, by the reason")
+                .tag("reason", labelOf(block)));
     }
 
     private void runsGauge(String phase, ToDoubleFunction<LeaderSample> value) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -24,6 +24,7 @@
     private final RunnerCordons cordons;
     private final RunnerEventLog events;
     private final RunnerLossWaits lossWaits;
+    private final RunnerBlocks blocks;
     private final InitialRenewals initialRenewals;
     private final Map<String, RunnerSession> sessions = new LinkedHashMap<>();
     /** Runners that are in the directory but not on the roster yet. */
@@ -42,6 +43,7 @@
         this.events = new RunnerEventLog(context.loop(), context.log());
         this.cordons = new RunnerCordons(context.loop(), storeClock, context.fleet(), sessions, events);
         this.lossWaits = new RunnerLossWaits(context.loop(), cordons, events);
+        this.blocks = new RunnerBlocks(events);
         this.initialRenewals = new InitialRenewals(context.loop());
     }
 
@@ -213,10 +215,12 @@
                 session.close();
                 sessions.remove(runner.id());
                 lossWaits.remove(runner.id());
+                blocks.remove(runner.id());
                 context.fleet().runnerLost(runner.id());
                 committer.removeFromRoster(runner.id());
             }
         }
+        blocks.logChanges(sessions.values());
         lossWaits.logChanges(sessions.values());
     }
 
--- a/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
+++ b/src/test/java/org/tamarackline/fleet/FleetNodeMetricsTest.java
@@ -4,12 +4,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.FleetLoad;
+import org.tamarackline.core.fleet.StartBlock;
 import org.tamarackline.core.fleet.StartResult;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -65,7 +67,7 @@
     void eventsAddNoSeries() {
         Set<String> before = Set.copyOf(scrape().series());
         recordAllEvents();
-        FleetLoad load = new FleetLoad(1, 1, 0, waits(1L, 1L), 0, 0, 0, 0, 0);
+        FleetLoad load = new FleetLoad(1, 1, 0, waits(1L, 1L), 0, 0, 0, 0, 0, Map.of(StartBlock.SILENT, 1));
         metrics.leaderSampled(new LeaderSample(1, 1, true, load, 0, 0, 0, 0, 0));
         PrometheusText after = scrape();
         assertThat(after.series()).containsExactlyInAnyOrderElementsOf(before);
@@ -88,7 +90,7 @@
     @Test
     void gaugesShowTheLastSample() {
         List<Long> waits = waits(1_500_000_000L, 250_000_000L);
-        FleetLoad load = new FleetLoad(11, 12, 13, waits, 14, 15, 16, 17, 18);
+        FleetLoad load = new FleetLoad(11, 12, 13, waits, 14, 15, 16, 17, 18, Map.of(StartBlock.SILENT, 21));
         loop.advance(Duration.ofSeconds(5));
         metrics.leaderSampled(new LeaderSample(loop.nowNanos(), 7, true, load, 19, 20, 500_000_000, 2_250, 750));
         loop.advance(Duration.ofSeconds(2));
@@ -116,6 +118,10 @@
         assertThat(text.value("tamarackline_runners_known")).isEqualTo(17);
         assertThat(text.value("tamarackline_runners_unreported")).isEqualTo(18);
         assertThat(text.value("tamarackline_runners_silent")).isEqualTo(19);
+        assertThat(text.value("tamarackline_runners_blocked{reason=\"silent\"}"))
+                .isEqualTo(21);
+        assertThat(text.value("tamarackline_runners_blocked{reason=\"cordoned\"}"))
+                .isZero();
         assertThat(text.value("tamarackline_starts_unanswered")).isEqualTo(20);
     }
 
@@ -174,7 +180,8 @@
     }
 
     private static LeaderSample sampleOf(int value) {
-        FleetLoad load = new FleetLoad(value, value, value, waits(0, 0), value, value, value, value, value);
+        FleetLoad load = new FleetLoad(
+                value, value, value, waits(0, 0), value, value, value, value, value, Map.of(StartBlock.SILENT, value));
         return new LeaderSample(1, value, true, load, value, value, 0, value, value);
     }
 
