Start nothing on a runner by the entry of another process

Cause: the directory entry and the status each name their process, and nothing compared them. Placement, starts that wait for a transaction, the last check before a start, repeated starts and moves all used the entry.

Change: a runner gets no starts while entry and status are of different processes. A leader that finds another process reads the directory at once; one that reads a later entry polls the runner at once. Polls of a silent runner, or of one whose process is in doubt, no longer wait for ends. An entry that does not name its process keeps nobody out. In the tests, the entry of a restarted runner is read before it gets starts, as the platform writes it.

The simulation restarts runners as other kinds, with entries that lag or lead, in a profile of its own; a defect switch hides the process.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -95,7 +95,7 @@
     public FleetRunner runnerRegistered(RunnerDescriptor descriptor) {
         FleetRunner runner = runners.computeIfAbsent(descriptor.id(), id -> new FleetRunner(descriptor));
         runner.update(descriptor);
-        if (descriptor.draining()) {
+        if (descriptor.draining() || !runner.entryMayDescribeProcess()) {
             removeUnsentRuns(runner);
         }
         return runner;
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -128,6 +128,9 @@
         if (!statusKnown) {
             return StartBlock.NO_STATUS;
         }
+        if (!entryMayDescribeProcess()) {
+            return StartBlock.ENTRY_OF_OTHER_PROCESS;
+        }
         if (silent) {
             return StartBlock.SILENT;
         }
@@ -143,6 +146,19 @@
         return hasUnresolvedStarts() ? StartBlock.UNRESOLVED_STARTS : StartBlock.NONE;
     }
 
+    /**
+     * Returns whether the directory entry may be of the process that last reported. The next process may have another
+     * service, capacity, address and other labels.
+     */
+    public boolean entryMayDescribeProcess() {
+        return processStartEpochMs == 0 || descriptor.mayDescribe(processStartEpochMs);
+    }
+
+    /** Returns whether the process that last reported is about to leave, according to the directory. */
+    boolean draining() {
+        return descriptor.draining() && entryMayDescribeProcess();
+    }
+
     /** Returns whether starts may be sent to the runner at present. */
     boolean acceptsStarts() {
         return startBlock() == StartBlock.NONE;
--- a/src/main/java/org/tamarackline/core/fleet/MigrationPlanner.java
+++ b/src/main/java/org/tamarackline/core/fleet/MigrationPlanner.java
@@ -45,7 +45,7 @@
         if (run.phase != Run.Phase.RUNNING || step.gang()) {
             return false;
         }
-        if (run.runner().descriptor().draining()) {
+        if (run.runner().draining()) {
             return step.longRunning() || (step.checkpointed() && run.progressPercent < MIN_PROGRESS_TO_STAY_PERCENT);
         }
         return step.bestEffort()
@@ -56,7 +56,7 @@
 
     /** Returns the reason for a migration, for the log. */
     static String reason(Run run) {
-        return run.runner().descriptor().draining()
+        return run.runner().draining()
                 ? "its runner is about to leave and another runner has capacity"
                 : "slowed down for latency-critical tasks while another runner has capacity";
     }
--- a/src/main/java/org/tamarackline/core/fleet/RunnerDescriptor.java
+++ b/src/main/java/org/tamarackline/core/fleet/RunnerDescriptor.java
@@ -34,6 +34,11 @@
         labels = Set.copyOf(labels);
     }
 
+    /** Returns whether the entry may be of a process: it is, or does not tell of which process it is. */
+    public boolean mayDescribe(long startEpochMs) {
+        return processStartEpochMs == 0 || processStartEpochMs == startEpochMs;
+    }
+
     /** Returns the same entry of a runner that is about to leave. */
     public RunnerDescriptor asDraining() {
         return new RunnerDescriptor(
--- a/src/main/java/org/tamarackline/core/fleet/StartBlock.java
+++ b/src/main/java/org/tamarackline/core/fleet/StartBlock.java
@@ -10,6 +10,8 @@
     DRAINING("it is about to leave"),
     /** The runner has not reported its status to this leader, or its runs were given up. */
     NO_STATUS("it has not reported its status"),
+    /** The directory entry is of another process than the one that last reported. */
+    ENTRY_OF_OTHER_PROCESS("its directory entry is of another process"),
     /** The last requests to the runner got no response. */
     SILENT("it is silent"),
     /** The runner is cordoned, or may be according to the store. */
--- a/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
+++ b/src/main/java/org/tamarackline/fleet/DirectoryFollower.java
@@ -23,6 +23,11 @@
     private final BooleanSupplier stopped;
     private final Consumer<List<RunnerDescriptor>> onRead;
     private long answeredReadSentNanos;
+    private boolean started;
+    private boolean reading;
+    private boolean readAgain;
+    /** Number of the latest planned read; earlier ones are cancelled. */
+    private long plannedRead;
 
     /**
      * Creates a follower that has not read the directory.
@@ -66,17 +71,43 @@
 
     /** Starts to read the directory at intervals. */
     void start() {
-        loop.schedule(FleetConstants.DIRECTORY_READ_INTERVAL, this::read);
+        started = true;
+        plan(FleetConstants.DIRECTORY_READ_INTERVAL);
+    }
+
+    /**
+     * Reads the directory at once, or once more after the read in progress, which may have been answered before. Does
+     * nothing before {@link #start}.
+     */
+    void readSoon() {
+        if (reading) {
+            readAgain = true;
+        } else if (started && !stopped.getAsBoolean()) {
+            read();
+        }
+    }
+
+    private void plan(Duration delay) {
+        long number = ++plannedRead;
+        loop.schedule(delay, () -> {
+            if (number == plannedRead) {
+                read();
+            }
+        });
     }
 
     private void read() {
+        plannedRead++;
+        reading = true;
+        readAgain = false;
         reads.start(directory::list, HedgedRead.ATTEMPT_TIMEOUT, directory::listOnNewConnections, success -> {
+            reading = false;
             recordRead(true);
             if (stopped.getAsBoolean()) {
                 return;
             }
-            // Scheduled first, so that a directory which cannot be applied is not the last one that is read.
-            start();
+            // Planned first, so that a directory which cannot be applied is not the last one that is read.
+            plan(readAgain ? Duration.ZERO : FleetConstants.DIRECTORY_READ_INTERVAL);
             apply(success.result().orElseThrow(), success.sentNanos());
         });
     }
--- a/src/main/java/org/tamarackline/fleet/Leader.java
+++ b/src/main/java/org/tamarackline/fleet/Leader.java
@@ -460,6 +460,11 @@
         endWithReason("runner " + runner + " has accepted commands of a higher epoch");
     }
 
+    @Override
+    public void requestDirectoryRead() {
+        directory.readSoon();
+    }
+
     @Override
     public void requestSchedulingRound() {
         if (!schedulingRoundPlanned && loaded) {
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -34,6 +34,9 @@
         /** Requests that the store confirm the leader soon. */
         void requestConfirmation();
 
+        /** Requests a read of the directory soon, because the entry of a runner is of another process. */
+        void requestDirectoryRead();
+
         /** Requests a scheduling round, because something changed that may make commands or a transaction due. */
         void requestSchedulingRound();
     }
@@ -258,7 +261,7 @@
         long sentNanos = context.loop().nowNanos();
         long acknowledgedEnd = !silent() ? acknowledgement.next(starts.allVerified()) : 0;
         boolean acknowledgesAll = allReportedEndsStored() && (acknowledgedEnd > 0 || !acknowledgement.due());
-        boolean wait = runner.statusKnown() && runner.busy() && acknowledgesAll;
+        boolean wait = mayWaitForEnds() && acknowledgesAll;
         // A silent runner may have received the polls that it did not answer. They must not renew its lease, which
         // still has to expire.
         boolean renew = lease.runnerClockKnown()
@@ -280,6 +283,14 @@
                 response -> onPollResponse(response, sentNanos, acknowledgedEnd));
     }
 
+    /** Returns whether a poll may wait for the end of a run, because the process that has the runs is known. */
+    private boolean mayWaitForEnds() {
+        return runner.statusKnown()
+                && runner.busy()
+                && !silent()
+                && runner.entryMayDescribeProcess();
+    }
+
     /** Sends a poll; on a new connection if the one before had no answer, because its connection may have gone silent. */
     private void sendPoll(
             long acknowledgedEnd, long leaseUntilMs, int waitMs, Consumer<RunnerCalls.PollResponse> callback) {
@@ -412,11 +423,11 @@
     }
 
     private Duration pollInterval() {
-        if (runner.busy()) {
+        if (mayWaitForEnds()) {
             return Duration.ZERO;
         }
-        // Only a status tells that a run which the leader does not know is over.
-        return context.fleet().hasUnknownRuns(runner)
+        // Only a status tells which runs the runner has, or that one which the leader does not know is over.
+        return runner.busy() || context.fleet().hasUnknownRuns(runner)
                 ? FleetConstants.POLL_RETRY_DELAY
                 : FleetConstants.IDLE_POLL_INTERVAL;
     }
@@ -425,6 +436,24 @@
         if (process.learn(processStartEpochMs, context.loop().nowNanos())) {
             context.fleet().setRunnerConfirmed(runner.id(), false);
             leader.requestConfirmation();
+            if (!runner.descriptor().mayDescribe(processStartEpochMs)) {
+                leader.requestDirectoryRead();
+            }
+        }
+    }
+
+    /** Polls the runner at once if its directory entry is of a later process than the one that last reported. */
+    void onDirectoryRead() {
+        boolean restarted = !runner.entryMayDescribeProcess()
+                && runner.descriptor().processStartEpochMs() > runner.processStartEpochMs();
+        if (!restarted) {
+            return;
+        }
+        if (!pollInFlight) {
+            schedulePoll(Duration.ZERO);
+        } else if (leader.maySendCommands()) {
+            // The poll in flight may have been sent to the earlier process, which does not answer any more.
+            prepareStart();
         }
     }
 
--- a/src/main/java/org/tamarackline/fleet/RunnerSessions.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSessions.java
@@ -135,6 +135,8 @@
                 long nowNanos = context.loop().nowNanos();
                 sessions.put(descriptor.id(), new RunnerSession(context, leader, epoch, runner, false, nowNanos));
                 notOnRoster.add(descriptor.id());
+            } else {
+                session.onDirectoryRead();
             }
         }
         for (FleetRunner runner : context.fleet().runners()) {
--- a/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetFixture.java
@@ -47,11 +47,24 @@
         reportStatus(runner, 1, activeRuns, endedRuns);
     }
 
+    /** Reports the status of a process whose directory entry has been read. */
     void reportStatus(
             FleetRunner runner,
             long processStartEpochMs,
             List<RunnerStatus.ActiveRun> activeRuns,
             List<RunnerStatus.EndedRun> endedRuns) {
+        if (!runner.descriptor().mayDescribe(processStartEpochMs)) {
+            fleet.runnerRegistered(RunnerEntries.ofProcess(runner.descriptor(), processStartEpochMs));
+        }
+        reportStatusBeforeEntry(runner, processStartEpochMs, activeRuns, endedRuns);
+    }
+
+    /** Reports the status of a process whose directory entry need not have been read. */
+    void reportStatusBeforeEntry(
+            FleetRunner runner,
+            long processStartEpochMs,
+            List<RunnerStatus.ActiveRun> activeRuns,
+            List<RunnerStatus.EndedRun> endedRuns) {
         advanceMs(1);
         long requestSentNanos = nowNanos;
         advanceMs(1);
--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -299,7 +299,8 @@
     private Leader newLeader(long epoch) {
         Leader next = new Leader(epoch, nowMs, this::nowNanos);
         for (SimulatedRunner runner : runners.values()) {
-            RunnerDescriptor descriptor = FleetFixture.descriptor(runner.id(), 3_000);
+            RunnerDescriptor descriptor =
+                    RunnerEntries.ofProcess(FleetFixture.descriptor(runner.id(), 3_000), runner.processStartEpochMs());
             if (defect != Defect.NO_WAIT_FOR_SILENT_RUNNERS) {
                 next.fleet.expectStatus(descriptor);
             }
@@ -369,6 +370,10 @@
         session.runnerLost = false;
         session.processGoneMs = 0;
         FleetRunner fleetRunner = fleetRunnerOf(actingLeader, runner);
+        if (!fleetRunner.descriptor().mayDescribe(status.processStartEpochMs())) {
+            actingLeader.fleet.runnerRegistered(
+                    RunnerEntries.ofProcess(fleetRunner.descriptor(), status.processStartEpochMs()));
+        }
         for (RunnerStatus.EndedRun end : status.endedRuns()) {
             if (end.reason() == EndReason.DONE) {
                 reportedDone.put(end.task(), runner.id());
--- a/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
+++ b/src/test/java/org/tamarackline/fleet/BusyRunnerTest.java
@@ -32,7 +32,12 @@
     private final SimulatedStoreClient.Link link = new SimulatedStoreClient.Link(new Random(1), 500);
     private final SimulatedStoreClient client = new SimulatedStoreClient(loop, loop, store, link);
     private final ProtocolRunner runner = new ProtocolRunner(
-            "r", "r:80", loop, new RecordingObserver(), ProtocolRunner.Properties.DEFAULT.withMaxRuns(64));
+            "r",
+            "r:80",
+            loop,
+            new RecordingObserver(),
+            ProtocolRunner.Properties.DEFAULT,
+            ProtocolRunner.Kind.DEFAULT.withMaxRuns(64));
     private final Map<TaskKey, Long> unacknowledgedEndsNanos = new HashMap<>();
     private long longestWaitNanos;
     private int acknowledgedEnds;
--- a/src/test/java/org/tamarackline/fleet/ClusterFaults.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterFaults.java
@@ -19,6 +19,11 @@
         LEADER_CHANGES,
         /** Many jobs are cancelled while connections go silent and leaders end ({@link ConnectionLosses}). */
         CANCELLATIONS,
+        /**
+         * Runners without a guard of their capacity restart as other kinds, while leaders replace each other and jobs are
+         * cancelled ({@link RunnerChanges}).
+         */
+        RUNNER_CHANGES,
         /** The store answers reads, but not all transactions, with calm times between ({@link WriteFailures}). */
         WRITE_FAILURES
     }
@@ -113,6 +118,11 @@
                     (faults, runner, node) -> faults.failStore(
                             SimulatedStore.Availability.SILENT, faults.between(500, MAX_BRIDGED_OUTAGE_MS))));
 
+    /** Share of the responses of runners that are late while these change. */
+    private static final double LATE_RESPONSES = 0.05;
+
+    private static final int MAX_RESPONSE_DELAY_MS = 800;
+
     private static final int MIN_RUNNERS = 5;
     private static final int MAX_RUNNERS = 9;
 
@@ -145,7 +155,7 @@
         return switch (profile) {
             case ALL_KINDS -> ALL_KINDS;
             case STORE_OUTAGES -> STORE_OUTAGES;
-            case LEADER_CHANGES, CANCELLATIONS, WRITE_FAILURES -> List.of();
+            case LEADER_CHANGES, CANCELLATIONS, RUNNER_CHANGES, WRITE_FAILURES -> List.of();
         };
     }
 
@@ -164,6 +174,10 @@
             new ConnectionLosses(cluster, this, random).start();
             return;
         }
+        if (profile == Profile.RUNNER_CHANGES) {
+            new RunnerChanges(cluster, this, random).start();
+            return;
+        }
         if (profile == Profile.WRITE_FAILURES) {
             new WriteFailures(cluster, this, random).start();
             return;
@@ -226,7 +240,7 @@
      * or the store does not serve the nodes. While it fails the transactions of one node only, another one is to lead.
      */
     boolean inEffect() {
-        return (active && disturbed)
+        return (active && (disturbed || profile == Profile.RUNNER_CHANGES))
                 || cluster.store().availability() != SimulatedStore.Availability.AVAILABLE
                 || !cluster.store().additionalLatency().isZero()
                 || nodesWithFailingWrites() > 1;
@@ -247,6 +261,10 @@
         if (cut) {
             return delivery(ProtocolRunnerCalls.Fate.CALL_LOST, request, response);
         }
+        if (active && profile == Profile.RUNNER_CHANGES && draw < LATE_RESPONSES) {
+            Duration late = Duration.ofMillis((long) (own.nextDouble() * MAX_RESPONSE_DELAY_MS));
+            return delivery(ProtocolRunnerCalls.Fate.ANSWERED, request, response.plus(late));
+        }
         if (!active || !disturbed) {
             return delivery(ProtocolRunnerCalls.Fate.ANSWERED, request, response);
         }
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -64,6 +64,15 @@
         assertThat(simulation.history().violations()).isEmpty();
     }
 
+    /** Guards against starts on a runner that has restarted as another kind. */
+    @Property(tries = 40, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void startsFitTheirRunnersAlthoughTheseAndTheLeadersChange(@ForAll long seed) {
+        ClusterSimulation simulation =
+                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.RUNNER_CHANGES, false);
+        simulation.run();
+        assertThat(simulation.history().violations()).isEmpty();
+    }
+
     /** Guards against failures that cannot be reproduced. */
     @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
     void sameSeedGivesTheSameEvents(@ForAll long seed) {
@@ -74,7 +83,15 @@
     @ParameterizedTest
     @EnumSource(
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"NONE", "LEASE_ENDS_FORGOTTEN", "STOPS_LOST", "CANCELLATIONS_HIDDEN", "FAILED_WRITES_HIDDEN"})
+            names = {
+                "NONE",
+                "LEASE_ENDS_FORGOTTEN",
+                "STOPS_LOST",
+                "CANCELLATIONS_HIDDEN",
+                "ENTRIES_WITHOUT_PROCESS",
+                "STOPPING_RUNS_HIDDEN",
+                "FAILED_WRITES_HIDDEN"
+            })
     void detectsADefectOfTheEnvironment(ClusterSimulation.Defect defect) {
         assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
                 .anyMatch(seed -> !violations(seed, defect, ClusterFaults.Profile.ALL_KINDS)
@@ -119,6 +136,14 @@
                 .anyMatch(seed -> breaks(rule, seed, defect, ClusterFaults.Profile.STORE_OUTAGES));
     }
 
+    /** Checks that the simulation detects starts that do not fit their runner. */
+    @ParameterizedTest
+    @CsvSource("ENTRIES_WITHOUT_PROCESS, STARTED_ON_WRONG_RUNNER")
+    void detectsStartsThatDoNotFitTheirRunner(ClusterSimulation.Defect defect, RunHistory.Rule rule) {
+        assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
+                .anyMatch(seed -> breaks(rule, seed, defect, ClusterFaults.Profile.RUNNER_CHANGES));
+    }
+
     /** Returns whether a seed breaks a rule with a defect, and none without. */
     private static boolean breaks(
             RunHistory.Rule rule, long seed, ClusterSimulation.Defect defect, ClusterFaults.Profile profile) {
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -18,6 +18,7 @@
 import org.tamarackline.core.fleet.EndReason;
 import org.tamarackline.core.fleet.JobDefinition;
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.RunnerEntries;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.TaskKey;
 import org.tamarackline.logging.LineSink;
@@ -56,6 +57,10 @@
         STOPS_LOST,
         /** The store shows no cancellations to the nodes that follow the jobs. */
         CANCELLATIONS_HIDDEN,
+        /** The directory does not tell of which process of a runner an entry is. */
+        ENTRIES_WITHOUT_PROCESS,
+        /** Runners do not report the runs that are being stopped. */
+        STOPPING_RUNS_HIDDEN,
         /** Nodes tell each other that the store answers their transactions, whether or not it does. */
         FAILED_WRITES_HIDDEN
     }
@@ -95,6 +100,14 @@
     /** Time for several losses of connections, each alone or near the loss of a leader. */
     private static final Duration CANCELLATIONS_TIME = Duration.ofSeconds(80);
 
+    /** Time for many restarts of runners as other kinds, each near one of the leader. */
+    private static final Duration RUNNER_CHANGES_TIME = Duration.ofSeconds(60);
+
+    /** Largest number of runs that fit on a runner which may restart as another kind. */
+    private static final int MAX_RUNS_OF_A_KIND = 4;
+
+    private static final int RACKS = 2;
+
     /** Number of nodes of which some do not come back, or of which some lack the capacity to lead. */
     private static final int MANY_NODES = 5;
 
@@ -150,6 +163,9 @@
     private long faultsEndNanos = Long.MAX_VALUE;
     private long lastStandstillNanos;
     private int runnerCount;
+    /** Number of runners that have restarted at another address. */
+    private int moves;
+
     private long settledEpoch;
 
     /** Creates a simulation with all kinds of faults. */
@@ -271,10 +287,13 @@
         if (progressRejected) {
             store.setRejectedWrites(ClusterSimulation::isProgressOfEveryTenthJob);
         }
-        if (profile == ClusterFaults.Profile.CANCELLATIONS) {
-            callers.startCancellingEverySecond(this::faultsEnded);
-        } else {
-            callers.start(this::faultsEnded);
+        switch (profile) {
+            case CANCELLATIONS -> callers.startCancellingEverySecond(this::faultsEnded);
+            case RUNNER_CHANGES -> {
+                callers.startCancellingEverySecond(this::faultsEnded);
+                callers.startCancellingEverySecond(this::faultsEnded);
+            }
+            default -> callers.start(this::faultsEnded);
         }
         sample();
         loop.advance(faultyTime());
@@ -288,7 +307,7 @@
     private int nodeCount() {
         return switch (profile) {
             case LEADER_CHANGES, WRITE_FAILURES -> MANY_NODES;
-            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS -> NODES;
+            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS, RUNNER_CHANGES -> NODES;
         };
     }
 
@@ -298,7 +317,7 @@
             // Each node may have to lead after a few changes.
             case LEADER_CHANGES -> MAX_LEADER_STEP_MICROS;
             case WRITE_FAILURES -> MIXED_NODES_STEP_MICROS;
-            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS -> MAX_STEP_MICROS + FAST_STEP_MICROS;
+            case ALL_KINDS, STORE_OUTAGES, CANCELLATIONS, RUNNER_CHANGES -> MAX_STEP_MICROS + FAST_STEP_MICROS;
         };
     }
 
@@ -307,6 +326,7 @@
             case WRITE_FAILURES -> WRITE_FAILURES_TIME;
             case LEADER_CHANGES -> LEADER_CHANGES_TIME;
             case CANCELLATIONS -> CANCELLATIONS_TIME;
+            case RUNNER_CHANGES -> RUNNER_CHANGES_TIME;
             case ALL_KINDS, STORE_OUTAGES -> FAULTY_TIME;
         };
     }
@@ -373,8 +393,9 @@
                         millis(properties.nextInt((int) CancelledJobs.MAX_STOP_TIME.toMillis())),
                         defect != Defect.RUNNERS_IGNORE_EPOCHS,
                         defect != Defect.LEASES_DO_NOT_EXPIRE,
-                        ProtocolRunner.Properties.DEFAULT.maxRuns(),
-                        defect != Defect.STOPS_LOST),
+                        defect != Defect.STOPS_LOST,
+                        true,
+                        defect != Defect.STOPPING_RUNS_HIDDEN),
                 kind);
         runnersByAddress.put(address, runner);
         registerProcess(runner);
@@ -392,7 +413,19 @@
         boolean small = number % SMALL_SERVICE_RUNNERS_ONE_IN == SMALL_SERVICE_RUNNERS_ONE_IN - 1;
         return new ProtocolRunner.Kind(
                 (small ? SimulatedJobs.SMALL_QUEUE : SimulatedJobs.QUEUE).service(),
-                number % LABELLED_RUNNERS_ONE_IN == 0 ? Set.of(SimulatedJobs.LABEL) : Set.of());
+                number % LABELLED_RUNNERS_ONE_IN == 0 ? Set.of(SimulatedJobs.LABEL) : Set.of(),
+                ProtocolRunner.Kind.DEFAULT.rack(),
+                ProtocolRunner.Kind.DEFAULT.maxRuns());
+    }
+
+    /** Returns a kind that a runner may restart as. */
+    private static ProtocolRunner.Kind drawKind(Random own) {
+        return new ProtocolRunner.Kind(
+                (own.nextInt(SMALL_SERVICE_RUNNERS_ONE_IN) == 0 ? SimulatedJobs.SMALL_QUEUE : SimulatedJobs.QUEUE)
+                        .service(),
+                own.nextInt(LABELLED_RUNNERS_ONE_IN) == 0 ? Set.of(SimulatedJobs.LABEL) : Set.of(),
+                "r1-" + own.nextInt(RACKS),
+                1 + own.nextInt(MAX_RUNS_OF_A_KIND));
     }
 
     /** Returns whether there are runners that stay for each service and label that tasks need. */
@@ -423,6 +456,28 @@
         });
     }
 
+    /**
+     * Ends a runner's process and starts one of another kind under its identifier, sometimes at another address. Its entry
+     * is in the directory before it answers, or some time after.
+     */
+    void restartRunnerAsOtherKind(ProtocolRunner runner, Duration downtime, Random own) {
+        runner.crash();
+        loop.schedule(downtime, () -> {
+            if (runner.up() || runnersByAddress.get(runner.address()) != runner) {
+                return;
+            }
+            runnersByAddress.remove(runner.address());
+            String address = own.nextInt(3) == 0 ? "10.0.2." + moves++ + ":80" : runner.address();
+            runner.bootAs(drawKind(own), address);
+            runnersByAddress.put(address, runner);
+            history.processStarted(runner);
+            Duration silence = millis(own.nextInt(3) == 0 ? 200 + own.nextInt(1_300) : 0);
+            nodes.forEach(node -> setRunnerCut(node, address, true));
+            loop.schedule(silence, () -> nodes.forEach(node -> setRunnerCut(node, address, false)));
+            register(runner, Duration.ZERO, millis(1_500));
+        });
+    }
+
     /** Ends a runner's process for good; its directory entry is removed after a delay. */
     void removeRunner(ProtocolRunner runner) {
         runner.crash();
@@ -453,6 +508,9 @@
 
     /** Updates the directory as each node sees it, after a delay of its own. */
     private void updateDirectory(String id, Optional<RunnerDescriptor> entry, Duration minDelay, Duration maxDelay) {
+        Optional<RunnerDescriptor> shown = defect == Defect.ENTRIES_WITHOUT_PROCESS
+                ? entry.map(runner -> RunnerEntries.ofProcess(runner, 0))
+                : entry;
         long sequence = directorySequences.merge(id, 1L, Long::sum);
         for (SimulatedNode node : nodes) {
             long delayMs = minDelay.toMillis()
@@ -461,7 +519,7 @@
                 if (directorySequences.get(id) == sequence) {
                     leavingRunners.onEntry(
                             node, id, entry.filter(RunnerDescriptor::draining).isPresent());
-                    applyToDirectory(node.storeLink().directory(), id, entry);
+                    applyToDirectory(node.storeLink().directory(), id, shown);
                 }
             });
         }
--- a/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
+++ b/src/test/java/org/tamarackline/fleet/FakeRunnerCalls.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 
 import org.tamarackline.core.fleet.RunnerDescriptor;
+import org.tamarackline.core.fleet.RunnerEntries;
 import org.tamarackline.core.fleet.RunnerStatus;
 import org.tamarackline.core.fleet.StartResult;
 import org.tamarackline.core.fleet.TaskKey;
@@ -105,6 +106,11 @@
         processStartsMs.merge(runner, 2L, (current, first) -> current + 1);
     }
 
+    /** Returns the entry of a runner's present process. */
+    RunnerDescriptor entryOfProcess(RunnerDescriptor runner) {
+        return RunnerEntries.ofProcess(runner, processStartsMs.getOrDefault(runner.id(), 1L));
+    }
+
     /** Removes all runs of a runner without reporting that they ended. */
     void removeRuns(String runner) {
         activeRuns.remove(runner);
--- a/src/test/java/org/tamarackline/fleet/LeaderFixture.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderFixture.java
@@ -34,6 +34,7 @@
     private final ProtocolRunnerCalls calls = new ProtocolRunnerCalls(loop, loop, new FaultFreeConnections());
     private final FixtureDirectory directory = new FixtureDirectory();
     private final List<TaskKey> starts = new ArrayList<>();
+    private final Map<String, List<TaskKey>> startsByAddress = new TreeMap<>();
     private final Map<String, Long> lastStartsNanos = new TreeMap<>();
     private final Set<TaskKey> running = new HashSet<>();
     private final List<RunnerStatus.EndedRun> acknowledgedEnds = new ArrayList<>();
@@ -46,12 +47,13 @@
 
     /** Creates a fixture whose leader is not started yet. */
     LeaderFixture(int runnerCount, int runsPerRunner) {
-        ProtocolRunner.Properties properties = ProtocolRunner.Properties.DEFAULT.withMaxRuns(runsPerRunner);
+        ProtocolRunner.Properties properties = ProtocolRunner.Properties.DEFAULT;
+        ProtocolRunner.Kind kind = ProtocolRunner.Kind.DEFAULT.withMaxRuns(runsPerRunner);
         for (int i = 0; i < runnerCount; i++) {
             String address = addressOf(i);
             // As long as the identifiers of large fleets.
             String id = "runner-of-a-large-fleet-%03d".formatted(i);
-            runners.put(address, new ProtocolRunner(id, address, loop, new RecordingObserver(), properties));
+            runners.put(address, new ProtocolRunner(id, address, loop, new RecordingObserver(), properties, kind));
         }
     }
 
@@ -60,6 +62,9 @@
         @Override
         public void started(ProtocolRunner on, TaskKey task, long runNumber, long startEpoch) {
             starts.add(task);
+            startsByAddress
+                    .computeIfAbsent(on.address(), address -> new ArrayList<>())
+                    .add(task);
             lastStartsNanos.put(on.address(), loop.nowNanos());
             running.add(task);
         }
@@ -181,6 +186,21 @@
         directory.silentConnections = silentConnections;
     }
 
+    /** Ends the process of a runner; its entry stays in the directory. */
+    void crashRunner(int number) {
+        runners.get(addressOf(number)).crash();
+    }
+
+    /** Starts a process of a runner that has crashed; the directory has its entry at once. */
+    void bootRunnerAs(int number, ProtocolRunner.Kind kind) {
+        runners.get(addressOf(number)).bootAs(kind, addressOf(number));
+    }
+
+    /** Returns the tasks that a runner has started, once for each start. */
+    List<TaskKey> startsOn(int number) {
+        return startsByAddress.getOrDefault(addressOf(number), List.of());
+    }
+
     /** Returns when a runner last started a run, on the clock of the fixture. */
     long lastStartNanos(int number) {
         return lastStartsNanos.getOrDefault(addressOf(number), 0L);
--- a/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
+++ b/src/test/java/org/tamarackline/fleet/LeaderTakeoverTest.java
@@ -109,6 +109,7 @@
         loop.advance(Duration.ofMillis(1_200));
         assertThat(startsOf("j")).as("while the store rejects calls").hasSize(1);
         store.setRejecting(false);
+        registered.replaceAll(calls::entryOfProcess);
         loop.advance(Duration.ofSeconds(2));
         assertThat(startsOf("j")).extracting(FakeRunnerCalls.SentStart::runner).containsExactly("b", "a");
     }
--- a/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
+++ b/src/test/java/org/tamarackline/fleet/ProtocolRunner.java
@@ -65,8 +65,9 @@
      * @param stopTime time from a stop to the end of the run
      * @param checksEpochs whether the runner rejects commands of lower epochs
      * @param leasesExpire whether runs end with the lease
-     * @param maxRuns number of runs that fit on the runner
      * @param stopsRuns whether stops have an effect
+     * @param guardsCapacity whether the runner rejects starts that do not fit
+     * @param reportsStoppingRuns whether statuses contain the runs that are being stopped
      */
     record Properties(
             double clockRate,
@@ -74,31 +75,34 @@
             Duration stopTime,
             boolean checksEpochs,
             boolean leasesExpire,
-            int maxRuns,
-            boolean stopsRuns) {
+            boolean stopsRuns,
+            boolean guardsCapacity,
+            boolean reportsStoppingRuns) {
 
         static final Properties DEFAULT =
-                new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true, MAX_RUNS, true);
+                new Properties(1, MAX_REPORTED_ENDS, Duration.ZERO, true, true, true, true, true);
 
         Properties(
                 double clockRate, int maxReportedEnds, Duration stopTime, boolean checksEpochs, boolean leasesExpire) {
-            this(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, MAX_RUNS, true);
-        }
-
-        Properties withMaxRuns(int runs) {
-            return new Properties(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, runs, stopsRuns);
+            this(clockRate, maxReportedEnds, stopTime, checksEpochs, leasesExpire, true, true, true);
         }
     }
 
     /**
-     * What tasks a runner may run.
+     * What tasks a process of a runner may run.
      *
      * @param service service that the runner belongs to
      * @param labels labels of the runner
+     * @param rack rack of the runner, empty if unknown
+     * @param maxRuns number of runs that fit on the runner
      */
-    record Kind(String service, Set<String> labels) {
+    record Kind(String service, Set<String> labels, String rack, int maxRuns) {
+
+        static final Kind DEFAULT = new Kind("dispatch", Set.of(), "", MAX_RUNS);
 
-        static final Kind DEFAULT = new Kind("dispatch", Set.of());
+        Kind withMaxRuns(int runs) {
+            return new Kind(service, labels, rack, runs);
+        }
     }
 
     private record RunKey(TaskKey task, long number) {}
@@ -106,16 +110,17 @@
     private record ActiveRun(RunKey key, long startNanos, RunPlan plan) {}
 
     private final String id;
-    private final String address;
     private final ManualLoop loop;
     private final Observer observer;
     private final Properties properties;
-    private final Kind kind;
     private final Map<RunKey, ActiveRun> activeRuns = new LinkedHashMap<>();
     private final Map<TaskKey, Long> highestRunNumbers = new HashMap<>();
     private final List<RunnerStatus.EndedRun> endedRuns = new ArrayList<>();
     private final Set<RunnerStatus.EndedRun> endsBeforeLeaseExpiry = new HashSet<>();
     private final List<Runnable> endListeners = new ArrayList<>();
+    private final Set<RunKey> stoppingRuns = new HashSet<>();
+    private Kind kind;
+    private String address;
     private boolean up = true;
     private boolean draining;
     private long processStartEpochMs;
@@ -153,9 +158,9 @@
     }
 
     RunnerDescriptor descriptor() {
-        Resources capacity = new Resources(1_000L * properties.maxRuns(), 64_000, 0);
+        Resources capacity = new Resources(1_000L * kind.maxRuns(), 64_000, 0);
         return new RunnerDescriptor(
-                id, processStartEpochMs, kind.service(), address, "dc", "", draining, capacity, kind.labels());
+                id, processStartEpochMs, kind.service(), address, "dc", kind.rack(), draining, capacity, kind.labels());
     }
 
     /** Restarts the process. */
@@ -171,6 +176,7 @@
         }
         up = false;
         activeRuns.clear();
+        stoppingRuns.clear();
         highestRunNumbers.clear();
         endedRuns.clear();
         endsBeforeLeaseExpiry.clear();
@@ -190,6 +196,18 @@
         processStartNanos = loop.nowNanos();
     }
 
+    /** Starts a new process of another kind, which may have another address. */
+    void bootAs(Kind nextKind, String nextAddress) {
+        kind = nextKind;
+        address = nextAddress;
+        boot();
+    }
+
+    /** Returns whether the runs on the process exceed its capacity. */
+    boolean overCapacity() {
+        return activeRuns.size() > kind.maxRuns();
+    }
+
     /** Announces that the process will end. */
     void drain() {
         draining = true;
@@ -249,7 +267,7 @@
         if (leaseEndMs <= clockMs() || number <= highestRunNumbers.getOrDefault(task, 0L)) {
             return StartResult.REFUSED;
         }
-        if (activeRuns.size() >= properties.maxRuns()) {
+        if (properties.guardsCapacity() && activeRuns.size() >= kind.maxRuns()) {
             return StartResult.NO_ROOM;
         }
         ActiveRun run = new ActiveRun(key, loop.nowNanos(), plan);
@@ -276,6 +294,7 @@
         highestRunNumbers.merge(task, number, Math::max);
         ActiveRun active = activeRuns.get(new RunKey(task, number));
         if (active != null) {
+            stoppingRuns.add(active.key());
             endLater(active, properties.stopTime(), EndReason.STOPPED);
         }
     }
@@ -292,6 +311,7 @@
         TaskKey task = run.key().task();
         long number = run.key().number();
         activeRuns.remove(run.key());
+        stoppingRuns.remove(run.key());
         highestRunNumbers.merge(task, number, Math::max);
         RunnerStatus.EndedRun end = new RunnerStatus.EndedRun(++lastEndNumber, task, number, reason, "");
         endedRuns.add(end);
@@ -324,8 +344,10 @@
     }
 
     RunnerStatus status() {
-        List<RunnerStatus.ActiveRun> active =
-                activeRuns.values().stream().map(this::describe).toList();
+        List<RunnerStatus.ActiveRun> active = activeRuns.values().stream()
+                .filter(run -> properties.reportsStoppingRuns() || !stoppingRuns.contains(run.key()))
+                .map(this::describe)
+                .toList();
         List<RunnerStatus.EndedRun> ended =
                 endedRuns.subList(0, Math.min(endedRuns.size(), properties.maxReportedEnds()));
         return new RunnerStatus(processStartEpochMs, clockMs(), active, ended);
--- a/src/test/java/org/tamarackline/fleet/RunHistory.java
+++ b/src/test/java/org/tamarackline/fleet/RunHistory.java
@@ -47,6 +47,8 @@
         STARTED_BEFORE_DEPENDENCIES,
         /** A start on a runner of another service, without the label of the step, or beyond its share of the step. */
         STARTED_ON_WRONG_RUNNER,
+        /** A start that brings a runner over its capacity, with the runs that are being stopped. */
+        STARTED_OVER_CAPACITY,
         /** A start sent long after the job was withdrawn, or an acceptance of it. */
         WITHDRAWN_JOB_ACCEPTED,
         /** A start after as many acknowledged failures as the queue permits. */
@@ -293,6 +295,9 @@
         history.starts.add(start);
         history.live.add(start);
         checkRunner(task, start, runner.descriptor());
+        if (runner.overCapacity()) {
+            report(Rule.STARTED_OVER_CAPACITY, text(task), start.toString());
+        }
         checkWithdrawal(task, start);
         if (!stepOf(task).longRunning()) {
             checkEarlierEnds(task, history, start);
--- a/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerSessionTest.java
@@ -67,6 +67,9 @@
             session.onLeadershipConfirmed();
         }
 
+        @Override
+        public void requestDirectoryRead() {}
+
         @Override
         public void requestSchedulingRound() {}
 
@@ -301,6 +304,7 @@
         loop.advance(Duration.ofMillis(1));
         calls.restart("r");
         startLongRunningTask();
+        fleet.runnerRegistered(calls.entryOfProcess(descriptor));
         loop.advance(Duration.ofMillis(100));
         startReadyTasks();
         loop.advance(Duration.ofMillis(100));
