Count the runs that a runner has and the leader does not own

Cause: the free capacity came from the runs that the leader wants. A run that a runner reports and the leader does not adopt was known only to the list of stops.

Change: OrphanedRuns tracks these runs for each runner until their end is listed, a later status does not contain them, or the process has ended. They take room, and count for the limit of their step. If the size of one is not known, its runner gets no starts. The same holds for the runs of held jobs, and for a start that was given up, from its confirmed stop to the next status. The room is checked again before a start is sent.

Runners in the profile RUNNER_CHANGES no longer guard their capacity; a defect switch hides the runs that are being stopped.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -177,6 +177,7 @@
         }
         runner.statusKnown = false;
         runner.heldRuns.clear();
+        runner.orphanedRuns.clear();
         pendingStops.removeAll(runner);
         runner.onProcessEnded(clock.nowNanos());
         for (Run run : runner.snapshotOfRuns()) {
@@ -195,11 +196,6 @@
         return Collections.unmodifiableCollection(runners.values());
     }
 
-    /** Returns whether a runner has reported runs that this leader does not know and that must end. */
-    public boolean hasUnknownRuns(FleetRunner runner) {
-        return pendingStops.includeUnknownRuns(runner);
-    }
-
     /** Returns the number of runners that may run tasks of an earlier leader and have not reported their status. */
     public int unreportedRunners() {
         return unreportedRunners.count();
@@ -253,6 +249,7 @@
             }
         }
         pendingStops.retainUnknownRuns(runner, reported);
+        runner.orphanedRuns.retainReported(reported, requestSentNanos);
         stopUnresolvedStarts(runner, nowNanos);
         evictStalledRuns(runner, nowNanos);
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
@@ -314,11 +311,13 @@
         }
     }
 
-    /** Records that a start which was given up can no longer take effect. */
-    private void resolveStart(FleetRunner runner, FleetRunner.RunKey start) {
-        if (runner.unresolvedStarts.remove(start) != null) {
+    /** Records that a start which was given up can no longer take effect; returns whether it could before. */
+    private boolean resolveStart(FleetRunner runner, FleetRunner.RunKey start) {
+        boolean unresolved = runner.unresolvedStarts.remove(start) != null;
+        if (unresolved) {
             pendingStops.removeUnresolvedStart(runner, start);
         }
+        return unresolved;
     }
 
     private void evictStalledRuns(FleetRunner runner, long nowNanos) {
@@ -357,6 +356,7 @@
     private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
         pendingStops.retainUnknownRuns(runner, Set.of());
         runner.heldRuns.clear();
+        runner.orphanedRuns.clear();
         for (Run run : runner.snapshotOfRuns()) {
             if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
                 endRunOfEarlierIncarnation(run);
@@ -381,15 +381,16 @@
 
     private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
         if (jobs.held().contains(entry.task().job())) {
-            runner.heldRuns.put(new FleetRunner.RunKey(entry.task(), entry.runNumber()), entry);
+            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
+            runner.heldRuns.put(key, entry);
+            runner.orphanedRuns.addReported(key, jobs.held().reservation(entry.task()), nowNanos);
             return;
         }
         Run run = runner.find(entry.task(), entry.runNumber());
         if (run == null) {
-            run = adopt(runner, entry, nowNanos);
+            run = adoptOrStop(runner, entry, nowNanos);
         }
         if (run == null) {
-            pendingStops.add(runner, new FleetRunner.RunKey(entry.task(), entry.runNumber()), StopCause.UNKNOWN_RUN);
             return;
         }
         run.reportedAt(clockMs);
@@ -415,12 +416,23 @@
             for (RunnerStatus.ActiveRun entry : List.copyOf(runner.heldRuns.values())) {
                 if (entry.task().job().equals(definition.id())) {
                     runner.heldRuns.remove(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
-                    adopt(runner, entry, nowNanos);
+                    adoptOrStop(runner, entry, nowNanos);
                 }
             }
         }
     }
 
+    /** Adopts a run that an earlier leader started; if it must end, has it stopped and returns null. */
+    private Run adoptOrStop(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+        Run adopted = adopt(runner, entry, nowNanos);
+        if (adopted == null) {
+            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
+            pendingStops.add(runner, key, StopCause.UNKNOWN_RUN);
+            runner.orphanedRuns.addReported(key, jobs.reservation(entry.task()), nowNanos);
+        }
+        return adopted;
+    }
+
     /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
     private Run adopt(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
         Task task = jobs.findReportedTask(entry.task());
@@ -440,6 +452,7 @@
         task.inheritedRunners.remove(runner.id());
         run.adopted = true;
         pendingStops.remove(runner, run.key());
+        runner.orphanedRuns.remove(run.key());
         runner.add(run);
         jobs.updateReadiness(task);
         observer.runAdopted(run);
@@ -449,6 +462,7 @@
     private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
         FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
         resolveStart(runner, key);
+        runner.orphanedRuns.remove(key);
         if (jobs.held().contains(end.task().job())) {
             runner.heldRuns.remove(key);
             if (jobs.held().addEnd(end)) {
@@ -546,7 +560,7 @@
     /** Makes the tasks ready again whose runner has changed since they were placed and does not accept the start. */
     private void replacePendingStarts() {
         for (Run run : pendingStarts.stored()) {
-            if (!run.runner().acceptsStartOf(run.task())) {
+            if (!mayStartOnItsRunner(run)) {
                 removeRun(run);
             }
         }
@@ -573,7 +587,11 @@
     public boolean maySendStart(Run run) {
         return run.phase == Run.Phase.STARTING
                 && run.runner().find(run.task().key(), run.number()) == run
-                && run.runner().acceptsStartOf(run.task());
+                && mayStartOnItsRunner(run);
+    }
+
+    private static boolean mayStartOnItsRunner(Run run) {
+        return run.runner().acceptsStartOf(run.task()) && run.runner().hasRoomFor(run);
     }
 
     /**
@@ -633,8 +651,12 @@
 
     /** Records that a runner confirmed a stop; the run can no longer start there. */
     public void applyStopConfirmation(FleetRunner runner, TaskKey task, long runNumber, long nowNanos) {
-        resolveStart(runner, new FleetRunner.RunKey(task, runNumber));
+        FleetRunner.RunKey key = new FleetRunner.RunKey(task, runNumber);
         Run run = runner.find(task, runNumber);
+        if (resolveStart(runner, key) && run == null) {
+            // The start may have taken effect since the last status, and its run takes some time to end.
+            runner.orphanedRuns.addPossible(key, jobs.reservation(task), nowNanos);
+        }
         if (run != null && !run.stopConfirmed) {
             run.stopConfirmed = true;
             run.stopConfirmedNanos = nowNanos;
--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -51,6 +51,8 @@
     final Map<RunKey, Run> runs = new HashMap<>();
     /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
     final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
+
+    final OrphanedRuns orphanedRuns = new OrphanedRuns();
     /** Value of {@link #unresolvedStarts} for a start of which no stop was requested. */
     static final long NOT_STOPPED = -1;
 
@@ -96,6 +98,16 @@
         return statusKnown;
     }
 
+    /** Returns whether the runner has runs that are not among the leader's own, or may have. */
+    public boolean hasOrphanedRuns() {
+        return !orphanedRuns.isEmpty();
+    }
+
+    /** Returns whether only a further status can tell which runs the runner has. */
+    public boolean mayHaveUnreportedRuns() {
+        return orphanedRuns.includeUnreported();
+    }
+
     /** Returns whether the runner has any run that the leader knows, or one of a held job. */
     public boolean busy() {
         return !runs.isEmpty() || !heldRuns.isEmpty();
@@ -143,6 +155,9 @@
         if (acknowledgementOverdue) {
             return StartBlock.ACKNOWLEDGEMENT_OVERDUE;
         }
+        if (orphanedRuns.includeUnknownSize()) {
+            return StartBlock.RUNS_OF_UNKNOWN_SIZE;
+        }
         return hasUnresolvedStarts() ? StartBlock.UNRESOLVED_STARTS : StartBlock.NONE;
     }
 
@@ -231,7 +246,15 @@
     }
 
     Resources free() {
-        return descriptor.capacity().minus(reserved);
+        Resources free = descriptor.capacity().minus(reserved);
+        return orphanedRuns.isEmpty() ? free : free.minus(orphanedRuns.reserved());
+    }
+
+    /** Returns whether a run that is placed on the runner fits there, beside all that the runner has by now. */
+    boolean hasRoomFor(Run placed) {
+        int maxPerRunner = placed.task().step().maxPerRunner();
+        boolean withinStepLimit = maxPerRunner == 0 || runsOfStep(placed.task().key()) <= maxPerRunner;
+        return withinStepLimit && Resources.NONE.fitsIn(free());
     }
 
     long reservedMillis() {
@@ -244,12 +267,9 @@
     }
 
     int runsOfStep(TaskKey task) {
-        int count = 0;
+        int count = orphanedRuns.countOfStep(task);
         for (RunKey key : runs.keySet()) {
-            TaskKey other = key.task();
-            if (other.step() == task.step()
-                    && other.occurrence() == task.occurrence()
-                    && other.job().equals(task.job())) {
+            if (key.task().sameStep(task)) {
                 count++;
             }
         }
--- a/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
+++ b/src/main/java/org/tamarackline/core/fleet/HeldJobs.java
@@ -6,8 +6,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
+import org.tamarackline.core.model.Resources;
+
 /**
  * Tracks the held jobs, whose records in the store cannot be read, and the ends of their runs.
  *
@@ -17,6 +20,9 @@
 public final class HeldJobs {
 
     private final Map<String, Set<HeldEnd>> endsOfHeldJobs = new LinkedHashMap<>();
+    /** Definitions of those held jobs whose own record can be read. */
+    private final Map<String, JobDefinition> definitions = new HashMap<>();
+
     private final Set<String> cancellations = new LinkedHashSet<>();
     private final Set<HeldEnd> unstoredEnds = new LinkedHashSet<>();
     /** Stored ends of jobs that are not held. */
@@ -41,6 +47,18 @@
         }
     }
 
+    /** Records the definition of a held job. */
+    void define(JobDefinition job) {
+        definitions.put(job.id(), job);
+    }
+
+    /** Returns the resources that a task of a held job takes, empty if they are not known. */
+    Optional<Resources> reservation(TaskKey task) {
+        return Optional.ofNullable(definitions.get(task.job()))
+                .filter(job -> task.step() < job.steps().size())
+                .map(job -> job.steps().get(task.step()).reservation());
+    }
+
     /** Returns whether a job is held. */
     public boolean contains(String job) {
         return endsOfHeldJobs.containsKey(job);
@@ -78,6 +96,7 @@
 
     /** Stops holding a job that is loaded now, and returns its ends, which become obsolete with its stored progress. */
     Collection<HeldEnd> release(String job) {
+        definitions.remove(job);
         Set<HeldEnd> ends = endsOfHeldJobs.remove(job);
         if (ends != null) {
             unstoredEnds.removeAll(ends);
--- a/src/main/java/org/tamarackline/core/fleet/JobTracker.java
+++ b/src/main/java/org/tamarackline/core/fleet/JobTracker.java
@@ -11,6 +11,7 @@
 import java.util.SequencedSet;
 import java.util.Set;
 
+import org.tamarackline.core.model.Resources;
 import org.tamarackline.core.time.MonotonicClock;
 
 /**
@@ -87,6 +88,14 @@
         }
     }
 
+    /** Holds a job of which another record cannot be read. Does nothing if the job is known. */
+    public void hold(JobDefinition definition) {
+        hold(definition.id());
+        if (heldJobs.contains(definition.id())) {
+            heldJobs.define(definition);
+        }
+    }
+
     /**
      * Adds a job that is not held, or no longer, and applies the ends of its runs that were stored while it was held.
      *
@@ -475,6 +484,11 @@
         return findTask(key);
     }
 
+    /** Returns the resources that a task takes, empty if its job is not open. */
+    Optional<Resources> reservation(TaskKey key) {
+        return Optional.ofNullable(findTask(key)).map(task -> task.step().reservation());
+    }
+
     /** Returns a task of an open job, or null if there is none with this key. */
     Task findTask(TaskKey key) {
         Job job = jobs.get(key.job());
--- a/src/main/java/org/tamarackline/core/fleet/PendingStops.java
+++ b/src/main/java/org/tamarackline/core/fleet/PendingStops.java
@@ -98,11 +98,6 @@
         }
     }
 
-    /** Returns whether a runner has runs that the leader does not know and that must end. */
-    boolean includeUnknownRuns(FleetRunner runner) {
-        return of(runner).values().stream().anyMatch(stop -> stop.cause() == StopCause.UNKNOWN_RUN);
-    }
-
     private Map<RunKey, Sent> of(FleetRunner runner) {
         return stops.getOrDefault(runner, Map.of());
     }
--- a/src/main/java/org/tamarackline/core/fleet/StartBlock.java
+++ b/src/main/java/org/tamarackline/core/fleet/StartBlock.java
@@ -20,6 +20,8 @@
     UNCONFIRMED("the store has not confirmed the leader since the runner's process was found"),
     /** The runner keeps ended runs that should have been acknowledged long ago. */
     ACKNOWLEDGEMENT_OVERDUE("its ended runs are to be acknowledged first"),
+    /** The runner has runs whose size the leader does not know, such as those of a job that has ended. */
+    RUNS_OF_UNKNOWN_SIZE("it has runs whose size is not known"),
     /** A start that was given up may still take effect on the runner. */
     UNRESOLVED_STARTS("starts that were given up may still take effect there");
 
--- a/src/main/java/org/tamarackline/core/fleet/TaskKey.java
+++ b/src/main/java/org/tamarackline/core/fleet/TaskKey.java
@@ -10,6 +10,11 @@
  */
 public record TaskKey(String job, int occurrence, int step, int index) {
 
+    /** Returns whether another task is of the same step of the same occurrence. */
+    boolean sameStep(TaskKey other) {
+        return step == other.step && occurrence == other.occurrence && job.equals(other.job);
+    }
+
     @Override
     public String toString() {
         return job + "." + occurrence + "." + step + "." + index;
--- a/src/main/java/org/tamarackline/fleet/JobFeed.java
+++ b/src/main/java/org/tamarackline/fleet/JobFeed.java
@@ -290,7 +290,7 @@
     private void addOpenJob(JobDefinition job, boolean inherited, StoredProgress progress)
             throws CorruptRecordException {
         if (progress.unreadable(job.id())) {
-            jobs.hold(job.id());
+            jobs.hold(job);
         }
         if (jobs.held().contains(job.id())) {
             return;
@@ -299,7 +299,7 @@
             JobProgress stored = progress.of(job);
             jobs.addWithStoredEnds(job, stored, inherited, timeOfDay.millis());
         } catch (CorruptRecordException corrupt) {
-            jobs.hold(job.id());
+            jobs.hold(job);
             throw corrupt;
         }
     }
--- a/src/main/java/org/tamarackline/fleet/RunnerSession.java
+++ b/src/main/java/org/tamarackline/fleet/RunnerSession.java
@@ -287,6 +287,7 @@
     private boolean mayWaitForEnds() {
         return runner.statusKnown()
                 && runner.busy()
+                && !runner.mayHaveUnreportedRuns()
                 && !silent()
                 && runner.entryMayDescribeProcess();
     }
@@ -427,7 +428,7 @@
             return Duration.ZERO;
         }
         // Only a status tells which runs the runner has, or that one which the leader does not know is over.
-        return runner.busy() || context.fleet().hasUnknownRuns(runner)
+        return runner.busy() || runner.hasOrphanedRuns()
                 ? FleetConstants.POLL_RETRY_DELAY
                 : FleetConstants.IDLE_POLL_INTERVAL;
     }
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -64,7 +64,10 @@
         assertThat(simulation.history().violations()).isEmpty();
     }
 
-    /** Guards against starts on a runner that has restarted as another kind. */
+    /**
+     * Guards against starts on a runner that has restarted as another kind, and against starts over the capacity of a
+     * runner that does not guard it.
+     */
     @Property(tries = 40, seed = "4711", shrinking = ShrinkingMode.OFF)
     void startsFitTheirRunnersAlthoughTheseAndTheLeadersChange(@ForAll long seed) {
         ClusterSimulation simulation =
@@ -138,7 +141,7 @@
 
     /** Checks that the simulation detects starts that do not fit their runner. */
     @ParameterizedTest
-    @CsvSource("ENTRIES_WITHOUT_PROCESS, STARTED_ON_WRONG_RUNNER")
+    @CsvSource({"ENTRIES_WITHOUT_PROCESS, STARTED_ON_WRONG_RUNNER", "STOPPING_RUNS_HIDDEN, STARTED_OVER_CAPACITY"})
     void detectsStartsThatDoNotFitTheirRunner(ClusterSimulation.Defect defect, RunHistory.Rule rule) {
         assertThat(LongStream.range(0, SEEDS_PER_DEFECT))
                 .anyMatch(seed -> breaks(rule, seed, defect, ClusterFaults.Profile.RUNNER_CHANGES));
--- a/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSimulation.java
@@ -394,7 +394,7 @@
                         defect != Defect.RUNNERS_IGNORE_EPOCHS,
                         defect != Defect.LEASES_DO_NOT_EXPIRE,
                         defect != Defect.STOPS_LOST,
-                        true,
+                        profile != ClusterFaults.Profile.RUNNER_CHANGES,
                         defect != Defect.STOPPING_RUNS_HIDDEN),
                 kind);
         runnersByAddress.put(address, runner);
