Move the reconciliation of statuses out of Fleet

StatusReconciler applies what runners report, RunLifecycle has the transitions of runs that statuses, commands and decisions have in common. Methods are moved as they were. No change of behaviour.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.tamarackline.core.time.MonotonicClock;
 
@@ -39,6 +37,8 @@
     private final UnreportedRunners unreportedRunners = new UnreportedRunners();
     private final LongRunningWaits longRunningWaits;
     private final PendingStops pendingStops = new PendingStops();
+    private final RunLifecycle runs;
+    private final StatusReconciler statuses;
 
     /**
      * Creates a fleet without jobs and runners.
@@ -50,6 +50,8 @@
         this.observer = observer;
         this.clock = clock;
         this.jobs = new JobTracker(observer, clock, pendingStarts, this::stopAll);
+        this.runs = new RunLifecycle(jobs, pendingStarts, pendingStops, observer);
+        this.statuses = new StatusReconciler(jobs, runs, pendingStops, unreportedRunners, observer, clock);
         this.starter = new TaskStarter(
                 jobs, runnerSelector, unreportedRunners, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
         this.longRunningWaits =
@@ -96,7 +98,7 @@
         FleetRunner runner = runners.computeIfAbsent(descriptor.id(), id -> new FleetRunner(descriptor));
         runner.update(descriptor);
         if (descriptor.draining() || !runner.entryMayDescribeProcess()) {
-            removeUnsentRuns(runner);
+            runs.removeUnsent(runner);
         }
         return runner;
     }
@@ -106,7 +108,7 @@
         FleetRunner runner = runners.get(id);
         if (runner != null) {
             runner.registered = false;
-            removeUnsentRuns(runner);
+            runs.removeUnsent(runner);
         }
     }
 
@@ -115,7 +117,7 @@
         FleetRunner runner = runners.get(id);
         if (runner != null) {
             runner.silent = true;
-            removeUnsentRuns(runner);
+            runs.removeUnsent(runner);
         }
     }
 
@@ -157,15 +159,6 @@
         }
     }
 
-    /** Removes the runs on a runner whose start was not sent yet, so that their tasks start elsewhere. */
-    private void removeUnsentRuns(FleetRunner runner) {
-        for (Run run : runner.snapshotOfRuns()) {
-            if (pendingStarts.contains(run)) {
-                removeRun(run);
-            }
-        }
-    }
-
     /**
      * Removes all runs on a runner, none of which can still exist because the runner restarted or its lease expired.
      */
@@ -185,7 +178,7 @@
             if (startUnresolved && !pendingStarts.contains(run)) {
                 runner.unresolvedStarts.put(run.key(), FleetRunner.NOT_STOPPED);
             }
-            loseRun(run, "the runner is lost");
+            runs.lose(run, "the runner is lost");
         }
         if (!runner.registered && !runner.hasUnresolvedStarts()) {
             runners.remove(id);
@@ -217,41 +210,7 @@
      * @param requestSentNanos when the status was requested; it covers every start and stop confirmed before
      */
     public void applyStatus(FleetRunner runner, RunnerStatus status, long requestSentNanos, long nowNanos) {
-        if (runner.processStartEpochMs != status.processStartEpochMs()) {
-            startIncarnation(runner, status.processStartEpochMs(), requestSentNanos);
-        }
-        runner.statusKnown = true;
-        runner.silent = false;
-        for (RunnerStatus.EndedRun entry : status.endedRuns()) {
-            if (entry.sequenceNumber() > runner.lastProcessedEnd) {
-                runner.lastProcessedEnd = entry.sequenceNumber();
-                applyEnd(runner, entry, nowNanos);
-                runner.unstoredEnds.add(entry);
-                if (jobs.isIsolated(entry.task().job())) {
-                    jobs.held().storeEnd(entry);
-                }
-                jobs.onEndProcessed(entry.task().job());
-            }
-        }
-        if (!status.truncated()) {
-            runner.heldRuns.clear();
-        }
-        Set<FleetRunner.RunKey> reported = new HashSet<>();
-        for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
-            reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
-            applyRunning(runner, entry, status.clockMs(), nowNanos);
-        }
-        if (!status.truncated()) {
-            loseMissingRuns(runner, reported, requestSentNanos);
-            runner.reported = true;
-            if (!runner.unconfirmed) {
-                unreportedRunners.remove(runner.id());
-            }
-        }
-        pendingStops.retainUnknownRuns(runner, reported);
-        runner.orphanedRuns.retainReported(reported, requestSentNanos);
-        stopUnresolvedStarts(runner, nowNanos);
-        evictStalledRuns(runner, nowNanos);
+        statuses.apply(runner, status, requestSentNanos, nowNanos);
         throttleCommands.addAll(throttleController.adjustSpeeds(runner, nowNanos));
     }
 
@@ -286,126 +245,6 @@
         }
     }
 
-    private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
-        for (Run run : runner.snapshotOfRuns()) {
-            boolean missing = !reported.contains(run.key());
-            if (missing && confirmedBefore(run, requestSentNanos)) {
-                loseRun(run, "the runner reports neither the run nor its end");
-            }
-        }
-    }
-
-    /**
-     * Requests that starts which were given up be stopped, so that the runner rejects them from now on. One whose stops
-     * got no response for the longest delay of a command can no longer take effect.
-     */
-    private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
-        runner.unresolvedStarts.replaceAll(
-                (start, stoppedNanos) -> stoppedNanos == FleetRunner.NOT_STOPPED ? nowNanos : stoppedNanos);
-        for (Map.Entry<FleetRunner.RunKey, Long> start : List.copyOf(runner.unresolvedStarts.entrySet())) {
-            if (nowNanos - start.getValue() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS) {
-                resolveStart(runner, start.getKey());
-            } else {
-                pendingStops.add(runner, start.getKey(), StopCause.UNRESOLVED_START);
-            }
-        }
-    }
-
-    /** Records that a start which was given up can no longer take effect; returns whether it could before. */
-    private boolean resolveStart(FleetRunner runner, FleetRunner.RunKey start) {
-        boolean unresolved = runner.unresolvedStarts.remove(start) != null;
-        if (unresolved) {
-            pendingStops.removeUnresolvedStart(runner, start);
-        }
-        return unresolved;
-    }
-
-    private void evictStalledRuns(FleetRunner runner, long nowNanos) {
-        for (Run run : runner.snapshotOfRuns()) {
-            if (StallDetector.isStalled(run, nowNanos)) {
-                evictStalled(run, nowNanos);
-            }
-        }
-    }
-
-    /** Returns whether a status requested at {@code requestSentNanos} must contain the run if it still exists. */
-    private static boolean confirmedBefore(Run run, long requestSentNanos) {
-        if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
-            return true;
-        }
-        return run.stopConfirmed && requestSentNanos - run.stopConfirmedNanos > 0;
-    }
-
-    private void startIncarnation(FleetRunner runner, long processStartEpochMs, long requestSentNanos) {
-        long previousStartEpochMs = runner.processStartEpochMs;
-        runner.processStartEpochMs = processStartEpochMs;
-        runner.lastProcessedEnd = 0;
-        runner.unstoredEnds.clear();
-        if (previousStartEpochMs != 0) {
-            observer.runnerRestarted(runner, previousStartEpochMs);
-            runner.onProcessEnded(clock.nowNanos());
-            removeRunsOfEarlierIncarnation(runner, requestSentNanos);
-        }
-    }
-
-    /**
-     * Removes the runs whose start was confirmed before the status was requested. Others are kept: the new incarnation may
-     * have confirmed them since, or may still receive them. A stop that the earlier incarnation confirmed keeps it from
-     * none of them.
-     */
-    private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
-        pendingStops.retainUnknownRuns(runner, Set.of());
-        runner.heldRuns.clear();
-        runner.orphanedRuns.clear();
-        for (Run run : runner.snapshotOfRuns()) {
-            if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
-                endRunOfEarlierIncarnation(run);
-            } else if (!run.startConfirmed && run.stopConfirmed) {
-                run.stopConfirmed = false;
-                pendingStops.sendAgain(runner, run.key());
-            }
-        }
-    }
-
-    /** Removes a run; if its start was repeated, the new incarnation may still receive an attempt and has to be told first. */
-    private void endRunOfEarlierIncarnation(Run run) {
-        if (!run.mayStartAgain(clock.nowNanos())) {
-            loseRun(run, "the runner restarted");
-            return;
-        }
-        run.startConfirmed = false;
-        run.stopConfirmed = false;
-        stop(run);
-        pendingStops.sendAgain(run.runner(), run.key());
-    }
-
-    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
-        if (jobs.held().contains(entry.task().job())) {
-            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
-            runner.heldRuns.put(key, entry);
-            runner.orphanedRuns.addReported(key, jobs.held().reservation(entry.task()), nowNanos);
-            return;
-        }
-        Run run = runner.find(entry.task(), entry.runNumber());
-        if (run == null) {
-            run = adoptOrStop(runner, entry, nowNanos);
-        }
-        if (run == null) {
-            return;
-        }
-        run.reportedAt(clockMs);
-        if (run.phase == Run.Phase.STARTING) {
-            run.phase = Run.Phase.RUNNING;
-            confirmStart(run, nowNanos);
-        }
-        if (entry.progressPercent() != run.progressPercent) {
-            run.progressPercent = entry.progressPercent();
-            run.lastProgressNanos = nowNanos;
-        }
-        run.measurement = entry.measurement();
-        run.task().updateCheckpoint(run.number(), entry.checkpoint());
-    }
-
     /**
      * Loads a held job, applies the ends of its runs that were reported since, and adopts the runs that go on. No runner
      * may be unreported, because a run there is not known.
@@ -416,122 +255,12 @@
             for (RunnerStatus.ActiveRun entry : List.copyOf(runner.heldRuns.values())) {
                 if (entry.task().job().equals(definition.id())) {
                     runner.heldRuns.remove(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
-                    adoptOrStop(runner, entry, nowNanos);
+                    statuses.adoptOrStop(runner, entry, nowNanos);
                 }
             }
         }
     }
 
-    /** Adopts a run that an earlier leader started; if it must end, has it stopped and returns null. */
-    private Run adoptOrStop(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
-        Run adopted = adopt(runner, entry, nowNanos);
-        if (adopted == null) {
-            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
-            pendingStops.add(runner, key, StopCause.UNKNOWN_RUN);
-            runner.orphanedRuns.addReported(key, jobs.reservation(entry.task()), nowNanos);
-        }
-        return adopted;
-    }
-
-    /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
-    private Run adopt(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
-        Task task = jobs.findReportedTask(entry.task());
-        if (task == null || task.done || task.job().terminalState != null) {
-            return null;
-        }
-        if (!task.runs.isEmpty() && !task.step().speculative()) {
-            return null;
-        }
-        Run run = new Run(task, entry.runNumber(), runner, "", nowNanos);
-        run.phase = Run.Phase.RUNNING;
-        // How long the task waited before an earlier leader started it is not known.
-        task.waiting = false;
-        confirmStart(run, nowNanos);
-        run.speedPercent = Run.UNKNOWN_SPEED;
-        task.lastRunNumber = Math.max(task.lastRunNumber, entry.runNumber());
-        task.inheritedRunners.remove(runner.id());
-        run.adopted = true;
-        pendingStops.remove(runner, run.key());
-        runner.orphanedRuns.remove(run.key());
-        runner.add(run);
-        jobs.updateReadiness(task);
-        observer.runAdopted(run);
-        return run;
-    }
-
-    private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
-        FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
-        resolveStart(runner, key);
-        runner.orphanedRuns.remove(key);
-        if (jobs.held().contains(end.task().job())) {
-            runner.heldRuns.remove(key);
-            if (jobs.held().addEnd(end)) {
-                observer.runEnded(runner, end, null);
-            }
-            return;
-        }
-        Task task = jobs.findReportedTask(end.task());
-        Run run = runner.find(end.task(), end.runNumber());
-        observer.endProcessed(end.reason());
-        if (run != null) {
-            endWaiting(run, nowNanos);
-            runner.remove(run);
-            runner.onEnded(run, nowNanos);
-            pendingStops.remove(runner, key);
-            if (run.task().job().terminalState == JobState.CANCELLED) {
-                observer.cancelledRunEnded(run, nowNanos - run.task().job().terminalNanos);
-            }
-        }
-        if (task == null || task.done || task.job().terminalState != null) {
-            if (task != null && run != null) {
-                // Later steps wait for the last run of a task that is done.
-                jobs.updateReadiness(task);
-            }
-            return;
-        }
-        jobs.recordEnd(task, end.runNumber(), end.checkpoint());
-        observer.runEnded(runner, end, run);
-        switch (end.reason()) {
-            case DONE -> applyDone(task, run, runner, nowNanos);
-            case FAILED -> applyFailure(task, end.runNumber(), runner, nowNanos);
-            default -> jobs.updateReadiness(task);
-        }
-    }
-
-    private void applyDone(Task task, Run run, FleetRunner runner, long nowNanos) {
-        runner.health.recordSuccess();
-        if (run != null && run.checkpoint().isEmpty() && run.speedPercent == 100) {
-            recordDuration(run, nowNanos);
-        }
-        if (task.step().longRunning()) {
-            jobs.updateReadiness(task);
-            return;
-        }
-        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run);
-        jobs.complete(task);
-    }
-
-    private static void recordDuration(Run run, long nowNanos) {
-        long estimateMs = run.task().step().estimatedDurationMs();
-        if (estimateMs > 0 && !run.task().step().bestEffort()) {
-            run.runner().health.recordDuration((nowNanos - run.createdNanos()) / (estimateMs * 1e6));
-        }
-    }
-
-    private void applyFailure(Task task, long runNumber, FleetRunner runner, long nowNanos) {
-        if (task.step().longRunning()) {
-            jobs.updateReadiness(task);
-            return;
-        }
-        if (!task.failedRunNumbers.contains(runNumber)) {
-            if (task.avoidedRunners.isEmpty()) {
-                runner.health.recordFailure(task.job().id(), nowNanos);
-            }
-            task.avoidedRunners.add(runner.id(), nowNanos);
-        }
-        jobs.recordFailure(task, runNumber);
-    }
-
     // ---- Commands
 
     /**
@@ -552,7 +281,7 @@
         starts.forEach(run -> commands.add(new RunnerCommand.Start(run)));
         for (Run run : migrationPlanner.runsToMigrate(runners.values(), nowNanos)) {
             observer.runEvicted(run, MigrationPlanner.reason(run));
-            stop(run);
+            runs.stop(run);
         }
         return commands;
     }
@@ -561,7 +290,7 @@
     private void replacePendingStarts() {
         for (Run run : pendingStarts.stored()) {
             if (!mayStartOnItsRunner(run)) {
-                removeRun(run);
+                runs.remove(run);
             }
         }
     }
@@ -619,17 +348,17 @@
                     run.phase = Run.Phase.RUNNING;
                 }
                 run.runner().health.recordStart();
-                confirmStart(run, nowNanos);
+                runs.confirmStart(run, nowNanos);
             }
             case NO_ROOM, REFUSED -> {
                 run.runner().health.recordRefusal(nowNanos);
-                removeRun(run);
+                runs.remove(run);
             }
             case ANSWERED_LATE -> {
                 run.runner().health.recordLateAnswer(nowNanos);
-                removeRun(run);
+                runs.remove(run);
             }
-            case RUNNER_REPLACED, NOT_SENT -> removeRun(run);
+            case RUNNER_REPLACED, NOT_SENT -> runs.remove(run);
             default -> startNotConfirmed(run);
         }
     }
@@ -637,7 +366,7 @@
     /** Stops a run whose start got no response, unless a status has shown in the meantime that it runs. */
     private void startNotConfirmed(Run run) {
         if (run.phase == Run.Phase.STARTING) {
-            stop(run);
+            runs.stop(run);
         }
     }
 
@@ -653,7 +382,7 @@
     public void applyStopConfirmation(FleetRunner runner, TaskKey task, long runNumber, long nowNanos) {
         FleetRunner.RunKey key = new FleetRunner.RunKey(task, runNumber);
         Run run = runner.find(task, runNumber);
-        if (resolveStart(runner, key) && run == null) {
+        if (runs.resolveStart(runner, key) && run == null) {
             // The start may have taken effect since the last status, and its run takes some time to end.
             runner.orphanedRuns.addPossible(key, jobs.reservation(task), nowNanos);
         }
@@ -663,58 +392,7 @@
         }
     }
 
-    /** Stops a stalled run and makes its task avoid the runner. */
-    private void evictStalled(Run run, long nowNanos) {
-        run.runner().health.recordStall(nowNanos);
-        run.task().avoidedRunners.add(run.runner().id(), nowNanos);
-        observer.runEvicted(run, "no progress");
-        stop(run);
-    }
-
-    private void confirmStart(Run run, long nowNanos) {
-        endWaiting(run, nowNanos);
-        if (!run.startConfirmed) {
-            run.startConfirmed = true;
-            run.startConfirmedNanos = nowNanos;
-            run.task().job().started = true;
-        }
-    }
-
-    /** Reports how long the task of a run that exists on its runner waited, unless that was reported before. */
-    private void endWaiting(Run run, long nowNanos) {
-        Task task = run.task();
-        if (task.waiting) {
-            task.waiting = false;
-            observer.taskStarted(nowNanos - task.waitingSinceNanos);
-        }
-    }
-
     private void stopAll(Task task) {
-        List.copyOf(task.runs).forEach(this::stop);
-    }
-
-    private void stop(Run run) {
-        if (pendingStarts.contains(run)) {
-            removeRun(run);
-            return;
-        }
-        run.phase = Run.Phase.STOPPING;
-        pendingStops.add(run.runner(), run.key(), StopCause.KNOWN_RUN);
-    }
-
-    private void loseRun(Run run, String reason) {
-        observer.runLost(run, reason);
-        removeRun(run);
-    }
-
-    /** Removes a run that can no longer exist; its task becomes ready again. */
-    private void removeRun(Run run) {
-        run.runner().remove(run);
-        pendingStops.remove(run.runner(), run.key());
-        pendingStarts.remove(run);
-        if (run.task().step().longRunning() && run.task().job().terminalState == null) {
-            jobs.markDirty(run.task().job());
-        }
-        jobs.updateReadiness(run.task());
+        runs.stopAll(task);
     }
 }
--- /dev/null
+++ b/src/main/java/org/tamarackline/core/fleet/StatusReconciler.java
@@ -0,0 +1,306 @@
+package org.tamarackline.core.fleet;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.tamarackline.core.time.MonotonicClock;
+
+/** Reconciles the runs of a runner, as the leader knows them, with the status that the runner reports. */
+final class StatusReconciler {
+
+    private final JobTracker jobs;
+    private final RunLifecycle runs;
+    private final PendingStops pendingStops;
+    private final UnreportedRunners unreportedRunners;
+    private final FleetObserver observer;
+    private final MonotonicClock clock;
+
+    StatusReconciler(
+            JobTracker jobs,
+            RunLifecycle runs,
+            PendingStops pendingStops,
+            UnreportedRunners unreportedRunners,
+            FleetObserver observer,
+            MonotonicClock clock) {
+        this.jobs = jobs;
+        this.runs = runs;
+        this.pendingStops = pendingStops;
+        this.unreportedRunners = unreportedRunners;
+        this.observer = observer;
+        this.clock = clock;
+    }
+
+    /**
+     * Applies a status that a runner reported.
+     *
+     * @param requestSentNanos when the status was requested; it covers every start and stop confirmed before
+     */
+    void apply(FleetRunner runner, RunnerStatus status, long requestSentNanos, long nowNanos) {
+        if (runner.processStartEpochMs != status.processStartEpochMs()) {
+            startIncarnation(runner, status.processStartEpochMs(), requestSentNanos);
+        }
+        runner.statusKnown = true;
+        runner.silent = false;
+        for (RunnerStatus.EndedRun entry : status.endedRuns()) {
+            if (entry.sequenceNumber() > runner.lastProcessedEnd) {
+                runner.lastProcessedEnd = entry.sequenceNumber();
+                applyEnd(runner, entry, nowNanos);
+                runner.unstoredEnds.add(entry);
+                if (jobs.isIsolated(entry.task().job())) {
+                    jobs.held().storeEnd(entry);
+                }
+                jobs.onEndProcessed(entry.task().job());
+            }
+        }
+        if (!status.truncated()) {
+            runner.heldRuns.clear();
+        }
+        Set<FleetRunner.RunKey> reported = new HashSet<>();
+        for (RunnerStatus.ActiveRun entry : status.activeRuns()) {
+            reported.add(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
+            applyRunning(runner, entry, status.clockMs(), nowNanos);
+        }
+        if (!status.truncated()) {
+            loseMissingRuns(runner, reported, requestSentNanos);
+            runner.reported = true;
+            if (!runner.unconfirmed) {
+                unreportedRunners.remove(runner.id());
+            }
+        }
+        pendingStops.retainUnknownRuns(runner, reported);
+        runner.orphanedRuns.retainReported(reported, requestSentNanos);
+        stopUnresolvedStarts(runner, nowNanos);
+        evictStalledRuns(runner, nowNanos);
+    }
+
+    private void loseMissingRuns(FleetRunner runner, Set<FleetRunner.RunKey> reported, long requestSentNanos) {
+        for (Run run : runner.snapshotOfRuns()) {
+            boolean missing = !reported.contains(run.key());
+            if (missing && confirmedBefore(run, requestSentNanos)) {
+                runs.lose(run, "the runner reports neither the run nor its end");
+            }
+        }
+    }
+
+    /**
+     * Requests that starts which were given up be stopped, so that the runner rejects them from now on. One whose stops
+     * got no response for the longest delay of a command can no longer take effect.
+     */
+    private void stopUnresolvedStarts(FleetRunner runner, long nowNanos) {
+        runner.unresolvedStarts.replaceAll(
+                (start, stoppedNanos) -> stoppedNanos == FleetRunner.NOT_STOPPED ? nowNanos : stoppedNanos);
+        for (Map.Entry<FleetRunner.RunKey, Long> start : List.copyOf(runner.unresolvedStarts.entrySet())) {
+            if (nowNanos - start.getValue() > SchedulingLimits.MAX_COMMAND_DELAY_NANOS) {
+                runs.resolveStart(runner, start.getKey());
+            } else {
+                pendingStops.add(runner, start.getKey(), StopCause.UNRESOLVED_START);
+            }
+        }
+    }
+
+    private void evictStalledRuns(FleetRunner runner, long nowNanos) {
+        for (Run run : runner.snapshotOfRuns()) {
+            if (StallDetector.isStalled(run, nowNanos)) {
+                evictStalled(run, nowNanos);
+            }
+        }
+    }
+
+    /** Returns whether a status requested at {@code requestSentNanos} must contain the run if it still exists. */
+    private static boolean confirmedBefore(Run run, long requestSentNanos) {
+        if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
+            return true;
+        }
+        return run.stopConfirmed && requestSentNanos - run.stopConfirmedNanos > 0;
+    }
+
+    private void startIncarnation(FleetRunner runner, long processStartEpochMs, long requestSentNanos) {
+        long previousStartEpochMs = runner.processStartEpochMs;
+        runner.processStartEpochMs = processStartEpochMs;
+        runner.lastProcessedEnd = 0;
+        runner.unstoredEnds.clear();
+        if (previousStartEpochMs != 0) {
+            observer.runnerRestarted(runner, previousStartEpochMs);
+            runner.onProcessEnded(clock.nowNanos());
+            removeRunsOfEarlierIncarnation(runner, requestSentNanos);
+        }
+    }
+
+    /**
+     * Removes the runs whose start was confirmed before the status was requested. Others are kept: the new incarnation may
+     * have confirmed them since, or may still receive them. A stop that the earlier incarnation confirmed keeps it from
+     * none of them.
+     */
+    private void removeRunsOfEarlierIncarnation(FleetRunner runner, long requestSentNanos) {
+        pendingStops.retainUnknownRuns(runner, Set.of());
+        runner.heldRuns.clear();
+        runner.orphanedRuns.clear();
+        for (Run run : runner.snapshotOfRuns()) {
+            if (run.startConfirmed && requestSentNanos - run.startConfirmedNanos > 0) {
+                endRunOfEarlierIncarnation(run);
+            } else if (!run.startConfirmed && run.stopConfirmed) {
+                run.stopConfirmed = false;
+                pendingStops.sendAgain(runner, run.key());
+            }
+        }
+    }
+
+    /** Removes a run; if its start was repeated, the new incarnation may still receive an attempt and has to be told first. */
+    private void endRunOfEarlierIncarnation(Run run) {
+        if (!run.mayStartAgain(clock.nowNanos())) {
+            runs.lose(run, "the runner restarted");
+            return;
+        }
+        run.startConfirmed = false;
+        run.stopConfirmed = false;
+        runs.stop(run);
+        pendingStops.sendAgain(run.runner(), run.key());
+    }
+
+    private void applyRunning(FleetRunner runner, RunnerStatus.ActiveRun entry, long clockMs, long nowNanos) {
+        if (jobs.held().contains(entry.task().job())) {
+            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
+            runner.heldRuns.put(key, entry);
+            runner.orphanedRuns.addReported(key, jobs.held().reservation(entry.task()), nowNanos);
+            return;
+        }
+        Run run = runner.find(entry.task(), entry.runNumber());
+        if (run == null) {
+            run = adoptOrStop(runner, entry, nowNanos);
+        }
+        if (run == null) {
+            return;
+        }
+        run.reportedAt(clockMs);
+        if (run.phase == Run.Phase.STARTING) {
+            run.phase = Run.Phase.RUNNING;
+            runs.confirmStart(run, nowNanos);
+        }
+        if (entry.progressPercent() != run.progressPercent) {
+            run.progressPercent = entry.progressPercent();
+            run.lastProgressNanos = nowNanos;
+        }
+        run.measurement = entry.measurement();
+        run.task().updateCheckpoint(run.number(), entry.checkpoint());
+    }
+
+    /** Adopts a run that an earlier leader started; if it must end, has it stopped and returns null. */
+    Run adoptOrStop(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+        Run adopted = adopt(runner, entry, nowNanos);
+        if (adopted == null) {
+            FleetRunner.RunKey key = new FleetRunner.RunKey(entry.task(), entry.runNumber());
+            pendingStops.add(runner, key, StopCause.UNKNOWN_RUN);
+            runner.orphanedRuns.addReported(key, jobs.reservation(entry.task()), nowNanos);
+        }
+        return adopted;
+    }
+
+    /** Adopts a run that an earlier leader started; returns null if the run must be stopped. */
+    private Run adopt(FleetRunner runner, RunnerStatus.ActiveRun entry, long nowNanos) {
+        Task task = jobs.findReportedTask(entry.task());
+        if (task == null || task.done || task.job().terminalState != null) {
+            return null;
+        }
+        if (!task.runs.isEmpty() && !task.step().speculative()) {
+            return null;
+        }
+        Run run = new Run(task, entry.runNumber(), runner, "", nowNanos);
+        run.phase = Run.Phase.RUNNING;
+        // How long the task waited before an earlier leader started it is not known.
+        task.waiting = false;
+        runs.confirmStart(run, nowNanos);
+        run.speedPercent = Run.UNKNOWN_SPEED;
+        task.lastRunNumber = Math.max(task.lastRunNumber, entry.runNumber());
+        task.inheritedRunners.remove(runner.id());
+        run.adopted = true;
+        pendingStops.remove(runner, run.key());
+        runner.orphanedRuns.remove(run.key());
+        runner.add(run);
+        jobs.updateReadiness(task);
+        observer.runAdopted(run);
+        return run;
+    }
+
+    private void applyEnd(FleetRunner runner, RunnerStatus.EndedRun end, long nowNanos) {
+        FleetRunner.RunKey key = new FleetRunner.RunKey(end.task(), end.runNumber());
+        runs.resolveStart(runner, key);
+        runner.orphanedRuns.remove(key);
+        if (jobs.held().contains(end.task().job())) {
+            runner.heldRuns.remove(key);
+            if (jobs.held().addEnd(end)) {
+                observer.runEnded(runner, end, null);
+            }
+            return;
+        }
+        Task task = jobs.findReportedTask(end.task());
+        Run run = runner.find(end.task(), end.runNumber());
+        observer.endProcessed(end.reason());
+        if (run != null) {
+            runs.endWaiting(run, nowNanos);
+            runner.remove(run);
+            runner.onEnded(run, nowNanos);
+            pendingStops.remove(runner, key);
+            if (run.task().job().terminalState == JobState.CANCELLED) {
+                observer.cancelledRunEnded(run, nowNanos - run.task().job().terminalNanos);
+            }
+        }
+        if (task == null || task.done || task.job().terminalState != null) {
+            if (task != null && run != null) {
+                // Later steps wait for the last run of a task that is done.
+                jobs.updateReadiness(task);
+            }
+            return;
+        }
+        jobs.recordEnd(task, end.runNumber(), end.checkpoint());
+        observer.runEnded(runner, end, run);
+        switch (end.reason()) {
+            case DONE -> applyDone(task, run, runner, nowNanos);
+            case FAILED -> applyFailure(task, end.runNumber(), runner, nowNanos);
+            default -> jobs.updateReadiness(task);
+        }
+    }
+
+    private void applyDone(Task task, Run run, FleetRunner runner, long nowNanos) {
+        runner.health.recordSuccess();
+        if (run != null && run.checkpoint().isEmpty() && run.speedPercent == 100) {
+            recordDuration(run, nowNanos);
+        }
+        if (task.step().longRunning()) {
+            jobs.updateReadiness(task);
+            return;
+        }
+        task.endUnknownToEarlierLeaders = run != null && UnreportedRunners.endIsUnknownToEarlierLeaders(run);
+        jobs.complete(task);
+    }
+
+    private static void recordDuration(Run run, long nowNanos) {
+        long estimateMs = run.task().step().estimatedDurationMs();
+        if (estimateMs > 0 && !run.task().step().bestEffort()) {
+            run.runner().health.recordDuration((nowNanos - run.createdNanos()) / (estimateMs * 1e6));
+        }
+    }
+
+    private void applyFailure(Task task, long runNumber, FleetRunner runner, long nowNanos) {
+        if (task.step().longRunning()) {
+            jobs.updateReadiness(task);
+            return;
+        }
+        if (!task.failedRunNumbers.contains(runNumber)) {
+            if (task.avoidedRunners.isEmpty()) {
+                runner.health.recordFailure(task.job().id(), nowNanos);
+            }
+            task.avoidedRunners.add(runner.id(), nowNanos);
+        }
+        jobs.recordFailure(task, runNumber);
+    }
+
+    /** Stops a stalled run and makes its task avoid the runner. */
+    private void evictStalled(Run run, long nowNanos) {
+        run.runner().health.recordStall(nowNanos);
+        run.task().avoidedRunners.add(run.runner().id(), nowNanos);
+        observer.runEvicted(run, "no progress");
+        runs.stop(run);
+    }
+}
