--- a/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
+++ b/src/main/java/org/tamarackline/core/fleet/FleetRunner.java
@@ -52,7 +52,9 @@
     /** Runs of held jobs in the last status, or in an earlier one if ends may be missing from the last. */
     final Map<RunKey, RunnerStatus.ActiveRun> heldRuns = new HashMap<>();
 
+    /** Runs that the runner has, or may have, beside {@link #runs}. */
     final OrphanedRuns orphanedRuns = new OrphanedRuns();
+
     /** Value of {@link #unresolvedStarts} for a start of which no stop was requested. */
     static final long NOT_STOPPED = -1;
 
