Show the entry of a restarted runner in the tests of command races

Its directory kept the entry of the earlier process for good, so the runner got no starts.

Change: the entry of the new process is in the directory once a job has been submitted after the restart, as the platform writes it. The checks are as before.

--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -297,6 +297,8 @@
         JobDefinition job = JobDefinitions.tasks(id, 1, runDurations.get(id).toMillis());
         history.submitted(job);
         write(id, RecordCodec.encodeOpenJob(job));
+        // The entry of a restarted runner is there once the leader asks for it, and not before.
+        link.directory().computeIfPresent(runner.id(), (runnerId, entry) -> runner.descriptor());
     }
 
     private void write(String key, byte[] value) {
