--- a/review/standins-3/LargeJobsAtOnce.java
+++ b/review/standins-3/LargeJobsAtOnce.java
@@ -3,14 +3,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Small jobs come all the time, and for four seconds large ones, too. All are accepted. Then nothing runs any more,
+ * Small jobs come all the time, and for four seconds large ones, too. Most are accepted. Then nothing runs any more,
  * although all runners are idle.
  */
 final class LargeJobsAtOnce {
 
-    private static final int LARGE_JOBS = 30;
+    private static final int LARGE_JOBS = 38;
     private static final int TASKS_OF_A_LARGE_JOB = 5_000;
-    private static final long LARGE_JOB_INTERVAL_MS = 130;
+    private static final long LARGE_JOB_INTERVAL_MS = 105;
     private static final long SMALL_JOB_INTERVAL_MS = 500;
     private static final long CALM_BEFORE_MS = 5_000;
     private static final long TRAFFIC_MS = 25_000;
@@ -37,7 +37,11 @@
                 deployment, "aaaa000000", 2, TRAFFIC_MS / SMALL_JOB_INTERVAL_MS, SMALL_JOB_INTERVAL_MS));
         if (deployment.trouble) {
             Thread.sleep(CALM_BEFORE_MS);
-            submit(deployment, "bbbb000000", TASKS_OF_A_LARGE_JOB, LARGE_JOBS, LARGE_JOB_INTERVAL_MS);
+            for (int i = 0; i < LARGE_JOBS; i++) {
+                String prefix = "bbbb%06x".formatted(i);
+                Thread.ofVirtual().start(() -> submit(deployment, prefix, TASKS_OF_A_LARGE_JOB, 1, LARGE_JOB_INTERVAL_MS));
+                Thread.sleep(LARGE_JOB_INTERVAL_MS);
+            }
         }
         small.join();
         long trafficEndMs = Math.max(deployment.record.nowMs(), startMs + TRAFFIC_MS);
