--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -15,6 +15,9 @@
 
     private static final int NODES = 3;
 
+    /** The first attempt and the four retries of the sheet. */
+    private static final int ATTEMPTS = 5;
+
     final CaseRecord record;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final StoreStandin store;
@@ -95,7 +98,7 @@
     /** Sends a request of a requester, repeated at the other nodes while it has no final answer. */
     Requester.Answer request(String method, String job, String body) throws InterruptedException {
         Requester.Answer answer = new Requester.Answer(0, "");
-        for (int attempt = 0; attempt < 8; attempt++) {
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
             NodeProcesses.Node node = nodes.all().get(attempt % NODES);
             answer = Requester.call(node, method, Requester.PREFIX + job, body, 3_000);
             record.write("requester " + method + " " + job + " at " + node.name() + " -> " + answer.status() + " "
