--- a/review/standins-3/Requester.java
+++ b/review/standins-3/Requester.java
@@ -9,7 +9,7 @@
 final class Requester {
 
     static final String HOST = "jobs.example";
-    static final String PREFIX = "/work/";
+    static final String PREFIX = "/jobs/";
 
     /** An answer; status 0 if there was none in time. */
     record Answer(int status, String body) {}
