Move the runners of a leader and their removal out of Fleet

A registry owns both now. A start that no process rejects is told from one that a process without a known start time rejects.

No change of behaviour otherwise. LateStartsTest, RestartedRunnerRunsTest, RunnerCommandRacesTest, FleetSequencesTest, RunnerSessionTest, FleetTest and OrphanedRunsTest pass.

--- a/src/main/java/org/tamarackline/core/fleet/Fleet.java
+++ b/src/main/java/org/tamarackline/core/fleet/Fleet.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -34,9 +32,7 @@
     private final List<RunnerCommand> throttleCommands = new ArrayList<>();
     private final PendingStarts pendingStarts = new PendingStarts();
     private final JobTracker jobs;
-    private final Map<String, FleetRunner> runners = new LinkedHashMap<>();
-    /** Starts that may still be executed if a runner comes back that left the directory and was removed. */
-    private final Map<String, UnansweredStarts> startsOfRemovedRunners = new HashMap<>();
+    private final RunnerRegistry runners = new RunnerRegistry();
 
     private final UnreportedRunners unreportedRunners = new UnreportedRunners();
     private final LongRunningWaits longRunningWaits;
@@ -56,10 +52,10 @@
         this.jobs = new JobTracker(observer, clock, pendingStarts, this::stopAll);
         this.runs = new RunLifecycle(jobs, pendingStarts, pendingStops, observer);
         this.statuses = new StatusReconciler(jobs, runs, pendingStops, unreportedRunners, observer);
-        this.starter = new TaskStarter(
-                jobs, runnerSelector, unreportedRunners, runners.values(), (epoch - 1) * RUNS_PER_EPOCH);
+        this.starter =
+                new TaskStarter(jobs, runnerSelector, unreportedRunners, runners.all(), (epoch - 1) * RUNS_PER_EPOCH);
         this.longRunningWaits =
-                new LongRunningWaits(jobs, pendingStarts, unreportedRunners, runners.values(), interference);
+                new LongRunningWaits(jobs, pendingStarts, unreportedRunners, runners.all(), interference);
     }
 
     public JobTracker jobs() {
@@ -94,19 +90,12 @@
      */
     public FleetRunner expectStatus(RunnerDescriptor descriptor) {
         unreportedRunners.add(descriptor.id());
-        return findOrCreateRunner(descriptor);
-    }
-
-    private FleetRunner findOrCreateRunner(RunnerDescriptor descriptor) {
-        return runners.computeIfAbsent(descriptor.id(), id -> {
-            UnansweredStarts starts = startsOfRemovedRunners.remove(id);
-            return new FleetRunner(descriptor, starts != null ? starts : new UnansweredStarts());
-        });
+        return runners.findOrCreate(descriptor);
     }
 
     /** Adds or updates a runner from its directory entry, and returns it. */
     public FleetRunner runnerRegistered(RunnerDescriptor descriptor) {
-        FleetRunner runner = findOrCreateRunner(descriptor);
+        FleetRunner runner = runners.findOrCreate(descriptor);
         runner.update(descriptor);
         if (descriptor.draining() || !runner.entryMayDescribeProcess()) {
             runs.removeUnsent(runner);
@@ -116,7 +105,7 @@
 
     /** Marks a runner as no longer in the directory; it gets no new tasks. */
     public void runnerDeregistered(String id) {
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner != null) {
             runner.registered = false;
             runs.removeUnsent(runner);
@@ -125,7 +114,7 @@
 
     /** Marks a runner as silent; it gets no new tasks until it reports its status. */
     public void runnerSilent(String id) {
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner != null) {
             runner.silent = true;
             runs.removeUnsent(runner);
@@ -134,7 +123,7 @@
 
     /** Sets whether a runner is cordoned, or may be according to the store; meanwhile it gets no new tasks. */
     public void setRunnerCordoned(String id, boolean cordoned) {
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner != null) {
             runner.cordoned = cordoned;
         }
@@ -147,7 +136,7 @@
      * of an earlier process, which are missing from the status.
      */
     public void setRunnerConfirmed(String id, boolean confirmed) {
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner == null) {
             return;
         }
@@ -164,7 +153,7 @@
      * new tasks, because ends can be acknowledged only while no start is on its way.
      */
     public void setAcknowledgementOverdue(String id, boolean overdue) {
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner != null) {
             runner.acknowledgementOverdue = overdue;
         }
@@ -175,7 +164,7 @@
      */
     public void runnerLost(String id) {
         unreportedRunners.remove(id);
-        FleetRunner runner = runners.get(id);
+        FleetRunner runner = runners.find(id);
         if (runner == null) {
             return;
         }
@@ -183,26 +172,18 @@
         runner.heldRuns.clear();
         runner.orphanedRuns.clear();
         pendingStops.removeAll(runner);
-        runner.unansweredStarts.onRunnerLost(runner.answeringProcessStartEpochMs, clock.nowNanos());
+        long nowNanos = clock.nowNanos();
+        runner.unansweredStarts.onRunnerLost(runner.answeringProcessStartEpochMs, nowNanos);
         for (Run run : runner.snapshotOfRuns()) {
             runs.lose(run, "the runner is lost");
         }
         if (!runner.registered) {
-            removeRunner(runner);
-        }
-    }
-
-    private void removeRunner(FleetRunner runner) {
-        long nowNanos = clock.nowNanos();
-        startsOfRemovedRunners.values().removeIf(starts -> !starts.anyPossible(nowNanos));
-        runners.remove(runner.id());
-        if (runner.unansweredStarts.anyPossible(nowNanos)) {
-            startsOfRemovedRunners.put(runner.id(), runner.unansweredStarts);
+            runners.remove(runner, nowNanos);
         }
     }
 
     public Collection<FleetRunner> runners() {
-        return Collections.unmodifiableCollection(runners.values());
+        return Collections.unmodifiableCollection(runners.all());
     }
 
     /** Returns the number of runners that may run tasks of an earlier leader and have not reported their status. */
@@ -217,7 +198,7 @@
 
     /** Measures the load. */
     public FleetLoad load() {
-        return FleetLoad.measure(jobs, runners.values(), unreportedRunners, clock.nowNanos());
+        return FleetLoad.measure(jobs, runners.all(), unreportedRunners, clock.nowNanos());
     }
 
     /**
@@ -266,7 +247,7 @@
      */
     public void isolateJob(Job job) {
         jobs.isolate(job);
-        for (FleetRunner runner : runners.values()) {
+        for (FleetRunner runner : runners.all()) {
             runner.unstoredEnds.of(job).forEach(jobs.held()::storeEnd);
         }
     }
@@ -277,7 +258,7 @@
      */
     public void loadHeldJob(JobDefinition definition, JobProgress progress, long nowNanos, long nowEpochMs) {
         jobs.addWithStoredEnds(definition, progress, true, nowEpochMs);
-        for (FleetRunner runner : runners.values()) {
+        for (FleetRunner runner : runners.all()) {
             for (RunnerStatus.ActiveRun entry : List.copyOf(runner.heldRuns.values())) {
                 if (entry.task().job().equals(definition.id())) {
                     runner.heldRuns.remove(new FleetRunner.RunKey(entry.task(), entry.runNumber()));
@@ -305,7 +286,7 @@
         List<Run> starts = pendingStarts.take(maxStarts);
         starts.addAll(placeReadyTasks(maxStarts - starts.size(), nowNanos, nowEpochMs));
         starts.forEach(run -> commands.add(new RunnerCommand.Start(run)));
-        for (Run run : migrationPlanner.runsToMigrate(runners.values(), nowNanos)) {
+        for (Run run : migrationPlanner.runsToMigrate(runners.all(), nowNanos)) {
             observer.runEvicted(run, MigrationPlanner.reason(run));
             runs.stop(run);
         }
--- a/src/main/java/org/tamarackline/core/fleet/UnansweredStarts.java
+++ b/src/main/java/org/tamarackline/core/fleet/UnansweredStarts.java
@@ -19,7 +19,7 @@
 final class UnansweredStarts {
 
     /** Value of {@link Start#rejectingProcess} while no process is known to reject the start. */
-    private static final long NO_PROCESS = 0;
+    private static final long NO_PROCESS = -1;
 
     /** The attempts to start one run. */
     private static final class Start {
