--- a/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
+++ b/src/test/java/org/tamarackline/core/fleet/FleetSimulation.java
@@ -421,16 +421,16 @@
         long lastMs = nowMs + MAX_COMMAND_DELAY_MS;
         delayedCommands.add(new DelayedCommand(
                 nowMs + random.nextInt(MAX_COMMAND_DELAY_MS),
-                () -> executeUnlessUnused(runner, processStartEpochMs, command, lastMs)));
+                () -> executeOnceUsed(runner, processStartEpochMs, command, lastMs)));
     }
 
     /** Has a later process execute a command once the leader uses it; no leader can prevent what is executed before. */
-    private void executeUnlessUnused(SimulatedRunner runner, long processStartEpochMs, Runnable command, long lastMs) {
+    private void executeOnceUsed(SimulatedRunner runner, long processStartEpochMs, Runnable command, long lastMs) {
         if (runner.processStartEpochMs() == processStartEpochMs || usedByLeader(runner)) {
             command.run();
         } else if (nowMs < lastMs) {
             delayedCommands.add(new DelayedCommand(
-                    nowMs + STEP_MS, () -> executeUnlessUnused(runner, processStartEpochMs, command, lastMs)));
+                    nowMs + STEP_MS, () -> executeOnceUsed(runner, processStartEpochMs, command, lastMs)));
         }
     }
 
--- a/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
+++ b/src/test/java/org/tamarackline/fleet/ClusterSequencesTest.java
@@ -20,9 +20,8 @@
     /** Guards against tasks that run twice, too early or not at all. */
     @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
     void keepsItsRulesUnderFaults(@ForAll long seed) {
-        ClusterSimulation simulation = new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.ALL_KINDS))
+                .isEmpty();
     }
 
     /**
@@ -31,37 +30,29 @@
      */
     @Property(tries = 60, seed = "4711", shrinking = ShrinkingMode.OFF)
     void bridgesOutagesOfTheStore(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.STORE_OUTAGES, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.STORE_OUTAGES))
+                .isEmpty();
     }
 
     /** Guards against long-running tasks that stand longer with each change of the leader after their runner is lost. */
     @Property(tries = 25, seed = "4711", shrinking = ShrinkingMode.OFF)
     void leaderChangesDoNotProlongTheWaitForLostRunners(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.LEADER_CHANGES, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.LEADER_CHANGES))
+                .isEmpty();
     }
 
     /** Guards against tasks of cancelled jobs that run on because the cancellation or the stops meet silent connections. */
     @Property(tries = 12, seed = "4711", shrinking = ShrinkingMode.OFF)
     void cancelledTasksEndInTimeAlthoughConnectionsAreSilent(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.CANCELLATIONS, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.CANCELLATIONS))
+                .isEmpty();
     }
 
     /** Guards against a leader that is kept although the store fails its transactions, until all leases end together. */
     @Property(tries = 2, seed = "4711", shrinking = ShrinkingMode.OFF)
     void leaderWhoseTransactionsFailIsReplacedInTime(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.WRITE_FAILURES, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.WRITE_FAILURES))
+                .isEmpty();
     }
 
     /**
@@ -70,19 +61,15 @@
      */
     @Property(tries = 40, seed = "4711", shrinking = ShrinkingMode.OFF)
     void startsFitTheirRunnersAlthoughTheseAndTheLeadersChange(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.RUNNER_CHANGES, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.RUNNER_CHANGES))
+                .isEmpty();
     }
 
     /** Guards against runs by commands that a later process of their runner executes. */
     @Property(tries = 20, seed = "4711", shrinking = ShrinkingMode.OFF)
     void lateCommandsHaveNoEffectOnLaterProcesses(@ForAll long seed) {
-        ClusterSimulation simulation =
-                new ClusterSimulation(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.LATE_COMMANDS, false);
-        simulation.run();
-        assertThat(simulation.history().violations()).isEmpty();
+        assertThat(violations(seed, ClusterSimulation.Defect.NONE, ClusterFaults.Profile.LATE_COMMANDS))
+                .isEmpty();
     }
 
     /** Guards against failures that cannot be reproduced. */
--- a/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
+++ b/src/test/java/org/tamarackline/fleet/RunnerCommandRacesTest.java
@@ -25,6 +25,9 @@
     private static final Duration LATENCY = Duration.ofMillis(2);
     private static final Duration DOWNTIME = Duration.ofMillis(500);
 
+    /** Time for a read of the directory, a poll, a scheduling round and a stop. */
+    private static final Duration TIME_FOR_CALLS = Duration.ofMillis(40);
+
     private final ManualLoop loop = new ManualLoop();
     private final RunHistory history = new RunHistory(loop, true);
     private final SimulatedStore store = new SimulatedStore(loop, true);
@@ -176,12 +179,12 @@
         assertThat(history.violations()).isEmpty();
     }
 
-    /** Guards against a process that an idle runner starts and that is told to stop the run only after some seconds. */
+    /** Guards against a new process of an idle runner that is told to stop the run only with the next regular poll. */
     @Test
     void nextProcessOfAnIdleRunnerStopsTheRunWithinOneReadOfTheDirectory() {
         startLeader();
         Duration untilRestarted = Duration.ofSeconds(3);
-        Duration untilStopped = FleetConstants.DIRECTORY_READ_INTERVAL.plus(LATENCY.multipliedBy(20));
+        Duration untilStopped = FleetConstants.DIRECTORY_READ_INTERVAL.plus(TIME_FOR_CALLS);
         startElsewhereAfterAConfirmedStop(untilRestarted.plus(untilStopped));
         loop.advance(untilRestarted.minus(sinceFirstStart()).minus(DOWNTIME));
         restartFirstRunner();
